--- /dev/null
+++ b/Makefile
@@ -0,0 +1,62 @@
+# Thin front over CMake. `make check` is what CI runs.
+BUILD ?= build
+FUZZ_BUILD ?= build-fuzz
+JOBS ?= 8
+FUZZ_SECONDS ?= 60
+
+.PHONY: all deps build fuzz-build test fuzz-check fuzz format format-check \
+	lint model check demo measure failures install clean proto
+
+all: build
+
+deps:
+	@tools/deps.sh
+
+build: deps
+	@cmake -S . -B $(BUILD) >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS)
+
+fuzz-build: deps
+	@CC=clang cmake -S . -B $(FUZZ_BUILD) -DRATTANSHED_FUZZ=ON >/dev/null
+	@cmake --build $(FUZZ_BUILD) -j $(JOBS)
+
+test: build
+	@cd $(BUILD) && ctest --output-on-failure -j 4
+
+fuzz-check: fuzz-build
+	@cd $(FUZZ_BUILD) && ctest --output-on-failure -L fuzz -j 4
+
+fuzz: fuzz-build
+	@tools/fuzz.sh $(FUZZ_BUILD) $(FUZZ_SECONDS)
+
+format:
+	@tools/sources.sh | xargs clang-format -i
+
+format-check:
+	@tools/sources.sh | xargs clang-format --dry-run -Werror
+	@echo "format: clean"
+
+lint: build
+	@tools/lint.sh $(BUILD) $(JOBS)
+
+model: deps
+	@spec/check.sh
+
+check: format-check build lint test fuzz-check model
+	@tools/known_red.sh
+	@echo "make check: passed"
+
+demo: build
+	@tools/demo.sh $(BUILD)
+
+measure: build
+	@tools/measure.sh $(BUILD)
+
+install: build
+	@DESTDIR=$(DESTDIR) cmake --install $(BUILD)
+
+proto:
+	@tools/proto.sh
+
+clean:
+	@rm -rf $(BUILD) $(FUZZ_BUILD)
--- /dev/null
+++ b/core/counter.h
@@ -0,0 +1,53 @@
+/* Counters and histograms that one thread writes and any thread reads. */
+
+#ifndef RATTANSHED_CORE_COUNTER_H
+#define RATTANSHED_CORE_COUNTER_H
+
+#include <stdatomic.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Log-linear buckets: 16 to each power of two, so that a quantile is at most
+ * 1/16 too high. */
+#define RsHistogram_SUB_BITS 4
+#define RsHistogram_BUCKETS (40 << RsHistogram_SUB_BITS)
+
+struct rs_counter {
+    _Atomic uint64_t value;
+};
+
+struct rs_histogram {
+    struct rs_counter buckets[RsHistogram_BUCKETS];
+    struct rs_counter count;
+    struct rs_counter sum;
+};
+
+void RsCounter_Add(struct rs_counter *counter, uint64_t amount);
+void RsCounter_Set(struct rs_counter *counter, uint64_t value);
+uint64_t RsCounter_Read(const struct rs_counter *counter);
+
+void RsHistogram_Record(struct rs_histogram *histogram, uint64_t value);
+uint64_t RsHistogram_Quantile(const struct rs_histogram *histogram,
+                              double share);
+void RsHistogram_Merge(struct rs_histogram *into,
+                       const struct rs_histogram *from);
+
+/* Metrics in the Prometheus text format are built in a growing buffer. */
+struct rs_text {
+    char *data;
+    size_t size_bytes;
+    size_t capacity_bytes;
+};
+
+void RsText_Append(struct rs_text *text, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+void RsText_Free(struct rs_text *text);
+
+void RsCounter_Print(struct rs_text *text, const char *name,
+                     const char *labels, const char *help, const char *type,
+                     const struct rs_counter *counter);
+void RsHistogram_Print(struct rs_text *text, const char *name,
+                       const char *labels, const char *help,
+                       const struct rs_histogram *histogram);
+
+#endif
--- /dev/null
+++ b/core/error.h
@@ -0,0 +1,22 @@
+/* Error numbers. Each layer has its own range and turns the errors of the
+ * layer below into its own. */
+
+#ifndef RATTANSHED_CORE_ERROR_H
+#define RATTANSHED_CORE_ERROR_H
+
+enum rs_error_range {
+    RsError_CORE = -1000,
+    RsError_WIRE = -1100,
+    RsError_HTTP = -1200,
+    RsError_SETTINGS = -1300,
+    RsError_PLATFORM = -1400,
+    RsError_TICKET = -1500,
+    RsError_MEMBER = -1600,
+    RsError_CELL = -1700,
+    RsError_PLACE = -1800,
+    RsError_DISPATCH = -1900,
+    RsError_FRONT = -2000,
+    RsError_ADMIN = -2100
+};
+
+#endif
--- /dev/null
+++ b/core/id.c
@@ -0,0 +1,51 @@
+#include "core/id.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "core/error.h"
+
+#define HEX_DIGITS 16
+
+/* Returns the id of a name that ends with a zero byte. */
+uint64_t
+RsId_FromName(const char *name)
+{
+    return XXH3_64bits(name, strlen(name));
+}
+
+/* Returns the id of some bytes. */
+uint64_t
+RsId_FromBytes(const void *data, size_t size_bytes)
+{
+    return XXH3_64bits(data, size_bytes);
+}
+
+/* Returns an id that depends on both; used for rendezvous hashing. */
+uint64_t
+RsId_Mix(uint64_t a, uint64_t b)
+{
+    uint64_t pair[2] = {a, b};
+    return XXH3_64bits(pair, sizeof(pair));
+}
+
+/* Writes an id as 16 hex digits and a zero byte. */
+void
+RsId_Format(uint64_t id, char text[RsId_TEXT_BYTES])
+{
+    snprintf(text, RsId_TEXT_BYTES, "%016" PRIx64, id);
+}
+
+/* Reads exactly 16 hex digits. Returns 0, or RsError_CORE when the text is
+ * anything else. */
+int
+RsId_Parse(const char *text, uint64_t *id)
+{
+    if (strspn(text, "0123456789abcdef") != HEX_DIGITS ||
+        text[HEX_DIGITS] != '\0') {
+        return RsError_CORE;
+    }
+    return sscanf(text, "%16" SCNx64, id) == 1 ? 0 : RsError_CORE;
+}
--- /dev/null
+++ b/core/id.h
@@ -0,0 +1,17 @@
+/* 64-bit ids of named things, the same in every process. */
+
+#ifndef RATTANSHED_CORE_ID_H
+#define RATTANSHED_CORE_ID_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#define RsId_TEXT_BYTES 17
+
+uint64_t RsId_FromName(const char *name);
+uint64_t RsId_FromBytes(const void *data, size_t size_bytes);
+uint64_t RsId_Mix(uint64_t a, uint64_t b);
+void RsId_Format(uint64_t id, char text[RsId_TEXT_BYTES]);
+int RsId_Parse(const char *text, uint64_t *id);
+
+#endif
--- /dev/null
+++ b/wire/wire_test.c
@@ -0,0 +1,117 @@
+#include <CUnit/Basic.h>
+#include <glib.h>
+
+#include "dispatch/relay.pb-c.h"
+#include "wire/frame.h"
+
+struct seen {
+    int frames;
+    uint64_t last_stream;
+};
+
+static int
+unpack_cancel(void *arg, const uint8_t *data, size_t size)
+{
+    struct seen *seen = arg;
+    Rs__Relay__Envelope *envelope =
+        rs__relay__envelope__unpack(NULL, size, data);
+    if (envelope == NULL) {
+        return RsFrame_BAD_MESSAGE;
+    }
+    seen->frames++;
+    seen->last_stream = envelope->cancel->stream;
+    rs__relay__envelope__free_unpacked(envelope, NULL);
+    return 0;
+}
+
+static uint8_t *
+pack_cancel(uint64_t stream, size_t *size)
+{
+    Rs__Relay__Cancel cancel = RS__RELAY__CANCEL__INIT;
+    Rs__Relay__Envelope envelope = RS__RELAY__ENVELOPE__INIT;
+    cancel.stream = stream;
+    envelope.message_case = RS__RELAY__ENVELOPE__MESSAGE_CANCEL;
+    envelope.cancel = &cancel;
+    return RsFrame_Pack(&envelope.base, size);
+}
+
+static void
+test_frame_arrives_byte_by_byte(void)
+{
+    struct rs_frame_reader reader = {0};
+    struct seen seen = {0};
+    size_t size;
+    uint8_t *data = pack_cancel(77, &size);
+    for (size_t i = 0; i < size; i++) {
+        CU_ASSERT_EQUAL(
+            RsFrame_Read(&reader, data + i, 1, unpack_cancel, &seen), 0);
+    }
+    CU_ASSERT_EQUAL(seen.frames, 1);
+    CU_ASSERT_EQUAL(seen.last_stream, 77);
+    CU_ASSERT_EQUAL(reader.size_bytes, 0);
+    RsFrame_FreeReader(&reader);
+    g_free(data);
+}
+
+static void
+test_two_frames_and_a_half(void)
+{
+    struct rs_frame_reader reader = {0};
+    struct seen seen = {0};
+    size_t size;
+    uint8_t *data = pack_cancel(5, &size);
+    GByteArray *stream = g_byte_array_new();
+    g_byte_array_append(stream, data, (guint)size);
+    g_byte_array_append(stream, data, (guint)size);
+    g_byte_array_append(stream, data, 3);
+    CU_ASSERT_EQUAL(
+        RsFrame_Read(&reader, stream->data, stream->len, unpack_cancel, &seen),
+        0);
+    CU_ASSERT_EQUAL(seen.frames, 2);
+    CU_ASSERT_EQUAL(reader.size_bytes, 3);
+    CU_ASSERT_EQUAL(
+        RsFrame_Read(&reader, data + 3, size - 3, unpack_cancel, &seen), 0);
+    CU_ASSERT_EQUAL(seen.frames, 3);
+    RsFrame_FreeReader(&reader);
+    g_byte_array_free(stream, TRUE);
+    g_free(data);
+}
+
+static void
+test_oversize_frame_is_refused_at_its_length(void)
+{
+    struct rs_frame_reader reader = {0};
+    struct seen seen = {0};
+    const uint8_t length[] = {0xff, 0xff, 0xff, 0xff};
+    CU_ASSERT_EQUAL(
+        RsFrame_Read(&reader, length, sizeof(length), unpack_cancel, &seen),
+        RsFrame_TOO_LARGE);
+    RsFrame_FreeReader(&reader);
+}
+
+static void
+test_malformed_message_ends_the_reading(void)
+{
+    struct rs_frame_reader reader = {0};
+    struct seen seen = {0};
+    const uint8_t frame[] = {0, 0, 0, 2, 0xff, 0xff};
+    CU_ASSERT_EQUAL(
+        RsFrame_Read(&reader, frame, sizeof(frame), unpack_cancel, &seen),
+        RsFrame_BAD_MESSAGE);
+    RsFrame_FreeReader(&reader);
+}
+
+int
+main(void)
+{
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("wire", NULL, NULL);
+    CU_ADD_TEST(suite, test_frame_arrives_byte_by_byte);
+    CU_ADD_TEST(suite, test_two_frames_and_a_half);
+    CU_ADD_TEST(suite, test_oversize_frame_is_refused_at_its_length);
+    CU_ADD_TEST(suite, test_malformed_message_ends_the_reading);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? 0 : 1;
+}
