--- /dev/null
+++ b/http/http_test.c
@@ -0,0 +1,237 @@
+#include <CUnit/Basic.h>
+#include <glib.h>
+#include <string.h>
+#include <uv.h>
+
+#include "http/connection.h"
+#include "http/server.h"
+
+#define BIG_BYTES 1000000
+#define BODY_LIMIT_BYTES 1000
+
+struct fixture {
+    uv_loop_t loop;
+    struct rs_server *server;
+    struct sockaddr_in address;
+    struct rs_http_connection *connection;
+    const struct rs_http_request *request;
+    GString *body;
+    char echoed[64];
+    int status;
+    int error;
+    bool ended;
+    bool pause_once;
+    uv_timer_t timer;
+};
+
+static void
+serve(void *arg, h2o_req_t *request)
+{
+    char *path = RsServer_Path(request);
+    char *id = RsServer_Header(request, "x-request-id");
+    char *color = RsServer_Query(request, "color");
+    if (id != NULL) {
+        RsServer_AddHeader(request, "X-Request-Id", id);
+    }
+    if (strcmp(path, "/big") == 0) {
+        char *big = g_malloc(BIG_BYTES);
+        memset(big, 'b', BIG_BYTES);
+        RsServer_Reply(request, 200, "text/plain", big, BIG_BYTES);
+        g_free(big);
+    }
+    else if (color != NULL) {
+        RsServer_Reply(request, 200, "text/plain", color, strlen(color));
+    }
+    else {
+        RsServer_Reply(request, 404, NULL, "", 0);
+    }
+    g_free(color);
+    g_free(id);
+    g_free(path);
+}
+
+static void
+on_connected(void *arg)
+{
+    struct fixture *f = arg;
+    CU_ASSERT_EQUAL(RsHttp_Send(f->connection, f->request), 0);
+}
+
+static void
+on_head(void *arg, const struct rs_http_head *head)
+{
+    struct fixture *f = arg;
+    const char *id = RsHttp_FindHeader(head, "x-REQUEST-id");
+    f->status = head->status;
+    g_strlcpy(f->echoed, id != NULL ? id : "", sizeof(f->echoed));
+}
+
+static void
+resume(uv_timer_t *timer)
+{
+    struct fixture *f = timer->data;
+    RsHttp_Resume(f->connection);
+}
+
+static void
+on_body(void *arg, const char *data, size_t size)
+{
+    struct fixture *f = arg;
+    g_string_append_len(f->body, data, (gssize)size);
+    if (f->pause_once) {
+        f->pause_once = false;
+        RsHttp_Pause(f->connection);
+        uv_timer_start(&f->timer, resume, 5, 0);
+    }
+}
+
+static void
+on_end(void *arg, bool keep_alive)
+{
+    struct fixture *f = arg;
+    f->ended = true;
+    RsHttp_Close(f->connection);
+    uv_stop(&f->loop);
+}
+
+static void
+on_closed(void *arg, int error)
+{
+    struct fixture *f = arg;
+    f->error = error;
+    uv_stop(&f->loop);
+}
+
+static const struct rs_http_events events = {
+    on_connected, on_head, on_body, on_end, on_closed,
+};
+
+static void
+open_fixture(struct fixture *f)
+{
+    memset(f, 0, sizeof(*f));
+    uv_loop_init(&f->loop);
+    uv_timer_init(&f->loop, &f->timer);
+    f->timer.data = f;
+    f->body = g_string_new(NULL);
+    /* Port 0 would not tell its number here, so look for a free one. */
+    for (uint16_t port = 27100; port < 27200; port++) {
+        RsHttp_ParseAddress("127.0.0.1", port, &f->address);
+        struct rs_server_options options = {
+            .loop = &f->loop,
+            .address = f->address,
+            .max_body_bytes = BODY_LIMIT_BYTES,
+            .max_connections = 2,
+            .handler = serve,
+            .arg = f,
+        };
+        if (RsServer_Open(&options, &f->server) == 0) {
+            break;
+        }
+    }
+}
+
+static void
+run(struct fixture *f, const struct rs_http_request *request)
+{
+    struct rs_http_options options = {
+        .loop = &f->loop,
+        .address = f->address,
+        .events = &events,
+        .arg = f,
+    };
+    f->request = request;
+    f->connection = RsHttp_Open(&options);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(f->connection);
+    uv_run(&f->loop, UV_RUN_DEFAULT);
+}
+
+static void
+test_answer_with_headers_and_query(void)
+{
+    struct fixture f;
+    struct rs_http_header header = {"X-Request-Id", "r-17"};
+    struct rs_http_request request = {.method = "GET",
+                                      .path = "/a?color=dark%20red",
+                                      .headers = &header,
+                                      .header_count = 1};
+    open_fixture(&f);
+    run(&f, &request);
+    CU_ASSERT_EQUAL(f.status, 200);
+    CU_ASSERT_STRING_EQUAL(f.echoed, "r-17");
+    CU_ASSERT_STRING_EQUAL(f.body->str, "dark red");
+    CU_ASSERT(f.ended);
+}
+
+static void
+test_big_body_survives_a_pause(void)
+{
+    struct fixture f;
+    struct rs_http_request request = {.method = "GET", .path = "/big"};
+    open_fixture(&f);
+    f.pause_once = true;
+    run(&f, &request);
+    CU_ASSERT_EQUAL(f.body->len, BIG_BYTES);
+    CU_ASSERT(f.ended);
+}
+
+static void
+test_head_request_has_no_body(void)
+{
+    struct fixture f;
+    struct rs_http_request request = {.method = "HEAD", .path = "/big"};
+    open_fixture(&f);
+    run(&f, &request);
+    CU_ASSERT(f.ended);
+    CU_ASSERT_EQUAL(f.body->len, 0);
+}
+
+static void
+test_oversize_body_is_refused(void)
+{
+    struct fixture f;
+    static char body[BODY_LIMIT_BYTES + 1];
+    struct rs_http_request request = {.method = "POST",
+                                      .path = "/a",
+                                      .body = body,
+                                      .body_bytes = sizeof(body)};
+    open_fixture(&f);
+    run(&f, &request);
+    CU_ASSERT_EQUAL(f.status, 413);
+}
+
+static void
+test_refused_connection_is_told(void)
+{
+    struct fixture f;
+    struct rs_http_request request = {.method = "GET", .path = "/"};
+    open_fixture(&f);
+    RsHttp_ParseAddress("127.0.0.1", 1, &f.address);
+    run(&f, &request);
+    CU_ASSERT_EQUAL(f.error, RsHttp_CONNECT_FAILED);
+}
+
+static void
+test_bad_address_is_an_error(void)
+{
+    struct sockaddr_in address;
+    CU_ASSERT_EQUAL(RsHttp_ParseAddress("localhost", 1, &address),
+                    RsHttp_BAD_ADDRESS);
+}
+
+int
+main(void)
+{
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("http", NULL, NULL);
+    CU_ADD_TEST(suite, test_answer_with_headers_and_query);
+    CU_ADD_TEST(suite, test_big_body_survives_a_pause);
+    CU_ADD_TEST(suite, test_head_request_has_no_body);
+    CU_ADD_TEST(suite, test_oversize_body_is_refused);
+    CU_ADD_TEST(suite, test_refused_connection_is_told);
+    CU_ADD_TEST(suite, test_bad_address_is_an_error);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/http/server.c
@@ -0,0 +1,213 @@
+#include "http/server.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <string.h>
+
+#define BACKLOG 1024
+#define REQUEST_TIMEOUT_MS 10000
+
+struct server_handler {
+    h2o_handler_t super;
+    struct rs_server *server;
+};
+
+struct rs_server {
+    h2o_globalconf_t config;
+    h2o_context_t context;
+    h2o_accept_ctx_t accept;
+    uv_tcp_t listener;
+    bool listening;
+    rs_server_handler handler;
+    void *arg;
+    uint32_t connections;
+    uint32_t max_connections;
+};
+
+struct accepted {
+    uv_tcp_t tcp;
+    struct rs_server *server;
+};
+
+static int
+on_request(h2o_handler_t *handler, h2o_req_t *request)
+{
+    struct server_handler *self = (struct server_handler *)handler;
+    self->server->handler(self->server->arg, request);
+    return 0;
+}
+
+static void
+on_connection_freed(uv_handle_t *handle)
+{
+    struct accepted *accepted = (struct accepted *)handle;
+    accepted->server->connections--;
+    g_free(accepted);
+}
+
+static void
+on_refused_freed(uv_handle_t *handle)
+{
+    g_free(handle);
+}
+
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+    struct rs_server *server = listener->data;
+    if (status != 0) {
+        return;
+    }
+    struct accepted *accepted = g_new0(struct accepted, 1);
+    accepted->server = server;
+    uv_tcp_init(listener->loop, &accepted->tcp);
+    if (uv_accept(listener, (uv_stream_t *)&accepted->tcp) != 0 ||
+        server->connections >= server->max_connections) {
+        uv_close((uv_handle_t *)&accepted->tcp, on_refused_freed);
+        return;
+    }
+    server->connections++;
+    uv_tcp_nodelay(&accepted->tcp, 1);
+    h2o_socket_t *socket = h2o_uv_socket_create((uv_stream_t *)&accepted->tcp,
+                                                on_connection_freed);
+    h2o_accept(&server->accept, socket);
+}
+
+static void
+configure(struct rs_server *server, const struct rs_server_options *options)
+{
+    h2o_config_init(&server->config);
+    server->config.max_request_entity_size = options->max_body_bytes;
+    server->config.http1.req_timeout = REQUEST_TIMEOUT_MS;
+    server->config.server_name = (h2o_iovec_t){H2O_STRLIT("rattanshed")};
+    h2o_hostconf_t *host = h2o_config_register_host(
+        &server->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
+    struct server_handler *handler =
+        (struct server_handler *)h2o_create_handler(path, sizeof(*handler));
+    handler->super.on_req = on_request;
+    handler->server = server;
+    h2o_context_init(&server->context, options->loop, &server->config);
+    server->accept.ctx = &server->context;
+    server->accept.hosts = server->config.hosts;
+}
+
+/* Listens. The server lives as long as the process. Returns 0 or
+ * RsServer_LISTEN_FAILED. */
+int
+RsServer_Open(const struct rs_server_options *options,
+              struct rs_server **server)
+{
+    struct rs_server *self = g_new0(struct rs_server, 1);
+    self->handler = options->handler;
+    self->arg = options->arg;
+    self->max_connections = options->max_connections;
+    configure(self, options);
+    uv_tcp_init(options->loop, &self->listener);
+    self->listener.data = self;
+    int status = uv_tcp_bind(&self->listener,
+                             (const struct sockaddr *)&options->address, 0);
+    if (status == 0) {
+        status =
+            uv_listen((uv_stream_t *)&self->listener, BACKLOG, on_connection);
+    }
+    *server = self;
+    self->listening = status == 0;
+    return status == 0 ? 0 : RsServer_LISTEN_FAILED;
+}
+
+/* Takes no further connections; those that are open go on. */
+void
+RsServer_StopListening(struct rs_server *server)
+{
+    if (server->listening) {
+        server->listening = false;
+        uv_close((uv_handle_t *)&server->listener, NULL);
+    }
+}
+
+/* Returns how many connections are open. */
+uint32_t
+RsServer_Connections(const struct rs_server *server)
+{
+    return server->connections;
+}
+
+static const char *
+reason_of(int status)
+{
+    return status < 400 ? "OK" : "Refused";
+}
+
+/* Answers at once with a whole body, which is copied. */
+void
+RsServer_Reply(h2o_req_t *request, int status, const char *content_type,
+               const char *body, size_t body_bytes)
+{
+    request->res.status = status;
+    request->res.reason = reason_of(status);
+    if (content_type != NULL) {
+        h2o_add_header(&request->pool, &request->res.headers,
+                       H2O_TOKEN_CONTENT_TYPE, NULL, content_type,
+                       strlen(content_type));
+    }
+    h2o_iovec_t copy = h2o_strdup(&request->pool, body, body_bytes);
+    h2o_send_inline(request, copy.base, copy.len);
+}
+
+/* Adds a header to the answer; both texts are copied. */
+void
+RsServer_AddHeader(h2o_req_t *request, const char *name, const char *value)
+{
+    h2o_iovec_t name_copy = h2o_strdup(&request->pool, name, strlen(name));
+    h2o_iovec_t value_copy = h2o_strdup(&request->pool, value, strlen(value));
+    h2o_strtolower(name_copy.base, name_copy.len);
+    h2o_add_header_by_str(&request->pool, &request->res.headers,
+                          name_copy.base, name_copy.len, 0, NULL,
+                          value_copy.base, value_copy.len);
+}
+
+/* Returns the path without its query. */
+char *
+RsServer_Path(const h2o_req_t *request)
+{
+    size_t size =
+        request->query_at != SIZE_MAX ? request->query_at : request->path.len;
+    return g_strndup(request->path.base, size);
+}
+
+/* Returns a parameter of the query, decoded, or NULL. */
+char *
+RsServer_Query(const h2o_req_t *request, const char *name)
+{
+    if (request->query_at == SIZE_MAX) {
+        return NULL;
+    }
+    char *query = g_strndup(request->path.base + request->query_at + 1,
+                            request->path.len - request->query_at - 1);
+    char **pairs = g_strsplit(query, "&", -1);
+    char *found = NULL;
+    size_t name_size = strlen(name);
+    for (char **pair = pairs; *pair != NULL && found == NULL; pair++) {
+        if (strncmp(*pair, name, name_size) == 0 &&
+            (*pair)[name_size] == '=') {
+            found = g_uri_unescape_string(*pair + name_size + 1, NULL);
+        }
+    }
+    g_strfreev(pairs);
+    g_free(query);
+    return found;
+}
+
+/* Returns a header's value, or NULL. */
+char *
+RsServer_Header(const h2o_req_t *request, const char *name)
+{
+    ssize_t at =
+        h2o_find_header_by_str(&request->headers, name, strlen(name), -1);
+    if (at < 0) {
+        return NULL;
+    }
+    h2o_iovec_t value = request->headers.entries[at].value;
+    return g_strndup(value.base, value.len);
+}
--- /dev/null
+++ b/http/server.h
@@ -0,0 +1,47 @@
+/* A small HTTP/1 server on h2o. One handler gets all requests and answers
+ * each now or later, on the server's loop. */
+
+#ifndef RATTANSHED_HTTP_SERVER_H
+#define RATTANSHED_HTTP_SERVER_H
+
+#include <h2o.h>
+#include <netinet/in.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/error.h"
+
+enum rs_server_error {
+    RsServer_LISTEN_FAILED = RsError_HTTP - 50
+};
+
+struct rs_server;
+
+typedef void (*rs_server_handler)(void *arg, h2o_req_t *request);
+
+struct rs_server_options {
+    uv_loop_t *loop;
+    struct sockaddr_in address;
+    size_t max_body_bytes;
+    uint32_t max_connections;
+    rs_server_handler handler;
+    void *arg;
+};
+
+int RsServer_Open(const struct rs_server_options *options,
+                  struct rs_server **server);
+void RsServer_StopListening(struct rs_server *server);
+uint32_t RsServer_Connections(const struct rs_server *server);
+
+/* Answers. `content_type` may be NULL when there is no body. */
+void RsServer_Reply(h2o_req_t *request, int status, const char *content_type,
+                    const char *body, size_t body_bytes);
+void RsServer_AddHeader(h2o_req_t *request, const char *name,
+                        const char *value);
+
+/* Copies of parts of a request, freed with g_free(). */
+char *RsServer_Path(const h2o_req_t *request);
+char *RsServer_Query(const h2o_req_t *request, const char *name);
+char *RsServer_Header(const h2o_req_t *request, const char *name);
+
+#endif
