--- a/dispatch/relay.pb-c.c
+++ b/dispatch/relay.pb-c.c
@@ -373,7 +373,7 @@
   (ProtobufCMessageInit) rs__relay__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__relay__forward__field_descriptors[14] =
+static const ProtobufCFieldDescriptor rs__relay__forward__field_descriptors[15] =
 {
   {
     "stream",
@@ -543,6 +543,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Forward, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__relay__forward__field_indices_by_name[] = {
   9,   /* field[9] = body */
@@ -558,12 +570,13 @@
   2,   /* field[2] = service */
   5,   /* field[5] = slice */
   0,   /* field[0] = stream */
+  14,   /* field[14] = target */
   10,   /* field[10] = time_left_ms */
 };
 static const ProtobufCIntRange rs__relay__forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor rs__relay__forward__descriptor =
 {
@@ -573,7 +586,7 @@
   "Rs__Relay__Forward",
   "rs.relay",
   sizeof(Rs__Relay__Forward),
-  14,
+  15,
   rs__relay__forward__field_descriptors,
   rs__relay__forward__field_indices_by_name,
   1,  rs__relay__forward__number_ranges,
--- a/dispatch/relay.pb-c.h
+++ b/dispatch/relay.pb-c.h
@@ -83,10 +83,14 @@
    * for fairness between callers
    */
   char *caller;
+  /*
+   * chosen by the front when no key decides
+   */
+  char *target;
 };
 #define RS__RELAY__FORWARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__relay__forward__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Rs__Relay__AnswerHead
--- a/member/member.pb-c.c
+++ b/member/member.pb-c.c
@@ -232,7 +232,7 @@
   assert(message->base.descriptor == &rs__member__changes__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor rs__member__entry__field_descriptors[7] =
+static const ProtobufCFieldDescriptor rs__member__entry__field_descriptors[8] =
 {
   {
     "name",
@@ -318,11 +318,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cell_version",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Member__Entry, cell_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__member__entry__field_indices_by_name[] = {
   5,   /* field[5] = age_ms */
   4,   /* field[4] = applied_revision */
   3,   /* field[3] = applied_ticket */
+  7,   /* field[7] = cell_version */
   2,   /* field[2] = domain */
   1,   /* field[1] = incarnation */
   6,   /* field[6] = leaving */
@@ -331,7 +344,7 @@
 static const ProtobufCIntRange rs__member__entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor rs__member__entry__descriptor =
 {
@@ -341,7 +354,7 @@
   "Rs__Member__Entry",
   "rs.member",
   sizeof(Rs__Member__Entry),
-  7,
+  8,
   rs__member__entry__field_descriptors,
   rs__member__entry__field_indices_by_name,
   1,  rs__member__entry__number_ranges,
--- a/member/member.pb-c.h
+++ b/member/member.pb-c.h
@@ -43,10 +43,14 @@
    */
   uint32_t age_ms;
   protobuf_c_boolean leaving;
+  /*
+   * roster that it has applied
+   */
+  uint64_t cell_version;
 };
 #define RS__MEMBER__ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__member__entry__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
