Slice ids and the codec of assignment rows

Rows of 32 slices are read strictly: unknown or missing members, names outside the alphabet (also with a zero byte inside), doubles, a half-assigned slice and a slice on its way from its own cell are each refused with an error of their own.

--- /dev/null
+++ b/place/assignment.c
@@ -0,0 +1,276 @@
+#include "place/assignment.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "place/slice.h"
+
+#define ROW_DIGITS 4
+#define NAME_CHARACTERS "abcdefghijklmnopqrstuvwxyz0123456789._-"
+#define CELL_CHARACTERS NAME_CHARACTERS "/"
+#define SLICE_MEMBERS 4
+
+/* Returns how many rows hold the slices of a rule. */
+uint32_t
+RsAssignment_Rows(uint32_t slices)
+{
+    return (slices + RsAssignment_PER_ROW - 1) / RsAssignment_PER_ROW;
+}
+
+/* Returns how many of a rule's slices one of its rows has. */
+uint32_t
+RsAssignment_InRow(uint32_t slices, uint32_t row)
+{
+    uint32_t first = row * RsAssignment_PER_ROW;
+    if (first >= slices) {
+        return 0;
+    }
+    uint32_t rest = slices - first;
+    return rest < RsAssignment_PER_ROW ? rest : RsAssignment_PER_ROW;
+}
+
+static bool
+valid_name(const char *name, size_t size_bytes, const char *characters)
+{
+    return size_bytes > 0 && size_bytes < RsModel_NAME_BYTES &&
+           strspn(name, characters) == size_bytes;
+}
+
+/* Writes the key of a rule's row. */
+void
+RsAssignment_FormatKey(const char *rule, uint32_t row,
+                       char key[RsAssignment_KEY_BYTES])
+{
+    assert(row < RsAssignment_MAX_ROWS);
+    snprintf(key, RsAssignment_KEY_BYTES, RsAssignment_PREFIX "%s/%0*u", rule,
+             ROW_DIGITS, row);
+}
+
+/* Reads the rule and the number of the row from a key. Returns 0 or
+ * RsAssignment_BAD_KEY; only keys that FormatKey writes are accepted. */
+int
+RsAssignment_ParseKey(const char *key, char rule[RsModel_NAME_BYTES],
+                      uint32_t *row)
+{
+    size_t prefix_bytes = strlen(RsAssignment_PREFIX);
+    if (strncmp(key, RsAssignment_PREFIX, prefix_bytes) != 0) {
+        return RsAssignment_BAD_KEY;
+    }
+    const char *name = key + prefix_bytes;
+    size_t name_bytes = strspn(name, NAME_CHARACTERS);
+    const char *digits = name + name_bytes + 1;
+    if (name_bytes == 0 || name_bytes >= RsModel_NAME_BYTES ||
+        name[name_bytes] != '/' ||
+        strspn(digits, "0123456789") != ROW_DIGITS ||
+        digits[ROW_DIGITS] != '\0') {
+        return RsAssignment_BAD_KEY;
+    }
+    unsigned long number = strtoul(digits, NULL, 10);
+    if (number >= RsAssignment_MAX_ROWS) {
+        return RsAssignment_BAD_KEY;
+    }
+    memcpy(rule, name, name_bytes);
+    rule[name_bytes] = '\0';
+    *row = (uint32_t)number;
+    return 0;
+}
+
+static json_t *
+encode_names(const char (*names)[RsModel_NAME_BYTES], size_t count)
+{
+    json_t *list = json_array();
+    for (size_t i = 0; i < count; i++) {
+        json_array_append_new(list, json_string(names[i]));
+    }
+    return list;
+}
+
+/* Returns the value of a row with these slices; the caller owns it. */
+json_t *
+RsAssignment_Encode(const struct rs_model_assignment *slices, size_t count)
+{
+    assert(count > 0 && count <= RsAssignment_PER_ROW);
+    json_t *list = json_array();
+    for (size_t i = 0; i < count; i++) {
+        const struct rs_model_assignment *slice = &slices[i];
+        json_t *s = encode_names(slice->succession, slice->succession_count);
+        json_t *f = encode_names(slice->from, slice->from_count);
+        json_t *item =
+            json_pack("{s:I,s:s,s:o,s:o}", "e", (json_int_t)slice->epoch, "c",
+                      slice->cell, "s", s, "f", f);
+        json_array_append_new(list, item);
+    }
+    return json_pack("{s:o}", "slices", list);
+}
+
+/* Reads a JSON text as a name; one with a zero byte inside is refused. */
+static bool
+decode_name(const json_t *value, const char *characters,
+            char name[RsModel_NAME_BYTES])
+{
+    if (!json_is_string(value)) {
+        return false;
+    }
+    const char *text = json_string_value(value);
+    size_t size_bytes = json_string_length(value);
+    if (!valid_name(text, size_bytes, characters)) {
+        return false;
+    }
+    memcpy(name, text, size_bytes + 1);
+    return true;
+}
+
+static bool
+contains(const char (*names)[RsModel_NAME_BYTES], size_t count,
+         const char *name)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(names[i], name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Reads a list of distinct names, at most `capacity`. */
+static bool
+decode_names(const json_t *list, const char *characters,
+             char (*names)[RsModel_NAME_BYTES], size_t capacity, size_t *count)
+{
+    if (!json_is_array(list) || json_array_size(list) > capacity) {
+        return false;
+    }
+    size_t size = json_array_size(list);
+    for (size_t i = 0; i < size; i++) {
+        if (!decode_name(json_array_get(list, i), characters, names[i]) ||
+            contains((const char(*)[RsModel_NAME_BYTES])names, i, names[i])) {
+            return false;
+        }
+    }
+    *count = size;
+    return true;
+}
+
+static int
+decode_lists(const json_t *item, struct rs_model_assignment *slice)
+{
+    if (!decode_names(json_object_get(item, "s"), NAME_CHARACTERS,
+                      slice->succession, RsModel_MAX_SUCCESSION,
+                      &slice->succession_count)) {
+        return RsAssignment_BAD_SUCCESSION;
+    }
+    if (!decode_names(json_object_get(item, "f"), CELL_CHARACTERS, slice->from,
+                      RsModel_MAX_FROM, &slice->from_count)) {
+        return RsAssignment_BAD_FROM;
+    }
+    return 0;
+}
+
+/* A slice that was never assigned has neither cell nor targets; any other
+ * has both, and isn't on its way from the very cell that has it. */
+static int
+check_whole(const struct rs_model_assignment *slice)
+{
+    bool assigned = slice->epoch > 0;
+    if (assigned != (slice->cell[0] != '\0')) {
+        return RsAssignment_BAD_CELL;
+    }
+    if (assigned != (slice->succession_count > 0)) {
+        return RsAssignment_BAD_SUCCESSION;
+    }
+    if ((!assigned && slice->from_count > 0) ||
+        contains(slice->from, slice->from_count, slice->cell)) {
+        return RsAssignment_BAD_FROM;
+    }
+    return 0;
+}
+
+static int
+decode_slice(const json_t *item, struct rs_model_assignment *slice)
+{
+    if (!json_is_object(item) || json_object_size(item) != SLICE_MEMBERS) {
+        return RsAssignment_BAD_VALUE;
+    }
+    const json_t *epoch = json_object_get(item, "e");
+    if (!json_is_integer(epoch) || json_integer_value(epoch) < 0) {
+        return RsAssignment_BAD_EPOCH;
+    }
+    slice->epoch = (uint64_t)json_integer_value(epoch);
+    const json_t *cell = json_object_get(item, "c");
+    bool no_cell = json_is_string(cell) && json_string_length(cell) == 0;
+    if (!no_cell && !decode_name(cell, CELL_CHARACTERS, slice->cell)) {
+        return RsAssignment_BAD_CELL;
+    }
+    int status = decode_lists(item, slice);
+    return status == 0 ? check_whole(slice) : status;
+}
+
+/* Reads the value of a rule's row into `slices`, which has room for
+ * RsAssignment_PER_ROW. Returns 0 or an rs_assignment_error; `*count` is
+ * written on success alone. */
+int
+RsAssignment_Decode(const json_t *value, const char *rule, uint32_t row,
+                    struct rs_model_assignment *slices, size_t *count)
+{
+    const json_t *list = json_object_get(value, "slices");
+    if (!json_is_array(list) || json_object_size(value) != 1) {
+        return RsAssignment_BAD_VALUE;
+    }
+    size_t size = json_array_size(list);
+    if (size == 0 || size > RsAssignment_PER_ROW) {
+        return RsAssignment_BAD_COUNT;
+    }
+    memset(slices, 0, size * sizeof(slices[0]));
+    for (size_t i = 0; i < size; i++) {
+        uint32_t index = row * RsAssignment_PER_ROW + (uint32_t)i;
+        slices[i].slice = RsSlice_Id(rule, index);
+        int status = decode_slice(json_array_get(list, i), &slices[i]);
+        if (status != 0) {
+            return status;
+        }
+    }
+    *count = size;
+    return 0;
+}
+
+static bool
+same_names(const char (*a)[RsModel_NAME_BYTES], size_t a_count,
+           const char (*b)[RsModel_NAME_BYTES], size_t b_count)
+{
+    if (a_count != b_count) {
+        return false;
+    }
+    for (size_t i = 0; i < a_count; i++) {
+        if (strcmp(a[i], b[i]) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Whether two assignments are the same in every respect. */
+bool
+RsAssignment_Equal(const struct rs_model_assignment *a,
+                   const struct rs_model_assignment *b)
+{
+    return a->slice == b->slice && a->epoch == b->epoch &&
+           strcmp(a->cell, b->cell) == 0 &&
+           same_names(a->succession, a->succession_count, b->succession,
+                      b->succession_count) &&
+           same_names(a->from, a->from_count, b->from, b->from_count);
+}
+
+/* Returns the position of a target in the succession, or -1. */
+int
+RsAssignment_Position(const struct rs_model_assignment *assignment,
+                      const char *target)
+{
+    for (size_t i = 0; i < assignment->succession_count; i++) {
+        if (strcmp(assignment->succession[i], target) == 0) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
--- /dev/null
+++ b/place/slice.h
@@ -0,0 +1,13 @@
+/* Slices of a rule's keys and their ids. */
+
+#ifndef RATTANSHED_PLACE_SLICE_H
+#define RATTANSHED_PLACE_SLICE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+uint64_t RsSlice_Id(const char *rule, uint32_t index);
+uint32_t RsSlice_Index(uint64_t slice);
+uint32_t RsSlice_OfKey(const void *key, size_t size_bytes, uint32_t slices);
+
+#endif
