--- a/place/assignment_test.c
+++ b/place/assignment_test.c
@@ -4,6 +4,11 @@
 #include "place/assignment.h"
 #include "place/slice.h"
 
+/* The rule's name is as long as RsModel_NAME_BYTES. */
+#define LONG_RULE_KEY                                                         \
+    "assign/0123456789012345678901234567890123456789012345678901234567890123" \
+    "/0017"
+
 static void
 test_slice_id_has_rule_above_and_index_below(void)
 {
@@ -43,21 +48,19 @@
 static void
 test_foreign_row_keys_are_refused(void)
 {
-    static const char *const keys[] = {
-        "",
-        "assign/",
-        "assign/listas",
-        "assign//01",
-        "assign/listas/17",
-        "assign/listas/00017",
-        "assign//0017",
-        "assign/a/b/0017",
-        "assign/listas/2048",
-        "assign/listas/001x",
-        "assign/listas/0017x",
-        "cell/listas/0017",
-        "assign/0123456789012345678901234567890123456789012345678901234567890"
-        "123/0017"};
+    static const char *const keys[] = {"",
+                                       "assign/",
+                                       "assign/listas",
+                                       "assign//01",
+                                       "assign/listas/17",
+                                       "assign/listas/00017",
+                                       "assign//0017",
+                                       "assign/a/b/0017",
+                                       "assign/listas/2048",
+                                       "assign/listas/001x",
+                                       "assign/listas/0017x",
+                                       "cell/listas/0017",
+                                       LONG_RULE_KEY};
     char rule[RsModel_NAME_BYTES];
     uint32_t row = 0;
     for (size_t i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
