--- a/place/assignment_test.c
+++ b/place/assignment_test.c
@@ -4,11 +4,6 @@
 #include "place/assignment.h"
 #include "place/slice.h"
 
-/* The rule's name is as long as RsModel_NAME_BYTES. */
-#define LONG_RULE_KEY                                                         \
-    "assign/0123456789012345678901234567890123456789012345678901234567890123" \
-    "/0017"
-
 static void
 test_slice_id_has_rule_above_and_index_below(void)
 {
@@ -59,8 +54,7 @@
                                        "assign/listas/2048",
                                        "assign/listas/001x",
                                        "assign/listas/0017x",
-                                       "cell/listas/0017",
-                                       LONG_RULE_KEY};
+                                       "cell/listas/0017"};
     char rule[RsModel_NAME_BYTES];
     uint32_t row = 0;
     for (size_t i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
@@ -69,6 +63,18 @@
     }
 }
 
+static void
+test_row_key_of_too_long_a_rule_is_refused(void)
+{
+    char rule[RsModel_NAME_BYTES + 1] = "";
+    char key[RsAssignment_KEY_BYTES];
+    uint32_t row = 0;
+    memset(rule, 'r', RsModel_NAME_BYTES);
+    snprintf(key, sizeof(key), "assign/%s/0017", rule);
+    CU_ASSERT_EQUAL(RsAssignment_ParseKey(key, rule, &row),
+                    RsAssignment_BAD_KEY);
+}
+
 static void
 test_rows_cover_a_rule(void)
 {
@@ -154,6 +160,7 @@
     CU_ADD_TEST(suite, test_keys_spread_over_all_slices);
     CU_ADD_TEST(suite, test_row_key_round_trip);
     CU_ADD_TEST(suite, test_foreign_row_keys_are_refused);
+    CU_ADD_TEST(suite, test_row_key_of_too_long_a_rule_is_refused);
     CU_ADD_TEST(suite, test_rows_cover_a_rule);
     CU_ADD_TEST(suite, test_row_value_round_trip);
     CU_ADD_TEST(suite, test_value_cases);
