Read a process's settings from YAML and name the line of each fault

Cause: a process learns its name, addresses and domain from its settings, and an operator must see at once what is wrong with a file.

libcyaml checks types and names the enclosing fields, but its line for an unknown or missing field is that of the field before, and left-out fields read as 0. So the lines come from a scan of libyaml's events, and the defaults go to the fields that the scan did not see (0 stays possible). Files are one document of nested mappings; lists, aliases and further documents are refused.

--- /dev/null
+++ b/settings/fields.h
@@ -0,0 +1,16 @@
+/* What each field of the settings may hold, and its default. */
+
+#ifndef RATTANSHED_SETTINGS_FIELDS_H
+#define RATTANSHED_SETTINGS_FIELDS_H
+
+#include <glib.h>
+
+#include "settings/settings.h"
+
+void RsFields_SetDefaults(struct rs_settings *settings, GHashTable *lines);
+int RsFields_Check(const struct rs_settings *settings,
+                   struct rs_settings_fault *fault);
+void RsFields_Allowed(const char *path, char *text, size_t size_bytes);
+void RsFields_Siblings(const char *path, char *text, size_t size_bytes);
+
+#endif
--- /dev/null
+++ b/settings/locate.h
@@ -0,0 +1,17 @@
+/* Finds the line on which each field of a YAML file stands. */
+
+#ifndef RATTANSHED_SETTINGS_LOCATE_H
+#define RATTANSHED_SETTINGS_LOCATE_H
+
+#include <glib.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "settings/settings.h"
+
+/* Paths such as "callers.port" to their lines (GUINT_TO_POINTER). */
+GHashTable *RsLocate_Fields(const char *text, size_t size_bytes,
+                            struct rs_settings_fault *fault);
+uint32_t RsLocate_Line(GHashTable *lines, const char *path);
+
+#endif
