--- /dev/null
+++ b/wire/link.c
@@ -0,0 +1,268 @@
+#include "wire/link.h"
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "wire/frame.h"
+
+#define BACKLOG 512
+#define READ_BYTES 65536
+
+struct rs_link {
+    uv_tcp_t tcp;
+    uv_connect_t connect;
+    struct rs_frame_reader reader;
+    const struct rs_link_events *events;
+    void *arg;
+    size_t max_queue_bytes;
+    bool open;
+    bool closing;
+};
+
+struct rs_link_listener {
+    uv_tcp_t tcp;
+    size_t max_queue_bytes;
+    rs_link_accept accept;
+    void *arg;
+};
+
+struct link_write {
+    uv_write_t write;
+    uint8_t *data;
+};
+
+static _Thread_local struct rs_link_totals totals;
+
+static void
+on_freed(uv_handle_t *handle)
+{
+    struct rs_link *link = handle->data;
+    RsFrame_FreeReader(&link->reader);
+    g_free(link);
+}
+
+static void
+fail(struct rs_link *link, int error)
+{
+    if (link->closing) {
+        return;
+    }
+    RsLink_Close(link);
+    link->events->closed(link->arg, error);
+}
+
+static int
+on_frame(void *arg, const uint8_t *data, size_t size)
+{
+    struct rs_link *link = arg;
+    totals.received_frames++;
+    if (link->closing) {
+        return RsLink_CLOSED;
+    }
+    return link->events->frame(link->arg, data, size);
+}
+
+static void
+give_buffer(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    static _Thread_local char bytes[READ_BYTES];
+    buffer->base = bytes;
+    buffer->len = sizeof(bytes);
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
+{
+    struct rs_link *link = stream->data;
+    if (size < 0) {
+        fail(link, RsLink_CLOSED);
+        return;
+    }
+    totals.received_bytes += (uint64_t)size;
+    int status = RsFrame_Read(&link->reader, (const uint8_t *)buffer->base,
+                              (size_t)size, on_frame, link);
+    if (status < 0) {
+        fail(link, status);
+    }
+}
+
+static void
+start(struct rs_link *link)
+{
+    link->open = true;
+    uv_tcp_nodelay(&link->tcp, 1);
+    uv_read_start((uv_stream_t *)&link->tcp, give_buffer, on_read);
+}
+
+static void
+on_connect(uv_connect_t *connect, int status)
+{
+    struct rs_link *link = connect->data;
+    if (link->closing) {
+        return;
+    }
+    if (status != 0) {
+        fail(link, RsLink_CLOSED);
+        return;
+    }
+    start(link);
+    if (link->events->opened != NULL) {
+        link->events->opened(link->arg);
+    }
+}
+
+static struct rs_link *
+new_link(uv_loop_t *loop, size_t max_queue_bytes)
+{
+    struct rs_link *link = g_new0(struct rs_link, 1);
+    link->max_queue_bytes = max_queue_bytes;
+    uv_tcp_init(loop, &link->tcp);
+    link->tcp.data = link;
+    link->connect.data = link;
+    return link;
+}
+
+/* Begins to connect. Returns NULL when that fails at once; otherwise `opened`
+ * or `closed` follows. */
+struct rs_link *
+RsLink_Connect(const struct rs_link_options *options)
+{
+    struct rs_link *link = new_link(options->loop, options->max_queue_bytes);
+    link->events = options->events;
+    link->arg = options->arg;
+    int status = uv_tcp_connect(&link->connect, &link->tcp,
+                                (const struct sockaddr *)&options->address,
+                                on_connect);
+    if (status != 0) {
+        RsLink_Close(link);
+        return NULL;
+    }
+    return link;
+}
+
+static void
+on_connection(uv_stream_t *stream, int status)
+{
+    struct rs_link_listener *listener = stream->data;
+    if (status != 0) {
+        return;
+    }
+    struct rs_link *link = new_link(stream->loop, listener->max_queue_bytes);
+    if (uv_accept(stream, (uv_stream_t *)&link->tcp) != 0) {
+        RsLink_Close(link);
+        return;
+    }
+    listener->accept(listener->arg, link);
+    if (!link->closing) {
+        start(link);
+    }
+}
+
+/* Listens for links. Returns 0 or RsLink_LISTEN_FAILED. */
+int
+RsLink_Listen(uv_loop_t *loop, const struct sockaddr_in *address,
+              size_t max_queue_bytes, rs_link_accept accept, void *arg,
+              struct rs_link_listener **out)
+{
+    struct rs_link_listener *listener = g_new0(struct rs_link_listener, 1);
+    listener->max_queue_bytes = max_queue_bytes;
+    listener->accept = accept;
+    listener->arg = arg;
+    uv_tcp_init(loop, &listener->tcp);
+    listener->tcp.data = listener;
+    *out = listener;
+    if (uv_tcp_bind(&listener->tcp, (const struct sockaddr *)address, 0) !=
+            0 ||
+        uv_listen((uv_stream_t *)&listener->tcp, BACKLOG, on_connection) !=
+            0) {
+        return RsLink_LISTEN_FAILED;
+    }
+    return 0;
+}
+
+static void
+on_listener_closed(uv_handle_t *handle)
+{
+    g_free(handle->data);
+}
+
+/* Stops and frees the listener. Links that it accepted go on. */
+void
+RsLink_StopListening(struct rs_link_listener *listener)
+{
+    uv_close((uv_handle_t *)&listener->tcp, on_listener_closed);
+}
+
+/* Names who gets the calls of a link. */
+void
+RsLink_SetEvents(struct rs_link *link, const struct rs_link_events *events,
+                 void *arg)
+{
+    link->events = events;
+    link->arg = arg;
+}
+
+static void
+on_written(uv_write_t *write, int status)
+{
+    struct link_write *link_write = write->data;
+    struct rs_link *link = write->handle->data;
+    g_free(link_write->data);
+    g_free(link_write);
+    if (status != 0) {
+        fail(link, RsLink_CLOSED);
+    }
+}
+
+/* Sends a message. Returns 0, RsLink_CLOSED when the link is not open, or
+ * RsLink_FULL when too much waits already; nothing is sent then. */
+int
+RsLink_Send(struct rs_link *link, const ProtobufCMessage *message)
+{
+    if (link->closing || !link->open) {
+        return RsLink_CLOSED;
+    }
+    if (RsLink_QueuedBytes(link) > link->max_queue_bytes) {
+        return RsLink_FULL;
+    }
+    struct link_write *write = g_new0(struct link_write, 1);
+    size_t size;
+    write->data = RsFrame_Pack(message, &size);
+    write->write.data = write;
+    uv_buf_t buffer = uv_buf_init((char *)write->data, (unsigned)size);
+    int status = uv_write(&write->write, (uv_stream_t *)&link->tcp, &buffer,
+                          1, on_written);
+    if (status != 0) {
+        g_free(write->data);
+        g_free(write);
+        return RsLink_CLOSED;
+    }
+    totals.sent_frames++;
+    totals.sent_bytes += size;
+    return 0;
+}
+
+/* Returns the bytes that the system has not taken yet. */
+size_t
+RsLink_QueuedBytes(const struct rs_link *link)
+{
+    return uv_stream_get_write_queue_size((const uv_stream_t *)&link->tcp);
+}
+
+/* Closes without telling the owner; no call follows. */
+void
+RsLink_Close(struct rs_link *link)
+{
+    if (link->closing) {
+        return;
+    }
+    link->closing = true;
+    uv_close((uv_handle_t *)&link->tcp, on_freed);
+}
+
+/* Returns this thread's totals. */
+struct rs_link_totals
+RsLink_Totals(void)
+{
+    return totals;
+}
--- /dev/null
+++ b/wire/link.h
@@ -0,0 +1,65 @@
+/* A TCP connection that carries framed messages between two processes. */
+
+#ifndef RATTANSHED_WIRE_LINK_H
+#define RATTANSHED_WIRE_LINK_H
+
+#include <netinet/in.h>
+#include <protobuf-c/protobuf-c.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "core/error.h"
+
+enum rs_link_error {
+    RsLink_CLOSED = RsError_WIRE - 20,
+    RsLink_FULL = RsError_WIRE - 21, /* the peer doesn't read: give it up */
+    RsLink_LISTEN_FAILED = RsError_WIRE - 22
+};
+
+struct rs_link;
+
+/* Calls of one link. `frame` returns 0, or an error that closes the link.
+ * After `closed`, which comes once unless RsLink_Close() was called before,
+ * the link is gone. `opened` comes only for links that connect. */
+struct rs_link_events {
+    void (*opened)(void *arg);
+    int (*frame)(void *arg, const uint8_t *data, size_t size_bytes);
+    void (*closed)(void *arg, int error);
+};
+
+struct rs_link_options {
+    uv_loop_t *loop;
+    struct sockaddr_in address;
+    const struct rs_link_events *events;
+    void *arg;
+    size_t max_queue_bytes; /* written and not yet taken by the system */
+};
+
+/* Gets each link that was accepted; it must set its events at once. */
+typedef void (*rs_link_accept)(void *arg, struct rs_link *link);
+
+struct rs_link_listener;
+
+struct rs_link *RsLink_Connect(const struct rs_link_options *options);
+int RsLink_Listen(uv_loop_t *loop, const struct sockaddr_in *address,
+                  size_t max_queue_bytes, rs_link_accept accept, void *arg,
+                  struct rs_link_listener **listener);
+void RsLink_StopListening(struct rs_link_listener *listener);
+void RsLink_SetEvents(struct rs_link *link,
+                      const struct rs_link_events *events, void *arg);
+int RsLink_Send(struct rs_link *link, const ProtobufCMessage *message);
+size_t RsLink_QueuedBytes(const struct rs_link *link);
+void RsLink_Close(struct rs_link *link);
+
+/* Bytes and frames of all links of this thread, both ways. */
+struct rs_link_totals {
+    uint64_t sent_frames;
+    uint64_t sent_bytes;
+    uint64_t received_frames;
+    uint64_t received_bytes;
+};
+
+struct rs_link_totals RsLink_Totals(void);
+
+#endif
