--- /dev/null
+++ b/ticket/config.c
@@ -0,0 +1,345 @@
+#include "ticket/config.h"
+
+#include <glib.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#define OBJECT_PREFIX "object/"
+#define HEAD_KEY "ticket/head"
+
+/* The rules of one service by prefix; bit L of `lengths` is set when one of
+ * them has a prefix of L bytes. */
+struct prefix_index {
+    GHashTable *rules;
+    uint64_t lengths;
+};
+
+struct rs_config {
+    atomic_uint references;
+    uint64_t applied_ticket;
+    size_t broken_rows;
+    GPtrArray *entries[RsObject_KINDS];
+    GHashTable *by_name[RsObject_KINDS];
+    GHashTable *places_by_target;
+    GHashTable *prefixes_by_service;
+};
+
+static void
+free_entry(gpointer data)
+{
+    struct rs_config_entry *entry = data;
+    RsObject_Free(&entry->object);
+    json_decref(entry->value);
+    g_free(entry);
+}
+
+static void
+free_prefix_index(gpointer data)
+{
+    struct prefix_index *index = data;
+    g_hash_table_unref(index->rules);
+    g_free(index);
+}
+
+/* Splits "object/KIND/NAME". Returns the name within the key, or NULL. */
+static const char *
+split_key(const char *key, enum rs_object_kind *kind)
+{
+    const char *kind_text = key + strlen(OBJECT_PREFIX);
+    const char *slash = strchr(kind_text, '/');
+    if (slash == NULL || !RsObject_IsName(slash + 1)) {
+        return NULL;
+    }
+    char *copy = g_strndup(kind_text, (gsize)(slash - kind_text));
+    int status = RsObject_ParseKind(copy, kind);
+    g_free(copy);
+    return status == 0 ? slash + 1 : NULL;
+}
+
+static struct rs_config_entry *
+read_entry(const struct rs_config_row *row)
+{
+    enum rs_object_kind kind;
+    const char *name = split_key(row->key, &kind);
+    const json_t *ticket = json_object_get(row->value, "ticket");
+    json_t *value = json_object_get(row->value, "value");
+    if (name == NULL || !json_is_integer(ticket) ||
+        json_integer_value(ticket) < 1) {
+        return NULL;
+    }
+    struct rs_faults faults = {0};
+    struct rs_object object;
+    int status = RsObject_Parse(&object, kind, name, value, "", &faults);
+    RsFaults_Free(&faults);
+    if (status < 0) {
+        return NULL;
+    }
+    struct rs_config_entry *entry = g_new0(struct rs_config_entry, 1);
+    entry->object = object;
+    entry->version = row->version;
+    entry->ticket = (uint64_t)json_integer_value(ticket);
+    entry->value = json_incref(value);
+    return entry;
+}
+
+static void
+apply_number(struct rs_config *config, const json_t *number)
+{
+    if (!json_is_integer(number) || json_integer_value(number) < 0) {
+        config->broken_rows++;
+        return;
+    }
+    uint64_t ticket = (uint64_t)json_integer_value(number);
+    config->applied_ticket = MAX(config->applied_ticket, ticket);
+}
+
+static void
+add_row(struct rs_config *config, const struct rs_config_row *row)
+{
+    if (row->value == NULL || json_is_null(row->value)) {
+        return;
+    }
+    if (strcmp(row->key, HEAD_KEY) == 0) {
+        apply_number(config, json_object_get(row->value, "number"));
+        return;
+    }
+    if (!g_str_has_prefix(row->key, OBJECT_PREFIX)) {
+        return;
+    }
+    struct rs_config_entry *entry = read_entry(row);
+    if (entry == NULL) {
+        config->broken_rows++;
+        return;
+    }
+    config->applied_ticket = MAX(config->applied_ticket, entry->ticket);
+    enum rs_object_kind kind = entry->object.kind;
+    const char *name = RsObject_Name(&entry->object);
+    if (!g_hash_table_replace(config->by_name[kind], (char *)name, entry)) {
+        config->broken_rows++;
+    }
+}
+
+static gint
+compare_names(gconstpointer a, gconstpointer b)
+{
+    const struct rs_config_entry *left = *(struct rs_config_entry *const *)a;
+    const struct rs_config_entry *right = *(struct rs_config_entry *const *)b;
+    return strcmp(RsObject_Name(&left->object), RsObject_Name(&right->object));
+}
+
+static void
+sort_entries(struct rs_config *config, int kind)
+{
+    GHashTableIter iter;
+    gpointer entry = NULL;
+    g_hash_table_iter_init(&iter, config->by_name[kind]);
+    while (g_hash_table_iter_next(&iter, NULL, &entry)) {
+        g_ptr_array_add(config->entries[kind], entry);
+    }
+    g_ptr_array_sort(config->entries[kind], compare_names);
+}
+
+static void
+index_targets(struct rs_config *config)
+{
+    for (size_t i = 0; i < RsConfig_Count(config, RsObject_PLACE); i++) {
+        const struct rs_model_place *place =
+            &RsConfig_At(config, RsObject_PLACE, i)->object.as.place;
+        for (size_t j = 0; j < place->target_count; j++) {
+            g_hash_table_insert(config->places_by_target,
+                                place->targets[j].name, (gpointer)place);
+        }
+    }
+}
+
+static struct prefix_index *
+index_of_service(struct rs_config *config, const char *service)
+{
+    struct prefix_index *index =
+        g_hash_table_lookup(config->prefixes_by_service, service);
+    if (index == NULL) {
+        index = g_new0(struct prefix_index, 1);
+        index->rules = g_hash_table_new(g_str_hash, g_str_equal);
+        g_hash_table_insert(config->prefixes_by_service, (char *)service,
+                            index);
+    }
+    return index;
+}
+
+/* Of two rules with the same prefix, the first by name counts in every
+ * process; a ticket can't bring this about. */
+static void
+index_prefixes(struct rs_config *config)
+{
+    for (size_t i = 0; i < RsConfig_Count(config, RsObject_RULE); i++) {
+        const struct rs_model_rule *rule =
+            &RsConfig_At(config, RsObject_RULE, i)->object.as.rule;
+        struct prefix_index *index = index_of_service(config, rule->service);
+        if (g_hash_table_contains(index->rules, rule->prefix)) {
+            config->broken_rows++;
+            continue;
+        }
+        g_hash_table_insert(index->rules, (char *)rule->prefix,
+                            (gpointer)rule);
+        index->lengths |= UINT64_C(1) << strlen(rule->prefix);
+    }
+}
+
+/* Builds a snapshot of the rows `object/KIND/NAME` and `ticket/head`; others
+ * are passed over, and broken ones are counted and left out. The caller owns
+ * one reference. The rows may go afterwards. */
+struct rs_config *
+RsConfig_Build(const struct rs_config_row *rows, size_t count)
+{
+    struct rs_config *config = g_new0(struct rs_config, 1);
+    atomic_init(&config->references, 1);
+    for (int kind = 0; kind < RsObject_KINDS; kind++) {
+        config->entries[kind] = g_ptr_array_new();
+        config->by_name[kind] =
+            g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
+    }
+    config->places_by_target = g_hash_table_new(g_str_hash, g_str_equal);
+    config->prefixes_by_service = g_hash_table_new_full(
+        g_str_hash, g_str_equal, NULL, free_prefix_index);
+    for (size_t i = 0; i < count; i++) {
+        add_row(config, &rows[i]);
+    }
+    for (int kind = 0; kind < RsObject_KINDS; kind++) {
+        sort_entries(config, kind);
+    }
+    index_targets(config);
+    index_prefixes(config);
+    return config;
+}
+
+/* Takes one more reference, from any thread that has one. */
+struct rs_config *
+RsConfig_Ref(struct rs_config *config)
+{
+    atomic_fetch_add_explicit(&config->references, 1, memory_order_relaxed);
+    return config;
+}
+
+/* Gives a reference back; the last one frees the snapshot. NULL is allowed. */
+void
+RsConfig_Unref(struct rs_config *config)
+{
+    if (config == NULL ||
+        atomic_fetch_sub_explicit(&config->references, 1,
+                                  memory_order_acq_rel) > 1) {
+        return;
+    }
+    g_hash_table_unref(config->prefixes_by_service);
+    g_hash_table_unref(config->places_by_target);
+    for (int kind = 0; kind < RsObject_KINDS; kind++) {
+        g_ptr_array_unref(config->entries[kind]);
+        g_hash_table_unref(config->by_name[kind]);
+    }
+    g_free(config);
+}
+
+/* Returns the highest ticket number in the rows. */
+uint64_t
+RsConfig_AppliedTicket(const struct rs_config *config)
+{
+    return config->applied_ticket;
+}
+
+/* Returns how many rows were left out since they could not be read. */
+size_t
+RsConfig_BrokenRows(const struct rs_config *config)
+{
+    return config->broken_rows;
+}
+
+/* Returns how many objects of a kind there are. */
+size_t
+RsConfig_Count(const struct rs_config *config, enum rs_object_kind kind)
+{
+    return config->entries[kind]->len;
+}
+
+/* Returns an entry by index, which must be below the count. */
+const struct rs_config_entry *
+RsConfig_At(const struct rs_config *config, enum rs_object_kind kind,
+            size_t index)
+{
+    g_assert(index < config->entries[kind]->len);
+    return g_ptr_array_index(config->entries[kind], index);
+}
+
+/* Returns an entry by name, or NULL. */
+const struct rs_config_entry *
+RsConfig_Find(const struct rs_config *config, enum rs_object_kind kind,
+              const char *name)
+{
+    return g_hash_table_lookup(config->by_name[kind], name);
+}
+
+/* Returns the service, or NULL. */
+const struct rs_model_service *
+RsConfig_Service(const struct rs_config *config, const char *name)
+{
+    const struct rs_config_entry *entry =
+        RsConfig_Find(config, RsObject_SERVICE, name);
+    return entry == NULL ? NULL : &entry->object.as.service;
+}
+
+/* Returns the place, or NULL. */
+const struct rs_model_place *
+RsConfig_Place(const struct rs_config *config, const char *name)
+{
+    const struct rs_config_entry *entry =
+        RsConfig_Find(config, RsObject_PLACE, name);
+    return entry == NULL ? NULL : &entry->object.as.place;
+}
+
+/* Returns the rule, or NULL. */
+const struct rs_model_rule *
+RsConfig_Rule(const struct rs_config *config, const char *name)
+{
+    const struct rs_config_entry *entry =
+        RsConfig_Find(config, RsObject_RULE, name);
+    return entry == NULL ? NULL : &entry->object.as.rule;
+}
+
+/* Returns the domain, or NULL. */
+const struct rs_model_domain *
+RsConfig_Domain(const struct rs_config *config, const char *name)
+{
+    const struct rs_config_entry *entry =
+        RsConfig_Find(config, RsObject_DOMAIN, name);
+    return entry == NULL ? NULL : &entry->object.as.domain;
+}
+
+/* Returns the place that lists the target, or NULL. */
+const struct rs_model_place *
+RsConfig_PlaceOfTarget(const struct rs_config *config, const char *target)
+{
+    return g_hash_table_lookup(config->places_by_target, target);
+}
+
+/* Returns the service's rule with the longest prefix of the key, or NULL. */
+const struct rs_model_rule *
+RsConfig_RuleOfKey(const struct rs_config *config, const char *service,
+                   const char *key, size_t key_bytes)
+{
+    const struct prefix_index *index =
+        g_hash_table_lookup(config->prefixes_by_service, service);
+    if (index == NULL) {
+        return NULL;
+    }
+    char prefix[RsModel_NAME_BYTES];
+    size_t length = MIN(key_bytes, sizeof(prefix) - 1);
+    memcpy(prefix, key, length);
+    for (;; length--) {
+        prefix[length] = '\0';
+        const struct rs_model_rule *rule =
+            (index->lengths >> length & 1) != 0
+                ? g_hash_table_lookup(index->rules, prefix)
+                : NULL;
+        if (rule != NULL || length == 0) {
+            return rule;
+        }
+    }
+}
--- /dev/null
+++ b/ticket/config.h
@@ -0,0 +1,63 @@
+/* The configuration that is in force: an immutable snapshot which two tasks
+ * may share. */
+
+#ifndef RATTANSHED_TICKET_CONFIG_H
+#define RATTANSHED_TICKET_CONFIG_H
+
+#include <jansson.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "ticket/object.h"
+
+/* One row of the platform's table; a deleted row has a null value. */
+struct rs_config_row {
+    const char *key;
+    uint64_t version;
+    json_t *value;
+};
+
+struct rs_config_entry {
+    struct rs_object object;
+    uint64_t version; /* of the row */
+    uint64_t ticket;  /* that wrote it */
+    json_t *value;    /* the object's JSON value */
+};
+
+struct rs_config;
+
+struct rs_config *RsConfig_Build(const struct rs_config_row *rows,
+                                 size_t count);
+struct rs_config *RsConfig_Ref(struct rs_config *config);
+void RsConfig_Unref(struct rs_config *config);
+
+uint64_t RsConfig_AppliedTicket(const struct rs_config *config);
+size_t RsConfig_BrokenRows(const struct rs_config *config);
+
+/* Entries of a kind, in order of name. */
+size_t RsConfig_Count(const struct rs_config *config,
+                      enum rs_object_kind kind);
+const struct rs_config_entry *RsConfig_At(const struct rs_config *config,
+                                          enum rs_object_kind kind,
+                                          size_t index);
+const struct rs_config_entry *RsConfig_Find(const struct rs_config *config,
+                                            enum rs_object_kind kind,
+                                            const char *name);
+
+/* Lookups by name; NULL when there is none. */
+const struct rs_model_service *RsConfig_Service(const struct rs_config *config,
+                                                const char *name);
+const struct rs_model_place *RsConfig_Place(const struct rs_config *config,
+                                            const char *name);
+const struct rs_model_rule *RsConfig_Rule(const struct rs_config *config,
+                                          const char *name);
+const struct rs_model_domain *RsConfig_Domain(const struct rs_config *config,
+                                              const char *name);
+const struct rs_model_place *
+RsConfig_PlaceOfTarget(const struct rs_config *config, const char *target);
+const struct rs_model_rule *RsConfig_RuleOfKey(const struct rs_config *config,
+                                               const char *service,
+                                               const char *key,
+                                               size_t key_bytes);
+
+#endif
--- /dev/null
+++ b/ticket/object.h
@@ -0,0 +1,49 @@
+/* The configuration's objects as JSON values: reading and checking. */
+
+#ifndef RATTANSHED_TICKET_OBJECT_H
+#define RATTANSHED_TICKET_OBJECT_H
+
+#include <jansson.h>
+#include <stdbool.h>
+
+#include "core/error.h"
+#include "place/model.h"
+#include "ticket/fault.h"
+
+enum rs_object_error {
+    RsObject_INVALID = RsError_TICKET /* see the faults */
+};
+
+enum rs_object_kind {
+    RsObject_SERVICE,
+    RsObject_PLACE,
+    RsObject_RULE,
+    RsObject_DOMAIN,
+    RsObject_KINDS /* how many there are */
+};
+
+#define RsObject_MAX_TARGETS 1024
+#define RsObject_MAX_PLACES 64
+
+/* Owns what its model points to. */
+struct rs_object {
+    enum rs_object_kind kind;
+    union {
+        struct rs_model_service service;
+        struct rs_model_place place;
+        struct rs_model_rule rule;
+        struct rs_model_domain domain;
+    } as;
+};
+
+const char *RsObject_KindName(enum rs_object_kind kind);
+int RsObject_ParseKind(const char *text, enum rs_object_kind *kind);
+bool RsObject_IsName(const char *text);
+const char *RsObject_Name(const struct rs_object *object);
+
+int RsObject_Parse(struct rs_object *object, enum rs_object_kind kind,
+                   const char *name, const json_t *value, const char *path,
+                   struct rs_faults *faults);
+void RsObject_Free(struct rs_object *object);
+
+#endif
