Add the platform stand-in: table, objects, VM list and faults

Tests need the platform of docs/PLATFORM.md as a process.

A VM may name under `from` fields that replace its own for askers of a domain.

--- /dev/null
+++ b/standin/platform.c
@@ -0,0 +1,491 @@
+/* standin_platform: the platform's table, object store and list of VMs, as
+ * docs/PLATFORM.md describes them, with the faults that tests switch on. */
+
+#include <argtable2.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/clock.h"
+#include "standin/server.h"
+#include "standin/table.h"
+
+#define DEFAULT_LIMIT 1000
+#define OBJECT_PATH "/object/"
+#define DIGEST_CHARS 16
+#define PATH_IS(req, text)                                                    \
+    ((req)->path.len >= strlen(text) &&                                       \
+     memcmp((req)->path.base, (text), strlen(text)) == 0)
+
+/* A change of the list of VMs that readers don't see yet. */
+struct vm_change {
+    int64_t due_ms;
+    json_t *body;
+};
+
+struct faults {
+    bool outage;
+    int64_t slow_ms;
+    int64_t lose_answers;
+    int64_t vm_lag_ms;
+    json_t *cut_domains;
+};
+
+struct platform {
+    struct rs_server server;
+    struct rs_table *table;
+    GHashTable *objects; /* digest to GBytes */
+    json_t *vms;         /* id to VM, as readers see it */
+    GQueue *vm_changes;  /* in order of their time */
+    struct faults faults;
+    int64_t read_count;
+    int64_t write_count;
+};
+
+/* An answer that is held back. */
+struct late_answer {
+    uv_timer_t timer;
+    h2o_req_t *req;
+    int status;
+    char *text;
+    size_t size_bytes;
+};
+
+static void
+free_late_answer(uv_handle_t *handle)
+{
+    g_free(handle->data);
+}
+
+static void
+send_late_answer(uv_timer_t *timer)
+{
+    struct late_answer *late = timer->data;
+    RsServer_SendText(late->req, late->status, late->text, late->size_bytes);
+    g_free(late->text);
+    uv_close((uv_handle_t *)timer, free_late_answer);
+}
+
+/* Answers at once, or after the time for which answers are held back. Owns
+ * `text`. */
+static void
+answer_bytes(struct platform *platform, h2o_req_t *req, int status, char *text,
+             size_t size_bytes)
+{
+    if (platform->faults.slow_ms <= 0) {
+        RsServer_SendText(req, status, text, size_bytes);
+        g_free(text);
+        return;
+    }
+    struct late_answer *late = g_new0(struct late_answer, 1);
+    late->req = req;
+    late->status = status;
+    late->text = text;
+    late->size_bytes = size_bytes;
+    uv_timer_init(platform->server.loop, &late->timer);
+    late->timer.data = late;
+    uv_timer_start(&late->timer, send_late_answer,
+                   (uint64_t)platform->faults.slow_ms, 0);
+}
+
+/* Owns `text`. */
+static void
+answer(struct platform *platform, h2o_req_t *req, int status, GString *text)
+{
+    size_t size_bytes = text->len;
+    answer_bytes(platform, req, status, g_string_free(text, FALSE),
+                 size_bytes);
+}
+
+static json_t *
+load_body(const h2o_req_t *req)
+{
+    return json_loadb(req->entity.base, req->entity.len, 0, NULL);
+}
+
+static void
+answer_error(struct platform *platform, h2o_req_t *req, int status)
+{
+    answer(platform, req, status, g_string_new("{\"error\":\"refused\"}"));
+}
+
+static void
+get_row(struct platform *platform, h2o_req_t *req)
+{
+    char *key = RsServer_CopyQuery(req, "key");
+    struct rs_table_row row;
+    if (key != NULL && RsTable_Get(platform->table, key, &row)) {
+        GString *text = g_string_new("");
+        RsTable_AppendRow(text, &row);
+        answer(platform, req, 200, text);
+    }
+    else {
+        answer_error(platform, req, 404);
+    }
+    g_free(key);
+}
+
+static void
+get_changes(struct platform *platform, h2o_req_t *req)
+{
+    char *skip = RsServer_CopyQuery(req, "skip");
+    GString *text = g_string_new("");
+    const char *prefix = skip != NULL && skip[0] != '\0' ? skip : NULL;
+    RsTable_Changes(platform->table, RsServer_QueryNumber(req, "after", 0),
+                    RsServer_QueryNumber(req, "limit", DEFAULT_LIMIT), prefix,
+                    text);
+    answer(platform, req, 200, text);
+    g_free(skip);
+}
+
+static void
+get_list(struct platform *platform, h2o_req_t *req)
+{
+    char *prefix = RsServer_CopyQuery(req, "prefix");
+    char *after_key = RsServer_CopyQuery(req, "after_key");
+    GString *text = g_string_new("");
+    RsTable_List(platform->table, prefix != NULL ? prefix : "", after_key,
+                 RsServer_QueryNumber(req, "limit", DEFAULT_LIMIT),
+                 RsServer_QueryNumber(req, "reverse", 0) == 1, text);
+    answer(platform, req, 200, text);
+    g_free(prefix);
+    g_free(after_key);
+}
+
+static void
+post_commit(struct platform *platform, h2o_req_t *req)
+{
+    json_t *body = load_body(req);
+    GString *text = g_string_new("");
+    int status = RsTable_Commit(platform->table, body, text);
+    json_decref(body);
+    if (platform->faults.lose_answers > 0) {
+        platform->faults.lose_answers--;
+        g_string_free(text, TRUE);
+        RsServer_Drop(req);
+        return;
+    }
+    answer(platform, req, status, text);
+}
+
+static char *
+copy_digest(const h2o_req_t *req)
+{
+    const char *digest = req->path.base + strlen(OBJECT_PATH);
+    size_t size_bytes = req->path.len - strlen(OBJECT_PATH);
+    if (size_bytes != DIGEST_CHARS) {
+        return NULL;
+    }
+    for (size_t i = 0; i < size_bytes; i++) {
+        if (strchr("0123456789abcdef", digest[i]) == NULL) {
+            return NULL;
+        }
+    }
+    return g_strndup(digest, size_bytes);
+}
+
+static void
+put_object(struct platform *platform, h2o_req_t *req)
+{
+    char *digest = copy_digest(req);
+    if (digest == NULL) {
+        answer_error(platform, req, 400);
+        return;
+    }
+    g_hash_table_replace(platform->objects, digest,
+                         g_bytes_new(req->entity.base, req->entity.len));
+    answer(platform, req, 200, g_string_new("{}"));
+}
+
+static void
+get_object(struct platform *platform, h2o_req_t *req)
+{
+    char *digest = copy_digest(req);
+    GBytes *body =
+        digest != NULL ? g_hash_table_lookup(platform->objects, digest) : NULL;
+    g_free(digest);
+    if (body == NULL) {
+        answer_error(platform, req, 404);
+        return;
+    }
+    gsize size_bytes;
+    const char *data = g_bytes_get_data(body, &size_bytes);
+    answer(platform, req, 200, g_string_new_len(data, (gssize)size_bytes));
+}
+
+static void
+apply_vm_change(struct platform *platform, const json_t *body)
+{
+    size_t i;
+    json_t *entry;
+    json_array_foreach(json_object_get(body, "put"), i, entry)
+    {
+        const char *id = json_string_value(json_object_get(entry, "id"));
+        if (id != NULL) {
+            json_object_set(platform->vms, id, entry);
+        }
+    }
+    json_array_foreach(json_object_get(body, "remove"), i, entry)
+    {
+        if (json_is_string(entry)) {
+            json_object_del(platform->vms, json_string_value(entry));
+        }
+    }
+}
+
+static void
+apply_due_vm_changes(struct platform *platform)
+{
+    int64_t now_ms = RsClock_NowMs();
+    struct vm_change *change = g_queue_peek_head(platform->vm_changes);
+    while (change != NULL && change->due_ms <= now_ms) {
+        g_queue_pop_head(platform->vm_changes);
+        apply_vm_change(platform, change->body);
+        json_decref(change->body);
+        g_free(change);
+        change = g_queue_peek_head(platform->vm_changes);
+    }
+}
+
+/* A VM as one sees it from `domain`: the fields under `from` and that domain
+ * replace those of the VM itself. */
+static json_t *
+vm_seen_from(const json_t *vm, const char *domain)
+{
+    json_t *seen = json_copy((json_t *)vm);
+    json_t *others = json_object_get(vm, "from");
+    json_t *fields = domain != NULL ? json_object_get(others, domain) : NULL;
+    if (fields != NULL) {
+        json_object_update(seen, fields);
+    }
+    json_object_del(seen, "from");
+    return seen;
+}
+
+static void
+get_vms(struct platform *platform, h2o_req_t *req)
+{
+    const char *id;
+    json_t *vm;
+    char *domain = RsServer_CopyQuery(req, "from");
+    json_t *list = json_array();
+    apply_due_vm_changes(platform);
+    json_object_foreach(platform->vms, id, vm)
+    {
+        json_array_append_new(list, vm_seen_from(vm, domain));
+    }
+    json_t *body = json_pack("{s:o}", "vms", list);
+    char *text = json_dumps(body, JSON_COMPACT);
+    answer(platform, req, 200, g_string_new(text));
+    free(text);
+    json_decref(body);
+    g_free(domain);
+}
+
+static void
+post_vms(struct platform *platform, h2o_req_t *req)
+{
+    json_t *body = load_body(req);
+    if (!json_is_object(body)) {
+        json_decref(body);
+        RsServer_SendText(req, 400, "{}", 2);
+        return;
+    }
+    struct vm_change *change = g_new0(struct vm_change, 1);
+    struct vm_change *last = g_queue_peek_tail(platform->vm_changes);
+    change->body = body;
+    change->due_ms = RsClock_NowMs() + platform->faults.vm_lag_ms;
+    if (last != NULL) {
+        change->due_ms = MAX(change->due_ms, last->due_ms);
+    }
+    g_queue_push_tail(platform->vm_changes, change);
+    RsServer_SendText(req, 200, "{}", 2);
+}
+
+static void
+read_number(const json_t *body, const char *name, int64_t *number)
+{
+    const json_t *value = json_object_get(body, name);
+    if (json_is_integer(value)) {
+        *number = json_integer_value(value);
+    }
+}
+
+static void
+get_switches(struct platform *platform, h2o_req_t *req)
+{
+    struct faults *faults = &platform->faults;
+    RsServer_SendJson(
+        req, 200,
+        json_pack("{s:b,s:I,s:I,s:I,s:O,s:I,s:I,s:I}", "outage",
+                  (int)faults->outage, "slow_ms", (json_int_t)faults->slow_ms,
+                  "lose_answers", (json_int_t)faults->lose_answers,
+                  "vm_lag_ms", (json_int_t)faults->vm_lag_ms, "cut_domains",
+                  faults->cut_domains, "reads",
+                  (json_int_t)platform->read_count, "writes",
+                  (json_int_t)platform->write_count, "revision",
+                  (json_int_t)RsTable_Revision(platform->table)));
+}
+
+static void
+post_switches(struct platform *platform, h2o_req_t *req)
+{
+    struct faults *faults = &platform->faults;
+    json_t *body = load_body(req);
+    json_t *outage = json_object_get(body, "outage");
+    json_t *cut_domains = json_object_get(body, "cut_domains");
+    if (json_is_boolean(outage)) {
+        faults->outage = json_is_true(outage);
+    }
+    if (json_is_array(cut_domains)) {
+        json_decref(faults->cut_domains);
+        faults->cut_domains = json_incref(cut_domains);
+    }
+    read_number(body, "slow_ms", &faults->slow_ms);
+    read_number(body, "lose_answers", &faults->lose_answers);
+    read_number(body, "vm_lag_ms", &faults->vm_lag_ms);
+    json_decref(body);
+    get_switches(platform, req);
+}
+
+static bool
+domain_is_cut(const struct platform *platform, const h2o_req_t *req)
+{
+    size_t i;
+    const json_t *name;
+    h2o_iovec_t domain = RsServer_Header(req, "x-domain");
+    json_array_foreach(platform->faults.cut_domains, i, name)
+    {
+        if (json_is_string(name) && domain.base != NULL &&
+            h2o_memis(domain.base, domain.len, json_string_value(name),
+                      json_string_length(name))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+struct route {
+    const char *method;
+    const char *path; /* ends with a slash: a prefix */
+    void (*handle)(struct platform *platform, h2o_req_t *req);
+    bool is_write;
+};
+
+static const struct route control_routes[] = {
+    {"GET", "/standin", get_switches, false},
+    {"POST", "/standin", post_switches, false},
+    {"POST", "/standin/vms", post_vms, false},
+};
+
+static const struct route platform_routes[] = {
+    {"GET", "/table/row", get_row, false},
+    {"GET", "/table/changes", get_changes, false},
+    {"GET", "/table/list", get_list, false},
+    {"POST", "/table/commit", post_commit, true},
+    {"GET", OBJECT_PATH, get_object, false},
+    {"PUT", OBJECT_PATH, put_object, true},
+    {"GET", "/vms", get_vms, false},
+};
+
+static const struct route *
+find_route(const struct route *routes, size_t count, const h2o_req_t *req)
+{
+    for (size_t i = 0; i < count; i++) {
+        const struct route *route = &routes[i];
+        bool is_prefix = route->path[strlen(route->path) - 1] == '/';
+        if (RsServer_IsCall(req, route->method, route->path) ||
+            (is_prefix && PATH_IS(req, route->path) &&
+             h2o_memis(req->method.base, req->method.len, route->method,
+                       strlen(route->method)))) {
+            return route;
+        }
+    }
+    return NULL;
+}
+
+static void
+handle_request(void *arg, h2o_req_t *req)
+{
+    struct platform *platform = arg;
+    const struct route *route =
+        find_route(control_routes, G_N_ELEMENTS(control_routes), req);
+    if (route != NULL) {
+        route->handle(platform, req);
+        return;
+    }
+    if (platform->faults.outage || domain_is_cut(platform, req)) {
+        RsServer_Drop(req);
+        return;
+    }
+    route = find_route(platform_routes, G_N_ELEMENTS(platform_routes), req);
+    if (route == NULL) {
+        answer_error(platform, req, 404);
+        return;
+    }
+    platform->read_count += route->is_write ? 0 : 1;
+    platform->write_count += route->is_write ? 1 : 0;
+    route->handle(platform, req);
+}
+
+/* Reads a list of VMs, `{"vms":[...]}`. */
+static int
+load_vms(struct platform *platform, const char *path)
+{
+    size_t i;
+    json_t *vm;
+    json_error_t error;
+    json_t *file = json_load_file(path, 0, &error);
+    if (file == NULL) {
+        fprintf(stderr, "%s:%d: %s\n", path, error.line, error.text);
+        return -1;
+    }
+    json_array_foreach(json_object_get(file, "vms"), i, vm)
+    {
+        const char *id = json_string_value(json_object_get(vm, "id"));
+        if (id != NULL) {
+            json_object_set(platform->vms, id, vm);
+        }
+    }
+    json_decref(file);
+    return 0;
+}
+
+static int
+run(int port, const char *vms_path)
+{
+    static struct platform platform;
+    platform.table = RsTable_New();
+    platform.objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                             (GDestroyNotify)g_bytes_unref);
+    platform.vms = json_object();
+    platform.vm_changes = g_queue_new();
+    platform.faults.cut_domains = json_array();
+    if (vms_path != NULL && load_vms(&platform, vms_path) != 0) {
+        return 1;
+    }
+    RsServer_Init(&platform.server, uv_default_loop());
+    RsServer_AddPort(&platform.server, (uint16_t)port, handle_request,
+                     &platform);
+    if (RsServer_Start(&platform.server) != 0) {
+        return 1;
+    }
+    return uv_run(uv_default_loop(), UV_RUN_DEFAULT);
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_int *port = arg_int1(NULL, "port", "N", "port of 127.0.0.1");
+    struct arg_file *vms =
+        arg_file0(NULL, "vms", "FILE", "list of VMs, {\"vms\":[...]}");
+    struct arg_end *end = arg_end(8);
+    void *table[] = {port, vms, end};
+    if (arg_parse(argc, argv, table) != 0) {
+        arg_print_errors(stderr, end, argv[0]);
+        arg_print_glossary(stderr, table, NULL);
+        return 2;
+    }
+    return run(port->ival[0], vms->count > 0 ? vms->filename[0] : NULL);
+}
