--- a/dispatch/task_messages.h
+++ b/dispatch/task_messages.h
@@ -43,12 +43,12 @@
     RsTask_LEAVE,  /* rs_message: finish what there is, take nothing new */
     RsTask_DUMP,   /* rs_task_dump */
     /* data to control */
-    RsTask_TARGET_LOST,  /* rs_task_target: nothing can run there any more */
-    RsTask_TARGET_UP,    /* rs_task_target */
+    RsTask_TARGET_LOST,   /* rs_task_target: nothing can run there any more */
+    RsTask_TARGET_UP,     /* rs_task_target */
     RsTask_SLICE_DRAINED, /* rs_task_slice */
-    RsTask_LOADS,        /* rs_task_loads */
-    RsTask_DUMPED,       /* rs_task_dump */
-    RsTask_IDLE          /* rs_message: after LEAVE, nothing is left */
+    RsTask_LOADS,         /* rs_task_loads */
+    RsTask_DUMPED,        /* rs_task_dump */
+    RsTask_IDLE           /* rs_message: after LEAVE, nothing is left */
 };
 
 struct rs_task_pointer {
--- /dev/null
+++ b/view/view.c
@@ -0,0 +1,342 @@
+#include "view/view.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "core/id.h"
+#include "http/connection.h"
+#include "place/assignment.h"
+#include "place/slice.h"
+
+#define CELL_PREFIX "cell/"
+
+struct rs_view {
+    _Atomic uint32_t references;
+    uint64_t revision;
+    struct rs_config *config;
+    struct rs_view_vm *vms;
+    size_t vm_count;
+    struct rs_view_cell *cells;
+    size_t cell_count;
+    struct rs_view_rule *rules;
+    size_t rule_count;
+    GHashTable *vm_by_name;
+    GHashTable *cell_by_name;
+    GHashTable *rule_by_name;
+    GHashTable *rule_by_slice; /* upper bits of a slice's id to its rule */
+};
+
+static uint64_t
+rule_bits(uint64_t slice)
+{
+    return slice >> 16;
+}
+
+static const char *
+text_of(const json_t *object, const char *field)
+{
+    const char *text = json_string_value(json_object_get(object, field));
+    return text != NULL ? text : "";
+}
+
+static void
+read_address(const json_t *vm, const char *field, struct sockaddr_in *address)
+{
+    json_int_t port = json_integer_value(json_object_get(vm, field));
+    if (port > 0 && port <= UINT16_MAX) {
+        RsHttp_ParseAddress(text_of(vm, "host"), (uint16_t)port, address);
+    }
+}
+
+static void
+read_vm(struct rs_view_vm *vm, const json_t *value)
+{
+    g_strlcpy(vm->name, text_of(value, "id"), sizeof(vm->name));
+    g_strlcpy(vm->domain, text_of(value, "domain"), sizeof(vm->domain));
+    vm->is_entry = strcmp(text_of(value, "kind"), "entry") == 0;
+    vm->leaving = strcmp(text_of(value, "state"), "leaving") == 0;
+    read_address(value, "port", &vm->address);
+    read_address(value, "control_port", &vm->control);
+    read_address(value, "relay_port", &vm->relay);
+}
+
+static void
+read_vms(struct rs_view *view, const json_t *list)
+{
+    size_t count = json_array_size(list);
+    view->vms = g_new0(struct rs_view_vm, count + 1);
+    for (size_t i = 0; i < count; i++) {
+        struct rs_view_vm *vm = &view->vms[view->vm_count];
+        read_vm(vm, json_array_get(list, i));
+        if (vm->name[0] != '\0') {
+            g_hash_table_insert(view->vm_by_name, vm->name, vm);
+            view->vm_count++;
+        }
+    }
+}
+
+static size_t
+read_names(char names[][RsModel_NAME_BYTES], const json_t *list)
+{
+    size_t count = MIN(json_array_size(list), (size_t)RsView_MAX_CELL);
+    for (size_t i = 0; i < count; i++) {
+        const char *name = json_string_value(json_array_get(list, i));
+        g_strlcpy(names[i], name != NULL ? name : "", RsModel_NAME_BYTES);
+    }
+    return count;
+}
+
+static void
+add_cell(void *arg, const struct rs_mirror_row *row)
+{
+    GArray *cells = arg;
+    struct rs_view_cell cell = {.row_version = row->version};
+    json_t *value = json_loads(row->value, 0, NULL);
+    if (value == NULL) {
+        return;
+    }
+    g_strlcpy(cell.name, row->key + strlen(CELL_PREFIX), sizeof(cell.name));
+    g_strlcpy(cell.domain, text_of(value, "domain"), sizeof(cell.domain));
+    cell.version =
+        (uint64_t)json_integer_value(json_object_get(value, "version"));
+    cell.member_count =
+        read_names(cell.members, json_object_get(value, "members"));
+    cell.former_count =
+        read_names(cell.former, json_object_get(value, "former"));
+    g_array_append_val(cells, cell);
+    json_decref(value);
+}
+
+static void
+read_cells(struct rs_view *view, const struct rs_mirror *mirror)
+{
+    GArray *cells = g_array_new(FALSE, TRUE, sizeof(struct rs_view_cell));
+    RsMirror_VisitPrefix(mirror, CELL_PREFIX, add_cell, cells);
+    view->cell_count = cells->len;
+    view->cells = (struct rs_view_cell *)(void *)g_array_free(cells, FALSE);
+    for (size_t i = 0; i < view->cell_count; i++) {
+        g_hash_table_insert(view->cell_by_name, view->cells[i].name,
+                            &view->cells[i]);
+    }
+}
+
+static void
+read_chunk(struct rs_view_rule *rule, size_t chunk,
+           const struct rs_mirror *mirror)
+{
+    char key[RsAssignment_KEY_BYTES];
+    struct rs_mirror_row row;
+    struct rs_model_assignment slices[RsAssignment_PER_ROW];
+    size_t count = 0;
+    RsAssignment_FormatKey(rule->name, (uint32_t)chunk, key);
+    if (!RsMirror_Find(mirror, key, &row)) {
+        return;
+    }
+    rule->row_versions[chunk] = row.version;
+    json_t *value = json_loads(row.value, 0, NULL);
+    if (RsAssignment_Decode(value, rule->name, (uint32_t)chunk, slices,
+                            &count) == 0) {
+        size_t at = chunk * RsAssignment_PER_ROW;
+        size_t room = rule->slices > at ? rule->slices - at : 0;
+        memcpy(rule->assignments + at, slices,
+               MIN(count, room) * sizeof(slices[0]));
+    }
+    json_decref(value);
+}
+
+static void
+read_rule(struct rs_view *view, const struct rs_model_rule *model,
+          const struct rs_mirror *mirror)
+{
+    struct rs_view_rule *rule = &view->rules[view->rule_count++];
+    g_strlcpy(rule->name, model->name, sizeof(rule->name));
+    rule->slices = model->slices;
+    rule->row_count = RsAssignment_Rows(model->slices);
+    rule->assignments = g_new0(struct rs_model_assignment, model->slices);
+    rule->row_versions = g_new0(uint64_t, rule->row_count);
+    for (uint32_t i = 0; i < model->slices; i++) {
+        rule->assignments[i].slice = RsSlice_Id(model->name, i);
+    }
+    for (size_t chunk = 0; chunk < rule->row_count; chunk++) {
+        read_chunk(rule, chunk, mirror);
+    }
+    uint64_t *bits = g_new(uint64_t, 1);
+    *bits = rule_bits(RsSlice_Id(model->name, 0));
+    g_hash_table_insert(view->rule_by_name, rule->name, rule);
+    g_hash_table_insert(view->rule_by_slice, bits, rule);
+}
+
+static void
+read_rules(struct rs_view *view, const struct rs_mirror *mirror)
+{
+    size_t count = RsConfig_Count(view->config, RsObject_RULE);
+    view->rules = g_new0(struct rs_view_rule, count + 1);
+    for (size_t i = 0; i < count; i++) {
+        const struct rs_config_entry *entry =
+            RsConfig_At(view->config, RsObject_RULE, i);
+        read_rule(view, &entry->object.as.rule, mirror);
+    }
+}
+
+/* Makes a snapshot with one reference. Rows that can't be read are left
+ * out. */
+struct rs_view *
+RsView_New(const struct rs_view_options *options)
+{
+    struct rs_view *view = g_new0(struct rs_view, 1);
+    view->references = 1;
+    view->revision = RsMirror_Revision(options->mirror);
+    view->config = RsConfig_Ref(options->config);
+    view->vm_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    view->cell_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    view->rule_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    view->rule_by_slice =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    read_vms(view, options->vms);
+    read_cells(view, options->mirror);
+    read_rules(view, options->mirror);
+    return view;
+}
+
+/* Adds a reference. */
+struct rs_view *
+RsView_Ref(struct rs_view *view)
+{
+    atomic_fetch_add(&view->references, 1);
+    return view;
+}
+
+static void
+free_view(struct rs_view *view)
+{
+    for (size_t i = 0; i < view->rule_count; i++) {
+        g_free(view->rules[i].assignments);
+        g_free(view->rules[i].row_versions);
+    }
+    g_hash_table_destroy(view->vm_by_name);
+    g_hash_table_destroy(view->cell_by_name);
+    g_hash_table_destroy(view->rule_by_name);
+    g_hash_table_destroy(view->rule_by_slice);
+    g_free(view->vms);
+    g_free(view->cells);
+    g_free(view->rules);
+    RsConfig_Unref(view->config);
+    g_free(view);
+}
+
+/* Gives a reference back; NULL is allowed. */
+void
+RsView_Unref(struct rs_view *view)
+{
+    if (view != NULL && atomic_fetch_sub(&view->references, 1) == 1) {
+        free_view(view);
+    }
+}
+
+/* Returns the table's revision that the snapshot shows. */
+uint64_t
+RsView_Revision(const struct rs_view *view)
+{
+    return view->revision;
+}
+
+/* Returns the configuration; borrowed. */
+const struct rs_config *
+RsView_Config(const struct rs_view *view)
+{
+    return view->config;
+}
+
+/* Finds a VM by name, or returns NULL. */
+const struct rs_view_vm *
+RsView_Vm(const struct rs_view *view, const char *name)
+{
+    return g_hash_table_lookup(view->vm_by_name, name);
+}
+
+/* Lists all VMs; borrowed. */
+size_t
+RsView_Vms(const struct rs_view *view, const struct rs_view_vm **vms)
+{
+    *vms = view->vms;
+    return view->vm_count;
+}
+
+/* Finds a cell by name, or returns NULL. */
+const struct rs_view_cell *
+RsView_Cell(const struct rs_view *view, const char *name)
+{
+    return g_hash_table_lookup(view->cell_by_name, name);
+}
+
+/* Lists all cells; borrowed. */
+size_t
+RsView_Cells(const struct rs_view *view, const struct rs_view_cell **cells)
+{
+    *cells = view->cells;
+    return view->cell_count;
+}
+
+/* Finds a rule's assignments, or returns NULL. */
+const struct rs_view_rule *
+RsView_Rule(const struct rs_view *view, const char *name)
+{
+    return g_hash_table_lookup(view->rule_by_name, name);
+}
+
+/* Lists all rules' assignments; borrowed. */
+size_t
+RsView_Rules(const struct rs_view *view, const struct rs_view_rule **rules)
+{
+    *rules = view->rules;
+    return view->rule_count;
+}
+
+/* Finds a slice's assignment, or returns NULL when there is none. */
+const struct rs_model_assignment *
+RsView_Assignment(const struct rs_view *view, uint64_t slice)
+{
+    uint64_t bits = rule_bits(slice);
+    const struct rs_view_rule *rule =
+        g_hash_table_lookup(view->rule_by_slice, &bits);
+    uint32_t index = RsSlice_Index(slice);
+    if (rule == NULL || index >= rule->slices ||
+        rule->assignments[index].epoch == 0) {
+        return NULL;
+    }
+    return &rule->assignments[index];
+}
+
+struct ranked {
+    uint64_t score;
+    const char *name;
+};
+
+static int
+compare_ranked(const void *a, const void *b)
+{
+    const struct ranked *left = a;
+    const struct ranked *right = b;
+    if (left->score != right->score) {
+        return left->score > right->score ? -1 : 1;
+    }
+    return strcmp(left->name, right->name);
+}
+
+/* Returns a member's name, or NULL when there are not that many. */
+const char *
+RsView_Speaker(const struct rs_view_cell *cell, const char *target,
+               size_t skip)
+{
+    struct ranked ranked[RsView_MAX_CELL];
+    uint64_t id = RsId_FromName(target);
+    if (skip >= cell->member_count) {
+        return NULL;
+    }
+    for (size_t i = 0; i < cell->member_count; i++) {
+        ranked[i].name = cell->members[i];
+        ranked[i].score = RsId_Mix(RsId_FromName(cell->members[i]), id);
+    }
+    qsort(ranked, cell->member_count, sizeof(ranked[0]), compare_ranked);
+    return ranked[skip].name;
+}
--- /dev/null
+++ b/view/view.h
@@ -0,0 +1,85 @@
+/* The routing snapshot that the control task makes and the data task reads:
+ * configuration, VMs, cells and assignments of one table revision. */
+
+#ifndef RATTANSHED_VIEW_VIEW_H
+#define RATTANSHED_VIEW_VIEW_H
+
+#include <jansson.h>
+#include <netinet/in.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "member/mirror.h"
+#include "place/model.h"
+#include "ticket/config.h"
+
+#define RsView_MAX_CELL 7
+
+struct rs_view_vm {
+    char name[RsModel_NAME_BYTES];
+    char domain[RsModel_NAME_BYTES];
+    bool is_entry;
+    bool leaving;
+    struct sockaddr_in address; /* of a target */
+    struct sockaddr_in control; /* of an entry VM */
+    struct sockaddr_in relay;
+};
+
+struct rs_view_cell {
+    char name[RsModel_NAME_BYTES];
+    char domain[RsModel_NAME_BYTES];
+    uint64_t version;     /* of the roster */
+    uint64_t row_version; /* of the table's row */
+    char members[RsView_MAX_CELL][RsModel_NAME_BYTES];
+    size_t member_count;
+    char former[RsView_MAX_CELL][RsModel_NAME_BYTES];
+    size_t former_count;
+};
+
+/* The assignments of one rule, by slice index; epoch 0: not assigned. */
+struct rs_view_rule {
+    char name[RsModel_NAME_BYTES];
+    uint32_t slices;
+    struct rs_model_assignment *assignments;
+    uint64_t *row_versions; /* of each chunk of slices */
+    size_t row_count;
+};
+
+struct rs_view;
+
+struct rs_view_options {
+    const struct rs_mirror *mirror;
+    struct rs_config *config; /* the view takes a reference of its own */
+    const json_t *vms;        /* the platform's list, or NULL */
+};
+
+/* Life; any thread may take and give back references. */
+struct rs_view *RsView_New(const struct rs_view_options *options);
+struct rs_view *RsView_Ref(struct rs_view *view);
+void RsView_Unref(struct rs_view *view);
+
+/* Look */
+uint64_t RsView_Revision(const struct rs_view *view);
+const struct rs_config *RsView_Config(const struct rs_view *view);
+const struct rs_view_vm *RsView_Vm(const struct rs_view *view,
+                                   const char *name);
+size_t RsView_Vms(const struct rs_view *view, const struct rs_view_vm **vms);
+const struct rs_view_cell *RsView_Cell(const struct rs_view *view,
+                                       const char *name);
+size_t RsView_Cells(const struct rs_view *view,
+                    const struct rs_view_cell **cells);
+const struct rs_view_rule *RsView_Rule(const struct rs_view *view,
+                                       const char *name);
+size_t RsView_Rules(const struct rs_view *view,
+                    const struct rs_view_rule **rules);
+const struct rs_model_assignment *RsView_Assignment(const struct rs_view *view,
+                                                    uint64_t slice);
+
+/* The process that speaks for a target when all members of its cell are
+ * there; the first `skip` ones in order of preference are passed over. */
+const char *RsView_Speaker(const struct rs_view_cell *cell, const char *target,
+                           size_t skip);
+
+#endif
--- a/wire/link.c
+++ b/wire/link.c
@@ -130,9 +130,9 @@
     struct rs_link *link = new_link(options->loop, options->max_queue_bytes);
     link->events = options->events;
     link->arg = options->arg;
-    int status = uv_tcp_connect(&link->connect, &link->tcp,
-                                (const struct sockaddr *)&options->address,
-                                on_connect);
+    int status =
+        uv_tcp_connect(&link->connect, &link->tcp,
+                       (const struct sockaddr *)&options->address, on_connect);
     if (status != 0) {
         RsLink_Close(link);
         return NULL;
@@ -230,8 +230,8 @@
     write->data = RsFrame_Pack(message, &size);
     write->write.data = write;
     uv_buf_t buffer = uv_buf_init((char *)write->data, (unsigned)size);
-    int status = uv_write(&write->write, (uv_stream_t *)&link->tcp, &buffer,
-                          1, on_written);
+    int status = uv_write(&write->write, (uv_stream_t *)&link->tcp, &buffer, 1,
+                          on_written);
     if (status != 0) {
         g_free(write->data);
         g_free(write);
