Add admission, ramp, retry and answer matching as state machines

The lead's relay and target tasks wait for these decisions. Each is a plain state machine without sockets or clock.

Admission: callers take turns (start-time fair queueing), earliest deadline first within a turn. Ruled out: one heap by deadline, since a caller that floods with near deadlines would starve the others. A place of a request that was given up but may still run is kept for two usual runs, so that the limit holds at the target and not only in our books. Growth of latency cuts only down to the slots: a target that is slow with no more than its slots is not helped by fewer requests.

Each check was seen failing on a scratch copy with one line broken: admission: order within a caller (one_callers_queue_goes_by_deadline) and between callers (queue_goes_by_deadline), no turns (callers_take_turns), no eviction (full_queue_costs_the_flooding_caller), own or others' queue left out of the estimate (own_queued_requests..., refuses_at_once...), silence ignored (silence_of_the_target...), abandoned freed at once (what_may_still_run...), ceiling ignored (ceiling_holds_back...), limit without ceiling, floor or latency cut (limit_stays..., growing_latency...); queue count not lowered crashed the program. ramp: first contact, refused connections, start id, cut, pause, connection bound, next change, each dropped in turn. retry: repeatable ignored, retry-after ignored, may_have_run forgotten, tries, redirects and tokens unbounded, keyed hedge, second hedge, second answer, no wait for the second copy. answer: each arm of the truth table, id, start id, short end, second answer, overlong body, half-written request, connection left open.

--- /dev/null
+++ b/dispatch/admission.h
@@ -0,0 +1,106 @@
+/* Admission to one target, in the one process that speaks for it.
+ *
+ * At most `slots` plus `window` requests are at the target at once. The
+ * others wait in a bounded queue: callers take turns, and within a turn the
+ * earliest deadline goes first. A request that can't make its deadline by the
+ * estimate is refused at once. Plain state machine: it opens no socket and
+ * reads no clock.
+ */
+
+#ifndef RATTANSHED_DISPATCH_ADMISSION_H
+#define RATTANSHED_DISPATCH_ADMISSION_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/error.h"
+#include "dispatch/limit.h"
+
+enum rs_admission_error {
+    RsAdmission_DUPLICATE = RsError_DISPATCH - 1,
+    RsAdmission_UNKNOWN_REQUEST = RsError_DISPATCH - 2
+};
+
+struct rs_admission_options {
+    const struct rs_limit_policy *policy;
+    uint32_t slots;
+    uint32_t window;
+    uint32_t queue_capacity;
+    uint32_t max_run_ms; /* longest run of one request */
+};
+
+struct rs_admission_request {
+    uint64_t id;     /* unique among those that are not finished */
+    uint64_t caller; /* hashes of their names */
+    uint64_t service;
+    int64_t deadline_ms;
+};
+
+enum rs_admission_kind {
+    RsAdmission_RUN,
+    RsAdmission_QUEUED,
+    RsAdmission_REFUSED
+};
+
+enum rs_admission_reason {
+    RsAdmission_NO_REASON,
+    RsAdmission_QUEUE_FULL,
+    RsAdmission_DEADLINE
+};
+
+struct rs_admission_verdict {
+    enum rs_admission_kind kind;
+    enum rs_admission_reason reason;
+    uint32_t retry_after_ms;
+};
+
+/* What became of a request that was queued: RUN or REFUSED. */
+struct rs_admission_event {
+    uint64_t id;
+    struct rs_admission_verdict verdict;
+};
+
+enum rs_admission_outcome {
+    RsAdmission_DONE,
+    RsAdmission_TARGET_REFUSED,
+    RsAdmission_TIMED_OUT, /* it may still run */
+    RsAdmission_ABANDONED, /* the caller left; it may still run */
+    RsAdmission_FAILED     /* never sent, or its connection broke */
+};
+
+struct rs_admission_view {
+    uint32_t limit;
+    uint32_t in_flight;
+    uint32_t queued;
+    int64_t run_us;
+};
+
+/* Life */
+struct rs_admission *
+RsAdmission_New(const struct rs_admission_options *options);
+void RsAdmission_Free(struct rs_admission *admission);
+
+/* Requests */
+int RsAdmission_Offer(struct rs_admission *admission, int64_t now_ms,
+                      const struct rs_admission_request *request,
+                      struct rs_admission_verdict *verdict);
+int RsAdmission_Done(struct rs_admission *admission, int64_t now_ms,
+                     uint64_t id, enum rs_admission_outcome outcome,
+                     int64_t latency_us);
+int RsAdmission_Cancel(struct rs_admission *admission, int64_t now_ms,
+                       uint64_t id);
+bool RsAdmission_NextEvent(struct rs_admission *admission,
+                           struct rs_admission_event *event);
+
+/* Time, and the share that a cold target gets */
+void RsAdmission_Expire(struct rs_admission *admission, int64_t now_ms);
+void RsAdmission_SetCeiling(struct rs_admission *admission, int64_t now_ms,
+                            uint32_t ceiling);
+
+/* For dumps and for choosing a target */
+void RsAdmission_Look(const struct rs_admission *admission,
+                      struct rs_admission_view *view);
+const char *RsAdmission_ReasonText(enum rs_admission_reason reason);
+
+#endif
--- /dev/null
+++ b/dispatch/answer_test.c
@@ -0,0 +1,191 @@
+#include <CUnit/Basic.h>
+
+#include "dispatch/answer.h"
+
+#define START_ID 77
+
+static void
+expect(struct rs_answer_verdict verdict, enum rs_answer_kind kind, bool close,
+       bool finished, enum rs_outcome outcome)
+{
+    CU_ASSERT_EQUAL(verdict.kind, kind);
+    CU_ASSERT_EQUAL(verdict.close, close);
+    CU_ASSERT_EQUAL(verdict.finished, finished);
+    if (finished) {
+        CU_ASSERT_EQUAL(verdict.outcome, outcome);
+    }
+}
+
+static struct rs_answer_verdict
+head(struct rs_answer *answer, const char *id, uint64_t start_id,
+     enum rs_answer_word word, int64_t length_bytes)
+{
+    struct rs_answer_head head = {.request_id = id,
+                                  .start_id = start_id,
+                                  .word = word,
+                                  .length_bytes = length_bytes};
+    return RsAnswer_Head(answer, &head);
+}
+
+static void
+send(struct rs_answer *answer, const char *id)
+{
+    CU_ASSERT_EQUAL(RsAnswer_Begin(answer, id), 0);
+    RsAnswer_Written(answer, true);
+}
+
+static void
+test_outcome_truth_table(void)
+{
+    for (unsigned bits = 0; bits < 16; bits++) {
+        struct rs_answer_facts facts = {.written = (bits & 1) != 0,
+                                        .said_not_run = (bits & 2) != 0,
+                                        .aborted = (bits & 4) != 0,
+                                        .complete = (bits & 8) != 0};
+        static const enum rs_outcome expected[16] = {1, 2, 1, 1, 1, 1, 1, 1,
+                                                     1, 0, 1, 1, 1, 1, 1, 1};
+        CU_ASSERT_EQUAL(RsAnswer_Outcome(&facts), expected[bits]);
+    }
+}
+
+static void
+test_whole_answer_leaves_the_connection_open(void)
+{
+    struct rs_answer answer = {0};
+    send(&answer, "a");
+    expect(head(&answer, "a", START_ID, RsAnswer_WORD_DONE, 5), RsAnswer_GOOD,
+           false, false, 0);
+    expect(RsAnswer_Body(&answer, 5), RsAnswer_GOOD, false, false, 0);
+    expect(RsAnswer_End(&answer), RsAnswer_COMPLETE, false, true,
+           RsOutcome_DONE);
+    CU_ASSERT_EQUAL(RsAnswer_Begin(&answer, "b"), 0);
+    CU_ASSERT_EQUAL(RsAnswer_Begin(&answer, "c"), RsAnswer_BUSY);
+}
+
+static void
+test_foreign_answers_are_not_delivered(void)
+{
+    struct rs_answer answer = {0};
+    send(&answer, "a");
+    expect(head(&answer, "b", START_ID, RsAnswer_WORD_NOT_RUN, 0),
+           RsAnswer_MISMATCH, true, true, RsOutcome_UNKNOWN);
+    CU_ASSERT_EQUAL(RsAnswer_Begin(&answer, "b"), RsAnswer_CLOSED);
+    struct rs_answer unnamed = {0};
+    send(&unnamed, "a");
+    expect(head(&unnamed, NULL, START_ID, RsAnswer_WORD_DONE, 0),
+           RsAnswer_MISMATCH, true, true, RsOutcome_UNKNOWN);
+    struct rs_answer restarted = {.start_id = START_ID};
+    send(&restarted, "a");
+    expect(head(&restarted, "a", START_ID + 1, RsAnswer_WORD_DONE, 0),
+           RsAnswer_MISMATCH, true, true, RsOutcome_UNKNOWN);
+}
+
+static void
+test_cut_body_is_unknown(void)
+{
+    struct rs_answer answer = {0};
+    send(&answer, "a");
+    head(&answer, "a", START_ID, RsAnswer_WORD_DONE, 5);
+    RsAnswer_Body(&answer, 4);
+    expect(RsAnswer_Close(&answer), RsAnswer_SHORT, true, true,
+           RsOutcome_UNKNOWN);
+    struct rs_answer ended = {0};
+    send(&ended, "a");
+    head(&ended, "a", START_ID, RsAnswer_WORD_DONE, 5);
+    expect(RsAnswer_End(&ended), RsAnswer_SHORT, true, true,
+           RsOutcome_UNKNOWN);
+}
+
+static void
+test_refusal_is_not_run_even_when_its_body_is_cut(void)
+{
+    struct rs_answer answer = {0};
+    send(&answer, "a");
+    head(&answer, "a", START_ID, RsAnswer_WORD_NOT_RUN, 5);
+    expect(RsAnswer_Close(&answer), RsAnswer_SHORT, true, true,
+           RsOutcome_NOT_RUN);
+}
+
+static void
+test_unwritten_request_is_not_run(void)
+{
+    struct rs_answer answer = {0};
+    CU_ASSERT_EQUAL(RsAnswer_Begin(&answer, "a"), 0);
+    expect(head(&answer, "a", START_ID, RsAnswer_WORD_DONE, 0), RsAnswer_LATE,
+           true, true, RsOutcome_NOT_RUN);
+    struct rs_answer closed = {0};
+    CU_ASSERT_EQUAL(RsAnswer_Begin(&closed, "a"), 0);
+    expect(RsAnswer_Close(&closed), RsAnswer_SHORT, true, true,
+           RsOutcome_NOT_RUN);
+}
+
+static void
+test_second_answer_closes(void)
+{
+    struct rs_answer answer = {0};
+    send(&answer, "a");
+    head(&answer, "a", START_ID, RsAnswer_WORD_DONE, 0);
+    RsAnswer_End(&answer);
+    expect(head(&answer, "a", START_ID, RsAnswer_WORD_DONE, 0),
+           RsAnswer_DOUBLE, true, false, 0);
+    struct rs_answer extra = {0};
+    expect(RsAnswer_Body(&extra, 1), RsAnswer_DOUBLE, true, false, 0);
+    struct rs_answer longer = {0};
+    send(&longer, "a");
+    head(&longer, "a", START_ID, RsAnswer_WORD_DONE, 3);
+    expect(RsAnswer_Body(&longer, 4), RsAnswer_DOUBLE, true, true,
+           RsOutcome_UNKNOWN);
+}
+
+static void
+test_given_up_request_shuts_its_connection(void)
+{
+    struct rs_answer answer = {0};
+    send(&answer, "a");
+    expect(RsAnswer_GiveUp(&answer), RsAnswer_QUIET, true, true,
+           RsOutcome_UNKNOWN);
+    expect(head(&answer, "a", START_ID, RsAnswer_WORD_DONE, 0), RsAnswer_LATE,
+           true, false, 0);
+}
+
+static void
+test_answer_to_a_half_written_request_closes(void)
+{
+    struct rs_answer answer = {0};
+    CU_ASSERT_EQUAL(RsAnswer_Begin(&answer, "a"), 0);
+    RsAnswer_Written(&answer, false);
+    head(&answer, "a", START_ID, RsAnswer_WORD_NOT_RUN, 0);
+    expect(RsAnswer_End(&answer), RsAnswer_COMPLETE, true, true,
+           RsOutcome_NOT_RUN);
+}
+
+static void
+test_words(void)
+{
+    CU_ASSERT_EQUAL(RsAnswer_ParseWord("done"), RsAnswer_WORD_DONE);
+    CU_ASSERT_EQUAL(RsAnswer_ParseWord("not-run"), RsAnswer_WORD_NOT_RUN);
+    CU_ASSERT_EQUAL(RsAnswer_ParseWord("aborted"), RsAnswer_WORD_ABORTED);
+    CU_ASSERT_EQUAL(RsAnswer_ParseWord("Done"), RsAnswer_WORD_NONE);
+    CU_ASSERT_EQUAL(RsAnswer_ParseWord(NULL), RsAnswer_WORD_NONE);
+}
+
+int
+main(void)
+{
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("answer", NULL, NULL);
+    CU_ADD_TEST(suite, test_outcome_truth_table);
+    CU_ADD_TEST(suite, test_whole_answer_leaves_the_connection_open);
+    CU_ADD_TEST(suite, test_foreign_answers_are_not_delivered);
+    CU_ADD_TEST(suite, test_cut_body_is_unknown);
+    CU_ADD_TEST(suite, test_refusal_is_not_run_even_when_its_body_is_cut);
+    CU_ADD_TEST(suite, test_unwritten_request_is_not_run);
+    CU_ADD_TEST(suite, test_second_answer_closes);
+    CU_ADD_TEST(suite, test_given_up_request_shuts_its_connection);
+    CU_ADD_TEST(suite, test_answer_to_a_half_written_request_closes);
+    CU_ADD_TEST(suite, test_words);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/dispatch/ramp_test.c
@@ -0,0 +1,113 @@
+#include <CUnit/Basic.h>
+
+#include "core/clock.h"
+#include "dispatch/ramp.h"
+
+#define COLD_MS 3000
+
+static struct rs_ramp
+make(const struct rs_ramp_policy *policy)
+{
+    struct rs_ramp ramp;
+    struct rs_ramp_options options = {.policy = policy,
+                                      .slots = 10,
+                                      .window = 2,
+                                      .cold_ms = COLD_MS,
+                                      .connections = 110,
+                                      .connection_cost_us = 1000,
+                                      .connection_share = 0.1};
+    RsRamp_Start(&ramp, &options);
+    return ramp;
+}
+
+static void
+test_first_contact_is_cold_and_warms(void)
+{
+    struct rs_ramp ramp = make(&rs_ramp_adaptive);
+    RsRamp_Connected(&ramp, 0);
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&ramp, 0), 1);
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&ramp, COLD_MS / 2), 5);
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&ramp, COLD_MS), UINT32_MAX);
+    RsRamp_Connected(&ramp, COLD_MS + 1);
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&ramp, COLD_MS + 1), UINT32_MAX);
+}
+
+static void
+test_new_start_id_is_cold(void)
+{
+    struct rs_ramp ramp = make(&rs_ramp_adaptive);
+    RsRamp_KnownWarm(&ramp, 0, 5);
+    RsRamp_Connected(&ramp, 1);
+    RsRamp_SawStartId(&ramp, 2, 5);
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&ramp, 2), UINT32_MAX);
+    RsRamp_SawStartId(&ramp, 3, 6);
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&ramp, 3), 1);
+}
+
+static void
+test_connection_after_refused_ones_is_cold(void)
+{
+    struct rs_ramp ramp = make(&rs_ramp_adaptive);
+    RsRamp_KnownWarm(&ramp, 0, 5);
+    RsRamp_ConnectFailed(&ramp);
+    RsRamp_Connected(&ramp, 10);
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&ramp, 10), 1);
+}
+
+static void
+test_refusals_cut_and_then_pause(void)
+{
+    struct rs_ramp ramp = make(&rs_ramp_adaptive);
+    RsRamp_KnownWarm(&ramp, 0, 5);
+    RsRamp_RefusedCold(&ramp, 10);
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&ramp, 10), 0);
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&ramp, 100), 1);
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&ramp, 10 + COLD_MS * 8 / 10), 8);
+    RsRamp_RefusedCold(&ramp, 10 + COLD_MS * 8 / 10);
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&ramp, 10 + COLD_MS * 8 / 10), 4);
+}
+
+static void
+test_connections_open_at_a_bounded_rate(void)
+{
+    struct rs_ramp ramp = make(&rs_ramp_adaptive);
+    RsRamp_Connected(&ramp, 0);
+    CU_ASSERT_EQUAL(RsRamp_Connections(&ramp, 0), 1);
+    CU_ASSERT_EQUAL(RsRamp_Connections(&ramp, 500), 51);
+    CU_ASSERT_EQUAL(RsRamp_NextChangeMs(&ramp, 500) > 500, true);
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&ramp, COLD_MS), UINT32_MAX);
+    CU_ASSERT_EQUAL(RsRamp_Connections(&ramp, COLD_MS), 110);
+    CU_ASSERT_EQUAL(RsRamp_NextChangeMs(&ramp, COLD_MS), RsClock_NEVER_MS);
+}
+
+static void
+test_policies_differ(void)
+{
+    struct rs_ramp none = make(&rs_ramp_none);
+    RsRamp_Connected(&none, 0);
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&none, 0), UINT32_MAX);
+    CU_ASSERT_EQUAL(RsRamp_Connections(&none, 0), 110);
+    struct rs_ramp linear = make(&rs_ramp_linear);
+    RsRamp_Connected(&linear, 0);
+    RsRamp_RefusedCold(&linear, 100);
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&linear, 100), 1);
+    CU_ASSERT_PTR_EQUAL(RsRamp_FindPolicy("linear"), &rs_ramp_linear);
+    CU_ASSERT_PTR_NULL(RsRamp_FindPolicy("steep"));
+}
+
+int
+main(void)
+{
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("ramp", NULL, NULL);
+    CU_ADD_TEST(suite, test_first_contact_is_cold_and_warms);
+    CU_ADD_TEST(suite, test_new_start_id_is_cold);
+    CU_ADD_TEST(suite, test_connection_after_refused_ones_is_cold);
+    CU_ADD_TEST(suite, test_refusals_cut_and_then_pause);
+    CU_ADD_TEST(suite, test_connections_open_at_a_bounded_rate);
+    CU_ADD_TEST(suite, test_policies_differ);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/dispatch/retry.c
@@ -0,0 +1,246 @@
+#include "dispatch/retry.h"
+
+#include <assert.h>
+#include <stddef.h>
+#include <string.h>
+
+#include "core/clock.h"
+#include "core/id.h"
+
+#define HEDGE_QUANTILE 0.95
+#define FREE_REDIRECTS 2 /* later ones back off */
+#define US_PER_MS 1000
+#define JITTER_BITS 20
+
+const struct rs_retry_policy rs_retry_budget = {
+    .name = "budget", .retries = true, .counts_budget = true, .waits = true};
+
+const struct rs_retry_policy rs_retry_immediate = {.name = "immediate",
+                                                   .retries = true,
+                                                   .counts_budget = false,
+                                                   .waits = false};
+
+const struct rs_retry_policy rs_retry_none = {
+    .name = "none", .retries = false, .counts_budget = false, .waits = false};
+
+static double
+least(double a, double b)
+{
+    return a < b ? a : b;
+}
+
+/* Returns a number in [0, 1). */
+static double
+draw(struct rs_retry *retry)
+{
+    retry->random = RsId_Mix(retry->random, retry->options.seed);
+    uint64_t bits = retry->random >> (64 - JITTER_BITS);
+    return (double)bits / (double)(1u << JITTER_BITS);
+}
+
+/* Full jitter over a backoff that doubles with each try, and never before
+ * the time that the refusal named. */
+static int64_t
+next_try_ms(struct rs_retry *retry, uint32_t tries, int64_t now_ms,
+            uint32_t retry_after_ms)
+{
+    if (!retry->options.policy->waits) {
+        return now_ms;
+    }
+    double backoff_ms = retry->options.backoff_ms;
+    for (uint32_t i = 1; i < tries; i++) {
+        backoff_ms = least(backoff_ms * 2.0, retry->options.max_backoff_ms);
+    }
+    return now_ms + retry_after_ms + (int64_t)(draw(retry) * backoff_ms);
+}
+
+static bool
+take_token(double *tokens)
+{
+    if (*tokens < 1.0) {
+        return false;
+    }
+    *tokens -= 1.0;
+    return true;
+}
+
+static bool
+may_try_again(struct rs_retry *retry, const struct rs_retry_request *request,
+              enum rs_outcome outcome, int64_t at_ms)
+{
+    if (!retry->options.policy->retries || at_ms >= request->deadline_ms ||
+        request->tries >= retry->options.max_tries) {
+        return false;
+    }
+    if (outcome == RsOutcome_UNKNOWN && !request->repeatable) {
+        return false;
+    }
+    if (retry->options.policy->counts_budget &&
+        !take_token(&retry->retry_tokens)) {
+        retry->counts.out_of_budget++;
+        return false;
+    }
+    return true;
+}
+
+static void
+decide_answer(struct rs_retry_request *request, enum rs_outcome outcome,
+              struct rs_retry_decision *decision)
+{
+    if (request->out > 0 && outcome != RsOutcome_DONE) {
+        decision->action = RsRetry_WAIT;
+        return;
+    }
+    request->answered = true;
+    decision->action = RsRetry_ANSWER;
+    decision->outcome = outcome;
+    if (outcome != RsOutcome_DONE) {
+        decision->outcome =
+            request->may_have_run ? RsOutcome_UNKNOWN : RsOutcome_NOT_RUN;
+    }
+}
+
+static void
+decide_redirect(struct rs_retry *retry, struct rs_retry_request *request,
+                int64_t now_ms, struct rs_retry_decision *decision)
+{
+    int64_t at_ms = now_ms;
+    if (request->redirects >= FREE_REDIRECTS) {
+        at_ms += retry->options.backoff_ms;
+    }
+    if (request->redirects >= retry->options.max_redirects ||
+        at_ms >= request->deadline_ms) {
+        decide_answer(request, RsOutcome_NOT_RUN, decision);
+        return;
+    }
+    request->redirects++;
+    request->tries--;
+    retry->counts.redirects++;
+    decision->action = RsRetry_REDIRECT;
+    decision->at_ms = at_ms;
+}
+
+/* Returns the policy of that name, or NULL. */
+const struct rs_retry_policy *
+RsRetry_FindPolicy(const char *name)
+{
+    static const struct rs_retry_policy *const policies[] = {
+        &rs_retry_budget, &rs_retry_immediate, &rs_retry_none};
+    for (size_t i = 0; i < sizeof(policies) / sizeof(policies[0]); i++) {
+        if (strcmp(policies[i]->name, name) == 0) {
+            return policies[i];
+        }
+    }
+    return NULL;
+}
+
+/* Sets `retry` to its start, with full budgets. `max_tries` is at least 1. */
+void
+RsRetry_Start(struct rs_retry *retry, const struct rs_retry_options *options)
+{
+    assert(options->max_tries > 0);
+    *retry = (struct rs_retry){.options = *options,
+                               .retry_tokens = options->burst,
+                               .hedge_tokens = options->burst};
+}
+
+/* Begins a request; it is then sent, and RsRetry_Sent() called. */
+void
+RsRetry_Begin(struct rs_retry *retry, struct rs_retry_request *request,
+              bool repeatable, bool keyed, int64_t deadline_ms)
+{
+    const struct rs_retry_options *options = &retry->options;
+    *request = (struct rs_retry_request){
+        .repeatable = repeatable, .keyed = keyed, .deadline_ms = deadline_ms};
+    retry->retry_tokens =
+        least(retry->retry_tokens + options->budget_share, options->burst);
+    retry->hedge_tokens =
+        least(retry->hedge_tokens + options->hedge_share, options->burst);
+    retry->counts.first_tries++;
+}
+
+/* Notes that a try was sent: the first, one decided on, or a hedge. */
+void
+RsRetry_Sent(struct rs_retry_request *request)
+{
+    request->tries++;
+    request->out++;
+}
+
+/* Takes the outcome of a try and sets `decision`. `retry_after_ms` is what
+ * the refusal named, or 0. */
+void
+RsRetry_Decide(struct rs_retry *retry, struct rs_retry_request *request,
+               int64_t now_ms, enum rs_outcome outcome,
+               uint32_t retry_after_ms, struct rs_retry_decision *decision)
+{
+    assert(request->out > 0);
+    *decision = (struct rs_retry_decision){.action = RsRetry_NOTHING};
+    request->out--;
+    if (request->answered) {
+        return;
+    }
+    if (outcome == RsOutcome_UNKNOWN) {
+        request->may_have_run = true;
+    }
+    if (outcome == RsOutcome_DONE || request->out > 0) {
+        decide_answer(request, outcome, decision);
+        return;
+    }
+    if (outcome == RsOutcome_REDIRECT) {
+        decide_redirect(retry, request, now_ms, decision);
+        return;
+    }
+    int64_t at_ms = next_try_ms(retry, request->tries, now_ms, retry_after_ms);
+    if (!may_try_again(retry, request, outcome, at_ms)) {
+        decide_answer(request, outcome, decision);
+        return;
+    }
+    retry->counts.retries++;
+    decision->action = RsRetry_AGAIN;
+    decision->at_ms = at_ms;
+    decision->other_target = !request->keyed;
+}
+
+/* Takes in the latency of an unkeyed request that was answered. */
+void
+RsRetry_Answered(struct rs_retry *retry, int64_t latency_us)
+{
+    RsQuantile_Add(&retry->latency_us, HEDGE_QUANTILE, (double)latency_us);
+}
+
+/* Returns when a second copy of a request may be sent, or RsClock_NEVER_MS.
+ */
+int64_t
+RsRetry_HedgeAtMs(const struct rs_retry *retry,
+                  const struct rs_retry_request *request, int64_t sent_ms)
+{
+    bool apt = request->repeatable && !request->keyed && !request->hedged &&
+               retry->options.hedge_share > 0.0 &&
+               retry->latency_us.value > 0.0;
+    if (!apt) {
+        return RsClock_NEVER_MS;
+    }
+    int64_t wait_ms = (int64_t)(retry->latency_us.value / US_PER_MS) + 1;
+    if (wait_ms < retry->options.min_hedge_ms) {
+        wait_ms = retry->options.min_hedge_ms;
+    }
+    int64_t at_ms = sent_ms + wait_ms;
+    return at_ms < request->deadline_ms ? at_ms : RsClock_NEVER_MS;
+}
+
+/* Asks to send a second copy now, at the time that RsRetry_HedgeAtMs() gave;
+ * true spends the budget: send it to another target. */
+bool
+RsRetry_Hedge(struct rs_retry *retry, struct rs_retry_request *request,
+              int64_t now_ms)
+{
+    if (request->answered || request->out != 1 || request->hedged ||
+        request->keyed || !request->repeatable ||
+        now_ms >= request->deadline_ms || !take_token(&retry->hedge_tokens)) {
+        return false;
+    }
+    request->hedged = true;
+    retry->counts.hedges++;
+    return true;
+}
