--- /dev/null
+++ b/dispatch/holder.cmake
@@ -0,0 +1,5 @@
+# The parts of this package that own sockets.
+add_library(rs_holder STATIC dispatch/holder.c dispatch/relay_client.c
+  dispatch/relay_server.c dispatch/target.c dispatch/target_grant.c
+  dispatch/target_pool.c dispatch/target_work.c dispatch/task_messages.c)
+target_link_libraries(rs_holder PUBLIC rs_dispatch rs_view rs_http)
--- a/dispatch/relay.pb-c.c
+++ b/dispatch/relay.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &rs__relay__credit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rs__relay__ping__init
+                     (Rs__Relay__Ping         *message)
+{
+  static const Rs__Relay__Ping init_value = RS__RELAY__PING__INIT;
+  *message = init_value;
+}
+size_t rs__relay__ping__get_packed_size
+                     (const Rs__Relay__Ping *message)
+{
+  assert(message->base.descriptor == &rs__relay__ping__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rs__relay__ping__pack
+                     (const Rs__Relay__Ping *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rs__relay__ping__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rs__relay__ping__pack_to_buffer
+                     (const Rs__Relay__Ping *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rs__relay__ping__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rs__Relay__Ping *
+       rs__relay__ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rs__Relay__Ping *)
+     protobuf_c_message_unpack (&rs__relay__ping__descriptor,
+                                allocator, len, data);
+}
+void   rs__relay__ping__free_unpacked
+                     (Rs__Relay__Ping *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__relay__ping__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rs__relay__envelope__init
                      (Rs__Relay__Envelope         *message)
 {
@@ -888,7 +933,45 @@
   (ProtobufCMessageInit) rs__relay__credit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__relay__envelope__field_descriptors[5] =
+static const ProtobufCFieldDescriptor rs__relay__ping__field_descriptors[1] =
+{
+  {
+    "answer",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Ping, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__relay__ping__field_indices_by_name[] = {
+  0,   /* field[0] = answer */
+};
+static const ProtobufCIntRange rs__relay__ping__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor rs__relay__ping__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.relay.Ping",
+  "Ping",
+  "Rs__Relay__Ping",
+  "rs.relay",
+  sizeof(Rs__Relay__Ping),
+  1,
+  rs__relay__ping__field_descriptors,
+  rs__relay__ping__field_indices_by_name,
+  1,  rs__relay__ping__number_ranges,
+  (ProtobufCMessageInit) rs__relay__ping__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__relay__envelope__field_descriptors[6] =
 {
   {
     "forward",
@@ -950,6 +1033,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ping",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Relay__Envelope, message_case),
+    offsetof(Rs__Relay__Envelope, ping),
+    &rs__relay__ping__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__relay__envelope__field_indices_by_name[] = {
   2,   /* field[2] = body */
@@ -957,11 +1052,12 @@
   4,   /* field[4] = credit */
   0,   /* field[0] = forward */
   1,   /* field[1] = head */
+  5,   /* field[5] = ping */
 };
 static const ProtobufCIntRange rs__relay__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor rs__relay__envelope__descriptor =
 {
@@ -971,7 +1067,7 @@
   "Rs__Relay__Envelope",
   "rs.relay",
   sizeof(Rs__Relay__Envelope),
-  5,
+  6,
   rs__relay__envelope__field_descriptors,
   rs__relay__envelope__field_indices_by_name,
   1,  rs__relay__envelope__number_ranges,
--- a/dispatch/relay.pb-c.h
+++ b/dispatch/relay.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Rs__Relay__AnswerBody Rs__Relay__AnswerBody;
 typedef struct Rs__Relay__Cancel Rs__Relay__Cancel;
 typedef struct Rs__Relay__Credit Rs__Relay__Credit;
+typedef struct Rs__Relay__Ping Rs__Relay__Ping;
 typedef struct Rs__Relay__Envelope Rs__Relay__Envelope;
 
 
@@ -154,13 +155,27 @@
     , 0, 0 }
 
 
+/*
+ * Asks whether the other side is still there, and its answer.
+ */
+struct  Rs__Relay__Ping
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean answer;
+};
+#define RS__RELAY__PING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rs__relay__ping__descriptor) \
+    , 0 }
+
+
 typedef enum {
   RS__RELAY__ENVELOPE__MESSAGE__NOT_SET = 0,
   RS__RELAY__ENVELOPE__MESSAGE_FORWARD = 1,
   RS__RELAY__ENVELOPE__MESSAGE_HEAD = 2,
   RS__RELAY__ENVELOPE__MESSAGE_BODY = 3,
   RS__RELAY__ENVELOPE__MESSAGE_CANCEL = 4,
-  RS__RELAY__ENVELOPE__MESSAGE_CREDIT = 5
+  RS__RELAY__ENVELOPE__MESSAGE_CREDIT = 5,
+  RS__RELAY__ENVELOPE__MESSAGE_PING = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RS__RELAY__ENVELOPE__MESSAGE__CASE)
 } Rs__Relay__Envelope__MessageCase;
 
@@ -174,6 +189,7 @@
     Rs__Relay__AnswerBody *body;
     Rs__Relay__Cancel *cancel;
     Rs__Relay__Credit *credit;
+    Rs__Relay__Ping *ping;
   };
 };
 #define RS__RELAY__ENVELOPE__INIT \
@@ -295,6 +311,25 @@
 void   rs__relay__credit__free_unpacked
                      (Rs__Relay__Credit *message,
                       ProtobufCAllocator *allocator);
+/* Rs__Relay__Ping methods */
+void   rs__relay__ping__init
+                     (Rs__Relay__Ping         *message);
+size_t rs__relay__ping__get_packed_size
+                     (const Rs__Relay__Ping   *message);
+size_t rs__relay__ping__pack
+                     (const Rs__Relay__Ping   *message,
+                      uint8_t             *out);
+size_t rs__relay__ping__pack_to_buffer
+                     (const Rs__Relay__Ping   *message,
+                      ProtobufCBuffer     *buffer);
+Rs__Relay__Ping *
+       rs__relay__ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rs__relay__ping__free_unpacked
+                     (Rs__Relay__Ping *message,
+                      ProtobufCAllocator *allocator);
 /* Rs__Relay__Envelope methods */
 void   rs__relay__envelope__init
                      (Rs__Relay__Envelope         *message);
@@ -334,6 +369,9 @@
 typedef void (*Rs__Relay__Credit_Closure)
                  (const Rs__Relay__Credit *message,
                   void *closure_data);
+typedef void (*Rs__Relay__Ping_Closure)
+                 (const Rs__Relay__Ping *message,
+                  void *closure_data);
 typedef void (*Rs__Relay__Envelope_Closure)
                  (const Rs__Relay__Envelope *message,
                   void *closure_data);
@@ -350,6 +388,7 @@
 extern const ProtobufCMessageDescriptor rs__relay__answer_body__descriptor;
 extern const ProtobufCMessageDescriptor rs__relay__cancel__descriptor;
 extern const ProtobufCMessageDescriptor rs__relay__credit__descriptor;
+extern const ProtobufCMessageDescriptor rs__relay__ping__descriptor;
 extern const ProtobufCMessageDescriptor rs__relay__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/dispatch/relay_server.c
@@ -0,0 +1,237 @@
+#include "dispatch/relay_server.h"
+
+#include <string.h>
+
+#include "wire/frame.h"
+#include "wire/link.h"
+
+#define MAX_QUEUE_BYTES (16u << 20)
+#define MAX_STREAMS 4096
+
+struct rs_relay_server {
+    struct rs_holder *holder;
+    struct rs_link_listener *listener;
+    size_t streams;
+};
+
+struct session {
+    struct rs_relay_server *server;
+    struct rs_link *link;
+    GHashTable *streams; /* by number */
+};
+
+struct stream {
+    uint64_t number;
+    struct session *session;
+    struct rs_work *work; /* NULL during the call that makes it */
+    bool ended;
+};
+
+static void
+end_stream(struct stream *stream)
+{
+    stream->ended = true;
+    if (stream->work != NULL) {
+        g_hash_table_remove(stream->session->streams, &stream->number);
+    }
+}
+
+static void
+send_envelope(struct session *session, const Rs__Relay__Envelope *envelope)
+{
+    if (RsLink_Send(session->link, &envelope->base) == RsLink_FULL) {
+        RsLink_Abort(session->link);
+    }
+}
+
+static void
+on_work_head(void *arg, const Rs__Relay__AnswerHead *head)
+{
+    struct stream *stream = arg;
+    Rs__Relay__Envelope envelope = RS__RELAY__ENVELOPE__INIT;
+    Rs__Relay__AnswerHead numbered = *head;
+    numbered.stream = stream->number;
+    envelope.message_case = RS__RELAY__ENVELOPE__MESSAGE_HEAD;
+    envelope.head = &numbered;
+    send_envelope(stream->session, &envelope);
+    if (head->outcome != RS__RELAY__OUTCOME__OUTCOME_DONE) {
+        end_stream(stream);
+    }
+}
+
+static void
+on_work_body(void *arg, const void *data, size_t size, bool last, bool broken)
+{
+    struct stream *stream = arg;
+    Rs__Relay__Envelope envelope = RS__RELAY__ENVELOPE__INIT;
+    Rs__Relay__AnswerBody body = RS__RELAY__ANSWER_BODY__INIT;
+    body.stream = stream->number;
+    body.data.data = (uint8_t *)data;
+    body.data.len = size;
+    body.last = last;
+    body.broken = broken;
+    envelope.message_case = RS__RELAY__ENVELOPE__MESSAGE_BODY;
+    envelope.body = &body;
+    send_envelope(stream->session, &envelope);
+    if (last) {
+        end_stream(stream);
+    }
+}
+
+static const struct rs_work_events work_events = {
+    on_work_head,
+    on_work_body,
+};
+
+static int
+take_forward(struct session *session, Rs__Relay__Envelope *envelope)
+{
+    uint64_t number = envelope->forward->stream;
+    if (g_hash_table_size(session->streams) >= MAX_STREAMS ||
+        g_hash_table_contains(session->streams, &number)) {
+        return RsFrame_BAD_MESSAGE;
+    }
+    struct stream *stream = g_new0(struct stream, 1);
+    stream->number = number;
+    stream->session = session;
+    Rs__Relay__Forward *forward = envelope->forward;
+    envelope->forward = NULL;
+    envelope->message_case = RS__RELAY__ENVELOPE__MESSAGE__NOT_SET;
+    struct rs_work *work = RsHolder_Forward(session->server->holder, forward,
+                                            &work_events, stream);
+    if (stream->ended || work == NULL) {
+        g_free(stream);
+        return 0;
+    }
+    stream->work = work;
+    session->server->streams++;
+    g_hash_table_insert(session->streams, &stream->number, stream);
+    return 0;
+}
+
+static void
+take_cancel(struct session *session, uint64_t number)
+{
+    struct stream *stream = g_hash_table_lookup(session->streams, &number);
+    if (stream != NULL) {
+        struct rs_work *work = stream->work;
+        g_hash_table_remove(session->streams, &number);
+        RsHolder_Cancel(session->server->holder, work);
+    }
+}
+
+static void
+take_credit(struct session *session, const Rs__Relay__Credit *credit)
+{
+    struct stream *stream =
+        g_hash_table_lookup(session->streams, &credit->stream);
+    if (stream != NULL) {
+        RsHolder_Credit(stream->work, credit->bytes);
+    }
+}
+
+static void
+answer_ping(struct session *session)
+{
+    Rs__Relay__Envelope envelope = RS__RELAY__ENVELOPE__INIT;
+    Rs__Relay__Ping ping = RS__RELAY__PING__INIT;
+    ping.answer = true;
+    envelope.message_case = RS__RELAY__ENVELOPE__MESSAGE_PING;
+    envelope.ping = &ping;
+    send_envelope(session, &envelope);
+}
+
+static int
+take_message(struct session *session, Rs__Relay__Envelope *envelope)
+{
+    switch (envelope->message_case) {
+    case RS__RELAY__ENVELOPE__MESSAGE_FORWARD:
+        return take_forward(session, envelope);
+    case RS__RELAY__ENVELOPE__MESSAGE_CANCEL:
+        take_cancel(session, envelope->cancel->stream);
+        return 0;
+    case RS__RELAY__ENVELOPE__MESSAGE_CREDIT:
+        take_credit(session, envelope->credit);
+        return 0;
+    case RS__RELAY__ENVELOPE__MESSAGE_PING:
+        answer_ping(session);
+        return 0;
+    default:
+        return RsFrame_BAD_MESSAGE;
+    }
+}
+
+static int
+on_frame(void *arg, const uint8_t *data, size_t size)
+{
+    struct session *session = arg;
+    Rs__Relay__Envelope *envelope =
+        rs__relay__envelope__unpack(NULL, size, data);
+    if (envelope == NULL) {
+        return RsFrame_BAD_MESSAGE;
+    }
+    int status = take_message(session, envelope);
+    rs__relay__envelope__free_unpacked(envelope, NULL);
+    return status;
+}
+
+static void
+on_closed(void *arg, int error)
+{
+    struct session *session = arg;
+    GHashTableIter iter;
+    gpointer value;
+    /* A cancelled work may end others of this session: start anew. */
+    g_hash_table_iter_init(&iter, session->streams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        take_cancel(session, ((struct stream *)value)->number);
+        g_hash_table_iter_init(&iter, session->streams);
+    }
+    g_hash_table_destroy(session->streams);
+    g_free(session);
+}
+
+static const struct rs_link_events link_events = {
+    NULL,
+    on_frame,
+    on_closed,
+};
+
+static void
+free_stream(gpointer data)
+{
+    struct stream *stream = data;
+    stream->session->server->streams--;
+    g_free(stream);
+}
+
+static void
+on_accept(void *arg, struct rs_link *link)
+{
+    struct session *session = g_new0(struct session, 1);
+    session->server = arg;
+    session->link = link;
+    session->streams = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                             NULL, free_stream);
+    RsLink_SetEvents(link, &link_events, session);
+}
+
+/* Listens; the server lives as long as the process. Returns 0 or
+ * RsLink_LISTEN_FAILED. */
+int
+RsRelayServer_Open(const struct rs_relay_server_options *options,
+                   struct rs_relay_server **out)
+{
+    struct rs_relay_server *server = g_new0(struct rs_relay_server, 1);
+    server->holder = options->holder;
+    *out = server;
+    return RsLink_Listen(options->loop, &options->address, MAX_QUEUE_BYTES,
+                         on_accept, server, &server->listener);
+}
+
+/* Returns how many requests of other fronts are open. */
+size_t
+RsRelayServer_Streams(const struct rs_relay_server *server)
+{
+    return server->streams;
+}
--- /dev/null
+++ b/dispatch/relay_server.h
@@ -0,0 +1,23 @@
+/* Takes requests from other processes' fronts over links and hands them to
+ * the holder. */
+
+#ifndef RATTANSHED_DISPATCH_RELAY_SERVER_H
+#define RATTANSHED_DISPATCH_RELAY_SERVER_H
+
+#include <netinet/in.h>
+
+#include "dispatch/holder.h"
+
+struct rs_relay_server;
+
+struct rs_relay_server_options {
+    uv_loop_t *loop;
+    struct sockaddr_in address;
+    struct rs_holder *holder;
+};
+
+int RsRelayServer_Open(const struct rs_relay_server_options *options,
+                       struct rs_relay_server **server);
+size_t RsRelayServer_Streams(const struct rs_relay_server *server);
+
+#endif
--- a/dispatch/target.c
+++ b/dispatch/target.c
@@ -67,7 +67,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     target->grant.answer = g_string_new(NULL);
     start_decisions(target);
-    RsHealth_Start(&target->health, options->now_ms);
+    RsHealth_Start(&target->health, &options->health, options->now_ms);
     return target;
 }
 
@@ -161,9 +161,9 @@
 RsTarget_Credit(struct rs_work *work, uint32_t size_bytes)
 {
     struct rs_target_connection *connection = work->connection;
-    work->credit_bytes =
-        MIN(work->credit_bytes + size_bytes, RsWork_WINDOW_BYTES);
-    if (connection != NULL && connection->paused && work->credit_bytes > 0) {
+    RsFlow_TakeCredit(&work->flow, size_bytes);
+    if (connection != NULL && connection->paused &&
+        RsFlow_Sendable(&work->flow) >= RsHttp_READ_BYTES) {
         connection->paused = false;
         RsHttp_Resume(connection->http);
     }
@@ -194,7 +194,7 @@
         RsAnswer_GiveUp(&work->connection->answer);
     int64_t latency_us = RsClock_NowUs() - work->sent_us;
     detach(work);
-    RsHealth_TimedOut(&target->health, now_ms);
+    RsHealth_GaveUp(&target->health, RsHealth_WORK, true);
     RsAdmission_Done(target->admission, now_ms, work->id,
                      RsAdmission_TIMED_OUT, latency_us);
     RsTargetWork_Finish(work, verdict.outcome, reason, 0);
@@ -279,7 +279,8 @@
 static void
 watch_health(struct rs_target *target, int64_t now_ms)
 {
-    bool lost = RsHealth_State(&target->health, now_ms) == RsHealth_LOST;
+    bool lost = RsHealth_Tick(&target->health, now_ms, target->median_us) ==
+                RsHealth_LOST;
     if (lost && !target->lost) {
         target->lost = true;
         become_lost(target, now_ms);
--- a/dispatch/target.h
+++ b/dispatch/target.h
@@ -48,6 +48,7 @@
     const struct rs_model_service *service;
     bool checks_fences;
     struct rs_target_policies policies;
+    struct rs_health_options health;
     struct rs_target_counters *counters;
     uint32_t ping_every_ms;
     int64_t now_ms;
@@ -111,6 +112,7 @@
     struct rs_target_grant grant;
     uint64_t start_id;
     int64_t last_deadline_ms; /* latest run deadline ever given to it */
+    double median_us; /* latency of its peers of the same service */
     bool lost;
     bool told_lost;
     bool removed; /* from the configuration, or no longer spoken for */
--- a/dispatch/target_grant.c
+++ b/dispatch/target_grant.c
@@ -10,6 +10,7 @@
 #define MAX_ANSWER_BYTES (1u << 20)
 #define SILENCE_MS 1000
 #define RECONNECT_MS 50
+#define US_PER_MS 1000
 
 static void ask(struct rs_target *target, int64_t now_ms);
 
@@ -17,6 +18,9 @@
 lose_connection(struct rs_target *target, int64_t now_ms)
 {
     struct rs_target_grant *grant = &target->grant;
+    if (grant->asked) {
+        RsHealth_GaveUp(&target->health, RsHealth_PING, false);
+    }
     grant->http = NULL;
     grant->connected = false;
     grant->asked = false;
@@ -28,6 +32,7 @@
 {
     struct rs_target *target = arg;
     target->grant.connected = true;
+    RsHealth_Connected(&target->health);
     ask(target, RsClock_NowMs());
 }
 
@@ -117,8 +122,8 @@
         json_loadb(grant->answer->str, grant->answer->len, 0, NULL);
     bool first_reading = grant->read_at_ms == 0;
     grant->asked = false;
-    RsHealth_PingAnswered(&target->health, now_ms,
-                          now_ms - grant->asked_at_ms);
+    RsHealth_Answered(&target->health, now_ms, RsHealth_PING,
+                      (now_ms - grant->asked_at_ms) * US_PER_MS);
     read_clock(target, answer, now_ms);
     if (grant->asked_set != 0 && grant->status == 200 &&
         grant->asked_set == grant->set) {
@@ -146,7 +151,7 @@
     struct rs_target *target = arg;
     int64_t now_ms = RsClock_NowMs();
     if (!target->grant.connected) {
-        RsHealth_ConnectFailed(&target->health, now_ms);
+        RsHealth_ConnectFailed(&target->health);
     }
     lose_connection(target, now_ms);
 }
@@ -244,7 +249,7 @@
     grant->asked = true;
     grant->asked_at_ms = now_ms;
     grant->ask_at_ms = now_ms + target->options.ping_every_ms;
-    RsHealth_PingSent(&target->health, now_ms);
+    RsHealth_Sent(&target->health, now_ms, RsHealth_PING);
 }
 
 static void
--- a/dispatch/target_pool.c
+++ b/dispatch/target_pool.c
@@ -69,10 +69,11 @@
     else if (outcome == RsOutcome_DONE) {
         RsHistogram_Record(&target->options.counters->run_us,
                            (uint64_t)latency_us);
-        RsHealth_Answered(&target->health, now_ms, latency_us);
+        RsHealth_Answered(&target->health, now_ms, RsHealth_WORK,
+                          latency_us);
     }
     else {
-        RsHealth_Failed(&target->health, now_ms);
+        RsHealth_GaveUp(&target->health, RsHealth_WORK, false);
     }
 }
 
@@ -107,6 +108,7 @@
     target->opening--;
     g_queue_push_head(&target->idle, connection);
     RsRamp_Connected(&target->ramp, now_ms);
+    RsHealth_Connected(&target->health);
     RsTargetPool_Run(target, now_ms);
 }
 
@@ -232,9 +234,12 @@
           size_t size)
 {
     struct rs_work *work = connection->work;
-    work->credit_bytes -= (int64_t)size;
+    int status = RsFlow_Send(&work->flow, (uint32_t)size);
+    assert(status == 0);
+    (void)status;
     work->stall_at_ms = RsClock_NowMs() + STALL_MS;
-    if (work->credit_bytes <= 0 && !connection->paused) {
+    if (RsFlow_Sendable(&work->flow) < RsHttp_READ_BYTES &&
+        !connection->paused) {
         connection->paused = true;
         RsHttp_Pause(connection->http);
     }
@@ -285,7 +290,7 @@
     struct rs_answer_verdict verdict = RsAnswer_Close(&connection->answer);
     if (!connection->connected) {
         RsRamp_ConnectFailed(&target->ramp);
-        RsHealth_ConnectFailed(&target->health, now_ms);
+        RsHealth_ConnectFailed(&target->health);
         target->next_connect_ms = now_ms + CONNECT_RETRY_MS;
     }
     if (connection->work != NULL) {
@@ -445,7 +450,7 @@
     work->connection = connection;
     work->sent_us = RsClock_NowUs();
     RsCounter_Add(&target->options.counters->sent, 1);
-    RsHealth_Sent(&target->health, now_ms);
+    RsHealth_Sent(&target->health, now_ms, RsHealth_WORK);
     RsAnswer_Written(&connection->answer, true);
     if (write_request(connection, work) != 0) {
         struct rs_answer_verdict verdict =
--- a/dispatch/work.h
+++ b/dispatch/work.h
@@ -7,11 +7,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "dispatch/flow.h"
 #include "dispatch/relay.pb-c.h"
 
-/* Bytes of a body that may be under way to the front at once. */
-#define RsWork_WINDOW_BYTES (256 * 1024)
-
 /* Where the answer goes. `head` comes once; unless its outcome is done, it
  * ends the work. `body` with `last` set ends it otherwise; with `broken` the
  * answer is not whole. */
@@ -36,7 +34,7 @@
     uint64_t epoch; /* of the fence under which it was admitted */
     uint32_t step;
     struct rs_target_connection *connection; /* NULL while it waits */
-    int64_t credit_bytes;
+    struct rs_flow_sender flow; /* of the body, to the front */
     int64_t stall_at_ms; /* when a body without progress is given up */
     bool head_passed;
 };
--- /dev/null
+++ b/front/front.h
@@ -0,0 +1,60 @@
+/* The part of the data task that faces callers: it takes their requests,
+ * finds who speaks for the key's target, tries again where that is allowed,
+ * and gives each caller one final answer. */
+
+#ifndef RATTANSHED_FRONT_FRONT_H
+#define RATTANSHED_FRONT_FRONT_H
+
+#include <jansson.h>
+#include <netinet/in.h>
+#include <uv.h>
+
+#include "core/counter.h"
+#include "dispatch/choice.h"
+#include "dispatch/holder.h"
+#include "dispatch/retry.h"
+#include "view/view.h"
+
+struct rs_front_counters {
+    struct rs_counter requests;
+    struct rs_counter answered;
+    struct rs_counter not_run; /* refused: nothing was done */
+    struct rs_counter unknown; /* it may have run */
+    struct rs_counter bad;     /* requests that can't be understood */
+    struct rs_counter broken;  /* answers cut off while they streamed */
+    struct rs_counter left;    /* callers who went away */
+    struct rs_counter tries;
+    struct rs_counter redirects;
+    struct rs_counter hedges;
+    struct rs_counter open;
+    struct rs_histogram latency_us; /* of answered requests */
+};
+
+struct rs_front;
+
+struct rs_front_options {
+    uv_loop_t *loop;
+    struct sockaddr_in address;
+    const char *self;
+    const char *domain;
+    struct rs_holder *holder;
+    size_t max_body_bytes;
+    uint32_t max_connections;
+    const struct rs_choice_policy *choice;
+    const struct rs_retry_policy *retry;
+    double retry_share;
+    uint64_t seed;
+};
+
+int RsFront_Open(const struct rs_front_options *options,
+                 struct rs_front **front);
+void RsFront_SetView(struct rs_front *front, struct rs_view *view);
+void RsFront_Leave(struct rs_front *front);
+void RsFront_StopListening(struct rs_front *front);
+void RsFront_Tick(struct rs_front *front, int64_t now_ms);
+size_t RsFront_OpenRequests(const struct rs_front *front);
+const struct rs_front_counters *
+RsFront_Counters(const struct rs_front *front);
+json_t *RsFront_Dump(const struct rs_front *front, int64_t now_ms);
+
+#endif
--- a/http/connection.c
+++ b/http/connection.c
@@ -5,7 +5,6 @@
 #include <http_parser.h>
 #include <string.h>
 
-#define READ_BYTES 65536
 #define NO_VALUE SIZE_MAX
 
 struct rs_http_connection {
@@ -216,7 +215,7 @@
 static void
 give_buffer(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
-    static _Thread_local char bytes[READ_BYTES];
+    static _Thread_local char bytes[RsHttp_READ_BYTES];
     buffer->base = bytes;
     buffer->len = sizeof(bytes);
 }
--- a/http/connection.h
+++ b/http/connection.h
@@ -12,6 +12,7 @@
 
 #include "core/error.h"
 
+#define RsHttp_READ_BYTES 65536 /* most that one `body` call brings */
 #define RsHttp_MAX_HEADERS 48
 #define RsHttp_MAX_HEAD_BYTES 32768
 
--- a/wire/link.c
+++ b/wire/link.c
@@ -260,6 +260,26 @@
     uv_close((uv_handle_t *)&link->tcp, on_freed);
 }
 
+static void
+on_aborted(uv_handle_t *handle)
+{
+    struct rs_link *link = handle->data;
+    link->events->closed(link->arg, RsLink_CLOSED);
+    on_freed(handle);
+}
+
+/* Closes a little later, and then tells the owner: good inside of calls that
+ * can't bear to be told at once. */
+void
+RsLink_Abort(struct rs_link *link)
+{
+    if (link->closing) {
+        return;
+    }
+    link->closing = true;
+    uv_close((uv_handle_t *)&link->tcp, on_aborted);
+}
+
 /* Returns this thread's totals. */
 struct rs_link_totals
 RsLink_Totals(void)
--- a/wire/link.h
+++ b/wire/link.h
@@ -51,6 +51,7 @@
 int RsLink_Send(struct rs_link *link, const ProtobufCMessage *message);
 size_t RsLink_QueuedBytes(const struct rs_link *link);
 void RsLink_Close(struct rs_link *link);
+void RsLink_Abort(struct rs_link *link);
 
 /* Bytes and frames of all links of this thread, both ways. */
 struct rs_link_totals {
