Add the link stand-in: TCP with delay, and silent cuts

Tests of failure domains need delay and partitions on one machine. Each pair of addresses has its own lane; delays run on a timerfd, since libuv's timers round to whole milliseconds. A cut stops reading and delivering, new connections hang; healing closes what it caught. Bytes held are bounded per direction.

--- /dev/null
+++ b/standin/link.c
@@ -0,0 +1,157 @@
+/* standin_link: forwards TCP between fixed pairs of addresses with a delay,
+ * and cuts them by command. */
+
+#include <argtable2.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "standin/link_lane.h"
+#include "standin/server.h"
+
+#define US_PER_MS 1000
+
+struct links {
+    struct rs_server server;
+    GPtrArray *lanes;
+    json_t *cut;
+    double delay_ms;
+};
+
+static void
+apply(struct links *links)
+{
+    for (guint i = 0; i < links->lanes->len; i++) {
+        struct rs_link_lane *lane = g_ptr_array_index(links->lanes, i);
+        RsLinkLane_SetDelay(lane, (int64_t)(links->delay_ms * US_PER_MS));
+        RsLinkLane_SetCut(
+            lane, RsLinkRoute_IsCut(RsLinkLane_Route(lane), links->cut));
+    }
+}
+
+static void
+answer_state(struct links *links, h2o_req_t *req)
+{
+    size_t count = 0;
+    for (guint i = 0; i < links->lanes->len; i++) {
+        count += RsLinkLane_CountTunnels(g_ptr_array_index(links->lanes, i));
+    }
+    RsServer_SendJson(req, 200,
+                      json_pack("{s:O,s:f,s:I,s:I}", "cut", links->cut,
+                                "delay_ms", links->delay_ms, "pairs",
+                                (json_int_t)links->lanes->len, "connections",
+                                (json_int_t)count));
+}
+
+static void
+take_switches(struct links *links, const h2o_req_t *req)
+{
+    json_t *body = json_loadb(req->entity.base, req->entity.len, 0, NULL);
+    json_t *cut = json_object_get(body, "cut");
+    const json_t *delay_ms = json_object_get(body, "delay_ms");
+    if (json_is_array(cut)) {
+        json_decref(links->cut);
+        links->cut = json_incref(cut);
+    }
+    if (json_is_number(delay_ms) && json_number_value(delay_ms) >= 0) {
+        links->delay_ms = json_number_value(delay_ms);
+    }
+    json_decref(body);
+    apply(links);
+}
+
+static void
+handle_request(void *arg, h2o_req_t *req)
+{
+    struct links *links = arg;
+    if (RsServer_IsCall(req, "POST", "/standin")) {
+        take_switches(links, req);
+        answer_state(links, req);
+    }
+    else if (RsServer_IsCall(req, "GET", "/standin")) {
+        answer_state(links, req);
+    }
+    else {
+        RsServer_SendText(req, 404, "{}", 2);
+    }
+}
+
+static int
+add_lane(struct links *links, const char *line)
+{
+    struct rs_link_route route;
+    if (!RsLinkRoute_Parse(&route, line)) {
+        fprintf(stderr, "bad pair: %s\n", line);
+        return -1;
+    }
+    struct rs_link_lane *lane = RsLinkLane_New(&route, links->server.loop);
+    int result = RsLinkLane_Listen(lane);
+    if (result != 0) {
+        fprintf(stderr, "can't listen on port %u: %s\n",
+                (unsigned)route.listen_port, uv_strerror(result));
+        return result;
+    }
+    g_ptr_array_add(links->lanes, lane);
+    return 0;
+}
+
+/* Reads the pairs; empty lines and those that begin with # count for
+ * nothing. */
+static int
+add_file(struct links *links, const char *path)
+{
+    char *text = NULL;
+    int result = 0;
+    if (!g_file_get_contents(path, &text, NULL, NULL)) {
+        fprintf(stderr, "can't read %s\n", path);
+        return -1;
+    }
+    char **lines = g_strsplit(text, "\n", -1);
+    for (size_t i = 0; lines[i] != NULL && result == 0; i++) {
+        g_strstrip(lines[i]);
+        if (lines[i][0] != '\0' && lines[i][0] != '#') {
+            result = add_lane(links, lines[i]);
+        }
+    }
+    g_strfreev(lines);
+    g_free(text);
+    return result;
+}
+
+static int
+run(int port, const char *path, double delay_ms)
+{
+    static struct links links;
+    links.lanes = g_ptr_array_new();
+    links.cut = json_array();
+    links.delay_ms = delay_ms;
+    RsServer_Init(&links.server, uv_default_loop());
+    RsServer_AddPort(&links.server, (uint16_t)port, handle_request, &links);
+    if (RsServer_Start(&links.server) != 0 || add_file(&links, path) != 0) {
+        return 1;
+    }
+    apply(&links);
+    return uv_run(links.server.loop, UV_RUN_DEFAULT);
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_int *port =
+        arg_int1(NULL, "port", "N", "port for control of 127.0.0.1");
+    struct arg_file *pairs = arg_file1(
+        NULL, "pairs", "FILE",
+        "lines LISTEN_PORT TARGET_HOST:PORT FROM_DOMAIN TO_DOMAIN [DELAY_MS]");
+    struct arg_dbl *delay =
+        arg_dbl0(NULL, "delay-ms", "N", "one-way delay of all other pairs");
+    struct arg_end *end = arg_end(8);
+    void *table[] = {port, pairs, delay, end};
+    delay->dval[0] = 0;
+    if (arg_parse(argc, argv, table) != 0) {
+        arg_print_errors(stderr, end, argv[0]);
+        arg_print_glossary(stderr, table, NULL);
+        return 2;
+    }
+    return run(port->ival[0], pairs->filename[0], delay->dval[0]);
+}
--- /dev/null
+++ b/standin/link_route.h
@@ -0,0 +1,25 @@
+/* A pair of addresses between two failure domains. */
+
+#ifndef RATTANSHED_STANDIN_LINK_ROUTE_H
+#define RATTANSHED_STANDIN_LINK_ROUTE_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define RsLinkRoute_TEXT_BYTES 64
+#define RsLinkRoute_DEFAULT_DELAY (-1)
+
+struct rs_link_route {
+    uint16_t listen_port;
+    char target_host[RsLinkRoute_TEXT_BYTES];
+    uint16_t target_port;
+    char from[RsLinkRoute_TEXT_BYTES]; /* domains */
+    char to[RsLinkRoute_TEXT_BYTES];
+    int64_t delay_us; /* one way; RsLinkRoute_DEFAULT_DELAY: the common one */
+};
+
+bool RsLinkRoute_Parse(struct rs_link_route *route, const char *line);
+bool RsLinkRoute_IsCut(const struct rs_link_route *route, const json_t *cut);
+
+#endif
