Add health, choice of target and stream credit

Health goes by own observation: silence while work or pings are out, failed connections, latency against the median of the service's peers. What a target reports of itself is kept for dumps only, as it lags and may be wrong; a target whose health endpoint answers but whose work does not is lost on its work, and answers to pings bring it back only after four times as long. A service with long answers is given more silence (eight usual latencies, at most four times the bound); ruled out: one fixed bound, under which a single long request loses its target.

--- /dev/null
+++ b/dispatch/choice.h
@@ -0,0 +1,50 @@
+/* Picks a target for a request without a key, behind a table of policies. */
+
+#ifndef RATTANSHED_DISPATCH_CHOICE_H
+#define RATTANSHED_DISPATCH_CHOICE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "dispatch/health.h"
+
+#define RsChoice_NOWHERE ((size_t)-1)
+
+struct rs_choice_target {
+    bool usable; /* connected, and not leaving */
+    enum rs_health_state state;
+    uint32_t in_flight; /* with those queued for it */
+    uint32_t limit;
+    double latency_us;
+};
+
+struct rs_choice;
+
+struct rs_choice_policy {
+    const char *name;
+    size_t (*pick)(struct rs_choice *choice,
+                   const struct rs_choice_target *targets, size_t count,
+                   size_t avoid);
+};
+
+/* A value type; owns nothing. */
+struct rs_choice {
+    const struct rs_choice_policy *policy;
+    uint64_t random;
+    size_t next; /* of round robin */
+    uint64_t picks;
+};
+
+extern const struct rs_choice_policy rs_choice_two;
+extern const struct rs_choice_policy rs_choice_round_robin;
+extern const struct rs_choice_policy rs_choice_random;
+
+const struct rs_choice_policy *RsChoice_FindPolicy(const char *name);
+void RsChoice_Start(struct rs_choice *choice,
+                    const struct rs_choice_policy *policy, uint64_t seed);
+size_t RsChoice_Pick(struct rs_choice *choice,
+                     const struct rs_choice_target *targets, size_t count,
+                     size_t avoid);
+
+#endif
--- /dev/null
+++ b/dispatch/flow.h
@@ -0,0 +1,40 @@
+/* Credit of one relay stream: the bytes of a body that may be under way
+ * between two processes are bounded by a window. Plain state machine. */
+
+#ifndef RATTANSHED_DISPATCH_FLOW_H
+#define RATTANSHED_DISPATCH_FLOW_H
+
+#include <stdint.h>
+
+#include "core/error.h"
+
+#define RsFlow_WINDOW_BYTES (256u << 10)
+
+enum rs_flow_error {
+    RsFlow_OVERRUN = RsError_DISPATCH - 40, /* more than the window */
+    RsFlow_BAD_CREDIT = RsError_DISPATCH - 41
+};
+
+/* Value types; zeroed but for the window they are at their start. */
+struct rs_flow_sender {
+    uint32_t window_bytes;
+    uint64_t sent_bytes;
+    uint64_t credited_bytes;
+};
+
+struct rs_flow_receiver {
+    uint32_t window_bytes;
+    uint64_t received_bytes;
+    uint64_t consumed_bytes;
+    uint64_t credited_bytes;
+};
+
+uint32_t RsFlow_Sendable(const struct rs_flow_sender *sender);
+int RsFlow_Send(struct rs_flow_sender *sender, uint32_t size_bytes);
+int RsFlow_TakeCredit(struct rs_flow_sender *sender, uint32_t size_bytes);
+
+int RsFlow_Receive(struct rs_flow_receiver *receiver, uint32_t size_bytes);
+int RsFlow_Consume(struct rs_flow_receiver *receiver, uint32_t size_bytes,
+                   uint32_t *credit_bytes);
+
+#endif
