--- a/dispatch/holder.c
+++ b/dispatch/holder.c
@@ -76,8 +76,8 @@
 on_changed(void *arg, struct rs_target *target, bool lost)
 {
     struct rs_holder *holder = arg;
-    holder->options.reports->target_changed(holder->options.arg,
-                                            target->name, lost);
+    holder->options.reports->target_changed(holder->options.arg, target->name,
+                                            lost);
 }
 
 static void
@@ -364,10 +364,10 @@
     if (RsTarget_Busy(target, lease->slice) > 0) {
         return false;
     }
-    bool revoked = !target->options.checks_fences ||
-                   (target->grant.known_set == target->grant.set &&
-                    !g_hash_table_contains(target->grant.granted,
-                                           &lease->slice));
+    bool revoked =
+        !target->options.checks_fences ||
+        (target->grant.known_set == target->grant.set &&
+         !g_hash_table_contains(target->grant.granted, &lease->slice));
     bool late_one = now_ms <= target->last_deadline_ms && target->lost;
     return !late_one && (revoked || now_ms > target->grant.lapse_ms);
 }
@@ -383,8 +383,7 @@
         const struct rs_lease *lease = &holder->leases->leases[i];
         if (lease->mine && lease->stopping &&
             is_drained(holder, lease, now_ms)) {
-            holder->options.reports->slice_drained(holder->options.arg,
-                                                   lease);
+            holder->options.reports->slice_drained(holder->options.arg, lease);
         }
     }
 }
--- a/dispatch/relay_client.c
+++ b/dispatch/relay_client.c
@@ -261,8 +261,7 @@
     size_t size = rs__relay__envelope__get_packed_size(&envelope);
     uint8_t *data = g_malloc(size);
     rs__relay__envelope__pack(&envelope, data);
-    Rs__Relay__Envelope *copy =
-        rs__relay__envelope__unpack(NULL, size, data);
+    Rs__Relay__Envelope *copy = rs__relay__envelope__unpack(NULL, size, data);
     g_free(data);
     return copy;
 }
@@ -334,8 +333,8 @@
 
 /* Tells whether a process was found unreachable within the last moment. */
 bool
-RsRelayClient_IsDown(const struct rs_relay_client *client,
-                     const char *process, int64_t now_ms)
+RsRelayClient_IsDown(const struct rs_relay_client *client, const char *process,
+                     int64_t now_ms)
 {
     const struct peer *peer = g_hash_table_lookup(client->peers, process);
     return peer != NULL && now_ms < peer->down_until_ms;
--- a/dispatch/relay_client.h
+++ b/dispatch/relay_client.h
@@ -24,14 +24,14 @@
  * the call: also when the peer can't be reached (not run) or its link breaks
  * (unknown). Returns the open stream, which is gone after its last event or
  * after it is cancelled. */
-struct rs_relay_stream *
-RsRelayClient_Send(struct rs_relay_client *client, const char *process,
-                   const struct sockaddr_in *address,
-                   Rs__Relay__Forward *forward,
-                   const struct rs_work_events *events, void *arg);
+struct rs_relay_stream *RsRelayClient_Send(struct rs_relay_client *client,
+                                           const char *process,
+                                           const struct sockaddr_in *address,
+                                           Rs__Relay__Forward *forward,
+                                           const struct rs_work_events *events,
+                                           void *arg);
 void RsRelayClient_Cancel(struct rs_relay_stream *stream);
-void RsRelayClient_Credit(struct rs_relay_stream *stream,
-                          uint32_t size_bytes);
+void RsRelayClient_Credit(struct rs_relay_stream *stream, uint32_t size_bytes);
 
 /* Tells whether the last try to reach a process failed a moment ago. */
 bool RsRelayClient_IsDown(const struct rs_relay_client *client,
--- a/dispatch/relay_server.c
+++ b/dispatch/relay_server.c
@@ -211,8 +211,8 @@
     struct session *session = g_new0(struct session, 1);
     session->server = arg;
     session->link = link;
-    session->streams = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-                                             NULL, free_stream);
+    session->streams =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_stream);
     RsLink_SetEvents(link, &link_events, session);
 }
 
--- a/dispatch/target.c
+++ b/dispatch/target.c
@@ -61,8 +61,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_work);
     g_queue_init(&target->idle);
     g_queue_init(&target->ready);
-    target->grant.slices =
-        g_array_new(FALSE, FALSE, sizeof(struct rs_lease));
+    target->grant.slices = g_array_new(FALSE, FALSE, sizeof(struct rs_lease));
     target->grant.granted =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     target->grant.answer = g_string_new(NULL);
@@ -134,8 +133,7 @@
 
 /* Drops a work whose caller is gone; no event follows. */
 void
-RsTarget_Cancel(struct rs_target *target, struct rs_work *work,
-                int64_t now_ms)
+RsTarget_Cancel(struct rs_target *target, struct rs_work *work, int64_t now_ms)
 {
     bool was_ready = g_queue_remove(&target->ready, work);
     RsCounter_Add(&target->options.counters->cancelled, 1);
@@ -342,9 +340,9 @@
         "{s:s,s:b,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:I}", "name", target->name,
         "lost", target->lost, "limit", (int)view.limit, "in_flight",
         (int)view.in_flight, "queued", (int)view.queued, "ready",
-        (int)g_queue_get_length(&target->ready), "connections",
+        (int)target->ready.length, "connections",
         (int)target->connections->len, "idle_connections",
-        (int)g_queue_get_length(&target->idle), "granted_slices",
+        (int)target->idle.length, "granted_slices",
         (int)g_hash_table_size(target->grant.granted), "grant_left_ms",
         (json_int_t)(target->grant.until_ms - now_ms));
 }
--- a/dispatch/target.h
+++ b/dispatch/target.h
@@ -79,19 +79,19 @@
 struct rs_target_grant {
     struct rs_http_connection *http;
     bool connected;
-    bool asked;            /* a ping or grant is out */
+    bool asked; /* a ping or grant is out */
     int64_t asked_at_ms;
-    int64_t ask_at_ms;     /* when the next one is due */
-    uint64_t set;          /* number of the set of slices */
-    uint64_t known_set;    /* that the target has acknowledged */
-    uint64_t asked_set;    /* that the one that is out is about; 0: a ping */
+    int64_t ask_at_ms;  /* when the next one is due */
+    uint64_t set;       /* number of the set of slices */
+    uint64_t known_set; /* that the target has acknowledged */
+    uint64_t asked_set; /* that the one that is out is about; 0: a ping */
     int64_t asked_until_ms;
-    int64_t until_ms;      /* acknowledged: requests may be sent before */
-    int64_t lapse_ms;      /* upper bound for when all grants have lapsed */
-    int64_t clock_ms;      /* reading of the target's clock ... */
-    int64_t read_at_ms;    /* ... that was received then; 0: none */
-    GArray *slices;        /* struct rs_lease, what the set holds */
-    GHashTable *granted;   /* slice to struct rs_lease, acknowledged */
+    int64_t until_ms;    /* acknowledged: requests may be sent before */
+    int64_t lapse_ms;    /* upper bound for when all grants have lapsed */
+    int64_t clock_ms;    /* reading of the target's clock ... */
+    int64_t read_at_ms;  /* ... that was received then; 0: none */
+    GArray *slices;      /* struct rs_lease, what the set holds */
+    GHashTable *granted; /* slice to struct rs_lease, acknowledged */
     GString *answer;
     int status;
 };
@@ -105,14 +105,14 @@
     struct rs_ramp ramp;
     struct rs_health health;
     GPtrArray *connections;
-    GQueue idle;      /* of connections */
-    GQueue ready;     /* of works that are admitted and want a connection */
+    GQueue idle;       /* of connections */
+    GQueue ready;      /* of works that are admitted and want a connection */
     GHashTable *works; /* by id; owns them */
     uint32_t opening;
     struct rs_target_grant grant;
     uint64_t start_id;
     int64_t last_deadline_ms; /* latest run deadline ever given to it */
-    double median_us; /* latency of its peers of the same service */
+    double median_us;         /* latency of its peers of the same service */
     bool lost;
     bool told_lost;
     bool removed; /* from the configuration, or no longer spoken for */
--- a/dispatch/target_grant.c
+++ b/dispatch/target_grant.c
@@ -169,10 +169,10 @@
             &g_array_index(slices, struct rs_lease, i);
         char id[RsId_TEXT_BYTES];
         RsId_Format(lease->slice, id);
-        json_array_append_new(
-            list, json_pack("{s:s,s:I,s:I}", "slice", id, "epoch",
-                            (json_int_t)lease->epoch, "step",
-                            (json_int_t)lease->step));
+        json_array_append_new(list,
+                              json_pack("{s:s,s:I,s:I}", "slice", id, "epoch",
+                                        (json_int_t)lease->epoch, "step",
+                                        (json_int_t)lease->step));
     }
     return list;
 }
--- a/dispatch/target_pool.c
+++ b/dispatch/target_pool.c
@@ -69,8 +69,7 @@
     else if (outcome == RsOutcome_DONE) {
         RsHistogram_Record(&target->options.counters->run_us,
                            (uint64_t)latency_us);
-        RsHealth_Answered(&target->health, now_ms, RsHealth_WORK,
-                          latency_us);
+        RsHealth_Answered(&target->health, now_ms, RsHealth_WORK, latency_us);
     }
     else {
         RsHealth_GaveUp(&target->health, RsHealth_WORK, false);
@@ -153,11 +152,10 @@
 static bool
 is_hop_header(const char *name)
 {
-    static const char *const hop[] = {"connection",   "content-length",
-                                      "keep-alive",   "transfer-encoding",
-                                      "x-request-id", "server",
-                                      "date",         "x-clock-ms",
-                                      "x-start-id",   "x-outcome"};
+    static const char *const hop[] = {
+        "connection",   "content-length", "keep-alive", "transfer-encoding",
+        "x-request-id", "server",         "date",       "x-clock-ms",
+        "x-start-id",   "x-outcome"};
     for (size_t i = 0; i < G_N_ELEMENTS(hop); i++) {
         if (g_ascii_strcasecmp(name, hop[i]) == 0) {
             return true;
@@ -334,8 +332,7 @@
     uint32_t wanted = RsRamp_Connections(&target->ramp, now_ms);
     uint32_t needed = g_queue_get_length(&target->ready);
     wanted = MAX(wanted, MIN(needed, target->service.connections));
-    if (target->removed || target->lost ||
-        now_ms < target->next_connect_ms) {
+    if (target->removed || target->lost || now_ms < target->next_connect_ms) {
         return;
     }
     while (target->connections->len < wanted &&
@@ -438,8 +435,7 @@
       int64_t now_ms)
 {
     struct rs_target *target = connection->target;
-    if (RsAnswer_Begin(&connection->answer, work->forward->request_id) !=
-        0) {
+    if (RsAnswer_Begin(&connection->answer, work->forward->request_id) != 0) {
         g_queue_push_head(&target->idle, connection);
         not_sent(work, "bad-request-id", now_ms);
         return;
@@ -453,8 +449,7 @@
     RsHealth_Sent(&target->health, now_ms, RsHealth_WORK);
     RsAnswer_Written(&connection->answer, true);
     if (write_request(connection, work) != 0) {
-        struct rs_answer_verdict verdict =
-            RsAnswer_Close(&connection->answer);
+        struct rs_answer_verdict verdict = RsAnswer_Close(&connection->answer);
         end_work(connection, verdict.outcome);
         RsTargetPool_Drop(connection);
     }
@@ -465,8 +460,7 @@
 RsTargetPool_Run(struct rs_target *target, int64_t now_ms)
 {
     while (!g_queue_is_empty(&target->ready) &&
-           !g_queue_is_empty(&target->idle) &&
-           target->grant.read_at_ms != 0) {
+           !g_queue_is_empty(&target->idle) && target->grant.read_at_ms != 0) {
         struct rs_work *work = g_queue_pop_head(&target->ready);
         if (!set_run_deadline(work, now_ms)) {
             not_sent(work, "not-holder", now_ms);
--- a/dispatch/work.h
+++ b/dispatch/work.h
@@ -34,7 +34,7 @@
     uint64_t epoch; /* of the fence under which it was admitted */
     uint32_t step;
     struct rs_target_connection *connection; /* NULL while it waits */
-    struct rs_flow_sender flow; /* of the body, to the front */
+    struct rs_flow_sender flow;              /* of the body, to the front */
     int64_t stall_at_ms; /* when a body without progress is given up */
     bool head_passed;
 };
--- a/front/attempt.c
+++ b/front/attempt.c
@@ -45,8 +45,7 @@
 static struct rs_front_target *
 find_target(struct rs_front *front, const char *name, int64_t now_ms)
 {
-    struct rs_front_target *target =
-        g_hash_table_lookup(front->targets, name);
+    struct rs_front_target *target = g_hash_table_lookup(front->targets, name);
     if (target == NULL) {
         target = g_new0(struct rs_front_target, 1);
         g_strlcpy(target->name, name, sizeof(target->name));
@@ -242,8 +241,8 @@
     }
     const struct rs_view_vm *vm = RsView_Vm(front->view, process);
     attempt->stream =
-        RsRelayClient_Send(front->relay, process, &vm->relay,
-                           request->forward, &try_events, attempt);
+        RsRelayClient_Send(front->relay, process, &vm->relay, request->forward,
+                           &try_events, attempt);
 }
 
 /* Looks up where the request goes and sends it there. Returns whether there
@@ -257,13 +256,11 @@
     g_assert(attempt != NULL);
     memset(attempt, 0, sizeof(*attempt));
     attempt->request = request;
-    const char *process =
-        request->forward->keyed
-            ? process_for_slice(request, now_ms)
-            : choose_target(request, attempt, avoid, now_ms);
-    bool known = process != NULL &&
-                 (strcmp(process, front->self) == 0 ||
-                  RsView_Vm(front->view, process) != NULL);
+    const char *process = request->forward->keyed
+                              ? process_for_slice(request, now_ms)
+                              : choose_target(request, attempt, avoid, now_ms);
+    bool known = process != NULL && (strcmp(process, front->self) == 0 ||
+                                     RsView_Vm(front->view, process) != NULL);
     if (!known) {
         return false;
     }
@@ -312,8 +309,8 @@
     request->next_try_ms = 0;
     if (send_somewhere(request, NULL, now_ms)) {
         if (!request->finished && request->hedge_at_ms == 0) {
-            request->hedge_at_ms = RsRetry_HedgeAtMs(
-                request->budget, &request->retry, now_ms);
+            request->hedge_at_ms =
+                RsRetry_HedgeAtMs(request->budget, &request->retry, now_ms);
         }
         return;
     }
--- a/front/front.c
+++ b/front/front.c
@@ -58,8 +58,7 @@
     RsFrontAttempt_CancelAll(request);
     request->http = NULL;
     g_hash_table_remove(front->requests, request);
-    RsCounter_Set(&front->counters.open,
-                  g_hash_table_size(front->requests));
+    RsCounter_Set(&front->counters.open, g_hash_table_size(front->requests));
     g_queue_push_tail(&front->dead, request);
 }
 
@@ -90,8 +89,8 @@
 new_request(struct rs_front *front, h2o_req_t *http)
 {
     struct rs_front_request *request = g_new0(struct rs_front_request, 1);
-    struct rs_front_request **handle = h2o_mem_alloc_shared(
-        &http->pool, sizeof(*handle), on_request_freed);
+    struct rs_front_request **handle =
+        h2o_mem_alloc_shared(&http->pool, sizeof(*handle), on_request_freed);
     *handle = request;
     request->front = front;
     request->http = http;
@@ -101,8 +100,7 @@
     request->check_caller_at_ms = RsClock_NowMs() + CALLER_CHECK_MS;
     request->hedge_at_ms = 0;
     g_hash_table_add(front->requests, request);
-    RsCounter_Set(&front->counters.open,
-                  g_hash_table_size(front->requests));
+    RsCounter_Set(&front->counters.open, g_hash_table_size(front->requests));
     return request;
 }
 
@@ -121,8 +119,8 @@
 answer_health(struct rs_front *front, h2o_req_t *http)
 {
     bool takes = takes_new_work(front);
-    const char *body = takes ? "{\"state\":\"ok\"}\n"
-                             : "{\"state\":\"leaving\"}\n";
+    const char *body =
+        takes ? "{\"state\":\"ok\"}\n" : "{\"state\":\"leaving\"}\n";
     RsServer_Reply(http, takes ? STATUS_OK : STATUS_UNAVAILABLE,
                    "application/json", body, strlen(body));
 }
@@ -152,8 +150,7 @@
 on_http(void *arg, h2o_req_t *http)
 {
     struct rs_front *front = arg;
-    if (h2o_memis(http->path.base, http->path.len,
-                  H2O_STRLIT("/health"))) {
+    if (h2o_memis(http->path.base, http->path.len, H2O_STRLIT("/health"))) {
         answer_health(front, http);
         return;
     }
@@ -184,8 +181,8 @@
 open_tables(struct rs_front *front)
 {
     front->requests = g_hash_table_new(NULL, NULL);
-    front->hints = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-                                         g_free);
+    front->hints =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     front->targets =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     front->budgets =
@@ -256,8 +253,8 @@
     h2o_conn_t *conn = request->http->conn;
     h2o_socket_t *socket = conn->callbacks->get_socket(conn);
     char byte;
-    ssize_t size = recv(h2o_socket_get_fd(socket), &byte, 1,
-                        MSG_PEEK | MSG_DONTWAIT);
+    ssize_t size =
+        recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return size == 0;
 }
 
@@ -275,10 +272,10 @@
 static void
 give_up_late(struct rs_front_request *request)
 {
-    enum rs_outcome outcome = request->retry.may_have_run ||
-                                      request->retry.out > 0
-                                  ? RsOutcome_UNKNOWN
-                                  : RsOutcome_NOT_RUN;
+    enum rs_outcome outcome =
+        request->retry.may_have_run || request->retry.out > 0
+            ? RsOutcome_UNKNOWN
+            : RsOutcome_NOT_RUN;
     g_strlcpy(request->last_reason, "deadline", sizeof(request->last_reason));
     RsFrontReply_Refuse(request, outcome);
 }
@@ -355,6 +352,5 @@
     return json_pack("{s:i,s:b,s:i,s:o}", "open_requests",
                      (int)g_hash_table_size(front->requests), "leaving",
                      front->leaving, "hints",
-                     (int)g_hash_table_size(front->hints), "targets",
-                     targets);
+                     (int)g_hash_table_size(front->hints), "targets", targets);
 }
--- a/front/front.h
+++ b/front/front.h
@@ -53,8 +53,7 @@
 void RsFront_StopListening(struct rs_front *front);
 void RsFront_Tick(struct rs_front *front, int64_t now_ms);
 size_t RsFront_OpenRequests(const struct rs_front *front);
-const struct rs_front_counters *
-RsFront_Counters(const struct rs_front *front);
+const struct rs_front_counters *RsFront_Counters(const struct rs_front *front);
 json_t *RsFront_Dump(const struct rs_front *front, int64_t now_ms);
 
 #endif
--- a/front/parse.c
+++ b/front/parse.c
@@ -21,11 +21,12 @@
 is_own_header(const h2o_header_t *header)
 {
     static const char *const own[] = {
-        "connection", "content-length", "transfer-encoding", "keep-alive",
-        "upgrade",    "expect",         "te",                "trailer",
-        "proxy-connection", "x-timeout-ms", "x-request-id",  "x-slice",
-        "x-fence",    "x-holder",       "x-deadline-ms",     "x-key",
-        "x-caller"};
+        "connection",   "content-length", "transfer-encoding",
+        "keep-alive",   "upgrade",        "expect",
+        "te",           "trailer",        "proxy-connection",
+        "x-timeout-ms", "x-request-id",   "x-slice",
+        "x-fence",      "x-holder",       "x-deadline-ms",
+        "x-key",        "x-caller"};
     for (size_t i = 0; i < G_N_ELEMENTS(own); i++) {
         if (h2o_memis(header->name->base, header->name->len, own[i],
                       strlen(own[i]))) {
@@ -110,8 +111,7 @@
 {
     const char *name = path + 1;
     const char *slash = path[0] == '/' ? strchr(name, '/') : NULL;
-    if (slash == NULL || slash == name ||
-        slash - name >= RsModel_NAME_BYTES) {
+    if (slash == NULL || slash == name || slash - name >= RsModel_NAME_BYTES) {
         return false;
     }
     memcpy(service, name, (size_t)(slash - name));
@@ -184,8 +184,8 @@
 /* Reads the request into its `forward`. Returns 0, or an HTTP status with a
  * reason. */
 int
-RsFrontParse_Request(struct rs_front *front,
-                     struct rs_front_request *request, const char **reason)
+RsFrontParse_Request(struct rs_front *front, struct rs_front_request *request,
+                     const char **reason)
 {
     const h2o_req_t *http = request->http;
     take_request_id(request);
--- a/front/reply.c
+++ b/front/reply.c
@@ -32,8 +32,7 @@
     }
     snprintf(text, sizeof(text), "%u", after_ms);
     RsServer_AddHeader(request->http, "x-retry-after-ms", text);
-    snprintf(text, sizeof(text), "%u",
-             (after_ms + MS_PER_S - 1) / MS_PER_S);
+    snprintf(text, sizeof(text), "%u", (after_ms + MS_PER_S - 1) / MS_PER_S);
     RsServer_AddHeader(request->http, "retry-after", text);
 }
 
@@ -46,8 +45,8 @@
 }
 
 static void
-send_refusal(struct rs_front_request *request, int status,
-             const char *outcome, const char *reason)
+send_refusal(struct rs_front_request *request, int status, const char *outcome,
+             const char *reason)
 {
     char *body = g_strdup_printf(
         "{\"outcome\":\"%s\",\"reason\":\"%s\",\"request_id\":\"%s\"}\n",
@@ -83,9 +82,8 @@
     }
     finish(request);
     RsFrontAttempt_CancelAll(request);
-    RsCounter_Add(unknown ? &front->counters.unknown
-                          : &front->counters.not_run,
-                  1);
+    RsCounter_Add(
+        unknown ? &front->counters.unknown : &front->counters.not_run, 1);
     RsLog_EVENT(RsLog_DEBUG, "request_refused",
                 RsLog_TEXT("request_id", request->request_id),
                 RsLog_TEXT("reason", request->last_reason),
@@ -106,8 +104,8 @@
         GByteArray *spare = request->sending;
         request->sending = request->body;
         request->body = spare;
-        h2o_iovec_t piece = h2o_iovec_init(
-            (char *)request->sending->data, request->sending->len);
+        h2o_iovec_t piece = h2o_iovec_init((char *)request->sending->data,
+                                           request->sending->len);
         h2o_send(request->http, &piece, 1, H2O_SEND_STATE_IN_PROGRESS);
         return;
     }
--- a/front/request.h
+++ b/front/request.h
@@ -47,7 +47,7 @@
     int64_t next_try_ms; /* 0: none is due */
     int64_t hedge_at_ms; /* 0: none is due */
     int64_t check_caller_at_ms;
-    GByteArray *body;  /* of the answer, not given to the server yet */
+    GByteArray *body;    /* of the answer, not given to the server yet */
     GByteArray *sending; /* what the server is busy with */
     bool started;
     bool body_ended;
@@ -74,9 +74,9 @@
     GQueue dead;          /* requests to be freed after this round */
     GQueue due;           /* requests whose next try may be due now */
     uv_check_t check;
-    GHashTable *hints;    /* slice to the process that answered last */
-    GHashTable *targets;  /* by name */
-    GHashTable *budgets;  /* service to struct rs_retry */
+    GHashTable *hints;   /* slice to the process that answered last */
+    GHashTable *targets; /* by name */
+    GHashTable *budgets; /* service to struct rs_retry */
     struct rs_choice choice;
     struct rs_front_counters counters;
     uint64_t next_id;
