Add the lease state machines of a cell

Member, holder and seal sides as plain state machines, and the conversion to the protobuf messages. The interface keeps its names; new are RsCell_ChangeDone(), first_step and steps_per_s in the options, and `held` in a claim. On the wire a claim says whether it is held already and a seal names the version of the former cell's roster: without it a member that has moved on would be counted by a claimant with an old roster.

Fences rise past a loss of memory since a member promises no new fence below the wall clock second of its start; a claim that is held already is exempt.

The fuzzer found one fault while this was written: a claim given up and made again asked for the same fence, and the late answer to the first counted for the second (two holders). No fence is asked for twice now; test_late_answer_to_a_claim_given_up_does_not_count fails without that.

--- a/cell/cell.h
+++ b/cell/cell.h
@@ -45,6 +45,7 @@
     uint64_t slice;
     struct rs_cell_fence fence;
     uint32_t position; /* of the owner in the slice's succession */
+    bool held;         /* in a renewal: the sender holds it already */
 };
 
 /* The members; while a change is under way also those before it. A majority
@@ -77,7 +78,8 @@
     enum rs_cell_message_kind kind;
     uint64_t from; /* member ids */
     uint64_t to;
-    uint64_t incarnation; /* of the sender */
+    uint64_t incarnation; /* of the sender; in a renew answer it names the
+                           * unbroken run of promises to this holder */
     uint64_t roster;
     uint64_t sequence;
     int32_t result;
@@ -120,6 +122,10 @@
     uint32_t lease_ms;
     uint32_t renew_every_ms;
     uint32_t margin_ms; /* for clock drift over one lease */
+    /* Wall clock seconds at the start, or 0. A member promises no new fence
+     * with a lower step, so that fences rise also past a loss of memory. */
+    uint32_t first_step;
+    uint32_t steps_per_s; /* how fast that clock runs; 0 means 1 */
 };
 
 /* What a member knows of one slice; for dumps and redirects. */
@@ -133,9 +139,11 @@
 struct rs_cell *RsCell_New(const struct rs_cell_options *options);
 void RsCell_Free(struct rs_cell *cell);
 
-/* What the platform's table says */
+/* What the platform's table says. Apply a whole reading: first the epochs of
+ * all rows, then the roster, then RsCell_TableWasRead(). */
 int RsCell_SetRoster(struct rs_cell *cell, int64_t now_ms,
                      const struct rs_cell_roster *roster);
+bool RsCell_ChangeDone(const struct rs_cell *cell, int64_t now_ms);
 void RsCell_TableWasRead(struct rs_cell *cell);
 void RsCell_LearnEpoch(struct rs_cell *cell, uint64_t slice, uint64_t epoch);
 
--- a/cell/cell.pb-c.c
+++ b/cell/cell.pb-c.c
@@ -277,7 +277,7 @@
   assert(message->base.descriptor == &rs__cell__seal_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor rs__cell__claim__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rs__cell__claim__field_descriptors[5] =
 {
   {
     "slice",
@@ -327,9 +327,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "held",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Cell__Claim, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__cell__claim__field_indices_by_name[] = {
   1,   /* field[1] = epoch */
+  4,   /* field[4] = held */
   3,   /* field[3] = position */
   0,   /* field[0] = slice */
   2,   /* field[2] = step */
@@ -337,7 +350,7 @@
 static const ProtobufCIntRange rs__cell__claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rs__cell__claim__descriptor =
 {
@@ -347,7 +360,7 @@
   "Rs__Cell__Claim",
   "rs.cell",
   sizeof(Rs__Cell__Claim),
-  4,
+  5,
   rs__cell__claim__field_descriptors,
   rs__cell__claim__field_indices_by_name,
   1,  rs__cell__claim__number_ranges,
@@ -689,7 +702,7 @@
   (ProtobufCMessageInit) rs__cell__renew_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__cell__seal__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rs__cell__seal__field_descriptors[5] =
 {
   {
     "sender",
@@ -739,9 +752,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "roster",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Cell__Seal, roster),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__cell__seal__field_indices_by_name[] = {
   2,   /* field[2] = epoch */
+  4,   /* field[4] = roster */
   0,   /* field[0] = sender */
   3,   /* field[3] = sequence */
   1,   /* field[1] = slice */
@@ -749,7 +775,7 @@
 static const ProtobufCIntRange rs__cell__seal__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rs__cell__seal__descriptor =
 {
@@ -759,7 +785,7 @@
   "Rs__Cell__Seal",
   "rs.cell",
   sizeof(Rs__Cell__Seal),
-  4,
+  5,
   rs__cell__seal__field_descriptors,
   rs__cell__seal__field_indices_by_name,
   1,  rs__cell__seal__number_ranges,
--- a/cell/cell.pb-c.h
+++ b/cell/cell.pb-c.h
@@ -41,10 +41,14 @@
    * index of the owner in the succession
    */
   uint32_t position;
+  /*
+   * the sender holds it already, by other members
+   */
+  protobuf_c_boolean held;
 };
 #define RS__CELL__CLAIM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__cell__claim__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
@@ -153,10 +157,14 @@
    */
   uint64_t epoch;
   uint64_t sequence;
+  /*
+   * version of the former cell's roster
+   */
+  uint64_t roster;
 };
 #define RS__CELL__SEAL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__cell__seal__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Rs__Cell__SealAnswer
