--- /dev/null
+++ b/place/planner_world.c
@@ -0,0 +1,153 @@
+#include "place/planner_world.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "place/cell_name.h"
+#include "place/slice.h"
+
+/* Makes domains d0, d1, ... with targets d0-t0, ...; target i of a domain
+ * belongs to its cell i modulo `cells_per_domain`. All rows are unassigned. */
+void
+planner_world_open(struct planner_world *world, size_t domains,
+                   size_t targets_per_domain, size_t cells_per_domain,
+                   uint32_t slices)
+{
+    memset(world, 0, sizeof(*world));
+    world->domain_count = domains;
+    world->target_count = domains * targets_per_domain;
+    world->slices = slices;
+    world->domains = calloc(domains, sizeof(world->domains[0]));
+    world->targets = calloc(world->target_count, sizeof(world->targets[0]));
+    world->owned = calloc(world->target_count, sizeof(world->owned[0]));
+    world->rows = calloc(slices, sizeof(world->rows[0]));
+    world->positions = calloc(slices, sizeof(world->positions[0]));
+    for (size_t i = 0; i < domains; i++) {
+        snprintf(world->domains[i].name, RsModel_NAME_BYTES, "d%zu", i);
+    }
+    for (size_t i = 0; i < world->target_count; i++) {
+        struct rs_planner_target *target = &world->targets[i];
+        size_t domain = i / targets_per_domain;
+        size_t number = i % targets_per_domain;
+        snprintf(target->domain, RsModel_NAME_BYTES, "d%zu", domain);
+        snprintf(target->name, RsModel_NAME_BYTES, "d%zu-t%zu", domain,
+                 number);
+        RsCellName_Format(target->domain,
+                          (uint32_t)(number % cells_per_domain), target->cell);
+        target->alive = true;
+        target->share = 1;
+    }
+    for (uint32_t i = 0; i < slices; i++) {
+        world->rows[i].slice = RsSlice_Id("rule", i);
+    }
+    world->options = (struct rs_planner_options){
+        .rule = "rule",
+        .slices = slices,
+        .targets = world->targets,
+        .target_count = world->target_count,
+        .domains = world->domains,
+        .domain_count = domains,
+        .present = world->rows,
+        .positions = world->positions,
+    };
+}
+
+/* Frees what open made. */
+void
+planner_world_close(struct planner_world *world)
+{
+    free(world->domains);
+    free(world->targets);
+    free(world->owned);
+    free(world->rows);
+    free(world->positions);
+}
+
+/* Writes a plan's changes to the rows. */
+void
+planner_world_apply(struct planner_world *world,
+                    const struct rs_planner_plan *plan)
+{
+    for (size_t i = 0; i < plan->change_count; i++) {
+        uint32_t index = RsSlice_Index(plan->changes[i].slice);
+        if (plan->changes[i].epoch != world->rows[index].epoch) {
+            world->positions[index] = 0;
+        }
+        world->rows[index] = plan->changes[i];
+    }
+}
+
+/* Plans once and applies the plan. Returns the number of changes. */
+size_t
+planner_world_plan(struct planner_world *world)
+{
+    struct rs_planner_plan plan;
+    if (RsPlanner_Plan(&world->options, &plan) != 0) {
+        return 0;
+    }
+    planner_world_apply(world, &plan);
+    size_t changes = plan.change_count;
+    RsPlanner_FreePlan(&plan);
+    return changes;
+}
+
+/* Settles each row. Returns how many that changed. */
+size_t
+planner_world_settle(struct planner_world *world)
+{
+    size_t changed = 0;
+    for (uint32_t i = 0; i < world->slices; i++) {
+        struct rs_model_assignment settled;
+        if (RsPlanner_Settle(&world->rows[i], &settled)) {
+            world->rows[i] = settled;
+            changed++;
+        }
+    }
+    return changed;
+}
+
+/* Plans and settles until nothing changes, at most `rounds` times. */
+void
+planner_world_run(struct planner_world *world, size_t rounds)
+{
+    size_t changes = 1;
+    for (size_t i = 0; i < rounds && changes > 0; i++) {
+        changes = planner_world_plan(world);
+        changes += planner_world_settle(world);
+    }
+}
+
+/* Returns the index of the target that owns a slice, or -1. */
+int
+planner_world_owner(const struct planner_world *world, size_t slice)
+{
+    const struct rs_model_assignment *row = &world->rows[slice];
+    if (row->epoch == 0) {
+        return -1;
+    }
+    const char *name = row->succession[world->positions[slice]];
+    for (size_t i = 0; i < world->target_count; i++) {
+        if (strcmp(world->targets[i].name, name) == 0) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+/* Counts each target's slices into `owned`. Returns how many slices have an
+ * owner. */
+size_t
+planner_world_count(struct planner_world *world)
+{
+    size_t total = 0;
+    memset(world->owned, 0, world->target_count * sizeof(world->owned[0]));
+    for (uint32_t i = 0; i < world->slices; i++) {
+        int owner = planner_world_owner(world, i);
+        if (owner >= 0) {
+            world->owned[owner]++;
+            total++;
+        }
+    }
+    return total;
+}
