--- /dev/null
+++ b/control/admin.c
@@ -0,0 +1,402 @@
+/* The operators' API over HTTP, on a listener of its own. See docs/ADMIN.md.
+ */
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "control/state.h"
+#include "control/submission.h"
+#include "core/log.h"
+
+#define MAX_CONNECTIONS 256
+#define DEFAULT_LIMIT 20
+#define MAX_LIMIT 200
+#define TICKETS_PATH "/tickets"
+#define LOG_PREFIX "ticket/log/"
+#define FORCE_SUFFIX "/force"
+
+enum admin_status {
+    STATUS_OK = 200,
+    STATUS_BAD_REQUEST = 400,
+    STATUS_NOT_FOUND = 404,
+    STATUS_CONFLICT = 409,
+    STATUS_UNAVAILABLE = 503
+};
+
+/* A request whose answer comes later; `http` is NULL once the server freed
+ * it. */
+struct pending {
+    struct rs_control *control;
+    h2o_req_t *http;
+    uint64_t number; /* of a dump's token */
+};
+
+static void
+on_http_freed(void *data)
+{
+    struct pending *pending = *(struct pending **)data;
+    if (pending != NULL) {
+        pending->http = NULL;
+    }
+}
+
+static struct pending *
+new_pending(struct rs_control *control, h2o_req_t *http)
+{
+    struct pending *pending = g_new0(struct pending, 1);
+    struct pending **handle =
+        h2o_mem_alloc_shared(&http->pool, sizeof(*handle), on_http_freed);
+    *handle = pending;
+    pending->control = control;
+    pending->http = http;
+    return pending;
+}
+
+static void
+reply_json(h2o_req_t *http, int status, json_t *body)
+{
+    char *text = json_dumps(body, JSON_COMPACT);
+    RsServer_Reply(http, status, "application/json", text, strlen(text));
+    free(text);
+    json_decref(body);
+}
+
+static void
+reply_error(h2o_req_t *http, int status, const char *what)
+{
+    reply_json(http, status, json_pack("{s:s}", "error", what));
+}
+
+/* The pending record stays until the server has freed its request, since the
+ * server still points to it. */
+static void
+reply_pending(struct pending *pending, int status, json_t *body)
+{
+    if (pending->http != NULL) {
+        reply_json(pending->http, status, body);
+    }
+    else {
+        json_decref(body);
+    }
+}
+
+static struct rs_config *
+newest_config(void *arg)
+{
+    struct rs_control *control = arg;
+    return control->config;
+}
+
+static json_t *
+result_json(const struct rs_submit_result *result)
+{
+    switch (result->outcome) {
+    case RsSubmit_ACCEPTED:
+        return json_pack("{s:I,s:s}", "accepted", (json_int_t)result->number,
+                         "digest", result->digest);
+    case RsSubmit_CONFLICT:
+        return json_pack("{s:I,s:O?}", "head", (json_int_t)result->head,
+                         "difference", result->difference);
+    case RsSubmit_INVALID:
+        return json_pack("{s:o}", "faults",
+                         RsFaults_ToJson(result->faults));
+    default:
+        return json_pack("{s:s,s:s}", "error", "platform-unavailable",
+                         "outcome",
+                         result->outcome == RsSubmit_UNKNOWN
+                             ? "unknown"
+                             : "not-accepted");
+    }
+}
+
+static int
+result_status(const struct rs_submit_result *result)
+{
+    switch (result->outcome) {
+    case RsSubmit_ACCEPTED:
+        return STATUS_OK;
+    case RsSubmit_CONFLICT:
+        return STATUS_CONFLICT;
+    case RsSubmit_INVALID:
+        return STATUS_BAD_REQUEST;
+    default:
+        return STATUS_UNAVAILABLE;
+    }
+}
+
+static void
+on_submitted(void *arg, const struct rs_submit_result *result)
+{
+    struct pending *pending = arg;
+    RsLog_EVENT(RsLog_INFO, "ticket_submitted",
+                RsLog_NUMBER("number", result->number),
+                RsLog_NUMBER("outcome", result->outcome),
+                RsLog_TEXT("digest", result->digest));
+    if (result->outcome == RsSubmit_ACCEPTED) {
+        RsFeed_PollNow(pending->control->feed);
+    }
+    reply_pending(pending, result_status(result), result_json(result));
+}
+
+static void
+submit(struct rs_control *control, h2o_req_t *http)
+{
+    struct rs_faults faults = {0};
+    struct rs_ticket *ticket = NULL;
+    if (RsTicket_Parse(http->entity.base, http->entity.len, &ticket,
+                       &faults) != 0) {
+        reply_json(http, STATUS_BAD_REQUEST,
+                   json_pack("{s:o}", "faults", RsFaults_ToJson(&faults)));
+        RsFaults_Free(&faults);
+        return;
+    }
+    RsFaults_Free(&faults);
+    struct rs_submission_options options = {
+        .loop = control->options.loop,
+        .platform = control->platform,
+        .ticket = ticket,
+        .config = newest_config,
+        .config_arg = control,
+        .done = on_submitted,
+        .done_arg = new_pending(control, http),
+    };
+    RsSubmission_Start(&options);
+}
+
+static void
+on_ticket_row(void *arg, int status, json_t *body)
+{
+    struct pending *pending = arg;
+    if (status == STATUS_OK) {
+        json_t *value = json_incref(json_object_get(body, "value"));
+        reply_pending(pending, STATUS_OK, value);
+    }
+    else {
+        bool absent = status == STATUS_NOT_FOUND;
+        reply_pending(pending,
+                      absent ? STATUS_NOT_FOUND : STATUS_UNAVAILABLE,
+                      json_pack("{s:s}", "error",
+                                absent ? "no-such-ticket"
+                                       : "platform-unavailable"));
+    }
+}
+
+static void
+show_ticket(struct rs_control *control, h2o_req_t *http, uint64_t number)
+{
+    char key[RsTicket_KEY_BYTES];
+    RsTicket_LogKey(number, key);
+    RsPlatform_ReadRow(control->platform, key, on_ticket_row,
+                       new_pending(control, http));
+}
+
+static void
+on_ticket_list(void *arg, int status, json_t *body)
+{
+    struct pending *pending = arg;
+    size_t index;
+    json_t *row;
+    if (status != STATUS_OK) {
+        reply_pending(pending, STATUS_UNAVAILABLE,
+                      json_pack("{s:s}", "error", "platform-unavailable"));
+        return;
+    }
+    json_t *tickets = json_array();
+    json_array_foreach(json_object_get(body, "rows"), index, row)
+    {
+        json_array_append(tickets, json_object_get(row, "value"));
+    }
+    reply_pending(pending, STATUS_OK,
+                  json_pack("{s:o}", "tickets", tickets));
+}
+
+static uint64_t
+number_of(h2o_req_t *http, const char *name, uint64_t otherwise)
+{
+    char *text = RsServer_Query(http, name);
+    uint64_t number = otherwise;
+    if (text != NULL) {
+        number = g_ascii_strtoull(text, NULL, 10);
+    }
+    g_free(text);
+    return number;
+}
+
+static void
+list_tickets(struct rs_control *control, h2o_req_t *http)
+{
+    uint64_t limit = number_of(http, "limit", DEFAULT_LIMIT);
+    uint64_t before = number_of(http, "before", 0);
+    char key[RsTicket_KEY_BYTES];
+    RsTicket_LogKey(before, key);
+    RsPlatform_ListRows(control->platform, LOG_PREFIX,
+                        before != 0 ? key : NULL,
+                        (uint32_t)MIN(limit, (uint64_t)MAX_LIMIT),
+                        on_ticket_list, new_pending(control, http));
+}
+
+static void
+serve_ticket(struct rs_control *control, h2o_req_t *http, const char *rest)
+{
+    char *end = NULL;
+    uint64_t number = g_ascii_strtoull(rest, &end, 10);
+    if (end == rest || number == 0) {
+        reply_error(http, STATUS_NOT_FOUND, "no-such-ticket");
+    }
+    else if (strcmp(end, FORCE_SUFFIX) == 0) {
+        reply_json(http, STATUS_OK, RsControlReport_Force(control, number));
+    }
+    else if (*end == '\0') {
+        show_ticket(control, http, number);
+    }
+    else {
+        reply_error(http, STATUS_NOT_FOUND, "unknown-path");
+    }
+}
+
+static void
+serve_owner(struct rs_control *control, h2o_req_t *http)
+{
+    char *service = RsServer_Query(http, "service");
+    char *key = RsServer_Query(http, "key");
+    json_t *owner = NULL;
+    if (service != NULL && key != NULL) {
+        owner = RsControlReport_Owner(control, service, key);
+    }
+    if (owner != NULL) {
+        reply_json(http, STATUS_OK, owner);
+    }
+    else {
+        reply_error(http, STATUS_NOT_FOUND, "no-rule");
+    }
+    g_free(key);
+    g_free(service);
+}
+
+static void
+serve_metrics(struct rs_control *control, h2o_req_t *http)
+{
+    struct rs_text text = {0};
+    RsControlReport_Metrics(control, &text);
+    RsServer_Reply(http, STATUS_OK, "text/plain; version=0.0.4", text.data,
+                   text.size_bytes);
+    RsText_Free(&text);
+}
+
+static void
+dispose_dump(struct rs_message *message)
+{
+    g_free(message);
+}
+
+/* The data task is asked for its part first. */
+static void
+serve_dump(struct rs_control *control, h2o_req_t *http)
+{
+    struct rs_task_dump *message = g_new0(struct rs_task_dump, 1);
+    struct pending *pending = new_pending(control, http);
+    uint64_t *token = g_new(uint64_t, 1);
+    *token = ++control->next_dump;
+    message->message.kind = RsTask_DUMP;
+    message->message.dispose = dispose_dump;
+    message->token = *token;
+    g_hash_table_insert(control->dumps, token, pending);
+    RsMailbox_Post(control->options.data, &message->message);
+}
+
+/* The data task's part of a dump has come. */
+void
+RsControlAdmin_Dumped(struct rs_control *control,
+                      const struct rs_task_dump *dump)
+{
+    struct pending *pending =
+        g_hash_table_lookup(control->dumps, &dump->token);
+    if (pending == NULL) {
+        return;
+    }
+    g_hash_table_remove(control->dumps, &dump->token);
+    json_t *whole = RsControlReport_Dump(control);
+    json_t *data = json_loads(dump->text, 0, NULL);
+    json_object_update(whole, data);
+    json_decref(data);
+    reply_pending(pending, STATUS_OK, whole);
+}
+
+static void
+serve_get(struct rs_control *control, h2o_req_t *http, const char *path)
+{
+    if (strcmp(path, "/health") == 0) {
+        reply_json(http, STATUS_OK, json_pack("{s:s}", "state", "ok"));
+    }
+    else if (strcmp(path, "/status") == 0) {
+        reply_json(http, STATUS_OK, RsControlReport_Status(control));
+    }
+    else if (strcmp(path, "/dump") == 0) {
+        serve_dump(control, http);
+    }
+    else if (strcmp(path, "/metrics") == 0) {
+        serve_metrics(control, http);
+    }
+    else if (strcmp(path, "/owner") == 0) {
+        serve_owner(control, http);
+    }
+    else if (strcmp(path, TICKETS_PATH) == 0) {
+        list_tickets(control, http);
+    }
+    else if (g_str_has_prefix(path, TICKETS_PATH "/")) {
+        serve_ticket(control, http, path + strlen(TICKETS_PATH "/"));
+    }
+    else {
+        reply_error(http, STATUS_NOT_FOUND, "unknown-path");
+    }
+}
+
+static void
+serve_post(struct rs_control *control, h2o_req_t *http, const char *path)
+{
+    if (strcmp(path, TICKETS_PATH) == 0) {
+        submit(control, http);
+    }
+    else if (strcmp(path, "/drain") == 0) {
+        RsControl_Leave(control);
+        reply_json(http, STATUS_OK, json_pack("{s:b}", "leaving", 1));
+    }
+    else {
+        reply_error(http, STATUS_NOT_FOUND, "unknown-path");
+    }
+}
+
+static void
+on_http(void *arg, h2o_req_t *http)
+{
+    struct rs_control *control = arg;
+    char *path = RsServer_Path(http);
+    if (h2o_memis(http->method.base, http->method.len, H2O_STRLIT("GET"))) {
+        serve_get(control, http, path);
+    }
+    else if (h2o_memis(http->method.base, http->method.len,
+                       H2O_STRLIT("POST"))) {
+        serve_post(control, http, path);
+    }
+    else {
+        reply_error(http, STATUS_BAD_REQUEST, "unknown-method");
+    }
+    g_free(path);
+}
+
+/* Listens on the admin address. Returns 0 or an error. */
+int
+RsControlAdmin_Open(struct rs_control *control)
+{
+    struct rs_server_options options = {
+        .loop = control->options.loop,
+        .max_body_bytes = RsTicket_MAX_BYTES,
+        .max_connections = MAX_CONNECTIONS,
+        .handler = on_http,
+        .arg = control,
+    };
+    int status = RsHttp_ParseAddress(control->settings->admin.address,
+                                     (uint16_t)control->settings->admin.port,
+                                     &options.address);
+    return status != 0 ? status : RsServer_Open(&options, &control->admin);
+}
--- /dev/null
+++ b/control/feed.c
@@ -0,0 +1,257 @@
+#include "control/feed.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "core/clock.h"
+#include "core/log.h"
+
+#define SKIPPED_PREFIX "ticket/log/"
+#define PAGE_ROWS 1000
+#define PEER_PAGE_ROWS 500
+#define PEER_PAGE_BYTES (256u << 10)
+#define BACKSTOP_FACTOR 8
+#define VMS_EVERY_MS 1000
+#define ASK_PEER_EVERY_MS 150
+#define ANSWERS_WITHIN_MS 5000
+#define STATUS_OK 200
+
+struct rs_feed {
+    struct rs_feed_options options;
+    char *domain;
+    struct rs_mirror *mirror;
+    json_t *vms;
+    int64_t vms_read_at_ms;
+    bool reading;
+    bool reading_vms;
+    bool table_was_read;
+    int64_t poll_at_ms;
+    int64_t vms_at_ms;
+    int64_t ask_peer_at_ms;
+    int64_t answered_at_ms; /* the platform, last; 0: never */
+};
+
+/* Makes a feed with an empty mirror. */
+struct rs_feed *
+RsFeed_New(const struct rs_feed_options *options)
+{
+    struct rs_feed *feed = g_new0(struct rs_feed, 1);
+    feed->options = *options;
+    feed->domain = g_strdup(options->domain);
+    feed->mirror = RsMirror_New();
+    return feed;
+}
+
+static bool
+put_row(struct rs_feed *feed, const json_t *row)
+{
+    const char *key = json_string_value(json_object_get(row, "key"));
+    json_t *value = json_object_get(row, "value");
+    json_int_t version = json_integer_value(json_object_get(row, "version"));
+    if (key == NULL || version <= 0) {
+        return false;
+    }
+    char *text = json_is_null(value) || value == NULL
+                     ? NULL
+                     : json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+    bool changed = RsMirror_Put(feed->mirror, key, (uint64_t)version, text);
+    free(text);
+    return changed;
+}
+
+static void read_page(struct rs_feed *feed);
+
+static void
+on_page(void *arg, int status, json_t *body)
+{
+    struct rs_feed *feed = arg;
+    size_t index;
+    json_t *row;
+    bool changed = false;
+    feed->reading = false;
+    if (status != STATUS_OK) {
+        return;
+    }
+    feed->answered_at_ms = RsClock_NowMs();
+    json_array_foreach(json_object_get(body, "rows"), index, row)
+    {
+        changed |= put_row(feed, row);
+    }
+    RsMirror_Advance(feed->mirror, (uint64_t)json_integer_value(
+                                       json_object_get(body, "revision")));
+    if (json_is_true(json_object_get(body, "more"))) {
+        read_page(feed);
+        return;
+    }
+    bool first = !feed->table_was_read;
+    feed->table_was_read = true;
+    if (changed || first) {
+        feed->options.changed(feed->options.arg);
+    }
+}
+
+static void
+read_page(struct rs_feed *feed)
+{
+    feed->reading = true;
+    RsPlatform_ReadChanges(feed->options.platform,
+                           RsMirror_Revision(feed->mirror), PAGE_ROWS,
+                           SKIPPED_PREFIX, on_page, feed);
+}
+
+static void
+on_vms(void *arg, int status, json_t *body)
+{
+    struct rs_feed *feed = arg;
+    json_t *list = json_object_get(body, "vms");
+    feed->reading_vms = false;
+    if (status != STATUS_OK || !json_is_array(list)) {
+        return;
+    }
+    feed->vms_read_at_ms = RsClock_NowMs();
+    if (feed->vms != NULL && json_equal(feed->vms, list)) {
+        return;
+    }
+    json_decref(feed->vms);
+    feed->vms = json_incref(list);
+    feed->options.changed(feed->options.arg);
+}
+
+/* Asks the platform when it is time to. */
+void
+RsFeed_Tick(struct rs_feed *feed, int64_t now_ms, bool reader)
+{
+    uint32_t every_ms = feed->options.poll_every_ms;
+    if (!reader && feed->table_was_read) {
+        every_ms *= BACKSTOP_FACTOR;
+    }
+    if (!feed->reading && now_ms >= feed->poll_at_ms) {
+        feed->poll_at_ms = now_ms + every_ms;
+        read_page(feed);
+    }
+    feed->poll_at_ms = MIN(feed->poll_at_ms, now_ms + every_ms);
+    if (!feed->reading_vms && now_ms >= feed->vms_at_ms) {
+        feed->vms_at_ms = now_ms + VMS_EVERY_MS;
+        feed->reading_vms = true;
+        RsPlatform_ListVms(feed->options.platform, feed->domain, on_vms,
+                           feed);
+    }
+}
+
+/* Lets the next tick ask the platform. */
+void
+RsFeed_PollNow(struct rs_feed *feed)
+{
+    feed->poll_at_ms = 0;
+}
+
+/* Tells whether to ask a peer that has a revision for what is new. */
+bool
+RsFeed_WantsFrom(struct rs_feed *feed, int64_t now_ms, uint64_t peer_revision,
+                 uint64_t *wanted_after)
+{
+    *wanted_after = RsMirror_Revision(feed->mirror);
+    if (peer_revision <= *wanted_after || now_ms < feed->ask_peer_at_ms) {
+        return false;
+    }
+    feed->ask_peer_at_ms = now_ms + ASK_PEER_EVERY_MS;
+    return true;
+}
+
+/* Takes in a page from a peer, unless it leaves a gap. */
+void
+RsFeed_TakeChanges(struct rs_feed *feed, const Rs__Member__Changes *changes)
+{
+    bool changed = false;
+    if (changes->after > RsMirror_Revision(feed->mirror)) {
+        return;
+    }
+    for (size_t i = 0; i < changes->n_rows; i++) {
+        const Rs__Member__Row *row = changes->rows[i];
+        const char *value = row->value[0] != '\0' ? row->value : NULL;
+        changed |= RsMirror_Put(feed->mirror, row->key, row->version, value);
+    }
+    RsMirror_Advance(feed->mirror, changes->revision);
+    if (changes->more) {
+        feed->ask_peer_at_ms = 0;
+    }
+    else if (changed) {
+        feed->options.changed(feed->options.arg);
+    }
+}
+
+static void
+add_row(void *arg, const struct rs_mirror_row *row)
+{
+    GPtrArray *rows = arg;
+    Rs__Member__Row *copy = g_new(Rs__Member__Row, 1);
+    rs__member__row__init(copy);
+    copy->key = (char *)row->key;
+    copy->version = row->version;
+    copy->value = row->value != NULL ? (char *)row->value : (char *)"";
+    g_ptr_array_add(rows, copy);
+}
+
+/* Fills in a page for a peer. Its texts are borrowed from the mirror; free
+ * the rest with RsFeed_FreeChanges(). */
+void
+RsFeed_FillChanges(const struct rs_feed *feed, uint64_t after,
+                   Rs__Member__Changes *changes)
+{
+    GPtrArray *rows = g_ptr_array_new();
+    bool more = false;
+    changes->after = after;
+    changes->revision =
+        RsMirror_VisitAfter(feed->mirror, after, PEER_PAGE_ROWS,
+                            PEER_PAGE_BYTES, add_row, rows, &more);
+    changes->more = more;
+    changes->n_rows = rows->len;
+    changes->rows = (Rs__Member__Row **)g_ptr_array_free(rows, FALSE);
+}
+
+/* Frees what RsFeed_FillChanges() made. */
+void
+RsFeed_FreeChanges(Rs__Member__Changes *changes)
+{
+    for (size_t i = 0; i < changes->n_rows; i++) {
+        g_free(changes->rows[i]);
+    }
+    g_free(changes->rows);
+}
+
+/* Returns the mirror; borrowed. */
+const struct rs_mirror *
+RsFeed_Mirror(const struct rs_feed *feed)
+{
+    return feed->mirror;
+}
+
+/* Returns the list of VMs, NULL before it was read; borrowed. */
+const json_t *
+RsFeed_Vms(const struct rs_feed *feed)
+{
+    return feed->vms;
+}
+
+/* Returns when the list was read last, 0 when it never was. */
+int64_t
+RsFeed_VmsReadAtMs(const struct rs_feed *feed)
+{
+    return feed->vms_read_at_ms;
+}
+
+/* Tells whether this process itself has read the whole table since it
+ * started. */
+bool
+RsFeed_TableWasRead(const struct rs_feed *feed)
+{
+    return feed->table_was_read;
+}
+
+/* Tells whether the platform answered lately. */
+bool
+RsFeed_PlatformAnswers(const struct rs_feed *feed, int64_t now_ms)
+{
+    return feed->answered_at_ms != 0 &&
+           now_ms - feed->answered_at_ms < ANSWERS_WITHIN_MS;
+}
--- /dev/null
+++ b/control/leases.h
@@ -0,0 +1,78 @@
+/* Decides which slices of its cell this process claims, keeps and gives back,
+ * and drives the cell's lease state machine. */
+
+#ifndef RATTANSHED_CONTROL_LEASES_H
+#define RATTANSHED_CONTROL_LEASES_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "cell/cell.h"
+#include "core/counter.h"
+#include "dispatch/task_messages.h"
+#include "member/members.h"
+#include "view/view.h"
+
+struct rs_leases;
+
+struct rs_lease_counters {
+    struct rs_counter held;
+    struct rs_counter claims;
+    struct rs_counter won;
+    struct rs_counter lost;
+    struct rs_counter released;
+    struct rs_counter owner_changes; /* to another target of the succession */
+    struct rs_counter seals;
+};
+
+struct rs_leases_options {
+    const char *self;
+    uint64_t incarnation;
+    int64_t now_ms;
+    uint32_t lease_ms;
+    uint32_t renew_every_ms;
+    uint32_t margin_ms;
+    const struct rs_members *members;
+    /* Sends a cell message, which it does not own. */
+    void (*send)(void *arg, const char *to,
+                 const struct rs_cell_message *message);
+    /* Gets each new table of leases, with a reference to keep. */
+    void (*publish)(void *arg, struct rs_lease_table *table);
+    void *arg;
+};
+
+struct rs_leases *RsLeases_New(const struct rs_leases_options *options);
+
+/* What the platform's table says. `table_was_read`: by this process itself,
+ * since its start. */
+void RsLeases_SetView(struct rs_leases *leases, int64_t now_ms,
+                      struct rs_view *view, bool table_was_read);
+void RsLeases_Leave(struct rs_leases *leases);
+
+/* What the data task reports */
+void RsLeases_TargetChanged(struct rs_leases *leases, const char *target,
+                            bool lost);
+void RsLeases_SliceDrained(struct rs_leases *leases, int64_t now_ms,
+                           uint64_t slice, uint64_t epoch, uint32_t step);
+void RsLeases_SliceStale(struct rs_leases *leases, int64_t now_ms,
+                         uint64_t slice);
+
+/* Time and messages */
+void RsLeases_Tick(struct rs_leases *leases, int64_t now_ms);
+void RsLeases_Receive(struct rs_leases *leases, int64_t now_ms,
+                      const struct rs_cell_message *message);
+
+/* Look */
+const struct rs_view_cell *RsLeases_Cell(const struct rs_leases *leases);
+bool RsLeases_ChangeDone(const struct rs_leases *leases, int64_t now_ms);
+bool RsLeases_Look(const struct rs_leases *leases, int64_t now_ms,
+                   uint64_t slice, struct rs_cell_view *view);
+bool RsLeases_TargetIsLost(const struct rs_leases *leases,
+                           const char *target);
+size_t RsLeases_Held(const struct rs_leases *leases);
+const struct rs_lease_counters *
+RsLeases_Counters(const struct rs_leases *leases);
+json_t *RsLeases_Dump(const struct rs_leases *leases, int64_t now_ms);
+
+#endif
--- a/front/attempt.c
+++ b/front/attempt.c
@@ -100,19 +100,6 @@
                        now_ms);
 }
 
-static const struct rs_view_cell *
-cell_of_domain(const struct rs_view *view, const char *domain)
-{
-    const struct rs_view_cell *cells;
-    size_t count = RsView_Cells(view, &cells);
-    for (size_t i = 0; i < count; i++) {
-        if (strcmp(cells[i].domain, domain) == 0) {
-            return &cells[i];
-        }
-    }
-    return NULL;
-}
-
 struct candidates {
     struct rs_choice_target choices[MAX_CANDIDATES];
     struct rs_front_target *targets[MAX_CANDIDATES];
@@ -151,14 +138,16 @@
     const struct rs_config *config = RsView_Config(front->view);
     const struct rs_model_domain *domain =
         RsConfig_Domain(config, place->domain);
-    const struct rs_view_cell *cell =
-        cell_of_domain(front->view, place->domain);
-    if (cell == NULL || (domain != NULL && domain->state != RsModel_IN)) {
+    if (domain != NULL && domain->state != RsModel_IN) {
         return;
     }
     for (size_t i = 0; i < place->target_count; i++) {
-        add_candidate(candidates, front, place->targets[i].name, cell, limit,
-                      now_ms);
+        const char *name = place->targets[i].name;
+        const struct rs_view_cell *cell =
+            RsView_CellOfTarget(front->view, place->domain, name);
+        if (cell != NULL) {
+            add_candidate(candidates, front, name, cell, limit, now_ms);
+        }
     }
 }
 
--- /dev/null
+++ b/rattanshed/main.c
@@ -0,0 +1,182 @@
+/* The entry process. */
+
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "control/control_task.h"
+#include "core/clock.h"
+#include "core/id.h"
+#include "core/log.h"
+#include "front/data_task.h"
+#include "settings/settings.h"
+
+#define FAULT_BYTES 1024
+
+enum exit_status {
+    EXIT_FINE = 0,
+    EXIT_FAILED = 1,
+    EXIT_USAGE = 2,
+    EXIT_BAD_SETTINGS = 3
+};
+
+struct process {
+    uv_loop_t loop;
+    uv_signal_t terminate;
+    uv_signal_t interrupt;
+    struct rs_mailbox mailbox;
+    struct rs_data *data;
+    struct rs_control *control;
+};
+
+static void
+on_left(void *arg)
+{
+    exit(EXIT_FINE);
+}
+
+static void
+on_signal(uv_signal_t *handle, int number)
+{
+    struct process *process = handle->data;
+    RsControl_Leave(process->control);
+}
+
+static void
+take_message(void *arg, struct rs_message *message)
+{
+    struct process *process = arg;
+    RsControl_TakeMessage(process->control, message);
+}
+
+static void
+watch_signals(struct process *process)
+{
+    signal(SIGPIPE, SIG_IGN);
+    uv_signal_init(&process->loop, &process->terminate);
+    uv_signal_init(&process->loop, &process->interrupt);
+    process->terminate.data = process;
+    process->interrupt.data = process;
+    uv_signal_start(&process->terminate, on_signal, SIGTERM);
+    uv_signal_start(&process->interrupt, on_signal, SIGINT);
+}
+
+/* A number that names this start of the process. */
+static uint64_t
+new_incarnation(const struct rs_settings *settings)
+{
+    uint64_t start[] = {(uint64_t)RsClock_WallUs(),
+                        (uint64_t)RsClock_NowUs(), (uint64_t)getpid(),
+                        RsId_FromName(settings->name)};
+    return RsId_FromBytes(start, sizeof(start));
+}
+
+static int
+start(struct process *process, const struct rs_settings *settings)
+{
+    uint64_t incarnation = new_incarnation(settings);
+    struct rs_data_options data = {
+        .settings = settings,
+        .incarnation = incarnation,
+    };
+    int status = RsData_Open(&data, &process->data);
+    if (status != 0) {
+        return status;
+    }
+    uv_loop_init(&process->loop);
+    RsMailbox_Open(&process->mailbox, &process->loop, take_message, process);
+    struct rs_control_options control = {
+        .loop = &process->loop,
+        .settings = settings,
+        .incarnation = incarnation,
+        .data = RsData_Mailbox(process->data),
+        .front_counters = RsData_FrontCounters(process->data),
+        .target_counters = RsData_TargetCounters(process->data),
+        .left = on_left,
+        .arg = process,
+    };
+    status = RsControl_Open(&control, &process->control);
+    if (status != 0) {
+        return status;
+    }
+    watch_signals(process);
+    return RsData_Start(process->data, &process->mailbox);
+}
+
+static int
+run(const struct rs_settings *settings)
+{
+    static struct process process;
+    RsLog_Open(settings->name, (enum rs_log_level)settings->log_level);
+    int status = start(&process, settings);
+    if (status != 0) {
+        RsLog_EVENT(RsLog_ERROR, "start_failed",
+                    RsLog_NUMBER("error", status));
+        return EXIT_FAILED;
+    }
+    RsLog_EVENT(RsLog_INFO, "started",
+                RsLog_TEXT("domain", settings->domain),
+                RsLog_NUMBER("callers_port", settings->callers.port),
+                RsLog_NUMBER("admin_port", settings->admin.port));
+    uv_run(&process.loop, UV_RUN_DEFAULT);
+    return EXIT_FINE;
+}
+
+static int
+load_and_run(const char *path, int only_check)
+{
+    struct rs_settings *settings = NULL;
+    struct rs_settings_fault fault;
+    if (RsSettings_Load(path, &settings, &fault) != 0) {
+        char text[FAULT_BYTES];
+        RsSettings_FormatFault(&fault, text, sizeof(text));
+        fprintf(stderr, "%s\n", text);
+        return EXIT_BAD_SETTINGS;
+    }
+    if (only_check) {
+        printf("%s: fine\n", path);
+        RsSettings_Free(settings);
+        return EXIT_FINE;
+    }
+    return run(settings);
+}
+
+static void
+print_help(void **table)
+{
+    printf("Usage: rattanshed");
+    arg_print_syntax(stdout, table, "\n");
+    printf("Routes requests to the servers that own their keys.\n\n");
+    arg_print_glossary(stdout, table, "  %-24s %s\n");
+    printf("\nExit status: 0 ended well, 1 failed, 2 usage, 3 settings are "
+           "not valid.\n");
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_file *file = arg_file0("c", "config", "FILE", "settings");
+    struct arg_lit *check =
+        arg_lit0(NULL, "check", "check the settings and start nothing");
+    struct arg_lit *help = arg_lit0("h", "help", "print this help");
+    struct arg_lit *version = arg_lit0(NULL, "version", "print the version");
+    struct arg_end *end = arg_end(8);
+    void *table[] = {file, check, help, version, end};
+    int errors = arg_parse(argc, argv, table);
+    if (help->count > 0) {
+        print_help(table);
+        return EXIT_FINE;
+    }
+    if (version->count > 0) {
+        printf("rattanshed %s\n", RATTANSHED_VERSION);
+        return EXIT_FINE;
+    }
+    if (errors > 0 || file->count == 0) {
+        arg_print_errors(stderr, end, "rattanshed");
+        fprintf(stderr, "usage: rattanshed [--check] -c FILE\n");
+        return EXIT_USAGE;
+    }
+    return load_and_run(file->filename[0], check->count > 0);
+}
--- a/view/view.c
+++ b/view/view.c
@@ -307,6 +307,26 @@
     return &rule->assignments[index];
 }
 
+/* Finds the cell by rendezvous hashing over those of the domain. */
+const struct rs_view_cell *
+RsView_CellOfTarget(const struct rs_view *view, const char *domain,
+                    const char *target)
+{
+    const struct rs_view_cell *best = NULL;
+    uint64_t best_score = 0;
+    uint64_t id = RsId_FromName(target);
+    for (size_t i = 0; i < view->cell_count; i++) {
+        const struct rs_view_cell *cell = &view->cells[i];
+        uint64_t score = RsId_Mix(RsId_FromName(cell->name), id);
+        if (strcmp(cell->domain, domain) == 0 &&
+            (best == NULL || score > best_score)) {
+            best = cell;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
 struct ranked {
     uint64_t score;
     const char *name;
--- a/view/view.h
+++ b/view/view.h
@@ -77,6 +77,12 @@
 const struct rs_model_assignment *RsView_Assignment(const struct rs_view *view,
                                                     uint64_t slice);
 
+/* The cell of a failure domain to which a target belongs; NULL when the
+ * domain has no cell yet. */
+const struct rs_view_cell *RsView_CellOfTarget(const struct rs_view *view,
+                                               const char *domain,
+                                               const char *target);
+
 /* The process that speaks for a target when all members of its cell are
  * there; the first `skip` ones in order of preference are passed over. */
 const char *RsView_Speaker(const struct rs_view_cell *cell, const char *target,
--- a/wire/link.c
+++ b/wire/link.c
@@ -214,10 +214,8 @@
     }
 }
 
-/* Sends a message. Returns 0, RsLink_CLOSED when the link is not open, or
- * RsLink_FULL when too much waits already; nothing is sent then. */
-int
-RsLink_Send(struct rs_link *link, const ProtobufCMessage *message)
+static int
+check_sendable(const struct rs_link *link)
 {
     if (link->closing || !link->open) {
         return RsLink_CLOSED;
@@ -225,13 +223,18 @@
     if (RsLink_QueuedBytes(link) > link->max_queue_bytes) {
         return RsLink_FULL;
     }
+    return 0;
+}
+
+static int
+write_frame(struct rs_link *link, uint8_t *data, size_t size)
+{
     struct link_write *write = g_new0(struct link_write, 1);
-    size_t size;
-    write->data = RsFrame_Pack(message, &size);
+    write->data = data;
     write->write.data = write;
-    uv_buf_t buffer = uv_buf_init((char *)write->data, (unsigned)size);
-    int status = uv_write(&write->write, (uv_stream_t *)&link->tcp, &buffer, 1,
-                          on_written);
+    uv_buf_t buffer = uv_buf_init((char *)data, (unsigned)size);
+    int status = uv_write(&write->write, (uv_stream_t *)&link->tcp, &buffer,
+                          1, on_written);
     if (status != 0) {
         g_free(write->data);
         g_free(write);
@@ -242,6 +245,32 @@
     return 0;
 }
 
+/* Sends a message. Returns 0, RsLink_CLOSED when the link is not open, or
+ * RsLink_FULL when too much waits already; nothing is sent then. */
+int
+RsLink_Send(struct rs_link *link, const ProtobufCMessage *message)
+{
+    int status = check_sendable(link);
+    if (status != 0) {
+        return status;
+    }
+    size_t size;
+    uint8_t *data = RsFrame_Pack(message, &size);
+    return write_frame(link, data, size);
+}
+
+/* Sends a frame that was packed with RsFrame_Pack(), with the same errors. */
+int
+RsLink_SendFrame(struct rs_link *link, uint8_t *data, size_t size_bytes)
+{
+    int status = check_sendable(link);
+    if (status != 0) {
+        g_free(data);
+        return status;
+    }
+    return write_frame(link, data, size_bytes);
+}
+
 /* Returns the bytes that the system has not taken yet. */
 size_t
 RsLink_QueuedBytes(const struct rs_link *link)
--- a/wire/link.h
+++ b/wire/link.h
@@ -49,6 +49,8 @@
 void RsLink_SetEvents(struct rs_link *link,
                       const struct rs_link_events *events, void *arg);
 int RsLink_Send(struct rs_link *link, const ProtobufCMessage *message);
+/* Takes over a packed frame, also when it fails. */
+int RsLink_SendFrame(struct rs_link *link, uint8_t *data, size_t size_bytes);
 size_t RsLink_QueuedBytes(const struct rs_link *link);
 void RsLink_Close(struct rs_link *link);
 void RsLink_Abort(struct rs_link *link);
