Decide the members of cells, and who speaks for a target

RsRoster_Next gives the next row of one cell, or none. A change lists the members before it until a majority of them knows of it or is gone for longer than a lease and the list's lag. Spare VMs are dealt to the smallest cells, so cells that stand are not reshuffled when VMs come; five full ones and three spare VMs found another. Ways ruled out: a partition of all VMs by rendezvous hashing, which gives sizes from 1 upwards and moves members among cells at each change of their number.

Checks of names in JSON move from assignment.c to names.c; both use them.

The round-trip test found that an acknowledgement of a version to come ended a change at once; only a row that is written counts.

--- a/place/assignment.c
+++ b/place/assignment.c
@@ -5,11 +5,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "place/names.h"
 #include "place/slice.h"
 
 #define ROW_DIGITS 4
-#define NAME_CHARACTERS "abcdefghijklmnopqrstuvwxyz0123456789._-"
-#define CELL_CHARACTERS NAME_CHARACTERS "/"
 #define SLICE_MEMBERS 4
 
 /* Returns how many rows hold the slices of a rule. */
@@ -31,13 +30,6 @@
     return rest < RsAssignment_PER_ROW ? rest : RsAssignment_PER_ROW;
 }
 
-static bool
-valid_name(const char *name, size_t size_bytes, const char *characters)
-{
-    return size_bytes > 0 && size_bytes < RsModel_NAME_BYTES &&
-           strspn(name, characters) == size_bytes;
-}
-
 /* Writes the key of a rule's row. */
 void
 RsAssignment_FormatKey(const char *rule, uint32_t row,
@@ -59,10 +51,9 @@
         return RsAssignment_BAD_KEY;
     }
     const char *name = key + prefix_bytes;
-    size_t name_bytes = strspn(name, NAME_CHARACTERS);
+    size_t name_bytes = strcspn(name, "/");
     const char *digits = name + name_bytes + 1;
-    if (name_bytes == 0 || name_bytes >= RsModel_NAME_BYTES ||
-        name[name_bytes] != '/' ||
+    if (!RsNames_IsPlain(name, name_bytes) || name[name_bytes] != '/' ||
         strspn(digits, "0123456789") != ROW_DIGITS ||
         digits[ROW_DIGITS] != '\0') {
         return RsAssignment_BAD_KEY;
@@ -77,16 +68,6 @@
     return 0;
 }
 
-static json_t *
-encode_names(const char (*names)[RsModel_NAME_BYTES], size_t count)
-{
-    json_t *list = json_array();
-    for (size_t i = 0; i < count; i++) {
-        json_array_append_new(list, json_string(names[i]));
-    }
-    return list;
-}
-
 /* Returns the value of a row with these slices; the caller owns it. */
 json_t *
 RsAssignment_Encode(const struct rs_model_assignment *slices, size_t count)
@@ -95,8 +76,8 @@
     json_t *list = json_array();
     for (size_t i = 0; i < count; i++) {
         const struct rs_model_assignment *slice = &slices[i];
-        json_t *s = encode_names(slice->succession, slice->succession_count);
-        json_t *f = encode_names(slice->from, slice->from_count);
+        json_t *s = RsNames_Encode(slice->succession, slice->succession_count);
+        json_t *f = RsNames_Encode(slice->from, slice->from_count);
         json_t *item =
             json_pack("{s:I,s:s,s:o,s:o}", "e", (json_int_t)slice->epoch, "c",
                       slice->cell, "s", s, "f", f);
@@ -105,64 +86,16 @@
     return json_pack("{s:o}", "slices", list);
 }
 
-/* Reads a JSON text as a name; one with a zero byte inside is refused. */
-static bool
-decode_name(const json_t *value, const char *characters,
-            char name[RsModel_NAME_BYTES])
-{
-    if (!json_is_string(value)) {
-        return false;
-    }
-    const char *text = json_string_value(value);
-    size_t size_bytes = json_string_length(value);
-    if (!valid_name(text, size_bytes, characters)) {
-        return false;
-    }
-    memcpy(name, text, size_bytes + 1);
-    return true;
-}
-
-static bool
-contains(const char (*names)[RsModel_NAME_BYTES], size_t count,
-         const char *name)
-{
-    for (size_t i = 0; i < count; i++) {
-        if (strcmp(names[i], name) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Reads a list of distinct names, at most `capacity`. */
-static bool
-decode_names(const json_t *list, const char *characters,
-             char (*names)[RsModel_NAME_BYTES], size_t capacity, size_t *count)
-{
-    if (!json_is_array(list) || json_array_size(list) > capacity) {
-        return false;
-    }
-    size_t size = json_array_size(list);
-    for (size_t i = 0; i < size; i++) {
-        if (!decode_name(json_array_get(list, i), characters, names[i]) ||
-            contains((const char(*)[RsModel_NAME_BYTES])names, i, names[i])) {
-            return false;
-        }
-    }
-    *count = size;
-    return true;
-}
-
 static int
 decode_lists(const json_t *item, struct rs_model_assignment *slice)
 {
-    if (!decode_names(json_object_get(item, "s"), NAME_CHARACTERS,
-                      slice->succession, RsModel_MAX_SUCCESSION,
-                      &slice->succession_count)) {
+    if (!RsNames_Decode(json_object_get(item, "s"), RsNames_IsPlain,
+                        slice->succession, RsModel_MAX_SUCCESSION,
+                        &slice->succession_count)) {
         return RsAssignment_BAD_SUCCESSION;
     }
-    if (!decode_names(json_object_get(item, "f"), CELL_CHARACTERS, slice->from,
-                      RsModel_MAX_FROM, &slice->from_count)) {
+    if (!RsNames_Decode(json_object_get(item, "f"), RsNames_IsCell,
+                        slice->from, RsModel_MAX_FROM, &slice->from_count)) {
         return RsAssignment_BAD_FROM;
     }
     return 0;
@@ -181,7 +114,7 @@
         return RsAssignment_BAD_SUCCESSION;
     }
     if ((!assigned && slice->from_count > 0) ||
-        contains(slice->from, slice->from_count, slice->cell)) {
+        RsNames_Contain(slice->from, slice->from_count, slice->cell)) {
         return RsAssignment_BAD_FROM;
     }
     return 0;
@@ -200,7 +133,7 @@
     slice->epoch = (uint64_t)json_integer_value(epoch);
     const json_t *cell = json_object_get(item, "c");
     bool no_cell = json_is_string(cell) && json_string_length(cell) == 0;
-    if (!no_cell && !decode_name(cell, CELL_CHARACTERS, slice->cell)) {
+    if (!no_cell && !RsNames_DecodeOne(cell, RsNames_IsCell, slice->cell)) {
         return RsAssignment_BAD_CELL;
     }
     int status = decode_lists(item, slice);
@@ -235,21 +168,6 @@
     return 0;
 }
 
-static bool
-same_names(const char (*a)[RsModel_NAME_BYTES], size_t a_count,
-           const char (*b)[RsModel_NAME_BYTES], size_t b_count)
-{
-    if (a_count != b_count) {
-        return false;
-    }
-    for (size_t i = 0; i < a_count; i++) {
-        if (strcmp(a[i], b[i]) != 0) {
-            return false;
-        }
-    }
-    return true;
-}
-
 /* Whether two assignments are the same in every respect. */
 bool
 RsAssignment_Equal(const struct rs_model_assignment *a,
@@ -257,9 +175,9 @@
 {
     return a->slice == b->slice && a->epoch == b->epoch &&
            strcmp(a->cell, b->cell) == 0 &&
-           same_names(a->succession, a->succession_count, b->succession,
-                      b->succession_count) &&
-           same_names(a->from, a->from_count, b->from, b->from_count);
+           RsNames_Equal(a->succession, a->succession_count, b->succession,
+                         b->succession_count) &&
+           RsNames_Equal(a->from, a->from_count, b->from, b->from_count);
 }
 
 /* Returns the position of a target in the succession, or -1. */
--- /dev/null
+++ b/place/roster_test.c
@@ -0,0 +1,453 @@
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/id.h"
+#include "place/cell_name.h"
+#include "place/roster.h"
+#include "place/speaker.h"
+
+#define GONE_AFTER_MS 1000
+#define SILENT_AFTER_MS 300
+#define REPLACE_AFTER_MS 5000
+#define MAX_VMS 20
+
+static struct rs_roster_vm vms[MAX_VMS];
+static struct rs_roster_row rows[RsRoster_MAX_CELLS];
+static struct rs_roster_options options;
+
+static void
+open_domain(void)
+{
+    memset(vms, 0, sizeof(vms));
+    memset(rows, 0, sizeof(rows));
+    options = (struct rs_roster_options){
+        .domain = "d",
+        .vms = vms,
+        .rows = rows,
+        .gone_after_ms = GONE_AFTER_MS,
+        .silent_after_ms = SILENT_AFTER_MS,
+        .replace_after_ms = REPLACE_AFTER_MS,
+    };
+}
+
+static void
+add_vms(size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        struct rs_roster_vm *vm = &vms[options.vm_count++];
+        snprintf(vm->name, sizeof(vm->name), "vm%02zu", options.vm_count);
+        vm->heard_at_ms = options.now_ms;
+    }
+}
+
+static void
+wait_ms(int64_t duration_ms)
+{
+    options.now_ms += duration_ms;
+    for (size_t i = 0; i < options.vm_count; i++) {
+        vms[i].heard_at_ms = options.now_ms;
+    }
+}
+
+static void
+lose_vm(size_t index)
+{
+    vms[index].state = RsRoster_GONE;
+    vms[index].gone_at_ms = options.now_ms;
+}
+
+/* Applies one change of a cell, if there is one. */
+static bool
+step(uint32_t number)
+{
+    struct rs_roster_row next;
+    if (!RsRoster_Next(&options, number, &next)) {
+        return false;
+    }
+    CU_ASSERT_EQUAL(next.version, rows[number].version + 1);
+    rows[number] = next;
+    options.row_count += number == options.row_count ? 1 : 0;
+    return true;
+}
+
+static void
+acknowledge_all(void)
+{
+    for (size_t i = 0; i < options.vm_count; i++) {
+        bool up = vms[i].state != RsRoster_GONE;
+        vms[i].acknowledged = up ? 1000 : vms[i].acknowledged;
+    }
+}
+
+/* Lets all VMs that are up acknowledge until no cell changes. */
+static void
+run(void)
+{
+    acknowledge_all();
+    size_t quiet = 0;
+    for (uint32_t i = 0; quiet <= options.row_count && i < 1000; i++) {
+        bool changed = step(i % (uint32_t)(options.row_count + 1));
+        quiet = changed ? 0 : quiet + 1;
+    }
+    CU_ASSERT(quiet > options.row_count);
+}
+
+static void
+test_first_row_has_the_live_vms(void)
+{
+    CU_ASSERT(!step(0));
+    add_vms(4);
+    vms[1].state = RsRoster_LEAVING;
+    vms[2].heard_at_ms = INT64_MIN;
+    CU_ASSERT(!step(1));
+    CU_ASSERT(step(0));
+    CU_ASSERT_STRING_EQUAL(rows[0].cell, "d/0");
+    CU_ASSERT_STRING_EQUAL(rows[0].domain, "d");
+    CU_ASSERT_EQUAL(rows[0].member_count, 3);
+    CU_ASSERT_STRING_EQUAL(rows[0].members[0], "vm01");
+    CU_ASSERT_STRING_EQUAL(rows[0].members[1], "vm03");
+    CU_ASSERT_STRING_EQUAL(rows[0].members[2], "vm04");
+    CU_ASSERT_EQUAL(rows[0].former_count, 0);
+}
+
+static void
+test_change_ends_when_most_former_members_know(void)
+{
+    add_vms(3);
+    step(0);
+    add_vms(1);
+    CU_ASSERT(step(0));
+    CU_ASSERT_EQUAL(rows[0].member_count, 4);
+    CU_ASSERT_EQUAL(rows[0].former_count, 3);
+    vms[0].acknowledged = 2;
+    vms[1].acknowledged = 1;
+    vms[3].acknowledged = 2;
+    add_vms(1);
+    CU_ASSERT(!step(0));
+    vms[1].acknowledged = 2;
+    CU_ASSERT(step(0));
+    CU_ASSERT_EQUAL(rows[0].former_count, 0);
+    CU_ASSERT_EQUAL(rows[0].member_count, 4);
+    CU_ASSERT(step(0));
+    CU_ASSERT_EQUAL(rows[0].member_count, 5);
+}
+
+static void
+test_former_that_are_gone_long_enough_need_no_word(void)
+{
+    add_vms(3);
+    step(0);
+    lose_vm(0);
+    lose_vm(1);
+    CU_ASSERT(step(0));
+    CU_ASSERT_EQUAL(rows[0].member_count, 1);
+    CU_ASSERT_EQUAL(rows[0].former_count, 3);
+    wait_ms(GONE_AFTER_MS - 1);
+    CU_ASSERT(!step(0));
+    wait_ms(1);
+    CU_ASSERT(step(0));
+    CU_ASSERT_EQUAL(rows[0].former_count, 0);
+}
+
+static void
+test_change_after_a_long_loss_has_no_former(void)
+{
+    add_vms(3);
+    step(0);
+    lose_vm(0);
+    lose_vm(1);
+    wait_ms(GONE_AFTER_MS);
+    CU_ASSERT(step(0));
+    CU_ASSERT_EQUAL(rows[0].former_count, 0);
+}
+
+static void
+test_member_of_unknown_fate_is_waited_for(void)
+{
+    add_vms(3);
+    step(0);
+    strcpy(vms[0].name, "vm08");
+    strcpy(vms[1].name, "vm09");
+    CU_ASSERT(step(0));
+    wait_ms(10 * GONE_AFTER_MS);
+    CU_ASSERT(!step(0));
+}
+
+static void
+test_silent_member_stays_unless_replaced(void)
+{
+    add_vms(4);
+    vms[3].state = RsRoster_GONE;
+    step(0);
+    wait_ms(REPLACE_AFTER_MS);
+    vms[2].heard_at_ms = 1;
+    CU_ASSERT(!step(0));
+    vms[3].state = RsRoster_LIVE;
+    vms[3].heard_at_ms = options.now_ms - SILENT_AFTER_MS;
+    CU_ASSERT(!step(0));
+    vms[3].heard_at_ms = options.now_ms;
+    vms[1].heard_at_ms = 0;
+    vms[2].heard_at_ms = 0;
+    CU_ASSERT(step(0));
+    CU_ASSERT_EQUAL(rows[0].member_count, 3);
+    CU_ASSERT_STRING_EQUAL(rows[0].members[1], "vm02");
+    CU_ASSERT_STRING_EQUAL(rows[0].members[2], "vm04");
+}
+
+static void
+test_leaving_member_goes_but_not_the_last(void)
+{
+    add_vms(2);
+    step(0);
+    vms[0].state = RsRoster_LEAVING;
+    CU_ASSERT(step(0));
+    CU_ASSERT_EQUAL(rows[0].member_count, 1);
+    run();
+    vms[1].state = RsRoster_LEAVING;
+    CU_ASSERT(!step(0));
+}
+
+static void
+test_many_vms_form_stable_cells(void)
+{
+    add_vms(13);
+    run();
+    CU_ASSERT_EQUAL(options.row_count, 3);
+    for (size_t i = 0; i < options.row_count; i++) {
+        CU_ASSERT(rows[i].member_count >= RsRoster_MIN_MEMBERS);
+    }
+    struct rs_roster_row kept = rows[0];
+    add_vms(1);
+    run();
+    CU_ASSERT_EQUAL(memcmp(&kept, &rows[0], sizeof(kept)), 0);
+    add_vms(2);
+    run();
+    CU_ASSERT_EQUAL(options.row_count, 3);
+    CU_ASSERT_EQUAL(memcmp(&kept, &rows[0], sizeof(kept)), 0);
+}
+
+static void
+test_no_vm_is_in_two_cells(void)
+{
+    add_vms(15);
+    run();
+    for (size_t i = 0; i < 15; i++) {
+        size_t cells = 0;
+        for (size_t j = 0; j < options.row_count; j++) {
+            for (size_t k = 0; k < rows[j].member_count; k++) {
+                cells += strcmp(rows[j].members[k], vms[i].name) == 0 ? 1 : 0;
+            }
+        }
+        CU_ASSERT_EQUAL(cells, 1);
+    }
+}
+
+/* Loses the last members of a cell, which then forgets them. */
+static void
+lose_members(uint32_t number, size_t count)
+{
+    const struct rs_roster_row row = rows[number];
+    for (size_t i = 0; i < options.vm_count; i++) {
+        for (size_t j = row.member_count - count; j < row.member_count; j++) {
+            if (strcmp(row.members[j], vms[i].name) == 0) {
+                lose_vm(i);
+            }
+        }
+    }
+}
+
+static void
+test_small_cell_is_topped_up_from_the_largest(void)
+{
+    add_vms(14);
+    run();
+    lose_members(0, 1);
+    lose_members(2, 3);
+    wait_ms(GONE_AFTER_MS);
+    CU_ASSERT(step(2));
+    CU_ASSERT(step(0));
+    acknowledge_all();
+    CU_ASSERT(step(0));
+    CU_ASSERT(!step(0));
+    CU_ASSERT(step(1));
+    CU_ASSERT_EQUAL(rows[1].member_count, 4);
+    /* Until the change has ended, the VM belongs to its former cell. */
+    CU_ASSERT(!step(2));
+    run();
+    CU_ASSERT_EQUAL(rows[0].member_count, 3);
+    CU_ASSERT_EQUAL(rows[1].member_count, 4);
+    CU_ASSERT_EQUAL(rows[2].member_count, 3);
+}
+
+static void
+test_changing_cell_is_dealt_nothing(void)
+{
+    add_vms(8);
+    run();
+    lose_members(0, 3);
+    CU_ASSERT(step(0));
+    add_vms(1);
+    CU_ASSERT(step(1));
+    CU_ASSERT_EQUAL(rows[1].member_count, 4);
+}
+
+static void
+test_cell_is_gone_when_all_its_vms_are(void)
+{
+    add_vms(2);
+    run();
+    lose_vm(0);
+    wait_ms(GONE_AFTER_MS);
+    CU_ASSERT(!RsRoster_IsGone(&options, &rows[0]));
+    lose_vm(1);
+    wait_ms(GONE_AFTER_MS - 1);
+    CU_ASSERT(!RsRoster_IsGone(&options, &rows[0]));
+    wait_ms(1);
+    CU_ASSERT(RsRoster_IsGone(&options, &rows[0]));
+    add_vms(1);
+    memcpy(rows[0].former[0], vms[2].name, RsModel_NAME_BYTES);
+    rows[0].former_count = 1;
+    CU_ASSERT(!RsRoster_IsGone(&options, &rows[0]));
+}
+
+static void
+test_targets_spread_over_cells_and_stay(void)
+{
+    size_t moved = 0;
+    size_t counts[3] = {0};
+    for (uint32_t i = 0; i < 3; i++) {
+        RsCellName_Format("d", i, rows[i].cell);
+    }
+    for (size_t i = 0; i < 300; i++) {
+        char target[RsModel_NAME_BYTES];
+        snprintf(target, sizeof(target), "t%zu", i);
+        size_t two = RsRoster_CellOfTarget(target, rows, 2);
+        size_t three = RsRoster_CellOfTarget(target, rows, 3);
+        CU_ASSERT(three == two || three == 2);
+        moved += three == two ? 0 : 1;
+        counts[three]++;
+    }
+    CU_ASSERT(moved > 70 && moved < 130);
+    CU_ASSERT(counts[0] > 70 && counts[1] > 70);
+}
+
+static void
+test_speaker_changes_with_its_member_only(void)
+{
+    static const uint64_t live[] = {11, 22, 33};
+    size_t counts[3] = {0};
+    CU_ASSERT_EQUAL(RsSpeaker_OfTarget(5, live, 0), RsSpeaker_NONE);
+    for (uint64_t target = 1; target <= 300; target++) {
+        uint64_t three = RsSpeaker_OfTarget(target, live, 3);
+        uint64_t two = RsSpeaker_OfTarget(target, live, 2);
+        CU_ASSERT(three == two || three == 33);
+        counts[three / 11 - 1]++;
+    }
+    CU_ASSERT(counts[0] > 70 && counts[1] > 70 && counts[2] > 70);
+}
+
+static void
+test_front_guesses_the_speaker_of_the_owner(void)
+{
+    static const uint64_t live[] = {11, 22, 33};
+    struct rs_model_assignment row = {.succession = {"t1", "t2"}};
+    CU_ASSERT_EQUAL(RsSpeaker_OfSlice(&row, 0, live, 3), RsSpeaker_NONE);
+    row.succession_count = 2;
+    for (size_t i = 0; i < 2; i++) {
+        uint64_t target = RsId_FromName(row.succession[i]);
+        CU_ASSERT_EQUAL(RsSpeaker_OfSlice(&row, i, live, 3),
+                        RsSpeaker_OfTarget(target, live, 3));
+    }
+}
+
+static void
+test_row_round_trip(void)
+{
+    char key[RsRoster_KEY_BYTES];
+    char cell[RsModel_NAME_BYTES];
+    struct rs_roster_row row;
+    struct rs_cell_roster roster;
+    add_vms(3);
+    run();
+    add_vms(1);
+    step(0);
+    json_t *value = RsRoster_Encode(&rows[0]);
+    RsRoster_FormatKey(rows[0].cell, key);
+    CU_ASSERT_STRING_EQUAL(key, "cell/d/0");
+    CU_ASSERT_EQUAL(RsRoster_ParseKey(key, cell), 0);
+    CU_ASSERT_EQUAL(RsRoster_Decode(value, cell, &row), 0);
+    CU_ASSERT_EQUAL(memcmp(&row, &rows[0], sizeof(row)), 0);
+    CU_ASSERT_EQUAL(RsRoster_Decode(value, "e/0", &row), RsRoster_BAD_VALUE);
+    json_decref(value);
+    RsRoster_ToCell(&rows[0], &roster);
+    CU_ASSERT_EQUAL(roster.version, rows[0].version);
+    CU_ASSERT_EQUAL(roster.member_count, 4);
+    CU_ASSERT_EQUAL(roster.former_count, 3);
+    CU_ASSERT_EQUAL(roster.members[3], RsId_FromName("vm04"));
+    CU_ASSERT_EQUAL(roster.former[2], RsId_FromName("vm03"));
+}
+
+static void
+test_foreign_rows_are_refused(void)
+{
+    static const char *const keys[] = {"cell/",    "cell/d",     "cell//0",
+                                       "cell/d/",  "cell/d/00",  "cell/d/0x",
+                                       "cell/D/0", "cell/d/100", "dell/d/0"};
+    static const struct {
+        int expected;
+        const char *value;
+    } cases[] = {
+        {RsRoster_BAD_VALUE, "[]"},
+        {RsRoster_BAD_VALUE, "{\"version\":0,\"domain\":\"d\","
+                             "\"members\":[\"a\"],\"former\":[]}"},
+        {RsRoster_BAD_VALUE, "{\"version\":1,\"domain\":\"d\",\"x\":1,"
+                             "\"members\":[\"a\"],\"former\":[]}"},
+        {RsRoster_BAD_MEMBERS, "{\"version\":1,\"domain\":\"d\","
+                               "\"members\":[],\"former\":[]}"},
+        {RsRoster_BAD_MEMBERS, "{\"version\":1,\"domain\":\"d\","
+                               "\"members\":[\"a/b\"],\"former\":[]}"},
+        {RsRoster_BAD_FORMER, "{\"version\":1,\"domain\":\"d\","
+                              "\"members\":[\"a\"],\"former\":[\"b\",\"b\"]}"},
+    };
+    char cell[RsModel_NAME_BYTES];
+    struct rs_roster_row row;
+    for (size_t i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
+        CU_ASSERT_EQUAL(RsRoster_ParseKey(keys[i], cell), RsRoster_BAD_KEY);
+    }
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        json_t *value = json_loads(cases[i].value, 0, NULL);
+        CU_ASSERT_EQUAL(RsRoster_Decode(value, "d/0", &row),
+                        cases[i].expected);
+        json_decref(value);
+    }
+}
+
+int
+main(void)
+{
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite_with_setup_and_teardown(
+        "roster", NULL, NULL, open_domain, NULL);
+    CU_ADD_TEST(suite, test_first_row_has_the_live_vms);
+    CU_ADD_TEST(suite, test_change_ends_when_most_former_members_know);
+    CU_ADD_TEST(suite, test_former_that_are_gone_long_enough_need_no_word);
+    CU_ADD_TEST(suite, test_change_after_a_long_loss_has_no_former);
+    CU_ADD_TEST(suite, test_member_of_unknown_fate_is_waited_for);
+    CU_ADD_TEST(suite, test_silent_member_stays_unless_replaced);
+    CU_ADD_TEST(suite, test_leaving_member_goes_but_not_the_last);
+    CU_ADD_TEST(suite, test_many_vms_form_stable_cells);
+    CU_ADD_TEST(suite, test_no_vm_is_in_two_cells);
+    CU_ADD_TEST(suite, test_small_cell_is_topped_up_from_the_largest);
+    CU_ADD_TEST(suite, test_changing_cell_is_dealt_nothing);
+    CU_ADD_TEST(suite, test_cell_is_gone_when_all_its_vms_are);
+    CU_ADD_TEST(suite, test_targets_spread_over_cells_and_stay);
+    CU_ADD_TEST(suite, test_speaker_changes_with_its_member_only);
+    CU_ADD_TEST(suite, test_front_guesses_the_speaker_of_the_owner);
+    CU_ADD_TEST(suite, test_row_round_trip);
+    CU_ADD_TEST(suite, test_foreign_rows_are_refused);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? 0 : 1;
+}
