--- a/control/admin.c
+++ b/control/admin.c
@@ -98,14 +98,11 @@
         return json_pack("{s:I,s:O?}", "head", (json_int_t)result->head,
                          "difference", result->difference);
     case RsSubmit_INVALID:
-        return json_pack("{s:o}", "faults",
-                         RsFaults_ToJson(result->faults));
+        return json_pack("{s:o}", "faults", RsFaults_ToJson(result->faults));
     default:
-        return json_pack("{s:s,s:s}", "error", "platform-unavailable",
-                         "outcome",
-                         result->outcome == RsSubmit_UNKNOWN
-                             ? "unknown"
-                             : "not-accepted");
+        return json_pack(
+            "{s:s,s:s}", "error", "platform-unavailable", "outcome",
+            result->outcome == RsSubmit_UNKNOWN ? "unknown" : "not-accepted");
     }
 }
 
@@ -173,11 +170,10 @@
     }
     else {
         bool absent = status == STATUS_NOT_FOUND;
-        reply_pending(pending,
-                      absent ? STATUS_NOT_FOUND : STATUS_UNAVAILABLE,
-                      json_pack("{s:s}", "error",
-                                absent ? "no-such-ticket"
-                                       : "platform-unavailable"));
+        reply_pending(
+            pending, absent ? STATUS_NOT_FOUND : STATUS_UNAVAILABLE,
+            json_pack("{s:s}", "error",
+                      absent ? "no-such-ticket" : "platform-unavailable"));
     }
 }
 
@@ -206,8 +202,7 @@
     {
         json_array_append(tickets, json_object_get(row, "value"));
     }
-    reply_pending(pending, STATUS_OK,
-                  json_pack("{s:o}", "tickets", tickets));
+    reply_pending(pending, STATUS_OK, json_pack("{s:o}", "tickets", tickets));
 }
 
 static uint64_t
--- a/control/admin_report.c
+++ b/control/admin_report.c
@@ -53,17 +53,16 @@
     RsId_Format(control->options.incarnation, incarnation);
     return json_pack(
         "{s:s,s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:b,s:i,s:I,s:o}", "name",
-        control->settings->name, "version", RATTANSHED_VERSION,
-        "incarnation", incarnation, "region", control->settings->region,
-        "domain", control->settings->domain, "cell",
-        cell != NULL ? cell->name : "", "applied_ticket",
-        (json_int_t)applied_ticket(control), "applied_revision",
+        control->settings->name, "version", RATTANSHED_VERSION, "incarnation",
+        incarnation, "region", control->settings->region, "domain",
+        control->settings->domain, "cell", cell != NULL ? cell->name : "",
+        "applied_ticket", (json_int_t)applied_ticket(control),
+        "applied_revision",
         (json_int_t)RsMirror_Revision(RsFeed_Mirror(control->feed)),
         "platform_answers", RsFeed_PlatformAnswers(control->feed, now_ms),
         "table_was_read", RsFeed_TableWasRead(control->feed), "leaving",
-        control->leaving, "held_slices",
-        (int)RsLeases_Held(control->leases), "up_ms",
-        (json_int_t)(now_ms - control->started_at_ms), "members",
+        control->leaving, "held_slices", (int)RsLeases_Held(control->leases),
+        "up_ms", (json_int_t)(now_ms - control->started_at_ms), "members",
         members_json(control, now_ms));
 }
 
@@ -77,8 +76,7 @@
     json_t *behind = json_array();
     json_t *unreachable = json_array();
     const struct rs_view_vm *vms = NULL;
-    size_t count = control->view != NULL ? RsView_Vms(control->view, &vms)
-                                         : 0;
+    size_t count = control->view != NULL ? RsView_Vms(control->view, &vms) : 0;
     for (size_t i = 0; i < count; i++) {
         if (!vms[i].is_entry) {
             continue;
@@ -88,14 +86,12 @@
             RsMembers_Find(control->members, name);
         bool self = strcmp(name, control->settings->name) == 0;
         bool heard = self || (member != NULL &&
-                              now_ms - member->heard_at_ms <
-                                  HEARD_WITHIN_MS);
+                              now_ms - member->heard_at_ms < HEARD_WITHIN_MS);
         uint64_t has = self             ? applied_ticket(control)
                        : member != NULL ? member->applied_ticket
                                         : 0;
         json_t *list = has >= number ? applied : behind;
-        json_array_append_new(heard ? list : unreachable,
-                              json_string(name));
+        json_array_append_new(heard ? list : unreachable, json_string(name));
     }
     bool in_force = count > 0 && json_array_size(behind) == 0 &&
                     json_array_size(unreachable) == 0;
@@ -109,8 +105,7 @@
 {
     json_t *list = json_array();
     for (size_t i = 0; i < assignment->succession_count; i++) {
-        json_array_append_new(list,
-                              json_string(assignment->succession[i]));
+        json_array_append_new(list, json_string(assignment->succession[i]));
     }
     return list;
 }
@@ -145,9 +140,9 @@
 {
     char id[RsId_TEXT_BYTES];
     const struct rs_model_rule *rule =
-        control->config != NULL ? RsConfig_RuleOfKey(control->config, service,
-                                                     key, strlen(key))
-                                : NULL;
+        control->config != NULL
+            ? RsConfig_RuleOfKey(control->config, service, key, strlen(key))
+            : NULL;
     if (rule == NULL) {
         return NULL;
     }
@@ -158,14 +153,12 @@
     RsId_Format(slice, id);
     json_t *owner =
         json_pack("{s:s,s:s,s:s,s:I,s:s}", "service", service, "key", key,
-                  "rule", rule->name, "index", (json_int_t)index, "slice",
-                  id);
+                  "rule", rule->name, "index", (json_int_t)index, "slice", id);
     if (assignment != NULL) {
         json_object_set_new(owner, "epoch",
                             json_integer((json_int_t)assignment->epoch));
         json_object_set_new(owner, "cell", json_string(assignment->cell));
-        json_object_set_new(owner, "succession",
-                            succession_json(assignment));
+        json_object_set_new(owner, "succession", succession_json(assignment));
         add_holder(control, slice, owner);
     }
     return owner;
@@ -176,13 +169,11 @@
 RsControlReport_Dump(const struct rs_control *control)
 {
     json_t *dump = RsControlReport_Status(control);
-    json_object_set_new(
-        dump, "leases",
-        RsLeases_Dump(control->leases, RsClock_NowMs()));
-    json_object_set_new(
-        dump, "mirror_rows",
-        json_integer((json_int_t)RsMirror_RowCount(
-            RsFeed_Mirror(control->feed))));
+    json_object_set_new(dump, "leases",
+                        RsLeases_Dump(control->leases, RsClock_NowMs()));
+    json_object_set_new(dump, "mirror_rows",
+                        json_integer((json_int_t)RsMirror_RowCount(
+                            RsFeed_Mirror(control->feed))));
     return dump;
 }
 
@@ -268,8 +259,7 @@
 static void
 print_control(struct rs_text *text, const struct rs_control *control)
 {
-    const struct rs_lease_counters *l =
-        RsLeases_Counters(control->leases);
+    const struct rs_lease_counters *l = RsLeases_Counters(control->leases);
     const struct rs_planning_counters *p =
         RsPlanning_Counters(control->planning);
     const struct metric metrics[] = {
@@ -283,25 +273,24 @@
         {"rattanshed_owner_changes_total",
          "Slices that this process gave to another target.", "counter",
          &l->owner_changes},
-        {"rattanshed_seals_total", "Former cells asked to give up.",
-         "counter", &l->seals},
-        {"rattanshed_planning_rounds_total", "Rounds of planning.",
-         "counter", &p->rounds},
+        {"rattanshed_seals_total", "Former cells asked to give up.", "counter",
+         &l->seals},
+        {"rattanshed_planning_rounds_total", "Rounds of planning.", "counter",
+         &p->rounds},
         {"rattanshed_planning_us_total", "Time spent planning.", "counter",
          &p->round_us},
         {"rattanshed_planning_commits_total", "Rows committed.", "counter",
          &p->commits},
         {"rattanshed_planning_conflicts_total",
-         "Commits that another process was before.", "counter",
-         &p->conflicts},
+         "Commits that another process was before.", "counter", &p->conflicts},
         {"rattanshed_planned_moves_total", "Owners changed by plans.",
          "counter", &p->moves},
         {"rattanshed_heartbeats_total", "Heartbeats sent.", "counter",
          &control->heartbeats_sent},
         {"rattanshed_snapshots_total", "Routing snapshots made.", "counter",
          &control->snapshots},
-        {"rattanshed_snapshot_us_total", "Time spent on snapshots.",
-         "counter", &control->snapshot_us},
+        {"rattanshed_snapshot_us_total", "Time spent on snapshots.", "counter",
+         &control->snapshot_us},
         {"rattanshed_platform_calls_total", "Calls to the platform.",
          "counter", &control->platform->calls},
         {"rattanshed_platform_failures_total",
@@ -322,8 +311,7 @@
 
 /* Prints all metrics in the Prometheus text format. */
 void
-RsControlReport_Metrics(const struct rs_control *control,
-                        struct rs_text *text)
+RsControlReport_Metrics(const struct rs_control *control, struct rs_text *text)
 {
     struct rs_link_totals totals = RsLink_Totals();
     print_front(text, control->options.front_counters);
--- a/control/control_task.c
+++ b/control/control_task.c
@@ -326,8 +326,8 @@
     control->options = *options;
     control->settings = options->settings;
     control->random = g_rand_new_with_seed((guint32)options->incarnation);
-    control->dumps = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-                                           g_free, NULL);
+    control->dumps =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     control->started_at_ms = RsClock_NowMs();
     *out = control;
     int status = open_platform(control);
--- a/control/feed.c
+++ b/control/feed.c
@@ -133,8 +133,7 @@
     if (!feed->reading_vms && now_ms >= feed->vms_at_ms) {
         feed->vms_at_ms = now_ms + VMS_EVERY_MS;
         feed->reading_vms = true;
-        RsPlatform_ListVms(feed->options.platform, feed->domain, on_vms,
-                           feed);
+        RsPlatform_ListVms(feed->options.platform, feed->domain, on_vms, feed);
     }
 }
 
--- a/control/heartbeat.c
+++ b/control/heartbeat.c
@@ -20,8 +20,7 @@
     entry->domain = control->settings->domain;
     entry->incarnation = control->options.incarnation;
     entry->applied_ticket =
-        control->config != NULL ? RsConfig_AppliedTicket(control->config)
-                                : 0;
+        control->config != NULL ? RsConfig_AppliedTicket(control->config) : 0;
     entry->applied_revision = RsMirror_Revision(RsFeed_Mirror(control->feed));
     entry->cell_version = cell != NULL ? cell->version : 0;
     entry->leaving = control->leaving;
@@ -39,8 +38,8 @@
     entry->applied_revision = member->applied_revision;
     entry->cell_version = member->cell_version;
     entry->leaving = member->leaving;
-    entry->age_ms = (uint32_t)CLAMP(now_ms - member->heard_at_ms, 0,
-                                    (int64_t)UINT32_MAX);
+    entry->age_ms =
+        (uint32_t)CLAMP(now_ms - member->heard_at_ms, 0, (int64_t)UINT32_MAX);
 }
 
 static void
@@ -172,8 +171,7 @@
         !RsFeed_WantsFrom(control->feed, now_ms, revision, &after)) {
         return;
     }
-    Rs__Member__ChangesRequest request =
-        RS__MEMBER__CHANGES_REQUEST__INIT;
+    Rs__Member__ChangesRequest request = RS__MEMBER__CHANGES_REQUEST__INIT;
     Rs__Wire__Peer message = RS__WIRE__PEER__INIT;
     request.after = after;
     message.message_case = RS__WIRE__PEER__MESSAGE_CHANGES_REQUEST;
@@ -187,16 +185,14 @@
                         const Rs__Member__Heartbeat *heartbeat)
 {
     int64_t now_ms = RsClock_NowMs();
-    if (heartbeat->self == NULL ||
-        strcmp(heartbeat->self->name, from) != 0) {
+    if (heartbeat->self == NULL || strcmp(heartbeat->self->name, from) != 0) {
         return;
     }
     take_entry(control, heartbeat->self, now_ms, true);
     for (size_t i = 0; i < heartbeat->n_others; i++) {
         take_entry(control, heartbeat->others[i], now_ms, false);
     }
-    ask_for_changes(control, from, heartbeat->self->applied_revision,
-                    now_ms);
+    ask_for_changes(control, from, heartbeat->self->applied_revision, now_ms);
 }
 
 /* The live members of the cell with the lowest names read the platform for
--- a/control/leases.c
+++ b/control/leases.c
@@ -9,7 +9,7 @@
 
 #define SCAN_EVERY_MS 50
 #define PUBLISH_EVERY_MS 100
-#define STEADY_MS 3000       /* a member speaks so long before it gets slices */
+#define STEADY_MS 3000 /* a member speaks so long before it gets slices */
 #define REBALANCE_EVERY_MS 500
 #define US_PER_S 1000000
 
@@ -18,14 +18,14 @@
     uint64_t slice;
     bool held;
     bool stopping;
-    bool wanted;              /* a later epoch's claimant asks for it */
-    uint64_t epoch;           /* of the claim that is held or under way */
+    bool wanted;    /* a later epoch's claimant asks for it */
+    uint64_t epoch; /* of the claim that is held or under way */
     uint32_t step;
     uint32_t position;
     char target[RsModel_NAME_BYTES];
     char last_target[RsModel_NAME_BYTES]; /* owner before */
-    int64_t retry_at_ms;      /* no claim before */
-    uint64_t sealing_epoch;   /* of the row whose former cells are asked */
+    int64_t retry_at_ms;                  /* no claim before */
+    uint64_t sealing_epoch; /* of the row whose former cells are asked */
     uint32_t seals_out;
     bool sealed;
 };
@@ -37,9 +37,9 @@
     struct rs_cell *cell;
     char cell_name[RsModel_NAME_BYTES]; /* empty: in none yet */
     struct rs_view *view;
-    GHashTable *slices;  /* id to slice_state, owned */
-    GHashTable *lost;    /* set of target names */
-    GHashTable *names;   /* member id to name */
+    GHashTable *slices; /* id to slice_state, owned */
+    GHashTable *lost;   /* set of target names */
+    GHashTable *names;  /* member id to name */
     struct rs_lease_counters counters;
     bool leaving;
     bool dirty; /* the table of leases is to be published */
@@ -126,8 +126,7 @@
     const struct rs_view_cell *cells;
     size_t count = RsView_Cells(view, &cells);
     for (size_t i = 0; i < count; i++) {
-        if (has_name(cells[i].members, cells[i].member_count,
-                     leases->self) ||
+        if (has_name(cells[i].members, cells[i].member_count, leases->self) ||
             has_name(cells[i].former, cells[i].former_count, leases->self)) {
             return &cells[i];
         }
@@ -153,8 +152,7 @@
 static struct slice_state *
 find_or_add(struct rs_leases *leases, uint64_t slice)
 {
-    struct slice_state *state =
-        g_hash_table_lookup(leases->slices, &slice);
+    struct slice_state *state = g_hash_table_lookup(leases->slices, &slice);
     if (state == NULL) {
         state = g_new0(struct slice_state, 1);
         state->slice = slice;
@@ -180,8 +178,7 @@
         if (assignment->epoch == 0) {
             continue;
         }
-        RsCell_LearnEpoch(leases->cell, assignment->slice,
-                          assignment->epoch);
+        RsCell_LearnEpoch(leases->cell, assignment->slice, assignment->epoch);
         if (is_ours(leases, assignment)) {
             find_or_add(leases, assignment->slice);
         }
@@ -311,8 +308,7 @@
 
 /* Where the next holder is to go on when this one gives the slice back. */
 static uint32_t
-position_after(const struct rs_leases *leases,
-               const struct slice_state *state)
+position_after(const struct rs_leases *leases, const struct slice_state *state)
 {
     const struct rs_model_assignment *assignment =
         RsView_Assignment(leases->view, state->slice);
@@ -330,8 +326,7 @@
     uint32_t next = position_after(leases, state);
     const struct rs_model_assignment *assignment =
         RsView_Assignment(leases->view, state->slice);
-    bool same_epoch =
-        assignment != NULL && assignment->epoch == state->epoch;
+    bool same_epoch = assignment != NULL && assignment->epoch == state->epoch;
     if (same_epoch && next == state->position) {
         return; /* all are lost: keep it, and wait for one to come back */
     }
@@ -367,8 +362,7 @@
     for (size_t i = 0; i < assignment->from_count; i++) {
         const struct rs_view_cell *former =
             RsView_Cell(leases->view, assignment->from[i]);
-        if (former == NULL ||
-            strcmp(former->name, leases->cell_name) == 0) {
+        if (former == NULL || strcmp(former->name, leases->cell_name) == 0) {
             continue;
         }
         struct rs_cell_roster roster;
@@ -428,8 +422,7 @@
         now_ms < state->retry_at_ms) {
         return;
     }
-    bool known =
-        RsCell_Look(leases->cell, now_ms, state->slice, &look);
+    bool known = RsCell_Look(leases->cell, now_ms, state->slice, &look);
     if (known && held_by_other(leases, assignment, &look, now_ms)) {
         return;
     }
@@ -437,8 +430,8 @@
                         ? look.claim.position
                         : 0;
     uint32_t position = usable_position(leases, assignment, from);
-    const char *speaker = speaker_of(
-        leases, cell, assignment->succession[position], now_ms);
+    const char *speaker =
+        speaker_of(leases, cell, assignment->succession[position], now_ms);
     if (speaker != NULL && strcmp(speaker, leases->self) == 0) {
         claim(leases, state, assignment, position, now_ms);
     }
@@ -613,8 +606,8 @@
     struct rs_cell_claim claim;
     struct rs_cell_view look;
     lease->slice = state->slice;
-    if (state->held && RsCell_Holds(leases->cell, now_ms, state->slice,
-                                    &claim, &lease->until_ms)) {
+    if (state->held && RsCell_Holds(leases->cell, now_ms, state->slice, &claim,
+                                    &lease->until_ms)) {
         lease->mine = true;
         lease->stopping = state->stopping;
         lease->epoch = claim.fence.epoch;
@@ -681,8 +674,7 @@
 
 /* A target is lost, and nothing can run there any more; or it is back. */
 void
-RsLeases_TargetChanged(struct rs_leases *leases, const char *target,
-                       bool lost)
+RsLeases_TargetChanged(struct rs_leases *leases, const char *target, bool lost)
 {
     if (lost) {
         g_hash_table_add(leases->lost, g_strdup(target));
@@ -695,8 +687,8 @@
 
 /* Nothing of a stopping slice waits or runs any more: give it back. */
 void
-RsLeases_SliceDrained(struct rs_leases *leases, int64_t now_ms,
-                      uint64_t slice, uint64_t epoch, uint32_t step)
+RsLeases_SliceDrained(struct rs_leases *leases, int64_t now_ms, uint64_t slice,
+                      uint64_t epoch, uint32_t step)
 {
     struct slice_state *state = g_hash_table_lookup(leases->slices, &slice);
     if (state != NULL && state->held && state->stopping &&
@@ -778,13 +770,12 @@
     RsId_Format(state->slice, id);
     RsCell_Look(leases->cell, now_ms, state->slice, &look);
     const char *holder = name_of(leases, look.holder);
-    return json_pack("{s:s,s:b,s:b,s:I,s:I,s:I,s:s,s:s}", "slice", id,
-                     "held", state->held, "stopping", state->stopping,
-                     "epoch", (json_int_t)look.claim.fence.epoch, "step",
+    return json_pack("{s:s,s:b,s:b,s:I,s:I,s:I,s:s,s:s}", "slice", id, "held",
+                     state->held, "stopping", state->stopping, "epoch",
+                     (json_int_t)look.claim.fence.epoch, "step",
                      (json_int_t)look.claim.fence.step, "position",
-                     (json_int_t)look.claim.position, "target",
-                     state->target, "holder",
-                     holder != NULL ? holder : "");
+                     (json_int_t)look.claim.position, "target", state->target,
+                     "holder", holder != NULL ? holder : "");
 }
 
 /* Returns the state as a new JSON object. */
--- a/control/leases.h
+++ b/control/leases.h
@@ -68,8 +68,7 @@
 bool RsLeases_ChangeDone(const struct rs_leases *leases, int64_t now_ms);
 bool RsLeases_Look(const struct rs_leases *leases, int64_t now_ms,
                    uint64_t slice, struct rs_cell_view *view);
-bool RsLeases_TargetIsLost(const struct rs_leases *leases,
-                           const char *target);
+bool RsLeases_TargetIsLost(const struct rs_leases *leases, const char *target);
 size_t RsLeases_Held(const struct rs_leases *leases);
 const struct rs_lease_counters *
 RsLeases_Counters(const struct rs_leases *leases);
--- a/control/planning.c
+++ b/control/planning.c
@@ -54,8 +54,7 @@
 static void
 commit(struct rs_planning *planning, json_t *conditions, json_t *puts)
 {
-    json_t *body =
-        json_pack("{s:o,s:o}", "if", conditions, "put", puts);
+    json_t *body = json_pack("{s:o,s:o}", "if", conditions, "put", puts);
     planning->writing = true;
     RsPlatform_Commit(planning->options.platform, body, on_commit, planning);
     json_decref(body);
@@ -65,17 +64,17 @@
 add_row(json_t *conditions, json_t *puts, const char *key, uint64_t version,
         json_t *value)
 {
-    json_array_append_new(conditions,
-                          json_pack("{s:s,s:I}", "key", key, "version",
-                                    (json_int_t)version));
     json_array_append_new(
-        puts, json_pack("{s:s,s:o}", "key", key, "value", value));
+        conditions,
+        json_pack("{s:s,s:I}", "key", key, "version", (json_int_t)version));
+    json_array_append_new(puts,
+                          json_pack("{s:s,s:o}", "key", key, "value", value));
 }
 
 /* The live member with the lowest name plans for its cell. */
 static bool
-is_planner(const struct rs_planning *planning,
-           const struct rs_view_cell *cell, int64_t now_ms)
+is_planner(const struct rs_planning *planning, const struct rs_view_cell *cell,
+           int64_t now_ms)
 {
     for (size_t i = 0; i < cell->member_count; i++) {
         const char *name = cell->members[i];
@@ -119,8 +118,7 @@
         const struct rs_model_place *place =
             RsConfig_Place(RsView_Config(view), rule->places[i]);
         for (size_t j = 0; place != NULL && j < place->target_count; j++) {
-            add_target(targets, planning, view, place,
-                       place->targets[j].name);
+            add_target(targets, planning, view, place, place->targets[j].name);
         }
     }
     return targets;
@@ -154,8 +152,8 @@
     for (uint32_t i = 0; i < rule->slices; i++) {
         const struct rs_model_assignment *assignment = &rule->assignments[i];
         struct rs_cell_view look;
-        if (RsLeases_Look(planning->options.leases, now_ms,
-                          assignment->slice, &look) &&
+        if (RsLeases_Look(planning->options.leases, now_ms, assignment->slice,
+                          &look) &&
             look.claim.fence.epoch == assignment->epoch &&
             look.claim.position < assignment->succession_count) {
             positions[i] = (uint8_t)look.claim.position;
@@ -166,8 +164,7 @@
 
 /* Writes each chunk of slices that has a change. */
 static size_t
-add_changes(json_t *conditions, json_t *puts,
-            const struct rs_view_rule *rule,
+add_changes(json_t *conditions, json_t *puts, const struct rs_view_rule *rule,
             const struct rs_model_assignment *changes, size_t count)
 {
     size_t rows = 0;
--- a/control/planning.h
+++ b/control/planning.h
@@ -36,8 +36,7 @@
     void *arg;
 };
 
-struct rs_planning *
-RsPlanning_New(const struct rs_planning_options *options);
+struct rs_planning *RsPlanning_New(const struct rs_planning_options *options);
 
 /* The view is valid during the call. */
 void RsPlanning_Tick(struct rs_planning *planning, int64_t now_ms,
--- a/control/state.h
+++ b/control/state.h
@@ -25,14 +25,14 @@
     struct rs_planning *planning;
     struct rs_peers *peers;
     struct rs_server *admin;
-    struct rs_config *config;  /* NULL until the first snapshot */
-    struct rs_view *view;      /* NULL until the first snapshot */
-    GHashTable *dumps;         /* token to a pending dump */
+    struct rs_config *config; /* NULL until the first snapshot */
+    struct rs_view *view;     /* NULL until the first snapshot */
+    GHashTable *dumps;        /* token to a pending dump */
     uint64_t next_dump;
     bool snapshot_due;
     bool leaving;
     bool data_idle;
-    int64_t leave_by_ms;       /* end of the grace; 0: not leaving */
+    int64_t leave_by_ms; /* end of the grace; 0: not leaving */
     int64_t idle_from_ms;
     int64_t heartbeat_at_ms;
     int64_t gossip_at_ms;
--- a/control/submission.c
+++ b/control/submission.c
@@ -12,7 +12,7 @@
     struct rs_submission_options options;
     struct rs_submit *submit;
     uv_timer_t timer;
-    uint32_t call;  /* that was carried out last */
+    uint32_t call; /* that was carried out last */
     bool began;
     uint32_t asked; /* calls to the platform that are out */
     bool ended;
@@ -23,8 +23,7 @@
     uint32_t call;
 };
 
-static void act(struct submission *submission,
-                struct rs_submit_action action);
+static void act(struct submission *submission, struct rs_submit_action action);
 
 static void
 on_timer_closed(uv_handle_t *handle)
@@ -68,18 +67,17 @@
         return;
     }
     bool sent = status != RsPlatform_UNREACHABLE && status != RsPlatform_BUSY;
-    act(submission,
-        RsSubmit_OnLost(submission->submit, call, sent,
-                        newest_config(submission), now_ms));
+    act(submission, RsSubmit_OnLost(submission->submit, call, sent,
+                                    newest_config(submission), now_ms));
 }
 
 static void
 on_timer(uv_timer_t *timer)
 {
     struct submission *submission = timer->data;
-    act(submission, RsSubmit_OnTimer(submission->submit,
-                                     newest_config(submission),
-                                     RsClock_NowMs()));
+    act(submission,
+        RsSubmit_OnTimer(submission->submit, newest_config(submission),
+                         RsClock_NowMs()));
 }
 
 static struct asked_call *
@@ -144,6 +142,6 @@
     submission->submit = RsSubmit_New(&submit);
     uv_timer_init(options->loop, &submission->timer);
     submission->timer.data = submission;
-    act(submission, RsSubmit_Start(submission->submit,
-                                   newest_config(submission), now_ms));
+    act(submission,
+        RsSubmit_Start(submission->submit, newest_config(submission), now_ms));
 }
--- a/dispatch/task_messages.h
+++ b/dispatch/task_messages.h
@@ -46,7 +46,7 @@
     RsTask_TARGET_LOST,   /* rs_task_target: nothing can run there any more */
     RsTask_TARGET_UP,     /* rs_task_target */
     RsTask_SLICE_DRAINED, /* rs_task_slice */
-    RsTask_SLICE_STALE,  /* rs_task_slice: the target knows a higher fence */
+    RsTask_SLICE_STALE,   /* rs_task_slice: the target knows a higher fence */
     RsTask_LOADS,         /* rs_task_loads */
     RsTask_DUMPED,        /* rs_task_dump */
     RsTask_IDLE           /* rs_message: after LEAVE, nothing is left */
--- a/front/attempt.c
+++ b/front/attempt.c
@@ -151,6 +151,15 @@
     }
 }
 
+static void
+set_target(Rs__Relay__Forward *forward, const char *name)
+{
+    if (forward->target != protobuf_c_empty_string) {
+        free(forward->target);
+    }
+    forward->target = strdup(name);
+}
+
 /* Chooses a target for a request without a key. Returns the process that
  * speaks for it, or NULL. */
 static const char *
@@ -159,16 +168,15 @@
 {
     struct rs_front *front = request->front;
     const struct rs_config *config = RsView_Config(front->view);
-    const struct rs_model_rule *rule =
-        RsConfig_Rule(config, request->forward->rule);
     const struct rs_model_service *service =
         RsConfig_Service(config, request->service);
     struct candidates candidates;
     candidates.count = 0;
-    for (size_t i = 0; rule != NULL && i < rule->place_count; i++) {
+    size_t places = RsConfig_Count(config, RsObject_PLACE);
+    for (size_t i = 0; service != NULL && i < places; i++) {
         const struct rs_model_place *place =
-            RsConfig_Place(config, rule->places[i]);
-        if (place != NULL && service != NULL) {
+            &RsConfig_At(config, RsObject_PLACE, i)->object.as.place;
+        if (strcmp(place->service, service->name) == 0) {
             add_place(&candidates, front, place,
                       service->slots + service->window, now_ms);
         }
@@ -185,8 +193,7 @@
         return NULL;
     }
     attempt->target = candidates.targets[at];
-    free(request->forward->target);
-    request->forward->target = strdup(attempt->target->name);
+    set_target(request->forward, attempt->target->name);
     return candidates.processes[at];
 }
 
--- a/front/data_task.c
+++ b/front/data_task.c
@@ -8,8 +8,8 @@
 
 #define TICK_MS 5
 #define PERCENT 100.0
-#define NOTICE_MS 1000     /* the balancer is given to see that we leave */
-#define LAST_LOOK_MS 60    /* between the end of listening and the end */
+#define NOTICE_MS 1000  /* the balancer is given to see that we leave */
+#define LAST_LOOK_MS 60 /* between the end of listening and the end */
 
 struct rs_data {
     struct rs_data_options options;
@@ -205,8 +205,7 @@
         .incarnation = data->options.incarnation,
         .policies =
             {
-                .admission =
-                    RsLimit_FindPolicy(settings->policies.admission),
+                .admission = RsLimit_FindPolicy(settings->policies.admission),
                 .ramp = RsRamp_FindPolicy(settings->policies.ramp),
             },
         .ping_every_ms = settings->tunables.renew_every_ms,
@@ -284,8 +283,7 @@
 RsData_Start(struct rs_data *data, struct rs_mailbox *control)
 {
     data->control = control;
-    return uv_thread_create(&data->thread, run, data) == 0 ? 0
-                                                           : RsError_FRONT;
+    return uv_thread_create(&data->thread, run, data) == 0 ? 0 : RsError_FRONT;
 }
 
 /* Returns the task's mailbox. */
--- a/front/parse.c
+++ b/front/parse.c
@@ -218,5 +218,5 @@
     request->forward->key = key;
     fill_forward(request, service);
     request->deadline_ms = RsClock_NowMs() + timeout_ms(http, service);
-    return find_slice(front, request, reason);
+    return service->keyed ? find_slice(front, request, reason) : 0;
 }
--- a/rattanshed/main.c
+++ b/rattanshed/main.c
@@ -67,9 +67,8 @@
 static uint64_t
 new_incarnation(const struct rs_settings *settings)
 {
-    uint64_t start[] = {(uint64_t)RsClock_WallUs(),
-                        (uint64_t)RsClock_NowUs(), (uint64_t)getpid(),
-                        RsId_FromName(settings->name)};
+    uint64_t start[] = {(uint64_t)RsClock_WallUs(), (uint64_t)RsClock_NowUs(),
+                        (uint64_t)getpid(), RsId_FromName(settings->name)};
     return RsId_FromBytes(start, sizeof(start));
 }
 
@@ -116,8 +115,7 @@
                     RsLog_NUMBER("error", status));
         return EXIT_FAILED;
     }
-    RsLog_EVENT(RsLog_INFO, "started",
-                RsLog_TEXT("domain", settings->domain),
+    RsLog_EVENT(RsLog_INFO, "started", RsLog_TEXT("domain", settings->domain),
                 RsLog_NUMBER("callers_port", settings->callers.port),
                 RsLog_NUMBER("admin_port", settings->admin.port));
     uv_run(&process.loop, UV_RUN_DEFAULT);
--- a/wire/link.c
+++ b/wire/link.c
@@ -233,8 +233,8 @@
     write->data = data;
     write->write.data = write;
     uv_buf_t buffer = uv_buf_init((char *)data, (unsigned)size);
-    int status = uv_write(&write->write, (uv_stream_t *)&link->tcp, &buffer,
-                          1, on_written);
+    int status = uv_write(&write->write, (uv_stream_t *)&link->tcp, &buffer, 1,
+                          on_written);
     if (status != 0) {
         g_free(write->data);
         g_free(write);
