--- a/http/http_test.c
+++ b/http/http_test.c
@@ -17,6 +17,8 @@
     const struct rs_http_request *request;
     GString *body;
     char echoed[64];
+    int64_t length;
+    bool keep_alive;
     int status;
     int error;
     bool ended;
@@ -63,6 +65,7 @@
     struct fixture *f = arg;
     const char *id = RsHttp_FindHeader(head, "x-REQUEST-id");
     f->status = head->status;
+    f->length = head->length;
     g_strlcpy(f->echoed, id != NULL ? id : "", sizeof(f->echoed));
 }
 
@@ -90,6 +93,7 @@
 {
     struct fixture *f = arg;
     f->ended = true;
+    f->keep_alive = keep_alive;
     RsHttp_Close(f->connection);
     uv_stop(&f->loop);
 }
@@ -160,6 +164,8 @@
     CU_ASSERT_EQUAL(f.status, 200);
     CU_ASSERT_STRING_EQUAL(f.echoed, "r-17");
     CU_ASSERT_STRING_EQUAL(f.body->str, "dark red");
+    CU_ASSERT_EQUAL(f.length, 8);
+    CU_ASSERT(f.keep_alive);
     CU_ASSERT(f.ended);
 }
 
--- a/http/server.c
+++ b/http/server.c
@@ -146,6 +146,7 @@
 {
     request->res.status = status;
     request->res.reason = reason_of(status);
+    request->res.content_length = body_bytes;
     if (content_type != NULL) {
         h2o_add_header(&request->pool, &request->res.headers,
                        H2O_TOKEN_CONTENT_TYPE, NULL, content_type,
