--- a/ticket/config.h
+++ b/ticket/config.h
@@ -10,7 +10,9 @@
 
 #include "ticket/object.h"
 
-/* One row of the platform's table; a deleted row has a null value. */
+/* One row of the platform's table; a deleted row has a null value. The row
+ * `ticket/head` belongs to the rows, since a deletion leaves no ticket number
+ * behind. */
 struct rs_config_row {
     const char *key;
     uint64_t version;
--- a/ticket/config_test.c
+++ b/ticket/config_test.c
@@ -177,8 +177,8 @@
 
 #define PLACE(targets)                                                        \
     "{'ticket':1,'value':{'service':'s','domain':'d','targets':[" targets "]" \
-                                                                          "}" \
-                                                                          "}"
+    "}"                                                                       \
+    "}"
 
 static void
 test_snapshot_outlives_its_rows_and_other_references(void)
--- /dev/null
+++ b/ticket/ticket_fuzz_model.c
@@ -0,0 +1,226 @@
+#include "ticket/ticket_fuzz_model.h"
+
+#include <string.h>
+
+/* Starts an empty table. */
+void
+RsFuzzTable_Open(struct rs_fuzz_table *table)
+{
+    table->revision = 0;
+    table->rows = g_array_new(FALSE, TRUE, sizeof(struct rs_fuzz_row));
+}
+
+/* Frees the rows. */
+void
+RsFuzzTable_Close(struct rs_fuzz_table *table)
+{
+    for (guint i = 0; i < table->rows->len; i++) {
+        g_free(RsFuzzTable_At(table, i)->key);
+        json_decref(RsFuzzTable_At(table, i)->value);
+    }
+    g_array_unref(table->rows);
+}
+
+/* Returns a row by index, deleted ones among them. */
+struct rs_fuzz_row *
+RsFuzzTable_At(struct rs_fuzz_table *table, guint index)
+{
+    return &g_array_index(table->rows, struct rs_fuzz_row, index);
+}
+
+/* Returns the row, or NULL when it was never written. */
+struct rs_fuzz_row *
+RsFuzzTable_Find(struct rs_fuzz_table *table, const char *key)
+{
+    for (guint i = 0; i < table->rows->len; i++) {
+        if (strcmp(RsFuzzTable_At(table, i)->key, key) == 0) {
+            return RsFuzzTable_At(table, i);
+        }
+    }
+    return NULL;
+}
+
+static void
+put_row(struct rs_fuzz_table *table, const char *key, json_t *value)
+{
+    struct rs_fuzz_row *row = RsFuzzTable_Find(table, key);
+    if (row == NULL) {
+        struct rs_fuzz_row fresh = {.key = g_strdup(key)};
+        g_array_append_val(table->rows, fresh);
+        row = RsFuzzTable_At(table, table->rows->len - 1);
+    }
+    json_decref(row->value);
+    row->value = json_incref(value);
+    row->version = table->revision;
+}
+
+static bool
+conditions_hold(struct rs_fuzz_table *table, const json_t *body)
+{
+    const json_t *list = json_object_get(body, "if");
+    for (size_t i = 0; i < json_array_size(list); i++) {
+        const json_t *item = json_array_get(list, i);
+        struct rs_fuzz_row *row = RsFuzzTable_Find(
+            table, json_string_value(json_object_get(item, "key")));
+        uint64_t present = row == NULL ? 0 : row->version;
+        uint64_t wanted =
+            (uint64_t)json_integer_value(json_object_get(item, "version"));
+        if (present != wanted) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Carries out a commit call. Returns false when a condition fails. */
+bool
+RsFuzzTable_Commit(struct rs_fuzz_table *table, const json_t *body)
+{
+    if (!conditions_hold(table, body)) {
+        return false;
+    }
+    table->revision++;
+    const json_t *puts = json_object_get(body, "put");
+    for (size_t i = 0; i < json_array_size(puts); i++) {
+        const json_t *item = json_array_get(puts, i);
+        put_row(table, json_string_value(json_object_get(item, "key")),
+                json_object_get(item, "value"));
+    }
+    return true;
+}
+
+/* Returns a new snapshot of the present rows. */
+struct rs_config *
+RsFuzzTable_Config(struct rs_fuzz_table *table)
+{
+    guint count = table->rows->len;
+    struct rs_config_row *rows = g_new0(struct rs_config_row, count);
+    for (guint i = 0; i < count; i++) {
+        struct rs_fuzz_row *row = RsFuzzTable_At(table, i);
+        rows[i] = (struct rs_config_row){row->key, row->version, row->value};
+    }
+    struct rs_config *config = RsConfig_Build(rows, count);
+    RsFuzz_CHECK(RsConfig_BrokenRows(config) == 0);
+    g_free(rows);
+    return config;
+}
+
+/* Starts on an input, which must live as long. */
+void
+RsFuzzBytes_Open(struct rs_fuzz_bytes *bytes, const uint8_t *input,
+                 size_t input_bytes)
+{
+    bytes->input = input;
+    bytes->input_bytes = input_bytes;
+    bytes->random =
+        g_rand_new_with_seed((guint32)RsId_FromBytes(input, input_bytes));
+}
+
+/* Frees the generator. */
+void
+RsFuzzBytes_Close(struct rs_fuzz_bytes *bytes)
+{
+    g_rand_free(bytes->random);
+}
+
+/* Returns the next byte; there is always one. */
+uint8_t
+RsFuzzBytes_Take(struct rs_fuzz_bytes *bytes)
+{
+    if (bytes->input_bytes == 0) {
+        return (uint8_t)g_rand_int(bytes->random);
+    }
+    bytes->input_bytes--;
+    return *bytes->input++;
+}
+
+static json_t *
+make_value(enum rs_object_kind kind, uint8_t choice)
+{
+    static const char *const names[] = {"a", "b", "c"};
+    static const char *const states[] = {"in", "out", "lost"};
+    const char *first = names[choice % 3];
+    const char *second = names[choice / 3 % 3];
+    switch (kind) {
+    case RsObject_SERVICE:
+        return json_pack("{s:b, s:i, s:i, s:i, s:i, s:i, s:i, s:s, s:[s]}",
+                         "keyed", choice % 4 != 0, "slots", 2, "connections",
+                         110, "timeout_ms", 2000, "max_run_ms", 500, "window",
+                         choice % 3, "cold_ms", 0, "cut_off", "hand-over",
+                         "repeatable", "GET");
+    case RsObject_PLACE:
+        return json_pack("{s:s, s:s, s:[{s:s, s:b}]}", "service", first,
+                         "domain", second, "targets", "name",
+                         names[choice / 9 % 3], "checks_fences", 1);
+    case RsObject_RULE:
+        return json_pack("{s:s, s:s, s:i, s:[s]}", "service", first, "prefix",
+                         choice % 2 != 0 ? "" : "x", "slices", 1 + choice / 64,
+                         "places", second);
+    default:
+        return json_pack("{s:s, s:s}", "region", "r", "state",
+                         states[choice % 3]);
+    }
+}
+
+static void
+add_object(json_t *objects, enum rs_object_kind kind, const char *name,
+           json_t *value)
+{
+    json_array_append_new(objects, json_pack("{s:s, s:s, s:o}", "kind",
+                                             RsObject_KindName(kind), "name",
+                                             name, "value", value));
+}
+
+/* A state in which every kind has objects, for later tickets to build on. */
+static json_t *
+make_first_objects(void)
+{
+    json_t *objects = json_array();
+    add_object(objects, RsObject_SERVICE, "a",
+               make_value(RsObject_SERVICE, 1));
+    add_object(objects, RsObject_SERVICE, "b",
+               make_value(RsObject_SERVICE, 2));
+    add_object(objects, RsObject_DOMAIN, "a", make_value(RsObject_DOMAIN, 0));
+    add_object(objects, RsObject_DOMAIN, "b", make_value(RsObject_DOMAIN, 0));
+    add_object(objects, RsObject_PLACE, "a", make_value(RsObject_PLACE, 0));
+    add_object(objects, RsObject_RULE, "a", make_value(RsObject_RULE, 0));
+    return objects;
+}
+
+static json_t *
+make_objects(struct rs_fuzz_bytes *bytes)
+{
+    static const char *const names[] = {"a", "b", "c"};
+    json_t *objects = json_array();
+    for (size_t count = 1 + RsFuzzBytes_Take(bytes) % 3; count > 0; count--) {
+        uint8_t what = RsFuzzBytes_Take(bytes);
+        enum rs_object_kind kind = (enum rs_object_kind)(what % 4);
+        json_t *value = what >= 192
+                            ? json_null()
+                            : make_value(kind, RsFuzzBytes_Take(bytes));
+        add_object(objects, kind, names[what / 4 % 3], value);
+    }
+    return objects;
+}
+
+/* Returns a ticket with a number near that of the head, or NULL when what the
+ * bytes make is no ticket. */
+struct rs_ticket *
+RsFuzzBytes_Ticket(struct rs_fuzz_bytes *bytes, uint64_t head)
+{
+    static const uint8_t ahead[] = {0, 1, 1, 1, 1, 1, 1, 2};
+    uint64_t number = head + ahead[RsFuzzBytes_Take(bytes) % 8];
+    json_t *objects = head == 0 ? make_first_objects() : make_objects(bytes);
+    const char *author = RsFuzzBytes_Take(bytes) % 2 != 0 ? "a" : "b";
+    json_t *body =
+        json_pack("{s:I, s:s, s:s, s:o}", "number", (json_int_t)number,
+                  "author", author, "note", "", "objects", objects);
+    char *text = json_dumps(body, 0);
+    struct rs_faults faults = {0};
+    struct rs_ticket *ticket = NULL;
+    RsTicket_Parse(text, strlen(text), &ticket, &faults);
+    RsFaults_Free(&faults);
+    free(text);
+    json_decref(body);
+    return ticket;
+}
--- /dev/null
+++ b/ticket/ticket_fuzz_model.h
@@ -0,0 +1,58 @@
+/* What the fuzz target of submissions stands on: a model of the platform's
+ * table, and tickets made of random bytes. */
+
+#ifndef RATTANSHED_TICKET_TICKET_FUZZ_MODEL_H
+#define RATTANSHED_TICKET_TICKET_FUZZ_MODEL_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "ticket/ticket.h"
+
+/* Not assert, which an optimised build may leave out. */
+#define RsFuzz_CHECK(condition)                                               \
+    do {                                                                      \
+        if (!(condition)) {                                                   \
+            fprintf(stderr, "oracle: %s\n", #condition);                      \
+            abort();                                                          \
+        }                                                                     \
+    } while (0)
+
+struct rs_fuzz_row {
+    char *key;
+    uint64_t version;
+    json_t *value;
+};
+
+struct rs_fuzz_table {
+    uint64_t revision;
+    GArray *rows; /* of struct rs_fuzz_row */
+};
+
+/* Gives the input's bytes, then those of a generator seeded by it. */
+struct rs_fuzz_bytes {
+    const uint8_t *input;
+    size_t input_bytes;
+    GRand *random;
+};
+
+void RsFuzzTable_Open(struct rs_fuzz_table *table);
+void RsFuzzTable_Close(struct rs_fuzz_table *table);
+struct rs_fuzz_row *RsFuzzTable_At(struct rs_fuzz_table *table, guint index);
+struct rs_fuzz_row *RsFuzzTable_Find(struct rs_fuzz_table *table,
+                                     const char *key);
+bool RsFuzzTable_Commit(struct rs_fuzz_table *table, const json_t *body);
+struct rs_config *RsFuzzTable_Config(struct rs_fuzz_table *table);
+
+void RsFuzzBytes_Open(struct rs_fuzz_bytes *bytes, const uint8_t *input,
+                      size_t input_bytes);
+void RsFuzzBytes_Close(struct rs_fuzz_bytes *bytes);
+uint8_t RsFuzzBytes_Take(struct rs_fuzz_bytes *bytes);
+struct rs_ticket *RsFuzzBytes_Ticket(struct rs_fuzz_bytes *bytes,
+                                     uint64_t head);
+
+#endif
