--- a/ticket/ticket_fuzz.c
+++ b/ticket/ticket_fuzz.c
@@ -8,11 +8,10 @@
  * references whole, and what a submission reported stays true for ever. */
 
 #include <glib.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "ticket/submit.h"
+#include "ticket/ticket_fuzz_model.h"
 
 #define SUBMITTERS 4
 #define MAX_CALLS 64
@@ -23,21 +22,6 @@
 #define DEADLINE_MS 1000
 #define STEPS 300
 
-/* Not assert, which an optimised build may leave out. */
-#define CHECK(condition)                                                      \
-    do {                                                                      \
-        if (!(condition)) {                                                   \
-            fprintf(stderr, "oracle: %s\n", #condition);                      \
-            abort();                                                          \
-        }                                                                     \
-    } while (0)
-
-struct row {
-    char *key;
-    uint64_t version;
-    json_t *value;
-};
-
 /* A call under way in the network. */
 struct call {
     bool open;
@@ -60,12 +44,9 @@
 };
 
 struct world {
-    const uint8_t *input;
-    size_t input_bytes;
-    GRand *random;
+    struct rs_fuzz_bytes bytes;
+    struct rs_fuzz_table table;
     int64_t now_ms;
-    uint64_t revision;
-    GArray *rows;
     struct call calls[MAX_CALLS];
     struct submission submissions[MAX_SUBMISSIONS];
     size_t submission_count;
@@ -77,75 +58,6 @@
     GHashTable *fold; /* key to JSON value, from the log alone */
 };
 
-static uint8_t
-take(struct world *world)
-{
-    if (world->input_bytes == 0) {
-        return (uint8_t)g_rand_int(world->random);
-    }
-    world->input_bytes--;
-    return *world->input++;
-}
-
-static struct row *
-find_row(struct world *world, const char *key)
-{
-    for (guint i = 0; i < world->rows->len; i++) {
-        struct row *row = &g_array_index(world->rows, struct row, i);
-        if (strcmp(row->key, key) == 0) {
-            return row;
-        }
-    }
-    return NULL;
-}
-
-static struct rs_config *
-present_config(struct world *world)
-{
-    guint count = world->rows->len;
-    struct rs_config_row *rows = g_new0(struct rs_config_row, count);
-    for (guint i = 0; i < count; i++) {
-        struct row *row = &g_array_index(world->rows, struct row, i);
-        rows[i] = (struct rs_config_row){row->key, row->version, row->value};
-    }
-    struct rs_config *config = RsConfig_Build(rows, count);
-    CHECK(RsConfig_BrokenRows(config) == 0);
-    g_free(rows);
-    return config;
-}
-
-static void
-put_row(struct world *world, const char *key, json_t *value)
-{
-    struct row *row = find_row(world, key);
-    if (row == NULL) {
-        struct row fresh = {.key = g_strdup(key)};
-        g_array_append_val(world->rows, fresh);
-        row = &g_array_index(world->rows, struct row, world->rows->len - 1);
-    }
-    json_decref(row->value);
-    row->value = json_incref(value);
-    row->version = world->revision;
-}
-
-static bool
-conditions_hold(struct world *world, const json_t *body)
-{
-    const json_t *list = json_object_get(body, "if");
-    for (size_t i = 0; i < json_array_size(list); i++) {
-        const json_t *item = json_array_get(list, i);
-        struct row *row =
-            find_row(world, json_string_value(json_object_get(item, "key")));
-        uint64_t present = row == NULL ? 0 : row->version;
-        uint64_t wanted =
-            (uint64_t)json_integer_value(json_object_get(item, "version"));
-        if (present != wanted) {
-            return false;
-        }
-    }
-    return true;
-}
-
 static void
 check_was_valid(struct rs_config *before, const json_t *entry)
 {
@@ -154,10 +66,10 @@
     char *text = json_dumps(body, 0);
     struct rs_faults faults = {0};
     struct rs_ticket *ticket = NULL;
-    CHECK(RsTicket_Parse(text, strlen(text), &ticket, &faults) == 0);
-    CHECK(RsTicket_Validate(ticket, before, &faults) == 0);
-    CHECK(strcmp(ticket->digest,
-                 json_string_value(json_object_get(entry, "digest"))) == 0);
+    RsFuzz_CHECK(RsTicket_Parse(text, strlen(text), &ticket, &faults) == 0);
+    RsFuzz_CHECK(RsTicket_Validate(ticket, before, &faults) == 0);
+    RsFuzz_CHECK(strcmp(ticket->digest, json_string_value(json_object_get(
+                                            entry, "digest"))) == 0);
     RsTicket_Free(ticket);
     free(text);
     json_decref(body);
@@ -189,11 +101,12 @@
     char key[RsTicket_KEY_BYTES];
     uint64_t number = world->log_count + 1;
     RsTicket_LogKey(number, key);
-    struct row *row = find_row(world, key);
-    CHECK(row != NULL && row->version == world->revision);
-    const json_t *head = find_row(world, RsTicket_HEAD_KEY)->value;
-    CHECK((uint64_t)json_integer_value(json_object_get(head, "number")) ==
-          number);
+    struct rs_fuzz_row *row = RsFuzzTable_Find(&world->table, key);
+    RsFuzz_CHECK(row != NULL && row->version == world->table.revision);
+    const json_t *head =
+        RsFuzzTable_Find(&world->table, RsTicket_HEAD_KEY)->value;
+    RsFuzz_CHECK((uint64_t)json_integer_value(
+                     json_object_get(head, "number")) == number);
     check_was_valid(before, row->value);
     fold_entry(world, row->value);
     struct logged *logged = &world->log[world->log_count++];
@@ -205,26 +118,22 @@
 static int
 apply_commit(struct world *world, const struct call *call)
 {
-    if (!conditions_hold(world, call->body) || world->log_count == MAX_LOG) {
-        return 409;
-    }
-    struct rs_config *before = present_config(world);
-    world->revision++;
-    const json_t *puts = json_object_get(call->body, "put");
-    for (size_t i = 0; i < json_array_size(puts); i++) {
-        const json_t *item = json_array_get(puts, i);
-        put_row(world, json_string_value(json_object_get(item, "key")),
-                json_object_get(item, "value"));
-    }
-    on_written(world, before, call->submission);
+    if (world->log_count == MAX_LOG) {
+        return 503;
+    }
+    struct rs_config *before = RsFuzzTable_Config(&world->table);
+    bool written = RsFuzzTable_Commit(&world->table, call->body);
+    if (written) {
+        on_written(world, before, call->submission);
+    }
     RsConfig_Unref(before);
-    return 200;
+    return written ? 200 : 409;
 }
 
 static int
 apply_get(struct world *world, const struct call *call, json_t **body)
 {
-    struct row *row = find_row(world, call->key);
+    struct rs_fuzz_row *row = RsFuzzTable_Find(&world->table, call->key);
     if (row == NULL) {
         return 404;
     }
@@ -279,99 +188,6 @@
     }
 }
 
-static json_t *
-make_value(struct world *world, enum rs_object_kind kind, uint8_t choice)
-{
-    static const char *const names[] = {"a", "b", "c"};
-    static const char *const states[] = {"in", "out", "lost"};
-    const char *first = names[choice % 3];
-    const char *second = names[choice / 3 % 3];
-    switch (kind) {
-    case RsObject_SERVICE:
-        return json_pack("{s:b, s:i, s:i, s:i, s:i, s:i, s:i, s:s, s:[s]}",
-                         "keyed", choice % 4 != 0, "slots", 2, "connections",
-                         110, "timeout_ms", 2000, "max_run_ms", 500, "window",
-                         choice % 3, "cold_ms", 0, "cut_off", "hand-over",
-                         "repeatable", "GET");
-    case RsObject_PLACE:
-        return json_pack("{s:s, s:s, s:[{s:s, s:b}]}", "service", first,
-                         "domain", second, "targets", "name",
-                         names[choice / 9 % 3], "checks_fences", 1);
-    case RsObject_RULE:
-        return json_pack("{s:s, s:s, s:i, s:[s]}", "service", first, "prefix",
-                         choice % 2 != 0 ? "" : "x", "slices", 1 + choice / 64,
-                         "places", second);
-    default:
-        return json_pack("{s:s, s:s}", "region", "r", "state",
-                         states[choice % 3]);
-    }
-}
-
-static void
-add_object(json_t *objects, enum rs_object_kind kind, const char *name,
-           json_t *value)
-{
-    json_array_append_new(objects, json_pack("{s:s, s:s, s:o}", "kind",
-                                             RsObject_KindName(kind), "name",
-                                             name, "value", value));
-}
-
-/* A state in which every kind has objects, for later tickets to build on. */
-static json_t *
-make_first_objects(struct world *world)
-{
-    json_t *objects = json_array();
-    add_object(objects, RsObject_SERVICE, "a",
-               make_value(world, RsObject_SERVICE, 1));
-    add_object(objects, RsObject_SERVICE, "b",
-               make_value(world, RsObject_SERVICE, 2));
-    add_object(objects, RsObject_DOMAIN, "a",
-               make_value(world, RsObject_DOMAIN, 0));
-    add_object(objects, RsObject_DOMAIN, "b",
-               make_value(world, RsObject_DOMAIN, 0));
-    add_object(objects, RsObject_PLACE, "a",
-               make_value(world, RsObject_PLACE, 0));
-    add_object(objects, RsObject_RULE, "a",
-               make_value(world, RsObject_RULE, 0));
-    return objects;
-}
-
-static json_t *
-make_objects(struct world *world)
-{
-    static const char *const names[] = {"a", "b", "c"};
-    json_t *objects = json_array();
-    for (size_t count = 1 + take(world) % 3; count > 0; count--) {
-        uint8_t what = take(world);
-        enum rs_object_kind kind = (enum rs_object_kind)(what % 4);
-        json_t *value =
-            what >= 192 ? json_null() : make_value(world, kind, take(world));
-        add_object(objects, kind, names[what / 4 % 3], value);
-    }
-    return objects;
-}
-
-static struct rs_ticket *
-make_ticket(struct world *world)
-{
-    static const uint8_t ahead[] = {0, 1, 1, 1, 1, 1, 1, 2};
-    uint64_t number = world->log_count + ahead[take(world) % 8];
-    json_t *objects = world->log_count == 0 ? make_first_objects(world)
-                                            : make_objects(world);
-    const char *author = take(world) % 2 != 0 ? "a" : "b";
-    json_t *body =
-        json_pack("{s:I, s:s, s:s, s:o}", "number", (json_int_t)number,
-                  "author", author, "note", "", "objects", objects);
-    char *text = json_dumps(body, 0);
-    struct rs_faults faults = {0};
-    struct rs_ticket *ticket = NULL;
-    RsTicket_Parse(text, strlen(text), &ticket, &faults);
-    RsFaults_Free(&faults);
-    free(text);
-    json_decref(body);
-    return ticket;
-}
-
 static bool
 is_idle(const struct world *world, size_t submitter)
 {
@@ -386,7 +202,8 @@
         world->submission_count == MAX_SUBMISSIONS) {
         return;
     }
-    struct rs_ticket *ticket = make_ticket(world);
+    struct rs_ticket *ticket =
+        RsFuzzBytes_Ticket(&world->bytes, world->log_count);
     if (ticket == NULL) {
         return;
     }
@@ -469,7 +286,7 @@
 refresh_view(struct world *world, size_t submitter)
 {
     RsConfig_Unref(world->view[submitter]);
-    world->view[submitter] = present_config(world);
+    world->view[submitter] = RsFuzzTable_Config(&world->table);
 }
 
 static void
@@ -492,10 +309,11 @@
     char key[RsTicket_KEY_BYTES];
     for (size_t i = 0; i < world->log_count; i++) {
         RsTicket_LogKey(i + 1, key);
-        struct row *row = find_row(world, key);
-        CHECK(row != NULL);
-        CHECK(strcmp(json_string_value(json_object_get(row->value, "digest")),
-                     world->log[i].digest) == 0);
+        struct rs_fuzz_row *row = RsFuzzTable_Find(&world->table, key);
+        RsFuzz_CHECK(row != NULL);
+        RsFuzz_CHECK(
+            strcmp(json_string_value(json_object_get(row->value, "digest")),
+                   world->log[i].digest) == 0);
     }
 }
 
@@ -503,33 +321,33 @@
 check_objects(struct world *world)
 {
     size_t live = 0;
-    for (guint i = 0; i < world->rows->len; i++) {
-        struct row *row = &g_array_index(world->rows, struct row, i);
+    for (guint i = 0; i < world->table.rows->len; i++) {
+        struct rs_fuzz_row *row = RsFuzzTable_At(&world->table, i);
         if (!g_str_has_prefix(row->key, "object/") ||
             json_is_null(row->value)) {
             continue;
         }
         live++;
         json_t *folded = g_hash_table_lookup(world->fold, row->key);
-        CHECK(folded != NULL);
-        CHECK(json_equal(folded, json_object_get(row->value, "value")));
+        RsFuzz_CHECK(folded != NULL);
+        RsFuzz_CHECK(json_equal(folded, json_object_get(row->value, "value")));
     }
-    CHECK(live == g_hash_table_size(world->fold));
+    RsFuzz_CHECK(live == g_hash_table_size(world->fold));
 }
 
 /* Looks through the references once more, with lookups alone. */
 static void
 check_references(struct world *world)
 {
-    struct rs_config *config = present_config(world);
+    struct rs_config *config = RsFuzzTable_Config(&world->table);
     for (size_t i = 0; i < RsConfig_Count(config, RsObject_PLACE); i++) {
         const struct rs_model_place *place =
             &RsConfig_At(config, RsObject_PLACE, i)->object.as.place;
-        CHECK(RsConfig_Service(config, place->service) != NULL);
-        CHECK(RsConfig_Domain(config, place->domain) != NULL);
+        RsFuzz_CHECK(RsConfig_Service(config, place->service) != NULL);
+        RsFuzz_CHECK(RsConfig_Domain(config, place->domain) != NULL);
         for (size_t j = 0; j < place->target_count; j++) {
-            CHECK(RsConfig_PlaceOfTarget(config, place->targets[j].name) ==
-                  place);
+            RsFuzz_CHECK(RsConfig_PlaceOfTarget(
+                             config, place->targets[j].name) == place);
         }
     }
     for (size_t i = 0; i < RsConfig_Count(config, RsObject_RULE); i++) {
@@ -537,14 +355,14 @@
             &RsConfig_At(config, RsObject_RULE, i)->object.as.rule;
         const struct rs_model_service *service =
             RsConfig_Service(config, rule->service);
-        CHECK(service != NULL && service->keyed);
-        CHECK(RsConfig_RuleOfKey(config, rule->service, rule->prefix,
-                                 strlen(rule->prefix)) == rule);
+        RsFuzz_CHECK(service != NULL && service->keyed);
+        RsFuzz_CHECK(RsConfig_RuleOfKey(config, rule->service, rule->prefix,
+                                        strlen(rule->prefix)) == rule);
         for (size_t j = 0; j < rule->place_count; j++) {
             const struct rs_model_place *place =
                 RsConfig_Place(config, rule->places[j]);
-            CHECK(place != NULL);
-            CHECK(strcmp(place->service, rule->service) == 0);
+            RsFuzz_CHECK(place != NULL);
+            RsFuzz_CHECK(strcmp(place->service, rule->service) == 0);
         }
     }
     RsConfig_Unref(config);
@@ -571,12 +389,12 @@
         }
         const struct rs_submit_result *result = &submission->result;
         if (result->outcome == RsSubmit_ACCEPTED) {
-            CHECK(result->number <= world->log_count);
-            CHECK(strcmp(world->log[result->number - 1].digest,
-                         result->digest) == 0);
+            RsFuzz_CHECK(result->number <= world->log_count);
+            RsFuzz_CHECK(strcmp(world->log[result->number - 1].digest,
+                                result->digest) == 0);
         }
         else if (result->outcome != RsSubmit_UNKNOWN) {
-            CHECK(!wrote(world, i));
+            RsFuzz_CHECK(!wrote(world, i));
         }
     }
 }
@@ -598,7 +416,7 @@
 static void
 step(struct world *world)
 {
-    uint8_t what = take(world);
+    uint8_t what = RsFuzzBytes_Take(&world->bytes);
     size_t submitter = what / 16 % SUBMITTERS;
     switch (what % 16) {
     case 0:
@@ -611,12 +429,12 @@
         refresh_view(world, submitter);
         break;
     case 5:
-        pass_time(world, take(world));
+        pass_time(world, RsFuzzBytes_Take(&world->bytes));
         break;
     default: {
-        struct call *call = pick_call(world, take(world));
+        struct call *call = pick_call(world, RsFuzzBytes_Take(&world->bytes));
         if (call != NULL) {
-            deliver(world, call, take(world) % 16);
+            deliver(world, call, RsFuzzBytes_Take(&world->bytes) % 16);
         }
         break;
     }
@@ -626,10 +444,9 @@
 static void
 open_world(struct world *world, const uint8_t *data, size_t size_bytes)
 {
-    *world = (struct world){.input = data, .input_bytes = size_bytes};
-    world->random =
-        g_rand_new_with_seed((guint32)RsId_FromBytes(data, size_bytes));
-    world->rows = g_array_new(FALSE, TRUE, sizeof(struct row));
+    *world = (struct world){0};
+    RsFuzzBytes_Open(&world->bytes, data, size_bytes);
+    RsFuzzTable_Open(&world->table);
     world->fold = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                         (GDestroyNotify)json_decref);
     for (size_t i = 0; i < SUBMITTERS; i++) {
@@ -650,13 +467,8 @@
     for (size_t i = 0; i < SUBMITTERS; i++) {
         RsConfig_Unref(world->view[i]);
     }
-    for (guint i = 0; i < world->rows->len; i++) {
-        struct row *row = &g_array_index(world->rows, struct row, i);
-        g_free(row->key);
-        json_decref(row->value);
-    }
-    g_rand_free(world->random);
-    g_array_unref(world->rows);
+    RsFuzzTable_Close(&world->table);
+    RsFuzzBytes_Close(&world->bytes);
     g_hash_table_unref(world->fold);
 }
 
@@ -666,9 +478,9 @@
     static struct world world;
     open_world(&world, data, size_bytes);
     for (int i = 0; i < STEPS; i++) {
-        uint64_t before = world.revision;
+        uint64_t before = world.table.revision;
         step(&world);
-        if (world.revision != before) {
+        if (world.table.revision != before) {
             check_log(&world);
             check_objects(&world);
             check_references(&world);
