Add the judge stand-in: owners, fences, repeats, refusals, slots

Tests need one verdict on what the targets ran and what callers were told. The pure part compares by wall time; the program reads the records page by page, saved records of targets that were killed, and the load's logs. Events carry the service too, since two services may share a key's name.

An effect is compared only with the one that ends last before it: if that one ran on the same target, an overlap with a third was found already (a second candidate survived its removal and was taken out).

--- /dev/null
+++ b/standin/judge.c
@@ -0,0 +1,255 @@
+/* standin_judge: reads the targets' records and the load's log, and prints
+ * each violation. Exit status: 0 none, 1 some, 2 when it can't judge. */
+
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin/judge_check.h"
+
+#define STATUS_CLEAN 0
+#define STATUS_VIOLATED 1
+#define STATUS_CANNOT_JUDGE 2
+#define READ_TIMEOUT_S 10L
+
+struct reader {
+    struct rs_judge *judge;
+    GHashTable *seen; /* "START_ID/N" of the events taken in */
+    size_t event_count;
+    size_t request_count;
+    bool overflowed;
+};
+
+static const char *
+text_of(const json_t *json, const char *name)
+{
+    const char *text = json_string_value(json_object_get(json, name));
+    return text != NULL ? text : "";
+}
+
+static int64_t
+number_of(const json_t *json, const char *name)
+{
+    return json_integer_value(json_object_get(json, name));
+}
+
+static void
+add_event(struct reader *reader, const json_t *record, const json_t *json)
+{
+    char *id = g_strdup_printf("%s/%lld", text_of(record, "start_id"),
+                               (long long)number_of(json, "n"));
+    if (!g_hash_table_add(reader->seen, id)) {
+        return;
+    }
+    struct rs_judge_event event = {
+        .target = text_of(record, "target"),
+        .service = text_of(json, "service"),
+        .request_id = text_of(json, "request_id"),
+        .method = text_of(json, "method"),
+        .key = text_of(json, "key"),
+        .slice = text_of(json, "slice"),
+        .epoch = (uint64_t)number_of(json, "epoch"),
+        .step = (uint64_t)number_of(json, "step"),
+        .start_us = number_of(json, "wall_start_us"),
+        .end_us = number_of(json, "wall_end_us"),
+        .effect = json_is_true(json_object_get(json, "effect")),
+    };
+    RsJudge_AddEvent(reader->judge, &event);
+    reader->event_count++;
+}
+
+/* Takes in one answer of /standin/record. Returns the number of its last
+ * event, 0 when it has none, or -1 when it is none. */
+static int64_t
+add_record(struct reader *reader, const json_t *record)
+{
+    size_t i;
+    const json_t *event;
+    const json_t *events = json_object_get(record, "events");
+    int64_t last = 0;
+    if (!json_is_array(events) || text_of(record, "target")[0] == '\0') {
+        return -1;
+    }
+    RsJudge_SetSlots(reader->judge, text_of(record, "target"),
+                     (uint32_t)number_of(record, "slots"));
+    if (json_is_true(json_object_get(record, "overflowed"))) {
+        printf("record of %s has overflowed\n", text_of(record, "target"));
+        RsJudge_MarkPartial(reader->judge, text_of(record, "target"));
+        reader->overflowed = true;
+    }
+    json_array_foreach(events, i, event)
+    {
+        add_event(reader, record, event);
+        last = number_of(event, "n");
+    }
+    return last;
+}
+
+static size_t
+append_body(char *data, size_t size, size_t count, void *body)
+{
+    g_string_append_len(body, data, (gssize)(size * count));
+    return size * count;
+}
+
+static json_t *
+fetch(CURL *curl, const char *url)
+{
+    GString *body = g_string_new("");
+    json_t *json = NULL;
+    curl_easy_setopt(curl, CURLOPT_URL, url);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT, READ_TIMEOUT_S);
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append_body);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, body);
+    if (curl_easy_perform(curl) == CURLE_OK) {
+        json = json_loadb(body->str, body->len, 0, NULL);
+    }
+    g_string_free(body, TRUE);
+    return json;
+}
+
+/* Reads a target's record page by page. */
+static int
+read_target(struct reader *reader, CURL *curl, const char *address)
+{
+    int64_t last = 0;
+    int64_t page_last = 0;
+    do {
+        char *url = g_strdup_printf("http://%s/standin/record?after=%lld",
+                                    address, (long long)last);
+        json_t *record = fetch(curl, url);
+        page_last = record != NULL ? add_record(reader, record) : -1;
+        json_decref(record);
+        g_free(url);
+        last = page_last > 0 ? page_last : last;
+    } while (page_last > 0);
+    if (page_last < 0) {
+        fprintf(stderr, "can't read the record of %s\n", address);
+    }
+    return page_last < 0 ? -1 : 0;
+}
+
+static int
+read_targets(struct reader *reader, const char *list)
+{
+    int result = 0;
+    CURL *curl = curl_easy_init();
+    char **addresses = g_strsplit(list, ",", -1);
+    for (size_t i = 0; addresses[i] != NULL && result == 0; i++) {
+        result = read_target(reader, curl, addresses[i]);
+    }
+    g_strfreev(addresses);
+    curl_easy_cleanup(curl);
+    return result;
+}
+
+static int
+read_saved(struct reader *reader, const char *path)
+{
+    json_t *record = json_load_file(path, 0, NULL);
+    int64_t last = record != NULL ? add_record(reader, record) : -1;
+    json_decref(record);
+    if (last < 0) {
+        fprintf(stderr, "%s is no record\n", path);
+        return -1;
+    }
+    return 0;
+}
+
+static int
+read_line(struct reader *reader, const char *line)
+{
+    json_t *json = json_loads(line, 0, NULL);
+    struct rs_judge_request request = {.request_id = text_of(json, "id"),
+                                       .method = text_of(json, "method"),
+                                       .outcome = text_of(json, "outcome")};
+    bool valid = request.request_id[0] != '\0' && request.outcome[0] != '\0';
+    if (valid) {
+        RsJudge_AddRequest(reader->judge, &request);
+        reader->request_count++;
+    }
+    json_decref(json);
+    return valid ? 0 : -1;
+}
+
+static int
+read_log(struct reader *reader, const char *path)
+{
+    char *line = NULL;
+    size_t capacity = 0;
+    int result = 0;
+    FILE *file = fopen(path, "r");
+    if (file == NULL) {
+        perror(path);
+        return -1;
+    }
+    while (result == 0 && getline(&line, &capacity, file) > 0) {
+        result = read_line(reader, line);
+    }
+    if (result != 0) {
+        fprintf(stderr, "%s: not a request: %s", path, line);
+    }
+    free(line);
+    fclose(file);
+    return result;
+}
+
+static int
+print_verdict(const struct reader *reader, bool partial)
+{
+    const GPtrArray *violations = RsJudge_Check(reader->judge);
+    for (guint i = 0; i < violations->len; i++) {
+        printf("%s\n", (const char *)g_ptr_array_index(violations, i));
+    }
+    printf("judged %zu events and %zu requests: %u violations%s\n",
+           reader->event_count, reader->request_count, violations->len,
+           partial || reader->overflowed ? ", records not whole" : "");
+    if (violations->len > 0) {
+        return STATUS_VIOLATED;
+    }
+    return reader->overflowed && !partial ? STATUS_CANNOT_JUDGE : STATUS_CLEAN;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_str *targets = arg_str0(NULL, "targets", "HOST:PORT,...",
+                                       "targets whose records are read");
+    struct arg_file *saved = arg_filen(NULL, "record", "FILE", 0, 100,
+                                       "saved answer of /standin/record");
+    struct arg_file *logs =
+        arg_filen(NULL, "log", "FILE", 0, 100, "log of standin_load");
+    struct arg_lit *partial = arg_lit0(
+        NULL, "partial", "records are missing: don't ask for each effect");
+    struct arg_end *end = arg_end(8);
+    void *table[] = {targets, saved, logs, partial, end};
+    if (arg_parse(argc, argv, table) != 0 ||
+        targets->count + saved->count == 0) {
+        arg_print_errors(stderr, end, argv[0]);
+        arg_print_glossary(stderr, table, NULL);
+        return STATUS_CANNOT_JUDGE;
+    }
+    struct reader reader = {
+        .judge = RsJudge_New(),
+        .seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL)};
+    int result =
+        targets->count > 0 ? read_targets(&reader, targets->sval[0]) : 0;
+    for (int i = 0; i < saved->count && result == 0; i++) {
+        result = read_saved(&reader, saved->filename[i]);
+    }
+    for (int i = 0; i < logs->count && result == 0; i++) {
+        result = read_log(&reader, logs->filename[i]);
+    }
+    if (partial->count > 0) {
+        RsJudge_MarkPartial(reader.judge, "");
+    }
+    int status = result == 0 ? print_verdict(&reader, partial->count > 0)
+                             : STATUS_CANNOT_JUDGE;
+    g_hash_table_destroy(reader.seen);
+    RsJudge_Free(reader.judge);
+    return status;
+}
--- /dev/null
+++ b/standin/judge_test.c
@@ -0,0 +1,184 @@
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#include "standin/judge_check.h"
+
+#define MAX_EVENTS 5
+#define MAX_REQUESTS 2
+
+/* A record, by hand, and the one violation that it must give. */
+struct judge_case {
+    const char *name;
+    struct rs_judge_event events[MAX_EVENTS];
+    struct rs_judge_request requests[MAX_REQUESTS];
+    const char *partial;
+    const char *expected; /* how its text begins, NULL: none */
+};
+
+#define EVENT(on, id, verb, k, s, e, t, from, to, done)                       \
+    {                                                                         \
+        .target = (on), .service = "listas", .request_id = (id),              \
+        .method = (verb), .key = (k), .slice = (s), .epoch = (e),             \
+        .step = (t), .start_us = (from), .end_us = (to), .effect = (done)     \
+    }
+
+static const struct judge_case judge_cases[] = {
+    {.name = "owner moves cleanly",
+     .events = {EVENT("a", "1", "GET", "k", "s", 1, 0, 0, 10, true),
+                EVENT("a", "2", "GET", "k", "s", 1, 0, 5, 12, true),
+                EVENT("b", "3", "GET", "k", "s", 2, 0, 12, 20, true)}},
+    {.name = "two owners",
+     .events = {EVENT("a", "1", "GET", "k", "s", 1, 0, 0, 10, true),
+                EVENT("b", "2", "GET", "k", "s", 1, 0, 9, 20, true)},
+     .expected = "two owners: key k "},
+    {.name = "two owners, seen past a longer run of the second",
+     .events = {EVENT("a", "1", "GET", "k", "s", 1, 0, 0, 10, true),
+                EVENT("b", "2", "GET", "k", "s", 2, 0, 10, 30, true),
+                EVENT("b", "3", "GET", "k", "s", 2, 0, 11, 12, true),
+                EVENT("a", "4", "GET", "k", "s", 2, 0, 25, 40, true)},
+     .expected = "two owners: key k "},
+    {.name = "two owners, the longest run on the same target",
+     .events = {EVENT("b", "1", "GET", "k", "s", 1, 0, 0, 20, true),
+                EVENT("a", "2", "GET", "j", "s", 1, 0, 1, 50, true),
+                EVENT("a", "3", "GET", "k", "s", 1, 0, 20, 60, true),
+                EVENT("c", "4", "GET", "m", "s", 1, 0, 21, 58, true),
+                EVENT("b", "5", "GET", "k", "s", 1, 0, 59, 61, true)},
+     .expected = "two owners: key k "},
+    {.name = "an aborted run is no second owner",
+     .events = {EVENT("a", "1", "GET", "k", "s", 1, 0, 0, 10, false),
+                EVENT("b", "2", "GET", "k", "s", 1, 0, 9, 20, true)}},
+    {.name = "different services may share a key's name",
+     .events = {{.target = "a",
+                 .service = "listas",
+                 .request_id = "1",
+                 .method = "GET",
+                 .key = "k",
+                 .slice = "s",
+                 .end_us = 10,
+                 .effect = true},
+                {.target = "b",
+                 .service = "reservas",
+                 .request_id = "2",
+                 .method = "GET",
+                 .key = "k",
+                 .slice = "t",
+                 .end_us = 10,
+                 .effect = true}}},
+    {.name = "different keys may run at once",
+     .events = {EVENT("a", "1", "GET", "k", "s", 1, 0, 0, 10, true),
+                EVENT("b", "2", "GET", "j", "s", 1, 0, 0, 10, true)}},
+    {.name = "files have no owner",
+     .events = {EVENT("a", "1", "GET", "k", "", 0, 0, 0, 10, true),
+                EVENT("b", "2", "GET", "k", "", 0, 0, 0, 10, true)}},
+    {.name = "step goes back",
+     .events = {EVENT("a", "1", "GET", "k", "s", 1, 2, 0, 10, true),
+                EVENT("b", "2", "GET", "j", "s", 1, 1, 11, 20, true)},
+     .expected = "stale fence: slice s, request 2 "},
+    {.name = "epoch goes back",
+     .events = {EVENT("a", "1", "GET", "k", "s", 2, 0, 0, 10, true),
+                EVENT("b", "2", "GET", "j", "s", 1, 5, 11, 20, true)},
+     .expected = "stale fence: slice s, request 2 "},
+    {.name = "fences of different slices are not compared",
+     .events = {EVENT("a", "1", "GET", "k", "s", 2, 0, 0, 10, true),
+                EVENT("b", "2", "GET", "j", "t", 1, 0, 11, 20, true)}},
+    {.name =
+         "a run that began before the later fence's effect but ended first",
+     .events = {EVENT("a", "1", "GET", "k", "s", 1, 0, 0, 10, true),
+                EVENT("a", "2", "GET", "j", "s", 2, 0, 1, 11, true)}},
+    {.name = "a run that began first ends under the lower fence",
+     .events = {EVENT("a", "1", "GET", "k", "s", 1, 0, 0, 20, true),
+                EVENT("a", "2", "GET", "j", "s", 2, 0, 5, 10, true)},
+     .expected = "stale fence: slice s, request 1 "},
+    {.name = "effects of one microsecond have no order",
+     .events = {EVENT("a", "1", "GET", "k", "s", 2, 0, 0, 10, true),
+                EVENT("a", "2", "GET", "j", "s", 1, 0, 0, 10, true)}},
+    {.name = "reservation runs twice",
+     .events = {EVENT("a", "1", "POST", "k", "s", 1, 0, 0, 10, true),
+                EVENT("a", "1", "POST", "k", "s", 1, 0, 11, 20, true)},
+     .expected = "repeated: POST request 1 "},
+    {.name = "reservation runs again after an abort",
+     .events = {EVENT("a", "1", "POST", "k", "s", 1, 0, 0, 10, false),
+                EVENT("a", "1", "POST", "k", "s", 1, 0, 11, 20, true)}},
+    {.name = "a read may run twice",
+     .events = {EVENT("a", "1", "GET", "k", "s", 1, 0, 0, 10, true),
+                EVENT("a", "1", "GET", "k", "s", 1, 0, 11, 20, true)}},
+    {.name = "refused but run",
+     .events = {EVENT("a", "1", "GET", "k", "s", 1, 0, 0, 10, true)},
+     .requests = {{"1", "GET", "not-run"}},
+     .expected = "false refusal: GET request 1 "},
+    {.name = "refused and aborted",
+     .events = {EVENT("a", "1", "POST", "k", "s", 1, 0, 0, 10, false)},
+     .requests = {{"1", "POST", "not-run"}}},
+    {.name = "answered but never run",
+     .events = {EVENT("a", "2", "POST", "k", "s", 1, 0, 0, 10, true)},
+     .requests = {{"1", "POST", "answered"}, {"2", "POST", "answered"}},
+     .expected = "lost: POST request 1 "},
+    {.name = "not run as far as a partial record tells",
+     .requests = {{"1", "POST", "answered"}},
+     .partial = "a"},
+    {.name = "unknown and silent prove nothing",
+     .events = {EVENT("a", "2", "POST", "k", "s", 1, 0, 0, 10, true)},
+     .requests = {{"1", "POST", "unknown"}, {"2", "POST", "silent"}}},
+    {.name = "beyond the slots",
+     .events = {EVENT("a", "1", "GET", "k", "s", 1, 0, 0, 10, true),
+                EVENT("a", "2", "GET", "k", "s", 1, 0, 1, 11, false),
+                EVENT("a", "3", "GET", "k", "s", 1, 0, 9, 12, true)},
+     .expected = "overrun: a ran 3 requests at once, 2 slots"},
+    {.name = "slots are reused at once",
+     .events = {EVENT("a", "1", "GET", "k", "s", 1, 0, 0, 10, true),
+                EVENT("a", "2", "GET", "k", "s", 1, 0, 1, 11, true),
+                EVENT("a", "3", "GET", "k", "s", 1, 0, 10, 12, true),
+                EVENT("b", "4", "GET", "j", "t", 1, 0, 5, 12, true)}},
+};
+
+static const GPtrArray *
+judge(struct rs_judge *judge, const struct judge_case *c)
+{
+    for (size_t i = 0; i < MAX_EVENTS && c->events[i].target != NULL; i++) {
+        RsJudge_AddEvent(judge, &c->events[i]);
+    }
+    for (size_t i = 0; i < MAX_REQUESTS; i++) {
+        if (c->requests[i].request_id != NULL) {
+            RsJudge_AddRequest(judge, &c->requests[i]);
+        }
+    }
+    RsJudge_SetSlots(judge, "a", 2);
+    RsJudge_SetSlots(judge, "b", 2);
+    if (c->partial != NULL) {
+        RsJudge_MarkPartial(judge, c->partial);
+    }
+    return RsJudge_Check(judge);
+}
+
+static void
+test_each_violation_is_found_and_nothing_else(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(judge_cases); i++) {
+        const struct judge_case *c = &judge_cases[i];
+        struct rs_judge *state = RsJudge_New();
+        const GPtrArray *violations = judge(state, c);
+        const char *first =
+            violations->len > 0 ? g_ptr_array_index(violations, 0) : "none";
+        const char *expected = c->expected != NULL ? c->expected : "none";
+        bool right = violations->len == (c->expected != NULL) &&
+                     g_str_has_prefix(first, expected);
+        if (!right) {
+            printf("\n  %s: %u violations, %s\n", c->name, violations->len,
+                   first);
+        }
+        CU_ASSERT(right);
+        RsJudge_Free(state);
+    }
+}
+
+int
+main(void)
+{
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("judge", NULL, NULL);
+    CU_ADD_TEST(suite, test_each_violation_is_found_and_nothing_else);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? 0 : 1;
+}
--- a/standin/record.c
+++ b/standin/record.c
@@ -49,12 +49,13 @@
 copy_event(struct rs_record_event *copy, const struct rs_record_event *event)
 {
     size_t size_bytes = strlen(event->request_id) + strlen(event->method) +
-                        strlen(event->key) + strlen(event->holder) +
-                        strlen(event->slice) + 5;
+                        strlen(event->service) + strlen(event->key) +
+                        strlen(event->holder) + strlen(event->slice) + 6;
     char *at = g_malloc(size_bytes);
     *copy = *event;
     copy->request_id = copy_text(&at, event->request_id);
     copy->method = copy_text(&at, event->method);
+    copy->service = copy_text(&at, event->service);
     copy->key = copy_text(&at, event->key);
     copy->holder = copy_text(&at, event->holder);
     copy->slice = copy_text(&at, event->slice);
@@ -91,6 +92,7 @@
     json_object_set_new(json, "n", json_integer(number));
     json_object_set_new(json, "request_id", json_string(event->request_id));
     json_object_set_new(json, "method", json_string(event->method));
+    json_object_set_new(json, "service", json_string(event->service));
     json_object_set_new(json, "key", json_string(event->key));
     json_object_set_new(json, "slice", json_string(event->slice));
     json_object_set_new(json, "epoch", json_integer((json_int_t)event->epoch));
--- a/standin/record.h
+++ b/standin/record.h
@@ -15,6 +15,7 @@
 struct rs_record_event {
     const char *request_id;
     const char *method;
+    const char *service;
     const char *key;
     const char *holder;
     const char *slice; /* empty when the request has no fence */
--- a/standin/record_test.c
+++ b/standin/record_test.c
@@ -10,6 +10,7 @@
 {
     struct rs_record_event event = {.request_id = "r",
                                     .method = "GET",
+                                    .service = "s",
                                     .key = "k",
                                     .holder = "h",
                                     .slice = "",
@@ -28,6 +29,10 @@
     CU_ASSERT_EQUAL(json_integer_value(json_object_get(first, "n")), first_n);
     CU_ASSERT_EQUAL(json_integer_value(json_object_get(first, "start_ms")),
                     first_n * 10);
+    CU_ASSERT_STRING_EQUAL(
+        json_string_value(json_object_get(first, "service")), "s");
+    CU_ASSERT_STRING_EQUAL(json_string_value(json_object_get(first, "key")),
+                           "k");
     CU_ASSERT_EQUAL(json_is_true(json_object_get(answer, "overflowed")),
                     overflowed);
     json_decref(answer);
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -94,6 +94,7 @@
 {
     struct rs_record_event event = {.request_id = job->request_id,
                                     .method = job->method,
+                                    .service = job->path_service,
                                     .key = job->key,
                                     .holder = job->holder,
                                     .slice = job->slice_text,
--- a/standin/worker_job.c
+++ b/standin/worker_job.c
@@ -13,19 +13,19 @@
                               : g_strdup("");
 }
 
-/* Copies the second segment of the path. */
-static char *
-copy_path_key(const h2o_req_t *req)
+/* Copies the first two segments of the path. */
+static void
+read_path(struct rs_worker_job *job, const h2o_req_t *req)
 {
     char *path =
         g_strndup(req->path.base,
                   req->query_at != SIZE_MAX ? req->query_at : req->path.len);
     char **segments = g_strsplit(path + 1, "/", 3);
-    char *key = g_strdup(
-        segments[0] != NULL && segments[1] != NULL ? segments[1] : "");
+    bool has_key = segments[0] != NULL && segments[1] != NULL;
+    job->path_service = g_strdup(segments[0] != NULL ? segments[0] : "");
+    job->path_key = g_strdup(has_key ? segments[1] : "");
     g_strfreev(segments);
     g_free(path);
-    return key;
 }
 
 /* Reads the slice and the fence. A slice that can't be read counts as one
@@ -55,7 +55,7 @@
     job->timer.data = job;
     job->request_id = copy_header(req, "x-request-id");
     job->method = g_strndup(req->method.base, req->method.len);
-    job->path_key = copy_path_key(req);
+    read_path(job, req);
     job->key = copy_header(req, "x-key");
     if (job->key[0] == '\0') {
         g_free(job->key);
@@ -77,6 +77,7 @@
     struct rs_worker_job *job = handle->data;
     g_free(job->request_id);
     g_free(job->method);
+    g_free(job->path_service);
     g_free(job->path_key);
     g_free(job->key);
     g_free(job->holder);
--- a/standin/worker_state.h
+++ b/standin/worker_state.h
@@ -52,8 +52,9 @@
     uv_timer_t timer;
     char *request_id;
     char *method;
-    char *path_key;
-    char *key; /* for the record */
+    char *path_service; /* first segment of the path */
+    char *path_key;     /* second segment */
+    char *key;          /* for the record */
     char *holder;
     char *slice_text; /* empty when the request has none */
     uint64_t slice;
