--- a/dispatch/admission.c
+++ b/dispatch/admission.c
@@ -146,6 +146,15 @@
     return RsId_Mix(request->caller, request->service);
 }
 
+/* A caller without queued requests joins the turn after the present one:
+ * joining the present one, a caller with one request at a time would always
+ * go before those that went in it. */
+static uint64_t
+joining_turn(const struct rs_admission *admission)
+{
+    return admission->turn + 1;
+}
+
 static struct flow *
 find_or_add_flow(struct rs_admission *admission, uint64_t id)
 {
@@ -155,7 +164,7 @@
     }
     flow = g_new0(struct flow, 1);
     flow->id = id;
-    flow->turn = admission->turn;
+    flow->turn = joining_turn(admission);
     flow->index = admission->flows->len;
     g_ptr_array_add(admission->flows, flow);
     g_hash_table_insert(admission->flow_by_id, &flow->id, flow);
@@ -296,7 +305,7 @@
             const struct rs_admission_request *request)
 {
     uint64_t id = flow_id(request);
-    struct place place = {.turn = admission->turn,
+    struct place place = {.turn = joining_turn(admission),
                           .deadline_ms = request->deadline_ms,
                           .id = request->id};
     struct flow *own = g_hash_table_lookup(admission->flow_by_id, &id);
--- a/dispatch/admission_test.c
+++ b/dispatch/admission_test.c
@@ -118,6 +118,27 @@
     RsAdmission_Free(admission);
 }
 
+static void
+test_one_request_at_a_time_does_not_starve_others(void)
+{
+    struct rs_admission *admission = make(&rs_limit_fixed, 1, 0, 8);
+    offer(admission, 0, 1, 7, FAR_MS);
+    offer(admission, 0, 2, 7, FAR_MS * 2);
+    offer(admission, 0, 3, 7, FAR_MS * 2);
+    finish(admission, 10, 1);
+    CU_ASSERT_EQUAL(next_run(admission), 2);
+    uint64_t running = 2;
+    unsigned starts = 0;
+    for (uint64_t id = 10; running != 3 && starts < 10; id++) {
+        offer(admission, 20, id, 8, FAR_MS);
+        finish(admission, 20, running);
+        running = next_run(admission);
+        starts++;
+    }
+    CU_ASSERT(starts <= 3);
+    RsAdmission_Free(admission);
+}
+
 static void
 test_full_queue_costs_the_flooding_caller(void)
 {
@@ -258,6 +279,7 @@
     CU_ADD_TEST(suite, test_one_callers_queue_goes_by_deadline);
     CU_ADD_TEST(suite, test_own_queued_requests_count_in_the_estimate);
     CU_ADD_TEST(suite, test_callers_take_turns);
+    CU_ADD_TEST(suite, test_one_request_at_a_time_does_not_starve_others);
     CU_ADD_TEST(suite, test_full_queue_costs_the_flooding_caller);
     CU_ADD_TEST(suite, test_refuses_at_once_what_cannot_make_it);
     CU_ADD_TEST(suite, test_silence_of_the_target_expires_the_queue);
