Retry without a budget what no target was asked, and free health of cancelled work

Found by taking a failure domain out and back in under 2,000 requests/s. Cause 1: hand-over of 34 slices takes 0.1 to 0.3 s, and the retries of the requests in between drained the retry budget: 62 reads refused (no-holder). A try that was refused before any target was asked can't multiply a target's load, so it now costs no budget and is bounded by the deadline and a count. Cause 2: a work that was cancelled (the loser of a hedge) stayed counted as out in its target's health; guias-05 was taken for silent and lost, and 44 file requests were refused. Ruled out: the stand-in (it answered pings).

--- a/control/leases.c
+++ b/control/leases.c
@@ -617,8 +617,10 @@
     else if (RsCell_Look(leases->cell, now_ms, state->slice, &look) &&
              look.holder != 0 && look.holder != leases->self_id) {
         const char *holder = name_of(leases, look.holder);
-        g_strlcpy(lease->holder, holder != NULL ? holder : "",
-                  sizeof(lease->holder));
+        bool speaks =
+            holder != NULL &&
+            RsMembers_Speaks(leases->options.members, now_ms, holder);
+        g_strlcpy(lease->holder, speaks ? holder : "", sizeof(lease->holder));
     }
 }
 
--- a/dispatch/retry.c
+++ b/dispatch/retry.c
@@ -64,6 +64,21 @@
     return true;
 }
 
+/* A try that asked no target may be repeated without a budget, but not without
+ * end. */
+static bool
+may_look_again(const struct rs_retry *retry, struct rs_retry_request *request,
+               int64_t at_ms)
+{
+    if (!retry->options.policy->retries || at_ms >= request->deadline_ms ||
+        request->unasked_tries >= retry->options.max_unasked) {
+        return false;
+    }
+    request->unasked_tries++;
+    request->tries--;
+    return true;
+}
+
 static bool
 may_try_again(struct rs_retry *retry, const struct rs_retry_request *request,
               enum rs_outcome outcome, int64_t at_ms)
@@ -191,8 +206,12 @@
         decide_redirect(retry, request, now_ms, decision);
         return;
     }
-    int64_t at_ms = next_try_ms(retry, request->tries, now_ms, retry_after_ms);
-    if (!may_try_again(retry, request, outcome, at_ms)) {
+    bool unasked = request->unasked && outcome == RsOutcome_NOT_RUN;
+    uint32_t count = unasked ? request->unasked_tries + 1 : request->tries;
+    int64_t at_ms = next_try_ms(retry, count, now_ms, retry_after_ms);
+    bool again = unasked ? may_look_again(retry, request, at_ms)
+                         : may_try_again(retry, request, outcome, at_ms);
+    if (!again) {
         decide_answer(request, outcome, decision);
         return;
     }
--- a/dispatch/retry.h
+++ b/dispatch/retry.h
@@ -25,7 +25,8 @@
     uint64_t seed;
     uint32_t max_tries;
     uint32_t max_redirects;
-    uint32_t backoff_ms; /* doubles with each try */
+    uint32_t max_unasked; /* tries that no target was asked in */
+    uint32_t backoff_ms;  /* doubles with each try */
     uint32_t max_backoff_ms;
     double budget_share; /* retries for each first try */
     double hedge_share;  /* hedges for each first try */
@@ -59,6 +60,10 @@
     uint32_t tries;
     uint32_t redirects;
     uint32_t out; /* tries without an outcome yet */
+    uint32_t unasked_tries;
+    bool unasked; /* set before RsRetry_Decide(): the last try was refused
+                   * before any target was asked, as while a slice moves; it
+                   * costs no target anything and so no budget */
     bool may_have_run;
     bool hedged;
     bool answered;
--- a/dispatch/target.c
+++ b/dispatch/target.c
@@ -140,6 +140,7 @@
     if (work->connection != NULL) {
         int64_t latency_us = RsClock_NowUs() - work->sent_us;
         detach(work);
+        RsHealth_GaveUp(&target->health, RsHealth_WORK, false);
         RsAdmission_Done(target->admission, now_ms, work->id,
                          RsAdmission_ABANDONED, latency_us);
     }
--- a/front/attempt.c
+++ b/front/attempt.c
@@ -312,6 +312,7 @@
     }
     g_strlcpy(request->last_reason, "nowhere-to-send",
               sizeof(request->last_reason));
+    request->retry.unasked = true;
     RsRetry_Sent(&request->retry);
     decide(request, RsOutcome_NOT_RUN);
 }
@@ -446,6 +447,23 @@
     RsFrontReply_Head(request, head);
 }
 
+/* Tells whether a refusal came before any target was asked: the slice is on
+ * its way, or the process could not be reached. */
+static bool
+is_unasked(const char *reason)
+{
+    static const char *const reasons[] = {
+        "not-in-cell", "no-holder",    "moving",      "no-grant",
+        "not-holder",  "no-link",      "target-lost", "nowhere-to-send",
+        "stale-fence", "not-in-domain"};
+    for (size_t i = 0; i < G_N_ELEMENTS(reasons); i++) {
+        if (strcmp(reason, reasons[i]) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 fail_try(struct rs_front_try *attempt, const Rs__Relay__AnswerHead *head)
 {
@@ -458,6 +476,8 @@
     g_strlcpy(request->last_reason, head->reason,
               sizeof(request->last_reason));
     request->retry_after_ms = head->retry_after_ms;
+    request->retry.unasked =
+        outcome == RsOutcome_NOT_RUN && is_unasked(head->reason);
     if (outcome == RsOutcome_REDIRECT) {
         RsCounter_Add(&request->front->counters.redirects, 1);
         g_strlcpy(request->redirect, head->redirect,
--- a/front/front.c
+++ b/front/front.c
@@ -11,7 +11,8 @@
 #define CALLER_CHECK_MS 50
 #define ANSWER_MARGIN_MS 30
 #define MAX_TRIES 8
-#define MAX_REDIRECTS 6
+#define MAX_REDIRECTS 16
+#define MAX_UNASKED 64
 #define BACKOFF_MS 10
 #define MAX_BACKOFF_MS 100
 #define BUDGET_BURST 50.0
@@ -32,6 +33,7 @@
         .seed = front->options.seed,
         .max_tries = MAX_TRIES,
         .max_redirects = MAX_REDIRECTS,
+        .max_unasked = MAX_UNASKED,
         .backoff_ms = BACKOFF_MS,
         .max_backoff_ms = MAX_BACKOFF_MS,
         .budget_share = front->options.retry_share,
