--- /dev/null
+++ b/tests/cluster.c
@@ -0,0 +1,484 @@
+#include "tests/cluster.h"
+
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "core/clock.h"
+#include "tests/caller.h"
+#include "tests/cluster_files.h"
+#include "tests/verdict.h"
+
+#define FIRST_PORT 12000
+#define PORT_STRIDE 100
+#define PORT_BLOCKS 150
+#define CALL_TIMEOUT_MS 3000
+#define START_WITHIN_MS 20000
+#define POLL_EVERY_MS 20
+#define US_PER_MS 1000
+#define STATUS_OK 200
+#define DEFAULT_SERVICE_TIME_US 3000
+#define FILE_BYTES "300000"
+
+#define RATTANSHED RATTANSHED_BUILD "/rattanshed/rattanshed"
+#define STANDIN(name) RATTANSHED_BUILD "/standin/standin_" name
+
+/* Sleeps. */
+void
+RsCluster_SleepMs(int64_t duration_ms)
+{
+    g_usleep((gulong)(duration_ms * US_PER_MS));
+}
+
+/* Calls a stand-in or the operators' API. */
+int
+RsCluster_Call(uint16_t port, const char *method, const char *path,
+               const char *body, json_t **answer)
+{
+    return RsCaller_Call(port, method, path, body, CALL_TIMEOUT_MS, answer);
+}
+
+/* Switches the faults of a stand-in. */
+void
+RsCluster_Switch(uint16_t port, const char *body)
+{
+    int status = RsCluster_Call(port, "POST", "/standin", body, NULL);
+    if (status != STATUS_OK) {
+        printf("the stand-in on port %u answered %d to %s\n", port, status,
+               body);
+    }
+    g_assert(status == STATUS_OK);
+}
+
+static void
+add_entries(struct rs_cluster *cluster, uint32_t domain)
+{
+    for (uint32_t i = 0; i < cluster->options.entries; i++) {
+        struct rs_cluster_entry *entry =
+            &cluster->entries[cluster->entry_count++];
+        char *name = g_strdup_printf("e-%u-%u", domain, i);
+        char *path = g_strdup_printf("%s/%s.yaml", cluster->folder, name);
+        const char *const arguments[] = {RATTANSHED, "-c", path, NULL};
+        RsProcess_Init(&entry->process, name, cluster->folder, arguments);
+        entry->domain = domain;
+        entry->callers_port = RsClusterFiles_NextPort(cluster);
+        entry->admin_port = RsClusterFiles_NextPort(cluster);
+        entry->control_port = RsClusterFiles_NextPort(cluster);
+        entry->relay_port = RsClusterFiles_NextPort(cluster);
+        g_free(path);
+        g_free(name);
+    }
+}
+
+static void
+add_target(struct rs_cluster *cluster, uint32_t domain, const char *name,
+           bool has_files)
+{
+    const struct rs_cluster_options *options = &cluster->options;
+    struct rs_cluster_target *target =
+        &cluster->targets[cluster->target_count++];
+    uint32_t time_us = options->service_time_us;
+    target->domain = domain;
+    target->has_files = has_files;
+    target->port = RsClusterFiles_NextPort(cluster);
+    char *address = g_strdup_printf("%s:%u", name, target->port);
+    char *cold = g_strdup_printf("--cold-ms=%u", options->cold_ms);
+    char *time =
+        g_strdup_printf("--service-time-us=%u",
+                        time_us != 0 ? time_us : DEFAULT_SERVICE_TIME_US);
+    const char *const arguments[] = {
+        STANDIN("target"),
+        "--targets",
+        address,
+        cold,
+        time,
+        options->ignores_fences ? "--check-fences=0" : "--check-fences=1",
+        has_files ? "--file-bytes=" FILE_BYTES : "--file-bytes=0",
+        NULL};
+    RsProcess_Init(&target->process, name, cluster->folder, arguments);
+    g_free(time);
+    g_free(cold);
+    g_free(address);
+}
+
+static void
+add_targets(struct rs_cluster *cluster, uint32_t domain)
+{
+    for (uint32_t i = 0; i < cluster->options.targets; i++) {
+        char *name = g_strdup_printf("t-%u-%u", domain, i);
+        add_target(cluster, domain, name, false);
+        g_free(name);
+    }
+    if (domain == 0 && cluster->options.has_files) {
+        add_target(cluster, domain, "f-0-0", true);
+    }
+}
+
+static void
+write_file(const struct rs_cluster *cluster, const char *name,
+           const char *text)
+{
+    char *path = g_build_filename(cluster->folder, name, NULL);
+    bool was_written = g_file_set_contents(path, text, -1, NULL);
+    g_assert(was_written);
+    g_free(path);
+}
+
+static void
+write_vms(struct rs_cluster *cluster, GString *pairs)
+{
+    json_t *list = json_array();
+    for (uint32_t i = 0; i < cluster->entry_count; i++) {
+        json_array_append_new(list, RsClusterFiles_EntryVm(
+                                        cluster, &cluster->entries[i], pairs));
+    }
+    for (uint32_t i = 0; i < cluster->target_count; i++) {
+        json_array_append_new(
+            list, RsClusterFiles_TargetVm(&cluster->targets[i], "live"));
+    }
+    json_t *file = json_pack("{s:o}", "vms", list);
+    char *text = json_dumps(file, JSON_INDENT(1));
+    write_file(cluster, "vms.json", text);
+    free(text);
+    json_decref(file);
+}
+
+static void
+write_files(struct rs_cluster *cluster)
+{
+    GString *pairs = g_string_new("");
+    for (uint32_t i = 0; i < cluster->options.domains; i++) {
+        cluster->platform_link_ports[i] = RsClusterFiles_NextPort(cluster);
+        g_string_append_printf(pairs, "%u 127.0.0.1:%u dom-%u platform\n",
+                               cluster->platform_link_ports[i],
+                               cluster->platform_port, i);
+    }
+    write_vms(cluster, pairs);
+    write_file(cluster, "pairs", pairs->str);
+    g_string_free(pairs, TRUE);
+    for (uint32_t i = 0; i < cluster->entry_count; i++) {
+        const struct rs_cluster_entry *entry = &cluster->entries[i];
+        char *name = g_strdup_printf("%s.yaml", entry->process.name);
+        char *text = RsClusterFiles_Settings(cluster, entry);
+        write_file(cluster, name, text);
+        g_free(text);
+        g_free(name);
+    }
+}
+
+static void
+add_standins(struct rs_cluster *cluster)
+{
+    char *vms = g_strdup_printf("--vms=%s/vms.json", cluster->folder);
+    char *pairs = g_strdup_printf("--pairs=%s/pairs", cluster->folder);
+    char *platform = g_strdup_printf("--port=%u", cluster->platform_port);
+    char *link = g_strdup_printf("--port=%u", cluster->link_port);
+    const char *const of_platform[] = {STANDIN("platform"), platform, vms,
+                                       NULL};
+    const char *const of_link[] = {STANDIN("link"), link, pairs, NULL};
+    RsProcess_Init(&cluster->platform, "platform", cluster->folder,
+                   of_platform);
+    RsProcess_Init(&cluster->link, "link", cluster->folder, of_link);
+    g_free(link);
+    g_free(platform);
+    g_free(pairs);
+    g_free(vms);
+}
+
+/* Prepares a deployment and starts nothing. Ports come from a block that is
+ * drawn by this process's number and probed. */
+struct rs_cluster *
+RsCluster_New(const struct rs_cluster_options *options)
+{
+    struct rs_cluster *cluster = g_new0(struct rs_cluster, 1);
+    uint32_t block = (uint32_t)getpid() % PORT_BLOCKS;
+    cluster->options = *options;
+    cluster->folder = g_dir_make_tmp("rattanshed-failures-XXXXXX", NULL);
+    cluster->next_port = (uint16_t)(FIRST_PORT + block * PORT_STRIDE);
+    cluster->next_ticket = 1;
+    g_mutex_init(&cluster->mutex);
+    cluster->events = g_ptr_array_new_with_free_func(g_free);
+    cluster->requests = g_ptr_array_new_with_free_func(g_free);
+    cluster->platform_port = RsClusterFiles_NextPort(cluster);
+    cluster->link_port = RsClusterFiles_NextPort(cluster);
+    for (uint32_t i = 0; i < options->domains; i++) {
+        add_entries(cluster, i);
+        add_targets(cluster, i);
+    }
+    add_standins(cluster);
+    write_files(cluster);
+    return cluster;
+}
+
+static bool
+wait_answer(uint16_t port, const char *path, int64_t give_up_at_ms)
+{
+    while (RsCluster_Call(port, "GET", path, NULL, NULL) != STATUS_OK) {
+        if (RsClock_NowMs() >= give_up_at_ms) {
+            printf("no answer on port %u\n", port);
+            return false;
+        }
+        RsCluster_SleepMs(POLL_EVERY_MS);
+    }
+    return true;
+}
+
+static bool
+start_processes(struct rs_cluster *cluster, int64_t give_up_at_ms)
+{
+    RsProcess_Start(&cluster->platform);
+    bool up = wait_answer(cluster->platform_port, "/standin", give_up_at_ms);
+    if (cluster->options.has_links) {
+        RsProcess_Start(&cluster->link);
+        up = up && wait_answer(cluster->link_port, "/standin", give_up_at_ms);
+    }
+    for (uint32_t i = 0; i < cluster->target_count; i++) {
+        RsProcess_Start(&cluster->targets[i].process);
+        up = up &&
+             wait_answer(cluster->targets[i].port, "/health", give_up_at_ms);
+    }
+    for (uint32_t i = 0; i < cluster->entry_count; i++) {
+        RsProcess_Start(&cluster->entries[i].process);
+        cluster->entries[i].is_offered = true;
+    }
+    for (uint32_t i = 0; i < cluster->entry_count; i++) {
+        up = up && wait_answer(cluster->entries[i].admin_port, "/health",
+                               give_up_at_ms);
+    }
+    return up;
+}
+
+static bool
+submit_first(struct rs_cluster *cluster, int64_t give_up_at_ms)
+{
+    char *ticket = RsClusterFiles_FirstTicket(cluster);
+    int status = 0;
+    while (status != STATUS_OK && RsClock_NowMs() < give_up_at_ms) {
+        status = RsCluster_Submit(&cluster->entries[0], ticket);
+        RsCluster_SleepMs(POLL_EVERY_MS);
+    }
+    free(ticket);
+    cluster->next_ticket = 2;
+    return status == STATUS_OK;
+}
+
+/* Waits until all keys of a stream are served by each entry. */
+static bool
+wait_served(struct rs_cluster *cluster, int64_t give_up_at_ms)
+{
+    for (uint32_t i = 0; i < cluster->entry_count; i++) {
+        for (uint32_t j = 0; j < RsCaller_KEYS; j++) {
+            char *key = g_strdup_printf("k%u", j);
+            bool served = false;
+            while (!served && RsClock_NowMs() < give_up_at_ms) {
+                struct rs_caller_request request = RsCaller_Ask(
+                    cluster, &cluster->entries[i], "GET", key, 500);
+                served = request.outcome == RsLoad_ANSWERED;
+            }
+            g_free(key);
+            if (!served) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+/* Starts all, and waits until ticket 1 is in force and each key is served by
+ * each entry. */
+bool
+RsCluster_Start(struct rs_cluster *cluster)
+{
+    int64_t give_up_at_ms = RsClock_NowMs() + START_WITHIN_MS;
+    bool up = start_processes(cluster, give_up_at_ms) &&
+              submit_first(cluster, give_up_at_ms) &&
+              RsCluster_WaitInForce(cluster, 1, START_WITHIN_MS) &&
+              wait_served(cluster, give_up_at_ms);
+    RsVerdict_StartReading(cluster);
+    return up;
+}
+
+static void
+remove_folder(const char *folder)
+{
+    GDir *dir = g_dir_open(folder, 0, NULL);
+    const char *name;
+    while ((name = g_dir_read_name(dir)) != NULL) {
+        char *path = g_build_filename(folder, name, NULL);
+        g_unlink(path);
+        g_free(path);
+    }
+    g_dir_close(dir);
+    g_rmdir(folder);
+}
+
+/* Ends all that was started. */
+void
+RsCluster_Free(struct rs_cluster *cluster, bool keep_logs)
+{
+    RsVerdict_StopReading(cluster);
+    for (uint32_t i = 0; i < cluster->entry_count; i++) {
+        RsProcess_Clear(&cluster->entries[i].process);
+    }
+    for (uint32_t i = 0; i < cluster->target_count; i++) {
+        RsProcess_Clear(&cluster->targets[i].process);
+    }
+    RsProcess_Clear(&cluster->link);
+    RsProcess_Clear(&cluster->platform);
+    if (keep_logs) {
+        printf("logs are kept in %s\n", cluster->folder);
+    }
+    else {
+        remove_folder(cluster->folder);
+    }
+    g_ptr_array_free(cluster->events, TRUE);
+    g_ptr_array_free(cluster->requests, TRUE);
+    g_mutex_clear(&cluster->mutex);
+    g_free(cluster->folder);
+    g_free(cluster);
+}
+
+/* Ends a target at once. Its record is read before, as far as it answers; the
+ * rest is lost with it. */
+void
+RsCluster_KillTarget(struct rs_cluster *cluster,
+                     struct rs_cluster_target *target)
+{
+    RsVerdict_ReadTarget(cluster, target, CALL_TIMEOUT_MS);
+    cluster->is_partial = true;
+    RsProcess_Kill(&target->process);
+}
+
+/* Ends an entry at once; the balancer sees it. */
+void
+RsCluster_KillEntry(struct rs_cluster_entry *entry)
+{
+    entry->is_offered = false;
+    RsProcess_Kill(&entry->process);
+}
+
+/* Starts an entry again, which remembers nothing. It is offered once it has
+ * read the table. */
+void
+RsCluster_RestartEntry(struct rs_cluster_entry *entry)
+{
+    RsProcess_Start(&entry->process);
+    entry->is_offered = RsCluster_WaitApplied(entry, 1, START_WITHIN_MS);
+}
+
+/* Waits until an entry has applied a ticket. */
+bool
+RsCluster_WaitApplied(const struct rs_cluster_entry *entry, uint64_t ticket,
+                      int64_t within_ms)
+{
+    int64_t give_up_at_ms = RsClock_NowMs() + within_ms;
+    json_int_t applied = 0;
+    while (applied < (json_int_t)ticket) {
+        json_t *status = NULL;
+        RsCluster_Call(entry->admin_port, "GET", "/status", NULL, &status);
+        applied =
+            json_integer_value(json_object_get(status, "applied_ticket"));
+        json_decref(status);
+        if (applied < (json_int_t)ticket && RsClock_NowMs() >= give_up_at_ms) {
+            return false;
+        }
+        RsCluster_SleepMs(POLL_EVERY_MS);
+    }
+    return true;
+}
+
+/* Waits until each entry that runs has applied a ticket. */
+bool
+RsCluster_WaitInForce(struct rs_cluster *cluster, uint64_t ticket,
+                      int64_t within_ms)
+{
+    int64_t give_up_at_ms = RsClock_NowMs() + within_ms;
+    for (uint32_t i = 0; i < cluster->entry_count; i++) {
+        int64_t left_ms = MAX(give_up_at_ms - RsClock_NowMs(), 0);
+        if (cluster->entries[i].process.pid != 0 &&
+            !RsCluster_WaitApplied(&cluster->entries[i], ticket, left_ms)) {
+            printf("ticket %llu is not in force in %s\n",
+                   (unsigned long long)ticket,
+                   cluster->entries[i].process.name);
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Returns the next ticket, which sets the state of a domain; freed with
+ * g_free(). */
+char *
+RsCluster_DomainTicket(struct rs_cluster *cluster, uint32_t domain,
+                       const char *state)
+{
+    return g_strdup_printf(
+        "{\"number\":%llu,\"author\":\"ana\",\"note\":\"dom-%u %s\","
+        "\"objects\":[{\"kind\":\"domain\",\"name\":\"dom-%u\",\"value\":"
+        "{\"region\":\"sul\",\"state\":\"%s\"}}]}",
+        (unsigned long long)cluster->next_ticket++, domain, state, domain,
+        state);
+}
+
+/* Submits a ticket to an entry. Returns the status, 0 without an answer. */
+int
+RsCluster_Submit(const struct rs_cluster_entry *entry, const char *ticket)
+{
+    return RsCluster_Call(entry->admin_port, "POST", "/tickets", ticket, NULL);
+}
+
+/* Returns the newest effect on a key, or NULL. */
+static const struct rs_cluster_event *
+newest_event(struct rs_cluster *cluster, const char *key)
+{
+    const struct rs_cluster_event *newest = NULL;
+    g_mutex_lock(&cluster->mutex);
+    for (guint i = 0; i < cluster->events->len; i++) {
+        const struct rs_cluster_event *kept =
+            g_ptr_array_index(cluster->events, i);
+        if (strcmp(kept->event.key, key) == 0 && kept->event.effect &&
+            (newest == NULL || kept->event.end_us > newest->event.end_us)) {
+            newest = kept;
+        }
+    }
+    g_mutex_unlock(&cluster->mutex);
+    return newest;
+}
+
+/* Returns the target that ran the newest request on a key. */
+struct rs_cluster_target *
+RsCluster_TargetOf(struct rs_cluster *cluster, const char *key)
+{
+    const struct rs_cluster_event *event = newest_event(cluster, key);
+    for (uint32_t i = 0; event != NULL && i < cluster->target_count; i++) {
+        struct rs_cluster_target *target = &cluster->targets[i];
+        if (strcmp(target->process.name, event->event.target) == 0) {
+            return target;
+        }
+    }
+    g_assert_not_reached();
+}
+
+/* Returns the entry that sent the newest request on a key. */
+struct rs_cluster_entry *
+RsCluster_HolderOf(struct rs_cluster *cluster, const char *key)
+{
+    const struct rs_cluster_event *event = newest_event(cluster, key);
+    for (uint32_t i = 0; event != NULL && i < cluster->entry_count; i++) {
+        struct rs_cluster_entry *entry = &cluster->entries[i];
+        if (strcmp(entry->process.name, event->holder) == 0) {
+            return entry;
+        }
+    }
+    g_assert_not_reached();
+}
+
+/* Returns the domain of an entry or target by its name. */
+uint32_t
+RsCluster_DomainOf(const char *name)
+{
+    return (uint32_t)(name[2] - '0');
+}
--- /dev/null
+++ b/tests/process.c
@@ -0,0 +1,106 @@
+#include "tests/process.h"
+
+#include <fcntl.h>
+#include <glib.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include "core/clock.h"
+
+#define POLL_EVERY_US 10000
+#define LOG_MODE 0644
+
+extern char **environ;
+
+/* Prepares a process that is not started yet. `arguments` ends with NULL; its
+ * output goes to a file NAME.log in `folder`. */
+void
+RsProcess_Init(struct rs_process *process, const char *name,
+               const char *folder, const char *const arguments[])
+{
+    process->name = g_strdup(name);
+    process->log_path = g_strdup_printf("%s/%s.log", folder, name);
+    for (size_t i = 0; arguments[i] != NULL; i++) {
+        g_assert(i + 1 < RsProcess_ARGUMENTS);
+        process->arguments[i] = g_strdup(arguments[i]);
+    }
+}
+
+/* Starts it, or starts it again after its end. Returns 0 or an errno. */
+int
+RsProcess_Start(struct rs_process *process)
+{
+    posix_spawn_file_actions_t actions;
+    g_assert(process->pid == 0);
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
+                                     process->log_path,
+                                     O_WRONLY | O_CREAT | O_APPEND, LOG_MODE);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    int result = posix_spawn(&process->pid, process->arguments[0], &actions,
+                             NULL, process->arguments, environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (result != 0) {
+        process->pid = 0;
+    }
+    return result;
+}
+
+/* Sends a signal, if it runs. */
+void
+RsProcess_Signal(const struct rs_process *process, int number)
+{
+    if (process->pid > 0) {
+        kill(process->pid, number);
+    }
+}
+
+/* Ends it at once, stopped or not, and waits for its end. */
+void
+RsProcess_Kill(struct rs_process *process)
+{
+    if (process->pid > 0) {
+        kill(process->pid, SIGKILL);
+        waitpid(process->pid, NULL, 0);
+        process->pid = 0;
+    }
+}
+
+/* Tells whether it has ended by itself; sets its wait status then. */
+bool
+RsProcess_HasEnded(struct rs_process *process, int *status)
+{
+    if (process->pid > 0 &&
+        waitpid(process->pid, status, WNOHANG) == process->pid) {
+        process->pid = 0;
+        return true;
+    }
+    return false;
+}
+
+/* Waits for its end. Returns false when it still runs after that time. */
+bool
+RsProcess_WaitEnd(struct rs_process *process, int64_t within_ms, int *status)
+{
+    int64_t give_up_at_ms = RsClock_NowMs() + within_ms;
+    while (!RsProcess_HasEnded(process, status)) {
+        if (RsClock_NowMs() >= give_up_at_ms) {
+            return false;
+        }
+        g_usleep(POLL_EVERY_US);
+    }
+    return true;
+}
+
+/* Ends it and frees what belongs to it. */
+void
+RsProcess_Clear(struct rs_process *process)
+{
+    RsProcess_Kill(process);
+    for (size_t i = 0; i < RsProcess_ARGUMENTS; i++) {
+        g_free(process->arguments[i]);
+    }
+    g_free(process->name);
+    g_free(process->log_path);
+}
--- /dev/null
+++ b/tests/verdict.c
@@ -0,0 +1,234 @@
+#include "tests/verdict.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "tests/caller.h"
+
+#define READ_EVERY_MS 100
+#define READ_TIMEOUT_MS 250
+#define LAST_READ_TIMEOUT_MS 5000
+
+static const char *
+text_of(const json_t *json, const char *name)
+{
+    const char *text = json_string_value(json_object_get(json, name));
+    return g_intern_string(text != NULL ? text : "");
+}
+
+static int64_t
+number_of(const json_t *json, const char *name)
+{
+    return json_integer_value(json_object_get(json, name));
+}
+
+static void
+add_event(struct rs_cluster *cluster, const json_t *record, const json_t *json)
+{
+    struct rs_judge_event event = {
+        .target = text_of(record, "target"),
+        .service = text_of(json, "service"),
+        .request_id = text_of(json, "request_id"),
+        .method = text_of(json, "method"),
+        .key = text_of(json, "key"),
+        .slice = text_of(json, "slice"),
+        .epoch = (uint64_t)number_of(json, "epoch"),
+        .step = (uint64_t)number_of(json, "step"),
+        .start_us = number_of(json, "wall_start_us"),
+        .end_us = number_of(json, "wall_end_us"),
+        .effect = json_is_true(json_object_get(json, "effect")),
+    };
+    struct rs_cluster_event *kept = g_new0(struct rs_cluster_event, 1);
+    kept->event = event;
+    kept->holder = text_of(json, "holder");
+    g_ptr_array_add(cluster->events, kept);
+}
+
+/* Takes in a page of a record. Returns false when it was the last one. */
+static bool
+add_page(struct rs_cluster *cluster, struct rs_cluster_target *target,
+         const json_t *record)
+{
+    size_t i;
+    const json_t *event;
+    const json_t *events = json_object_get(record, "events");
+    const char *start_id = text_of(record, "start_id");
+    if (strcmp(target->start_id, start_id) != 0) {
+        bool is_first = target->start_id[0] == '\0';
+        g_strlcpy(target->start_id, start_id, sizeof(target->start_id));
+        if (!is_first && target->last_event > 0) {
+            target->last_event = 0;
+            return true; /* read the new start's record from its beginning */
+        }
+    }
+    json_array_foreach(events, i, event)
+    {
+        add_event(cluster, record, event);
+        target->last_event = number_of(event, "n");
+    }
+    return json_array_size(events) > 0;
+}
+
+static json_t *
+read_page(const struct rs_cluster_target *target, int64_t timeout_ms)
+{
+    json_t *record = NULL;
+    char *path = g_strdup_printf("/standin/record?after=%lld",
+                                 (long long)target->last_event);
+    RsCaller_Call(target->port, "GET", path, NULL, timeout_ms, &record);
+    g_free(path);
+    return record;
+}
+
+/* Reads what is new in a target's record. Returns false when the target does
+ * not answer. */
+bool
+RsVerdict_ReadTarget(struct rs_cluster *cluster,
+                     struct rs_cluster_target *target, int64_t timeout_ms)
+{
+    bool more = true;
+    bool answered = true;
+    g_mutex_lock(&cluster->mutex);
+    while (more) {
+        json_t *record = read_page(target, timeout_ms);
+        answered = record != NULL;
+        more = answered && add_page(cluster, target, record);
+        json_decref(record);
+    }
+    g_mutex_unlock(&cluster->mutex);
+    return answered;
+}
+
+static gpointer
+read_records(gpointer arg)
+{
+    struct rs_cluster *cluster = arg;
+    while (g_atomic_int_get(&cluster->reader_ends) == 0) {
+        for (uint32_t i = 0; i < cluster->target_count; i++) {
+            RsVerdict_ReadTarget(cluster, &cluster->targets[i],
+                                 READ_TIMEOUT_MS);
+        }
+        RsCluster_SleepMs(READ_EVERY_MS);
+    }
+    return NULL;
+}
+
+/* Reads the records again and again, until told to stop. */
+void
+RsVerdict_StartReading(struct rs_cluster *cluster)
+{
+    cluster->reader = g_thread_new("records", read_records, cluster);
+}
+
+/* Stops reading. */
+void
+RsVerdict_StopReading(struct rs_cluster *cluster)
+{
+    if (cluster->reader != NULL) {
+        g_atomic_int_set(&cluster->reader_ends, 1);
+        g_thread_join(cluster->reader);
+        cluster->reader = NULL;
+    }
+}
+
+static void
+fill_judge(struct rs_cluster *cluster, struct rs_judge *judge)
+{
+    for (guint i = 0; i < cluster->events->len; i++) {
+        const struct rs_cluster_event *kept =
+            g_ptr_array_index(cluster->events, i);
+        RsJudge_AddEvent(judge, &kept->event);
+    }
+    for (guint i = 0; i < cluster->requests->len; i++) {
+        const struct rs_caller_request *request =
+            g_ptr_array_index(cluster->requests, i);
+        struct rs_judge_request told = {
+            .request_id = request->id,
+            .method = request->method,
+            .outcome = RsLoadAnswer_OutcomeName(request->outcome)};
+        RsJudge_AddRequest(judge, &told);
+    }
+    for (uint32_t i = 0; i < cluster->target_count; i++) {
+        RsJudge_SetSlots(judge, cluster->targets[i].process.name,
+                         RsCluster_SLOTS);
+    }
+    if (cluster->is_partial) {
+        RsJudge_MarkPartial(judge, "");
+    }
+}
+
+static uint32_t
+count_wrong(const struct rs_cluster *cluster)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < cluster->requests->len; i++) {
+        const struct rs_caller_request *request =
+            g_ptr_array_index(cluster->requests, i);
+        if (request->outcome == RsLoad_WRONG) {
+            printf("wrong answer: %s %s of key %s\n", request->method,
+                   request->id, request->key);
+            count++;
+        }
+    }
+    return count;
+}
+
+/* Reads the rest of the records, judges all that is known and prints each
+ * violation. Returns how many there are. */
+uint32_t
+RsVerdict_Violations(struct rs_cluster *cluster)
+{
+    struct rs_judge *judge = RsJudge_New();
+    RsVerdict_StopReading(cluster);
+    for (uint32_t i = 0; i < cluster->target_count; i++) {
+        struct rs_cluster_target *target = &cluster->targets[i];
+        if (target->process.pid != 0 &&
+            !RsVerdict_ReadTarget(cluster, target, LAST_READ_TIMEOUT_MS)) {
+            printf("can't read the record of %s\n", target->process.name);
+            cluster->is_partial = true;
+        }
+    }
+    fill_judge(cluster, judge);
+    const GPtrArray *violations = RsJudge_Check(judge);
+    uint32_t count = violations->len;
+    for (guint i = 0; i < violations->len; i++) {
+        printf("%s\n", (const char *)g_ptr_array_index(violations, i));
+    }
+    printf("judged %u events and %u requests\n", cluster->events->len,
+           cluster->requests->len);
+    RsJudge_Free(judge);
+    return count + count_wrong(cluster);
+}
+
+/* Returns how many requests a target began after a time of the wall clock. */
+uint32_t
+RsVerdict_WorkAfter(struct rs_cluster *cluster,
+                    const struct rs_cluster_target *target, int64_t wall_us)
+{
+    uint32_t count = 0;
+    g_mutex_lock(&cluster->mutex);
+    for (guint i = 0; i < cluster->events->len; i++) {
+        const struct rs_cluster_event *kept =
+            g_ptr_array_index(cluster->events, i);
+        count += strcmp(kept->event.target, target->process.name) == 0 &&
+                 kept->event.start_us > wall_us;
+    }
+    g_mutex_unlock(&cluster->mutex);
+    return count;
+}
+
+/* Returns how often a request took effect. */
+uint32_t
+RsVerdict_EffectsOf(struct rs_cluster *cluster, const char *request_id)
+{
+    uint32_t count = 0;
+    g_mutex_lock(&cluster->mutex);
+    for (guint i = 0; i < cluster->events->len; i++) {
+        const struct rs_cluster_event *kept =
+            g_ptr_array_index(cluster->events, i);
+        count += kept->event.effect &&
+                 strcmp(kept->event.request_id, request_id) == 0;
+    }
+    g_mutex_unlock(&cluster->mutex);
+    return count;
+}
