--- /dev/null
+++ b/rattanctl/client.c
@@ -0,0 +1,160 @@
+#include "rattanctl/client.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CONNECT_TIMEOUT_MS 2000L
+#define CALL_TIMEOUT_MS 15000L
+#define MAX_REPLY_BYTES (64 * 1024 * 1024)
+#define STATUS_UNAVAILABLE 503
+
+/* Takes the addresses, HOST:PORT each, which must live as long. Returns 0 or
+ * RsClient_BAD_ADDRESS. */
+int
+RsClient_Open(struct rs_client *client, const char *const *addresses,
+              size_t count)
+{
+    *client = (struct rs_client){0};
+    if (count > RsClient_MAX_ADDRESSES) {
+        return RsClient_BAD_ADDRESS;
+    }
+    for (size_t i = 0; i < count; i++) {
+        if (strchr(addresses[i], ':') == NULL ||
+            strpbrk(addresses[i], "/@ ") != NULL) {
+            return RsClient_BAD_ADDRESS;
+        }
+        client->addresses[client->count++] = addresses[i];
+    }
+    client->curl = curl_easy_init();
+    return 0;
+}
+
+/* Frees the connections. */
+void
+RsClient_Close(struct rs_client *client)
+{
+    curl_easy_cleanup(client->curl);
+    client->curl = NULL;
+}
+
+/* Frees what the reply owns; it is empty again. */
+void
+RsReply_Free(struct rs_reply *reply)
+{
+    g_free(reply->text);
+    json_decref(reply->json);
+    *reply = (struct rs_reply){0};
+}
+
+static size_t
+keep_bytes(char *data, size_t size, size_t count, void *arg)
+{
+    struct rs_reply *reply = arg;
+    size_t bytes = size * count;
+    if (reply->size_bytes + bytes > MAX_REPLY_BYTES) {
+        return 0;
+    }
+    reply->text = g_realloc(reply->text, reply->size_bytes + bytes + 1);
+    memcpy(reply->text + reply->size_bytes, data, bytes);
+    reply->size_bytes += bytes;
+    reply->text[reply->size_bytes] = '\0';
+    return bytes;
+}
+
+static void
+prepare(CURL *curl, const char *url, const struct rs_request *request,
+        struct rs_reply *reply)
+{
+    curl_easy_reset(curl);
+    curl_easy_setopt(curl, CURLOPT_URL, url);
+    curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, CALL_TIMEOUT_MS);
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, keep_bytes);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, reply);
+    if (request->body != NULL) {
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE,
+                         (long)strlen(request->body));
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDS, request->body);
+    }
+}
+
+/* Asks one address. Returns false when no whole answer came. */
+static bool
+ask(struct rs_client *client, size_t address, const struct rs_request *request,
+    struct rs_reply *reply)
+{
+    char *url = g_strdup_printf("http://%s%s", client->addresses[address],
+                                request->path);
+    g_clear_pointer(&reply->text, g_free);
+    reply->size_bytes = 0;
+    reply->status = 0;
+    prepare(client->curl, url, request, reply);
+    struct curl_slist *headers =
+        curl_slist_append(NULL, "Content-Type: application/json");
+    headers = curl_slist_append(headers, "Expect:");
+    curl_easy_setopt(client->curl, CURLOPT_HTTPHEADER, headers);
+    CURLcode code = curl_easy_perform(client->curl);
+    curl_slist_free_all(headers);
+    g_free(url);
+    if (code == CURLE_OK) {
+        curl_easy_getinfo(client->curl, CURLINFO_RESPONSE_CODE,
+                          &reply->status);
+        return true;
+    }
+    long sent_bytes = 0;
+    curl_easy_getinfo(client->curl, CURLINFO_REQUEST_SIZE, &sent_bytes);
+    reply->sent_in_vain = reply->sent_in_vain || sent_bytes > 0;
+    return false;
+}
+
+static void
+read_json(struct rs_reply *reply)
+{
+    json_decref(reply->json);
+    reply->json = json_loadb(reply->text != NULL ? reply->text : "",
+                             reply->size_bytes, JSON_DECODE_ANY, NULL);
+    const char *outcome =
+        json_string_value(json_object_get(reply->json, "outcome"));
+    if (outcome != NULL && strcmp(outcome, "unknown") == 0) {
+        reply->unknown_outcome = true;
+    }
+}
+
+/* Asks the addresses in turn until one gives an answer other than 503. All
+ * calls but /drain are idempotent, so that one whose answer is lost may be
+ * repeated elsewhere. Returns 0 with the last answer, or RsClient_NO_ANSWER;
+ * the caller frees the reply in both cases. */
+int
+RsClient_Call(struct rs_client *client, const struct rs_request *request,
+              struct rs_reply *reply)
+{
+    *reply = (struct rs_reply){0};
+    struct rs_reply last = {0};
+    size_t end = request->only_first ? request->first + 1 : client->count;
+    for (size_t i = request->first; i < end; i++) {
+        struct rs_reply answer = {0};
+        bool answered = ask(client, i, request, &answer);
+        reply->sent_in_vain = reply->sent_in_vain || answer.sent_in_vain;
+        if (!answered) {
+            RsReply_Free(&answer);
+            continue;
+        }
+        read_json(&answer);
+        reply->unknown_outcome =
+            reply->unknown_outcome || answer.unknown_outcome;
+        RsReply_Free(&last);
+        last = answer;
+        if (answer.status != STATUS_UNAVAILABLE) {
+            break;
+        }
+    }
+    reply->status = last.status;
+    reply->text = last.text;
+    reply->size_bytes = last.size_bytes;
+    reply->json = last.json;
+    return last.status != 0 ? 0 : RsClient_NO_ANSWER;
+}
--- /dev/null
+++ b/rattanctl/client.h
@@ -0,0 +1,51 @@
+/* Calls to the administration addresses, which are tried in turn. */
+
+#ifndef RATTANSHED_RATTANCTL_CLIENT_H
+#define RATTANSHED_RATTANCTL_CLIENT_H
+
+#include <curl/curl.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "core/error.h"
+
+enum rs_client_error {
+    RsClient_NO_ANSWER = RsError_ADMIN - 50,
+    RsClient_BAD_ADDRESS = RsError_ADMIN - 51
+};
+
+#define RsClient_MAX_ADDRESSES 32
+
+struct rs_client {
+    CURL *curl;
+    const char *addresses[RsClient_MAX_ADDRESSES];
+    size_t count;
+};
+
+struct rs_request {
+    const char *path;
+    const char *body; /* posted; NULL for a GET */
+    size_t first;     /* the address to begin with */
+    bool only_first;  /* don't go on to another address */
+};
+
+/* The last answer. `sent_in_vain` is set when a request left but its answer
+ * was lost. Freed with RsReply_Free. */
+struct rs_reply {
+    long status;
+    char *text;
+    size_t size_bytes;
+    json_t *json; /* NULL when the text is not JSON */
+    bool sent_in_vain;
+    bool unknown_outcome; /* some process answered so */
+};
+
+int RsClient_Open(struct rs_client *client, const char *const *addresses,
+                  size_t count);
+void RsClient_Close(struct rs_client *client);
+int RsClient_Call(struct rs_client *client, const struct rs_request *request,
+                  struct rs_reply *reply);
+void RsReply_Free(struct rs_reply *reply);
+
+#endif
--- /dev/null
+++ b/rattanctl/ctl.c
@@ -0,0 +1,355 @@
+#include "rattanctl/ctl.h"
+
+#include <argtable2.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "rattanctl/print.h"
+
+#define ADMIN_VARIABLE "RATTANSHED_ADMIN"
+#define MAX_WORDS 4
+#define DEFAULT_TIMEOUT_S 10
+#define MAX_TIMEOUT_S 86400
+#define STATUS_OK 200
+#define STATUS_UNAVAILABLE 503
+
+static const char usage_text[] =
+    "usage: rattanctl [OPTION...] COMMAND\n"
+    "\n"
+    "  ticket submit FILE     submit a change ticket\n"
+    "  ticket show NUMBER     print an accepted ticket\n"
+    "  ticket list            list accepted tickets, the newest first\n"
+    "  ticket wait NUMBER     wait until the ticket is in force everywhere\n"
+    "  status                 print the state of the process asked\n"
+    "  dump [PROCESS]         print the whole state of a process as JSON\n"
+    "  owner SERVICE KEY      print which target owns a key\n"
+    "  drain                  shut down the process at the first address\n"
+    "  metrics                print the counters of the process asked\n"
+    "\n";
+
+static const char exit_text[] =
+    "\n"
+    "exit codes: 0 ok, 1 failure, 2 usage, 3 invalid ticket, 4 conflict,\n"
+    "5 platform unavailable (tells whether the outcome is unknown), 6 not in\n"
+    "force at the timeout, 7 no admin address answers\n";
+
+struct options {
+    struct arg_str *admin;
+    struct arg_lit *json;
+    struct arg_int *timeout;
+    struct arg_int *before;
+    struct arg_int *limit;
+    struct arg_lit *help;
+    struct arg_lit *version;
+    struct arg_str *words;
+    struct arg_end *end;
+};
+
+/* Reports that no address answered. */
+static int
+no_admin(struct rs_ctl *ctl)
+{
+    fprintf(ctl->err, "no admin address answers\n");
+    return RsCtl_NO_ADMIN;
+}
+
+/* Reports an answer that is not the one hoped for. Returns the exit code. */
+int
+RsCtl_Refused(struct rs_ctl *ctl, const struct rs_reply *reply)
+{
+    const char *error =
+        json_string_value(json_object_get(reply->json, "error"));
+    fprintf(ctl->err, "status %ld%s%s\n", reply->status,
+            error != NULL ? ": " : "", error != NULL ? error : "");
+    return reply->status == STATUS_UNAVAILABLE ? RsCtl_UNAVAILABLE
+                                               : RsCtl_FAILED;
+}
+
+/* Gets a path whose answer should be 200 and JSON. Returns the exit code; the
+ * caller frees the reply in any case. */
+int
+RsCtl_Fetch(struct rs_ctl *ctl, const char *path, struct rs_reply *reply)
+{
+    struct rs_request request = {.path = path};
+    if (RsClient_Call(&ctl->client, &request, reply) < 0) {
+        return no_admin(ctl);
+    }
+    if (reply->status != STATUS_OK || reply->json == NULL) {
+        return RsCtl_Refused(ctl, reply);
+    }
+    return RsCtl_OK;
+}
+
+static int
+print_path(struct rs_ctl *ctl, const char *path)
+{
+    struct rs_reply reply;
+    int code = RsCtl_Fetch(ctl, path, &reply);
+    if (code == RsCtl_OK && ctl->json) {
+        RsPrint_Json(ctl->out, reply.json);
+    }
+    else if (code == RsCtl_OK) {
+        RsPrint_Object(ctl->out, reply.json);
+    }
+    RsReply_Free(&reply);
+    return code;
+}
+
+static int
+status(struct rs_ctl *ctl)
+{
+    return print_path(ctl, "/status");
+}
+
+static int
+owner(struct rs_ctl *ctl)
+{
+    char *service = curl_easy_escape(ctl->client.curl, ctl->words[1], 0);
+    char *key = curl_easy_escape(ctl->client.curl, ctl->words[2], 0);
+    char *path = g_strdup_printf("/owner?service=%s&key=%s", service, key);
+    int code = print_path(ctl, path);
+    g_free(path);
+    curl_free(key);
+    curl_free(service);
+    return code;
+}
+
+static bool
+is_from(const struct rs_reply *reply, const char *process)
+{
+    const char *name =
+        json_string_value(json_object_get(reply->json, "process"));
+    return name != NULL && strcmp(name, process) == 0;
+}
+
+/* Asks each address for its dump until one is of that process. */
+static int
+dump_process(struct rs_ctl *ctl, const char *process)
+{
+    bool answered = false;
+    for (size_t i = 0; i < ctl->client.count; i++) {
+        struct rs_request request = {
+            .path = "/dump", .first = i, .only_first = true};
+        struct rs_reply reply;
+        bool ok = RsClient_Call(&ctl->client, &request, &reply) == 0;
+        answered = answered || ok;
+        bool found =
+            ok && reply.status == STATUS_OK && is_from(&reply, process);
+        if (found) {
+            RsPrint_Json(ctl->out, reply.json);
+        }
+        RsReply_Free(&reply);
+        if (found) {
+            return RsCtl_OK;
+        }
+    }
+    if (!answered) {
+        return no_admin(ctl);
+    }
+    fprintf(ctl->err, "no admin address is of process %s\n", process);
+    return RsCtl_FAILED;
+}
+
+static int
+dump(struct rs_ctl *ctl)
+{
+    if (ctl->word_count == 2) {
+        return dump_process(ctl, ctl->words[1]);
+    }
+    ctl->json = true;
+    return print_path(ctl, "/dump");
+}
+
+static int
+metrics(struct rs_ctl *ctl)
+{
+    struct rs_request request = {.path = "/metrics"};
+    struct rs_reply reply;
+    int code = RsCtl_OK;
+    if (RsClient_Call(&ctl->client, &request, &reply) < 0) {
+        code = no_admin(ctl);
+    }
+    else if (reply.status != STATUS_OK) {
+        code = RsCtl_Refused(ctl, &reply);
+    }
+    else if (reply.text != NULL) {
+        fwrite(reply.text, 1, reply.size_bytes, ctl->out);
+    }
+    RsReply_Free(&reply);
+    return code;
+}
+
+/* Only the first address is asked: another process must not be shut down in
+ * its place. */
+static int
+drain(struct rs_ctl *ctl)
+{
+    struct rs_request request = {
+        .path = "/drain", .body = "", .only_first = true};
+    struct rs_reply reply;
+    int code = RsCtl_OK;
+    if (RsClient_Call(&ctl->client, &request, &reply) < 0) {
+        code = no_admin(ctl);
+    }
+    else if (reply.status != STATUS_OK) {
+        code = RsCtl_Refused(ctl, &reply);
+    }
+    else {
+        RsPrint_Object(ctl->out, reply.json);
+    }
+    RsReply_Free(&reply);
+    return code;
+}
+
+static const struct {
+    const char *name;
+    int min_words;
+    int max_words;
+    int (*run)(struct rs_ctl *ctl);
+} commands[] = {
+    {"ticket", 2, 3, RsTicketCommand_Run},
+    {"status", 1, 1, status},
+    {"dump", 1, 2, dump},
+    {"owner", 3, 3, owner},
+    {"drain", 1, 1, drain},
+    {"metrics", 1, 1, metrics},
+};
+
+static int
+run_command(struct rs_ctl *ctl)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+        if (ctl->word_count >= commands[i].min_words &&
+            ctl->word_count <= commands[i].max_words &&
+            strcmp(ctl->words[0], commands[i].name) == 0) {
+            return commands[i].run(ctl);
+        }
+    }
+    return RsCtl_USAGE;
+}
+
+static void
+print_usage(FILE *out, struct options *options)
+{
+    fputs(usage_text, out);
+    arg_print_glossary(out, (void **)options, "  %-22s %s\n");
+    fputs(exit_text, out);
+}
+
+static int
+run_with_addresses(struct rs_ctl *ctl, const char *const *addresses,
+                   size_t count)
+{
+    if (count == 0) {
+        fprintf(ctl->err, "no admin address: give --admin or set %s\n",
+                ADMIN_VARIABLE);
+        return RsCtl_USAGE;
+    }
+    if (RsClient_Open(&ctl->client, addresses, count) < 0) {
+        fprintf(ctl->err, "admin addresses are HOST:PORT, at most %d\n",
+                RsClient_MAX_ADDRESSES);
+        return RsCtl_USAGE;
+    }
+    int code = run_command(ctl);
+    RsClient_Close(&ctl->client);
+    return code;
+}
+
+/* Addresses in the variable stand apart by commas or spaces. */
+static int
+run_with_variable(struct rs_ctl *ctl)
+{
+    const char *text = getenv(ADMIN_VARIABLE);
+    char **parts = g_strsplit_set(text != NULL ? text : "", ", ", -1);
+    size_t count = 0;
+    for (size_t i = 0; parts[i] != NULL; i++) {
+        if (parts[i][0] != '\0') {
+            parts[count++] = parts[i];
+        }
+        else {
+            g_free(parts[i]);
+        }
+    }
+    parts[count] = NULL;
+    int code = run_with_addresses(ctl, (const char *const *)parts, count);
+    g_strfreev(parts);
+    return code;
+}
+
+static char *
+number_text(const struct arg_int *option)
+{
+    return option->count > 0 ? g_strdup_printf("%d", option->ival[0]) : NULL;
+}
+
+static int
+run(struct options *options, FILE *out, FILE *err)
+{
+    char *before = number_text(options->before);
+    char *limit = number_text(options->limit);
+    struct rs_ctl ctl = {.out = out,
+                         .err = err,
+                         .json = options->json->count > 0,
+                         .timeout_s = (uint32_t)options->timeout->ival[0],
+                         .before = before,
+                         .limit = limit,
+                         .words = (const char *const *)options->words->sval,
+                         .word_count = options->words->count};
+    int code = options->admin->count > 0
+                   ? run_with_addresses(
+                         &ctl, (const char *const *)options->admin->sval,
+                         (size_t)options->admin->count)
+                   : run_with_variable(&ctl);
+    g_free(limit);
+    g_free(before);
+    return code;
+}
+
+static int
+parse(struct options *options, int argc, char **argv, FILE *out, FILE *err)
+{
+    options->timeout->ival[0] = DEFAULT_TIMEOUT_S;
+    int faults = arg_parse(argc, argv, (void **)options);
+    if (options->help->count > 0) {
+        print_usage(out, options);
+        return RsCtl_OK;
+    }
+    if (options->version->count > 0) {
+        fprintf(out, "rattanctl %s\n", RATTANSHED_VERSION);
+        return RsCtl_OK;
+    }
+    if (faults > 0) {
+        arg_print_errors(err, options->end, "rattanctl");
+        return RsCtl_USAGE;
+    }
+    if (options->timeout->ival[0] < 0 ||
+        options->timeout->ival[0] > MAX_TIMEOUT_S) {
+        fprintf(err, "--timeout is 0 to %d seconds\n", MAX_TIMEOUT_S);
+        return RsCtl_USAGE;
+    }
+    return options->words->count == 0 ? RsCtl_USAGE : run(options, out, err);
+}
+
+/* Runs the command line. Returns its exit code. */
+int
+RsCtl_Main(int argc, char **argv, FILE *out, FILE *err)
+{
+    struct options options = {
+        .admin = arg_strn("a", "admin", "HOST:PORT", 0, RsClient_MAX_ADDRESSES,
+                          "admin address; several are tried in turn"),
+        .json = arg_lit0("j", "json", "print the answer as JSON"),
+        .timeout = arg_int0("t", "timeout", "S", "of ticket wait, seconds"),
+        .before = arg_int0(NULL, "before", "N", "list tickets below N"),
+        .limit = arg_int0(NULL, "limit", "K", "list at most K tickets"),
+        .help = arg_lit0("h", "help", "print this text"),
+        .version = arg_lit0(NULL, "version", "print the version"),
+        .words = arg_strn(NULL, NULL, "COMMAND", 0, MAX_WORDS, NULL),
+        .end = arg_end(MAX_WORDS)};
+    int code = parse(&options, argc, argv, out, err);
+    if (code == RsCtl_USAGE) {
+        fprintf(err, "rattanctl --help shows the commands\n");
+    }
+    arg_freetable((void **)&options, sizeof(options) / sizeof(void *));
+    return code;
+}
--- /dev/null
+++ b/rattanctl/ctl.h
@@ -0,0 +1,46 @@
+/* The operators' command: it speaks the administration API of any entry
+ * process, see docs/ADMIN.md. */
+
+#ifndef RATTANSHED_RATTANCTL_CTL_H
+#define RATTANSHED_RATTANCTL_CTL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include "rattanctl/client.h"
+
+/* Exit codes. */
+enum rs_ctl_exit {
+    RsCtl_OK = 0,
+    RsCtl_FAILED = 1,
+    RsCtl_USAGE = 2,
+    RsCtl_INVALID = 3,
+    RsCtl_CONFLICT = 4,
+    RsCtl_UNAVAILABLE = 5, /* the outcome is on standard error */
+    RsCtl_NOT_IN_FORCE = 6,
+    RsCtl_NO_ADMIN = 7
+};
+
+/* One run of the command. */
+struct rs_ctl {
+    struct rs_client client;
+    FILE *out;
+    FILE *err;
+    bool json;
+    uint32_t timeout_s;       /* of `ticket wait` */
+    const char *before;       /* of `ticket list`, or NULL */
+    const char *limit;        /* the same */
+    const char *const *words; /* the subcommand and its arguments */
+    int word_count;
+};
+
+int RsCtl_Main(int argc, char **argv, FILE *out, FILE *err);
+
+/* For the subcommands' own files. */
+int RsCtl_Fetch(struct rs_ctl *ctl, const char *path, struct rs_reply *reply);
+int RsCtl_Refused(struct rs_ctl *ctl, const struct rs_reply *reply);
+
+int RsTicketCommand_Run(struct rs_ctl *ctl);
+
+#endif
--- /dev/null
+++ b/rattanctl/fake_admin.c
@@ -0,0 +1,104 @@
+#include "rattanctl/fake_admin.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BUFFER_BYTES 8192
+
+/* Reads one request; returns its body within the buffer, or NULL. */
+static char *
+read_request(int peer, char buffer[BUFFER_BYTES])
+{
+    size_t used = 0;
+    for (;;) {
+        ssize_t count = read(peer, buffer + used, BUFFER_BYTES - 1 - used);
+        if (count <= 0) {
+            return NULL;
+        }
+        used += (size_t)count;
+        buffer[used] = '\0';
+        char *end = strstr(buffer, "\r\n\r\n");
+        if (end == NULL) {
+            continue;
+        }
+        char *field = strcasestr(buffer, "content-length:");
+        size_t length =
+            field == NULL
+                ? 0
+                : strtoul(field + strlen("content-length:"), NULL, 10);
+        if (used >= (size_t)(end + 4 - buffer) + length) {
+            return end + 4;
+        }
+    }
+}
+
+static void
+serve(struct rs_fake_admin *admin, int peer)
+{
+    char buffer[BUFFER_BYTES];
+    char *body = read_request(peer, buffer);
+    if (body == NULL || admin->request_count == RsFakeAdmin_MAX) {
+        return;
+    }
+    size_t index = admin->request_count++;
+    snprintf(admin->bodies[index], RsFakeAdmin_TEXT_BYTES, "%.500s", body);
+    buffer[strcspn(buffer, "\r")] = '\0';
+    snprintf(admin->requests[index], RsFakeAdmin_TEXT_BYTES, "%.500s", buffer);
+    size_t last = admin->answer_count - 1;
+    const struct rs_fake_answer *answer = &admin->answers[MIN(index, last)];
+    if (answer->status != 0) {
+        dprintf(peer,
+                "HTTP/1.1 %d X\r\nContent-Length: %zu\r\n"
+                "Connection: close\r\n\r\n%s",
+                answer->status, strlen(answer->body), answer->body);
+    }
+}
+
+static void *
+run(void *arg)
+{
+    struct rs_fake_admin *admin = arg;
+    for (;;) {
+        int peer = accept(admin->listener, NULL, NULL);
+        if (peer < 0) {
+            return NULL;
+        }
+        serve(admin, peer);
+        close(peer);
+    }
+}
+
+/* Listens on a free loopback port. The last answer is given to all further
+ * requests. */
+void
+RsFakeAdmin_Start(struct rs_fake_admin *admin,
+                  const struct rs_fake_answer *answers, size_t count)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t size = sizeof(address);
+    *admin = (struct rs_fake_admin){.answer_count = count};
+    memcpy(admin->answers, answers, count * sizeof(*answers));
+    admin->listener = socket(AF_INET, SOCK_STREAM, 0);
+    int status = bind(admin->listener, (struct sockaddr *)&address, size);
+    g_assert(status == 0);
+    listen(admin->listener, RsFakeAdmin_MAX);
+    getsockname(admin->listener, (struct sockaddr *)&address, &size);
+    snprintf(admin->address, sizeof(admin->address), "127.0.0.1:%d",
+             ntohs(address.sin_port));
+    pthread_create(&admin->thread, NULL, run, admin);
+}
+
+/* Ends the thread; what was asked may be read afterwards. */
+void
+RsFakeAdmin_Stop(struct rs_fake_admin *admin)
+{
+    shutdown(admin->listener, SHUT_RDWR);
+    pthread_join(admin->thread, NULL);
+    close(admin->listener);
+}
--- /dev/null
+++ b/rattanctl/main.c
@@ -0,0 +1,7 @@
+#include "rattanctl/ctl.h"
+
+int
+main(int argc, char **argv)
+{
+    return RsCtl_Main(argc, argv, stdout, stderr);
+}
