Add a simulation of one service to compare the dispatch policies

Three disturbances: two targets slowed tenfold at 70% load (with and without keys), a third of the targets restarted at 95% load, all targets at half speed at 80% load. It is not in ctest: it measures and judges nothing.

--- /dev/null
+++ b/dispatch/dispatch_measure.c
@@ -0,0 +1,136 @@
+/* Compares the policies of this folder in the simulation of one service, and
+ * prints a table. All rows of one run have the same seed. */
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "dispatch/simulation.h"
+
+#define US_PER_MS 1000
+#define US_PER_S 1000000
+
+static double
+quantile_ms(const struct rs_simulation_results *results, double share)
+{
+    return (double)RsHistogram_Quantile(&results->latency_us, share) /
+           US_PER_MS;
+}
+
+static void
+print_row(const struct rs_simulation_setup *setup,
+          const struct rs_simulation_results *results)
+{
+    double seconds =
+        (double)(setup->fault_until_us - RsSimulation_FAULT_FROM_US) /
+        US_PER_S;
+    double offered = (double)results->offered;
+    printf("| %s | %s | %s | %s | %s | %.0f%% | %.1f | %.1f | %.1f | %.2f | "
+           "%.2f | %.0f | %.3f | %" PRIu64 " | %" PRIu32 " |\n",
+           setup->name, setup->admission, setup->keyed ? "key" : setup->choice,
+           setup->ramp, setup->retry, setup->hedge_share * 100.0,
+           quantile_ms(results, 0.5), quantile_ms(results, 0.99),
+           quantile_ms(results, 0.999),
+           100.0 * (double)results->not_run / offered,
+           100.0 * (double)results->unknown / offered,
+           (double)results->answered / seconds, results->tries,
+           results->target_refusals, results->most_at_a_target);
+}
+
+#define SLOW                                                                  \
+    .load = 0.7, .slowed = 2, .slow_factor = 10.0,                            \
+    .fault_until_us = RsSimulation_FAULT_FROM_US + 4 * US_PER_S,              \
+    .ramp = "adaptive", .retry = "budget"
+#define COLD                                                                  \
+    .load = 0.95, .keyed = true, .restarted = RsSimulation_TARGETS / 3,       \
+    .fault_until_us = RsSimulation_FAULT_FROM_US + 4 * US_PER_S,              \
+    .choice = "random"
+#define STORM                                                                 \
+    .name = "storm", .load = 0.8, .keyed = true,                              \
+    .slowed = RsSimulation_TARGETS, .slow_factor = 2.0,                       \
+    .fault_until_us = RsSimulation_FAULT_FROM_US + 4 * US_PER_S,              \
+    .choice = "random", .ramp = "adaptive"
+
+static const struct rs_simulation_setup setups[] = {
+    {.name = "slow", SLOW, .admission = "adaptive", .choice = "two-choices"},
+    {.name = "slow",
+     SLOW,
+     .admission = "adaptive",
+     .choice = "two-choices",
+     .hedge_share = 0.05},
+    {.name = "slow", SLOW, .admission = "adaptive", .choice = "round-robin"},
+    {.name = "slow", SLOW, .admission = "adaptive", .choice = "random"},
+    {.name = "slow", SLOW, .admission = "none", .choice = "round-robin"},
+    {.name = "slow-keyed",
+     SLOW,
+     .keyed = true,
+     .admission = "adaptive",
+     .choice = "random"},
+    {.name = "slow-keyed",
+     SLOW,
+     .keyed = true,
+     .admission = "fixed",
+     .choice = "random"},
+    {.name = "slow-keyed",
+     SLOW,
+     .keyed = true,
+     .admission = "none",
+     .choice = "random"},
+    {.name = "cold",
+     COLD,
+     .cold_us = 3 * US_PER_S,
+     .admission = "adaptive",
+     .ramp = "adaptive",
+     .retry = "budget"},
+    {.name = "cold",
+     COLD,
+     .cold_us = 3 * US_PER_S,
+     .admission = "adaptive",
+     .ramp = "linear",
+     .retry = "budget"},
+    {.name = "cold",
+     COLD,
+     .cold_us = 3 * US_PER_S,
+     .admission = "adaptive",
+     .ramp = "none",
+     .retry = "budget"},
+    {.name = "cold",
+     COLD,
+     .cold_us = 3 * US_PER_S,
+     .admission = "none",
+     .ramp = "none",
+     .retry = "immediate"},
+    {.name = "cold-longer",
+     COLD,
+     .cold_us = 6 * US_PER_S,
+     .admission = "adaptive",
+     .ramp = "adaptive",
+     .retry = "budget"},
+    {.name = "cold-longer",
+     COLD,
+     .cold_us = 6 * US_PER_S,
+     .admission = "adaptive",
+     .ramp = "linear",
+     .retry = "budget"},
+    {STORM, .admission = "adaptive", .retry = "budget"},
+    {STORM, .admission = "adaptive", .retry = "immediate"},
+    {STORM, .admission = "adaptive", .retry = "none"},
+    {STORM, .admission = "none", .retry = "immediate"},
+    {STORM, .admission = "none", .retry = "budget"},
+};
+
+int
+main(void)
+{
+    printf("| case | admission | choice | ramp | retry | hedges | p50 ms | "
+           "p99 ms | p99.9 ms | not run %% | unknown %% | answered/s | "
+           "tries | refused by targets | most at a target |\n"
+           "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+    for (size_t i = 0; i < sizeof(setups) / sizeof(setups[0]); i++) {
+        static struct rs_simulation_results results;
+        memset(&results, 0, sizeof(results));
+        RsSimulation_Run(&setups[i], &results);
+        print_row(&setups[i], &results);
+    }
+    return 0;
+}
