Change a cell's members by rows, from the list of VMs and heartbeats

A cell's row now follows the VMs: founded from the live ones, changed one step at a time with the members before it listed until they can't promise by themselves any more. Preference for a target's speaker comes from one place (place/speaker). Before, the first row stayed for ever.

--- a/control/admin_report.c
+++ b/control/admin_report.c
@@ -55,7 +55,7 @@
         "{s:s,s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:b,s:i,s:I,s:o}", "name",
         control->settings->name, "version", RATTANSHED_VERSION, "incarnation",
         incarnation, "region", control->settings->region, "domain",
-        control->settings->domain, "cell", cell != NULL ? cell->name : "",
+        control->settings->domain, "cell", cell != NULL ? cell->row.cell : "",
         "applied_ticket", (json_int_t)applied_ticket(control),
         "applied_revision",
         (json_int_t)RsMirror_Revision(RsFeed_Mirror(control->feed)),
--- a/control/control_task.c
+++ b/control/control_task.c
@@ -214,6 +214,19 @@
     }
 }
 
+/* What is missing in the list of VMs counts by the readings of the list, not
+ * by time alone: without the platform nobody is found to be gone. */
+static void
+watch_vms(struct rs_control *control, int64_t now_ms)
+{
+    int64_t read_at_ms = RsFeed_VmsReadAtMs(control->feed);
+    if (control->view != NULL && read_at_ms != control->vms_seen_at_ms &&
+        !control->snapshot_due) {
+        control->vms_seen_at_ms = read_at_ms;
+        RsPlanning_VmsWereRead(control->planning, now_ms, control->view);
+    }
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
@@ -231,7 +244,9 @@
         RsPlanning_Tick(control->planning, now_ms, control->view);
     }
     RsMembers_Forget(control->members, now_ms);
-    if (!control->leaving && is_told_to_leave(control)) {
+    watch_vms(control, now_ms);
+    if (!control->leaving &&
+        (is_told_to_leave(control) || RsLeases_Moved(control->leases))) {
         RsControl_Leave(control);
     }
     tick_leaving(control, now_ms);
--- a/control/heartbeat.c
+++ b/control/heartbeat.c
@@ -22,7 +22,7 @@
     entry->applied_ticket =
         control->config != NULL ? RsConfig_AppliedTicket(control->config) : 0;
     entry->applied_revision = RsMirror_Revision(RsFeed_Mirror(control->feed));
-    entry->cell_version = cell != NULL ? cell->version : 0;
+    entry->cell_version = cell != NULL ? cell->row.version : 0;
     entry->leaving = control->leaving;
 }
 
@@ -131,8 +131,10 @@
         control->heartbeat_at_ms =
             now_ms + control->settings->tunables.heartbeat_every_ms;
         if (cell != NULL) {
-            send_to_list(control, cell->members, cell->member_count, now_ms);
-            send_to_list(control, cell->former, cell->former_count, now_ms);
+            send_to_list(control, cell->row.members, cell->row.member_count,
+                         now_ms);
+            send_to_list(control, cell->row.former, cell->row.former_count,
+                         now_ms);
         }
         else {
             send_to_domain(control, now_ms);
@@ -205,8 +207,8 @@
     if (cell == NULL) {
         return true;
     }
-    for (size_t i = 0; i < cell->member_count; i++) {
-        const char *name = cell->members[i];
+    for (size_t i = 0; i < cell->row.member_count; i++) {
+        const char *name = cell->row.members[i];
         if (strcmp(name, control->settings->name) < 0 &&
             RsMembers_Speaks(control->members, now_ms, name)) {
             before++;
--- a/control/leases.c
+++ b/control/leases.c
@@ -6,6 +6,9 @@
 #include "core/clock.h"
 #include "core/id.h"
 #include "core/log.h"
+#include "place/names.h"
+#include "place/roster.h"
+#include "place/speaker.h"
 
 #define SCAN_EVERY_MS 50
 #define PUBLISH_EVERY_MS 100
@@ -42,6 +45,7 @@
     GHashTable *names;  /* member id to name */
     struct rs_lease_counters counters;
     bool leaving;
+    bool moved; /* the table has this process in another cell now */
     bool dirty; /* the table of leases is to be published */
     int64_t scan_at_ms;
     int64_t publish_at_ms;
@@ -93,45 +97,19 @@
     return g_hash_table_lookup(leases->names, &id);
 }
 
-static void
-fill_roster(const struct rs_view_cell *cell, struct rs_cell_roster *roster)
-{
-    memset(roster, 0, sizeof(*roster));
-    roster->version = cell->version;
-    roster->member_count = cell->member_count;
-    roster->former_count = cell->former_count;
-    for (size_t i = 0; i < cell->member_count; i++) {
-        roster->members[i] = RsId_FromName(cell->members[i]);
-    }
-    for (size_t i = 0; i < cell->former_count; i++) {
-        roster->former[i] = RsId_FromName(cell->former[i]);
-    }
-}
-
-static bool
-has_name(const char names[][RsModel_NAME_BYTES], size_t count,
-         const char *name)
-{
-    for (size_t i = 0; i < count; i++) {
-        if (strcmp(names[i], name) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static const struct rs_view_cell *
 find_own_cell(const struct rs_leases *leases, const struct rs_view *view)
 {
     const struct rs_view_cell *cells;
     size_t count = RsView_Cells(view, &cells);
     for (size_t i = 0; i < count; i++) {
-        if (has_name(cells[i].members, cells[i].member_count, leases->self) ||
-            has_name(cells[i].former, cells[i].former_count, leases->self)) {
+        const struct rs_roster_row *row = &cells[i].row;
+        if (RsNames_Contain(row->members, row->member_count, leases->self) ||
+            RsNames_Contain(row->former, row->former_count, leases->self)) {
             return &cells[i];
         }
     }
-    return NULL;
+    return RsView_Cell(view, leases->cell_name);
 }
 
 static void
@@ -140,11 +118,12 @@
     const struct rs_view_cell *cells;
     size_t count = RsView_Cells(leases->view, &cells);
     for (size_t i = 0; i < count; i++) {
-        for (size_t j = 0; j < cells[i].member_count; j++) {
-            learn_name(leases, cells[i].members[j]);
+        const struct rs_roster_row *row = &cells[i].row;
+        for (size_t j = 0; j < row->member_count; j++) {
+            learn_name(leases, row->members[j]);
         }
-        for (size_t j = 0; j < cells[i].former_count; j++) {
-            learn_name(leases, cells[i].former[j]);
+        for (size_t j = 0; j < row->former_count; j++) {
+            learn_name(leases, row->former[j]);
         }
     }
 }
@@ -203,6 +182,17 @@
     }
 }
 
+/* A process serves one cell in its life: its promises are those of a member
+ * of that cell. */
+static void
+join_cell(struct rs_leases *leases, const char *cell)
+{
+    if (leases->cell_name[0] == '\0') {
+        g_strlcpy(leases->cell_name, cell, sizeof(leases->cell_name));
+    }
+    leases->moved = strcmp(leases->cell_name, cell) != 0;
+}
+
 /* Takes over a snapshot: epochs first, then the roster, then the word that
  * the table was read. */
 void
@@ -214,7 +204,7 @@
     learn_cells(leases);
     const struct rs_view_cell *cell = find_own_cell(leases, view);
     if (cell != NULL) {
-        g_strlcpy(leases->cell_name, cell->name, sizeof(leases->cell_name));
+        join_cell(leases, cell->row.cell);
     }
     const struct rs_view_rule *rules;
     size_t count = RsView_Rules(view, &rules);
@@ -222,9 +212,9 @@
         learn_rule(leases, &rules[i]);
     }
     forget_others(leases);
-    if (cell != NULL) {
+    if (cell != NULL && !leases->moved) {
         struct rs_cell_roster roster;
-        fill_roster(cell, &roster);
+        RsRoster_ToCell(&cell->row, &roster);
         RsCell_SetRoster(leases->cell, now_ms, &roster);
     }
     if (table_was_read) {
@@ -259,13 +249,15 @@
 speaker_of(const struct rs_leases *leases, const struct rs_view_cell *cell,
            const char *target, int64_t now_ms)
 {
-    for (size_t i = 0; i < cell->member_count; i++) {
-        const char *name = RsView_Speaker(cell, target, i);
-        if (can_speak(leases, name, now_ms)) {
-            return name;
+    uint64_t live[RsRoster_MAX_MEMBERS];
+    size_t count = 0;
+    for (size_t i = 0; i < cell->row.member_count; i++) {
+        if (can_speak(leases, cell->row.members[i], now_ms)) {
+            live[count++] = RsId_FromName(cell->row.members[i]);
         }
     }
-    return NULL;
+    uint64_t speaker = RsSpeaker_OfTarget(RsId_FromName(target), live, count);
+    return speaker != RsSpeaker_NONE ? name_of(leases, speaker) : NULL;
 }
 
 /* The first position, from one on, whose target is not known to be lost. */
@@ -362,11 +354,12 @@
     for (size_t i = 0; i < assignment->from_count; i++) {
         const struct rs_view_cell *former =
             RsView_Cell(leases->view, assignment->from[i]);
-        if (former == NULL || strcmp(former->name, leases->cell_name) == 0) {
+        if (former == NULL ||
+            strcmp(former->row.cell, leases->cell_name) == 0) {
             continue;
         }
         struct rs_cell_roster roster;
-        fill_roster(former, &roster);
+        RsRoster_ToCell(&former->row, &roster);
         RsCounter_Add(&leases->counters.seals, 1);
         if (RsCell_BeginSeal(leases->cell, now_ms, state->slice,
                              assignment->epoch - 1, &roster) == 0) {
@@ -471,7 +464,7 @@
     }
     const struct rs_member *member =
         RsMembers_Find(leases->options.members, speaker);
-    return member->cell_version == cell->version &&
+    return member->cell_version == cell->row.version &&
            now_ms - member->steady_from_ms > STEADY_MS;
 }
 
@@ -720,11 +713,12 @@
     return RsView_Cell(leases->view, leases->cell_name);
 }
 
-/* Tells whether a majority of the former members know the present roster. */
+/* Tells whether the table has this process in another cell than the one it
+ * serves: it must be started anew to serve that one. */
 bool
-RsLeases_ChangeDone(const struct rs_leases *leases, int64_t now_ms)
+RsLeases_Moved(const struct rs_leases *leases)
 {
-    return RsCell_ChangeDone(leases->cell, now_ms);
+    return leases->moved;
 }
 
 /* Tells what this process knows of a slice as a member. */
--- a/control/leases.h
+++ b/control/leases.h
@@ -65,7 +65,7 @@
 
 /* Look */
 const struct rs_view_cell *RsLeases_Cell(const struct rs_leases *leases);
-bool RsLeases_ChangeDone(const struct rs_leases *leases, int64_t now_ms);
+bool RsLeases_Moved(const struct rs_leases *leases);
 bool RsLeases_Look(const struct rs_leases *leases, int64_t now_ms,
                    uint64_t slice, struct rs_cell_view *view);
 bool RsLeases_TargetIsLost(const struct rs_leases *leases, const char *target);
--- a/control/planning.c
+++ b/control/planning.c
@@ -4,10 +4,10 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "control/rosters.h"
 #include "core/clock.h"
 #include "core/log.h"
 #include "place/assignment.h"
-#include "place/cell_name.h"
 #include "place/planner.h"
 #include "place/slice.h"
 
@@ -21,6 +21,7 @@
     char self[RsModel_NAME_BYTES];
     char domain[RsModel_NAME_BYTES];
     struct rs_planning_counters counters;
+    struct rs_rosters *rosters;
     bool writing;
     int64_t round_at_ms;
 };
@@ -33,6 +34,14 @@
     planning->options = *options;
     g_strlcpy(planning->self, options->self, sizeof(planning->self));
     g_strlcpy(planning->domain, options->domain, sizeof(planning->domain));
+    struct rs_rosters_options rosters = {
+        .self = options->self,
+        .domain = options->domain,
+        .members = options->members,
+        .leases = options->leases,
+        .lease_ms = options->lease_ms,
+    };
+    planning->rosters = RsRosters_New(&rosters);
     return planning;
 }
 
@@ -76,8 +85,8 @@
 is_planner(const struct rs_planning *planning, const struct rs_view_cell *cell,
            int64_t now_ms)
 {
-    for (size_t i = 0; i < cell->member_count; i++) {
-        const char *name = cell->members[i];
+    for (size_t i = 0; i < cell->row.member_count; i++) {
+        const char *name = cell->row.members[i];
         if (strcmp(name, planning->self) < 0 &&
             RsMembers_Speaks(planning->options.members, now_ms, name)) {
             return false;
@@ -103,7 +112,7 @@
     g_strlcpy(target.name, name, sizeof(target.name));
     g_strlcpy(target.domain, place->domain, sizeof(target.domain));
     if (cell != NULL) {
-        g_strlcpy(target.cell, cell->name, sizeof(target.cell));
+        g_strlcpy(target.cell, cell->row.cell, sizeof(target.cell));
     }
     g_array_append_val(targets, target);
 }
@@ -219,7 +228,7 @@
         .present = rule->assignments,
         .positions = positions,
         .now_ms = now_ms,
-        .cell = cell->name,
+        .cell = cell->row.cell,
     };
     struct rs_planner_plan plan;
     if (RsPlanner_Plan(&options, &plan) == 0) {
@@ -248,7 +257,7 @@
         struct rs_cell_view look;
         struct rs_model_assignment next;
         bool held = assignment->from_count > 0 &&
-                    strcmp(assignment->cell, cell->name) == 0 &&
+                    strcmp(assignment->cell, cell->row.cell) == 0 &&
                     RsLeases_Look(planning->options.leases, now_ms,
                                   assignment->slice, &look) &&
                     look.holder != 0 &&
@@ -292,30 +301,21 @@
     json_decref(puts);
 }
 
-/* The first row of a domain's cell: its live entry VMs. */
-static void
-found_cell(struct rs_planning *planning, const struct rs_view *view)
+/* Writes the rows of the domain's cells, when any is to change. */
+static bool
+plan_rosters(struct rs_planning *planning, const struct rs_view *view,
+             int64_t now_ms)
 {
-    const struct rs_view_vm *vms;
-    size_t count = RsView_Vms(view, &vms);
-    char name[RsModel_NAME_BYTES];
-    char key[RsModel_NAME_BYTES + 8];
-    json_t *members = json_array();
-    for (size_t i = 0; i < count; i++) {
-        if (vms[i].is_entry && !vms[i].leaving &&
-            strcmp(vms[i].domain, planning->domain) == 0 &&
-            json_array_size(members) < RsView_MAX_CELL) {
-            json_array_append_new(members, json_string(vms[i].name));
-        }
-    }
     json_t *conditions = json_array();
     json_t *puts = json_array();
-    RsCellName_Format(planning->domain, 0, name);
-    snprintf(key, sizeof(key), "cell/%s", name);
-    add_row(conditions, puts, key, 0,
-            json_pack("{s:i,s:s,s:o,s:[]}", "version", 1, "domain",
-                      planning->domain, "members", members, "former"));
-    commit(planning, conditions, puts);
+    RsRosters_Plan(planning->rosters, view, now_ms, conditions, puts);
+    if (json_array_size(puts) > 0) {
+        commit(planning, conditions, puts);
+        return true;
+    }
+    json_decref(conditions);
+    json_decref(puts);
+    return false;
 }
 
 /* Plans when it is time to, unless a row is being written. */
@@ -328,20 +328,22 @@
     }
     planning->round_at_ms = now_ms + ROUND_EVERY_MS;
     const struct rs_view_cell *cell = RsLeases_Cell(planning->options.leases);
-    if (cell == NULL) {
-        char name[RsModel_NAME_BYTES];
-        RsCellName_Format(planning->domain, 0, name);
-        if (RsView_Cell(view, name) == NULL &&
-            RsView_Vm(view, planning->self) != NULL) {
-            found_cell(planning, view);
-        }
+    if (cell != NULL && !is_planner(planning, cell, now_ms)) {
         return;
     }
-    if (is_planner(planning, cell, now_ms)) {
+    if (!plan_rosters(planning, view, now_ms) && cell != NULL) {
         plan_all(planning, view, cell, now_ms);
     }
 }
 
+/* A fresh list of VMs was read from the platform. */
+void
+RsPlanning_VmsWereRead(struct rs_planning *planning, int64_t now_ms,
+                       const struct rs_view *view)
+{
+    RsRosters_VmsWereRead(planning->rosters, now_ms, view);
+}
+
 /* Returns the counters, which any thread may read. */
 const struct rs_planning_counters *
 RsPlanning_Counters(const struct rs_planning *planning)
--- a/control/planning.h
+++ b/control/planning.h
@@ -41,6 +41,8 @@
 /* The view is valid during the call. */
 void RsPlanning_Tick(struct rs_planning *planning, int64_t now_ms,
                      const struct rs_view *view);
+void RsPlanning_VmsWereRead(struct rs_planning *planning, int64_t now_ms,
+                            const struct rs_view *view);
 const struct rs_planning_counters *
 RsPlanning_Counters(const struct rs_planning *planning);
 
--- /dev/null
+++ b/control/rosters.h
@@ -0,0 +1,34 @@
+/* Decides who the members of the domain's cells are, from the platform's list
+ * of VMs and the heartbeats heard. */
+
+#ifndef RATTANSHED_CONTROL_ROSTERS_H
+#define RATTANSHED_CONTROL_ROSTERS_H
+
+#include <jansson.h>
+#include <stdint.h>
+
+#include "control/leases.h"
+#include "member/members.h"
+#include "view/view.h"
+
+struct rs_rosters;
+
+struct rs_rosters_options {
+    const char *self;
+    const char *domain;
+    const struct rs_members *members;
+    const struct rs_leases *leases;
+    uint32_t lease_ms;
+};
+
+struct rs_rosters *RsRosters_New(const struct rs_rosters_options *options);
+
+/* Notes which VMs a fresh reading of the list lacks. */
+void RsRosters_VmsWereRead(struct rs_rosters *rosters, int64_t now_ms,
+                           const struct rs_view *view);
+
+/* Adds the conditions and the rows of a commit, when a row is to change. */
+void RsRosters_Plan(struct rs_rosters *rosters, const struct rs_view *view,
+                    int64_t now_ms, json_t *conditions, json_t *puts);
+
+#endif
--- a/control/state.h
+++ b/control/state.h
@@ -34,6 +34,7 @@
     bool data_idle;
     int64_t leave_by_ms; /* end of the grace; 0: not leaving */
     int64_t idle_from_ms;
+    int64_t vms_seen_at_ms;
     int64_t heartbeat_at_ms;
     int64_t gossip_at_ms;
     int64_t started_at_ms;
--- a/front/attempt.c
+++ b/front/attempt.c
@@ -3,8 +3,9 @@
 #include <string.h>
 
 #include "core/clock.h"
-#include "core/log.h"
+#include "core/id.h"
 #include "front/request.h"
+#include "place/speaker.h"
 
 #define MAX_CANDIDATES 256
 #define MEDIAN_EVERY_MS 50
@@ -55,22 +56,58 @@
     return target;
 }
 
-/* Returns the first member of the cell, in order of preference for the
- * target, that is not known to be down, after passing over `skip`. */
+static const char *
+member_name(const struct rs_view_cell *cell, uint64_t id)
+{
+    for (size_t i = 0; i < cell->row.member_count; i++) {
+        if (RsId_FromName(cell->row.members[i]) == id) {
+            return cell->row.members[i];
+        }
+    }
+    return NULL;
+}
+
+/* Lists the members that are not known to be down, or all when all are. */
+static size_t
+list_members(const struct rs_front *front, const struct rs_view_cell *cell,
+             int64_t now_ms, uint64_t *ids)
+{
+    const struct rs_roster_row *row = &cell->row;
+    size_t count = 0;
+    for (size_t i = 0; i < row->member_count; i++) {
+        if (!RsRelayClient_IsDown(front->relay, row->members[i], now_ms)) {
+            ids[count++] = RsId_FromName(row->members[i]);
+        }
+    }
+    if (count > 0) {
+        return count;
+    }
+    for (size_t i = 0; i < row->member_count; i++) {
+        ids[i] = RsId_FromName(row->members[i]);
+    }
+    return row->member_count;
+}
+
+/* Returns the member that is to speak for a target, after passing over `skip`
+ * in order of preference, round and round. */
 static const char *
 pick_member(const struct rs_front *front, const struct rs_view_cell *cell,
             const char *target, uint32_t skip, int64_t now_ms)
 {
-    const char *fallback = NULL;
-    for (size_t i = 0; i < cell->member_count; i++) {
-        size_t at = (i + skip) % cell->member_count;
-        const char *name = RsView_Speaker(cell, target, at);
-        if (!RsRelayClient_IsDown(front->relay, name, now_ms)) {
-            return name;
+    uint64_t ids[RsRoster_MAX_MEMBERS];
+    uint64_t target_id = RsId_FromName(target);
+    size_t count = list_members(front, cell, now_ms, ids);
+    uint32_t left = count > 0 ? skip % (uint32_t)count : 0;
+    uint64_t best = RsSpeaker_OfTarget(target_id, ids, count);
+    for (; left > 0; left--) {
+        size_t at = 0;
+        while (ids[at] != best) {
+            at++;
         }
-        fallback = fallback != NULL ? fallback : name;
+        ids[at] = ids[--count];
+        best = RsSpeaker_OfTarget(target_id, ids, count);
     }
-    return fallback;
+    return member_name(cell, best);
 }
 
 static const char *
--- a/member/members.c
+++ b/member/members.c
@@ -81,6 +81,9 @@
     bool gap = now_ms - record->direct_at_ms > members->suspect_after_ms;
     bool restarted = record->incarnation != word->incarnation;
     if (heard_at_ms >= record->heard_at_ms) {
+        if (restarted || record->cell_version != word->cell_version) {
+            record->version_from_ms = now_ms;
+        }
         record->heard_at_ms = heard_at_ms;
         copy_word(record, word);
     }
--- a/member/members.h
+++ b/member/members.h
@@ -18,6 +18,7 @@
     uint64_t applied_ticket;
     uint64_t applied_revision;
     uint64_t cell_version;
+    int64_t version_from_ms; /* since when it is known to have that */
     bool leaving;
     int64_t heard_at_ms;    /* when it itself spoke, as far as known */
     int64_t direct_at_ms;   /* when it spoke to this process; 0: never */
--- a/view/view.c
+++ b/view/view.c
@@ -8,8 +8,6 @@
 #include "place/assignment.h"
 #include "place/slice.h"
 
-#define CELL_PREFIX "cell/"
-
 struct rs_view {
     _Atomic uint32_t references;
     uint64_t revision;
@@ -75,35 +73,17 @@
     }
 }
 
-static size_t
-read_names(char names[][RsModel_NAME_BYTES], const json_t *list)
-{
-    size_t count = MIN(json_array_size(list), (size_t)RsView_MAX_CELL);
-    for (size_t i = 0; i < count; i++) {
-        const char *name = json_string_value(json_array_get(list, i));
-        g_strlcpy(names[i], name != NULL ? name : "", RsModel_NAME_BYTES);
-    }
-    return count;
-}
-
 static void
 add_cell(void *arg, const struct rs_mirror_row *row)
 {
     GArray *cells = arg;
     struct rs_view_cell cell = {.row_version = row->version};
+    char name[RsModel_NAME_BYTES];
     json_t *value = json_loads(row->value, 0, NULL);
-    if (value == NULL) {
-        return;
+    if (RsRoster_ParseKey(row->key, name) == 0 &&
+        RsRoster_Decode(value, name, &cell.row) == 0) {
+        g_array_append_val(cells, cell);
     }
-    g_strlcpy(cell.name, row->key + strlen(CELL_PREFIX), sizeof(cell.name));
-    g_strlcpy(cell.domain, text_of(value, "domain"), sizeof(cell.domain));
-    cell.version =
-        (uint64_t)json_integer_value(json_object_get(value, "version"));
-    cell.member_count =
-        read_names(cell.members, json_object_get(value, "members"));
-    cell.former_count =
-        read_names(cell.former, json_object_get(value, "former"));
-    g_array_append_val(cells, cell);
     json_decref(value);
 }
 
@@ -111,11 +91,11 @@
 read_cells(struct rs_view *view, const struct rs_mirror *mirror)
 {
     GArray *cells = g_array_new(FALSE, TRUE, sizeof(struct rs_view_cell));
-    RsMirror_VisitPrefix(mirror, CELL_PREFIX, add_cell, cells);
+    RsMirror_VisitPrefix(mirror, RsRoster_PREFIX, add_cell, cells);
     view->cell_count = cells->len;
     view->cells = (struct rs_view_cell *)(void *)g_array_free(cells, FALSE);
     for (size_t i = 0; i < view->cell_count; i++) {
-        g_hash_table_insert(view->cell_by_name, view->cells[i].name,
+        g_hash_table_insert(view->cell_by_name, view->cells[i].row.cell,
                             &view->cells[i]);
     }
 }
@@ -312,51 +292,16 @@
 RsView_CellOfTarget(const struct rs_view *view, const char *domain,
                     const char *target)
 {
-    const struct rs_view_cell *best = NULL;
-    uint64_t best_score = 0;
-    uint64_t id = RsId_FromName(target);
-    for (size_t i = 0; i < view->cell_count; i++) {
-        const struct rs_view_cell *cell = &view->cells[i];
-        uint64_t score = RsId_Mix(RsId_FromName(cell->name), id);
-        if (strcmp(cell->domain, domain) == 0 &&
-            (best == NULL || score > best_score)) {
-            best = cell;
-            best_score = score;
+    struct rs_roster_row rows[RsRoster_MAX_CELLS];
+    const struct rs_view_cell *cells[RsRoster_MAX_CELLS];
+    size_t count = 0;
+    for (size_t i = 0; i < view->cell_count && count < RsRoster_MAX_CELLS;
+         i++) {
+        if (strcmp(view->cells[i].row.domain, domain) == 0) {
+            cells[count] = &view->cells[i];
+            rows[count++] = view->cells[i].row;
         }
     }
-    return best;
-}
-
-struct ranked {
-    uint64_t score;
-    const char *name;
-};
-
-static int
-compare_ranked(const void *a, const void *b)
-{
-    const struct ranked *left = a;
-    const struct ranked *right = b;
-    if (left->score != right->score) {
-        return left->score > right->score ? -1 : 1;
-    }
-    return strcmp(left->name, right->name);
-}
-
-/* Returns a member's name, or NULL when there are not that many. */
-const char *
-RsView_Speaker(const struct rs_view_cell *cell, const char *target,
-               size_t skip)
-{
-    struct ranked ranked[RsView_MAX_CELL];
-    uint64_t id = RsId_FromName(target);
-    if (skip >= cell->member_count) {
-        return NULL;
-    }
-    for (size_t i = 0; i < cell->member_count; i++) {
-        ranked[i].name = cell->members[i];
-        ranked[i].score = RsId_Mix(RsId_FromName(cell->members[i]), id);
-    }
-    qsort(ranked, cell->member_count, sizeof(ranked[0]), compare_ranked);
-    return ranked[skip].name;
+    return count > 0 ? cells[RsRoster_CellOfTarget(target, rows, count)]
+                     : NULL;
 }
--- a/view/view.h
+++ b/view/view.h
@@ -13,10 +13,9 @@
 
 #include "member/mirror.h"
 #include "place/model.h"
+#include "place/roster.h"
 #include "ticket/config.h"
 
-#define RsView_MAX_CELL 7
-
 struct rs_view_vm {
     char name[RsModel_NAME_BYTES];
     char domain[RsModel_NAME_BYTES];
@@ -28,14 +27,8 @@
 };
 
 struct rs_view_cell {
-    char name[RsModel_NAME_BYTES];
-    char domain[RsModel_NAME_BYTES];
-    uint64_t version;     /* of the roster */
+    struct rs_roster_row row;
     uint64_t row_version; /* of the table's row */
-    char members[RsView_MAX_CELL][RsModel_NAME_BYTES];
-    size_t member_count;
-    char former[RsView_MAX_CELL][RsModel_NAME_BYTES];
-    size_t former_count;
 };
 
 /* The assignments of one rule, by slice index; epoch 0: not assigned. */
@@ -83,9 +76,4 @@
                                                const char *domain,
                                                const char *target);
 
-/* The process that speaks for a target when all members of its cell are
- * there; the first `skip` ones in order of preference are passed over. */
-const char *RsView_Speaker(const struct rs_view_cell *cell, const char *target,
-                           size_t skip);
-
 #endif
