Let the session of grants rise with each start of a process

Cause: the session number that a holder gives to a target was a hash of its start, which is lower than that of the start before as often as not. A target takes no grant of a lower session, so a restarted entry that became holder got no grant for its slices until another one took them over. Ruled out: the leases (they were won, refusals said no-grant), the platform (it was up), the memory of the cell (no message was refused for it). Now the session is the wall clock at the creation of the target's state, and rises with the clock whenever a target does not take a grant, so that a replacement whose clock is behind catches up by itself. Conclusion: a number that others order by must come from something that rises.

--- a/dispatch/holder.c
+++ b/dispatch/holder.c
@@ -133,7 +133,6 @@
         .loop = holder->options.loop,
         .name = name,
         .self = holder->self,
-        .incarnation = holder->options.incarnation,
         .address = vm->address,
         .service = service,
         .checks_fences = service->keyed && checks_fences(place, name),
--- a/dispatch/target.c
+++ b/dispatch/target.c
@@ -61,6 +61,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_work);
     g_queue_init(&target->idle);
     g_queue_init(&target->ready);
+    target->grant.session_us = RsClock_WallUs();
     target->grant.slices = g_array_new(FALSE, FALSE, sizeof(struct rs_lease));
     target->grant.granted =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
--- a/dispatch/target.h
+++ b/dispatch/target.h
@@ -43,7 +43,6 @@
     uv_loop_t *loop;
     const char *name;
     const char *self; /* name of this process */
-    uint64_t incarnation;
     struct sockaddr_in address;
     const struct rs_model_service *service;
     bool checks_fences;
@@ -82,6 +81,7 @@
     bool asked; /* a ping or grant is out */
     int64_t asked_at_ms;
     int64_t ask_at_ms;  /* when the next one is due */
+    int64_t session_us; /* rises with each start of this process */
     uint64_t set;       /* number of the set of slices */
     uint64_t known_set; /* that the target has acknowledged */
     uint64_t asked_set; /* that the one that is out is about; 0: a ping */
--- a/dispatch/target_grant.c
+++ b/dispatch/target_grant.c
@@ -112,6 +112,18 @@
     RsCounter_Add(&target->options.counters->grants, 1);
 }
 
+/* The target wants the slices again, or knows of a later session: one whose
+ * process had a clock ahead of this one's. The session rises with the clock
+ * until it is the latest. */
+static void
+begin_anew(struct rs_target *target)
+{
+    struct rs_target_grant *grant = &target->grant;
+    grant->session_us = MAX(grant->session_us + 1, RsClock_WallUs());
+    grant->known_set = 0;
+    g_hash_table_remove_all(grant->granted);
+}
+
 static void
 on_end(void *arg, bool keep_alive)
 {
@@ -130,8 +142,7 @@
         acknowledge(target, answer);
     }
     else if (grant->asked_set != 0 && grant->status != 200) {
-        grant->known_set = 0;
-        g_hash_table_remove_all(grant->granted);
+        begin_anew(target);
     }
     json_decref(answer);
     if (!keep_alive) {
@@ -195,7 +206,7 @@
     struct rs_target_grant *grant = &target->grant;
     json_t *body = json_pack(
         "{s:s,s:I,s:I,s:I}", "holder", target->options.self, "session",
-        (json_int_t)(target->options.incarnation & INT64_MAX), "until_ms",
+        (json_int_t)grant->session_us, "until_ms",
         (json_int_t)RsTarget_ToItsClock(target, until_ms), "set",
         (json_int_t)grant->set);
     if (grant->known_set != grant->set) {
