--- a/tests/caller.c
+++ b/tests/caller.c
@@ -282,20 +282,28 @@
 
 static int64_t
 gap_of_key_us(const struct rs_cluster *cluster, const char *key,
-              int64_t from_us, int64_t to_us)
+              int64_t from_us, int64_t to_us, int64_t *at_us)
 {
     int64_t last_us = from_us;
     int64_t longest_us = 0;
+    *at_us = from_us;
     for (guint i = 0; i < cluster->requests->len; i++) {
         const struct rs_caller_request *request =
             g_ptr_array_index(cluster->requests, i);
         if (request->outcome == RsLoad_ANSWERED && request->end_us > last_us &&
             request->end_us <= to_us && strcmp(request->key, key) == 0) {
-            longest_us = MAX(longest_us, request->end_us - last_us);
+            if (request->end_us - last_us > longest_us) {
+                longest_us = request->end_us - last_us;
+                *at_us = last_us;
+            }
             last_us = request->end_us;
         }
     }
-    return MAX(longest_us, to_us - last_us);
+    if (to_us - last_us > longest_us) {
+        longest_us = to_us - last_us;
+        *at_us = last_us;
+    }
+    return longest_us;
 }
 
 /* Returns the longest time between two answers of one key of a stream, or
@@ -305,16 +313,22 @@
                       int64_t from_us, int64_t to_us)
 {
     int64_t longest_us = 0;
+    int64_t longest_at_us = from_us;
     g_mutex_lock(&cluster->mutex);
     for (uint32_t i = 0; i < RsCaller_KEYS; i++) {
         char *key = g_strdup_printf("%s%u", keys, i);
-        int64_t gap_us = gap_of_key_us(cluster, key, from_us, to_us);
-        longest_us = MAX(longest_us, gap_us);
+        int64_t at_us = 0;
+        int64_t gap_us = gap_of_key_us(cluster, key, from_us, to_us, &at_us);
+        if (gap_us > longest_us) {
+            longest_us = gap_us;
+            longest_at_us = at_us;
+        }
         g_free(key);
     }
     g_mutex_unlock(&cluster->mutex);
-    printf("longest gap of a key: %lld ms\n",
-           (long long)(longest_us / US_PER_MS));
+    printf("longest gap of a key: %lld ms, %lld ms after the start\n",
+           (long long)(longest_us / US_PER_MS),
+           (long long)(longest_at_us - from_us) / US_PER_MS);
     return longest_us / US_PER_MS;
 }
 
