--- a/tests/failures.h
+++ b/tests/failures.h
@@ -14,4 +14,16 @@
 void test_holder_paused(void);
 void test_members_restarted(void);
 
+/* Cuts and outages */
+void test_domains_cut(void);
+void test_domain_cut_off(void);
+void test_domain_cut_from_platform(void);
+void test_outage_in_move(void);
+void test_answers_of_platform_lost(void);
+
+/* Tickets and departures */
+void test_shifts_race(void);
+void test_domain_out_and_back(void);
+void test_target_leaves(void);
+
 #endif
--- a/tests/main.c
+++ b/tests/main.c
@@ -25,6 +25,14 @@
     {"rack_killed_in_outage", test_rack_killed_in_outage},
     {"holder_paused", test_holder_paused},
     {"members_restarted", test_members_restarted},
+    {"domains_cut", test_domains_cut},
+    {"domain_cut_off", test_domain_cut_off},
+    {"domain_cut_from_platform", test_domain_cut_from_platform},
+    {"outage_in_move", test_outage_in_move},
+    {"answers_of_platform_lost", test_answers_of_platform_lost},
+    {"shifts_race", test_shifts_race},
+    {"domain_out_and_back", test_domain_out_and_back},
+    {"target_leaves", test_target_leaves},
 };
 
 int
