--- a/tests/caller.c
+++ b/tests/caller.c
@@ -11,6 +11,7 @@
 #define DEFAULT_PAUSE_MS 10
 #define GRACE_MS 1500 /* that a caller waits beyond its timeout */
 #define CONNECT_TIMEOUT_MS 500L
+#define TEXT_TIMEOUT_MS 2000
 #define POST_EVERY 4
 
 static size_t
@@ -20,14 +21,11 @@
     return size * count;
 }
 
-/* Makes a call with a JSON answer, which may be NULL for no interest. Returns
- * the status, 0 when there was no answer. */
-int
-RsCaller_Call(uint16_t port, const char *method, const char *path,
-              const char *body, int64_t timeout_ms, json_t **answer)
+static int
+call(uint16_t port, const char *method, const char *path, const char *body,
+     int64_t timeout_ms, GString *text)
 {
     long status = 0;
-    GString *text = g_string_new("");
     char *url = g_strdup_printf("http://127.0.0.1:%u%s", port, path);
     CURL *curl = curl_easy_init();
     curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
@@ -42,14 +40,34 @@
     if (curl_easy_perform(curl) == CURLE_OK) {
         curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
     }
+    curl_easy_cleanup(curl);
+    g_free(url);
+    return (int)status;
+}
+
+/* Makes a call with a JSON answer, which may be NULL for no interest. Returns
+ * the status, 0 when there was no answer. */
+int
+RsCaller_Call(uint16_t port, const char *method, const char *path,
+              const char *body, int64_t timeout_ms, json_t **answer)
+{
+    GString *text = g_string_new("");
+    int status = call(port, method, path, body, timeout_ms, text);
     if (answer != NULL) {
         *answer =
             status != 0 ? json_loadb(text->str, text->len, 0, NULL) : NULL;
     }
-    curl_easy_cleanup(curl);
-    g_free(url);
     g_string_free(text, TRUE);
-    return (int)status;
+    return status;
+}
+
+/* Reads a text, freed with g_free(). Returns NULL when there was no answer. */
+char *
+RsCaller_Text(uint16_t port, const char *path)
+{
+    GString *text = g_string_new("");
+    int status = call(port, "GET", path, NULL, TEXT_TIMEOUT_MS, text);
+    return g_string_free(text, status == 0);
 }
 
 /* An answer as its raw bytes come in. */
--- a/tests/caller.h
+++ b/tests/caller.h
@@ -38,6 +38,7 @@
                                       uint32_t timeout_ms);
 int RsCaller_Call(uint16_t port, const char *method, const char *path,
                   const char *body, int64_t timeout_ms, json_t **answer);
+char *RsCaller_Text(uint16_t port, const char *path);
 
 /* A stream, from one thread a key; each fourth request is a POST. */
 struct rs_stream *RsStream_Start(struct rs_cluster *cluster,
--- a/tests/failures.h
+++ b/tests/failures.h
@@ -26,4 +26,13 @@
 void test_domain_out_and_back(void);
 void test_target_leaves(void);
 
+/* Under load */
+void test_graceful_shutdown(void);
+void test_target_starts_cold(void);
+
+/* Bad answers and input */
+void test_bad_answers(void);
+void test_bad_answers_under_load(void);
+void test_bad_input(void);
+
 #endif
--- /dev/null
+++ b/tests/load_test.c
@@ -0,0 +1,150 @@
+/* Processes that come and go under load: entries that shut down, a target
+ * that starts cold. */
+
+#include <CUnit/CUnit.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "core/clock.h"
+#include "tests/failures.h"
+#include "tests/scene.h"
+#include "tests/steady_load.h"
+
+#define SHUTDOWN_RATE 150
+#define SHUTDOWN_S 10
+#define SHUTDOWN_WITHIN_MS 8000
+#define BETWEEN_SHUTDOWNS_MS 800
+#define FULL_RATE 450
+#define COLD_MS 3000
+#define COLD_RUN_S 7
+#define SLOTS_AND_WINDOW 4
+#define LOAD_EVERY_MS 100
+#define BEFORE_LOSS_MS 1500
+
+static void
+expect_all_answered(struct rs_cluster *cluster, int64_t from_us)
+{
+    for (int i = 0; i < RsLoad_OUTCOMES; i++) {
+        enum rs_load_outcome outcome = (enum rs_load_outcome)i;
+        if (outcome != RsLoad_ANSWERED) {
+            CU_ASSERT_EQUAL(RsStream_Count(cluster, outcome, from_us), 0);
+            RsStream_Print(cluster, outcome, from_us);
+        }
+    }
+    CU_ASSERT(RsStream_Count(cluster, RsLoad_ANSWERED, from_us) >
+              SHUTDOWN_RATE);
+}
+
+/* Asks an entry to shut down, waits for its good end, and replaces it. */
+static void
+replace_entry(struct rs_cluster_entry *entry)
+{
+    int status = -1;
+    RsProcess_Signal(&entry->process, SIGTERM);
+    bool ended =
+        RsProcess_WaitEnd(&entry->process, SHUTDOWN_WITHIN_MS, &status);
+    CU_ASSERT(ended);
+    CU_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+    if (ended) {
+        RsCluster_RestartEntry(entry);
+    }
+}
+
+void
+test_graceful_shutdown(void)
+{
+    struct rs_cluster_options options = {
+        .domains = 1, .entries = 3, .targets = 3, .has_files = true};
+    struct rs_cluster *cluster = RsCluster_New(&options);
+    struct rs_steady_load load;
+    uint32_t failures = CU_get_number_of_failures();
+    bool is_up = RsCluster_Start(cluster);
+    CU_ASSERT(is_up);
+    if (is_up) {
+        int64_t from_us = RsClock_WallUs();
+        RsSteadyLoad_Start(&load, cluster, SHUTDOWN_RATE, SHUTDOWN_S,
+                           "60,30,10");
+        for (uint32_t i = 0; i < cluster->entry_count; i++) {
+            RsCluster_SleepMs(BETWEEN_SHUTDOWNS_MS);
+            replace_entry(&cluster->entries[i]);
+        }
+        CU_ASSERT(RsSteadyLoad_Finish(&load));
+        expect_all_answered(cluster, from_us);
+    }
+    CU_ASSERT_EQUAL(RsVerdict_Violations(cluster), 0);
+    RsCluster_Free(cluster, CU_get_number_of_failures() > failures);
+}
+
+/* Adds up a counter of all entries. */
+static uint64_t
+sum_metric(const struct rs_cluster *cluster, const char *name)
+{
+    uint64_t sum = 0;
+    char *start = g_strdup_printf("\n%s ", name);
+    for (uint32_t i = 0; i < cluster->entry_count; i++) {
+        char *text = RsCaller_Text(cluster->entries[i].admin_port, "/metrics");
+        const char *found = text != NULL ? strstr(text, start) : NULL;
+        CU_ASSERT_PTR_NOT_NULL(found);
+        if (found != NULL) {
+            sum += g_ascii_strtoull(found + strlen(start), NULL, 10);
+        }
+        g_free(text);
+    }
+    g_free(start);
+    return sum;
+}
+
+/* Returns the most requests that a target had at once, by its own account,
+ * while it was cold. */
+static json_int_t
+watch_load(const struct rs_cluster_target *target, int64_t duration_ms)
+{
+    json_int_t most = 0;
+    int64_t end_ms = RsClock_NowMs() + duration_ms;
+    while (RsClock_NowMs() < end_ms) {
+        json_t *load = NULL;
+        RsCluster_Call(target->port, "GET", "/load", NULL, &load);
+        json_int_t now =
+            json_integer_value(json_object_get(load, "in_flight")) +
+            json_integer_value(json_object_get(load, "queued"));
+        most = MAX(most, now);
+        json_decref(load);
+        RsCluster_SleepMs(LOAD_EVERY_MS);
+    }
+    return most;
+}
+
+/* The only target of a service is lost and starts again under full load. */
+void
+test_target_starts_cold(void)
+{
+    struct rs_cluster_options options = {
+        .domains = 1, .entries = 3, .targets = 1, .cold_ms = COLD_MS};
+    struct rs_cluster *cluster = RsCluster_New(&options);
+    struct rs_cluster_target *target = &cluster->targets[0];
+    struct rs_steady_load load;
+    uint32_t failures = CU_get_number_of_failures();
+    bool is_up = RsCluster_Start(cluster);
+    CU_ASSERT(is_up);
+    if (is_up) {
+        RsSteadyLoad_Start(&load, cluster, FULL_RATE, COLD_RUN_S, "80,20,0");
+        RsCluster_SleepMs(BEFORE_LOSS_MS);
+        uint64_t refused =
+            sum_metric(cluster, "rattanshed_target_refused_total");
+        RsCluster_KillTarget(cluster, target);
+        RsProcess_Start(&target->process);
+        json_int_t most = watch_load(target, COLD_MS);
+        refused =
+            sum_metric(cluster, "rattanshed_target_refused_total") - refused;
+        printf("the cold target refused %llu and had at most %lld\n",
+               (unsigned long long)refused, (long long)most);
+        CU_ASSERT(most <= SLOTS_AND_WINDOW);
+        CU_ASSERT(refused <= SLOTS_AND_WINDOW);
+        CU_ASSERT(RsSteadyLoad_Finish(&load));
+    }
+    CU_ASSERT_EQUAL(RsVerdict_Violations(cluster), 0);
+    RsCluster_Free(cluster, CU_get_number_of_failures() > failures);
+}
--- a/tests/main.c
+++ b/tests/main.c
@@ -33,6 +33,11 @@
     {"shifts_race", test_shifts_race},
     {"domain_out_and_back", test_domain_out_and_back},
     {"target_leaves", test_target_leaves},
+    {"graceful_shutdown", test_graceful_shutdown},
+    {"target_starts_cold", test_target_starts_cold},
+    {"bad_answers", test_bad_answers},
+    {"bad_answers_under_load", test_bad_answers_under_load},
+    {"bad_input", test_bad_input},
 };
 
 int
