Read on from a connection to a target whose last body was paused

Cause: the last piece of a body can leave the flow's window below what one read may bring, so that reading pauses; the credit for it comes when the request has ended and finds no work to read on for. The connection went back to the idle ones without being read, and the next request on it got no answer: files were held until their second copy answered, or until the target was taken for lost. Ruled out: the target (its record shows the first copy done after 3 ms), the relay (the processes' own callers were hit too), shutdown (the same without any). Test that failed first: failures.graceful_shutdown.

--- a/dispatch/target_pool.c
+++ b/dispatch/target_pool.c
@@ -258,6 +258,17 @@
     }
 }
 
+/* The last piece of a body may have paused the connection, and no credit for
+ * it will come any more. */
+static void
+read_on(struct rs_target_connection *connection)
+{
+    if (connection->paused) {
+        connection->paused = false;
+        RsHttp_Resume(connection->http);
+    }
+}
+
 static void
 on_end(void *arg, bool keep_alive)
 {
@@ -274,6 +285,7 @@
         RsTargetPool_Drop(connection);
     }
     else {
+        read_on(connection);
         g_queue_push_head(&target->idle, connection);
     }
     RsTargetWork_Events(target, RsClock_NowMs());
@@ -440,9 +452,9 @@
         not_sent(work, "bad-request-id", now_ms);
         return;
     }
+    assert(!connection->paused);
     connection->work = work;
     connection->refused = false;
-    connection->paused = false;
     work->connection = connection;
     work->sent_us = RsClock_NowUs();
     RsCounter_Add(&target->options.counters->sent, 1);
