Give back the place of a request that ended before it was let run

Cause: when a target is lost, the requests that run are given up first; the admission then lets queued ones run, and these are refused as lost before that word is taken from its events. The word then found no request and was dropped, but the admission went on counting it as running, until nothing was let run any more. Ruled out: the target (it was idle), its connections (16 of 16 idle in the dump, with 2 in flight at a limit of 2).

--- a/dispatch/target_work.c
+++ b/dispatch/target_work.c
@@ -43,12 +43,25 @@
     }
 }
 
+/* A work was ended before the word came that it may run: nobody else would
+ * give its place back. */
+static void
+forget(struct rs_target *target, const struct rs_admission_event *event,
+       int64_t now_ms)
+{
+    if (event->verdict.kind == RsAdmission_RUN) {
+        RsAdmission_Done(target->admission, now_ms, event->id,
+                         RsAdmission_FAILED, 0);
+    }
+}
+
 static void
 start_or_refuse(struct rs_target *target,
-                const struct rs_admission_event *event)
+                const struct rs_admission_event *event, int64_t now_ms)
 {
     struct rs_work *work = g_hash_table_lookup(target->works, &event->id);
     if (work == NULL) {
+        forget(target, event, now_ms);
         return;
     }
     if (event->verdict.kind == RsAdmission_RUN) {
@@ -66,7 +79,7 @@
 {
     struct rs_admission_event event;
     while (RsAdmission_NextEvent(target->admission, &event)) {
-        start_or_refuse(target, &event);
+        start_or_refuse(target, &event, now_ms);
     }
     RsTargetPool_Run(target, now_ms);
 }
