--- a/dispatch/target_grant.c
+++ b/dispatch/target_grant.c
@@ -204,11 +204,11 @@
 grant_body(struct rs_target *target, int64_t until_ms)
 {
     struct rs_target_grant *grant = &target->grant;
-    json_t *body = json_pack(
-        "{s:s,s:I,s:I,s:I}", "holder", target->options.self, "session",
-        (json_int_t)grant->session_us, "until_ms",
-        (json_int_t)RsTarget_ToItsClock(target, until_ms), "set",
-        (json_int_t)grant->set);
+    json_t *body =
+        json_pack("{s:s,s:I,s:I,s:I}", "holder", target->options.self,
+                  "session", (json_int_t)grant->session_us, "until_ms",
+                  (json_int_t)RsTarget_ToItsClock(target, until_ms), "set",
+                  (json_int_t)grant->set);
     if (grant->known_set != grant->set) {
         json_object_set_new(body, "slices", slices_json(grant->slices));
     }
