--- a/tests/caller.c
+++ b/tests/caller.c
@@ -298,6 +298,26 @@
     return count;
 }
 
+/* Returns how long after `from_us` the first request that began after it was
+ * answered, or INT64_MAX. */
+int64_t
+RsStream_FirstAnswerMs(struct rs_cluster *cluster, int64_t from_us)
+{
+    int64_t first_us = INT64_MAX;
+    g_mutex_lock(&cluster->mutex);
+    for (guint i = 0; i < cluster->requests->len; i++) {
+        const struct rs_caller_request *request =
+            g_ptr_array_index(cluster->requests, i);
+        if (request->outcome == RsLoad_ANSWERED &&
+            request->start_us >= from_us) {
+            first_us = MIN(first_us, request->end_us);
+        }
+    }
+    g_mutex_unlock(&cluster->mutex);
+    return first_us == INT64_MAX ? INT64_MAX
+                                 : (first_us - from_us) / US_PER_MS;
+}
+
 static int64_t
 gap_of_key_us(const struct rs_cluster *cluster, const char *key,
               int64_t from_us, int64_t to_us, int64_t *at_us)
--- a/tests/caller.h
+++ b/tests/caller.h
@@ -48,6 +48,7 @@
 /* What became of it, by the wall clock */
 uint32_t RsStream_Count(struct rs_cluster *cluster,
                         enum rs_load_outcome outcome, int64_t from_us);
+int64_t RsStream_FirstAnswerMs(struct rs_cluster *cluster, int64_t from_us);
 int64_t RsStream_LongestGapMs(struct rs_cluster *cluster, const char *keys,
                               int64_t from_us, int64_t to_us);
 void RsStream_Print(struct rs_cluster *cluster, enum rs_load_outcome outcome,
--- a/tests/input_test.c
+++ b/tests/input_test.c
@@ -126,6 +126,7 @@
     memset(text->str + head_bytes, 'b', HEADER_BYTES);
     g_string_append(text, "\r\n\r\n");
     int status = exchange(port, text->str, text->len, false);
+    printf("long header: %d\n", status);
     CU_ASSERT(status == 431 || status == 400);
     g_string_free(text, TRUE);
 }
--- a/tests/load_test.c
+++ b/tests/load_test.c
@@ -21,6 +21,8 @@
 #define COLD_MS 3000
 #define COLD_RUN_S 7
 #define SLOTS_AND_WINDOW 4
+#define WARM_AFTER_MS 4000 /* its time to warm up, and some */
+#define US_PER_MS 1000
 #define LOAD_EVERY_MS 100
 #define BEFORE_LOSS_MS 1500
 
@@ -83,7 +85,7 @@
 sum_metric(const struct rs_cluster *cluster, const char *name)
 {
     uint64_t sum = 0;
-    char *start = g_strdup_printf("\n%s ", name);
+    char *start = g_strdup_printf("\n%s{} ", name);
     for (uint32_t i = 0; i < cluster->entry_count; i++) {
         char *text = RsCaller_Text(cluster->entries[i].admin_port, "/metrics");
         const char *found = text != NULL ? strstr(text, start) : NULL;
@@ -117,6 +119,17 @@
     return most;
 }
 
+/* Once it is warm, the target bears the full load again. */
+static void
+expect_warm(struct rs_cluster *cluster, int64_t from_us)
+{
+    uint32_t answered = RsStream_Count(cluster, RsLoad_ANSWERED, from_us);
+    uint32_t refused = RsStream_Count(cluster, RsLoad_REFUSED, from_us);
+    printf("once warm: %u answered, %u refused\n", answered, refused);
+    CU_ASSERT(answered > FULL_RATE / 2);
+    CU_ASSERT(refused < answered / 10);
+}
+
 /* The only target of a service is lost and starts again under full load. */
 void
 test_target_starts_cold(void)
@@ -136,6 +149,7 @@
             sum_metric(cluster, "rattanshed_target_refused_total");
         RsCluster_KillTarget(cluster, target);
         RsProcess_Start(&target->process);
+        int64_t started_us = RsClock_WallUs();
         json_int_t most = watch_load(target, COLD_MS);
         refused =
             sum_metric(cluster, "rattanshed_target_refused_total") - refused;
@@ -144,6 +158,10 @@
         CU_ASSERT(most <= SLOTS_AND_WINDOW);
         CU_ASSERT(refused <= SLOTS_AND_WINDOW);
         CU_ASSERT(RsSteadyLoad_Finish(&load));
+        int64_t first_ms = RsStream_FirstAnswerMs(cluster, started_us);
+        printf("served again after %lld ms\n", (long long)first_ms);
+        CU_ASSERT(first_ms <= RsCluster_SERVED_WITHIN_MS);
+        expect_warm(cluster, started_us + (int64_t)WARM_AFTER_MS * US_PER_MS);
     }
     CU_ASSERT_EQUAL(RsVerdict_Violations(cluster), 0);
     RsCluster_Free(cluster, CU_get_number_of_failures() > failures);
