--- a/tests/failures.h
+++ b/tests/failures.h
@@ -23,6 +23,7 @@
 void test_answers_of_platform_lost(void);
 
 /* Tickets and departures */
+void test_ticket_before_table(void);
 void test_shifts_race(void);
 void test_domain_out_and_back(void);
 void test_target_leaves(void);
--- a/tests/main.c
+++ b/tests/main.c
@@ -31,6 +31,7 @@
     {"domain_cut_from_platform", test_domain_cut_from_platform},
     {"outage_in_move", test_outage_in_move},
     {"answers_of_platform_lost", test_answers_of_platform_lost},
+    {"ticket_before_table", test_ticket_before_table},
     {"shifts_race", test_shifts_race},
     {"domain_out_and_back", test_domain_out_and_back},
     {"target_leaves", test_target_leaves},
--- a/tests/tickets_test.c
+++ b/tests/tickets_test.c
@@ -2,7 +2,7 @@
  * leave. */
 
 #include <CUnit/CUnit.h>
-#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "core/clock.h"
@@ -12,6 +12,7 @@
 
 #define STATUS_OK 200
 #define STATUS_CONFLICT 409
+#define STATUS_UNAVAILABLE 503
 #define US_PER_MS 1000
 #define KEY "k0"
 #define TRIES 20
@@ -127,6 +128,28 @@
     g_free(ticket);
 }
 
+/* A ticket that comes before the table was read is not accepted, and the
+ * process lives. */
+void
+test_ticket_before_table(void)
+{
+    struct rs_cluster *cluster = RsCluster_New(&one_domain);
+    struct rs_cluster_entry *entry = &cluster->entries[0];
+    char *ticket = RsClusterFiles_FirstTicket(cluster);
+    uint32_t failures = CU_get_number_of_failures();
+    int ended = 0;
+    RsProcess_Start(&entry->process);
+    int status = 0;
+    for (int i = 0; i < TRIES && status == 0; i++) {
+        RsCluster_SleepMs(TRY_PAUSE_MS);
+        status = RsCluster_Submit(entry, ticket);
+    }
+    CU_ASSERT_EQUAL(status, STATUS_UNAVAILABLE);
+    CU_ASSERT_FALSE(RsProcess_HasEnded(&entry->process, &ended));
+    free(ticket);
+    RsCluster_Free(cluster, CU_get_number_of_failures() > failures);
+}
+
 void
 test_shifts_race(void)
 {
