--- a/control/admin.c
+++ b/control/admin.c
@@ -15,12 +15,12 @@
 #define LOG_PREFIX "ticket/log/"
 #define FORCE_SUFFIX "/force"
 
-enum admin_status {
-    STATUS_OK = 200,
-    STATUS_BAD_REQUEST = 400,
-    STATUS_NOT_FOUND = 404,
-    STATUS_CONFLICT = 409,
-    STATUS_UNAVAILABLE = 503
+enum rs_admin_status {
+    RsAdmin_OK = 200,
+    RsAdmin_BAD_REQUEST = 400,
+    RsAdmin_NOT_FOUND = 404,
+    RsAdmin_CONFLICT = 409,
+    RsAdmin_UNAVAILABLE = 503
 };
 
 /* A request whose answer comes later; `http` is NULL once the server freed
@@ -28,15 +28,21 @@
 struct pending {
     struct rs_control *control;
     h2o_req_t *http;
-    uint64_t number; /* of a dump's token */
+    bool replied; /* the record goes with the server's request */
+};
+
+/* What the server frees together with its request. */
+struct pending_handle {
+    struct pending *pending;
 };
 
 static void
 on_http_freed(void *data)
 {
-    struct pending *pending = *(struct pending **)data;
-    if (pending != NULL) {
-        pending->http = NULL;
+    struct pending_handle *handle = data;
+    handle->pending->http = NULL;
+    if (handle->pending->replied) {
+        g_free(handle->pending);
     }
 }
 
@@ -44,9 +50,9 @@
 new_pending(struct rs_control *control, h2o_req_t *http)
 {
     struct pending *pending = g_new0(struct pending, 1);
-    struct pending **handle =
+    struct pending_handle *handle =
         h2o_mem_alloc_shared(&http->pool, sizeof(*handle), on_http_freed);
-    *handle = pending;
+    handle->pending = pending;
     pending->control = control;
     pending->http = http;
     return pending;
@@ -67,17 +73,17 @@
     reply_json(http, status, json_pack("{s:s}", "error", what));
 }
 
-/* The pending record stays until the server has freed its request, since the
- * server still points to it. */
+/* Answers, unless the asker is gone; the record is not to be used after. */
 static void
 reply_pending(struct pending *pending, int status, json_t *body)
 {
+    pending->replied = true;
     if (pending->http != NULL) {
         reply_json(pending->http, status, body);
+        return;
     }
-    else {
-        json_decref(body);
-    }
+    json_decref(body);
+    g_free(pending);
 }
 
 static struct rs_config *
@@ -111,13 +117,13 @@
 {
     switch (result->outcome) {
     case RsSubmit_ACCEPTED:
-        return STATUS_OK;
+        return RsAdmin_OK;
     case RsSubmit_CONFLICT:
-        return STATUS_CONFLICT;
+        return RsAdmin_CONFLICT;
     case RsSubmit_INVALID:
-        return STATUS_BAD_REQUEST;
+        return RsAdmin_BAD_REQUEST;
     default:
-        return STATUS_UNAVAILABLE;
+        return RsAdmin_UNAVAILABLE;
     }
 }
 
@@ -142,7 +148,7 @@
     struct rs_ticket *ticket = NULL;
     if (RsTicket_Parse(http->entity.base, http->entity.len, &ticket,
                        &faults) != 0) {
-        reply_json(http, STATUS_BAD_REQUEST,
+        reply_json(http, RsAdmin_BAD_REQUEST,
                    json_pack("{s:o}", "faults", RsFaults_ToJson(&faults)));
         RsFaults_Free(&faults);
         return;
@@ -164,14 +170,14 @@
 on_ticket_row(void *arg, int status, json_t *body)
 {
     struct pending *pending = arg;
-    if (status == STATUS_OK) {
+    if (status == RsAdmin_OK) {
         json_t *value = json_incref(json_object_get(body, "value"));
-        reply_pending(pending, STATUS_OK, value);
+        reply_pending(pending, RsAdmin_OK, value);
     }
     else {
-        bool absent = status == STATUS_NOT_FOUND;
+        bool absent = status == RsAdmin_NOT_FOUND;
         reply_pending(
-            pending, absent ? STATUS_NOT_FOUND : STATUS_UNAVAILABLE,
+            pending, absent ? RsAdmin_NOT_FOUND : RsAdmin_UNAVAILABLE,
             json_pack("{s:s}", "error",
                       absent ? "no-such-ticket" : "platform-unavailable"));
     }
@@ -192,8 +198,8 @@
     struct pending *pending = arg;
     size_t index;
     json_t *row;
-    if (status != STATUS_OK) {
-        reply_pending(pending, STATUS_UNAVAILABLE,
+    if (status != RsAdmin_OK) {
+        reply_pending(pending, RsAdmin_UNAVAILABLE,
                       json_pack("{s:s}", "error", "platform-unavailable"));
         return;
     }
@@ -202,7 +208,7 @@
     {
         json_array_append(tickets, json_object_get(row, "value"));
     }
-    reply_pending(pending, STATUS_OK, json_pack("{s:o}", "tickets", tickets));
+    reply_pending(pending, RsAdmin_OK, json_pack("{s:o}", "tickets", tickets));
 }
 
 static uint64_t
@@ -236,16 +242,16 @@
     char *end = NULL;
     uint64_t number = g_ascii_strtoull(rest, &end, 10);
     if (end == rest || number == 0) {
-        reply_error(http, STATUS_NOT_FOUND, "no-such-ticket");
+        reply_error(http, RsAdmin_NOT_FOUND, "no-such-ticket");
     }
     else if (strcmp(end, FORCE_SUFFIX) == 0) {
-        reply_json(http, STATUS_OK, RsControlReport_Force(control, number));
+        reply_json(http, RsAdmin_OK, RsControlReport_Force(control, number));
     }
     else if (*end == '\0') {
         show_ticket(control, http, number);
     }
     else {
-        reply_error(http, STATUS_NOT_FOUND, "unknown-path");
+        reply_error(http, RsAdmin_NOT_FOUND, "unknown-path");
     }
 }
 
@@ -259,10 +265,10 @@
         owner = RsControlReport_Owner(control, service, key);
     }
     if (owner != NULL) {
-        reply_json(http, STATUS_OK, owner);
+        reply_json(http, RsAdmin_OK, owner);
     }
     else {
-        reply_error(http, STATUS_NOT_FOUND, "no-rule");
+        reply_error(http, RsAdmin_NOT_FOUND, "no-rule");
     }
     g_free(key);
     g_free(service);
@@ -273,7 +279,7 @@
 {
     struct rs_text text = {0};
     RsControlReport_Metrics(control, &text);
-    RsServer_Reply(http, STATUS_OK, "text/plain; version=0.0.4", text.data,
+    RsServer_Reply(http, RsAdmin_OK, "text/plain; version=0.0.4", text.data,
                    text.size_bytes);
     RsText_Free(&text);
 }
@@ -314,17 +320,17 @@
     json_t *data = json_loads(dump->text, 0, NULL);
     json_object_update(whole, data);
     json_decref(data);
-    reply_pending(pending, STATUS_OK, whole);
+    reply_pending(pending, RsAdmin_OK, whole);
 }
 
 static void
 serve_get(struct rs_control *control, h2o_req_t *http, const char *path)
 {
     if (strcmp(path, "/health") == 0) {
-        reply_json(http, STATUS_OK, json_pack("{s:s}", "state", "ok"));
+        reply_json(http, RsAdmin_OK, json_pack("{s:s}", "state", "ok"));
     }
     else if (strcmp(path, "/status") == 0) {
-        reply_json(http, STATUS_OK, RsControlReport_Status(control));
+        reply_json(http, RsAdmin_OK, RsControlReport_Status(control));
     }
     else if (strcmp(path, "/dump") == 0) {
         serve_dump(control, http);
@@ -342,7 +348,7 @@
         serve_ticket(control, http, path + strlen(TICKETS_PATH "/"));
     }
     else {
-        reply_error(http, STATUS_NOT_FOUND, "unknown-path");
+        reply_error(http, RsAdmin_NOT_FOUND, "unknown-path");
     }
 }
 
@@ -354,10 +360,10 @@
     }
     else if (strcmp(path, "/drain") == 0) {
         RsControl_Leave(control);
-        reply_json(http, STATUS_OK, json_pack("{s:b}", "leaving", 1));
+        reply_json(http, RsAdmin_OK, json_pack("{s:b}", "leaving", 1));
     }
     else {
-        reply_error(http, STATUS_NOT_FOUND, "unknown-path");
+        reply_error(http, RsAdmin_NOT_FOUND, "unknown-path");
     }
 }
 
@@ -374,7 +380,7 @@
         serve_post(control, http, path);
     }
     else {
-        reply_error(http, STATUS_BAD_REQUEST, "unknown-method");
+        reply_error(http, RsAdmin_BAD_REQUEST, "unknown-method");
     }
     g_free(path);
 }
--- a/rattanshed/main.c
+++ b/rattanshed/main.c
@@ -15,11 +15,11 @@
 
 #define FAULT_BYTES 1024
 
-enum exit_status {
-    EXIT_FINE = 0,
-    EXIT_FAILED = 1,
-    EXIT_USAGE = 2,
-    EXIT_BAD_SETTINGS = 3
+enum rs_main_status {
+    RsMain_FINE = 0,
+    RsMain_FAILED = 1,
+    RsMain_USAGE = 2,
+    RsMain_BAD_SETTINGS = 3
 };
 
 struct process {
@@ -34,7 +34,7 @@
 static void
 on_left(void *arg)
 {
-    exit(EXIT_FINE);
+    exit(RsMain_FINE);
 }
 
 static void
@@ -113,13 +113,13 @@
     if (status != 0) {
         RsLog_EVENT(RsLog_ERROR, "start_failed",
                     RsLog_NUMBER("error", status));
-        return EXIT_FAILED;
+        return RsMain_FAILED;
     }
     RsLog_EVENT(RsLog_INFO, "started", RsLog_TEXT("domain", settings->domain),
                 RsLog_NUMBER("callers_port", settings->callers.port),
                 RsLog_NUMBER("admin_port", settings->admin.port));
     uv_run(&process.loop, UV_RUN_DEFAULT);
-    return EXIT_FINE;
+    return RsMain_FINE;
 }
 
 static int
@@ -131,12 +131,12 @@
         char text[FAULT_BYTES];
         RsSettings_FormatFault(&fault, text, sizeof(text));
         fprintf(stderr, "%s\n", text);
-        return EXIT_BAD_SETTINGS;
+        return RsMain_BAD_SETTINGS;
     }
     if (only_check) {
         printf("%s: fine\n", path);
         RsSettings_Free(settings);
-        return EXIT_FINE;
+        return RsMain_FINE;
     }
     return run(settings);
 }
@@ -165,16 +165,16 @@
     int errors = arg_parse(argc, argv, table);
     if (help->count > 0) {
         print_help(table);
-        return EXIT_FINE;
+        return RsMain_FINE;
     }
     if (version->count > 0) {
         printf("rattanshed %s\n", RATTANSHED_VERSION);
-        return EXIT_FINE;
+        return RsMain_FINE;
     }
     if (errors > 0 || file->count == 0) {
         arg_print_errors(stderr, end, "rattanshed");
         fprintf(stderr, "usage: rattanshed [--check] -c FILE\n");
-        return EXIT_USAGE;
+        return RsMain_USAGE;
     }
     return load_and_run(file->filename[0], check->count > 0);
 }
