Find hot keys in bounded memory; fuzz the planner and the roster

The sketch is space-saving with 512 entries (8 KB) and counts halved from window to window; each rate comes with bounds that rounding keeps true. 128 entries, weighed first, would be sure only of keys above 1/128 of the requests; the 51 hottest of a Zipf stream lie below that.

planner_fuzz: two planners a cell race on stale views; the oracle follows which cells may still serve a slice, checks each write, and at the end that the world settles in balance and that one more event costs the fewest moves possible, without slack. roster_fuzz: writers race on stale rows; the oracle asks that a majority which may still promise by an earlier row meets every majority of the present one.

An acknowledgement now names its cell; that the list has to be fresh but for its lag is written down as a condition of the caller, and the model now keeps it.

--- /dev/null
+++ b/place/planner_fuzz.c
@@ -0,0 +1,499 @@
+/* Two planners a cell race with compare-and-set, on views that may be stale,
+ * while targets and domains come and go. The oracle knows of each slice which
+ * cells may still serve it, and what each write may change. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/id.h"
+#include "place/assignment.h"
+#include "place/cell_name.h"
+#include "place/planner_world.h"
+#include "place/slice.h"
+
+#define DOMAINS 3
+#define TARGETS 4 /* a domain */
+#define CELLS 2   /* a domain */
+#define ALL_TARGETS (DOMAINS * TARGETS)
+#define ALL_CELLS (DOMAINS * CELLS)
+#define SLICES 30
+#define PLANNERS (2 * ALL_CELLS)
+#define MAX_ROUNDS 100
+#define EVENTS 80
+
+/* The input's bytes, then ones that follow from them: short inputs run as
+ * many events as long ones. */
+struct input {
+    const uint8_t *data;
+    size_t size;
+    uint64_t more;
+};
+
+/* What a planner has read. */
+struct view {
+    struct rs_planner_target targets[ALL_TARGETS];
+    struct rs_planner_domain domains[DOMAINS];
+    struct rs_model_assignment rows[SLICES];
+    uint8_t positions[SLICES];
+    uint32_t row_versions[SLICES];
+    uint32_t domain_versions[DOMAINS];
+};
+
+struct state {
+    struct planner_world world;
+    uint32_t row_versions[SLICES];
+    uint32_t domain_versions[DOMAINS];
+    uint32_t may_serve[SLICES]; /* bits of cells */
+    double loads[SLICES];
+    bool loaded;
+    struct view views[PLANNERS];
+};
+
+#define CHECK(condition)                                                      \
+    do {                                                                      \
+        if (!(condition)) {                                                   \
+            fprintf(stderr, "oracle: %s (line %d)\n", #condition, __LINE__);  \
+            abort();                                                          \
+        }                                                                     \
+    } while (0)
+
+static uint8_t
+next_byte(struct input *input)
+{
+    if (input->size == 0) {
+        input->more = RsId_Mix(input->more, 1);
+        return (uint8_t)input->more;
+    }
+    input->size--;
+    return *input->data++;
+}
+
+static uint32_t
+cell_bit(const char *cell)
+{
+    char domain[RsModel_NAME_BYTES];
+    uint32_t number = 0;
+    CHECK(RsCellName_Parse(cell, domain, &number) == 0);
+    return 1U << ((uint32_t)(domain[1] - '0') * CELLS + number);
+}
+
+static uint32_t
+domain_bits(size_t domain)
+{
+    return ((1U << CELLS) - 1) << (domain * CELLS);
+}
+
+static bool
+has_target(const char *cell, const struct rs_planner_target *target)
+{
+    return strcmp(target->cell, cell) == 0;
+}
+
+static void
+read_view(struct state *state, struct view *view)
+{
+    const struct planner_world *world = &state->world;
+    memcpy(view->targets, world->targets, sizeof(view->targets));
+    memcpy(view->domains, world->domains, sizeof(view->domains));
+    memcpy(view->rows, world->rows, sizeof(view->rows));
+    memcpy(view->positions, world->positions, sizeof(view->positions));
+    memcpy(view->row_versions, state->row_versions,
+           sizeof(view->row_versions));
+    memcpy(view->domain_versions, state->domain_versions,
+           sizeof(view->domain_versions));
+}
+
+static const struct rs_planner_target *
+find_target(const struct view *view, const char *name)
+{
+    for (size_t i = 0; i < ALL_TARGETS; i++) {
+        if (strcmp(view->targets[i].name, name) == 0) {
+            return &view->targets[i];
+        }
+    }
+    return NULL;
+}
+
+static const struct rs_planner_domain *
+domain_of(const struct view *view, const char *cell)
+{
+    return &view->domains[cell[1] - '0'];
+}
+
+/* Whether the service hands over a silent domain's slices, as seen. */
+static bool
+may_take(const struct state *state, const struct view *view, const char *cell)
+{
+    size_t heard = 0;
+    size_t known = 0;
+    for (size_t i = 0; i < DOMAINS; i++) {
+        if (view->domains[i].state != RsModel_LOST) {
+            known++;
+            heard += view->domains[i].silent ? 0 : 1;
+        }
+    }
+    if (domain_of(view, cell)->state == RsModel_LOST) {
+        return true;
+    }
+    return state->world.options.cut_off == RsModel_HAND_OVER &&
+           domain_of(view, cell)->silent && 2 * heard > known;
+}
+
+static void
+check_succession(const struct view *view,
+                 const struct rs_model_assignment *change)
+{
+    for (size_t i = 0; i < change->succession_count; i++) {
+        const struct rs_planner_target *target =
+            find_target(view, change->succession[i]);
+        CHECK(target != NULL);
+        CHECK(has_target(change->cell, target));
+        CHECK(target->alive && !target->leaving);
+        CHECK(domain_of(view, change->cell)->state != RsModel_LOST);
+        CHECK(RsAssignment_Position(change, target->name) == (int)i);
+    }
+    size_t usable = 0;
+    for (size_t i = 0; i < ALL_TARGETS; i++) {
+        const struct rs_planner_target *target = &view->targets[i];
+        bool here = has_target(change->cell, target);
+        usable += here && target->alive && !target->leaving ? 1 : 0;
+    }
+    CHECK(change->succession_count >= (usable < 3 ? usable : 3));
+}
+
+static void
+check_write(const struct state *state, const struct view *view,
+            const char *writer, const struct rs_model_assignment *old,
+            const struct rs_model_assignment *change)
+{
+    if (change->epoch == old->epoch) {
+        CHECK(old->epoch > 0 && change->from_count < old->from_count);
+        CHECK(strcmp(change->cell, old->cell) == 0);
+        return;
+    }
+    CHECK(change->epoch == old->epoch + 1);
+    check_succession(view, change);
+    if (old->epoch == 0) {
+        CHECK(strcmp(change->cell, writer) == 0);
+        return;
+    }
+    bool taken = may_take(state, view, old->cell);
+    CHECK(taken || strcmp(old->cell, writer) == 0);
+    bool waits = false;
+    for (size_t i = 0; i < old->from_count; i++) {
+        waits = waits || domain_of(view, old->from[i])->state != RsModel_LOST;
+    }
+    bool stays = strcmp(change->cell, old->cell) == 0;
+    CHECK(!waits || taken || stays);
+    CHECK(stays || !domain_of(view, change->cell)->silent);
+}
+
+/* Every cell that may still serve the slice is named in its row. */
+static void
+check_servers(const struct state *state, size_t slice)
+{
+    const struct rs_model_assignment *row = &state->world.rows[slice];
+    uint32_t named = row->epoch > 0 ? cell_bit(row->cell) : 0;
+    for (size_t i = 0; i < row->from_count; i++) {
+        named |= cell_bit(row->from[i]);
+    }
+    CHECK((state->may_serve[slice] & ~named) == 0);
+}
+
+/* Writes on the condition that the row, and the domains that count as lost,
+ * are as the planner saw them. */
+static void
+write_change(struct state *state, const struct view *view, const char *writer,
+             const struct rs_model_assignment *change)
+{
+    uint32_t index = RsSlice_Index(change->slice);
+    struct rs_model_assignment *row = &state->world.rows[index];
+    check_write(state, view, writer, &view->rows[index], change);
+    bool same = state->row_versions[index] == view->row_versions[index];
+    for (size_t i = 0; i < DOMAINS; i++) {
+        bool lost = view->domains[i].state == RsModel_LOST;
+        same = same && (!lost ||
+                        state->domain_versions[i] == view->domain_versions[i]);
+    }
+    if (!same) {
+        return;
+    }
+    state->world.positions[index] =
+        change->epoch == row->epoch ? state->world.positions[index] : 0;
+    *row = *change;
+    state->row_versions[index]++;
+    bool lost = state->world.domains[row->cell[1] - '0'].state == RsModel_LOST;
+    state->may_serve[index] |= lost ? 0 : cell_bit(row->cell);
+    check_servers(state, index);
+}
+
+static size_t
+plan(struct state *state, size_t planner, size_t *moves)
+{
+    struct view *view = &state->views[planner];
+    struct rs_planner_plan plan;
+    struct rs_planner_plan again;
+    char cell[RsModel_NAME_BYTES];
+    size_t number = planner % ALL_CELLS;
+    char domain[3] = {'d', (char)('0' + number / CELLS), '\0'};
+    RsCellName_Format(domain, (uint32_t)(number % CELLS), cell);
+    struct rs_planner_options options = state->world.options;
+    options.targets = view->targets;
+    options.domains = view->domains;
+    options.present = view->rows;
+    options.positions = view->positions;
+    options.loads = state->loaded ? state->loads : NULL;
+    options.cell = cell;
+    CHECK(RsPlanner_Plan(&options, &plan) == 0);
+    CHECK(RsPlanner_Plan(&options, &again) == 0);
+    CHECK(plan.change_count == again.change_count);
+    for (size_t i = 0; i < plan.change_count; i++) {
+        CHECK(RsAssignment_Equal(&plan.changes[i], &again.changes[i]));
+        write_change(state, view, cell, &plan.changes[i]);
+    }
+    size_t changes = plan.change_count;
+    *moves += plan.moves;
+    RsPlanner_FreePlan(&plan);
+    RsPlanner_FreePlan(&again);
+    return changes;
+}
+
+static bool
+settle(struct state *state, size_t slice)
+{
+    struct rs_model_assignment *row = &state->world.rows[slice];
+    struct rs_model_assignment settled;
+    if (!RsPlanner_Settle(row, &settled)) {
+        return false;
+    }
+    CHECK(settled.epoch == row->epoch && settled.from_count == 0);
+    *row = settled;
+    state->row_versions[slice]++;
+    state->may_serve[slice] &= cell_bit(row->cell);
+    return true;
+}
+
+static void
+set_domain(struct state *state, size_t index,
+           enum rs_model_domain_state domain_state)
+{
+    struct planner_world *world = &state->world;
+    enum rs_model_domain_state old = world->domains[index].state;
+    world->domains[index].state = domain_state;
+    state->domain_versions[index] += old == domain_state ? 0 : 1;
+    for (size_t i = 0; i < SLICES; i++) {
+        uint32_t here =
+            world->rows[i].epoch == 0 ? 0 : cell_bit(world->rows[i].cell);
+        if (domain_state == RsModel_LOST) {
+            state->may_serve[i] &= ~domain_bits(index);
+        }
+        else {
+            /* New processes of the cell go by the row. */
+            state->may_serve[i] |= here & domain_bits(index);
+        }
+    }
+}
+
+/* The holder of a slice whose owner is dead goes on to the next target. */
+static void
+step_on(struct state *state, size_t slice)
+{
+    struct planner_world *world = &state->world;
+    const struct rs_model_assignment *row = &world->rows[slice];
+    int owner = planner_world_owner(world, slice);
+    if (owner >= 0 && !world->targets[owner].alive &&
+        (size_t)world->positions[slice] + 1 < row->succession_count) {
+        world->positions[slice]++;
+    }
+}
+
+static void
+change_world(struct state *state, uint8_t kind, uint8_t which)
+{
+    struct rs_planner_target *target =
+        &state->world.targets[which % ALL_TARGETS];
+    struct rs_planner_domain *domain = &state->world.domains[which % DOMAINS];
+    switch (kind) {
+    case 0:
+        target->alive = !target->alive;
+        break;
+    case 1:
+        target->leaving = !target->leaving;
+        break;
+    case 2:
+        target->share = target->share < 1 ? 1 : 0.4;
+        break;
+    case 3:
+        set_domain(state, which % DOMAINS,
+                   (enum rs_model_domain_state)(which / DOMAINS % 3));
+        break;
+    case 4:
+        domain->silent = !domain->silent;
+        break;
+    case 5:
+        state->loaded = which % 2 == 0;
+        state->loads[which % SLICES] = which;
+        break;
+    default:
+        step_on(state, which % SLICES);
+        break;
+    }
+}
+
+static bool
+usable(const struct planner_world *world, size_t index,
+       enum rs_model_domain_state domain_state)
+{
+    const struct rs_planner_target *target = &world->targets[index];
+    return target->alive && !target->leaving &&
+           world->domains[index / TARGETS].state == domain_state;
+}
+
+static size_t
+count_usable(const struct planner_world *world,
+             enum rs_model_domain_state domain_state)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < ALL_TARGETS; i++) {
+        count += usable(world, i, domain_state) ? 1 : 0;
+    }
+    return count;
+}
+
+/* Returns the fewest moves after which no usable target has two slices more
+ * than another, from the present counts. */
+static size_t
+fewest_moves(struct planner_world *world)
+{
+    size_t counts[ALL_TARGETS] = {0};
+    size_t stay = 0;
+    size_t assigned = planner_world_count(world);
+    size_t targets = count_usable(world, RsModel_IN);
+    size_t extra = SLICES % targets;
+    for (size_t i = 0; i < ALL_TARGETS; i++) {
+        counts[i] = usable(world, i, RsModel_IN) ? world->owned[i] : 0;
+        size_t quota = SLICES / targets;
+        if (counts[i] > quota && extra > 0) {
+            quota++;
+            extra--;
+        }
+        stay += counts[i] < quota ? counts[i] : quota;
+    }
+    return assigned - stay;
+}
+
+static void
+check_settled(struct planner_world *world)
+{
+    bool in = count_usable(world, RsModel_IN) > 0;
+    enum rs_model_domain_state wanted = in ? RsModel_IN : RsModel_OUT;
+    if (count_usable(world, wanted) == 0) {
+        return;
+    }
+    CHECK(planner_world_count(world) == SLICES);
+    size_t most = 0;
+    size_t least = SLICES;
+    for (size_t i = 0; i < ALL_TARGETS; i++) {
+        size_t owned = world->owned[i];
+        CHECK(usable(world, i, wanted) || owned == 0);
+        if (usable(world, i, wanted)) {
+            most = owned > most ? owned : most;
+            least = owned < least ? owned : least;
+        }
+    }
+    CHECK(!in || most - least <= 1);
+}
+
+/* Lets all cells that are not lost plan and settle until nothing changes.
+ * Returns the moves. */
+static size_t
+run_until_settled(struct state *state)
+{
+    size_t changes = 1;
+    size_t moves = 0;
+    for (size_t round = 0; changes > 0; round++) {
+        CHECK(round < MAX_ROUNDS);
+        changes = 0;
+        for (size_t i = 0; i < ALL_CELLS; i++) {
+            bool lost = state->world.domains[i / CELLS].state == RsModel_LOST;
+            read_view(state, &state->views[i]);
+            changes += lost ? 0 : plan(state, i, &moves);
+        }
+        for (size_t i = 0; i < SLICES; i++) {
+            changes += settle(state, i) ? 1 : 0;
+        }
+    }
+    check_settled(&state->world);
+    return moves;
+}
+
+/* From a settled world, one more event: the moves are the fewest possible. */
+static void
+check_moves(struct state *state, uint8_t kind, uint8_t which)
+{
+    struct planner_world *world = &state->world;
+    run_until_settled(state);
+    bool was_in = count_usable(world, RsModel_IN) > 0;
+    change_world(state, kind % 2 == 0 ? 1 : 3, which);
+    if (!was_in || count_usable(world, RsModel_IN) == 0) {
+        return;
+    }
+    size_t fewest = fewest_moves(world);
+    CHECK(run_until_settled(state) <= fewest);
+}
+
+static void
+make_even(struct state *state)
+{
+    state->loaded = false;
+    for (size_t i = 0; i < ALL_TARGETS; i++) {
+        state->world.targets[i].share = 1;
+    }
+    for (size_t i = 0; i < DOMAINS; i++) {
+        state->world.domains[i].silent = false;
+    }
+}
+
+static void
+run_events(struct state *state, struct input *input)
+{
+    size_t moves = 0;
+    for (size_t i = 0; i < EVENTS; i++) {
+        uint8_t kind = next_byte(input) % 16;
+        uint8_t which = next_byte(input);
+        if (kind < 7) {
+            change_world(state, kind, which);
+        }
+        else if (kind < 10) {
+            read_view(state, &state->views[which % PLANNERS]);
+        }
+        else if (kind < 14) {
+            plan(state, which % PLANNERS, &moves);
+        }
+        else {
+            settle(state, which % SLICES);
+        }
+    }
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    static struct state state;
+    struct input input = {data, size, RsId_FromBytes(data, size)};
+    memset(&state, 0, sizeof(state));
+    planner_world_open(&state.world, DOMAINS, TARGETS, CELLS, SLICES);
+    state.world.options.max_moves = 3;
+    state.world.options.cut_off =
+        next_byte(&input) % 2 == 0 ? RsModel_KEEP_SERVING : RsModel_HAND_OVER;
+    for (size_t i = 0; i < PLANNERS; i++) {
+        read_view(&state, &state.views[i]);
+    }
+    run_events(&state, &input);
+    make_even(&state);
+    uint8_t kind = next_byte(&input);
+    check_moves(&state, kind, next_byte(&input));
+    planner_world_close(&state.world);
+    return 0;
+}
--- a/place/roster.c
+++ b/place/roster.c
@@ -63,7 +63,9 @@
     size_t over = 0;
     for (size_t i = 0; i < row->former_count; i++) {
         const struct rs_roster_vm *vm = find_vm(options, row->former[i]);
-        bool knows = written && vm != NULL && vm->acknowledged >= row->version;
+        bool knows = written && vm != NULL &&
+                     strcmp(vm->cell, row->cell) == 0 &&
+                     vm->acknowledged >= row->version;
         over += knows || long_gone(options, row->former[i]) ? 1 : 0;
     }
     return 2 * over > row->former_count;
--- a/place/roster.h
+++ b/place/roster.h
@@ -54,14 +54,18 @@
 struct rs_roster_vm {
     char name[RsModel_NAME_BYTES];
     enum rs_roster_vm_state state;
-    int64_t gone_at_ms;    /* when it was first missing in the list */
-    int64_t heard_at_ms;   /* its last heartbeat; INT64_MIN: none */
-    uint64_t acknowledged; /* version of its cell's row that it has applied;
-                            * its promises under earlier ones have lapsed */
+    int64_t gone_at_ms;            /* when it was first missing in the list */
+    int64_t heard_at_ms;           /* its last heartbeat; INT64_MIN: none */
+    char cell[RsModel_NAME_BYTES]; /* whose row it has applied, and the */
+    uint64_t acknowledged; /* version: promises under earlier ones lapsed */
 };
 
 /* Borrows all that it points to. A member that is not among the VMs counts as
- * one that is gone, for an unknown time. */
+ * one that is gone, for an unknown time.
+ *
+ * That a VM is gone has to be as fresh as `now_ms`, but for the list's lag,
+ * which is shorter than a lease: a VM that returns within the lag promises
+ * nothing for one lease, and then reads its cell's row again first. */
 struct rs_roster_options {
     const char *domain;
     const struct rs_roster_vm *vms;
--- /dev/null
+++ b/place/roster_fuzz.c
@@ -0,0 +1,361 @@
+/* Several processes of a domain change its cells' rows with compare-and-set,
+ * on views that may be stale, while VMs come, fall silent, leave and go. The
+ * oracle knows which rows each VM has applied: a majority that still goes by
+ * an earlier row must always meet every majority of the present one. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/id.h"
+#include "place/names.h"
+#include "place/roster.h"
+
+#define VMS 12
+#define CELLS 4
+#define WRITERS 3
+#define EVENTS 150
+#define MAX_HISTORY 400
+#define GONE_AFTER_MS 100
+#define SILENT_AFTER_MS 20
+#define REPLACE_AFTER_MS 60
+
+struct input {
+    const uint8_t *data;
+    size_t size;
+    uint64_t more;
+};
+
+struct view {
+    struct rs_roster_vm vms[VMS];
+    struct rs_roster_row rows[CELLS];
+    size_t row_count;
+};
+
+struct state {
+    struct view truth;
+    uint64_t applied[VMS][CELLS]; /* versions of rows */
+    bool up[VMS];
+    struct view views[WRITERS];
+    struct rs_roster_row history[MAX_HISTORY];
+    size_t history_count;
+    int64_t now_ms;
+};
+
+#define CHECK(condition)                                                      \
+    do {                                                                      \
+        if (!(condition)) {                                                   \
+            fprintf(stderr, "oracle: %s (line %d)\n", #condition, __LINE__);  \
+            abort();                                                          \
+        }                                                                     \
+    } while (0)
+
+static uint8_t
+next_byte(struct input *input)
+{
+    if (input->size == 0) {
+        input->more = RsId_Mix(input->more, 1);
+        return (uint8_t)input->more;
+    }
+    input->size--;
+    return *input->data++;
+}
+
+static bool
+lists(const char (*names)[RsModel_NAME_BYTES], size_t count, size_t vm)
+{
+    char name[RsModel_NAME_BYTES];
+    snprintf(name, sizeof(name), "vm%02zu", vm);
+    return RsNames_Contain(names, count, name);
+}
+
+/* Whether a VM might still promise by a row: it is not gone for long, and has
+ * applied no later row. */
+static bool
+promises_by(const struct state *state, size_t vm,
+            const struct rs_roster_row *row)
+{
+    const struct rs_roster_vm *known = &state->truth.vms[vm];
+    bool long_gone = known->state == RsRoster_GONE &&
+                     known->gone_at_ms + GONE_AFTER_MS <= state->now_ms;
+    return !long_gone &&
+           state->applied[vm][row->cell[2] - '0'] <= row->version;
+}
+
+static bool
+quorum_left(const struct state *state, const struct rs_roster_row *row,
+            const char (*names)[RsModel_NAME_BYTES], size_t count)
+{
+    size_t left = 0;
+    for (size_t i = 0; i < VMS; i++) {
+        left += lists(names, count, i) && promises_by(state, i, row) ? 1 : 0;
+    }
+    return 2 * left > count;
+}
+
+/* Whether any majority of one list has a VM of any majority of the other. */
+static bool
+majorities_meet(const char (*a)[RsModel_NAME_BYTES], size_t a_count,
+                const char (*b)[RsModel_NAME_BYTES], size_t b_count)
+{
+    size_t either = 0;
+    for (size_t i = 0; i < VMS; i++) {
+        either += lists(a, a_count, i) || lists(b, b_count, i) ? 1 : 0;
+    }
+    return a_count / 2 + 1 + b_count / 2 + 1 > either;
+}
+
+static bool
+rows_meet(const struct rs_roster_row *a, const struct rs_roster_row *b)
+{
+    bool met = majorities_meet(a->members, a->member_count, b->members,
+                               b->member_count);
+    if (a->former_count > 0) {
+        met = met || majorities_meet(a->former, a->former_count, b->members,
+                                     b->member_count);
+    }
+    if (b->former_count > 0) {
+        met = met || majorities_meet(a->members, a->member_count, b->former,
+                                     b->former_count);
+    }
+    if (a->former_count > 0 && b->former_count > 0) {
+        met = met || majorities_meet(a->former, a->former_count, b->former,
+                                     b->former_count);
+    }
+    return met;
+}
+
+static void
+check_history(const struct state *state, const struct rs_roster_row *row)
+{
+    for (size_t i = 0; i < state->history_count; i++) {
+        const struct rs_roster_row *old = &state->history[i];
+        if (strcmp(old->cell, row->cell) != 0 || rows_meet(old, row)) {
+            continue;
+        }
+        bool able = quorum_left(state, old, old->members, old->member_count);
+        able =
+            able && (old->former_count == 0 ||
+                     quorum_left(state, old, old->former, old->former_count));
+        CHECK(!able);
+    }
+}
+
+static void
+check_one_cell_each(const struct view *truth)
+{
+    for (size_t vm = 0; vm < VMS; vm++) {
+        size_t cells = 0;
+        for (size_t i = 0; i < truth->row_count; i++) {
+            const struct rs_roster_row *row = &truth->rows[i];
+            cells += lists(row->members, row->member_count, vm) ||
+                             lists(row->former, row->former_count, vm)
+                         ? 1
+                         : 0;
+        }
+        CHECK(cells <= 1);
+    }
+}
+
+static void
+check_row(const struct view *view, uint32_t number,
+          const struct rs_roster_row *next)
+{
+    const struct rs_roster_row *old = &view->rows[number];
+    CHECK(next->version == old->version + 1);
+    CHECK(next->member_count > 0);
+    CHECK(number == view->row_count || old->former_count == 0 ||
+          (next->former_count == 0 &&
+           RsNames_Equal(next->members, next->member_count, old->members,
+                         old->member_count)));
+    CHECK(number < view->row_count || number == 0 ||
+          next->member_count >= RsRoster_MIN_MEMBERS);
+    for (size_t i = 1; i < next->member_count; i++) {
+        CHECK(strcmp(next->members[i - 1], next->members[i]) < 0);
+    }
+    for (size_t i = 0; i < VMS; i++) {
+        bool joins = lists(next->members, next->member_count, i) &&
+                     !lists(old->members, old->member_count, i);
+        CHECK(!joins || view->vms[i].state == RsRoster_LIVE);
+    }
+}
+
+static bool
+same_versions(const struct view *a, const struct view *b)
+{
+    for (size_t i = 0; i < CELLS; i++) {
+        if (a->rows[i].version != b->rows[i].version) {
+            return false;
+        }
+    }
+    return a->row_count == b->row_count;
+}
+
+/* The writer's list of VMs is fresh, its rows and acknowledgements may be
+ * stale. */
+static bool
+decide(struct state *state, size_t writer, uint32_t number)
+{
+    struct view *view = &state->views[writer];
+    for (size_t i = 0; i < VMS; i++) {
+        view->vms[i].state = state->truth.vms[i].state;
+        view->vms[i].gone_at_ms = state->truth.vms[i].gone_at_ms;
+    }
+    struct rs_roster_row next;
+    struct rs_roster_options options = {
+        .domain = "d",
+        .vms = view->vms,
+        .vm_count = VMS,
+        .rows = view->rows,
+        .row_count = view->row_count,
+        .now_ms = state->now_ms,
+        .gone_after_ms = GONE_AFTER_MS,
+        .silent_after_ms = SILENT_AFTER_MS,
+        .replace_after_ms = REPLACE_AFTER_MS,
+    };
+    if (number > view->row_count || number >= CELLS ||
+        !RsRoster_Next(&options, number, &next)) {
+        return false;
+    }
+    check_row(view, number, &next);
+    if (!same_versions(view, &state->truth) ||
+        state->history_count == MAX_HISTORY) {
+        return false;
+    }
+    state->truth.rows[number] = next;
+    state->truth.row_count += number == state->truth.row_count ? 1 : 0;
+    check_history(state, &next);
+    check_one_cell_each(&state->truth);
+    state->history[state->history_count++] = next;
+    return true;
+}
+
+/* The VM applies its cell's row, and is heard. */
+static void
+apply(struct state *state, size_t vm)
+{
+    struct view *truth = &state->truth;
+    if (!state->up[vm]) {
+        return;
+    }
+    truth->vms[vm].heard_at_ms = state->now_ms;
+    for (size_t i = 0; i < truth->row_count; i++) {
+        const struct rs_roster_row *row = &truth->rows[i];
+        if (lists(row->members, row->member_count, vm) ||
+            lists(row->former, row->former_count, vm)) {
+            memcpy(truth->vms[vm].cell, row->cell, RsModel_NAME_BYTES);
+            truth->vms[vm].acknowledged = row->version;
+            state->applied[vm][i] = row->version;
+        }
+    }
+}
+
+static void
+change_vm(struct state *state, uint8_t kind, size_t index)
+{
+    struct rs_roster_vm *vm = &state->truth.vms[index];
+    switch (kind) {
+    case 0: /* starts without memory: it reads all rows first */
+        state->up[index] = true;
+        vm->state = RsRoster_LIVE;
+        for (size_t i = 0; i < CELLS; i++) {
+            state->applied[index][i] = state->truth.rows[i].version;
+        }
+        apply(state, index);
+        break;
+    case 1:
+        vm->state = vm->state == RsRoster_LIVE ? RsRoster_LEAVING : vm->state;
+        break;
+    case 2: /* dies, and the list shows it */
+        state->up[index] = false;
+        vm->gone_at_ms =
+            vm->state == RsRoster_GONE ? vm->gone_at_ms : state->now_ms;
+        vm->state = RsRoster_GONE;
+        break;
+    default:
+        state->up[index] = vm->state != RsRoster_GONE && !state->up[index];
+        break;
+    }
+}
+
+static void
+run_events(struct state *state, struct input *input)
+{
+    for (size_t i = 0; i < EVENTS; i++) {
+        uint8_t kind = next_byte(input) % 16;
+        uint8_t which = next_byte(input);
+        if (kind < 4) {
+            change_vm(state, kind, which % VMS);
+        }
+        else if (kind < 7) {
+            apply(state, which % VMS);
+        }
+        else if (kind < 10) {
+            state->views[which % WRITERS] = state->truth;
+        }
+        else if (kind < 14) {
+            decide(state, which % WRITERS, which / WRITERS % CELLS);
+        }
+        else {
+            state->now_ms += which;
+        }
+    }
+}
+
+/* With all VMs that are live up, the rows come to rest, without a change
+ * under way, and all their members are live. */
+static void
+check_rest(struct state *state)
+{
+    size_t live = 0;
+    state->now_ms += GONE_AFTER_MS + REPLACE_AFTER_MS;
+    for (size_t i = 0; i < VMS; i++) {
+        state->up[i] = state->truth.vms[i].state != RsRoster_GONE;
+        live += state->truth.vms[i].state == RsRoster_LIVE ? 1 : 0;
+    }
+    bool changed = true;
+    for (size_t round = 0; changed; round++) {
+        changed = false;
+        CHECK(round < 100);
+        for (uint32_t number = 0; number < CELLS; number++) {
+            for (size_t i = 0; i < VMS; i++) {
+                apply(state, i);
+            }
+            state->views[0] = state->truth;
+            changed = decide(state, 0, number) || changed;
+        }
+    }
+    CHECK(live == 0 || state->truth.row_count > 0);
+    for (size_t i = 0; i < state->truth.row_count; i++) {
+        const struct rs_roster_row *row = &state->truth.rows[i];
+        size_t dead = 0;
+        CHECK(row->former_count == 0);
+        for (size_t j = 0; j < VMS; j++) {
+            bool member = lists(row->members, row->member_count, j);
+            bool lives = state->truth.vms[j].state == RsRoster_LIVE;
+            dead += member && !lives ? 1 : 0;
+        }
+        CHECK(dead == 0 || dead == row->member_count);
+    }
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    static struct state state;
+    struct input input = {data, size, RsId_FromBytes(data, size)};
+    memset(&state, 0, sizeof(state));
+    state.now_ms = 1000;
+    for (size_t i = 0; i < VMS; i++) {
+        struct rs_roster_vm *vm = &state.truth.vms[i];
+        snprintf(vm->name, sizeof(vm->name), "vm%02zu", i);
+        vm->state = i < 4 ? RsRoster_LIVE : RsRoster_GONE;
+        state.up[i] = i < 4;
+    }
+    for (size_t i = 0; i < WRITERS; i++) {
+        state.views[i] = state.truth;
+    }
+    run_events(&state, &input);
+    check_rest(&state);
+    return 0;
+}
--- a/place/roster_test.c
+++ b/place/roster_test.c
@@ -4,6 +4,7 @@
 
 #include "core/id.h"
 #include "place/cell_name.h"
+#include "place/names.h"
 #include "place/roster.h"
 #include "place/speaker.h"
 
@@ -38,6 +39,7 @@
         struct rs_roster_vm *vm = &vms[options.vm_count++];
         snprintf(vm->name, sizeof(vm->name), "vm%02zu", options.vm_count);
         vm->heard_at_ms = options.now_ms;
+        memcpy(vm->cell, "d/0", sizeof("d/0"));
     }
 }
 
@@ -75,8 +77,17 @@
 acknowledge_all(void)
 {
     for (size_t i = 0; i < options.vm_count; i++) {
-        bool up = vms[i].state != RsRoster_GONE;
-        vms[i].acknowledged = up ? 1000 : vms[i].acknowledged;
+        for (size_t j = 0; j < options.row_count; j++) {
+            const struct rs_roster_row *row = &rows[j];
+            bool member =
+                RsNames_Contain(row->members, row->member_count,
+                                vms[i].name) ||
+                RsNames_Contain(row->former, row->former_count, vms[i].name);
+            if (member && vms[i].state != RsRoster_GONE) {
+                memcpy(vms[i].cell, row->cell, RsModel_NAME_BYTES);
+                vms[i].acknowledged = row->version;
+            }
+        }
     }
 }
 
@@ -84,9 +95,9 @@
 static void
 run(void)
 {
-    acknowledge_all();
     size_t quiet = 0;
     for (uint32_t i = 0; quiet <= options.row_count && i < 1000; i++) {
+        acknowledge_all();
         bool changed = step(i % (uint32_t)(options.row_count + 1));
         quiet = changed ? 0 : quiet + 1;
     }
@@ -126,6 +137,9 @@
     add_vms(1);
     CU_ASSERT(!step(0));
     vms[1].acknowledged = 2;
+    vms[1].cell[2] = '1';
+    CU_ASSERT(!step(0));
+    vms[1].cell[2] = '0';
     CU_ASSERT(step(0));
     CU_ASSERT_EQUAL(rows[0].former_count, 0);
     CU_ASSERT_EQUAL(rows[0].member_count, 4);
--- /dev/null
+++ b/place/sketch.c
@@ -0,0 +1,153 @@
+#include "place/sketch.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* After so many windows without a request every count has decayed. */
+#define MAX_HALVINGS 32
+#define MS_PER_S 1000.0
+
+/* Makes a sketch empty. Counts are halved every `window_ms`. */
+void
+RsSketch_Init(struct rs_sketch *sketch, int64_t now_ms, uint32_t window_ms)
+{
+    assert(window_ms > 0);
+    memset(sketch, 0, sizeof(*sketch));
+    sketch->window_ms = window_ms;
+    sketch->window_ends_at_ms = now_ms + window_ms;
+}
+
+/* Halves the counts. Upper bounds are rounded up, lower ones down. */
+static void
+halve(struct rs_sketch *sketch)
+{
+    for (size_t i = 0; i < sketch->used; i++) {
+        uint32_t least = (sketch->counts[i] - sketch->errors[i]) / 2;
+        sketch->counts[i] = (sketch->counts[i] + 1) / 2;
+        sketch->errors[i] = sketch->counts[i] - least;
+    }
+    sketch->span_ms = (sketch->span_ms + sketch->window_ms) / 2;
+}
+
+static void
+pass_time(struct rs_sketch *sketch, int64_t now_ms)
+{
+    if (now_ms < sketch->window_ends_at_ms) {
+        return;
+    }
+    int64_t over_ms = now_ms - sketch->window_ends_at_ms;
+    int64_t windows = over_ms / sketch->window_ms + 1;
+    if (windows > MAX_HALVINGS) {
+        RsSketch_Init(sketch, now_ms, sketch->window_ms);
+        return;
+    }
+    for (int64_t i = 0; i < windows; i++) {
+        halve(sketch);
+    }
+    sketch->window_ends_at_ms += windows * sketch->window_ms;
+}
+
+/* Returns the index of a key, or `used` when it has no entry. */
+static size_t
+find_key(const struct rs_sketch *sketch, uint64_t key)
+{
+    size_t i = 0;
+    while (i < sketch->used && sketch->keys[i] != key) {
+        i++;
+    }
+    return i;
+}
+
+static size_t
+find_least(const struct rs_sketch *sketch)
+{
+    size_t least = 0;
+    for (size_t i = 1; i < sketch->used; i++) {
+        if (sketch->counts[i] < sketch->counts[least]) {
+            least = i;
+        }
+    }
+    return least;
+}
+
+/* Counts one request. A key without an entry takes the one of the lowest
+ * count, and with it that count, which it may have had. */
+void
+RsSketch_Add(struct rs_sketch *sketch, int64_t now_ms, uint64_t key)
+{
+    pass_time(sketch, now_ms);
+    size_t index = find_key(sketch, key);
+    if (index == sketch->used && sketch->used < RsSketch_ENTRIES) {
+        sketch->used++;
+        sketch->keys[index] = key;
+    }
+    else if (index == sketch->used) {
+        index = find_least(sketch);
+        sketch->keys[index] = key;
+        sketch->errors[index] = sketch->counts[index];
+    }
+    if (sketch->counts[index] < UINT32_MAX) {
+        sketch->counts[index]++;
+    }
+}
+
+static struct rs_sketch_rate
+rate_at(const struct rs_sketch *sketch, int64_t now_ms, size_t index)
+{
+    int64_t began_at_ms = sketch->window_ends_at_ms - sketch->window_ms;
+    double span_ms = sketch->span_ms + (double)(now_ms - began_at_ms);
+    double per_s = MS_PER_S / (span_ms < 1 ? 1 : span_ms);
+    uint32_t count = sketch->counts[index];
+    struct rs_sketch_rate rate = {
+        .key = sketch->keys[index],
+        .at_least_per_s = (count - sketch->errors[index]) * per_s,
+        .at_most_per_s = count * per_s,
+    };
+    return rate;
+}
+
+/* Looks up a key's rate, in requests/s over about two windows. Returns false
+ * when the key has no entry. */
+bool
+RsSketch_Rate(struct rs_sketch *sketch, int64_t now_ms, uint64_t key,
+              struct rs_sketch_rate *rate)
+{
+    pass_time(sketch, now_ms);
+    size_t index = find_key(sketch, key);
+    if (index == sketch->used) {
+        return false;
+    }
+    *rate = rate_at(sketch, now_ms, index);
+    return true;
+}
+
+static int
+compare_rates(const void *left, const void *right)
+{
+    const struct rs_sketch_rate *a = left;
+    const struct rs_sketch_rate *b = right;
+    if (a->at_least_per_s != b->at_least_per_s) {
+        return a->at_least_per_s < b->at_least_per_s ? 1 : -1;
+    }
+    return (a->key > b->key) - (a->key < b->key);
+}
+
+/* Lists the keys whose rates are surely highest, highest first. Returns how
+ * many; keys that may have had no request of late are left out. */
+size_t
+RsSketch_Top(struct rs_sketch *sketch, int64_t now_ms,
+             struct rs_sketch_rate *rates, size_t capacity)
+{
+    struct rs_sketch_rate all[RsSketch_ENTRIES];
+    size_t count = 0;
+    pass_time(sketch, now_ms);
+    for (size_t i = 0; i < sketch->used; i++) {
+        all[count] = rate_at(sketch, now_ms, i);
+        count += all[count].at_least_per_s > 0 ? 1 : 0;
+    }
+    qsort(all, count, sizeof(all[0]), compare_rates);
+    count = count < capacity ? count : capacity;
+    memcpy(rates, all, count * sizeof(all[0]));
+    return count;
+}
