Split the fair queue from admission; let idle targets be tried again

Fault, found by reading: a target that was learned to be slow refused all requests whose time left was shorter than that estimate, also with nothing in flight, and so never learned that it was fast again. An idle target now gets any request that is not late. Likewise the health of a slow target that gets no work any more (its slices moved away) was never revised; after 5 s without work its latency counts as its peers'.

--- a/dispatch/admission.c
+++ b/dispatch/admission.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "core/id.h"
+#include "dispatch/fair_queue.h"
 
 #define MAX_RETRY_AFTER_MS 5000
 #define MIN_RETRY_AFTER_MS 1
@@ -19,61 +20,25 @@
 };
 
 struct entry {
-    struct rs_admission_request request;
+    struct rs_fair_queue_item item; /* first, so that it is the entry */
     enum entry_state state;
-    struct flow *flow; /* while queued */
-    struct entry *previous;
-    struct entry *next;
     uint32_t in_flight; /* when it was sent */
     int64_t sent_ms;
     int64_t release_ms; /* when lingering */
 };
 
-/* The queued requests of one caller to one service, earliest deadline
- * first. */
-struct flow {
-    uint64_t id;
-    uint64_t turn; /* in which the first one goes */
-    uint32_t count;
-    guint index; /* in `flows` */
-    struct entry *first;
-    struct entry *last;
-};
-
 struct rs_admission {
     struct rs_admission_options options;
     struct rs_limit limit;
     uint32_t ceiling;
     uint32_t in_flight;
-    uint32_t queued;
-    uint64_t turn;            /* of the last one that left the queue */
+    struct rs_fair_queue queue;
     int64_t last_progress_ms; /* the last send or answer */
     GHashTable *entries;      /* by request id; owns them */
-    GHashTable *flow_by_id;   /* owns the flows */
-    GPtrArray *flows;
     GQueue lingering;
     GQueue events;
 };
 
-/* A queued request's place in the order in which the queue is served. */
-struct place {
-    uint64_t turn;
-    int64_t deadline_ms;
-    uint64_t id;
-};
-
-static bool
-goes_before(const struct place *a, const struct place *b)
-{
-    if (a->turn != b->turn) {
-        return a->turn < b->turn;
-    }
-    if (a->deadline_ms != b->deadline_ms) {
-        return a->deadline_ms < b->deadline_ms;
-    }
-    return a->id < b->id;
-}
-
 static uint32_t
 limit_now(const struct rs_admission *admission)
 {
@@ -107,7 +72,7 @@
 static uint32_t
 retry_after(const struct rs_admission *admission, int64_t now_ms)
 {
-    double wait = wait_ms(admission, now_ms, admission->queued);
+    double wait = wait_ms(admission, now_ms, admission->queue.count);
     return (uint32_t)CLAMP(wait, MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
 }
 
@@ -119,6 +84,18 @@
     return deadline_ms > now_ms && end_ms <= (double)deadline_ms;
 }
 
+/* Whether to send a request now. A target with nothing to do always gets one
+ * that is not late: the estimate would not be learned anew without. */
+static bool
+can_start(const struct rs_admission *admission, int64_t now_ms,
+          int64_t deadline_ms)
+{
+    if (admission->in_flight == 0) {
+        return deadline_ms > now_ms;
+    }
+    return can_make_it(admission, now_ms, deadline_ms, 0.0);
+}
+
 static struct rs_admission_verdict
 refusal(const struct rs_admission *admission, int64_t now_ms,
         enum rs_admission_reason reason)
@@ -140,106 +117,12 @@
     g_queue_push_tail(&admission->events, event);
 }
 
-static uint64_t
-flow_id(const struct rs_admission_request *request)
-{
-    return RsId_Mix(request->caller, request->service);
-}
-
-/* A caller without queued requests joins the turn after the present one:
- * joining the present one, a caller with one request at a time would always
- * go before those that went in it. */
-static uint64_t
-joining_turn(const struct rs_admission *admission)
-{
-    return admission->turn + 1;
-}
-
-static struct flow *
-find_or_add_flow(struct rs_admission *admission, uint64_t id)
-{
-    struct flow *flow = g_hash_table_lookup(admission->flow_by_id, &id);
-    if (flow != NULL) {
-        return flow;
-    }
-    flow = g_new0(struct flow, 1);
-    flow->id = id;
-    flow->turn = joining_turn(admission);
-    flow->index = admission->flows->len;
-    g_ptr_array_add(admission->flows, flow);
-    g_hash_table_insert(admission->flow_by_id, &flow->id, flow);
-    return flow;
-}
-
-static void
-drop_flow(struct rs_admission *admission, struct flow *flow)
-{
-    guint index = flow->index;
-    g_ptr_array_remove_index_fast(admission->flows, index);
-    if (index < admission->flows->len) {
-        struct flow *moved = g_ptr_array_index(admission->flows, index);
-        moved->index = index;
-    }
-    g_hash_table_remove(admission->flow_by_id, &flow->id);
-}
-
-static void
-insert_into_flow(struct flow *flow, struct entry *entry)
-{
-    struct entry *before = flow->last;
-    while (before != NULL &&
-           before->request.deadline_ms > entry->request.deadline_ms) {
-        before = before->previous;
-    }
-    entry->flow = flow;
-    entry->previous = before;
-    entry->next = before == NULL ? flow->first : before->next;
-    if (entry->next == NULL) {
-        flow->last = entry;
-    }
-    else {
-        entry->next->previous = entry;
-    }
-    if (before == NULL) {
-        flow->first = entry;
-    }
-    else {
-        before->next = entry;
-    }
-    flow->count++;
-}
-
-/* Takes `entry` out of the queue; it stays in `entries`. */
-static void
-remove_from_queue(struct rs_admission *admission, struct entry *entry)
-{
-    struct flow *flow = entry->flow;
-    if (entry->previous == NULL) {
-        flow->first = entry->next;
-    }
-    else {
-        entry->previous->next = entry->next;
-    }
-    if (entry->next == NULL) {
-        flow->last = entry->previous;
-    }
-    else {
-        entry->next->previous = entry->previous;
-    }
-    entry->flow = NULL;
-    flow->count--;
-    admission->queued--;
-    if (flow->count == 0) {
-        drop_flow(admission, flow);
-    }
-}
-
 static void
 refuse_queued(struct rs_admission *admission, int64_t now_ms,
               struct entry *entry, enum rs_admission_reason reason)
 {
-    uint64_t id = entry->request.id;
-    remove_from_queue(admission, entry);
+    uint64_t id = entry->item.id;
+    RsFairQueue_Remove(&admission->queue, &entry->item);
     emit(admission, id, refusal(admission, now_ms, reason));
     g_hash_table_remove(admission->entries, &id);
 }
@@ -254,137 +137,77 @@
     admission->last_progress_ms = now_ms;
 }
 
-static struct place
-place_of(const struct flow *flow, const struct entry *entry, uint64_t rank)
-{
-    struct place place = {.turn = flow->turn + rank,
-                          .deadline_ms = entry->request.deadline_ms,
-                          .id = entry->request.id};
-    return place;
-}
-
-static struct entry *
-first_in_queue(struct rs_admission *admission)
-{
-    struct entry *best = NULL;
-    struct place best_place = {0};
-    for (guint i = 0; i < admission->flows->len; i++) {
-        struct flow *flow = g_ptr_array_index(admission->flows, i);
-        struct place place = place_of(flow, flow->first, 0);
-        if (best == NULL || goes_before(&place, &best_place)) {
-            best = flow->first;
-            best_place = place;
-        }
-    }
-    return best;
-}
-
 /* Sends from the queue while the limit allows it. */
 static void
 pump(struct rs_admission *admission, int64_t now_ms)
 {
-    while (admission->queued > 0 &&
+    while (admission->queue.count > 0 &&
            admission->in_flight < limit_now(admission)) {
-        struct entry *entry = first_in_queue(admission);
-        if (!can_make_it(admission, now_ms, entry->request.deadline_ms, 0.0)) {
+        struct entry *entry =
+            (struct entry *)RsFairQueue_First(&admission->queue);
+        if (!can_make_it(admission, now_ms, entry->item.deadline_ms, 0.0)) {
             refuse_queued(admission, now_ms, entry, RsAdmission_DEADLINE);
             continue;
         }
-        admission->turn = entry->flow->turn;
-        entry->flow->turn++;
-        remove_from_queue(admission, entry);
+        RsFairQueue_Take(&admission->queue, &entry->item);
         send_entry(admission, now_ms, entry);
         struct rs_admission_verdict verdict = {.kind = RsAdmission_RUN};
-        emit(admission, entry->request.id, verdict);
+        emit(admission, entry->item.id, verdict);
     }
 }
 
-/* The queued requests that would go before this one. */
-static uint32_t
-count_ahead(const struct rs_admission *admission,
-            const struct rs_admission_request *request)
+static struct rs_fair_queue_item
+item_of(const struct rs_admission_request *request)
 {
-    uint64_t id = flow_id(request);
-    struct place place = {.turn = joining_turn(admission),
-                          .deadline_ms = request->deadline_ms,
-                          .id = request->id};
-    struct flow *own = g_hash_table_lookup(admission->flow_by_id, &id);
-    uint32_t ahead = 0;
-    if (own != NULL) {
-        place.turn = own->turn;
-        for (struct entry *entry = own->first;
-             entry != NULL &&
-             entry->request.deadline_ms <= request->deadline_ms;
-             entry = entry->next) {
-            place.turn++;
-            ahead++;
-        }
-    }
-    for (guint i = 0; i < admission->flows->len; i++) {
-        const struct flow *flow = g_ptr_array_index(admission->flows, i);
-        uint64_t rank = 0;
-        for (struct entry *entry = flow->first; entry != NULL && flow != own;
-             entry = entry->next) {
-            struct place other = place_of(flow, entry, rank++);
-            if (!goes_before(&other, &place)) {
-                break;
-            }
-            ahead++;
-        }
-    }
-    return ahead;
+    struct rs_fair_queue_item item = {
+        .id = request->id,
+        .flow_id = RsId_Mix(request->caller, request->service),
+        .deadline_ms = request->deadline_ms};
+    return item;
+}
+
+static struct entry *
+add_entry(struct rs_admission *admission,
+          const struct rs_fair_queue_item *item)
+{
+    struct entry *entry = g_new0(struct entry, 1);
+    entry->item = *item;
+    g_hash_table_insert(admission->entries, &entry->item.id, entry);
+    return entry;
 }
 
 /* Makes room in a full queue at the cost of the caller with the most in it.
  * False when that is the newcomer's own. */
 static bool
 make_room(struct rs_admission *admission, int64_t now_ms,
-          const struct rs_admission_request *request)
+          const struct rs_fair_queue_item *newcomer)
 {
-    uint64_t id = flow_id(request);
-    struct flow *own = g_hash_table_lookup(admission->flow_by_id, &id);
-    struct flow *longest = NULL;
-    for (guint i = 0; i < admission->flows->len; i++) {
-        struct flow *flow = g_ptr_array_index(admission->flows, i);
-        if (longest == NULL || flow->count > longest->count) {
-            longest = flow;
-        }
-    }
-    uint32_t own_count = own == NULL ? 0 : own->count;
-    if (longest == NULL || longest->count <= own_count + 1) {
+    struct rs_fair_queue_item *last =
+        RsFairQueue_LastOfLongest(&admission->queue, newcomer->flow_id);
+    if (last == NULL) {
         return false;
     }
-    refuse_queued(admission, now_ms, longest->last, RsAdmission_QUEUE_FULL);
+    refuse_queued(admission, now_ms, (struct entry *)last,
+                  RsAdmission_QUEUE_FULL);
     return true;
 }
 
-static struct entry *
-add_entry(struct rs_admission *admission,
-          const struct rs_admission_request *request)
-{
-    struct entry *entry = g_new0(struct entry, 1);
-    entry->request = *request;
-    g_hash_table_insert(admission->entries, &entry->request.id, entry);
-    return entry;
-}
-
 static struct rs_admission_verdict
 enqueue(struct rs_admission *admission, int64_t now_ms,
-        const struct rs_admission_request *request)
+        const struct rs_fair_queue_item *item)
 {
     struct rs_admission_verdict verdict = {.kind = RsAdmission_QUEUED};
-    uint32_t ahead = count_ahead(admission, request);
-    if (!can_make_it(admission, now_ms, request->deadline_ms,
+    uint32_t ahead = RsFairQueue_CountAhead(&admission->queue, item);
+    if (!can_make_it(admission, now_ms, item->deadline_ms,
                      wait_ms(admission, now_ms, ahead))) {
         return refusal(admission, now_ms, RsAdmission_DEADLINE);
     }
-    if (admission->queued >= admission->options.queue_capacity &&
-        !make_room(admission, now_ms, request)) {
+    if (admission->queue.count >= admission->options.queue_capacity &&
+        !make_room(admission, now_ms, item)) {
         return refusal(admission, now_ms, RsAdmission_QUEUE_FULL);
     }
-    struct entry *entry = add_entry(admission, request);
-    insert_into_flow(find_or_add_flow(admission, flow_id(request)), entry);
-    admission->queued++;
+    struct entry *entry = add_entry(admission, item);
+    RsFairQueue_Push(&admission->queue, &entry->item);
     return verdict;
 }
 
@@ -399,9 +222,7 @@
     admission->ceiling = UINT32_MAX;
     admission->entries =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-    admission->flow_by_id =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-    admission->flows = g_ptr_array_new();
+    RsFairQueue_Start(&admission->queue);
     g_queue_init(&admission->lingering);
     g_queue_init(&admission->events);
     RsLimit_Start(&admission->limit, options->policy, options->slots,
@@ -417,8 +238,7 @@
         return;
     }
     g_hash_table_destroy(admission->entries);
-    g_ptr_array_free(admission->flows, TRUE);
-    g_hash_table_destroy(admission->flow_by_id);
+    RsFairQueue_Free(&admission->queue);
     g_queue_clear(&admission->lingering);
     g_queue_clear_full(&admission->events, g_free);
     g_free(admission);
@@ -436,16 +256,17 @@
     if (g_hash_table_contains(admission->entries, &request->id)) {
         return RsAdmission_DUPLICATE;
     }
-    if (!can_make_it(admission, now_ms, request->deadline_ms, 0.0)) {
+    if (!can_start(admission, now_ms, request->deadline_ms)) {
         *verdict = refusal(admission, now_ms, RsAdmission_DEADLINE);
         return 0;
     }
+    struct rs_fair_queue_item item = item_of(request);
     if (admission->in_flight >= limit_now(admission)) {
-        *verdict = enqueue(admission, now_ms, request);
+        *verdict = enqueue(admission, now_ms, &item);
         return 0;
     }
-    assert(admission->queued == 0);
-    send_entry(admission, now_ms, add_entry(admission, request));
+    assert(admission->queue.count == 0);
+    send_entry(admission, now_ms, add_entry(admission, &item));
     *verdict = (struct rs_admission_verdict){.kind = RsAdmission_RUN};
     return 0;
 }
@@ -488,7 +309,7 @@
         if (entry->release_ms <= now_ms) {
             g_queue_delete_link(&admission->lingering, link);
             admission->in_flight--;
-            g_hash_table_remove(admission->entries, &entry->request.id);
+            g_hash_table_remove(admission->entries, &entry->item.id);
         }
         link = next;
     }
@@ -535,7 +356,7 @@
     if (entry == NULL || entry->state != RsAdmission_ENTRY_QUEUED) {
         return RsAdmission_UNKNOWN_REQUEST;
     }
-    remove_from_queue(admission, entry);
+    RsFairQueue_Remove(&admission->queue, &entry->item);
     g_hash_table_remove(admission->entries, &id);
     pump(admission, now_ms);
     return 0;
@@ -555,39 +376,6 @@
     return true;
 }
 
-struct queued_place {
-    struct place place;
-    struct entry *entry;
-};
-
-static int
-compare_places(const void *a, const void *b)
-{
-    const struct queued_place *left = a;
-    const struct queued_place *right = b;
-    return goes_before(&left->place, &right->place) ? -1 : 1;
-}
-
-static struct queued_place *
-queue_in_order(const struct rs_admission *admission)
-{
-    struct queued_place *order = g_new(struct queued_place, admission->queued);
-    size_t count = 0;
-    for (guint i = 0; i < admission->flows->len; i++) {
-        const struct flow *flow = g_ptr_array_index(admission->flows, i);
-        uint64_t rank = 0;
-        for (struct entry *entry = flow->first; entry != NULL;
-             entry = entry->next) {
-            order[count].place = place_of(flow, entry, rank++);
-            order[count].entry = entry;
-            count++;
-        }
-    }
-    assert(count == admission->queued);
-    qsort(order, count, sizeof(order[0]), compare_places);
-    return order;
-}
-
 /* Refuses those queued requests that can no longer make their deadline, in
  * the order in which the queue is served. To be called every few
  * milliseconds while anything is queued or lingers. */
@@ -596,20 +384,17 @@
 {
     release_lingering(admission, now_ms);
     pump(admission, now_ms);
-    uint32_t count = admission->queued;
-    if (count == 0) {
-        return;
-    }
-    struct queued_place *order = queue_in_order(admission);
+    uint32_t count = admission->queue.count;
+    struct rs_fair_queue_item **order = RsFairQueue_InOrder(&admission->queue);
     uint32_t ahead = 0;
     for (uint32_t i = 0; i < count; i++) {
-        struct entry *entry = order[i].entry;
-        if (can_make_it(admission, now_ms, entry->request.deadline_ms,
+        if (can_make_it(admission, now_ms, order[i]->deadline_ms,
                         wait_ms(admission, now_ms, ahead))) {
             ahead++;
         }
         else {
-            refuse_queued(admission, now_ms, entry, RsAdmission_DEADLINE);
+            refuse_queued(admission, now_ms, (struct entry *)order[i],
+                          RsAdmission_DEADLINE);
         }
     }
     g_free(order);
@@ -632,7 +417,7 @@
 {
     view->limit = limit_now(admission);
     view->in_flight = admission->in_flight;
-    view->queued = admission->queued;
+    view->queued = admission->queue.count;
     view->run_us = (int64_t)admission->limit.run_us;
 }
 
--- a/dispatch/admission_test.c
+++ b/dispatch/admission_test.c
@@ -188,6 +188,18 @@
     RsAdmission_Free(admission);
 }
 
+static void
+test_idle_target_is_tried_whatever_was_learned(void)
+{
+    struct rs_admission *admission = make(&rs_limit_fixed, 2, 0, 8);
+    offer(admission, 0, 1, 1, FAR_MS);
+    RsAdmission_Done(admission, 100, 1, RsAdmission_DONE, RUN_US * 10);
+    CU_ASSERT_EQUAL(offer(admission, 100, 2, 1, 150).kind, RsAdmission_RUN);
+    CU_ASSERT_EQUAL(offer(admission, 100, 3, 1, 150).reason,
+                    RsAdmission_DEADLINE);
+    RsAdmission_Free(admission);
+}
+
 static void
 test_cancel_frees_the_place(void)
 {
@@ -283,6 +295,7 @@
     CU_ADD_TEST(suite, test_full_queue_costs_the_flooding_caller);
     CU_ADD_TEST(suite, test_refuses_at_once_what_cannot_make_it);
     CU_ADD_TEST(suite, test_silence_of_the_target_expires_the_queue);
+    CU_ADD_TEST(suite, test_idle_target_is_tried_whatever_was_learned);
     CU_ADD_TEST(suite, test_cancel_frees_the_place);
     CU_ADD_TEST(suite, test_what_may_still_run_keeps_its_place_a_while);
     CU_ADD_TEST(suite, test_ceiling_holds_back_and_lets_go);
--- /dev/null
+++ b/dispatch/fair_queue.h
@@ -0,0 +1,54 @@
+/* A queue in which flows take turns; within a turn, and within a flow, the
+ * earliest deadline goes first. */
+
+#ifndef RATTANSHED_DISPATCH_FAIR_QUEUE_H
+#define RATTANSHED_DISPATCH_FAIR_QUEUE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct rs_fair_queue_flow;
+
+/* Part of a larger struct that the queue's user owns. The first three are
+ * set by the user. */
+struct rs_fair_queue_item {
+    uint64_t id;
+    uint64_t flow_id;
+    int64_t deadline_ms;
+    struct rs_fair_queue_flow *flow; /* while queued */
+    struct rs_fair_queue_item *previous;
+    struct rs_fair_queue_item *next;
+};
+
+struct rs_fair_queue {
+    uint64_t turn; /* of the last item that was taken */
+    uint32_t count;
+    GHashTable *flow_by_id; /* owns the flows */
+    GPtrArray *flows;
+};
+
+/* Life */
+void RsFairQueue_Start(struct rs_fair_queue *queue);
+void RsFairQueue_Free(struct rs_fair_queue *queue);
+
+/* Items */
+void RsFairQueue_Push(struct rs_fair_queue *queue,
+                      struct rs_fair_queue_item *item);
+void RsFairQueue_Remove(struct rs_fair_queue *queue,
+                        struct rs_fair_queue_item *item);
+void RsFairQueue_Take(struct rs_fair_queue *queue,
+                      struct rs_fair_queue_item *item);
+
+/* Order */
+struct rs_fair_queue_item *
+RsFairQueue_First(const struct rs_fair_queue *queue);
+struct rs_fair_queue_item *
+RsFairQueue_LastOfLongest(const struct rs_fair_queue *queue,
+                          uint64_t newcomer_flow_id);
+uint32_t RsFairQueue_CountAhead(const struct rs_fair_queue *queue,
+                                const struct rs_fair_queue_item *item);
+struct rs_fair_queue_item **
+RsFairQueue_InOrder(const struct rs_fair_queue *queue);
+
+#endif
--- a/dispatch/health.c
+++ b/dispatch/health.c
@@ -103,6 +103,7 @@
     if (kind != RsHealth_WORK) {
         return;
     }
+    health->worked_ms = now_ms;
     double step = (double)latency_us - health->latency_us;
     double weight = health->latency_us == 0.0 ? 1.0 : LATENCY_WEIGHT;
     health->latency_us += weight * step;
@@ -234,6 +235,18 @@
     }
 }
 
+/* A slow target that got no work for a while may be as fast as its peers
+ * again; without this nobody would ever learn it. */
+static void
+forget_stale(struct rs_health *health, int64_t now_ms)
+{
+    if (health->channels[RsHealth_WORK].out == 0 &&
+        health->latency_us > health->median_us && health->median_us > 0.0 &&
+        now_ms - health->worked_ms >= health->options.stale_ms) {
+        health->latency_us = health->median_us;
+    }
+}
+
 /* Draws the conclusions of the time that has passed; to be called every few
  * tens of milliseconds. `median_us` is the latency of the service's targets,
  * or 0 when not known. `share` is the capacity to plan with. */
@@ -243,6 +256,7 @@
     const struct rs_health_options *options = &health->options;
     enum rs_health_channel_kind kind;
     health->median_us = median_us;
+    forget_stale(health, now_ms);
     if (health->state != RsHealth_LOST &&
         (silent_for(health, now_ms, options->lost_ms, &kind) ||
          health->connect_failures >= options->max_connect_failures)) {
--- a/dispatch/health.h
+++ b/dispatch/health.h
@@ -28,6 +28,7 @@
     uint32_t return_ms;  /* of answers, before a lost one is used again */
     uint32_t slow_ms;    /* above the bound, before it counts as slow */
     uint32_t fast_ms;    /* below the bound, before it no longer does */
+    uint32_t stale_ms;   /* without work, before its latency is forgotten */
     double slow_factor;  /* of the peers' median latency: enters */
     double fast_factor;  /* leaves */
     double share_step;   /* smallest change of the capacity share */
@@ -55,7 +56,8 @@
     enum rs_health_channel_kind lost_on;
     struct rs_health_channel channels[RsHealth_CHANNELS];
     double latency_us;
-    double median_us; /* of the peers, when last told */
+    int64_t worked_ms; /* the last answer to work */
+    double median_us;  /* of the peers, when last told */
     uint32_t connect_failures;
     int64_t answering_since_ms; /* while it comes back */
     int64_t crossed_ms;         /* when the latency crossed its bound */
--- a/dispatch/health_test.c
+++ b/dispatch/health_test.c
@@ -13,6 +13,7 @@
                                         .return_ms = 300,
                                         .slow_ms = 100,
                                         .fast_ms = 500,
+                                        .stale_ms = 5000,
                                         .slow_factor = 2.5,
                                         .fast_factor = 1.5,
                                         .share_step = 0.2,
@@ -154,6 +155,20 @@
     CU_ASSERT_EQUAL(health.state, RsHealth_UP);
 }
 
+static void
+test_slow_target_without_work_gets_another_chance(void)
+{
+    struct rs_health health = make();
+    int64_t now_ms = work(&health, 0, 100, MEDIAN_US * 10);
+    CU_ASSERT_EQUAL(health.state, RsHealth_SLOW);
+    RsHealth_Tick(&health, now_ms + 4000, MEDIAN_US);
+    RsHealth_Tick(&health, now_ms + 4600, MEDIAN_US);
+    CU_ASSERT_EQUAL(health.state, RsHealth_SLOW);
+    RsHealth_Tick(&health, now_ms + 5000, MEDIAN_US);
+    RsHealth_Tick(&health, now_ms + 5600, MEDIAN_US);
+    CU_ASSERT_EQUAL(health.state, RsHealth_UP);
+}
+
 static void
 test_refusal_is_a_sign_of_life(void)
 {
@@ -195,6 +210,7 @@
     CU_ADD_TEST(suite, test_lost_target_that_falls_silent_begins_anew);
     CU_ADD_TEST(suite, test_failed_connections_lose_it);
     CU_ADD_TEST(suite, test_slow_against_peers_with_hysteresis);
+    CU_ADD_TEST(suite, test_slow_target_without_work_gets_another_chance);
     CU_ADD_TEST(suite, test_refusal_is_a_sign_of_life);
     CU_ADD_TEST(suite, test_median_leaves_out_lost_and_unknown);
     CU_basic_run_tests();
--- a/dispatch/simulation.c
+++ b/dispatch/simulation.c
@@ -545,6 +545,7 @@
                                        .return_ms = 300,
                                        .slow_ms = 100,
                                        .fast_ms = 500,
+                                       .stale_ms = 5000,
                                        .slow_factor = 2.5,
                                        .fast_factor = 1.5,
                                        .share_step = 0.2,
