Refuse tickets that move keys from one rule's slices to another's

Cause: a key has at most one owner, but a rule with a longer prefix put beside a present one (or taken away) gives its keys new slices at once. Their owners are granted without a word from the old slices' holder, which goes on for as long as its process has not applied the ticket; in a cut failure domain that may be an hour.

So rules of a service that share keys come and go in one ticket. Ruled out: leaving it to the planner, whose successions are per slice and know nothing of another rule's leases. Not covered, since the configuration no longer shows it: a rule deleted by one ticket and its keys given to a new one by a later ticket, while some process has applied neither.

--- a/ticket/ticket_fuzz.c
+++ b/ticket/ticket_fuzz.c
@@ -4,8 +4,9 @@
  * by it the rest, so that short inputs reach far too.
  *
  * Oracle: the log has no gap and no number twice, the objects equal the fold
- * of the log, each logged ticket was valid on what came before it and left all
- * references whole, and what a submission reported stays true for ever. */
+ * of the log, each logged ticket was valid on what came before it, left all
+ * references whole and moved no key to another rule's slices, and what a
+ * submission reported stays true for ever. */
 
 #include <glib.h>
 #include <string.h>
@@ -108,6 +109,9 @@
     RsFuzz_CHECK((uint64_t)json_integer_value(
                      json_object_get(head, "number")) == number);
     check_was_valid(before, row->value);
+    struct rs_config *after = RsFuzzTable_Config(&world->table);
+    RsFuzz_CheckKeysStay(before, after);
+    RsConfig_Unref(after);
     fold_entry(world, row->value);
     struct logged *logged = &world->log[world->log_count++];
     logged->submission = submission;
--- a/ticket/ticket_fuzz_model.c
+++ b/ticket/ticket_fuzz_model.c
@@ -105,6 +105,26 @@
     return config;
 }
 
+/* Checks that no key went from one rule's slices to another's. */
+void
+RsFuzz_CheckKeysStay(const struct rs_config *before,
+                     const struct rs_config *after)
+{
+    static const char *const services[] = {"a", "b", "c"};
+    static const char *const keys[] = {"", "x", "xy", "y"};
+    for (size_t i = 0; i < G_N_ELEMENTS(services); i++) {
+        for (size_t j = 0; j < G_N_ELEMENTS(keys); j++) {
+            const struct rs_model_rule *old = RsConfig_RuleOfKey(
+                before, services[i], keys[j], strlen(keys[j]));
+            const struct rs_model_rule *new = RsConfig_RuleOfKey(
+                after, services[i], keys[j], strlen(keys[j]));
+            RsFuzz_CHECK(old == NULL || new == NULL ||
+                         (strcmp(old->name, new->name) == 0 &&
+                          old->slices == new->slices));
+        }
+    }
+}
+
 /* Starts on an input, which must live as long. */
 void
 RsFuzzBytes_Open(struct rs_fuzz_bytes *bytes, const uint8_t *input,
@@ -139,6 +159,7 @@
 {
     static const char *const names[] = {"a", "b", "c"};
     static const char *const states[] = {"in", "out", "lost"};
+    static const char *const prefixes[] = {"x", "", "xy", ""};
     const char *first = names[choice % 3];
     const char *second = names[choice / 3 % 3];
     switch (kind) {
@@ -154,7 +175,7 @@
                          names[choice / 9 % 3], "checks_fences", 1);
     case RsObject_RULE:
         return json_pack("{s:s, s:s, s:i, s:[s]}", "service", first, "prefix",
-                         choice % 2 != 0 ? "" : "x", "slices", 1 + choice / 64,
+                         prefixes[choice % 4], "slices", 1 + choice / 64,
                          "places", second);
     default:
         return json_pack("{s:s, s:s}", "region", "r", "state",
@@ -184,6 +205,7 @@
     add_object(objects, RsObject_DOMAIN, "b", make_value(RsObject_DOMAIN, 0));
     add_object(objects, RsObject_PLACE, "a", make_value(RsObject_PLACE, 0));
     add_object(objects, RsObject_RULE, "a", make_value(RsObject_RULE, 0));
+    add_object(objects, RsObject_RULE, "b", make_value(RsObject_RULE, 9));
     return objects;
 }
 
--- a/ticket/ticket_fuzz_model.h
+++ b/ticket/ticket_fuzz_model.h
@@ -48,6 +48,9 @@
 bool RsFuzzTable_Commit(struct rs_fuzz_table *table, const json_t *body);
 struct rs_config *RsFuzzTable_Config(struct rs_fuzz_table *table);
 
+void RsFuzz_CheckKeysStay(const struct rs_config *before,
+                          const struct rs_config *after);
+
 void RsFuzzBytes_Open(struct rs_fuzz_bytes *bytes, const uint8_t *input,
                       size_t input_bytes);
 void RsFuzzBytes_Close(struct rs_fuzz_bytes *bytes);
--- a/ticket/validate.c
+++ b/ticket/validate.c
@@ -173,6 +173,46 @@
     return false;
 }
 
+static bool
+overlap(const struct rs_model_rule *a, const struct rs_model_rule *b)
+{
+    size_t shared = MIN(strlen(a->prefix), strlen(b->prefix));
+    return strcmp(a->name, b->name) != 0 &&
+           strcmp(a->service, b->service) == 0 &&
+           strncmp(a->prefix, b->prefix, shared) == 0;
+}
+
+static bool
+is_deleted(const struct next *next, const struct rs_model_rule *rule)
+{
+    const struct rs_ticket_object *touched =
+        touched_object(next, RsObject_RULE, rule->name);
+    return touched != NULL && touched->value == NULL;
+}
+
+/* Keys must not go from one rule's slices to another's while processes may
+ * not have applied the ticket yet: a new rule takes none from a present one,
+ * and a deleted one leaves none to one that stays. */
+static void
+check_shares_no_keys(struct next *next, const char *path, const char *field,
+                     const struct rs_model_rule *rule)
+{
+    bool deleted = is_deleted(next, rule);
+    size_t count = RsConfig_Count(next->config, RsObject_RULE);
+    for (size_t i = 0; i < count; i++) {
+        const struct rs_model_rule *other =
+            &RsConfig_At(next->config, RsObject_RULE, i)->object.as.rule;
+        if (!overlap(rule, other) || (deleted && is_deleted(next, other))) {
+            continue;
+        }
+        char what[WHAT_BYTES];
+        snprintf(what, sizeof(what), "shares keys with rule \"%s\"",
+                 other->name);
+        refuse(next, path, field, what,
+               "rules that share keys come and go in one ticket");
+    }
+}
+
 /* Which slice a key is in must not change while the rule exists: processes
  * that have not applied the ticket yet would give the key a second owner. */
 static void
@@ -183,6 +223,7 @@
     const struct rs_model_rule *present =
         RsConfig_Rule(next->config, rule->name);
     if (present == NULL) {
+        check_shares_no_keys(next, path, "prefix", rule);
         return;
     }
     if (present->slices != rule->slices) {
@@ -200,12 +241,17 @@
 check_deletion(struct next *next, const struct rs_ticket_object *object,
                size_t index)
 {
-    if (RsConfig_Find(next->config, object->kind, object->name) == NULL) {
-        char path[RsReader_PATH_BYTES];
-        snprintf(path, sizeof(path), "objects[%zu]", index);
+    char path[RsReader_PATH_BYTES];
+    snprintf(path, sizeof(path), "objects[%zu]", index);
+    const struct rs_config_entry *present =
+        RsConfig_Find(next->config, object->kind, object->name);
+    if (present == NULL) {
         refuse(next, path, "name", "deleted, but does not exist",
                "an object that exists");
     }
+    else if (object->kind == RsObject_RULE) {
+        check_shares_no_keys(next, path, "name", &present->object.as.rule);
+    }
 }
 
 static void
