--- a/control/leases.c
+++ b/control/leases.c
@@ -1,5 +1,6 @@
 #include "control/leases.h"
 
+#include <assert.h>
 #include <glib.h>
 #include <string.h>
 
@@ -266,6 +267,7 @@
                 const struct rs_model_assignment *assignment, uint32_t from)
 {
     size_t count = assignment->succession_count;
+    assert(count > 0);
     for (size_t i = 0; i < count; i++) {
         uint32_t position = (uint32_t)((from + i) % count);
         if (!g_hash_table_contains(leases->lost,
--- a/front/attempt.c
+++ b/front/attempt.c
@@ -88,23 +88,30 @@
     return row->member_count;
 }
 
+static void
+remove_id(uint64_t *ids, size_t *count, uint64_t id)
+{
+    for (size_t i = 0; i < *count; i++) {
+        if (ids[i] == id) {
+            ids[i] = ids[--*count];
+            return;
+        }
+    }
+}
+
 /* Returns the member that is to speak for a target, after passing over `skip`
  * in order of preference, round and round. */
 static const char *
 pick_member(const struct rs_front *front, const struct rs_view_cell *cell,
             const char *target, uint32_t skip, int64_t now_ms)
 {
-    uint64_t ids[RsRoster_MAX_MEMBERS];
+    uint64_t ids[RsRoster_MAX_MEMBERS] = {0};
     uint64_t target_id = RsId_FromName(target);
     size_t count = list_members(front, cell, now_ms, ids);
     uint32_t left = count > 0 ? skip % (uint32_t)count : 0;
     uint64_t best = RsSpeaker_OfTarget(target_id, ids, count);
     for (; left > 0; left--) {
-        size_t at = 0;
-        while (ids[at] != best) {
-            at++;
-        }
-        ids[at] = ids[--count];
+        remove_id(ids, &count, best);
         best = RsSpeaker_OfTarget(target_id, ids, count);
     }
     return member_name(cell, best);
--- a/front/front.c
+++ b/front/front.c
@@ -47,11 +47,17 @@
     return budget;
 }
 
+/* What the server frees together with its request. */
+struct request_handle {
+    struct rs_front_request *request;
+};
+
 /* Called by the server when it frees its request. */
 static void
 on_request_freed(void *data)
 {
-    struct rs_front_request *request = *(struct rs_front_request **)data;
+    struct request_handle *handle = data;
+    struct rs_front_request *request = handle->request;
     struct rs_front *front = request->front;
     if (!request->finished) {
         RsCounter_Add(&front->counters.left, 1);
@@ -91,9 +97,9 @@
 new_request(struct rs_front *front, h2o_req_t *http)
 {
     struct rs_front_request *request = g_new0(struct rs_front_request, 1);
-    struct rs_front_request **handle =
+    struct request_handle *handle =
         h2o_mem_alloc_shared(&http->pool, sizeof(*handle), on_request_freed);
-    *handle = request;
+    handle->request = request;
     request->front = front;
     request->http = http;
     request->body = g_byte_array_new();
--- a/front/parse.c
+++ b/front/parse.c
@@ -40,7 +40,7 @@
 copy_headers(Rs__Relay__Forward *forward, const h2o_req_t *http)
 {
     size_t count = MIN(http->headers.size, (size_t)MAX_FORWARDED_HEADERS);
-    forward->headers = malloc((count + 1) * sizeof(forward->headers[0]));
+    forward->headers = g_new(Rs__Relay__Header *, count + 1);
     for (size_t i = 0; i < count; i++) {
         const h2o_header_t *from = &http->headers.entries[i];
         if (is_own_header(from)) {
