Give slices back only after the data task has stopped; doubt a lost clock

Found by reading the hand-over paths against the invariant of one owner. Cause 1: slices of a lost target, and those with a stale fence, were released by the control task while the data task could still have a table in which the lease was good. Now they stop first and are released when drained. Cause 2: a request whose caller left was forgotten though it may still run at a target that checks no fences; draining now waits for the deadlines of abandoned requests. Cause 3: a target that came back as another process could be sent deadlines by the clock of the one before; any closed connection now asks for a fresh reading first. Cause 4: grants went on to a target found lost and put off the hour at which all had lapsed. The configuration also takes the row ticket/head into account.

--- a/cell/seal.c
+++ b/cell/seal.c
@@ -5,6 +5,8 @@
 
 #include "cell/state.h"
 
+#define RESEND_MS 40 /* a move waits for the answer */
+
 static void
 clear_answers(struct rs_cell_seal *seal)
 {
@@ -113,7 +115,7 @@
 static void
 send_seals(struct rs_cell *cell, struct rs_cell_seal *seal)
 {
-    seal->send_at_ms = cell->now_ms + cell->options.renew_every_ms;
+    seal->send_at_ms = cell->now_ms + RESEND_MS;
     for (size_t i = 0; i < seal->former.member_count; i++) {
         if (seal->member_until_ms[i] > cell->now_ms) {
             send_seal(cell, seal, seal->former.members[i]);
--- a/control/admin_report.c
+++ b/control/admin_report.c
@@ -169,6 +169,7 @@
 RsControlReport_Dump(const struct rs_control *control)
 {
     json_t *dump = RsControlReport_Status(control);
+    json_object_set_new(dump, "process", json_string(control->settings->name));
     json_object_set_new(dump, "leases",
                         RsLeases_Dump(control->leases, RsClock_NowMs()));
     json_object_set_new(dump, "mirror_rows",
--- a/control/control_task.c
+++ b/control/control_task.c
@@ -7,6 +7,7 @@
 #include "core/clock.h"
 #include "core/id.h"
 #include "core/log.h"
+#include "ticket/ticket.h"
 
 #define TICK_MS 10
 #define PLATFORM_TIMEOUT_MS 2000
@@ -97,6 +98,7 @@
 {
     GArray *rows = g_array_new(FALSE, FALSE, sizeof(struct rs_config_row));
     RsMirror_VisitPrefix(mirror, "object/", add_config_row, rows);
+    RsMirror_VisitPrefix(mirror, RsTicket_HEAD_KEY, add_config_row, rows);
     const struct rs_config_row *data =
         (const struct rs_config_row *)(void *)rows->data;
     struct rs_config *config = RsConfig_Build(data, rows->len);
--- a/control/leases.c
+++ b/control/leases.c
@@ -312,30 +312,29 @@
     return usable_position(leases, assignment, state->position);
 }
 
-/* A target that is lost for good: its slices go on to their successors. */
+/* A target that is lost: its slices go on to their successors, unless all of
+ * these are lost too. The data task must have seen the stop before the slice
+ * is given back: it may still have a table in which the lease is good, and
+ * the target may come back at this very moment. */
 static void
-release_lost(struct rs_leases *leases, struct slice_state *state,
-             int64_t now_ms)
+stop_lost(struct rs_leases *leases, struct slice_state *state)
 {
-    uint32_t next = position_after(leases, state);
     const struct rs_model_assignment *assignment =
         RsView_Assignment(leases->view, state->slice);
     bool same_epoch = assignment != NULL && assignment->epoch == state->epoch;
-    if (same_epoch && next == state->position) {
-        return; /* all are lost: keep it, and wait for one to come back */
+    if (!same_epoch || position_after(leases, state) != state->position) {
+        stop(leases, state);
     }
-    release(leases, state, now_ms, next);
 }
 
 static void
-review_held(struct rs_leases *leases, struct slice_state *state,
-            int64_t now_ms)
+review_held(struct rs_leases *leases, struct slice_state *state)
 {
     const struct rs_model_assignment *assignment =
         RsView_Assignment(leases->view, state->slice);
     bool gone = assignment == NULL;
     if (g_hash_table_contains(leases->lost, state->target)) {
-        release_lost(leases, state, now_ms);
+        stop_lost(leases, state);
     }
     else if (gone || state->wanted || leases->leaving) {
         stop(leases, state);
@@ -445,7 +444,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct slice_state *state = value;
         if (state->held) {
-            review_held(leases, state, now_ms);
+            review_held(leases, state);
         }
         else {
             review_free(leases, state, now_ms);
@@ -701,7 +700,7 @@
 {
     struct slice_state *state = g_hash_table_lookup(leases->slices, &slice);
     if (state != NULL && state->held) {
-        release(leases, state, now_ms, state->position);
+        stop(leases, state);
     }
 }
 
--- a/dispatch/holder.c
+++ b/dispatch/holder.c
@@ -351,7 +351,8 @@
 }
 
 /* A slice is drained when nothing of it waits or runs, and the target knows
- * that it is no longer granted or the grant has lapsed. */
+ * that it is no longer granted; or else when grants have lapsed there, and
+ * the deadlines of all requests that were abandoned have passed. */
 static bool
 is_drained(struct rs_holder *holder, const struct rs_lease *lease,
            int64_t now_ms)
@@ -365,11 +366,11 @@
         return false;
     }
     bool revoked =
-        !target->options.checks_fences ||
+        target->options.checks_fences &&
         (target->grant.known_set == target->grant.set &&
          !g_hash_table_contains(target->grant.granted, &lease->slice));
-    bool late_one = now_ms <= target->last_deadline_ms && target->lost;
-    return !late_one && (revoked || now_ms > target->grant.lapse_ms);
+    return revoked || (now_ms > target->grant.lapse_ms &&
+                       now_ms > target->abandoned_until_ms);
 }
 
 static void
--- a/dispatch/target.c
+++ b/dispatch/target.c
@@ -125,6 +125,7 @@
 {
     struct rs_target_connection *connection = work->connection;
     if (connection != NULL) {
+        RsTargetPool_Abandon(work->target, work);
         connection->work = NULL;
         work->connection = NULL;
         RsTargetPool_Drop(connection);
--- a/dispatch/target.h
+++ b/dispatch/target.h
@@ -111,8 +111,10 @@
     uint32_t opening;
     struct rs_target_grant grant;
     uint64_t start_id;
-    int64_t last_deadline_ms; /* latest run deadline ever given to it */
-    double median_us;         /* latency of its peers of the same service */
+    int64_t last_deadline_ms;   /* latest run deadline ever given to it */
+    int64_t abandoned_until_ms; /* until when requests that nobody waits for
+                                 * any more may take effect there */
+    double median_us;           /* latency of its peers of the same service */
     bool lost;
     bool told_lost;
     bool removed; /* from the configuration, or no longer spoken for */
@@ -144,8 +146,11 @@
 void RsTargetPool_Fill(struct rs_target *target, int64_t now_ms);
 void RsTargetPool_Run(struct rs_target *target, int64_t now_ms);
 void RsTargetPool_Drop(struct rs_target_connection *connection);
+void RsTargetPool_Abandon(struct rs_target *target,
+                          const struct rs_work *work);
 void RsTargetPool_CloseAll(struct rs_target *target);
 void RsTargetGrant_Tick(struct rs_target *target, int64_t now_ms);
+void RsTargetGrant_DoubtClock(struct rs_target *target);
 void RsTargetGrant_Close(struct rs_target *target);
 void RsTargetWork_Finish(struct rs_work *work, enum rs_outcome outcome,
                          const char *reason, uint32_t retry_after_ms);
--- a/dispatch/target_grant.c
+++ b/dispatch/target_grant.c
@@ -145,11 +145,21 @@
     RsTargetPool_Run(target, now_ms);
 }
 
+/* The target may be another process now, with another clock: nothing is sent
+ * before its clock was read again. */
+void
+RsTargetGrant_DoubtClock(struct rs_target *target)
+{
+    target->grant.read_at_ms = 0;
+    target->grant.ask_at_ms = 0;
+}
+
 static void
 on_closed(void *arg, int error)
 {
     struct rs_target *target = arg;
     int64_t now_ms = RsClock_NowMs();
+    RsTargetGrant_DoubtClock(target);
     if (!target->grant.connected) {
         RsHealth_ConnectFailed(&target->health);
     }
@@ -238,7 +248,8 @@
 ask(struct rs_target *target, int64_t now_ms)
 {
     struct rs_target_grant *grant = &target->grant;
-    bool grants = target->options.checks_fences && grant->read_at_ms != 0 &&
+    bool grants = target->options.checks_fences && !target->lost &&
+                  grant->read_at_ms != 0 &&
                   (grant->slices->len > 0 || grant->set != grant->known_set);
     int status = grants ? send_grant(target, now_ms) : send_ping(target);
     if (status != 0) {
--- a/dispatch/target_pool.c
+++ b/dispatch/target_pool.c
@@ -35,6 +35,14 @@
     remove_connection(connection);
 }
 
+/* Notes that a request which was sent is waited for no longer. */
+void
+RsTargetPool_Abandon(struct rs_target *target, const struct rs_work *work)
+{
+    target->abandoned_until_ms =
+        MAX(target->abandoned_until_ms, work->run_deadline_ms);
+}
+
 /* Closes all connections that serve no work. */
 void
 RsTargetPool_CloseAll(struct rs_target *target)
@@ -88,6 +96,9 @@
     const char *reason = refused ? connection->reason : "target-failed";
     connection->work = NULL;
     work->connection = NULL;
+    if (outcome == RsOutcome_UNKNOWN) {
+        RsTargetPool_Abandon(target, work);
+    }
     observe(target, work, outcome, refused, latency_us);
     RsAdmission_Done(target->admission, now_ms, work->id,
                      admission_outcome(outcome, refused), latency_us);
@@ -286,6 +297,7 @@
     struct rs_target *target = connection->target;
     int64_t now_ms = RsClock_NowMs();
     struct rs_answer_verdict verdict = RsAnswer_Close(&connection->answer);
+    RsTargetGrant_DoubtClock(target);
     if (!connection->connected) {
         RsRamp_ConnectFailed(&target->ramp);
         RsHealth_ConnectFailed(&target->health);
