Even out load within a cell by what its slices get

Members tell the one that plans for their cell what their slices get and what their targets can do; it moves at most two slices a rule every three seconds, each one not again for 20 s. The planner between cells sees weights that hide numbers within a cell, so the two don't undo each other.

--- a/control/control_task.c
+++ b/control/control_task.c
@@ -12,6 +12,7 @@
 #define TICK_MS 10
 #define PLATFORM_TIMEOUT_MS 2000
 #define FORGET_AFTER_MS 60000
+#define LOADS_EVERY_MS 2000
 #define HEALTH_NOTICE_MS 1500 /* for the balancer to see that we leave */
 
 static void
@@ -178,6 +179,9 @@
     case RS__WIRE__PEER__MESSAGE_CHANGES:
         RsFeed_TakeChanges(control->feed, message->changes);
         break;
+    case RS__WIRE__PEER__MESSAGE_LOADS:
+        RsLoads_TakePeer(control->loads, RsClock_NowMs(), message->loads);
+        break;
     case RS__WIRE__PEER__MESSAGE_RENEW:
     case RS__WIRE__PEER__MESSAGE_RENEW_ANSWER:
     case RS__WIRE__PEER__MESSAGE_SEAL:
@@ -189,6 +193,29 @@
     }
 }
 
+/* The member that plans for the cell is told what this one's slices get. */
+static void
+send_loads(struct rs_control *control, int64_t now_ms)
+{
+    const struct rs_view_cell *cell = RsLeases_Cell(control->leases);
+    if (cell == NULL || now_ms < control->loads_at_ms) {
+        return;
+    }
+    control->loads_at_ms = now_ms + LOADS_EVERY_MS;
+    const char *planner = RsPlanning_Planner(control->planning, cell, now_ms);
+    const struct rs_view_vm *vm = RsView_Vm(control->view, planner);
+    if (vm == NULL || strcmp(planner, control->settings->name) == 0) {
+        return;
+    }
+    Rs__Member__Loads loads = RS__MEMBER__LOADS__INIT;
+    Rs__Wire__Peer message = RS__WIRE__PEER__INIT;
+    RsLoads_Fill(control->loads, now_ms, &loads);
+    message.message_case = RS__WIRE__PEER__MESSAGE_LOADS;
+    message.loads = &loads;
+    RsPeers_Send(control->peers, planner, &vm->control, &message);
+    RsLoads_FreeFilled(&loads);
+}
+
 static bool
 is_told_to_leave(const struct rs_control *control)
 {
@@ -245,6 +272,7 @@
         RsLeases_Tick(control->leases, now_ms);
         RsPlanning_Tick(control->planning, now_ms, control->view);
     }
+    send_loads(control, now_ms);
     RsMembers_Forget(control->members, now_ms);
     watch_vms(control, now_ms);
     if (!control->leaving &&
@@ -287,7 +315,9 @@
         .arg = control,
     };
     control->leases = RsLeases_New(&leases);
+    control->loads = RsLoads_New();
     struct rs_planning_options planning = {
+        .loads = control->loads,
         .self = settings->name,
         .domain = settings->domain,
         .platform = control->platform,
@@ -397,6 +427,15 @@
     case RsTask_SLICE_STALE:
         take_slice(control, (struct rs_task_slice *)message, now_ms);
         break;
+    case RsTask_LOADS:
+        RsLoads_TakeOwn(control->loads, now_ms,
+                        (struct rs_task_loads *)message);
+        break;
+    case RsTask_TARGET_SHARE:
+        RsLoads_TakeOwnShare(control->loads, now_ms,
+                             ((struct rs_task_target *)message)->target,
+                             ((struct rs_task_target *)message)->capacity);
+        break;
     case RsTask_DUMPED:
         RsControlAdmin_Dumped(control, (struct rs_task_dump *)message);
         break;
--- a/control/planning.c
+++ b/control/planning.c
@@ -8,10 +8,16 @@
 #include "core/clock.h"
 #include "core/log.h"
 #include "place/assignment.h"
+#include "place/balance.h"
 #include "place/planner.h"
 #include "place/slice.h"
 
 #define ROUND_EVERY_MS 400
+#define BALANCE_EVERY_MS 3000
+#define KEEP_MOVED_MS 20000
+#define MAX_BALANCE_MOVES 2 /* a rule and round */
+#define BALANCE_HYSTERESIS_PERMILLE 200
+#define LEAST_BALANCED_RATE 20.0 /* requests/s of a cell and rule */
 #define MAX_ROWS_A_COMMIT 64
 #define STATUS_OK 200
 #define STATUS_CONFLICT 409
@@ -22,8 +28,11 @@
     char domain[RsModel_NAME_BYTES];
     struct rs_planning_counters counters;
     struct rs_rosters *rosters;
+    GHashTable *kept; /* slice to until when it is not moved by load */
     bool writing;
+    bool balances; /* in this round */
     int64_t round_at_ms;
+    int64_t balance_at_ms;
 };
 
 /* Makes the state of a planner that has written nothing. */
@@ -42,6 +51,8 @@
         .lease_ms = options->lease_ms,
     };
     planning->rosters = RsRosters_New(&rosters);
+    planning->kept =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     return planning;
 }
 
@@ -80,19 +91,29 @@
                           json_pack("{s:s,s:o}", "key", key, "value", value));
 }
 
-/* The live member with the lowest name plans for its cell. */
-static bool
-is_planner(const struct rs_planning *planning, const struct rs_view_cell *cell,
-           int64_t now_ms)
+/* Returns the name of the live member that plans for its cell; this process's
+ * own when no other is before it. */
+const char *
+RsPlanning_Planner(const struct rs_planning *planning,
+                   const struct rs_view_cell *cell, int64_t now_ms)
 {
+    const char *planner = planning->self;
     for (size_t i = 0; i < cell->row.member_count; i++) {
         const char *name = cell->row.members[i];
-        if (strcmp(name, planning->self) < 0 &&
+        if (strcmp(name, planner) < 0 &&
             RsMembers_Speaks(planning->options.members, now_ms, name)) {
-            return false;
+            planner = name;
         }
     }
-    return true;
+    return planner;
+}
+
+static bool
+is_planner(const struct rs_planning *planning, const struct rs_view_cell *cell,
+           int64_t now_ms)
+{
+    return strcmp(RsPlanning_Planner(planning, cell, now_ms),
+                  planning->self) == 0;
 }
 
 static void
@@ -202,6 +223,54 @@
     return rows;
 }
 
+static void
+keep_changed(struct rs_planning *planning, const struct rs_planner_plan *plan,
+             int64_t now_ms)
+{
+    for (size_t i = 0; i < plan->change_count; i++) {
+        int64_t until_ms = now_ms + KEEP_MOVED_MS;
+        uint64_t slice = plan->changes[i].slice;
+        g_hash_table_replace(planning->kept, g_memdup2(&slice, sizeof(slice)),
+                             g_memdup2(&until_ms, sizeof(until_ms)));
+    }
+}
+
+/* Moves few slices by their load within the cell, now and then. */
+static void
+balance_rule(struct rs_planning *planning, const struct rs_view_rule *rule,
+             GArray *targets, struct rs_balance_options *options,
+             json_t *conditions, json_t *puts, int64_t now_ms)
+{
+    double total = 0;
+    double *rates = g_new0(double, rule->slices + 1);
+    int64_t *keep_until_ms = g_new0(int64_t, rule->slices + 1);
+    for (uint32_t i = 0; i < rule->slices; i++) {
+        uint64_t slice = rule->assignments[i].slice;
+        rates[i] = RsLoads_Rate(planning->options.loads, now_ms, slice);
+        const int64_t *kept = g_hash_table_lookup(planning->kept, &slice);
+        keep_until_ms[i] = kept != NULL ? *kept : 0;
+        total += rates[i];
+    }
+    for (guint i = 0; i < targets->len; i++) {
+        struct rs_planner_target *target =
+            &g_array_index(targets, struct rs_planner_target, i);
+        target->share =
+            RsLoads_Share(planning->options.loads, now_ms, target->name);
+    }
+    options->rates = rates;
+    options->keep_until_ms = keep_until_ms;
+    struct rs_planner_plan plan = {0};
+    if (planning->balances && total >= LEAST_BALANCED_RATE &&
+        RsBalance_WithinCell(options, &plan) == 0 && plan.change_count > 0) {
+        RsCounter_Add(&planning->counters.balance_moves, plan.moves);
+        add_changes(conditions, puts, rule, plan.changes, plan.change_count);
+        keep_changed(planning, &plan, now_ms);
+    }
+    RsPlanner_FreePlan(&plan);
+    g_free(keep_until_ms);
+    g_free(rates);
+}
+
 static void
 plan_rule(struct rs_planning *planning, const struct rs_view *view,
           const struct rs_view_rule *rule, const struct rs_view_cell *cell,
@@ -217,6 +286,20 @@
     GArray *targets = list_targets(planning, view, model);
     GArray *domains = list_domains(view);
     uint8_t *positions = list_positions(planning, rule, now_ms);
+    double *weights = g_new0(double, rule->slices + 1);
+    struct rs_balance_options balance = {
+        .rule = rule->name,
+        .cell = cell->row.cell,
+        .targets = (const struct rs_planner_target *)(void *)targets->data,
+        .target_count = targets->len,
+        .present = rule->assignments,
+        .slices = rule->slices,
+        .positions = positions,
+        .now_ms = now_ms,
+        .max_moves = MAX_BALANCE_MOVES,
+        .hysteresis_permille = BALANCE_HYSTERESIS_PERMILLE,
+    };
+    RsBalance_Weigh(&balance, weights);
     struct rs_planner_options options = {
         .rule = rule->name,
         .slices = rule->slices,
@@ -227,6 +310,7 @@
         .domain_count = domains->len,
         .present = rule->assignments,
         .positions = positions,
+        .loads = weights,
         .now_ms = now_ms,
         .cell = cell->row.cell,
     };
@@ -237,8 +321,13 @@
             add_changes(conditions, puts, rule, plan.changes,
                         plan.change_count);
         }
+        else {
+            balance_rule(planning, rule, targets, &balance, conditions, puts,
+                         now_ms);
+        }
         RsPlanner_FreePlan(&plan);
     }
+    g_free(weights);
     g_free(positions);
     g_array_free(domains, TRUE);
     g_array_free(targets, TRUE);
@@ -283,6 +372,10 @@
     json_t *conditions = json_array();
     json_t *puts = json_array();
     int64_t began_us = RsClock_NowUs();
+    planning->balances = now_ms >= planning->balance_at_ms;
+    if (planning->balances) {
+        planning->balance_at_ms = now_ms + BALANCE_EVERY_MS;
+    }
     for (size_t i = 0; i < count; i++) {
         size_t before = json_array_size(puts);
         plan_rule(planning, view, &rules[i], cell, conditions, puts, now_ms);
--- a/control/planning.h
+++ b/control/planning.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "control/leases.h"
+#include "control/loads.h"
 #include "core/counter.h"
 #include "member/members.h"
 #include "platform/platform.h"
@@ -21,6 +22,7 @@
     struct rs_counter commits;
     struct rs_counter conflicts;
     struct rs_counter moves;
+    struct rs_counter balance_moves;
     struct rs_counter round_us; /* time spent planning */
 };
 
@@ -30,6 +32,7 @@
     struct rs_platform *platform;
     const struct rs_members *members;
     const struct rs_leases *leases;
+    struct rs_loads *loads;
     uint32_t lease_ms;
     /* A row was written, or another one won: read the table now. */
     void (*written)(void *arg);
@@ -41,6 +44,10 @@
 /* The view is valid during the call. */
 void RsPlanning_Tick(struct rs_planning *planning, int64_t now_ms,
                      const struct rs_view *view);
+/* The member that plans for a cell: the live one with the lowest name. */
+const char *RsPlanning_Planner(const struct rs_planning *planning,
+                               const struct rs_view_cell *cell,
+                               int64_t now_ms);
 void RsPlanning_VmsWereRead(struct rs_planning *planning, int64_t now_ms,
                             const struct rs_view *view);
 const struct rs_planning_counters *
--- a/control/state.h
+++ b/control/state.h
@@ -6,6 +6,7 @@
 #include "control/control_task.h"
 #include "control/feed.h"
 #include "control/leases.h"
+#include "control/loads.h"
 #include "control/peers.h"
 #include "control/planning.h"
 #include "http/server.h"
@@ -23,6 +24,7 @@
     struct rs_feed *feed;
     struct rs_leases *leases;
     struct rs_planning *planning;
+    struct rs_loads *loads;
     struct rs_peers *peers;
     struct rs_server *admin;
     struct rs_config *config; /* NULL until the first snapshot */
@@ -37,6 +39,7 @@
     int64_t vms_seen_at_ms;
     int64_t heartbeat_at_ms;
     int64_t gossip_at_ms;
+    int64_t loads_at_ms;
     int64_t started_at_ms;
     GRand *random;
     struct rs_counter heartbeats_sent;
--- a/dispatch/holder.c
+++ b/dispatch/holder.c
@@ -429,6 +429,19 @@
     }
 }
 
+static void
+report_shares(struct rs_holder *holder)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, holder->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct rs_target *target = value;
+        holder->options.reports->share(holder->options.arg, target->name,
+                                       target->health.share);
+    }
+}
+
 static void
 report_loads(struct rs_holder *holder, int64_t now_ms)
 {
@@ -452,6 +465,7 @@
     g_hash_table_remove_all(holder->counts);
     holder->options.reports->loads(holder->options.arg, loads, at);
     g_free(loads);
+    report_shares(holder);
 }
 
 static bool
--- a/dispatch/holder.h
+++ b/dispatch/holder.h
@@ -21,6 +21,7 @@
     void (*slice_stale)(void *arg, uint64_t slice, uint64_t epoch,
                         uint32_t step);
     void (*loads)(void *arg, const struct rs_task_load *loads, size_t count);
+    void (*share)(void *arg, const char *target, double share);
 };
 
 struct rs_holder_options {
--- a/dispatch/target.c
+++ b/dispatch/target.c
@@ -339,10 +339,12 @@
     struct rs_admission_view view;
     RsAdmission_Look(target->admission, &view);
     return json_pack(
-        "{s:s,s:b,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:I}", "name", target->name,
-        "lost", target->lost, "limit", (int)view.limit, "in_flight",
-        (int)view.in_flight, "queued", (int)view.queued, "ready",
-        (int)target->ready.length, "connections",
+        "{s:s,s:s,s:f,s:f,s:b,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:I}", "name",
+        target->name, "state", RsHealth_StateText(target->health.state),
+        "share", target->health.share, "latency_us",
+        RsHealth_LatencyUs(&target->health, now_ms), "lost", target->lost,
+        "limit", (int)view.limit, "in_flight", (int)view.in_flight, "queued",
+        (int)view.queued, "ready", (int)target->ready.length, "connections",
         (int)target->connections->len, "idle_connections",
         (int)target->idle.length, "granted_slices",
         (int)g_hash_table_size(target->grant.granted), "grant_left_ms",
--- a/dispatch/task_messages.h
+++ b/dispatch/task_messages.h
@@ -47,6 +47,7 @@
     RsTask_TARGET_UP,     /* rs_task_target */
     RsTask_SLICE_DRAINED, /* rs_task_slice */
     RsTask_SLICE_STALE,   /* rs_task_slice: the target knows a higher fence */
+    RsTask_TARGET_SHARE,  /* rs_task_target: its capacity */
     RsTask_LOADS,         /* rs_task_loads */
     RsTask_DUMPED,        /* rs_task_dump */
     RsTask_IDLE           /* rs_message: after LEAVE, nothing is left */
--- a/front/data_task.c
+++ b/front/data_task.c
@@ -92,11 +92,20 @@
     RsMailbox_Post(data->control, &message->message);
 }
 
+static void
+report_share(void *arg, const char *target, double share)
+{
+    struct rs_data *data = arg;
+    struct rs_task_target *message = g_new0(struct rs_task_target, 1);
+    message->message.kind = RsTask_TARGET_SHARE;
+    message->message.dispose = dispose_plain;
+    message->capacity = share;
+    g_strlcpy(message->target, target, sizeof(message->target));
+    RsMailbox_Post(data->control, &message->message);
+}
+
 static const struct rs_holder_reports reports = {
-    report_target,
-    report_drained,
-    report_stale,
-    report_loads,
+    report_target, report_drained, report_stale, report_loads, report_share,
 };
 
 static void
--- a/member/member.pb-c.c
+++ b/member/member.pb-c.c
@@ -232,6 +232,141 @@
   assert(message->base.descriptor == &rs__member__changes__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rs__member__slice_load__init
+                     (Rs__Member__SliceLoad         *message)
+{
+  static const Rs__Member__SliceLoad init_value = RS__MEMBER__SLICE_LOAD__INIT;
+  *message = init_value;
+}
+size_t rs__member__slice_load__get_packed_size
+                     (const Rs__Member__SliceLoad *message)
+{
+  assert(message->base.descriptor == &rs__member__slice_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rs__member__slice_load__pack
+                     (const Rs__Member__SliceLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rs__member__slice_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rs__member__slice_load__pack_to_buffer
+                     (const Rs__Member__SliceLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rs__member__slice_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rs__Member__SliceLoad *
+       rs__member__slice_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rs__Member__SliceLoad *)
+     protobuf_c_message_unpack (&rs__member__slice_load__descriptor,
+                                allocator, len, data);
+}
+void   rs__member__slice_load__free_unpacked
+                     (Rs__Member__SliceLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__member__slice_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rs__member__target_share__init
+                     (Rs__Member__TargetShare         *message)
+{
+  static const Rs__Member__TargetShare init_value = RS__MEMBER__TARGET_SHARE__INIT;
+  *message = init_value;
+}
+size_t rs__member__target_share__get_packed_size
+                     (const Rs__Member__TargetShare *message)
+{
+  assert(message->base.descriptor == &rs__member__target_share__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rs__member__target_share__pack
+                     (const Rs__Member__TargetShare *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rs__member__target_share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rs__member__target_share__pack_to_buffer
+                     (const Rs__Member__TargetShare *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rs__member__target_share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rs__Member__TargetShare *
+       rs__member__target_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rs__Member__TargetShare *)
+     protobuf_c_message_unpack (&rs__member__target_share__descriptor,
+                                allocator, len, data);
+}
+void   rs__member__target_share__free_unpacked
+                     (Rs__Member__TargetShare *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__member__target_share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rs__member__loads__init
+                     (Rs__Member__Loads         *message)
+{
+  static const Rs__Member__Loads init_value = RS__MEMBER__LOADS__INIT;
+  *message = init_value;
+}
+size_t rs__member__loads__get_packed_size
+                     (const Rs__Member__Loads *message)
+{
+  assert(message->base.descriptor == &rs__member__loads__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rs__member__loads__pack
+                     (const Rs__Member__Loads *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rs__member__loads__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rs__member__loads__pack_to_buffer
+                     (const Rs__Member__Loads *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rs__member__loads__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rs__Member__Loads *
+       rs__member__loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rs__Member__Loads *)
+     protobuf_c_message_unpack (&rs__member__loads__descriptor,
+                                allocator, len, data);
+}
+void   rs__member__loads__free_unpacked
+                     (Rs__Member__Loads *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__member__loads__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor rs__member__entry__field_descriptors[8] =
 {
   {
@@ -591,3 +726,156 @@
   (ProtobufCMessageInit) rs__member__changes__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rs__member__slice_load__field_descriptors[2] =
+{
+  {
+    "slice",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Member__SliceLoad, slice),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests_per_s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Member__SliceLoad, requests_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__member__slice_load__field_indices_by_name[] = {
+  1,   /* field[1] = requests_per_s */
+  0,   /* field[0] = slice */
+};
+static const ProtobufCIntRange rs__member__slice_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rs__member__slice_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.member.SliceLoad",
+  "SliceLoad",
+  "Rs__Member__SliceLoad",
+  "rs.member",
+  sizeof(Rs__Member__SliceLoad),
+  2,
+  rs__member__slice_load__field_descriptors,
+  rs__member__slice_load__field_indices_by_name,
+  1,  rs__member__slice_load__number_ranges,
+  (ProtobufCMessageInit) rs__member__slice_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__member__target_share__field_descriptors[2] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Member__TargetShare, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Member__TargetShare, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__member__target_share__field_indices_by_name[] = {
+  1,   /* field[1] = share */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange rs__member__target_share__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rs__member__target_share__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.member.TargetShare",
+  "TargetShare",
+  "Rs__Member__TargetShare",
+  "rs.member",
+  sizeof(Rs__Member__TargetShare),
+  2,
+  rs__member__target_share__field_descriptors,
+  rs__member__target_share__field_indices_by_name,
+  1,  rs__member__target_share__number_ranges,
+  (ProtobufCMessageInit) rs__member__target_share__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__member__loads__field_descriptors[2] =
+{
+  {
+    "loads",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Member__Loads, n_loads),
+    offsetof(Rs__Member__Loads, loads),
+    &rs__member__slice_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shares",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Member__Loads, n_shares),
+    offsetof(Rs__Member__Loads, shares),
+    &rs__member__target_share__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__member__loads__field_indices_by_name[] = {
+  0,   /* field[0] = loads */
+  1,   /* field[1] = shares */
+};
+static const ProtobufCIntRange rs__member__loads__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rs__member__loads__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.member.Loads",
+  "Loads",
+  "Rs__Member__Loads",
+  "rs.member",
+  sizeof(Rs__Member__Loads),
+  2,
+  rs__member__loads__field_descriptors,
+  rs__member__loads__field_indices_by_name,
+  1,  rs__member__loads__number_ranges,
+  (ProtobufCMessageInit) rs__member__loads__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/member/member.pb-c.h
+++ b/member/member.pb-c.h
@@ -20,6 +20,9 @@
 typedef struct Rs__Member__ChangesRequest Rs__Member__ChangesRequest;
 typedef struct Rs__Member__Row Rs__Member__Row;
 typedef struct Rs__Member__Changes Rs__Member__Changes;
+typedef struct Rs__Member__SliceLoad Rs__Member__SliceLoad;
+typedef struct Rs__Member__TargetShare Rs__Member__TargetShare;
+typedef struct Rs__Member__Loads Rs__Member__Loads;
 
 
 /* --- enums --- */
@@ -113,6 +116,47 @@
     , 0, 0, 0,NULL, 0 }
 
 
+struct  Rs__Member__SliceLoad
+{
+  ProtobufCMessage base;
+  uint64_t slice;
+  float requests_per_s;
+};
+#define RS__MEMBER__SLICE_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rs__member__slice_load__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * What a target can do of what it should, 0 to 1.
+ */
+struct  Rs__Member__TargetShare
+{
+  ProtobufCMessage base;
+  char *target;
+  float share;
+};
+#define RS__MEMBER__TARGET_SHARE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rs__member__target_share__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * To the member that plans for the cell, of the slices that the sender holds.
+ */
+struct  Rs__Member__Loads
+{
+  ProtobufCMessage base;
+  size_t n_loads;
+  Rs__Member__SliceLoad **loads;
+  size_t n_shares;
+  Rs__Member__TargetShare **shares;
+};
+#define RS__MEMBER__LOADS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rs__member__loads__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 /* Rs__Member__Entry methods */
 void   rs__member__entry__init
                      (Rs__Member__Entry         *message);
@@ -208,6 +252,63 @@
 void   rs__member__changes__free_unpacked
                      (Rs__Member__Changes *message,
                       ProtobufCAllocator *allocator);
+/* Rs__Member__SliceLoad methods */
+void   rs__member__slice_load__init
+                     (Rs__Member__SliceLoad         *message);
+size_t rs__member__slice_load__get_packed_size
+                     (const Rs__Member__SliceLoad   *message);
+size_t rs__member__slice_load__pack
+                     (const Rs__Member__SliceLoad   *message,
+                      uint8_t             *out);
+size_t rs__member__slice_load__pack_to_buffer
+                     (const Rs__Member__SliceLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Rs__Member__SliceLoad *
+       rs__member__slice_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rs__member__slice_load__free_unpacked
+                     (Rs__Member__SliceLoad *message,
+                      ProtobufCAllocator *allocator);
+/* Rs__Member__TargetShare methods */
+void   rs__member__target_share__init
+                     (Rs__Member__TargetShare         *message);
+size_t rs__member__target_share__get_packed_size
+                     (const Rs__Member__TargetShare   *message);
+size_t rs__member__target_share__pack
+                     (const Rs__Member__TargetShare   *message,
+                      uint8_t             *out);
+size_t rs__member__target_share__pack_to_buffer
+                     (const Rs__Member__TargetShare   *message,
+                      ProtobufCBuffer     *buffer);
+Rs__Member__TargetShare *
+       rs__member__target_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rs__member__target_share__free_unpacked
+                     (Rs__Member__TargetShare *message,
+                      ProtobufCAllocator *allocator);
+/* Rs__Member__Loads methods */
+void   rs__member__loads__init
+                     (Rs__Member__Loads         *message);
+size_t rs__member__loads__get_packed_size
+                     (const Rs__Member__Loads   *message);
+size_t rs__member__loads__pack
+                     (const Rs__Member__Loads   *message,
+                      uint8_t             *out);
+size_t rs__member__loads__pack_to_buffer
+                     (const Rs__Member__Loads   *message,
+                      ProtobufCBuffer     *buffer);
+Rs__Member__Loads *
+       rs__member__loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rs__member__loads__free_unpacked
+                     (Rs__Member__Loads *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Rs__Member__Entry_Closure)
@@ -225,6 +326,15 @@
 typedef void (*Rs__Member__Changes_Closure)
                  (const Rs__Member__Changes *message,
                   void *closure_data);
+typedef void (*Rs__Member__SliceLoad_Closure)
+                 (const Rs__Member__SliceLoad *message,
+                  void *closure_data);
+typedef void (*Rs__Member__TargetShare_Closure)
+                 (const Rs__Member__TargetShare *message,
+                  void *closure_data);
+typedef void (*Rs__Member__Loads_Closure)
+                 (const Rs__Member__Loads *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -236,6 +346,9 @@
 extern const ProtobufCMessageDescriptor rs__member__changes_request__descriptor;
 extern const ProtobufCMessageDescriptor rs__member__row__descriptor;
 extern const ProtobufCMessageDescriptor rs__member__changes__descriptor;
+extern const ProtobufCMessageDescriptor rs__member__slice_load__descriptor;
+extern const ProtobufCMessageDescriptor rs__member__target_share__descriptor;
+extern const ProtobufCMessageDescriptor rs__member__loads__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- /dev/null
+++ b/place/balance.c
@@ -0,0 +1,185 @@
+#include "place/balance.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "place/slice.h"
+
+struct tally {
+    const struct rs_planner_target *target;
+    size_t slices;
+};
+
+static const char *
+owner_of(const struct rs_balance_options *options, size_t index)
+{
+    const struct rs_model_assignment *row = &options->present[index];
+    size_t position =
+        options->positions != NULL ? options->positions[index] : 0;
+    if (row->epoch == 0 || position >= row->succession_count) {
+        return "";
+    }
+    return row->succession[position];
+}
+
+static struct tally *
+find_tally(struct tally *tallies, size_t count, const char *name)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(tallies[i].target->name, name) == 0) {
+            return &tallies[i];
+        }
+    }
+    return NULL;
+}
+
+static double
+cell_average(const struct tally *tallies, size_t count, const char *cell)
+{
+    size_t targets = 0;
+    size_t slices = 0;
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(tallies[i].target->cell, cell) == 0) {
+            targets++;
+            slices += tallies[i].slices;
+        }
+    }
+    return targets > 0 ? (double)slices / (double)targets : 0;
+}
+
+/* Fills in a weight for each slice: those of one target add up to the average
+ * number of slices that the targets of its cell have. */
+void
+RsBalance_Weigh(const struct rs_balance_options *options, double *weights)
+{
+    size_t count = options->target_count;
+    struct tally *tallies = calloc(count + 1, sizeof(tallies[0]));
+    for (size_t i = 0; i < count; i++) {
+        tallies[i].target = &options->targets[i];
+    }
+    for (size_t i = 0; i < options->slices; i++) {
+        struct tally *tally = find_tally(tallies, count, owner_of(options, i));
+        if (tally != NULL) {
+            tally->slices++;
+        }
+    }
+    for (size_t i = 0; i < options->slices; i++) {
+        const struct tally *tally =
+            find_tally(tallies, count, owner_of(options, i));
+        weights[i] = 1;
+        if (tally != NULL) {
+            weights[i] = cell_average(tallies, count, tally->target->cell) /
+                         (double)tally->slices;
+        }
+    }
+    free(tallies);
+}
+
+/* The asking cell's slices and targets as a rule of their own. */
+struct part {
+    struct rs_planner_target *targets;
+    size_t target_count;
+    struct rs_model_assignment *present;
+    uint8_t *positions;
+    double *rates;
+    int64_t *keep_until_ms;
+    size_t *index; /* in the whole */
+    size_t slices;
+};
+
+static void
+open_part(const struct rs_balance_options *options, struct part *part)
+{
+    size_t slices = options->slices + 1;
+    memset(part, 0, sizeof(*part));
+    part->targets =
+        calloc(options->target_count + 1, sizeof(part->targets[0]));
+    part->present = calloc(slices, sizeof(part->present[0]));
+    part->positions = calloc(slices, sizeof(part->positions[0]));
+    part->rates = calloc(slices, sizeof(part->rates[0]));
+    part->keep_until_ms = calloc(slices, sizeof(part->keep_until_ms[0]));
+    part->index = calloc(slices, sizeof(part->index[0]));
+    for (size_t i = 0; i < options->target_count; i++) {
+        if (strcmp(options->targets[i].cell, options->cell) == 0) {
+            part->targets[part->target_count++] = options->targets[i];
+        }
+    }
+}
+
+static void
+close_part(struct part *part)
+{
+    free(part->targets);
+    free(part->present);
+    free(part->positions);
+    free(part->rates);
+    free(part->keep_until_ms);
+    free(part->index);
+}
+
+static void
+add_slice(const struct rs_balance_options *options, size_t index,
+          struct part *part)
+{
+    size_t at = part->slices++;
+    part->index[at] = index;
+    part->present[at] = options->present[index];
+    part->rates[at] = options->rates[index];
+    if (options->positions != NULL) {
+        part->positions[at] = options->positions[index];
+    }
+    if (options->keep_until_ms != NULL) {
+        part->keep_until_ms[at] = options->keep_until_ms[index];
+    }
+}
+
+/* Gives the changes back the ids of the whole. */
+static void
+restore_slices(const struct rs_balance_options *options,
+               const struct part *part, struct rs_planner_plan *plan)
+{
+    for (size_t i = 0; i < plan->change_count; i++) {
+        struct rs_model_assignment *change = &plan->changes[i];
+        size_t at = RsSlice_Index(change->slice);
+        change->slice = options->present[part->index[at]].slice;
+    }
+}
+
+/* Plans moves within the asking cell that even out its targets' load; one
+ * that is on its way between cells stays as it is. Returns 0
+ * or RsPlanner_BAD_OPTIONS; free the plan with RsPlanner_FreePlan(). */
+int
+RsBalance_WithinCell(const struct rs_balance_options *options,
+                     struct rs_planner_plan *plan)
+{
+    struct part part;
+    memset(plan, 0, sizeof(*plan));
+    open_part(options, &part);
+    for (size_t i = 0; i < options->slices; i++) {
+        const struct rs_model_assignment *row = &options->present[i];
+        if (row->epoch != 0 && strcmp(row->cell, options->cell) == 0) {
+            add_slice(options, i, &part);
+        }
+    }
+    int status = 0;
+    if (part.slices > 0 && part.target_count > 1) {
+        struct rs_planner_options inner = {
+            .rule = options->rule,
+            .slices = (uint32_t)part.slices,
+            .targets = part.targets,
+            .target_count = part.target_count,
+            .present = part.present,
+            .positions = part.positions,
+            .loads = part.rates,
+            .keep_until_ms = part.keep_until_ms,
+            .now_ms = options->now_ms,
+            .cell = options->cell,
+            .max_moves = options->max_moves,
+            .hysteresis_permille = options->hysteresis_permille,
+        };
+        status = RsPlanner_Plan(&inner, plan);
+        restore_slices(options, &part, plan);
+    }
+    close_part(&part);
+    return status;
+}
--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -161,7 +161,7 @@
   (ProtobufCMessageInit) rs__wire__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__wire__peer__field_descriptors[8] =
+static const ProtobufCFieldDescriptor rs__wire__peer__field_descriptors[9] =
 {
   {
     "hello",
@@ -259,12 +259,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "loads",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Wire__Peer, message_case),
+    offsetof(Rs__Wire__Peer, loads),
+    &rs__member__loads__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__wire__peer__field_indices_by_name[] = {
   3,   /* field[3] = changes */
   2,   /* field[2] = changes_request */
   1,   /* field[1] = heartbeat */
   0,   /* field[0] = hello */
+  8,   /* field[8] = loads */
   4,   /* field[4] = renew */
   5,   /* field[5] = renew_answer */
   6,   /* field[6] = seal */
@@ -273,7 +286,7 @@
 static const ProtobufCIntRange rs__wire__peer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor rs__wire__peer__descriptor =
 {
@@ -283,7 +296,7 @@
   "Rs__Wire__Peer",
   "rs.wire",
   sizeof(Rs__Wire__Peer),
-  8,
+  9,
   rs__wire__peer__field_descriptors,
   rs__wire__peer__field_indices_by_name,
   1,  rs__wire__peer__number_ranges,
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -50,7 +50,8 @@
   RS__WIRE__PEER__MESSAGE_RENEW = 5,
   RS__WIRE__PEER__MESSAGE_RENEW_ANSWER = 6,
   RS__WIRE__PEER__MESSAGE_SEAL = 7,
-  RS__WIRE__PEER__MESSAGE_SEAL_ANSWER = 8
+  RS__WIRE__PEER__MESSAGE_SEAL_ANSWER = 8,
+  RS__WIRE__PEER__MESSAGE_LOADS = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RS__WIRE__PEER__MESSAGE__CASE)
 } Rs__Wire__Peer__MessageCase;
 
@@ -70,6 +71,7 @@
     Rs__Cell__RenewAnswer *renew_answer;
     Rs__Cell__Seal *seal;
     Rs__Cell__SealAnswer *seal_answer;
+    Rs__Member__Loads *loads;
   };
 };
 #define RS__WIRE__PEER__INIT \
