Cancel the losing copy of a hedged request in the simulation

The simulation left the second copy in its queue after the first was answered and took the 95th percentile from the target's latency instead of the caller's, so that a hedge went out earlier than the front would send it.

--- a/dispatch/simulation.c
+++ b/dispatch/simulation.c
@@ -42,6 +42,7 @@
 
 struct job {
     struct rs_retry_request retry;
+    struct attempt *latest[2]; /* the second one only when hedged */
     int64_t arrival_us;
     size_t key_target;
     size_t last_target;
@@ -52,6 +53,7 @@
 
 struct attempt {
     struct job *job;
+    bool queued;
     size_t target;
     uint64_t id;
     unsigned start; /* of the target's process that got it */
@@ -154,6 +156,9 @@
 {
     struct rs_simulation_results *results = &simulation->results;
     int64_t latency_us = simulation->now_us - job->arrival_us;
+    if (outcome == RsOutcome_DONE) {
+        RsRetry_Answered(&simulation->retry, latency_us);
+    }
     if (!job->counted) {
         return;
     }
@@ -169,6 +174,22 @@
     }
 }
 
+/* The copy that lost the race leaves its queue; at the target it runs on. */
+static void
+cancel_queued(struct simulation *simulation, struct job *job)
+{
+    for (size_t i = 0; i < 2; i++) {
+        struct attempt *attempt = job->latest[i];
+        if (attempt == NULL || !attempt->queued) {
+            continue;
+        }
+        struct target *target = &simulation->targets[attempt->target];
+        attempt->queued = false;
+        g_hash_table_remove(simulation->queued, &attempt->id);
+        RsAdmission_Cancel(target->admission, now_ms(simulation), attempt->id);
+    }
+}
+
 static void
 decide(struct simulation *simulation, struct job *job, enum rs_outcome outcome,
        uint32_t retry_after_ms)
@@ -183,6 +204,7 @@
     }
     else if (decision.action == RsRetry_ANSWER) {
         finish_job(simulation, job, decision.outcome);
+        cancel_queued(simulation, job);
     }
 }
 
@@ -204,6 +226,7 @@
     while (RsAdmission_NextEvent(admission, &event)) {
         struct attempt *attempt =
             g_hash_table_lookup(simulation->queued, &event.id);
+        attempt->queued = false;
         if (event.verdict.kind == RsAdmission_RUN) {
             send_attempt(simulation, attempt);
             continue;
@@ -253,13 +276,17 @@
                                                job->retry.deadline_ms};
     struct rs_admission *admission =
         simulation->targets[attempt->target].admission;
+    job->latest[job->retry.out % 2] = attempt;
     RsRetry_Sent(&job->retry);
     g_hash_table_insert(simulation->queued, &attempt->id, attempt);
     RsAdmission_Offer(admission, now_ms(simulation), &request, &verdict);
     if (verdict.kind == RsAdmission_RUN) {
         send_attempt(simulation, attempt);
     }
-    else if (verdict.kind == RsAdmission_REFUSED) {
+    else if (verdict.kind == RsAdmission_QUEUED) {
+        attempt->queued = true;
+    }
+    else {
         g_hash_table_remove(simulation->queued, &attempt->id);
         decide(simulation, job, RsOutcome_NOT_RUN, verdict.retry_after_ms);
     }
@@ -410,9 +437,6 @@
         RsRamp_RefusedCold(&target->ramp, at_ms);
         apply_ramp(simulation, attempt->target);
     }
-    if (attempt->outcome == RsOutcome_DONE) {
-        RsRetry_Answered(&simulation->retry, latency_us);
-    }
     decide(simulation, attempt->job, attempt->outcome, 0);
     RsAdmission_Done(target->admission, at_ms, attempt->id,
                      admission_outcome(attempt), latency_us);
