Probe targets that are left out once in 512 picks

A probe is a caller's request that waits at a slow target; one in 64 was above the hundredth that p99 leaves out. A service with few requests finds a recovery by the latency that is forgotten after 5 s instead.

--- a/dispatch/choice.c
+++ b/dispatch/choice.c
@@ -5,7 +5,7 @@
 #include "core/id.h"
 
 #define DRAWS 8
-#define PROBE_EVERY 64 /* picks, one of which goes to a target left out */
+#define PROBE_EVERY 512 /* picks, one of which goes to a target left out */
 
 static size_t
 draw(struct rs_choice *choice, size_t count)
