--- a/dispatch/dispatch_measure.c
+++ b/dispatch/dispatch_measure.c
@@ -5,11 +5,16 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "core/clock.h"
+#include "dispatch/admission.h"
 #include "dispatch/simulation.h"
 
 #define US_PER_MS 1000
 #define US_PER_S 1000000
 #define SEEDS 5
+#define COST_ROUNDS 100000
+#define FAR_MS (1LL << 40)
+#define NS_PER_US 1000
 
 static double
 quantile_ms(const struct rs_simulation_results *results, double share)
@@ -122,6 +127,37 @@
     {STORM, .admission = "none", .retry = "budget"},
 };
 
+/* Prints the time of one request's admission, from its offer to its end,
+ * while `depth` others wait, each of a caller of its own. */
+static void
+print_cost(uint32_t depth)
+{
+    struct rs_admission_options options = {.policy = &rs_limit_fixed,
+                                           .slots = 1,
+                                           .queue_capacity = depth + 1,
+                                           .max_run_ms = 500};
+    struct rs_admission *admission = RsAdmission_New(&options);
+    struct rs_admission_verdict verdict;
+    struct rs_admission_event event = {.id = 1};
+    int64_t from_us = 0;
+    for (uint64_t id = 1; id <= depth + 1 + COST_ROUNDS; id++) {
+        if (id == depth + 2) {
+            from_us = RsClock_NowUs();
+        }
+        struct rs_admission_request request = {
+            .id = id, .caller = id, .deadline_ms = FAR_MS};
+        RsAdmission_Offer(admission, 0, &request, &verdict);
+        if (id >= depth + 2) {
+            RsAdmission_Done(admission, 0, event.id, RsAdmission_DONE, 1);
+            RsAdmission_NextEvent(admission, &event);
+        }
+    }
+    int64_t spent_us = RsClock_NowUs() - from_us;
+    printf("| %" PRIu32 " | %" PRId64 " |\n", depth,
+           spent_us * NS_PER_US / COST_ROUNDS);
+    RsAdmission_Free(admission);
+}
+
 int
 main(void)
 {
@@ -137,5 +173,9 @@
         }
         print_row(&setups[i], &results);
     }
+    printf("\n| waiting | ns for one request's admission |\n|---|---|\n");
+    print_cost(0);
+    print_cost(16);
+    print_cost(256);
     return 0;
 }
