Hold a cold target's ramp while its answers are slow

A cold target that is slow but refuses nothing got its share by the clock alone. The adaptive ramp now rises no further while the mean of answers is above 2.5 times what it was when the target was warm, for at most four times cold_ms, as a target that stays slow would else stay at one slot for good. Seen failing on broken copies: no hold, no end of it, hold at any latency (slow_answers_hold_the_share_for_a_while, usual_answers_do_not_hold_the_share), and a linear policy that holds.

--- a/dispatch/admission_fuzz.c
+++ b/dispatch/admission_fuzz.c
@@ -252,6 +252,9 @@
         RsRamp_Connected(&book->ramp, book->now_ms);
         begin_cold(book);
     }
+    else if (byte % 4 == 2) {
+        RsRamp_Answered(&book->ramp, book->now_ms, byte * 1000);
+    }
     else {
         if (!book->cold) {
             begin_cold(book);
--- a/dispatch/ramp.c
+++ b/dispatch/ramp.c
@@ -11,6 +11,10 @@
 #define MIN_PAUSE_MS 10
 #define MAX_PAUSE_MS 160
 #define STEP_MS 10
+#define SLOW_FACTOR 2.5   /* of the latency when warm */
+#define MAX_COLD_FACTOR 4 /* of `cold_ms` */
+#define COLD_WEIGHT 0.1
+#define WARM_WEIGHT 0.02
 #define US_PER_MS 1000
 
 static double
@@ -32,6 +36,9 @@
     ramp->paused_until_ms = now_ms;
     ramp->next_cut_ms = now_ms;
     ramp->pause_ms = MIN_PAUSE_MS;
+    ramp->cold_latency_us = 0.0;
+    ramp->latest_warm_ms =
+        now_ms + (int64_t)ramp->options.cold_ms * MAX_COLD_FACTOR;
 }
 
 static uint32_t
@@ -80,7 +87,7 @@
 }
 
 static void
-ignore_refusal(struct rs_ramp *ramp, int64_t now_ms)
+ignore_sign(struct rs_ramp *ramp, int64_t now_ms)
 {
 }
 
@@ -103,22 +110,35 @@
     ramp->next_cut_ms = now_ms + MIN_CUT_GAP_MS;
 }
 
+/* The share rises no further while answers are slow. */
+static void
+hold_share(struct rs_ramp *ramp, int64_t now_ms)
+{
+    if (now_ms >= ramp->latest_warm_ms) {
+        return;
+    }
+    ramp->share_at_ms = now_ms; /* what it rose since then is taken back */
+}
+
 const struct rs_ramp_policy rs_ramp_adaptive = {.name = "adaptive",
                                                 .ceiling = adaptive_ceiling,
                                                 .connections =
                                                     ramped_connections,
-                                                .refused = cut_share};
+                                                .refused = cut_share,
+                                                .slowed = hold_share};
 
 const struct rs_ramp_policy rs_ramp_linear = {.name = "linear",
                                               .ceiling = linear_ceiling,
                                               .connections =
                                                   ramped_connections,
-                                              .refused = ignore_refusal};
+                                              .refused = ignore_sign,
+                                              .slowed = ignore_sign};
 
 const struct rs_ramp_policy rs_ramp_none = {.name = "none",
                                             .ceiling = no_ceiling,
                                             .connections = all_connections,
-                                            .refused = ignore_refusal};
+                                            .refused = ignore_sign,
+                                            .slowed = ignore_sign};
 
 /* Returns the policy of that name, or NULL. */
 const struct rs_ramp_policy *
@@ -198,6 +218,27 @@
     ramp->options.policy->refused(ramp, now_ms);
 }
 
+static void
+average(double *mean, double sample, double weight)
+{
+    *mean = *mean == 0.0 ? sample : *mean + weight * (sample - *mean);
+}
+
+/* An answer took `latency_us` since it was sent. */
+void
+RsRamp_Answered(struct rs_ramp *ramp, int64_t now_ms, int64_t latency_us)
+{
+    if (!ramp->cold) {
+        average(&ramp->warm_latency_us, (double)latency_us, WARM_WEIGHT);
+        return;
+    }
+    average(&ramp->cold_latency_us, (double)latency_us, COLD_WEIGHT);
+    if (ramp->warm_latency_us > 0.0 &&
+        ramp->cold_latency_us > ramp->warm_latency_us * SLOW_FACTOR) {
+        ramp->options.policy->slowed(ramp, now_ms);
+    }
+}
+
 /* Returns the requests that may be at the target; UINT32_MAX when warm, 0
  * while it is left alone. */
 uint32_t
--- a/dispatch/ramp.h
+++ b/dispatch/ramp.h
@@ -14,6 +14,7 @@
     uint32_t (*ceiling)(const struct rs_ramp *ramp, int64_t now_ms);
     uint32_t (*connections)(const struct rs_ramp *ramp, int64_t now_ms);
     void (*refused)(struct rs_ramp *ramp, int64_t now_ms);
+    void (*slowed)(struct rs_ramp *ramp, int64_t now_ms);
 };
 
 struct rs_ramp_options {
@@ -39,6 +40,9 @@
     int64_t paused_until_ms;
     int64_t next_cut_ms;
     uint32_t pause_ms;
+    int64_t latest_warm_ms; /* slow answers hold it back no longer */
+    double warm_latency_us;
+    double cold_latency_us;
 };
 
 extern const struct rs_ramp_policy rs_ramp_adaptive;
@@ -55,6 +59,7 @@
 void RsRamp_SawStartId(struct rs_ramp *ramp, int64_t now_ms,
                        uint64_t start_id);
 void RsRamp_RefusedCold(struct rs_ramp *ramp, int64_t now_ms);
+void RsRamp_Answered(struct rs_ramp *ramp, int64_t now_ms, int64_t latency_us);
 
 /* What it may get now */
 uint32_t RsRamp_Ceiling(struct rs_ramp *ramp, int64_t now_ms);
--- a/dispatch/ramp_test.c
+++ b/dispatch/ramp_test.c
@@ -67,6 +67,42 @@
     CU_ASSERT_EQUAL(RsRamp_Ceiling(&ramp, 10 + COLD_MS * 8 / 10), 4);
 }
 
+static void
+test_slow_answers_hold_the_share_for_a_while(void)
+{
+    struct rs_ramp ramp = make(&rs_ramp_adaptive);
+    struct rs_ramp linear = make(&rs_ramp_linear);
+    RsRamp_KnownWarm(&ramp, 0, 5);
+    RsRamp_KnownWarm(&linear, 0, 5);
+    RsRamp_Answered(&ramp, 1, 10000);
+    RsRamp_Answered(&linear, 1, 10000);
+    RsRamp_SawStartId(&ramp, 2, 6);
+    RsRamp_SawStartId(&linear, 2, 6);
+    for (int64_t now_ms = 10; now_ms < COLD_MS * 3; now_ms += 10) {
+        RsRamp_Answered(&ramp, now_ms, 50000);
+        RsRamp_Answered(&linear, now_ms, 50000);
+    }
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&ramp, COLD_MS * 3), 1);
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&linear, COLD_MS * 3), UINT32_MAX);
+    for (int64_t now_ms = COLD_MS * 3; now_ms < COLD_MS * 6; now_ms += 10) {
+        RsRamp_Answered(&ramp, now_ms, 50000);
+    }
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&ramp, COLD_MS * 6), UINT32_MAX);
+}
+
+static void
+test_usual_answers_do_not_hold_the_share(void)
+{
+    struct rs_ramp ramp = make(&rs_ramp_adaptive);
+    RsRamp_KnownWarm(&ramp, 0, 5);
+    RsRamp_Answered(&ramp, 1, 10000);
+    RsRamp_SawStartId(&ramp, 2, 6);
+    for (int64_t now_ms = 10; now_ms < COLD_MS; now_ms += 10) {
+        RsRamp_Answered(&ramp, now_ms, 20000);
+    }
+    CU_ASSERT_EQUAL(RsRamp_Ceiling(&ramp, COLD_MS + 2), UINT32_MAX);
+}
+
 static void
 test_connections_open_at_a_bounded_rate(void)
 {
@@ -102,6 +138,8 @@
     CU_pSuite suite = CU_add_suite("ramp", NULL, NULL);
     CU_ADD_TEST(suite, test_first_contact_is_cold_and_warms);
     CU_ADD_TEST(suite, test_new_start_id_is_cold);
+    CU_ADD_TEST(suite, test_slow_answers_hold_the_share_for_a_while);
+    CU_ADD_TEST(suite, test_usual_answers_do_not_hold_the_share);
     CU_ADD_TEST(suite, test_connection_after_refused_ones_is_cold);
     CU_ADD_TEST(suite, test_refusals_cut_and_then_pause);
     CU_ADD_TEST(suite, test_connections_open_at_a_bounded_rate);
--- a/dispatch/simulation.c
+++ b/dispatch/simulation.c
@@ -75,7 +75,7 @@
     struct rs_ramp ramp;
     struct rs_health health;
     GQueue waiting;
-    GHashTable *attempts; /* at the target */
+    GHashTable *attempts; /* at the target, by id */
     uint32_t running;
     unsigned start;
     double slow_factor;
@@ -332,7 +332,7 @@
     attempt->outcome = outcome;
     attempt->refused = refused;
     g_hash_table_remove(simulation->targets[attempt->target].attempts,
-                        attempt);
+                        &attempt->id);
     schedule(simulation, simulation->now_us + HOP_US, RsSimulation_ANSWER,
              attempt);
 }
@@ -382,7 +382,7 @@
         answer(simulation, attempt, RsOutcome_NOT_RUN, true);
         return;
     }
-    g_hash_table_add(target->attempts, attempt);
+    g_hash_table_insert(target->attempts, &attempt->id, attempt);
     g_queue_push_tail(&target->waiting, attempt);
     start_runs(simulation, target);
 }
@@ -432,6 +432,7 @@
     }
     else {
         RsHealth_Answered(&target->health, at_ms, RsHealth_WORK, latency_us);
+        RsRamp_Answered(&target->ramp, at_ms, latency_us);
     }
     if (attempt->cold) {
         RsRamp_RefusedCold(&target->ramp, at_ms);
@@ -476,10 +477,10 @@
 restart(struct simulation *simulation, struct target *target)
 {
     GHashTableIter iter;
-    gpointer key;
+    gpointer value;
     g_hash_table_iter_init(&iter, target->attempts);
-    while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        struct attempt *attempt = key;
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct attempt *attempt = value;
         attempt->outcome = RsOutcome_UNKNOWN;
         schedule(simulation, simulation->now_us + HOP_US, RsSimulation_ANSWER,
                  attempt);
@@ -580,7 +581,7 @@
     RsRamp_KnownWarm(&target->ramp, 0, 1);
     RsHealth_Start(&target->health, &health, 0);
     g_queue_init(&target->waiting);
-    target->attempts = g_hash_table_new(NULL, NULL);
+    target->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
     target->slow_factor = 1.0;
     target->cold_since_us = -1;
 }
