--- a/standin/judge.c
+++ b/standin/judge.c
@@ -62,6 +62,22 @@
     reader->event_count++;
 }
 
+/* Takes in a line that a target wrote of an event. */
+static int
+read_event_line(struct reader *reader, const char *line)
+{
+    json_t *json = json_loads(line, 0, NULL);
+    const char *target = text_of(json, "target");
+    bool valid = target[0] != '\0' && number_of(json, "n") > 0;
+    if (valid) {
+        RsJudge_SetSlots(reader->judge, target,
+                         (uint32_t)number_of(json, "slots"));
+        add_event(reader, json, json);
+    }
+    json_decref(json);
+    return valid ? 0 : -1;
+}
+
 /* Takes in one answer of /standin/record. Returns the number of its last
  * event, 0 when it has none, or -1 when it is none. */
 static int64_t
@@ -161,7 +177,7 @@
 }
 
 static int
-read_line(struct reader *reader, const char *line)
+read_request_line(struct reader *reader, const char *line)
 {
     json_t *json = json_loads(line, 0, NULL);
     struct rs_judge_request request = {.request_id = text_of(json, "id"),
@@ -177,7 +193,8 @@
 }
 
 static int
-read_log(struct reader *reader, const char *path)
+read_lines(struct reader *reader, const char *path,
+           int (*read_line)(struct reader *reader, const char *line))
 {
     char *line = NULL;
     size_t capacity = 0;
@@ -191,7 +208,7 @@
         result = read_line(reader, line);
     }
     if (result != 0) {
-        fprintf(stderr, "%s: not a request: %s", path, line);
+        fprintf(stderr, "%s: not understood: %s", path, line);
     }
     free(line);
     fclose(file);
@@ -221,14 +238,17 @@
                                        "targets whose records are read");
     struct arg_file *saved = arg_filen(NULL, "record", "FILE", 0, 100,
                                        "saved answer of /standin/record");
+    struct arg_file *lines =
+        arg_filen(NULL, "record-lines", "FILE", 0, 100,
+                  "events that a target wrote as they happened");
     struct arg_file *logs =
         arg_filen(NULL, "log", "FILE", 0, 100, "log of standin_load");
     struct arg_lit *partial = arg_lit0(
         NULL, "partial", "records are missing: don't ask for each effect");
     struct arg_end *end = arg_end(8);
-    void *table[] = {targets, saved, logs, partial, end};
+    void *table[] = {targets, saved, lines, logs, partial, end};
     if (arg_parse(argc, argv, table) != 0 ||
-        targets->count + saved->count == 0) {
+        targets->count + saved->count + lines->count == 0) {
         arg_print_errors(stderr, end, argv[0]);
         arg_print_glossary(stderr, table, NULL);
         return STATUS_CANNOT_JUDGE;
@@ -241,8 +261,11 @@
     for (int i = 0; i < saved->count && result == 0; i++) {
         result = read_saved(&reader, saved->filename[i]);
     }
+    for (int i = 0; i < lines->count && result == 0; i++) {
+        result = read_lines(&reader, lines->filename[i], read_event_line);
+    }
     for (int i = 0; i < logs->count && result == 0; i++) {
-        result = read_log(&reader, logs->filename[i]);
+        result = read_lines(&reader, logs->filename[i], read_request_line);
     }
     if (partial->count > 0) {
         RsJudge_MarkPartial(reader.judge, "");
--- a/standin/load_run.c
+++ b/standin/load_run.c
@@ -133,14 +133,16 @@
     if (load->options->log == NULL) {
         return;
     }
-    fprintf(load->options->log,
-            "{\"id\":\"%s\",\"method\":\"%s\",\"key\":\"%s\","
-            "\"sent_us\":%lld,\"end_us\":%lld,\"outcome\":\"%s\","
-            "\"reason\":\"%s\",\"status\":%d,\"entry\":%zu}\n",
-            request->id, methods[request->item.class], request->key,
-            (long long)request->wall_sent_us, (long long)RsClock_WallUs(),
-            RsLoadAnswer_OutcomeName(outcome), reason,
-            request->exchange.answer.status, request->exchange.entry);
+    fprintf(
+        load->options->log,
+        "{\"id\":\"%s\",\"method\":\"%s\",\"service\":\"%s\",\"key\":\"%s\","
+        "\"sent_us\":%lld,\"end_us\":%lld,\"outcome\":\"%s\","
+        "\"reason\":\"%s\",\"status\":%d,\"entry\":%zu}\n",
+        request->id, methods[request->item.class],
+        load->options->services[request->item.class], request->key,
+        (long long)request->wall_sent_us, (long long)RsClock_WallUs(),
+        RsLoadAnswer_OutcomeName(outcome), reason,
+        request->exchange.answer.status, request->exchange.entry);
 }
 
 static void
--- a/standin/record.c
+++ b/standin/record.c
@@ -72,8 +72,8 @@
     record->allocated = allocated;
 }
 
-/* Adds an event; its number is one above the last. */
-void
+/* Adds an event. Returns its number, one above the last. */
+int64_t
 RsRecord_Append(struct rs_record *record, const struct rs_record_event *event)
 {
     size_t index = (size_t)record->last % record->capacity;
@@ -82,11 +82,12 @@
     }
     free_texts(&record->events[index]);
     copy_event(&record->events[index], event);
-    record->last++;
+    return ++record->last;
 }
 
-static json_t *
-event_json(int64_t number, const struct rs_record_event *event)
+/* Returns an event as it appears in the answer of /standin/record. */
+json_t *
+RsRecord_EventJson(int64_t number, const struct rs_record_event *event)
 {
     json_t *json = json_object();
     json_object_set_new(json, "n", json_integer(number));
@@ -117,7 +118,8 @@
     int64_t n = MAX(after + 1, first);
     for (; n <= record->last && json_array_size(events) < limit; n++) {
         size_t index = (size_t)(n - 1) % record->capacity;
-        json_array_append_new(events, event_json(n, &record->events[index]));
+        json_array_append_new(events,
+                              RsRecord_EventJson(n, &record->events[index]));
     }
     return json_pack("{s:o,s:I,s:b}", "events", events, "last",
                      (json_int_t)record->last, "overflowed", first > 1);
--- a/standin/record.h
+++ b/standin/record.h
@@ -30,8 +30,10 @@
 
 struct rs_record *RsRecord_New(size_t capacity);
 void RsRecord_Free(struct rs_record *record);
-void RsRecord_Append(struct rs_record *record,
-                     const struct rs_record_event *event);
+int64_t RsRecord_Append(struct rs_record *record,
+                        const struct rs_record_event *event);
+json_t *RsRecord_EventJson(int64_t number,
+                           const struct rs_record_event *event);
 json_t *RsRecord_Read(const struct rs_record *record, int64_t after,
                       size_t limit);
 
--- a/standin/target.c
+++ b/standin/target.c
@@ -149,10 +149,12 @@
     struct arg_int *offset_ms =
         arg_int0(NULL, "clock-offset-ms", "N", "set the target's clock off");
     struct arg_int *seed = arg_int0(NULL, "seed", "N", "of service times");
+    struct arg_file *record = arg_file0(NULL, "record-lines", "FILE",
+                                        "append each event as it happens");
     struct arg_end *end = arg_end(8);
     void *table[] = {targets,   file,        service, slots,  queue,
                      time_us,   exponential, cold_ms, checks, file_bytes,
-                     offset_ms, seed,        end};
+                     offset_ms, seed,        record,  end};
     slots->ival[0] = DEFAULT_SLOTS;
     queue->ival[0] = DEFAULT_QUEUE;
     time_us->ival[0] = DEFAULT_SERVICE_TIME_US;
@@ -178,6 +180,13 @@
         .file_bytes = (uint64_t)file_bytes->ival[0],
         .clock_offset_ms = offset_ms->ival[0],
         .seed = (uint64_t)seed->ival[0]};
+    if (record->count > 0) {
+        defaults.record_lines = fopen(record->filename[0], "a");
+        if (defaults.record_lines == NULL) {
+            perror(record->filename[0]);
+            return 2;
+        }
+    }
     return run(&defaults, targets->count > 0 ? targets->sval[0] : NULL,
                file->count > 0 ? file->filename[0] : NULL);
 }
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -1,6 +1,7 @@
 #include "standin/worker.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -47,6 +48,7 @@
     worker->record = RsRecord_New(RECORD_CAPACITY);
     worker->reservations =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    worker->refusals = g_hash_table_new(g_str_hash, g_str_equal);
     worker->faults.slow_factor = 1;
     g_queue_init(&worker->waiting);
     uv_timer_init(loop, &worker->load_timer);
@@ -83,11 +85,32 @@
 static void
 refuse(struct rs_worker_job *job, const char *reason)
 {
+    GHashTable *refusals = job->worker->refusals;
+    guint count = GPOINTER_TO_UINT(g_hash_table_lookup(refusals, reason));
+    g_hash_table_insert(refusals, (char *)reason, GUINT_TO_POINTER(count + 1));
     job->outcome = "not-run";
     job->reason = reason;
     RsWorker_Answer(job);
 }
 
+/* Writes the event to the file before its request is answered, so that a
+ * target that is killed loses no event that a caller heard of. */
+static void
+write_line(const struct rs_worker *worker, int64_t number,
+           const struct rs_record_event *event)
+{
+    FILE *file = worker->options.record_lines;
+    json_t *json = RsRecord_EventJson(number, event);
+    json_object_set_new(json, "target", json_string(worker->options.name));
+    json_object_set_new(json, "start_id", json_string(worker->start_id));
+    json_object_set_new(json, "slots", json_integer(worker->options.slots));
+    char *line = json_dumps(json, JSON_COMPACT);
+    fprintf(file, "%s\n", line);
+    fflush(file);
+    free(line);
+    json_decref(json);
+}
+
 static void
 record_job(const struct rs_worker_job *job, int64_t end_ms,
            int64_t wall_end_us)
@@ -105,7 +128,10 @@
                                     .wall_start_us = job->wall_start_us,
                                     .wall_end_us = wall_end_us,
                                     .effect = job->reason == NULL};
-    RsRecord_Append(job->worker->record, &event);
+    int64_t number = RsRecord_Append(job->worker->record, &event);
+    if (job->worker->options.record_lines != NULL) {
+        write_line(job->worker, number, &event);
+    }
 }
 
 static void
@@ -271,6 +297,9 @@
 {
     struct rs_worker *worker = job->worker;
     int64_t clock_ms = RsWorker_ClockMs(worker);
+    uint32_t in_flight =
+        worker->running + g_queue_get_length(&worker->waiting) + 1;
+    worker->peak_in_flight = MAX(worker->peak_in_flight, in_flight);
     const char *reason = refusal_by_authority(job, clock_ms);
     if (reason == NULL) {
         reason = refusal_by_load(worker, clock_ms);
--- a/standin/worker.h
+++ b/standin/worker.h
@@ -6,6 +6,7 @@
 #include <h2o.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <stdio.h>
 
 struct rs_worker_options {
     const char *name;
@@ -19,6 +20,7 @@
     uint64_t file_bytes; /* above 0: a service of files, without keys */
     int64_t clock_offset_ms;
     uint64_t seed;
+    FILE *record_lines; /* NULL: none; a line for each event, at once */
 };
 
 struct rs_worker;
--- a/standin/worker_control.c
+++ b/standin/worker_control.c
@@ -68,6 +68,27 @@
     RsServer_SendJson(req, 200, answer);
 }
 
+/* Tells the most requests that ran or waited at once, the one that came
+ * included, and the refusals. */
+static void
+get_state(struct rs_worker *worker, h2o_req_t *req)
+{
+    GHashTableIter at;
+    gpointer reason;
+    gpointer count;
+    json_t *refusals = json_object();
+    g_hash_table_iter_init(&at, worker->refusals);
+    while (g_hash_table_iter_next(&at, &reason, &count)) {
+        json_object_set_new(refusals, reason,
+                            json_integer(GPOINTER_TO_UINT(count)));
+    }
+    RsServer_SendJson(
+        req, 200,
+        json_pack("{s:s,s:s,s:I,s:o}", "target", worker->options.name,
+                  "start_id", worker->start_id, "peak_in_flight",
+                  (json_int_t)worker->peak_in_flight, "refusals", refusals));
+}
+
 static void
 read_number(const json_t *body, const char *name, int64_t *number)
 {
@@ -92,6 +113,9 @@
     struct rs_worker_faults *faults = &worker->faults;
     json_t *body = load_body(req);
     const json_t *slow_factor = json_object_get(body, "slow_factor");
+    if (json_is_true(json_object_get(body, "reset_peak"))) {
+        worker->peak_in_flight = 0;
+    }
     if (json_is_number(slow_factor)) {
         faults->slow_factor = json_number_value(slow_factor);
     }
@@ -118,6 +142,7 @@
     {"GET", "/load", get_load},
     {"POST", "/drain", post_drain},
     {"GET", "/standin/record", get_record},
+    {"GET", "/standin", get_state},
     {"POST", "/standin", post_switches},
 };
 
--- a/standin/worker_state.h
+++ b/standin/worker_state.h
@@ -41,7 +41,9 @@
     struct rs_worker_faults faults;
     uint32_t shown_in_flight; /* what the load endpoint tells */
     uint32_t shown_queued;
-    char *last_id; /* of the last answer, for crossed ones */
+    uint32_t peak_in_flight; /* most that ran or waited at once */
+    GHashTable *refusals;    /* reason to count */
+    char *last_id;           /* of the last answer, for crossed ones */
     char *last_body;
 };
 
--- /dev/null
+++ b/tools/deployment.sh
@@ -0,0 +1,409 @@
+# Shell functions (bash) that run one of the deployments under examples/ on
+# this machine: the stand-ins of platform and targets, the entry processes,
+# and load. Each process is ended by its id, on any exit.
+#
+# Set before Deployment_Prepare:
+#   build          build folder
+#   deployment     lista-serrana or bochas
+# Optional:
+#   port_shift     added to all ports, a multiple of 1000 (0)
+#   delay_ms       one way between failure domains, 0: no link (0)
+#   policies       lines below `policies:` of the settings ("")
+#   service_us     mean service time of keyed targets (25000)
+#   file_us        the same of the targets of files (60000)
+#   file_bytes     size of the files (65536)
+#   rule_slices    slices of each rule, 0: as in the example (0)
+#   entries_per_domain, domain_count: fewer than in the example (3, 3)
+
+port_shift=${port_shift:-0}
+delay_ms=${delay_ms:-0}
+policies=${policies:-}
+service_us=${service_us:-25000}
+file_us=${file_us:-60000}
+file_bytes=${file_bytes:-65536}
+rule_slices=${rule_slices:-0}
+entries_per_domain=${entries_per_domain:-3}
+domain_count=${domain_count:-3}
+START_TIMEOUT_S=15
+FORCE_TIMEOUT_S=20
+END_TIMEOUT_S=3
+LOCK_TIMEOUT_S=300
+LINK_PORT_OFFSET=500
+PLATFORM_PORT_OFFSET=900
+LINK_CONTROL_PORT_OFFSET=901
+
+declare -A pids=() fields=()
+
+# fail TEXT: prints it and ends; the trap ends the processes.
+fail() {
+    echo "$0: $1" >&2
+    exit 2
+}
+
+# shift_ports FILE...: prints the files with the deployment's ports.
+shift_ports() {
+    local to=$((base_port / 1000))
+    sed -E "s/\\b$((example_base / 1000))([0-9]{3})\\b/$to\\1/g" "$@"
+}
+
+# take_ports: waits until no other run on this machine uses these ports.
+take_ports() {
+    exec {lock_fd}>"${TMPDIR:-/tmp}/rattanshed-ports-$base_port.lock"
+    flock -w "$LOCK_TIMEOUT_S" "$lock_fd" ||
+        fail "ports from $base_port stay in use"
+}
+
+# keep_entries: leaves only the entry processes that are asked for. Targets of
+# a domain without entry processes go too.
+keep_entries() {
+    local program='
+        [.vms[] | select(.kind == "entry") | .domain] as $all |
+        (reduce $all[] as $d ([]; if index($d) then . else . + [$d] end)
+         | .[:$domains]) as $kept |
+        .vms |= map(select((.domain as $d | $kept | index($d)) and
+            (.kind == "target" or
+             (.id | capture("-(?<n>[0-9]+)$").n | tonumber) <= $entries)))'
+    jq -c --argjson entries "$entries_per_domain" \
+        --argjson domains "$domain_count" "$program" "$work/all.json" \
+        > "$work/vms.json"
+    domains=($(jq -r '[.vms[] | select(.kind == "entry") | .domain] |
+        reduce .[] as $d ([]; if index($d) then . else . + [$d] end) | .[]' \
+        "$work/vms.json"))
+    entries=($(jq -r '.vms[] | select(.kind == "entry") | .id' \
+        "$work/vms.json"))
+    targets=($(jq -r '.vms[] | select(.kind == "target") | .id' \
+        "$work/vms.json"))
+}
+
+# write_first_ticket: the example's, without what concerns domains that are
+# left out.
+write_first_ticket() {
+    jq -c --argjson slices "$rule_slices" \
+        --argjson domains "$(printf '%s\n' "${domains[@]}" | jq -R . | jq -s .)" '
+        def kept: . as $d | $domains | index($d) != null;
+        [.objects[] | select(.kind == "place" and (.value.domain | kept)) |
+            .name] as $places |
+        .objects |= map(
+            select(.kind != "domain" or (.name | kept)) |
+            select(.kind != "place" or (.value.domain | kept)) |
+            if .kind == "rule" then
+                .value.places |= map(select(. as $p | $places | index($p))) |
+                if $slices > 0 then .value.slices = $slices else . end
+            else . end)' "$example/tickets/0001.json" > "$work/0001.json"
+}
+
+# write_links: a pair of ports for each entry process and each other domain,
+# and the addresses in the VM list that lead there.
+write_links() {
+    jq -r --argjson base "$((base_port + LINK_PORT_OFFSET))" \
+        --arg domains "${domains[*]}" '
+        ($domains | split(" ")) as $domains |
+        [.vms[] | select(.kind == "entry") as $vm | $domains[] as $from |
+         select($from != $vm.domain) | {vm: $vm, from: $from}] |
+        to_entries | map(.value + {port: ($base + .key * 2)})' \
+        "$work/vms.json" > "$work/links.json"
+    jq -r '.[] |
+        "\(.port) \(.vm.host):\(.vm.control_port) \(.from) \(.vm.domain)",
+        "\(.port + 1) \(.vm.host):\(.vm.relay_port) \(.from) \(.vm.domain)"' \
+        "$work/links.json" > "$work/links.txt"
+    jq -c --slurpfile links "$work/links.json" '
+        .vms |= map(. as $vm | ([$links[0][] | select(.vm.id == $vm.id) |
+            {key: .from, value: {control_port: .port,
+             relay_port: (.port + 1)}}] | from_entries) as $from |
+            if $from == {} then . else . + {from: $from} end)' \
+        "$work/vms.json" > "$work/vms-linked.json"
+    mv "$work/vms-linked.json" "$work/vms.json"
+}
+
+write_settings() {
+    local name
+    mkdir -p "$work/settings"
+    for name in "${entries[@]}"; do
+        shift_ports "$example/settings/$name.yaml" > "$work/settings/$name.yaml"
+        if [ -n "$policies" ]; then
+            printf 'policies:\n%s\n' "$policies" >> "$work/settings/$name.yaml"
+        fi
+    done
+}
+
+# Deployment_Prepare: takes the ports and writes what the processes read.
+Deployment_Prepare() {
+    local root
+    root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+    example=$root/examples/$deployment
+    [ -d "$example" ] || fail "no deployment $deployment"
+    build=$(cd "$build" && pwd)
+    example_base=$(jq -r '[.vms[] | .callers_port // empty] | min' \
+        "$example/vms.json")
+    base_port=$((example_base + port_shift))
+    platform_port=$((base_port + PLATFORM_PORT_OFFSET))
+    work=$(mktemp -d)
+    trap Deployment_Stop EXIT
+    trap 'exit 130' INT TERM
+    take_ports
+    mkdir -p "$work/records" "$work/logs"
+    shift_ports "$example/vms.json" > "$work/all.json"
+    keep_entries
+    write_first_ticket
+    if [ "$delay_ms" != 0 ]; then
+        write_links
+    fi
+    read_fields
+    write_settings
+    services=($(jq -r '.objects[] | select(.kind == "service") | .name' \
+        "$work/0001.json"))
+    admins=()
+    for name in "${entries[@]}"; do
+        admins+=("--admin=127.0.0.1:$(vm_field "$name" admin_port)")
+    done
+}
+
+# vm_field NAME FIELD
+vm_field() {
+    echo "${fields[$1.$2]}"
+}
+
+# read_fields: of the VMs, into `fields`.
+read_fields() {
+    local key value
+    while IFS=$'\t' read -r key value; do
+        fields[$key]=$value
+    done < <(jq -r '.vms[] | . as $vm | to_entries[] |
+        select(.value | type != "object") |
+        ["\($vm.id).\(.key)", .value] | @tsv' "$work/vms.json")
+}
+
+# addresses KIND FIELD: HOST:PORT of all VMs of a kind, with commas.
+addresses() {
+    jq -r --arg kind "$1" "[.vms[] | select(.kind == \$kind) |
+        \"\\(.host):\\(.$2)\"] | join(\",\")" "$work/vms.json"
+}
+
+# spawn NAME COMMAND...
+spawn() {
+    local name=$1
+    shift
+    "$@" >> "$work/logs/$name.log" 2>&1 {lock_fd}>&- &
+    pids[$name]=$!
+}
+
+# wait_for_port PORT
+wait_for_port() {
+    local tries=$((START_TIMEOUT_S * 20))
+    until (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; do
+        tries=$((tries - 1))
+        [ "$tries" -gt 0 ] || fail "nothing listens on port $1"
+        sleep 0.05
+    done
+}
+
+# start_target NAME
+start_target() {
+    local service port
+    service=$(vm_field "$1" service)
+    port=$(vm_field "$1" port)
+    local -a more=(--service-time-us "$service_us")
+    if [ "$service" = "${services[2]}" ]; then
+        more=(--service-time-us "$file_us" --file-bytes "$file_bytes"
+              --check-fences 0)
+    fi
+    spawn "$1" "$build/standin/standin_target" --targets "$1:$port" \
+        --service "$service" --slots 2 --exponential --cold-ms 3000 \
+        --record-lines "$work/records/$1.jsonl" "${more[@]}"
+}
+
+# start_entry NAME
+start_entry() {
+    spawn "$1" "$build/rattanshed/rattanshed" -c "$work/settings/$1.yaml"
+}
+
+Deployment_Start() {
+    local name
+    spawn platform "$build/standin/standin_platform" \
+        --port "$platform_port" --vms "$work/vms.json"
+    wait_for_port "$platform_port"
+    if [ "$delay_ms" != 0 ]; then
+        spawn link "$build/standin/standin_link" --pairs "$work/links.txt" \
+            --port $((base_port + LINK_CONTROL_PORT_OFFSET)) \
+            --delay-ms "$delay_ms"
+        wait_for_port $((base_port + LINK_CONTROL_PORT_OFFSET))
+    fi
+    for name in "${targets[@]}"; do
+        start_target "$name"
+    done
+    for name in "${entries[@]}"; do
+        start_entry "$name"
+    done
+    for name in "${entries[@]}"; do
+        wait_for_port "$(vm_field "$name" admin_port)"
+    done
+}
+
+# ctl ARGUMENT...: rattanctl, at any entry process.
+ctl() {
+    "$build/rattanctl/rattanctl" "${admins[@]}" "$@"
+}
+
+# Deployment_Submit NUMBER FILE: submits the ticket and waits until it is in
+# force. An answer that the platform can't be reached is tried again.
+Deployment_Submit() {
+    local tries=$((START_TIMEOUT_S * 5))
+    until ctl ticket submit "$2" > "$work/logs/submit.log" 2>&1; do
+        tries=$((tries - 1))
+        [ "$tries" -gt 0 ] || fail "ticket $1: $(cat "$work/logs/submit.log")"
+        sleep 0.2
+    done
+    ctl --timeout="$FORCE_TIMEOUT_S" ticket wait "$1" \
+        > "$work/logs/wait.log" 2>&1 ||
+        fail "ticket $1: $(cat "$work/logs/wait.log")"
+}
+
+# is_served SERVICE: one request for each of some keys is answered.
+is_served() {
+    local port key
+    port=$(vm_field "${entries[0]}" callers_port)
+    for key in $(seq 40); do
+        curl -fsS -m 2 -o /dev/null -H "X-Request-Id: probe-$1-$key" \
+            "http://127.0.0.1:$port/$1/probe$key" 2>/dev/null || return 1
+    done
+}
+
+# Deployment_Await: waits until all slices are held and all services answer.
+Deployment_Await() {
+    local tries=$((START_TIMEOUT_S * 2)) wanted service
+    wanted=$(jq '[.objects[] | select(.kind == "rule") | .value.slices] | add' \
+        "$work/0001.json")
+    until [ "$(metric_sum rattanshed_held_slices)" = "$wanted" ]; do
+        tries=$((tries - 1))
+        [ "$tries" -gt 0 ] || fail "slices held: $(metric_sum \
+            rattanshed_held_slices) of $wanted"
+        sleep 0.5
+    done
+    for service in "${services[@]}"; do
+        until is_served "$service"; do
+            tries=$((tries - 1))
+            [ "$tries" -gt 0 ] || fail "$service is not served"
+            sleep 0.5
+        done
+    done
+}
+
+# metric NAME ENTRY: prints 0 when it can't be had.
+metric() {
+    curl -fsS -m 2 "http://127.0.0.1:$(vm_field "$2" admin_port)/metrics" \
+        2>/dev/null |
+        awk -v name="$1" '{ sub(/{}$/, "", $1) } $1 == name { value = $2 }
+            END { print value == "" ? 0 : value }'
+}
+
+# metric_sum NAME: over the entry processes that run.
+metric_sum() {
+    local sum=0 name
+    for name in "${entries[@]}"; do
+        if [ -n "${pids[$name]:-}" ]; then
+            sum=$((sum + $(metric "$1" "$name")))
+        fi
+    done
+    echo "$sum"
+}
+
+# kill_process NAME: as a loss without notice.
+kill_process() {
+    kill -KILL "${pids[$1]}"
+    wait "${pids[$1]}" 2>/dev/null || true
+    unset "pids[$1]"
+}
+
+# switch_target NAME JSON
+switch_target() {
+    curl -fsS -m 2 -o /dev/null -d "$2" \
+        "http://127.0.0.1:$(vm_field "$1" port)/standin"
+}
+
+# start_load NAME SEED RATE SECONDS MIX [ARGUMENT...]: in the background.
+start_load() {
+    local name=$1 seed=$2 rate=$3 seconds=$4 mix=$5
+    shift 5
+    spawn "$name" "$build/standin/standin_load" \
+        --entries "$(addresses entry callers_port)" \
+        --services "$(IFS=,; echo "${services[*]}")" --name "$name" \
+        --seed "$seed" --rate "$rate" --seconds "$seconds" --mix "$mix" \
+        --json "$work/$name.json" --log "$work/$name.jsonl" "$@"
+}
+
+# wait_load NAME
+wait_load() {
+    wait "${pids[$1]}" || fail "$1: $(tail -5 "$work/logs/$1.log")"
+    unset "pids[$1]"
+}
+
+# judge NAME...: the loads' logs against the targets' records.
+judge() {
+    local -a logs=() lines=()
+    local file
+    for file in "$@"; do
+        logs+=(--log "$work/$file.jsonl")
+    done
+    for file in "$work"/records/*.jsonl; do
+        lines+=(--record-lines "$file")
+    done
+    "$build/standin/standin_judge" "${lines[@]}" "${logs[@]}"
+}
+
+# Deployment_Stop: ends each process by its id, with time to finish.
+Deployment_Stop() {
+    local status=$? name tries=$((END_TIMEOUT_S * 20))
+    trap - EXIT
+    for name in "${!pids[@]}"; do
+        kill -TERM "${pids[$name]}" 2>/dev/null || true
+    done
+    while [ "$tries" -gt 0 ] && [ -n "$(running)" ]; do
+        sleep 0.05
+        tries=$((tries - 1))
+    done
+    for name in $(running); do
+        kill -KILL "${pids[$name]}" 2>/dev/null || true
+    done
+    for name in "${!pids[@]}"; do
+        wait "${pids[$name]}" 2>/dev/null || true
+    done
+    pids=()
+    if [ "$status" = 0 ] && [ -z "${KEEP_WORK:-}" ]; then
+        rm -rf "$work"
+    else
+        echo "logs and records: $work"
+    fi
+    flock -u "$lock_fd"
+    exec {lock_fd}>&-
+    if [ -z "${stays:-}" ]; then
+        exit "$status"
+    fi
+}
+
+# running: names of the processes that have not ended.
+running() {
+    local name
+    for name in "${!pids[@]}"; do
+        if kill -0 "${pids[$name]}" 2>/dev/null; then
+            echo "$name"
+        fi
+    done
+}
+
+# longest_unserved NAME: of a load, by slice: the longest time from a request
+# until one for the same slice was answered, in ms. The targets' records tell
+# the slices.
+longest_unserved() {
+    slices_of_keys > "$work/slices.tsv"
+    jq -r '[.service, .key, .sent_us, .end_us, .outcome] | @tsv' \
+        "$work/$1.jsonl" | sort -s -n -k3,3 |
+        awk -F'\t' -v keys="$work/slices.tsv" -f "$(dirname \
+            "${BASH_SOURCE[0]}")/unserved.awk"
+}
+
+# slices_of_keys: prints service, key and slice of what the targets ran.
+slices_of_keys() {
+    cat "$work"/records/*.jsonl |
+        jq -r 'select(.slice != "") | [.service, .key, .slice] | @tsv' |
+        sort -u
+}
