Send relayed requests only once the process itself has spoken

Cause: a relay link counted as open as soon as its TCP connection was accepted. The kernel accepts for a paused process, and so does anything in between (standin_link here). After the loss of an entry process each front then lost a POST every 300 ms, when its mark of the process ran out, with an unknown outcome: it had been sent, though to nobody. Ruled out: the lease (no owner moved at the targets), the targets (only requests by way of the lost process failed, all with no-link). A link is now open when its first frame arrives; a ping asks for it. Costs a round trip for each new relay connection.

--- a/dispatch/relay_client.c
+++ b/dispatch/relay_client.c
@@ -24,9 +24,9 @@
     char name[RsModel_NAME_BYTES];
     struct sockaddr_in address;
     struct rs_link *link; /* NULL when there is none */
-    bool open;
-    GHashTable *streams; /* by number */
-    GQueue waiting;      /* streams to be sent once the link is open */
+    bool open;            /* the process at its end has spoken */
+    GHashTable *streams;  /* by number */
+    GQueue waiting;       /* streams to be sent once the link is open */
     int64_t heard_at_ms;
     int64_t pinged_at_ms;
     int64_t used_at_ms;
@@ -141,13 +141,24 @@
     }
 }
 
+static void
+ping(struct peer *peer, int64_t now_ms)
+{
+    Rs__Relay__Envelope envelope = RS__RELAY__ENVELOPE__INIT;
+    Rs__Relay__Ping message = RS__RELAY__PING__INIT;
+    envelope.message_case = RS__RELAY__ENVELOPE__MESSAGE_PING;
+    envelope.ping = &message;
+    peer->pinged_at_ms = now_ms;
+    RsLink_Send(peer->link, &envelope.base);
+}
+
+/* A connection is also accepted for a process that is paused, or by something
+ * in between: requests wait until the process itself has answered, since one
+ * that was sent to nobody would have an unknown outcome. */
 static void
 on_opened(void *arg)
 {
-    struct peer *peer = arg;
-    peer->open = true;
-    peer->heard_at_ms = RsClock_NowMs();
-    send_waiting(peer);
+    ping(arg, RsClock_NowMs());
 }
 
 static void
@@ -198,6 +209,10 @@
         return RsFrame_BAD_MESSAGE;
     }
     peer->heard_at_ms = RsClock_NowMs();
+    if (!peer->open) {
+        peer->open = true;
+        send_waiting(peer);
+    }
     if (envelope->message_case == RS__RELAY__ENVELOPE__MESSAGE_HEAD) {
         take_head(peer, envelope->head);
     }
@@ -340,19 +355,6 @@
     return peer != NULL && now_ms < peer->down_until_ms;
 }
 
-static void
-ping(struct peer *peer, int64_t now_ms)
-{
-    Rs__Relay__Envelope envelope = RS__RELAY__ENVELOPE__INIT;
-    Rs__Relay__Ping message = RS__RELAY__PING__INIT;
-    envelope.message_case = RS__RELAY__ENVELOPE__MESSAGE_PING;
-    envelope.ping = &message;
-    peer->pinged_at_ms = now_ms;
-    if (peer->open) {
-        RsLink_Send(peer->link, &envelope.base);
-    }
-}
-
 static void
 tick_peer(struct peer *peer, int64_t now_ms)
 {
@@ -365,11 +367,10 @@
         }
         lose_link(peer);
     }
-    else if (busy && now_ms - peer->pinged_at_ms >= PING_EVERY_MS) {
+    else if (busy && peer->open &&
+             now_ms - peer->pinged_at_ms >= PING_EVERY_MS) {
         ping(peer, now_ms);
-        if (peer->open) {
-            send_waiting(peer);
-        }
+        send_waiting(peer);
     }
     else if (!busy && peer->link != NULL &&
              now_ms - peer->used_at_ms > IDLE_CLOSE_MS) {
--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -32,7 +32,7 @@
 PLATFORM_PORT_OFFSET=900
 LINK_CONTROL_PORT_OFFSET=901
 
-declare -A pids=() fields=()
+declare -gA pids=() fields=()
 
 # fail TEXT: prints it and ends; the trap ends the processes.
 fail() {
@@ -237,6 +237,10 @@
     for name in "${entries[@]}"; do
         wait_for_port "$(vm_field "$name" admin_port)"
     done
+    for name in "${!pids[@]}"; do
+        kill -0 "${pids[$name]}" 2>/dev/null ||
+            fail "$name: $(tail -1 "$work/logs/$name.log")"
+    done
 }
 
 # ctl ARGUMENT...: rattanctl, at any entry process.
--- /dev/null
+++ b/tools/measure.sh
@@ -0,0 +1,26 @@
+#!/bin/bash
+# Measures both example deployments and writes tables and plots below
+# docs/measurements. Figures of one page come from runs at one sitting.
+# usage: tools/measure.sh BUILD [PART...]
+# Parts: spread losses domain tail cold path. All when none is given.
+# RS_DEPLOYMENTS: deployments to measure (lista-serrana bochas).
+set -euo pipefail
+build=$(cd "${1:?usage: tools/measure.sh BUILD [PART...]}" && pwd)
+shift
+here=$(cd "$(dirname "$0")" && pwd)
+pages=$here/../docs/measurements
+mkdir -p "$pages"
+for file in "$here"/measure_*.sh; do
+    case $file in
+    */measure_control.sh) ;;
+    *) . "$file" ;;
+    esac
+done
+parts=("$@")
+if [ ${#parts[@]} = 0 ]; then
+    parts=(spread losses domain tail cold path)
+fi
+for part in "${parts[@]}"; do
+    echo "measuring: $part"
+    measure_"$part"
+done
--- /dev/null
+++ b/tools/measure_common.sh
@@ -0,0 +1,133 @@
+# Shell functions (bash) that the measurements share.
+
+deployments=${RS_DEPLOYMENTS:-lista-serrana bochas}
+SEED=7
+MEASURE_PORT_SHIFT=1000
+KEYED_MS=25
+FILE_MS=60
+SLOTS=2
+
+# set_deployment NAME: sets its delay and sizes: targets of the three classes.
+set_deployment() {
+    deployment=$1
+    port_shift=$MEASURE_PORT_SHIFT
+    service_us=$((KEYED_MS * 1000))
+    file_us=$((FILE_MS * 1000))
+    if [ "$deployment" = lista-serrana ]; then
+        delay_ms=1
+        sizes=(16 9 6)
+    else
+        delay_ms=1.5
+        sizes=(20 10 6)
+    fi
+}
+
+# rate_at PERCENT: sets `rate` and `mix` for that share of what the targets
+# bear, the same share in each service.
+rate_at() {
+    local full=($((sizes[0] * SLOTS * 1000 / KEYED_MS))
+                $((sizes[1] * SLOTS * 1000 / KEYED_MS))
+                $((sizes[2] * SLOTS * 1000 / FILE_MS)))
+    rate=$(((full[0] + full[1] + full[2]) * $1 / 100))
+    mix=${full[0]},${full[1]},${full[2]}
+}
+
+# open_deployment: starts it with the first ticket in force.
+open_deployment() {
+    . "$here/deployment.sh"
+    Deployment_Prepare
+    Deployment_Start
+    Deployment_Submit 1 "$work/0001.json"
+    Deployment_Await
+}
+
+# begin_page FILE TITLE PART
+begin_page() {
+    page=$pages/$1
+    {
+        echo "# $2"
+        echo
+        echo "Made by \`tools/measure.sh build $3\` on $(nproc) cores shared" \
+             "with other work; compare only figures of one run. Load average" \
+             "at the start: $(cut -d' ' -f1 /proc/loadavg). Service times are" \
+             "exponential, mean $KEYED_MS ms for keys and $FILE_MS ms for" \
+             "files; delays between failure domains as in the brief, those" \
+             "to clients left out. Seed $SEED."
+        echo
+    } > "$page"
+}
+
+# table HEADER...: begins a table in the page.
+table() {
+    {
+        printf '| %s ' "$@"
+        echo '|'
+        printf '|---%.0s' "$@"
+        echo '|'
+    } >> "$page"
+}
+
+# row CELL...
+row() {
+    {
+        printf '| %s ' "$@"
+        echo '|'
+    } >> "$page"
+}
+
+# text LINE...
+text() {
+    printf '%s\n' "" "$*" "" >> "$page"
+}
+
+# totals LOAD FIELD: over all classes of a load.
+totals() {
+    jq "[.classes[][\"$2\"]] | add" "$work/$1.json"
+}
+
+# quantile SHARE: of the numbers on the input, "-" when there is none.
+quantile() {
+    sort -n | awk -v share="$1" '{ at[NR] = $1 }
+        END { i = int(NR * share); i = i < 1 ? 1 : i
+              print NR > 0 ? at[i] : "-" }'
+}
+
+# ratio A B: A / B with two digits.
+ratio() {
+    awk -v a="$1" -v b="$2" 'BEGIN {
+        if (b + 0 > 0 && a != "-") { printf "%.2f\n", a / b } else print "-" }'
+}
+
+# verdict LOAD...: of the judge, in short.
+verdict() {
+    local result
+    result=$(judge "$@" | tail -1) || true
+    echo "${result##*: }"
+}
+
+# plot FILE COMMANDS: an SVG beside the page.
+plot() {
+    gnuplot <<END
+set terminal svg size 760,340 background "white"
+set output "$pages/$1"
+set grid
+set key outside
+$2
+END
+}
+
+# events: time of the end in s, target, service, slice and holder of what took
+# effect, in order.
+events() {
+    cat "$work"/records/*.jsonl |
+        jq -r 'select(.effect) | [.wall_end_us / 1e6, .target, .service,
+            (if .slice == "" then "-" else .slice end), .holder,
+            .wall_start_us / 1e6] | @tsv' | sort -n
+}
+
+# owner_moves: how many times a slice ran on another target than before.
+owner_moves() {
+    events | awk -F'\t' '$4 != "-" {
+        if (($4 in last) && last[$4] != $2) { moves++ }
+        last[$4] = $2 } END { print moves + 0 }'
+}
