--- a/place/placement.c
+++ b/place/placement.c
@@ -224,41 +224,28 @@
     placement->targets[target].load += slice->load;
 }
 
-/* Whether `a` is to be preferred to `b`, which is as loaded: within the
- * slice's cell a move needs no other cell's word. */
-static bool
-prefers(const struct rs_placement_slice *slice,
-        const struct rs_placement_target *a,
-        const struct rs_placement_target *b)
-{
-    bool a_near = a->cell == slice->cell;
-    bool b_near = b->cell == slice->cell;
-    if (a_near != b_near) {
-        return a_near;
-    }
-    return RsId_Mix(slice->id, a->id) > RsId_Mix(slice->id, b->id);
-}
-
 /* Returns the target that would be loaded least with the slice, or
- * RsPlacement_NONE. A frozen slice stays in its cell. */
+ * RsPlacement_NONE. Among equals one of the slice's cell is preferred, which
+ * needs no other cell's word; a frozen slice stays there anyhow. */
 int32_t
 RsPlacement_Least(const struct rs_placement *placement,
                   const struct rs_placement_slice *slice)
 {
     int32_t best = RsPlacement_NONE;
     double best_load = 0;
+    bool best_near = false;
     for (size_t i = 0; i < placement->target_count; i++) {
         const struct rs_placement_target *target = &placement->targets[i];
-        if (!target->receives ||
-            (slice->frozen && target->cell != slice->cell)) {
+        bool near = target->cell == slice->cell;
+        if (!target->receives || (slice->frozen && !near)) {
             continue;
         }
         double load = (target->load + slice->load) / target->share;
-        if (best == RsPlacement_NONE || load < best_load ||
-            (load == best_load &&
-             prefers(slice, target, &placement->targets[best]))) {
+        bool nearer = load == best_load && near && !best_near;
+        if (best == RsPlacement_NONE || load < best_load || nearer) {
             best = (int32_t)i;
             best_load = load;
+            best_near = near;
         }
     }
     return best;
--- /dev/null
+++ b/place/plan_measure.c
@@ -0,0 +1,188 @@
+/* Measures the planner's policies on the same sequence of events: the time of
+ * a plan, and the slices and rows that change until nothing is left to do.
+ * Usage: plan_measure [SEED] */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/clock.h"
+#include "core/id.h"
+#include "place/planner_world.h"
+
+#define DEFAULT_SEED 7
+#define SLICES_PER_TARGET 16
+#define SLOW_SHARE 0.5
+#define US_PER_MS 1000.0
+
+struct size {
+    const char *name;
+    size_t domains;
+    size_t targets_per_domain;
+    size_t cells_per_domain;
+    size_t targets;    /* of which the last domain may have fewer */
+    size_t rack;       /* targets that go at once */
+    size_t repeats;    /* of the events */
+    size_t max_rounds; /* a policy might never come to rest */
+};
+
+enum event_kind {
+    RsMeasure_FIRST_PLAN,
+    RsMeasure_NO_CHANGE,
+    RsMeasure_TARGET_LOST,
+    RsMeasure_TARGET_BACK,
+    RsMeasure_TARGET_SLOW,
+    RsMeasure_TARGET_FAST,
+    RsMeasure_RACK_LOST,
+    RsMeasure_RACK_BACK,
+    RsMeasure_DOMAIN_OUT,
+    RsMeasure_DOMAIN_BACK,
+    RsMeasure_EVENT_KINDS
+};
+
+static const char *const event_names[RsMeasure_EVENT_KINDS] = {
+    "first plan",  "no change", "target lost", "target back", "target slow",
+    "target fast", "rack lost", "rack back",   "domain out",  "domain back"};
+
+/* Sums over the events of one kind. */
+struct tally {
+    size_t events;
+    size_t rounds;
+    size_t moves;
+    size_t rows;
+    int64_t plan_us;
+    int64_t longest_us;
+    double peak; /* highest ratio of a target's slices to the mean */
+};
+
+static double
+peak_ratio(struct planner_world *world)
+{
+    size_t most = 0;
+    size_t usable = 0;
+    size_t total = planner_world_count(world);
+    for (size_t i = 0; i < world->target_count; i++) {
+        const struct rs_planner_target *target = &world->targets[i];
+        bool out = world->domains[target->domain[1] - '0'].state != RsModel_IN;
+        usable += target->alive && !out ? 1 : 0;
+        most = world->owned[i] > most ? world->owned[i] : most;
+    }
+    return (double)most * (double)usable / (double)total;
+}
+
+static void
+run(struct planner_world *world, size_t max_rounds, struct tally *tally)
+{
+    size_t changes = 1;
+    tally->events++;
+    for (size_t round = 0; round < max_rounds && changes > 0; round++) {
+        struct rs_planner_plan plan;
+        int64_t began_us = RsClock_NowUs();
+        if (RsPlanner_Plan(&world->options, &plan) != 0) {
+            abort();
+        }
+        int64_t took_us = RsClock_NowUs() - began_us;
+        planner_world_apply(world, &plan);
+        planner_world_settle(world);
+        changes = plan.change_count;
+        tally->rounds++;
+        tally->moves += plan.moves;
+        tally->rows += plan.change_count;
+        tally->plan_us += took_us;
+        tally->longest_us =
+            took_us > tally->longest_us ? took_us : tally->longest_us;
+        RsPlanner_FreePlan(&plan);
+    }
+    double peak = peak_ratio(world);
+    tally->peak = peak > tally->peak ? peak : tally->peak;
+}
+
+static void
+set_alive(struct planner_world *world, size_t first, size_t count, bool alive)
+{
+    for (size_t i = 0; i < count; i++) {
+        world->targets[(first + i) % world->target_count].alive = alive;
+    }
+}
+
+static void
+run_repeats(struct planner_world *world, const struct size *size,
+            uint64_t seed, struct tally *tallies)
+{
+    for (size_t i = 0; i < size->repeats; i++) {
+        size_t at = RsId_Mix(seed, i) % world->target_count;
+        size_t domain = RsId_Mix(seed + 1, i) % world->domain_count;
+        run(world, size->max_rounds, &tallies[RsMeasure_NO_CHANGE]);
+        set_alive(world, at, 1, false);
+        run(world, size->max_rounds, &tallies[RsMeasure_TARGET_LOST]);
+        set_alive(world, at, 1, true);
+        run(world, size->max_rounds, &tallies[RsMeasure_TARGET_BACK]);
+        world->targets[at].share = SLOW_SHARE;
+        run(world, size->max_rounds, &tallies[RsMeasure_TARGET_SLOW]);
+        world->targets[at].share = 1;
+        run(world, size->max_rounds, &tallies[RsMeasure_TARGET_FAST]);
+        set_alive(world, at, size->rack, false);
+        run(world, size->max_rounds, &tallies[RsMeasure_RACK_LOST]);
+        set_alive(world, at, size->rack, true);
+        run(world, size->max_rounds, &tallies[RsMeasure_RACK_BACK]);
+        world->domains[domain].state = RsModel_OUT;
+        run(world, size->max_rounds, &tallies[RsMeasure_DOMAIN_OUT]);
+        world->domains[domain].state = RsModel_IN;
+        run(world, size->max_rounds, &tallies[RsMeasure_DOMAIN_BACK]);
+    }
+}
+
+static void
+print_tallies(const struct size *size, const char *policy,
+              const struct tally *tallies)
+{
+    for (size_t i = 0; i < RsMeasure_EVENT_KINDS; i++) {
+        const struct tally *tally = &tallies[i];
+        double events = (double)tally->events;
+        printf("| %s | %s | %s | %.1f | %.1f | %.1f | %.2f | %.2f | %.2f |\n",
+               size->name, event_names[i], policy,
+               (double)tally->moves / events, (double)tally->rows / events,
+               (double)tally->rounds / events,
+               (double)tally->plan_us / US_PER_MS / (double)tally->rounds,
+               (double)tally->longest_us / US_PER_MS, tally->peak);
+    }
+}
+
+static void
+measure(const struct size *size, const struct rs_planner_policy *policy,
+        uint64_t seed)
+{
+    struct planner_world world;
+    struct tally tallies[RsMeasure_EVENT_KINDS];
+    memset(tallies, 0, sizeof(tallies));
+    planner_world_open(&world, size->domains, size->targets_per_domain,
+                       size->cells_per_domain,
+                       (uint32_t)(size->targets * SLICES_PER_TARGET));
+    world.target_count = size->targets;
+    world.options.target_count = size->targets;
+    world.options.policy = policy;
+    run(&world, size->max_rounds, &tallies[RsMeasure_FIRST_PLAN]);
+    run_repeats(&world, size, seed, tallies);
+    print_tallies(size, policy->name, tallies);
+    planner_world_close(&world);
+    fflush(stdout);
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct size sizes[] = {
+        {"31", 3, 11, 1, 31, 3, 5, 40},
+        {"3,500", 7, 500, 4, 3500, 20, 1, 15},
+    };
+    uint64_t seed = argc > 1 ? strtoull(argv[1], NULL, 10) : DEFAULT_SEED;
+    printf("| targets | event | policy | slices moved | rows written | rounds "
+           "| ms a plan | longest ms | peak |\n");
+    printf("|---|---|---|---|---|---|---|---|---|\n");
+    for (size_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+        measure(&sizes[i], RsPlanner_Minimal(), seed);
+        measure(&sizes[i], RsPlanner_Full(), seed);
+        measure(&sizes[i], RsPlanner_Ring(), seed);
+    }
+    return 0;
+}
--- a/place/planner_fuzz.c
+++ b/place/planner_fuzz.c
@@ -173,6 +173,10 @@
         return;
     }
     CHECK(change->epoch == old->epoch + 1);
+    for (size_t i = 0; i < change->from_count; i++) {
+        CHECK(strcmp(change->from[i], change->cell) != 0);
+        CHECK(domain_of(view, change->from[i])->state != RsModel_LOST);
+    }
     check_succession(view, change);
     if (old->epoch == 0) {
         CHECK(strcmp(change->cell, writer) == 0);
@@ -246,6 +250,11 @@
     options.loads = state->loaded ? state->loads : NULL;
     options.cell = cell;
     CHECK(RsPlanner_Plan(&options, &plan) == 0);
+    struct rs_planner_target shuffled[ALL_TARGETS];
+    for (size_t i = 0; i < ALL_TARGETS; i++) {
+        shuffled[i] = view->targets[5 * i % ALL_TARGETS];
+    }
+    options.targets = shuffled;
     CHECK(RsPlanner_Plan(&options, &again) == 0);
     CHECK(plan.change_count == again.change_count);
     for (size_t i = 0; i < plan.change_count; i++) {
@@ -383,6 +392,26 @@
     return assigned - stay;
 }
 
+/* A row names usable targets of its cell only, two behind the owner if there
+ * are so many. */
+static void
+check_successors(const struct planner_world *world,
+                 const struct rs_model_assignment *row,
+                 enum rs_model_domain_state wanted)
+{
+    size_t available = 0;
+    size_t named = 0;
+    for (size_t i = 0; i < ALL_TARGETS; i++) {
+        const struct rs_planner_target *target = &world->targets[i];
+        bool here = usable(world, i, wanted) && has_target(row->cell, target);
+        bool listed = RsAssignment_Position(row, target->name) >= 0;
+        available += here ? 1 : 0;
+        named += here && listed ? 1 : 0;
+    }
+    size_t least = available < 3 ? available : 3;
+    CHECK(named == row->succession_count && named >= least);
+}
+
 static void
 check_settled(struct planner_world *world)
 {
@@ -403,6 +432,9 @@
         }
     }
     CHECK(!in || most - least <= 1);
+    for (size_t i = 0; i < SLICES; i++) {
+        check_successors(world, &world->rows[i], wanted);
+    }
 }
 
 /* Lets all cells that are not lost plan and settle until nothing changes.
--- a/place/planner_test.c
+++ b/place/planner_test.c
@@ -177,6 +177,10 @@
     CU_ASSERT_EQUAL(moved_since(before), SLICES / 15);
     planner_world_count(&world);
     CU_ASSERT_EQUAL(world.owned[2], 0);
+    /* Others are as loaded; those of its own cell are nearer. */
+    for (size_t i = 0; i < SLICES; i++) {
+        CU_ASSERT_STRING_EQUAL(world.rows[i].cell, before[i].cell);
+    }
 }
 
 static void
@@ -429,6 +433,26 @@
     CU_ASSERT_EQUAL(planner_world_plan(&world), 0);
 }
 
+/* The most loaded target has one slice, and the next one two. */
+static void
+test_target_with_one_hot_slice_holds_nobody_up(void)
+{
+    double loads[4];
+    int hot = -1;
+    reopen_world(1, 3, 1, 4);
+    planner_world_run(&world, ROUNDS);
+    planner_world_count(&world);
+    for (size_t i = 0; i < 4; i++) {
+        int owner = planner_world_owner(&world, i);
+        bool alone = world.owned[owner] == 1;
+        hot = alone && hot < 0 ? owner : hot;
+        loads[i] = alone ? 10 : 100;
+        loads[i] = owner == hot ? 1000 : loads[i];
+    }
+    world.options.loads = loads;
+    CU_ASSERT_EQUAL(planner_world_plan(&world), 1);
+}
+
 /* No other target is far from the mean then. */
 static void
 test_empty_target_is_filled_whatever_the_hysteresis(void)
@@ -617,6 +641,7 @@
     CU_ADD_TEST(suite, test_silent_domain_gives_nothing_for_balance);
     CU_ADD_TEST(suite, test_small_gains_move_nothing);
     CU_ADD_TEST(suite, test_move_of_hardly_any_gain_is_left);
+    CU_ADD_TEST(suite, test_target_with_one_hot_slice_holds_nobody_up);
     CU_ADD_TEST(suite, test_empty_target_is_filled_whatever_the_hysteresis);
     CU_ADD_TEST(suite, test_load_of_a_silent_domain_is_no_measure);
     CU_ADD_TEST(suite, test_hot_slice_stays_and_others_make_room);
--- a/place/planner_world.c
+++ b/place/planner_world.c
@@ -8,7 +8,8 @@
 #include "place/slice.h"
 
 /* Makes domains d0, d1, ... with targets d0-t0, ...; target i of a domain
- * belongs to its cell i modulo `cells_per_domain`. All rows are unassigned. */
+ * belongs to its cell i modulo `cells_per_domain`. All rows are unassigned.
+ * The targets' order must not be changed. */
 void
 planner_world_open(struct planner_world *world, size_t domains,
                    size_t targets_per_domain, size_t cells_per_domain,
@@ -23,6 +24,7 @@
     world->owned = calloc(world->target_count, sizeof(world->owned[0]));
     world->rows = calloc(slices, sizeof(world->rows[0]));
     world->positions = calloc(slices, sizeof(world->positions[0]));
+    world->indexes = g_hash_table_new(g_str_hash, g_str_equal);
     for (size_t i = 0; i < domains; i++) {
         snprintf(world->domains[i].name, RsModel_NAME_BYTES, "d%zu", i);
     }
@@ -35,6 +37,8 @@
                  number);
         RsCellName_Format(target->domain,
                           (uint32_t)(number % cells_per_domain), target->cell);
+        g_hash_table_insert(world->indexes, target->name,
+                            GSIZE_TO_POINTER(i + 1));
         target->alive = true;
         target->share = 1;
     }
@@ -57,6 +61,7 @@
 void
 planner_world_close(struct planner_world *world)
 {
+    g_hash_table_destroy(world->indexes);
     free(world->domains);
     free(world->targets);
     free(world->owned);
@@ -127,12 +132,8 @@
         return -1;
     }
     const char *name = row->succession[world->positions[slice]];
-    for (size_t i = 0; i < world->target_count; i++) {
-        if (strcmp(world->targets[i].name, name) == 0) {
-            return (int)i;
-        }
-    }
-    return -1;
+    return (int)GPOINTER_TO_SIZE(g_hash_table_lookup(world->indexes, name)) -
+           1;
 }
 
 /* Counts each target's slices into `owned`. Returns how many slices have an
--- a/place/planner_world.h
+++ b/place/planner_world.h
@@ -4,6 +4,8 @@
 #ifndef RATTANSHED_PLACE_PLANNER_WORLD_H
 #define RATTANSHED_PLACE_PLANNER_WORLD_H
 
+#include <glib.h>
+
 #include "place/planner.h"
 
 struct planner_world {
@@ -14,7 +16,8 @@
     struct rs_model_assignment *rows;
     uint8_t *positions;
     uint32_t slices;
-    size_t *owned; /* by target, after planner_world_count() */
+    size_t *owned;       /* by target, after planner_world_count() */
+    GHashTable *indexes; /* of targets, 1 + index by name */
     struct rs_planner_options options;
 };
 
--- a/place/policy.c
+++ b/place/policy.c
@@ -176,9 +176,10 @@
 static size_t
 balance_pass(struct balance *balance)
 {
+    const struct rs_placement *placement = balance->placement;
     size_t moved = 0;
     begin_pass(balance);
-    while (balance->moves < balance->placement->max_moves) {
+    while (balance->moves < placement->max_moves) {
         int32_t donor = find_donor(balance);
         if (donor == RsPlacement_NONE) {
             break;
@@ -188,6 +189,9 @@
         if (receiver != RsPlacement_NONE) {
             slice = find_slice(balance, donor, receiver);
         }
+        if (slice == RsPlacement_NONE && !placement->weighted) {
+            break; /* slices weigh the same: the others gain no more */
+        }
         if (slice == RsPlacement_NONE) {
             balance->done[donor] = true;
             continue;
--- a/place/policy_baseline.c
+++ b/place/policy_baseline.c
@@ -30,6 +30,34 @@
     return true;
 }
 
+/* Returns the target that would be loaded least with the slice; among equals
+ * the one that ranks first by rendezvous hashing, so that what is placed anew
+ * often comes to where it was. */
+static int32_t
+least_by_rank(const struct rs_placement *placement,
+              const struct rs_placement_slice *slice)
+{
+    int32_t best = RsPlacement_NONE;
+    double best_load = 0;
+    uint64_t best_rank = 0;
+    for (size_t i = 0; i < placement->target_count; i++) {
+        const struct rs_placement_target *target = &placement->targets[i];
+        double load = (target->load + slice->load) / target->share;
+        bool other_cell = target->cell != slice->cell;
+        if (!target->receives || (slice->frozen && other_cell) ||
+            (best != RsPlacement_NONE && load > best_load)) {
+            continue;
+        }
+        uint64_t rank = RsId_Mix(slice->id, target->id);
+        if (best == RsPlacement_NONE || load < best_load || rank > best_rank) {
+            best = (int32_t)i;
+            best_load = load;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
 static void
 place_full(struct rs_placement *placement)
 {
@@ -41,7 +69,7 @@
         if (slice->owner != RsPlacement_NONE) {
             continue;
         }
-        int32_t target = RsPlacement_Least(placement, slice);
+        int32_t target = least_by_rank(placement, slice);
         if (target != RsPlacement_NONE) {
             RsPlacement_Give(placement, slice, target);
         }
