--- a/place/planner_test.c
+++ b/place/planner_test.c
@@ -295,6 +295,22 @@
     CU_ASSERT_EQUAL(owned_by_domain("d1"), 0);
 }
 
+static void
+test_unsettled_slice_is_not_moved_for_balance(void)
+{
+    world.domains[0].state = RsModel_OUT;
+    planner_world_plan(&world);
+    remember();
+    world.domains[0].state = RsModel_IN;
+    world.options.max_moves = SLICES;
+    planner_world_plan(&world);
+    CU_ASSERT_EQUAL(owned_by_domain("d0"), SLICES / 3);
+    for (size_t i = 0; i < SLICES; i++) {
+        CU_ASSERT(before[i].from_count == 0 ||
+                  RsAssignment_Equal(&before[i], &world.rows[i]));
+    }
+}
+
 static void
 test_lost_cell_leaves_from(void)
 {
@@ -633,6 +649,7 @@
     CU_ADD_TEST(suite, test_lost_domain_is_replaced_by_anybody);
     CU_ADD_TEST(suite, test_lost_cell_is_replaced_by_its_sister);
     CU_ADD_TEST(suite, test_unsettled_slice_stays_in_its_cell);
+    CU_ADD_TEST(suite, test_unsettled_slice_is_not_moved_for_balance);
     CU_ADD_TEST(suite, test_lost_cell_leaves_from);
     CU_ADD_TEST(suite, test_from_of_a_slice_lost_on_its_way_goes_on);
     CU_ADD_TEST(suite, test_slice_from_a_lost_cell_moves_at_once);
