--- /dev/null
+++ b/place/balance_test.c
@@ -0,0 +1,198 @@
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#include "place/assignment.h"
+#include "place/planner_fixture.h"
+
+static void
+test_unsettled_slice_is_not_moved_for_balance(void)
+{
+    world.domains[0].state = RsModel_OUT;
+    planner_world_plan(&world);
+    remember();
+    world.domains[0].state = RsModel_IN;
+    world.options.max_moves = SLICES;
+    planner_world_plan(&world);
+    CU_ASSERT_EQUAL(owned_by_domain("d0"), SLICES / 3);
+    for (size_t i = 0; i < SLICES; i++) {
+        CU_ASSERT(before[i].from_count == 0 ||
+                  RsAssignment_Equal(&before[i], &world.rows[i]));
+    }
+}
+
+/* Two targets of a hundred slices each; one of them gets `excess` times the
+ * other's load, or `share` of its capacity. Returns the changes planned. */
+static size_t
+plan_uneven(double excess, double share)
+{
+    double loads[200];
+    reopen_world(1, 2, 1, 200);
+    planner_world_run(&world, ROUNDS);
+    for (size_t i = 0; i < 200; i++) {
+        loads[i] = planner_world_owner(&world, i) == 0 ? 10 * excess : 10;
+    }
+    world.options.loads = excess > 1 ? loads : NULL;
+    world.targets[0].share = share;
+    return planner_world_plan(&world);
+}
+
+/* Its cell would not write the moves. */
+static void
+test_silent_domain_gives_nothing_for_balance(void)
+{
+    world.domains[0].silent = true;
+    world.targets[0].share = 0.5;
+    CU_ASSERT_EQUAL(planner_world_plan(&world), 0);
+}
+
+static void
+test_small_gains_move_nothing(void)
+{
+    CU_ASSERT_EQUAL(plan_uneven(1.04, 1), 0);
+    CU_ASSERT(plan_uneven(1.5, 1) > 0);
+    CU_ASSERT_EQUAL(plan_uneven(1, 0.96), 0);
+    CU_ASSERT(plan_uneven(1, 0.7) > 0);
+}
+
+static void
+test_move_of_hardly_any_gain_is_left(void)
+{
+    double loads[3] = {100, 100, 100};
+    reopen_world(1, 2, 1, 3);
+    planner_world_run(&world, ROUNDS);
+    planner_world_count(&world);
+    for (size_t i = 0; i < 3; i++) {
+        loads[i] -= world.owned[planner_world_owner(&world, i)] == 1 ? 1 : 0;
+    }
+    world.options.loads = loads;
+    CU_ASSERT_EQUAL(planner_world_plan(&world), 0);
+}
+
+/* The most loaded target has one slice, and the next one two. */
+static void
+test_target_with_one_hot_slice_holds_nobody_up(void)
+{
+    double loads[4];
+    int hot = -1;
+    reopen_world(1, 3, 1, 4);
+    planner_world_run(&world, ROUNDS);
+    planner_world_count(&world);
+    for (size_t i = 0; i < 4; i++) {
+        int owner = planner_world_owner(&world, i);
+        bool alone = world.owned[owner] == 1;
+        hot = alone && hot < 0 ? owner : hot;
+        loads[i] = alone ? 10 : 100;
+        loads[i] = owner == hot ? 1000 : loads[i];
+    }
+    world.options.loads = loads;
+    CU_ASSERT_EQUAL(planner_world_plan(&world), 1);
+}
+
+/* No other target is far from the mean then. */
+static void
+test_empty_target_is_filled_whatever_the_hysteresis(void)
+{
+    double loads[290];
+    reopen_world(1, 30, 1, 290);
+    world.targets[3].alive = false;
+    planner_world_run(&world, ROUNDS);
+    for (size_t i = 0; i < 290; i++) {
+        loads[i] = 10;
+    }
+    world.options.loads = loads;
+    world.targets[3].alive = true;
+    planner_world_run(&world, ROUNDS);
+    planner_world_count(&world);
+    CU_ASSERT(world.owned[3] >= 9);
+}
+
+static void
+test_load_of_a_silent_domain_is_no_measure(void)
+{
+    double loads[400];
+    reopen_world(2, 2, 1, 400);
+    planner_world_run(&world, ROUNDS);
+    world.domains[0].silent = true;
+    for (size_t i = 0; i < 400; i++) {
+        int owner = planner_world_owner(&world, i);
+        loads[i] = owner < 2 ? 1000 : 10;
+        loads[i] += owner == 2 ? 4 : 0;
+    }
+    world.options.loads = loads;
+    CU_ASSERT_EQUAL(planner_world_plan(&world), 0);
+}
+
+static void
+test_hot_slice_stays_and_others_make_room(void)
+{
+    double loads[SLICES];
+    for (size_t i = 0; i < SLICES; i++) {
+        loads[i] = i == 7 ? 400 : 100;
+    }
+    int hot = planner_world_owner(&world, 7);
+    world.options.loads = loads;
+    remember();
+    planner_world_run(&world, ROUNDS);
+    planner_world_count(&world);
+    CU_ASSERT_EQUAL(planner_world_owner(&world, 7), hot);
+    CU_ASSERT(world.owned[hot] < 4);
+    CU_ASSERT(moved_since_remembered() <= 6);
+}
+
+static void
+test_idle_slices_do_not_gather(void)
+{
+    double loads[SLICES] = {0};
+    reopen_world(3, 5, 1, SLICES);
+    loads[0] = 1000;
+    world.options.loads = loads;
+    planner_world_run(&world, ROUNDS);
+    planner_world_count(&world);
+    for (size_t i = 0; i < world.target_count; i++) {
+        CU_ASSERT(world.owned[i] >= 1 && world.owned[i] <= 6);
+    }
+}
+
+static void
+test_slow_target_gets_its_share(void)
+{
+    remember();
+    world.targets[4].share = 0.5;
+    planner_world_run(&world, ROUNDS);
+    planner_world_count(&world);
+    CU_ASSERT_EQUAL(world.owned[4], 2);
+    CU_ASSERT_EQUAL(moved_since_remembered(), 2);
+}
+
+static void
+test_slice_that_rests_is_not_moved_for_balance(void)
+{
+    world.targets[4].share = 0.5;
+    hold_all();
+    CU_ASSERT_EQUAL(planner_world_plan(&world), 0);
+    world.options.now_ms = 1000;
+    CU_ASSERT_EQUAL(planner_world_plan(&world), 2);
+}
+
+int
+main(void)
+{
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite_with_setup_and_teardown(
+        "balance", NULL, NULL, open_world, close_world);
+    CU_ADD_TEST(suite, test_unsettled_slice_is_not_moved_for_balance);
+    CU_ADD_TEST(suite, test_silent_domain_gives_nothing_for_balance);
+    CU_ADD_TEST(suite, test_small_gains_move_nothing);
+    CU_ADD_TEST(suite, test_move_of_hardly_any_gain_is_left);
+    CU_ADD_TEST(suite, test_target_with_one_hot_slice_holds_nobody_up);
+    CU_ADD_TEST(suite, test_empty_target_is_filled_whatever_the_hysteresis);
+    CU_ADD_TEST(suite, test_load_of_a_silent_domain_is_no_measure);
+    CU_ADD_TEST(suite, test_hot_slice_stays_and_others_make_room);
+    CU_ADD_TEST(suite, test_idle_slices_do_not_gather);
+    CU_ADD_TEST(suite, test_slow_target_gets_its_share);
+    CU_ADD_TEST(suite, test_slice_that_rests_is_not_moved_for_balance);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? 0 : 1;
+}
--- a/place/planner_test.c
+++ b/place/planner_test.c
@@ -1,83 +1,8 @@
 #include <CUnit/Basic.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "place/assignment.h"
-#include "place/planner_world.h"
-#include "place/slice.h"
-
-#define SLICES 60
-#define ROUNDS 100
-
-/* Each test starts from three domains of five targets, four slices each. */
-static struct planner_world world;
-
-static void
-open_world(void)
-{
-    planner_world_open(&world, 3, 5, 1, SLICES);
-    planner_world_run(&world, ROUNDS);
-}
-
-static void
-close_world(void)
-{
-    planner_world_close(&world);
-}
-
-static void
-reopen_world(size_t domains, size_t targets, size_t cells, uint32_t slices)
-{
-    close_world();
-    planner_world_open(&world, domains, targets, cells, slices);
-}
-
-static size_t
-owned_by_domain(const char *domain)
-{
-    size_t owned = 0;
-    planner_world_count(&world);
-    for (size_t i = 0; i < world.target_count; i++) {
-        bool here = strcmp(world.targets[i].domain, domain) == 0;
-        owned += here ? world.owned[i] : 0;
-    }
-    return owned;
-}
-
-/* Counts the rows that differ in their owner from `before`. */
-static size_t
-moved_since(const struct rs_model_assignment *before)
-{
-    size_t moved = 0;
-    for (size_t i = 0; i < SLICES; i++) {
-        moved +=
-            strcmp(before[i].succession[0], world.rows[i].succession[0]) != 0
-                ? 1
-                : 0;
-    }
-    return moved;
-}
-
-static struct rs_model_assignment before[SLICES];
-
-static void
-remember(void)
-{
-    memcpy(before, world.rows, sizeof(before));
-}
-
-static int64_t keep_until_ms[SLICES];
-
-/* Lets no slice move for balance before 1000 ms. */
-static void
-hold_all(void)
-{
-    for (size_t i = 0; i < SLICES; i++) {
-        keep_until_ms[i] = 1000;
-    }
-    world.options.keep_until_ms = keep_until_ms;
-    world.options.now_ms = 999;
-}
+#include "place/planner_fixture.h"
 
 static void
 test_first_plan_is_balanced_and_spread(void)
@@ -174,7 +99,7 @@
     remember();
     world.targets[2].leaving = true;
     planner_world_plan(&world);
-    CU_ASSERT_EQUAL(moved_since(before), SLICES / 15);
+    CU_ASSERT_EQUAL(moved_since_remembered(), SLICES / 15);
     planner_world_count(&world);
     CU_ASSERT_EQUAL(world.owned[2], 0);
     /* Others are as loaded; those of its own cell are nearer. */
@@ -191,7 +116,7 @@
     world.domains[0].state = RsModel_OUT;
     planner_world_plan(&world);
     CU_ASSERT_EQUAL(owned_by_domain("d0"), 0);
-    CU_ASSERT_EQUAL(moved_since(before), SLICES / 3);
+    CU_ASSERT_EQUAL(moved_since_remembered(), SLICES / 3);
     for (size_t i = 0; i < SLICES; i++) {
         bool moved = world.rows[i].epoch == 2;
         CU_ASSERT_EQUAL(world.rows[i].from_count, moved ? 1 : 0);
@@ -201,9 +126,9 @@
     remember();
     world.domains[0].state = RsModel_IN;
     planner_world_plan(&world);
-    CU_ASSERT_EQUAL(moved_since(before), 3);
+    CU_ASSERT_EQUAL(moved_since_remembered(), 3);
     planner_world_run(&world, ROUNDS);
-    CU_ASSERT_EQUAL(moved_since(before), SLICES / 3);
+    CU_ASSERT_EQUAL(moved_since_remembered(), SLICES / 3);
     CU_ASSERT_EQUAL(owned_by_domain("d0"), SLICES / 3);
 }
 
@@ -217,7 +142,7 @@
     CU_ASSERT_EQUAL(planner_world_plan(&world), 0);
     world.targets[0].alive = false;
     planner_world_plan(&world);
-    CU_ASSERT_EQUAL(moved_since(before), SLICES / 15);
+    CU_ASSERT_EQUAL(moved_since_remembered(), SLICES / 15);
     world.targets[0].alive = true;
     CU_ASSERT_EQUAL(planner_world_plan(&world), 0);
 }
@@ -269,7 +194,7 @@
     world.options.lost_cell_count = 1;
     world.options.cell = "d0/0";
     CU_ASSERT_EQUAL(planner_world_plan(&world), SLICES / 4);
-    CU_ASSERT_EQUAL(moved_since(before), 0);
+    CU_ASSERT_EQUAL(moved_since_remembered(), 0);
     for (size_t i = 0; i < SLICES; i++) {
         CU_ASSERT_EQUAL(world.rows[i].from_count, 0);
         CU_ASSERT_STRING_NOT_EQUAL(world.rows[i].cell, "d0/1");
@@ -295,22 +220,6 @@
     CU_ASSERT_EQUAL(owned_by_domain("d1"), 0);
 }
 
-static void
-test_unsettled_slice_is_not_moved_for_balance(void)
-{
-    world.domains[0].state = RsModel_OUT;
-    planner_world_plan(&world);
-    remember();
-    world.domains[0].state = RsModel_IN;
-    world.options.max_moves = SLICES;
-    planner_world_plan(&world);
-    CU_ASSERT_EQUAL(owned_by_domain("d0"), SLICES / 3);
-    for (size_t i = 0; i < SLICES; i++) {
-        CU_ASSERT(before[i].from_count == 0 ||
-                  RsAssignment_Equal(&before[i], &world.rows[i]));
-    }
-}
-
 static void
 test_lost_cell_leaves_from(void)
 {
@@ -401,160 +310,6 @@
     CU_ASSERT_EQUAL(owned_by_domain("d2"), SLICES / 3);
 }
 
-/* Two targets of a hundred slices each; one of them gets `excess` times the
- * other's load, or `share` of its capacity. Returns the changes planned. */
-static size_t
-plan_uneven(double excess, double share)
-{
-    double loads[200];
-    reopen_world(1, 2, 1, 200);
-    planner_world_run(&world, ROUNDS);
-    for (size_t i = 0; i < 200; i++) {
-        loads[i] = planner_world_owner(&world, i) == 0 ? 10 * excess : 10;
-    }
-    world.options.loads = excess > 1 ? loads : NULL;
-    world.targets[0].share = share;
-    return planner_world_plan(&world);
-}
-
-/* Its cell would not write the moves. */
-static void
-test_silent_domain_gives_nothing_for_balance(void)
-{
-    world.domains[0].silent = true;
-    world.targets[0].share = 0.5;
-    CU_ASSERT_EQUAL(planner_world_plan(&world), 0);
-}
-
-static void
-test_small_gains_move_nothing(void)
-{
-    CU_ASSERT_EQUAL(plan_uneven(1.04, 1), 0);
-    CU_ASSERT(plan_uneven(1.5, 1) > 0);
-    CU_ASSERT_EQUAL(plan_uneven(1, 0.96), 0);
-    CU_ASSERT(plan_uneven(1, 0.7) > 0);
-}
-
-static void
-test_move_of_hardly_any_gain_is_left(void)
-{
-    double loads[3] = {100, 100, 100};
-    reopen_world(1, 2, 1, 3);
-    planner_world_run(&world, ROUNDS);
-    planner_world_count(&world);
-    for (size_t i = 0; i < 3; i++) {
-        loads[i] -= world.owned[planner_world_owner(&world, i)] == 1 ? 1 : 0;
-    }
-    world.options.loads = loads;
-    CU_ASSERT_EQUAL(planner_world_plan(&world), 0);
-}
-
-/* The most loaded target has one slice, and the next one two. */
-static void
-test_target_with_one_hot_slice_holds_nobody_up(void)
-{
-    double loads[4];
-    int hot = -1;
-    reopen_world(1, 3, 1, 4);
-    planner_world_run(&world, ROUNDS);
-    planner_world_count(&world);
-    for (size_t i = 0; i < 4; i++) {
-        int owner = planner_world_owner(&world, i);
-        bool alone = world.owned[owner] == 1;
-        hot = alone && hot < 0 ? owner : hot;
-        loads[i] = alone ? 10 : 100;
-        loads[i] = owner == hot ? 1000 : loads[i];
-    }
-    world.options.loads = loads;
-    CU_ASSERT_EQUAL(planner_world_plan(&world), 1);
-}
-
-/* No other target is far from the mean then. */
-static void
-test_empty_target_is_filled_whatever_the_hysteresis(void)
-{
-    double loads[290];
-    reopen_world(1, 30, 1, 290);
-    world.targets[3].alive = false;
-    planner_world_run(&world, ROUNDS);
-    for (size_t i = 0; i < 290; i++) {
-        loads[i] = 10;
-    }
-    world.options.loads = loads;
-    world.targets[3].alive = true;
-    planner_world_run(&world, ROUNDS);
-    planner_world_count(&world);
-    CU_ASSERT(world.owned[3] >= 9);
-}
-
-static void
-test_load_of_a_silent_domain_is_no_measure(void)
-{
-    double loads[400];
-    reopen_world(2, 2, 1, 400);
-    planner_world_run(&world, ROUNDS);
-    world.domains[0].silent = true;
-    for (size_t i = 0; i < 400; i++) {
-        int owner = planner_world_owner(&world, i);
-        loads[i] = owner < 2 ? 1000 : 10;
-        loads[i] += owner == 2 ? 4 : 0;
-    }
-    world.options.loads = loads;
-    CU_ASSERT_EQUAL(planner_world_plan(&world), 0);
-}
-
-static void
-test_hot_slice_stays_and_others_make_room(void)
-{
-    double loads[SLICES];
-    for (size_t i = 0; i < SLICES; i++) {
-        loads[i] = i == 7 ? 400 : 100;
-    }
-    int hot = planner_world_owner(&world, 7);
-    world.options.loads = loads;
-    remember();
-    planner_world_run(&world, ROUNDS);
-    planner_world_count(&world);
-    CU_ASSERT_EQUAL(planner_world_owner(&world, 7), hot);
-    CU_ASSERT(world.owned[hot] < 4);
-    CU_ASSERT(moved_since(before) <= 6);
-}
-
-static void
-test_idle_slices_do_not_gather(void)
-{
-    double loads[SLICES] = {0};
-    reopen_world(3, 5, 1, SLICES);
-    loads[0] = 1000;
-    world.options.loads = loads;
-    planner_world_run(&world, ROUNDS);
-    planner_world_count(&world);
-    for (size_t i = 0; i < world.target_count; i++) {
-        CU_ASSERT(world.owned[i] >= 1 && world.owned[i] <= 6);
-    }
-}
-
-static void
-test_slow_target_gets_its_share(void)
-{
-    remember();
-    world.targets[4].share = 0.5;
-    planner_world_run(&world, ROUNDS);
-    planner_world_count(&world);
-    CU_ASSERT_EQUAL(world.owned[4], 2);
-    CU_ASSERT_EQUAL(moved_since(before), 2);
-}
-
-static void
-test_slice_that_rests_is_not_moved_for_balance(void)
-{
-    world.targets[4].share = 0.5;
-    hold_all();
-    CU_ASSERT_EQUAL(planner_world_plan(&world), 0);
-    world.options.now_ms = 1000;
-    CU_ASSERT_EQUAL(planner_world_plan(&world), 2);
-}
-
 /* The holder stepped on: the target at its position is the owner. */
 static void
 test_owner_at_its_position_stays(void)
@@ -649,22 +404,11 @@
     CU_ADD_TEST(suite, test_lost_domain_is_replaced_by_anybody);
     CU_ADD_TEST(suite, test_lost_cell_is_replaced_by_its_sister);
     CU_ADD_TEST(suite, test_unsettled_slice_stays_in_its_cell);
-    CU_ADD_TEST(suite, test_unsettled_slice_is_not_moved_for_balance);
     CU_ADD_TEST(suite, test_lost_cell_leaves_from);
     CU_ADD_TEST(suite, test_from_of_a_slice_lost_on_its_way_goes_on);
     CU_ADD_TEST(suite, test_slice_from_a_lost_cell_moves_at_once);
     CU_ADD_TEST(suite, test_silent_domain_keeps_or_hands_over);
     CU_ADD_TEST(suite, test_silent_domain_is_given_nothing);
-    CU_ADD_TEST(suite, test_silent_domain_gives_nothing_for_balance);
-    CU_ADD_TEST(suite, test_small_gains_move_nothing);
-    CU_ADD_TEST(suite, test_move_of_hardly_any_gain_is_left);
-    CU_ADD_TEST(suite, test_target_with_one_hot_slice_holds_nobody_up);
-    CU_ADD_TEST(suite, test_empty_target_is_filled_whatever_the_hysteresis);
-    CU_ADD_TEST(suite, test_load_of_a_silent_domain_is_no_measure);
-    CU_ADD_TEST(suite, test_hot_slice_stays_and_others_make_room);
-    CU_ADD_TEST(suite, test_idle_slices_do_not_gather);
-    CU_ADD_TEST(suite, test_slow_target_gets_its_share);
-    CU_ADD_TEST(suite, test_slice_that_rests_is_not_moved_for_balance);
     CU_ADD_TEST(suite, test_owner_at_its_position_stays);
     CU_ADD_TEST(suite, test_target_of_unknown_cell_is_left_alone);
     CU_ADD_TEST(suite, test_nothing_usable_changes_nothing);
