--- a/place/planner_fuzz.c
+++ b/place/planner_fuzz.c
@@ -6,9 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/id.h"
 #include "place/assignment.h"
 #include "place/cell_name.h"
+#include "place/fuzz_input.h"
 #include "place/planner_world.h"
 #include "place/slice.h"
 
@@ -22,14 +22,6 @@
 #define MAX_ROUNDS 100
 #define EVENTS 80
 
-/* The input's bytes, then ones that follow from them: short inputs run as
- * many events as long ones. */
-struct input {
-    const uint8_t *data;
-    size_t size;
-    uint64_t more;
-};
-
 /* What a planner has read. */
 struct view {
     struct rs_planner_target targets[ALL_TARGETS];
@@ -50,25 +42,6 @@
     struct view views[PLANNERS];
 };
 
-#define CHECK(condition)                                                      \
-    do {                                                                      \
-        if (!(condition)) {                                                   \
-            fprintf(stderr, "oracle: %s (line %d)\n", #condition, __LINE__);  \
-            abort();                                                          \
-        }                                                                     \
-    } while (0)
-
-static uint8_t
-next_byte(struct input *input)
-{
-    if (input->size == 0) {
-        input->more = RsId_Mix(input->more, 1);
-        return (uint8_t)input->more;
-    }
-    input->size--;
-    return *input->data++;
-}
-
 static uint32_t
 cell_bit(const char *cell)
 {
@@ -488,12 +461,12 @@
 }
 
 static void
-run_events(struct state *state, struct input *input)
+run_events(struct state *state, struct fuzz_input *input)
 {
     size_t moves = 0;
     for (size_t i = 0; i < EVENTS; i++) {
-        uint8_t kind = next_byte(input) % 16;
-        uint8_t which = next_byte(input);
+        uint8_t kind = fuzz_next_byte(input) % 16;
+        uint8_t which = fuzz_next_byte(input);
         if (kind < 7) {
             change_world(state, kind, which);
         }
@@ -513,19 +486,20 @@
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
     static struct state state;
-    struct input input = {data, size, RsId_FromBytes(data, size)};
+    struct fuzz_input input = fuzz_open(data, size);
     memset(&state, 0, sizeof(state));
     planner_world_open(&state.world, DOMAINS, TARGETS, CELLS, SLICES);
     state.world.options.max_moves = 3;
-    state.world.options.cut_off =
-        next_byte(&input) % 2 == 0 ? RsModel_KEEP_SERVING : RsModel_HAND_OVER;
+    state.world.options.cut_off = fuzz_next_byte(&input) % 2 == 0
+                                      ? RsModel_KEEP_SERVING
+                                      : RsModel_HAND_OVER;
     for (size_t i = 0; i < PLANNERS; i++) {
         read_view(&state, &state.views[i]);
     }
     run_events(&state, &input);
     make_even(&state);
-    uint8_t kind = next_byte(&input);
-    check_moves(&state, kind, next_byte(&input));
+    uint8_t kind = fuzz_next_byte(&input);
+    check_moves(&state, kind, fuzz_next_byte(&input));
     planner_world_close(&state.world);
     return 0;
 }
--- a/place/planner_world.c
+++ b/place/planner_world.c
@@ -9,7 +9,7 @@
 
 /* Makes domains d0, d1, ... with targets d0-t0, ...; target i of a domain
  * belongs to its cell i modulo `cells_per_domain`. All rows are unassigned.
- * The targets' order must not be changed. */
+ * planner_world_owner() wants the targets in this order. */
 void
 planner_world_open(struct planner_world *world, size_t domains,
                    size_t targets_per_domain, size_t cells_per_domain,
--- a/place/roster_fuzz.c
+++ b/place/roster_fuzz.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/id.h"
+#include "place/fuzz_input.h"
 #include "place/names.h"
 #include "place/roster.h"
 
@@ -20,12 +20,6 @@
 #define SILENT_AFTER_MS 20
 #define REPLACE_AFTER_MS 60
 
-struct input {
-    const uint8_t *data;
-    size_t size;
-    uint64_t more;
-};
-
 struct view {
     struct rs_roster_vm vms[VMS];
     struct rs_roster_row rows[CELLS];
@@ -42,25 +36,6 @@
     int64_t now_ms;
 };
 
-#define CHECK(condition)                                                      \
-    do {                                                                      \
-        if (!(condition)) {                                                   \
-            fprintf(stderr, "oracle: %s (line %d)\n", #condition, __LINE__);  \
-            abort();                                                          \
-        }                                                                     \
-    } while (0)
-
-static uint8_t
-next_byte(struct input *input)
-{
-    if (input->size == 0) {
-        input->more = RsId_Mix(input->more, 1);
-        return (uint8_t)input->more;
-    }
-    input->size--;
-    return *input->data++;
-}
-
 static bool
 lists(const char (*names)[RsModel_NAME_BYTES], size_t count, size_t vm)
 {
@@ -279,11 +254,11 @@
 }
 
 static void
-run_events(struct state *state, struct input *input)
+run_events(struct state *state, struct fuzz_input *input)
 {
     for (size_t i = 0; i < EVENTS; i++) {
-        uint8_t kind = next_byte(input) % 16;
-        uint8_t which = next_byte(input);
+        uint8_t kind = fuzz_next_byte(input) % 16;
+        uint8_t which = fuzz_next_byte(input);
         if (kind < 4) {
             change_vm(state, kind, which % VMS);
         }
@@ -343,7 +318,7 @@
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
     static struct state state;
-    struct input input = {data, size, RsId_FromBytes(data, size)};
+    struct fuzz_input input = fuzz_open(data, size);
     memset(&state, 0, sizeof(state));
     state.now_ms = 1000;
     for (size_t i = 0; i < VMS; i++) {
