--- a/dispatch/target.c
+++ b/dispatch/target.c
@@ -265,7 +265,7 @@
 {
     RsLog_EVENT(RsLog_WARNING, "target_lost",
                 RsLog_TEXT("target", target->name));
-    RsTargetWork_TakeEvents(target);
+    RsTargetWork_TakeEvents(target, now_ms);
     refuse_queued(target, now_ms);
     refuse_ready(target, now_ms, true);
     GPtrArray *running = running_works(target);
--- a/dispatch/target.h
+++ b/dispatch/target.h
@@ -155,7 +155,7 @@
 void RsTargetGrant_Close(struct rs_target *target);
 void RsTargetWork_Finish(struct rs_work *work, enum rs_outcome outcome,
                          const char *reason, uint32_t retry_after_ms);
-void RsTargetWork_TakeEvents(struct rs_target *target);
+void RsTargetWork_TakeEvents(struct rs_target *target, int64_t now_ms);
 void RsTargetWork_Events(struct rs_target *target, int64_t now_ms);
 
 #endif
--- a/dispatch/target_work.c
+++ b/dispatch/target_work.c
@@ -75,7 +75,7 @@
 
 /* Takes in what the admission decided of requests that waited. */
 void
-RsTargetWork_TakeEvents(struct rs_target *target)
+RsTargetWork_TakeEvents(struct rs_target *target, int64_t now_ms)
 {
     struct rs_admission_event event;
     while (RsAdmission_NextEvent(target->admission, &event)) {
@@ -87,6 +87,6 @@
 void
 RsTargetWork_Events(struct rs_target *target, int64_t now_ms)
 {
-    RsTargetWork_TakeEvents(target);
+    RsTargetWork_TakeEvents(target, now_ms);
     RsTargetPool_Run(target, now_ms);
 }
