Refuse pages of the table that contradict themselves

Cause: control/feed.c took any 200 answer for a page. A body without rows counted as a table that was read whole (RsFeed_TableWasRead), a negative revision wrapped to the highest one, so that nothing was read ever after, and a page that says there is more without getting further was asked for again without pause. A change that came with an earlier page was told only when the last page brought a change too. Ruled out: the decoder (JSON is whole) and the mirror (it does what it is told; its fuzz target passes). Conclusion: a page is checked whole before any row of it is taken in; changes are kept until they are told. The same for pages from peers.

--- a/control/feed.c
+++ b/control/feed.c
@@ -25,6 +25,8 @@
     bool reading;
     bool reading_vms;
     bool table_was_read;
+    bool changed; /* by a page that was not yet told of */
+    uint64_t asked_after;
     int64_t poll_at_ms;
     int64_t vms_at_ms;
     int64_t ask_peer_at_ms;
@@ -42,16 +44,44 @@
     return feed;
 }
 
+/* Tells whether a row of a page is what the contract says it is. */
+static bool
+is_row(const json_t *row, json_int_t revision)
+{
+    const json_t *version = json_object_get(row, "version");
+    return json_is_string(json_object_get(row, "key")) &&
+           json_object_get(row, "value") != NULL &&
+           json_integer_value(version) > 0 &&
+           json_integer_value(version) <= revision;
+}
+
+/* Tells whether an answer is a page that follows a revision. A page that says
+ * that there is more must get further, or the reading would never end. */
+static bool
+is_page(const json_t *body, uint64_t after)
+{
+    const json_t *revision = json_object_get(body, "revision");
+    const json_t *rows = json_object_get(body, "rows");
+    if (!json_is_integer(revision) || json_integer_value(revision) < 0 ||
+        !json_is_array(rows)) {
+        return false;
+    }
+    for (size_t i = 0; i < json_array_size(rows); i++) {
+        if (!is_row(json_array_get(rows, i), json_integer_value(revision))) {
+            return false;
+        }
+    }
+    return !json_is_true(json_object_get(body, "more")) ||
+           (uint64_t)json_integer_value(revision) > after;
+}
+
 static bool
 put_row(struct rs_feed *feed, const json_t *row)
 {
     const char *key = json_string_value(json_object_get(row, "key"));
-    json_t *value = json_object_get(row, "value");
+    const json_t *value = json_object_get(row, "value");
     json_int_t version = json_integer_value(json_object_get(row, "version"));
-    if (key == NULL || version <= 0) {
-        return false;
-    }
-    char *text = json_is_null(value) || value == NULL
+    char *text = json_is_null(value)
                      ? NULL
                      : json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
     bool changed = RsMirror_Put(feed->mirror, key, (uint64_t)version, text);
@@ -67,15 +97,19 @@
     struct rs_feed *feed = arg;
     size_t index;
     json_t *row;
-    bool changed = false;
     feed->reading = false;
     if (status != STATUS_OK) {
         return;
     }
+    if (!is_page(body, feed->asked_after)) {
+        RsLog_EVENT(RsLog_WARNING, "platform_page_malformed",
+                    RsLog_NUMBER("after", feed->asked_after));
+        return;
+    }
     feed->answered_at_ms = RsClock_NowMs();
     json_array_foreach(json_object_get(body, "rows"), index, row)
     {
-        changed |= put_row(feed, row);
+        feed->changed |= put_row(feed, row);
     }
     RsMirror_Advance(feed->mirror, (uint64_t)json_integer_value(
                                        json_object_get(body, "revision")));
@@ -83,9 +117,10 @@
         read_page(feed);
         return;
     }
-    bool first = !feed->table_was_read;
+    bool changed = feed->changed || !feed->table_was_read;
     feed->table_was_read = true;
-    if (changed || first) {
+    feed->changed = false;
+    if (changed) {
         feed->options.changed(feed->options.arg);
     }
 }
@@ -94,9 +129,9 @@
 read_page(struct rs_feed *feed)
 {
     feed->reading = true;
-    RsPlatform_ReadChanges(feed->options.platform,
-                           RsMirror_Revision(feed->mirror), PAGE_ROWS,
-                           SKIPPED_PREFIX, on_page, feed);
+    feed->asked_after = RsMirror_Revision(feed->mirror);
+    RsPlatform_ReadChanges(feed->options.platform, feed->asked_after,
+                           PAGE_ROWS, SKIPPED_PREFIX, on_page, feed);
 }
 
 static void
@@ -157,24 +192,39 @@
     return true;
 }
 
-/* Takes in a page from a peer, unless it leaves a gap. */
+static bool
+is_peer_page(const Rs__Member__Changes *changes)
+{
+    for (size_t i = 0; i < changes->n_rows; i++) {
+        uint64_t version = changes->rows[i]->version;
+        if (version == 0 || version > changes->revision) {
+            return false;
+        }
+    }
+    return !changes->more || changes->revision > changes->after;
+}
+
+/* Takes in a page from a peer, unless it leaves a gap or contradicts
+ * itself. */
 void
 RsFeed_TakeChanges(struct rs_feed *feed, const Rs__Member__Changes *changes)
 {
-    bool changed = false;
-    if (changes->after > RsMirror_Revision(feed->mirror)) {
+    if (changes->after > RsMirror_Revision(feed->mirror) ||
+        !is_peer_page(changes)) {
         return;
     }
     for (size_t i = 0; i < changes->n_rows; i++) {
         const Rs__Member__Row *row = changes->rows[i];
         const char *value = row->value[0] != '\0' ? row->value : NULL;
-        changed |= RsMirror_Put(feed->mirror, row->key, row->version, value);
+        feed->changed |=
+            RsMirror_Put(feed->mirror, row->key, row->version, value);
     }
     RsMirror_Advance(feed->mirror, changes->revision);
     if (changes->more) {
         feed->ask_peer_at_ms = 0;
     }
-    else if (changed) {
+    else if (feed->changed) {
+        feed->changed = false;
         feed->options.changed(feed->options.arg);
     }
 }
