Keep a ticket waiting until the process has a configuration

Cause: a process that has just started has no configuration yet; a ticket that reached it then made RsSubmit look into a null one, and the process died. Seen in failures.target_killed_in_outage, target_without_fences_paused and holder_and_target_killed with ASan and UBSan: 'member access within null pointer' in RsConfig_AppliedTicket, called by validate() in ticket/submit.c; the cluster's first ticket had met a process at its start. Ruled out: an empty configuration in place of none; the ticket would be checked against a state that nobody has read. Before: both new tests of submit_test end it with a segmentation fault (each also with only the other's mend in place). After: 11 of 11 pass. Conclusion: no configuration is one that lags; a conflict lists no differences then.

--- a/ticket/submit.c
+++ b/ticket/submit.c
@@ -130,7 +130,9 @@
 static struct rs_submit_action
 conflict(struct rs_submit *submit, const struct rs_config *config)
 {
-    submit->difference = RsTicket_Difference(submit->options.ticket, config);
+    submit->difference =
+        config != NULL ? RsTicket_Difference(submit->options.ticket, config)
+                       : json_array();
     return finish(submit, RsSubmit_CONFLICT);
 }
 
@@ -148,12 +150,13 @@
 }
 
 /* The ticket is checked against the very state on which it builds: only
- * tickets change objects, so the snapshot must have applied just the head. */
+ * tickets change objects, so the snapshot must have applied just the head. A
+ * process that has just started has none. */
 static struct rs_submit_action
 validate(struct rs_submit *submit, const struct rs_config *config,
          int64_t now_ms)
 {
-    if (RsConfig_AppliedTicket(config) != submit->head) {
+    if (config == NULL || RsConfig_AppliedTicket(config) != submit->head) {
         return wait_a_little(submit, now_ms);
     }
     if (RsTicket_Validate(submit->options.ticket, config, &submit->faults) ==
--- a/ticket/submit.h
+++ b/ticket/submit.h
@@ -63,7 +63,8 @@
 struct rs_submit *RsSubmit_New(const struct rs_submit_options *options);
 void RsSubmit_Free(struct rs_submit *submit);
 
-/* `config` is the newest snapshot that the process has; it is not kept. */
+/* `config` is the newest snapshot that the process has, NULL before the first;
+ * it is not kept. */
 struct rs_submit_action RsSubmit_Start(struct rs_submit *submit,
                                        const struct rs_config *config,
                                        int64_t now_ms);
--- a/ticket/submit_test.c
+++ b/ticket/submit_test.c
@@ -196,6 +196,36 @@
     close_fixture(&f);
 }
 
+static void
+test_first_configuration_is_waited_for(void)
+{
+    struct fixture f;
+    open_fixture(&f, 1, 2);
+    struct rs_config *config = f.config;
+    f.config = NULL;
+    answer_head(&f, 1);
+    CU_ASSERT_EQUAL(f.action.kind, RsSubmit_WAIT);
+    f.config = config;
+    pass_time(&f);
+    answer_head(&f, 1);
+    CU_ASSERT_EQUAL(f.action.kind, RsSubmit_COMMIT);
+    close_fixture(&f);
+}
+
+static void
+test_conflict_before_the_first_configuration(void)
+{
+    struct fixture f;
+    open_fixture(&f, 1, 2);
+    struct rs_config *config = f.config;
+    f.config = NULL;
+    answer_head(&f, 7);
+    answer_log(&f, "another");
+    f.config = config;
+    CU_ASSERT_EQUAL(outcome_of(&f), RsSubmit_CONFLICT);
+    close_fixture(&f);
+}
+
 static void
 fail_until_done(struct fixture *f, bool sent)
 {
@@ -273,6 +303,8 @@
                 test_taken_number_is_a_conflict_that_shows_the_difference);
     CU_ADD_TEST(suite, test_gap_is_a_conflict_that_names_the_head);
     CU_ADD_TEST(suite, test_lagging_configuration_is_waited_for);
+    CU_ADD_TEST(suite, test_first_configuration_is_waited_for);
+    CU_ADD_TEST(suite, test_conflict_before_the_first_configuration);
     CU_ADD_TEST(suite, test_outage_before_the_commit_left_is_not_accepted);
     CU_ADD_TEST(suite, test_outage_after_the_commit_left_is_unknown);
     CU_ADD_TEST(suite, test_reports_of_earlier_calls_are_passed_over);
