Let no message that fits no frame end the process

Cause: RsFrame_Pack asserted that a message is at most 4 MiB, while max_body_bytes could be set up to 64 MiB: one caller's body of 5 MiB ended the front with such settings, and so did a row of the table that is larger than a frame when a peer asked for changes. Ruled out: larger frames; other streams of the link would wait behind them. Before: the new check of wire_test ends it by the assertion in RsFrame_Pack. After: 5 of 5 tests pass. Conclusion: packing reports the size, links answer RsLink_TOO_LARGE, peers log it; max_body_bytes goes up to 2 MiB, which with the largest headers (1 MiB) fits.

--- a/control/peers.c
+++ b/control/peers.c
@@ -208,9 +208,14 @@
         g_free(data);
         return;
     }
-    if (RsLink_SendFrame(outgoing->link, data, size_bytes) == RsLink_FULL) {
+    int status = RsLink_SendFrame(outgoing->link, data, size_bytes);
+    if (status == RsLink_FULL) {
         drop_link(outgoing);
     }
+    else if (status == RsLink_TOO_LARGE) {
+        RsLog_EVENT(RsLog_ERROR, "peer_message_too_large",
+                    RsLog_TEXT("peer", name));
+    }
 }
 
 /* Sends a message to a process, as far as the link allows. */
@@ -218,7 +223,7 @@
 RsPeers_Send(struct rs_peers *peers, const char *name,
              const struct sockaddr_in *address, const Rs__Wire__Peer *message)
 {
-    size_t size;
+    size_t size = 0;
     uint8_t *data = RsFrame_Pack(&message->base, &size);
     RsPeers_SendFrame(peers, name, address, data, size);
 }
--- a/settings/fields.c
+++ b/settings/fields.c
@@ -81,7 +81,7 @@
     TUNABLE(suspect_after_ms, 20, MAX_INTERVAL_MS, 600),
     TUNABLE(poll_every_ms, 50, MAX_INTERVAL_MS, 500),
     TUNABLE(shutdown_grace_ms, 0, MAX_GRACE_MS, 5000),
-    TUNABLE(max_body_bytes, KIB, 64 * MIB, MIB),
+    TUNABLE(max_body_bytes, KIB, 2 * MIB, MIB),
     TUNABLE(max_header_bytes, KIB, MIB, 16 * KIB),
     TUNABLE(retry_budget_percent, 0, 100, 10),
     TUNABLE(max_callers, 1, 1000000, 10000),
--- a/wire/frame.c
+++ b/wire/frame.c
@@ -1,6 +1,5 @@
 #include "wire/frame.h"
 
-#include <assert.h>
 #include <glib.h>
 #include <string.h>
 
@@ -104,12 +103,15 @@
     *reader = (struct rs_frame_reader){0};
 }
 
-/* Packs a message with its length before it. */
+/* Packs a message with its length before it. Returns NULL when it is larger
+ * than a frame may be. */
 uint8_t *
 RsFrame_Pack(const ProtobufCMessage *message, size_t *size_bytes)
 {
     size_t length = protobuf_c_message_get_packed_size(message);
-    assert(length <= RsFrame_MAX_BYTES);
+    if (length > RsFrame_MAX_BYTES) {
+        return NULL;
+    }
     uint8_t *data = g_malloc(length + RsFrame_HEADER_BYTES);
     write_length(data, (uint32_t)length);
     protobuf_c_message_pack(message, data + RsFrame_HEADER_BYTES);
--- a/wire/frame.h
+++ b/wire/frame.h
@@ -33,7 +33,8 @@
                  size_t size_bytes, rs_frame_handler handler, void *arg);
 void RsFrame_FreeReader(struct rs_frame_reader *reader);
 
-/* Returns a new buffer that the caller frees with g_free(). */
+/* Returns a new buffer that the caller frees with g_free(), or NULL when the
+ * message is too large. */
 uint8_t *RsFrame_Pack(const ProtobufCMessage *message, size_t *size_bytes);
 
 #endif
--- a/wire/link.c
+++ b/wire/link.c
@@ -245,8 +245,9 @@
     return 0;
 }
 
-/* Sends a message. Returns 0, RsLink_CLOSED when the link is not open, or
- * RsLink_FULL when too much waits already; nothing is sent then. */
+/* Sends a message. Returns 0, RsLink_CLOSED when the link is not open,
+ * RsLink_FULL when too much waits already, or RsLink_TOO_LARGE; nothing is
+ * sent then. */
 int
 RsLink_Send(struct rs_link *link, const ProtobufCMessage *message)
 {
@@ -254,9 +255,9 @@
     if (status != 0) {
         return status;
     }
-    size_t size;
+    size_t size = 0;
     uint8_t *data = RsFrame_Pack(message, &size);
-    return write_frame(link, data, size);
+    return data != NULL ? write_frame(link, data, size) : RsLink_TOO_LARGE;
 }
 
 /* Sends a frame that was packed with RsFrame_Pack(), with the same errors. */
@@ -268,6 +269,9 @@
         g_free(data);
         return status;
     }
+    if (data == NULL) {
+        return RsLink_TOO_LARGE;
+    }
     return write_frame(link, data, size_bytes);
 }
 
--- a/wire/link.h
+++ b/wire/link.h
@@ -14,7 +14,8 @@
 enum rs_link_error {
     RsLink_CLOSED = RsError_WIRE - 20,
     RsLink_FULL = RsError_WIRE - 21, /* the peer doesn't read: give it up */
-    RsLink_LISTEN_FAILED = RsError_WIRE - 22
+    RsLink_LISTEN_FAILED = RsError_WIRE - 22,
+    RsLink_TOO_LARGE = RsError_WIRE - 23
 };
 
 struct rs_link;
@@ -49,7 +50,8 @@
 void RsLink_SetEvents(struct rs_link *link,
                       const struct rs_link_events *events, void *arg);
 int RsLink_Send(struct rs_link *link, const ProtobufCMessage *message);
-/* Takes over a packed frame, also when it fails. */
+/* Takes over a packed frame, also when it fails; NULL is one that was too
+ * large. */
 int RsLink_SendFrame(struct rs_link *link, uint8_t *data, size_t size_bytes);
 size_t RsLink_QueuedBytes(const struct rs_link *link);
 void RsLink_Close(struct rs_link *link);
--- a/wire/wire_test.c
+++ b/wire/wire_test.c
@@ -101,6 +101,30 @@
     RsFrame_FreeReader(&reader);
 }
 
+static uint8_t *
+pack_body(size_t body_bytes, size_t *size)
+{
+    Rs__Relay__Envelope envelope = RS__RELAY__ENVELOPE__INIT;
+    Rs__Relay__AnswerBody body = RS__RELAY__ANSWER_BODY__INIT;
+    body.data.data = g_malloc0(body_bytes);
+    body.data.len = body_bytes;
+    envelope.message_case = RS__RELAY__ENVELOPE__MESSAGE_BODY;
+    envelope.body = &body;
+    uint8_t *data = RsFrame_Pack(&envelope.base, size);
+    g_free(body.data.data);
+    return data;
+}
+
+static void
+test_message_that_fits_no_frame_is_not_packed(void)
+{
+    size_t size = 0;
+    uint8_t *data = pack_body(RsFrame_MAX_BYTES - 64, &size);
+    CU_ASSERT_PTR_NOT_NULL(data);
+    g_free(data);
+    CU_ASSERT_PTR_NULL(pack_body(RsFrame_MAX_BYTES, &size));
+}
+
 int
 main(void)
 {
@@ -108,6 +132,7 @@
     CU_pSuite suite = CU_add_suite("wire", NULL, NULL);
     CU_ADD_TEST(suite, test_frame_arrives_byte_by_byte);
     CU_ADD_TEST(suite, test_two_frames_and_a_half);
+    CU_ADD_TEST(suite, test_message_that_fits_no_frame_is_not_packed);
     CU_ADD_TEST(suite, test_oversize_frame_is_refused_at_its_length);
     CU_ADD_TEST(suite, test_malformed_message_ends_the_reading);
     CU_basic_run_tests();
