Bring a target's connections in line with a changed ticket or VM

Cause: a process that spoke for a target kept the service's settings and the address of the first view that named it, for as long as its VM was listed. A ticket that changed slots, window, run time, connections or fencing was reported in force and changed nothing there; a VM replaced under its name was looked for at its old address. The flag that was to serve this, 'removed', was never set. Ruled out: a second target object beside the first (both would count slots, and a drained slice would have to ask both). Conclusion: a view marks the targets that it describes in another way; they refuse new work as 'moving' until nothing sent before can take effect, then take the new options over, warm as they were unless they stand elsewhere.

--- a/dispatch/holder.c
+++ b/dispatch/holder.c
@@ -115,22 +115,25 @@
     return false;
 }
 
-static struct rs_target *
-make_target(struct rs_holder *holder, const char *name)
+/* Fills in what the view says of a target. Returns false when this process
+ * has nothing to do with it. The texts are borrowed from the view. */
+static bool
+describe(struct rs_holder *holder, const char *name,
+         struct rs_target_options *options)
 {
     const struct rs_config *config = RsView_Config(holder->view);
     const struct rs_view_vm *vm = RsView_Vm(holder->view, name);
     const struct rs_model_place *place = RsConfig_PlaceOfTarget(config, name);
     if (vm == NULL || place == NULL ||
         strcmp(vm->domain, holder->domain) != 0) {
-        return NULL;
+        return false;
     }
     const struct rs_model_service *service =
         RsConfig_Service(config, place->service);
     if (service == NULL) {
-        return NULL;
+        return false;
     }
-    struct rs_target_options options = {
+    *options = (struct rs_target_options){
         .loop = holder->options.loop,
         .name = name,
         .self = holder->self,
@@ -147,11 +150,48 @@
         .stale = on_stale,
         .arg = holder,
     };
+    return true;
+}
+
+static struct rs_target *
+make_target(struct rs_holder *holder, const char *name)
+{
+    struct rs_target_options options;
+    if (!describe(holder, name, &options)) {
+        return NULL;
+    }
     struct rs_target *target = RsTarget_New(&options);
     g_hash_table_insert(holder->targets, target->name, target);
     return target;
 }
 
+/* Notes which targets the view describes in another way than before. */
+static void
+mark_outdated(struct rs_holder *holder)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, holder->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rs_target *target = value;
+        struct rs_target_options options;
+        target->outdated = describe(holder, target->name, &options) &&
+                           RsTarget_Differs(target, &options);
+    }
+}
+
+/* Brings a target up to date as soon as nothing runs there. */
+static void
+renew(struct rs_holder *holder, struct rs_target *target, int64_t now_ms)
+{
+    struct rs_target_options options;
+    if (target->outdated && RsTarget_MayRenew(target, now_ms) &&
+        describe(holder, target->name, &options)) {
+        options.now_ms = now_ms;
+        RsTarget_Renew(target, &options);
+    }
+}
+
 static struct rs_target *
 find_or_make_target(struct rs_holder *holder, const char *name)
 {
@@ -247,6 +287,7 @@
 {
     RsView_Unref(holder->view);
     holder->view = view;
+    mark_outdated(holder);
     make_watched(holder);
     if (holder->leases != NULL) {
         make_owners(holder);
@@ -346,6 +387,9 @@
         return refuse(forward, events, arg, "moving", RETRY_SOON_MS);
     }
     struct rs_target *target = find_or_make_target(holder, lease->target);
+    if (target != NULL && target->outdated) {
+        return refuse(forward, events, arg, "moving", RETRY_SOON_MS);
+    }
     if (target == NULL || !RsTarget_Granted(target, now_ms, lease)) {
         return refuse(forward, events, arg, "no-grant", RETRY_SOON_MS);
     }
@@ -364,6 +408,9 @@
     if (target == NULL) {
         return refuse(forward, events, arg, "not-in-domain", RETRY_MOVE_MS);
     }
+    if (target->outdated) {
+        return refuse(forward, events, arg, "moving", RETRY_SOON_MS);
+    }
     return offer(holder, target, forward, events, arg, NULL);
 }
 
@@ -518,6 +565,7 @@
     g_hash_table_iter_init(&iter, holder->targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct rs_target *target = value;
+        renew(holder, target, now_ms);
         RsTarget_Tick(target, now_ms);
         if (is_unwanted(holder, target)) {
             g_hash_table_iter_remove(&iter);
--- a/dispatch/holder.cmake
+++ b/dispatch/holder.cmake
@@ -5,3 +5,4 @@
 target_link_libraries(rs_holder PUBLIC rs_dispatch rs_view rs_http)
 rs_test(relay_client_test SOURCES dispatch/relay_client_test.c
   LIBS rs_holder)
+rs_test(holder_test SOURCES dispatch/holder_test.c LIBS rs_holder)
--- a/dispatch/target.c
+++ b/dispatch/target.c
@@ -90,6 +90,77 @@
     g_free(target);
 }
 
+static bool
+moved(const struct rs_target *target, const struct rs_target_options *options)
+{
+    const struct sockaddr_in *address = &target->options.address;
+    return address->sin_port != options->address.sin_port ||
+           address->sin_addr.s_addr != options->address.sin_addr.s_addr;
+}
+
+/* Tells whether the options are other than those that the target has. */
+bool
+RsTarget_Differs(const struct rs_target *target,
+                 const struct rs_target_options *options)
+{
+    const struct rs_model_service *old = &target->service;
+    const struct rs_model_service *new = options->service;
+    return moved(target, options) ||
+           target->options.checks_fences != options->checks_fences ||
+           strcmp(old->name, new->name) != 0 || old->keyed != new->keyed ||
+           old->slots != new->slots || old->window != new->window ||
+           old->connections != new->connections ||
+           old->max_run_ms != new->max_run_ms || old->cold_ms != new->cold_ms;
+}
+
+/* Tells whether nothing runs there that was sent under the present options:
+ * at another address, what was given up could still take effect at the old
+ * one. */
+bool
+RsTarget_MayRenew(const struct rs_target *target, int64_t now_ms)
+{
+    return g_hash_table_size(target->works) == 0 &&
+           now_ms > target->abandoned_until_ms;
+}
+
+static void
+start_at_address(struct rs_target *target,
+                 const struct rs_target_options *options)
+{
+    target->options.address = options->address;
+    target->start_id = 0;
+    target->next_connect_ms = 0;
+    RsTargetGrant_Close(target);
+    RsTargetGrant_DoubtClock(target);
+    RsHealth_Start(&target->health, &options->health, options->now_ms);
+}
+
+/* Takes over changed options; RsTarget_MayRenew() must hold. */
+void
+RsTarget_Renew(struct rs_target *target,
+               const struct rs_target_options *options)
+{
+    bool elsewhere = moved(target, options);
+    bool warm = !elsewhere && target->ramp.contacted && !target->ramp.cold;
+    g_assert(RsTarget_MayRenew(target, options->now_ms));
+    RsTargetPool_CloseAll(target);
+    RsAdmission_Free(target->admission);
+    target->service = *options->service;
+    target->options.checks_fences = options->checks_fences;
+    start_decisions(target);
+    if (elsewhere) {
+        start_at_address(target, options);
+    }
+    else if (warm) {
+        RsRamp_KnownWarm(&target->ramp, options->now_ms, target->start_id);
+    }
+    RsTargetGrant_BeginAnew(target);
+    target->outdated = false;
+    RsLog_EVENT(RsLog_INFO, "target_renewed",
+                RsLog_TEXT("target", target->name),
+                RsLog_NUMBER("moved", elsewhere));
+}
+
 /* Admits a work, queues it, or refuses it at once. */
 void
 RsTarget_Offer(struct rs_target *target, struct rs_work *work, int64_t now_ms)
--- a/dispatch/target.h
+++ b/dispatch/target.h
@@ -117,7 +117,7 @@
     double median_us;           /* latency of its peers of the same service */
     bool lost;
     bool told_lost;
-    bool removed; /* from the configuration, or no longer spoken for */
+    bool outdated; /* its service or address is another now */
     int64_t next_connect_ms;
     int64_t active_until_ms; /* until when it has warm connections */
 };
@@ -125,6 +125,11 @@
 /* Life */
 struct rs_target *RsTarget_New(const struct rs_target_options *options);
 void RsTarget_Free(struct rs_target *target);
+bool RsTarget_Differs(const struct rs_target *target,
+                      const struct rs_target_options *options);
+bool RsTarget_MayRenew(const struct rs_target *target, int64_t now_ms);
+void RsTarget_Renew(struct rs_target *target,
+                    const struct rs_target_options *options);
 
 /* Work: takes ownership of `work`, whose events may come during the call */
 void RsTarget_Offer(struct rs_target *target, struct rs_work *work,
@@ -152,6 +157,7 @@
 void RsTargetPool_CloseAll(struct rs_target *target);
 void RsTargetGrant_Tick(struct rs_target *target, int64_t now_ms);
 void RsTargetGrant_DoubtClock(struct rs_target *target);
+void RsTargetGrant_BeginAnew(struct rs_target *target);
 void RsTargetGrant_Close(struct rs_target *target);
 void RsTargetWork_Finish(struct rs_work *work, enum rs_outcome outcome,
                          const char *reason, uint32_t retry_after_ms);
--- a/dispatch/target_grant.c
+++ b/dispatch/target_grant.c
@@ -300,7 +300,7 @@
         RsHttp_Close(grant->http);
         lose_connection(target, now_ms);
     }
-    if (target->removed || now_ms < grant->ask_at_ms) {
+    if (now_ms < grant->ask_at_ms) {
         return;
     }
     if (grant->http == NULL) {
@@ -311,6 +311,15 @@
     }
 }
 
+/* Forgets what the target was granted; it is asked again. */
+void
+RsTargetGrant_BeginAnew(struct rs_target *target)
+{
+    begin_anew(target);
+    target->grant.asked_set = 0;
+    target->grant.ask_at_ms = 0;
+}
+
 /* Closes the connection; what was granted lapses by itself. */
 void
 RsTargetGrant_Close(struct rs_target *target)
--- a/dispatch/target_pool.c
+++ b/dispatch/target_pool.c
@@ -363,7 +363,7 @@
     }
     uint32_t needed = g_queue_get_length(&target->ready);
     wanted = MAX(wanted, MIN(needed, target->service.connections));
-    if (target->removed || target->lost || now_ms < target->next_connect_ms) {
+    if (target->lost || now_ms < target->next_connect_ms) {
         return;
     }
     while (target->connections->len < wanted &&
