--- a/control/admin_report.c
+++ b/control/admin_report.c
@@ -111,14 +111,13 @@
 }
 
 static void
-add_holder(const struct rs_control *control, uint64_t slice, json_t *owner)
+add_holder(const struct rs_control *control,
+           const struct rs_model_assignment *assignment, json_t *owner)
 {
+    uint64_t slice = assignment->slice;
     struct rs_cell_view look;
     int64_t now_ms = RsClock_NowMs();
-    const struct rs_model_assignment *assignment =
-        RsView_Assignment(control->view, slice);
-    if (assignment == NULL ||
-        !RsLeases_Look(control->leases, now_ms, slice, &look) ||
+    if (!RsLeases_Look(control->leases, now_ms, slice, &look) ||
         look.claim.fence.epoch != assignment->epoch) {
         return;
     }
@@ -148,18 +147,17 @@
     }
     uint32_t index = RsSlice_OfKey(key, strlen(key), rule->slices);
     uint64_t slice = RsSlice_Id(rule->name, index);
-    const struct rs_model_assignment *assignment =
-        RsView_Assignment(control->view, slice);
+    struct rs_model_assignment assignment;
     RsId_Format(slice, id);
     json_t *owner =
         json_pack("{s:s,s:s,s:s,s:I,s:s}", "service", service, "key", key,
                   "rule", rule->name, "index", (json_int_t)index, "slice", id);
-    if (assignment != NULL) {
+    if (RsView_Assignment(control->view, slice, &assignment)) {
         json_object_set_new(owner, "epoch",
-                            json_integer((json_int_t)assignment->epoch));
-        json_object_set_new(owner, "cell", json_string(assignment->cell));
-        json_object_set_new(owner, "succession", succession_json(assignment));
-        add_holder(control, slice, owner);
+                            json_integer((json_int_t)assignment.epoch));
+        json_object_set_new(owner, "cell", json_string(assignment.cell));
+        json_object_set_new(owner, "succession", succession_json(&assignment));
+        add_holder(control, &assignment, owner);
     }
     return owner;
 }
--- a/control/control_task.c
+++ b/control/control_task.c
@@ -126,9 +126,10 @@
     RsView_Unref(control->view);
     control->view = RsView_New(&options);
     RsLeases_SetView(control->leases, now_ms, RsView_Ref(control->view),
-                     RsFeed_TableWasRead(control->feed));
+                     control->table_was_read);
     post_pointer(control, RsTask_VIEW, RsView_Ref(control->view),
                  dispose_view);
+    RsPlanning_Wake(control->planning);
     RsCounter_Add(&control->snapshots, 1);
     RsCounter_Add(&control->snapshot_us,
                   (uint64_t)(RsClock_NowUs() - began_us));
@@ -243,6 +244,21 @@
     }
 }
 
+/* A process that starts without memory must read the whole table once after
+ * its first lease has passed: a cell's change that was under way when it
+ * started may be over by then without it. */
+static void
+watch_first_reading(struct rs_control *control)
+{
+    int64_t since_ms =
+        control->started_at_ms + control->settings->tunables.lease_ms;
+    if (!control->table_was_read &&
+        RsFeed_ReadBeganAtMs(control->feed) > since_ms) {
+        control->table_was_read = true;
+        control->snapshot_due = true;
+    }
+}
+
 /* What is missing in the list of VMs counts by the readings of the list, not
  * by time alone: without the platform nobody is found to be gone. */
 static void
@@ -261,8 +277,10 @@
 {
     struct rs_control *control = timer->data;
     int64_t now_ms = RsClock_NowMs();
-    RsFeed_Tick(control->feed, now_ms,
-                RsControlHeartbeat_IsReader(control, now_ms));
+    bool reader = !control->table_was_read ||
+                  RsControlHeartbeat_IsReader(control, now_ms);
+    RsFeed_Tick(control->feed, now_ms, reader);
+    watch_first_reading(control);
     if (control->snapshot_due && RsFeed_Vms(control->feed) != NULL) {
         control->snapshot_due = false;
         make_snapshot(control, now_ms);
@@ -421,6 +439,7 @@
         RsLeases_TargetChanged(control->leases,
                                ((struct rs_task_target *)message)->target,
                                message->kind == RsTask_TARGET_LOST);
+        RsPlanning_Wake(control->planning);
         RsLeases_Tick(control->leases, now_ms);
         break;
     case RsTask_SLICE_DRAINED:
--- a/control/feed.c
+++ b/control/feed.c
@@ -25,6 +25,8 @@
     bool reading;
     bool reading_vms;
     bool table_was_read;
+    int64_t page_began_ms; /* of the reading that is under way */
+    int64_t read_began_ms; /* of the last whole reading; 0: none */
     int64_t poll_at_ms;
     int64_t vms_at_ms;
     int64_t ask_peer_at_ms;
@@ -85,6 +87,7 @@
     }
     bool first = !feed->table_was_read;
     feed->table_was_read = true;
+    feed->read_began_ms = feed->page_began_ms;
     if (changed || first) {
         feed->options.changed(feed->options.arg);
     }
@@ -127,6 +130,7 @@
     }
     if (!feed->reading && now_ms >= feed->poll_at_ms) {
         feed->poll_at_ms = now_ms + every_ms;
+        feed->page_began_ms = now_ms;
         read_page(feed);
     }
     feed->poll_at_ms = MIN(feed->poll_at_ms, now_ms + every_ms);
@@ -247,6 +251,14 @@
     return feed->table_was_read;
 }
 
+/* Returns when the last whole reading of the table began, 0 when there was
+ * none. */
+int64_t
+RsFeed_ReadBeganAtMs(const struct rs_feed *feed)
+{
+    return feed->read_began_ms;
+}
+
 /* Tells whether the platform answered lately. */
 bool
 RsFeed_PlatformAnswers(const struct rs_feed *feed, int64_t now_ms)
--- a/control/feed.h
+++ b/control/feed.h
@@ -46,6 +46,7 @@
 const json_t *RsFeed_Vms(const struct rs_feed *feed);
 int64_t RsFeed_VmsReadAtMs(const struct rs_feed *feed);
 bool RsFeed_TableWasRead(const struct rs_feed *feed);
+int64_t RsFeed_ReadBeganAtMs(const struct rs_feed *feed);
 bool RsFeed_PlatformAnswers(const struct rs_feed *feed, int64_t now_ms);
 
 #endif
--- a/control/leases.c
+++ b/control/leases.c
@@ -154,13 +154,14 @@
 learn_rule(struct rs_leases *leases, const struct rs_view_rule *rule)
 {
     for (uint32_t i = 0; i < rule->slices; i++) {
-        const struct rs_model_assignment *assignment = &rule->assignments[i];
-        if (assignment->epoch == 0) {
+        struct rs_model_assignment assignment;
+        RsView_Unpack(leases->view, rule, i, &assignment);
+        if (assignment.epoch == 0) {
             continue;
         }
-        RsCell_LearnEpoch(leases->cell, assignment->slice, assignment->epoch);
-        if (is_ours(leases, assignment)) {
-            find_or_add(leases, assignment->slice);
+        RsCell_LearnEpoch(leases->cell, assignment.slice, assignment.epoch);
+        if (is_ours(leases, &assignment)) {
+            find_or_add(leases, assignment.slice);
         }
     }
 }
@@ -174,9 +175,10 @@
     g_hash_table_iter_init(&iter, leases->slices);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct slice_state *state = value;
-        const struct rs_model_assignment *assignment =
-            RsView_Assignment(leases->view, state->slice);
-        bool ours = assignment != NULL && is_ours(leases, assignment);
+        struct rs_model_assignment assignment;
+        bool ours =
+            RsView_Assignment(leases->view, state->slice, &assignment) &&
+            is_ours(leases, &assignment);
         if (!ours && !state->held) {
             g_hash_table_iter_remove(&iter);
         }
@@ -304,12 +306,12 @@
 static uint32_t
 position_after(const struct rs_leases *leases, const struct slice_state *state)
 {
-    const struct rs_model_assignment *assignment =
-        RsView_Assignment(leases->view, state->slice);
-    if (assignment == NULL || assignment->epoch != state->epoch) {
+    struct rs_model_assignment assignment;
+    if (!RsView_Assignment(leases->view, state->slice, &assignment) ||
+        assignment.epoch != state->epoch) {
         return 0;
     }
-    return usable_position(leases, assignment, state->position);
+    return usable_position(leases, &assignment, state->position);
 }
 
 /* A target that is lost: its slices go on to their successors, unless all of
@@ -319,9 +321,10 @@
 static void
 stop_lost(struct rs_leases *leases, struct slice_state *state)
 {
-    const struct rs_model_assignment *assignment =
-        RsView_Assignment(leases->view, state->slice);
-    bool same_epoch = assignment != NULL && assignment->epoch == state->epoch;
+    struct rs_model_assignment assignment;
+    bool same_epoch =
+        RsView_Assignment(leases->view, state->slice, &assignment) &&
+        assignment.epoch == state->epoch;
     if (!same_epoch || position_after(leases, state) != state->position) {
         stop(leases, state);
     }
@@ -330,9 +333,8 @@
 static void
 review_held(struct rs_leases *leases, struct slice_state *state)
 {
-    const struct rs_model_assignment *assignment =
-        RsView_Assignment(leases->view, state->slice);
-    bool gone = assignment == NULL;
+    struct rs_model_assignment assignment;
+    bool gone = !RsView_Assignment(leases->view, state->slice, &assignment);
     if (g_hash_table_contains(leases->lost, state->target)) {
         stop_lost(leases, state);
     }
@@ -405,15 +407,15 @@
 review_free(struct rs_leases *leases, struct slice_state *state,
             int64_t now_ms)
 {
-    const struct rs_model_assignment *assignment =
-        RsView_Assignment(leases->view, state->slice);
+    struct rs_model_assignment row;
+    const struct rs_model_assignment *assignment = &row;
     const struct rs_view_cell *cell =
         RsView_Cell(leases->view, leases->cell_name);
     struct rs_cell_view look = {0};
-    if (assignment == NULL || cell == NULL || leases->leaving ||
-        assignment->succession_count == 0 || !is_ours(leases, assignment) ||
+    if (now_ms < state->retry_at_ms || leases->leaving || cell == NULL ||
         RsCell_Claiming(leases->cell, state->slice) ||
-        now_ms < state->retry_at_ms) {
+        !RsView_Assignment(leases->view, state->slice, &row) ||
+        row.succession_count == 0 || !is_ours(leases, &row)) {
         return;
     }
     bool known = RsCell_Look(leases->cell, now_ms, state->slice, &look);
@@ -502,8 +504,8 @@
           int64_t now_ms)
 {
     struct slice_state *state = find_or_add(leases, event->claim.slice);
-    const struct rs_model_assignment *assignment =
-        RsView_Assignment(leases->view, state->slice);
+    struct rs_model_assignment assignment;
+    bool assigned = RsView_Assignment(leases->view, state->slice, &assignment);
     RsCounter_Add(&leases->counters.won, 1);
     state->held = true;
     state->stopping = false;
@@ -511,7 +513,7 @@
     state->epoch = event->claim.fence.epoch;
     state->step = event->claim.fence.step;
     state->position = event->claim.position;
-    if (assignment == NULL || assignment->epoch != state->epoch) {
+    if (!assigned || assignment.epoch != state->epoch) {
         release(leases, state, now_ms, 0);
         return;
     }
--- a/control/planning.c
+++ b/control/planning.c
@@ -6,14 +6,13 @@
 
 #include "control/rosters.h"
 #include "core/clock.h"
-#include "core/log.h"
 #include "place/assignment.h"
 #include "place/balance.h"
 #include "place/planner.h"
 #include "place/slice.h"
 
 #define ROUND_EVERY_MS 400
-#define BALANCE_EVERY_MS 3000
+#define REVIEW_EVERY_MS 3000 /* also when nothing changed */
 #define KEEP_MOVED_MS 20000
 #define MAX_BALANCE_MOVES 2 /* a rule and round */
 #define BALANCE_HYSTERESIS_PERMILLE 200
@@ -30,9 +29,30 @@
     struct rs_rosters *rosters;
     GHashTable *kept; /* slice to until when it is not moved by load */
     bool writing;
-    bool balances; /* in this round */
+    bool woken; /* something changed since the last review */
     int64_t round_at_ms;
-    int64_t balance_at_ms;
+    int64_t review_at_ms;
+};
+
+/* One round of planning for one cell. */
+struct round {
+    struct rs_planning *planning;
+    const struct rs_view *view;
+    const struct rs_view_cell *cell;
+    int64_t now_ms;
+    json_t *conditions;
+    json_t *puts;
+    GArray *domains; /* struct rs_planner_domain */
+};
+
+/* What the planner is told of one rule. */
+struct rule_state {
+    const struct rs_view_rule *rule;
+    const struct rs_model_service *service;
+    struct rs_model_assignment *present;
+    GArray *targets; /* struct rs_planner_target */
+    uint8_t *positions;
+    double *weights;
 };
 
 /* Makes the state of a planner that has written nothing. */
@@ -61,6 +81,7 @@
 {
     struct rs_planning *planning = arg;
     planning->writing = false;
+    planning->woken = true;
     if (status == STATUS_OK) {
         RsCounter_Add(&planning->counters.commits, 1);
     }
@@ -70,25 +91,29 @@
     planning->options.written(planning->options.arg);
 }
 
-/* Commits rows; takes over both lists. */
-static void
-commit(struct rs_planning *planning, json_t *conditions, json_t *puts)
+/* Commits the round's rows when there are any. Returns whether there were. */
+static bool
+commit(struct round *round)
 {
-    json_t *body = json_pack("{s:o,s:o}", "if", conditions, "put", puts);
-    planning->writing = true;
-    RsPlatform_Commit(planning->options.platform, body, on_commit, planning);
+    struct rs_planning *planning = round->planning;
+    bool any = json_array_size(round->puts) > 0;
+    json_t *body =
+        json_pack("{s:o,s:o}", "if", round->conditions, "put", round->puts);
+    if (any) {
+        planning->writing = true;
+        RsPlatform_Commit(planning->options.platform, body, on_commit,
+                          planning);
+    }
     json_decref(body);
+    return any;
 }
 
 static void
-add_row(json_t *conditions, json_t *puts, const char *key, uint64_t version,
-        json_t *value)
+add_condition(struct round *round, const char *key, uint64_t version)
 {
     json_array_append_new(
-        conditions,
+        round->conditions,
         json_pack("{s:s,s:I}", "key", key, "version", (json_int_t)version));
-    json_array_append_new(puts,
-                          json_pack("{s:s,s:o}", "key", key, "value", value));
 }
 
 /* Returns the name of the live member that plans for its cell; this process's
@@ -108,25 +133,16 @@
     return planner;
 }
 
-static bool
-is_planner(const struct rs_planning *planning, const struct rs_view_cell *cell,
-           int64_t now_ms)
-{
-    return strcmp(RsPlanning_Planner(planning, cell, now_ms),
-                  planning->self) == 0;
-}
-
 static void
-add_target(GArray *targets, const struct rs_planning *planning,
-           const struct rs_view *view, const struct rs_model_place *place,
-           const char *name)
+add_target(const struct round *round, const struct rs_model_place *place,
+           const char *name, GArray *targets)
 {
-    const struct rs_view_vm *vm = RsView_Vm(view, name);
+    const struct rs_view_vm *vm = RsView_Vm(round->view, name);
     const struct rs_view_cell *cell =
-        RsView_CellOfTarget(view, place->domain, name);
+        RsView_CellOfTarget(round->view, place->domain, name);
+    bool lost = RsLeases_TargetIsLost(round->planning->options.leases, name);
     struct rs_planner_target target = {
-        .alive = vm != NULL &&
-                 !RsLeases_TargetIsLost(planning->options.leases, name),
+        .alive = vm != NULL && !lost,
         .leaving = vm != NULL && vm->leaving,
         .share = 1.0,
     };
@@ -139,51 +155,54 @@
 }
 
 static GArray *
-list_targets(const struct rs_planning *planning, const struct rs_view *view,
-             const struct rs_model_rule *rule)
+list_targets(const struct round *round, const struct rs_model_rule *rule)
 {
     GArray *targets =
         g_array_new(FALSE, TRUE, sizeof(struct rs_planner_target));
     for (size_t i = 0; i < rule->place_count; i++) {
         const struct rs_model_place *place =
-            RsConfig_Place(RsView_Config(view), rule->places[i]);
+            RsConfig_Place(RsView_Config(round->view), rule->places[i]);
         for (size_t j = 0; place != NULL && j < place->target_count; j++) {
-            add_target(targets, planning, view, place, place->targets[j].name);
+            add_target(round, place, place->targets[j].name, targets);
         }
     }
     return targets;
 }
 
-static GArray *
-list_domains(const struct rs_view *view)
+/* Lists the domains. What is planned because one is lost holds only as long
+ * as that is said of it. */
+static void
+list_domains(struct round *round)
 {
-    const struct rs_config *config = RsView_Config(view);
-    GArray *domains =
+    const struct rs_config *config = RsView_Config(round->view);
+    round->domains =
         g_array_new(FALSE, TRUE, sizeof(struct rs_planner_domain));
     for (size_t i = 0; i < RsConfig_Count(config, RsObject_DOMAIN); i++) {
         const struct rs_config_entry *entry =
             RsConfig_At(config, RsObject_DOMAIN, i);
-        struct rs_planner_domain domain = {
-            .state = entry->object.as.domain.state,
-        };
-        g_strlcpy(domain.name, entry->object.as.domain.name,
-                  sizeof(domain.name));
-        g_array_append_val(domains, domain);
+        const struct rs_model_domain *model = &entry->object.as.domain;
+        struct rs_planner_domain domain = {.state = model->state};
+        g_strlcpy(domain.name, model->name, sizeof(domain.name));
+        g_array_append_val(round->domains, domain);
+        if (model->state == RsModel_LOST) {
+            char *key = g_strdup_printf("object/domain/%s", model->name);
+            add_condition(round, key, entry->version);
+            g_free(key);
+        }
     }
-    return domains;
 }
 
 /* Where each slice of this process's cell stands in its succession. */
 static uint8_t *
-list_positions(const struct rs_planning *planning,
-               const struct rs_view_rule *rule, int64_t now_ms)
+list_positions(const struct round *round, const struct rule_state *state)
 {
-    uint8_t *positions = g_new0(uint8_t, rule->slices + 1);
-    for (uint32_t i = 0; i < rule->slices; i++) {
-        const struct rs_model_assignment *assignment = &rule->assignments[i];
+    uint32_t slices = state->rule->slices;
+    uint8_t *positions = g_new0(uint8_t, slices + 1);
+    for (uint32_t i = 0; i < slices; i++) {
+        const struct rs_model_assignment *assignment = &state->present[i];
         struct rs_cell_view look;
-        if (RsLeases_Look(planning->options.leases, now_ms, assignment->slice,
-                          &look) &&
+        if (RsLeases_Look(round->planning->options.leases, round->now_ms,
+                          assignment->slice, &look) &&
             look.claim.fence.epoch == assignment->epoch &&
             look.claim.position < assignment->succession_count) {
             positions[i] = (uint8_t)look.claim.position;
@@ -193,34 +212,32 @@
 }
 
 /* Writes each chunk of slices that has a change. */
-static size_t
-add_changes(json_t *conditions, json_t *puts, const struct rs_view_rule *rule,
+static void
+add_changes(struct round *round, const struct rule_state *state,
             const struct rs_model_assignment *changes, size_t count)
 {
-    size_t rows = 0;
-    struct rs_model_assignment *whole = g_memdup2(
-        rule->assignments, rule->slices * sizeof(rule->assignments[0]));
+    const struct rs_view_rule *rule = state->rule;
     bool *touched = g_new0(bool, rule->row_count + 1);
     for (size_t i = 0; i < count; i++) {
         uint32_t index = RsSlice_Index(changes[i].slice);
-        whole[index] = changes[i];
+        state->present[index] = changes[i];
         touched[index / RsAssignment_PER_ROW] = true;
     }
-    for (size_t row = 0; row < rule->row_count; row++) {
+    for (uint32_t row = 0; row < rule->row_count; row++) {
         char key[RsAssignment_KEY_BYTES];
-        if (!touched[row] || json_array_size(puts) >= MAX_ROWS_A_COMMIT) {
+        if (!touched[row] ||
+            json_array_size(round->puts) >= MAX_ROWS_A_COMMIT) {
             continue;
         }
-        RsAssignment_FormatKey(rule->name, (uint32_t)row, key);
-        add_row(conditions, puts, key, rule->row_versions[row],
-                RsAssignment_Encode(
-                    whole + row * RsAssignment_PER_ROW,
-                    RsAssignment_InRow(rule->slices, (uint32_t)row)));
-        rows++;
+        RsAssignment_FormatKey(rule->name, row, key);
+        add_condition(round, key, rule->row_versions[row]);
+        json_t *value =
+            RsAssignment_Encode(state->present + row * RsAssignment_PER_ROW,
+                                RsAssignment_InRow(rule->slices, row));
+        json_array_append_new(
+            round->puts, json_pack("{s:s,s:o}", "key", key, "value", value));
     }
     g_free(touched);
-    g_free(whole);
-    return rows;
 }
 
 static void
@@ -235,163 +252,210 @@
     }
 }
 
-/* Moves few slices by their load within the cell, now and then. */
-static void
-balance_rule(struct rs_planning *planning, const struct rs_view_rule *rule,
-             GArray *targets, struct rs_balance_options *options,
-             json_t *conditions, json_t *puts, int64_t now_ms)
+/* Returns the sum of the rates of the rule's slices, as far as known. */
+static double
+fill_rates(const struct round *round, const struct rule_state *state,
+           double *rates, int64_t *keep_until_ms)
 {
+    const struct rs_planning *planning = round->planning;
     double total = 0;
-    double *rates = g_new0(double, rule->slices + 1);
-    int64_t *keep_until_ms = g_new0(int64_t, rule->slices + 1);
-    for (uint32_t i = 0; i < rule->slices; i++) {
-        uint64_t slice = rule->assignments[i].slice;
-        rates[i] = RsLoads_Rate(planning->options.loads, now_ms, slice);
+    for (uint32_t i = 0; i < state->rule->slices; i++) {
+        uint64_t slice = state->present[i].slice;
         const int64_t *kept = g_hash_table_lookup(planning->kept, &slice);
+        rates[i] = RsLoads_Rate(planning->options.loads, round->now_ms, slice);
         keep_until_ms[i] = kept != NULL ? *kept : 0;
         total += rates[i];
     }
-    for (guint i = 0; i < targets->len; i++) {
+    return total;
+}
+
+static struct rs_balance_options
+balance_options(const struct round *round, const struct rule_state *state)
+{
+    return (struct rs_balance_options){
+        .rule = state->rule->name,
+        .cell = round->cell->row.cell,
+        .targets =
+            (const struct rs_planner_target *)(void *)state->targets->data,
+        .target_count = state->targets->len,
+        .present = state->present,
+        .slices = state->rule->slices,
+        .positions = state->positions,
+        .now_ms = round->now_ms,
+        .max_moves = MAX_BALANCE_MOVES,
+        .hysteresis_permille = BALANCE_HYSTERESIS_PERMILLE,
+    };
+}
+
+/* Moves few slices by their load within the cell. */
+static void
+balance_rule(struct round *round, struct rule_state *state)
+{
+    struct rs_planning *planning = round->planning;
+    struct rs_planner_plan plan = {0};
+    double *rates = g_new0(double, state->rule->slices + 1);
+    int64_t *keep_until_ms = g_new0(int64_t, state->rule->slices + 1);
+    double total = fill_rates(round, state, rates, keep_until_ms);
+    for (guint i = 0; i < state->targets->len; i++) {
         struct rs_planner_target *target =
-            &g_array_index(targets, struct rs_planner_target, i);
-        target->share =
-            RsLoads_Share(planning->options.loads, now_ms, target->name);
+            &g_array_index(state->targets, struct rs_planner_target, i);
+        target->share = RsLoads_Share(planning->options.loads, round->now_ms,
+                                      target->name);
     }
-    options->rates = rates;
-    options->keep_until_ms = keep_until_ms;
-    struct rs_planner_plan plan = {0};
-    if (planning->balances && total >= LEAST_BALANCED_RATE &&
-        RsBalance_WithinCell(options, &plan) == 0 && plan.change_count > 0) {
+    struct rs_balance_options options = balance_options(round, state);
+    options.rates = rates;
+    options.keep_until_ms = keep_until_ms;
+    if (total >= LEAST_BALANCED_RATE &&
+        RsBalance_WithinCell(&options, &plan) == 0 && plan.change_count > 0) {
         RsCounter_Add(&planning->counters.balance_moves, plan.moves);
-        add_changes(conditions, puts, rule, plan.changes, plan.change_count);
-        keep_changed(planning, &plan, now_ms);
+        add_changes(round, state, plan.changes, plan.change_count);
+        keep_changed(planning, &plan, round->now_ms);
     }
     RsPlanner_FreePlan(&plan);
     g_free(keep_until_ms);
     g_free(rates);
 }
 
-static void
-plan_rule(struct rs_planning *planning, const struct rs_view *view,
-          const struct rs_view_rule *rule, const struct rs_view_cell *cell,
-          json_t *conditions, json_t *puts, int64_t now_ms)
+/* Places the rule's slices on cells and targets. Returns whether any row is
+ * to change. */
+static bool
+place_rule(struct round *round, struct rule_state *state)
 {
-    const struct rs_config *config = RsView_Config(view);
-    const struct rs_model_rule *model = RsConfig_Rule(config, rule->name);
-    const struct rs_model_service *service =
-        model != NULL ? RsConfig_Service(config, model->service) : NULL;
-    if (service == NULL || !service->keyed) {
-        return;
-    }
-    GArray *targets = list_targets(planning, view, model);
-    GArray *domains = list_domains(view);
-    uint8_t *positions = list_positions(planning, rule, now_ms);
-    double *weights = g_new0(double, rule->slices + 1);
-    struct rs_balance_options balance = {
-        .rule = rule->name,
-        .cell = cell->row.cell,
-        .targets = (const struct rs_planner_target *)(void *)targets->data,
-        .target_count = targets->len,
-        .present = rule->assignments,
-        .slices = rule->slices,
-        .positions = positions,
-        .now_ms = now_ms,
-        .max_moves = MAX_BALANCE_MOVES,
-        .hysteresis_permille = BALANCE_HYSTERESIS_PERMILLE,
-    };
-    RsBalance_Weigh(&balance, weights);
     struct rs_planner_options options = {
-        .rule = rule->name,
-        .slices = rule->slices,
-        .cut_off = service->cut_off,
-        .targets = (const struct rs_planner_target *)(void *)targets->data,
-        .target_count = targets->len,
-        .domains = (const struct rs_planner_domain *)(void *)domains->data,
-        .domain_count = domains->len,
-        .present = rule->assignments,
-        .positions = positions,
-        .loads = weights,
-        .now_ms = now_ms,
-        .cell = cell->row.cell,
+        .rule = state->rule->name,
+        .slices = state->rule->slices,
+        .cut_off = state->service->cut_off,
+        .targets =
+            (const struct rs_planner_target *)(void *)state->targets->data,
+        .target_count = state->targets->len,
+        .domains =
+            (const struct rs_planner_domain *)(void *)round->domains->data,
+        .domain_count = round->domains->len,
+        .present = state->present,
+        .positions = state->positions,
+        .loads = state->weights,
+        .now_ms = round->now_ms,
+        .cell = round->cell->row.cell,
     };
-    struct rs_planner_plan plan;
-    if (RsPlanner_Plan(&options, &plan) == 0) {
-        if (plan.change_count > 0) {
-            RsCounter_Add(&planning->counters.moves, plan.moves);
-            add_changes(conditions, puts, rule, plan.changes,
-                        plan.change_count);
-        }
-        else {
-            balance_rule(planning, rule, targets, &balance, conditions, puts,
-                         now_ms);
-        }
-        RsPlanner_FreePlan(&plan);
+    struct rs_planner_plan plan = {0};
+    bool changes =
+        RsPlanner_Plan(&options, &plan) == 0 && plan.change_count > 0;
+    if (changes) {
+        RsCounter_Add(&round->planning->counters.moves, plan.moves);
+        add_changes(round, state, plan.changes, plan.change_count);
     }
-    g_free(weights);
-    g_free(positions);
-    g_array_free(domains, TRUE);
-    g_array_free(targets, TRUE);
+    RsPlanner_FreePlan(&plan);
+    return changes;
 }
 
-/* Clears the former cells of slices that their new cell holds. */
-static void
-settle_rule(const struct rs_planning *planning,
-            const struct rs_view_rule *rule, const struct rs_view_cell *cell,
-            json_t *conditions, json_t *puts, int64_t now_ms)
+static bool
+is_settled_here(const struct round *round,
+                const struct rs_model_assignment *assignment)
+{
+    struct rs_cell_view look;
+    return assignment->from_count > 0 &&
+           strcmp(assignment->cell, round->cell->row.cell) == 0 &&
+           RsLeases_Look(round->planning->options.leases, round->now_ms,
+                         assignment->slice, &look) &&
+           look.holder != 0 && look.claim.fence.epoch == assignment->epoch;
+}
+
+/* Clears the former cells of slices that their new cell holds. Returns
+ * whether there were any. */
+static bool
+settle_rule(struct round *round, struct rule_state *state)
 {
     GArray *settled =
         g_array_new(FALSE, FALSE, sizeof(struct rs_model_assignment));
-    for (uint32_t i = 0; i < rule->slices; i++) {
-        const struct rs_model_assignment *assignment = &rule->assignments[i];
-        struct rs_cell_view look;
+    for (uint32_t i = 0; i < state->rule->slices; i++) {
         struct rs_model_assignment next;
-        bool held = assignment->from_count > 0 &&
-                    strcmp(assignment->cell, cell->row.cell) == 0 &&
-                    RsLeases_Look(planning->options.leases, now_ms,
-                                  assignment->slice, &look) &&
-                    look.holder != 0 &&
-                    look.claim.fence.epoch == assignment->epoch;
-        if (held && RsPlanner_Settle(assignment, &next)) {
+        if (is_settled_here(round, &state->present[i]) &&
+            RsPlanner_Settle(&state->present[i], &next)) {
             g_array_append_val(settled, next);
         }
     }
-    if (settled->len > 0) {
-        add_changes(conditions, puts, rule,
-                    (struct rs_model_assignment *)(void *)settled->data,
-                    settled->len);
-    }
+    bool any = settled->len > 0;
+    add_changes(round, state,
+                (struct rs_model_assignment *)(void *)settled->data,
+                settled->len);
     g_array_free(settled, TRUE);
+    return any;
+}
+
+static void
+open_rule(const struct round *round, const struct rs_model_rule *model,
+          struct rule_state *state)
+{
+    uint32_t slices = state->rule->slices;
+    state->present = g_new0(struct rs_model_assignment, slices + 1);
+    for (uint32_t i = 0; i < slices; i++) {
+        RsView_Unpack(round->view, state->rule, i, &state->present[i]);
+    }
+    state->targets = list_targets(round, model);
+    state->positions = list_positions(round, state);
+    state->weights = g_new0(double, slices + 1);
+    struct rs_balance_options options = balance_options(round, state);
+    RsBalance_Weigh(&options, state->weights);
+}
+
+static void
+close_rule(struct rule_state *state)
+{
+    g_free(state->weights);
+    g_free(state->positions);
+    g_array_free(state->targets, TRUE);
+    g_free(state->present);
 }
 
 static void
-plan_all(struct rs_planning *planning, const struct rs_view *view,
-         const struct rs_view_cell *cell, int64_t now_ms)
+plan_rule(struct round *round, const struct rs_view_rule *rule, bool review)
 {
+    const struct rs_config *config = RsView_Config(round->view);
+    const struct rs_model_rule *model = RsConfig_Rule(config, rule->name);
+    struct rule_state state = {.rule = rule};
+    if (model != NULL) {
+        state.service = RsConfig_Service(config, model->service);
+    }
+    if (state.service == NULL || !state.service->keyed) {
+        return;
+    }
+    open_rule(round, model, &state);
+    if (!place_rule(round, &state) && !settle_rule(round, &state) && review) {
+        balance_rule(round, &state);
+    }
+    close_rule(&state);
+}
+
+/* Plans all rules. A review also looks at loads; it comes seldom. */
+static void
+plan_rules(struct round *round, bool review)
+{
+    struct rs_planning *planning = round->planning;
     const struct rs_view_rule *rules;
-    size_t count = RsView_Rules(view, &rules);
-    json_t *conditions = json_array();
-    json_t *puts = json_array();
+    size_t count = RsView_Rules(round->view, &rules);
     int64_t began_us = RsClock_NowUs();
-    planning->balances = now_ms >= planning->balance_at_ms;
-    if (planning->balances) {
-        planning->balance_at_ms = now_ms + BALANCE_EVERY_MS;
-    }
+    list_domains(round);
     for (size_t i = 0; i < count; i++) {
-        size_t before = json_array_size(puts);
-        plan_rule(planning, view, &rules[i], cell, conditions, puts, now_ms);
-        if (json_array_size(puts) == before) {
-            settle_rule(planning, &rules[i], cell, conditions, puts, now_ms);
-        }
+        plan_rule(round, &rules[i], review);
     }
+    g_array_free(round->domains, TRUE);
     RsCounter_Add(&planning->counters.rounds, 1);
     RsCounter_Add(&planning->counters.round_us,
                   (uint64_t)(RsClock_NowUs() - began_us));
-    if (json_array_size(puts) > 0) {
-        commit(planning, conditions, puts);
-        return;
-    }
-    json_decref(conditions);
-    json_decref(puts);
+}
+
+static struct round
+open_round(struct rs_planning *planning, const struct rs_view *view,
+           int64_t now_ms)
+{
+    return (struct round){
+        .planning = planning,
+        .view = view,
+        .cell = RsLeases_Cell(planning->options.leases),
+        .now_ms = now_ms,
+        .conditions = json_array(),
+        .puts = json_array(),
+    };
 }
 
 /* Writes the rows of the domain's cells, when any is to change. */
@@ -399,19 +463,21 @@
 plan_rosters(struct rs_planning *planning, const struct rs_view *view,
              int64_t now_ms)
 {
-    json_t *conditions = json_array();
-    json_t *puts = json_array();
-    RsRosters_Plan(planning->rosters, view, now_ms, conditions, puts);
-    if (json_array_size(puts) > 0) {
-        commit(planning, conditions, puts);
-        return true;
-    }
-    json_decref(conditions);
-    json_decref(puts);
-    return false;
+    struct round round = open_round(planning, view, now_ms);
+    RsRosters_Plan(planning->rosters, view, now_ms, round.conditions,
+                   round.puts);
+    return commit(&round);
+}
+
+/* Something that plans depend on changed. */
+void
+RsPlanning_Wake(struct rs_planning *planning)
+{
+    planning->woken = true;
 }
 
-/* Plans when it is time to, unless a row is being written. */
+/* Plans when it is time to and something changed, unless a row is being
+ * written. */
 void
 RsPlanning_Tick(struct rs_planning *planning, int64_t now_ms,
                 const struct rs_view *view)
@@ -421,12 +487,22 @@
     }
     planning->round_at_ms = now_ms + ROUND_EVERY_MS;
     const struct rs_view_cell *cell = RsLeases_Cell(planning->options.leases);
-    if (cell != NULL && !is_planner(planning, cell, now_ms)) {
+    if (cell != NULL && strcmp(RsPlanning_Planner(planning, cell, now_ms),
+                               planning->self) != 0) {
+        return;
+    }
+    bool review = now_ms >= planning->review_at_ms;
+    if (plan_rosters(planning, view, now_ms) || cell == NULL ||
+        !(review || planning->woken)) {
         return;
     }
-    if (!plan_rosters(planning, view, now_ms) && cell != NULL) {
-        plan_all(planning, view, cell, now_ms);
+    planning->woken = false;
+    if (review) {
+        planning->review_at_ms = now_ms + REVIEW_EVERY_MS;
     }
+    struct round round = open_round(planning, view, now_ms);
+    plan_rules(&round, review);
+    commit(&round);
 }
 
 /* A fresh list of VMs was read from the platform. */
--- a/control/state.h
+++ b/control/state.h
@@ -32,6 +32,7 @@
     GHashTable *dumps;        /* token to a pending dump */
     uint64_t next_dump;
     bool snapshot_due;
+    bool table_was_read; /* whole, after the first lease */
     bool leaving;
     bool data_idle;
     int64_t leave_by_ms; /* end of the grace; 0: not leaving */
--- a/front/attempt.c
+++ b/front/attempt.c
@@ -130,17 +130,16 @@
         !RsRelayClient_IsDown(front->relay, hint, now_ms)) {
         return hint;
     }
-    const struct rs_model_assignment *assignment =
-        RsView_Assignment(front->view, slice);
-    if (assignment == NULL) {
+    struct rs_model_assignment assignment;
+    if (!RsView_Assignment(front->view, slice, &assignment)) {
         return NULL;
     }
     const struct rs_view_cell *cell =
-        RsView_Cell(front->view, assignment->cell);
+        RsView_Cell(front->view, assignment.cell);
     if (cell == NULL) {
         return NULL;
     }
-    return pick_member(front, cell, assignment->succession[0], request->skip,
+    return pick_member(front, cell, assignment.succession[0], request->skip,
                        now_ms);
 }
 
--- a/view/view.c
+++ b/view/view.c
@@ -22,6 +22,8 @@
     GHashTable *cell_by_name;
     GHashTable *rule_by_name;
     GHashTable *rule_by_slice; /* upper bits of a slice's id to its rule */
+    GPtrArray *names;          /* of cells and targets in assignments */
+    GHashTable *name_numbers;  /* name to its number and one */
 };
 
 static uint64_t
@@ -100,8 +102,40 @@
     }
 }
 
+/* Returns the number of a name. A table of more than 65,535 names is beyond
+ * the size that is planned for. */
+static uint16_t
+number_name(struct rs_view *view, const char *name)
+{
+    gpointer known = g_hash_table_lookup(view->name_numbers, name);
+    if (known == NULL) {
+        char *copy = g_strdup(name);
+        g_assert(view->names->len < UINT16_MAX);
+        g_ptr_array_add(view->names, copy);
+        known = GUINT_TO_POINTER(view->names->len);
+        g_hash_table_insert(view->name_numbers, copy, known);
+    }
+    return (uint16_t)(GPOINTER_TO_UINT(known) - 1);
+}
+
 static void
-read_chunk(struct rs_view_rule *rule, size_t chunk,
+pack(struct rs_view *view, const struct rs_model_assignment *from,
+     struct rs_view_slice *to)
+{
+    to->epoch = from->epoch;
+    to->cell = number_name(view, from->cell);
+    to->succession_count = (uint8_t)from->succession_count;
+    to->from_count = (uint8_t)from->from_count;
+    for (size_t i = 0; i < from->succession_count; i++) {
+        to->succession[i] = number_name(view, from->succession[i]);
+    }
+    for (size_t i = 0; i < from->from_count; i++) {
+        to->from[i] = number_name(view, from->from[i]);
+    }
+}
+
+static void
+read_chunk(struct rs_view *view, struct rs_view_rule *rule, size_t chunk,
            const struct rs_mirror *mirror)
 {
     char key[RsAssignment_KEY_BYTES];
@@ -118,8 +152,9 @@
                             &count) == 0) {
         size_t at = chunk * RsAssignment_PER_ROW;
         size_t room = rule->slices > at ? rule->slices - at : 0;
-        memcpy(rule->assignments + at, slices,
-               MIN(count, room) * sizeof(slices[0]));
+        for (size_t i = 0; i < MIN(count, room); i++) {
+            pack(view, &slices[i], &rule->packed[at + i]);
+        }
     }
     json_decref(value);
 }
@@ -132,13 +167,11 @@
     g_strlcpy(rule->name, model->name, sizeof(rule->name));
     rule->slices = model->slices;
     rule->row_count = RsAssignment_Rows(model->slices);
-    rule->assignments = g_new0(struct rs_model_assignment, model->slices);
+    rule->packed = g_new0(struct rs_view_slice, model->slices);
     rule->row_versions = g_new0(uint64_t, rule->row_count);
-    for (uint32_t i = 0; i < model->slices; i++) {
-        rule->assignments[i].slice = RsSlice_Id(model->name, i);
-    }
+
     for (size_t chunk = 0; chunk < rule->row_count; chunk++) {
-        read_chunk(rule, chunk, mirror);
+        read_chunk(view, rule, chunk, mirror);
     }
     uint64_t *bits = g_new(uint64_t, 1);
     *bits = rule_bits(RsSlice_Id(model->name, 0));
@@ -172,6 +205,8 @@
     view->rule_by_name = g_hash_table_new(g_str_hash, g_str_equal);
     view->rule_by_slice =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    view->names = g_ptr_array_new_with_free_func(g_free);
+    view->name_numbers = g_hash_table_new(g_str_hash, g_str_equal);
     read_vms(view, options->vms);
     read_cells(view, options->mirror);
     read_rules(view, options->mirror);
@@ -190,13 +225,15 @@
 free_view(struct rs_view *view)
 {
     for (size_t i = 0; i < view->rule_count; i++) {
-        g_free(view->rules[i].assignments);
+        g_free(view->rules[i].packed);
         g_free(view->rules[i].row_versions);
     }
     g_hash_table_destroy(view->vm_by_name);
     g_hash_table_destroy(view->cell_by_name);
     g_hash_table_destroy(view->rule_by_name);
     g_hash_table_destroy(view->rule_by_slice);
+    g_hash_table_destroy(view->name_numbers);
+    g_ptr_array_free(view->names, TRUE);
     g_free(view->vms);
     g_free(view->cells);
     g_free(view->rules);
@@ -272,19 +309,51 @@
     return view->rule_count;
 }
 
-/* Finds a slice's assignment, or returns NULL when there is none. */
-const struct rs_model_assignment *
-RsView_Assignment(const struct rs_view *view, uint64_t slice)
+static void
+copy_name(const struct rs_view *view, uint16_t number,
+          char name[RsModel_NAME_BYTES])
+{
+    g_strlcpy(name, view->names->pdata[number], RsModel_NAME_BYTES);
+}
+
+/* Fills in one slice's assignment; its epoch is 0 when it has none. */
+void
+RsView_Unpack(const struct rs_view *view, const struct rs_view_rule *rule,
+              uint32_t index, struct rs_model_assignment *assignment)
+{
+    const struct rs_view_slice *packed = &rule->packed[index];
+    memset(assignment, 0, sizeof(*assignment));
+    assignment->slice = RsSlice_Id(rule->name, index);
+    assignment->epoch = packed->epoch;
+    if (packed->epoch == 0) {
+        return;
+    }
+    copy_name(view, packed->cell, assignment->cell);
+    assignment->succession_count = packed->succession_count;
+    assignment->from_count = packed->from_count;
+    for (size_t i = 0; i < packed->succession_count; i++) {
+        copy_name(view, packed->succession[i], assignment->succession[i]);
+    }
+    for (size_t i = 0; i < packed->from_count; i++) {
+        copy_name(view, packed->from[i], assignment->from[i]);
+    }
+}
+
+/* Finds a slice's assignment. */
+bool
+RsView_Assignment(const struct rs_view *view, uint64_t slice,
+                  struct rs_model_assignment *assignment)
 {
     uint64_t bits = rule_bits(slice);
     const struct rs_view_rule *rule =
         g_hash_table_lookup(view->rule_by_slice, &bits);
     uint32_t index = RsSlice_Index(slice);
     if (rule == NULL || index >= rule->slices ||
-        rule->assignments[index].epoch == 0) {
-        return NULL;
+        rule->packed[index].epoch == 0) {
+        return false;
     }
-    return &rule->assignments[index];
+    RsView_Unpack(view, rule, index, assignment);
+    return true;
 }
 
 /* Finds the cell by rendezvous hashing over those of the domain. */
--- a/view/view.h
+++ b/view/view.h
@@ -31,11 +31,22 @@
     uint64_t row_version; /* of the table's row */
 };
 
-/* The assignments of one rule, by slice index; epoch 0: not assigned. */
+/* One slice's assignment with its names as numbers: all slices of all rules
+ * are kept in each process. */
+struct rs_view_slice {
+    uint64_t epoch; /* 0: not assigned */
+    uint16_t cell;
+    uint16_t succession[RsModel_MAX_SUCCESSION];
+    uint16_t from[RsModel_MAX_FROM];
+    uint8_t succession_count;
+    uint8_t from_count;
+};
+
+/* The assignments of one rule, by slice index. */
 struct rs_view_rule {
     char name[RsModel_NAME_BYTES];
     uint32_t slices;
-    struct rs_model_assignment *assignments;
+    struct rs_view_slice *packed;
     uint64_t *row_versions; /* of each chunk of slices */
     size_t row_count;
 };
@@ -67,8 +78,12 @@
                                        const char *name);
 size_t RsView_Rules(const struct rs_view *view,
                     const struct rs_view_rule **rules);
-const struct rs_model_assignment *RsView_Assignment(const struct rs_view *view,
-                                                    uint64_t slice);
+/* Assignments with their names. RsView_Assignment() returns false when the
+ * slice has none; RsView_Unpack() also fills in those without one. */
+bool RsView_Assignment(const struct rs_view *view, uint64_t slice,
+                       struct rs_model_assignment *assignment);
+void RsView_Unpack(const struct rs_view *view, const struct rs_view_rule *rule,
+                   uint32_t index, struct rs_model_assignment *assignment);
 
 /* The cell of a failure domain to which a target belongs; NULL when the
  * domain has no cell yet. */
