--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FUZZ_SECONDS ?= 60
 
 .PHONY: all deps build fuzz-build test fuzz-check fuzz format format-check \
-	lint model check demo measure failures install clean proto
+	lint model check demo measure measure-cell failures install clean proto
 
 all: build
 
@@ -52,6 +52,9 @@
 measure: build
 	@tools/measure.sh $(BUILD)
 
+measure-cell: build
+	@$(BUILD)/cell/cell_measure
+
 install: build
 	@DESTDIR=$(DESTDIR) cmake --install $(BUILD)
 
--- a/cell/cell_test.c
+++ b/cell/cell_test.c
@@ -568,6 +568,50 @@
     close_net(&net);
 }
 
+static void
+test_seal_with_an_old_roster_does_not_count(void)
+{
+    struct net net;
+    const struct rs_cell_roster change = {.version = 2,
+                                          .members = {1, 4, 5},
+                                          .member_count = 3,
+                                          .former = {1, 2, 3},
+                                          .former_count = 3};
+    open_net(&net);
+    for (uint64_t id = 1; id <= 5; id++) {
+        read_table(&net, id, 2, &change);
+    }
+    RsCell_BeginSeal(net.cells[6], net.now_ms, SLICE, 1, &three);
+    run(&net, 3 * LEASE_MS);
+    CU_ASSERT_EQUAL(net.events[6][RsCell_EVENT_SEALED], 0);
+    RsCell_BeginSeal(net.cells[6], net.now_ms, SLICE, 1, &change);
+    run(&net, 50);
+    CU_ASSERT_EQUAL(net.events[6][RsCell_EVENT_SEALED], 1);
+    close_net(&net);
+}
+
+static void
+test_lost_exclusion_is_told_again(void)
+{
+    struct net net;
+    open_net(&net);
+    claim(&net, 1, 1);
+    run(&net, 50);
+    net.cut[1] = true;
+    RsCell_BeginSeal(net.cells[4], net.now_ms, SLICE, 1, &three);
+    run(&net, 60);
+    net.cut[1] = false;
+    net.now_ms += RENEW_MS;
+    RsCell_Tick(net.cells[1], net.now_ms);
+    drain(&net, 1);
+    carry(&net);
+    drop_messages(&net); /* the answers too */
+    run(&net, 2 * LEASE_MS);
+    CU_ASSERT_FALSE(holds(&net, 1));
+    CU_ASSERT_EQUAL(net.events[4][RsCell_EVENT_SEALED], 1);
+    close_net(&net);
+}
+
 static void
 test_roster_change_needs_both_majorities(void)
 {
@@ -779,6 +823,8 @@
     CU_ADD_TEST(suite, test_seal_waits_for_the_former_cell);
     CU_ADD_TEST(suite, test_release_shortens_a_seal);
     CU_ADD_TEST(suite, test_seal_needs_a_majority_with_memory);
+    CU_ADD_TEST(suite, test_seal_with_an_old_roster_does_not_count);
+    CU_ADD_TEST(suite, test_lost_exclusion_is_told_again);
     CU_ADD_TEST(suite, test_roster_change_needs_both_majorities);
     CU_ADD_TEST(suite, test_holder_keeps_its_lease_through_a_roster_change);
     CU_ADD_TEST(suite, test_stale_roster_is_refused);
