--- a/control/feed.c
+++ b/control/feed.c
@@ -25,7 +25,9 @@
     bool reading;
     bool reading_vms;
     bool table_was_read;
-    bool changed; /* by a page that was not yet told of */
+    int64_t page_began_ms; /* of the reading that is under way */
+    int64_t read_began_ms; /* of the last whole reading; 0: none */
+    bool changed;          /* by a page that was not yet told of */
     uint64_t asked_after;
     int64_t poll_at_ms;
     int64_t vms_at_ms;
@@ -119,6 +121,7 @@
     }
     bool changed = feed->changed || !feed->table_was_read;
     feed->table_was_read = true;
+    feed->read_began_ms = feed->page_began_ms;
     feed->changed = false;
     if (changed) {
         feed->options.changed(feed->options.arg);
@@ -162,6 +165,7 @@
     }
     if (!feed->reading && now_ms >= feed->poll_at_ms) {
         feed->poll_at_ms = now_ms + every_ms;
+        feed->page_began_ms = now_ms;
         read_page(feed);
     }
     feed->poll_at_ms = MIN(feed->poll_at_ms, now_ms + every_ms);
@@ -297,6 +301,14 @@
     return feed->table_was_read;
 }
 
+/* Returns when the last whole reading of the table began, 0 when there was
+ * none. */
+int64_t
+RsFeed_ReadBeganAtMs(const struct rs_feed *feed)
+{
+    return feed->read_began_ms;
+}
+
 /* Tells whether the platform answered lately. */
 bool
 RsFeed_PlatformAnswers(const struct rs_feed *feed, int64_t now_ms)
