--- a/view/view.c
+++ b/view/view.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "core/id.h"
+#include "core/log.h"
 #include "http/connection.h"
 #include "place/assignment.h"
 #include "place/slice.h"
@@ -24,6 +25,7 @@
     GHashTable *rule_by_slice; /* upper bits of a slice's id to its rule */
     GPtrArray *names;          /* of cells and targets in assignments */
     GHashTable *name_numbers;  /* name to its number and one */
+    size_t unnamed_slices;     /* left out: too many names */
 };
 
 static uint64_t
@@ -67,6 +69,7 @@
     view->vms = g_new0(struct rs_view_vm, count + 1);
     for (size_t i = 0; i < count; i++) {
         struct rs_view_vm *vm = &view->vms[view->vm_count];
+        *vm = (struct rs_view_vm){0};
         read_vm(vm, json_array_get(list, i));
         if (vm->name[0] != '\0') {
             g_hash_table_insert(view->vm_by_name, vm->name, vm);
@@ -102,36 +105,41 @@
     }
 }
 
-/* Returns the number of a name. A table of more than 65,535 names is beyond
- * the size that is planned for. */
-static uint16_t
-number_name(struct rs_view *view, const char *name)
+/* Finds the number of a name. Returns false when there are more names than
+ * have a number. */
+static bool
+number_name(struct rs_view *view, const char *name, uint16_t *number)
 {
     gpointer known = g_hash_table_lookup(view->name_numbers, name);
     if (known == NULL) {
+        if (view->names->len >= UINT16_MAX) {
+            return false;
+        }
         char *copy = g_strdup(name);
-        g_assert(view->names->len < UINT16_MAX);
         g_ptr_array_add(view->names, copy);
         known = GUINT_TO_POINTER(view->names->len);
         g_hash_table_insert(view->name_numbers, copy, known);
     }
-    return (uint16_t)(GPOINTER_TO_UINT(known) - 1);
+    *number = (uint16_t)(GPOINTER_TO_UINT(known) - 1);
+    return true;
 }
 
+/* Packs an assignment; one with a name that has no number stays out. */
 static void
 pack(struct rs_view *view, const struct rs_model_assignment *from,
      struct rs_view_slice *to)
 {
-    to->epoch = from->epoch;
-    to->cell = number_name(view, from->cell);
+    bool named = number_name(view, from->cell, &to->cell);
     to->succession_count = (uint8_t)from->succession_count;
     to->from_count = (uint8_t)from->from_count;
     for (size_t i = 0; i < from->succession_count; i++) {
-        to->succession[i] = number_name(view, from->succession[i]);
+        named &= number_name(view, from->succession[i], &to->succession[i]);
     }
     for (size_t i = 0; i < from->from_count; i++) {
-        to->from[i] = number_name(view, from->from[i]);
+        named &= number_name(view, from->from[i], &to->from[i]);
     }
+    to->epoch = named ? from->epoch : 0;
+    view->unnamed_slices += named ? 0 : 1;
 }
 
 static void
@@ -210,6 +218,10 @@
     read_vms(view, options->vms);
     read_cells(view, options->mirror);
     read_rules(view, options->mirror);
+    if (view->unnamed_slices > 0) {
+        RsLog_EVENT(RsLog_ERROR, "too_many_names",
+                    RsLog_NUMBER("slices_left_out", view->unnamed_slices));
+    }
     return view;
 }
 
