--- a/control/control_task.c
+++ b/control/control_task.c
@@ -110,19 +110,49 @@
     return config;
 }
 
+struct object_rows {
+    uint64_t count;
+    uint64_t newest;
+};
+
+static void
+look_at_row(void *arg, const struct rs_mirror_row *row)
+{
+    struct object_rows *rows = arg;
+    rows->count++;
+    rows->newest = MAX(rows->newest, row->version);
+}
+
+/* The configuration is built anew only when one of its rows changed. */
+static void
+update_config(struct rs_control *control)
+{
+    const struct rs_mirror *mirror = RsFeed_Mirror(control->feed);
+    struct object_rows rows = {0};
+    RsMirror_VisitPrefix(mirror, "object/", look_at_row, &rows);
+    RsMirror_VisitPrefix(mirror, RsTicket_HEAD_KEY, look_at_row, &rows);
+    if (control->config != NULL && rows.count == control->config_rows &&
+        rows.newest == control->config_newest) {
+        return;
+    }
+    control->config_rows = rows.count;
+    control->config_newest = rows.newest;
+    RsConfig_Unref(control->config);
+    control->config = build_config(mirror);
+}
+
 /* Makes a new snapshot of what is known and hands it to all who use it. */
 static void
 make_snapshot(struct rs_control *control, int64_t now_ms)
 {
     int64_t began_us = RsClock_NowUs();
-    struct rs_config *config = build_config(RsFeed_Mirror(control->feed));
+    update_config(control);
     struct rs_view_options options = {
         .mirror = RsFeed_Mirror(control->feed),
-        .config = config,
+        .config = control->config,
         .vms = RsFeed_Vms(control->feed),
+        .chunks = control->chunks,
     };
-    RsConfig_Unref(control->config);
-    control->config = config;
     RsView_Unref(control->view);
     control->view = RsView_New(&options);
     RsLeases_SetView(control->leases, now_ms, RsView_Ref(control->view),
@@ -133,9 +163,10 @@
     RsCounter_Add(&control->snapshots, 1);
     RsCounter_Add(&control->snapshot_us,
                   (uint64_t)(RsClock_NowUs() - began_us));
-    RsLog_EVENT(RsLog_DEBUG, "snapshot",
-                RsLog_NUMBER("revision", RsView_Revision(control->view)),
-                RsLog_NUMBER("ticket", RsConfig_AppliedTicket(config)));
+    RsLog_EVENT(
+        RsLog_DEBUG, "snapshot",
+        RsLog_NUMBER("revision", RsView_Revision(control->view)),
+        RsLog_NUMBER("ticket", RsConfig_AppliedTicket(control->config)));
 }
 
 static void
@@ -334,6 +365,7 @@
     };
     control->leases = RsLeases_New(&leases);
     control->loads = RsLoads_New();
+    control->chunks = RsChunks_New();
     struct rs_planning_options planning = {
         .loads = control->loads,
         .self = settings->name,
--- a/control/leases.c
+++ b/control/leases.c
@@ -7,6 +7,7 @@
 #include "core/clock.h"
 #include "core/id.h"
 #include "core/log.h"
+#include "place/assignment.h"
 #include "place/names.h"
 #include "place/roster.h"
 #include "place/speaker.h"
@@ -41,9 +42,10 @@
     struct rs_cell *cell;
     char cell_name[RsModel_NAME_BYTES]; /* empty: in none yet */
     struct rs_view *view;
-    GHashTable *slices; /* id to slice_state, owned */
-    GHashTable *lost;   /* set of target names */
-    GHashTable *names;  /* member id to name */
+    GHashTable *slices;  /* id to slice_state, owned */
+    GHashTable *lost;    /* set of target names */
+    GHashTable *names;   /* member id to name */
+    GHashTable *learned; /* rule to the versions of its rows, taken in */
     struct rs_lease_counters counters;
     bool leaving;
     bool moved; /* the table has this process in another cell now */
@@ -79,6 +81,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     leases->names =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    leases->learned = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                            (GDestroyNotify)g_array_unref);
     return leases;
 }
 
@@ -151,9 +155,12 @@
 
 /* Learns the epochs of all rows, and which slices belong to the cell. */
 static void
-learn_rule(struct rs_leases *leases, const struct rs_view_rule *rule)
+learn_row(struct rs_leases *leases, const struct rs_view_rule *rule,
+          size_t row)
 {
-    for (uint32_t i = 0; i < rule->slices; i++) {
+    uint32_t first = (uint32_t)row * RsAssignment_PER_ROW;
+    uint32_t count = RsAssignment_InRow(rule->slices, (uint32_t)row);
+    for (uint32_t i = first; i < first + count; i++) {
         struct rs_model_assignment assignment;
         RsView_Unpack(leases->view, rule, i, &assignment);
         if (assignment.epoch == 0) {
@@ -166,6 +173,25 @@
     }
 }
 
+/* Looks at the rows that changed since the last snapshot only. */
+static void
+learn_rule(struct rs_leases *leases, const struct rs_view_rule *rule)
+{
+    GArray *known = g_hash_table_lookup(leases->learned, rule->name);
+    if (known == NULL || known->len != rule->row_count) {
+        known = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+        g_array_set_size(known, (guint)rule->row_count);
+        g_hash_table_replace(leases->learned, g_strdup(rule->name), known);
+    }
+    for (size_t row = 0; row < rule->row_count; row++) {
+        uint64_t *version = &g_array_index(known, uint64_t, row);
+        if (*version != rule->row_versions[row]) {
+            *version = rule->row_versions[row];
+            learn_row(leases, rule, row);
+        }
+    }
+}
+
 /* Forgets slices that belong elsewhere now and are not held. */
 static void
 forget_others(struct rs_leases *leases)
@@ -192,6 +218,7 @@
 {
     if (leases->cell_name[0] == '\0') {
         g_strlcpy(leases->cell_name, cell, sizeof(leases->cell_name));
+        g_hash_table_remove_all(leases->learned);
     }
     leases->moved = strcmp(leases->cell_name, cell) != 0;
 }
--- a/control/state.h
+++ b/control/state.h
@@ -25,9 +25,12 @@
     struct rs_leases *leases;
     struct rs_planning *planning;
     struct rs_loads *loads;
+    struct rs_chunks *chunks;
     struct rs_peers *peers;
     struct rs_server *admin;
     struct rs_config *config; /* NULL until the first snapshot */
+    uint64_t config_rows;     /* that it was built from, and the highest */
+    uint64_t config_newest;   /* version among them */
     struct rs_view *view;     /* NULL until the first snapshot */
     GHashTable *dumps;        /* token to a pending dump */
     uint64_t next_dump;
--- a/view/view.c
+++ b/view/view.c
@@ -22,8 +22,7 @@
     GHashTable *cell_by_name;
     GHashTable *rule_by_name;
     GHashTable *rule_by_slice; /* upper bits of a slice's id to its rule */
-    GPtrArray *names;          /* of cells and targets in assignments */
-    GHashTable *name_numbers;  /* name to its number and one */
+    const char **names;        /* of cells and targets, by number */
 };
 
 static uint64_t
@@ -102,77 +101,21 @@
     }
 }
 
-/* Returns the number of a name. A table of more than 65,535 names is beyond
- * the size that is planned for. */
-static uint16_t
-number_name(struct rs_view *view, const char *name)
-{
-    gpointer known = g_hash_table_lookup(view->name_numbers, name);
-    if (known == NULL) {
-        char *copy = g_strdup(name);
-        g_assert(view->names->len < UINT16_MAX);
-        g_ptr_array_add(view->names, copy);
-        known = GUINT_TO_POINTER(view->names->len);
-        g_hash_table_insert(view->name_numbers, copy, known);
-    }
-    return (uint16_t)(GPOINTER_TO_UINT(known) - 1);
-}
-
-static void
-pack(struct rs_view *view, const struct rs_model_assignment *from,
-     struct rs_view_slice *to)
-{
-    to->epoch = from->epoch;
-    to->cell = number_name(view, from->cell);
-    to->succession_count = (uint8_t)from->succession_count;
-    to->from_count = (uint8_t)from->from_count;
-    for (size_t i = 0; i < from->succession_count; i++) {
-        to->succession[i] = number_name(view, from->succession[i]);
-    }
-    for (size_t i = 0; i < from->from_count; i++) {
-        to->from[i] = number_name(view, from->from[i]);
-    }
-}
-
-static void
-read_chunk(struct rs_view *view, struct rs_view_rule *rule, size_t chunk,
-           const struct rs_mirror *mirror)
-{
-    char key[RsAssignment_KEY_BYTES];
-    struct rs_mirror_row row;
-    struct rs_model_assignment slices[RsAssignment_PER_ROW];
-    size_t count = 0;
-    RsAssignment_FormatKey(rule->name, (uint32_t)chunk, key);
-    if (!RsMirror_Find(mirror, key, &row)) {
-        return;
-    }
-    rule->row_versions[chunk] = row.version;
-    json_t *value = json_loads(row.value, 0, NULL);
-    if (RsAssignment_Decode(value, rule->name, (uint32_t)chunk, slices,
-                            &count) == 0) {
-        size_t at = chunk * RsAssignment_PER_ROW;
-        size_t room = rule->slices > at ? rule->slices - at : 0;
-        for (size_t i = 0; i < MIN(count, room); i++) {
-            pack(view, &slices[i], &rule->packed[at + i]);
-        }
-    }
-    json_decref(value);
-}
-
 static void
-read_rule(struct rs_view *view, const struct rs_model_rule *model,
-          const struct rs_mirror *mirror)
+read_rule(struct rs_view *view, const struct rs_view_options *options,
+          const struct rs_model_rule *model)
 {
     struct rs_view_rule *rule = &view->rules[view->rule_count++];
+    const struct rs_chunks_rule *chunks =
+        RsChunks_Update(options->chunks, options->mirror, model);
     g_strlcpy(rule->name, model->name, sizeof(rule->name));
-    rule->slices = model->slices;
-    rule->row_count = RsAssignment_Rows(model->slices);
-    rule->packed = g_new0(struct rs_view_slice, model->slices);
-    rule->row_versions = g_new0(uint64_t, rule->row_count);
-
-    for (size_t chunk = 0; chunk < rule->row_count; chunk++) {
-        read_chunk(view, rule, chunk, mirror);
-    }
+    rule->slices = chunks->slices;
+    rule->row_count = chunks->row_count;
+    rule->packed =
+        g_memdup2(chunks->packed, chunks->slices * sizeof(chunks->packed[0]));
+    rule->row_versions =
+        g_memdup2(chunks->row_versions,
+                  chunks->row_count * sizeof(chunks->row_versions[0]));
     uint64_t *bits = g_new(uint64_t, 1);
     *bits = rule_bits(RsSlice_Id(model->name, 0));
     g_hash_table_insert(view->rule_by_name, rule->name, rule);
@@ -180,14 +123,14 @@
 }
 
 static void
-read_rules(struct rs_view *view, const struct rs_mirror *mirror)
+read_rules(struct rs_view *view, const struct rs_view_options *options)
 {
     size_t count = RsConfig_Count(view->config, RsObject_RULE);
     view->rules = g_new0(struct rs_view_rule, count + 1);
     for (size_t i = 0; i < count; i++) {
         const struct rs_config_entry *entry =
             RsConfig_At(view->config, RsObject_RULE, i);
-        read_rule(view, &entry->object.as.rule, mirror);
+        read_rule(view, options, &entry->object.as.rule);
     }
 }
 
@@ -205,11 +148,12 @@
     view->rule_by_name = g_hash_table_new(g_str_hash, g_str_equal);
     view->rule_by_slice =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-    view->names = g_ptr_array_new_with_free_func(g_free);
-    view->name_numbers = g_hash_table_new(g_str_hash, g_str_equal);
     read_vms(view, options->vms);
     read_cells(view, options->mirror);
-    read_rules(view, options->mirror);
+    read_rules(view, options);
+    view->names = g_memdup2(RsChunks_Names(options->chunks),
+                            RsChunks_NameCount(options->chunks) *
+                                sizeof(view->names[0]));
     return view;
 }
 
@@ -232,8 +176,7 @@
     g_hash_table_destroy(view->cell_by_name);
     g_hash_table_destroy(view->rule_by_name);
     g_hash_table_destroy(view->rule_by_slice);
-    g_hash_table_destroy(view->name_numbers);
-    g_ptr_array_free(view->names, TRUE);
+    g_free(view->names);
     g_free(view->vms);
     g_free(view->cells);
     g_free(view->rules);
@@ -309,34 +252,13 @@
     return view->rule_count;
 }
 
-static void
-copy_name(const struct rs_view *view, uint16_t number,
-          char name[RsModel_NAME_BYTES])
-{
-    g_strlcpy(name, view->names->pdata[number], RsModel_NAME_BYTES);
-}
-
 /* Fills in one slice's assignment; its epoch is 0 when it has none. */
 void
 RsView_Unpack(const struct rs_view *view, const struct rs_view_rule *rule,
               uint32_t index, struct rs_model_assignment *assignment)
 {
-    const struct rs_view_slice *packed = &rule->packed[index];
-    memset(assignment, 0, sizeof(*assignment));
-    assignment->slice = RsSlice_Id(rule->name, index);
-    assignment->epoch = packed->epoch;
-    if (packed->epoch == 0) {
-        return;
-    }
-    copy_name(view, packed->cell, assignment->cell);
-    assignment->succession_count = packed->succession_count;
-    assignment->from_count = packed->from_count;
-    for (size_t i = 0; i < packed->succession_count; i++) {
-        copy_name(view, packed->succession[i], assignment->succession[i]);
-    }
-    for (size_t i = 0; i < packed->from_count; i++) {
-        copy_name(view, packed->from[i], assignment->from[i]);
-    }
+    RsChunks_Unpack(&rule->packed[index], view->names,
+                    RsSlice_Id(rule->name, index), assignment);
 }
 
 /* Finds a slice's assignment. */
--- a/view/view.h
+++ b/view/view.h
@@ -15,6 +15,7 @@
 #include "place/model.h"
 #include "place/roster.h"
 #include "ticket/config.h"
+#include "view/chunks.h"
 
 struct rs_view_vm {
     char name[RsModel_NAME_BYTES];
@@ -31,22 +32,11 @@
     uint64_t row_version; /* of the table's row */
 };
 
-/* One slice's assignment with its names as numbers: all slices of all rules
- * are kept in each process. */
-struct rs_view_slice {
-    uint64_t epoch; /* 0: not assigned */
-    uint16_t cell;
-    uint16_t succession[RsModel_MAX_SUCCESSION];
-    uint16_t from[RsModel_MAX_FROM];
-    uint8_t succession_count;
-    uint8_t from_count;
-};
-
 /* The assignments of one rule, by slice index. */
 struct rs_view_rule {
     char name[RsModel_NAME_BYTES];
     uint32_t slices;
-    struct rs_view_slice *packed;
+    struct rs_packed_slice *packed;
     uint64_t *row_versions; /* of each chunk of slices */
     size_t row_count;
 };
@@ -57,6 +47,7 @@
     const struct rs_mirror *mirror;
     struct rs_config *config; /* the view takes a reference of its own */
     const json_t *vms;        /* the platform's list, or NULL */
+    struct rs_chunks *chunks; /* brought up to date; must outlive the view */
 };
 
 /* Life; any thread may take and give back references. */
