Model the lease, the roster change and the row

Also a test that a late renewal does not undo a release; it fails when the member takes renewals that are older than one already seen.

--- a/cell/cell_test.c
+++ b/cell/cell_test.c
@@ -463,6 +463,40 @@
     close_net(&net);
 }
 
+static void
+test_late_renewal_does_not_undo_a_release(void)
+{
+    struct net net;
+    struct rs_cell_message answer = {0};
+    struct rs_cell_message *late = NULL;
+    struct rs_cell_view view;
+    open_net(&net);
+    drop_messages(&net);
+    claim(&net, 1, 1);
+    drain(&net, 1);
+    struct rs_cell_message *message;
+    while (late == NULL &&
+           (message = g_queue_pop_head(&net.messages)) != NULL) {
+        if (message->to == 2) {
+            late = message;
+            continue;
+        }
+        RsCell_FreeMessage(message);
+        g_free(message);
+    }
+    drop_messages(&net);
+    CU_ASSERT_TRUE_FATAL(late != NULL && late->claim_count == 1);
+    RsCell_Release(net.cells[1], net.now_ms, SLICE, 0);
+    pass_only(&net, 1, 2, &answer);
+    RsCell_Receive(net.cells[2], net.now_ms, late);
+    CU_ASSERT_FALSE(RsCell_Look(net.cells[2], net.now_ms, SLICE, &view) &&
+                    view.holder != 0);
+    RsCell_FreeMessage(late);
+    g_free(late);
+    RsCell_FreeMessage(&answer);
+    close_net(&net);
+}
+
 static void
 test_renewal_has_constant_size_when_idle(void)
 {
@@ -818,6 +852,7 @@
     CU_ADD_TEST(suite, test_first_step_passes_a_loss_of_memory);
     CU_ADD_TEST(suite, test_late_and_doubled_answers_change_nothing);
     CU_ADD_TEST(suite, test_late_answer_to_a_claim_given_up_does_not_count);
+    CU_ADD_TEST(suite, test_late_renewal_does_not_undo_a_release);
     CU_ADD_TEST(suite, test_renewal_has_constant_size_when_idle);
     CU_ADD_TEST(suite, test_higher_epoch_in_the_cell_wants_it_back);
     CU_ADD_TEST(suite, test_seal_waits_for_the_former_cell);
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,5 +1,101 @@
 #!/bin/sh
-# Checks each Promela model in this folder.
+# Checks each Promela model in this folder with spin: the right ones must hold
+# in a complete search, and each broken variant must be caught. Prints a line
+# for each; exits non-zero when any is not as it should be.
 set -eu
 cd "$(dirname "$0")"
-ls ./*.pml >/dev/null 2>&1 || exit 0
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+jobs=3
+memory_mb=1200
+depth=3000000
+
+# verify NAME MODEL SEARCH FLAGS...: writes pan's report to $work/NAME.report
+verify() {
+    name=$1
+    model=$2
+    search=$3
+    shift 3
+    mkdir -p "$work/$name"
+    (
+        cp "$model" "$work/$name/model.pml"
+        cd "$work/$name"
+        spin -a "$@" model.pml >spin.log 2>&1
+        case $search in
+        live) build="-DNOREDUCE -DMEMLIM=$memory_mb" run="-a -f" ;;
+        short) build="-DSAFETY -DBFS -DMEMLIM=$memory_mb" run="" ;;
+        *) build="-DSAFETY -DCOLLAPSE -DMEMLIM=$memory_mb" run="" ;;
+        esac
+        # shellcheck disable=SC2086
+        gcc -O2 -w $build -o pan pan.c
+        # shellcheck disable=SC2086
+        ./pan -m$depth $run
+    ) >"$work/$name.report" 2>&1 || true
+}
+
+# Whether the search was whole, and how many errors it found.
+complete() {
+    ! grep -qE 'max search depth too small|Search not completed|out of memory|memory limit|error: ' "$1" &&
+        grep -q 'errors: ' "$1"
+}
+
+check() {
+    expect=$1
+    shift
+    verify "$@"
+    report=$work/$1.report
+    count=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' "$report")
+    states=$(sed -n 's/ *\([0-9.e+]*\) states, stored.*/\1/p' "$report")
+    verdict=FAILED
+    if [ "$expect" = holds ] && [ "${count:-x}" = 0 ] &&
+       complete "$report"; then
+        verdict="holds in a complete search"
+    elif [ "$expect" = caught ] && [ "${count:-0}" -gt 0 ] &&
+         grep -qE 'assertion violated|acceptance cycle' "$report"; then
+        verdict="caught"
+    fi
+    echo "model $1: $verdict (${states:-no} states)"
+    if [ "$verdict" = FAILED ]; then
+        tail -5 "$report"
+        : >"$work/failed"
+    fi
+}
+
+# Each line: expectation, name, model, search, flags.
+cases="
+holds cell-two-messages cell.pml whole -DSLOTS=2 -DTOP_STEP=1 -DRESTARTS=0
+holds cell cell.pml whole -DSLOTS=1
+holds change change.pml whole
+holds rows rows.pml whole
+holds live live.pml live
+caught cell-NO_WAIT_FOR_LAPSE cell.pml whole -DSLOTS=1 -DNO_WAIT_FOR_LAPSE
+caught cell-COUNT_FROM_RECEIPT cell.pml whole -DSLOTS=1 -DCOUNT_FROM_RECEIPT
+caught cell-VOTE_AFTER_RESTART cell.pml whole -DSLOTS=1 -DVOTE_AFTER_RESTART
+caught cell-NO_FIRST_STEP cell.pml whole -DSLOTS=1 -DNO_FIRST_STEP
+caught cell-MINORITY cell.pml whole -DSLOTS=1 -DMINORITY
+caught change-CHANGE_WITHOUT_OLD_MAJORITY change.pml short -DCHANGE_WITHOUT_OLD_MAJORITY
+caught change-CHANGE_WITHOUT_LEASE change.pml short -DCHANGE_WITHOUT_LEASE
+caught change-CHANGE_WITHOUT_ACK change.pml short -DCHANGE_WITHOUT_ACK
+caught change-STALE_ROSTER_SERVED change.pml short -DSTALE_ROSTER_SERVED
+caught rows-ROW_WITHOUT_CAS rows.pml short -DROW_WITHOUT_CAS
+caught rows-ACK_WITHOUT_READING_BACK rows.pml short -DACK_WITHOUT_READING_BACK
+caught live-NO_RETRY live.pml live -DNO_RETRY
+caught live-PROMISE_NEVER_LAPSES live.pml live -DPROMISE_NEVER_LAPSES
+"
+
+running=0
+while read -r line; do
+    [ -n "$line" ] || continue
+    # shellcheck disable=SC2086
+    check $line &
+    running=$((running + 1))
+    if [ "$running" -ge "$jobs" ]; then
+        wait
+        running=0
+    fi
+done <<EOF
+$cases
+EOF
+wait
+[ ! -e "$work/failed" ] || exit 1
+echo "models: all as they should be"
