Ask former cells one after the other to give a slice up

Cause: a seal is kept per slice, so a second former cell's request replaced the first one's, and a slice on its way from two cells (a move that was planned anew before it was done) would have waited for ever. It failed safe: no claim without all seals. Found by reading against cell/seal.c.

--- a/control/leases.c
+++ b/control/leases.c
@@ -31,8 +31,7 @@
     char last_target[RsModel_NAME_BYTES]; /* owner before */
     int64_t retry_at_ms;                  /* no claim before */
     uint64_t sealing_epoch; /* of the row whose former cells are asked */
-    uint32_t seals_out;
-    bool sealed;
+    size_t sealed_count;    /* former cells that have given it up */
 };
 
 struct rs_leases {
@@ -370,33 +369,34 @@
     }
 }
 
-/* Asks the former cells to give a slice up. Returns whether all have. */
+/* Asks the former cells to give a slice up, one after the other. Returns
+ * whether all have. */
 static bool
 seal_former(struct rs_leases *leases, struct slice_state *state,
             const struct rs_model_assignment *assignment, int64_t now_ms)
 {
-    if (state->sealing_epoch == assignment->epoch) {
-        return state->sealed || state->seals_out == 0;
-    }
-    state->sealing_epoch = assignment->epoch;
-    state->seals_out = 0;
-    state->sealed = false;
-    for (size_t i = 0; i < assignment->from_count; i++) {
-        const struct rs_view_cell *former =
-            RsView_Cell(leases->view, assignment->from[i]);
-        if (former == NULL ||
-            strcmp(former->row.cell, leases->cell_name) == 0) {
-            continue;
-        }
+    if (state->sealing_epoch != assignment->epoch) {
+        state->sealing_epoch = assignment->epoch;
+        state->sealed_count = 0;
+        RsCounter_Add(&leases->counters.seals, assignment->from_count);
+    }
+    while (state->sealed_count < assignment->from_count &&
+           strcmp(assignment->from[state->sealed_count], leases->cell_name) ==
+               0) {
+        state->sealed_count++;
+    }
+    if (state->sealed_count >= assignment->from_count) {
+        return true;
+    }
+    const struct rs_view_cell *former =
+        RsView_Cell(leases->view, assignment->from[state->sealed_count]);
+    if (former != NULL) {
         struct rs_cell_roster roster;
         RsRoster_ToCell(&former->row, &roster);
-        RsCounter_Add(&leases->counters.seals, 1);
-        if (RsCell_BeginSeal(leases->cell, now_ms, state->slice,
-                             assignment->epoch - 1, &roster) == 0) {
-            state->seals_out++;
-        }
+        RsCell_BeginSeal(leases->cell, now_ms, state->slice,
+                         assignment->epoch - 1, &roster);
     }
-    return state->seals_out == 0;
+    return false;
 }
 
 static bool
@@ -584,8 +584,9 @@
         leases->scan_at_ms = now_ms;
         break;
     case RsCell_EVENT_SEALED:
-        state->seals_out -= state->seals_out > 0 ? 1 : 0;
-        state->sealed = state->seals_out == 0;
+        if (event->claim.fence.epoch + 1 == state->sealing_epoch) {
+            state->sealed_count++;
+        }
         state->retry_at_ms = now_ms;
         leases->scan_at_ms = now_ms;
         break;
--- a/dispatch/holder_test.c
+++ b/dispatch/holder_test.c
@@ -29,6 +29,7 @@
 };
 
 struct bench {
+    struct rs_chunks *chunks;
     uv_loop_t loop;
     uv_timer_t timer;
     struct fake_target fakes[2];
@@ -148,7 +149,13 @@
                   (int)ntohs(fake->address.sin_port));
     struct rs_config *config = RsConfig_Build(rows, G_N_ELEMENTS(rows));
     CU_ASSERT_EQUAL_FATAL(RsConfig_BrokenRows(config), 0);
-    struct rs_view_options options = {mirror, config, vms};
+    bench->chunks = RsChunks_New();
+    struct rs_view_options options = {
+        .mirror = mirror,
+        .config = config,
+        .vms = vms,
+        .chunks = bench->chunks,
+    };
     RsHolder_SetView(bench->holder, RsView_New(&options));
     RsConfig_Unref(config);
     RsMirror_Free(mirror);
