--- /dev/null
+++ b/view/chunks_test.c
@@ -0,0 +1,132 @@
+#include "view/chunks.h"
+
+#include <CUnit/Basic.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "place/assignment.h"
+#include "place/slice.h"
+
+#define SLICES 2048
+#define ROUNDS 8
+#define NAMES_PER_SLICE 10
+#define FULL_ROUND 4 /* in which the numbers do not suffice */
+
+static const struct rs_model_rule rule = {.name = "r", .slices = SLICES};
+
+/* Every slice has names of its own, others in each round. */
+static void
+fill_slice(struct rs_model_assignment *slice, uint32_t index, int round)
+{
+    memset(slice, 0, sizeof(*slice));
+    slice->slice = RsSlice_Id(rule.name, index);
+    slice->epoch = (uint64_t)round;
+    snprintf(slice->cell, sizeof(slice->cell), "c%d-%u", round, index);
+    slice->succession_count = RsModel_MAX_SUCCESSION;
+    slice->from_count = RsModel_MAX_FROM;
+    for (int i = 0; i < RsModel_MAX_SUCCESSION; i++) {
+        snprintf(slice->succession[i], sizeof(slice->succession[i]),
+                 "t%d-%u-%d", round, index, i);
+    }
+    for (int i = 0; i < RsModel_MAX_FROM; i++) {
+        snprintf(slice->from[i], sizeof(slice->from[i]), "f%d-%u-%d", round,
+                 index, i);
+    }
+}
+
+static void
+put_rows(struct rs_mirror *mirror, int round)
+{
+    for (uint32_t row = 0; row < RsAssignment_Rows(SLICES); row++) {
+        struct rs_model_assignment slices[RsAssignment_PER_ROW];
+        char key[RsAssignment_KEY_BYTES];
+        for (uint32_t i = 0; i < RsAssignment_PER_ROW; i++) {
+            fill_slice(&slices[i], row * RsAssignment_PER_ROW + i, round);
+        }
+        json_t *value = RsAssignment_Encode(slices, RsAssignment_PER_ROW);
+        char *text = json_dumps(value, JSON_COMPACT);
+        RsAssignment_FormatKey(rule.name, row, key);
+        RsMirror_Put(mirror, key, (uint64_t)round, text);
+        free(text);
+        json_decref(value);
+    }
+}
+
+static void
+check_slices(const struct rs_chunks *chunks, const struct rs_chunks_rule *got,
+             int round)
+{
+    uint32_t equal = 0;
+    for (uint32_t i = 0; i < SLICES; i++) {
+        struct rs_model_assignment expected;
+        struct rs_model_assignment found;
+        fill_slice(&expected, i, round);
+        RsChunks_Unpack(&got->packed[i], RsChunks_Names(chunks),
+                        expected.slice, &found);
+        equal += RsAssignment_Equal(&expected, &found) ? 1 : 0;
+    }
+    CU_ASSERT_EQUAL(equal, SLICES);
+}
+
+/* Names come and go for as long as a process lives. */
+static void
+test_names_do_not_run_out(void)
+{
+    struct rs_chunks *chunks = RsChunks_New();
+    struct rs_mirror *mirror = RsMirror_New();
+    const char *first = NULL;
+    for (int round = 1; round <= ROUNDS; round++) {
+        put_rows(mirror, round);
+        RsChunks_Begin(chunks);
+        const struct rs_chunks_rule *got =
+            RsChunks_Update(chunks, mirror, &rule);
+        check_slices(chunks, got, round);
+        if (first == NULL) {
+            first = RsChunks_Names(chunks)[got->packed[0].cell];
+        }
+    }
+    CU_ASSERT_STRING_EQUAL(first, "c1-0");
+    uint64_t decoded = RsChunks_RowsDecoded(chunks);
+    for (int i = 0; i < 3; i++) {
+        RsChunks_Begin(chunks);
+        RsChunks_Update(chunks, mirror, &rule);
+    }
+    CU_ASSERT_EQUAL(RsChunks_RowsDecoded(chunks), decoded);
+    CU_ASSERT_EQUAL(RsChunks_NameCount(chunks), SLICES * NAMES_PER_SLICE);
+    RsChunks_Free(chunks);
+    RsMirror_Free(mirror);
+}
+
+/* More names at once than have numbers: the slices that they are missing for
+ * have no assignment, the others theirs. */
+static void
+test_slices_without_numbers_stay_out(void)
+{
+    struct rs_chunks *chunks = RsChunks_New();
+    struct rs_mirror *mirror = RsMirror_New();
+    const struct rs_chunks_rule *got = NULL;
+    for (int round = 1; round <= FULL_ROUND; round++) {
+        put_rows(mirror, round);
+        got = RsChunks_Update(chunks, mirror, &rule);
+    }
+    struct rs_model_assignment found;
+    RsChunks_Unpack(&got->packed[0], RsChunks_Names(chunks), 0, &found);
+    CU_ASSERT_STRING_EQUAL(found.cell, "c4-0");
+    CU_ASSERT_EQUAL(got->packed[SLICES - 1].epoch, 0);
+    RsChunks_Free(chunks);
+    RsMirror_Free(mirror);
+}
+
+int
+main(void)
+{
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("chunks", NULL, NULL);
+    CU_ADD_TEST(suite, test_names_do_not_run_out);
+    CU_ADD_TEST(suite, test_slices_without_numbers_stay_out);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? 0 : 1;
+}
--- a/view/view_fuzz.c
+++ b/view/view_fuzz.c
@@ -243,12 +243,14 @@
     struct rs_config *config = fill_rows(&input, mirror);
     json_t *vms = json_loads(vms_template, 0, NULL);
     damage_often(&input, vms);
-    struct rs_view_options options = {mirror, config, vms};
+    struct rs_chunks *chunks = RsChunks_New();
+    struct rs_view_options options = {mirror, config, vms, chunks};
     struct rs_view *view = RsView_New(&options);
     struct rs_view *again = RsView_New(&options);
     CHECK(check_view(view) == check_view(again));
     RsView_Unref(view);
     RsView_Unref(again);
+    RsChunks_Free(chunks);
     RsConfig_Unref(config);
     RsMirror_Free(mirror);
     json_decref(vms);
