--- a/dispatch/simulation.c
+++ b/dispatch/simulation.c
@@ -27,7 +27,6 @@
 #define CALLERS 64
 #define US_PER_MS 1000
 #define US_PER_S 1000000
-#define SEED 42
 
 enum event_kind {
     RsSimulation_ARRIVE,
@@ -43,15 +42,18 @@
 
 struct job {
     struct rs_retry_request retry;
+    struct attempt *latest[2]; /* the second one only when hedged */
     int64_t arrival_us;
     size_t key_target;
     size_t last_target;
     uint64_t caller;
+    int64_t run_us; /* on a target that is not slowed */
     bool counted;
 };
 
 struct attempt {
     struct job *job;
+    bool queued;
     size_t target;
     uint64_t id;
     unsigned start; /* of the target's process that got it */
@@ -73,7 +75,7 @@
     struct rs_ramp ramp;
     struct rs_health health;
     GQueue waiting;
-    GHashTable *attempts; /* at the target */
+    GHashTable *attempts; /* at the target, by id */
     uint32_t running;
     unsigned start;
     double slow_factor;
@@ -154,6 +156,9 @@
 {
     struct rs_simulation_results *results = &simulation->results;
     int64_t latency_us = simulation->now_us - job->arrival_us;
+    if (outcome == RsOutcome_DONE) {
+        RsRetry_Answered(&simulation->retry, latency_us);
+    }
     if (!job->counted) {
         return;
     }
@@ -169,6 +174,22 @@
     }
 }
 
+/* The copy that lost the race leaves its queue; at the target it runs on. */
+static void
+cancel_queued(struct simulation *simulation, struct job *job)
+{
+    for (size_t i = 0; i < 2; i++) {
+        struct attempt *attempt = job->latest[i];
+        if (attempt == NULL || !attempt->queued) {
+            continue;
+        }
+        struct target *target = &simulation->targets[attempt->target];
+        attempt->queued = false;
+        g_hash_table_remove(simulation->queued, &attempt->id);
+        RsAdmission_Cancel(target->admission, now_ms(simulation), attempt->id);
+    }
+}
+
 static void
 decide(struct simulation *simulation, struct job *job, enum rs_outcome outcome,
        uint32_t retry_after_ms)
@@ -183,6 +204,7 @@
     }
     else if (decision.action == RsRetry_ANSWER) {
         finish_job(simulation, job, decision.outcome);
+        cancel_queued(simulation, job);
     }
 }
 
@@ -204,6 +226,7 @@
     while (RsAdmission_NextEvent(admission, &event)) {
         struct attempt *attempt =
             g_hash_table_lookup(simulation->queued, &event.id);
+        attempt->queued = false;
         if (event.verdict.kind == RsAdmission_RUN) {
             send_attempt(simulation, attempt);
             continue;
@@ -253,13 +276,17 @@
                                                job->retry.deadline_ms};
     struct rs_admission *admission =
         simulation->targets[attempt->target].admission;
+    job->latest[job->retry.out % 2] = attempt;
     RsRetry_Sent(&job->retry);
     g_hash_table_insert(simulation->queued, &attempt->id, attempt);
     RsAdmission_Offer(admission, now_ms(simulation), &request, &verdict);
     if (verdict.kind == RsAdmission_RUN) {
         send_attempt(simulation, attempt);
     }
-    else if (verdict.kind == RsAdmission_REFUSED) {
+    else if (verdict.kind == RsAdmission_QUEUED) {
+        attempt->queued = true;
+    }
+    else {
         g_hash_table_remove(simulation->queued, &attempt->id);
         decide(simulation, job, RsOutcome_NOT_RUN, verdict.retry_after_ms);
     }
@@ -277,6 +304,8 @@
     job->arrival_us = simulation->now_us;
     job->key_target = (size_t)g_rand_int_range(simulation->random, 0, TARGETS);
     job->caller = (uint64_t)g_rand_int_range(simulation->random, 0, CALLERS);
+    job->run_us =
+        FIXED_RUN_US + (int64_t)draw_exponential(simulation, RANDOM_RUN_US);
     job->last_target = RsChoice_NOWHERE;
     job->counted = simulation->now_us >= FAULT_FROM_US &&
                    simulation->now_us < setup->fault_until_us;
@@ -303,7 +332,7 @@
     attempt->outcome = outcome;
     attempt->refused = refused;
     g_hash_table_remove(simulation->targets[attempt->target].attempts,
-                        attempt);
+                        &attempt->id);
     schedule(simulation, simulation->now_us + HOP_US, RsSimulation_ANSWER,
              attempt);
 }
@@ -332,11 +361,9 @@
             answer(simulation, attempt, RsOutcome_NOT_RUN, false);
             continue;
         }
-        double run_us =
-            FIXED_RUN_US + draw_exponential(simulation, RANDOM_RUN_US);
+        double run_us = (double)attempt->job->run_us * target->slow_factor;
         target->running++;
-        schedule(simulation,
-                 simulation->now_us + (int64_t)(run_us * target->slow_factor),
+        schedule(simulation, simulation->now_us + (int64_t)run_us,
                  RsSimulation_FINISH, attempt);
     }
 }
@@ -355,7 +382,7 @@
         answer(simulation, attempt, RsOutcome_NOT_RUN, true);
         return;
     }
-    g_hash_table_add(target->attempts, attempt);
+    g_hash_table_insert(target->attempts, &attempt->id, attempt);
     g_queue_push_tail(&target->waiting, attempt);
     start_runs(simulation, target);
 }
@@ -405,14 +432,12 @@
     }
     else {
         RsHealth_Answered(&target->health, at_ms, RsHealth_WORK, latency_us);
+        RsRamp_Answered(&target->ramp, at_ms, latency_us);
     }
     if (attempt->cold) {
         RsRamp_RefusedCold(&target->ramp, at_ms);
         apply_ramp(simulation, attempt->target);
     }
-    if (attempt->outcome == RsOutcome_DONE) {
-        RsRetry_Answered(&simulation->retry, latency_us);
-    }
     decide(simulation, attempt->job, attempt->outcome, 0);
     RsAdmission_Done(target->admission, at_ms, attempt->id,
                      admission_outcome(attempt), latency_us);
@@ -452,10 +477,10 @@
 restart(struct simulation *simulation, struct target *target)
 {
     GHashTableIter iter;
-    gpointer key;
+    gpointer value;
     g_hash_table_iter_init(&iter, target->attempts);
-    while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        struct attempt *attempt = key;
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct attempt *attempt = value;
         attempt->outcome = RsOutcome_UNKNOWN;
         schedule(simulation, simulation->now_us + HOP_US, RsSimulation_ANSWER,
                  attempt);
@@ -545,6 +570,7 @@
                                        .return_ms = 300,
                                        .slow_ms = 100,
                                        .fast_ms = 500,
+                                       .stale_ms = 5000,
                                        .slow_factor = 2.5,
                                        .fast_factor = 1.5,
                                        .share_step = 0.2,
@@ -555,18 +581,18 @@
     RsRamp_KnownWarm(&target->ramp, 0, 1);
     RsHealth_Start(&target->health, &health, 0);
     g_queue_init(&target->waiting);
-    target->attempts = g_hash_table_new(NULL, NULL);
+    target->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
     target->slow_factor = 1.0;
     target->cold_since_us = -1;
 }
 
 static void
 open_simulation(struct simulation *simulation,
-                const struct rs_simulation_setup *setup)
+                const struct rs_simulation_setup *setup, uint32_t seed)
 {
     struct rs_retry_options retry = {.policy =
                                          RsRetry_FindPolicy(setup->retry),
-                                     .seed = SEED,
+                                     .seed = seed,
                                      .max_tries = 3,
                                      .max_redirects = 3,
                                      .backoff_ms = 10,
@@ -577,13 +603,13 @@
                                      .min_hedge_ms = 5};
     memset(simulation, 0, sizeof(*simulation));
     simulation->setup = setup;
-    simulation->random = g_rand_new_with_seed(SEED);
+    simulation->random = g_rand_new_with_seed(seed);
     simulation->events = g_sequence_new(g_free);
     simulation->queued = g_hash_table_new(g_int64_hash, g_int64_equal);
     simulation->jobs = g_ptr_array_new_with_free_func(g_free);
     simulation->all_attempts = g_ptr_array_new_with_free_func(g_free);
     RsChoice_Start(&simulation->choice, RsChoice_FindPolicy(setup->choice),
-                   SEED);
+                   seed);
     RsRetry_Start(&simulation->retry, &retry);
     for (size_t i = 0; i < TARGETS; i++) {
         open_target(&simulation->targets[i], setup);
@@ -606,28 +632,34 @@
 }
 
 static void
-collect(struct simulation *simulation)
+collect(const struct simulation *simulation, struct rs_simulation_results *sum)
 {
-    struct rs_simulation_results *results = &simulation->results;
+    const struct rs_simulation_results *results = &simulation->results;
     const struct rs_retry_counts *counts = &simulation->retry.counts;
-    double again = (double)counts->retries + (double)counts->hedges;
-    results->tries = 1.0 + again / (double)counts->first_tries;
-    for (size_t i = 0; i < TARGETS; i++) {
-        results->most_at_a_target =
-            MAX(results->most_at_a_target, simulation->targets[i].most);
-    }
     assert(results->answered + results->not_run + results->unknown ==
            results->offered);
+    RsHistogram_Merge(&sum->latency_us, &results->latency_us);
+    sum->offered += results->offered;
+    sum->answered += results->answered;
+    sum->not_run += results->not_run;
+    sum->unknown += results->unknown;
+    sum->target_refusals += results->target_refusals;
+    sum->first_tries += counts->first_tries;
+    sum->further_tries += counts->retries + counts->hedges;
+    for (size_t i = 0; i < TARGETS; i++) {
+        sum->most_at_a_target =
+            MAX(sum->most_at_a_target, simulation->targets[i].most);
+    }
 }
 
-/* Runs the whole of `setup` and fills `results`. The same setup gives the
- * same results. */
+/* Runs the whole of `setup` and adds to `results`. Arrivals, keys and run
+ * times depend on `seed` and the load only, not on the policies. */
 void
-RsSimulation_Run(const struct rs_simulation_setup *setup,
+RsSimulation_Run(const struct rs_simulation_setup *setup, uint32_t seed,
                  struct rs_simulation_results *results)
 {
     static struct simulation simulation;
-    open_simulation(&simulation, setup);
+    open_simulation(&simulation, setup, seed);
     schedule(&simulation, 0, RsSimulation_ARRIVE, NULL);
     schedule(&simulation, TICK_US, RsSimulation_TICK, NULL);
     schedule(&simulation, FAULT_FROM_US, RsSimulation_FAULT, NULL);
@@ -640,7 +672,6 @@
         simulation.now_us = event.at_us;
         handle(&simulation, &event);
     }
-    collect(&simulation);
-    *results = simulation.results;
+    collect(&simulation, results);
     close_simulation(&simulation);
 }
--- a/dispatch/target_pool.c
+++ b/dispatch/target_pool.c
@@ -35,6 +35,14 @@
     remove_connection(connection);
 }
 
+/* Notes that a request which was sent is waited for no longer. */
+void
+RsTargetPool_Abandon(struct rs_target *target, const struct rs_work *work)
+{
+    target->abandoned_until_ms =
+        MAX(target->abandoned_until_ms, work->run_deadline_ms);
+}
+
 /* Closes all connections that serve no work. */
 void
 RsTargetPool_CloseAll(struct rs_target *target)
@@ -70,6 +78,7 @@
         RsHistogram_Record(&target->options.counters->run_us,
                            (uint64_t)latency_us);
         RsHealth_Answered(&target->health, now_ms, RsHealth_WORK, latency_us);
+        RsRamp_Answered(&target->ramp, now_ms, latency_us);
     }
     else {
         RsHealth_GaveUp(&target->health, RsHealth_WORK, false);
@@ -88,6 +97,9 @@
     const char *reason = refused ? connection->reason : "target-failed";
     connection->work = NULL;
     work->connection = NULL;
+    if (outcome == RsOutcome_UNKNOWN) {
+        RsTargetPool_Abandon(target, work);
+    }
     observe(target, work, outcome, refused, latency_us);
     RsAdmission_Done(target->admission, now_ms, work->id,
                      admission_outcome(outcome, refused), latency_us);
@@ -298,6 +310,7 @@
     struct rs_target *target = connection->target;
     int64_t now_ms = RsClock_NowMs();
     struct rs_answer_verdict verdict = RsAnswer_Close(&connection->answer);
+    RsTargetGrant_DoubtClock(target);
     if (!connection->connected) {
         RsRamp_ConnectFailed(&target->ramp);
         RsHealth_ConnectFailed(&target->health);
@@ -341,10 +354,16 @@
 void
 RsTargetPool_Fill(struct rs_target *target, int64_t now_ms)
 {
-    uint32_t wanted = RsRamp_Connections(&target->ramp, now_ms);
+    uint32_t wanted = 0;
+    if (now_ms < target->active_until_ms) {
+        wanted = RsRamp_Connections(&target->ramp, now_ms);
+    }
+    else if (!g_queue_is_empty(&target->idle)) {
+        RsTargetPool_CloseAll(target);
+    }
     uint32_t needed = g_queue_get_length(&target->ready);
     wanted = MAX(wanted, MIN(needed, target->service.connections));
-    if (target->removed || target->lost || now_ms < target->next_connect_ms) {
+    if (target->lost || now_ms < target->next_connect_ms) {
         return;
     }
     while (target->connections->len < wanted &&
