Take slices off a slow target within seconds, also within one process

Cause 1: a later row that gave a slice to another target of the same speaker was asked for by nobody, so the slice stayed where it was (dump: 3 slices held for the slow target 6 s after the plan). Cause 2: plans by load came every 3 s and shares of capacity every 2 s; both now come at once when a share changes, and up to 8 slices move when a target is slow. Cause 3: a slow target without work looked well at once and got its slices back; it now counts as slow for 10 s, longer when it is again. Cause 4: the planner between cells saw a target without slices as one to be filled; that is now its own cell's affair. Cause 5: planners that met a conflict waited 400 ms; now 40 to 160 ms. Ruled out: leases (each slice held by one), the health's verdict (slow 0.5 s after the change). Tried and reverted: shares of capacity in the weights between cells; each cell knows its own only, and slices went to and fro (28 and 33 moves in 10 s).

--- a/control/control_task.c
+++ b/control/control_task.c
@@ -13,6 +13,7 @@
 #define PLATFORM_TIMEOUT_MS 2000
 #define FORGET_AFTER_MS 60000
 #define LOADS_EVERY_MS 2000
+#define PERCENT 100
 #define HEALTH_NOTICE_MS 1500 /* for the balancer to see that we leave */
 
 static void
@@ -212,7 +213,10 @@
         RsFeed_TakeChanges(control->feed, message->changes);
         break;
     case RS__WIRE__PEER__MESSAGE_LOADS:
-        RsLoads_TakePeer(control->loads, RsClock_NowMs(), message->loads);
+        if (RsLoads_TakePeer(control->loads, RsClock_NowMs(),
+                             message->loads)) {
+            RsPlanning_Review(control->planning);
+        }
         break;
     case RS__WIRE__PEER__MESSAGE_RENEW:
     case RS__WIRE__PEER__MESSAGE_RENEW_ANSWER:
@@ -459,6 +463,21 @@
     }
 }
 
+/* A target that got slow, or fast again, is told of at once. */
+static void
+take_share(struct rs_control *control, const struct rs_task_target *word,
+           int64_t now_ms)
+{
+    if (RsLoads_TakeOwnShare(control->loads, now_ms, word->target,
+                             word->capacity)) {
+        RsLog_EVENT(RsLog_INFO, "target_share",
+                    RsLog_TEXT("target", word->target),
+                    RsLog_NUMBER("percent", word->capacity * PERCENT));
+        control->loads_at_ms = 0;
+        RsPlanning_Review(control->planning);
+    }
+}
+
 /* Takes a message of the data task in, and frees it. */
 void
 RsControl_TakeMessage(void *arg, struct rs_message *message)
@@ -483,9 +502,7 @@
                         (struct rs_task_loads *)message);
         break;
     case RsTask_TARGET_SHARE:
-        RsLoads_TakeOwnShare(control->loads, now_ms,
-                             ((struct rs_task_target *)message)->target,
-                             ((struct rs_task_target *)message)->capacity);
+        take_share(control, (struct rs_task_target *)message, now_ms);
         break;
     case RsTask_DUMPED:
         RsControlAdmin_Dumped(control, (struct rs_task_dump *)message);
--- a/control/leases.c
+++ b/control/leases.c
@@ -356,15 +356,34 @@
     }
 }
 
+/* A later row gives the slice to another target for which this process speaks
+ * too: no other member will ask for it. */
+static bool
+wants_itself(const struct rs_leases *leases, const struct slice_state *state,
+             const struct rs_model_assignment *assignment, int64_t now_ms)
+{
+    const struct rs_view_cell *cell = RsLeases_Cell(leases);
+    if (assignment->epoch <= state->epoch || cell == NULL ||
+        !is_ours(leases, assignment)) {
+        return false;
+    }
+    uint32_t position = usable_position(leases, assignment, 0);
+    const char *speaker =
+        speaker_of(leases, cell, assignment->succession[position], now_ms);
+    return speaker != NULL && strcmp(speaker, leases->self) == 0;
+}
+
 static void
-review_held(struct rs_leases *leases, struct slice_state *state)
+review_held(struct rs_leases *leases, struct slice_state *state,
+            int64_t now_ms)
 {
     struct rs_model_assignment assignment;
     bool gone = !RsView_Assignment(leases->view, state->slice, &assignment);
     if (g_hash_table_contains(leases->lost, state->target)) {
         stop_lost(leases, state);
     }
-    else if (gone || state->wanted || leases->leaving) {
+    else if (gone || state->wanted || leases->leaving ||
+             wants_itself(leases, state, &assignment, now_ms)) {
         stop(leases, state);
     }
 }
@@ -473,7 +492,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct slice_state *state = value;
         if (state->held) {
-            review_held(leases, state);
+            review_held(leases, state, now_ms);
         }
         else {
             review_free(leases, state, now_ms);
--- a/control/loads.c
+++ b/control/loads.c
@@ -4,6 +4,11 @@
 
 #define STALE_MS 10000
 #define NEW_WEIGHT 0.3
+#define LEAST_CHANGE 0.05
+#define SLOW_SHARE 0.5
+#define FIRST_PENALTY_MS 10000u
+#define MAX_PENALTY_MS 120000u
+#define FORGET_SLOW_MS 60000
 
 struct rate {
     double value;
@@ -11,9 +16,21 @@
     bool own;
 };
 
+/* A target's share of its capacity. One that was slow is taken for slow for a
+ * while after: without work it looks well, and would be given it back at
+ * once. The while doubles when it gets slow again soon. */
+struct share {
+    double value;
+    double slow_value; /* that counts until `slow_until_ms` */
+    int64_t at_ms;
+    int64_t slow_until_ms;
+    uint32_t penalty_ms;
+    bool own;
+};
+
 struct rs_loads {
     GHashTable *slices;  /* id to rate: requests/s */
-    GHashTable *targets; /* name to rate: share of capacity */
+    GHashTable *targets; /* name to share */
 };
 
 /* Makes an empty state. */
@@ -41,15 +58,38 @@
 }
 
 static void
+hold_slow(struct share *known, int64_t now_ms, double value)
+{
+    bool was_slow = now_ms < known->slow_until_ms;
+    bool soon = now_ms < known->slow_until_ms + FORGET_SLOW_MS;
+    if (!was_slow && known->slow_until_ms != 0) {
+        known->penalty_ms = soon ? MIN(known->penalty_ms * 2, MAX_PENALTY_MS)
+                                 : FIRST_PENALTY_MS;
+    }
+    known->slow_value = was_slow ? MIN(known->slow_value, value) : value;
+    known->slow_until_ms = now_ms + known->penalty_ms;
+}
+
+/* Returns whether the share changed. */
+static bool
 set_share(struct rs_loads *loads, int64_t now_ms, const char *target,
           double share, bool own)
 {
-    struct rate *rate = g_hash_table_lookup(loads->targets, target);
-    if (rate == NULL) {
-        rate = g_new0(struct rate, 1);
-        g_hash_table_insert(loads->targets, g_strdup(target), rate);
+    struct share *known = g_hash_table_lookup(loads->targets, target);
+    double before = RsLoads_Share(loads, now_ms, target);
+    if (known == NULL) {
+        known = g_new0(struct share, 1);
+        known->penalty_ms = FIRST_PENALTY_MS;
+        g_hash_table_insert(loads->targets, g_strdup(target), known);
+    }
+    if (share < SLOW_SHARE) {
+        hold_slow(known, now_ms, share);
     }
-    *rate = (struct rate){.value = share, .at_ms = now_ms, .own = own};
+    known->value = share;
+    known->at_ms = now_ms;
+    known->own = own;
+    double after = RsLoads_Share(loads, now_ms, target);
+    return after < before - LEAST_CHANGE || after > before + LEAST_CHANGE;
 }
 
 /* Own slices that were not named got nothing in the last second. */
@@ -83,15 +123,16 @@
 }
 
 /* Takes what this process saw of a target. */
-void
+bool
 RsLoads_TakeOwnShare(struct rs_loads *loads, int64_t now_ms,
                      const char *target, double share)
 {
-    set_share(loads, now_ms, target, share, true);
+    return set_share(loads, now_ms, target, share, true);
 }
 
-/* Takes another member's word of its slices and targets. */
-void
+/* Takes another member's word of its slices and targets. Returns whether a
+ * target's share changed. */
+bool
 RsLoads_TakePeer(struct rs_loads *loads, int64_t now_ms,
                  const Rs__Member__Loads *word)
 {
@@ -101,10 +142,12 @@
         rate->at_ms = now_ms;
         rate->own = false;
     }
+    bool changed = false;
     for (size_t i = 0; i < word->n_shares; i++) {
-        set_share(loads, now_ms, word->shares[i]->target,
-                  word->shares[i]->share, false);
+        changed |= set_share(loads, now_ms, word->shares[i]->target,
+                             word->shares[i]->share, false);
     }
+    return changed;
 }
 
 static void
@@ -128,21 +171,22 @@
 }
 
 static void
-fill_targets(const struct rs_loads *loads, Rs__Member__Loads *word)
+fill_targets(const struct rs_loads *loads, int64_t now_ms,
+             Rs__Member__Loads *word)
 {
     GHashTableIter iter;
     gpointer key;
     gpointer value;
     g_hash_table_iter_init(&iter, loads->targets);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
-        const struct rate *rate = value;
-        if (!rate->own || rate->value >= 1) {
+        const struct share *known = value;
+        if (!known->own || now_ms - known->at_ms > STALE_MS) {
             continue;
         }
         Rs__Member__TargetShare *share = g_new(Rs__Member__TargetShare, 1);
         rs__member__target_share__init(share);
         share->target = key;
-        share->share = (float)rate->value;
+        share->share = (float)known->value;
         word->shares[word->n_shares++] = share;
     }
 }
@@ -157,7 +201,7 @@
     word->loads = g_new0(Rs__Member__SliceLoad *, slices + 1);
     word->shares = g_new0(Rs__Member__TargetShare *, targets + 1);
     fill_slices(loads, word);
-    fill_targets(loads, word);
+    fill_targets(loads, now_ms, word);
 }
 
 /* Frees what RsLoads_Fill() made. */
@@ -187,7 +231,12 @@
 double
 RsLoads_Share(const struct rs_loads *loads, int64_t now_ms, const char *target)
 {
-    const struct rate *rate = g_hash_table_lookup(loads->targets, target);
-    bool fresh = rate != NULL && now_ms - rate->at_ms <= STALE_MS;
-    return fresh ? rate->value : 1;
+    const struct share *known = g_hash_table_lookup(loads->targets, target);
+    if (known == NULL) {
+        return 1;
+    }
+    bool fresh = now_ms - known->at_ms <= STALE_MS;
+    double value = fresh ? known->value : 1;
+    bool slow = now_ms < known->slow_until_ms;
+    return slow ? MIN(value, known->slow_value) : value;
 }
--- a/control/loads.h
+++ b/control/loads.h
@@ -4,6 +4,7 @@
 #ifndef RATTANSHED_CONTROL_LOADS_H
 #define RATTANSHED_CONTROL_LOADS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "dispatch/task_messages.h"
@@ -16,9 +17,10 @@
 /* Own observations, and those of another member */
 void RsLoads_TakeOwn(struct rs_loads *loads, int64_t now_ms,
                      const struct rs_task_loads *own);
-void RsLoads_TakeOwnShare(struct rs_loads *loads, int64_t now_ms,
+/* Returns whether the share changed. */
+bool RsLoads_TakeOwnShare(struct rs_loads *loads, int64_t now_ms,
                           const char *target, double share);
-void RsLoads_TakePeer(struct rs_loads *loads, int64_t now_ms,
+bool RsLoads_TakePeer(struct rs_loads *loads, int64_t now_ms,
                       const Rs__Member__Loads *word);
 
 /* A message of the own ones; its texts are borrowed */
--- a/control/planning.c
+++ b/control/planning.c
@@ -6,17 +6,22 @@
 
 #include "control/rosters.h"
 #include "core/clock.h"
+#include "core/log.h"
 #include "place/assignment.h"
 #include "place/balance.h"
 #include "place/planner.h"
 #include "place/slice.h"
 
 #define ROUND_EVERY_MS 400
+#define RETRY_LEAST_MS 40 /* after a conflict, once the row was read again */
+#define RETRY_MOST_MS 160
 #define REVIEW_EVERY_MS 3000 /* also when nothing changed */
 #define KEEP_MOVED_MS 20000
 #define MAX_BALANCE_MOVES 2 /* a rule and round */
+#define MAX_SLOW_MOVES 8    /* when a target is slow */
+#define SLOW_SHARE 0.5
 #define BALANCE_HYSTERESIS_PERMILLE 200
-#define LEAST_BALANCED_RATE 20.0 /* requests/s of a cell and rule */
+#define LEAST_BALANCED_RATE 20.0 /* requests/s; else numbers count */
 #define MAX_ROWS_A_COMMIT 64
 #define STATUS_OK 200
 #define STATUS_CONFLICT 409
@@ -28,6 +33,8 @@
     struct rs_planning_counters counters;
     struct rs_rosters *rosters;
     GHashTable *kept; /* slice to until when it is not moved by load */
+    GRand *random;
+    uint64_t moves_in_commit;
     bool writing;
     bool woken; /* something changed since the last review */
     int64_t round_at_ms;
@@ -71,6 +78,7 @@
         .lease_ms = options->lease_ms,
     };
     planning->rosters = RsRosters_New(&rosters);
+    planning->random = g_rand_new_with_seed(g_str_hash(planning->self));
     planning->kept =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     return planning;
@@ -84,9 +92,13 @@
     planning->woken = true;
     if (status == STATUS_OK) {
         RsCounter_Add(&planning->counters.commits, 1);
+        RsCounter_Add(&planning->counters.moves, planning->moves_in_commit);
     }
     else if (status == STATUS_CONFLICT) {
+        int32_t wait_ms =
+            g_rand_int_range(planning->random, RETRY_LEAST_MS, RETRY_MOST_MS);
         RsCounter_Add(&planning->counters.conflicts, 1);
+        planning->round_at_ms = RsClock_NowMs() + wait_ms;
     }
     planning->options.written(planning->options.arg);
 }
@@ -287,6 +299,30 @@
     };
 }
 
+static void
+log_plan(const char *event, const struct rule_state *state,
+         const struct rs_planner_plan *plan)
+{
+    RsLog_EVENT(RsLog_INFO, event, RsLog_TEXT("rule", state->rule->name),
+                RsLog_NUMBER("rows_changed", plan->change_count),
+                RsLog_NUMBER("owners_changed", plan->moves));
+}
+
+/* Whether a target of the cell can do much less than it should. */
+static bool
+is_any_slow(const struct round *round, const struct rule_state *state)
+{
+    for (guint i = 0; i < state->targets->len; i++) {
+        const struct rs_planner_target *target =
+            &g_array_index(state->targets, struct rs_planner_target, i);
+        if (target->share < SLOW_SHARE &&
+            strcmp(target->cell, round->cell->row.cell) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Moves few slices by their load within the cell. */
 static void
 balance_rule(struct round *round, struct rule_state *state)
@@ -295,19 +331,26 @@
     struct rs_planner_plan plan = {0};
     double *rates = g_new0(double, state->rule->slices + 1);
     int64_t *keep_until_ms = g_new0(int64_t, state->rule->slices + 1);
-    double total = fill_rates(round, state, rates, keep_until_ms);
+    if (fill_rates(round, state, rates, keep_until_ms) < LEAST_BALANCED_RATE) {
+        memset(rates, 0, state->rule->slices * sizeof(rates[0]));
+    }
     for (guint i = 0; i < state->targets->len; i++) {
         struct rs_planner_target *target =
             &g_array_index(state->targets, struct rs_planner_target, i);
+        target->base_load = 0;
         target->share = RsLoads_Share(planning->options.loads, round->now_ms,
                                       target->name);
     }
     struct rs_balance_options options = balance_options(round, state);
+    if (is_any_slow(round, state)) {
+        options.max_moves = MAX_SLOW_MOVES;
+    }
     options.rates = rates;
     options.keep_until_ms = keep_until_ms;
-    if (total >= LEAST_BALANCED_RATE &&
-        RsBalance_WithinCell(&options, &plan) == 0 && plan.change_count > 0) {
+    if (RsBalance_WithinCell(&options, &plan) == 0 && plan.change_count > 0) {
+        log_plan("slices_balanced", state, &plan);
         RsCounter_Add(&planning->counters.balance_moves, plan.moves);
+        planning->moves_in_commit += plan.moves;
         add_changes(round, state, plan.changes, plan.change_count);
         keep_changed(planning, &plan, round->now_ms);
     }
@@ -334,6 +377,7 @@
         .present = state->present,
         .positions = state->positions,
         .loads = state->weights,
+        .loads_are_weights = true,
         .now_ms = round->now_ms,
         .cell = round->cell->row.cell,
     };
@@ -341,7 +385,8 @@
     bool changes =
         RsPlanner_Plan(&options, &plan) == 0 && plan.change_count > 0;
     if (changes) {
-        RsCounter_Add(&round->planning->counters.moves, plan.moves);
+        log_plan("slices_placed", state, &plan);
+        round->planning->moves_in_commit += plan.moves;
         add_changes(round, state, plan.changes, plan.change_count);
     }
     RsPlanner_FreePlan(&plan);
@@ -395,7 +440,13 @@
     state->positions = list_positions(round, state);
     state->weights = g_new0(double, slices + 1);
     struct rs_balance_options options = balance_options(round, state);
-    RsBalance_Weigh(&options, state->weights);
+    double *base_loads = g_new0(double, state->targets->len + 1);
+    RsBalance_Weigh(&options, state->weights, base_loads);
+    for (guint i = 0; i < state->targets->len; i++) {
+        g_array_index(state->targets, struct rs_planner_target, i).base_load =
+            base_loads[i];
+    }
+    g_free(base_loads);
 }
 
 static void
@@ -476,6 +527,13 @@
     planning->woken = true;
 }
 
+/* Loads or what targets can do changed much. */
+void
+RsPlanning_Review(struct rs_planning *planning)
+{
+    planning->review_at_ms = 0;
+}
+
 /* Plans when it is time to and something changed, unless a row is being
  * written. */
 void
@@ -501,6 +559,7 @@
         planning->review_at_ms = now_ms + REVIEW_EVERY_MS;
     }
     struct round round = open_round(planning, view, now_ms);
+    planning->moves_in_commit = 0;
     plan_rules(&round, review);
     commit(&round);
 }
--- a/control/planning.h
+++ b/control/planning.h
@@ -43,6 +43,7 @@
 
 /* The view is valid during the call. */
 void RsPlanning_Wake(struct rs_planning *planning);
+void RsPlanning_Review(struct rs_planning *planning);
 void RsPlanning_Tick(struct rs_planning *planning, int64_t now_ms,
                      const struct rs_view *view);
 /* The member that plans for a cell: the live one with the lowest name. */
--- a/dispatch/holder.c
+++ b/dispatch/holder.c
@@ -507,16 +507,22 @@
     }
 }
 
+/* Only who works with a target can tell how fast it is: at once when that
+ * changes, and with the loads. */
 static void
-report_shares(struct rs_holder *holder)
+report_shares(struct rs_holder *holder, int64_t now_ms, bool all)
 {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, holder->targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct rs_target *target = value;
-        holder->options.reports->share(holder->options.arg, target->name,
-                                       target->health.share);
+        struct rs_target *target = value;
+        bool works = now_ms < target->active_until_ms;
+        if (works && (all || target->told_share != target->health.share)) {
+            target->told_share = target->health.share;
+            holder->options.reports->share(holder->options.arg, target->name,
+                                           target->health.share);
+        }
     }
 }
 
@@ -543,7 +549,7 @@
     g_hash_table_remove_all(holder->counts);
     holder->options.reports->loads(holder->options.arg, loads, at);
     g_free(loads);
-    report_shares(holder);
+    report_shares(holder, now_ms, true);
 }
 
 static bool
@@ -580,6 +586,7 @@
 {
     set_medians(holder, now_ms);
     tick_targets(holder, now_ms);
+    report_shares(holder, now_ms, false);
     report_drained(holder, now_ms);
     report_loads(holder, now_ms);
 }
--- a/dispatch/relay_client.c
+++ b/dispatch/relay_client.c
@@ -11,6 +11,8 @@
 #define MAX_QUEUE_BYTES (8u << 20)
 #define PING_EVERY_MS 150
 #define DOWN_MS 300
+#define MAX_DOUBLINGS 3u
+#define OPEN_WITHIN_MS 300 /* also the first word of the process */
 #define IDLE_CLOSE_MS 60000
 
 struct rs_relay_client {
@@ -31,6 +33,7 @@
     int64_t pinged_at_ms;
     int64_t used_at_ms;
     int64_t down_until_ms;
+    uint32_t failures; /* since it was heard last */
 };
 
 struct rs_relay_stream {
@@ -107,7 +110,9 @@
 {
     peer->link = NULL;
     peer->open = false;
-    peer->down_until_ms = RsClock_NowMs() + DOWN_MS;
+    int64_t down_ms = (int64_t)DOWN_MS << MIN(peer->failures, MAX_DOUBLINGS);
+    peer->down_until_ms = RsClock_NowMs() + down_ms;
+    peer->failures++;
     break_all(peer);
 }
 
@@ -209,6 +214,7 @@
         return RsFrame_BAD_MESSAGE;
     }
     peer->heard_at_ms = RsClock_NowMs();
+    peer->failures = 0;
     if (!peer->open) {
         peer->open = true;
         send_waiting(peer);
@@ -359,8 +365,9 @@
 tick_peer(struct peer *peer, int64_t now_ms)
 {
     bool busy = g_hash_table_size(peer->streams) > 0;
-    bool silent =
-        now_ms - peer->heard_at_ms > peer->client->options.silence_ms;
+    int64_t patience_ms =
+        peer->open ? peer->client->options.silence_ms : OPEN_WITHIN_MS;
+    bool silent = now_ms - peer->heard_at_ms > patience_ms;
     if (busy && (silent || peer->link == NULL)) {
         if (peer->link != NULL) {
             RsLink_Close(peer->link);
--- a/dispatch/target.c
+++ b/dispatch/target.c
@@ -68,6 +68,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     target->grant.answer = g_string_new(NULL);
     start_decisions(target);
+    target->told_share = 1;
     RsHealth_Start(&target->health, &options->health, options->now_ms);
     return target;
 }
--- a/dispatch/target.h
+++ b/dispatch/target.h
@@ -115,6 +115,7 @@
     int64_t abandoned_until_ms; /* until when requests that nobody waits for
                                  * any more may take effect there */
     double median_us;           /* latency of its peers of the same service */
+    double told_share;          /* of capacity, that was reported last */
     bool lost;
     bool told_lost;
     bool outdated; /* its service or address is another now */
--- a/place/balance.c
+++ b/place/balance.c
@@ -33,6 +33,13 @@
     return NULL;
 }
 
+static bool
+is_usable(const struct rs_planner_target *target)
+{
+    return target->alive && !target->leaving && target->cell[0] != '\0';
+}
+
+/* Slices of a cell for each target that may have some. */
 static double
 cell_average(const struct tally *tallies, size_t count, const char *cell)
 {
@@ -40,17 +47,20 @@
     size_t slices = 0;
     for (size_t i = 0; i < count; i++) {
         if (strcmp(tallies[i].target->cell, cell) == 0) {
-            targets++;
+            targets += is_usable(tallies[i].target) ? 1 : 0;
             slices += tallies[i].slices;
         }
     }
-    return targets > 0 ? (double)slices / (double)targets : 0;
+    return targets > 0 ? (double)slices / (double)targets : (double)slices;
 }
 
 /* Fills in a weight for each slice: those of one target add up to the average
- * number of slices that the targets of its cell have. */
+ * number of slices that the targets of its cell have. A target that has none
+ * gets that average as its base load: whether it is to have some is its
+ * cell's affair, who knows whether it is slow. */
 void
-RsBalance_Weigh(const struct rs_balance_options *options, double *weights)
+RsBalance_Weigh(const struct rs_balance_options *options, double *weights,
+                double *base_loads)
 {
     size_t count = options->target_count;
     struct tally *tallies = calloc(count + 1, sizeof(tallies[0]));
@@ -72,6 +82,13 @@
                          (double)tally->slices;
         }
     }
+    for (size_t i = 0; i < count; i++) {
+        base_loads[i] = 0;
+        if (tallies[i].slices == 0) {
+            base_loads[i] =
+                cell_average(tallies, count, tallies[i].target->cell);
+        }
+    }
     free(tallies);
 }
 
--- a/place/balance.h
+++ b/place/balance.h
@@ -31,8 +31,8 @@
     uint32_t hysteresis_permille;
 };
 
-void RsBalance_Weigh(const struct rs_balance_options *options,
-                     double *weights);
+void RsBalance_Weigh(const struct rs_balance_options *options, double *weights,
+                     double *base_loads);
 int RsBalance_WithinCell(const struct rs_balance_options *options,
                          struct rs_planner_plan *plan);
 
--- a/place/cell_balance_test.c
+++ b/place/cell_balance_test.c
@@ -15,6 +15,7 @@
     struct rs_model_assignment present[SLICES];
     double rates[SLICES];
     double weights[SLICES];
+    double base_loads[TARGETS];
     int64_t keep_until_ms[SLICES];
     struct rs_balance_options options;
 };
@@ -65,6 +66,15 @@
     };
 }
 
+static void
+weigh(struct world *world)
+{
+    RsBalance_Weigh(&world->options, world->weights, world->base_loads);
+    for (size_t i = 0; i < TARGETS; i++) {
+        world->targets[i].base_load = world->base_loads[i];
+    }
+}
+
 static void
 test_even_load_moves_nothing(void)
 {
@@ -129,6 +139,24 @@
     RsPlanner_FreePlan(&plan);
 }
 
+static void
+test_an_empty_target_is_given_slices_by_its_cell(void)
+{
+    struct world world;
+    struct rs_planner_plan plan;
+    open_world(&world);
+    for (size_t i = 0; i < SLICES; i += TARGETS) {
+        give(&world, i, 1 + i / TARGETS % 2);
+    }
+    memset(world.rates, 0, sizeof(world.rates));
+    CU_ASSERT_EQUAL(RsBalance_WithinCell(&world.options, &plan), 0);
+    CU_ASSERT_EQUAL(plan.change_count, 2);
+    for (size_t i = 0; i < plan.change_count; i++) {
+        CU_ASSERT_STRING_EQUAL(plan.changes[i].succession[0], "t0");
+    }
+    RsPlanner_FreePlan(&plan);
+}
+
 static void
 test_slices_between_cells_stay(void)
 {
@@ -155,7 +183,7 @@
     open_world(&world);
     give(&world, 0, 1);
     give(&world, 12, 2);
-    RsBalance_Weigh(&world.options, world.weights);
+    weigh(&world);
     struct rs_planner_options options = {
         .rule = "r",
         .slices = SLICES,
@@ -168,11 +196,40 @@
     CU_ASSERT(plan.moves > 0);
     RsPlanner_FreePlan(&plan);
     options.loads = world.weights;
+    options.loads_are_weights = true;
     CU_ASSERT_EQUAL(RsPlanner_Plan(&options, &plan), 0);
     CU_ASSERT_EQUAL(plan.moves, 0);
     RsPlanner_FreePlan(&plan);
 }
 
+/* Only its own cell knows why a target has no slices. */
+static void
+test_weights_leave_an_empty_target_to_its_cell(void)
+{
+    struct world world;
+    struct rs_planner_plan plan;
+    open_world(&world);
+    for (size_t i = 0; i < SLICES; i += TARGETS) {
+        give(&world, i, 1 + i / TARGETS % 2);
+    }
+    weigh(&world);
+    struct rs_planner_options options = {
+        .rule = "r",
+        .slices = SLICES,
+        .targets = world.targets,
+        .target_count = TARGETS,
+        .present = world.present,
+        .loads = world.weights,
+        .loads_are_weights = true,
+        .now_ms = NOW_MS,
+    };
+    CU_ASSERT_EQUAL(RsPlanner_Plan(&options, &plan), 0);
+    for (size_t i = 0; i < plan.change_count; i++) {
+        CU_ASSERT_STRING_NOT_EQUAL(plan.changes[i].succession[0], "t0");
+    }
+    RsPlanner_FreePlan(&plan);
+}
+
 static void
 test_weights_show_an_empty_cell(void)
 {
@@ -182,7 +239,7 @@
     for (size_t i = 0; i < SLICES; i++) {
         give(&world, i, i % 3);
     }
-    RsBalance_Weigh(&world.options, world.weights);
+    weigh(&world);
     struct rs_planner_options options = {
         .rule = "r",
         .slices = SLICES,
@@ -190,6 +247,7 @@
         .target_count = TARGETS,
         .present = world.present,
         .loads = world.weights,
+        .loads_are_weights = true,
         .now_ms = NOW_MS,
     };
     CU_ASSERT_EQUAL(RsPlanner_Plan(&options, &plan), 0);
@@ -206,8 +264,10 @@
     CU_ADD_TEST(suite, test_neighbours_of_a_hot_slice_move_within_the_cell);
     CU_ADD_TEST(suite, test_a_slice_that_moved_is_kept_for_a_while);
     CU_ADD_TEST(suite, test_a_slow_target_gives_slices_away);
+    CU_ADD_TEST(suite, test_an_empty_target_is_given_slices_by_its_cell);
     CU_ADD_TEST(suite, test_slices_between_cells_stay);
     CU_ADD_TEST(suite, test_weights_hide_numbers_within_a_cell);
+    CU_ADD_TEST(suite, test_weights_leave_an_empty_target_to_its_cell);
     CU_ADD_TEST(suite, test_weights_show_an_empty_cell);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
--- a/place/placement.c
+++ b/place/placement.c
@@ -191,6 +191,7 @@
         target->id = RsId_FromName(target->target->name);
         target->cell = RsId_FromName(target->target->cell);
         target->share = clamp_share(target->target->share);
+        target->load = target->target->base_load;
         placement->weighted = placement->weighted || target->share < 1;
     }
     qsort(placement->targets, count, sizeof(placement->targets[0]),
@@ -262,6 +263,9 @@
     bool known = loads != NULL && total > 0;
     double base =
         known ? BASE_LOAD * total / (double)placement->slice_count : 1;
+    if (known && placement->options->loads_are_weights) {
+        base = 0;
+    }
     placement->weighted = placement->weighted || known;
     placement->total = 0;
     for (size_t i = 0; i < placement->slice_count; i++) {
--- a/place/planner.h
+++ b/place/planner.h
@@ -41,6 +41,7 @@
     bool alive;   /* in the VM list, and not reported dead by its speaker */
     bool leaving; /* serves, and is to get no new work */
     double share; /* of a full target's capacity, 0 to 1; slow ones less */
+    double base_load; /* that it is taken to have besides its slices */
 };
 
 struct rs_planner_domain {
@@ -65,6 +66,7 @@
     const struct rs_model_assignment *present; /* one a slice, by index */
     const uint8_t *positions; /* of the owners in `succession`; NULL: first */
     const double *loads;      /* requests/s of each slice; NULL: unknown */
+    bool loads_are_weights;   /* nothing is added for idle slices */
     const int64_t *keep_until_ms; /* no move for load before; NULL: none */
     int64_t now_ms;
     const char *cell;    /* that asks; NULL: return all changes */
--- a/place/policy.c
+++ b/place/policy.c
@@ -160,7 +160,7 @@
 {
     struct rs_placement *placement = balance->placement;
     for (size_t i = 0; i < placement->target_count; i++) {
-        placement->targets[i].load = 0;
+        placement->targets[i].load = placement->targets[i].target->base_load;
         balance->done[i] = false;
     }
     for (size_t i = 0; i < placement->slice_count; i++) {
