--- a/control/feed.c
+++ b/control/feed.c
@@ -46,6 +46,16 @@
     return feed;
 }
 
+/* Frees a feed and its mirror. */
+void
+RsFeed_Free(struct rs_feed *feed)
+{
+    RsMirror_Free(feed->mirror);
+    json_decref(feed->vms);
+    g_free(feed->domain);
+    g_free(feed);
+}
+
 /* Tells whether a row of a page is what the contract says it is. */
 static bool
 is_row(const json_t *row, json_int_t revision)
--- a/control/feed.h
+++ b/control/feed.h
@@ -25,7 +25,9 @@
     void *arg;
 };
 
+/* Life. Free a feed only when the platform owes it no answer. */
 struct rs_feed *RsFeed_New(const struct rs_feed_options *options);
+void RsFeed_Free(struct rs_feed *feed);
 
 /* Time. A reader asks the platform often, the others now and then. */
 void RsFeed_Tick(struct rs_feed *feed, int64_t now_ms, bool reader);
