Never give what follows an answer to the next request

Cause: the parser went on through the bytes after a whole answer. The owner was told of its end in the middle of that, and could send its next request on the connection; a second answer in the same read was then taken for that request's. Requests to targets have an id that shows it (the next request ended as unknown for nothing); calls to the platform have none. Ruled out: clearing 'awaiting' later; the owner must be able to send from within the call. Before: the new check of http_test fails (keep-alive after a doubled answer). Conclusion: the parser stops at the end of an answer; when more came along, the connection is closed.

--- a/http/connection.c
+++ b/http/connection.c
@@ -21,6 +21,8 @@
     bool connected;
     bool awaiting; /* a request was sent and its answer is not complete */
     bool is_head_request;
+    bool complete;   /* an answer was read to its end, and not yet told of */
+    bool keep_alive; /* its word on the connection */
     bool closing;
     int error;
 };
@@ -164,14 +166,16 @@
     return connection->closing ? -1 : 0;
 }
 
+/* Stops the parser, so that what follows the answer is not taken for that of
+ * the next request, which the owner may send when it is told. */
 static int
 on_complete(http_parser *parser)
 {
     struct rs_http_connection *connection = parser->data;
-    bool keep_alive = http_should_keep_alive(parser) != 0;
-    connection->awaiting = false;
-    connection->events->end(connection->arg, keep_alive);
-    return connection->closing ? -1 : 0;
+    connection->keep_alive = http_should_keep_alive(parser) != 0;
+    connection->complete = true;
+    http_parser_pause(parser, 1);
+    return 0;
 }
 
 static const http_parser_settings parser_settings = {
@@ -183,6 +187,20 @@
     .on_message_complete = on_complete,
 };
 
+/* Tells the owner that the answer is whole. A connection that brought more
+ * than that is not used again. */
+static void
+end_answer(struct rs_http_connection *connection, bool alone)
+{
+    http_parser_pause(&connection->parser, 0);
+    connection->complete = false;
+    connection->awaiting = false;
+    connection->events->end(connection->arg, connection->keep_alive && alone);
+    if (!alone) {
+        fail(connection, RsHttp_UNASKED);
+    }
+}
+
 static void
 parse(struct rs_http_connection *connection, const char *data, size_t size)
 {
@@ -195,7 +213,11 @@
     if (connection->closing) {
         return;
     }
-    if (used != size || HTTP_PARSER_ERRNO(&connection->parser) != HPE_OK) {
+    if (connection->complete) {
+        end_answer(connection, used == size);
+    }
+    else if (used != size ||
+             HTTP_PARSER_ERRNO(&connection->parser) != HPE_OK) {
         int error =
             connection->error != 0 ? connection->error : RsHttp_MALFORMED;
         fail(connection, error);
@@ -209,6 +231,10 @@
     if (connection->awaiting) {
         http_parser_execute(&connection->parser, &parser_settings, NULL, 0);
     }
+    if (connection->complete && !connection->closing) {
+        connection->keep_alive = false;
+        end_answer(connection, true);
+    }
     fail(connection, RsHttp_CLOSED);
 }
 
--- a/http/http_test.c
+++ b/http/http_test.c
@@ -225,6 +225,65 @@
                     RsHttp_BAD_ADDRESS);
 }
 
+static const char twice[] = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+                            "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb";
+
+static void
+free_handle(uv_handle_t *handle)
+{
+    g_free(handle);
+}
+
+static void
+answer_twice(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
+{
+    uv_buf_t text = uv_buf_init((char *)twice, sizeof(twice) - 1);
+    if (size > 0) {
+        CU_ASSERT_EQUAL(uv_try_write(stream, &text, 1), sizeof(twice) - 1);
+    }
+    else if (size < 0) {
+        uv_close((uv_handle_t *)stream, free_handle);
+    }
+}
+
+static void
+give_bytes(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    static char bytes[1000];
+    *buffer = uv_buf_init(bytes, sizeof(bytes));
+}
+
+static void
+accept_raw(uv_stream_t *listener, int status)
+{
+    uv_tcp_t *tcp = g_new0(uv_tcp_t, 1);
+    uv_tcp_init(listener->loop, tcp);
+    uv_accept(listener, (uv_stream_t *)tcp);
+    uv_read_start((uv_stream_t *)tcp, give_bytes, answer_twice);
+}
+
+/* The second answer belongs to nobody, and the connection to nobody either. */
+static void
+test_answer_that_comes_twice_spoils_the_connection(void)
+{
+    struct fixture f;
+    uv_tcp_t listener;
+    struct sockaddr_in any;
+    int size = sizeof(f.address);
+    struct rs_http_request request = {.method = "GET", .path = "/"};
+    open_fixture(&f);
+    uv_tcp_init(&f.loop, &listener);
+    RsHttp_ParseAddress("127.0.0.1", 0, &any);
+    uv_tcp_bind(&listener, (struct sockaddr *)&any, 0);
+    uv_listen((uv_stream_t *)&listener, 1, accept_raw);
+    uv_tcp_getsockname(&listener, (struct sockaddr *)&f.address, &size);
+    f.keep_alive = true;
+    run(&f, &request);
+    CU_ASSERT(f.ended);
+    CU_ASSERT_FALSE(f.keep_alive);
+    CU_ASSERT_STRING_EQUAL(f.body->str, "a");
+}
+
 int
 main(void)
 {
@@ -234,6 +293,7 @@
     CU_ADD_TEST(suite, test_big_body_survives_a_pause);
     CU_ADD_TEST(suite, test_head_request_has_no_body);
     CU_ADD_TEST(suite, test_oversize_body_is_refused);
+    CU_ADD_TEST(suite, test_answer_that_comes_twice_spoils_the_connection);
     CU_ADD_TEST(suite, test_refused_connection_is_told);
     CU_ADD_TEST(suite, test_bad_address_is_an_error);
     CU_basic_run_tests();
