Probe links whose peer is silent

Cause: a relay server never gave up a session whose front's VM vanished without closing: nothing is sent on it, so the socket stayed for as long as the process, one for each VM that was replaced. The same for control connections. Found by reading; not shown by a run, since loopback can't lose a host. Conclusion: TCP keepalive after 10 s of silence.

--- a/wire/link.c
+++ b/wire/link.c
@@ -7,6 +7,7 @@
 
 #define BACKLOG 512
 #define READ_BYTES 65536
+#define KEEPALIVE_S 10
 
 struct rs_link {
     uv_tcp_t tcp;
@@ -91,6 +92,8 @@
 {
     link->open = true;
     uv_tcp_nodelay(&link->tcp, 1);
+    /* A peer whose VM is gone says nothing any more; its link ends by this. */
+    uv_tcp_keepalive(&link->tcp, 1, KEEPALIVE_S);
     uv_read_start((uv_stream_t *)&link->tcp, give_buffer, on_read);
 }
 
