Bear that a broken stream's end cancels others of its link

Cause: break_all walked a list of streams while telling their owners, who may cancel other streams of the same link (both tries of a hedged request).

--- a/dispatch/relay_client.c
+++ b/dispatch/relay_client.c
@@ -90,16 +90,26 @@
     }
 }
 
+/* What one stream's end sets off may cancel others, or begin new ones. */
 static void
 break_all(struct peer *peer)
 {
-    GList *list = g_hash_table_get_values(peer->streams);
-    g_hash_table_remove_all(peer->streams);
-    g_queue_clear(&peer->waiting);
-    for (GList *link = list; link != NULL; link = link->next) {
-        break_stream(link->data);
+    GArray *numbers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, peer->streams);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        g_array_append_vals(numbers, key, 1);
     }
-    g_list_free(list);
+    for (guint i = 0; i < numbers->len; i++) {
+        struct rs_relay_stream *stream = g_hash_table_lookup(
+            peer->streams, &g_array_index(numbers, uint64_t, i));
+        if (stream != NULL) {
+            detach(stream);
+            break_stream(stream);
+        }
+    }
+    g_array_free(numbers, TRUE);
 }
 
 static void
