Refuse streams above a link's limit instead of cutting the link

Cause: a front with 4,096 open requests at one holder lost the link with the next, and all of them ended as unknown or broken. Conclusion: the stream is answered 'not run' (queue-full), which is true: it never reached the holder.

--- a/dispatch/holder.cmake
+++ b/dispatch/holder.cmake
@@ -6,3 +6,4 @@
 rs_test(relay_client_test SOURCES dispatch/relay_client_test.c
   LIBS rs_holder)
 rs_test(holder_test SOURCES dispatch/holder_test.c LIBS rs_holder)
+rs_test(relay_test SOURCES dispatch/relay_test.c LIBS rs_holder)
--- a/dispatch/relay_server.c
+++ b/dispatch/relay_server.c
@@ -6,11 +6,12 @@
 #include "wire/link.h"
 
 #define MAX_QUEUE_BYTES (16u << 20)
-#define MAX_STREAMS 4096
+#define RETRY_FULL_MS 50
 
 struct rs_relay_server {
     struct rs_holder *holder;
     struct rs_link_listener *listener;
+    size_t max_streams;
     size_t streams;
 };
 
@@ -83,14 +84,31 @@
     on_work_body,
 };
 
+static void
+refuse(struct session *session, uint64_t number)
+{
+    Rs__Relay__Envelope envelope = RS__RELAY__ENVELOPE__INIT;
+    Rs__Relay__AnswerHead head = RS__RELAY__ANSWER_HEAD__INIT;
+    head.stream = number;
+    head.outcome = RS__RELAY__OUTCOME__OUTCOME_NOT_RUN;
+    head.reason = "queue-full";
+    head.retry_after_ms = RETRY_FULL_MS;
+    envelope.message_case = RS__RELAY__ENVELOPE__MESSAGE_HEAD;
+    envelope.head = &head;
+    send_envelope(session, &envelope);
+}
+
 static int
 take_forward(struct session *session, Rs__Relay__Envelope *envelope)
 {
     uint64_t number = envelope->forward->stream;
-    if (g_hash_table_size(session->streams) >= MAX_STREAMS ||
-        g_hash_table_contains(session->streams, &number)) {
+    if (g_hash_table_contains(session->streams, &number)) {
         return RsFrame_BAD_MESSAGE;
     }
+    if (g_hash_table_size(session->streams) >= session->server->max_streams) {
+        refuse(session, number);
+        return 0;
+    }
     struct stream *stream = g_new0(struct stream, 1);
     stream->number = number;
     stream->session = session;
@@ -224,6 +242,7 @@
 {
     struct rs_relay_server *server = g_new0(struct rs_relay_server, 1);
     server->holder = options->holder;
+    server->max_streams = options->max_streams;
     *out = server;
     return RsLink_Listen(options->loop, &options->address, MAX_QUEUE_BYTES,
                          on_accept, server, &server->listener);
--- a/dispatch/relay_server.h
+++ b/dispatch/relay_server.h
@@ -8,12 +8,15 @@
 
 #include "dispatch/holder.h"
 
+#define RsRelayServer_MAX_STREAMS 4096
+
 struct rs_relay_server;
 
 struct rs_relay_server_options {
     uv_loop_t *loop;
     struct sockaddr_in address;
     struct rs_holder *holder;
+    size_t max_streams; /* of one link; what is above is not run */
 };
 
 int RsRelayServer_Open(const struct rs_relay_server_options *options,
