--- a/control/admin.c
+++ b/control/admin.c
@@ -157,7 +157,7 @@
     RsFaults_Free(&faults);
     if (control->config == NULL) {
         RsTicket_Free(ticket);
-        reply_json(http, STATUS_UNAVAILABLE,
+        reply_json(http, RsAdmin_UNAVAILABLE,
                    json_pack("{s:s,s:s}", "error", "platform-unavailable",
                              "outcome", "not-accepted"));
         return;
