--- a/tests/caller.c
+++ b/tests/caller.c
@@ -9,7 +9,7 @@
 #define US_PER_MS 1000
 #define DEFAULT_TIMEOUT_MS 1000
 #define DEFAULT_PAUSE_MS 10
-#define GRACE_MS 1500 /* that a caller waits beyond its timeout */
+#define GRACE_MS 500 /* that a caller waits beyond its timeout */
 #define CONNECT_TIMEOUT_MS 500L
 #define TEXT_TIMEOUT_MS 2000
 #define POST_EVERY 4
--- a/tests/losses_test.c
+++ b/tests/losses_test.c
@@ -8,7 +8,7 @@
 #include "tests/scene.h"
 
 #define KEY "k0"
-#define AFTER_LOSS_MS 3000
+#define AFTER_LOSS_MS 2500
 #define AFTER_PAUSE_MS 1500
 #define PAUSE_MS 3000
 #define LONG_SERVICE_US 20000 /* more is under way at any moment */
@@ -82,6 +82,7 @@
 {
     struct rs_cluster_options options = one_domain;
     options.ignores_fences = true;
+    options.service_time_us = LONG_SERVICE_US;
     pause_target(&options);
 }
 
