--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -73,7 +73,8 @@
     "refused as not run" "$(count not-run)" \
     "outcome unknown" "$(count unknown)" \
     "connection broke, no answer" "$(count broken), $(count silent)" \
-    "owner changes" "$changes" \
+    "owner changes, by the metric" "$changes" \
+    "owner changes, seen at targets" "$(owner_moves)" \
     "longest unserved, by slice" "$unserved_ms ms ($unserved_slice)"
 echo
 check "the records of the targets agree with the answers" judge load
--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -13,7 +13,8 @@
 #   file_us        the same of the targets of files (60000)
 #   file_bytes     size of the files (65536)
 #   rule_slices    slices of each rule, 0: as in the example (0)
-#   entries_per_domain, domain_count: fewer than in the example (3, 3)
+#   entries_per_domain, domain_count: other than in the example (3, 3)
+#   load_entries   addresses for load ("": those of the entry processes)
 
 port_shift=${port_shift:-0}
 delay_ms=${delay_ms:-0}
@@ -30,6 +31,7 @@
 LOCK_TIMEOUT_S=300
 LINK_PORT_OFFSET=500
 PLATFORM_PORT_OFFSET=900
+EXAMPLE_ENTRIES=3
 LINK_CONTROL_PORT_OFFSET=901
 
 declare -gA pids=() fields=()
@@ -53,6 +55,24 @@
         fail "ports from $base_port stay in use"
 }
 
+# add_entries: more entry processes in each domain than the example has.
+add_entries() {
+    jq -c --argjson entries "$entries_per_domain" \
+        --argjson given "$EXAMPLE_ENTRIES" --argjson base "$base_port" '
+        ([.vms[] | select(.kind == "entry")]) as $known |
+        ([$known[].domain] | unique) as $domains |
+        .vms += [range(0; $domains | length) as $d |
+            range($given; $entries) as $n |
+            ($base + 10 * (($known | length) +
+             $d * ($entries - $given) + $n - $given)) as $port |
+            {id: "\($domains[$d])-\($n + 1)", kind: "entry",
+             domain: $domains[$d], state: "live", host: "127.0.0.1",
+             callers_port: $port, admin_port: ($port + 1),
+             control_port: ($port + 2), relay_port: ($port + 3)}]' \
+        "$work/all.json" > "$work/more.json"
+    mv "$work/more.json" "$work/all.json"
+}
+
 # keep_entries: leaves only the entry processes that are asked for. Targets of
 # a domain without entry processes go too.
 keep_entries() {
@@ -115,11 +135,27 @@
     mv "$work/vms-linked.json" "$work/vms.json"
 }
 
+# write_more_settings NAME: of an entry process that the example has not.
+write_more_settings() {
+    local domain port
+    domain=$(vm_field "$1" domain)
+    port=$(vm_field "$1" callers_port)
+    shift_ports "$example/settings/$domain-1.yaml" |
+        sed -E "s/^name: .*/name: $1/
+            s/^callers: .*/callers: {address: 127.0.0.1, port: $port}/
+            s/^admin: .*/admin: {address: 127.0.0.1, port: $((port + 1))}/
+            s/^peers: .*/peers: {address: 127.0.0.1, control_port: $((port + 2)), relay_port: $((port + 3))}/"
+}
+
 write_settings() {
     local name
     mkdir -p "$work/settings"
     for name in "${entries[@]}"; do
-        shift_ports "$example/settings/$name.yaml" > "$work/settings/$name.yaml"
+        if [ -e "$example/settings/$name.yaml" ]; then
+            shift_ports "$example/settings/$name.yaml"
+        else
+            write_more_settings "$name"
+        fi > "$work/settings/$name.yaml"
         if [ -n "$policies" ]; then
             printf 'policies:\n%s\n' "$policies" >> "$work/settings/$name.yaml"
         fi
@@ -143,6 +179,9 @@
     take_ports
     mkdir -p "$work/records" "$work/logs"
     shift_ports "$example/vms.json" > "$work/all.json"
+    if [ "$entries_per_domain" -gt "$EXAMPLE_ENTRIES" ]; then
+        add_entries
+    fi
     keep_entries
     write_first_ticket
     if [ "$delay_ms" != 0 ]; then
@@ -329,7 +368,7 @@
     local name=$1 seed=$2 rate=$3 seconds=$4 mix=$5
     shift 5
     spawn "$name" "$build/standin/standin_load" \
-        --entries "$(addresses entry callers_port)" \
+        --entries "${load_entries:-$(addresses entry callers_port)}" \
         --services "$(IFS=,; echo "${services[*]}")" --name "$name" \
         --seed "$seed" --rate "$rate" --seconds "$seconds" --mix "$mix" \
         --json "$work/$name.json" --log "$work/$name.jsonl" "$@"
@@ -411,3 +450,19 @@
         jq -r 'select(.slice != "") | [.service, .key, .slice] | @tsv' |
         sort -u
 }
+
+# events: time of the end in s, target, service, slice and holder of what took
+# effect, in order.
+events() {
+    cat "$work"/records/*.jsonl |
+        jq -r 'select(.effect) | [.wall_end_us / 1e6, .target, .service,
+            (if .slice == "" then "-" else .slice end), .holder,
+            .wall_start_us / 1e6] | @tsv' | sort -n
+}
+
+# owner_moves: how many times a slice ran on another target than before.
+owner_moves() {
+    events | awk -F'\t' '$4 != "-" {
+        if (($4 in last) && last[$4] != $2) { moves++ }
+        last[$4] = $2 } END { print moves + 0 }'
+}
--- a/tools/measure.sh
+++ b/tools/measure.sh
@@ -2,7 +2,7 @@
 # Measures both example deployments and writes tables and plots below
 # docs/measurements. Figures of one page come from runs at one sitting.
 # usage: tools/measure.sh BUILD [PART...]
-# Parts: spread losses domain tail cold path. All when none is given.
+# Parts: spread losses domain tail files cold path. All when none is given.
 # RS_DEPLOYMENTS: deployments to measure (lista-serrana bochas).
 set -euo pipefail
 build=$(cd "${1:?usage: tools/measure.sh BUILD [PART...]}" && pwd)
@@ -18,7 +18,7 @@
 done
 parts=("$@")
 if [ ${#parts[@]} = 0 ]; then
-    parts=(spread losses domain tail cold path)
+    parts=(spread losses domain tail files cold path)
 fi
 for part in "${parts[@]}"; do
     echo "measuring: $part"
--- a/tools/measure_common.sh
+++ b/tools/measure_common.sh
@@ -2,7 +2,7 @@
 
 deployments=${RS_DEPLOYMENTS:-lista-serrana bochas}
 SEED=7
-MEASURE_PORT_SHIFT=1000
+MEASURE_PORT_SHIFT=${MEASURE_PORT_SHIFT:-1000}
 KEYED_MS=25
 FILE_MS=60
 SLOTS=2
@@ -89,7 +89,7 @@
 quantile() {
     sort -n | awk -v share="$1" '{ at[NR] = $1 }
         END { i = int(NR * share); i = i < 1 ? 1 : i
-              print NR > 0 ? at[i] : "-" }'
+              print (NR > 0 ? at[i] : "-") }'
 }
 
 # ratio A B: A / B with two digits.
@@ -115,19 +115,3 @@
 $2
 END
 }
-
-# events: time of the end in s, target, service, slice and holder of what took
-# effect, in order.
-events() {
-    cat "$work"/records/*.jsonl |
-        jq -r 'select(.effect) | [.wall_end_us / 1e6, .target, .service,
-            (if .slice == "" then "-" else .slice end), .holder,
-            .wall_start_us / 1e6] | @tsv' | sort -n
-}
-
-# owner_moves: how many times a slice ran on another target than before.
-owner_moves() {
-    events | awk -F'\t' '$4 != "-" {
-        if (($4 in last) && last[$4] != $2) { moves++ }
-        last[$4] = $2 } END { print moves + 0 }'
-}
