--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -438,12 +438,30 @@
 # the slices.
 longest_unserved() {
     slices_of_keys > "$work/slices.tsv"
+    slices_of_others "$1" >> "$work/slices.tsv"
     jq -r '[.service, .key, .sent_us, .end_us, .outcome] | @tsv' \
         "$work/$1.jsonl" | sort -s -n -k3,3 |
         awk -F'\t' -v keys="$work/slices.tsv" -f "$(dirname \
             "${BASH_SOURCE[0]}")/unserved.awk"
 }
 
+# slices_of_others LOAD: the same of keys that no target ran, as an entry
+# process tells them.
+slices_of_others() {
+    local service key name port
+    for name in "${entries[@]}"; do
+        [ -z "${pids[$name]:-}" ] || port=$(vm_field "$name" admin_port)
+    done
+    jq -r --arg files "${services[2]}" 'select(.service != $files) |
+        [.service, .key] | @tsv' "$work/$1.jsonl" | sort -u |
+        join -t '' -v 1 - <(cut -f1,2 "$work/slices.tsv" | sort -u) |
+        while IFS=$'\t' read -r service key; do
+            curl -fsS -m 2 "http://127.0.0.1:$port/owner?service=$service&key=$key" |
+                jq -r --arg service "$service" --arg key "$key" \
+                    '[$service, $key, .slice] | @tsv'
+        done
+}
+
 # slices_of_keys: prints service, key and slice of what the targets ran.
 slices_of_keys() {
     cat "$work"/records/*.jsonl |
--- a/tools/measure.sh
+++ b/tools/measure.sh
@@ -4,11 +4,12 @@
 # usage: tools/measure.sh BUILD [PART...]
 # Parts: spread losses domain tail files cold path. All when none is given.
 # RS_DEPLOYMENTS: deployments to measure (lista-serrana bochas).
+# RS_PAGES: folder for the pages (docs/measurements).
 set -euo pipefail
 build=$(cd "${1:?usage: tools/measure.sh BUILD [PART...]}" && pwd)
 shift
 here=$(cd "$(dirname "$0")" && pwd)
-pages=$here/../docs/measurements
+pages=${RS_PAGES:-$here/../docs/measurements}
 mkdir -p "$pages"
 for file in "$here"/measure_*.sh; do
     case $file in
--- a/tools/measure_common.sh
+++ b/tools/measure_common.sh
@@ -6,11 +6,15 @@
 KEYED_MS=25
 FILE_MS=60
 SLOTS=2
+declare -A EXAMPLE_BASE=([lista-serrana]=21000 [bochas]=23000)
 
 # set_deployment NAME: sets its delay and sizes: targets of the three classes.
 set_deployment() {
     deployment=$1
     port_shift=$MEASURE_PORT_SHIFT
+    if [ -n "${RS_BASE_PORT:-}" ]; then
+        port_shift=$((RS_BASE_PORT - EXAMPLE_BASE[$1]))
+    fi
     service_us=$((KEYED_MS * 1000))
     file_us=$((FILE_MS * 1000))
     if [ "$deployment" = lista-serrana ]; then
--- a/tools/measure_tail.sh
+++ b/tools/measure_tail.sh
@@ -58,16 +58,18 @@
 }
 
 tail_row() {
-    local group calm slow
+    local group calm again slow
     for group in healthy slowed second files; do
         calm=$(quantile 0.99 < "$work/calm.$group")
+        again=$(quantile 0.99 < "$work/again.$group")
         slow=$(quantile 0.99 < "$work/slow.$group")
         row "$deployment" "$policy_name" "$1" "$group" \
             "$(wc -l < "$work/slow.$group")" \
             "$(wc -l < "$work/slow.$group.failed")" \
             "$(quantile 0.5 < "$work/calm.$group")" \
             "$(quantile 0.5 < "$work/slow.$group")" \
-            "$calm" "$slow" "$(ratio "$slow" "$calm")" "$2"
+            "$calm" "$again" "$slow" "$(ratio "$again" "$calm")" \
+            "$(ratio "$slow" "$calm")" "$2"
         echo "$deployment ${policy_name// /_} $group $(ratio "$slow" "$calm")" \
             >> "$data/ratios.txt"
     done
@@ -83,6 +85,8 @@
     start_load calm "$SEED" "$rate" "$TAIL_S" "$mix" --zipf "$TAIL_ZIPF"
     wait_load calm
     key_targets > "$work/owners.tsv"
+    start_load again "$SEED" "$rate" "$TAIL_S" "$mix" --zipf "$TAIL_ZIPF"
+    wait_load again
     slow_names="$(names_of 0 "$SLOW_KEYED") $(names_of 2 "$SLOW_FILES")"
     for name in $slow_names; do
         switch_target "$name" "{\"slow_factor\":$SLOW_FACTOR}"
@@ -91,8 +95,9 @@
     start_load slow "$SEED" "$rate" "$TAIL_S" "$mix" --zipf "$TAIL_ZIPF"
     wait_load slow
     split_load calm
+    split_load again
     split_load slow
-    verdict_text=$(verdict calm slow)
+    verdict_text=$(verdict calm again slow)
     tail_row "$SLOW_KEYED keyed, $SLOW_FILES files" "$verdict_text"
 }
 
@@ -106,9 +111,11 @@
         "${SLOW_FACTOR}fold. Groups: keys of \`healthy\` and of \`slowed\`" \
         "targets of the first service, by their owner in the unslowed run," \
         "the \`second\` service, and \`files\`. Latencies in ms, of what was" \
-        "answered; failed: all else, refusals included, in the slowed run."
+        "answered; failed: all else, refusals included, in the slowed run." \
+        "Calm again: a second unslowed run; its ratio is what chance gives."
     table deployment policies slowed group answered failed "p50 calm" \
-        "p50 slowed" "p99 calm" "p99 slowed" "p99 ratio" judge
+        "p50 slowed" "p99 calm" "p99 calm again" "p99 slowed" \
+        "ratio calm again" "p99 ratio" judge
     for deployment in $deployments; do
         (set_deployment "$deployment"; run_tail default "")
         (set_deployment "$deployment"
