Tell of a target that is listed again that it is not lost

Cause: a target that was lost stays so for the control task until it is told otherwise. Once its VM left the list, the process that could tell was gone, and a VM that came back under that name never got slices there again. Before: the new check of holder_test fails (lost was the last word). After: 41 of 41 pass. Ruled out: telling when the VM leaves the list; slices whose rows still name it would go back to it. Conclusion: each target that is watched anew begins as not lost; its health says soon when it is.

--- a/dispatch/holder.c
+++ b/dispatch/holder.c
@@ -162,6 +162,8 @@
     }
     struct rs_target *target = RsTarget_New(&options);
     g_hash_table_insert(holder->targets, target->name, target);
+    /* One of this name may have been lost before its VM left the list. */
+    on_changed(holder, target, false);
     return target;
 }
 
--- a/dispatch/holder_test.c
+++ b/dispatch/holder_test.c
@@ -26,6 +26,7 @@
     int served;
     h2o_req_t *held; /* a request that is not answered yet */
     bool holds;
+    bool mute; /* answers nothing any more */
 };
 
 struct bench {
@@ -39,6 +40,7 @@
     int done;
     char reason[32];
     int wanted;
+    bool lost; /* what was told of the target last */
 };
 
 static void
@@ -58,6 +60,9 @@
 serve(void *arg, h2o_req_t *http)
 {
     struct fake_target *fake = arg;
+    if (fake->mute) {
+        return;
+    }
     char *path = RsServer_Path(http);
     if (strcmp(path, "/health") == 0) {
         char *body = g_strdup_printf(
@@ -102,6 +107,9 @@
 static void
 on_target_changed(void *arg, const char *target, bool lost)
 {
+    struct bench *bench = arg;
+    bench->lost = lost;
+    bench->ended += lost ? 1 : 0;
 }
 
 static void
@@ -129,7 +137,8 @@
     row->value = json_pack("{s:i,s:o}", "ticket", 1, "value", value);
 }
 
-/* A view in which target `t` stands at a port and has so many slots. */
+/* A view in which target `t` stands at a port, or is not listed, and has so
+ * many slots. */
 static void
 set_view(struct bench *bench, const struct fake_target *fake, int slots)
 {
@@ -143,10 +152,14 @@
     put_object(&rows[1], "object/place/p",
                json_pack("{s:s,s:s,s:[{s:s,s:b}]}", "service", "f", "domain",
                          "d", "targets", "name", "t", "checks_fences", 0));
-    json_t *vms =
-        json_pack("[{s:s,s:s,s:s,s:s,s:s,s:i}]", "id", "t", "kind", "target",
-                  "domain", "d", "state", "live", "host", "127.0.0.1", "port",
-                  (int)ntohs(fake->address.sin_port));
+    json_t *vms = json_array();
+    if (fake != NULL) {
+        json_array_append_new(
+            vms,
+            json_pack("{s:s,s:s,s:s,s:s,s:s,s:i}", "id", "t", "kind", "target",
+                      "domain", "d", "state", "live", "host", "127.0.0.1",
+                      "port", (int)ntohs(fake->address.sin_port)));
+    }
     struct rs_config *config = RsConfig_Build(rows, G_N_ELEMENTS(rows));
     CU_ASSERT_EQUAL_FATAL(RsConfig_BrokenRows(config), 0);
     bench->chunks = RsChunks_New();
@@ -299,6 +312,27 @@
     CU_ASSERT(limit_in_dump(&bench) > 2);
 }
 
+/* A target that was lost, and whose VM is listed anew, is not lost. */
+static void
+test_target_that_is_listed_again_is_not_lost(void)
+{
+    struct bench bench;
+    open_bench(&bench);
+    set_view(&bench, &bench.fakes[1], 1);
+    forward(&bench);
+    run_until_ended(&bench, 1);
+    bench.fakes[1].mute = true;
+    run_until_ended(&bench, 2);
+    CU_ASSERT(bench.lost);
+    set_view(&bench, NULL, 1);
+    RsHolder_Tick(bench.holder, RsClock_NowMs());
+    set_view(&bench, &bench.fakes[0], 1);
+    forward(&bench);
+    run_until_ended(&bench, 3);
+    CU_ASSERT_EQUAL(bench.done, 2);
+    CU_ASSERT_FALSE(bench.lost);
+}
+
 int
 main(void)
 {
@@ -306,6 +340,7 @@
     CU_pSuite suite = CU_add_suite("holder", NULL, NULL);
     CU_ADD_TEST(suite, test_target_is_found_at_its_new_address);
     CU_ADD_TEST(suite, test_changed_service_is_in_force);
+    CU_ADD_TEST(suite, test_target_that_is_listed_again_is_not_lost);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
     CU_cleanup_registry();
