--- a/tools/measure_common.sh
+++ b/tools/measure_common.sh
@@ -2,15 +2,19 @@
 
 deployments=${RS_DEPLOYMENTS:-lista-serrana bochas}
 SEED=7
-MEASURE_PORT_SHIFT=1000
+MEASURE_PORT_SHIFT=${MEASURE_PORT_SHIFT:-1000}
 KEYED_MS=25
 FILE_MS=60
 SLOTS=2
+declare -A EXAMPLE_BASE=([lista-serrana]=21000 [bochas]=23000)
 
 # set_deployment NAME: sets its delay and sizes: targets of the three classes.
 set_deployment() {
     deployment=$1
     port_shift=$MEASURE_PORT_SHIFT
+    if [ -n "${RS_BASE_PORT:-}" ]; then
+        port_shift=$((RS_BASE_PORT - EXAMPLE_BASE[$1]))
+    fi
     service_us=$((KEYED_MS * 1000))
     file_us=$((FILE_MS * 1000))
     if [ "$deployment" = lista-serrana ]; then
@@ -89,7 +93,7 @@
 quantile() {
     sort -n | awk -v share="$1" '{ at[NR] = $1 }
         END { i = int(NR * share); i = i < 1 ? 1 : i
-              print NR > 0 ? at[i] : "-" }'
+              print (NR > 0 ? at[i] : "-") }'
 }
 
 # ratio A B: A / B with two digits.
@@ -115,19 +119,3 @@
 $2
 END
 }
-
-# events: time of the end in s, target, service, slice and holder of what took
-# effect, in order.
-events() {
-    cat "$work"/records/*.jsonl |
-        jq -r 'select(.effect) | [.wall_end_us / 1e6, .target, .service,
-            (if .slice == "" then "-" else .slice end), .holder,
-            .wall_start_us / 1e6] | @tsv' | sort -n
-}
-
-# owner_moves: how many times a slice ran on another target than before.
-owner_moves() {
-    events | awk -F'\t' '$4 != "-" {
-        if (($4 in last) && last[$4] != $2) { moves++ }
-        last[$4] = $2 } END { print moves + 0 }'
-}
