--- a/dispatch/relay.pb-c.c
+++ b/dispatch/relay.pb-c.c
@@ -7,877 +7,1102 @@
 #endif
 
 #include "dispatch/relay.pb-c.h"
-void
-rs__relay__header__init(Rs__Relay__Header *message)
+void   rs__relay__header__init
+                     (Rs__Relay__Header         *message)
 {
-    static const Rs__Relay__Header init_value = RS__RELAY__HEADER__INIT;
-    *message = init_value;
+  static const Rs__Relay__Header init_value = RS__RELAY__HEADER__INIT;
+  *message = init_value;
 }
-size_t
-rs__relay__header__get_packed_size(const Rs__Relay__Header *message)
+size_t rs__relay__header__get_packed_size
+                     (const Rs__Relay__Header *message)
 {
-    assert(message->base.descriptor == &rs__relay__header__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__relay__header__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__relay__header__pack(const Rs__Relay__Header *message, uint8_t *out)
+size_t rs__relay__header__pack
+                     (const Rs__Relay__Header *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__relay__header__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__relay__header__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__relay__header__pack_to_buffer(const Rs__Relay__Header *message,
-                                  ProtobufCBuffer *buffer)
+size_t rs__relay__header__pack_to_buffer
+                     (const Rs__Relay__Header *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__relay__header__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__relay__header__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Relay__Header *
-rs__relay__header__unpack(ProtobufCAllocator *allocator, size_t len,
-                          const uint8_t *data)
+       rs__relay__header__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Relay__Header *)protobuf_c_message_unpack(
-        &rs__relay__header__descriptor, allocator, len, data);
+  return (Rs__Relay__Header *)
+     protobuf_c_message_unpack (&rs__relay__header__descriptor,
+                                allocator, len, data);
 }
-void
-rs__relay__header__free_unpacked(Rs__Relay__Header *message,
-                                 ProtobufCAllocator *allocator)
+void   rs__relay__header__free_unpacked
+                     (Rs__Relay__Header *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__relay__header__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__relay__header__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__relay__forward__init(Rs__Relay__Forward *message)
+void   rs__relay__forward__init
+                     (Rs__Relay__Forward         *message)
 {
-    static const Rs__Relay__Forward init_value = RS__RELAY__FORWARD__INIT;
-    *message = init_value;
+  static const Rs__Relay__Forward init_value = RS__RELAY__FORWARD__INIT;
+  *message = init_value;
 }
-size_t
-rs__relay__forward__get_packed_size(const Rs__Relay__Forward *message)
+size_t rs__relay__forward__get_packed_size
+                     (const Rs__Relay__Forward *message)
 {
-    assert(message->base.descriptor == &rs__relay__forward__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__relay__forward__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__relay__forward__pack(const Rs__Relay__Forward *message, uint8_t *out)
+size_t rs__relay__forward__pack
+                     (const Rs__Relay__Forward *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__relay__forward__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__relay__forward__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__relay__forward__pack_to_buffer(const Rs__Relay__Forward *message,
-                                   ProtobufCBuffer *buffer)
+size_t rs__relay__forward__pack_to_buffer
+                     (const Rs__Relay__Forward *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__relay__forward__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__relay__forward__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Relay__Forward *
-rs__relay__forward__unpack(ProtobufCAllocator *allocator, size_t len,
-                           const uint8_t *data)
+       rs__relay__forward__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Relay__Forward *)protobuf_c_message_unpack(
-        &rs__relay__forward__descriptor, allocator, len, data);
+  return (Rs__Relay__Forward *)
+     protobuf_c_message_unpack (&rs__relay__forward__descriptor,
+                                allocator, len, data);
 }
-void
-rs__relay__forward__free_unpacked(Rs__Relay__Forward *message,
-                                  ProtobufCAllocator *allocator)
+void   rs__relay__forward__free_unpacked
+                     (Rs__Relay__Forward *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__relay__forward__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__relay__forward__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__relay__answer_head__init(Rs__Relay__AnswerHead *message)
+void   rs__relay__answer_head__init
+                     (Rs__Relay__AnswerHead         *message)
 {
-    static const Rs__Relay__AnswerHead init_value =
-        RS__RELAY__ANSWER_HEAD__INIT;
-    *message = init_value;
+  static const Rs__Relay__AnswerHead init_value = RS__RELAY__ANSWER_HEAD__INIT;
+  *message = init_value;
 }
-size_t
-rs__relay__answer_head__get_packed_size(const Rs__Relay__AnswerHead *message)
+size_t rs__relay__answer_head__get_packed_size
+                     (const Rs__Relay__AnswerHead *message)
 {
-    assert(message->base.descriptor == &rs__relay__answer_head__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__relay__answer_head__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__relay__answer_head__pack(const Rs__Relay__AnswerHead *message,
-                             uint8_t *out)
+size_t rs__relay__answer_head__pack
+                     (const Rs__Relay__AnswerHead *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__relay__answer_head__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__relay__answer_head__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__relay__answer_head__pack_to_buffer(const Rs__Relay__AnswerHead *message,
-                                       ProtobufCBuffer *buffer)
+size_t rs__relay__answer_head__pack_to_buffer
+                     (const Rs__Relay__AnswerHead *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__relay__answer_head__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__relay__answer_head__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Relay__AnswerHead *
-rs__relay__answer_head__unpack(ProtobufCAllocator *allocator, size_t len,
-                               const uint8_t *data)
+       rs__relay__answer_head__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Relay__AnswerHead *)protobuf_c_message_unpack(
-        &rs__relay__answer_head__descriptor, allocator, len, data);
+  return (Rs__Relay__AnswerHead *)
+     protobuf_c_message_unpack (&rs__relay__answer_head__descriptor,
+                                allocator, len, data);
 }
-void
-rs__relay__answer_head__free_unpacked(Rs__Relay__AnswerHead *message,
-                                      ProtobufCAllocator *allocator)
+void   rs__relay__answer_head__free_unpacked
+                     (Rs__Relay__AnswerHead *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__relay__answer_head__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__relay__answer_head__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__relay__answer_body__init(Rs__Relay__AnswerBody *message)
+void   rs__relay__answer_body__init
+                     (Rs__Relay__AnswerBody         *message)
 {
-    static const Rs__Relay__AnswerBody init_value =
-        RS__RELAY__ANSWER_BODY__INIT;
-    *message = init_value;
+  static const Rs__Relay__AnswerBody init_value = RS__RELAY__ANSWER_BODY__INIT;
+  *message = init_value;
 }
-size_t
-rs__relay__answer_body__get_packed_size(const Rs__Relay__AnswerBody *message)
+size_t rs__relay__answer_body__get_packed_size
+                     (const Rs__Relay__AnswerBody *message)
 {
-    assert(message->base.descriptor == &rs__relay__answer_body__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__relay__answer_body__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__relay__answer_body__pack(const Rs__Relay__AnswerBody *message,
-                             uint8_t *out)
+size_t rs__relay__answer_body__pack
+                     (const Rs__Relay__AnswerBody *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__relay__answer_body__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__relay__answer_body__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__relay__answer_body__pack_to_buffer(const Rs__Relay__AnswerBody *message,
-                                       ProtobufCBuffer *buffer)
+size_t rs__relay__answer_body__pack_to_buffer
+                     (const Rs__Relay__AnswerBody *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__relay__answer_body__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__relay__answer_body__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Relay__AnswerBody *
-rs__relay__answer_body__unpack(ProtobufCAllocator *allocator, size_t len,
-                               const uint8_t *data)
+       rs__relay__answer_body__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Relay__AnswerBody *)protobuf_c_message_unpack(
-        &rs__relay__answer_body__descriptor, allocator, len, data);
+  return (Rs__Relay__AnswerBody *)
+     protobuf_c_message_unpack (&rs__relay__answer_body__descriptor,
+                                allocator, len, data);
 }
-void
-rs__relay__answer_body__free_unpacked(Rs__Relay__AnswerBody *message,
-                                      ProtobufCAllocator *allocator)
+void   rs__relay__answer_body__free_unpacked
+                     (Rs__Relay__AnswerBody *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__relay__answer_body__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__relay__answer_body__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__relay__cancel__init(Rs__Relay__Cancel *message)
+void   rs__relay__cancel__init
+                     (Rs__Relay__Cancel         *message)
 {
-    static const Rs__Relay__Cancel init_value = RS__RELAY__CANCEL__INIT;
-    *message = init_value;
+  static const Rs__Relay__Cancel init_value = RS__RELAY__CANCEL__INIT;
+  *message = init_value;
 }
-size_t
-rs__relay__cancel__get_packed_size(const Rs__Relay__Cancel *message)
+size_t rs__relay__cancel__get_packed_size
+                     (const Rs__Relay__Cancel *message)
 {
-    assert(message->base.descriptor == &rs__relay__cancel__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__relay__cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__relay__cancel__pack(const Rs__Relay__Cancel *message, uint8_t *out)
+size_t rs__relay__cancel__pack
+                     (const Rs__Relay__Cancel *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__relay__cancel__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__relay__cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__relay__cancel__pack_to_buffer(const Rs__Relay__Cancel *message,
-                                  ProtobufCBuffer *buffer)
+size_t rs__relay__cancel__pack_to_buffer
+                     (const Rs__Relay__Cancel *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__relay__cancel__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__relay__cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Relay__Cancel *
-rs__relay__cancel__unpack(ProtobufCAllocator *allocator, size_t len,
-                          const uint8_t *data)
+       rs__relay__cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Relay__Cancel *)protobuf_c_message_unpack(
-        &rs__relay__cancel__descriptor, allocator, len, data);
+  return (Rs__Relay__Cancel *)
+     protobuf_c_message_unpack (&rs__relay__cancel__descriptor,
+                                allocator, len, data);
 }
-void
-rs__relay__cancel__free_unpacked(Rs__Relay__Cancel *message,
-                                 ProtobufCAllocator *allocator)
+void   rs__relay__cancel__free_unpacked
+                     (Rs__Relay__Cancel *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__relay__cancel__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__relay__cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__relay__credit__init(Rs__Relay__Credit *message)
+void   rs__relay__credit__init
+                     (Rs__Relay__Credit         *message)
 {
-    static const Rs__Relay__Credit init_value = RS__RELAY__CREDIT__INIT;
-    *message = init_value;
+  static const Rs__Relay__Credit init_value = RS__RELAY__CREDIT__INIT;
+  *message = init_value;
 }
-size_t
-rs__relay__credit__get_packed_size(const Rs__Relay__Credit *message)
+size_t rs__relay__credit__get_packed_size
+                     (const Rs__Relay__Credit *message)
 {
-    assert(message->base.descriptor == &rs__relay__credit__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__relay__credit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__relay__credit__pack(const Rs__Relay__Credit *message, uint8_t *out)
+size_t rs__relay__credit__pack
+                     (const Rs__Relay__Credit *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__relay__credit__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__relay__credit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__relay__credit__pack_to_buffer(const Rs__Relay__Credit *message,
-                                  ProtobufCBuffer *buffer)
+size_t rs__relay__credit__pack_to_buffer
+                     (const Rs__Relay__Credit *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__relay__credit__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__relay__credit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Relay__Credit *
-rs__relay__credit__unpack(ProtobufCAllocator *allocator, size_t len,
-                          const uint8_t *data)
+       rs__relay__credit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Relay__Credit *)protobuf_c_message_unpack(
-        &rs__relay__credit__descriptor, allocator, len, data);
+  return (Rs__Relay__Credit *)
+     protobuf_c_message_unpack (&rs__relay__credit__descriptor,
+                                allocator, len, data);
 }
-void
-rs__relay__credit__free_unpacked(Rs__Relay__Credit *message,
-                                 ProtobufCAllocator *allocator)
+void   rs__relay__credit__free_unpacked
+                     (Rs__Relay__Credit *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__relay__credit__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__relay__credit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__relay__ping__init(Rs__Relay__Ping *message)
+void   rs__relay__ping__init
+                     (Rs__Relay__Ping         *message)
 {
-    static const Rs__Relay__Ping init_value = RS__RELAY__PING__INIT;
-    *message = init_value;
+  static const Rs__Relay__Ping init_value = RS__RELAY__PING__INIT;
+  *message = init_value;
 }
-size_t
-rs__relay__ping__get_packed_size(const Rs__Relay__Ping *message)
+size_t rs__relay__ping__get_packed_size
+                     (const Rs__Relay__Ping *message)
 {
-    assert(message->base.descriptor == &rs__relay__ping__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__relay__ping__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__relay__ping__pack(const Rs__Relay__Ping *message, uint8_t *out)
+size_t rs__relay__ping__pack
+                     (const Rs__Relay__Ping *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__relay__ping__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__relay__ping__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__relay__ping__pack_to_buffer(const Rs__Relay__Ping *message,
-                                ProtobufCBuffer *buffer)
+size_t rs__relay__ping__pack_to_buffer
+                     (const Rs__Relay__Ping *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__relay__ping__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__relay__ping__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Relay__Ping *
-rs__relay__ping__unpack(ProtobufCAllocator *allocator, size_t len,
-                        const uint8_t *data)
+       rs__relay__ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Relay__Ping *)protobuf_c_message_unpack(
-        &rs__relay__ping__descriptor, allocator, len, data);
+  return (Rs__Relay__Ping *)
+     protobuf_c_message_unpack (&rs__relay__ping__descriptor,
+                                allocator, len, data);
 }
-void
-rs__relay__ping__free_unpacked(Rs__Relay__Ping *message,
-                               ProtobufCAllocator *allocator)
+void   rs__relay__ping__free_unpacked
+                     (Rs__Relay__Ping *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__relay__ping__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__relay__ping__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__relay__envelope__init(Rs__Relay__Envelope *message)
+void   rs__relay__envelope__init
+                     (Rs__Relay__Envelope         *message)
 {
-    static const Rs__Relay__Envelope init_value = RS__RELAY__ENVELOPE__INIT;
-    *message = init_value;
+  static const Rs__Relay__Envelope init_value = RS__RELAY__ENVELOPE__INIT;
+  *message = init_value;
 }
-size_t
-rs__relay__envelope__get_packed_size(const Rs__Relay__Envelope *message)
+size_t rs__relay__envelope__get_packed_size
+                     (const Rs__Relay__Envelope *message)
 {
-    assert(message->base.descriptor == &rs__relay__envelope__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__relay__envelope__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__relay__envelope__pack(const Rs__Relay__Envelope *message, uint8_t *out)
+size_t rs__relay__envelope__pack
+                     (const Rs__Relay__Envelope *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__relay__envelope__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__relay__envelope__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__relay__envelope__pack_to_buffer(const Rs__Relay__Envelope *message,
-                                    ProtobufCBuffer *buffer)
+size_t rs__relay__envelope__pack_to_buffer
+                     (const Rs__Relay__Envelope *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__relay__envelope__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__relay__envelope__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Relay__Envelope *
-rs__relay__envelope__unpack(ProtobufCAllocator *allocator, size_t len,
-                            const uint8_t *data)
+       rs__relay__envelope__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Relay__Envelope *)protobuf_c_message_unpack(
-        &rs__relay__envelope__descriptor, allocator, len, data);
+  return (Rs__Relay__Envelope *)
+     protobuf_c_message_unpack (&rs__relay__envelope__descriptor,
+                                allocator, len, data);
 }
-void
-rs__relay__envelope__free_unpacked(Rs__Relay__Envelope *message,
-                                   ProtobufCAllocator *allocator)
+void   rs__relay__envelope__free_unpacked
+                     (Rs__Relay__Envelope *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__relay__envelope__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__relay__envelope__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 static const ProtobufCFieldDescriptor rs__relay__header__field_descriptors[2] =
-    {
-        {
-            "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Header, name), NULL, &protobuf_c_empty_string,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "value", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Header, value), NULL, &protobuf_c_empty_string,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Header, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Header, value),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__relay__header__field_indices_by_name[] = {
-    0, /* field[0] = name */
-    1, /* field[1] = value */
-};
-static const ProtobufCIntRange rs__relay__header__number_ranges[1 + 1] = {
-    {1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor rs__relay__header__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.relay.Header",
-    "Header",
-    "Rs__Relay__Header",
-    "rs.relay",
-    sizeof(Rs__Relay__Header),
-    2,
-    rs__relay__header__field_descriptors,
-    rs__relay__header__field_indices_by_name,
+  0,   /* field[0] = name */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange rs__relay__header__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rs__relay__header__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.relay.Header",
+  "Header",
+  "Rs__Relay__Header",
+  "rs.relay",
+  sizeof(Rs__Relay__Header),
+  2,
+  rs__relay__header__field_descriptors,
+  rs__relay__header__field_indices_by_name,
+  1,  rs__relay__header__number_ranges,
+  (ProtobufCMessageInit) rs__relay__header__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__relay__forward__field_descriptors[15] =
+{
+  {
+    "stream",
     1,
-    rs__relay__header__number_ranges,
-    (ProtobufCMessageInit)rs__relay__header__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    rs__relay__forward__field_descriptors[15] = {
-        {
-            "stream", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Forward, stream), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "request_id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Forward, request_id), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "service", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Forward, service), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "rule", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Forward, rule), NULL, &protobuf_c_empty_string,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "key", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Forward, key), NULL, &protobuf_c_empty_string,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "slice", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Forward, slice), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "method", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Forward, method), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "path", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Forward, path), NULL, &protobuf_c_empty_string,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "headers", 9, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Relay__Forward, n_headers),
-            offsetof(Rs__Relay__Forward, headers),
-            &rs__relay__header__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "body", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Forward, body), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "time_left_ms", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Forward, time_left_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "repeatable", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Forward, repeatable), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "keyed", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Forward, keyed), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "caller", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Forward, caller), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "target", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Forward, target), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Forward, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Forward, request_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Forward, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rule",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Forward, rule),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Forward, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slice",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Forward, slice),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "method",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Forward, method),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Forward, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "headers",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Relay__Forward, n_headers),
+    offsetof(Rs__Relay__Forward, headers),
+    &rs__relay__header__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Forward, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "time_left_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Forward, time_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeatable",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Forward, repeatable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keyed",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Forward, keyed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Forward, caller),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Forward, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__relay__forward__field_indices_by_name[] = {
-    9,  /* field[9] = body */
-    13, /* field[13] = caller */
-    8,  /* field[8] = headers */
-    4,  /* field[4] = key */
-    12, /* field[12] = keyed */
-    6,  /* field[6] = method */
-    7,  /* field[7] = path */
-    11, /* field[11] = repeatable */
-    1,  /* field[1] = request_id */
-    3,  /* field[3] = rule */
-    2,  /* field[2] = service */
-    5,  /* field[5] = slice */
-    0,  /* field[0] = stream */
-    14, /* field[14] = target */
-    10, /* field[10] = time_left_ms */
-};
-static const ProtobufCIntRange rs__relay__forward__number_ranges[1 + 1] = {
-    {1, 0}, {0, 15}};
-const ProtobufCMessageDescriptor rs__relay__forward__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.relay.Forward",
-    "Forward",
-    "Rs__Relay__Forward",
-    "rs.relay",
-    sizeof(Rs__Relay__Forward),
-    15,
-    rs__relay__forward__field_descriptors,
-    rs__relay__forward__field_indices_by_name,
+  9,   /* field[9] = body */
+  13,   /* field[13] = caller */
+  8,   /* field[8] = headers */
+  4,   /* field[4] = key */
+  12,   /* field[12] = keyed */
+  6,   /* field[6] = method */
+  7,   /* field[7] = path */
+  11,   /* field[11] = repeatable */
+  1,   /* field[1] = request_id */
+  3,   /* field[3] = rule */
+  2,   /* field[2] = service */
+  5,   /* field[5] = slice */
+  0,   /* field[0] = stream */
+  14,   /* field[14] = target */
+  10,   /* field[10] = time_left_ms */
+};
+static const ProtobufCIntRange rs__relay__forward__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 15 }
+};
+const ProtobufCMessageDescriptor rs__relay__forward__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.relay.Forward",
+  "Forward",
+  "Rs__Relay__Forward",
+  "rs.relay",
+  sizeof(Rs__Relay__Forward),
+  15,
+  rs__relay__forward__field_descriptors,
+  rs__relay__forward__field_indices_by_name,
+  1,  rs__relay__forward__number_ranges,
+  (ProtobufCMessageInit) rs__relay__forward__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__relay__answer_head__field_descriptors[8] =
+{
+  {
+    "stream",
     1,
-    rs__relay__forward__number_ranges,
-    (ProtobufCMessageInit)rs__relay__forward__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    rs__relay__answer_head__field_descriptors[8] = {
-        {
-            "stream", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__AnswerHead, stream), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "outcome", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__AnswerHead, outcome),
-            &rs__relay__outcome__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "status", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__AnswerHead, status), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "headers", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Relay__AnswerHead, n_headers),
-            offsetof(Rs__Relay__AnswerHead, headers),
-            &rs__relay__header__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "retry_after_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__AnswerHead, retry_after_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "reason", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__AnswerHead, reason), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "redirect", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__AnswerHead, redirect), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "length", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__AnswerHead, length), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__AnswerHead, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__AnswerHead, outcome),
+    &rs__relay__outcome__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__AnswerHead, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "headers",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Relay__AnswerHead, n_headers),
+    offsetof(Rs__Relay__AnswerHead, headers),
+    &rs__relay__header__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__AnswerHead, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__AnswerHead, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "redirect",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__AnswerHead, redirect),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "length",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__AnswerHead, length),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__relay__answer_head__field_indices_by_name[] = {
-    3, /* field[3] = headers */
-    7, /* field[7] = length */
-    1, /* field[1] = outcome */
-    5, /* field[5] = reason */
-    6, /* field[6] = redirect */
-    4, /* field[4] = retry_after_ms */
-    2, /* field[2] = status */
-    0, /* field[0] = stream */
-};
-static const ProtobufCIntRange rs__relay__answer_head__number_ranges[1 + 1] = {
-    {1, 0}, {0, 8}};
-const ProtobufCMessageDescriptor rs__relay__answer_head__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.relay.AnswerHead",
-    "AnswerHead",
-    "Rs__Relay__AnswerHead",
-    "rs.relay",
-    sizeof(Rs__Relay__AnswerHead),
-    8,
-    rs__relay__answer_head__field_descriptors,
-    rs__relay__answer_head__field_indices_by_name,
-    1,
-    rs__relay__answer_head__number_ranges,
-    (ProtobufCMessageInit)rs__relay__answer_head__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    rs__relay__answer_body__field_descriptors[4] = {
-        {
-            "stream", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__AnswerBody, stream), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "data", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__AnswerBody, data), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "last", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__AnswerBody, last), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "broken", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__AnswerBody, broken), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+  3,   /* field[3] = headers */
+  7,   /* field[7] = length */
+  1,   /* field[1] = outcome */
+  5,   /* field[5] = reason */
+  6,   /* field[6] = redirect */
+  4,   /* field[4] = retry_after_ms */
+  2,   /* field[2] = status */
+  0,   /* field[0] = stream */
 };
-static const unsigned rs__relay__answer_body__field_indices_by_name[] = {
-    3, /* field[3] = broken */
-    1, /* field[1] = data */
-    2, /* field[2] = last */
-    0, /* field[0] = stream */
-};
-static const ProtobufCIntRange rs__relay__answer_body__number_ranges[1 + 1] = {
-    {1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor rs__relay__answer_body__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.relay.AnswerBody",
-    "AnswerBody",
-    "Rs__Relay__AnswerBody",
-    "rs.relay",
-    sizeof(Rs__Relay__AnswerBody),
-    4,
-    rs__relay__answer_body__field_descriptors,
-    rs__relay__answer_body__field_indices_by_name,
+static const ProtobufCIntRange rs__relay__answer_head__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor rs__relay__answer_head__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.relay.AnswerHead",
+  "AnswerHead",
+  "Rs__Relay__AnswerHead",
+  "rs.relay",
+  sizeof(Rs__Relay__AnswerHead),
+  8,
+  rs__relay__answer_head__field_descriptors,
+  rs__relay__answer_head__field_indices_by_name,
+  1,  rs__relay__answer_head__number_ranges,
+  (ProtobufCMessageInit) rs__relay__answer_head__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__relay__answer_body__field_descriptors[4] =
+{
+  {
+    "stream",
     1,
-    rs__relay__answer_body__number_ranges,
-    (ProtobufCMessageInit)rs__relay__answer_body__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__AnswerBody, stream),
     NULL,
     NULL,
-    NULL /* reserved[123] */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__AnswerBody, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__AnswerBody, last),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "broken",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__AnswerBody, broken),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCFieldDescriptor rs__relay__cancel__field_descriptors[1] =
-    {
-        {
-            "stream", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Cancel, stream), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+static const unsigned rs__relay__answer_body__field_indices_by_name[] = {
+  3,   /* field[3] = broken */
+  1,   /* field[1] = data */
+  2,   /* field[2] = last */
+  0,   /* field[0] = stream */
 };
-static const unsigned rs__relay__cancel__field_indices_by_name[] = {
-    0, /* field[0] = stream */
-};
-static const ProtobufCIntRange rs__relay__cancel__number_ranges[1 + 1] = {
-    {1, 0}, {0, 1}};
-const ProtobufCMessageDescriptor rs__relay__cancel__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.relay.Cancel",
-    "Cancel",
-    "Rs__Relay__Cancel",
-    "rs.relay",
-    sizeof(Rs__Relay__Cancel),
-    1,
-    rs__relay__cancel__field_descriptors,
-    rs__relay__cancel__field_indices_by_name,
+static const ProtobufCIntRange rs__relay__answer_body__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rs__relay__answer_body__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.relay.AnswerBody",
+  "AnswerBody",
+  "Rs__Relay__AnswerBody",
+  "rs.relay",
+  sizeof(Rs__Relay__AnswerBody),
+  4,
+  rs__relay__answer_body__field_descriptors,
+  rs__relay__answer_body__field_indices_by_name,
+  1,  rs__relay__answer_body__number_ranges,
+  (ProtobufCMessageInit) rs__relay__answer_body__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__relay__cancel__field_descriptors[1] =
+{
+  {
+    "stream",
     1,
-    rs__relay__cancel__number_ranges,
-    (ProtobufCMessageInit)rs__relay__cancel__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Cancel, stream),
     NULL,
     NULL,
-    NULL /* reserved[123] */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__relay__cancel__field_indices_by_name[] = {
+  0,   /* field[0] = stream */
+};
+static const ProtobufCIntRange rs__relay__cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor rs__relay__cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.relay.Cancel",
+  "Cancel",
+  "Rs__Relay__Cancel",
+  "rs.relay",
+  sizeof(Rs__Relay__Cancel),
+  1,
+  rs__relay__cancel__field_descriptors,
+  rs__relay__cancel__field_indices_by_name,
+  1,  rs__relay__cancel__number_ranges,
+  (ProtobufCMessageInit) rs__relay__cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor rs__relay__credit__field_descriptors[2] =
-    {
-        {
-            "stream", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Credit, stream), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "bytes", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Relay__Credit, bytes), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Credit, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Credit, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__relay__credit__field_indices_by_name[] = {
-    1, /* field[1] = bytes */
-    0, /* field[0] = stream */
-};
-static const ProtobufCIntRange rs__relay__credit__number_ranges[1 + 1] = {
-    {1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor rs__relay__credit__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.relay.Credit",
-    "Credit",
-    "Rs__Relay__Credit",
-    "rs.relay",
-    sizeof(Rs__Relay__Credit),
-    2,
-    rs__relay__credit__field_descriptors,
-    rs__relay__credit__field_indices_by_name,
+  1,   /* field[1] = bytes */
+  0,   /* field[0] = stream */
+};
+static const ProtobufCIntRange rs__relay__credit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rs__relay__credit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.relay.Credit",
+  "Credit",
+  "Rs__Relay__Credit",
+  "rs.relay",
+  sizeof(Rs__Relay__Credit),
+  2,
+  rs__relay__credit__field_descriptors,
+  rs__relay__credit__field_indices_by_name,
+  1,  rs__relay__credit__number_ranges,
+  (ProtobufCMessageInit) rs__relay__credit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__relay__ping__field_descriptors[1] =
+{
+  {
+    "answer",
     1,
-    rs__relay__credit__number_ranges,
-    (ProtobufCMessageInit)rs__relay__credit__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Relay__Ping, answer),
     NULL,
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rs__relay__ping__field_descriptors[1] = {
-    {
-        "answer", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-        0, /* quantifier_offset */
-        offsetof(Rs__Relay__Ping, answer), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__relay__ping__field_indices_by_name[] = {
-    0, /* field[0] = answer */
-};
-static const ProtobufCIntRange rs__relay__ping__number_ranges[1 + 1] = {
-    {1, 0}, {0, 1}};
-const ProtobufCMessageDescriptor rs__relay__ping__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.relay.Ping",
-    "Ping",
-    "Rs__Relay__Ping",
-    "rs.relay",
-    sizeof(Rs__Relay__Ping),
-    1,
-    rs__relay__ping__field_descriptors,
-    rs__relay__ping__field_indices_by_name,
-    1,
-    rs__relay__ping__number_ranges,
-    (ProtobufCMessageInit)rs__relay__ping__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    rs__relay__envelope__field_descriptors[6] = {
-        {
-            "forward", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Relay__Envelope, message_case),
-            offsetof(Rs__Relay__Envelope, forward),
-            &rs__relay__forward__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "head", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Relay__Envelope, message_case),
-            offsetof(Rs__Relay__Envelope, head),
-            &rs__relay__answer_head__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "body", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Relay__Envelope, message_case),
-            offsetof(Rs__Relay__Envelope, body),
-            &rs__relay__answer_body__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "cancel", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Relay__Envelope, message_case),
-            offsetof(Rs__Relay__Envelope, cancel),
-            &rs__relay__cancel__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "credit", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Relay__Envelope, message_case),
-            offsetof(Rs__Relay__Envelope, credit),
-            &rs__relay__credit__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "ping", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Relay__Envelope, message_case),
-            offsetof(Rs__Relay__Envelope, ping), &rs__relay__ping__descriptor,
-            NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+  0,   /* field[0] = answer */
 };
-static const unsigned rs__relay__envelope__field_indices_by_name[] = {
-    2, /* field[2] = body */
-    3, /* field[3] = cancel */
-    4, /* field[4] = credit */
-    0, /* field[0] = forward */
-    1, /* field[1] = head */
-    5, /* field[5] = ping */
-};
-static const ProtobufCIntRange rs__relay__envelope__number_ranges[1 + 1] = {
-    {1, 0}, {0, 6}};
-const ProtobufCMessageDescriptor rs__relay__envelope__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.relay.Envelope",
-    "Envelope",
-    "Rs__Relay__Envelope",
-    "rs.relay",
-    sizeof(Rs__Relay__Envelope),
-    6,
-    rs__relay__envelope__field_descriptors,
-    rs__relay__envelope__field_indices_by_name,
+static const ProtobufCIntRange rs__relay__ping__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor rs__relay__ping__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.relay.Ping",
+  "Ping",
+  "Rs__Relay__Ping",
+  "rs.relay",
+  sizeof(Rs__Relay__Ping),
+  1,
+  rs__relay__ping__field_descriptors,
+  rs__relay__ping__field_indices_by_name,
+  1,  rs__relay__ping__number_ranges,
+  (ProtobufCMessageInit) rs__relay__ping__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__relay__envelope__field_descriptors[6] =
+{
+  {
+    "forward",
     1,
-    rs__relay__envelope__number_ranges,
-    (ProtobufCMessageInit)rs__relay__envelope__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Relay__Envelope, message_case),
+    offsetof(Rs__Relay__Envelope, forward),
+    &rs__relay__forward__descriptor,
     NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "head",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Relay__Envelope, message_case),
+    offsetof(Rs__Relay__Envelope, head),
+    &rs__relay__answer_head__descriptor,
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCEnumValue rs__relay__outcome__enum_values_by_number[4] =
-    {
-        {"OUTCOME_DONE", "RS__RELAY__OUTCOME__OUTCOME_DONE", 0},
-        {"OUTCOME_NOT_RUN", "RS__RELAY__OUTCOME__OUTCOME_NOT_RUN", 1},
-        {"OUTCOME_UNKNOWN", "RS__RELAY__OUTCOME__OUTCOME_UNKNOWN", 2},
-        {"OUTCOME_REDIRECT", "RS__RELAY__OUTCOME__OUTCOME_REDIRECT", 3},
-};
-static const ProtobufCIntRange rs__relay__outcome__value_ranges[] = {{0, 0},
-                                                                     {0, 4}};
-static const ProtobufCEnumValueIndex
-    rs__relay__outcome__enum_values_by_name[4] = {
-        {"OUTCOME_DONE", 0},
-        {"OUTCOME_NOT_RUN", 1},
-        {"OUTCOME_REDIRECT", 3},
-        {"OUTCOME_UNKNOWN", 2},
-};
-const ProtobufCEnumDescriptor rs__relay__outcome__descriptor = {
-    PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-    "rs.relay.Outcome",
-    "Outcome",
-    "Rs__Relay__Outcome",
-    "rs.relay",
-    4,
-    rs__relay__outcome__enum_values_by_number,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Relay__Envelope, message_case),
+    offsetof(Rs__Relay__Envelope, body),
+    &rs__relay__answer_body__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancel",
     4,
-    rs__relay__outcome__enum_values_by_name,
-    1,
-    rs__relay__outcome__value_ranges,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Relay__Envelope, message_case),
+    offsetof(Rs__Relay__Envelope, cancel),
+    &rs__relay__cancel__descriptor,
     NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "credit",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Relay__Envelope, message_case),
+    offsetof(Rs__Relay__Envelope, credit),
+    &rs__relay__credit__descriptor,
     NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ping",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Relay__Envelope, message_case),
+    offsetof(Rs__Relay__Envelope, ping),
+    &rs__relay__ping__descriptor,
     NULL,
-    NULL /* reserved[1234] */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__relay__envelope__field_indices_by_name[] = {
+  2,   /* field[2] = body */
+  3,   /* field[3] = cancel */
+  4,   /* field[4] = credit */
+  0,   /* field[0] = forward */
+  1,   /* field[1] = head */
+  5,   /* field[5] = ping */
+};
+static const ProtobufCIntRange rs__relay__envelope__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor rs__relay__envelope__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.relay.Envelope",
+  "Envelope",
+  "Rs__Relay__Envelope",
+  "rs.relay",
+  sizeof(Rs__Relay__Envelope),
+  6,
+  rs__relay__envelope__field_descriptors,
+  rs__relay__envelope__field_indices_by_name,
+  1,  rs__relay__envelope__number_ranges,
+  (ProtobufCMessageInit) rs__relay__envelope__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue rs__relay__outcome__enum_values_by_number[4] =
+{
+  { "OUTCOME_DONE", "RS__RELAY__OUTCOME__OUTCOME_DONE", 0 },
+  { "OUTCOME_NOT_RUN", "RS__RELAY__OUTCOME__OUTCOME_NOT_RUN", 1 },
+  { "OUTCOME_UNKNOWN", "RS__RELAY__OUTCOME__OUTCOME_UNKNOWN", 2 },
+  { "OUTCOME_REDIRECT", "RS__RELAY__OUTCOME__OUTCOME_REDIRECT", 3 },
+};
+static const ProtobufCIntRange rs__relay__outcome__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex rs__relay__outcome__enum_values_by_name[4] =
+{
+  { "OUTCOME_DONE", 0 },
+  { "OUTCOME_NOT_RUN", 1 },
+  { "OUTCOME_REDIRECT", 3 },
+  { "OUTCOME_UNKNOWN", 2 },
+};
+const ProtobufCEnumDescriptor rs__relay__outcome__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "rs.relay.Outcome",
+  "Outcome",
+  "Rs__Relay__Outcome",
+  "rs.relay",
+  4,
+  rs__relay__outcome__enum_values_by_number,
+  4,
+  rs__relay__outcome__enum_values_by_name,
+  1,
+  rs__relay__outcome__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
--- a/rattanshed/main.c
+++ b/rattanshed/main.c
@@ -2,6 +2,7 @@
 
 #include <argtable2.h>
 #include <signal.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <unistd.h>
@@ -122,6 +123,40 @@
     return RsMain_FINE;
 }
 
+/* Names of policies are known to the components that have them. */
+static bool
+check_policies(const char *path, const struct rs_settings *settings)
+{
+    const struct rs_settings_policies *policies = &settings->policies;
+    const struct {
+        const char *field;
+        const char *name;
+        bool known;
+        const char *allowed;
+    } checks[] = {
+        {"admission", policies->admission,
+         RsLimit_FindPolicy(policies->admission) != NULL,
+         "adaptive, fixed, none"},
+        {"choice", policies->choice,
+         RsChoice_FindPolicy(policies->choice) != NULL,
+         "two-choices, round-robin, random"},
+        {"retry", policies->retry, RsRetry_FindPolicy(policies->retry) != NULL,
+         "budget, immediate, none"},
+        {"ramp", policies->ramp, RsRamp_FindPolicy(policies->ramp) != NULL,
+         "adaptive, linear, none"},
+    };
+    bool all_known = true;
+    for (size_t i = 0; i < sizeof(checks) / sizeof(checks[0]); i++) {
+        if (!checks[i].known) {
+            fprintf(stderr,
+                    "%s: policies.%s: unknown policy %s; allowed: %s\n", path,
+                    checks[i].field, checks[i].name, checks[i].allowed);
+            all_known = false;
+        }
+    }
+    return all_known;
+}
+
 static int
 load_and_run(const char *path, int only_check)
 {
@@ -133,6 +168,10 @@
         fprintf(stderr, "%s\n", text);
         return RsMain_BAD_SETTINGS;
     }
+    if (!check_policies(path, settings)) {
+        RsSettings_Free(settings);
+        return RsMain_BAD_SETTINGS;
+    }
     if (only_check) {
         printf("%s: fine\n", path);
         RsSettings_Free(settings);
