--- a/control/heartbeat.c
+++ b/control/heartbeat.c
@@ -7,7 +7,7 @@
 #include "core/clock.h"
 
 #define GOSSIP_EVERY_MS 500
-#define GOSSIP_PEERS 3
+#define GOSSIP_PEERS 2
 #define MAX_OTHERS 16
 #define READERS 2
 #define RESET_AFTER_MS 1500
@@ -42,8 +42,11 @@
         (uint32_t)CLAMP(now_ms - member->heard_at_ms, 0, (int64_t)UINT32_MAX);
 }
 
+/* What is known of others goes along with gossip only: heartbeats to the
+ * cell's members are many, and these hear the same gossip. */
 static void
-send_heartbeat(struct rs_control *control, const char *name, int64_t now_ms)
+send_heartbeat(struct rs_control *control, const char *name, int64_t now_ms,
+               bool with_others)
 {
     const struct rs_view_vm *vm =
         control->view != NULL ? RsView_Vm(control->view, name) : NULL;
@@ -57,8 +60,10 @@
         return;
     }
     fill_self(control, &self);
-    size_t count =
-        RsMembers_Sample(control->members, now_ms, sample, MAX_OTHERS);
+    size_t count = 0;
+    if (with_others) {
+        count = RsMembers_Sample(control->members, now_ms, sample, MAX_OTHERS);
+    }
     for (size_t i = 0; i < count; i++) {
         fill_other(sample[i], now_ms, &others[i]);
         pointers[i] = &others[i];
@@ -84,7 +89,7 @@
             now_ms - member->direct_at_ms > RESET_AFTER_MS) {
             RsPeers_Reset(control->peers, names[i]);
         }
-        send_heartbeat(control, names[i], now_ms);
+        send_heartbeat(control, names[i], now_ms, false);
     }
 }
 
@@ -97,7 +102,7 @@
     for (size_t i = 0; i < count; i++) {
         if (vms[i].is_entry &&
             strcmp(vms[i].domain, control->settings->domain) == 0) {
-            send_heartbeat(control, vms[i].name, now_ms);
+            send_heartbeat(control, vms[i].name, now_ms, false);
         }
     }
 }
@@ -112,7 +117,7 @@
         for (size_t tried = 0; tried < count; tried++) {
             const struct rs_view_vm *vm = &vms[((size_t)at + tried) % count];
             if (vm->is_entry) {
-                send_heartbeat(control, vm->name, now_ms);
+                send_heartbeat(control, vm->name, now_ms, true);
                 break;
             }
         }
--- a/control/leases.c
+++ b/control/leases.c
@@ -13,7 +13,8 @@
 #include "place/speaker.h"
 
 #define SCAN_EVERY_MS 50
-#define PUBLISH_EVERY_MS 100
+#define PUBLISH_EVERY_MS 200
+#define REVIEW_HELD_EVERY_MS 500
 #define STEADY_MS 3000 /* a member speaks so long before it gets slices */
 #define REBALANCE_EVERY_MS 500
 #define US_PER_S 1000000
@@ -50,6 +51,7 @@
     bool moved; /* the table has this process in another cell now */
     bool dirty; /* the table of leases is to be published */
     int64_t scan_at_ms;
+    int64_t review_held_at_ms; /* those that are held need it seldom */
     int64_t publish_at_ms;
     int64_t rebalance_at_ms;
 };
@@ -210,6 +212,13 @@
     }
 }
 
+static void
+scan_all_now(struct rs_leases *leases)
+{
+    leases->scan_at_ms = 0;
+    leases->review_held_at_ms = 0;
+}
+
 /* A process serves one cell in its life: its promises are those of a member
  * of that cell. */
 static void
@@ -250,7 +259,7 @@
         RsCell_TableWasRead(leases->cell);
     }
     leases->dirty = true;
-    leases->scan_at_ms = 0;
+    scan_all_now(leases);
 }
 
 /* From now on all slices are given back, once drained. */
@@ -258,7 +267,7 @@
 RsLeases_Leave(struct rs_leases *leases)
 {
     leases->leaving = true;
-    leases->scan_at_ms = 0;
+    scan_all_now(leases);
 }
 
 static bool
@@ -488,15 +497,19 @@
         return;
     }
     leases->scan_at_ms = now_ms + SCAN_EVERY_MS;
+    bool held_too = now_ms >= leases->review_held_at_ms;
+    if (held_too) {
+        leases->review_held_at_ms = now_ms + REVIEW_HELD_EVERY_MS;
+    }
     g_hash_table_iter_init(&iter, leases->slices);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct slice_state *state = value;
-        if (state->held) {
-            review_held(leases, state, now_ms);
-        }
-        else {
+        if (!state->held) {
             review_free(leases, state, now_ms);
         }
+        else if (held_too || state->wanted) {
+            review_held(leases, state, now_ms);
+        }
     }
 }
 
@@ -728,7 +741,7 @@
     else {
         g_hash_table_remove(leases->lost, target);
     }
-    leases->scan_at_ms = 0;
+    scan_all_now(leases);
 }
 
 /* Nothing of a stopping slice waits or runs any more: give it back. */
