--- a/tools/measure_control.sh
+++ b/tools/measure_control.sh
@@ -2,10 +2,12 @@
 # Measures what control costs: bytes, processor time and memory of the entry
 # processes, and the time from a ticket's acceptance until it is in force.
 # usage: tools/measure_control.sh BUILD
+# RS_CONTROL: other sizes, lines of slices, entries a cell, cells, tickets.
+# RS_PAGES: folder for the page (docs/measurements).
 set -euo pipefail
 build=$(cd "${1:?usage: tools/measure_control.sh BUILD}" && pwd)
 here=$(cd "$(dirname "$0")" && pwd)
-pages=$here/../docs/measurements
+pages=${RS_PAGES:-$here/../docs/measurements}
 mkdir -p "$pages"
 . "$here/measure_common.sh"
 
@@ -145,12 +147,14 @@
 table "slices a rule" "entries a cell" cells state "sent B/s" "received B/s" \
     "control task, % of a core" "process, % of a core" "RSS MB" \
     "platform reads/s" "writes/s" "slices held"
-(run_control 64 3 3 4)
-(run_control 256 3 3 "$FORCE_TICKETS")
-(run_control 1024 3 3 4)
-(run_control 256 5 3 4)
-(run_control 256 3 1 4)
-(run_control 256 5 1 4)
+while read -r slices entries_of_cell cells tickets; do
+    (run_control "$slices" "$entries_of_cell" "$cells" "$tickets")
+done <<< "${RS_CONTROL:-64 3 3 4
+256 3 3 $FORCE_TICKETS
+1024 3 3 4
+256 5 3 4
+256 3 1 4
+256 5 1 4}"
 text "From a ticket's acceptance until it is in force at every entry process," \
     "ms, asked every 20 ms:"
 table "slices a rule" "entries a cell" cells tickets p50 most
--- a/tools/measure_path.sh
+++ b/tools/measure_path.sh
@@ -55,8 +55,9 @@
             "$(class_us direct p99_us)" "$(class_us through p99_us)" \
             "$(ratio "$idle" "$per_second")" \
             "$(awk "BEGIN { printf \"%.2f\", $spent / $per_second / $PATH_S }")" \
-            "$(awk "BEGIN { printf \"%.0f\", $(totals through answered) /
-                ($spent / $per_second) }")"
+            "$(totals through answered | awk -v ticks="$spent" \
+                -v second="$per_second" '{
+                if (ticks > 0) printf "%.0f", $1 * second / ticks }')"
     done
 }
 
