--- a/control/control_task.c
+++ b/control/control_task.c
@@ -7,10 +7,13 @@
 #include "core/clock.h"
 #include "core/id.h"
 #include "core/log.h"
+#include "ticket/ticket.h"
 
 #define TICK_MS 10
 #define PLATFORM_TIMEOUT_MS 2000
 #define FORGET_AFTER_MS 60000
+#define LOADS_EVERY_MS 2000
+#define PERCENT 100
 #define HEALTH_NOTICE_MS 1500 /* for the balancer to see that we leave */
 
 static void
@@ -97,6 +100,7 @@
 {
     GArray *rows = g_array_new(FALSE, FALSE, sizeof(struct rs_config_row));
     RsMirror_VisitPrefix(mirror, "object/", add_config_row, rows);
+    RsMirror_VisitPrefix(mirror, RsTicket_HEAD_KEY, add_config_row, rows);
     const struct rs_config_row *data =
         (const struct rs_config_row *)(void *)rows->data;
     struct rs_config *config = RsConfig_Build(data, rows->len);
@@ -107,31 +111,63 @@
     return config;
 }
 
+struct object_rows {
+    uint64_t count;
+    uint64_t newest;
+};
+
+static void
+look_at_row(void *arg, const struct rs_mirror_row *row)
+{
+    struct object_rows *rows = arg;
+    rows->count++;
+    rows->newest = MAX(rows->newest, row->version);
+}
+
+/* The configuration is built anew only when one of its rows changed. */
+static void
+update_config(struct rs_control *control)
+{
+    const struct rs_mirror *mirror = RsFeed_Mirror(control->feed);
+    struct object_rows rows = {0};
+    RsMirror_VisitPrefix(mirror, "object/", look_at_row, &rows);
+    RsMirror_VisitPrefix(mirror, RsTicket_HEAD_KEY, look_at_row, &rows);
+    if (control->config != NULL && rows.count == control->config_rows &&
+        rows.newest == control->config_newest) {
+        return;
+    }
+    control->config_rows = rows.count;
+    control->config_newest = rows.newest;
+    RsConfig_Unref(control->config);
+    control->config = build_config(mirror);
+}
+
 /* Makes a new snapshot of what is known and hands it to all who use it. */
 static void
 make_snapshot(struct rs_control *control, int64_t now_ms)
 {
     int64_t began_us = RsClock_NowUs();
-    struct rs_config *config = build_config(RsFeed_Mirror(control->feed));
+    update_config(control);
     struct rs_view_options options = {
         .mirror = RsFeed_Mirror(control->feed),
-        .config = config,
+        .config = control->config,
         .vms = RsFeed_Vms(control->feed),
+        .chunks = control->chunks,
     };
-    RsConfig_Unref(control->config);
-    control->config = config;
     RsView_Unref(control->view);
     control->view = RsView_New(&options);
     RsLeases_SetView(control->leases, now_ms, RsView_Ref(control->view),
-                     RsFeed_TableWasRead(control->feed));
+                     control->table_was_read);
     post_pointer(control, RsTask_VIEW, RsView_Ref(control->view),
                  dispose_view);
+    RsPlanning_Wake(control->planning);
     RsCounter_Add(&control->snapshots, 1);
     RsCounter_Add(&control->snapshot_us,
                   (uint64_t)(RsClock_NowUs() - began_us));
-    RsLog_EVENT(RsLog_DEBUG, "snapshot",
-                RsLog_NUMBER("revision", RsView_Revision(control->view)),
-                RsLog_NUMBER("ticket", RsConfig_AppliedTicket(config)));
+    RsLog_EVENT(
+        RsLog_DEBUG, "snapshot",
+        RsLog_NUMBER("revision", RsView_Revision(control->view)),
+        RsLog_NUMBER("ticket", RsConfig_AppliedTicket(control->config)));
 }
 
 static void
@@ -176,6 +212,12 @@
     case RS__WIRE__PEER__MESSAGE_CHANGES:
         RsFeed_TakeChanges(control->feed, message->changes);
         break;
+    case RS__WIRE__PEER__MESSAGE_LOADS:
+        if (RsLoads_TakePeer(control->loads, RsClock_NowMs(),
+                             message->loads)) {
+            RsPlanning_Review(control->planning);
+        }
+        break;
     case RS__WIRE__PEER__MESSAGE_RENEW:
     case RS__WIRE__PEER__MESSAGE_RENEW_ANSWER:
     case RS__WIRE__PEER__MESSAGE_SEAL:
@@ -187,6 +229,29 @@
     }
 }
 
+/* The member that plans for the cell is told what this one's slices get. */
+static void
+send_loads(struct rs_control *control, int64_t now_ms)
+{
+    const struct rs_view_cell *cell = RsLeases_Cell(control->leases);
+    if (cell == NULL || now_ms < control->loads_at_ms) {
+        return;
+    }
+    control->loads_at_ms = now_ms + LOADS_EVERY_MS;
+    const char *planner = RsPlanning_Planner(control->planning, cell, now_ms);
+    const struct rs_view_vm *vm = RsView_Vm(control->view, planner);
+    if (vm == NULL || strcmp(planner, control->settings->name) == 0) {
+        return;
+    }
+    Rs__Member__Loads loads = RS__MEMBER__LOADS__INIT;
+    Rs__Wire__Peer message = RS__WIRE__PEER__INIT;
+    RsLoads_Fill(control->loads, now_ms, &loads);
+    message.message_case = RS__WIRE__PEER__MESSAGE_LOADS;
+    message.loads = &loads;
+    RsPeers_Send(control->peers, planner, &vm->control, &message);
+    RsLoads_FreeFilled(&loads);
+}
+
 static bool
 is_told_to_leave(const struct rs_control *control)
 {
@@ -214,6 +279,21 @@
     }
 }
 
+/* A process that starts without memory must read the whole table once after
+ * its first lease has passed: a cell's change that was under way when it
+ * started may be over by then without it. */
+static void
+watch_first_reading(struct rs_control *control)
+{
+    int64_t since_ms =
+        control->started_at_ms + control->settings->tunables.lease_ms;
+    if (!control->table_was_read &&
+        RsFeed_ReadBeganAtMs(control->feed) > since_ms) {
+        control->table_was_read = true;
+        control->snapshot_due = true;
+    }
+}
+
 /* What is missing in the list of VMs counts by the readings of the list, not
  * by time alone: without the platform nobody is found to be gone. */
 static void
@@ -232,8 +312,10 @@
 {
     struct rs_control *control = timer->data;
     int64_t now_ms = RsClock_NowMs();
-    RsFeed_Tick(control->feed, now_ms,
-                RsControlHeartbeat_IsReader(control, now_ms));
+    bool reader = !control->table_was_read ||
+                  RsControlHeartbeat_IsReader(control, now_ms);
+    RsFeed_Tick(control->feed, now_ms, reader);
+    watch_first_reading(control);
     if (control->snapshot_due && RsFeed_Vms(control->feed) != NULL) {
         control->snapshot_due = false;
         make_snapshot(control, now_ms);
@@ -243,6 +325,7 @@
         RsLeases_Tick(control->leases, now_ms);
         RsPlanning_Tick(control->planning, now_ms, control->view);
     }
+    send_loads(control, now_ms);
     RsMembers_Forget(control->members, now_ms);
     watch_vms(control, now_ms);
     if (!control->leaving &&
@@ -285,7 +368,10 @@
         .arg = control,
     };
     control->leases = RsLeases_New(&leases);
+    control->loads = RsLoads_New();
+    control->chunks = RsChunks_New();
     struct rs_planning_options planning = {
+        .loads = control->loads,
         .self = settings->name,
         .domain = settings->domain,
         .platform = control->platform,
@@ -377,6 +463,21 @@
     }
 }
 
+/* A target that got slow, or fast again, is told of at once. */
+static void
+take_share(struct rs_control *control, const struct rs_task_target *word,
+           int64_t now_ms)
+{
+    if (RsLoads_TakeOwnShare(control->loads, now_ms, word->target,
+                             word->capacity)) {
+        RsLog_EVENT(RsLog_INFO, "target_share",
+                    RsLog_TEXT("target", word->target),
+                    RsLog_NUMBER("percent", word->capacity * PERCENT));
+        control->loads_at_ms = 0;
+        RsPlanning_Review(control->planning);
+    }
+}
+
 /* Takes a message of the data task in, and frees it. */
 void
 RsControl_TakeMessage(void *arg, struct rs_message *message)
@@ -389,12 +490,20 @@
         RsLeases_TargetChanged(control->leases,
                                ((struct rs_task_target *)message)->target,
                                message->kind == RsTask_TARGET_LOST);
+        RsPlanning_Wake(control->planning);
         RsLeases_Tick(control->leases, now_ms);
         break;
     case RsTask_SLICE_DRAINED:
     case RsTask_SLICE_STALE:
         take_slice(control, (struct rs_task_slice *)message, now_ms);
         break;
+    case RsTask_LOADS:
+        RsLoads_TakeOwn(control->loads, now_ms,
+                        (struct rs_task_loads *)message);
+        break;
+    case RsTask_TARGET_SHARE:
+        take_share(control, (struct rs_task_target *)message, now_ms);
+        break;
     case RsTask_DUMPED:
         RsControlAdmin_Dumped(control, (struct rs_task_dump *)message);
         break;
--- a/control/leases.c
+++ b/control/leases.c
@@ -1,11 +1,13 @@
 #include "control/leases.h"
 
+#include <assert.h>
 #include <glib.h>
 #include <string.h>
 
 #include "core/clock.h"
 #include "core/id.h"
 #include "core/log.h"
+#include "place/assignment.h"
 #include "place/names.h"
 #include "place/roster.h"
 #include "place/speaker.h"
@@ -29,8 +31,7 @@
     char last_target[RsModel_NAME_BYTES]; /* owner before */
     int64_t retry_at_ms;                  /* no claim before */
     uint64_t sealing_epoch; /* of the row whose former cells are asked */
-    uint32_t seals_out;
-    bool sealed;
+    size_t sealed_count;    /* former cells that have given it up */
 };
 
 struct rs_leases {
@@ -40,9 +41,10 @@
     struct rs_cell *cell;
     char cell_name[RsModel_NAME_BYTES]; /* empty: in none yet */
     struct rs_view *view;
-    GHashTable *slices; /* id to slice_state, owned */
-    GHashTable *lost;   /* set of target names */
-    GHashTable *names;  /* member id to name */
+    GHashTable *slices;  /* id to slice_state, owned */
+    GHashTable *lost;    /* set of target names */
+    GHashTable *names;   /* member id to name */
+    GHashTable *learned; /* rule to the versions of its rows, taken in */
     struct rs_lease_counters counters;
     bool leaving;
     bool moved; /* the table has this process in another cell now */
@@ -78,6 +80,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     leases->names =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    leases->learned = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                            (GDestroyNotify)g_array_unref);
     return leases;
 }
 
@@ -150,16 +154,39 @@
 
 /* Learns the epochs of all rows, and which slices belong to the cell. */
 static void
-learn_rule(struct rs_leases *leases, const struct rs_view_rule *rule)
-{
-    for (uint32_t i = 0; i < rule->slices; i++) {
-        const struct rs_model_assignment *assignment = &rule->assignments[i];
-        if (assignment->epoch == 0) {
+learn_row(struct rs_leases *leases, const struct rs_view_rule *rule,
+          size_t row)
+{
+    uint32_t first = (uint32_t)row * RsAssignment_PER_ROW;
+    uint32_t count = RsAssignment_InRow(rule->slices, (uint32_t)row);
+    for (uint32_t i = first; i < first + count; i++) {
+        struct rs_model_assignment assignment;
+        RsView_Unpack(leases->view, rule, i, &assignment);
+        if (assignment.epoch == 0) {
             continue;
         }
-        RsCell_LearnEpoch(leases->cell, assignment->slice, assignment->epoch);
-        if (is_ours(leases, assignment)) {
-            find_or_add(leases, assignment->slice);
+        RsCell_LearnEpoch(leases->cell, assignment.slice, assignment.epoch);
+        if (is_ours(leases, &assignment)) {
+            find_or_add(leases, assignment.slice);
+        }
+    }
+}
+
+/* Looks at the rows that changed since the last snapshot only. */
+static void
+learn_rule(struct rs_leases *leases, const struct rs_view_rule *rule)
+{
+    GArray *known = g_hash_table_lookup(leases->learned, rule->name);
+    if (known == NULL || known->len != rule->row_count) {
+        known = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+        g_array_set_size(known, (guint)rule->row_count);
+        g_hash_table_replace(leases->learned, g_strdup(rule->name), known);
+    }
+    for (size_t row = 0; row < rule->row_count; row++) {
+        uint64_t *version = &g_array_index(known, uint64_t, row);
+        if (*version != rule->row_versions[row]) {
+            *version = rule->row_versions[row];
+            learn_row(leases, rule, row);
         }
     }
 }
@@ -173,9 +200,10 @@
     g_hash_table_iter_init(&iter, leases->slices);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct slice_state *state = value;
-        const struct rs_model_assignment *assignment =
-            RsView_Assignment(leases->view, state->slice);
-        bool ours = assignment != NULL && is_ours(leases, assignment);
+        struct rs_model_assignment assignment;
+        bool ours =
+            RsView_Assignment(leases->view, state->slice, &assignment) &&
+            is_ours(leases, &assignment);
         if (!ours && !state->held) {
             g_hash_table_iter_remove(&iter);
         }
@@ -189,6 +217,7 @@
 {
     if (leases->cell_name[0] == '\0') {
         g_strlcpy(leases->cell_name, cell, sizeof(leases->cell_name));
+        g_hash_table_remove_all(leases->learned);
     }
     leases->moved = strcmp(leases->cell_name, cell) != 0;
 }
@@ -266,6 +295,7 @@
                 const struct rs_model_assignment *assignment, uint32_t from)
 {
     size_t count = assignment->succession_count;
+    assert(count > 0);
     for (size_t i = 0; i < count; i++) {
         uint32_t position = (uint32_t)((from + i) % count);
         if (!g_hash_table_contains(leases->lost,
@@ -302,71 +332,90 @@
 static uint32_t
 position_after(const struct rs_leases *leases, const struct slice_state *state)
 {
-    const struct rs_model_assignment *assignment =
-        RsView_Assignment(leases->view, state->slice);
-    if (assignment == NULL || assignment->epoch != state->epoch) {
+    struct rs_model_assignment assignment;
+    if (!RsView_Assignment(leases->view, state->slice, &assignment) ||
+        assignment.epoch != state->epoch) {
         return 0;
     }
-    return usable_position(leases, assignment, state->position);
+    return usable_position(leases, &assignment, state->position);
 }
 
-/* A target that is lost for good: its slices go on to their successors. */
+/* A target that is lost: its slices go on to their successors, unless all of
+ * these are lost too. The data task must have seen the stop before the slice
+ * is given back: it may still have a table in which the lease is good, and
+ * the target may come back at this very moment. */
 static void
-release_lost(struct rs_leases *leases, struct slice_state *state,
-             int64_t now_ms)
+stop_lost(struct rs_leases *leases, struct slice_state *state)
 {
-    uint32_t next = position_after(leases, state);
-    const struct rs_model_assignment *assignment =
-        RsView_Assignment(leases->view, state->slice);
-    bool same_epoch = assignment != NULL && assignment->epoch == state->epoch;
-    if (same_epoch && next == state->position) {
-        return; /* all are lost: keep it, and wait for one to come back */
+    struct rs_model_assignment assignment;
+    bool same_epoch =
+        RsView_Assignment(leases->view, state->slice, &assignment) &&
+        assignment.epoch == state->epoch;
+    if (!same_epoch || position_after(leases, state) != state->position) {
+        stop(leases, state);
     }
-    release(leases, state, now_ms, next);
+}
+
+/* A later row gives the slice to another target for which this process speaks
+ * too: no other member will ask for it. */
+static bool
+wants_itself(const struct rs_leases *leases, const struct slice_state *state,
+             const struct rs_model_assignment *assignment, int64_t now_ms)
+{
+    const struct rs_view_cell *cell = RsLeases_Cell(leases);
+    if (assignment->epoch <= state->epoch || cell == NULL ||
+        !is_ours(leases, assignment)) {
+        return false;
+    }
+    uint32_t position = usable_position(leases, assignment, 0);
+    const char *speaker =
+        speaker_of(leases, cell, assignment->succession[position], now_ms);
+    return speaker != NULL && strcmp(speaker, leases->self) == 0;
 }
 
 static void
 review_held(struct rs_leases *leases, struct slice_state *state,
             int64_t now_ms)
 {
-    const struct rs_model_assignment *assignment =
-        RsView_Assignment(leases->view, state->slice);
-    bool gone = assignment == NULL;
+    struct rs_model_assignment assignment;
+    bool gone = !RsView_Assignment(leases->view, state->slice, &assignment);
     if (g_hash_table_contains(leases->lost, state->target)) {
-        release_lost(leases, state, now_ms);
+        stop_lost(leases, state);
     }
-    else if (gone || state->wanted || leases->leaving) {
+    else if (gone || state->wanted || leases->leaving ||
+             wants_itself(leases, state, &assignment, now_ms)) {
         stop(leases, state);
     }
 }
 
-/* Asks the former cells to give a slice up. Returns whether all have. */
+/* Asks the former cells to give a slice up, one after the other. Returns
+ * whether all have. */
 static bool
 seal_former(struct rs_leases *leases, struct slice_state *state,
             const struct rs_model_assignment *assignment, int64_t now_ms)
 {
-    if (state->sealing_epoch == assignment->epoch) {
-        return state->sealed || state->seals_out == 0;
-    }
-    state->sealing_epoch = assignment->epoch;
-    state->seals_out = 0;
-    state->sealed = false;
-    for (size_t i = 0; i < assignment->from_count; i++) {
-        const struct rs_view_cell *former =
-            RsView_Cell(leases->view, assignment->from[i]);
-        if (former == NULL ||
-            strcmp(former->row.cell, leases->cell_name) == 0) {
-            continue;
-        }
+    if (state->sealing_epoch != assignment->epoch) {
+        state->sealing_epoch = assignment->epoch;
+        state->sealed_count = 0;
+        RsCounter_Add(&leases->counters.seals, assignment->from_count);
+    }
+    while (state->sealed_count < assignment->from_count &&
+           strcmp(assignment->from[state->sealed_count], leases->cell_name) ==
+               0) {
+        state->sealed_count++;
+    }
+    if (state->sealed_count >= assignment->from_count) {
+        return true;
+    }
+    const struct rs_view_cell *former =
+        RsView_Cell(leases->view, assignment->from[state->sealed_count]);
+    if (former != NULL) {
         struct rs_cell_roster roster;
         RsRoster_ToCell(&former->row, &roster);
-        RsCounter_Add(&leases->counters.seals, 1);
-        if (RsCell_BeginSeal(leases->cell, now_ms, state->slice,
-                             assignment->epoch - 1, &roster) == 0) {
-            state->seals_out++;
-        }
+        RsCell_BeginSeal(leases->cell, now_ms, state->slice,
+                         assignment->epoch - 1, &roster);
     }
-    return state->seals_out == 0;
+    return false;
 }
 
 static bool
@@ -404,15 +453,15 @@
 review_free(struct rs_leases *leases, struct slice_state *state,
             int64_t now_ms)
 {
-    const struct rs_model_assignment *assignment =
-        RsView_Assignment(leases->view, state->slice);
+    struct rs_model_assignment row;
+    const struct rs_model_assignment *assignment = &row;
     const struct rs_view_cell *cell =
         RsView_Cell(leases->view, leases->cell_name);
     struct rs_cell_view look = {0};
-    if (assignment == NULL || cell == NULL || leases->leaving ||
-        assignment->succession_count == 0 || !is_ours(leases, assignment) ||
+    if (now_ms < state->retry_at_ms || leases->leaving || cell == NULL ||
         RsCell_Claiming(leases->cell, state->slice) ||
-        now_ms < state->retry_at_ms) {
+        !RsView_Assignment(leases->view, state->slice, &row) ||
+        row.succession_count == 0 || !is_ours(leases, &row)) {
         return;
     }
     bool known = RsCell_Look(leases->cell, now_ms, state->slice, &look);
@@ -501,8 +550,8 @@
           int64_t now_ms)
 {
     struct slice_state *state = find_or_add(leases, event->claim.slice);
-    const struct rs_model_assignment *assignment =
-        RsView_Assignment(leases->view, state->slice);
+    struct rs_model_assignment assignment;
+    bool assigned = RsView_Assignment(leases->view, state->slice, &assignment);
     RsCounter_Add(&leases->counters.won, 1);
     state->held = true;
     state->stopping = false;
@@ -510,12 +559,13 @@
     state->epoch = event->claim.fence.epoch;
     state->step = event->claim.fence.step;
     state->position = event->claim.position;
-    if (assignment == NULL || assignment->epoch != state->epoch) {
+    if (!assigned || assignment.epoch != state->epoch) {
         release(leases, state, now_ms, 0);
         return;
     }
     if (strcmp(state->last_target, state->target) != 0) {
-        RsCounter_Add(&leases->counters.owner_changes, 1);
+        RsCounter_Add(&leases->counters.owner_changes,
+                      state->last_target[0] != '\0' ? 1 : 0);
         g_strlcpy(state->last_target, state->target,
                   sizeof(state->last_target));
     }
@@ -554,8 +604,9 @@
         leases->scan_at_ms = now_ms;
         break;
     case RsCell_EVENT_SEALED:
-        state->seals_out -= state->seals_out > 0 ? 1 : 0;
-        state->sealed = state->seals_out == 0;
+        if (event->claim.fence.epoch + 1 == state->sealing_epoch) {
+            state->sealed_count++;
+        }
         state->retry_at_ms = now_ms;
         leases->scan_at_ms = now_ms;
         break;
@@ -699,7 +750,7 @@
 {
     struct slice_state *state = g_hash_table_lookup(leases->slices, &slice);
     if (state != NULL && state->held) {
-        release(leases, state, now_ms, state->position);
+        stop(leases, state);
     }
 }
 
--- a/control/state.h
+++ b/control/state.h
@@ -6,6 +6,7 @@
 #include "control/control_task.h"
 #include "control/feed.h"
 #include "control/leases.h"
+#include "control/loads.h"
 #include "control/peers.h"
 #include "control/planning.h"
 #include "http/server.h"
@@ -23,13 +24,18 @@
     struct rs_feed *feed;
     struct rs_leases *leases;
     struct rs_planning *planning;
+    struct rs_loads *loads;
+    struct rs_chunks *chunks;
     struct rs_peers *peers;
     struct rs_server *admin;
     struct rs_config *config; /* NULL until the first snapshot */
+    uint64_t config_rows;     /* that it was built from, and the highest */
+    uint64_t config_newest;   /* version among them */
     struct rs_view *view;     /* NULL until the first snapshot */
     GHashTable *dumps;        /* token to a pending dump */
     uint64_t next_dump;
     bool snapshot_due;
+    bool table_was_read; /* whole, after the first lease */
     bool leaving;
     bool data_idle;
     int64_t leave_by_ms; /* end of the grace; 0: not leaving */
@@ -37,6 +43,7 @@
     int64_t vms_seen_at_ms;
     int64_t heartbeat_at_ms;
     int64_t gossip_at_ms;
+    int64_t loads_at_ms;
     int64_t started_at_ms;
     GRand *random;
     struct rs_counter heartbeats_sent;
--- a/dispatch/holder.c
+++ b/dispatch/holder.c
@@ -4,6 +4,7 @@
 
 #include "core/clock.h"
 #include "core/log.h"
+#include "place/names.h"
 
 #define RETRY_SOON_MS 20
 #define RETRY_MOVE_MS 50
@@ -15,10 +16,10 @@
     .suspect_ms = 250,
     .lost_ms = 500,
     .return_ms = 300,
-    .slow_ms = 200,
+    .slow_ms = 400,
     .fast_ms = 1000,
-    .slow_factor = 3.0,
-    .fast_factor = 1.5,
+    .slow_factor = 5.0,
+    .fast_factor = 2.0,
     .share_step = 0.15,
     .share_ms = 1000,
     .max_connect_failures = 4,
@@ -114,26 +115,28 @@
     return false;
 }
 
-static struct rs_target *
-make_target(struct rs_holder *holder, const char *name)
+/* Fills in what the view says of a target. Returns false when this process
+ * has nothing to do with it. The texts are borrowed from the view. */
+static bool
+describe(struct rs_holder *holder, const char *name,
+         struct rs_target_options *options)
 {
     const struct rs_config *config = RsView_Config(holder->view);
     const struct rs_view_vm *vm = RsView_Vm(holder->view, name);
     const struct rs_model_place *place = RsConfig_PlaceOfTarget(config, name);
     if (vm == NULL || place == NULL ||
         strcmp(vm->domain, holder->domain) != 0) {
-        return NULL;
+        return false;
     }
     const struct rs_model_service *service =
         RsConfig_Service(config, place->service);
     if (service == NULL) {
-        return NULL;
+        return false;
     }
-    struct rs_target_options options = {
+    *options = (struct rs_target_options){
         .loop = holder->options.loop,
         .name = name,
         .self = holder->self,
-        .incarnation = holder->options.incarnation,
         .address = vm->address,
         .service = service,
         .checks_fences = service->keyed && checks_fences(place, name),
@@ -147,11 +150,50 @@
         .stale = on_stale,
         .arg = holder,
     };
+    return true;
+}
+
+static struct rs_target *
+make_target(struct rs_holder *holder, const char *name)
+{
+    struct rs_target_options options;
+    if (!describe(holder, name, &options)) {
+        return NULL;
+    }
     struct rs_target *target = RsTarget_New(&options);
     g_hash_table_insert(holder->targets, target->name, target);
+    /* One of this name may have been lost before its VM left the list. */
+    on_changed(holder, target, false);
     return target;
 }
 
+/* Notes which targets the view describes in another way than before. */
+static void
+mark_outdated(struct rs_holder *holder)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, holder->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rs_target *target = value;
+        struct rs_target_options options;
+        target->outdated = describe(holder, target->name, &options) &&
+                           RsTarget_Differs(target, &options);
+    }
+}
+
+/* Brings a target up to date as soon as nothing runs there. */
+static void
+renew(struct rs_holder *holder, struct rs_target *target, int64_t now_ms)
+{
+    struct rs_target_options options;
+    if (target->outdated && RsTarget_MayRenew(target, now_ms) &&
+        describe(holder, target->name, &options)) {
+        options.now_ms = now_ms;
+        RsTarget_Renew(target, &options);
+    }
+}
+
 static struct rs_target *
 find_or_make_target(struct rs_holder *holder, const char *name)
 {
@@ -211,12 +253,44 @@
     }
 }
 
+static void
+make_of_place(struct rs_holder *holder, const struct rs_model_place *place)
+{
+    for (size_t i = 0; i < place->target_count; i++) {
+        const char *name = place->targets[i].name;
+        const struct rs_view_cell *cell =
+            RsView_CellOfTarget(holder->view, place->domain, name);
+        if (cell != NULL &&
+            RsNames_Contain(cell->row.members, cell->row.member_count,
+                            holder->self)) {
+            find_or_make_target(holder, name);
+        }
+    }
+}
+
+/* All targets of the own cell are watched, so that a member to which one is
+ * handed over knows that it is warm, or lost. */
+static void
+make_watched(struct rs_holder *holder)
+{
+    const struct rs_config *config = RsView_Config(holder->view);
+    for (size_t i = 0; i < RsConfig_Count(config, RsObject_PLACE); i++) {
+        const struct rs_model_place *place =
+            &RsConfig_At(config, RsObject_PLACE, i)->object.as.place;
+        if (strcmp(place->domain, holder->domain) == 0) {
+            make_of_place(holder, place);
+        }
+    }
+}
+
 /* Takes over a snapshot. */
 void
 RsHolder_SetView(struct rs_holder *holder, struct rs_view *view)
 {
     RsView_Unref(holder->view);
     holder->view = view;
+    mark_outdated(holder);
+    make_watched(holder);
     if (holder->leases != NULL) {
         make_owners(holder);
         set_all_slices(holder);
@@ -315,6 +389,9 @@
         return refuse(forward, events, arg, "moving", RETRY_SOON_MS);
     }
     struct rs_target *target = find_or_make_target(holder, lease->target);
+    if (target != NULL && target->outdated) {
+        return refuse(forward, events, arg, "moving", RETRY_SOON_MS);
+    }
     if (target == NULL || !RsTarget_Granted(target, now_ms, lease)) {
         return refuse(forward, events, arg, "no-grant", RETRY_SOON_MS);
     }
@@ -333,6 +410,9 @@
     if (target == NULL) {
         return refuse(forward, events, arg, "not-in-domain", RETRY_MOVE_MS);
     }
+    if (target->outdated) {
+        return refuse(forward, events, arg, "moving", RETRY_SOON_MS);
+    }
     return offer(holder, target, forward, events, arg, NULL);
 }
 
@@ -351,7 +431,8 @@
 }
 
 /* A slice is drained when nothing of it waits or runs, and the target knows
- * that it is no longer granted or the grant has lapsed. */
+ * that it is no longer granted; or else when grants have lapsed there, and
+ * the deadlines of all requests that were abandoned have passed. */
 static bool
 is_drained(struct rs_holder *holder, const struct rs_lease *lease,
            int64_t now_ms)
@@ -365,11 +446,11 @@
         return false;
     }
     bool revoked =
-        !target->options.checks_fences ||
+        target->options.checks_fences &&
         (target->grant.known_set == target->grant.set &&
          !g_hash_table_contains(target->grant.granted, &lease->slice));
-    bool late_one = now_ms <= target->last_deadline_ms && target->lost;
-    return !late_one && (revoked || now_ms > target->grant.lapse_ms);
+    return revoked || (now_ms > target->grant.lapse_ms &&
+                       now_ms > target->abandoned_until_ms);
 }
 
 static void
@@ -428,6 +509,25 @@
     }
 }
 
+/* Only who works with a target can tell how fast it is: at once when that
+ * changes, and with the loads. */
+static void
+report_shares(struct rs_holder *holder, int64_t now_ms, bool all)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, holder->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rs_target *target = value;
+        bool works = now_ms < target->active_until_ms;
+        if (works && (all || target->told_share != target->health.share)) {
+            target->told_share = target->health.share;
+            holder->options.reports->share(holder->options.arg, target->name,
+                                           target->health.share);
+        }
+    }
+}
+
 static void
 report_loads(struct rs_holder *holder, int64_t now_ms)
 {
@@ -451,6 +551,7 @@
     g_hash_table_remove_all(holder->counts);
     holder->options.reports->loads(holder->options.arg, loads, at);
     g_free(loads);
+    report_shares(holder, now_ms, true);
 }
 
 static bool
@@ -472,6 +573,7 @@
     g_hash_table_iter_init(&iter, holder->targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct rs_target *target = value;
+        renew(holder, target, now_ms);
         RsTarget_Tick(target, now_ms);
         if (is_unwanted(holder, target)) {
             g_hash_table_iter_remove(&iter);
@@ -486,6 +588,7 @@
 {
     set_medians(holder, now_ms);
     tick_targets(holder, now_ms);
+    report_shares(holder, now_ms, false);
     report_drained(holder, now_ms);
     report_loads(holder, now_ms);
 }
--- a/dispatch/target.c
+++ b/dispatch/target.c
@@ -9,6 +9,7 @@
 #define QUEUE_CAPACITY 512
 #define GIVE_UP_MARGIN_MS 20
 #define LOST_RETRY_MS 500
+#define ACTIVE_MS 5000 /* warm connections stay so long without use */
 #define CONNECTION_COST_US 1000
 #define CONNECTION_SHARE 0.1
 
@@ -61,11 +62,13 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_work);
     g_queue_init(&target->idle);
     g_queue_init(&target->ready);
+    target->grant.session_us = RsClock_WallUs();
     target->grant.slices = g_array_new(FALSE, FALSE, sizeof(struct rs_lease));
     target->grant.granted =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     target->grant.answer = g_string_new(NULL);
     start_decisions(target);
+    target->told_share = 1;
     RsHealth_Start(&target->health, &options->health, options->now_ms);
     return target;
 }
@@ -88,6 +91,77 @@
     g_free(target);
 }
 
+static bool
+moved(const struct rs_target *target, const struct rs_target_options *options)
+{
+    const struct sockaddr_in *address = &target->options.address;
+    return address->sin_port != options->address.sin_port ||
+           address->sin_addr.s_addr != options->address.sin_addr.s_addr;
+}
+
+/* Tells whether the options are other than those that the target has. */
+bool
+RsTarget_Differs(const struct rs_target *target,
+                 const struct rs_target_options *options)
+{
+    const struct rs_model_service *old = &target->service;
+    const struct rs_model_service *new = options->service;
+    return moved(target, options) ||
+           target->options.checks_fences != options->checks_fences ||
+           strcmp(old->name, new->name) != 0 || old->keyed != new->keyed ||
+           old->slots != new->slots || old->window != new->window ||
+           old->connections != new->connections ||
+           old->max_run_ms != new->max_run_ms || old->cold_ms != new->cold_ms;
+}
+
+/* Tells whether nothing runs there that was sent under the present options:
+ * at another address, what was given up could still take effect at the old
+ * one. */
+bool
+RsTarget_MayRenew(const struct rs_target *target, int64_t now_ms)
+{
+    return g_hash_table_size(target->works) == 0 &&
+           now_ms > target->abandoned_until_ms;
+}
+
+static void
+start_at_address(struct rs_target *target,
+                 const struct rs_target_options *options)
+{
+    target->options.address = options->address;
+    target->start_id = 0;
+    target->next_connect_ms = 0;
+    RsTargetGrant_Close(target);
+    RsTargetGrant_DoubtClock(target);
+    RsHealth_Start(&target->health, &options->health, options->now_ms);
+}
+
+/* Takes over changed options; RsTarget_MayRenew() must hold. */
+void
+RsTarget_Renew(struct rs_target *target,
+               const struct rs_target_options *options)
+{
+    bool elsewhere = moved(target, options);
+    bool warm = !elsewhere && target->ramp.contacted && !target->ramp.cold;
+    g_assert(RsTarget_MayRenew(target, options->now_ms));
+    RsTargetPool_CloseAll(target);
+    RsAdmission_Free(target->admission);
+    target->service = *options->service;
+    target->options.checks_fences = options->checks_fences;
+    start_decisions(target);
+    if (elsewhere) {
+        start_at_address(target, options);
+    }
+    else if (warm) {
+        RsRamp_KnownWarm(&target->ramp, options->now_ms, target->start_id);
+    }
+    RsTargetGrant_BeginAnew(target);
+    target->outdated = false;
+    RsLog_EVENT(RsLog_INFO, "target_renewed",
+                RsLog_TEXT("target", target->name),
+                RsLog_NUMBER("moved", elsewhere));
+}
+
 /* Admits a work, queues it, or refuses it at once. */
 void
 RsTarget_Offer(struct rs_target *target, struct rs_work *work, int64_t now_ms)
@@ -100,6 +174,7 @@
         .deadline_ms = work->deadline_ms,
     };
     work->target = target;
+    target->active_until_ms = now_ms + ACTIVE_MS;
     g_hash_table_insert(target->works, &work->id, work);
     if (target->lost) {
         RsTargetWork_Finish(work, RsOutcome_NOT_RUN, "target-lost",
@@ -114,8 +189,8 @@
     }
     else if (verdict.kind == RsAdmission_RUN) {
         g_queue_push_tail(&target->ready, work);
-        RsTargetPool_Run(target, now_ms);
     }
+    RsTargetWork_Events(target, now_ms);
 }
 
 /* Takes a work off its connection, which is closed: that cancels the request
@@ -125,6 +200,7 @@
 {
     struct rs_target_connection *connection = work->connection;
     if (connection != NULL) {
+        RsTargetPool_Abandon(work->target, work);
         connection->work = NULL;
         work->connection = NULL;
         RsTargetPool_Drop(connection);
@@ -243,35 +319,32 @@
 static void
 refuse_queued(struct rs_target *target, int64_t now_ms)
 {
-    GHashTableIter iter;
-    gpointer value;
-    GPtrArray *queued = g_ptr_array_new();
-    g_hash_table_iter_init(&iter, target->works);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        g_ptr_array_add(queued, value);
-    }
-    for (guint i = 0; i < queued->len; i++) {
-        struct rs_work *work = queued->pdata[i];
-        RsAdmission_Cancel(target->admission, now_ms, work->id);
-        RsTargetWork_Finish(work, RsOutcome_NOT_RUN, "target-lost",
-                            LOST_RETRY_MS);
+    GList *works = g_hash_table_get_values(target->works);
+    for (GList *link = works; link != NULL; link = link->next) {
+        struct rs_work *work = link->data;
+        if (RsAdmission_Cancel(target->admission, now_ms, work->id) == 0) {
+            RsTargetWork_Finish(work, RsOutcome_NOT_RUN, "target-lost",
+                                LOST_RETRY_MS);
+        }
     }
-    g_ptr_array_free(queued, TRUE);
+    g_list_free(works);
 }
 
-/* All that waits or runs gets its final answer at once. */
+/* All that waits or runs gets its final answer at once; the queue first, so
+ * that nothing of it starts in a place that becomes free. */
 static void
 become_lost(struct rs_target *target, int64_t now_ms)
 {
     RsLog_EVENT(RsLog_WARNING, "target_lost",
                 RsLog_TEXT("target", target->name));
+    RsTargetWork_TakeEvents(target, now_ms);
+    refuse_queued(target, now_ms);
+    refuse_ready(target, now_ms, true);
     GPtrArray *running = running_works(target);
     for (guint i = 0; i < running->len; i++) {
         give_up(running->pdata[i], "target-lost", now_ms);
     }
     g_ptr_array_free(running, TRUE);
-    refuse_ready(target, now_ms, true);
-    refuse_queued(target, now_ms);
     RsTargetPool_CloseAll(target);
 }
 
@@ -305,6 +378,9 @@
 void
 RsTarget_Tick(struct rs_target *target, int64_t now_ms)
 {
+    if (target->grant.slices->len > 0) {
+        target->active_until_ms = now_ms + ACTIVE_MS;
+    }
     RsTargetGrant_Tick(target, now_ms);
     watch_health(target, now_ms);
     RsAdmission_SetCeiling(target->admission, now_ms,
@@ -338,10 +414,12 @@
     struct rs_admission_view view;
     RsAdmission_Look(target->admission, &view);
     return json_pack(
-        "{s:s,s:b,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:I}", "name", target->name,
-        "lost", target->lost, "limit", (int)view.limit, "in_flight",
-        (int)view.in_flight, "queued", (int)view.queued, "ready",
-        (int)target->ready.length, "connections",
+        "{s:s,s:s,s:f,s:f,s:b,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:I}", "name",
+        target->name, "state", RsHealth_StateText(target->health.state),
+        "share", target->health.share, "latency_us",
+        RsHealth_LatencyUs(&target->health, now_ms), "lost", target->lost,
+        "limit", (int)view.limit, "in_flight", (int)view.in_flight, "queued",
+        (int)view.queued, "ready", (int)target->ready.length, "connections",
         (int)target->connections->len, "idle_connections",
         (int)target->idle.length, "granted_slices",
         (int)g_hash_table_size(target->grant.granted), "grant_left_ms",
--- a/dispatch/target_grant.c
+++ b/dispatch/target_grant.c
@@ -112,6 +112,18 @@
     RsCounter_Add(&target->options.counters->grants, 1);
 }
 
+/* The target wants the slices again, or knows of a later session: one whose
+ * process had a clock ahead of this one's. The session rises with the clock
+ * until it is the latest. */
+static void
+begin_anew(struct rs_target *target)
+{
+    struct rs_target_grant *grant = &target->grant;
+    grant->session_us = MAX(grant->session_us + 1, RsClock_WallUs());
+    grant->known_set = 0;
+    g_hash_table_remove_all(grant->granted);
+}
+
 static void
 on_end(void *arg, bool keep_alive)
 {
@@ -130,8 +142,7 @@
         acknowledge(target, answer);
     }
     else if (grant->asked_set != 0 && grant->status != 200) {
-        grant->known_set = 0;
-        g_hash_table_remove_all(grant->granted);
+        begin_anew(target);
     }
     json_decref(answer);
     if (!keep_alive) {
@@ -145,11 +156,21 @@
     RsTargetPool_Run(target, now_ms);
 }
 
+/* The target may be another process now, with another clock: nothing is sent
+ * before its clock was read again. */
+void
+RsTargetGrant_DoubtClock(struct rs_target *target)
+{
+    target->grant.read_at_ms = 0;
+    target->grant.ask_at_ms = 0;
+}
+
 static void
 on_closed(void *arg, int error)
 {
     struct rs_target *target = arg;
     int64_t now_ms = RsClock_NowMs();
+    RsTargetGrant_DoubtClock(target);
     if (!target->grant.connected) {
         RsHealth_ConnectFailed(&target->health);
     }
@@ -193,11 +214,11 @@
 grant_body(struct rs_target *target, int64_t until_ms)
 {
     struct rs_target_grant *grant = &target->grant;
-    json_t *body = json_pack(
-        "{s:s,s:I,s:I,s:I}", "holder", target->options.self, "session",
-        (json_int_t)(target->options.incarnation & INT64_MAX), "until_ms",
-        (json_int_t)RsTarget_ToItsClock(target, until_ms), "set",
-        (json_int_t)grant->set);
+    json_t *body =
+        json_pack("{s:s,s:I,s:I,s:I}", "holder", target->options.self,
+                  "session", (json_int_t)grant->session_us, "until_ms",
+                  (json_int_t)RsTarget_ToItsClock(target, until_ms), "set",
+                  (json_int_t)grant->set);
     if (grant->known_set != grant->set) {
         json_object_set_new(body, "slices", slices_json(grant->slices));
     }
@@ -238,7 +259,8 @@
 ask(struct rs_target *target, int64_t now_ms)
 {
     struct rs_target_grant *grant = &target->grant;
-    bool grants = target->options.checks_fences && grant->read_at_ms != 0 &&
+    bool grants = target->options.checks_fences && !target->lost &&
+                  grant->read_at_ms != 0 &&
                   (grant->slices->len > 0 || grant->set != grant->known_set);
     int status = grants ? send_grant(target, now_ms) : send_ping(target);
     if (status != 0) {
@@ -278,7 +300,7 @@
         RsHttp_Close(grant->http);
         lose_connection(target, now_ms);
     }
-    if (target->removed || now_ms < grant->ask_at_ms) {
+    if (now_ms < grant->ask_at_ms) {
         return;
     }
     if (grant->http == NULL) {
@@ -289,6 +311,15 @@
     }
 }
 
+/* Forgets what the target was granted; it is asked again. */
+void
+RsTargetGrant_BeginAnew(struct rs_target *target)
+{
+    begin_anew(target);
+    target->grant.asked_set = 0;
+    target->grant.ask_at_ms = 0;
+}
+
 /* Closes the connection; what was granted lapses by itself. */
 void
 RsTargetGrant_Close(struct rs_target *target)
--- a/front/data_task.c
+++ b/front/data_task.c
@@ -92,11 +92,20 @@
     RsMailbox_Post(data->control, &message->message);
 }
 
+static void
+report_share(void *arg, const char *target, double share)
+{
+    struct rs_data *data = arg;
+    struct rs_task_target *message = g_new0(struct rs_task_target, 1);
+    message->message.kind = RsTask_TARGET_SHARE;
+    message->message.dispose = dispose_plain;
+    message->capacity = share;
+    g_strlcpy(message->target, target, sizeof(message->target));
+    RsMailbox_Post(data->control, &message->message);
+}
+
 static const struct rs_holder_reports reports = {
-    report_target,
-    report_drained,
-    report_stale,
-    report_loads,
+    report_target, report_drained, report_stale, report_loads, report_share,
 };
 
 static void
@@ -222,6 +231,7 @@
     struct rs_relay_server_options options = {
         .loop = &data->loop,
         .holder = data->holder,
+        .max_streams = RsRelayServer_MAX_STREAMS,
     };
     int status = RsHttp_ParseAddress(settings->peers.address,
                                      (uint16_t)settings->peers.relay_port,
@@ -240,6 +250,7 @@
         .domain = settings->domain,
         .holder = data->holder,
         .max_body_bytes = tunables->max_body_bytes,
+        .max_header_bytes = tunables->max_header_bytes,
         .max_connections = tunables->max_callers,
         .choice = RsChoice_FindPolicy(settings->policies.choice),
         .retry = RsRetry_FindPolicy(settings->policies.retry),
--- a/front/front.c
+++ b/front/front.c
@@ -16,7 +16,7 @@
 #define BACKOFF_MS 10
 #define MAX_BACKOFF_MS 100
 #define BUDGET_BURST 50.0
-#define HEDGE_SHARE 0.05
+#define HEDGE_SHARE 0.0
 #define MIN_HEDGE_MS 20
 #define STATUS_OK 200
 #define STATUS_UNAVAILABLE 503
@@ -47,11 +47,17 @@
     return budget;
 }
 
+/* What the server frees together with its request. */
+struct request_handle {
+    struct rs_front_request *request;
+};
+
 /* Called by the server when it frees its request. */
 static void
 on_request_freed(void *data)
 {
-    struct rs_front_request *request = *(struct rs_front_request **)data;
+    struct request_handle *handle = data;
+    struct rs_front_request *request = handle->request;
     struct rs_front *front = request->front;
     if (!request->finished) {
         RsCounter_Add(&front->counters.left, 1);
@@ -91,9 +97,9 @@
 new_request(struct rs_front *front, h2o_req_t *http)
 {
     struct rs_front_request *request = g_new0(struct rs_front_request, 1);
-    struct rs_front_request **handle =
+    struct request_handle *handle =
         h2o_mem_alloc_shared(&http->pool, sizeof(*handle), on_request_freed);
-    *handle = request;
+    handle->request = request;
     request->front = front;
     request->http = http;
     request->body = g_byte_array_new();
@@ -278,7 +284,10 @@
         request->retry.may_have_run || request->retry.out > 0
             ? RsOutcome_UNKNOWN
             : RsOutcome_NOT_RUN;
-    g_strlcpy(request->last_reason, "deadline", sizeof(request->last_reason));
+    if (request->last_reason[0] == '\0') {
+        g_strlcpy(request->last_reason, "deadline",
+                  sizeof(request->last_reason));
+    }
     RsFrontReply_Refuse(request, outcome);
 }
 
--- a/place/planner_fuzz.c
+++ b/place/planner_fuzz.c
@@ -6,9 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/id.h"
 #include "place/assignment.h"
 #include "place/cell_name.h"
+#include "place/fuzz_input.h"
 #include "place/planner_world.h"
 #include "place/slice.h"
 
@@ -22,14 +22,6 @@
 #define MAX_ROUNDS 100
 #define EVENTS 80
 
-/* The input's bytes, then ones that follow from them: short inputs run as
- * many events as long ones. */
-struct input {
-    const uint8_t *data;
-    size_t size;
-    uint64_t more;
-};
-
 /* What a planner has read. */
 struct view {
     struct rs_planner_target targets[ALL_TARGETS];
@@ -50,25 +42,6 @@
     struct view views[PLANNERS];
 };
 
-#define CHECK(condition)                                                      \
-    do {                                                                      \
-        if (!(condition)) {                                                   \
-            fprintf(stderr, "oracle: %s (line %d)\n", #condition, __LINE__);  \
-            abort();                                                          \
-        }                                                                     \
-    } while (0)
-
-static uint8_t
-next_byte(struct input *input)
-{
-    if (input->size == 0) {
-        input->more = RsId_Mix(input->more, 1);
-        return (uint8_t)input->more;
-    }
-    input->size--;
-    return *input->data++;
-}
-
 static uint32_t
 cell_bit(const char *cell)
 {
@@ -173,6 +146,10 @@
         return;
     }
     CHECK(change->epoch == old->epoch + 1);
+    for (size_t i = 0; i < change->from_count; i++) {
+        CHECK(strcmp(change->from[i], change->cell) != 0);
+        CHECK(domain_of(view, change->from[i])->state != RsModel_LOST);
+    }
     check_succession(view, change);
     if (old->epoch == 0) {
         CHECK(strcmp(change->cell, writer) == 0);
@@ -246,6 +223,11 @@
     options.loads = state->loaded ? state->loads : NULL;
     options.cell = cell;
     CHECK(RsPlanner_Plan(&options, &plan) == 0);
+    struct rs_planner_target shuffled[ALL_TARGETS];
+    for (size_t i = 0; i < ALL_TARGETS; i++) {
+        shuffled[i] = view->targets[5 * i % ALL_TARGETS];
+    }
+    options.targets = shuffled;
     CHECK(RsPlanner_Plan(&options, &again) == 0);
     CHECK(plan.change_count == again.change_count);
     for (size_t i = 0; i < plan.change_count; i++) {
@@ -383,6 +365,26 @@
     return assigned - stay;
 }
 
+/* A row names usable targets of its cell only, two behind the owner if there
+ * are so many. */
+static void
+check_successors(const struct planner_world *world,
+                 const struct rs_model_assignment *row,
+                 enum rs_model_domain_state wanted)
+{
+    size_t available = 0;
+    size_t named = 0;
+    for (size_t i = 0; i < ALL_TARGETS; i++) {
+        const struct rs_planner_target *target = &world->targets[i];
+        bool here = usable(world, i, wanted) && has_target(row->cell, target);
+        bool listed = RsAssignment_Position(row, target->name) >= 0;
+        available += here ? 1 : 0;
+        named += here && listed ? 1 : 0;
+    }
+    size_t least = available < 3 ? available : 3;
+    CHECK(named == row->succession_count && named >= least);
+}
+
 static void
 check_settled(struct planner_world *world)
 {
@@ -403,6 +405,9 @@
         }
     }
     CHECK(!in || most - least <= 1);
+    for (size_t i = 0; i < SLICES; i++) {
+        check_successors(world, &world->rows[i], wanted);
+    }
 }
 
 /* Lets all cells that are not lost plan and settle until nothing changes.
@@ -456,12 +461,12 @@
 }
 
 static void
-run_events(struct state *state, struct input *input)
+run_events(struct state *state, struct fuzz_input *input)
 {
     size_t moves = 0;
     for (size_t i = 0; i < EVENTS; i++) {
-        uint8_t kind = next_byte(input) % 16;
-        uint8_t which = next_byte(input);
+        uint8_t kind = fuzz_next_byte(input) % 16;
+        uint8_t which = fuzz_next_byte(input);
         if (kind < 7) {
             change_world(state, kind, which);
         }
@@ -481,19 +486,20 @@
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
     static struct state state;
-    struct input input = {data, size, RsId_FromBytes(data, size)};
+    struct fuzz_input input = fuzz_open(data, size);
     memset(&state, 0, sizeof(state));
     planner_world_open(&state.world, DOMAINS, TARGETS, CELLS, SLICES);
     state.world.options.max_moves = 3;
-    state.world.options.cut_off =
-        next_byte(&input) % 2 == 0 ? RsModel_KEEP_SERVING : RsModel_HAND_OVER;
+    state.world.options.cut_off = fuzz_next_byte(&input) % 2 == 0
+                                      ? RsModel_KEEP_SERVING
+                                      : RsModel_HAND_OVER;
     for (size_t i = 0; i < PLANNERS; i++) {
         read_view(&state, &state.views[i]);
     }
     run_events(&state, &input);
     make_even(&state);
-    uint8_t kind = next_byte(&input);
-    check_moves(&state, kind, next_byte(&input));
+    uint8_t kind = fuzz_next_byte(&input);
+    check_moves(&state, kind, fuzz_next_byte(&input));
     planner_world_close(&state.world);
     return 0;
 }
--- a/view/view.c
+++ b/view/view.c
@@ -22,6 +22,7 @@
     GHashTable *cell_by_name;
     GHashTable *rule_by_name;
     GHashTable *rule_by_slice; /* upper bits of a slice's id to its rule */
+    const char **names;        /* of cells and targets, by number */
 };
 
 static uint64_t
@@ -65,6 +66,7 @@
     view->vms = g_new0(struct rs_view_vm, count + 1);
     for (size_t i = 0; i < count; i++) {
         struct rs_view_vm *vm = &view->vms[view->vm_count];
+        *vm = (struct rs_view_vm){0};
         read_vm(vm, json_array_get(list, i));
         if (vm->name[0] != '\0') {
             g_hash_table_insert(view->vm_by_name, vm->name, vm);
@@ -101,45 +103,20 @@
 }
 
 static void
-read_chunk(struct rs_view_rule *rule, size_t chunk,
-           const struct rs_mirror *mirror)
-{
-    char key[RsAssignment_KEY_BYTES];
-    struct rs_mirror_row row;
-    struct rs_model_assignment slices[RsAssignment_PER_ROW];
-    size_t count = 0;
-    RsAssignment_FormatKey(rule->name, (uint32_t)chunk, key);
-    if (!RsMirror_Find(mirror, key, &row)) {
-        return;
-    }
-    rule->row_versions[chunk] = row.version;
-    json_t *value = json_loads(row.value, 0, NULL);
-    if (RsAssignment_Decode(value, rule->name, (uint32_t)chunk, slices,
-                            &count) == 0) {
-        size_t at = chunk * RsAssignment_PER_ROW;
-        size_t room = rule->slices > at ? rule->slices - at : 0;
-        memcpy(rule->assignments + at, slices,
-               MIN(count, room) * sizeof(slices[0]));
-    }
-    json_decref(value);
-}
-
-static void
-read_rule(struct rs_view *view, const struct rs_model_rule *model,
-          const struct rs_mirror *mirror)
+read_rule(struct rs_view *view, const struct rs_view_options *options,
+          const struct rs_model_rule *model)
 {
     struct rs_view_rule *rule = &view->rules[view->rule_count++];
+    const struct rs_chunks_rule *chunks =
+        RsChunks_Update(options->chunks, options->mirror, model);
     g_strlcpy(rule->name, model->name, sizeof(rule->name));
-    rule->slices = model->slices;
-    rule->row_count = RsAssignment_Rows(model->slices);
-    rule->assignments = g_new0(struct rs_model_assignment, model->slices);
-    rule->row_versions = g_new0(uint64_t, rule->row_count);
-    for (uint32_t i = 0; i < model->slices; i++) {
-        rule->assignments[i].slice = RsSlice_Id(model->name, i);
-    }
-    for (size_t chunk = 0; chunk < rule->row_count; chunk++) {
-        read_chunk(rule, chunk, mirror);
-    }
+    rule->slices = chunks->slices;
+    rule->row_count = chunks->row_count;
+    rule->packed =
+        g_memdup2(chunks->packed, chunks->slices * sizeof(chunks->packed[0]));
+    rule->row_versions =
+        g_memdup2(chunks->row_versions,
+                  chunks->row_count * sizeof(chunks->row_versions[0]));
     uint64_t *bits = g_new(uint64_t, 1);
     *bits = rule_bits(RsSlice_Id(model->name, 0));
     g_hash_table_insert(view->rule_by_name, rule->name, rule);
@@ -147,14 +124,15 @@
 }
 
 static void
-read_rules(struct rs_view *view, const struct rs_mirror *mirror)
+read_rules(struct rs_view *view, const struct rs_view_options *options)
 {
     size_t count = RsConfig_Count(view->config, RsObject_RULE);
+    RsChunks_Begin(options->chunks);
     view->rules = g_new0(struct rs_view_rule, count + 1);
     for (size_t i = 0; i < count; i++) {
         const struct rs_config_entry *entry =
             RsConfig_At(view->config, RsObject_RULE, i);
-        read_rule(view, &entry->object.as.rule, mirror);
+        read_rule(view, options, &entry->object.as.rule);
     }
 }
 
@@ -174,7 +152,10 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     read_vms(view, options->vms);
     read_cells(view, options->mirror);
-    read_rules(view, options->mirror);
+    read_rules(view, options);
+    view->names = g_memdup2(RsChunks_Names(options->chunks),
+                            RsChunks_NameCount(options->chunks) *
+                                sizeof(view->names[0]));
     return view;
 }
 
@@ -190,13 +171,14 @@
 free_view(struct rs_view *view)
 {
     for (size_t i = 0; i < view->rule_count; i++) {
-        g_free(view->rules[i].assignments);
+        g_free(view->rules[i].packed);
         g_free(view->rules[i].row_versions);
     }
     g_hash_table_destroy(view->vm_by_name);
     g_hash_table_destroy(view->cell_by_name);
     g_hash_table_destroy(view->rule_by_name);
     g_hash_table_destroy(view->rule_by_slice);
+    g_free(view->names);
     g_free(view->vms);
     g_free(view->cells);
     g_free(view->rules);
@@ -272,19 +254,30 @@
     return view->rule_count;
 }
 
-/* Finds a slice's assignment, or returns NULL when there is none. */
-const struct rs_model_assignment *
-RsView_Assignment(const struct rs_view *view, uint64_t slice)
+/* Fills in one slice's assignment; its epoch is 0 when it has none. */
+void
+RsView_Unpack(const struct rs_view *view, const struct rs_view_rule *rule,
+              uint32_t index, struct rs_model_assignment *assignment)
+{
+    RsChunks_Unpack(&rule->packed[index], view->names,
+                    RsSlice_Id(rule->name, index), assignment);
+}
+
+/* Finds a slice's assignment. */
+bool
+RsView_Assignment(const struct rs_view *view, uint64_t slice,
+                  struct rs_model_assignment *assignment)
 {
     uint64_t bits = rule_bits(slice);
     const struct rs_view_rule *rule =
         g_hash_table_lookup(view->rule_by_slice, &bits);
     uint32_t index = RsSlice_Index(slice);
     if (rule == NULL || index >= rule->slices ||
-        rule->assignments[index].epoch == 0) {
-        return NULL;
+        rule->packed[index].epoch == 0) {
+        return false;
     }
-    return &rule->assignments[index];
+    RsView_Unpack(view, rule, index, assignment);
+    return true;
 }
 
 /* Finds the cell by rendezvous hashing over those of the domain. */
--- a/view/view.h
+++ b/view/view.h
@@ -15,6 +15,7 @@
 #include "place/model.h"
 #include "place/roster.h"
 #include "ticket/config.h"
+#include "view/chunks.h"
 
 struct rs_view_vm {
     char name[RsModel_NAME_BYTES];
@@ -31,11 +32,11 @@
     uint64_t row_version; /* of the table's row */
 };
 
-/* The assignments of one rule, by slice index; epoch 0: not assigned. */
+/* The assignments of one rule, by slice index. */
 struct rs_view_rule {
     char name[RsModel_NAME_BYTES];
     uint32_t slices;
-    struct rs_model_assignment *assignments;
+    struct rs_packed_slice *packed;
     uint64_t *row_versions; /* of each chunk of slices */
     size_t row_count;
 };
@@ -46,6 +47,7 @@
     const struct rs_mirror *mirror;
     struct rs_config *config; /* the view takes a reference of its own */
     const json_t *vms;        /* the platform's list, or NULL */
+    struct rs_chunks *chunks; /* brought up to date; must outlive the view */
 };
 
 /* Life; any thread may take and give back references. */
@@ -67,8 +69,12 @@
                                        const char *name);
 size_t RsView_Rules(const struct rs_view *view,
                     const struct rs_view_rule **rules);
-const struct rs_model_assignment *RsView_Assignment(const struct rs_view *view,
-                                                    uint64_t slice);
+/* Assignments with their names. RsView_Assignment() returns false when the
+ * slice has none; RsView_Unpack() also fills in those without one. */
+bool RsView_Assignment(const struct rs_view *view, uint64_t slice,
+                       struct rs_model_assignment *assignment);
+void RsView_Unpack(const struct rs_view *view, const struct rs_view_rule *rule,
+                   uint32_t index, struct rs_model_assignment *assignment);
 
 /* The cell of a failure domain to which a target belongs; NULL when the
  * domain has no cell yet. */
--- a/wire/link.c
+++ b/wire/link.c
@@ -7,6 +7,7 @@
 
 #define BACKLOG 512
 #define READ_BYTES 65536
+#define KEEPALIVE_S 10
 
 struct rs_link {
     uv_tcp_t tcp;
@@ -91,6 +92,8 @@
 {
     link->open = true;
     uv_tcp_nodelay(&link->tcp, 1);
+    /* A peer whose VM is gone says nothing any more; its link ends by this. */
+    uv_tcp_keepalive(&link->tcp, 1, KEEPALIVE_S);
     uv_read_start((uv_stream_t *)&link->tcp, give_buffer, on_read);
 }
 
@@ -245,8 +248,9 @@
     return 0;
 }
 
-/* Sends a message. Returns 0, RsLink_CLOSED when the link is not open, or
- * RsLink_FULL when too much waits already; nothing is sent then. */
+/* Sends a message. Returns 0, RsLink_CLOSED when the link is not open,
+ * RsLink_FULL when too much waits already, or RsLink_TOO_LARGE; nothing is
+ * sent then. */
 int
 RsLink_Send(struct rs_link *link, const ProtobufCMessage *message)
 {
@@ -254,9 +258,9 @@
     if (status != 0) {
         return status;
     }
-    size_t size;
+    size_t size = 0;
     uint8_t *data = RsFrame_Pack(message, &size);
-    return write_frame(link, data, size);
+    return data != NULL ? write_frame(link, data, size) : RsLink_TOO_LARGE;
 }
 
 /* Sends a frame that was packed with RsFrame_Pack(), with the same errors. */
@@ -268,6 +272,9 @@
         g_free(data);
         return status;
     }
+    if (data == NULL) {
+        return RsLink_TOO_LARGE;
+    }
     return write_frame(link, data, size_bytes);
 }
 
