--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -21,10 +21,9 @@
 #define US_PER_MS 1000
 #define STATUS_OK 200
 #define DEFAULT_SERVICE_TIME_US 3000
-#define FILE_BYTES "300000"
 
-#define RATTANSHED RATTANSHED_BUILD "/rattanshed/rattanshed"
-#define STANDIN(name) RATTANSHED_BUILD "/standin/standin_" name
+#define RATTANSHED (RATTANSHED_BUILD "/rattanshed/rattanshed")
+#define STANDIN(name) (RATTANSHED_BUILD "/standin/standin_" name)
 
 /* Sleeps. */
 void
@@ -96,7 +95,7 @@
         cold,
         time,
         options->ignores_fences ? "--check-fences=0" : "--check-fences=1",
-        has_files ? "--file-bytes=" FILE_BYTES : "--file-bytes=0",
+        has_files ? "--file-bytes=300000" : "--file-bytes=0",
         NULL};
     RsProcess_Init(&target->process, name, cluster->folder, arguments);
     g_free(time);
--- a/tests/steady_load.c
+++ b/tests/steady_load.c
@@ -6,10 +6,10 @@
 
 #include "tests/caller.h"
 
-#define STANDIN_LOAD RATTANSHED_BUILD "/standin/standin_load"
+#define STANDIN_LOAD (RATTANSHED_BUILD "/standin/standin_load")
 #define FINISH_WITHIN_MS 30000
 #define SERVICES                                                              \
-    "--services=" RsCluster_KEYED "," RsCluster_KEYED "," RsCluster_FILES
+    ("--services=" RsCluster_KEYED "," RsCluster_KEYED "," RsCluster_FILES)
 
 static char *
 list_entries(const struct rs_cluster *cluster)
