--- a/place/balance.c
+++ b/place/balance.c
@@ -1,5 +1,6 @@
 #include "place/balance.h"
 
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -22,36 +23,84 @@
     return row->succession[position];
 }
 
-static struct tally *
-find_tally(struct tally *tallies, size_t count, const char *name)
+/* The targets with what they own, found by name. */
+struct tallies {
+    struct tally *list; /* one a target, in the order of the options */
+    GHashTable *by_name;
+    GHashTable *averages; /* cell to slices for each target, a double */
+};
+
+static bool
+is_usable(const struct rs_planner_target *target)
 {
-    for (size_t i = 0; i < count; i++) {
-        if (strcmp(tallies[i].target->name, name) == 0) {
-            return &tallies[i];
+    return target->alive && !target->leaving && target->cell[0] != '\0';
+}
+
+static void
+count_slices(const struct rs_balance_options *options, struct tallies *tallies)
+{
+    for (size_t i = 0; i < options->slices; i++) {
+        struct tally *tally =
+            g_hash_table_lookup(tallies->by_name, owner_of(options, i));
+        if (tally != NULL) {
+            tally->slices++;
         }
     }
-    return NULL;
 }
 
-static bool
-is_usable(const struct rs_planner_target *target)
+struct cell_sum {
+    size_t targets; /* that may have slices */
+    size_t slices;
+};
+
+static struct cell_sum *
+find_sum(const struct tallies *tallies, const char *cell)
 {
-    return target->alive && !target->leaving && target->cell[0] != '\0';
+    struct cell_sum *sum = g_hash_table_lookup(tallies->averages, cell);
+    if (sum == NULL) {
+        sum = g_new0(struct cell_sum, 1);
+        g_hash_table_insert(tallies->averages, (gpointer)cell, sum);
+    }
+    return sum;
 }
 
-/* Slices of a cell for each target that may have some. */
-static double
-cell_average(const struct tally *tallies, size_t count, const char *cell)
+static void
+open_tallies(const struct rs_balance_options *options, struct tallies *tallies)
 {
-    size_t targets = 0;
-    size_t slices = 0;
+    size_t count = options->target_count;
+    tallies->list = g_new0(struct tally, count + 1);
+    tallies->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    tallies->averages =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     for (size_t i = 0; i < count; i++) {
-        if (strcmp(tallies[i].target->cell, cell) == 0) {
-            targets += is_usable(tallies[i].target) ? 1 : 0;
-            slices += tallies[i].slices;
-        }
+        tallies->list[i].target = &options->targets[i];
+        g_hash_table_insert(tallies->by_name,
+                            (gpointer)options->targets[i].name,
+                            &tallies->list[i]);
+    }
+    count_slices(options, tallies);
+    for (size_t i = 0; i < count; i++) {
+        struct cell_sum *sum = find_sum(tallies, options->targets[i].cell);
+        sum->targets += is_usable(&options->targets[i]) ? 1 : 0;
+        sum->slices += tallies->list[i].slices;
     }
-    return targets > 0 ? (double)slices / (double)targets : (double)slices;
+}
+
+static void
+close_tallies(struct tallies *tallies)
+{
+    g_hash_table_destroy(tallies->averages);
+    g_hash_table_destroy(tallies->by_name);
+    g_free(tallies->list);
+}
+
+/* Slices of a cell for each target that may have some. */
+static double
+cell_average(const struct tallies *tallies, const char *cell)
+{
+    const struct cell_sum *sum = find_sum(tallies, cell);
+    size_t targets = sum->targets > 0 ? sum->targets : 1;
+    return (double)sum->slices / (double)targets;
 }
 
 /* Fills in a weight for each slice: those of one target add up to the average
@@ -62,34 +111,23 @@
 RsBalance_Weigh(const struct rs_balance_options *options, double *weights,
                 double *base_loads)
 {
-    size_t count = options->target_count;
-    struct tally *tallies = calloc(count + 1, sizeof(tallies[0]));
-    for (size_t i = 0; i < count; i++) {
-        tallies[i].target = &options->targets[i];
-    }
-    for (size_t i = 0; i < options->slices; i++) {
-        struct tally *tally = find_tally(tallies, count, owner_of(options, i));
-        if (tally != NULL) {
-            tally->slices++;
-        }
-    }
+    struct tallies tallies;
+    open_tallies(options, &tallies);
     for (size_t i = 0; i < options->slices; i++) {
         const struct tally *tally =
-            find_tally(tallies, count, owner_of(options, i));
+            g_hash_table_lookup(tallies.by_name, owner_of(options, i));
         weights[i] = 1;
         if (tally != NULL) {
-            weights[i] = cell_average(tallies, count, tally->target->cell) /
+            weights[i] = cell_average(&tallies, tally->target->cell) /
                          (double)tally->slices;
         }
     }
-    for (size_t i = 0; i < count; i++) {
-        base_loads[i] = 0;
-        if (tallies[i].slices == 0) {
-            base_loads[i] =
-                cell_average(tallies, count, tallies[i].target->cell);
-        }
+    for (size_t i = 0; i < options->target_count; i++) {
+        bool empty = tallies.list[i].slices == 0;
+        base_loads[i] =
+            empty ? cell_average(&tallies, options->targets[i].cell) : 0;
     }
-    free(tallies);
+    close_tallies(&tallies);
 }
 
 /* The asking cell's slices and targets as a rule of their own. */
--- a/place/cell_balance_test.c
+++ b/place/cell_balance_test.c
@@ -28,10 +28,11 @@
     row->slice = RsSlice_Id("r", (uint32_t)slice);
     row->epoch = 1;
     row->succession_count = 3;
-    strcpy(row->cell, world->targets[owner].cell);
+    memcpy(row->cell, world->targets[owner].cell, RsModel_NAME_BYTES);
     for (size_t i = 0; i < 3; i++) {
         size_t at = first + (owner - first + i) % 3;
-        strcpy(row->succession[i], world->targets[at].name);
+        memcpy(row->succession[i], world->targets[at].name,
+               RsModel_NAME_BYTES);
     }
 }
 
@@ -166,7 +167,7 @@
     world.rates[6] = 200;
     for (size_t i = 0; i < SLICES; i++) {
         world.present[i].from_count = 1;
-        strcpy(world.present[i].from[0], "d1/0");
+        memcpy(world.present[i].from[0], "d1/0", sizeof("d1/0"));
     }
     CU_ASSERT_EQUAL(RsBalance_WithinCell(&world.options, &plan), 0);
     CU_ASSERT_EQUAL(plan.change_count, 0);
