--- a/front/front.c
+++ b/front/front.c
@@ -321,7 +321,7 @@
 {
     GList *open = g_hash_table_get_keys(front->requests);
     RsRelayClient_Tick(front->relay, now_ms);
-    RsFrontAttempt_SetMedians(front, now_ms);
+    RsFrontRoute_SetMedians(front, now_ms);
     for (GList *link = open; link != NULL; link = link->next) {
         tick_request(link->data, now_ms);
     }
--- a/front/request.h
+++ b/front/request.h
@@ -95,7 +95,15 @@
 void RsFrontAttempt_Hedge(struct rs_front_request *request, int64_t now_ms);
 void RsFrontAttempt_CancelAll(struct rs_front_request *request);
 void RsFrontAttempt_Credit(struct rs_front_try *attempt, uint32_t size_bytes);
-void RsFrontAttempt_SetMedians(struct rs_front *front, int64_t now_ms);
+
+/* Where they go (front/route.c) */
+const char *RsFrontRoute_OfSlice(struct rs_front_request *request,
+                                 int64_t now_ms);
+const char *RsFrontRoute_Choose(struct rs_front_request *request,
+                                struct rs_front_try *attempt,
+                                const struct rs_front_target *avoid,
+                                int64_t now_ms);
+void RsFrontRoute_SetMedians(struct rs_front *front, int64_t now_ms);
 
 /* Answers (front/reply.c) */
 void RsFrontReply_Head(struct rs_front_request *request,
--- /dev/null
+++ b/front/route.c
@@ -0,0 +1,250 @@
+/* Where a request goes: the process that holds its slice, or a target chosen
+ * for one without a key. */
+
+#include <string.h>
+
+#include "core/id.h"
+#include "front/request.h"
+#include "place/speaker.h"
+
+#define MAX_CANDIDATES 256
+#define MEDIAN_EVERY_MS 50
+
+static const struct rs_health_options target_health = {
+    .suspect_ms = 250,
+    .lost_ms = 500,
+    .return_ms = 300,
+    .slow_ms = 150,
+    .fast_ms = 1000,
+    .slow_factor = 3.0,
+    .fast_factor = 1.5,
+    .share_step = 0.15,
+    .share_ms = 1000,
+    .max_connect_failures = 4,
+};
+
+static struct rs_front_target *
+find_target(struct rs_front *front, const char *name, int64_t now_ms)
+{
+    struct rs_front_target *target = g_hash_table_lookup(front->targets, name);
+    if (target == NULL) {
+        target = g_new0(struct rs_front_target, 1);
+        g_strlcpy(target->name, name, sizeof(target->name));
+        RsHealth_Start(&target->health, &target_health, now_ms);
+        g_hash_table_insert(front->targets, target->name, target);
+    }
+    return target;
+}
+
+static const char *
+member_name(const struct rs_view_cell *cell, uint64_t id)
+{
+    for (size_t i = 0; i < cell->row.member_count; i++) {
+        if (RsId_FromName(cell->row.members[i]) == id) {
+            return cell->row.members[i];
+        }
+    }
+    return NULL;
+}
+
+/* Lists the members that are not known to be down, or all when all are. */
+static size_t
+list_members(const struct rs_front *front, const struct rs_view_cell *cell,
+             int64_t now_ms, uint64_t *ids)
+{
+    const struct rs_roster_row *row = &cell->row;
+    size_t count = 0;
+    for (size_t i = 0; i < row->member_count; i++) {
+        if (!RsRelayClient_IsDown(front->relay, row->members[i], now_ms)) {
+            ids[count++] = RsId_FromName(row->members[i]);
+        }
+    }
+    if (count > 0) {
+        return count;
+    }
+    for (size_t i = 0; i < row->member_count; i++) {
+        ids[i] = RsId_FromName(row->members[i]);
+    }
+    return row->member_count;
+}
+
+static void
+remove_id(uint64_t *ids, size_t *count, uint64_t id)
+{
+    for (size_t i = 0; i < *count; i++) {
+        if (ids[i] == id) {
+            ids[i] = ids[--*count];
+            return;
+        }
+    }
+}
+
+/* Returns the member that is to speak for a target, after passing over `skip`
+ * in order of preference, round and round. */
+static const char *
+pick_member(const struct rs_front *front, const struct rs_view_cell *cell,
+            const char *target, uint32_t skip, int64_t now_ms)
+{
+    uint64_t ids[RsRoster_MAX_MEMBERS] = {0};
+    uint64_t target_id = RsId_FromName(target);
+    size_t count = list_members(front, cell, now_ms, ids);
+    uint32_t left = count > 0 ? skip % (uint32_t)count : 0;
+    uint64_t best = RsSpeaker_OfTarget(target_id, ids, count);
+    for (; left > 0; left--) {
+        remove_id(ids, &count, best);
+        best = RsSpeaker_OfTarget(target_id, ids, count);
+    }
+    return member_name(cell, best);
+}
+
+/* Returns the process that is to be asked for the request's slice, or NULL. */
+const char *
+RsFrontRoute_OfSlice(struct rs_front_request *request, int64_t now_ms)
+{
+    struct rs_front *front = request->front;
+    uint64_t slice = request->forward->slice;
+    if (request->redirect[0] != '\0') {
+        return request->redirect;
+    }
+    const char *hint = g_hash_table_lookup(front->hints, &slice);
+    if (hint != NULL && request->skip == 0 &&
+        !RsRelayClient_IsDown(front->relay, hint, now_ms)) {
+        return hint;
+    }
+    struct rs_model_assignment assignment;
+    if (!RsView_Assignment(front->view, slice, &assignment)) {
+        return NULL;
+    }
+    const struct rs_view_cell *cell =
+        RsView_Cell(front->view, assignment.cell);
+    if (cell == NULL) {
+        return NULL;
+    }
+    return pick_member(front, cell, assignment.succession[0], request->skip,
+                       now_ms);
+}
+
+struct candidates {
+    struct rs_choice_target choices[MAX_CANDIDATES];
+    struct rs_front_target *targets[MAX_CANDIDATES];
+    const char *processes[MAX_CANDIDATES];
+    size_t count;
+};
+
+static void
+add_candidate(struct candidates *candidates, struct rs_front *front,
+              const char *name, const struct rs_view_cell *cell,
+              uint32_t limit, int64_t now_ms)
+{
+    if (candidates->count == MAX_CANDIDATES) {
+        return;
+    }
+    const struct rs_view_vm *vm = RsView_Vm(front->view, name);
+    size_t at = candidates->count++;
+    struct rs_front_target *target = find_target(front, name, now_ms);
+    const char *process = pick_member(front, cell, name, 0, now_ms);
+    candidates->targets[at] = target;
+    candidates->processes[at] = process;
+    candidates->choices[at] = (struct rs_choice_target){
+        .usable = vm != NULL && !vm->leaving && process != NULL &&
+                  !RsRelayClient_IsDown(front->relay, process, now_ms),
+        .state = target->health.state,
+        .in_flight = target->in_flight,
+        .limit = limit,
+        .latency_us = RsHealth_LatencyUs(&target->health, now_ms),
+    };
+}
+
+static void
+add_place(struct candidates *candidates, struct rs_front *front,
+          const struct rs_model_place *place, uint32_t limit, int64_t now_ms)
+{
+    const struct rs_config *config = RsView_Config(front->view);
+    const struct rs_model_domain *domain =
+        RsConfig_Domain(config, place->domain);
+    if (domain != NULL && domain->state != RsModel_IN) {
+        return;
+    }
+    for (size_t i = 0; i < place->target_count; i++) {
+        const char *name = place->targets[i].name;
+        const struct rs_view_cell *cell =
+            RsView_CellOfTarget(front->view, place->domain, name);
+        if (cell != NULL) {
+            add_candidate(candidates, front, name, cell, limit, now_ms);
+        }
+    }
+}
+
+static void
+set_target(Rs__Relay__Forward *forward, const char *name)
+{
+    if (forward->target != protobuf_c_empty_string) {
+        free(forward->target);
+    }
+    forward->target = strdup(name);
+}
+
+/* Chooses a target for a request without a key. Returns the process that
+ * speaks for it, or NULL. */
+const char *
+RsFrontRoute_Choose(struct rs_front_request *request,
+                    struct rs_front_try *attempt,
+                    const struct rs_front_target *avoid, int64_t now_ms)
+{
+    struct rs_front *front = request->front;
+    const struct rs_config *config = RsView_Config(front->view);
+    const struct rs_model_service *service =
+        RsConfig_Service(config, request->service);
+    struct candidates candidates;
+    candidates.count = 0;
+    size_t places = RsConfig_Count(config, RsObject_PLACE);
+    for (size_t i = 0; service != NULL && i < places; i++) {
+        const struct rs_model_place *place =
+            &RsConfig_At(config, RsObject_PLACE, i)->object.as.place;
+        if (strcmp(place->service, service->name) == 0) {
+            add_place(&candidates, front, place,
+                      service->slots + service->window, now_ms);
+        }
+    }
+    size_t avoid_at = RsChoice_NOWHERE;
+    for (size_t i = 0; i < candidates.count; i++) {
+        if (avoid != NULL && candidates.targets[i] == avoid) {
+            avoid_at = i;
+        }
+    }
+    size_t at = RsChoice_Pick(&front->choice, candidates.choices,
+                              candidates.count, avoid_at);
+    if (at == RsChoice_NOWHERE) {
+        return NULL;
+    }
+    attempt->target = candidates.targets[at];
+    set_target(request->forward, attempt->target->name);
+    return candidates.processes[at];
+}
+
+/* Tells each target's record what its peers' latency is; called often, works
+ * now and then. */
+void
+RsFrontRoute_SetMedians(struct rs_front *front, int64_t now_ms)
+{
+    const struct rs_health *peers[MAX_CANDIDATES];
+    size_t count = 0;
+    if (now_ms < front->next_median_ms) {
+        return;
+    }
+    front->next_median_ms = now_ms + MEDIAN_EVERY_MS;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, front->targets);
+    while (count < MAX_CANDIDATES &&
+           g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rs_front_target *target = value;
+        peers[count++] = &target->health;
+    }
+    double median_us = RsHealth_Median(peers, count, now_ms);
+    g_hash_table_iter_init(&iter, front->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rs_front_target *target = value;
+        RsHealth_Tick(&target->health, now_ms, median_us);
+    }
+}
