Tell callers of a cut-off cell at once, and when to come back

Cause: while no member of a cell could be reached, each request was tried until its caller's deadline, 2 s by default. A front now gives a cell up when none of its members could be reached three times in a row, says not-run (cell-unreachable) with the time of the next try, and tries again after a pause that doubles up to 2.4 s.

--- a/dispatch/relay_client.c
+++ b/dispatch/relay_client.c
@@ -12,6 +12,7 @@
 #define PING_EVERY_MS 150
 #define DOWN_MS 300
 #define MAX_DOUBLINGS 3u
+#define UNREACHABLE_FAILURES 3u
 #define OPEN_WITHIN_MS 300 /* also the first word of the process */
 #define IDLE_CLOSE_MS 60000
 
@@ -371,6 +372,19 @@
     return peer != NULL && now_ms < peer->down_until_ms;
 }
 
+/* Returns the time that is left of the pause after its last failure. */
+uint32_t
+RsRelayClient_BackInMs(const struct rs_relay_client *client,
+                       const char *process, int64_t now_ms)
+{
+    const struct peer *peer = g_hash_table_lookup(client->peers, process);
+    if (peer == NULL || peer->failures < UNREACHABLE_FAILURES ||
+        now_ms >= peer->down_until_ms) {
+        return 0;
+    }
+    return (uint32_t)(peer->down_until_ms - now_ms);
+}
+
 static void
 tick_peer(struct peer *peer, int64_t now_ms)
 {
--- a/dispatch/relay_client.h
+++ b/dispatch/relay_client.h
@@ -36,6 +36,10 @@
 /* Tells whether the last try to reach a process failed a moment ago. */
 bool RsRelayClient_IsDown(const struct rs_relay_client *client,
                           const char *process, int64_t now_ms);
+/* Tells in how many ms a process is to be tried again that could not be
+ * reached several times in a row; 0 for any other. */
+uint32_t RsRelayClient_BackInMs(const struct rs_relay_client *client,
+                                const char *process, int64_t now_ms);
 void RsRelayClient_Tick(struct rs_relay_client *client, int64_t now_ms);
 
 #endif
--- a/dispatch/relay_client_test.c
+++ b/dispatch/relay_client_test.c
@@ -125,6 +125,39 @@
     run(false);
 }
 
+/* One failure may be a moment's; after three the process counts as out of
+ * reach, for a pause that grows. */
+static void
+test_out_of_reach_after_three_failures(void)
+{
+    struct bench bench = {0};
+    struct rs_relay_client_options options = {&bench.loop, SILENCE_MS};
+    Rs__Relay__Forward forward = RS__RELAY__FORWARD__INIT;
+    uv_loop_init(&bench.loop);
+    open_mute(&bench.mute, true);
+    bench.client = RsRelayClient_New(&options);
+    forward.request_id = "r1";
+    uv_timer_init(&bench.loop, &bench.timer);
+    bench.timer.data = &bench;
+    uv_timer_start(&bench.timer, on_timer, 0, TICK_MS);
+    for (int i = 1; i <= 3; i++) {
+        bench.heads = 0;
+        bench.give_up_at_ms = RsClock_NowMs() + GIVE_UP_MS;
+        RsRelayClient_Send(bench.client, "peer", &bench.mute.address, &forward,
+                           &events, &bench);
+        uv_run(&bench.loop, UV_RUN_DEFAULT);
+        uint32_t back_in_ms =
+            RsRelayClient_BackInMs(bench.client, "peer", RsClock_NowMs());
+        CU_ASSERT_EQUAL(back_in_ms > 0, i == 3);
+    }
+    CU_ASSERT_EQUAL(RsRelayClient_BackInMs(bench.client, "other", 0), 0);
+    CU_ASSERT_EQUAL(RsRelayClient_BackInMs(bench.client, "peer",
+                                           RsClock_NowMs() + GIVE_UP_MS),
+                    0);
+    close(bench.mute.listener);
+    close(bench.mute.accepted);
+}
+
 int
 main(void)
 {
@@ -132,6 +165,7 @@
     CU_pSuite suite = CU_add_suite("relay client", NULL, NULL);
     CU_ADD_TEST(suite, test_closed_before_the_process_spoke);
     CU_ADD_TEST(suite, test_silent_before_the_process_spoke);
+    CU_ADD_TEST(suite, test_out_of_reach_after_three_failures);
     CU_basic_run_tests();
     unsigned failures = CU_get_number_of_failures();
     CU_cleanup_registry();
--- a/front/attempt.c
+++ b/front/attempt.c
@@ -126,6 +126,19 @@
     }
 }
 
+/* The cell is cut off: the caller learns that at once, and when it is tried
+ * again. */
+static void
+refuse_unreachable(struct rs_front_request *request)
+{
+    g_strlcpy(request->last_reason, "cell-unreachable",
+              sizeof(request->last_reason));
+    request->retry_after_ms = request->unreachable_ms;
+    RsFrontReply_Refuse(request, request->retry.may_have_run
+                                     ? RsOutcome_UNKNOWN
+                                     : RsOutcome_NOT_RUN);
+}
+
 /* Sends the next try; when there is nowhere to send it, that counts as one
  * that was not run. */
 void
@@ -139,6 +152,10 @@
         }
         return;
     }
+    if (request->unreachable_ms > 0) {
+        refuse_unreachable(request);
+        return;
+    }
     g_strlcpy(request->last_reason, "nowhere-to-send",
               sizeof(request->last_reason));
     request->retry.unasked = true;
--- a/front/request.h
+++ b/front/request.h
@@ -41,7 +41,8 @@
     char redirect[RsModel_NAME_BYTES]; /* where the next try goes, or "" */
     char last_reason[64];
     uint32_t retry_after_ms;
-    uint32_t skip; /* members of the cell that were no help */
+    uint32_t unreachable_ms; /* until the slice's cell is tried again, or 0 */
+    uint32_t skip;           /* members of the cell that were no help */
     int64_t arrived_us;
     int64_t deadline_ms;
     int64_t next_try_ms; /* 0: none is due */
--- a/front/route.c
+++ b/front/route.c
@@ -97,7 +97,28 @@
     return member_name(cell, best);
 }
 
-/* Returns the process that is to be asked for the request's slice, or NULL. */
+/* Returns when a cell is to be tried again of which no member can be reached;
+ * 0 when any can be. */
+static uint32_t
+cell_back_in_ms(const struct rs_front *front, const struct rs_view_cell *cell,
+                int64_t now_ms)
+{
+    uint32_t soonest_ms = 0;
+    for (size_t i = 0; i < cell->row.member_count; i++) {
+        uint32_t back_in_ms =
+            RsRelayClient_BackInMs(front->relay, cell->row.members[i], now_ms);
+        if (back_in_ms == 0) {
+            return 0;
+        }
+        if (i == 0 || back_in_ms < soonest_ms) {
+            soonest_ms = back_in_ms;
+        }
+    }
+    return soonest_ms;
+}
+
+/* Returns the process that is to be asked for the request's slice, or NULL;
+ * then `unreachable_ms` is set when nobody of its cell can be reached. */
 const char *
 RsFrontRoute_OfSlice(struct rs_front_request *request, int64_t now_ms)
 {
@@ -120,6 +141,10 @@
     if (cell == NULL) {
         return NULL;
     }
+    request->unreachable_ms = cell_back_in_ms(front, cell, now_ms);
+    if (request->unreachable_ms > 0) {
+        return NULL;
+    }
     return pick_member(front, cell, assignment.succession[0], request->skip,
                        now_ms);
 }
