--- a/control/leases_test.c
+++ b/control/leases_test.c
@@ -82,9 +82,26 @@
     return json;
 }
 
-/* One rule of four slices; each goes to `t`, and from there to `u`. */
+/* A row of four slices; each goes to `owner`, and from there to `next`. */
+static char *
+row_text(uint64_t epoch, const char *owner, const char *next)
+{
+    GString *text = g_string_new("{\"slices\":[");
+    for (int i = 0; i < SLICES; i++) {
+        g_string_append_printf(
+            text,
+            "%s{\"e\":%" G_GUINT64_FORMAT
+            ",\"c\":\"d/1\",\"s\":[\"%s\",\"%s\"],\"f\":[]}",
+            i > 0 ? "," : "", epoch, owner, next);
+    }
+    g_string_append(text, "]}");
+    return g_string_free(text, FALSE);
+}
+
+/* One rule of four slices under an epoch. */
 static void
-make_view(struct world *world)
+make_view(struct world *world, uint64_t epoch, const char *owner,
+          const char *next)
 {
     static const char *const objects[][2] = {
         {"object/service/s",
@@ -109,16 +126,15 @@
     RsMirror_Put(mirror, "cell/d/1", 1,
                  "{\"version\":1,\"domain\":\"d\","
                  "\"members\":[\"a\",\"b\",\"c\"],\"former\":[]}");
-    RsMirror_Put(mirror, "assign/r/0000", 1,
-                 "{\"slices\":["
-                 "{\"e\":1,\"c\":\"d/1\",\"s\":[\"t\",\"u\"],\"f\":[]},"
-                 "{\"e\":1,\"c\":\"d/1\",\"s\":[\"t\",\"u\"],\"f\":[]},"
-                 "{\"e\":1,\"c\":\"d/1\",\"s\":[\"t\",\"u\"],\"f\":[]},"
-                 "{\"e\":1,\"c\":\"d/1\",\"s\":[\"t\",\"u\"],\"f\":[]}]}");
-    RsMirror_Advance(mirror, 1);
+    char *row = row_text(epoch, owner, next);
+    RsMirror_Put(mirror, "assign/r/0000", epoch, row);
+    g_free(row);
+    RsMirror_Advance(mirror, epoch);
     struct rs_config *config = RsConfig_Build(rows, G_N_ELEMENTS(rows));
     CU_ASSERT_EQUAL_FATAL(RsConfig_BrokenRows(config), 0);
-    world->chunks = RsChunks_New();
+    if (world->chunks == NULL) {
+        world->chunks = RsChunks_New();
+    }
     struct rs_view_options options = {
         .mirror = mirror, .config = config, .chunks = world->chunks};
     world->view = RsView_New(&options);
@@ -258,7 +274,7 @@
     memset(world, 0, sizeof(*world));
     g_queue_init(&world->letters);
     world->now_ms = 1000;
-    make_view(world);
+    make_view(world, 1, "t", "u");
     for (int at = 0; at < members; at++) {
         start(world, at);
     }
@@ -279,7 +295,7 @@
             return at;
         }
     }
-    return -1;
+    g_assert_not_reached();
 }
 
 static void
@@ -407,6 +423,34 @@
     expect_held(&world, preferred, "t");
 }
 
+/* A later row may give slices to another target of the same speaker: nobody
+ * else asks for them then. */
+static void
+test_speaker_moves_slices_between_its_own_targets(void)
+{
+    struct world world;
+    char target[8] = "t";
+    open_world(&world, MEMBERS);
+    int holder = speaker_of("t", MEMBERS);
+    for (int i = 0; strcmp(target, "t") == 0 && i < 100; i++) {
+        char name[8];
+        snprintf(name, sizeof(name), "v%d", i);
+        if (speaker_of(name, MEMBERS) == holder) {
+            g_strlcpy(target, name, sizeof(target));
+        }
+    }
+    RsView_Unref(world.view);
+    make_view(&world, 2, target, "t");
+    for (int at = 0; at < MEMBERS; at++) {
+        RsLeases_SetView(world.instances[at].leases, world.now_ms,
+                         RsView_Ref(world.view), true);
+    }
+    world.drains = true;
+    run(&world, TAKE_OVER_MS);
+    expect_held(&world, holder, target);
+    CU_ASSERT_EQUAL(world.instances[holder].table->leases[0].epoch, 2);
+}
+
 int
 main(void)
 {
@@ -418,6 +462,7 @@
     CU_ADD_TEST(suite, test_silent_holder_is_followed);
     CU_ADD_TEST(suite, test_leaving_member_gives_all_back);
     CU_ADD_TEST(suite, test_slices_go_to_the_preferred_member_later);
+    CU_ADD_TEST(suite, test_speaker_moves_slices_between_its_own_targets);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
     CU_cleanup_registry();
