Let a request id be followed across processes

At level debug the front names the holder of each try, and the holder says when a request went to its target and how it ended. Seen with one read through two processes: the id is in both logs. Nothing is written at the default level.

--- a/dispatch/target_pool.c
+++ b/dispatch/target_pool.c
@@ -7,6 +7,7 @@
 
 #include "core/clock.h"
 #include "core/id.h"
+#include "core/log.h"
 #include "dispatch/target.h"
 
 #define MAX_OPENING 8
@@ -94,7 +95,10 @@
     int64_t now_ms = RsClock_NowMs();
     int64_t latency_us = RsClock_NowUs() - work->sent_us;
     bool refused = connection->refused;
-    const char *reason = refused ? connection->reason : "target-failed";
+    const char *reason = outcome == RsOutcome_DONE ? "" : "target-failed";
+    if (refused) {
+        reason = connection->reason;
+    }
     connection->work = NULL;
     work->connection = NULL;
     if (outcome == RsOutcome_UNKNOWN) {
@@ -477,6 +481,11 @@
     work->connection = connection;
     work->sent_us = RsClock_NowUs();
     RsCounter_Add(&target->options.counters->sent, 1);
+    RsLog_EVENT(RsLog_DEBUG, "request_sent",
+                RsLog_TEXT("request_id", work->forward->request_id),
+                RsLog_TEXT("target", target->name),
+                RsLog_NUMBER("epoch", work->epoch),
+                RsLog_NUMBER("step", work->step));
     RsHealth_Sent(&target->health, now_ms, RsHealth_WORK);
     RsAnswer_Written(&connection->answer, true);
     if (write_request(connection, work) != 0) {
--- a/dispatch/target_work.c
+++ b/dispatch/target_work.c
@@ -1,6 +1,7 @@
 /* The end of a work: its head or its last body goes to the front. */
 
 #include "core/clock.h"
+#include "core/log.h"
 #include "dispatch/target.h"
 
 static void
@@ -34,6 +35,11 @@
     head.reason = (char *)reason;
     head.retry_after_ms = retry_after_ms;
     count(target->options.counters, outcome);
+    RsLog_EVENT(RsLog_DEBUG, "request_ended",
+                RsLog_TEXT("request_id", work->forward->request_id),
+                RsLog_TEXT("target", target->name),
+                RsLog_NUMBER("outcome", outcome),
+                RsLog_TEXT("reason", reason));
     g_hash_table_remove(target->works, &work->id);
     if (head_passed) {
         events->body(arg, NULL, 0, true, outcome != RsOutcome_DONE);
--- a/front/attempt.c
+++ b/front/attempt.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/clock.h"
+#include "core/log.h"
 #include "front/request.h"
 
 static void on_try_head(void *arg, const Rs__Relay__AnswerHead *head);
@@ -50,6 +51,9 @@
     struct rs_front *front = request->front;
     int64_t now_ms = RsClock_NowMs();
     RsCounter_Add(&front->counters.tries, 1);
+    RsLog_EVENT(RsLog_DEBUG, "request_tried",
+                RsLog_TEXT("request_id", request->request_id),
+                RsLog_TEXT("holder", process));
     RsRetry_Sent(&request->retry);
     request->forward->time_left_ms =
         (uint32_t)MAX(request->deadline_ms - now_ms, 1);
