Weigh cells by the targets that all of them know

Cause: after the loss of a target its cell left it out of the weights between cells, the others, who see it in the VM list still, did not; slices went to and fro between the two views until the list dropped it.

--- a/control/planning.c
+++ b/control/planning.c
@@ -173,6 +173,7 @@
     bool lost = RsLeases_TargetIsLost(round->planning->options.leases, name);
     struct rs_planner_target target = {
         .alive = vm != NULL && !lost,
+        .listed = vm != NULL,
         .leaving = vm != NULL && vm->leaving,
         .share = 1.0,
     };
--- a/place/balance.c
+++ b/place/balance.c
@@ -30,10 +30,12 @@
     GHashTable *averages; /* cell to slices for each target, a double */
 };
 
+/* What all cells know alike: were a target that only its own cell knows to be
+ * lost left out, the cells would give slices to and fro. */
 static bool
 is_usable(const struct rs_planner_target *target)
 {
-    return target->alive && !target->leaving && target->cell[0] != '\0';
+    return target->listed && !target->leaving && target->cell[0] != '\0';
 }
 
 static void
--- a/place/cell_balance_test.c
+++ b/place/cell_balance_test.c
@@ -46,6 +46,7 @@
         snprintf(target->domain, sizeof(target->domain), "d%zu", i / 3);
         snprintf(target->cell, sizeof(target->cell), "d%zu/0", i / 3);
         target->alive = true;
+        target->listed = true;
         target->share = 1;
     }
     for (size_t i = 0; i < SLICES; i++) {
@@ -231,6 +232,34 @@
     RsPlanner_FreePlan(&plan);
 }
 
+/* Its own cell alone knows that a target is lost: the weights, and so the
+ * moves between cells, are those that the other cells see. */
+static void
+test_weights_hide_a_target_that_is_lost_but_listed(void)
+{
+    struct world world;
+    struct rs_planner_plan plan;
+    open_world(&world);
+    world.targets[0].alive = false;
+    for (size_t i = 0; i < SLICES; i += TARGETS) {
+        give(&world, i, 1 + i / TARGETS % 2);
+    }
+    weigh(&world);
+    struct rs_planner_options options = {
+        .rule = "r",
+        .slices = SLICES,
+        .targets = world.targets,
+        .target_count = TARGETS,
+        .present = world.present,
+        .loads = world.weights,
+        .loads_are_weights = true,
+        .now_ms = NOW_MS,
+    };
+    CU_ASSERT_EQUAL(RsPlanner_Plan(&options, &plan), 0);
+    CU_ASSERT_EQUAL(plan.moves, 0);
+    RsPlanner_FreePlan(&plan);
+}
+
 static void
 test_weights_show_an_empty_cell(void)
 {
@@ -269,6 +298,7 @@
     CU_ADD_TEST(suite, test_slices_between_cells_stay);
     CU_ADD_TEST(suite, test_weights_hide_numbers_within_a_cell);
     CU_ADD_TEST(suite, test_weights_leave_an_empty_target_to_its_cell);
+    CU_ADD_TEST(suite, test_weights_hide_a_target_that_is_lost_but_listed);
     CU_ADD_TEST(suite, test_weights_show_an_empty_cell);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
--- a/place/planner.h
+++ b/place/planner.h
@@ -40,6 +40,7 @@
     char cell[RsModel_NAME_BYTES]; /* empty: not known yet */
     bool alive;   /* in the VM list, and not reported dead by its speaker */
     bool leaving; /* serves, and is to get no new work */
+    bool listed;  /* in the VM list: what all cells know alike */
     double share; /* of a full target's capacity, 0 to 1; slow ones less */
     double base_load; /* that it is taken to have besides its slices */
 };
