--- a/dispatch/target.c
+++ b/dispatch/target.c
@@ -407,6 +407,21 @@
     return count;
 }
 
+/* Notes which start of its process the target named; 0: it named none. */
+void
+RsTarget_SawStartId(struct rs_target *target, uint64_t start_id,
+                    int64_t now_ms)
+{
+    if (start_id == 0) {
+        return;
+    }
+    if (target->start_id != 0 && target->start_id != start_id) {
+        RsCounter_Add(&target->options.counters->restarts, 1);
+    }
+    target->start_id = start_id;
+    RsRamp_SawStartId(&target->ramp, now_ms, start_id);
+}
+
 /* Returns the target's state as a new JSON object. */
 json_t *
 RsTarget_Dump(const struct rs_target *target, int64_t now_ms)
--- a/dispatch/target.h
+++ b/dispatch/target.h
@@ -150,6 +150,8 @@
 json_t *RsTarget_Dump(const struct rs_target *target, int64_t now_ms);
 
 /* Shared by the files of this component. */
+void RsTarget_SawStartId(struct rs_target *target, uint64_t start_id,
+                         int64_t now_ms);
 void RsTargetPool_Fill(struct rs_target *target, int64_t now_ms);
 void RsTargetPool_Run(struct rs_target *target, int64_t now_ms);
 void RsTargetPool_Drop(struct rs_target_connection *connection);
--- a/dispatch/target_grant.c
+++ b/dispatch/target_grant.c
@@ -64,12 +64,7 @@
         grant->read_at_ms = now_ms;
     }
     if (start != NULL) {
-        uint64_t start_id = RsId_FromName(start);
-        if (target->start_id != 0 && target->start_id != start_id) {
-            RsCounter_Add(&target->options.counters->restarts, 1);
-        }
-        target->start_id = start_id;
-        RsRamp_SawStartId(&target->ramp, now_ms, start_id);
+        RsTarget_SawStartId(target, RsId_FromName(start), now_ms);
     }
 }
 
--- a/dispatch/target_pool.c
+++ b/dispatch/target_pool.c
@@ -152,19 +152,6 @@
     return text != NULL ? RsId_FromName(text) : 0;
 }
 
-static void
-saw_start_id(struct rs_target *target, uint64_t start_id)
-{
-    if (start_id == 0) {
-        return;
-    }
-    if (target->start_id != 0 && target->start_id != start_id) {
-        RsCounter_Add(&target->options.counters->restarts, 1);
-    }
-    target->start_id = start_id;
-    RsRamp_SawStartId(&target->ramp, RsClock_NowMs(), start_id);
-}
-
 static bool
 is_hop_header(const char *name)
 {
@@ -233,7 +220,7 @@
         give_up_connection(connection, &verdict);
         return;
     }
-    saw_start_id(connection->target, head.start_id);
+    RsTarget_SawStartId(connection->target, head.start_id, RsClock_NowMs());
     if (head.word == RsAnswer_WORD_NOT_RUN ||
         head.word == RsAnswer_WORD_ABORTED) {
         keep_refusal(connection, http);
