--- a/http/server.c
+++ b/http/server.c
@@ -1,5 +1,6 @@
 #include "http/server.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <stdbool.h>
 #include <string.h>
@@ -13,9 +14,15 @@
     struct rs_server *server;
 };
 
+/* h2o hands its context back with each request. */
+struct server_context {
+    h2o_context_t h2o;
+    struct rs_server *server;
+};
+
 struct rs_server {
     h2o_globalconf_t config;
-    h2o_context_t context;
+    struct server_context context;
     h2o_accept_ctx_t accept;
     uv_tcp_t listener;
     bool listening;
@@ -31,6 +38,7 @@
     struct rs_server *server;
     uv_os_fd_t fd;
     uint32_t requests; /* that have no whole answer yet */
+    bool ended;        /* nothing more is read from it */
 };
 
 /* In the pool of a request, so that its end is known. */
@@ -45,12 +53,20 @@
     open->accepted->requests--;
 }
 
-static void
-count_request(struct rs_server *server, h2o_req_t *request)
+static struct accepted *
+find_accepted(h2o_req_t *request)
 {
+    const struct server_context *context =
+        (const struct server_context *)request->conn->ctx;
     h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
-    struct accepted *accepted =
-        g_ptr_array_index(server->by_fd, h2o_socket_get_fd(socket));
+    return g_ptr_array_index(context->server->by_fd,
+                             h2o_socket_get_fd(socket));
+}
+
+static void
+count_request(h2o_req_t *request)
+{
+    struct accepted *accepted = find_accepted(request);
     struct open_request *open = h2o_mem_alloc_shared(
         &request->pool, sizeof(*open), on_request_disposed);
     open->accepted = accepted;
@@ -61,7 +77,7 @@
 on_request(h2o_handler_t *handler, h2o_req_t *request)
 {
     struct server_handler *self = (struct server_handler *)handler;
-    count_request(self->server, request);
+    count_request(request);
     self->server->handler(self->server->arg, request);
     return 0;
 }
@@ -126,8 +142,9 @@
         (struct server_handler *)h2o_create_handler(path, sizeof(*handler));
     handler->super.on_req = on_request;
     handler->server = server;
-    h2o_context_init(&server->context, options->loop, &server->config);
-    server->accept.ctx = &server->context;
+    server->context.server = server;
+    h2o_context_init(&server->context.h2o, options->loop, &server->config);
+    server->accept.ctx = &server->context.h2o;
     server->accept.hosts = server->config.hosts;
 }
 
@@ -179,11 +196,27 @@
     }
 }
 
+/* Tells whether the caller has closed the connection of a request that has no
+ * answer yet: the server does not read meanwhile. */
+bool
+RsServer_CallerLeft(h2o_req_t *request)
+{
+    char byte;
+    h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
+    const struct accepted *accepted = find_accepted(request);
+    if (accepted->ended) {
+        return false;
+    }
+    ssize_t size = recv(h2o_socket_get_fd(socket), &byte, sizeof(byte),
+                        MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 /* Changes how long a connection may be idle, or take to send a request. */
 void
 RsServer_SetIdleTimeout(struct rs_server *server, uint32_t timeout_ms)
 {
-    server->context.http1.req_timeout.timeout = timeout_ms;
+    server->context.h2o.http1.req_timeout.timeout = timeout_ms;
 }
 
 /* Returns how many connections are open. */
--- a/http/server.h
+++ b/http/server.h
@@ -6,6 +6,7 @@
 
 #include <h2o.h>
 #include <netinet/in.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -34,6 +35,7 @@
 void RsServer_StopListening(struct rs_server *server);
 void RsServer_CloseIdle(struct rs_server *server);
 void RsServer_SetIdleTimeout(struct rs_server *server, uint32_t timeout_ms);
+bool RsServer_CallerLeft(h2o_req_t *request);
 uint32_t RsServer_Connections(const struct rs_server *server);
 
 /* Answers. `content_type` may be NULL when there is no body. */
--- a/router/balance.c
+++ b/router/balance.c
@@ -6,12 +6,15 @@
  * together as much as this share of all requests, or as one a second. */
 #define IDLE_SHARE 0.15
 #define IDLE_LEAST_PER_S 1.0
-/* A target gives keys away above both: the mean use times a factor, and the
- * mean plus a margin of its capacity. Rates are means over a second or two,
- * so that smaller differences are chance. */
-#define GIVE_FACTOR 1.3
-#define GIVE_MARGIN 0.1
+/* A target gives keys away above both: its fair load times a factor, and its
+ * fair load plus some standard deviations of what was counted. */
+#define GIVE_FACTOR 1.25
+#define GIVE_DEVIATIONS 1.5
+#define LEAST_USE 0.2 /* below it requests hardly wait */
 #define LEAST_MOVE_PER_S 1.0
+/* Of the weight that would even two targets out. */
+#define LEAST_PIECE_SHARE 0.7
+#define MOST_PIECE_SHARE 1.6
 /* Hand-overs at a time: each stops its keys for about one request's time. */
 #define MAX_MOVES 6
 /* Pieces that the keys of a lost target are cut into, at most. */
@@ -75,6 +78,7 @@
     for (size_t i = 0; i < plan->input->target_count; i++) {
         plan->input->targets[i].load = 0;
         plan->input->targets[i].changing = false;
+        plan->input->targets[i].passed_over = false;
     }
     for (size_t i = 0; i < plan->map->ranges->len; i++) {
         const struct rs_key_range *range = RsKeymap_At(plan->map, i);
@@ -114,7 +118,7 @@
     struct rs_balance_target *worst = NULL;
     for (size_t i = 0; i < plan->input->target_count; i++) {
         struct rs_balance_target *target = &plan->input->targets[i];
-        if (target->eligible && !target->changing &&
+        if (target->eligible && !target->changing && !target->passed_over &&
             (worst == NULL || use_of(target) > use_of(worst))) {
             worst = target;
         }
@@ -191,58 +195,122 @@
     g_array_unref(lost);
 }
 
-/* Returns the range of the owner with the most requests for each key. */
-static const struct rs_key_range *
-busiest_range(const struct plan *plan, const struct rs_owner *owner)
+/* A run of keys of one range. */
+struct piece {
+    uint32_t first_key;
+    uint32_t last_key;
+    double weight;
+};
+
+/* Finds the fewest keys of a range that weigh at least `wanted` together, if
+ * they are fewer than those of `best`. */
+static void
+find_dense(const struct plan *plan, const struct rs_key_range *range,
+           double wanted, struct piece *best)
 {
-    const struct rs_key_range *best = NULL;
-    double best_weight = 0;
+    double weight = 0;
+    uint32_t first_key = range->first_key;
+    for (uint32_t key = range->first_key; key <= range->last_key; key++) {
+        weight += plan->input->rates[key] + plan->idle_per_key;
+        while (weight >= wanted) {
+            if (best->weight == 0 ||
+                key - first_key < best->last_key - best->first_key) {
+                *best = (struct piece){first_key, key, weight};
+            }
+            weight -= plan->input->rates[first_key] + plan->idle_per_key;
+            first_key++;
+        }
+    }
+}
+
+/* Finds the first keys of a range that weigh about `wanted`, for want of a
+ * dense piece: the densest key may be heavier than that. */
+static void
+find_first(const struct plan *plan, const struct rs_key_range *range,
+           double wanted, struct piece *best)
+{
+    uint32_t last_key =
+        cut_piece(plan, range->first_key, range->last_key, wanted);
+    double weight = weight_of(plan, range->first_key, last_key);
+    if (weight > best->weight && weight <= wanted) {
+        *best = (struct piece){range->first_key, last_key, weight};
+    }
+}
+
+/* Chooses which keys of an owner to move, about `wanted` in weight. The weight
+ * is 0 when there are none that fit. */
+static struct piece
+choose_piece(const struct plan *plan, const struct rs_owner *owner,
+             double wanted)
+{
+    struct piece dense = {0};
+    struct piece first = {0};
     for (size_t i = 0; i < plan->map->ranges->len; i++) {
         const struct rs_key_range *range = RsKeymap_At(plan->map, i);
-        if (!RsKeymap_SameOwner(&range->owner, owner)) {
-            continue;
-        }
-        double weight = weight_of(plan, range->first_key, range->last_key);
-        if (best == NULL || weight > best_weight) {
-            best = range;
-            best_weight = weight;
+        if (RsKeymap_SameOwner(&range->owner, owner)) {
+            find_dense(plan, range, wanted * LEAST_PIECE_SHARE, &dense);
+            find_first(plan, range, wanted, &first);
         }
     }
-    return best;
+    bool fits = dense.weight > 0 && dense.weight <= wanted * MOST_PIECE_SHARE;
+    return fits ? dense : first;
+}
+
+/* Returns the load above which a target gives keys away. Counted requests
+ * vary by chance with the root of their number. */
+static double
+give_limit(const struct plan *plan, const struct rs_balance_target *target)
+{
+    double fair = plan->mean_use * target->capacity;
+    double chance = sqrt(target->load / (2 * plan->input->window_s));
+    return MAX(fair * GIVE_FACTOR, fair + GIVE_DEVIATIONS * chance);
 }
 
-/* Moves a piece from a target that is used much to the one used least, of the
- * weight that brings both to the same use. Returns false when nothing is to
- * be gained. */
 static bool
-even_out(struct plan *plan)
+gives_keys(const struct plan *plan, const struct rs_balance_target *target)
+{
+    return use_of(target) >= LEAST_USE &&
+           target->load > give_limit(plan, target);
+}
+
+/* Moves a piece from a target to the one used least, of the weight that brings
+ * both to the same use. Returns false when nothing is to be gained. */
+static bool
+relieve(struct plan *plan, struct rs_balance_target *from)
 {
-    struct rs_balance_target *from = most_used(plan);
     struct rs_balance_target *to = least_used(plan);
-    if (from == NULL || to == NULL || from == to ||
-        use_of(from) <= plan->mean_use * GIVE_FACTOR ||
-        use_of(from) <= plan->mean_use + GIVE_MARGIN) {
+    if (to == NULL || from == to) {
         return false;
     }
     double both = from->capacity + to->capacity;
     double wanted =
         (from->load * to->capacity - to->load * from->capacity) / both;
     wanted = MIN(wanted, from->load - plan->mean_use * from->capacity);
-    const struct rs_key_range *range = busiest_range(plan, &from->owner);
-    if (wanted < LEAST_MOVE_PER_S || range == NULL) {
-        return false;
-    }
-    uint32_t first_key = range->first_key;
-    uint32_t last_key = cut_piece(plan, first_key, range->last_key, wanted);
-    double weight = weight_of(plan, first_key, last_key);
-    if (weight > wanted * 2 || weight < LEAST_MOVE_PER_S / 2 ||
-        !give(plan, first_key, last_key, to)) {
+    struct piece piece = choose_piece(plan, &from->owner, wanted);
+    if (piece.weight < LEAST_MOVE_PER_S ||
+        !give(plan, piece.first_key, piece.last_key, to)) {
         return false;
     }
-    from->load -= weight;
+    from->load -= piece.weight;
     return true;
 }
 
+/* Moves keys of the targets that are used most, each until it is used no more
+ * than it should be or none of its keys fit. */
+static void
+even_out(struct plan *plan)
+{
+    while (plan->moves < MAX_MOVES) {
+        struct rs_balance_target *from = most_used(plan);
+        if (from == NULL || !gives_keys(plan, from)) {
+            return;
+        }
+        if (!relieve(plan, from)) {
+            from->passed_over = true;
+        }
+    }
+}
+
 /* Changes the owners in the map. Returns how many pieces move. */
 size_t
 RsBalance_Plan(struct rs_keymap *map, struct rs_balance_input *input)
@@ -250,7 +318,6 @@
     struct plan plan = {.map = map, .input = input};
     measure(&plan);
     replace_owners(&plan);
-    while (plan.moves < MAX_MOVES && even_out(&plan)) {
-    }
+    even_out(&plan);
     return plan.moves;
 }
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -36,19 +36,6 @@
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 }
 
-/* A whole reading of the targets' table begins. */
-void
-RsFleet_BeginReading(struct rs_fleet *fleet)
-{
-    GHashTableIter iter;
-    gpointer value;
-    fleet->reading = true;
-    g_hash_table_iter_init(&iter, fleet->targets);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        ((struct rs_fleet_target *)value)->seen = false;
-    }
-}
-
 /* Whoever had the address before is not there any more. */
 static void
 mark_replaced(struct rs_fleet *fleet, const struct rs_fleet_target *by)
@@ -151,9 +138,6 @@
     if (RsReport_Decode(value, &report, &fault) != 0) {
         RsLog_EVENT(RsLog_WARNING, "report_malformed",
                     RsLog_TEXT("target", id), RsLog_TEXT("fault", fault));
-        if (target != NULL) {
-            target->seen = true;
-        }
         return;
     }
     if (target == NULL) {
@@ -162,7 +146,6 @@
         g_queue_init(&target->idle);
         g_hash_table_insert(fleet->targets, (gpointer)name, target);
     }
-    target->seen = true;
     if (!is_outdated(target, &report)) {
         update(fleet, target, &report, now_ms);
     }
@@ -190,82 +173,19 @@
                 RsLog_NUMBER("believed_for_ms", target->lapse_at_ms - now_ms));
 }
 
-/* Drops targets whose row was gone; without effect unless a whole reading has
- * ended. */
-void
-RsFleet_EndReading(struct rs_fleet *fleet, int64_t now_ms)
-{
-    GHashTableIter iter;
-    gpointer value;
-    if (!fleet->reading) {
-        return;
-    }
-    fleet->reading = false;
-    g_hash_table_iter_init(&iter, fleet->targets);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct rs_fleet_target *target = value;
-        if (!target->seen) {
-            RsFleet_DropRow(fleet, target->id, now_ms);
-        }
-    }
-}
-
-/* A whole reading of the evacuations begins. */
-void
-RsFleet_BeginEvacuations(struct rs_fleet *fleet)
-{
-    GHashTableIter iter;
-    gpointer value;
-    fleet->reading_evacuations = true;
-    g_hash_table_iter_init(&iter, fleet->evacuated);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        ((struct rs_fleet_evacuation *)value)->seen = false;
-    }
-}
-
-/* Takes zones back whose row was gone; without effect unless a whole reading
- * has ended. */
-void
-RsFleet_EndEvacuations(struct rs_fleet *fleet)
-{
-    GHashTableIter iter;
-    gpointer zone;
-    gpointer value;
-    if (!fleet->reading_evacuations) {
-        return;
-    }
-    fleet->reading_evacuations = false;
-    g_hash_table_iter_init(&iter, fleet->evacuated);
-    while (g_hash_table_iter_next(&iter, &zone, &value)) {
-        if (!((struct rs_fleet_evacuation *)value)->seen) {
-            RsLog_EVENT(RsLog_INFO, "zone_taken_back",
-                        RsLog_TEXT("zone", zone));
-            g_hash_table_iter_remove(&iter);
-            fleet->version++;
-        }
-    }
-}
-
 /* Notes that a zone is evacuated or taken back. */
 void
 RsFleet_SetEvacuated(struct rs_fleet *fleet, const char *zone, bool evacuated,
                      int64_t now_ms)
 {
     gpointer name = (gpointer)g_intern_string(zone);
-    struct rs_fleet_evacuation *known =
-        g_hash_table_lookup(fleet->evacuated, name);
-    if (known != NULL) {
-        known->seen = true;
-    }
-    if ((known != NULL) == evacuated) {
+    if (g_hash_table_contains(fleet->evacuated, name) == evacuated) {
         return;
     }
     if (evacuated) {
-        struct rs_fleet_evacuation *evacuation =
-            g_new0(struct rs_fleet_evacuation, 1);
-        evacuation->since_ms = now_ms;
-        evacuation->seen = true;
-        g_hash_table_insert(fleet->evacuated, name, evacuation);
+        int64_t *since_ms = g_new(int64_t, 1);
+        *since_ms = now_ms;
+        g_hash_table_insert(fleet->evacuated, name, since_ms);
     }
     else {
         g_hash_table_remove(fleet->evacuated, name);
@@ -316,11 +236,10 @@
 RsFleet_MayKeepWork(const struct rs_fleet *fleet,
                     const struct rs_fleet_target *target, int64_t now_ms)
 {
-    const struct rs_fleet_evacuation *evacuation =
+    const int64_t *evacuated_ms =
         g_hash_table_lookup(fleet->evacuated, target->report.zone);
     if (target->replaced ||
-        (evacuation != NULL &&
-         now_ms - evacuation->since_ms > KEEP_EVACUATED_MS)) {
+        (evacuated_ms != NULL && now_ms - *evacuated_ms > KEEP_EVACUATED_MS)) {
         return false;
     }
     return target->leaving_since_ms == 0 ||
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -38,23 +38,17 @@
     uint32_t connections;
 };
 
-struct rs_fleet_evacuation {
-    int64_t since_ms; /* when this node saw it */
-    bool seen;        /* by the whole reading in progress */
-};
-
 struct rs_fleet_events {
     /* The target has a new life, or is gone: close its connections. */
     void (*reset)(void *arg, struct rs_fleet_target *target);
 };
 
 struct rs_fleet {
-    GHashTable *targets;   /* id to struct rs_fleet_target */
-    GHashTable *evacuated; /* interned zone to struct rs_fleet_evacuation */
+    GHashTable *targets; /* id to struct rs_fleet_target */
+    GHashTable
+        *evacuated; /* interned zone to int64_t, when this node saw it */
     const struct rs_fleet_events *events;
     void *arg;
-    bool reading;             /* the targets' table is being read whole */
-    bool reading_evacuations; /* the operator's is */
     uint64_t version;         /* rises with each change of who may be used */
     int64_t store_lost_at_ms; /* last failure of the store */
     int64_t store_back_at_ms; /* first success after it */
@@ -64,13 +58,9 @@
                   void *arg);
 
 /* What the store holds. */
-void RsFleet_BeginReading(struct rs_fleet *fleet);
 void RsFleet_TakeRow(struct rs_fleet *fleet, const char *id, const char *value,
                      int64_t now_ms);
 void RsFleet_DropRow(struct rs_fleet *fleet, const char *id, int64_t now_ms);
-void RsFleet_EndReading(struct rs_fleet *fleet, int64_t now_ms);
-void RsFleet_BeginEvacuations(struct rs_fleet *fleet);
-void RsFleet_EndEvacuations(struct rs_fleet *fleet);
 void RsFleet_SetEvacuated(struct rs_fleet *fleet, const char *zone,
                           bool evacuated, int64_t now_ms);
 void RsFleet_NoteStore(struct rs_fleet *fleet, bool reachable, int64_t now_ms);
--- a/router/follower.c
+++ b/router/follower.c
@@ -12,9 +12,12 @@
 struct rs_follower {
     struct rs_follower_options options;
     uv_timer_t timer;
-    uint64_t version;
+    struct rs_rows mirror;
     char *next_key; /* of a whole reading in progress */
-    bool following;
+    uint64_t reading_version;
+    bool following; /* the table was read whole */
+    bool fed;
+    bool calling;
     int64_t fresh_at_ms;
 };
 
@@ -23,21 +26,39 @@
 static void
 on_timer(uv_timer_t *timer)
 {
-    call(timer->data);
+    struct rs_follower *follower = timer->data;
+    if (!follower->calling && !follower->fed) {
+        call(follower);
+    }
 }
 
 static void
 call_after(struct rs_follower *follower, uint32_t delay_ms)
 {
+    follower->calling = false;
     uv_timer_start(&follower->timer, on_timer, delay_ms, 0);
 }
 
 static void
-give_rows(struct rs_follower *follower, const struct rs_store_rows *rows)
+on_gone(void *arg, const struct rs_known_row *row)
 {
+    struct rs_follower *follower = arg;
+    follower->options.events->row(follower->options.arg, row);
+}
+
+static bool
+take_rows(struct rs_follower *follower, const struct rs_store_rows *rows)
+{
+    bool changed = false;
     for (size_t i = 0; i < rows->count; i++) {
-        follower->options.events->row(follower->options.arg, &rows->rows[i]);
+        const struct rs_known_row *row =
+            RsRows_Put(&follower->mirror, &rows->rows[i]);
+        if (row != NULL) {
+            follower->options.events->row(follower->options.arg, row);
+            changed = true;
+        }
     }
+    return changed;
 }
 
 static void
@@ -48,21 +69,29 @@
     follower->next_key = NULL;
 }
 
+static void
+caught_up(struct rs_follower *follower, bool changed)
+{
+    follower->fresh_at_ms = RsClock_NowMs();
+    follower->options.events->caught_up(follower->options.arg, changed);
+}
+
 static void
 on_page(void *arg, enum rs_store_status status,
         const struct rs_store_rows *rows)
 {
     struct rs_follower *follower = arg;
+    follower->options.events->store(follower->options.arg, status);
     if (status != RsStore_DONE) {
         call_after(follower, RETRY_MS);
         return;
     }
     if (follower->next_key == NULL) {
         /* Later pages may be newer; what changed meanwhile comes again. */
-        follower->version = rows->version;
-        follower->options.events->reading(follower->options.arg);
+        follower->reading_version = rows->version;
+        RsRows_BeginWhole(&follower->mirror);
     }
-    give_rows(follower, rows);
+    take_rows(follower, rows);
     if (rows->more && rows->count > 0) {
         g_free(follower->next_key);
         /* The least key after the last one read. */
@@ -72,8 +101,9 @@
         return;
     }
     follower->following = true;
-    follower->fresh_at_ms = RsClock_NowMs();
-    follower->options.events->caught_up(follower->options.arg);
+    RsRows_EndWhole(&follower->mirror, follower->reading_version, on_gone,
+                    follower);
+    caught_up(follower, true);
     call_after(follower, follower->options.pause_ms);
 }
 
@@ -82,10 +112,11 @@
            const struct rs_store_rows *rows)
 {
     struct rs_follower *follower = arg;
+    follower->options.events->store(follower->options.arg, status);
     if (status == RsStore_TRUNCATED) {
         RsLog_EVENT(RsLog_WARNING, "history_gone",
                     RsLog_TEXT("table", follower->options.table),
-                    RsLog_NUMBER("version", follower->version));
+                    RsLog_NUMBER("version", follower->mirror.version));
         start_reading(follower);
         call(follower);
         return;
@@ -94,12 +125,9 @@
         call_after(follower, RETRY_MS);
         return;
     }
-    follower->version = MAX(follower->version, rows->version);
-    follower->fresh_at_ms = RsClock_NowMs();
-    give_rows(follower, rows);
-    if (rows->count > 0) {
-        follower->options.events->caught_up(follower->options.arg);
-    }
+    bool changed = take_rows(follower, rows);
+    follower->mirror.version = MAX(follower->mirror.version, rows->version);
+    caught_up(follower, changed);
     call_after(follower, follower->options.pause_ms);
 }
 
@@ -107,9 +135,11 @@
 call(struct rs_follower *follower)
 {
     const struct rs_follower_options *options = &follower->options;
+    follower->calling = true;
     if (follower->following) {
-        RsStore_Follow(options->store, options->table, follower->version,
-                       options->wait_ms, on_changes, follower);
+        RsStore_Follow(options->store, options->table,
+                       follower->mirror.version, options->wait_ms, on_changes,
+                       follower);
     }
     else {
         const char *from =
@@ -124,15 +154,68 @@
 {
     struct rs_follower *follower = g_new0(struct rs_follower, 1);
     follower->options = *options;
+    RsRows_Init(&follower->mirror);
     uv_timer_init(options->loop, &follower->timer);
     follower->timer.data = follower;
     call(follower);
     return follower;
 }
 
+/* Returns the name of the table. */
+const char *
+RsFollower_Table(const struct rs_follower *follower)
+{
+    return follower->options.table;
+}
+
+/* Returns the rows that are known. */
+const struct rs_rows *
+RsFollower_Rows(const struct rs_follower *follower)
+{
+    return &follower->mirror;
+}
+
 /* Returns when the table was last known to be up to date. */
 int64_t
 RsFollower_FreshAtMs(const struct rs_follower *follower)
 {
     return follower->fresh_at_ms;
 }
+
+/* Leaves the store alone while another node tells all changes, or goes back
+ * to it at once. */
+void
+RsFollower_SetFed(struct rs_follower *follower, bool fed)
+{
+    bool resume = follower->fed && !fed;
+    follower->fed = fed;
+    if (resume && !follower->calling) {
+        call(follower);
+    }
+}
+
+/* Takes rows from another node; `whole` says that the table has no others as
+ * of the rows' version. */
+void
+RsFollower_Feed(struct rs_follower *follower, const struct rs_store_rows *rows,
+                bool whole)
+{
+    if (whole) {
+        RsRows_BeginWhole(&follower->mirror);
+    }
+    bool changed = take_rows(follower, rows);
+    if (whole) {
+        RsRows_EndWhole(&follower->mirror, rows->version, on_gone, follower);
+        follower->following = true;
+    }
+    follower->mirror.version = MAX(follower->mirror.version, rows->version);
+    follower->options.events->caught_up(follower->options.arg,
+                                        changed || whole);
+}
+
+/* Notes that another node knew the table to be up to date then. */
+void
+RsFollower_NoteFresh(struct rs_follower *follower, int64_t fresh_at_ms)
+{
+    follower->fresh_at_ms = MAX(follower->fresh_at_ms, fresh_at_ms);
+}
--- a/router/follower.h
+++ b/router/follower.h
@@ -1,5 +1,6 @@
-/* Keeps up with one table of the store: reads it whole, then follows its
- * changes, and reads it again when the history is gone. */
+/* Keeps up with one table: reads it whole from the store, then follows its
+ * changes, and reads it again when the history is gone. While another node
+ * feeds it, it leaves the store alone. */
 
 #ifndef RATTANSHED_ROUTER_FOLLOWER_H
 #define RATTANSHED_ROUTER_FOLLOWER_H
@@ -7,19 +8,20 @@
 #include <uv.h>
 
 #include "platform/store.h"
+#include "router/rows.h"
 
 struct rs_follower_events {
-    /* A whole reading begins; rows not named before `caught_up` are gone. */
-    void (*reading)(void *arg);
-    void (*row)(void *arg, const struct rs_store_row *row);
-    void (*caught_up)(void *arg);
+    void (*row)(void *arg, const struct rs_known_row *row); /* newer ones */
+    void (*caught_up)(void *arg, bool changed);
+    /* A call to the store had no good answer, or had one. */
+    void (*store)(void *arg, enum rs_store_status status);
 };
 
 struct rs_follower_options {
     uv_loop_t *loop;
     struct rs_store *store;
     const char *table;
-    uint32_t pause_ms; /* between two calls that brought changes */
+    uint32_t pause_ms; /* between two calls */
     uint32_t wait_ms;  /* for a change, at the store */
     const struct rs_follower_events *events;
     void *arg;
@@ -28,8 +30,17 @@
 struct rs_follower;
 
 struct rs_follower *RsFollower_Open(const struct rs_follower_options *options);
+const char *RsFollower_Table(const struct rs_follower *follower);
+const struct rs_rows *RsFollower_Rows(const struct rs_follower *follower);
 
-/* Clock reading of the last good answer, 0 if there was none. */
+/* Clock reading at which the table was last known to be up to date; 0 until
+ * it was read once. */
 int64_t RsFollower_FreshAtMs(const struct rs_follower *follower);
 
+/* News from another node. */
+void RsFollower_SetFed(struct rs_follower *follower, bool fed);
+void RsFollower_Feed(struct rs_follower *follower,
+                     const struct rs_store_rows *rows, bool whole);
+void RsFollower_NoteFresh(struct rs_follower *follower, int64_t fresh_at_ms);
+
 #endif
--- a/router/granter.c
+++ b/router/granter.c
@@ -14,7 +14,10 @@
 #define LEASE_MARGIN_MS                                                       \
     100 /* clocks of two nodes differ by less in LEASE_MS */
 #define COMMIT_EVERY_MS 650 /* three tries within a lease */
-#define COMMIT_SOON_MS 60   /* changes in a row share one commit */
+#define COMMIT_SOON_MS 20   /* changes in a row share one commit */
+/* Other nodes know of a new owner this long after the commit; then the former
+ * one is asked to release, and nobody sends it requests any more. */
+#define PUBLISH_MS 40
 /* Without a confirmed commit for this long, grants are made as long as
  * targets take them, so that they bridge an outage of the store. */
 #define STORE_SILENT_MS 1100
@@ -161,14 +164,27 @@
     }
 }
 
+/* Takes from another node that the holder has renewed its lease. */
+void
+RsGranter_LeaseHeard(struct rs_granter *granter, uint64_t incarnation,
+                     uint64_t version, int64_t now_ms)
+{
+    if (granter->phase == RsGranter_OBSERVING &&
+        incarnation == granter->holder.incarnation &&
+        version > granter->lease_version) {
+        granter->lease_version = version;
+        granter->lease_seen_ms = now_ms;
+    }
+}
+
 /* Returns when the lease row should be read next. */
 int64_t
 RsGranter_NextLeaseReadMs(const struct rs_granter *granter, int64_t now_ms)
 {
     int64_t lapse_ms = granter->lease_seen_ms + LEASE_MS;
-    int64_t next_ms = now_ms + LEASE_READ_EVERY_MS;
-    return granter->lease_known && lapse_ms > now_ms ? MIN(next_ms, lapse_ms)
-                                                     : next_ms;
+    return granter->lease_known && lapse_ms > now_ms
+               ? lapse_ms
+               : now_ms + LEASE_READ_EVERY_MS;
 }
 
 static void
@@ -214,6 +230,19 @@
     }
 }
 
+/* Ranges that this commit gave to others are not released at once. */
+static void
+delay_releases(struct rs_granter_map *entry, int64_t now_ms)
+{
+    for (size_t i = 0; i < entry->map->ranges->len; i++) {
+        struct rs_key_range *range = RsKeymap_At(entry->map, i);
+        if (range->former.id != NULL &&
+            range->fence >= entry->committed_fence) {
+            range->orders.next_release_ms = now_ms + PUBLISH_MS;
+        }
+    }
+}
+
 static void
 take_confirmed(struct rs_granter *granter, uint64_t version, int64_t now_ms)
 {
@@ -226,6 +255,7 @@
     for (size_t i = 0; i < granter->map_count; i++) {
         struct rs_granter_map *entry = &granter->maps[i];
         if (entry->offered) {
+            delay_releases(entry, now_ms);
             entry->row_version = version;
             entry->committed_fence = entry->offered_fence;
             entry->offered = false;
@@ -404,11 +434,6 @@
                   .hold_ms = hold_ms,
                   .handover = to_former ? NULL : orders->handover},
     };
-    int64_t until_ms = now_ms + longest_hold_ms(hold_ms);
-    int64_t *known_until_ms =
-        to_former ? &orders->former_until_ms : &orders->hold_until_ms;
-    orders->until_before_ms = *known_until_ms;
-    *known_until_ms = MAX(*known_until_ms, until_ms);
     orders->grant_in_flight = true;
     orders->next_grant_ms = now_ms + RENEW_EVERY_MS;
     granter->options.actions->order(granter->options.arg, &order);
@@ -464,7 +489,7 @@
     else if (orders->released && now_ms >= orders->unsure_until_ms) {
         settle(entry, range, "released");
     }
-    else if (now_ms >= orders->former_until_ms) {
+    else if (!orders->grant_in_flight && now_ms >= orders->former_until_ms) {
         settle(entry, range, "lapsed");
     }
     else if (!orders->release_in_flight && !orders->grant_in_flight &&
@@ -597,6 +622,24 @@
     return to_owner || to_former ? range : NULL;
 }
 
+/* A grant counts from its arrival, which was before its answer, or before its
+ * connection was reset for want of one. */
+static void
+note_hold(struct rs_range_orders *orders, const struct rs_order *order,
+          bool to_owner, int status, int64_t now_ms)
+{
+    int64_t *until_ms =
+        to_owner ? &orders->hold_until_ms : &orders->former_until_ms;
+    if (status == RsGranter_NOT_SENT) {
+        return;
+    }
+    *until_ms = MAX(*until_ms, now_ms + longest_hold_ms(order->grant.hold_ms));
+    if (status == RsGranter_UNANSWERED) {
+        /* It may be applied later, also after a release. */
+        orders->unsure_until_ms = MAX(orders->unsure_until_ms, *until_ms);
+    }
+}
+
 static void
 take_grant_answer(struct rs_granter_map *entry, struct rs_key_range *range,
                   const struct rs_order *order, int status, int64_t now_ms)
@@ -605,16 +648,7 @@
     bool to_owner = range->owner.id == order->target_id &&
                     range->fence == order->grant.fence;
     orders->grant_in_flight = false;
-    if (status == RsGranter_NOT_SENT) {
-        int64_t *until_ms =
-            to_owner ? &orders->hold_until_ms : &orders->former_until_ms;
-        *until_ms = orders->until_before_ms;
-    }
-    else if (status < 0) {
-        /* It may be applied later, also after a release. */
-        orders->unsure_until_ms =
-            to_owner ? orders->hold_until_ms : orders->former_until_ms;
-    }
+    note_hold(orders, order, to_owner, status, now_ms);
     if (status == RsWire_GRANTED && to_owner) {
         orders->granted_ms = now_ms;
         g_free(orders->handover);
--- a/router/granter.h
+++ b/router/granter.h
@@ -107,6 +107,8 @@
 /* What came in. */
 void RsGranter_LeaseRead(struct rs_granter *granter, uint64_t version,
                          const char *value, int64_t now_ms);
+void RsGranter_LeaseHeard(struct rs_granter *granter, uint64_t incarnation,
+                          uint64_t version, int64_t now_ms);
 void RsGranter_Committed(struct rs_granter *granter,
                          enum rs_store_status status,
                          const struct rs_store_rows *rows, int64_t now_ms);
--- a/router/node.c
+++ b/router/node.c
@@ -11,7 +11,7 @@
 #include "platform/wire.h"
 #include "router/balance.h"
 #include "router/exchange.h"
-#include "router/follower.h"
+#include "router/stream.h"
 #include "router/granter.h"
 #include "router/metrics.h"
 #include "router/orders.h"
@@ -21,12 +21,13 @@
 #define TICK_MS 25           /* resolution of all deadlines */
 #define WATCH_EVERY_TICKS 4  /* a caller's leaving is acted on in 100 ms */
 #define REPORT_EVERY_TICKS 6 /* to the granter; queues change in 150 ms */
-#define PLAN_EVERY_TICKS 10  /* of owners; rates are means over 1.5 s */
+#define PLAN_EVERY_TICKS 12  /* of owners; rates are means over 1.5 s */
 /* News of targets may be 2 s old at most where one leaves. */
 #define TARGETS_PAUSE_MS 400
 #define TARGETS_WAIT_MS 600
-#define OPERATOR_WAIT_MS 1200 /* a silent connection is noticed in 2.7 s */
-#define KEYS_WAIT_MS 1200
+/* Subscribers take news for out of date after 1.3 s without an answer. */
+#define OPERATOR_WAIT_MS 800
+#define KEYS_WAIT_MS 800
 #define SOON_MS 20
 /* Before the first owners are chosen, targets are given time to report. */
 #define FIRST_PLAN_AFTER_MS 1500
@@ -53,9 +54,7 @@
     struct rs_granter granter;
     struct rs_orders orders;
     struct rs_reports *reports;
-    struct rs_follower *operator_rows;
-    struct rs_follower *target_rows;
-    struct rs_follower *key_rows;
+    struct rs_stream *stream;
     struct rs_server *callers;
     struct rs_server *readiness;
     struct rs_server *admin;
@@ -114,7 +113,7 @@
 /* The operator's rows. */
 
 static void
-take_config(struct node *node, const struct rs_store_row *row)
+take_config(struct node *node, const struct rs_known_row *row)
 {
     const char *fault;
     struct rs_routing *config = RsRouting_Decode(row->value, &fault);
@@ -135,14 +134,7 @@
 }
 
 static void
-on_operator_reading(void *arg)
-{
-    struct node *node = arg;
-    RsFleet_BeginEvacuations(&node->router.fleet);
-}
-
-static void
-on_operator_row(void *arg, const struct rs_store_row *row)
+on_operator_row(void *arg, const struct rs_known_row *row)
 {
     struct node *node = arg;
     if (strcmp(row->key, RsWire_CONFIG_KEY) == 0 && !row->deleted) {
@@ -156,30 +148,35 @@
 }
 
 static void
-on_operator_caught_up(void *arg)
+on_caught_up(void *arg, bool changed)
+{
+    struct node *node = arg;
+    if (changed) {
+        RsStream_Publish(node->stream);
+        RsRequest_PumpWaiting(&node->router, RsClock_NowMs());
+    }
+}
+
+static void
+on_store(void *arg, enum rs_store_status status)
 {
     struct node *node = arg;
-    RsFleet_EndEvacuations(&node->router.fleet);
-    RsRequest_PumpWaiting(&node->router, RsClock_NowMs());
+    bool reachable = status != RsStore_REFUSED &&
+                     status != RsStore_UNANSWERED &&
+                     status != RsStore_MALFORMED;
+    RsFleet_NoteStore(&node->router.fleet, reachable, RsClock_NowMs());
 }
 
 static const struct rs_follower_events operator_events = {
-    .reading = on_operator_reading,
     .row = on_operator_row,
-    .caught_up = on_operator_caught_up,
+    .caught_up = on_caught_up,
+    .store = on_store,
 };
 
 /* The targets' rows. */
 
 static void
-on_targets_reading(void *arg)
-{
-    struct node *node = arg;
-    RsFleet_BeginReading(&node->router.fleet);
-}
-
-static void
-on_target_row(void *arg, const struct rs_store_row *row)
+on_target_row(void *arg, const struct rs_known_row *row)
 {
     struct node *node = arg;
     if (row->deleted) {
@@ -192,22 +189,20 @@
 }
 
 static void
-on_targets_caught_up(void *arg)
+on_targets_caught_up(void *arg, bool changed)
 {
     struct node *node = arg;
-    int64_t now_ms = RsClock_NowMs();
-    RsFleet_EndReading(&node->router.fleet, now_ms);
     if (!node->targets_known) {
         node->targets_known = true;
-        node->targets_known_ms = now_ms;
+        node->targets_known_ms = RsClock_NowMs();
     }
-    RsRequest_PumpWaiting(&node->router, now_ms);
+    on_caught_up(node, changed);
 }
 
 static const struct rs_follower_events target_events = {
-    .reading = on_targets_reading,
     .row = on_target_row,
     .caught_up = on_targets_caught_up,
+    .store = on_store,
 };
 
 static void
@@ -223,12 +218,7 @@
 /* The rows that say who owns which keys. */
 
 static void
-on_keys_reading(void *arg)
-{
-}
-
-static void
-on_keys_row(void *arg, const struct rs_store_row *row)
+on_keys_row(void *arg, const struct rs_known_row *row)
 {
     struct node *node = arg;
     if (!g_str_has_prefix(row->key, RsGranter_MAP_PREFIX) || row->deleted) {
@@ -246,37 +236,22 @@
     RsRouter_SetKeys(&node->router, map, row->version);
 }
 
-static void
-on_keys_caught_up(void *arg)
-{
-    struct node *node = arg;
-    RsRequest_PumpWaiting(&node->router, RsClock_NowMs());
-}
-
 static const struct rs_follower_events key_events = {
-    .reading = on_keys_reading,
     .row = on_keys_row,
-    .caught_up = on_keys_caught_up,
+    .caught_up = on_caught_up,
+    .store = on_store,
 };
 
 /* The granter's actions. */
 
-static void
-note_store(struct node *node, enum rs_store_status status)
-{
-    bool reachable = status != RsStore_REFUSED &&
-                     status != RsStore_UNANSWERED &&
-                     status != RsStore_MALFORMED;
-    RsFleet_NoteStore(&node->router.fleet, reachable, RsClock_NowMs());
-}
-
 static void
 on_committed(void *arg, enum rs_store_status status,
              const struct rs_store_rows *rows)
 {
     struct node *node = arg;
-    note_store(node, status);
+    on_store(node, status);
     RsGranter_Committed(&node->granter, status, rows, RsClock_NowMs());
+    RsGranter_Tick(&node->granter, RsClock_NowMs());
 }
 
 static void
@@ -291,7 +266,7 @@
         const struct rs_store_rows *rows)
 {
     struct node *node = arg;
-    note_store(node, status);
+    on_store(node, status);
     RsGranter_MapsLoaded(&node->granter, status, rows, RsClock_NowMs());
 }
 
@@ -323,7 +298,7 @@
     struct node *node = arg;
     int64_t now_ms = RsClock_NowMs();
     node->reading_lease = false;
-    note_store(node, status);
+    on_store(node, status);
     if (status == RsStore_DONE && rows->count > 0) {
         RsGranter_LeaseRead(&node->granter, rows->rows[0].version,
                             rows->rows[0].value, now_ms);
@@ -390,6 +365,7 @@
     struct rs_balance_input input = {
         .targets = targets,
         .rates = RsReports_Rates(node->reports, service->name, now_ms),
+        .window_s = RsReports_RATE_WINDOW_MS / MS_PER_S,
     };
     GHashTableIter iter;
     gpointer value;
@@ -489,6 +465,7 @@
     }
     read_lease(node, now_ms);
     RsGranter_Tick(&node->granter, now_ms);
+    RsStream_Tick(node->stream, now_ms);
     RsLog_Flush();
     if (node->router.draining) {
         drain(node, now_ms);
@@ -511,6 +488,7 @@
         now_ms + (int64_t)(node->options.settings->bounds.grace_s * MS_PER_S) -
         DRAIN_MOST_MARGIN_MS;
     RsGranter_Resign(&node->granter, now_ms);
+    RsStream_Leave(node->stream);
 }
 
 /* What the file holds is fixed for the life of a process, but a faulty file
@@ -586,18 +564,29 @@
     return RsFollower_Open(&options);
 }
 
-static void
+static int
 open_store(struct node *node)
 {
     struct sockaddr_in address;
-    RsNode_ParseEndpoint(node->options.settings->store.address, &address);
+    const struct rs_node_settings *settings = node->options.settings;
+    RsNode_ParseEndpoint(settings->store.address, &address);
     node->store = RsStore_Open(&node->loop, &address);
-    node->operator_rows = follow(node, RsWire_OPERATOR_TABLE, SOON_MS,
-                                 OPERATOR_WAIT_MS, &operator_events);
-    node->target_rows = follow(node, RsWire_TARGET_TABLE, TARGETS_PAUSE_MS,
-                               TARGETS_WAIT_MS, &target_events);
-    node->key_rows =
-        follow(node, RsGranter_MAP_TABLE, SOON_MS, KEYS_WAIT_MS, &key_events);
+    const struct rs_stream_options options = {
+        .loop = &node->loop,
+        .node = settings->node.name,
+        .host = settings->node.address,
+        .port = settings->listen.peer_port,
+        .granter = &node->granter,
+        .followers = {follow(node, RsWire_OPERATOR_TABLE, SOON_MS,
+                             OPERATOR_WAIT_MS, &operator_events),
+                      follow(node, RsWire_TARGET_TABLE, TARGETS_PAUSE_MS,
+                             TARGETS_WAIT_MS, &target_events),
+                      follow(node, RsGranter_MAP_TABLE, SOON_MS, KEYS_WAIT_MS,
+                             &key_events)},
+        .follower_count = 3,
+    };
+    node->stream = RsStream_Open(&options);
+    return node->stream != NULL ? 0 : RsNode_NO_PEER_PORT;
 }
 
 static void
@@ -658,7 +647,10 @@
         return RsNode_NO_PEER_PORT;
     }
     open_granter(node);
-    open_store(node);
+    status = open_store(node);
+    if (status != 0) {
+        return status;
+    }
     uv_timer_init(&node->loop, &node->tick);
     node->tick.data = node;
     uv_timer_start(&node->tick, on_tick, TICK_MS, TICK_MS);
--- a/router/orders.c
+++ b/router/orders.c
@@ -45,6 +45,7 @@
     }
     RsGranter_OrderAnswered(call->orders->granter, &call->order, status,
                             call->handover, now_ms);
+    RsGranter_Tick(call->orders->granter, now_ms);
     g_free(call->handover);
     g_free(call->handover_sent);
     uv_close((uv_handle_t *)&call->timer, on_freed);
--- a/router/reports.c
+++ b/router/reports.c
@@ -12,8 +12,6 @@
 /* Nodes count as routing requests for longer, so that the shares of budgets
  * don't grow while one is paused. */
 #define NODE_LIFETIME_MS 5000
-/* A hot key must be noticed within a second. */
-#define RATE_WINDOW_MS 1500.0
 #define MS_PER_S 1000.0
 #define US_PER_MS 1000.0
 #define MAX_DATAGRAM_BYTES 60000
@@ -95,8 +93,8 @@
                 int64_t now_ms)
 {
     struct rates *rates = rates_of(reports, service, now_ms);
-    float factor =
-        (float)exp(-(double)(now_ms - rates->decayed_ms) / RATE_WINDOW_MS);
+    float factor = (float)exp(-(double)(now_ms - rates->decayed_ms) /
+                              RsReports_RATE_WINDOW_MS);
     for (size_t key = 0; key < RsKeymap_KEYS; key++) {
         rates->per_key[key] *= factor;
     }
@@ -115,7 +113,7 @@
         for (size_t k = 0; k < keys->n_keys; k++) {
             if (keys->keys[k] < RsKeymap_KEYS) {
                 rates->per_key[keys->keys[k]] +=
-                    (float)(MS_PER_S / RATE_WINDOW_MS);
+                    (float)(MS_PER_S / RsReports_RATE_WINDOW_MS);
             }
         }
     }
--- a/router/reports.h
+++ b/router/reports.h
@@ -7,6 +7,10 @@
 
 #include "router/router.h"
 
+/* Requests of this span make a rate: a hot key must be noticed within a
+ * second. */
+#define RsReports_RATE_WINDOW_MS 1500
+
 struct rs_reports;
 
 struct rs_reports *RsReports_Open(struct rs_router *router,
--- a/router/request.c
+++ b/router/request.c
@@ -3,10 +3,8 @@
 
 #include "router/request.h"
 
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include "core/clock.h"
 #include "core/log.h"
@@ -17,7 +15,7 @@
  * that still leaves most answers within it. */
 #define WAIT_DIVISOR 4
 /* Keys that are being handed over are back within some hundred ms. */
-#define KEYED_WAIT_DIVISOR 2
+#define KEYED_WAIT_DIVISOR 1
 #define MAX_WAITING 400 /* two seconds of one node's share at its peak */
 /* An answer that has begun may go on beyond the request's time, but not for
  * ever. */
@@ -314,18 +312,7 @@
     RsRequest_PumpWaiting(router, now_ms);
 }
 
-static bool
-caller_left(h2o_req_t *http)
-{
-    char byte;
-    h2o_socket_t *socket = http->conn->callbacks->get_socket(http->conn);
-    ssize_t size = recv(h2o_socket_get_fd(socket), &byte, sizeof(byte),
-                        MSG_PEEK | MSG_DONTWAIT);
-    return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
-}
-
-/* Ends the requests whose callers have closed their connections; the server
- * does not read while it waits for an answer. */
+/* Ends the requests whose callers have closed their connections. */
 void
 RsRequest_WatchCallers(struct rs_router *router)
 {
@@ -333,7 +320,7 @@
     while (link != NULL) {
         struct rs_request *request = link->data;
         link = link->next;
-        if (request->started || !caller_left(request->http)) {
+        if (request->started || !RsServer_CallerLeft(request->http)) {
             continue;
         }
         RsCounter_Add(&router->counters.abandoned, 1);
--- /dev/null
+++ b/router/rows.c
@@ -0,0 +1,114 @@
+#include "router/rows.h"
+
+#include <string.h>
+
+static void
+free_row(gpointer data)
+{
+    struct rs_known_row *row = data;
+    g_free(row->key);
+    g_free(row->value);
+    g_free(row);
+}
+
+/* Prepares an empty mirror. */
+void
+RsRows_Init(struct rs_rows *mirror)
+{
+    mirror->rows =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_row);
+    mirror->version = 0;
+}
+
+/* Frees the rows. */
+void
+RsRows_Clear(struct rs_rows *mirror)
+{
+    g_hash_table_unref(mirror->rows);
+}
+
+static void
+set_value(struct rs_known_row *row, const char *value, size_t size_bytes)
+{
+    g_free(row->value);
+    row->value = g_malloc(size_bytes + 1);
+    memcpy(row->value, value, size_bytes);
+    row->value[size_bytes] = '\0';
+    row->value_bytes = size_bytes;
+}
+
+/* Takes a row. Returns what is kept of it, or NULL when the row was known
+ * already or is older than what is known. */
+const struct rs_known_row *
+RsRows_Put(struct rs_rows *mirror, const struct rs_store_row *news)
+{
+    struct rs_known_row *row = g_hash_table_lookup(mirror->rows, news->key);
+    if (row != NULL) {
+        row->seen = true;
+        if (news->version <= row->version) {
+            return NULL;
+        }
+    }
+    else {
+        row = g_new0(struct rs_known_row, 1);
+        row->key = g_strdup(news->key);
+        row->seen = true;
+        g_hash_table_insert(mirror->rows, row->key, row);
+    }
+    row->version = news->version;
+    row->deleted = news->deleted;
+    set_value(row, news->deleted ? "" : news->value,
+              news->deleted ? 0 : news->value_bytes);
+    mirror->version = MAX(mirror->version, news->version);
+    return row;
+}
+
+/* A whole reading of the table begins. */
+void
+RsRows_BeginWhole(struct rs_rows *mirror)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, mirror->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((struct rs_known_row *)value)->seen = false;
+    }
+}
+
+/* The reading has ended; the table was read as of `version`. Rows that it did
+ * not name, and that are not newer, are deleted; `gone` gets each. */
+void
+RsRows_EndWhole(struct rs_rows *mirror, uint64_t version, rs_rows_visitor gone,
+                void *arg)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, mirror->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rs_known_row *row = value;
+        if (row->seen || row->deleted || row->version > version) {
+            continue;
+        }
+        row->deleted = true;
+        row->version = version;
+        set_value(row, "", 0);
+        gone(arg, row);
+    }
+    mirror->version = MAX(mirror->version, version);
+}
+
+/* Visits the rows that changed after a version, deleted ones too. */
+void
+RsRows_Since(const struct rs_rows *mirror, uint64_t version,
+             rs_rows_visitor visit, void *arg)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, mirror->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct rs_known_row *row = value;
+        if (row->version > version) {
+            visit(arg, row);
+        }
+    }
+}
--- /dev/null
+++ b/router/rows.h
@@ -0,0 +1,45 @@
+/* The rows of one table as this node knows them, deleted ones included, so
+ * that what is old or told twice changes nothing, and others can be told what
+ * changed. No I/O. */
+
+#ifndef RATTANSHED_ROUTER_ROWS_H
+#define RATTANSHED_ROUTER_ROWS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "platform/store.h"
+
+struct rs_known_row {
+    char *key;
+    char *value;
+    size_t value_bytes;
+    uint64_t version;
+    bool deleted;
+    bool seen; /* by the whole reading in progress */
+};
+
+struct rs_rows {
+    GHashTable *rows; /* key to struct rs_known_row */
+    uint64_t version; /* the table is known up to here */
+};
+
+typedef void (*rs_rows_visitor)(void *arg, const struct rs_known_row *row);
+
+void RsRows_Init(struct rs_rows *mirror);
+void RsRows_Clear(struct rs_rows *mirror);
+
+/* Returns the row if the news was newer than what was known, else NULL. */
+const struct rs_known_row *RsRows_Put(struct rs_rows *mirror,
+                                      const struct rs_store_row *row);
+
+/* A whole reading: rows that it does not name are gone. */
+void RsRows_BeginWhole(struct rs_rows *mirror);
+void RsRows_EndWhole(struct rs_rows *mirror, uint64_t version,
+                     rs_rows_visitor gone, void *arg);
+
+void RsRows_Since(const struct rs_rows *mirror, uint64_t version,
+                  rs_rows_visitor visit, void *arg);
+
+#endif
--- /dev/null
+++ b/router/stream.c
@@ -0,0 +1,513 @@
+#include "router/stream.h"
+
+#include <string.h>
+
+#include "core/clock.h"
+#include "core/log.h"
+#include "router/stream.pb-c.h"
+#include "wire/link.h"
+
+#define BEAT_EVERY_MS 200
+/* Three beats. The store is asked then, well within the 2 s in which a change
+ * must be in force. */
+#define SILENT_MS 700
+/* The feeding node's own news of the store may be this old: its longest call
+ * waits for less. */
+#define STALE_MS 1300
+#define CONNECT_EVERY_MS 300
+/* More are sent on to one of these. 3,500 nodes are fed in three steps. */
+#define MAX_SUBSCRIBERS 24
+#define MAX_QUEUE_BYTES (4 * 1024 * 1024)
+
+struct subscriber {
+    struct rs_stream *stream;
+    struct rs_link *link;
+    char *host;
+    uint32_t port;
+    bool known; /* it has said what it has */
+    uint64_t versions[RsStream_MAX_TABLES];
+};
+
+struct rs_stream {
+    struct rs_stream_options options;
+    struct rs_link_listener *listener;
+    GPtrArray *subscribers;
+    struct rs_link *upstream;
+    uint64_t upstream_granter; /* whom this link was opened for */
+    char redirect_host[64];
+    uint32_t redirect_port;
+    bool open;
+    bool fed;
+    bool leaving;
+    int64_t heard_ms; /* last beat that was up to date */
+    int64_t next_beat_ms;
+    int64_t next_connect_ms;
+};
+
+/* Feeding others. */
+
+static int
+send_message(struct rs_link *link, Rs__Stream__Message *message)
+{
+    return RsLink_Send(link, &message->base);
+}
+
+struct row_list {
+    GArray *rows; /* Rs__Stream__Update__Row */
+};
+
+static void
+add_row(void *arg, const struct rs_known_row *row)
+{
+    struct row_list *list = arg;
+    Rs__Stream__Update__Row item = RS__STREAM__UPDATE__ROW__INIT;
+    item.key = row->key;
+    item.value.data = (uint8_t *)row->value;
+    item.value.len = row->value_bytes;
+    item.version = row->version;
+    item.deleted = row->deleted;
+    g_array_append_val(list->rows, item);
+}
+
+static int
+send_update(struct subscriber *subscriber, size_t table)
+{
+    const struct rs_follower *follower =
+        subscriber->stream->options.followers[table];
+    const struct rs_rows *mirror = RsFollower_Rows(follower);
+    struct row_list list = {
+        .rows = g_array_new(FALSE, FALSE, sizeof(Rs__Stream__Update__Row))};
+    RsRows_Since(mirror, subscriber->versions[table], add_row, &list);
+    Rs__Stream__Update__Row **pointers =
+        g_new0(Rs__Stream__Update__Row *, list.rows->len + 1);
+    for (guint i = 0; i < list.rows->len; i++) {
+        pointers[i] = &g_array_index(list.rows, Rs__Stream__Update__Row, i);
+    }
+    Rs__Stream__Update update = RS__STREAM__UPDATE__INIT;
+    update.table = (char *)RsFollower_Table(follower);
+    update.version = mirror->version;
+    update.whole = subscriber->versions[table] == 0;
+    update.n_rows = list.rows->len;
+    update.rows = pointers;
+    Rs__Stream__Message message = RS__STREAM__MESSAGE__INIT;
+    message.message_case = RS__STREAM__MESSAGE__MESSAGE_UPDATE;
+    message.update = &update;
+    int status = send_message(subscriber->link, &message);
+    subscriber->versions[table] = mirror->version;
+    g_free(pointers);
+    g_array_unref(list.rows);
+    return status;
+}
+
+static void
+free_subscriber(gpointer data)
+{
+    struct subscriber *subscriber = data;
+    g_free(subscriber->host);
+    g_free(subscriber);
+}
+
+static void
+drop_subscriber(struct subscriber *subscriber)
+{
+    RsLink_Close(subscriber->link);
+    g_ptr_array_remove_fast(subscriber->stream->subscribers, subscriber);
+}
+
+/* Returns false when the subscriber was dropped. */
+static bool
+tell_changes(struct subscriber *subscriber)
+{
+    const struct rs_stream_options *options = &subscriber->stream->options;
+    for (size_t i = 0; i < options->follower_count; i++) {
+        const struct rs_follower *follower = options->followers[i];
+        if (RsFollower_FreshAtMs(follower) > 0 &&
+            RsFollower_Rows(follower)->version > subscriber->versions[i] &&
+            send_update(subscriber, i) != 0) {
+            drop_subscriber(subscriber);
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Tells the subscribers what changed in the tables. */
+void
+RsStream_Publish(struct rs_stream *stream)
+{
+    for (guint i = stream->subscribers->len; i > 0; i--) {
+        struct subscriber *subscriber =
+            g_ptr_array_index(stream->subscribers, i - 1);
+        if (subscriber->known) {
+            tell_changes(subscriber);
+        }
+    }
+}
+
+static void
+redirect(struct rs_stream *stream, struct rs_link *link)
+{
+    guint turn = (guint)g_random_int_range(0, MAX_SUBSCRIBERS);
+    const struct subscriber *other =
+        g_ptr_array_index(stream->subscribers, turn);
+    Rs__Stream__Redirect redirect = RS__STREAM__REDIRECT__INIT;
+    redirect.host = other->host;
+    redirect.port = other->port;
+    Rs__Stream__Message message = RS__STREAM__MESSAGE__INIT;
+    message.message_case = RS__STREAM__MESSAGE__MESSAGE_REDIRECT;
+    message.redirect = &redirect;
+    send_message(link, &message);
+}
+
+static int
+take_subscribe(struct subscriber *subscriber,
+               const Rs__Stream__Subscribe *subscribe)
+{
+    struct rs_stream *stream = subscriber->stream;
+    if (subscriber->known) {
+        return RsLink_CLOSED;
+    }
+    if (stream->subscribers->len > MAX_SUBSCRIBERS) {
+        redirect(stream, subscriber->link);
+        return 0;
+    }
+    subscriber->known = true;
+    subscriber->host = g_strdup(subscribe->host);
+    subscriber->port = subscribe->port;
+    for (size_t i = 0; i < stream->options.follower_count; i++) {
+        const char *table = RsFollower_Table(stream->options.followers[i]);
+        for (size_t k = 0; k < subscribe->n_tables; k++) {
+            if (strcmp(table, subscribe->tables[k]->table) == 0) {
+                subscriber->versions[i] = subscribe->tables[k]->version;
+            }
+        }
+    }
+    RsLog_EVENT(RsLog_INFO, "subscriber_joined",
+                RsLog_TEXT("node", subscribe->node),
+                RsLog_NUMBER("subscribers", stream->subscribers->len));
+    stream->next_beat_ms = 0;
+    return 0;
+}
+
+static int
+on_subscriber_frame(void *arg, const uint8_t *data, size_t size_bytes)
+{
+    struct subscriber *subscriber = arg;
+    Rs__Stream__Message *message =
+        rs__stream__message__unpack(NULL, size_bytes, data);
+    int status = RsLink_CLOSED;
+    if (message != NULL &&
+        message->message_case == RS__STREAM__MESSAGE__MESSAGE_SUBSCRIBE) {
+        status = take_subscribe(subscriber, message->subscribe);
+    }
+    if (message != NULL) {
+        rs__stream__message__free_unpacked(message, NULL);
+    }
+    return status;
+}
+
+static void
+on_subscriber_closed(void *arg, int error)
+{
+    struct subscriber *subscriber = arg;
+    g_ptr_array_remove_fast(subscriber->stream->subscribers, subscriber);
+}
+
+static const struct rs_link_events subscriber_events = {
+    .frame = on_subscriber_frame,
+    .closed = on_subscriber_closed,
+};
+
+static void
+on_accept(void *arg, struct rs_link *link)
+{
+    struct rs_stream *stream = arg;
+    struct subscriber *subscriber = g_new0(struct subscriber, 1);
+    subscriber->stream = stream;
+    subscriber->link = link;
+    RsLink_SetEvents(link, &subscriber_events, subscriber);
+    g_ptr_array_add(stream->subscribers, subscriber);
+}
+
+static void
+send_beats(struct rs_stream *stream, int64_t now_ms)
+{
+    const struct rs_stream_options *options = &stream->options;
+    Rs__Stream__Beat__Freshness items[RsStream_MAX_TABLES];
+    Rs__Stream__Beat__Freshness *pointers[RsStream_MAX_TABLES];
+    Rs__Stream__Beat beat = RS__STREAM__BEAT__INIT;
+    for (size_t i = 0; i < options->follower_count; i++) {
+        const struct rs_follower *follower = options->followers[i];
+        int64_t age_ms = now_ms - RsFollower_FreshAtMs(follower);
+        rs__stream__beat__freshness__init(&items[i]);
+        items[i].table = (char *)RsFollower_Table(follower);
+        items[i].version = RsFollower_Rows(follower)->version;
+        items[i].age_ms =
+            (uint32_t)CLAMP(age_ms, (int64_t)0, (int64_t)UINT32_MAX);
+        pointers[i] = &items[i];
+    }
+    beat.tables = pointers;
+    beat.n_tables = options->follower_count;
+    beat.granter = options->granter->holder.incarnation;
+    beat.lease_version = options->granter->lease_version;
+    Rs__Stream__Message message = RS__STREAM__MESSAGE__INIT;
+    message.message_case = RS__STREAM__MESSAGE__MESSAGE_BEAT;
+    message.beat = &beat;
+    for (guint i = stream->subscribers->len; i > 0; i--) {
+        struct subscriber *subscriber =
+            g_ptr_array_index(stream->subscribers, i - 1);
+        if (subscriber->known && tell_changes(subscriber) &&
+            send_message(subscriber->link, &message) != 0) {
+            drop_subscriber(subscriber);
+        }
+    }
+}
+
+/* Being fed. */
+
+static struct rs_follower *
+find_follower(const struct rs_stream *stream, const char *table)
+{
+    for (size_t i = 0; i < stream->options.follower_count; i++) {
+        if (strcmp(RsFollower_Table(stream->options.followers[i]), table) ==
+            0) {
+            return stream->options.followers[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+set_fed(struct rs_stream *stream, bool fed, const char *reason)
+{
+    if (stream->fed == fed) {
+        return;
+    }
+    stream->fed = fed;
+    RsLog_EVENT(RsLog_INFO, fed ? "stream_found" : "stream_lost",
+                RsLog_TEXT("reason", reason),
+                RsLog_TEXT("granter", stream->options.granter->holder.node));
+    for (size_t i = 0; i < stream->options.follower_count; i++) {
+        RsFollower_SetFed(stream->options.followers[i], fed);
+    }
+}
+
+static void
+close_upstream(struct rs_stream *stream, const char *reason)
+{
+    if (stream->upstream != NULL) {
+        RsLink_Close(stream->upstream);
+        stream->upstream = NULL;
+    }
+    stream->open = false;
+    set_fed(stream, false, reason);
+}
+
+static void
+take_update(struct rs_stream *stream, const Rs__Stream__Update *update)
+{
+    struct rs_follower *follower = find_follower(stream, update->table);
+    if (follower == NULL) {
+        return;
+    }
+    struct rs_store_rows rows = {
+        .rows = g_new0(struct rs_store_row, update->n_rows + 1),
+        .count = update->n_rows,
+        .version = update->version,
+    };
+    for (size_t i = 0; i < update->n_rows; i++) {
+        const Rs__Stream__Update__Row *row = update->rows[i];
+        rows.rows[i] = (struct rs_store_row){
+            .table = update->table,
+            .key = row->key,
+            .value = (char *)row->value.data,
+            .value_bytes = row->value.len,
+            .version = row->version,
+            .deleted = row->deleted,
+        };
+    }
+    RsFollower_Feed(follower, &rows, update->whole);
+    g_free(rows.rows);
+}
+
+/* A beat counts when it comes from the node with the lease, or through
+ * others, and what it tells of is up to date. */
+static void
+take_beat(struct rs_stream *stream, const Rs__Stream__Beat *beat)
+{
+    int64_t now_ms = RsClock_NowMs();
+    struct rs_granter *granter = stream->options.granter;
+    bool current = beat->granter == granter->holder.incarnation;
+    for (size_t i = 0; i < beat->n_tables; i++) {
+        const Rs__Stream__Beat__Freshness *item = beat->tables[i];
+        struct rs_follower *follower = find_follower(stream, item->table);
+        if (follower == NULL) {
+            continue;
+        }
+        current = current && item->age_ms < STALE_MS &&
+                  item->version >= RsFollower_Rows(follower)->version;
+        if (item->version >= RsFollower_Rows(follower)->version) {
+            RsFollower_NoteFresh(follower, now_ms - item->age_ms);
+        }
+    }
+    if (current) {
+        stream->heard_ms = now_ms;
+        RsGranter_LeaseHeard(granter, beat->granter, beat->lease_version,
+                             now_ms);
+        set_fed(stream, true, "current");
+    }
+    else {
+        set_fed(stream, false, "out of date");
+    }
+}
+
+static int
+on_upstream_frame(void *arg, const uint8_t *data, size_t size_bytes)
+{
+    struct rs_stream *stream = arg;
+    Rs__Stream__Message *message =
+        rs__stream__message__unpack(NULL, size_bytes, data);
+    int status = 0;
+    if (message == NULL) {
+        return RsLink_CLOSED;
+    }
+    if (message->message_case == RS__STREAM__MESSAGE__MESSAGE_UPDATE) {
+        take_update(stream, message->update);
+    }
+    else if (message->message_case == RS__STREAM__MESSAGE__MESSAGE_BEAT) {
+        take_beat(stream, message->beat);
+    }
+    else if (message->message_case == RS__STREAM__MESSAGE__MESSAGE_REDIRECT) {
+        g_strlcpy(stream->redirect_host, message->redirect->host,
+                  sizeof(stream->redirect_host));
+        stream->redirect_port = message->redirect->port;
+        stream->next_connect_ms = 0;
+        status = RsLink_CLOSED;
+    }
+    rs__stream__message__free_unpacked(message, NULL);
+    return status;
+}
+
+static void
+on_upstream_opened(void *arg)
+{
+    struct rs_stream *stream = arg;
+    const struct rs_stream_options *options = &stream->options;
+    Rs__Stream__Subscribe__Known items[RsStream_MAX_TABLES];
+    Rs__Stream__Subscribe__Known *pointers[RsStream_MAX_TABLES];
+    Rs__Stream__Subscribe subscribe = RS__STREAM__SUBSCRIBE__INIT;
+    stream->open = true;
+    for (size_t i = 0; i < options->follower_count; i++) {
+        rs__stream__subscribe__known__init(&items[i]);
+        items[i].table = (char *)RsFollower_Table(options->followers[i]);
+        items[i].version = RsFollower_Rows(options->followers[i])->version;
+        pointers[i] = &items[i];
+    }
+    subscribe.node = (char *)options->node;
+    subscribe.host = (char *)options->host;
+    subscribe.port = options->port;
+    subscribe.tables = pointers;
+    subscribe.n_tables = options->follower_count;
+    Rs__Stream__Message message = RS__STREAM__MESSAGE__INIT;
+    message.message_case = RS__STREAM__MESSAGE__MESSAGE_SUBSCRIBE;
+    message.subscribe = &subscribe;
+    if (send_message(stream->upstream, &message) != 0) {
+        close_upstream(stream, "not taken");
+    }
+}
+
+static void
+on_upstream_closed(void *arg, int error)
+{
+    struct rs_stream *stream = arg;
+    stream->upstream = NULL;
+    close_upstream(stream, "closed");
+}
+
+static const struct rs_link_events upstream_events = {
+    .opened = on_upstream_opened,
+    .frame = on_upstream_frame,
+    .closed = on_upstream_closed,
+};
+
+static void
+connect_upstream(struct rs_stream *stream, int64_t now_ms)
+{
+    const struct rs_granter_lease *holder = &stream->options.granter->holder;
+    bool redirected = stream->redirect_host[0] != '\0';
+    const char *host = redirected ? stream->redirect_host : holder->peer_host;
+    uint32_t port = redirected ? stream->redirect_port : holder->peer_port;
+    struct rs_link_options options = {
+        .loop = stream->options.loop,
+        .events = &upstream_events,
+        .arg = stream,
+        .max_queue_bytes = MAX_QUEUE_BYTES,
+    };
+    stream->next_connect_ms = now_ms + CONNECT_EVERY_MS;
+    stream->redirect_host[0] = '\0';
+    if (host[0] == '\0' ||
+        uv_ip4_addr(host, (int)port, &options.address) != 0) {
+        return;
+    }
+    stream->upstream = RsLink_Connect(&options);
+    stream->upstream_granter = holder->incarnation;
+    stream->heard_ms = now_ms;
+}
+
+/* Sends beats, and looks after the link to the feeding node. */
+void
+RsStream_Tick(struct rs_stream *stream, int64_t now_ms)
+{
+    const struct rs_granter *granter = stream->options.granter;
+    if (now_ms >= stream->next_beat_ms && !stream->leaving) {
+        stream->next_beat_ms = now_ms + BEAT_EVERY_MS;
+        send_beats(stream, now_ms);
+    }
+    if (granter->phase != RsGranter_OBSERVING || stream->leaving) {
+        close_upstream(stream, "this node reads the store");
+        return;
+    }
+    if (stream->upstream != NULL &&
+        stream->upstream_granter != granter->holder.incarnation) {
+        close_upstream(stream, "another granter");
+    }
+    if (stream->upstream != NULL && now_ms - stream->heard_ms >= SILENT_MS) {
+        close_upstream(stream, "silent");
+    }
+    if (stream->upstream == NULL && now_ms >= stream->next_connect_ms) {
+        connect_upstream(stream, now_ms);
+    }
+}
+
+/* Ends all links. */
+void
+RsStream_Leave(struct rs_stream *stream)
+{
+    stream->leaving = true;
+    while (stream->subscribers->len > 0) {
+        drop_subscriber(g_ptr_array_index(stream->subscribers, 0));
+    }
+}
+
+/* Tells whether another node feeds this one. */
+bool
+RsStream_IsFed(const struct rs_stream *stream)
+{
+    return stream->fed;
+}
+
+/* Listens for subscribers. Returns NULL when the port can't be had. */
+struct rs_stream *
+RsStream_Open(const struct rs_stream_options *options)
+{
+    struct rs_stream *stream = g_new0(struct rs_stream, 1);
+    struct sockaddr_in address;
+    stream->options = *options;
+    stream->subscribers = g_ptr_array_new_with_free_func(free_subscriber);
+    uv_ip4_addr(options->host, (int)options->port, &address);
+    if (RsLink_Listen(options->loop, &address, MAX_QUEUE_BYTES, on_accept,
+                      stream, &stream->listener) != 0) {
+        return NULL;
+    }
+    return stream;
+}
