--- a/http/server.c
+++ b/http/server.c
@@ -188,9 +188,11 @@
 RsServer_CloseIdle(struct rs_server *server)
 {
     for (guint fd = 0; fd < server->by_fd->len; fd++) {
-        const struct accepted *accepted = g_ptr_array_index(server->by_fd, fd);
+        struct accepted *accepted = g_ptr_array_index(server->by_fd, fd);
         if (accepted != NULL && accepted->requests == 0) {
-            /* The server reads an end and closes by itself. */
+            /* The server reads an end and closes by itself; a request that
+             * has come already is served. */
+            accepted->ended = true;
             shutdown((int)fd, SHUT_RD);
         }
     }
--- a/router/node.c
+++ b/router/node.c
@@ -29,6 +29,7 @@
 #define OPERATOR_WAIT_MS 800
 #define KEYS_WAIT_MS 800
 #define SOON_MS 20
+#define RESIGNATION_MS 40 /* a commit of the node that leaves */
 /* Before the first owners are chosen, targets are given time to report. */
 #define FIRST_PLAN_AFTER_MS 1500
 /* Orders that fail for this long mean that a target can't be reached. */
@@ -65,6 +66,7 @@
     uint64_t incarnation;
     int64_t next_lease_read_ms;
     bool reading_lease;
+    bool was_fed;
     bool targets_known;
     int64_t targets_known_ms;
     int64_t drain_from_ms;
@@ -310,6 +312,17 @@
         RsGranter_NextLeaseReadMs(&node->granter, now_ms) + SOON_MS;
 }
 
+/* The node with the lease may have given it up when its stream ends. */
+static void
+watch_stream(struct node *node, int64_t now_ms)
+{
+    bool fed = RsStream_IsFed(node->stream);
+    if (node->was_fed && !fed) {
+        node->next_lease_read_ms = now_ms + RESIGNATION_MS;
+    }
+    node->was_fed = fed;
+}
+
 static void
 read_lease(struct node *node, int64_t now_ms)
 {
@@ -463,6 +476,7 @@
     if (node->ticks % PLAN_EVERY_TICKS == 0) {
         plan(node, now_ms);
     }
+    watch_stream(node, now_ms);
     read_lease(node, now_ms);
     RsGranter_Tick(&node->granter, now_ms);
     RsStream_Tick(node->stream, now_ms);
