Test the router's decisions, and grants in a world of faults

A new life under one id was taken for proof that the old one holds nothing; the fuzzer showed that renewals meant for the old life may have reached the new one (two targets held one range). A range that had a renewal sent to its former owner while its move was being committed waited 900 ms for its first grant; it gets it at once now.

--- /dev/null
+++ b/router/balance_test.c
@@ -0,0 +1,212 @@
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#include "router/balance.h"
+
+#define TARGETS 4
+#define LAST_KEY (RsKeymap_KEYS - 1)
+#define CAPACITY_PER_S 20.0
+#define WINDOW_S 1.5
+
+struct scene {
+    struct rs_keymap *map;
+    struct rs_balance_target targets[TARGETS];
+    struct rs_balance_input input;
+    float rates[RsKeymap_KEYS];
+};
+
+static struct scene *
+new_scene(void)
+{
+    static const char *const ids[TARGETS] = {"a", "b", "c", "d"};
+    struct scene *scene = g_new0(struct scene, 1);
+    scene->map = RsKeymap_New("s");
+    for (size_t i = 0; i < TARGETS; i++) {
+        scene->targets[i] = (struct rs_balance_target){
+            .owner = {g_intern_string(ids[i]), 1},
+            .eligible = true,
+            .capacity = CAPACITY_PER_S,
+        };
+    }
+    scene->input = (struct rs_balance_input){
+        .targets = scene->targets,
+        .target_count = TARGETS,
+        .rates = scene->rates,
+        .window_s = WINDOW_S,
+    };
+    return scene;
+}
+
+static void
+free_scene(struct scene *scene)
+{
+    RsKeymap_Free(scene->map);
+    g_free(scene);
+}
+
+static void
+settle_all(struct scene *scene)
+{
+    for (size_t i = 0; i < scene->map->ranges->len; i++) {
+        RsKeymap_Settle(RsKeymap_At(scene->map, i));
+    }
+}
+
+static double
+load_of(const struct scene *scene, size_t target)
+{
+    double load = 0;
+    for (size_t i = 0; i < scene->map->ranges->len; i++) {
+        const struct rs_key_range *range = RsKeymap_At(scene->map, i);
+        for (uint32_t key = range->first_key; key <= range->last_key; key++) {
+            if (range->owner.id == scene->targets[target].owner.id) {
+                load += scene->rates[key];
+            }
+        }
+    }
+    return load;
+}
+
+/* Plans until nothing moves any more; returns how many rounds that took. */
+static int
+plan_out(struct scene *scene)
+{
+    int rounds = 0;
+    while (rounds < 20 && RsBalance_Plan(scene->map, &scene->input) > 0) {
+        settle_all(scene);
+        rounds++;
+    }
+    return rounds;
+}
+
+static void
+test_first_plan_shares_all_keys_evenly(void)
+{
+    struct scene *scene = new_scene();
+    plan_out(scene);
+    for (size_t i = 0; i < scene->map->ranges->len; i++) {
+        const struct rs_key_range *range = RsKeymap_At(scene->map, i);
+        CU_ASSERT_PTR_NOT_NULL(range->owner.id);
+        uint32_t keys = range->last_key - range->first_key + 1;
+        CU_ASSERT_TRUE(keys <= RsKeymap_KEYS / 3);
+    }
+    free_scene(scene);
+}
+
+/* The load pattern: 200 keys that lie side by side get most requests. */
+static void
+test_hot_run_of_keys_is_split_in_a_few_plans(void)
+{
+    struct scene *scene = new_scene();
+    plan_out(scene);
+    for (uint32_t key = 30000; key < 30200; key++) {
+        scene->rates[key] = 0.25f;
+    }
+    int rounds = plan_out(scene);
+    CU_ASSERT_TRUE(rounds <= 4);
+    for (size_t i = 0; i < TARGETS; i++) {
+        /* 50 requests a second; a quarter would be 12.5. */
+        CU_ASSERT_TRUE(load_of(scene, i) < CAPACITY_PER_S);
+    }
+    free_scene(scene);
+}
+
+/* One key is heavier than what should move: others move in its place, and
+ * other targets are relieved all the same. */
+static void
+test_one_heavy_key_does_not_stop_the_others(void)
+{
+    struct scene *scene = new_scene();
+    plan_out(scene);
+    scene->rates[100] = 30.0f;
+    const struct rs_key_range *range = RsKeymap_Find(scene->map, 40000);
+    for (uint32_t i = 0; i < 40; i++) {
+        scene->rates[range->first_key + i * 8] = 0.8f;
+    }
+    size_t crowded = 0;
+    while (scene->targets[crowded].owner.id != range->owner.id) {
+        crowded++;
+    }
+    CU_ASSERT_TRUE(load_of(scene, crowded) > 30.0);
+    plan_out(scene);
+    CU_ASSERT_TRUE(load_of(scene, crowded) < 25.0);
+    free_scene(scene);
+}
+
+static void
+test_chance_moves_nothing(void)
+{
+    struct scene *scene = new_scene();
+    plan_out(scene);
+    size_t index = 0;
+    /* 4 or 5 requests in the window for each target. */
+    for (size_t i = 0; i < scene->map->ranges->len; i++) {
+        const struct rs_key_range *range = RsKeymap_At(scene->map, i);
+        scene->rates[range->first_key] = (float)(2.6 + 0.7 * (index++ % 2));
+    }
+    CU_ASSERT_EQUAL(RsBalance_Plan(scene->map, &scene->input), 0);
+    free_scene(scene);
+}
+
+static void
+test_keys_of_a_lost_target_go_to_all_others(void)
+{
+    struct scene *scene = new_scene();
+    plan_out(scene);
+    for (uint32_t key = 0; key < RsKeymap_KEYS; key += 1024) {
+        scene->rates[key] = 0.5f;
+    }
+    scene->targets[1].eligible = false;
+    RsBalance_Plan(scene->map, &scene->input);
+    settle_all(scene);
+    plan_out(scene);
+    CU_ASSERT_EQUAL(load_of(scene, 1), 0);
+    CU_ASSERT_TRUE(load_of(scene, 0) > 8 && load_of(scene, 0) < 14);
+    CU_ASSERT_TRUE(load_of(scene, 2) > 8 && load_of(scene, 2) < 14);
+    CU_ASSERT_TRUE(load_of(scene, 3) > 8 && load_of(scene, 3) < 14);
+    free_scene(scene);
+}
+
+static void
+test_slow_target_gives_keys_away(void)
+{
+    struct scene *scene = new_scene();
+    plan_out(scene);
+    for (uint32_t key = 0; key < RsKeymap_KEYS; key += 512) {
+        scene->rates[key] = 0.35f;
+    }
+    plan_out(scene);
+    scene->targets[0].capacity = CAPACITY_PER_S / 5;
+    plan_out(scene);
+    CU_ASSERT_TRUE(load_of(scene, 0) < CAPACITY_PER_S / 3);
+    free_scene(scene);
+}
+
+static void
+test_no_target_changes_nothing(void)
+{
+    struct scene *scene = new_scene();
+    for (size_t i = 0; i < TARGETS; i++) {
+        scene->targets[i].eligible = false;
+    }
+    CU_ASSERT_EQUAL(RsBalance_Plan(scene->map, &scene->input), 0);
+    free_scene(scene);
+}
+
+int
+main(void)
+{
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("balance", NULL, NULL);
+    CU_ADD_TEST(suite, test_first_plan_shares_all_keys_evenly);
+    CU_ADD_TEST(suite, test_hot_run_of_keys_is_split_in_a_few_plans);
+    CU_ADD_TEST(suite, test_one_heavy_key_does_not_stop_the_others);
+    CU_ADD_TEST(suite, test_chance_moves_nothing);
+    CU_ADD_TEST(suite, test_keys_of_a_lost_target_go_to_all_others);
+    CU_ADD_TEST(suite, test_slow_target_gives_keys_away);
+    CU_ADD_TEST(suite, test_no_target_changes_nothing);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? 0 : 1;
+}
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -36,6 +36,20 @@
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 }
 
+/* Frees the targets, which must have no connections. */
+void
+RsFleet_Clear(struct rs_fleet *fleet)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, fleet->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_free(value);
+    }
+    g_hash_table_unref(fleet->targets);
+    g_hash_table_unref(fleet->evacuated);
+}
+
 /* Whoever had the address before is not there any more. */
 static void
 mark_replaced(struct rs_fleet *fleet, const struct rs_fleet_target *by)
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -57,6 +57,8 @@
 void RsFleet_Init(struct rs_fleet *fleet, const struct rs_fleet_events *events,
                   void *arg);
 
+void RsFleet_Clear(struct rs_fleet *fleet);
+
 /* What the store holds. */
 void RsFleet_TakeRow(struct rs_fleet *fleet, const char *id, const char *value,
                      int64_t now_ms);
--- /dev/null
+++ b/router/fleet_test.c
@@ -0,0 +1,270 @@
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#include "core/log.h"
+#include "router/fixture.h"
+#include "router/rows.h"
+
+#define NOW_MS 100000
+
+static struct rs_fleet fleet;
+static int resets;
+
+static void
+count_reset(void *arg, struct rs_fleet_target *target)
+{
+    resets++;
+}
+
+static const struct rs_fleet_events counting = {.reset = count_reset};
+
+static const struct rs_fixture_report plain = {
+    .id = "a",
+    .service = "s",
+    .zone = "z",
+    .port = 1000,
+    .born_ms = 50,
+    .sequence = 5,
+};
+
+static struct rs_fleet_target *
+find(const char *id)
+{
+    return RsFleet_Find(&fleet, g_intern_string(id));
+}
+
+static void
+open_fleet(void)
+{
+    resets = 0;
+    RsFleet_Init(&fleet, &counting, NULL);
+    RsFixture_Report(&fleet, &plain, NOW_MS);
+}
+
+static void
+test_half_rows_name_no_target_and_harm_none(void)
+{
+    static const char *const rows[] = {
+        "",
+        "not json",
+        "[]",
+        "{}",
+        "{\"service\":\"s\"}",
+        "{\"service\":7,\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+        "\"capacity\":2,\"state\":\"ready\",\"warmup_left_ms\":0,"
+        "\"sequence\":9,\"born\":99}",
+        "{\"service\":\"s\",\"address\":\"1.2.3.4\",\"zone\":\"z\","
+        "\"capacity\":2,\"state\":\"ready\",\"warmup_left_ms\":0,"
+        "\"sequence\":9,\"born\":99}",
+        "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+        "\"capacity\":2,\"state\":\"odd\",\"warmup_left_ms\":0,"
+        "\"sequence\":9,\"born\":99}",
+        "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+        "\"capacity\":0,\"state\":\"ready\",\"warmup_left_ms\":0,"
+        "\"sequence\":9,\"born\":99}",
+        "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+        "\"capacity\":2,\"state\":\"ready\",\"warmup_left_ms\":0,"
+        "\"sequence\":9,\"born\":\"x\"}",
+    };
+    open_fleet();
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        RsFleet_TakeRow(&fleet, "b", rows[i], NOW_MS);
+        RsFleet_TakeRow(&fleet, "a", rows[i], NOW_MS);
+    }
+    CU_ASSERT_PTR_NULL(find("b"));
+    CU_ASSERT_TRUE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS));
+    RsFleet_Clear(&fleet);
+}
+
+static void
+test_older_reports_change_nothing(void)
+{
+    open_fleet();
+    struct rs_fixture_report report = plain;
+    report.sequence = 4;
+    report.draining = true;
+    RsFixture_Report(&fleet, &report, NOW_MS);
+    CU_ASSERT_TRUE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS));
+    report.sequence = 900;
+    report.born_ms = 49;
+    RsFixture_Report(&fleet, &report, NOW_MS);
+    CU_ASSERT_TRUE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS));
+    RsFleet_Clear(&fleet);
+}
+
+/* Its counts start anew, so a lower sequence is not older. */
+static void
+test_new_life_under_one_id_is_taken(void)
+{
+    open_fleet();
+    struct rs_fixture_report report = plain;
+    find("a")->service_ms = 999;
+    report.sequence = 1;
+    report.born_ms = 51;
+    report.cold_left_ms = 3000;
+    RsFixture_Report(&fleet, &report, NOW_MS);
+    CU_ASSERT_EQUAL(find("a")->report.born_ms, 51);
+    CU_ASSERT_TRUE(find("a")->service_ms < 999);
+    CU_ASSERT_EQUAL(find("a")->cold_until_ms, NOW_MS + 3000);
+    CU_ASSERT_EQUAL(resets, 2);
+    RsFleet_Clear(&fleet);
+}
+
+static void
+test_another_target_at_the_address_replaces_the_first(void)
+{
+    open_fleet();
+    struct rs_fixture_report report = plain;
+    report.id = "b";
+    report.born_ms = 60;
+    RsFixture_Report(&fleet, &report, NOW_MS);
+    CU_ASSERT_TRUE(find("a")->replaced);
+    CU_ASSERT_FALSE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS));
+    CU_ASSERT_FALSE(RsFleet_MayKeepWork(&fleet, find("a"), NOW_MS));
+    CU_ASSERT_TRUE(RsFleet_MayTakeWork(&fleet, find("b"), NOW_MS));
+    RsFleet_Clear(&fleet);
+}
+
+static void
+test_leaving_target_keeps_its_keys_for_a_second(void)
+{
+    open_fleet();
+    struct rs_fixture_report report = plain;
+    report.sequence = 6;
+    report.draining = true;
+    RsFixture_Report(&fleet, &report, NOW_MS);
+    CU_ASSERT_FALSE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS));
+    CU_ASSERT_TRUE(RsFleet_MayKeepWork(&fleet, find("a"), NOW_MS + 900));
+    CU_ASSERT_FALSE(RsFleet_MayKeepWork(&fleet, find("a"), NOW_MS + 1100));
+    RsFleet_Clear(&fleet);
+}
+
+static void
+test_removed_row_ends_work_at_once(void)
+{
+    open_fleet();
+    RsFleet_DropRow(&fleet, "a", NOW_MS);
+    CU_ASSERT_FALSE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS));
+    RsFleet_Clear(&fleet);
+}
+
+/* Rows that lapsed in an outage are back within about two seconds. */
+static void
+test_row_that_lapsed_in_an_outage_is_waited_for(void)
+{
+    open_fleet();
+    RsFleet_NoteStore(&fleet, false, NOW_MS);
+    RsFleet_NoteStore(&fleet, true, NOW_MS + 500);
+    RsFleet_DropRow(&fleet, "a", NOW_MS + 500);
+    CU_ASSERT_TRUE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS + 2400));
+    CU_ASSERT_FALSE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS + 2800));
+    struct rs_fixture_report report = plain;
+    report.sequence = 6;
+    RsFixture_Report(&fleet, &report, NOW_MS + 2900);
+    CU_ASSERT_TRUE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS + 2900));
+    RsFleet_Clear(&fleet);
+}
+
+static void
+test_evacuated_zone_gets_nothing_new(void)
+{
+    open_fleet();
+    RsFleet_SetEvacuated(&fleet, "z", true, NOW_MS);
+    CU_ASSERT_FALSE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS));
+    CU_ASSERT_TRUE(RsFleet_MayKeepWork(&fleet, find("a"), NOW_MS + 3000));
+    CU_ASSERT_FALSE(RsFleet_MayKeepWork(&fleet, find("a"), NOW_MS + 4000));
+    RsFleet_SetEvacuated(&fleet, "z", false, NOW_MS + 4000);
+    CU_ASSERT_TRUE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS + 4000));
+    RsFleet_Clear(&fleet);
+}
+
+static void
+test_failing_target_is_avoided_for_a_while(void)
+{
+    open_fleet();
+    RsFleet_NoteFailure(find("a"), NOW_MS);
+    CU_ASSERT_TRUE(find("a")->avoid_until_ms <= NOW_MS);
+    for (int i = 0; i < 10; i++) {
+        RsFleet_NoteFailure(find("a"), NOW_MS);
+    }
+    CU_ASSERT_TRUE(find("a")->avoid_until_ms > NOW_MS);
+    CU_ASSERT_TRUE(find("a")->avoid_until_ms <= NOW_MS + 2000);
+    RsFleet_NoteAnswer(find("a"), 100, 0);
+    CU_ASSERT_EQUAL(find("a")->avoid_until_ms, 0);
+    RsFleet_Clear(&fleet);
+}
+
+/* Rows that were told already, or are older, are no news. */
+
+static void
+collect(void *arg, const struct rs_known_row *row)
+{
+    g_string_append_printf(arg, "%s%s ", row->key, row->deleted ? "-" : "");
+}
+
+static void
+test_rows_are_news_once(void)
+{
+    struct rs_rows rows;
+    GString *seen = g_string_new(NULL);
+    struct rs_store_row row = {
+        .key = "k", .value = "v", .value_bytes = 1, .version = 5};
+    RsRows_Init(&rows);
+    CU_ASSERT_PTR_NOT_NULL(RsRows_Put(&rows, &row));
+    CU_ASSERT_PTR_NULL(RsRows_Put(&rows, &row));
+    row.version = 4;
+    row.deleted = true;
+    CU_ASSERT_PTR_NULL(RsRows_Put(&rows, &row));
+    row.version = 6;
+    CU_ASSERT_TRUE(RsRows_Put(&rows, &row)->deleted);
+    RsRows_Since(&rows, 5, collect, seen);
+    CU_ASSERT_STRING_EQUAL(seen->str, "k- ");
+    g_string_free(seen, TRUE);
+    RsRows_Clear(&rows);
+}
+
+static void
+test_whole_reading_drops_what_it_does_not_name(void)
+{
+    struct rs_rows rows;
+    GString *gone = g_string_new(NULL);
+    struct rs_store_row row = {.value = "", .version = 5};
+    RsRows_Init(&rows);
+    row.key = "old";
+    RsRows_Put(&rows, &row);
+    row.key = "newer";
+    row.version = 9;
+    RsRows_Put(&rows, &row);
+    RsRows_BeginWhole(&rows);
+    row.key = "kept";
+    row.version = 6;
+    RsRows_Put(&rows, &row);
+    RsRows_EndWhole(&rows, 7, collect, gone);
+    /* What is newer than the reading was not in it yet. */
+    CU_ASSERT_STRING_EQUAL(gone->str, "old- ");
+    g_string_free(gone, TRUE);
+    RsRows_Clear(&rows);
+}
+
+int
+main(void)
+{
+    RsLog_Open("test", RsLog_ERROR);
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("fleet", NULL, NULL);
+    CU_ADD_TEST(suite, test_half_rows_name_no_target_and_harm_none);
+    CU_ADD_TEST(suite, test_older_reports_change_nothing);
+    CU_ADD_TEST(suite, test_new_life_under_one_id_is_taken);
+    CU_ADD_TEST(suite, test_another_target_at_the_address_replaces_the_first);
+    CU_ADD_TEST(suite, test_leaving_target_keeps_its_keys_for_a_second);
+    CU_ADD_TEST(suite, test_removed_row_ends_work_at_once);
+    CU_ADD_TEST(suite, test_row_that_lapsed_in_an_outage_is_waited_for);
+    CU_ADD_TEST(suite, test_evacuated_zone_gets_nothing_new);
+    CU_ADD_TEST(suite, test_failing_target_is_avoided_for_a_while);
+    CU_ADD_TEST(suite, test_rows_are_news_once);
+    CU_ADD_TEST(suite, test_whole_reading_drops_what_it_does_not_name);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? 0 : 1;
+}
--- a/router/granter.c
+++ b/router/granter.c
@@ -405,14 +405,24 @@
                 RsLog_NUMBER("maps", granter->map_count));
 }
 
-/* Tells whether a life of a target has surely ended. */
+/* Tells whether a target can't hold keys any more, as another one answers at
+ * its address: it would refuse orders that name the former. A new life under
+ * the same id is no proof, since it may have taken renewals that were meant
+ * for the old one; it answers a release, though. */
 static bool
 has_ended(const struct rs_granter *granter, const struct rs_owner *owner)
 {
     const struct rs_fleet_target *target =
         RsFleet_Find(granter->options.fleet, owner->id);
-    return target != NULL &&
-           (target->report.born_ms > owner->born_ms || target->replaced);
+    return target != NULL && target->replaced;
+}
+
+static bool
+has_new_life(const struct rs_granter *granter, const struct rs_owner *owner)
+{
+    const struct rs_fleet_target *target =
+        RsFleet_Find(granter->options.fleet, owner->id);
+    return target != NULL && target->report.born_ms > owner->born_ms;
 }
 
 static void
@@ -468,6 +478,7 @@
                 RsLog_TEXT("owner", range->owner.id),
                 RsLog_NUMBER("fence", range->fence), RsLog_TEXT("how", how));
     RsKeymap_Settle(range);
+    range->orders.next_grant_ms = 0;
     entry->dirty = true;
 }
 
@@ -509,7 +520,8 @@
     if (range->former.id == NULL && range->owner.id != NULL &&
         range->fence < entry->committed_fence && !orders->grant_in_flight &&
         now_ms >= orders->next_grant_ms &&
-        !has_ended(granter, &range->owner)) {
+        !has_ended(granter, &range->owner) &&
+        !has_new_life(granter, &range->owner)) {
         send_grant(granter, entry->map, range, false, now_ms);
     }
 }
--- /dev/null
+++ b/router/keymap_test.c
@@ -0,0 +1,168 @@
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#include "router/keymap.h"
+
+#define LAST_KEY (RsKeymap_KEYS - 1)
+
+static struct rs_owner
+owner(const char *id)
+{
+    return (struct rs_owner){g_intern_string(id), 7};
+}
+
+static struct rs_keymap *
+map_of(const char *id)
+{
+    struct rs_keymap *map = RsKeymap_New(g_intern_string("s"));
+    struct rs_owner first = owner(id);
+    CU_ASSERT_TRUE(RsKeymap_Move(map, 0, LAST_KEY, &first));
+    return map;
+}
+
+static void
+test_first_owner_follows_nobody(void)
+{
+    struct rs_keymap *map = map_of("a");
+    CU_ASSERT_EQUAL(map->ranges->len, 1);
+    CU_ASSERT_PTR_NULL(RsKeymap_Find(map, 5)->former.id);
+    CU_ASSERT_EQUAL(RsKeymap_Find(map, 5)->fence, 1);
+    CU_ASSERT_EQUAL(map->next_fence, 2);
+    RsKeymap_Free(map);
+}
+
+static void
+test_move_cuts_and_names_the_former_owner(void)
+{
+    struct rs_keymap *map = map_of("a");
+    struct rs_owner b = owner("b");
+    CU_ASSERT_TRUE(RsKeymap_Move(map, 100, 199, &b));
+    CU_ASSERT_EQUAL(map->ranges->len, 3);
+    const struct rs_key_range *moved = RsKeymap_Find(map, 150);
+    CU_ASSERT_PTR_EQUAL(moved->owner.id, b.id);
+    CU_ASSERT_PTR_EQUAL(moved->former.id, owner("a").id);
+    CU_ASSERT_EQUAL(moved->fence, 2);
+    CU_ASSERT_EQUAL(moved->former_fence, 1);
+    CU_ASSERT_EQUAL(RsKeymap_Find(map, 99)->fence, 1);
+    CU_ASSERT_EQUAL(RsKeymap_Find(map, 200)->fence, 1);
+    CU_ASSERT_EQUAL(RsKeymap_Find(map, 200)->last_key, LAST_KEY);
+    RsKeymap_Free(map);
+}
+
+static void
+test_keys_on_their_way_stay(void)
+{
+    struct rs_keymap *map = map_of("a");
+    struct rs_owner b = owner("b");
+    struct rs_owner c = owner("c");
+    RsKeymap_Move(map, 100, 199, &b);
+    CU_ASSERT_FALSE(RsKeymap_Move(map, 150, 300, &c));
+    CU_ASSERT_EQUAL(map->ranges->len, 3);
+    RsKeymap_Settle(RsKeymap_Find(map, 150));
+    CU_ASSERT_TRUE(RsKeymap_Move(map, 150, 300, &c));
+    RsKeymap_Free(map);
+}
+
+/* A grant that is on its way covers the whole range: a release of a part
+ * could overtake it. */
+static void
+test_range_with_a_grant_on_its_way_stays(void)
+{
+    struct rs_keymap *map = map_of("a");
+    struct rs_owner b = owner("b");
+    RsKeymap_Find(map, 0)->orders.grant_in_flight = true;
+    CU_ASSERT_FALSE(RsKeymap_Move(map, 100, 199, &b));
+    CU_ASSERT_EQUAL(map->ranges->len, 1);
+    RsKeymap_Free(map);
+}
+
+static void
+test_move_keeps_how_long_the_former_may_hold(void)
+{
+    struct rs_keymap *map = map_of("a");
+    struct rs_owner b = owner("b");
+    RsKeymap_Find(map, 0)->orders.hold_until_ms = 1234;
+    RsKeymap_Find(map, 0)->orders.unsure_until_ms = 1111;
+    RsKeymap_Move(map, 0, 9, &b);
+    CU_ASSERT_EQUAL(RsKeymap_Find(map, 0)->orders.former_until_ms, 1234);
+    CU_ASSERT_EQUAL(RsKeymap_Find(map, 0)->orders.unsure_until_ms, 1111);
+    CU_ASSERT_EQUAL(RsKeymap_Find(map, 0)->orders.hold_until_ms, 0);
+    CU_ASSERT_EQUAL(RsKeymap_Find(map, 10)->orders.hold_until_ms, 1234);
+    RsKeymap_Free(map);
+}
+
+static void
+test_row_holds_the_whole_map(void)
+{
+    struct rs_keymap *map = map_of("a");
+    struct rs_owner b = owner("b");
+    RsKeymap_Move(map, 100, 199, &b);
+    char *row = RsKeymap_Encode(map);
+    struct rs_keymap *copy = RsKeymap_Decode(map->service, row);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(copy);
+    char *again = RsKeymap_Encode(copy);
+    CU_ASSERT_STRING_EQUAL(row, again);
+    CU_ASSERT_PTR_EQUAL(RsKeymap_Find(copy, 150)->former.id, owner("a").id);
+    g_free(row);
+    g_free(again);
+    RsKeymap_Free(copy);
+    RsKeymap_Free(map);
+}
+
+static void
+test_rows_that_are_not_maps_are_refused(void)
+{
+    static const char *const rows[] = {
+        "",
+        "{}",
+        "[]",
+        "{\"next_fence\":3,\"ranges\":[]}",
+        "{\"next_fence\":3,\"ranges\":[[0,5,\"a\",1,1,\"\",0,0]]}",
+        "{\"next_fence\":3,\"ranges\":[[1,65535,\"a\",1,1,\"\",0,0]]}",
+        "{\"next_fence\":3,\"ranges\":[[0,65536,\"a\",1,1,\"\",0,0]]}",
+        "{\"next_fence\":3,\"ranges\":[[0,65535,7,1,1,\"\",0,0]]}",
+        "{\"ranges\":[[0,65535,\"a\",1,1,\"\",0,0]]}",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        CU_ASSERT_PTR_NULL(RsKeymap_Decode("s", rows[i]));
+    }
+}
+
+static void
+test_neighbours_of_one_owner_merge_under_a_new_fence(void)
+{
+    struct rs_keymap *map = map_of("a");
+    struct rs_owner a = owner("a");
+    struct rs_owner b = owner("b");
+    RsKeymap_Move(map, 100, 199, &b);
+    CU_ASSERT_EQUAL(RsKeymap_Merge(map), 0);
+    RsKeymap_Settle(RsKeymap_Find(map, 150));
+    RsKeymap_Move(map, 100, 199, &a);
+    RsKeymap_Settle(RsKeymap_Find(map, 150));
+    RsKeymap_Find(map, 150)->orders.hold_until_ms = 50;
+    uint64_t fence = map->next_fence;
+    CU_ASSERT_EQUAL(RsKeymap_Merge(map), 2);
+    CU_ASSERT_EQUAL(map->ranges->len, 1);
+    CU_ASSERT_TRUE(RsKeymap_Find(map, 0)->fence >= fence);
+    CU_ASSERT_EQUAL(RsKeymap_Find(map, 0)->orders.hold_until_ms, 50);
+    RsKeymap_Free(map);
+}
+
+int
+main(void)
+{
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("keymap", NULL, NULL);
+    CU_ADD_TEST(suite, test_first_owner_follows_nobody);
+    CU_ADD_TEST(suite, test_move_cuts_and_names_the_former_owner);
+    CU_ADD_TEST(suite, test_keys_on_their_way_stay);
+    CU_ADD_TEST(suite, test_range_with_a_grant_on_its_way_stays);
+    CU_ADD_TEST(suite, test_move_keeps_how_long_the_former_may_hold);
+    CU_ADD_TEST(suite, test_row_holds_the_whole_map);
+    CU_ADD_TEST(suite, test_rows_that_are_not_maps_are_refused);
+    CU_ADD_TEST(suite, test_neighbours_of_one_owner_merge_under_a_new_fence);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? 0 : 1;
+}
--- a/router/load.c
+++ b/router/load.c
@@ -7,8 +7,8 @@
 #define ELSEWHERE_FRESH_MS 600
 /* What targets told with an answer changes many times a second. */
 #define LOAD_FRESH_MS 400
-/* Requests that may wait at a target, which holds 8. Those that wait there when
- * its keys move are refused; those that wait at a node are not. */
+/* Requests that may wait at a target, which holds 8. Those that wait there
+ * when its keys move are refused; those that wait at a node are not. */
 #define QUEUE_ROOM 2
 /* The way to another zone and back, and the price of its bytes. */
 #define OTHER_ZONE_MS 6.0
--- /dev/null
+++ b/router/load_test.c
@@ -0,0 +1,254 @@
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#include "core/log.h"
+#include "router/fixture.h"
+#include "router/load.h"
+
+#define NOW_MS 100000
+
+struct scene {
+    struct rs_fleet fleet;
+    struct rs_load_choice choice;
+    struct rs_fleet_target *targets[4];
+};
+
+static void
+open_scene(struct scene *scene, uint32_t cold_left_ms)
+{
+    static const char *const ids[] = {"a", "b", "c", "d"};
+    *scene = (struct scene){0};
+    RsFleet_Init(&scene->fleet, RsFixture_FleetEvents(), NULL);
+    for (uint32_t i = 0; i < 4; i++) {
+        const struct rs_fixture_report report = {
+            .id = ids[i],
+            .service = "s",
+            .zone = i < 2 ? "z1" : "z2",
+            .port = 1000 + i,
+            .born_ms = 1,
+            .sequence = 1,
+            .cold_left_ms = cold_left_ms,
+        };
+        RsFixture_Report(&scene->fleet, &report, NOW_MS);
+        scene->targets[i] =
+            RsFleet_Find(&scene->fleet, g_intern_string(ids[i]));
+    }
+    scene->choice = (struct rs_load_choice){
+        .fleet = &scene->fleet,
+        .service = g_intern_string("s"),
+        .zone = g_intern_string("z1"),
+        .cold_per_s = 6.3,
+        .bounds = {.cold_factor = 1.5, .cold_slack = 5},
+        .share = {.nodes = 9},
+        .random = g_rand_new_with_seed(1),
+    };
+}
+
+static void
+close_scene(struct scene *scene)
+{
+    g_rand_free(scene->choice.random);
+    RsFleet_Clear(&scene->fleet);
+}
+
+static void
+test_own_count_goes_before_older_words(void)
+{
+    struct scene scene;
+    open_scene(&scene, 0);
+    struct rs_fleet_target *target = scene.targets[0];
+    const struct rs_load load = {2, 3, 2, 100};
+    target->in_flight = 1;
+    RsFleet_NoteLoad(target, &load, NOW_MS);
+    CU_ASSERT_EQUAL(RsLoad_Ahead(target, NOW_MS), 5);
+    target->in_flight = 3;
+    CU_ASSERT_EQUAL(RsLoad_Ahead(target, NOW_MS), 7);
+    /* What others had there is no longer believed. */
+    CU_ASSERT_EQUAL(RsLoad_Ahead(target, NOW_MS + 1000), 3);
+    target->elsewhere = 2;
+    target->elsewhere_at_ms = NOW_MS + 900;
+    CU_ASSERT_EQUAL(RsLoad_Ahead(target, NOW_MS + 1000), 5);
+    close_scene(&scene);
+}
+
+static void
+test_faster_target_is_chosen(void)
+{
+    struct scene scene;
+    struct rs_fleet_target *chosen;
+    open_scene(&scene, 0);
+    scene.targets[3]->service_ms = 40;
+    scene.targets[3]->answers = 100;
+    CU_ASSERT_EQUAL(RsLoad_Choose(&scene.choice, NOW_MS, &chosen),
+                    RsLoad_SEND);
+    CU_ASSERT_PTR_EQUAL(chosen, scene.targets[3]);
+    close_scene(&scene);
+}
+
+static void
+test_own_zone_is_preferred_among_equals(void)
+{
+    struct scene scene;
+    struct rs_fleet_target *chosen;
+    int own = 0;
+    open_scene(&scene, 0);
+    for (int i = 0; i < 400; i++) {
+        RsLoad_Choose(&scene.choice, NOW_MS, &chosen);
+        own += chosen == scene.targets[0] || chosen == scene.targets[1];
+    }
+    CU_ASSERT_TRUE(own > 220);
+    close_scene(&scene);
+}
+
+static void
+test_full_and_unusable_targets_are_told_apart(void)
+{
+    struct scene scene;
+    struct rs_fleet_target *chosen;
+    open_scene(&scene, 0);
+    for (size_t i = 0; i < 4; i++) {
+        scene.targets[i]->in_flight = 10;
+    }
+    CU_ASSERT_EQUAL(RsLoad_Choose(&scene.choice, NOW_MS, &chosen),
+                    RsLoad_FULL);
+    RsFleet_SetEvacuated(&scene.fleet, "z1", true, NOW_MS);
+    RsFleet_DropRow(&scene.fleet, "c", NOW_MS);
+    scene.targets[3]->avoid_until_ms = NOW_MS + 1;
+    CU_ASSERT_EQUAL(RsLoad_Choose(&scene.choice, NOW_MS, &chosen),
+                    RsLoad_NONE);
+    close_scene(&scene);
+}
+
+/* Nine nodes send as fast as they may: in no second may a cold target get
+ * more than 6.3 x 1.5 + 5 requests. */
+static void
+test_cold_target_is_within_its_bound_over_all_nodes(void)
+{
+    enum {
+        NODES = 9,
+        SPAN_MS = 10000
+    };
+    static int64_t sent[SPAN_MS];
+    struct scene scenes[NODES];
+    int total = 0;
+    int worst = 0;
+    memset(sent, 0, sizeof(sent));
+    for (uint32_t i = 0; i < NODES; i++) {
+        open_scene(&scenes[i], SPAN_MS);
+        scenes[i].choice.share = (struct rs_load_share){NODES, i};
+    }
+    for (int64_t ms = 0; ms < SPAN_MS; ms++) {
+        for (uint32_t i = 0; i < NODES; i++) {
+            struct rs_fleet_target *target = scenes[i].targets[0];
+            if (RsLoad_ColdAllows(target, &scenes[i].choice, NOW_MS + ms)) {
+                RsLoad_NoteColdSend(target, &scenes[i].choice, NOW_MS + ms);
+                sent[ms]++;
+                total++;
+            }
+        }
+    }
+    for (int64_t ms = 0; ms + 1000 <= SPAN_MS; ms++) {
+        int in_second = 0;
+        for (int64_t k = ms; k < ms + 1000; k++) {
+            in_second += (int)sent[k];
+        }
+        worst = MAX(worst, in_second);
+    }
+    CU_ASSERT_TRUE(worst <= 14);
+    CU_ASSERT_TRUE(total > 50);
+    for (uint32_t i = 0; i < NODES; i++) {
+        close_scene(&scenes[i]);
+    }
+}
+
+/* With 60 nodes only some may send to one cold target at all. */
+static void
+test_many_nodes_share_the_bound_of_a_cold_target(void)
+{
+    int senders = 0;
+    for (uint32_t i = 0; i < 60; i++) {
+        struct scene scene;
+        open_scene(&scene, 5000);
+        scene.choice.share = (struct rs_load_share){60, i};
+        senders += RsLoad_ColdAllows(scene.targets[0], &scene.choice, NOW_MS);
+        close_scene(&scene);
+    }
+    CU_ASSERT_TRUE(senders >= 1 && senders <= 14);
+}
+
+/* A request every 10 ms, each of which would be sent once more: in no window
+ * of 10 s may there be more repeats than 0.2 x 1000 and a ninth of 58. */
+static void
+test_repeats_stay_in_the_budget_of_all_nodes(void)
+{
+    enum {
+        REQUESTS = 3000,
+        WINDOW = 1000
+    };
+    static int repeats[REQUESTS];
+    struct rs_load_budget budget = {.ratio = 0.2, .slack = 58, .window_s = 10};
+    int worst = 0;
+    int total = 0;
+    for (int i = 0; i < REQUESTS; i++) {
+        RsLoad_CountRequest(&budget, NOW_MS + i * 10);
+        repeats[i] = RsLoad_TakeRepeat(&budget, 9, NOW_MS + i * 10);
+        total += repeats[i];
+    }
+    for (int i = 0; i + WINDOW <= REQUESTS; i++) {
+        int in_window = 0;
+        for (int k = i; k < i + WINDOW; k++) {
+            in_window += repeats[k];
+        }
+        worst = MAX(worst, in_window);
+    }
+    CU_ASSERT_TRUE(worst <= 206);
+    CU_ASSERT_TRUE(total >= 300);
+}
+
+static void
+test_quiet_node_repeats_within_its_part_of_the_slack(void)
+{
+    struct rs_load_budget budget = {.ratio = 0.2, .slack = 58, .window_s = 10};
+    int granted = 0;
+    for (int i = 0; i < 20; i++) {
+        granted += RsLoad_TakeRepeat(&budget, 9, NOW_MS);
+    }
+    CU_ASSERT_TRUE(granted >= 1 && granted <= 6);
+}
+
+static void
+test_return_is_spread_over_a_third_of_the_time_left(void)
+{
+    GRand *random = g_rand_new_with_seed(3);
+    uint32_t least = UINT32_MAX;
+    uint32_t most = 0;
+    for (int i = 0; i < 1000; i++) {
+        uint32_t after_ms = RsLoad_RetryAfterMs(1500, random);
+        least = MIN(least, after_ms);
+        most = MAX(most, after_ms);
+    }
+    CU_ASSERT_TRUE(most <= 500);
+    CU_ASSERT_TRUE(most - least >= 200);
+    g_rand_free(random);
+}
+
+int
+main(void)
+{
+    RsLog_Open("test", RsLog_ERROR);
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("load", NULL, NULL);
+    CU_ADD_TEST(suite, test_own_count_goes_before_older_words);
+    CU_ADD_TEST(suite, test_faster_target_is_chosen);
+    CU_ADD_TEST(suite, test_own_zone_is_preferred_among_equals);
+    CU_ADD_TEST(suite, test_full_and_unusable_targets_are_told_apart);
+    CU_ADD_TEST(suite, test_cold_target_is_within_its_bound_over_all_nodes);
+    CU_ADD_TEST(suite, test_many_nodes_share_the_bound_of_a_cold_target);
+    CU_ADD_TEST(suite, test_repeats_stay_in_the_budget_of_all_nodes);
+    CU_ADD_TEST(suite, test_quiet_node_repeats_within_its_part_of_the_slack);
+    CU_ADD_TEST(suite, test_return_is_spread_over_a_third_of_the_time_left);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? 0 : 1;
+}
