--- a/router/fixture.c
+++ b/router/fixture.c
@@ -1,5 +1,6 @@
 #include "router/fixture.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -52,12 +53,12 @@
 #define MAX_HOLD_MS 10000
 
 enum event_kind {
-    COMMIT_ARRIVES,
-    COMMIT_ANSWERED,
-    MAPS_ANSWERED,
-    LEASE_READ,
-    ORDER_ARRIVES,
-    ORDER_ANSWERED,
+    RsWorld_COMMIT_ARRIVES,
+    RsWorld_COMMIT_ANSWERED,
+    RsWorld_MAPS_ANSWERED,
+    RsWorld_LEASE_READ,
+    RsWorld_ORDER_ARRIVES,
+    RsWorld_ORDER_ANSWERED,
 };
 
 struct row {
@@ -170,7 +171,7 @@
 commit(void *arg, const struct rs_store_commit *commit)
 {
     struct world_node *node = arg;
-    struct event *event = post(node->world, COMMIT_ARRIVES, DELAY_MS);
+    struct event *event = post(node->world, RsWorld_COMMIT_ARRIVES, DELAY_MS);
     if (event == NULL) {
         return;
     }
@@ -190,7 +191,8 @@
 load_maps(void *arg)
 {
     struct world_node *node = arg;
-    struct event *event = post(node->world, MAPS_ANSWERED, 2 * DELAY_MS);
+    struct event *event =
+        post(node->world, RsWorld_MAPS_ANSWERED, 2 * DELAY_MS);
     if (event != NULL) {
         event->node = node->number;
         event->life = node->life;
@@ -201,7 +203,7 @@
 order(void *arg, const struct rs_order *order)
 {
     struct world_node *node = arg;
-    struct event *event = post(node->world, ORDER_ARRIVES, DELAY_MS);
+    struct event *event = post(node->world, RsWorld_ORDER_ARRIVES, DELAY_MS);
     if (event != NULL) {
         event->node = node->number;
         event->life = node->life;
@@ -238,7 +240,8 @@
     for (size_t i = 0; i < event->row_count; i++) {
         struct row *row =
             find_row(world, event->rows[i].table, event->rows[i].key);
-        if (row == NULL && world->row_count < MAX_ROWS) {
+        if (row == NULL) {
+            assert(world->row_count < MAX_ROWS);
             row = &world->rows[world->row_count++];
             *row = event->rows[i];
             row->value = NULL;
@@ -259,7 +262,7 @@
     }
     bool lost = !down && take_loss(world, RsFixture_COMMIT_ANSWER_LOST);
     struct event *answer =
-        post(world, COMMIT_ANSWERED, lost || down ? 400 : DELAY_MS);
+        post(world, RsWorld_COMMIT_ANSWERED, lost || down ? 400 : DELAY_MS);
     if (answer == NULL) {
         return;
     }
@@ -298,7 +301,7 @@
     struct rs_store_row list[MAX_ROWS];
     struct rs_store_rows rows = {.rows = list, .version = event->version};
     bool down = world->now_ms < world->store_down_until_ms;
-    if (event->kind == COMMIT_ANSWERED) {
+    if (event->kind == RsWorld_COMMIT_ANSWERED) {
         if (event->status == RsStore_CONFLICT) {
             rows.count = list_rows(world, list, NULL);
         }
@@ -306,7 +309,7 @@
                             (enum rs_store_status)event->status, &rows,
                             world->now_ms);
     }
-    else if (event->kind == MAPS_ANSWERED) {
+    else if (event->kind == RsWorld_MAPS_ANSWERED) {
         rows.count = list_rows(world, list, RsGranter_MAP_TABLE);
         RsGranter_MapsLoaded(&node->granter,
                              down ? RsStore_REFUSED : RsStore_DONE, &rows,
@@ -446,7 +449,7 @@
 answer_order(struct rs_world *world, const struct event *event, int status,
              int64_t delay_ms)
 {
-    struct event *answer = post(world, ORDER_ANSWERED, delay_ms);
+    struct event *answer = post(world, RsWorld_ORDER_ANSWERED, delay_ms);
     if (answer != NULL) {
         answer->node = event->node;
         answer->life = event->life;
@@ -466,7 +469,8 @@
         return;
     }
     if (!order->release && take_loss(world, RsFixture_GRANT_LATE)) {
-        struct event *late = post(world, ORDER_ARRIVES, world->late_ms);
+        struct event *late =
+            post(world, RsWorld_ORDER_ARRIVES, world->late_ms);
         if (late != NULL) {
             int64_t at_ms = late->at_ms;
             *late = event;
@@ -581,7 +585,7 @@
 static bool
 is_for_node(enum event_kind kind)
 {
-    return kind != COMMIT_ARRIVES && kind != ORDER_ARRIVES;
+    return kind != RsWorld_COMMIT_ARRIVES && kind != RsWorld_ORDER_ARRIVES;
 }
 
 static void
@@ -592,13 +596,13 @@
         return;
     }
     switch (event.kind) {
-    case COMMIT_ARRIVES:
+    case RsWorld_COMMIT_ARRIVES:
         commit_arrives(world, event);
         break;
-    case ORDER_ARRIVES:
+    case RsWorld_ORDER_ARRIVES:
         order_arrives(world, event);
         break;
-    case ORDER_ANSWERED:
+    case RsWorld_ORDER_ANSWERED:
         RsGranter_OrderAnswered(&node->granter, &event.order, event.status,
                                 NULL, world->now_ms);
         break;
@@ -642,7 +646,7 @@
         world->now_ms >= node->next_read_ms) {
         node->next_read_ms =
             RsGranter_NextLeaseReadMs(&node->granter, world->now_ms) + TICK_MS;
-        struct event *event = post(world, LEASE_READ, 2 * DELAY_MS);
+        struct event *event = post(world, RsWorld_LEASE_READ, 2 * DELAY_MS);
         if (event != NULL) {
             event->node = node->number;
             event->life = node->life;
--- a/router/load_test.c
+++ b/router/load_test.c
@@ -6,6 +6,10 @@
 #include "router/load.h"
 
 #define NOW_MS 100000
+#define NODES 9
+#define SPAN_MS 10000
+#define REQUESTS 3000
+#define WINDOW 1000 /* requests in 10 s */
 
 struct scene {
     struct rs_fleet fleet;
@@ -124,10 +128,6 @@
 static void
 test_cold_target_is_within_its_bound_over_all_nodes(void)
 {
-    enum {
-        NODES = 9,
-        SPAN_MS = 10000
-    };
     static int64_t sent[SPAN_MS];
     struct scene scenes[NODES];
     int total = 0;
@@ -181,10 +181,6 @@
 static void
 test_repeats_stay_in_the_budget_of_all_nodes(void)
 {
-    enum {
-        REQUESTS = 3000,
-        WINDOW = 1000
-    };
     static int repeats[REQUESTS];
     struct rs_load_budget budget = {.ratio = 0.2, .slack = 58, .window_s = 10};
     int worst = 0;
