Feed many nodes through one another, and keep sums of load

A node that was sent on forgot where to; one that asked the store was then ahead of its stream for good and never took it again.

--- a/router/granter.c
+++ b/router/granter.c
@@ -119,6 +119,7 @@
              host != NULL ? host : "");
     lease.peer_port =
         (uint32_t)json_integer_value(json_object_get(body, "peer_port"));
+    lease.nodes = (uint32_t)json_integer_value(json_object_get(body, "nodes"));
     if (incarnation != NULL) {
         lease.incarnation = strtoull(incarnation, NULL, 16);
     }
@@ -132,9 +133,9 @@
     const struct rs_granter_options *options = &granter->options;
     return g_strdup_printf(
         "{\"node\":\"%s\",\"peer_host\":\"%s\",\"peer_port\":%" PRIu32
-        ",\"incarnation\":\"%" PRIx64 "\"}",
+        ",\"incarnation\":\"%" PRIx64 "\",\"nodes\":%" PRIu32 "}",
         granter->resigning ? "" : options->node, options->peer_host,
-        options->peer_port, options->incarnation);
+        options->peer_port, options->incarnation, granter->nodes);
 }
 
 /* Takes the lease row; version 0 says that there is none. */
--- a/router/granter.h
+++ b/router/granter.h
@@ -80,6 +80,7 @@
     char peer_host[64];
     uint32_t peer_port;
     uint64_t incarnation;
+    uint32_t nodes; /* that route requests; 0: unknown */
 };
 
 struct rs_granter {
@@ -96,6 +97,7 @@
     int64_t next_commit_ms;
     int64_t authority_until_ms;
     int64_t confirmed_ms; /* last confirmed commit */
+    uint32_t nodes;       /* as this node counts them; goes into the row */
     bool long_holds;      /* the store does not answer; grants bridge that */
     struct rs_granter_map maps[RsGranter_MAX_MAPS];
     size_t map_count;
--- a/router/node.c
+++ b/router/node.c
@@ -18,15 +18,17 @@
 #include "router/reports.h"
 #include "router/router.h"
 
-#define TICK_MS 25           /* resolution of all deadlines */
-#define WATCH_EVERY_TICKS 4  /* a caller's leaving is acted on in 100 ms */
-#define REPORT_EVERY_TICKS 6 /* to the granter; queues change in 150 ms */
-#define PLAN_EVERY_TICKS 12  /* of owners; rates are means over 1.5 s */
+#define TICK_MS 25          /* resolution of all deadlines */
+#define WATCH_EVERY_TICKS 4 /* a caller's leaving is acted on in 100 ms */
+#define REPORT_EVERY_MS 150 /* to the granter; queues change in that time */
+/* The granter takes 200 reports a second, however many nodes there are. */
+#define REPORT_EVERY_MS_PER_NODE 5
+#define PLAN_EVERY_TICKS 12 /* of owners; rates are means over 1.5 s */
 /* News of targets may be 2 s old at most where one leaves. */
 #define TARGETS_PAUSE_MS 400
 #define TARGETS_WAIT_MS 600
 /* Subscribers take news for out of date after 1.3 s without an answer. */
-#define OPERATOR_WAIT_MS 800
+#define OPERATOR_WAIT_MS 700
 #define KEYS_WAIT_MS 800
 #define SOON_MS 20
 #define RESIGNATION_MS 40 /* a commit of the node that leaves */
@@ -56,6 +58,7 @@
     struct rs_orders orders;
     struct rs_reports *reports;
     struct rs_stream *stream;
+    struct rs_follower *key_rows;
     struct rs_server *callers;
     struct rs_server *readiness;
     struct rs_server *admin;
@@ -65,6 +68,7 @@
     uint64_t ticks;
     uint64_t incarnation;
     int64_t next_lease_read_ms;
+    int64_t next_report_ms;
     bool reading_lease;
     bool was_fed;
     bool targets_known;
@@ -246,6 +250,33 @@
 
 /* The granter's actions. */
 
+/* Only the node with the lease writes the map rows, so that it need not read
+ * them. */
+static void
+take_own_maps(struct node *node, uint64_t version)
+{
+    for (size_t i = 0; i < node->granter.map_count; i++) {
+        const struct rs_granter_map *entry = &node->granter.maps[i];
+        if (entry->row_version != version || entry->dirty) {
+            continue;
+        }
+        char *key =
+            g_strconcat(RsGranter_MAP_PREFIX, entry->map->service, NULL);
+        char *value = RsKeymap_Encode(entry->map);
+        struct rs_store_row row = {
+            .key = key,
+            .value = value,
+            .value_bytes = strlen(value),
+            .version = version,
+        };
+        const struct rs_store_rows rows = {&row, 1, version, false};
+        RsFollower_Feed(node->key_rows, &rows, false);
+        g_free(key);
+        g_free(value);
+    }
+    RsFollower_NoteFresh(node->key_rows, RsClock_NowMs());
+}
+
 static void
 on_committed(void *arg, enum rs_store_status status,
              const struct rs_store_rows *rows)
@@ -253,6 +284,9 @@
     struct node *node = arg;
     on_store(node, status);
     RsGranter_Committed(&node->granter, status, rows, RsClock_NowMs());
+    if (status == RsStore_DONE && node->granter.phase == RsGranter_LEADING) {
+        take_own_maps(node, rows->version);
+    }
     RsGranter_Tick(&node->granter, RsClock_NowMs());
 }
 
@@ -293,6 +327,15 @@
     .order = send_order,
 };
 
+/* Until the granter answers this node's reports, its row tells how many nodes
+ * share the bounds. */
+static void
+note_nodes(struct node *node)
+{
+    struct rs_load_share *share = &node->router.share;
+    share->nodes = MAX(share->nodes, node->granter.holder.nodes);
+}
+
 static void
 on_lease_row(void *arg, enum rs_store_status status,
              const struct rs_store_rows *rows)
@@ -304,6 +347,7 @@
     if (status == RsStore_DONE && rows->count > 0) {
         RsGranter_LeaseRead(&node->granter, rows->rows[0].version,
                             rows->rows[0].value, now_ms);
+        note_nodes(node);
     }
     else if (status == RsStore_DONE) {
         RsGranter_LeaseRead(&node->granter, RsStore_ABSENT, "", now_ms);
@@ -317,6 +361,8 @@
 watch_stream(struct node *node, int64_t now_ms)
 {
     bool fed = RsStream_IsFed(node->stream);
+    RsFollower_SetFed(node->key_rows,
+                      fed || RsGranter_HasAuthority(&node->granter, now_ms));
     if (node->was_fed && !fed) {
         node->next_lease_read_ms = now_ms + RESIGNATION_MS;
     }
@@ -424,10 +470,17 @@
 static void
 report(struct node *node, int64_t now_ms)
 {
+    if (now_ms < node->next_report_ms) {
+        return;
+    }
+    node->next_report_ms =
+        now_ms + MAX(REPORT_EVERY_MS,
+                     node->router.share.nodes * REPORT_EVERY_MS_PER_NODE);
     struct sockaddr_in address;
     const struct rs_granter_lease *holder = &node->granter.holder;
     if (RsGranter_HasAuthority(&node->granter, now_ms)) {
         RsReports_Report(node->reports, NULL, now_ms);
+        node->granter.nodes = node->router.share.nodes;
     }
     else if (holder->peer_host[0] != '\0' &&
              holder->incarnation != node->incarnation &&
@@ -470,9 +523,7 @@
     if (node->ticks % WATCH_EVERY_TICKS == 0) {
         RsRequest_WatchCallers(&node->router);
     }
-    if (node->ticks % REPORT_EVERY_TICKS == 0) {
-        report(node, now_ms);
-    }
+    report(node, now_ms);
     if (node->ticks % PLAN_EVERY_TICKS == 0) {
         plan(node, now_ms);
     }
@@ -585,6 +636,8 @@
     const struct rs_node_settings *settings = node->options.settings;
     RsNode_ParseEndpoint(settings->store.address, &address);
     node->store = RsStore_Open(&node->loop, &address);
+    node->key_rows =
+        follow(node, RsGranter_MAP_TABLE, SOON_MS, KEYS_WAIT_MS, &key_events);
     const struct rs_stream_options options = {
         .loop = &node->loop,
         .node = settings->node.name,
@@ -595,8 +648,7 @@
                              OPERATOR_WAIT_MS, &operator_events),
                       follow(node, RsWire_TARGET_TABLE, TARGETS_PAUSE_MS,
                              TARGETS_WAIT_MS, &target_events),
-                      follow(node, RsGranter_MAP_TABLE, SOON_MS, KEYS_WAIT_MS,
-                             &key_events)},
+                      node->key_rows},
         .follower_count = 3,
     };
     node->stream = RsStream_Open(&options);
--- a/router/reports.c
+++ b/router/reports.c
@@ -9,25 +9,32 @@
 
 /* Reports come every 150 ms; a node that missed six is not counted. */
 #define REPORT_LIFETIME_MS 1000
-/* Nodes count as routing requests for longer, so that the shares of budgets
- * don't grow while one is paused. */
-#define NODE_LIFETIME_MS 5000
+/* Nodes count as routing requests for longer: one that is cut off from the
+ * granter, or paused, may go on, and the shares of budgets must not grow. */
+#define NODE_LIFETIME_MS 60000
 #define MS_PER_S 1000.0
 #define US_PER_MS 1000.0
 #define MAX_DATAGRAM_BYTES 60000
 #define MAX_KEYS 4000 /* in one report */
 
+struct load {
+    uint32_t in_flight;
+    uint32_t service_us;
+};
+
 /* One node, as the granter knows it. */
 struct node {
     char *name;
     uint64_t incarnation;
     int64_t reported_ms;
-    GHashTable *loads; /* target id to struct load */
+    GHashTable *loads; /* target id to struct load; part of the sums */
 };
 
-struct load {
+/* What all nodes together have at a target. */
+struct sum {
     uint32_t in_flight;
-    uint32_t service_us;
+    uint64_t service_us;
+    uint32_t samples; /* that the service time is the sum of */
 };
 
 struct rates {
@@ -40,6 +47,7 @@
     struct rs_router *router;
     uint64_t incarnation;
     GHashTable *nodes;    /* name to struct node */
+    GHashTable *sums;     /* target id to struct sum */
     GHashTable *rates;    /* service to struct rates */
     GHashTable *reported; /* target id to what this node last reported */
 };
@@ -128,6 +136,48 @@
     g_free(node);
 }
 
+static void
+take_out(struct rs_reports *reports, struct node *node)
+{
+    GHashTableIter iter;
+    gpointer id;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->loads);
+    while (g_hash_table_iter_next(&iter, &id, &value)) {
+        const struct load *load = value;
+        struct sum *sum = g_hash_table_lookup(reports->sums, id);
+        sum->in_flight -= load->in_flight;
+        sum->service_us -= load->service_us;
+        sum->samples -= load->service_us > 0;
+        if (sum->in_flight == 0 && sum->samples == 0) {
+            g_hash_table_remove(reports->sums, id);
+        }
+    }
+    g_hash_table_remove_all(node->loads);
+}
+
+static void
+put_in(struct rs_reports *reports, struct node *node,
+       const Rs__Peer__TargetLoad *item)
+{
+    gpointer id = (gpointer)g_intern_string(item->id);
+    if (g_hash_table_contains(node->loads, id)) {
+        return;
+    }
+    struct load *load = g_new0(struct load, 1);
+    load->in_flight = item->in_flight;
+    load->service_us = item->service_us;
+    g_hash_table_insert(node->loads, id, load);
+    struct sum *sum = g_hash_table_lookup(reports->sums, id);
+    if (sum == NULL) {
+        sum = g_new0(struct sum, 1);
+        g_hash_table_insert(reports->sums, id, sum);
+    }
+    sum->in_flight += load->in_flight;
+    sum->service_us += load->service_us;
+    sum->samples += load->service_us > 0;
+}
+
 /* The granter's side: keeps what a node reported. */
 static void
 take_report(struct rs_reports *reports, const Rs__Peer__Report *report,
@@ -143,18 +193,14 @@
     }
     node->incarnation = report->incarnation;
     node->reported_ms = now_ms;
-    g_hash_table_remove_all(node->loads);
+    take_out(reports, node);
     for (size_t i = 0; i < report->n_targets; i++) {
-        struct load *load = g_new0(struct load, 1);
-        load->in_flight = report->targets[i]->in_flight;
-        load->service_us = report->targets[i]->service_us;
-        g_hash_table_insert(node->loads,
-                            (gpointer)g_intern_string(report->targets[i]->id),
-                            load);
+        put_in(reports, node, report->targets[i]);
     }
     count_keys(reports, report, now_ms);
 }
 
+/* Forgets the load of nodes that are silent, and later the nodes. */
 static void
 drop_silent_nodes(struct rs_reports *reports, int64_t now_ms)
 {
@@ -162,7 +208,10 @@
     gpointer value;
     g_hash_table_iter_init(&iter, reports->nodes);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct node *node = value;
+        struct node *node = value;
+        if (now_ms - node->reported_ms > REPORT_LIFETIME_MS) {
+            take_out(reports, node);
+        }
         if (now_ms - node->reported_ms > NODE_LIFETIME_MS) {
             RsLog_EVENT(RsLog_INFO, "node_silent",
                         RsLog_TEXT("node", node->name));
@@ -171,30 +220,14 @@
     }
 }
 
-/* Sums what all nodes have at one target. */
 static struct load
-sum_of(struct rs_reports *reports, const char *id, int64_t now_ms)
+mean_of(const struct sum *sum)
 {
-    struct load sum = {0};
-    uint64_t service_us = 0;
-    uint32_t samples = 0;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, reports->nodes);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct node *node = value;
-        const struct load *load = g_hash_table_lookup(node->loads, id);
-        if (load == NULL || now_ms - node->reported_ms > REPORT_LIFETIME_MS) {
-            continue;
-        }
-        sum.in_flight += load->in_flight;
-        if (load->service_us > 0) {
-            service_us += load->service_us;
-            samples++;
-        }
-    }
-    sum.service_us = samples > 0 ? (uint32_t)(service_us / samples) : 0;
-    return sum;
+    return (struct load){
+        .in_flight = sum->in_flight,
+        .service_us =
+            sum->samples > 0 ? (uint32_t)(sum->service_us / sum->samples) : 0,
+    };
 }
 
 static uint32_t
@@ -210,6 +243,20 @@
     return rank;
 }
 
+/* Targets that are not named have no work from other nodes. */
+static void
+reset_elsewhere(struct rs_reports *reports, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, reports->router->fleet.targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rs_fleet_target *target = value;
+        target->elsewhere = 0;
+        target->elsewhere_at_ms = now_ms;
+    }
+}
+
 static void
 take_sum(struct rs_reports *reports, const char *id, const struct load *sum,
          int64_t now_ms)
@@ -222,44 +269,58 @@
         GPOINTER_TO_UINT(g_hash_table_lookup(reports->reported, id));
     target->elsewhere = sum->in_flight > own ? sum->in_flight - own : 0;
     target->elsewhere_at_ms = now_ms;
-    target->shared_service_ms = sum->service_us / US_PER_MS;
+    if (sum->service_us > 0) {
+        target->shared_service_ms = sum->service_us / US_PER_MS;
+    }
 }
 
-/* Fills `loads` with the sums of all targets, and takes them for this node
- * if it is the granter. */
+/* Fills `loads` with the sums of the targets that have work. */
 static size_t
-sum_all(struct rs_reports *reports, Rs__Peer__TargetLoad *loads, bool take,
-        int64_t now_ms)
+list_sums(struct rs_reports *reports, Rs__Peer__TargetLoad *loads)
 {
     GHashTableIter iter;
-    gpointer key;
+    gpointer id;
+    gpointer value;
     size_t count = 0;
-    g_hash_table_iter_init(&iter, reports->router->fleet.targets);
-    while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        struct load sum = sum_of(reports, key, now_ms);
-        if (take) {
-            take_sum(reports, key, &sum, now_ms);
-        }
-        if (sum.in_flight > 0 || sum.service_us > 0) {
+    g_hash_table_iter_init(&iter, reports->sums);
+    while (g_hash_table_iter_next(&iter, &id, &value)) {
+        const struct sum *sum = value;
+        if (sum->in_flight > 0) {
+            struct load mean = mean_of(sum);
             rs__peer__target_load__init(&loads[count]);
-            loads[count].id = key;
-            loads[count].in_flight = sum.in_flight;
-            loads[count].service_us = sum.service_us;
+            loads[count].id = id;
+            loads[count].in_flight = mean.in_flight;
+            loads[count].service_us = mean.service_us;
             count++;
         }
     }
     return count;
 }
 
+/* The granter takes the sums without a datagram. */
+static void
+take_own_sums(struct rs_reports *reports, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer id;
+    gpointer value;
+    reset_elsewhere(reports, now_ms);
+    g_hash_table_iter_init(&iter, reports->sums);
+    while (g_hash_table_iter_next(&iter, &id, &value)) {
+        struct load mean = mean_of(value);
+        take_sum(reports, id, &mean, now_ms);
+    }
+}
+
 static void
 answer_report(struct rs_reports *reports, const Rs__Peer__Report *report,
               const struct sockaddr *from, int64_t now_ms)
 {
-    guint most = g_hash_table_size(reports->router->fleet.targets);
+    guint most = g_hash_table_size(reports->sums);
     Rs__Peer__TargetLoad *loads = g_new0(Rs__Peer__TargetLoad, most + 1);
     Rs__Peer__TargetLoad **list = g_new0(Rs__Peer__TargetLoad *, most + 1);
     Rs__Peer__Summary summary = RS__PEER__SUMMARY__INIT;
-    summary.n_targets = sum_all(reports, loads, from == NULL, now_ms);
+    summary.n_targets = list_sums(reports, loads);
     for (size_t i = 0; i < summary.n_targets; i++) {
         list[i] = &loads[i];
     }
@@ -273,6 +334,7 @@
     else {
         reports->router->share.nodes = MAX(summary.nodes, 1);
         reports->router->share.rank = summary.rank;
+        take_own_sums(reports, now_ms);
     }
     g_free(loads);
     g_free(list);
@@ -289,14 +351,7 @@
     }
     router->share.nodes = summary->nodes;
     router->share.rank = summary->rank;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, router->fleet.targets);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct rs_fleet_target *target = value;
-        target->elsewhere = 0;
-        target->elsewhere_at_ms = now_ms;
-    }
+    reset_elsewhere(reports, now_ms);
     for (size_t i = 0; i < summary->n_targets; i++) {
         const struct load sum = {summary->targets[i]->in_flight,
                                  summary->targets[i]->service_us};
@@ -354,6 +409,8 @@
     reports->incarnation = incarnation;
     reports->nodes =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_node);
+    reports->sums =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     reports->rates =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     reports->reported = g_hash_table_new(g_direct_hash, g_direct_equal);
--- a/router/stream.c
+++ b/router/stream.c
@@ -344,17 +344,16 @@
         if (follower == NULL) {
             continue;
         }
-        current = current && item->age_ms < STALE_MS &&
-                  item->version >= RsFollower_Rows(follower)->version;
-        if (item->version >= RsFollower_Rows(follower)->version) {
-            RsFollower_NoteFresh(follower, now_ms - item->age_ms);
-        }
+        current = current && item->age_ms < STALE_MS;
+        RsFollower_NoteFresh(follower, now_ms - item->age_ms);
     }
     if (current) {
         stream->heard_ms = now_ms;
         RsGranter_LeaseHeard(granter, beat->granter, beat->lease_version,
                              now_ms);
         set_fed(stream, true, "current");
+        /* Those that this node feeds learn it without a wait of their own. */
+        stream->next_beat_ms = 0;
     }
     else {
         set_fed(stream, false, "out of date");
@@ -443,10 +442,11 @@
         .arg = stream,
         .max_queue_bytes = MAX_QUEUE_BYTES,
     };
+    bool valid = host[0] != '\0' &&
+                 uv_ip4_addr(host, (int)port, &options.address) == 0;
     stream->next_connect_ms = now_ms + CONNECT_EVERY_MS;
     stream->redirect_host[0] = '\0';
-    if (host[0] == '\0' ||
-        uv_ip4_addr(host, (int)port, &options.address) != 0) {
+    if (!valid) {
         return;
     }
     stream->upstream = RsLink_Connect(&options);
@@ -459,7 +459,8 @@
 RsStream_Tick(struct rs_stream *stream, int64_t now_ms)
 {
     const struct rs_granter *granter = stream->options.granter;
-    if (now_ms >= stream->next_beat_ms && !stream->leaving) {
+    if (now_ms >= stream->next_beat_ms && !stream->leaving &&
+        stream->subscribers->len > 0) {
         stream->next_beat_ms = now_ms + BEAT_EVERY_MS;
         send_beats(stream, now_ms);
     }
