Add the soak; queue orders for a target; break off answers cleanly

Orders to one target go out three at a time, failed commits are tried again after 200 ms, and a connection is shut down within its answer.

--- a/http/server.c
+++ b/http/server.c
@@ -183,6 +183,16 @@
     }
 }
 
+/* Ends an answer that has begun and can't be completed. The connection ends
+ * within the answer; h2o alone would send a malformed chunk. */
+void
+RsServer_BreakOff(h2o_req_t *request)
+{
+    h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
+    shutdown(h2o_socket_get_fd(socket), SHUT_WR);
+    h2o_send(request, NULL, 0, H2O_SEND_STATE_ERROR);
+}
+
 /* Closes connections on which no request is open. */
 void
 RsServer_CloseIdle(struct rs_server *server)
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -23,7 +23,7 @@
  * the news has used up to 0.6 s. */
 #define KEEP_LEAVING_MS 1000
 /* The same for an evacuated zone, which has 5 s. */
-#define KEEP_EVACUATED_MS 3500
+#define KEEP_EVACUATED_MS 2500
 
 /* Prepares an empty fleet. */
 void
--- a/router/fleet_test.c
+++ b/router/fleet_test.c
@@ -171,7 +171,7 @@
     open_fleet();
     RsFleet_SetEvacuated(&fleet, "z", true, NOW_MS);
     CU_ASSERT_FALSE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS));
-    CU_ASSERT_TRUE(RsFleet_MayKeepWork(&fleet, find("a"), NOW_MS + 3000));
+    CU_ASSERT_TRUE(RsFleet_MayKeepWork(&fleet, find("a"), NOW_MS + 2000));
     CU_ASSERT_FALSE(RsFleet_MayKeepWork(&fleet, find("a"), NOW_MS + 4000));
     RsFleet_SetEvacuated(&fleet, "z", false, NOW_MS + 4000);
     CU_ASSERT_TRUE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS + 4000));
--- a/router/granter.c
+++ b/router/granter.c
@@ -15,6 +15,7 @@
     100 /* clocks of two nodes differ by less in LEASE_MS */
 #define COMMIT_EVERY_MS 650 /* three tries within a lease */
 #define COMMIT_SOON_MS 20   /* changes in a row share one commit */
+#define COMMIT_RETRY_MS 200 /* the store is away; several within a lease */
 /* Other nodes know of a new owner this long after the commit; then the former
  * one is asked to release, and nobody sends it requests any more. */
 #define PUBLISH_MS 40
@@ -313,6 +314,7 @@
                     const struct rs_store_rows *rows, int64_t now_ms)
 {
     granter->committing = false;
+    granter->last_commit_done = status == RsStore_DONE;
     if (status == RsStore_DONE && granter->resign_offered) {
         granter->lease_version = rows->version;
         step_down(granter, "resigned");
@@ -330,8 +332,9 @@
     RsLog_EVENT(RsLog_WARNING, "granter_commit_failed",
                 RsLog_TEXT("status", RsStore_StatusName(status)),
                 RsLog_NUMBER("lease_version", granter->lease_version));
-    granter->next_commit_ms = now_ms + COMMIT_SOON_MS;
+    granter->next_commit_ms = now_ms + COMMIT_RETRY_MS;
     if (status == RsStore_CONFLICT) {
+        granter->next_commit_ms = now_ms + COMMIT_SOON_MS;
         take_conflict(granter, rows, now_ms);
     }
     else if (granter->phase == RsGranter_CLAIMING) {
@@ -568,7 +571,7 @@
     if (now_ms >= granter->next_commit_ms) {
         return true;
     }
-    return has_dirty_map(granter) &&
+    return has_dirty_map(granter) && granter->last_commit_done &&
            now_ms - granter->commit_sent_ms >= COMMIT_SOON_MS;
 }
 
--- a/router/granter.h
+++ b/router/granter.h
@@ -91,6 +91,7 @@
     int64_t lease_seen_ms; /* when this version was first seen */
     bool lease_known;      /* the row was read at least once */
     bool committing;
+    bool last_commit_done;
     bool resigning;
     bool resign_offered; /* by the commit under way */
     int64_t commit_sent_ms;
--- a/router/load.c
+++ b/router/load.c
@@ -18,7 +18,7 @@
 #define MS_PER_S 1000
 /* Share of the bound on a cold target that is used, since sends of two
  * seconds may arrive in one. */
-#define COLD_SHARE 0.8
+#define COLD_SHARE 0.6
 /* Callers wait for at most a third of the time that they have left. */
 #define RETRY_LEAST_SHARE 0.12
 #define RETRY_MOST_SHARE 0.32
--- a/router/node.c
+++ b/router/node.c
@@ -670,8 +670,7 @@
         .fleet = &node->router.fleet,
     };
     RsGranter_Init(&node->granter, &options);
-    node->orders.router = &node->router;
-    node->orders.granter = &node->granter;
+    RsOrders_Init(&node->orders, &node->router, &node->granter);
 }
 
 static void
--- a/router/orders.c
+++ b/router/orders.c
@@ -7,10 +7,21 @@
 #define GRANT_TIMEOUT_MS 500
 /* A release is answered when the work on its keys has ended. */
 #define RELEASE_TIMEOUT_MS 2500
-#define MAX_CONNECTIONS 8 /* of the granter, to one target */
+#define MAX_ACTIVE 3 /* orders under way to one target */
+/* Requests of this node may have most of its connections to a target. */
+#define MAX_CONNECTIONS 64
+/* An order that has waited this long is given up; its range is due again. */
+#define QUEUE_TIMEOUT_MS 800
+
+struct queue {
+    GQueue waiting; /* struct order_call */
+    uint32_t active;
+};
 
 struct order_call {
     uv_timer_t timer;
+    struct queue *queue;
+    bool started;
     struct rs_orders *orders;
     struct rs_order order;
     char *handover_sent;
@@ -29,6 +40,31 @@
     g_free(handle->data);
 }
 
+static void start_exchange(struct order_call *call);
+
+static void
+start_waiting(struct queue *queue)
+{
+    while (queue->active < MAX_ACTIVE && queue->waiting.length > 0) {
+        struct order_call *next = g_queue_pop_head(&queue->waiting);
+        queue->active++;
+        next->started = true;
+        start_exchange(next);
+    }
+}
+
+static void
+leave_queue(struct order_call *call)
+{
+    if (call->started) {
+        call->queue->active--;
+    }
+    else {
+        g_queue_remove(&call->queue->waiting, call);
+    }
+    start_waiting(call->queue);
+}
+
 static void
 finish(struct order_call *call, int status)
 {
@@ -43,6 +79,7 @@
             target->order_failing_since_ms = now_ms;
         }
     }
+    leave_queue(call);
     RsGranter_OrderAnswered(call->orders->granter, &call->order, status,
                             call->handover, now_ms);
     RsGranter_Tick(call->orders->granter, now_ms);
@@ -124,9 +161,33 @@
         .events = &exchange_events,
         .arg = call,
     };
+    uv_timer_start(&call->timer, on_timeout,
+                   call->order.release ? RELEASE_TIMEOUT_MS : GRANT_TIMEOUT_MS,
+                   0);
     call->exchange = RsExchange_Start(&options);
 }
 
+static struct queue *
+find_queue(struct rs_orders *orders, const char *target_id)
+{
+    struct queue *queue = g_hash_table_lookup(orders->queues, target_id);
+    if (queue == NULL) {
+        queue = g_new0(struct queue, 1);
+        g_queue_init(&queue->waiting);
+        g_hash_table_insert(orders->queues, (gpointer)target_id, queue);
+    }
+    return queue;
+}
+
+/* Prepares to send orders of a granter. */
+void
+RsOrders_Init(struct rs_orders *orders, struct rs_router *router,
+              struct rs_granter *granter)
+{
+    *orders = (struct rs_orders){.router = router, .granter = granter};
+    orders->queues = g_hash_table_new(g_direct_hash, g_direct_equal);
+}
+
 /* Sends an order; its answer goes to the granter later. */
 void
 RsOrders_Send(struct rs_orders *orders, const struct rs_order *order)
@@ -140,14 +201,18 @@
     RsCounter_Add(&orders->sent, 1);
     uv_timer_init(orders->router->loop, &call->timer);
     call->timer.data = call;
+    call->queue = find_queue(orders, order->target_id);
+    g_queue_push_tail(&call->queue->waiting, call);
     if (call->target == NULL || call->target->replaced) {
         /* Its address is not known, or another target has it now. */
         static struct rs_fleet_target nobody;
         call->target = &nobody;
         uv_timer_start(&call->timer, on_timeout, 0, 0);
+        g_queue_remove(&call->queue->waiting, call);
+        call->started = true;
+        call->queue->active++;
         return;
     }
-    uv_timer_start(&call->timer, on_timeout,
-                   order->release ? RELEASE_TIMEOUT_MS : GRANT_TIMEOUT_MS, 0);
-    start_exchange(call);
+    uv_timer_start(&call->timer, on_timeout, QUEUE_TIMEOUT_MS, 0);
+    start_waiting(call->queue);
 }
--- a/router/orders.h
+++ b/router/orders.h
@@ -6,13 +6,18 @@
 #include "router/granter.h"
 #include "router/router.h"
 
+/* Orders to one target go out one after the other, a few at a time, so that
+ * they don't take its connections from requests. */
 struct rs_orders {
+    GHashTable *queues; /* target id to struct queue, see router/orders.c */
     struct rs_router *router;
     struct rs_granter *granter;
     struct rs_counter sent;
     struct rs_counter failed;
 };
 
+void RsOrders_Init(struct rs_orders *orders, struct rs_router *router,
+                   struct rs_granter *granter);
 void RsOrders_Send(struct rs_orders *orders, const struct rs_order *order);
 
 #endif
--- a/router/reply.c
+++ b/router/reply.c
@@ -105,8 +105,12 @@
                   1);
     RsRequest_Finish(request, http->res.status,
                      broken ? "broken-off" : "answered");
-    h2o_send(http, NULL, 0,
-             broken ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL);
+    if (broken) {
+        RsServer_BreakOff(http);
+    }
+    else {
+        h2o_send(http, NULL, 0, H2O_SEND_STATE_FINAL);
+    }
 }
 
 /* Gives the server what there is, one piece at a time. */
--- a/router/stream.c
+++ b/router/stream.c
@@ -442,8 +442,8 @@
         .arg = stream,
         .max_queue_bytes = MAX_QUEUE_BYTES,
     };
-    bool valid = host[0] != '\0' &&
-                 uv_ip4_addr(host, (int)port, &options.address) == 0;
+    bool valid =
+        host[0] != '\0' && uv_ip4_addr(host, (int)port, &options.address) == 0;
     stream->next_connect_ms = now_ms + CONNECT_EVERY_MS;
     stream->redirect_host[0] = '\0';
     if (!valid) {
--- /dev/null
+++ b/soak/caller.c
@@ -0,0 +1,273 @@
+#include "soak/caller.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "core/clock.h"
+#include "http/connection.h"
+#include "soak/target.h"
+
+#define TIMEOUT_MS 3000 /* a node answers by its route's timeout, 2 s */
+#define DEADLINE_TEXT "2500"
+#define KEEP_PERCENT 80 /* of connections, after an answer */
+#define POST_PERCENT 30
+#define HOT_PERCENT 40 /* of keys: a few that lie side by side */
+#define HOT_KEYS 200
+#define HOT_EVERY_MS 4000 /* they are others then */
+#define MAX_BODY 256
+
+struct caller {
+    struct rs_soak_callers *callers;
+    uv_timer_t timer;
+    struct rs_http_connection *connection;
+    bool connected;
+    bool busy;
+    bool post;
+    char id[32];
+    char key[16];
+    int status;
+    char signature[64];
+    char answer_id[64];
+    char body[MAX_BODY];
+    size_t body_bytes;
+    bool too_long;
+};
+
+struct rs_soak_callers {
+    struct rs_soak_callers_options options;
+    GPtrArray *list;
+    struct rs_soak_tally tally;
+    uint64_t next_id;
+    bool stopped;
+};
+
+static void begin(uv_timer_t *timer);
+
+static void
+rest(struct caller *caller)
+{
+    const struct rs_soak_callers_options *options = &caller->callers->options;
+    caller->busy = false;
+    if (!caller->callers->stopped) {
+        uv_timer_start(&caller->timer, begin,
+                       (uint64_t)g_rand_int_range(
+                           options->random, 1, (gint32)options->pause_ms * 2),
+                       0);
+    }
+}
+
+static void
+disconnect(struct caller *caller)
+{
+    if (caller->connection != NULL) {
+        RsHttp_Close(caller->connection);
+    }
+    caller->connection = NULL;
+    caller->connected = false;
+}
+
+static bool
+is_sound(const struct caller *caller)
+{
+    char *signature = RsSoakTarget_Signature(caller->id);
+    char *body = g_strdup_printf("%s %s", caller->id, signature);
+    bool sound = strcmp(caller->answer_id, caller->id) == 0 &&
+                 strcmp(caller->signature, signature) == 0 &&
+                 !caller->too_long && caller->body_bytes == strlen(body) &&
+                 memcmp(caller->body, body, caller->body_bytes) == 0;
+    g_free(signature);
+    g_free(body);
+    return sound;
+}
+
+static void
+send_request(struct caller *caller)
+{
+    const struct rs_http_header headers[] = {
+        {"host", "soak.example"},
+        {"x-request-id", caller->id},
+        {"x-deadline-ms", DEADLINE_TEXT},
+        {"x-shard-key", caller->key},
+    };
+    const struct rs_http_request request = {
+        .method = caller->post ? "POST" : "GET",
+        .path = caller->post ? "/post/x" : "/get/x",
+        .headers = headers,
+        .header_count = caller->post ? 3 : 4,
+        .body = "body",
+        .body_bytes = caller->post ? 4 : 0,
+    };
+    if (RsHttp_Send(caller->connection, &request) != 0) {
+        disconnect(caller);
+        rest(caller);
+    }
+}
+
+static void
+on_connected(void *arg)
+{
+    struct caller *caller = arg;
+    caller->connected = true;
+    send_request(caller);
+}
+
+static void
+copy_header(const struct rs_http_head *head, const char *name, char *text,
+            size_t size_bytes)
+{
+    const char *value = RsHttp_FindHeader(head, name);
+    g_strlcpy(text, value != NULL ? value : "", size_bytes);
+}
+
+static void
+on_head(void *arg, const struct rs_http_head *head)
+{
+    struct caller *caller = arg;
+    caller->status = head->status;
+    copy_header(head, "x-request-id", caller->answer_id,
+                sizeof(caller->answer_id));
+    copy_header(head, "x-server-signature", caller->signature,
+                sizeof(caller->signature));
+}
+
+static void
+on_body(void *arg, const char *data, size_t size_bytes)
+{
+    struct caller *caller = arg;
+    if (caller->body_bytes + size_bytes > MAX_BODY) {
+        caller->too_long = true;
+        return;
+    }
+    memcpy(caller->body + caller->body_bytes, data, size_bytes);
+    caller->body_bytes += size_bytes;
+}
+
+static void
+on_end(void *arg, bool keep_alive)
+{
+    struct caller *caller = arg;
+    struct rs_soak_callers *callers = caller->callers;
+    bool sound = is_sound(caller);
+    RsCheck_Answer(callers->options.check, caller->id, !caller->post,
+                   caller->status, sound, RsClock_NowMs());
+    callers->tally.served += caller->status == 200 && sound;
+    callers->tally.refused += caller->status == 503;
+    callers->tally.failed += caller->status != 200 && caller->status != 503;
+    bool keep = keep_alive && g_rand_int_range(callers->options.random, 0,
+                                               100) < KEEP_PERCENT;
+    if (!keep) {
+        disconnect(caller);
+    }
+    uv_timer_stop(&caller->timer);
+    rest(caller);
+}
+
+static void
+on_closed(void *arg, int error)
+{
+    struct caller *caller = arg;
+    caller->connection = NULL;
+    caller->connected = false;
+    if (caller->busy) {
+        caller->callers->tally.failed++;
+        uv_timer_stop(&caller->timer);
+        rest(caller);
+    }
+}
+
+static const struct rs_http_events events = {
+    .connected = on_connected,
+    .head = on_head,
+    .body = on_body,
+    .end = on_end,
+    .closed = on_closed,
+};
+
+static void
+on_timeout(uv_timer_t *timer)
+{
+    struct caller *caller = timer->data;
+    caller->callers->tally.failed++;
+    disconnect(caller);
+    rest(caller);
+}
+
+static uint32_t
+pick_key(GRand *random)
+{
+    if (g_rand_int_range(random, 0, 100) >= HOT_PERCENT) {
+        return (uint32_t)g_rand_int_range(random, 0, RsCheck_KEYS);
+    }
+    uint32_t base = (uint32_t)(RsClock_NowMs() / HOT_EVERY_MS * 7919) %
+                    (RsCheck_KEYS - HOT_KEYS);
+    return base + (uint32_t)g_rand_int_range(random, 0, HOT_KEYS);
+}
+
+static void
+begin(uv_timer_t *timer)
+{
+    struct caller *caller = timer->data;
+    struct rs_soak_callers *callers = caller->callers;
+    GRand *random = callers->options.random;
+    uint32_t node = (uint32_t)g_rand_int_range(
+        random, 0, (gint32)callers->options.node_count);
+    caller->post = g_rand_int_range(random, 0, 100) < POST_PERCENT;
+    snprintf(caller->id, sizeof(caller->id), "r%lu",
+             (unsigned long)++callers->next_id);
+    snprintf(caller->key, sizeof(caller->key), "%u", pick_key(random));
+    caller->busy = true;
+    caller->status = 0;
+    caller->body_bytes = 0;
+    caller->too_long = false;
+    callers->tally.asked++;
+    uv_timer_start(&caller->timer, on_timeout, TIMEOUT_MS, 0);
+    if (caller->connection != NULL) {
+        send_request(caller);
+        return;
+    }
+    const struct rs_http_options options = {
+        .loop = callers->options.loop,
+        .address = callers->options.nodes[node],
+        .events = &events,
+        .arg = caller,
+    };
+    caller->connection = RsHttp_Open(&options);
+    if (caller->connection == NULL) {
+        uv_timer_stop(&caller->timer);
+        rest(caller);
+    }
+}
+
+/* Starts the callers. */
+struct rs_soak_callers *
+RsSoakCallers_Open(const struct rs_soak_callers_options *options)
+{
+    struct rs_soak_callers *callers = g_new0(struct rs_soak_callers, 1);
+    callers->options = *options;
+    callers->list = g_ptr_array_new();
+    for (uint32_t i = 0; i < options->callers; i++) {
+        struct caller *caller = g_new0(struct caller, 1);
+        caller->callers = callers;
+        uv_timer_init(options->loop, &caller->timer);
+        caller->timer.data = caller;
+        g_ptr_array_add(callers->list, caller);
+        rest(caller);
+    }
+    return callers;
+}
+
+/* Sends nothing new. */
+void
+RsSoakCallers_Stop(struct rs_soak_callers *callers)
+{
+    callers->stopped = true;
+}
+
+/* Returns what was counted since the last call. */
+struct rs_soak_tally
+RsSoakCallers_Tally(struct rs_soak_callers *callers)
+{
+    struct rs_soak_tally tally = callers->tally;
+    callers->tally = (struct rs_soak_tally){0};
+    return tally;
+}
--- /dev/null
+++ b/soak/store.c
@@ -0,0 +1,425 @@
+#include "soak/store.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/clock.h"
+#include "http/server.h"
+
+#define TICK_MS 10
+#define MAX_CONNECTIONS 500
+#define MAX_BODY_BYTES (2 * 1024 * 1024)
+#define LOSS_PERCENT 35
+#define SLOW_MS 300
+#define LATE_LEAST_MS 500
+#define LATE_MOST_MS 4000
+
+struct row {
+    char *table;
+    char *key;
+    char *value; /* base64 */
+    uint64_t version;
+    bool deleted;
+};
+
+/* A call whose answer is still to come, or that will never get one. */
+struct pending {
+    struct rs_soak_store *store;
+    h2o_req_t *http; /* NULL once its connection is gone */
+    int64_t due_ms;
+    char *table; /* of a feed that waits */
+    uint64_t after;
+    json_t *late; /* a transaction to be done at its time, unanswered */
+    bool silent;
+    bool done; /* freed with its request's memory */
+    int status;
+    json_t *answer;
+};
+
+struct rs_soak_store {
+    struct rs_server *server;
+    uv_timer_t timer;
+    GRand *random;
+    GPtrArray *rows;
+    uint64_t version;
+    uint64_t forgotten; /* history up to here is gone */
+    enum rs_soak_store_mode mode;
+    GPtrArray *pending;
+};
+
+static void
+free_pending(struct pending *pending)
+{
+    json_decref(pending->answer);
+    json_decref(pending->late);
+    g_free(pending->table);
+    g_free(pending);
+}
+
+static void
+on_gone(void *memory)
+{
+    struct pending *pending = *(struct pending **)memory;
+    pending->http = NULL;
+    if (pending->done) {
+        free_pending(pending);
+    }
+}
+
+static struct pending *
+new_pending(struct rs_soak_store *store, h2o_req_t *http, int64_t due_ms)
+{
+    struct pending *pending = g_new0(struct pending, 1);
+    struct pending **slot =
+        h2o_mem_alloc_shared(&http->pool, sizeof(*slot), on_gone);
+    *slot = pending;
+    pending->store = store;
+    pending->http = http;
+    pending->due_ms = due_ms;
+    g_ptr_array_add(store->pending, pending);
+    return pending;
+}
+
+static void
+send_json(h2o_req_t *http, int status, json_t *body)
+{
+    char *text = json_dumps(body, JSON_COMPACT);
+    RsServer_Reply(http, status, "application/json", text, strlen(text));
+    free(text);
+    json_decref(body);
+}
+
+/* A slow store answers later. */
+static void
+answer(struct rs_soak_store *store, h2o_req_t *http, int status, json_t *body)
+{
+    if (store->mode != RsSoakStore_SLOW) {
+        send_json(http, status, body);
+        return;
+    }
+    struct pending *pending =
+        new_pending(store, http, RsClock_NowMs() + SLOW_MS);
+    pending->status = status;
+    pending->answer = body;
+}
+
+static struct row *
+find_row(struct rs_soak_store *store, const char *table, const char *key)
+{
+    for (guint i = 0; i < store->rows->len; i++) {
+        struct row *row = g_ptr_array_index(store->rows, i);
+        if (strcmp(row->table, table) == 0 && strcmp(row->key, key) == 0) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+static void
+write_row(struct rs_soak_store *store, const char *table, const char *key,
+          const char *value, uint64_t version)
+{
+    struct row *row = find_row(store, table, key);
+    if (row == NULL) {
+        row = g_new0(struct row, 1);
+        row->table = g_strdup(table);
+        row->key = g_strdup(key);
+        g_ptr_array_add(store->rows, row);
+    }
+    g_free(row->value);
+    row->value = g_strdup(value != NULL ? value : "");
+    row->deleted = value == NULL;
+    row->version = version;
+}
+
+static json_t *
+pack_row(const struct row *row)
+{
+    json_t *json = json_pack("{s:s,s:s,s:s,s:s,s:I}", "table", row->table,
+                             "part", "", "key", row->key, "value", row->value,
+                             "api_version", (json_int_t)row->version);
+    if (row->deleted) {
+        json_object_set_new(json, "deleted", json_true());
+    }
+    return json;
+}
+
+static int
+compare_versions(const void *a, const void *b)
+{
+    const struct row *left = *(struct row *const *)a;
+    const struct row *right = *(struct row *const *)b;
+    return (left->version > right->version) - (left->version < right->version);
+}
+
+static json_t *
+list_rows(struct rs_soak_store *store, const char *table, uint64_t after,
+          bool with_deleted)
+{
+    json_t *list = json_array();
+    g_ptr_array_sort(store->rows, compare_versions);
+    for (guint i = 0; i < store->rows->len; i++) {
+        const struct row *row = g_ptr_array_index(store->rows, i);
+        if (strcmp(row->table, table) == 0 && row->version > after &&
+            (with_deleted || !row->deleted)) {
+            json_array_append_new(list, pack_row(row));
+        }
+    }
+    return list;
+}
+
+static json_t *
+pack_answer(struct rs_soak_store *store, json_t *rows)
+{
+    return json_pack("{s:o,s:b,s:I,s:I}", "rows", rows, "has_more", 0,
+                     "api_version", (json_int_t)store->version, "now_ms",
+                     (json_int_t)RsClock_NowMs());
+}
+
+static json_t *
+failed_conditions(struct rs_soak_store *store, const json_t *body)
+{
+    json_t *list = json_array();
+    bool all_hold = true;
+    size_t i;
+    json_t *item;
+    json_array_foreach(json_object_get(body, "precondition"), i, item)
+    {
+        const struct row *row =
+            find_row(store, json_string_value(json_object_get(item, "table")),
+                     json_string_value(json_object_get(item, "key")));
+        json_int_t wanted =
+            json_integer_value(json_object_get(item, "api_version"));
+        json_int_t actual =
+            row != NULL && !row->deleted ? (json_int_t)row->version : 0;
+        all_hold = all_hold && wanted == actual;
+        if (row != NULL) {
+            json_array_append_new(list, pack_row(row));
+        }
+    }
+    if (!all_hold) {
+        return list;
+    }
+    json_decref(list);
+    return NULL;
+}
+
+static void
+apply_writes(struct rs_soak_store *store, const json_t *body)
+{
+    size_t i;
+    json_t *item;
+    store->version++;
+    json_array_foreach(json_object_get(body, "writes"), i, item)
+    {
+        write_row(store, json_string_value(json_object_get(item, "table")),
+                  json_string_value(json_object_get(item, "key")),
+                  json_string_value(json_object_get(item, "value")),
+                  store->version);
+    }
+}
+
+static bool
+is_unlucky(struct rs_soak_store *store)
+{
+    return g_rand_int_range(store->random, 0, 100) < LOSS_PERCENT;
+}
+
+static void
+transact(struct rs_soak_store *store, h2o_req_t *http)
+{
+    json_t *body = json_loadb(http->entity.base, http->entity.len, 0, NULL);
+    int64_t now_ms = RsClock_NowMs();
+    if (body == NULL) {
+        answer(store, http, 400, json_object());
+        return;
+    }
+    if (store->mode == RsSoakStore_LATE && is_unlucky(store)) {
+        struct pending *pending =
+            new_pending(store, http,
+                        now_ms + g_rand_int_range(store->random, LATE_LEAST_MS,
+                                                  LATE_MOST_MS));
+        pending->late = body;
+        return;
+    }
+    json_t *failed = failed_conditions(store, body);
+    if (failed == NULL) {
+        apply_writes(store, body);
+    }
+    json_decref(body);
+    if (store->mode == RsSoakStore_LOSING && is_unlucky(store)) {
+        json_decref(failed);
+        new_pending(store, http, INT64_MAX)->silent = true;
+        return;
+    }
+    answer(store, http, failed == NULL ? 200 : 412,
+           pack_answer(store, failed != NULL ? failed : json_array()));
+}
+
+static void
+feed(struct rs_soak_store *store, h2o_req_t *http, const char *table)
+{
+    char *after_text = RsServer_Query(http, "after");
+    char *wait_text = RsServer_Query(http, "wait_ms");
+    uint64_t after = after_text != NULL ? strtoull(after_text, NULL, 10) : 0;
+    int64_t wait_ms = wait_text != NULL ? strtol(wait_text, NULL, 10) : 0;
+    g_free(after_text);
+    g_free(wait_text);
+    if (after < store->forgotten) {
+        answer(store, http, 410, json_object());
+        return;
+    }
+    json_t *rows = list_rows(store, table, after, true);
+    if (json_array_size(rows) > 0) {
+        answer(store, http, 200, pack_answer(store, rows));
+        return;
+    }
+    json_decref(rows);
+    struct pending *pending =
+        new_pending(store, http, RsClock_NowMs() + wait_ms);
+    pending->table = g_strdup(table);
+    pending->after = after;
+}
+
+static void
+on_request(void *arg, h2o_req_t *http)
+{
+    struct rs_soak_store *store = arg;
+    char *path = RsServer_Path(http);
+    char *table = RsServer_Query(http, "table");
+    char *from = RsServer_Query(http, "from");
+    if (store->mode == RsSoakStore_BUSY) {
+        send_json(http, 503, json_object());
+    }
+    else if (store->mode == RsSoakStore_SILENT) {
+        new_pending(store, http, INT64_MAX)->silent = true;
+    }
+    else if (strcmp(path, "/rows-tx") == 0) {
+        transact(store, http);
+    }
+    else if (table != NULL && strcmp(path, "/rows-get") == 0) {
+        answer(store, http, 200,
+               pack_answer(store, list_rows(store, table, 0, false)));
+    }
+    else if (table != NULL && strcmp(path, "/rows-feed") == 0) {
+        feed(store, http, table);
+    }
+    else {
+        send_json(http, 404, json_object());
+    }
+    g_free(path);
+    g_free(table);
+    g_free(from);
+}
+
+/* Returns true when nothing is left to be done for the call. */
+static bool
+tend(struct rs_soak_store *store, struct pending *pending, int64_t now_ms)
+{
+    bool due = now_ms >= pending->due_ms;
+    if (pending->late != NULL && due) {
+        json_t *failed = failed_conditions(store, pending->late);
+        if (failed == NULL) {
+            apply_writes(store, pending->late);
+        }
+        json_decref(failed);
+        json_decref(pending->late);
+        pending->late = NULL;
+        return pending->http == NULL;
+    }
+    if (pending->http == NULL) {
+        return pending->late == NULL;
+    }
+    if (pending->answer != NULL && due) {
+        send_json(pending->http, pending->status, pending->answer);
+        pending->answer = NULL;
+        return true;
+    }
+    if (pending->table == NULL || store->mode == RsSoakStore_SILENT) {
+        return false;
+    }
+    json_t *rows = list_rows(store, pending->table, pending->after, true);
+    if (!due && json_array_size(rows) == 0) {
+        json_decref(rows);
+        return false;
+    }
+    send_json(pending->http, 200, pack_answer(store, rows));
+    return true;
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+    struct rs_soak_store *store = timer->data;
+    int64_t now_ms = RsClock_NowMs();
+    for (guint i = store->pending->len; i > 0; i--) {
+        struct pending *pending = g_ptr_array_index(store->pending, i - 1);
+        if (tend(store, pending, now_ms)) {
+            g_ptr_array_remove_index_fast(store->pending, i - 1);
+            pending->done = true;
+            if (pending->http == NULL) {
+                free_pending(pending);
+            }
+        }
+    }
+}
+
+/* Opens a store at 127.0.0.1. Returns NULL when the port can't be had. */
+struct rs_soak_store *
+RsSoakStore_Open(uv_loop_t *loop, uint16_t port, GRand *random)
+{
+    struct rs_soak_store *store = g_new0(struct rs_soak_store, 1);
+    struct rs_server_options options = {
+        .loop = loop,
+        .max_body_bytes = MAX_BODY_BYTES,
+        .max_connections = MAX_CONNECTIONS,
+        .handler = on_request,
+        .arg = store,
+    };
+    store->random = random;
+    store->rows = g_ptr_array_new();
+    store->pending = g_ptr_array_new();
+    uv_ip4_addr("127.0.0.1", port, &options.address);
+    if (RsServer_Open(&options, &store->server) != 0) {
+        return NULL;
+    }
+    uv_timer_init(loop, &store->timer);
+    store->timer.data = store;
+    uv_timer_start(&store->timer, on_timer, TICK_MS, TICK_MS);
+    return store;
+}
+
+/* Switches what goes wrong. */
+void
+RsSoakStore_SetMode(struct rs_soak_store *store, enum rs_soak_store_mode mode)
+{
+    store->mode = mode;
+}
+
+/* Writes a row as the operator or a target does. */
+void
+RsSoakStore_Put(struct rs_soak_store *store, const char *table,
+                const char *key, const char *value)
+{
+    char *encoded = g_base64_encode((const guchar *)value, strlen(value));
+    store->version++;
+    write_row(store, table, key, encoded, store->version);
+    g_free(encoded);
+}
+
+/* Drops a row. */
+void
+RsSoakStore_Drop(struct rs_soak_store *store, const char *table,
+                 const char *key)
+{
+    store->version++;
+    write_row(store, table, key, NULL, store->version);
+}
+
+/* Forgets what changed until now; rows stay. */
+void
+RsSoakStore_ForgetHistory(struct rs_soak_store *store)
+{
+    store->forgotten = store->version;
+}
--- a/standin/link_lane.c
+++ b/standin/link_lane.c
@@ -22,7 +22,8 @@
     uv_poll_t timer;
     int64_t delay_us;
     bool is_cut;
-    GQueue parcels; /* of all tunnels, in order of their time */
+    bool answers_lost; /* bytes from the target go nowhere */
+    GQueue parcels;    /* of all tunnels, in order of their time */
     GList *tunnels;
     size_t tunnel_count;
     char buffer[READ_BYTES];
@@ -237,7 +238,9 @@
         close_tunnel(stream->tunnel);
         return;
     }
-    if (size_bytes == 0) {
+    struct tunnel *tunnel = stream->tunnel;
+    bool lost = tunnel->lane->answers_lost && stream == &tunnel->streams[1];
+    if (size_bytes == 0 || lost) {
         return;
     }
     send_parcel(stream, buffer->base, (size_t)size_bytes);
@@ -382,6 +385,25 @@
     lane->delay_us = has_own ? lane->route.delay_us : common_delay_us;
 }
 
+/* Closes all connections. */
+void
+RsLinkLane_Reset(struct rs_link_lane *lane)
+{
+    while (lane->tunnels != NULL) {
+        close_tunnel(lane->tunnels->data);
+    }
+}
+
+/* Cuts the lane one way, or heals it and closes what has lost bytes. */
+void
+RsLinkLane_SetOneWay(struct rs_link_lane *lane, bool answers_lost)
+{
+    if (lane->answers_lost && !answers_lost) {
+        RsLinkLane_Reset(lane);
+    }
+    lane->answers_lost = answers_lost;
+}
+
 /* Cuts the lane, or heals it and closes what the cut had caught. */
 void
 RsLinkLane_SetCut(struct rs_link_lane *lane, bool is_cut)
--- a/standin/link_lane.h
+++ b/standin/link_lane.h
@@ -21,5 +21,7 @@
 
 void RsLinkLane_SetDelay(struct rs_link_lane *lane, int64_t common_delay_us);
 void RsLinkLane_SetCut(struct rs_link_lane *lane, bool is_cut);
+void RsLinkLane_SetOneWay(struct rs_link_lane *lane, bool answers_lost);
+void RsLinkLane_Reset(struct rs_link_lane *lane);
 
 #endif
