Release keys under the fence of their new owner

The wait for unanswered grants, which only the node that sent them could keep, is gone: a target that was asked to release under the new fence refuses older grants that come late.

--- a/router/granter.c
+++ b/router/granter.c
@@ -461,9 +461,11 @@
         .release = true,
         .service = map->service,
         .target_id = range->former.id,
+        /* The new fence: grants under the former one that come late are
+         * refused by a target that has seen it. */
         .grant = {.first_key = range->first_key,
                   .last_key = range->last_key,
-                  .fence = range->former_fence},
+                  .fence = range->fence},
     };
     range->orders.release_in_flight = true;
     range->orders.next_release_ms = now_ms + ORDER_RETRY_MS;
@@ -501,7 +503,7 @@
     if (has_ended(granter, &range->former)) {
         settle(entry, range, "ended");
     }
-    else if (orders->released && now_ms >= orders->unsure_until_ms) {
+    else if (orders->released) {
         settle(entry, range, "released");
     }
     else if (!orders->grant_in_flight && now_ms >= orders->former_until_ms) {
@@ -628,7 +630,7 @@
         RsKeymap_Find(entry->map, order->grant.first_key);
     if (order->release) {
         bool same = range->former.id == order->target_id &&
-                    range->former_fence == order->grant.fence;
+                    range->fence == order->grant.fence;
         return same ? range : NULL;
     }
     bool to_owner = range->owner.id == order->target_id &&
@@ -650,10 +652,6 @@
         return;
     }
     *until_ms = MAX(*until_ms, now_ms + longest_hold_ms(order->grant.hold_ms));
-    if (status == RsGranter_UNANSWERED) {
-        /* It may be applied later, also after a release. */
-        orders->unsure_until_ms = MAX(orders->unsure_until_ms, *until_ms);
-    }
 }
 
 static void
--- a/router/granter_test.c
+++ b/router/granter_test.c
@@ -147,6 +147,26 @@
     check_sound(world);
 }
 
+/* What the granter knows of unanswered grants is lost with it. */
+static void
+test_late_grant_meets_no_new_owner_after_a_change_of_granter(void)
+{
+    struct rs_world *world = settled_world();
+    for (int i = 0; i < 4; i++) {
+        RsWorld_Inject(world, RsFixture_GRANT_LATE, 0, 3500);
+    }
+    RsWorld_Step(world, 1200);
+    RsWorld_Inject(world, RsFixture_NODE_RESIGNED,
+                   (uint32_t)RsWorld_Granter(world), 0);
+    for (int i = 0; i < 25; i++) {
+        RsWorld_Step(world, 100);
+        RsWorld_MoveKeys(world, 0, 32767, 3);
+    }
+    RsWorld_Step(world, 6000);
+    CU_ASSERT_EQUAL(RsWorld_OwnedKeys(world), RsKeymap_KEYS);
+    check_sound(world);
+}
+
 static void
 test_lost_answers_of_commits_change_nothing(void)
 {
@@ -190,6 +210,8 @@
     CU_ADD_TEST(suite, test_new_life_under_the_same_id_is_asked_to_release);
     CU_ADD_TEST(suite, test_release_without_answer_is_waited_out);
     CU_ADD_TEST(suite, test_late_grant_meets_no_new_owner);
+    CU_ADD_TEST(suite,
+                test_late_grant_meets_no_new_owner_after_a_change_of_granter);
     CU_ADD_TEST(suite, test_lost_answers_of_commits_change_nothing);
     CU_ADD_TEST(suite, test_frozen_granter_does_nothing_when_it_wakes);
     CU_basic_run_tests();
--- a/router/keymap.c
+++ b/router/keymap.c
@@ -220,7 +220,6 @@
     g_free(range->orders.handover);
     range->orders = (struct rs_range_orders){
         .former_until_ms = range->orders.hold_until_ms,
-        .unsure_until_ms = range->orders.unsure_until_ms,
     };
 }
 
@@ -288,8 +287,6 @@
                 MIN(left->orders.granted_ms, right->orders.granted_ms),
             .hold_until_ms =
                 MAX(left->orders.hold_until_ms, right->orders.hold_until_ms),
-            .unsure_until_ms = MAX(left->orders.unsure_until_ms,
-                                   right->orders.unsure_until_ms),
         };
         g_array_remove_index(map->ranges, (guint)i + 1);
         saved++;
--- a/router/keymap.h
+++ b/router/keymap.h
@@ -26,7 +26,6 @@
     int64_t granted_ms;      /* last grant that the owner confirmed; 0: none */
     int64_t hold_until_ms;   /* latest end of the owner's answered grants */
     int64_t former_until_ms; /* the same of the former owner */
-    int64_t unsure_until_ms; /* the same, of grants that had no answer */
     char *handover;          /* word of the former owner; NULL: none */
 };
 
--- a/soak/store.c
+++ b/soak/store.c
@@ -57,10 +57,15 @@
     g_free(pending);
 }
 
+/* In the memory of a request, so that its end is known. */
+struct slot {
+    struct pending *pending;
+};
+
 static void
 on_gone(void *memory)
 {
-    struct pending *pending = *(struct pending **)memory;
+    struct pending *pending = ((struct slot *)memory)->pending;
     pending->http = NULL;
     if (pending->done) {
         free_pending(pending);
@@ -71,9 +76,9 @@
 new_pending(struct rs_soak_store *store, h2o_req_t *http, int64_t due_ms)
 {
     struct pending *pending = g_new0(struct pending, 1);
-    struct pending **slot =
+    struct slot *slot =
         h2o_mem_alloc_shared(&http->pool, sizeof(*slot), on_gone);
-    *slot = pending;
+    slot->pending = pending;
     pending->store = store;
     pending->http = http;
     pending->due_ms = due_ms;
--- a/soak/target.c
+++ b/soak/target.c
@@ -67,16 +67,23 @@
     enum rs_soak_plant plant;
 };
 
+/* In the memory of a request, so that its end is known. */
+struct slot {
+    h2o_req_t **http;
+};
+
 static void
-on_job_gone(void *memory)
+on_request_gone(void *memory)
 {
-    (*(struct job **)memory)->http = NULL;
+    *((struct slot *)memory)->http = NULL;
 }
 
 static void
-on_order_gone(void *memory)
+watch_request(h2o_req_t **http)
 {
-    (*(struct order **)memory)->http = NULL;
+    struct slot *slot =
+        h2o_mem_alloc_shared(&(*http)->pool, sizeof(*slot), on_request_gone);
+    slot->http = http;
 }
 
 /* Returns what a target signs its answer to a request with. */
@@ -197,9 +204,7 @@
     struct order *kept = g_new0(struct order, 1);
     *kept = *order;
     g_ptr_array_add(target->orders, kept);
-    struct order **slot =
-        h2o_mem_alloc_shared(&order->http->pool, sizeof(*slot), on_order_gone);
-    *slot = kept;
+    watch_request(&kept->http);
     return kept;
 }
 
@@ -355,11 +360,9 @@
     }
     else {
         struct job *job = g_new0(struct job, 1);
-        struct job **slot =
-            h2o_mem_alloc_shared(&http->pool, sizeof(*slot), on_job_gone);
-        *slot = job;
         job->target = target;
         job->http = http;
+        watch_request(&job->http);
         job->life = target->life;
         job->id = g_strdup(id);
         job->key = key != NULL ? (uint32_t)strtoul(key, NULL, 10) : 0;
