--- a/router/follower.c
+++ b/router/follower.c
@@ -6,8 +6,10 @@
 #include "core/log.h"
 
 /* After a failed call: short against the 2 s in which a change must be in
- * force, long against the store's 4 ms for a call. */
-#define RETRY_MS 150
+ * force, long against the store's 4 ms for a call. It doubles up to the most,
+ * so that many nodes don't press a store that is away. */
+#define RETRY_LEAST_MS 150
+#define RETRY_MOST_MS 900
 
 struct rs_follower {
     struct rs_follower_options options;
@@ -18,6 +20,7 @@
     bool following; /* the table was read whole */
     bool fed;
     bool calling;
+    uint32_t retry_ms; /* after the next failed call */
     int64_t fresh_at_ms;
 };
 
@@ -39,6 +42,13 @@
     uv_timer_start(&follower->timer, on_timer, delay_ms, 0);
 }
 
+static void
+call_again(struct rs_follower *follower)
+{
+    call_after(follower, follower->retry_ms);
+    follower->retry_ms = MIN(2 * follower->retry_ms, RETRY_MOST_MS);
+}
+
 static void
 on_gone(void *arg, const struct rs_known_row *row)
 {
@@ -73,6 +83,7 @@
 caught_up(struct rs_follower *follower, bool changed)
 {
     follower->fresh_at_ms = RsClock_NowMs();
+    follower->retry_ms = RETRY_LEAST_MS;
     follower->options.events->caught_up(follower->options.arg, changed);
 }
 
@@ -83,7 +94,7 @@
     struct rs_follower *follower = arg;
     follower->options.events->store(follower->options.arg, status);
     if (status != RsStore_DONE) {
-        call_after(follower, RETRY_MS);
+        call_again(follower);
         return;
     }
     if (follower->next_key == NULL) {
@@ -122,7 +133,7 @@
         return;
     }
     if (status != RsStore_DONE) {
-        call_after(follower, RETRY_MS);
+        call_again(follower);
         return;
     }
     bool changed = take_rows(follower, rows);
@@ -154,6 +165,7 @@
 {
     struct rs_follower *follower = g_new0(struct rs_follower, 1);
     follower->options = *options;
+    follower->retry_ms = RETRY_LEAST_MS;
     RsRows_Init(&follower->mirror);
     uv_timer_init(options->loop, &follower->timer);
     follower->timer.data = follower;
--- a/router/granter.c
+++ b/router/granter.c
@@ -308,6 +308,15 @@
     }
 }
 
+/* Doubles with each claim without an answer, and differs between nodes. */
+static int64_t
+claim_pause_ms(const struct rs_granter *granter)
+{
+    uint32_t doublings = MIN(granter->claims_failed, 3);
+    return (COMMIT_RETRY_MS << doublings) +
+           (int64_t)(granter->options.incarnation % COMMIT_RETRY_MS);
+}
+
 /* Takes the answer of the commit that was sent last. */
 void
 RsGranter_Committed(struct rs_granter *granter, enum rs_store_status status,
@@ -315,6 +324,9 @@
 {
     granter->committing = false;
     granter->last_commit_done = status == RsStore_DONE;
+    if (status == RsStore_DONE || status == RsStore_CONFLICT) {
+        granter->claims_failed = 0;
+    }
     if (status == RsStore_DONE && granter->resign_offered) {
         granter->lease_version = rows->version;
         step_down(granter, "resigned");
@@ -339,6 +351,8 @@
     }
     else if (granter->phase == RsGranter_CLAIMING) {
         step_down(granter, "the claim had no answer");
+        granter->next_commit_ms = now_ms + claim_pause_ms(granter);
+        granter->claims_failed++;
     }
 }
 
@@ -458,6 +472,7 @@
     }
     const struct rs_order order = {
         .service = map->service,
+        .send_before_ms = granter->authority_until_ms,
         .target_id = owner->id,
         .grant = {.first_key = range->first_key,
                   .last_key = range->last_key,
@@ -477,6 +492,7 @@
     const struct rs_order order = {
         .release = true,
         .service = map->service,
+        .send_before_ms = granter->authority_until_ms,
         .target_id = range->former.id,
         /* The new fence: grants under the former one that come late are
          * refused by a target that has seen it. */
--- a/router/granter.h
+++ b/router/granter.h
@@ -54,6 +54,7 @@
     const char *service;
     const char *target_id;
     struct rs_wire_grant grant;
+    int64_t send_before_ms; /* the granter's authority ends then */
 };
 
 struct rs_granter;
@@ -94,6 +95,7 @@
     bool lease_known;      /* the row was read at least once */
     bool committing;
     bool last_commit_done;
+    uint32_t claims_failed; /* in a row, for want of an answer */
     bool resigning;
     bool resign_offered; /* by the commit under way */
     int64_t commit_sent_ms;
--- a/router/orders.c
+++ b/router/orders.c
@@ -22,6 +22,7 @@
     uv_timer_t timer;
     struct queue *queue;
     bool started;
+    int64_t give_up_ms; /* without an answer */
     struct rs_orders *orders;
     struct rs_order order;
     char *handover_sent;
@@ -126,7 +127,13 @@
 on_timeout(uv_timer_t *timer)
 {
     struct order_call *call = timer->data;
+    int64_t now_ms = RsClock_NowMs();
     bool sent = call->exchange != NULL && RsExchange_IsSent(call->exchange);
+    if (sent && now_ms < call->give_up_ms) {
+        uv_timer_start(timer, on_timeout,
+                       (uint64_t)(call->give_up_ms - now_ms), 0);
+        return;
+    }
     if (call->exchange != NULL) {
         RsExchange_Cancel(call->exchange);
         RsExchange_CloseIdle(call->target);
@@ -161,9 +168,17 @@
         .events = &exchange_events,
         .arg = call,
     };
+    /* An order must be on its way before the granter's authority ends. */
+    int64_t now_ms = RsClock_NowMs();
+    int64_t timeout_ms =
+        call->order.release ? RELEASE_TIMEOUT_MS : GRANT_TIMEOUT_MS;
+    int64_t left_ms = MAX(call->order.send_before_ms - now_ms, (int64_t)0);
+    call->give_up_ms = now_ms + timeout_ms;
     uv_timer_start(&call->timer, on_timeout,
-                   call->order.release ? RELEASE_TIMEOUT_MS : GRANT_TIMEOUT_MS,
-                   0);
+                   (uint64_t)MIN(timeout_ms, left_ms), 0);
+    if (left_ms == 0) {
+        return;
+    }
     call->exchange = RsExchange_Start(&options);
 }
 
--- a/router/reports.c
+++ b/router/reports.c
@@ -49,6 +49,9 @@
     GHashTable *nodes;    /* name to struct node */
     GHashTable *sums;     /* target id to struct sum */
     GHashTable *rates;    /* service to struct rates */
+    bool summing;         /* this node is the granter */
+    uint32_t least_nodes; /* known from the granter before it */
+    int64_t least_until_ms;
     GHashTable *reported; /* target id to what this node last reported */
 };
 
@@ -312,6 +315,25 @@
     }
 }
 
+/* A granter that has just begun has heard from few nodes. Until all have had
+ * the time to report, it goes by the number that it was told before, since a
+ * share of too few nodes would overstep the bounds of all. */
+static uint32_t
+count_nodes(const struct rs_reports *reports, int64_t now_ms)
+{
+    uint32_t heard = g_hash_table_size(reports->nodes);
+    return now_ms < reports->least_until_ms ? MAX(heard, reports->least_nodes)
+                                            : heard;
+}
+
+static void
+begin_summing(struct rs_reports *reports, int64_t now_ms)
+{
+    reports->summing = true;
+    reports->least_nodes = reports->router->share.nodes;
+    reports->least_until_ms = now_ms + NODE_LIFETIME_MS;
+}
+
 static void
 answer_report(struct rs_reports *reports, const Rs__Peer__Report *report,
               const struct sockaddr *from, int64_t now_ms)
@@ -326,7 +348,7 @@
     }
     summary.targets = list;
     summary.incarnation = report->incarnation;
-    summary.nodes = g_hash_table_size(reports->nodes);
+    summary.nodes = count_nodes(reports, now_ms);
     summary.rank = rank_of(reports, report->node);
     if (from != NULL) {
         send_to(reports, from, &summary.base);
@@ -510,9 +532,13 @@
     report.targets = load_list;
     report.keys = key_list;
     if (granter != NULL) {
+        reports->summing = false;
         send_to(reports, (const struct sockaddr *)granter, &report.base);
     }
     else {
+        if (!reports->summing) {
+            begin_summing(reports, now_ms);
+        }
         drop_silent_nodes(reports, now_ms);
         take_report(reports, &report, now_ms);
         answer_report(reports, &report, NULL, now_ms);
