--- a/router/attempt.c
+++ b/router/attempt.c
@@ -31,27 +31,14 @@
     return MAX(request->service->max_connections / nodes, 2);
 }
 
+/* Headers that this node sets itself, and those of the caller's connection. */
 static bool
-is_replaced_header(const h2o_header_t *header)
+is_passed_on(const char *name)
 {
-    static const char *const names[] = {RsWire_DEADLINE,
-                                        RsWire_TARGET_ID,
-                                        "connection",
-                                        "keep-alive",
-                                        "te",
-                                        "transfer-encoding",
-                                        "content-length",
-                                        "trailer",
-                                        "upgrade",
-                                        "proxy-connection",
-                                        "expect"};
-    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-        if (h2o_lcstris(header->name->base, header->name->len, names[i],
-                        strlen(names[i]))) {
-            return true;
-        }
-    }
-    return false;
+    return !RsRequest_IsForConnection(name) &&
+           g_ascii_strcasecmp(name, RsWire_DEADLINE) != 0 &&
+           g_ascii_strcasecmp(name, RsWire_TARGET_ID) != 0 &&
+           g_ascii_strcasecmp(name, "expect") != 0;
 }
 
 static const char *
@@ -71,10 +58,10 @@
     for (size_t i = 0; i < http->headers.size && count < RsRequest_MAX_HEADERS;
          i++) {
         const h2o_header_t *header = &http->headers.entries[i];
-        if (!is_replaced_header(header)) {
-            attempt->headers[count++] =
-                (struct rs_http_header){copy_to_pool(http, *header->name),
-                                        copy_to_pool(http, header->value)};
+        const char *name = copy_to_pool(http, *header->name);
+        if (is_passed_on(name)) {
+            attempt->headers[count++] = (struct rs_http_header){
+                name, copy_to_pool(http, header->value)};
         }
     }
     int64_t left_ms = MAX(request->deadline_ms - now_ms, (int64_t)1);
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -125,7 +125,6 @@
     target->answers = 0;
     target->order_failing_since_ms = 0;
     target->cold_until_ms = 0;
-    fleet->version++;
     RsLog_EVENT(RsLog_INFO, "target_started", RsLog_TEXT("target", target->id),
                 RsLog_TEXT("service", target->report.service),
                 RsLog_TEXT("zone", target->report.zone),
@@ -158,7 +157,6 @@
         begin_life(fleet, target, now_ms);
     }
     else if (report->draining != was_draining || !target->listed) {
-        fleet->version++;
         RsLog_EVENT(RsLog_INFO,
                     report->draining ? "target_draining" : "target_listed",
                     RsLog_TEXT("target", target->id),
@@ -219,7 +217,6 @@
     if (target->leaving_since_ms == 0) {
         target->leaving_since_ms = target->lapse_at_ms;
     }
-    fleet->version++;
     RsLog_EVENT(RsLog_INFO, "target_unlisted", RsLog_TEXT("target", id),
                 RsLog_NUMBER("believed_for_ms", target->lapse_at_ms - now_ms));
 }
@@ -241,7 +238,6 @@
     else {
         g_hash_table_remove(fleet->evacuated, name);
     }
-    fleet->version++;
     RsLog_EVENT(RsLog_INFO, evacuated ? "zone_evacuated" : "zone_taken_back",
                 RsLog_TEXT("zone", zone));
 }
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -49,7 +49,6 @@
         *evacuated; /* interned zone to int64_t, when this node saw it */
     const struct rs_fleet_events *events;
     void *arg;
-    uint64_t version;         /* rises with each change of who may be used */
     int64_t store_lost_at_ms; /* last failure of the store */
     int64_t store_back_at_ms; /* first success after it */
 };
--- a/router/keymap.c
+++ b/router/keymap.c
@@ -274,39 +274,3 @@
     range->former = (struct rs_owner){0};
     range->former_fence = 0;
 }
-
-static bool
-may_merge(const struct rs_key_range *left, const struct rs_key_range *right)
-{
-    return left->former.id == NULL && right->former.id == NULL &&
-           left->owner.id != NULL &&
-           RsKeymap_SameOwner(&left->owner, &right->owner) &&
-           left->orders.handover == NULL && right->orders.handover == NULL;
-}
-
-/* Joins neighbours that one target owns, each under a new fence, so that one
- * grant covers them. Returns how many ranges it saved. */
-size_t
-RsKeymap_Merge(struct rs_keymap *map)
-{
-    size_t saved = 0;
-    for (size_t i = 0; i + 1 < map->ranges->len;) {
-        struct rs_key_range *left = RsKeymap_At(map, i);
-        const struct rs_key_range *right = RsKeymap_At(map, i + 1);
-        if (!may_merge(left, right)) {
-            i++;
-            continue;
-        }
-        left->last_key = right->last_key;
-        left->fence = map->next_fence++;
-        left->orders = (struct rs_range_orders){
-            .granted_ms =
-                MIN(left->orders.granted_ms, right->orders.granted_ms),
-            .hold_until_ms =
-                MAX(left->orders.hold_until_ms, right->orders.hold_until_ms),
-        };
-        g_array_remove_index(map->ranges, (guint)i + 1);
-        saved++;
-    }
-    return saved;
-}
--- a/router/keymap_test.c
+++ b/router/keymap_test.c
@@ -129,26 +129,6 @@
     }
 }
 
-static void
-test_neighbours_of_one_owner_merge_under_a_new_fence(void)
-{
-    struct rs_keymap *map = map_of("a");
-    struct rs_owner a = owner("a");
-    struct rs_owner b = owner("b");
-    RsKeymap_Move(map, 100, 199, &b);
-    CU_ASSERT_EQUAL(RsKeymap_Merge(map), 0);
-    RsKeymap_Settle(RsKeymap_Find(map, 150));
-    RsKeymap_Move(map, 100, 199, &a);
-    RsKeymap_Settle(RsKeymap_Find(map, 150));
-    RsKeymap_Find(map, 150)->orders.hold_until_ms = 50;
-    uint64_t fence = map->next_fence;
-    CU_ASSERT_EQUAL(RsKeymap_Merge(map), 2);
-    CU_ASSERT_EQUAL(map->ranges->len, 1);
-    CU_ASSERT_TRUE(RsKeymap_Find(map, 0)->fence >= fence);
-    CU_ASSERT_EQUAL(RsKeymap_Find(map, 0)->orders.hold_until_ms, 50);
-    RsKeymap_Free(map);
-}
-
 int
 main(void)
 {
@@ -161,7 +141,6 @@
     CU_ADD_TEST(suite, test_move_keeps_how_long_the_former_may_hold);
     CU_ADD_TEST(suite, test_row_holds_the_whole_map);
     CU_ADD_TEST(suite, test_rows_that_are_not_maps_are_refused);
-    CU_ADD_TEST(suite, test_neighbours_of_one_owner_merge_under_a_new_fence);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
     CU_cleanup_registry();
--- a/router/reply.c
+++ b/router/reply.c
@@ -171,20 +171,6 @@
     }
 }
 
-static bool
-is_for_connection(const char *name)
-{
-    static const char *const names[] = {
-        "connection", "keep-alive", "transfer-encoding", "content-length",
-        "te",         "trailer",    "upgrade",           "proxy-connection"};
-    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-        if (g_ascii_strcasecmp(name, names[i]) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Takes the head of the answer that the caller is to get. */
 void
 RsReply_TakeHead(struct rs_attempt *attempt, const struct rs_http_head *head)
@@ -199,7 +185,7 @@
     http->res.content_length =
         head->length >= 0 ? (size_t)head->length : SIZE_MAX;
     for (size_t i = 0; i < head->header_count; i++) {
-        if (!is_for_connection(head->headers[i].name)) {
+        if (!RsRequest_IsForConnection(head->headers[i].name)) {
             RsServer_AddHeader(http, head->headers[i].name,
                                head->headers[i].value);
         }
--- a/router/request.c
+++ b/router/request.c
@@ -97,6 +97,21 @@
     }
 }
 
+/* Tells whether a header concerns one connection only. */
+bool
+RsRequest_IsForConnection(const char *header)
+{
+    static const char *const names[] = {
+        "connection", "keep-alive", "transfer-encoding", "content-length",
+        "te",         "trailer",    "upgrade",           "proxy-connection"};
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (g_ascii_strcasecmp(header, names[i]) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* The request has a target, or its final answer. */
 void
 RsRequest_StopWaiting(struct rs_request *request)
--- a/router/request.h
+++ b/router/request.h
@@ -84,6 +84,7 @@
 /* Waiting and the end of a request: router/request.c. */
 void RsRequest_Wait(struct rs_request *request);
 void RsRequest_StopWaiting(struct rs_request *request);
+bool RsRequest_IsForConnection(const char *header);
 void RsRequest_Finish(struct rs_request *request, int status,
                       const char *outcome);
 
