--- a/router/follower.c
+++ b/router/follower.c
@@ -9,7 +9,7 @@
  * force, long against the store's 4 ms for a call. It doubles up to the most,
  * so that many nodes don't press a store that is away. */
 #define RETRY_LEAST_MS 150
-#define RETRY_MOST_MS 900
+#define RETRY_MOST_MS 500
 
 struct rs_follower {
     struct rs_follower_options options;
