--- a/router/attempt.c
+++ b/router/attempt.c
@@ -94,7 +94,7 @@
     return (struct rs_load_choice){
         .fleet = &router->fleet,
         .service = request->service->name,
-        .zone = g_intern_string(router->settings->node.zone),
+        .zone = router->zone,
         .cold_per_s = request->service->cold_per_s,
         .bounds = {router->settings->bounds.cold_factor,
                    router->settings->bounds.cold_slack},
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -21,7 +21,6 @@
     struct rs_http_request request;
     const struct rs_exchange_events *events; /* NULL while idle */
     void *arg;
-    bool connected;
     bool sent;
     uint32_t idle_ms;
     int64_t idle_until_ms;
@@ -56,7 +55,6 @@
 on_connected(void *arg)
 {
     struct rs_exchange *exchange = arg;
-    exchange->connected = true;
     exchange->sent = true;
     uv_timer_stop(&exchange->timer);
     if (RsHttp_Send(exchange->connection, &exchange->request) != 0) {
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -51,6 +51,29 @@
     g_hash_table_unref(fleet->evacuated);
 }
 
+static struct rs_fleet_target *
+add_target(struct rs_fleet *fleet, const char *id)
+{
+    struct rs_fleet_target *target = g_new0(struct rs_fleet_target, 1);
+    target->id = id;
+    target->service_ms = DEFAULT_SERVICE_MS;
+    g_queue_init(&target->idle);
+    g_hash_table_insert(fleet->targets, (gpointer)id, target);
+    return target;
+}
+
+/* Two targets can't run at one address: the younger has replaced the other. */
+static bool
+has_replaced(const struct rs_fleet_target *by,
+             const struct rs_fleet_target *other)
+{
+    const struct sockaddr_in *a = &other->report.address;
+    const struct sockaddr_in *b = &by->report.address;
+    return other != by && a->sin_addr.s_addr == b->sin_addr.s_addr &&
+           a->sin_port == b->sin_port &&
+           other->report.born_ms < by->report.born_ms;
+}
+
 /* Whoever had the address before is not there any more. */
 static void
 mark_replaced(struct rs_fleet *fleet, const struct rs_fleet_target *by)
@@ -60,11 +83,7 @@
     g_hash_table_iter_init(&iter, fleet->targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct rs_fleet_target *other = value;
-        const struct sockaddr_in *a = &other->report.address;
-        const struct sockaddr_in *b = &by->report.address;
-        if (other != by && a->sin_addr.s_addr == b->sin_addr.s_addr &&
-            a->sin_port == b->sin_port &&
-            other->report.born_ms < by->report.born_ms && !other->replaced) {
+        if (!other->replaced && has_replaced(by, other)) {
             other->replaced = true;
             RsLog_EVENT(RsLog_INFO, "target_replaced",
                         RsLog_TEXT("target", other->id),
@@ -86,24 +105,18 @@
         RsNode_ParseEndpoint(address, &parsed) != 0) {
         return;
     }
-    struct rs_fleet_target *target = g_new0(struct rs_fleet_target, 1);
-    target->id = id;
+    struct rs_fleet_target *target = add_target(fleet, id);
     target->report.service = g_intern_string("");
     target->report.zone = g_intern_string("");
     target->report.born_ms = born_ms;
     target->report.address = parsed;
     target->report.address_text = address;
     target->leaving_since_ms = 1;
-    g_queue_init(&target->idle);
-    g_hash_table_insert(fleet->targets, (gpointer)id, target);
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, fleet->targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct rs_fleet_target *other = value;
-        target->replaced |= other != target &&
-                            other->report.address_text == address &&
-                            other->report.born_ms > born_ms;
+        target->replaced |= has_replaced(value, target);
     }
     RsLog_EVENT(RsLog_INFO, "target_remembered", RsLog_TEXT("target", id),
                 RsLog_TEXT("address", address),
@@ -111,10 +124,8 @@
 }
 
 static void
-begin_life(struct rs_fleet *fleet, struct rs_fleet_target *target,
-           int64_t now_ms)
+begin_life(struct rs_fleet *fleet, struct rs_fleet_target *target)
 {
-    target->born_seen_at_ms = now_ms;
     target->load_at_ms = 0;
     target->elsewhere_at_ms = 0;
     target->failures = 0;
@@ -154,7 +165,7 @@
     bool new_life = report->born_ms != target->report.born_ms;
     target->report = *report;
     if (new_life) {
-        begin_life(fleet, target, now_ms);
+        begin_life(fleet, target);
     }
     else if (report->draining != was_draining || !target->listed) {
         RsLog_EVENT(RsLog_INFO,
@@ -163,8 +174,9 @@
                     RsLog_NUMBER("sequence", report->sequence));
     }
     target->cold_until_ms =
-        MAX(report->cold_left_ms > 0 ? now_ms + report->cold_left_ms : 0,
-            report->cold_left_ms > 0 ? target->cold_until_ms : 0);
+        report->cold_left_ms > 0
+            ? MAX(target->cold_until_ms, now_ms + report->cold_left_ms)
+            : 0;
     target->listed = true;
     target->lapse_at_ms = 0;
     if (!report->draining) {
@@ -190,10 +202,7 @@
         return;
     }
     if (target == NULL) {
-        target = g_new0(struct rs_fleet_target, 1);
-        target->id = name;
-        g_queue_init(&target->idle);
-        g_hash_table_insert(fleet->targets, (gpointer)name, target);
+        target = add_target(fleet, name);
     }
     if (!is_outdated(target, &report)) {
         update(fleet, target, &report, now_ms);
@@ -303,14 +312,21 @@
     target->in_flight_at_load = target->in_flight;
 }
 
+/* Returns how many times the work on one request an answer takes, with so many
+ * requests ahead. */
+double
+RsFleet_Rounds(const struct rs_fleet_target *target, double ahead)
+{
+    double slots = target->report.slots;
+    return 1 + MAX(0.0, ahead - slots + 1) / slots;
+}
+
 /* Takes the time of an answer, with how many requests were ahead of it. */
 void
 RsFleet_NoteAnswer(struct rs_fleet_target *target, double elapsed_ms,
                    uint32_t ahead)
 {
-    double slots = target->report.slots;
-    double rounds = 1 + (ahead >= slots ? (ahead - slots + 1) / slots : 0);
-    double sample_ms = elapsed_ms / rounds;
+    double sample_ms = elapsed_ms / RsFleet_Rounds(target, ahead);
     target->service_ms += SERVICE_WEIGHT * (sample_ms - target->service_ms);
     target->answers++;
     target->failures = 0;
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -19,7 +19,6 @@
     int64_t lapse_at_ms;      /* unlisted, but believed in until then */
     int64_t leaving_since_ms; /* draining or unlisted since; 0 if neither */
     int64_t cold_until_ms;
-    int64_t born_seen_at_ms; /* this life was first seen */
     /* Load, as this node sees it. */
     uint32_t in_flight;
     struct rs_load load;
@@ -80,6 +79,7 @@
 /* What this node saw of a target. */
 void RsFleet_NoteLoad(struct rs_fleet_target *target,
                       const struct rs_load *load, int64_t now_ms);
+double RsFleet_Rounds(const struct rs_fleet_target *target, double ahead);
 void RsFleet_NoteAnswer(struct rs_fleet_target *target, double elapsed_ms,
                         uint32_t ahead);
 void RsFleet_NoteFailure(struct rs_fleet_target *target, int64_t now_ms);
--- a/router/fleet_test.c
+++ b/router/fleet_test.c
@@ -147,6 +147,23 @@
     RsFleet_Clear(&fleet);
 }
 
+/* Its row may only have lapsed while the store was away. */
+static void
+test_remembered_target_that_is_back_counts_like_a_new_one(void)
+{
+    open_fleet();
+    RsFleet_Remember(&fleet, g_intern_string("back"), 40,
+                     g_intern_string("127.0.0.1:2000"));
+    struct rs_fixture_report report = plain;
+    report.id = "back";
+    report.port = 2000;
+    report.born_ms = 40;
+    RsFixture_Report(&fleet, &report, NOW_MS);
+    CU_ASSERT_TRUE(RsFleet_MayTakeWork(&fleet, find("back"), NOW_MS));
+    CU_ASSERT_TRUE(find("back")->service_ms > 0);
+    RsFleet_Clear(&fleet);
+}
+
 static void
 test_leaving_target_keeps_its_keys_for_a_second(void)
 {
@@ -279,6 +296,8 @@
     CU_ADD_TEST(suite, test_new_life_under_one_id_is_taken);
     CU_ADD_TEST(suite, test_another_target_at_the_address_replaces_the_first);
     CU_ADD_TEST(suite, test_remembered_target_may_have_been_replaced);
+    CU_ADD_TEST(suite,
+                test_remembered_target_that_is_back_counts_like_a_new_one);
     CU_ADD_TEST(suite, test_leaving_target_keeps_its_keys_for_a_second);
     CU_ADD_TEST(suite, test_removed_row_ends_work_at_once);
     CU_ADD_TEST(suite, test_row_that_lapsed_in_an_outage_is_waited_for);
--- a/router/granter.c
+++ b/router/granter.c
@@ -54,6 +54,36 @@
            now_ms - granter->confirmed_ms < STORE_SILENT_MS;
 }
 
+static const char *
+service_of_row(const char *key)
+{
+    return g_str_has_prefix(key, RsGranter_MAP_PREFIX)
+               ? g_intern_string(key + strlen(RsGranter_MAP_PREFIX))
+               : NULL;
+}
+
+/* Returns the key of a map's row, which the caller frees with g_free(). */
+char *
+RsGranter_RowKey(const struct rs_keymap *map)
+{
+    return g_strconcat(RsGranter_MAP_PREFIX, map->service, NULL);
+}
+
+/* Returns the map in a row, or NULL when it holds none that can be read. */
+struct rs_keymap *
+RsGranter_DecodeRow(const char *key, const char *value, uint64_t version)
+{
+    const char *service = service_of_row(key);
+    struct rs_keymap *map =
+        service != NULL ? RsKeymap_Decode(service, value) : NULL;
+    if (service != NULL && map == NULL) {
+        RsLog_EVENT(RsLog_ERROR, "keymap_malformed",
+                    RsLog_TEXT("service", service),
+                    RsLog_NUMBER("row_version", version));
+    }
+    return map;
+}
+
 /* Returns the map of a service that this node has loaded, or NULL. */
 struct rs_granter_map *
 RsGranter_FindMap(struct rs_granter *granter, const char *service)
@@ -209,8 +239,7 @@
         if (!entry->offered) {
             continue;
         }
-        char *key =
-            g_strconcat(RsGranter_MAP_PREFIX, entry->map->service, NULL);
+        char *key = RsGranter_RowKey(entry->map);
         char *value = RsKeymap_Encode(entry->map);
         entry->offered_fence = entry->map->next_fence;
         entry->dirty = false;
@@ -297,11 +326,8 @@
     }
     for (size_t i = 0; i < rows->count; i++) {
         const struct rs_store_row *row = &rows->rows[i];
-        if (!g_str_has_prefix(row->key, RsGranter_MAP_PREFIX)) {
-            continue;
-        }
-        struct rs_granter_map *entry = RsGranter_FindMap(
-            granter, g_intern_string(row->key + strlen(RsGranter_MAP_PREFIX)));
+        struct rs_granter_map *entry =
+            RsGranter_FindMap(granter, service_of_row(row->key));
         if (entry != NULL) {
             entry->row_version = row->version;
         }
@@ -395,13 +421,9 @@
 add_loaded(struct rs_granter *granter, const struct rs_store_row *row,
            int64_t now_ms)
 {
-    const char *service =
-        g_intern_string(row->key + strlen(RsGranter_MAP_PREFIX));
-    struct rs_keymap *map = RsKeymap_Decode(service, row->value);
+    struct rs_keymap *map =
+        RsGranter_DecodeRow(row->key, row->value, row->version);
     if (map == NULL) {
-        RsLog_EVENT(RsLog_ERROR, "keymap_malformed",
-                    RsLog_TEXT("service", service),
-                    RsLog_NUMBER("version", row->version));
         return;
     }
     if (granter->map_count == RsGranter_MAX_MAPS) {
@@ -431,9 +453,7 @@
     }
     drop_maps(granter);
     for (size_t i = 0; i < rows->count; i++) {
-        if (g_str_has_prefix(rows->rows[i].key, RsGranter_MAP_PREFIX)) {
-            add_loaded(granter, &rows->rows[i], now_ms);
-        }
+        add_loaded(granter, &rows->rows[i], now_ms);
     }
     granter->phase = RsGranter_LEADING;
     RsLog_EVENT(RsLog_INFO, "granter_leads",
@@ -697,7 +717,6 @@
     orders->grant_in_flight = false;
     note_hold(orders, order, to_owner, status, now_ms);
     if (status == RsWire_GRANTED && to_owner) {
-        orders->granted_ms = now_ms;
         g_free(orders->handover);
         orders->handover = NULL;
         return;
--- a/router/granter.h
+++ b/router/granter.h
@@ -133,6 +133,10 @@
 bool RsGranter_HasAuthority(const struct rs_granter *granter, int64_t now_ms);
 int64_t RsGranter_NextLeaseReadMs(const struct rs_granter *granter,
                                   int64_t now_ms);
+/* Rows that hold a map; NULL for others, and for those that can't be read. */
+struct rs_keymap *RsGranter_DecodeRow(const char *key, const char *value,
+                                      uint64_t version);
+char *RsGranter_RowKey(const struct rs_keymap *map);
 struct rs_granter_map *RsGranter_FindMap(struct rs_granter *granter,
                                          const char *service);
 struct rs_granter_map *RsGranter_AddMap(struct rs_granter *granter,
--- a/router/keymap.c
+++ b/router/keymap.c
@@ -21,20 +21,6 @@
     return map;
 }
 
-/* Copies a map with its orders. */
-struct rs_keymap *
-RsKeymap_Copy(const struct rs_keymap *map)
-{
-    struct rs_keymap *copy = g_new0(struct rs_keymap, 1);
-    *copy = *map;
-    copy->ranges = g_array_copy(map->ranges);
-    for (size_t i = 0; i < copy->ranges->len; i++) {
-        struct rs_range_orders *orders = &RsKeymap_At(copy, i)->orders;
-        orders->handover = g_strdup(orders->handover);
-    }
-    return copy;
-}
-
 /* Frees a map; NULL is allowed. */
 void
 RsKeymap_Free(struct rs_keymap *map)
--- a/router/keymap.h
+++ b/router/keymap.h
@@ -24,7 +24,6 @@
     bool released; /* the former owner has given the keys up */
     int64_t next_grant_ms;
     int64_t next_release_ms;
-    int64_t granted_ms;      /* last grant that the owner confirmed; 0: none */
     int64_t hold_until_ms;   /* latest end of the owner's answered grants */
     int64_t former_until_ms; /* the same of the former owner */
     char *handover;          /* word of the former owner; NULL: none */
@@ -49,7 +48,6 @@
 };
 
 struct rs_keymap *RsKeymap_New(const char *service);
-struct rs_keymap *RsKeymap_Copy(const struct rs_keymap *map);
 void RsKeymap_Free(struct rs_keymap *map);
 
 /* The value of a row. */
--- a/router/load.c
+++ b/router/load.c
@@ -26,13 +26,19 @@
 /* Share of the budget that nodes use, as they count by themselves. */
 #define BUDGET_SHARE 0.7
 
+static bool
+has_fresh_load(const struct rs_fleet_target *target, int64_t now_ms)
+{
+    return target->load_at_ms > 0 &&
+           now_ms - target->load_at_ms < LOAD_FRESH_MS;
+}
+
 /* Returns how many requests the target is thought to have, of all nodes. */
 double
 RsLoad_Ahead(const struct rs_fleet_target *target, int64_t now_ms)
 {
     double others = 0;
-    bool told =
-        target->load_at_ms > 0 && now_ms - target->load_at_ms < LOAD_FRESH_MS;
+    bool told = has_fresh_load(target, now_ms);
     bool reported = target->elsewhere_at_ms > 0 &&
                     now_ms - target->elsewhere_at_ms < ELSEWHERE_FRESH_MS;
     if (told && (!reported || target->load_at_ms > target->elsewhere_at_ms)) {
@@ -59,15 +65,12 @@
 double
 RsLoad_ExpectMs(const struct rs_fleet_target *target, int64_t now_ms)
 {
-    double slots = target->report.slots;
-    double ahead = RsLoad_Ahead(target, now_ms);
     double pace = 1;
-    if (target->load_at_ms > 0 &&
-        now_ms - target->load_at_ms < LOAD_FRESH_MS) {
+    if (has_fresh_load(target, now_ms)) {
         pace = (double)target->load.pace_percent / RsReport_NORMAL_PACE;
     }
-    double rounds = 1 + MAX(0.0, ahead - slots + 1) / slots;
-    return RsLoad_ServiceMs(target) * pace * rounds;
+    return RsLoad_ServiceMs(target) * pace *
+           RsFleet_Rounds(target, RsLoad_Ahead(target, now_ms));
 }
 
 /* Tells whether the target's queue takes one more. */
--- a/router/node.c
+++ b/router/node.c
@@ -11,12 +11,12 @@
 #include "platform/wire.h"
 #include "router/balance.h"
 #include "router/exchange.h"
-#include "router/stream.h"
 #include "router/granter.h"
 #include "router/metrics.h"
 #include "router/orders.h"
 #include "router/reports.h"
 #include "router/router.h"
+#include "router/stream.h"
 
 #define TICK_MS 25          /* resolution of all deadlines */
 #define WATCH_EVERY_TICKS 4 /* a caller's leaving is acted on in 100 ms */
@@ -227,19 +227,12 @@
 on_keys_row(void *arg, const struct rs_known_row *row)
 {
     struct node *node = arg;
-    if (!g_str_has_prefix(row->key, RsGranter_MAP_PREFIX) || row->deleted) {
-        return;
-    }
-    const char *service =
-        g_intern_string(row->key + strlen(RsGranter_MAP_PREFIX));
-    struct rs_keymap *map = RsKeymap_Decode(service, row->value);
-    if (map == NULL) {
-        RsLog_EVENT(RsLog_ERROR, "keymap_malformed",
-                    RsLog_TEXT("service", service),
-                    RsLog_NUMBER("row_version", row->version));
-        return;
+    struct rs_keymap *map =
+        row->deleted ? NULL
+                     : RsGranter_DecodeRow(row->key, row->value, row->version);
+    if (map != NULL) {
+        RsRouter_SetKeys(&node->router, map, row->version);
     }
-    RsRouter_SetKeys(&node->router, map, row->version);
 }
 
 static const struct rs_follower_events key_events = {
@@ -260,8 +253,7 @@
         if (entry->row_version != version || entry->dirty) {
             continue;
         }
-        char *key =
-            g_strconcat(RsGranter_MAP_PREFIX, entry->map->service, NULL);
+        char *key = RsGranter_RowKey(entry->map);
         char *value = RsKeymap_Encode(entry->map);
         struct rs_store_row row = {
             .key = key,
--- a/router/router.c
+++ b/router/router.c
@@ -28,6 +28,7 @@
     *router = (struct rs_router){
         .loop = loop,
         .settings = settings,
+        .zone = g_intern_string(settings->node.zone),
         .share = {.nodes = RsRouter_ASSUMED_NODES},
         .random = g_rand_new(),
     };
--- a/router/router.h
+++ b/router/router.h
@@ -42,6 +42,7 @@
 struct rs_router {
     uv_loop_t *loop;
     const struct rs_node_settings *settings;
+    const char *zone;          /* of this node; interned */
     struct rs_routing *config; /* NULL until one is known */
     struct rs_fleet fleet;
     GHashTable *keys;      /* service to struct rs_router_keys */
