Let a strong VM be the granter

Cause: the granter feeds 24 nodes and any node could be it; 53 of 59 have a tenth of a core and 10 Mbit/s, of which the feed alone took all.

Ruled out: fewer subscribers for each node, which makes the tree deeper, and each step is another weak link.

Conclusion: needed, but key maps of 40 KB still fill the links.

--- a/router/fixture.c
+++ b/router/fixture.c
@@ -51,6 +51,8 @@
 #define MAX_ROWS 4
 #define CLOCK_SLOW_PERCENT 2 /* of targets: holds last longer there */
 #define MAX_HOLD_MS 10000
+#define STRONG_STRENGTH 500
+#define WEAK_STRENGTH 50
 
 enum event_kind {
     RsWorld_COMMIT_ARRIVES,
@@ -514,6 +516,8 @@
         .peer_port = 1,
         .incarnation = node->life,
         .max_hold_ms = MAX_HOLD_MS,
+        .strength =
+            number == RsFixture_STRONG ? STRONG_STRENGTH : WEAK_STRENGTH,
         .actions = &actions,
         .arg = node,
         .fleet = &node->fleet,
--- a/router/fixture.h
+++ b/router/fixture.h
@@ -26,6 +26,7 @@
 /* The world: see router/fixture.c. */
 #define RsFixture_NODES 3
 #define RsFixture_TARGETS 4
+#define RsFixture_STRONG 2 /* this node's VM is stronger than the others */
 
 struct rs_world;
 
--- a/router/granter.c
+++ b/router/granter.c
@@ -29,6 +29,18 @@
 #define CLOCK_RATE_PERCENT 2 /* by which the clock of a target may be slow */
 #define HOLD_MARGIN_MS 150   /* of a grant's way to the target */
 #define LEASE_READ_EVERY_MS 1000
+/* The granter feeds many nodes, so that strong VMs should have the lease. A
+ * weak one claims it this much later, twice the spread below. */
+#define WEAK_CLAIM_DELAY_MS 250
+/* Nodes that are equally strong claim at different times, so that most see
+ * the claim of the first and make none. */
+#define CLAIM_SPREAD_MS 120
+#define CLAIM_READ_AHEAD_MS 30 /* the lease is read shortly before a claim */
+/* Strength of a VM where none is known to be stronger: a core. */
+#define FULL_STRENGTH 1000
+/* A link with this much to a core carries the messages of a granter that uses
+ * the core: both are at their limit at about 250 nodes. */
+#define LINK_MBPS_PER_CORE 200
 
 /* Prepares a granter that has read nothing yet. */
 void
@@ -38,6 +50,28 @@
     *granter = (struct rs_granter){.options = *options};
 }
 
+/* Returns the strength of a VM, in thousandths of a core, as far as its link
+ * does not limit it. At least 1. */
+uint32_t
+RsGranter_Strength(double cpu_share, double link_mbps)
+{
+    double cores = MIN(cpu_share, link_mbps / LINK_MBPS_PER_CORE);
+    return (uint32_t)MAX(cores * FULL_STRENGTH, 1.0);
+}
+
+/* Returns how long after the first moment this node claims the lease. */
+static int64_t
+claim_delay_ms(const struct rs_granter *granter)
+{
+    uint32_t strongest = granter->holder.strongest;
+    strongest = strongest > 0 ? strongest : FULL_STRENGTH;
+    double share =
+        MIN((double)granter->options.strength / (double)strongest, 1.0);
+    int64_t spread_ms =
+        (int64_t)(granter->options.incarnation % CLAIM_SPREAD_MS);
+    return (int64_t)((1 - share) * WEAK_CLAIM_DELAY_MS) + spread_ms;
+}
+
 /* Tells whether this node may send orders now. */
 bool
 RsGranter_HasAuthority(const struct rs_granter *granter, int64_t now_ms)
@@ -151,6 +185,8 @@
     lease.peer_port =
         (uint32_t)json_integer_value(json_object_get(body, "peer_port"));
     lease.nodes = (uint32_t)json_integer_value(json_object_get(body, "nodes"));
+    lease.strongest =
+        (uint32_t)json_integer_value(json_object_get(body, "strongest"));
     if (incarnation != NULL) {
         lease.incarnation = strtoull(incarnation, NULL, 16);
     }
@@ -164,9 +200,11 @@
     const struct rs_granter_options *options = &granter->options;
     return g_strdup_printf(
         "{\"node\":\"%s\",\"peer_host\":\"%s\",\"peer_port\":%" PRIu32
-        ",\"incarnation\":\"%" PRIx64 "\",\"nodes\":%" PRIu32 "}",
+        ",\"incarnation\":\"%" PRIx64 "\",\"nodes\":%" PRIu32
+        ",\"strongest\":%" PRIu32 "}",
         granter->resigning ? "" : options->node, options->peer_host,
-        options->peer_port, options->incarnation, granter->nodes);
+        options->peer_port, options->incarnation, granter->nodes,
+        MAX(granter->strongest, options->strength));
 }
 
 /* Takes the lease row; version 0 says that there is none. */
@@ -209,13 +247,23 @@
     }
 }
 
+/* Returns when this node may claim the lease, as far as it knows. */
+static int64_t
+claim_at_ms(const struct rs_granter *granter)
+{
+    bool free_now = granter->lease_version == RsStore_ABSENT ||
+                    granter->holder.node[0] == '\0';
+    return granter->lease_seen_ms + claim_delay_ms(granter) +
+           (free_now ? 0 : LEASE_MS + LEASE_MARGIN_MS);
+}
+
 /* Returns when the lease row should be read next. */
 int64_t
 RsGranter_NextLeaseReadMs(const struct rs_granter *granter, int64_t now_ms)
 {
-    int64_t lapse_ms = granter->lease_seen_ms + LEASE_MS;
-    return granter->lease_known && lapse_ms > now_ms
-               ? lapse_ms
+    int64_t read_ms = claim_at_ms(granter) - CLAIM_READ_AHEAD_MS;
+    return granter->lease_known && read_ms > now_ms
+               ? read_ms
                : now_ms + LEASE_READ_EVERY_MS;
 }
 
@@ -633,12 +681,8 @@
 static void
 observe(struct rs_granter *granter, int64_t now_ms)
 {
-    bool free_now = granter->lease_version == RsStore_ABSENT ||
-                    granter->holder.node[0] == '\0';
-    bool lapsed =
-        now_ms >= granter->lease_seen_ms + LEASE_MS + LEASE_MARGIN_MS;
     if (granter->lease_known && !granter->committing && !granter->resigning &&
-        now_ms >= granter->next_commit_ms && (free_now || lapsed)) {
+        now_ms >= granter->next_commit_ms && now_ms >= claim_at_ms(granter)) {
         granter->phase = RsGranter_CLAIMING;
         send_commit(granter, now_ms);
     }
--- a/router/granter.h
+++ b/router/granter.h
@@ -73,6 +73,7 @@
     uint32_t peer_port;
     uint64_t incarnation; /* of this process */
     uint32_t max_hold_ms;
+    uint32_t strength; /* of this node's VM, thousandths of a core */
     const struct rs_granter_actions *actions;
     void *arg;
     const struct rs_fleet *fleet;
@@ -83,7 +84,8 @@
     char peer_host[64];
     uint32_t peer_port;
     uint64_t incarnation;
-    uint32_t nodes; /* that route requests; 0: unknown */
+    uint32_t nodes;     /* that route requests; 0: unknown */
+    uint32_t strongest; /* the most strength of a node; 0: unknown */
 };
 
 struct rs_granter {
@@ -103,6 +105,7 @@
     int64_t authority_until_ms;
     int64_t confirmed_ms; /* last confirmed commit */
     uint32_t nodes;       /* as this node counts them; goes into the row */
+    uint32_t strongest;   /* the same */
     bool long_holds;      /* the store does not answer; grants bridge that */
     struct rs_granter_map maps[RsGranter_MAX_MAPS];
     size_t map_count;
@@ -131,6 +134,7 @@
 /* What others may know and change. */
 bool RsGranter_MayPlan(const struct rs_granter *granter, int64_t now_ms);
 bool RsGranter_HasAuthority(const struct rs_granter *granter, int64_t now_ms);
+uint32_t RsGranter_Strength(double cpu_share, double link_mbps);
 int64_t RsGranter_NextLeaseReadMs(const struct rs_granter *granter,
                                   int64_t now_ms);
 /* Rows that hold a map; NULL for others, and for those that can't be read. */
--- a/router/granter_test.c
+++ b/router/granter_test.c
@@ -40,6 +40,29 @@
     check_sound(world);
 }
 
+/* The granter feeds all nodes: on the weakest VM it is late with everything.
+ */
+static void
+test_strongest_node_is_elected(void)
+{
+    struct rs_world *world = RsWorld_New();
+    RsWorld_Step(world, 600);
+    CU_ASSERT_EQUAL(RsWorld_Granter(world), RsFixture_STRONG);
+    RsWorld_Inject(world, RsFixture_NODE_FROZEN, RsFixture_STRONG, 5000);
+    RsWorld_Step(world, 3000);
+    CU_ASSERT_TRUE(RsWorld_Granter(world) >= 0);
+    CU_ASSERT_NOT_EQUAL(RsWorld_Granter(world), RsFixture_STRONG);
+    check_sound(world);
+}
+
+static void
+test_strength_is_bounded_by_the_link(void)
+{
+    CU_ASSERT_EQUAL(RsGranter_Strength(0.5, 200), 500);
+    CU_ASSERT_EQUAL(RsGranter_Strength(0.1, 10), 50);
+    CU_ASSERT_EQUAL(RsGranter_Strength(0.2, 1000), 200);
+}
+
 static void
 test_keys_move_in_a_fraction_of_a_second(void)
 {
@@ -202,6 +225,8 @@
     CU_initialize_registry();
     CU_pSuite suite = CU_add_suite("granter", NULL, NULL);
     CU_ADD_TEST(suite, test_one_node_is_elected);
+    CU_ADD_TEST(suite, test_strongest_node_is_elected);
+    CU_ADD_TEST(suite, test_strength_is_bounded_by_the_link);
     CU_ADD_TEST(suite, test_keys_move_in_a_fraction_of_a_second);
     CU_ADD_TEST(suite, test_loss_of_the_granter_lapses_nothing);
     CU_ADD_TEST(suite, test_resigning_granter_is_followed_at_the_next_reading);
--- a/router/node.c
+++ b/router/node.c
@@ -485,6 +485,7 @@
     if (RsGranter_HasAuthority(&node->granter, now_ms)) {
         RsReports_Report(node->reports, NULL, now_ms);
         node->granter.nodes = node->router.share.nodes;
+        node->granter.strongest = RsReports_Strongest(node->reports);
     }
     else if (holder->peer_host[0] != '\0' &&
              holder->incarnation != node->incarnation &&
@@ -669,6 +670,8 @@
         .peer_port = settings->listen.peer_port,
         .incarnation = node->incarnation,
         .max_hold_ms = settings->bounds.max_hold_ms,
+        .strength = RsGranter_Strength(settings->node.cpu_share,
+                                       settings->node.link_mbps),
         .actions = &granter_actions,
         .arg = node,
         .fleet = &node->router.fleet,
--- a/router/peer.pb-c.c
+++ b/router/peer.pb-c.c
@@ -263,7 +263,7 @@
   (ProtobufCMessageInit) rs__peer__report__service_keys__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__peer__report__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rs__peer__report__field_descriptors[5] =
 {
   {
     "node",
@@ -313,17 +313,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "strength",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Report, strength),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__report__field_indices_by_name[] = {
   1,   /* field[1] = incarnation */
   3,   /* field[3] = keys */
   0,   /* field[0] = node */
+  4,   /* field[4] = strength */
   2,   /* field[2] = targets */
 };
 static const ProtobufCIntRange rs__peer__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rs__peer__report__descriptor =
 {
@@ -333,7 +346,7 @@
   "Rs__Peer__Report",
   "rs.peer",
   sizeof(Rs__Peer__Report),
-  4,
+  5,
   rs__peer__report__field_descriptors,
   rs__peer__report__field_indices_by_name,
   1,  rs__peer__report__number_ranges,
--- a/router/peer.pb-c.h
+++ b/router/peer.pb-c.h
@@ -71,10 +71,14 @@
   Rs__Peer__TargetLoad **targets;
   size_t n_keys;
   Rs__Peer__Report__ServiceKeys **keys;
+  /*
+   * of the node, see router/granter.h
+   */
+  uint32_t strength;
 };
 #define RS__PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/router/reports.c
+++ b/router/reports.c
@@ -5,6 +5,7 @@
 
 #include "core/clock.h"
 #include "core/log.h"
+#include "router/granter.h"
 #include "router/peer.pb-c.h"
 
 /* Reports come every 150 ms; a node that missed six is not counted. */
@@ -27,6 +28,7 @@
     char *name;
     uint64_t incarnation;
     int64_t reported_ms;
+    uint32_t strength;
     GHashTable *loads; /* target id to struct load; part of the sums */
 };
 
@@ -46,6 +48,7 @@
     uv_udp_t socket;
     struct rs_router *router;
     uint64_t incarnation;
+    uint32_t strength;    /* of this node */
     GHashTable *nodes;    /* name to struct node */
     GHashTable *sums;     /* target id to struct sum */
     GHashTable *rates;    /* service to struct rates */
@@ -196,6 +199,7 @@
     }
     node->incarnation = report->incarnation;
     node->reported_ms = now_ms;
+    node->strength = report->strength;
     take_out(reports, node);
     for (size_t i = 0; i < report->n_targets; i++) {
         put_in(reports, node, report->targets[i]);
@@ -233,6 +237,20 @@
     };
 }
 
+/* Returns the most strength of a node that has reported of late. */
+uint32_t
+RsReports_Strongest(const struct rs_reports *reports)
+{
+    uint32_t strongest = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, reports->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        strongest = MAX(strongest, ((const struct node *)value)->strength);
+    }
+    return strongest;
+}
+
 static uint32_t
 rank_of(struct rs_reports *reports, const char *name)
 {
@@ -429,6 +447,8 @@
     struct sockaddr_in address;
     reports->router = router;
     reports->incarnation = incarnation;
+    reports->strength = RsGranter_Strength(router->settings->node.cpu_share,
+                                           router->settings->node.link_mbps);
     reports->nodes =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_node);
     reports->sums =
@@ -521,6 +541,7 @@
     Rs__Peer__Report report = RS__PEER__REPORT__INIT;
     report.node = reports->router->settings->node.name;
     report.incarnation = reports->incarnation;
+    report.strength = reports->strength;
     report.n_targets = fill_loads(reports, loads);
     report.n_keys = fill_keys(reports, keys);
     for (size_t i = 0; i < report.n_targets; i++) {
--- a/router/reports.h
+++ b/router/reports.h
@@ -20,6 +20,8 @@
 void RsReports_Report(struct rs_reports *reports,
                       const struct sockaddr_in *granter, int64_t now_ms);
 
+uint32_t RsReports_Strongest(const struct rs_reports *reports);
+
 /* Requests a second for each key of a service, as told by all nodes. */
 const float *RsReports_Rates(struct rs_reports *reports, const char *service,
                              int64_t now_ms);
--- a/settings/node.c
+++ b/settings/node.c
@@ -21,8 +21,9 @@
                         member, schema_fields)
 
 static const cyaml_schema_field_t node_schema[] = {
-    TEXT(rs_node_identity, name), TEXT(rs_node_identity, zone),
-    TEXT(rs_node_identity, address), CYAML_FIELD_END};
+    TEXT(rs_node_identity, name),       TEXT(rs_node_identity, zone),
+    TEXT(rs_node_identity, address),    FLOAT(rs_node_identity, cpu_share),
+    FLOAT(rs_node_identity, link_mbps), CYAML_FIELD_END};
 
 static const cyaml_schema_field_t listen_schema[] = {
     TEXT(rs_node_listen, callers), TEXT(rs_node_listen, readiness),
@@ -127,6 +128,10 @@
         return refuse(fault, "node.address", settings->node.address,
                       "an IPv4 number");
     }
+    if (!(settings->node.cpu_share > 0) || !(settings->node.link_mbps > 0)) {
+        return refuse(fault, "node", "cpu_share or link_mbps is not positive",
+                      "above 0");
+    }
     int status = check_endpoint("listen.callers", listen->callers, fault);
     if (status == 0) {
         status = check_endpoint("listen.readiness", listen->readiness, fault);
--- a/settings/node.h
+++ b/settings/node.h
@@ -11,8 +11,10 @@
 
 struct rs_node_identity {
     char *name;
-    char *zone;    /* the failure domain of this VM */
-    char *address; /* IP number */
+    char *zone;      /* the failure domain of this VM */
+    char *address;   /* IP number */
+    float cpu_share; /* of a core that this VM has */
+    float link_mbps; /* of this VM's network link */
 };
 
 /* Endpoints are written as "IP:PORT". */
--- a/settings/node_test.c
+++ b/settings/node_test.c
@@ -13,6 +13,8 @@
                            "  name: \"n1\"\n"
                            "  zone: \"z1\"\n"
                            "  address: \"10.1.0.34\"\n"
+                           "  cpu_share: 0.2\n"
+                           "  link_mbps: 1000\n"
                            "listen:\n"
                            "  callers: \"10.1.0.34:8548\"\n"
                            "  readiness: \"10.1.0.34:8542\"\n"
@@ -73,22 +75,25 @@
 static void
 test_faults_name_line_field_and_what_is_allowed(void)
 {
+    check_fault("  cpu_share: 0.2", "  cpu_share: 0",
+                ":1: node: cpu_share or link_mbps is not positive; "
+                "allowed: above 0");
     check_fault("\"10.1.0.34:8548\"", "\"10.1.0.34\"",
-                ":6: listen.callers: 10.1.0.34; allowed: IP:PORT");
+                ":8: listen.callers: 10.1.0.34; allowed: IP:PORT");
     check_fault("\"10.1.0.34:8542\"", "\"host:80\"",
-                ":7: listen.readiness: host:80; allowed: IP:PORT");
+                ":9: listen.readiness: host:80; allowed: IP:PORT");
     check_fault("\"10.200.1.7:8541\"", "\"10.200.1.7:0\"",
-                ":11: store.address: 10.200.1.7:0; allowed: IP:PORT");
+                ":13: store.address: 10.200.1.7:0; allowed: IP:PORT");
     check_fault("  address: \"10.1.0.34\"", "  address: \"\"",
                 ":4: node.address: ; allowed: an IPv4 number");
     check_fault("peer_port: 7540", "peer_port: 75400",
-                ":8: listen.peer_port: not a port; allowed: 1 to 65535");
+                ":10: listen.peer_port: not a port; allowed: 1 to 65535");
     check_fault("max_hold_ms: 10000", "max_hold_ms: 10",
-                ":14: bounds.max_hold_ms: too short; allowed: 1000 or more");
+                ":16: bounds.max_hold_ms: too short; allowed: 1000 or more");
     check_fault("retry_window_s: 10", "retry_window_s: 0",
-                ":16: bounds.retry_window_s: 0; allowed: 1 or more");
+                ":18: bounds.retry_window_s: 0; allowed: 1 or more");
     check_fault("grace_s: 6", "grace_s: 0",
-                ":13: bounds.grace_s: 0; allowed: 1 or more");
+                ":15: bounds.grace_s: 0; allowed: 1 or more");
 }
 
 static void
--- a/soak/main.c
+++ b/soak/main.c
@@ -478,6 +478,7 @@
 {
     char *text = g_strdup_printf(
         "node:\n  name: \"n%u\"\n  zone: \"z%u\"\n  address: \"127.0.1.%u\"\n"
+        "  cpu_share: 1.0\n  link_mbps: 1000\n"
         "listen:\n  callers: \"127.0.1.%u:%u\"\n"
         "  readiness: \"127.0.1.%u:%u\"\n  peer_port: %u\n  admin_port: %u\n"
         "store:\n  address: \"127.0.0.1:%u\"\n"
