Share keys among all targets in the first plan

Cause: the keys of one owner were cut into 12 pieces at the most, also those that nobody had yet: 13 of 150 targets owned all keys when traffic began, and six moves a plan took eight seconds to spread them.

Ruled out: rates of the first requests; the map had 13 ranges before any came.

--- a/router/balance.c
+++ b/router/balance.c
@@ -15,16 +15,22 @@
 /* Of the weight that would even two targets out. */
 #define LEAST_PIECE_SHARE 0.7
 #define MOST_PIECE_SHARE 1.6
-/* Hand-overs at a time: each stops its keys for about one request's time. */
+/* Hand-overs at a time: each stops its keys for about one request's time. A
+ * third of the targets may give keys in one plan, in a small fleet these. */
 #define MAX_MOVES 6
-/* Pieces that the keys of a lost target are cut into, at most. */
+#define MAX_MOVES_SHARE 0.3
+/* Pieces that the keys of a lost target are cut into, at most. Many keys are
+ * cut into more, down to this share of what a target should have. */
 #define MAX_PIECES 12
+#define LEAST_FAIR_SHARE 0.9
 
 struct plan {
     struct rs_keymap *map;
     struct rs_balance_input *input;
     double idle_per_key;
     double mean_use;
+    double fair_load; /* of a target of mean capacity */
+    size_t max_moves;
     size_t moves;
 };
 
@@ -90,11 +96,16 @@
             plan->input->targets[owner].changing |= range->former.id != NULL;
         }
     }
+    size_t eligible = 0;
     for (size_t i = 0; i < plan->input->target_count; i++) {
         const struct rs_balance_target *target = &plan->input->targets[i];
         capacity += target->eligible ? target->capacity : 0;
+        eligible += target->eligible;
     }
     plan->mean_use = capacity > 0 ? load / capacity : INFINITY;
+    plan->fair_load = load / (double)MAX(eligible, (size_t)1);
+    plan->max_moves =
+        MAX((size_t)((double)eligible * MAX_MOVES_SHARE), (size_t)MAX_MOVES);
 }
 
 static struct rs_balance_target *
@@ -161,7 +172,8 @@
 static void
 share_out(struct plan *plan, uint32_t first_key, uint32_t last_key)
 {
-    double least = weight_of(plan, first_key, last_key) / MAX_PIECES;
+    double least = MIN(weight_of(plan, first_key, last_key) / MAX_PIECES,
+                       plan->fair_load * LEAST_FAIR_SHARE);
     while (first_key <= last_key) {
         struct rs_balance_target *to = least_used(plan);
         if (to == NULL) {
@@ -300,7 +312,7 @@
 static void
 even_out(struct plan *plan)
 {
-    while (plan->moves < MAX_MOVES) {
+    while (plan->moves < plan->max_moves) {
         struct rs_balance_target *from = most_used(plan);
         if (from == NULL || !gives_keys(plan, from)) {
             return;
--- a/router/balance_test.c
+++ b/router/balance_test.c
@@ -1,42 +1,51 @@
 #include <CUnit/Basic.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "router/balance.h"
 
 #define TARGETS 4
+#define MANY_TARGETS 150
 #define LAST_KEY (RsKeymap_KEYS - 1)
 #define CAPACITY_PER_S 20.0
 #define WINDOW_S 1.5
 
 struct scene {
     struct rs_keymap *map;
-    struct rs_balance_target targets[TARGETS];
+    struct rs_balance_target targets[MANY_TARGETS];
     struct rs_balance_input input;
     float rates[RsKeymap_KEYS];
 };
 
 static struct scene *
-new_scene(void)
+new_scene_of(size_t target_count)
 {
-    static const char *const ids[TARGETS] = {"a", "b", "c", "d"};
     struct scene *scene = g_new0(struct scene, 1);
     scene->map = RsKeymap_New("s");
-    for (size_t i = 0; i < TARGETS; i++) {
+    for (size_t i = 0; i < target_count; i++) {
+        char id[16];
+        snprintf(id, sizeof(id), "t%zu", i);
         scene->targets[i] = (struct rs_balance_target){
-            .owner = {g_intern_string(ids[i]), 1, NULL},
+            .owner = {g_intern_string(id), 1, NULL},
             .eligible = true,
             .capacity = CAPACITY_PER_S,
         };
     }
     scene->input = (struct rs_balance_input){
         .targets = scene->targets,
-        .target_count = TARGETS,
+        .target_count = target_count,
         .rates = scene->rates,
         .window_s = WINDOW_S,
     };
     return scene;
 }
 
+static struct scene *
+new_scene(void)
+{
+    return new_scene_of(TARGETS);
+}
+
 static void
 free_scene(struct scene *scene)
 {
@@ -93,6 +102,57 @@
     free_scene(scene);
 }
 
+static double
+most_load(const struct scene *scene)
+{
+    double most = 0;
+    for (size_t i = 0; i < scene->input.target_count; i++) {
+        most = MAX(most, load_of(scene, i));
+    }
+    return most;
+}
+
+/* The first requests come soon after it, and many targets are idle else. */
+static void
+test_first_plan_gives_keys_to_each_of_many_targets(void)
+{
+    struct scene *scene = new_scene_of(MANY_TARGETS);
+    RsBalance_Plan(scene->map, &scene->input);
+    for (size_t i = 0; i < scene->map->ranges->len; i++) {
+        RsKeymap_At(scene->map, i)->former.id = NULL;
+    }
+    for (uint32_t key = 0; key < RsKeymap_KEYS; key++) {
+        scene->rates[key] = 1;
+    }
+    for (size_t i = 0; i < MANY_TARGETS; i++) {
+        CU_ASSERT_TRUE(load_of(scene, i) > RsKeymap_KEYS / 2 / MANY_TARGETS);
+        CU_ASSERT_TRUE(load_of(scene, i) < RsKeymap_KEYS * 2 / MANY_TARGETS);
+    }
+    free_scene(scene);
+}
+
+/* The load pattern: keys that lie side by side get a third of the requests to
+ * many targets, half of what these can run; four plans are 1.2 s. */
+static void
+test_hot_run_is_split_among_many_targets_in_a_few_plans(void)
+{
+    struct scene *scene = new_scene_of(MANY_TARGETS);
+    plan_out(scene);
+    for (uint32_t key = 0; key < RsKeymap_KEYS; key += 64) {
+        scene->rates[key] = 1.0f;
+    }
+    for (uint32_t key = 30000; key < 30200; key++) {
+        scene->rates[key] = 2.5f;
+    }
+    CU_ASSERT_TRUE(most_load(scene) > 10 * CAPACITY_PER_S);
+    for (int i = 0; i < 4; i++) {
+        RsBalance_Plan(scene->map, &scene->input);
+        settle_all(scene);
+    }
+    CU_ASSERT_TRUE(most_load(scene) < CAPACITY_PER_S);
+    free_scene(scene);
+}
+
 /* The load pattern: 200 keys that lie side by side get most requests. */
 static void
 test_hot_run_of_keys_is_split_in_a_few_plans(void)
@@ -199,6 +259,9 @@
     CU_initialize_registry();
     CU_pSuite suite = CU_add_suite("balance", NULL, NULL);
     CU_ADD_TEST(suite, test_first_plan_shares_all_keys_evenly);
+    CU_ADD_TEST(suite, test_first_plan_gives_keys_to_each_of_many_targets);
+    CU_ADD_TEST(suite,
+                test_hot_run_is_split_among_many_targets_in_a_few_plans);
     CU_ADD_TEST(suite, test_hot_run_of_keys_is_split_in_a_few_plans);
     CU_ADD_TEST(suite, test_one_heavy_key_does_not_stop_the_others);
     CU_ADD_TEST(suite, test_chance_moves_nothing);
