Write the map of keys in a fifth of the bytes

Cause: each range named its owner with address and birth, 80 bytes; 470 ranges went to each of 59 nodes several times a second, and 800 would not fit a row.

--- a/router/keymap.c
+++ b/router/keymap.c
@@ -1,12 +1,14 @@
 #include "router/keymap.h"
 
 #include <assert.h>
+#include <inttypes.h>
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define FIRST_FENCE 1
-#define RANGE_FIELDS 8
+#define NOBODY (-1)      /* in place of the index of an owner */
+#define SETTLED_FIELDS 3 /* of a range without a former owner */
 
 /* Makes a map in which nobody owns anything. */
 struct rs_keymap *
@@ -47,18 +49,45 @@
                : g_strdup(owner->id);
 }
 
+/* The owners that a map names, each once: hundreds of ranges have few owners,
+ * and all nodes read the row with each change. */
+struct owner_list {
+    json_t *items;       /* of ["ID@ADDRESS", born_ms] */
+    GHashTable *indexes; /* text and birth to index + 1 */
+};
+
+static json_int_t
+index_of(struct owner_list *list, const struct rs_owner *owner)
+{
+    if (owner->id == NULL) {
+        return NOBODY;
+    }
+    char *text = owner_text(owner);
+    char *name = g_strdup_printf("%s %" PRId64, text, owner->born_ms);
+    guint known = GPOINTER_TO_UINT(g_hash_table_lookup(list->indexes, name));
+    if (known == 0) {
+        json_array_append_new(
+            list->items, json_pack("[sI]", text, (json_int_t)owner->born_ms));
+        known = (guint)json_array_size(list->items);
+        g_hash_table_insert(list->indexes, g_strdup(name),
+                            GUINT_TO_POINTER(known));
+    }
+    g_free(name);
+    g_free(text);
+    return (json_int_t)known - 1;
+}
+
 static json_t *
-encode_range(const struct rs_key_range *range)
+encode_range(const struct rs_key_range *range, struct owner_list *owners)
 {
-    char *owner = owner_text(&range->owner);
-    char *former = owner_text(&range->former);
-    json_t *item = json_pack(
-        "[iisIIsII]", (int)range->first_key, (int)range->last_key, owner,
-        (json_int_t)range->owner.born_ms, (json_int_t)range->fence, former,
-        (json_int_t)range->former.born_ms, (json_int_t)range->former_fence);
-    g_free(owner);
-    g_free(former);
-    return item;
+    json_int_t owner = index_of(owners, &range->owner);
+    if (range->former.id == NULL) {
+        return json_pack("[iII]", (int)range->last_key, owner,
+                         (json_int_t)range->fence);
+    }
+    return json_pack(
+        "[iIIII]", (int)range->last_key, owner, (json_int_t)range->fence,
+        index_of(owners, &range->former), (json_int_t)range->former_fence);
 }
 
 /* Returns the map as text, which the caller frees with g_free(). Orders are
@@ -66,21 +95,29 @@
 char *
 RsKeymap_Encode(const struct rs_keymap *map)
 {
+    struct owner_list owners = {
+        .items = json_array(),
+        .indexes =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+    };
     json_t *ranges = json_array();
     for (size_t i = 0; i < map->ranges->len; i++) {
-        json_array_append_new(ranges, encode_range(RsKeymap_At(map, i)));
+        json_array_append_new(ranges,
+                              encode_range(RsKeymap_At(map, i), &owners));
     }
-    json_t *body = json_pack("{s:I,s:o}", "next_fence",
-                             (json_int_t)map->next_fence, "ranges", ranges);
+    json_t *body =
+        json_pack("{s:I,s:o,s:o}", "next_fence", (json_int_t)map->next_fence,
+                  "owners", owners.items, "ranges", ranges);
     char *text = json_dumps(body, JSON_COMPACT);
     char *copy = g_strdup(text);
+    g_hash_table_unref(owners.indexes);
     free(text);
     json_decref(body);
     return copy;
 }
 
 static struct rs_owner
-decode_owner(const char *text, int64_t born_ms)
+parse_owner(const char *text, int64_t born_ms)
 {
     struct rs_owner owner = {.born_ms = born_ms};
     const char *at = strrchr(text, '@');
@@ -92,29 +129,78 @@
     return owner;
 }
 
+/* Returns the owners named, or NULL when one can't be read. */
+static GArray *
+decode_owners(const json_t *items)
+{
+    GArray *owners = g_array_new(FALSE, FALSE, sizeof(struct rs_owner));
+    for (size_t i = 0; i < json_array_size(items); i++) {
+        const char *text = NULL;
+        json_int_t born_ms = 0;
+        if (json_unpack(json_array_get(items, i), "[sI!]", &text, &born_ms) !=
+            0) {
+            g_array_unref(owners);
+            return NULL;
+        }
+        struct rs_owner owner = parse_owner(text, born_ms);
+        g_array_append_val(owners, owner);
+    }
+    return owners;
+}
+
 static bool
-decode_range(json_t *item, uint32_t expected_first, struct rs_key_range *range)
+find_owner(const GArray *owners, json_int_t index, struct rs_owner *owner)
 {
-    int first;
-    int last;
-    const char *owner;
-    const char *former;
-    json_int_t numbers[4];
-    if (json_array_size(item) != RANGE_FIELDS ||
-        json_unpack(item, "[iisIIsII]", &first, &last, &owner, &numbers[0],
-                    &numbers[1], &former, &numbers[2], &numbers[3]) != 0) {
+    if (index == NOBODY) {
+        *owner = (struct rs_owner){0};
+        return true;
+    }
+    if (index < 0 || index >= (json_int_t)owners->len) {
         return false;
     }
+    *owner = g_array_index(owners, struct rs_owner, (guint)index);
+    return true;
+}
+
+static bool
+decode_range(json_t *item, const GArray *owners, uint32_t first_key,
+             struct rs_key_range *range)
+{
+    json_int_t last = 0;
+    json_int_t owner = NOBODY;
+    json_int_t fence = 0;
+    json_int_t former = NOBODY;
+    json_int_t former_fence = 0;
+    bool settled = json_array_size(item) == SETTLED_FIELDS;
+    int status = settled ? json_unpack(item, "[III!]", &last, &owner, &fence)
+                         : json_unpack(item, "[IIIII!]", &last, &owner, &fence,
+                                       &former, &former_fence);
     *range = (struct rs_key_range){
-        .first_key = (uint32_t)first,
+        .first_key = first_key,
         .last_key = (uint32_t)last,
-        .owner = decode_owner(owner, numbers[0]),
-        .fence = (uint64_t)numbers[1],
-        .former = decode_owner(former, numbers[2]),
-        .former_fence = (uint64_t)numbers[3],
+        .fence = (uint64_t)fence,
+        .former_fence = (uint64_t)former_fence,
     };
-    return first >= 0 && range->first_key == expected_first && last >= first &&
-           last < RsKeymap_KEYS;
+    return status == 0 && last >= (json_int_t)first_key &&
+           last < RsKeymap_KEYS && find_owner(owners, owner, &range->owner) &&
+           find_owner(owners, former, &range->former);
+}
+
+static bool
+decode_ranges(struct rs_keymap *map, const json_t *items, const GArray *owners)
+{
+    uint32_t next_key = 0;
+    g_array_set_size(map->ranges, 0);
+    for (size_t i = 0; i < json_array_size(items); i++) {
+        struct rs_key_range range;
+        if (!decode_range(json_array_get(items, i), owners, next_key,
+                          &range)) {
+            return false;
+        }
+        next_key = range.last_key + 1;
+        g_array_append_val(map->ranges, range);
+    }
+    return next_key == RsKeymap_KEYS;
 }
 
 /* Reads a row's value. Returns NULL when it isn't a whole map. */
@@ -122,21 +208,17 @@
 RsKeymap_Decode(const char *service, const char *value)
 {
     json_t *body = json_loads(value, 0, NULL);
-    json_t *ranges = json_object_get(body, "ranges");
+    GArray *owners = decode_owners(json_object_get(body, "owners"));
     struct rs_keymap *map = RsKeymap_New(service);
-    g_array_set_size(map->ranges, 0);
     map->next_fence =
         (uint64_t)json_integer_value(json_object_get(body, "next_fence"));
-    uint32_t next_key = 0;
-    bool good = map->next_fence >= FIRST_FENCE && json_array_size(ranges) > 0;
-    for (size_t i = 0; good && i < json_array_size(ranges); i++) {
-        struct rs_key_range range;
-        good = decode_range(json_array_get(ranges, i), next_key, &range);
-        next_key = good ? range.last_key + 1 : next_key;
-        g_array_append_val(map->ranges, range);
+    bool good = owners != NULL && map->next_fence >= FIRST_FENCE &&
+                decode_ranges(map, json_object_get(body, "ranges"), owners);
+    if (owners != NULL) {
+        g_array_unref(owners);
     }
     json_decref(body);
-    if (!good || next_key != RsKeymap_KEYS) {
+    if (!good) {
         RsKeymap_Free(map);
         return NULL;
     }
--- a/router/keymap_test.c
+++ b/router/keymap_test.c
@@ -1,4 +1,5 @@
 #include <CUnit/Basic.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "router/keymap.h"
@@ -110,6 +111,30 @@
     RsKeymap_Free(map);
 }
 
+/* The store takes rows of 64 KiB in base64, and each node reads the row with
+ * each change: 1,000 ranges of 150 targets. */
+static void
+test_row_of_many_ranges_is_small(void)
+{
+    struct rs_keymap *map = map_of("a");
+    for (uint32_t i = 0; i < 1000; i++) {
+        char id[16];
+        char address[24];
+        snprintf(id, sizeof(id), "i-%08x", i % 150);
+        snprintf(address, sizeof(address), "10.1.64.%u:8289", i % 150);
+        const struct rs_owner to = {g_intern_string(id), 1774251872815,
+                                    g_intern_string(address)};
+        RsKeymap_Move(map, i * 64, i * 64 + 63, &to);
+    }
+    for (size_t i = 0; i < map->ranges->len; i++) {
+        RsKeymap_Settle(RsKeymap_At(map, i));
+    }
+    char *row = RsKeymap_Encode(map);
+    CU_ASSERT_TRUE(strlen(row) < 65536 * 3 / 4 / 2);
+    g_free(row);
+    RsKeymap_Free(map);
+}
+
 static void
 test_rows_that_are_not_maps_are_refused(void)
 {
@@ -118,11 +143,16 @@
         "{}",
         "[]",
         "{\"next_fence\":3,\"ranges\":[]}",
-        "{\"next_fence\":3,\"ranges\":[[0,5,\"a\",1,1,\"\",0,0]]}",
-        "{\"next_fence\":3,\"ranges\":[[1,65535,\"a\",1,1,\"\",0,0]]}",
-        "{\"next_fence\":3,\"ranges\":[[0,65536,\"a\",1,1,\"\",0,0]]}",
-        "{\"next_fence\":3,\"ranges\":[[0,65535,7,1,1,\"\",0,0]]}",
-        "{\"ranges\":[[0,65535,\"a\",1,1,\"\",0,0]]}",
+        "{\"next_fence\":3,\"owners\":[[\"a\",1]],\"ranges\":[[5,0,1]]}",
+        "{\"next_fence\":3,\"owners\":[[\"a\",1]],\"ranges\":[[65536,0,1]]}",
+        "{\"next_fence\":3,\"owners\":[[\"a\",1]],\"ranges\":[[65535,1,1]]}",
+        "{\"next_fence\":3,\"owners\":[[\"a\",1]],\"ranges\":[[65535,-2,1]]}",
+        "{\"next_fence\":3,\"owners\":[[7,1]],\"ranges\":[[65535,0,1]]}",
+        "{\"next_fence\":3,\"owners\":[[\"a\",1]],"
+        "\"ranges\":[[9,0,1],[8,0,1],[65535,0,1]]}",
+        "{\"next_fence\":3,\"owners\":[[\"a\",1]],\"ranges\":[[65535,0,\"x\"]]"
+        "}",
+        "{\"owners\":[[\"a\",1]],\"ranges\":[[65535,0,1]]}",
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         CU_ASSERT_PTR_NULL(RsKeymap_Decode("s", rows[i]));
@@ -140,6 +170,7 @@
     CU_ADD_TEST(suite, test_range_with_a_grant_on_its_way_stays);
     CU_ADD_TEST(suite, test_move_keeps_how_long_the_former_may_hold);
     CU_ADD_TEST(suite, test_row_holds_the_whole_map);
+    CU_ADD_TEST(suite, test_row_of_many_ranges_is_small);
     CU_ADD_TEST(suite, test_rows_that_are_not_maps_are_refused);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
