--- a/router/follower.c
+++ b/router/follower.c
@@ -166,7 +166,8 @@
     }
 }
 
-/* Begins to read; the follower lives as long as the process. */
+/* Makes a follower that waits for RsFollower_SetFed(); it lives as long as the
+ * process. */
 struct rs_follower *
 RsFollower_Open(const struct rs_follower_options *options)
 {
@@ -176,7 +177,7 @@
     RsRows_Init(&follower->mirror);
     uv_timer_init(options->loop, &follower->timer);
     follower->timer.data = follower;
-    call(follower);
+    follower->fed = true;
     return follower;
 }
 
@@ -213,6 +214,13 @@
     }
 }
 
+/* Sets the pause between two calls to the store, in ms. */
+void
+RsFollower_SetPause(struct rs_follower *follower, uint32_t pause_ms)
+{
+    follower->options.pause_ms = pause_ms;
+}
+
 /* Takes rows from another node; `whole` says that the table has no others as
  * of the rows' version. */
 void
--- a/router/follower.h
+++ b/router/follower.h
@@ -1,6 +1,6 @@
 /* Keeps up with one table: reads it whole from the store, then follows its
- * changes, and reads it again when the history is gone. While another node
- * feeds it, it leaves the store alone. */
+ * changes, and reads it again when the history is gone. It leaves the store
+ * alone until it is told that no other node feeds it. */
 
 #ifndef RATTANSHED_ROUTER_FOLLOWER_H
 #define RATTANSHED_ROUTER_FOLLOWER_H
@@ -40,6 +40,7 @@
 
 /* News from another node. */
 void RsFollower_SetFed(struct rs_follower *follower, bool fed);
+void RsFollower_SetPause(struct rs_follower *follower, uint32_t pause_ms);
 void RsFollower_Feed(struct rs_follower *follower,
                      const struct rs_store_rows *rows, bool whole);
 void RsFollower_NoteFresh(struct rs_follower *follower, uint64_t version,
--- a/router/node.c
+++ b/router/node.c
@@ -27,6 +27,10 @@
 /* News of targets may be 2 s old at most where one leaves. */
 #define TARGETS_PAUSE_MS 400
 #define TARGETS_WAIT_MS 600
+/* Nodes that nobody feeds ask less often the more there are; those whose
+ * target leaves still learn it within a second. */
+#define TARGETS_PAUSE_MS_PER_NODE 8
+#define TARGETS_MOST_PAUSE_MS 900
 /* Subscribers take news for out of date after 1.3 s without an answer. */
 #define OPERATOR_WAIT_MS 700
 #define KEYS_WAIT_MS 800
@@ -59,6 +63,7 @@
     struct rs_reports *reports;
     struct rs_stream *stream;
     struct rs_follower *key_rows;
+    struct rs_follower *target_rows;
     struct rs_server *callers;
     struct rs_server *readiness;
     struct rs_server *admin;
@@ -364,8 +369,15 @@
 watch_stream(struct node *node, int64_t now_ms)
 {
     bool fed = RsStream_IsFed(node->stream);
+    bool leads = RsGranter_HasAuthority(&node->granter, now_ms);
     RsFollower_SetFed(node->key_rows,
-                      fed || RsGranter_HasAuthority(&node->granter, now_ms));
+                      leads || !RsStream_AsksStore(node->stream));
+    RsFollower_SetPause(
+        node->target_rows,
+        leads ? TARGETS_PAUSE_MS
+              : MIN(TARGETS_PAUSE_MS +
+                        node->router.share.nodes * TARGETS_PAUSE_MS_PER_NODE,
+                    TARGETS_MOST_PAUSE_MS));
     if (node->was_fed && !fed) {
         node->next_lease_read_ms = now_ms + RESIGNATION_MS;
     }
@@ -643,6 +655,8 @@
     node->store = RsStore_Open(&node->loop, &address);
     node->key_rows =
         follow(node, RsGranter_MAP_TABLE, SOON_MS, KEYS_WAIT_MS, &key_events);
+    node->target_rows = follow(node, RsWire_TARGET_TABLE, TARGETS_PAUSE_MS,
+                               TARGETS_WAIT_MS, &target_events);
     const struct rs_stream_options options = {
         .loop = &node->loop,
         .node = settings->node.name,
@@ -651,9 +665,7 @@
         .granter = &node->granter,
         .followers = {follow(node, RsWire_OPERATOR_TABLE, SOON_MS,
                              OPERATOR_WAIT_MS, &operator_events),
-                      follow(node, RsWire_TARGET_TABLE, TARGETS_PAUSE_MS,
-                             TARGETS_WAIT_MS, &target_events),
-                      node->key_rows},
+                      node->target_rows, node->key_rows},
         .follower_count = 3,
     };
     node->stream = RsStream_Open(&options);
--- a/router/stream.c
+++ b/router/stream.c
@@ -15,6 +15,11 @@
  * waits for less. */
 #define STALE_MS 1300
 #define CONNECT_EVERY_MS 300
+/* Many nodes start at once, and most find one that feeds them within a second;
+ * until then they leave the store to that one. */
+#define START_HOLD_MS 1200
+/* A node that feeds others may end; another is found in this time. */
+#define LOST_HOLD_MS 250
 /* More are sent on to one of these. 3,500 nodes are fed in three steps. */
 #define MAX_SUBSCRIBERS 24
 #define MAX_QUEUE_BYTES (4 * 1024 * 1024)
@@ -39,6 +44,8 @@
     uint32_t redirect_port;
     bool open;
     bool fed;
+    bool asks_store; /* no other node feeds this one */
+    int64_t hold_until_ms;
     bool leaving;
     int64_t heard_ms; /* last beat that was up to date */
     int64_t next_beat_ms;
@@ -290,6 +297,15 @@
     return NULL;
 }
 
+static void
+ask_store(struct rs_stream *stream, bool ask)
+{
+    stream->asks_store = ask;
+    for (size_t i = 0; i < stream->options.follower_count; i++) {
+        RsFollower_SetFed(stream->options.followers[i], !ask);
+    }
+}
+
 static void
 set_fed(struct rs_stream *stream, bool fed, const char *reason)
 {
@@ -300,8 +316,9 @@
     RsLog_EVENT(RsLog_INFO, fed ? "stream_found" : "stream_lost",
                 RsLog_TEXT("reason", reason),
                 RsLog_TEXT("granter", stream->options.granter->holder.node));
-    for (size_t i = 0; i < stream->options.follower_count; i++) {
-        RsFollower_SetFed(stream->options.followers[i], fed);
+    stream->hold_until_ms = RsClock_NowMs() + LOST_HOLD_MS;
+    if (fed) {
+        ask_store(stream, false);
     }
 }
 
@@ -491,8 +508,15 @@
         stream->next_beat_ms = now_ms + BEAT_EVERY_MS;
         send_beats(stream, now_ms);
     }
-    if (granter->phase != RsGranter_OBSERVING || stream->leaving) {
+    bool reads = granter->phase != RsGranter_OBSERVING || stream->leaving;
+    if (reads) {
         close_upstream(stream, "this node reads the store");
+    }
+    if (!stream->fed && !stream->asks_store &&
+        (reads || now_ms >= stream->hold_until_ms)) {
+        ask_store(stream, true);
+    }
+    if (reads) {
         return;
     }
     if (stream->upstream != NULL &&
@@ -524,6 +548,14 @@
     return stream->fed;
 }
 
+/* Tells whether the followers have been told to ask the store: neither another
+ * node feeds this one, nor is one likely to be found soon. */
+bool
+RsStream_AsksStore(const struct rs_stream *stream)
+{
+    return stream->asks_store;
+}
+
 /* Listens for subscribers. Returns NULL when the port can't be had. */
 struct rs_stream *
 RsStream_Open(const struct rs_stream_options *options)
@@ -532,6 +564,7 @@
     struct sockaddr_in address;
     stream->options = *options;
     stream->subscribers = g_ptr_array_new_with_free_func(free_subscriber);
+    stream->hold_until_ms = RsClock_NowMs() + START_HOLD_MS;
     uv_ip4_addr(options->host, (int)options->port, &address);
     if (RsLink_Listen(options->loop, &address, MAX_QUEUE_BYTES, on_accept,
                       stream, &stream->listener) != 0) {
--- a/router/stream.h
+++ b/router/stream.h
@@ -37,4 +37,7 @@
 
 bool RsStream_IsFed(const struct rs_stream *stream);
 
+/* Tells whether this node's followers ask the store. */
+bool RsStream_AsksStore(const struct rs_stream *stream);
+
 #endif
