Begin one after the other to send to a target that turned cold

Cause: FAILBACK with 17 to 19 requests in a second where 16.9 are allowed: ten nodes may send to a cold target, and all of them did at once when they learnt of it, in the second in which it had served as a warm one.

The test fails without the change.

--- a/router/fleet.c
+++ b/router/fleet.c
@@ -194,6 +194,9 @@
                     RsLog_TEXT("target", target->id),
                     RsLog_NUMBER("sequence", report->sequence));
     }
+    if (report->cold_left_ms > 0 && now_ms >= target->cold_until_ms) {
+        target->turned_cold_ms = new_life ? 0 : now_ms;
+    }
     target->cold_until_ms =
         report->cold_left_ms > 0
             ? MAX(target->cold_until_ms, now_ms + report->cold_left_ms)
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -20,6 +20,7 @@
     int64_t lapse_at_ms;      /* unlisted, but believed in until then */
     int64_t leaving_since_ms; /* draining or unlisted since; 0 if neither */
     int64_t cold_until_ms;
+    int64_t turned_cold_ms; /* while it was serving; 0: it was not */
     /* Load, as this node sees it. */
     uint32_t in_flight;
     struct rs_load load;
--- a/router/load.c
+++ b/router/load.c
@@ -107,7 +107,12 @@
     }
     uint32_t turn = (choice->share.rank + g_str_hash(target->id)) %
                     MAX(choice->share.nodes, 1);
-    return turn < cold_senders(choice) && now_ms >= target->next_cold_send_ms;
+    double senders = cold_senders(choice);
+    /* It may have had as much as it bears in the second before it turned cold;
+     * the senders begin one after the other. */
+    double first_ms = target->turned_cold_ms + turn * MS_PER_S / senders;
+    return turn < senders && (double)now_ms >= first_ms &&
+           now_ms >= target->next_cold_send_ms;
 }
 
 /* Notes a send, so that the next one to a cold target keeps its distance. */
--- a/router/load_test.c
+++ b/router/load_test.c
@@ -8,6 +8,8 @@
 #define NOW_MS 100000
 #define NODES 9
 #define SPAN_MS 10000
+#define MANY_NODES 60
+#define WARM_PER_S 14 /* 6.3 x 1.5 + 5, what a cold target bears */
 #define REQUESTS 3000
 #define WINDOW 1000 /* requests in 10 s */
 
@@ -177,6 +179,57 @@
     CU_ASSERT_TRUE(senders >= 1 && senders <= 14);
 }
 
+/* A warm target that gets as much as the bound allows turns cold: the requests
+ * of the second before count, too. */
+static void
+test_target_that_turns_cold_is_within_its_bound(void)
+{
+    static struct scene scenes[MANY_NODES];
+    static int sent[3000];
+    int worst = 0;
+    memset(sent, 0, sizeof(sent));
+    for (uint32_t i = 0; i < MANY_NODES; i++) {
+        open_scene(&scenes[i], 0);
+        scenes[i].choice.share =
+            (struct rs_load_share){.nodes = MANY_NODES, .rank = i};
+    }
+    for (int i = 0; i < WARM_PER_S; i++) {
+        sent[i * 1000 / WARM_PER_S]++;
+    }
+    for (uint32_t i = 0; i < MANY_NODES; i++) {
+        const struct rs_fixture_report report = {
+            .id = "a",
+            .service = "s",
+            .zone = "z1",
+            .port = 1000,
+            .born_ms = 1,
+            .sequence = 2,
+            .cold_left_ms = 3000,
+        };
+        RsFixture_Report(&scenes[i].fleet, &report, NOW_MS + 1000);
+    }
+    for (int64_t ms = 1000; ms < 3000; ms++) {
+        for (uint32_t i = 0; i < MANY_NODES; i++) {
+            struct rs_fleet_target *target = scenes[i].targets[0];
+            if (RsLoad_ColdAllows(target, &scenes[i].choice, NOW_MS + ms)) {
+                RsLoad_NoteColdSend(target, &scenes[i].choice, NOW_MS + ms);
+                sent[ms]++;
+            }
+        }
+    }
+    for (int64_t from = 0; from + 1000 <= 3000; from++) {
+        int in_second = 0;
+        for (int64_t k = from; k < from + 1000; k++) {
+            in_second += sent[k];
+        }
+        worst = MAX(worst, in_second);
+    }
+    CU_ASSERT_TRUE(worst <= WARM_PER_S);
+    for (uint32_t i = 0; i < MANY_NODES; i++) {
+        close_scene(&scenes[i]);
+    }
+}
+
 /* A request every 10 ms, each of which would be sent once more: in no window
  * of 10 s may there be more repeats than 0.2 x 1000 and a ninth of 58. */
 static void
@@ -241,6 +294,7 @@
     CU_ADD_TEST(suite, test_full_and_unusable_targets_are_told_apart);
     CU_ADD_TEST(suite, test_cold_target_is_within_its_bound_over_all_nodes);
     CU_ADD_TEST(suite, test_many_nodes_share_the_bound_of_a_cold_target);
+    CU_ADD_TEST(suite, test_target_that_turns_cold_is_within_its_bound);
     CU_ADD_TEST(suite, test_repeats_stay_in_the_budget_of_all_nodes);
     CU_ADD_TEST(suite, test_quiet_node_repeats_within_its_part_of_the_slack);
     CU_ADD_TEST(suite, test_return_is_spread_over_a_third_of_the_time_left);
