--- a/router/load.c
+++ b/router/load.c
@@ -14,9 +14,9 @@
 #define OTHER_ZONE_MS 6.0
 /* Spreads the choices of nodes that see the same load. */
 #define CHOICE_NOISE 0.2
-#define SAMPLE_FACTOR 2 /* compared targets, per target that a node has */
+/* Nodes of a deployment in which all may compare all targets. */
+#define TRUSTED_NODES 11.0
 #define SAMPLE_LEAST 2
-#define ALL_COMPARED 4 /* few targets are told apart whatever the nodes do */
 /* Each target is the home target of one node of its zone, which knows its load
  * best and sends to it by preference: it costs that node this share. Of 0.4 to
  * 1.0, the least made the most answers come in time (router/herd_test.c). */
@@ -139,17 +139,29 @@
     return false;
 }
 
-/* Returns how many targets to compare. Sums of load are older the more nodes
- * there are, and nodes that all compared the same targets would overfill those
- * that looked idle. */
+/* Returns how far the sums of load can be trusted: 1 to near 0. They get older
+ * with the nodes, and so many more choices are made by the same sums. */
+static double
+trust_in_sums(const struct rs_load_choice *choice)
+{
+    double share = TRUSTED_NODES / MAX(choice->share.nodes, 1);
+    return MIN(share * share, 1.0);
+}
+
+/* Returns how many targets to compare. Many nodes that compared the same ones
+ * would overfill those that looked idle. */
 static uint32_t
 sample_size(const struct rs_load_choice *choice, uint32_t usable)
 {
-    if (usable <= ALL_COMPARED) {
-        return usable;
-    }
-    uint32_t share = usable * SAMPLE_FACTOR / MAX(choice->share.nodes, 1);
-    return MAX(share, SAMPLE_LEAST);
+    double share = usable * trust_in_sums(choice);
+    return MAX((uint32_t)share, SAMPLE_LEAST);
+}
+
+/* Returns what share of its cost a home target counts with. */
+static double
+home_factor(const struct rs_load_choice *choice)
+{
+    return HOME_FACTOR + (1 - HOME_FACTOR) * trust_in_sums(choice);
 }
 
 /* Tells whether this node is the one whose home target it is. */
@@ -249,8 +261,8 @@
     *chosen = NULL;
     for (guint i = 0; i < count; i++) {
         struct rs_fleet_target *target = g_ptr_array_index(usable, i);
-        double cost =
-            cost_of(choice, target, now_ms) * (i < home ? HOME_FACTOR : 1.0);
+        double cost = cost_of(choice, target, now_ms) *
+                      (i < home ? home_factor(choice) : 1.0);
         if (cost < best) {
             best = cost;
             *chosen = target;
