--- a/router/stream.c
+++ b/router/stream.c
@@ -4,6 +4,7 @@
 
 #include "core/clock.h"
 #include "core/log.h"
+#include "router/delay.h"
 #include "router/stream.pb-c.h"
 #include "wire/link.h"
 
@@ -47,7 +48,8 @@
     bool asks_store; /* no other node feeds this one */
     int64_t hold_until_ms;
     bool leaving;
-    int64_t heard_ms; /* last beat that was up to date */
+    int64_t heard_ms;      /* last beat that was up to date */
+    struct rs_delay delay; /* of the link's beats */
     int64_t next_beat_ms;
     int64_t next_connect_ms;
 };
@@ -270,6 +272,7 @@
     beat.n_tables = options->follower_count;
     beat.granter = options->granter->holder.incarnation;
     beat.lease_version = options->granter->lease_version;
+    beat.sent_ms = (uint64_t)now_ms;
     Rs__Stream__Message message = RS__STREAM__MESSAGE__INIT;
     message.message_case = RS__STREAM__MESSAGE__MESSAGE_BEAT;
     message.beat = &beat;
@@ -382,14 +385,17 @@
     int64_t now_ms = RsClock_NowMs();
     struct rs_granter *granter = stream->options.granter;
     bool current = beat->granter == granter->holder.incarnation;
+    int64_t late_ms =
+        RsDelay_Lateness(&stream->delay, (int64_t)beat->sent_ms, now_ms);
     for (size_t i = 0; i < beat->n_tables; i++) {
         const Rs__Stream__Beat__Freshness *item = beat->tables[i];
         struct rs_follower *follower = find_follower(stream, item->table);
         if (follower == NULL) {
             continue;
         }
-        current = current && item->age_ms < STALE_MS;
-        RsFollower_NoteFresh(follower, item->version, now_ms - item->age_ms);
+        int64_t age_ms = item->age_ms + late_ms;
+        current = current && age_ms < STALE_MS;
+        RsFollower_NoteFresh(follower, item->version, now_ms - age_ms);
     }
     if (current) {
         stream->heard_ms = now_ms;
@@ -495,6 +501,7 @@
     }
     stream->upstream = RsLink_Connect(&options);
     stream->upstream_granter = holder->incarnation;
+    stream->delay = (struct rs_delay){0};
     stream->heard_ms = now_ms;
 }
 
--- a/router/stream.pb-c.h
+++ b/router/stream.pb-c.h
@@ -128,10 +128,14 @@
    */
   uint64_t granter;
   uint64_t lease_version;
+  /*
+   * by the sender's steady clock
+   */
+  uint64_t sent_ms;
 };
 #define RS__STREAM__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__stream__beat__descriptor) \
-    , 0,NULL, 0, 0 }
+    , 0,NULL, 0, 0, 0 }
 
 
 /*
