Turn away at once what the owner of a hot key can't run

Cause: one key gets 230 requests a second and its owner runs 20. All nodes wait for room, see it at the same time, and overfill the target, which resets connections; that counted as failing, and its other keys were refused too.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -18,6 +18,9 @@
 #define HEDGE_LEAST_MS 250
 /* A commit of the granter and the store's answer to those who follow it. */
 #define OWNER_NEWS_MS 80
+/* A reset for want of room comes within the way there and back, here between
+ * regions. */
+#define FULL_RESET_US 60000
 #define STATUS_OK 200
 #define STATUS_REDIRECT 300
 #define STATUS_SERVER_ERROR 500
@@ -156,14 +159,27 @@
         now_ms < target->avoid_until_ms) {
         return RsLoad_NONE;
     }
+    *chosen = target;
     if (!RsLoad_HasRoom(target, now_ms) ||
         !RsLoad_ColdAllows(target, choice, now_ms)) {
         return RsLoad_FULL;
     }
-    *chosen = target;
     return RsLoad_SEND;
 }
 
+/* Tells whether a request that has just come can't be served, as the owner of
+ * its key has too many. */
+static bool
+is_beyond_owner(struct rs_request *request, struct rs_fleet_target *owner,
+                int64_t now_ms)
+{
+    if (owner == NULL || request->admitted) {
+        return false;
+    }
+    request->admitted = RsLoad_Admits(owner, now_ms);
+    return !request->admitted;
+}
+
 static enum rs_load_verdict
 choose(const struct rs_request *request, const struct rs_load_choice *choice,
        int64_t now_ms, struct rs_fleet_target **chosen)
@@ -187,6 +203,11 @@
         return;
     }
     enum rs_load_verdict verdict = choose(request, &choice, now_ms, &target);
+    struct rs_fleet_target *owner = request->service->sharded ? target : NULL;
+    if (is_beyond_owner(request, owner, now_ms)) {
+        RsReply_Refuse(request, "owner-overloaded");
+        return;
+    }
     if (verdict == RsLoad_SEND &&
         RsLoad_ExpectMs(target, now_ms) >
             (double)(request->deadline_ms - now_ms)) {
@@ -433,7 +454,7 @@
                            (uint64_t)elapsed_us);
         if (attempt->status < STATUS_SERVER_ERROR) {
             RsFleet_NoteAnswer(attempt->target, elapsed_us / US_PER_MS,
-                               (uint32_t)attempt->ahead);
+                               (uint32_t)attempt->ahead, now_ms);
         }
         RsReply_End(attempt);
         return;
@@ -446,10 +467,27 @@
     }
     else {
         log_attempt(attempt, "refused");
+        RsFleet_NoteFull(attempt->target, now_ms);
     }
     go_on(request, now_ms);
 }
 
+/* A target that is full may reset the connection at once. One that gave
+ * answers of late is taken for that; else it counts as failing. */
+static void
+take_break(struct rs_attempt *attempt, int64_t now_ms)
+{
+    struct rs_fleet_target *target = attempt->target;
+    int64_t elapsed_us = RsClock_NowUs() - attempt->started_us;
+    bool at_once = attempt->status == 0 && elapsed_us < FULL_RESET_US;
+    if (at_once && RsFleet_AnsweredLately(target, now_ms)) {
+        RsFleet_NoteFull(target, now_ms);
+    }
+    else {
+        RsFleet_NoteFailure(target, now_ms);
+    }
+}
+
 static void
 on_done(void *arg, int error)
 {
@@ -475,7 +513,7 @@
         request->attempts_sent++;
         request->may_have_run = true;
         request->reason = "broken-answer";
-        RsFleet_NoteFailure(attempt->target, now_ms);
+        take_break(attempt, now_ms);
         if (!RsReply_Break(attempt)) {
             go_on(request, now_ms);
         }
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -20,8 +20,11 @@
 #define DEFAULT_SERVICE_MS 110.0
 #define SERVICE_WEIGHT 0.15 /* of a new sample; about the last ten count */
 #define FAILURES_TO_AVOID 2 /* one may be a lost answer */
-#define AVOID_FIRST_MS 200  /* doubles with each further failure */
-#define AVOID_MAX_MS 1600   /* so that a target that is back is soon found */
+/* A target without an answer for this long may have ended: many times the
+ * work on one request. */
+#define ANSWERED_LATELY_MS 2000
+#define AVOID_FIRST_MS 200 /* doubles with each further failure */
+#define AVOID_MAX_MS 1600  /* so that a target that is back is soon found */
 
 /* The owner of a key goes on while its keys are handed over, for no longer
  * than this. A target may take requests until 2 s after its leaving, of which
@@ -138,6 +141,8 @@
     target->service_ms = DEFAULT_SERVICE_MS;
     target->shared_service_ms = 0;
     target->answers = 0;
+    target->answered_ms = 0;
+    target->full_until_ms = 0;
     target->order_failing_since_ms = 0;
     target->cold_until_ms = 0;
     RsLog_EVENT(RsLog_INFO, "target_started", RsLog_TEXT("target", target->id),
@@ -352,15 +357,32 @@
 /* Takes the time of an answer, with how many requests were ahead of it. */
 void
 RsFleet_NoteAnswer(struct rs_fleet_target *target, double elapsed_ms,
-                   uint32_t ahead)
+                   uint32_t ahead, int64_t now_ms)
 {
     double sample_ms = elapsed_ms / RsFleet_Rounds(target, ahead);
     target->service_ms += SERVICE_WEIGHT * (sample_ms - target->service_ms);
     target->answers++;
+    target->answered_ms = now_ms;
     target->failures = 0;
     target->avoid_until_ms = 0;
 }
 
+/* Tells whether the target has answered a request a short while ago. */
+bool
+RsFleet_AnsweredLately(const struct rs_fleet_target *target, int64_t now_ms)
+{
+    return target->answered_ms > 0 &&
+           now_ms - target->answered_ms < ANSWERED_LATELY_MS;
+}
+
+/* Takes that the target refused a request for want of room. */
+void
+RsFleet_NoteFull(struct rs_fleet_target *target, int64_t now_ms)
+{
+    target->full_until_ms =
+        now_ms + (int64_t)(target->service_ms / target->report.slots);
+}
+
 /* Takes that a request to the target had no sound answer. */
 void
 RsFleet_NoteFailure(struct rs_fleet_target *target, int64_t now_ms)
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -28,9 +28,15 @@
     uint32_t in_flight_at_load; /* of this node */
     uint32_t elsewhere;         /* in flight from other nodes */
     int64_t elsewhere_at_ms;
-    double service_ms;        /* moving average of the work on one request */
-    uint32_t answers;         /* that it is made of */
-    double shared_service_ms; /* mean over all nodes; 0: unknown */
+    int64_t full_until_ms; /* it refused one for want of room */
+    /* Requests a second for its keys, if that is more than it can run. */
+    double demand_per_s; /* 0: it is not */
+    int64_t demand_at_ms;
+    double admission;    /* what part of the next request is admitted so far */
+    double service_ms;   /* moving average of the work on one request */
+    uint32_t answers;    /* that it is made of */
+    int64_t answered_ms; /* the last one; 0: none */
+    double shared_service_ms;       /* mean over all nodes; 0: unknown */
     int64_t order_failing_since_ms; /* orders had no answer since; 0: have */
     uint32_t failures;              /* in a row */
     int64_t avoid_until_ms;
@@ -83,7 +89,10 @@
                       const struct rs_load *load, int64_t now_ms);
 double RsFleet_Rounds(const struct rs_fleet_target *target, double ahead);
 void RsFleet_NoteAnswer(struct rs_fleet_target *target, double elapsed_ms,
-                        uint32_t ahead);
+                        uint32_t ahead, int64_t now_ms);
+bool RsFleet_AnsweredLately(const struct rs_fleet_target *target,
+                            int64_t now_ms);
 void RsFleet_NoteFailure(struct rs_fleet_target *target, int64_t now_ms);
+void RsFleet_NoteFull(struct rs_fleet_target *target, int64_t now_ms);
 
 #endif
--- a/router/fleet_test.c
+++ b/router/fleet_test.c
@@ -228,7 +228,7 @@
     }
     CU_ASSERT_TRUE(find("a")->avoid_until_ms > NOW_MS);
     CU_ASSERT_TRUE(find("a")->avoid_until_ms <= NOW_MS + 2000);
-    RsFleet_NoteAnswer(find("a"), 100, 0);
+    RsFleet_NoteAnswer(find("a"), 100, 0, NOW_MS);
     CU_ASSERT_EQUAL(find("a")->avoid_until_ms, 0);
     RsFleet_Clear(&fleet);
 }
--- a/router/herd_test.c
+++ b/router/herd_test.c
@@ -27,6 +27,9 @@
  */
 #define HALF_LOAD 0.5
 #define LEAST_IN_TIME 0.95
+#define LEAST_BUSY 0.8
+#define MOST_REJECTED 0.02
+#define MOST_LATE 0.1
 #define HIGH_LOAD 0.75
 #define LEAST_IN_TIME_HIGH 0.9
 
@@ -60,6 +63,13 @@
     uint32_t in_time;
     uint32_t full;     /* no target had room, by the node's belief */
     uint32_t rejected; /* by a target that was full */
+    /* With a key whose owner is the only target. */
+    bool keyed;
+    double demand_per_s;       /* as the granter tells it */
+    GQueue pending[MAX_NODES]; /* arrivals, in ms, that wait for room */
+    uint32_t refused;          /* at once */
+    uint32_t refused_late;     /* after waiting */
+    uint32_t served;
 };
 
 static struct world *
@@ -154,8 +164,10 @@
     int64_t elapsed_ms = world->now_ms - job->sent_ms;
     seen->in_flight--;
     RsFleet_NoteLoad(seen, &load, world->now_ms);
-    RsFleet_NoteAnswer(seen, (double)elapsed_ms, (uint32_t)job->ahead);
+    RsFleet_NoteAnswer(seen, (double)elapsed_ms, (uint32_t)job->ahead,
+                       world->now_ms);
     if (world->now_ms >= START_MS + WARM_UP_MS) {
+        world->served++;
         world->in_time += elapsed_ms <= LATENCY_TARGET_MS;
     }
 }
@@ -180,12 +192,74 @@
     }
 }
 
+static void
+send_to(struct world *world, uint32_t node, uint32_t number)
+{
+    struct rs_fleet_target *seen = world->seen[node][number];
+    struct target *target = &world->targets[number];
+    if (target->count == MAX_JOBS) {
+        world->rejected += world->now_ms >= START_MS + WARM_UP_MS;
+        RsFleet_NoteFull(seen, world->now_ms);
+        return;
+    }
+    target->jobs[target->count++] = (struct job){
+        .node = node,
+        .sent_ms = world->now_ms,
+        .ahead = RsLoad_Ahead(seen, world->now_ms),
+    };
+    seen->in_flight++;
+    start_jobs(world, number);
+}
+
+/* Sends what waits at a node while the owner has room; gives up what has
+ * waited too long. */
+static void
+pump(struct world *world, uint32_t node)
+{
+    struct rs_fleet_target *owner = world->seen[node][0];
+    GQueue *pending = &world->pending[node];
+    while (pending->length > 0) {
+        int64_t arrived_ms = (int64_t)(intptr_t)g_queue_peek_head(pending);
+        bool late = world->now_ms - arrived_ms >= LATENCY_TARGET_MS;
+        if (!late && !RsLoad_HasRoom(owner, world->now_ms)) {
+            return;
+        }
+        g_queue_pop_head(pending);
+        if (late) {
+            world->refused_late += world->now_ms >= START_MS + WARM_UP_MS;
+        }
+        else {
+            send_to(world, node, 0);
+        }
+    }
+}
+
+static void
+ask_owner(struct world *world, uint32_t node)
+{
+    struct rs_fleet_target *owner = world->seen[node][0];
+    if (!RsLoad_Admits(owner, world->now_ms)) {
+        world->refused += world->now_ms >= START_MS + WARM_UP_MS;
+    }
+    else if (RsLoad_HasRoom(owner, world->now_ms)) {
+        send_to(world, node, 0);
+    }
+    else {
+        g_queue_push_tail(&world->pending[node],
+                          (gpointer)(intptr_t)world->now_ms);
+    }
+}
+
 static void
 ask(struct world *world, uint32_t node)
 {
     struct rs_fleet_target *chosen = NULL;
     bool counts = world->now_ms >= START_MS + WARM_UP_MS;
     world->asked += counts;
+    if (world->keyed) {
+        ask_owner(world, node);
+        return;
+    }
     if (RsLoad_Choose(&world->choices[node], world->now_ms, &chosen) !=
         RsLoad_SEND) {
         world->full += counts;
@@ -195,18 +269,7 @@
     while (world->seen[node][number] != chosen) {
         number++;
     }
-    struct target *target = &world->targets[number];
-    if (target->count == MAX_JOBS) {
-        world->rejected += counts;
-        return;
-    }
-    target->jobs[target->count++] = (struct job){
-        .node = node,
-        .sent_ms = world->now_ms,
-        .ahead = RsLoad_Ahead(chosen, world->now_ms),
-    };
-    chosen->in_flight++;
-    start_jobs(world, number);
+    send_to(world, node, number);
 }
 
 /* A node's report is answered with the sums of what all nodes last said. */
@@ -220,6 +283,8 @@
         for (uint32_t n = 0; n < world->node_count; n++) {
             seen->elsewhere += n != node ? world->reported[n][t] : 0;
         }
+        seen->demand_per_s = world->keyed ? world->demand_per_s : 0;
+        seen->demand_at_ms = world->now_ms;
         seen->elsewhere_at_ms = world->now_ms;
     }
 }
@@ -235,6 +300,9 @@
             if ((world->now_ms + phase) % world->report_every_ms == 0) {
                 report(world, n);
             }
+            if (world->keyed) {
+                pump(world, n);
+            }
         }
         double due = world->rate_per_s / 1000;
         while (due > 0) {
@@ -287,6 +355,27 @@
     check(new_world(9, 9, capacity_per_s(9) * HALF_LOAD, 150), LEAST_IN_TIME);
 }
 
+/* The load pattern: one key gets ten times what its owner can run. The owner
+ * is kept busy, it is sent no more than it takes, and those who can't be
+ * served are told so at once. */
+static void
+test_owner_of_a_hot_key_is_busy_but_not_overfilled(void)
+{
+    struct world *world = new_world(59, 1, 10 * capacity_per_s(1), 295);
+    world->keyed = true;
+    world->demand_per_s = world->rate_per_s;
+    run(world);
+    printf("hot key: %u asked, %u served, %u in time, %u refused at once, "
+           "%u after waiting, %u rejected\n",
+           world->asked, world->served, world->in_time, world->refused,
+           world->refused_late, world->rejected);
+    double borne = capacity_per_s(1) * 0.6 * SPAN_MS / 1000; /* its speed */
+    CU_ASSERT_TRUE(world->served >= LEAST_BUSY * borne);
+    CU_ASSERT_TRUE(world->rejected <= MOST_REJECTED * world->asked);
+    CU_ASSERT_TRUE(world->refused_late <= MOST_LATE * world->asked);
+    free_world(world);
+}
+
 int
 main(void)
 {
@@ -296,6 +385,7 @@
     CU_ADD_TEST(suite,
                 test_sixty_nodes_do_not_overfill_the_targets_that_looked_idle);
     CU_ADD_TEST(suite, test_sixty_nodes_at_three_quarters_of_the_load);
+    CU_ADD_TEST(suite, test_owner_of_a_hot_key_is_busy_but_not_overfilled);
     CU_ADD_TEST(suite, test_nine_nodes_use_the_targets_evenly);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
--- a/router/load.c
+++ b/router/load.c
@@ -21,6 +21,10 @@
  * best and sends to it by preference: it costs that node this share. Of 0.4 to
  * 1.0, the least made the most answers come in time (router/herd_test.c). */
 #define HOME_FACTOR 0.4
+/* Demand is told a few times a second by the granter. */
+#define DEMAND_FRESH_MS 1000
+/* Of what an overloaded target can run, so that its queue stays short. */
+#define ADMITTED_SHARE 0.9
 #define OWN_SAMPLES 8 /* before them, the mean of all nodes is better */
 #define MS_PER_S 1000
 /* Share of the bound on a cold target that is used, since sends of two
@@ -84,7 +88,28 @@
 bool
 RsLoad_HasRoom(const struct rs_fleet_target *target, int64_t now_ms)
 {
-    return RsLoad_Ahead(target, now_ms) < target->report.slots + QUEUE_ROOM;
+    return RsLoad_Ahead(target, now_ms) < target->report.slots + QUEUE_ROOM &&
+           now_ms >= target->full_until_ms;
+}
+
+/* Tells whether a request for a key of the target is admitted. When more are
+ * asked of it than it can run, each node admits the same share of its own, so
+ * that together they keep it busy but not full. */
+bool
+RsLoad_Admits(struct rs_fleet_target *target, int64_t now_ms)
+{
+    double run_per_s =
+        MS_PER_S * target->report.slots / RsLoad_ServiceMs(target);
+    if (target->demand_per_s <= run_per_s ||
+        now_ms - target->demand_at_ms > DEMAND_FRESH_MS) {
+        return true;
+    }
+    target->admission += ADMITTED_SHARE * run_per_s / target->demand_per_s;
+    if (target->admission < 1) {
+        return false;
+    }
+    target->admission -= 1;
+    return true;
 }
 
 /* Returns how many nodes may send to one cold target at all, so that the sum
--- a/router/node.c
+++ b/router/node.c
@@ -421,6 +421,20 @@
            !unreachable;
 }
 
+/* Notes which targets are asked for more than they can run. */
+static void
+note_demand(struct node *node, const struct rs_balance_input *input,
+            int64_t now_ms)
+{
+    for (size_t i = 0; i < input->target_count; i++) {
+        const struct rs_balance_target *item = &input->targets[i];
+        struct rs_fleet_target *target =
+            RsFleet_Find(&node->router.fleet, item->owner.id);
+        target->demand_per_s = item->load > item->capacity ? item->load : 0;
+        target->demand_at_ms = now_ms;
+    }
+}
+
 static void
 plan_service(struct node *node, const struct rs_service *service,
              int64_t now_ms)
@@ -456,6 +470,7 @@
         }
     }
     size_t moves = RsBalance_Plan(entry->map, &input);
+    note_demand(node, &input, now_ms);
     if (moves > 0) {
         entry->dirty = true;
         RsLog_EVENT(RsLog_INFO, "keys_planned",
--- a/router/peer.pb-c.c
+++ b/router/peer.pb-c.c
@@ -148,7 +148,7 @@
   assert(message->base.descriptor == &rs__peer__summary__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor rs__peer__target_load__field_descriptors[3] =
+static const ProtobufCFieldDescriptor rs__peer__target_load__field_descriptors[4] =
 {
   {
     "id",
@@ -186,8 +186,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "demand_per_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TargetLoad, demand_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__target_load__field_indices_by_name[] = {
+  3,   /* field[3] = demand_per_s */
   0,   /* field[0] = id */
   1,   /* field[1] = in_flight */
   2,   /* field[2] = service_us */
@@ -195,7 +208,7 @@
 static const ProtobufCIntRange rs__peer__target_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor rs__peer__target_load__descriptor =
 {
@@ -205,7 +218,7 @@
   "Rs__Peer__TargetLoad",
   "rs.peer",
   sizeof(Rs__Peer__TargetLoad),
-  3,
+  4,
   rs__peer__target_load__field_descriptors,
   rs__peer__target_load__field_indices_by_name,
   1,  rs__peer__target_load__number_ranges,
--- a/router/peer.pb-c.h
+++ b/router/peer.pb-c.h
@@ -38,10 +38,14 @@
    * work on one request, moving average; 0: unknown
    */
   uint32_t service_us;
+  /*
+   * from the granter; 0: not more than it can run
+   */
+  float demand_per_s;
 };
 #define RS__PEER__TARGET_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__peer__target_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Rs__Peer__Report__ServiceKeys
--- a/router/reports.c
+++ b/router/reports.c
@@ -313,6 +313,14 @@
     }
 }
 
+static float
+demand_of(const struct rs_reports *reports, const char *id)
+{
+    const struct rs_fleet_target *target =
+        RsFleet_Find(&reports->router->fleet, id);
+    return target != NULL ? (float)target->demand_per_s : 0;
+}
+
 /* Fills `loads` with the sums of the targets that have work. */
 static size_t
 list_sums(struct rs_reports *reports, Rs__Peer__TargetLoad *loads)
@@ -330,6 +338,7 @@
             loads[count].id = id;
             loads[count].in_flight = mean.in_flight;
             loads[count].service_us = mean.service_us;
+            loads[count].demand_per_s = demand_of(reports, id);
             count++;
         }
     }
@@ -409,10 +418,15 @@
     router->share = share_of(summary);
     reset_elsewhere(reports, now_ms);
     for (size_t i = 0; i < summary->n_targets; i++) {
-        const struct load sum = {summary->targets[i]->in_flight,
-                                 summary->targets[i]->service_us};
-        take_sum(reports, g_intern_string(summary->targets[i]->id), &sum,
-                 now_ms);
+        const Rs__Peer__TargetLoad *item = summary->targets[i];
+        const char *id = g_intern_string(item->id);
+        const struct load sum = {item->in_flight, item->service_us};
+        take_sum(reports, id, &sum, now_ms);
+        struct rs_fleet_target *target = RsFleet_Find(&router->fleet, id);
+        if (target != NULL) {
+            target->demand_per_s = item->demand_per_s;
+            target->demand_at_ms = now_ms;
+        }
     }
 }
 
--- a/router/request.h
+++ b/router/request.h
@@ -46,6 +46,7 @@
     GList active_link;
     GList waiting_link;
     bool waiting;
+    bool admitted; /* by the owner of its key */
     bool finished;
     bool may_have_run;
     uint32_t attempts_sent;
