Read the lease only when nobody tells of its renewal

Cause: nodes that hear of each renewal through their stream read the lease row all the same every 2.1 s: 27 calls a second with 59 nodes.

--- a/router/fixture.c
+++ b/router/fixture.c
@@ -108,7 +108,7 @@
     int64_t frozen_until_ms;
     uint32_t number;
     struct rs_world *world;
-    int64_t next_read_ms;
+    int64_t read_ms;
     int64_t next_tick_ms;
 };
 
@@ -509,7 +509,7 @@
     node->world = world;
     node->number = number;
     node->life = ++world->lives;
-    node->next_read_ms = world->now_ms;
+    node->read_ms = 0;
     const struct rs_granter_options options = {
         .node = names[number],
         .peer_host = "127.0.0.1",
@@ -653,9 +653,9 @@
     }
     node->next_tick_ms = world->now_ms + TICK_MS;
     if (node->granter.phase == RsGranter_OBSERVING &&
-        world->now_ms >= node->next_read_ms) {
-        node->next_read_ms =
-            RsGranter_NextLeaseReadMs(&node->granter, world->now_ms) + TICK_MS;
+        RsGranter_LeaseIsDue(&node->granter, node->read_ms, false,
+                             world->now_ms)) {
+        node->read_ms = world->now_ms;
         struct event *event = post(world, RsWorld_LEASE_READ, 2 * DELAY_MS);
         if (event != NULL) {
             event->node = node->number;
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -40,6 +40,7 @@
 {
     *fleet = (struct rs_fleet){.events = events, .arg = arg};
     fleet->targets = g_hash_table_new(g_direct_hash, g_direct_equal);
+    fleet->list = g_ptr_array_new();
     fleet->evacuated =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 }
@@ -55,6 +56,7 @@
         g_free(value);
     }
     g_hash_table_unref(fleet->targets);
+    g_ptr_array_unref(fleet->list);
     g_hash_table_unref(fleet->evacuated);
 }
 
@@ -66,6 +68,7 @@
     target->service_ms = DEFAULT_SERVICE_MS;
     g_queue_init(&target->idle);
     g_hash_table_insert(fleet->targets, (gpointer)id, target);
+    g_ptr_array_add(fleet->list, target);
     return target;
 }
 
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -52,6 +52,7 @@
 
 struct rs_fleet {
     GHashTable *targets; /* id to struct rs_fleet_target */
+    GPtrArray *list;     /* the same, in the order in which they were found */
     GHashTable
         *evacuated; /* interned zone to int64_t, when this node saw it */
     const struct rs_fleet_events *events;
--- a/router/granter.c
+++ b/router/granter.c
@@ -28,13 +28,14 @@
 #define ORDER_RETRY_MS 300
 #define CLOCK_RATE_PERCENT 2 /* by which the clock of a target may be slow */
 #define HOLD_MARGIN_MS 150   /* of a grant's way to the target */
-#define LEASE_READ_EVERY_MS 1000
 /* The granter feeds many nodes, so that strong VMs should have the lease. A
  * weak one claims it this much later, twice the spread below. */
-#define WEAK_CLAIM_DELAY_MS 250
+#define WEAK_CLAIM_DELAY_MS 120
 /* Nodes that are equally strong claim at different times, so that most see
  * the claim of the first and make none. */
-#define CLAIM_SPREAD_MS 120
+#define CLAIM_SPREAD_MS 60
+/* By a node that hears of no renewals: a few times within a lease. */
+#define LEASE_READ_EVERY_MS 500
 #define CLAIM_READ_AHEAD_MS 30 /* the lease is read shortly before a claim */
 /* Strength of a VM where none is known to be stronger: a core. */
 #define FULL_STRENGTH 1000
@@ -257,14 +258,17 @@
            (free_now ? 0 : LEASE_MS + LEASE_MARGIN_MS);
 }
 
-/* Returns when the lease row should be read next. */
-int64_t
-RsGranter_NextLeaseReadMs(const struct rs_granter *granter, int64_t now_ms)
+/* Tells whether the lease row should be read, which was done last at `read_ms`
+ * (0: never): often by a node that is not `fed` with news of renewals, and
+ * shortly before this node may claim the lease. */
+bool
+RsGranter_LeaseIsDue(const struct rs_granter *granter, int64_t read_ms,
+                     bool fed, int64_t now_ms)
 {
-    int64_t read_ms = claim_at_ms(granter) - CLAIM_READ_AHEAD_MS;
-    return granter->lease_known && read_ms > now_ms
-               ? read_ms
-               : now_ms + LEASE_READ_EVERY_MS;
+    int64_t before_claim_ms = claim_at_ms(granter) - CLAIM_READ_AHEAD_MS;
+    return read_ms == 0 || (!fed && now_ms - read_ms >= LEASE_READ_EVERY_MS) ||
+           (granter->lease_known && now_ms >= before_claim_ms &&
+            read_ms < before_claim_ms);
 }
 
 static void
--- a/router/granter.h
+++ b/router/granter.h
@@ -135,8 +135,8 @@
 bool RsGranter_MayPlan(const struct rs_granter *granter, int64_t now_ms);
 bool RsGranter_HasAuthority(const struct rs_granter *granter, int64_t now_ms);
 uint32_t RsGranter_Strength(double cpu_share, double link_mbps);
-int64_t RsGranter_NextLeaseReadMs(const struct rs_granter *granter,
-                                  int64_t now_ms);
+bool RsGranter_LeaseIsDue(const struct rs_granter *granter, int64_t read_ms,
+                          bool fed, int64_t now_ms);
 /* Rows that hold a map; NULL for others, and for those that can't be read. */
 struct rs_keymap *RsGranter_DecodeRow(const char *key, const char *value,
                                       uint64_t version);
--- a/router/load.c
+++ b/router/load.c
@@ -214,11 +214,9 @@
             GPtrArray *usable)
 {
     bool full = false;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, choice->fleet->targets);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct rs_fleet_target *target = value;
+    for (guint i = 0; i < choice->fleet->list->len; i++) {
+        struct rs_fleet_target *target =
+            g_ptr_array_index(choice->fleet->list, i);
         if (target->report.service != choice->service ||
             !RsFleet_MayTakeWork(choice->fleet, target, now_ms) ||
             is_excluded(choice, target->id) ||
--- a/router/node.c
+++ b/router/node.c
@@ -31,6 +31,9 @@
  * target leaves still learn it within a second. */
 #define TARGETS_PAUSE_MS_PER_NODE 8
 #define TARGETS_MOST_PAUSE_MS 900
+/* The same for owners of keys, which change several times a second. */
+#define KEYS_PAUSE_MS_PER_NODE 4
+#define KEYS_MOST_PAUSE_MS 400
 /* Subscribers take news for out of date after 1.3 s without an answer. */
 #define OPERATOR_WAIT_MS 700
 #define KEYS_WAIT_MS 800
@@ -72,7 +75,8 @@
     uv_signal_t reload;
     uint64_t ticks;
     uint64_t incarnation;
-    int64_t next_lease_read_ms;
+    int64_t lease_read_ms;  /* last */
+    int64_t lease_asked_ms; /* read it then in any case; 0: no */
     int64_t next_report_ms;
     bool reading_lease;
     bool was_fed;
@@ -360,8 +364,6 @@
     else if (status == RsStore_DONE) {
         RsGranter_LeaseRead(&node->granter, RsStore_ABSENT, "", now_ms);
     }
-    node->next_lease_read_ms =
-        RsGranter_NextLeaseReadMs(&node->granter, now_ms) + SOON_MS;
 }
 
 /* The node with the lease may have given it up when its stream ends. */
@@ -372,14 +374,17 @@
     bool leads = RsGranter_HasAuthority(&node->granter, now_ms);
     RsFollower_SetFed(node->key_rows,
                       leads || !RsStream_AsksStore(node->stream));
+    uint32_t nodes = node->router.share.nodes;
     RsFollower_SetPause(
         node->target_rows,
         leads ? TARGETS_PAUSE_MS
-              : MIN(TARGETS_PAUSE_MS +
-                        node->router.share.nodes * TARGETS_PAUSE_MS_PER_NODE,
+              : MIN(TARGETS_PAUSE_MS + nodes * TARGETS_PAUSE_MS_PER_NODE,
                     TARGETS_MOST_PAUSE_MS));
+    RsFollower_SetPause(
+        node->key_rows,
+        MIN(SOON_MS + nodes * KEYS_PAUSE_MS_PER_NODE, KEYS_MOST_PAUSE_MS));
     if (node->was_fed && !fed) {
-        node->next_lease_read_ms = now_ms + RESIGNATION_MS;
+        node->lease_asked_ms = now_ms + RESIGNATION_MS;
     }
     node->was_fed = fed;
 }
@@ -387,10 +392,15 @@
 static void
 read_lease(struct node *node, int64_t now_ms)
 {
+    bool asked = node->lease_asked_ms > 0 && now_ms >= node->lease_asked_ms;
+    bool due = RsGranter_LeaseIsDue(&node->granter, node->lease_read_ms,
+                                    RsStream_IsFed(node->stream), now_ms);
     if (node->granter.phase != RsGranter_OBSERVING || node->reading_lease ||
-        now_ms < node->next_lease_read_ms || node->router.draining) {
+        node->router.draining || !(asked || due)) {
         return;
     }
+    node->lease_asked_ms = 0;
+    node->lease_read_ms = now_ms;
     node->reading_lease = true;
     RsStore_Read(node->store, RsGranter_LEASE_TABLE, RsGranter_LEASE_KEY,
                  on_lease_row, node);
