--- a/router/load.c
+++ b/router/load.c
@@ -23,8 +23,11 @@
 #define HOME_FACTOR 0.4
 /* Demand is told a few times a second by the granter. */
 #define DEMAND_FRESH_MS 1000
-/* Of what an overloaded target can run, so that its queue stays short. */
-#define ADMITTED_SHARE 0.9
+/* The time of the work is overestimated under load, as it takes in some of
+ * the waiting at the target; below this factor its queue may still do. */
+#define OVERLOAD_FACTOR 1.4
+/* Of what an overloaded target can run, so that it is never idle. */
+#define ADMITTED_SHARE 1.0
 #define OWN_SAMPLES 8 /* before them, the mean of all nodes is better */
 #define MS_PER_S 1000
 /* Share of the bound on a cold target that is used, since sends of two
@@ -100,7 +103,7 @@
 {
     double run_per_s =
         MS_PER_S * target->report.slots / RsLoad_ServiceMs(target);
-    if (target->demand_per_s <= run_per_s ||
+    if (target->demand_per_s <= OVERLOAD_FACTOR * run_per_s ||
         now_ms - target->demand_at_ms > DEMAND_FRESH_MS) {
         return true;
     }
