Use slow targets less, by the latency target of their routes

Cause: at the same use of their slots, requests wait at each target for a multiple of its time for the work; the slowest third made most late answers.

--- a/router/load.c
+++ b/router/load.c
@@ -28,6 +28,9 @@
 #define OVERLOAD_FACTOR 1.4
 /* Of what an overloaded target can run, so that it is never idle. */
 #define ADMITTED_SHARE 1.0
+/* Targets that are too slow for the latency target are used a little all the
+ * same, since their speed changes. */
+#define LEAST_PUNCTUAL 0.1
 #define OWN_SAMPLES 8 /* before them, the mean of all nodes is better */
 #define MS_PER_S 1000
 /* Share of the bound on a cold target that is used, since sends of two
@@ -75,6 +78,20 @@
     return target->service_ms;
 }
 
+/* Returns how many requests a second the target can run so that they mostly
+ * come within the latency target. At the same use of their slots, requests
+ * wait at each target for a multiple of its time for the work; a slow one must
+ * be used less for its answers to come as soon. */
+double
+RsLoad_PunctualPerS(const struct rs_fleet_target *target,
+                    double latency_target_ms)
+{
+    double service_ms = RsLoad_ServiceMs(target);
+    double share = 1 - service_ms / latency_target_ms;
+    return MS_PER_S * target->report.slots / service_ms *
+           MAX(share, LEAST_PUNCTUAL);
+}
+
 /* Returns how long a request sent now is expected to take. */
 double
 RsLoad_ExpectMs(const struct rs_fleet_target *target, int64_t now_ms)
--- a/router/load.h
+++ b/router/load.h
@@ -45,6 +45,8 @@
 
 double RsLoad_Ahead(const struct rs_fleet_target *target, int64_t now_ms);
 double RsLoad_ServiceMs(const struct rs_fleet_target *target);
+double RsLoad_PunctualPerS(const struct rs_fleet_target *target,
+                           double latency_target_ms);
 double RsLoad_ExpectMs(const struct rs_fleet_target *target, int64_t now_ms);
 bool RsLoad_HasRoom(const struct rs_fleet_target *target, int64_t now_ms);
 bool RsLoad_Admits(struct rs_fleet_target *target, int64_t now_ms);
--- a/router/load_test.c
+++ b/router/load_test.c
@@ -91,6 +91,23 @@
     close_scene(&scene);
 }
 
+/* With a latency target of 400 ms, a target that takes 200 ms for the work is
+ * used to a half, one that takes 50 ms almost wholly. */
+static void
+test_slow_target_is_used_less_than_in_proportion(void)
+{
+    struct scene scene;
+    open_scene(&scene, 0);
+    scene.targets[0]->service_ms = 200;
+    scene.targets[1]->service_ms = 50;
+    scene.targets[2]->service_ms = 900;
+    CU_ASSERT_DOUBLE_EQUAL(RsLoad_PunctualPerS(scene.targets[0], 400), 5, 0.1);
+    CU_ASSERT_DOUBLE_EQUAL(RsLoad_PunctualPerS(scene.targets[1], 400), 35,
+                           0.1);
+    CU_ASSERT_TRUE(RsLoad_PunctualPerS(scene.targets[2], 400) > 0);
+    close_scene(&scene);
+}
+
 static void
 test_own_zone_is_preferred_among_equals(void)
 {
@@ -290,6 +307,7 @@
     CU_pSuite suite = CU_add_suite("load", NULL, NULL);
     CU_ADD_TEST(suite, test_own_count_goes_before_older_words);
     CU_ADD_TEST(suite, test_faster_target_is_chosen);
+    CU_ADD_TEST(suite, test_slow_target_is_used_less_than_in_proportion);
     CU_ADD_TEST(suite, test_own_zone_is_preferred_among_equals);
     CU_ADD_TEST(suite, test_full_and_unusable_targets_are_told_apart);
     CU_ADD_TEST(suite, test_cold_target_is_within_its_bound_over_all_nodes);
--- a/router/node.c
+++ b/router/node.c
@@ -1,5 +1,6 @@
 #include "router/node.h"
 
+#include <math.h>
 #include <signal.h>
 #include <string.h>
 #include <unistd.h>
@@ -408,12 +409,27 @@
 
 /* Planning: what the granter's maps should become. */
 
+/* Returns the least latency target of the routes to a service, in ms. */
 static double
-capacity_of(const struct rs_fleet_target *target, double cold_per_s,
-            int64_t now_ms)
+latency_target_ms(const struct rs_routing *config, const char *service)
+{
+    double least_ms = INFINITY;
+    for (size_t i = 0; i < config->route_count; i++) {
+        const struct rs_route *route = &config->routes[i];
+        for (size_t k = 0; k < route->share_count; k++) {
+            if (route->shares[k].service == service) {
+                least_ms = MIN(least_ms, route->target_latency_ms);
+            }
+        }
+    }
+    return least_ms;
+}
+
+static double
+capacity_of(const struct rs_fleet_target *target, double latency_ms,
+            double cold_per_s, int64_t now_ms)
 {
-    double service_ms = RsLoad_ServiceMs(target);
-    double capacity = target->report.slots * MS_PER_S / service_ms;
+    double capacity = RsLoad_PunctualPerS(target, latency_ms);
     if (now_ms < target->cold_until_ms && cold_per_s > 0) {
         capacity = MIN(capacity, cold_per_s * COLD_CAPACITY_SHARE);
     }
@@ -458,6 +474,7 @@
         return;
     }
     guint most = g_hash_table_size(node->router.fleet.targets);
+    double latency_ms = latency_target_ms(node->router.config, service->name);
     struct rs_balance_target *targets =
         g_new0(struct rs_balance_target, most + 1);
     struct rs_balance_input input = {
@@ -475,7 +492,8 @@
                 .owner = {target->id, target->report.born_ms,
                           target->report.address_text},
                 .eligible = can_own(node, target, now_ms),
-                .capacity = capacity_of(target, service->cold_per_s, now_ms),
+                .capacity = capacity_of(target, latency_ms,
+                                        service->cold_per_s, now_ms),
             };
         }
     }
