--- /dev/null
+++ b/router/finder_test.c
@@ -0,0 +1,121 @@
+#include <CUnit/Basic.h>
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "core/clock.h"
+#include "core/log.h"
+#include "router/finder.h"
+
+#define PORT 29317
+#define LIMIT_MS 3000
+
+struct side {
+    struct rs_granter granter;
+    struct rs_finder *finder;
+    bool hears;
+    int told;
+};
+
+static bool
+hears_granter(void *arg)
+{
+    return ((const struct side *)arg)->hears;
+}
+
+static void
+on_told(void *arg, const struct rs_granter_lease *lease, uint64_t version)
+{
+    struct side *side = arg;
+    side->told++;
+    RsGranter_LeaseTold(&side->granter, lease, version, RsClock_NowMs());
+}
+
+static const struct rs_finder_events events = {
+    .hears_granter = hears_granter,
+    .told = on_told,
+};
+
+static void
+open_side(struct side *side, uv_loop_t *loop, const char *host)
+{
+    const struct rs_granter_options granter = {.node = host, .incarnation = 1};
+    *side = (struct side){0};
+    RsGranter_Init(&side->granter, &granter);
+    const struct rs_finder_options options = {
+        .loop = loop,
+        .host = host,
+        .port = PORT,
+        .granter = &side->granter,
+        .events = &events,
+        .arg = side,
+    };
+    side->finder = RsFinder_Open(&options);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(side->finder);
+}
+
+static void
+run_until_told(struct side *side, uv_loop_t *loop, int64_t limit_ms)
+{
+    int64_t end_ms = RsClock_NowMs() + limit_ms;
+    while (side->told == 0 && RsClock_NowMs() < end_ms) {
+        RsFinder_Ask(side->finder, RsClock_NowMs());
+        uv_run(loop, UV_RUN_NOWAIT);
+    }
+}
+
+/* The store serves some nodes only, and another node has become the granter.
+ */
+static void
+test_node_without_the_store_learns_of_the_granter_from_a_peer(void)
+{
+    uv_loop_t loop;
+    struct side asking;
+    struct side knowing;
+    uv_loop_init(&loop);
+    open_side(&asking, &loop, "127.0.1.1");
+    open_side(&knowing, &loop, "127.0.1.2");
+    const char lease[] = "{\"node\":\"n7\",\"peer_host\":\"10.1.0.7\","
+                         "\"peer_port\":7540,\"incarnation\":\"abc\"}";
+    RsGranter_LeaseRead(&knowing.granter, 40, lease, RsClock_NowMs());
+    RsFinder_AddPeer(asking.finder, inet_addr("127.0.1.2"));
+    /* A node that is in the dark itself says nothing. */
+    run_until_told(&asking, &loop, 400);
+    CU_ASSERT_EQUAL(asking.told, 0);
+    knowing.hears = true;
+    run_until_told(&asking, &loop, LIMIT_MS);
+    CU_ASSERT_TRUE(asking.told > 0);
+    CU_ASSERT_STRING_EQUAL(asking.granter.holder.peer_host, "10.1.0.7");
+    CU_ASSERT_EQUAL(asking.granter.holder.incarnation, 0xabc);
+    CU_ASSERT_EQUAL(asking.granter.lease_version, 40);
+}
+
+static void
+test_older_word_of_a_peer_changes_nothing(void)
+{
+    struct rs_granter granter;
+    const struct rs_granter_options options = {.node = "n1", .incarnation = 1};
+    struct rs_granter_lease lease = {.incarnation = 9};
+    RsGranter_Init(&granter, &options);
+    RsGranter_LeaseRead(&granter, 50,
+                        "{\"node\":\"n2\",\"incarnation\":\"2\"}", 1000);
+    RsGranter_LeaseTold(&granter, &lease, 50, 1100);
+    CU_ASSERT_EQUAL(granter.holder.incarnation, 2);
+    RsGranter_LeaseTold(&granter, &lease, 51, 1100);
+    CU_ASSERT_EQUAL(granter.holder.incarnation, 9);
+}
+
+int
+main(void)
+{
+    RsLog_Open("test", RsLog_ERROR);
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("finder", NULL, NULL);
+    CU_ADD_TEST(suite,
+                test_node_without_the_store_learns_of_the_granter_from_a_peer);
+    CU_ADD_TEST(suite, test_older_word_of_a_peer_changes_nothing);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? 0 : 1;
+}
--- a/router/granter.c
+++ b/router/granter.c
@@ -208,6 +208,27 @@
         MAX(granter->strongest, options->strength));
 }
 
+static void
+take_lease(struct rs_granter *granter, const struct rs_granter_lease *lease,
+           uint64_t version, const char *source, int64_t now_ms)
+{
+    if (strcmp(lease->node, granter->holder.node) != 0 ||
+        lease->incarnation != granter->holder.incarnation) {
+        RsLog_EVENT(RsLog_INFO, "granter_seen",
+                    RsLog_TEXT("node", lease->node),
+                    RsLog_TEXT("source", source),
+                    RsLog_NUMBER("lease_version", version));
+    }
+    granter->lease_known = true;
+    granter->lease_version = version;
+    granter->lease_seen_ms = now_ms;
+    granter->holder = *lease;
+    if (lease->incarnation != granter->options.incarnation &&
+        !granter->committing) {
+        step_down(granter, "another node has the lease");
+    }
+}
+
 /* Takes the lease row; version 0 says that there is none. */
 void
 RsGranter_LeaseRead(struct rs_granter *granter, uint64_t version,
@@ -220,18 +241,20 @@
     if (version != RsStore_ABSENT) {
         lease = decode_lease(value);
     }
-    if (strcmp(lease.node, granter->holder.node) != 0 ||
-        lease.incarnation != granter->holder.incarnation) {
-        RsLog_EVENT(RsLog_INFO, "granter_seen", RsLog_TEXT("node", lease.node),
-                    RsLog_NUMBER("lease_version", version));
-    }
-    granter->lease_known = true;
-    granter->lease_version = version;
-    granter->lease_seen_ms = now_ms;
-    granter->holder = lease;
-    if (lease.incarnation != granter->options.incarnation &&
-        !granter->committing) {
-        step_down(granter, "another node has the lease");
+    take_lease(granter, &lease, version, "store", now_ms);
+}
+
+/* Takes from another node who has the lease, if that is news. A claim of this
+ * node still goes by the version of the row, so that a wrong word costs time
+ * only. */
+void
+RsGranter_LeaseTold(struct rs_granter *granter,
+                    const struct rs_granter_lease *lease, uint64_t version,
+                    int64_t now_ms)
+{
+    if (granter->phase == RsGranter_OBSERVING && !granter->committing &&
+        version > granter->lease_version) {
+        take_lease(granter, lease, version, "peer", now_ms);
     }
 }
 
--- a/router/granter.h
+++ b/router/granter.h
@@ -117,6 +117,10 @@
 /* What came in. */
 void RsGranter_LeaseRead(struct rs_granter *granter, uint64_t version,
                          const char *value, int64_t now_ms);
+/* Another node knows of a newer holder. */
+void RsGranter_LeaseTold(struct rs_granter *granter,
+                         const struct rs_granter_lease *lease,
+                         uint64_t version, int64_t now_ms);
 void RsGranter_LeaseHeard(struct rs_granter *granter, uint64_t incarnation,
                           uint64_t version, int64_t now_ms);
 void RsGranter_Committed(struct rs_granter *granter,
--- a/router/node.c
+++ b/router/node.c
@@ -12,6 +12,7 @@
 #include "platform/wire.h"
 #include "router/balance.h"
 #include "router/exchange.h"
+#include "router/finder.h"
 #include "router/granter.h"
 #include "router/metrics.h"
 #include "router/orders.h"
@@ -66,6 +67,7 @@
     struct rs_orders orders;
     struct rs_reports *reports;
     struct rs_stream *stream;
+    struct rs_finder *finder;
     struct rs_follower *key_rows;
     struct rs_follower *target_rows;
     struct rs_server *callers;
@@ -573,6 +575,61 @@
     }
 }
 
+static void
+on_peer(void *arg, uint32_t address)
+{
+    struct node *node = arg;
+    RsFinder_AddPeer(node->finder, address);
+}
+
+static bool
+hears_granter(void *arg)
+{
+    const struct node *node = arg;
+    return RsStream_IsFed(node->stream) ||
+           RsGranter_HasAuthority(&node->granter, RsClock_NowMs());
+}
+
+static void
+on_told(void *arg, const struct rs_granter_lease *lease, uint64_t version)
+{
+    struct node *node = arg;
+    RsGranter_LeaseTold(&node->granter, lease, version, RsClock_NowMs());
+}
+
+static const struct rs_finder_events finder_events = {
+    .hears_granter = hears_granter,
+    .told = on_told,
+};
+
+static int
+open_finder(struct node *node)
+{
+    const struct rs_node_settings *settings = node->options.settings;
+    const struct rs_finder_options options = {
+        .loop = &node->loop,
+        .host = settings->node.address,
+        .port = settings->listen.peer_port + 1,
+        .granter = &node->granter,
+        .events = &finder_events,
+        .arg = node,
+    };
+    node->finder = RsFinder_Open(&options);
+    return node->finder != NULL ? 0 : RsNode_NO_PEER_PORT;
+}
+
+/* Asks other nodes for the granter while the store does not tell. */
+static void
+look_for_granter(struct node *node, int64_t now_ms)
+{
+    const struct rs_fleet *fleet = &node->router.fleet;
+    bool store_away = fleet->store_lost_at_ms > fleet->store_back_at_ms;
+    if (store_away && !RsStream_IsFed(node->stream) &&
+        node->granter.phase == RsGranter_OBSERVING) {
+        RsFinder_Ask(node->finder, now_ms);
+    }
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
@@ -589,6 +646,7 @@
     }
     watch_stream(node, now_ms);
     read_lease(node, now_ms);
+    look_for_granter(node, now_ms);
     RsGranter_Tick(&node->granter, now_ms);
     RsStream_Tick(node->stream, now_ms);
     RsLog_Flush();
@@ -769,12 +827,16 @@
     if (status != 0) {
         return status;
     }
-    node->reports = RsReports_Open(&node->router, node->incarnation);
+    node->reports =
+        RsReports_Open(&node->router, node->incarnation, on_peer, node);
     if (node->reports == NULL) {
         return RsNode_NO_PEER_PORT;
     }
     open_granter(node);
     status = open_store(node);
+    if (status == 0) {
+        status = open_finder(node);
+    }
     if (status != 0) {
         return status;
     }
--- a/router/peer.pb-c.c
+++ b/router/peer.pb-c.c
@@ -379,7 +379,7 @@
   (ProtobufCMessageInit) rs__peer__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__peer__summary__field_descriptors[6] =
+static const ProtobufCFieldDescriptor rs__peer__summary__field_descriptors[7] =
 {
   {
     "incarnation",
@@ -453,10 +453,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "peers",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Rs__Peer__Summary, n_peers),
+    offsetof(Rs__Peer__Summary, peers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__summary__field_indices_by_name[] = {
   0,   /* field[0] = incarnation */
   1,   /* field[1] = nodes */
+  6,   /* field[6] = peers */
   2,   /* field[2] = rank */
   3,   /* field[3] = targets */
   4,   /* field[4] = zone_nodes */
@@ -465,7 +478,7 @@
 static const ProtobufCIntRange rs__peer__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor rs__peer__summary__descriptor =
 {
@@ -475,7 +488,7 @@
   "Rs__Peer__Summary",
   "rs.peer",
   sizeof(Rs__Peer__Summary),
-  6,
+  7,
   rs__peer__summary__field_descriptors,
   rs__peer__summary__field_indices_by_name,
   1,  rs__peer__summary__number_ranges,
--- a/router/peer.pb-c.h
+++ b/router/peer.pb-c.h
@@ -114,10 +114,15 @@
    */
   uint32_t zone_nodes;
   uint32_t zone_rank;
+  /*
+   * some nodes: IPv4, network byte order
+   */
+  size_t n_peers;
+  uint32_t *peers;
 };
 #define RS__PEER__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__peer__summary__descriptor) \
-    , 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0,NULL, 0, 0, 0,NULL }
 
 
 /* Rs__Peer__TargetLoad methods */
--- a/router/reports.c
+++ b/router/reports.c
@@ -17,6 +17,7 @@
 #define US_PER_MS 1000.0
 #define MAX_DATAGRAM_BYTES 60000
 #define MAX_KEYS 4000 /* in one report */
+#define NAMED_PEERS 4 /* in each answer to a report; others each time */
 
 struct load {
     uint32_t in_flight;
@@ -30,6 +31,7 @@
     int64_t reported_ms;
     uint32_t strength;
     const char *zone;  /* interned */
+    uint32_t address;  /* IPv4, network byte order; 0: of this node */
     GHashTable *loads; /* target id to struct load; part of the sums */
 };
 
@@ -49,7 +51,9 @@
     uv_udp_t socket;
     struct rs_router *router;
     uint64_t incarnation;
-    uint32_t strength;    /* of this node */
+    uint32_t strength; /* of this node */
+    rs_reports_peer_handler on_peer;
+    void *arg;
     GHashTable *nodes;    /* name to struct node */
     GHashTable *sums;     /* target id to struct sum */
     GHashTable *rates;    /* service to struct rates */
@@ -188,7 +192,7 @@
 /* The granter's side: keeps what a node reported. */
 static void
 take_report(struct rs_reports *reports, const Rs__Peer__Report *report,
-            int64_t now_ms)
+            uint32_t address, int64_t now_ms)
 {
     struct node *node = g_hash_table_lookup(reports->nodes, report->node);
     if (node == NULL) {
@@ -200,6 +204,7 @@
     }
     node->incarnation = report->incarnation;
     node->reported_ms = now_ms;
+    node->address = address;
     node->strength = report->strength;
     node->zone = g_intern_string(report->zone);
     take_out(reports, node);
@@ -379,6 +384,30 @@
     reports->least_until_ms = now_ms + NODE_LIFETIME_MS;
 }
 
+/* Fills in some nodes at random, for the receiver to turn to when it loses the
+ * granter. Returns how many. */
+static size_t
+name_peers(const struct rs_reports *reports, uint32_t peers[NAMED_PEERS])
+{
+    guint most = g_hash_table_size(reports->nodes);
+    guint skipped = (guint)g_random_int_range(0, (gint32)MAX(most, 1));
+    size_t count = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, reports->nodes);
+    while (count < NAMED_PEERS &&
+           g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct node *node = value;
+        if (skipped > 0) {
+            skipped--;
+        }
+        else if (node->address != 0) {
+            peers[count++] = node->address;
+        }
+    }
+    return count;
+}
+
 static void
 answer_report(struct rs_reports *reports, const Rs__Peer__Report *report,
               const struct sockaddr *from, int64_t now_ms)
@@ -392,6 +421,9 @@
         list[i] = &loads[i];
     }
     summary.targets = list;
+    uint32_t peers[NAMED_PEERS];
+    summary.n_peers = name_peers(reports, peers);
+    summary.peers = peers;
     summary.incarnation = report->incarnation;
     summary.nodes = count_nodes(reports, now_ms);
     rank_node(reports, report->node, report->zone, &summary);
@@ -416,6 +448,9 @@
         return;
     }
     router->share = share_of(summary);
+    for (size_t i = 0; i < summary->n_peers; i++) {
+        reports->on_peer(reports->arg, summary->peers[i]);
+    }
     reset_elsewhere(reports, now_ms);
     for (size_t i = 0; i < summary->n_targets; i++) {
         const Rs__Peer__TargetLoad *item = summary->targets[i];
@@ -448,7 +483,9 @@
         Rs__Peer__Report *report =
             rs__peer__report__unpack(NULL, (size_t)size, data);
         if (report != NULL) {
-            take_report(reports, report, now_ms);
+            take_report(reports, report,
+                        ((const struct sockaddr_in *)from)->sin_addr.s_addr,
+                        now_ms);
             answer_report(reports, report, from, now_ms);
             rs__peer__report__free_unpacked(report, NULL);
         }
@@ -471,12 +508,15 @@
 
 /* Listens on the reports' port. Returns NULL when the port can't be had. */
 struct rs_reports *
-RsReports_Open(struct rs_router *router, uint64_t incarnation)
+RsReports_Open(struct rs_router *router, uint64_t incarnation,
+               rs_reports_peer_handler on_peer, void *arg)
 {
     struct rs_reports *reports = g_new0(struct rs_reports, 1);
     struct sockaddr_in address;
     reports->router = router;
     reports->incarnation = incarnation;
+    reports->on_peer = on_peer;
+    reports->arg = arg;
     reports->strength = RsGranter_Strength(router->settings->node.cpu_share,
                                            router->settings->node.link_mbps);
     reports->nodes =
@@ -592,7 +632,7 @@
             begin_summing(reports, now_ms);
         }
         drop_silent_nodes(reports, now_ms);
-        take_report(reports, &report, now_ms);
+        take_report(reports, &report, 0, now_ms);
         answer_report(reports, &report, NULL, now_ms);
     }
     forget_keys(reports);
--- a/router/reports.h
+++ b/router/reports.h
@@ -13,8 +13,12 @@
 
 struct rs_reports;
 
+/* The granter named a node: its IPv4 number in network byte order. */
+typedef void (*rs_reports_peer_handler)(void *arg, uint32_t address);
+
 struct rs_reports *RsReports_Open(struct rs_router *router,
-                                  uint64_t incarnation);
+                                  uint64_t incarnation,
+                                  rs_reports_peer_handler on_peer, void *arg);
 
 /* Sends this node's report; `granter` is NULL when this node is the one. */
 void RsReports_Report(struct rs_reports *reports,
