--- a/router/fleet.c
+++ b/router/fleet.c
@@ -357,11 +357,17 @@
     return 1 + MAX(0.0, ahead - slots + 1) / slots;
 }
 
-/* Takes the time of an answer, with how many requests were ahead of it. */
+/* Takes the time of an answer, with how many requests were believed to be
+ * ahead of it. */
 void
 RsFleet_NoteAnswer(struct rs_fleet_target *target, double elapsed_ms,
                    uint32_t ahead, int64_t now_ms)
 {
+    if (target->load_at_ms == now_ms) {
+        /* The belief may be too old; the queue at its end was much the same.
+         */
+        ahead = MAX(ahead, target->load.running + target->load.waiting);
+    }
     double sample_ms = elapsed_ms / RsFleet_Rounds(target, ahead);
     target->service_ms += SERVICE_WEIGHT * (sample_ms - target->service_ms);
     target->answers++;
--- a/router/fleet_test.c
+++ b/router/fleet_test.c
@@ -233,6 +233,21 @@
     RsFleet_Clear(&fleet);
 }
 
+/* What waits at a target must not be taken for slow work, also where this node
+ * did not know of it. */
+static void
+test_time_in_the_queue_is_no_work(void)
+{
+    const struct rs_load busy = {2, 4, 2, 100};
+    open_fleet();
+    for (int i = 0; i < 40; i++) {
+        RsFleet_NoteLoad(find("a"), &busy, NOW_MS + i);
+        RsFleet_NoteAnswer(find("a"), 350, 0, NOW_MS + i);
+    }
+    CU_ASSERT_DOUBLE_EQUAL(find("a")->service_ms, 100, 5);
+    RsFleet_Clear(&fleet);
+}
+
 /* Rows that were told already, or are older, are no news. */
 
 static void
@@ -392,6 +407,7 @@
     CU_ADD_TEST(suite, test_evacuated_zone_gets_nothing_new);
     CU_ADD_TEST(suite, test_failing_target_is_avoided_for_a_while);
     CU_ADD_TEST(suite, test_report_is_a_change_when_it_says_something_new);
+    CU_ADD_TEST(suite, test_time_in_the_queue_is_no_work);
     CU_ADD_TEST(suite, test_rows_are_news_once);
     CU_ADD_TEST(suite, test_rows_that_say_the_same_are_not_passed_on);
     CU_ADD_TEST(suite, test_row_that_is_ignored_leaves_what_was_known);
--- a/router/load.c
+++ b/router/load.c
@@ -25,9 +25,9 @@
 #define DEMAND_FRESH_MS 1000
 /* The time of the work is overestimated under load, as it takes in some of
  * the waiting at the target; below this factor its queue may still do. */
-#define OVERLOAD_FACTOR 1.4
+#define OVERLOAD_FACTOR 2.0
 /* Of what an overloaded target can run, so that it is never idle. */
-#define ADMITTED_SHARE 1.0
+#define ADMITTED_SHARE 1.2
 /* Targets that are too slow for the latency target are used a little all the
  * same, since their speed changes. */
 #define LEAST_PUNCTUAL 0.1
--- a/router/request.c
+++ b/router/request.c
@@ -122,6 +122,16 @@
     }
 }
 
+/* Returns how long the request waited for its first target. */
+static int64_t
+waited_us(const struct rs_request *request)
+{
+    int64_t until_us = request->attempt_count > 0
+                           ? request->attempts[0].started_us
+                           : RsClock_NowUs();
+    return until_us - request->arrived_us;
+}
+
 /* Notes the end of the request, whose memory stays until the server has done
  * with it. */
 void
@@ -154,6 +164,7 @@
                                 : (int64_t)request->key),
         RsLog_NUMBER("attempts", request->attempt_count),
         RsLog_NUMBER("elapsed_us", elapsed_us),
+        RsLog_NUMBER("waited_us", waited_us(request)),
         RsLog_NUMBER("time_left_ms", request->deadline_ms - RsClock_NowMs()),
         RsLog_NUMBER("config_version", request->config->version));
 }
