--- a/router/load.c
+++ b/router/load.c
@@ -10,8 +10,10 @@
 /* Requests that may wait at a target, which holds 8. Those that wait there
  * when its keys move are refused; those that wait at a node are not. */
 #define QUEUE_ROOM 2
-/* The way to another zone and back, and the price of its bytes. */
+/* The way to another zone and back. */
 #define OTHER_ZONE_MS 6.0
+/* Bytes between zones are paid for: an answer of this many is worth a ms. */
+#define OTHER_ZONE_BYTES_PER_MS 2000.0
 /* Spreads the choices of nodes that see the same load. */
 #define CHOICE_NOISE 0.2
 /* Nodes of a deployment in which all may compare all targets. */
@@ -224,7 +226,11 @@
         const struct rs_fleet_target *target, int64_t now_ms)
 {
     double noise = 1 + CHOICE_NOISE * g_rand_double(choice->random);
-    double way_ms = target->report.zone == choice->zone ? 0 : OTHER_ZONE_MS;
+    double way_ms = 0;
+    if (target->report.zone != choice->zone) {
+        way_ms =
+            OTHER_ZONE_MS + choice->answer_bytes / OTHER_ZONE_BYTES_PER_MS;
+    }
     return RsLoad_ExpectMs(target, now_ms) * noise + way_ms;
 }
 
--- a/router/load.h
+++ b/router/load.h
@@ -28,7 +28,8 @@
 struct rs_load_choice {
     const struct rs_fleet *fleet;
     const char *service;
-    const char *zone; /* of this node */
+    const char *zone;    /* of this node */
+    double answer_bytes; /* mean of the service */
     double cold_per_s;
     struct rs_load_bounds bounds;
     struct rs_load_share share;
--- a/router/reply.c
+++ b/router/reply.c
@@ -210,6 +210,7 @@
     if (request->answering != attempt || request->finished) {
         return;
     }
+    request->body_bytes += size_bytes;
     g_byte_array_append(request->body, (const guint8 *)data,
                         (guint)size_bytes);
     size_t hold_bytes = request->unframed ? HOLD_UNFRAMED_BYTES : HOLD_BYTES;
@@ -230,6 +231,8 @@
 {
     struct rs_request *request = attempt->request;
     request->body_ended = true;
+    RsRouter_NoteAnswer(request->router, request->service->name,
+                        request->body_bytes);
     if (!request->started) {
         if (request->http->res.content_length == SIZE_MAX &&
             !request->unframed) {
@@ -252,6 +255,7 @@
     if (!request->started) {
         request->answering = NULL;
         request->unframed = false;
+        request->body_bytes = 0;
         g_byte_array_set_size(request->body, 0);
         return false;
     }
--- a/router/request.h
+++ b/router/request.h
@@ -58,6 +58,7 @@
     bool body_ended;
     bool body_broken;
     bool paused;
+    uint64_t body_bytes; /* of the answer so far */
     GByteArray *body;    /* not yet given to the server */
     GByteArray *sending; /* given to the server */
     const char *reason;  /* of the last thing that went wrong */
--- a/router/router.c
+++ b/router/router.c
@@ -4,6 +4,7 @@
 
 /* Most keys that are kept for one report; those of a report interval at the
  * rate that one node can serve. */
+#define ANSWER_WEIGHT 0.1 /* of a new sample; about the last twenty count */
 #define MAX_USED_KEYS 4000
 
 static void
@@ -34,7 +35,7 @@
     };
     router->keys =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_keys);
-    router->budgets =
+    router->services =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     router->used_keys =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_array);
@@ -42,21 +43,38 @@
     g_queue_init(&router->waiting);
 }
 
+/* Returns what is kept of a service, by its interned name. */
+struct rs_router_service *
+RsRouter_Service(struct rs_router *router, const char *name)
+{
+    struct rs_router_service *service =
+        g_hash_table_lookup(router->services, name);
+    if (service == NULL) {
+        const struct rs_node_bounds *bounds = &router->settings->bounds;
+        service = g_new0(struct rs_router_service, 1);
+        service->budget.ratio = bounds->retry_ratio;
+        service->budget.slack = bounds->retry_slack;
+        service->budget.window_s = bounds->retry_window_s;
+        g_hash_table_insert(router->services, (gpointer)name, service);
+    }
+    return service;
+}
+
 /* Returns the budget of repeats of a service, by its interned name. */
 struct rs_load_budget *
 RsRouter_Budget(struct rs_router *router, const char *service)
 {
-    struct rs_load_budget *budget =
-        g_hash_table_lookup(router->budgets, service);
-    if (budget == NULL) {
-        const struct rs_node_bounds *bounds = &router->settings->bounds;
-        budget = g_new0(struct rs_load_budget, 1);
-        budget->ratio = bounds->retry_ratio;
-        budget->slack = bounds->retry_slack;
-        budget->window_s = bounds->retry_window_s;
-        g_hash_table_insert(router->budgets, (gpointer)service, budget);
-    }
-    return budget;
+    return &RsRouter_Service(router, service)->budget;
+}
+
+/* Notes the size of a whole answer. */
+void
+RsRouter_NoteAnswer(struct rs_router *router, const char *service,
+                    uint64_t size_bytes)
+{
+    struct rs_router_service *known = RsRouter_Service(router, service);
+    known->answer_bytes +=
+        ANSWER_WEIGHT * ((double)size_bytes - known->answer_bytes);
 }
 
 /* Returns who has the keys of a service, or NULL when that is not known. */
--- a/router/router.h
+++ b/router/router.h
@@ -39,6 +39,12 @@
     uint64_t version; /* of its row */
 };
 
+/* What this node saw of a service. */
+struct rs_router_service {
+    struct rs_load_budget budget;
+    double answer_bytes; /* moving average */
+};
+
 struct rs_router {
     uv_loop_t *loop;
     const struct rs_node_settings *settings;
@@ -46,7 +52,7 @@
     struct rs_routing *config; /* NULL until one is known */
     struct rs_fleet fleet;
     GHashTable *keys;      /* service to struct rs_router_keys */
-    GHashTable *budgets;   /* service to struct rs_load_budget */
+    GHashTable *services;  /* name to struct rs_router_service */
     GHashTable *used_keys; /* service to GArray of uint32_t, since the last
                               report */
     struct rs_load_share share;
@@ -59,12 +65,16 @@
 
 void RsRouter_Init(struct rs_router *router, uv_loop_t *loop,
                    const struct rs_node_settings *settings);
+struct rs_router_service *RsRouter_Service(struct rs_router *router,
+                                           const char *service);
 struct rs_load_budget *RsRouter_Budget(struct rs_router *router,
                                        const char *service);
 const struct rs_router_keys *RsRouter_Keys(const struct rs_router *router,
                                            const char *service);
 void RsRouter_SetKeys(struct rs_router *router, struct rs_keymap *map,
                       uint64_t version);
+void RsRouter_NoteAnswer(struct rs_router *router, const char *service,
+                         uint64_t size_bytes);
 void RsRouter_CountKey(struct rs_router *router, const char *service,
                        uint32_t key);
 
