Serve sooner after all VMs lost power

Cause: after a loss of power on all VMs, nodes waited 1.2 s for a granter that could not be there, and then for the lease of its former life to lapse.

--- a/router/granter.c
+++ b/router/granter.c
@@ -271,10 +271,26 @@
     }
 }
 
+/* Tells whether the holder is the process that ran on this VM before this one:
+ * it can't run any more, as it had the same port. */
+static bool
+is_former_life(const struct rs_granter *granter)
+{
+    const struct rs_granter_lease *holder = &granter->holder;
+    const struct rs_granter_options *own = &granter->options;
+    return strcmp(holder->node, own->node) == 0 &&
+           strcmp(holder->peer_host, own->peer_host) == 0 &&
+           holder->peer_port == own->peer_port &&
+           holder->incarnation != own->incarnation;
+}
+
 /* Returns when this node may claim the lease, as far as it knows. */
 static int64_t
 claim_at_ms(const struct rs_granter *granter)
 {
+    if (is_former_life(granter)) {
+        return granter->lease_seen_ms;
+    }
     bool free_now = granter->lease_version == RsStore_ABSENT ||
                     granter->holder.node[0] == '\0';
     return granter->lease_seen_ms + claim_delay_ms(granter) +
--- a/router/granter_test.c
+++ b/router/granter_test.c
@@ -55,6 +55,24 @@
     check_sound(world);
 }
 
+/* All VMs lose power at once: nobody need wait for the lease to lapse. */
+static void
+test_restarted_granter_goes_on_at_once(void)
+{
+    struct rs_world *world = settled_world();
+    int granter = RsWorld_Granter(world);
+    for (uint32_t i = 0; i < RsFixture_NODES; i++) {
+        RsWorld_Inject(world, RsFixture_NODE_RESTARTED, i, 0);
+    }
+    RsWorld_Step(world, 300);
+    CU_ASSERT_EQUAL(RsWorld_Granter(world), granter);
+    for (int i = 0; i < 60; i++) {
+        RsWorld_Step(world, 100);
+        CU_ASSERT_EQUAL(RsWorld_OwnedKeys(world), RsKeymap_KEYS);
+    }
+    check_sound(world);
+}
+
 static void
 test_strength_is_bounded_by_the_link(void)
 {
@@ -226,6 +244,7 @@
     CU_pSuite suite = CU_add_suite("granter", NULL, NULL);
     CU_ADD_TEST(suite, test_one_node_is_elected);
     CU_ADD_TEST(suite, test_strongest_node_is_elected);
+    CU_ADD_TEST(suite, test_restarted_granter_goes_on_at_once);
     CU_ADD_TEST(suite, test_strength_is_bounded_by_the_link);
     CU_ADD_TEST(suite, test_keys_move_in_a_fraction_of_a_second);
     CU_ADD_TEST(suite, test_loss_of_the_granter_lapses_nothing);
--- a/router/stream.c
+++ b/router/stream.c
@@ -16,8 +16,8 @@
  * waits for less. */
 #define STALE_MS 1300
 #define CONNECT_EVERY_MS 300
-/* Many nodes start at once, and most find one that feeds them within a second;
- * until then they leave the store to that one. */
+/* When a system starts for the first time, most nodes find one that feeds them
+ * within a second; until then they leave the store to that one. */
 #define START_HOLD_MS 1200
 /* A node that feeds others may end; another is found in this time. */
 #define LOST_HOLD_MS 250
@@ -47,6 +47,7 @@
     bool fed;
     bool asks_store; /* no other node feeds this one */
     int64_t hold_until_ms;
+    bool knows_holder; /* a lease was seen, so that there is one to look for */
     bool leaving;
     int64_t heard_ms;      /* last beat that was up to date */
     struct rs_delay delay; /* of the link's beats */
@@ -519,6 +520,11 @@
     if (reads) {
         close_upstream(stream, "this node reads the store");
     }
+    if (!stream->knows_holder && granter->holder.node[0] != '\0') {
+        stream->knows_holder = true;
+        stream->hold_until_ms =
+            MIN(stream->hold_until_ms, now_ms + LOST_HOLD_MS);
+    }
     if (!stream->fed && !stream->asks_store &&
         (reads || now_ms >= stream->hold_until_ms)) {
         ask_store(stream, true);
