--- a/router/node.c
+++ b/router/node.c
@@ -36,8 +36,8 @@
 /* The same for owners of keys, which change several times a second. */
 #define KEYS_PAUSE_MS_PER_NODE 4
 #define KEYS_MOST_PAUSE_MS 400
-/* Subscribers take news for out of date after 1.3 s without an answer. */
-#define OPERATOR_WAIT_MS 700
+/* Subscribers take news for out of date after 1.5 s without an answer. */
+#define OPERATOR_WAIT_MS 500
 #define KEYS_WAIT_MS 800
 #define SOON_MS 20
 #define RESIGNATION_MS 40 /* a commit of the node that leaves */
--- a/router/stream.c
+++ b/router/stream.c
@@ -12,9 +12,10 @@
 /* Three beats. The store is asked then, well within the 2 s in which a change
  * must be in force. */
 #define SILENT_MS 700
-/* The feeding node's own news of the store may be this old: its longest call
- * waits for less. */
-#define STALE_MS 1300
+/* News that is older is asked for at the store, within the 2 s in which a
+ * change must be in force. The granter's longest call, two beats on the way
+ * and a slow store take less. */
+#define STALE_MS 1500
 #define CONNECT_EVERY_MS 300
 /* When a system starts for the first time, most nodes find one that feeds them
  * within a second; until then they leave the store to that one. */
@@ -51,6 +52,10 @@
     bool leaving;
     int64_t heard_ms;      /* last beat that was up to date */
     struct rs_delay delay; /* of the link's beats */
+    /* By the last beat. */
+    int64_t late_ms;
+    int64_t oldest_age_ms;
+    const char *oldest_table;
     int64_t next_beat_ms;
     int64_t next_connect_ms;
 };
@@ -311,7 +316,8 @@
 }
 
 static void
-set_fed(struct rs_stream *stream, bool fed, const char *reason)
+set_fed(struct rs_stream *stream, bool fed, const char *reason,
+        uint32_t hold_ms)
 {
     if (stream->fed == fed) {
         return;
@@ -319,8 +325,11 @@
     stream->fed = fed;
     RsLog_EVENT(RsLog_INFO, fed ? "stream_found" : "stream_lost",
                 RsLog_TEXT("reason", reason),
-                RsLog_TEXT("granter", stream->options.granter->holder.node));
-    stream->hold_until_ms = RsClock_NowMs() + LOST_HOLD_MS;
+                RsLog_TEXT("granter", stream->options.granter->holder.node),
+                RsLog_TEXT("oldest_table", stream->oldest_table),
+                RsLog_NUMBER("age_ms", stream->oldest_age_ms),
+                RsLog_NUMBER("late_ms", stream->late_ms));
+    stream->hold_until_ms = RsClock_NowMs() + hold_ms;
     if (fed) {
         ask_store(stream, false);
     }
@@ -334,7 +343,7 @@
         stream->upstream = NULL;
     }
     stream->open = false;
-    set_fed(stream, false, reason);
+    set_fed(stream, false, reason, LOST_HOLD_MS);
 }
 
 static char *
@@ -385,29 +394,34 @@
 {
     int64_t now_ms = RsClock_NowMs();
     struct rs_granter *granter = stream->options.granter;
-    bool current = beat->granter == granter->holder.incarnation;
-    int64_t late_ms =
+    stream->late_ms =
         RsDelay_Lateness(&stream->delay, (int64_t)beat->sent_ms, now_ms);
+    stream->oldest_age_ms = 0;
     for (size_t i = 0; i < beat->n_tables; i++) {
         const Rs__Stream__Beat__Freshness *item = beat->tables[i];
         struct rs_follower *follower = find_follower(stream, item->table);
         if (follower == NULL) {
             continue;
         }
-        int64_t age_ms = item->age_ms + late_ms;
-        current = current && age_ms < STALE_MS;
+        int64_t age_ms = item->age_ms + stream->late_ms;
+        if (age_ms >= stream->oldest_age_ms) {
+            stream->oldest_age_ms = age_ms;
+            stream->oldest_table = RsFollower_Table(follower);
+        }
         RsFollower_NoteFresh(follower, item->version, now_ms - age_ms);
     }
+    bool current = beat->granter == granter->holder.incarnation &&
+                   stream->oldest_age_ms < STALE_MS;
     if (current) {
         stream->heard_ms = now_ms;
         RsGranter_LeaseHeard(granter, beat->granter, beat->lease_version,
                              now_ms);
-        set_fed(stream, true, "current");
+        set_fed(stream, true, "current", 0);
         /* Those that this node feeds learn it without a wait of their own. */
         stream->next_beat_ms = 0;
     }
     else {
-        set_fed(stream, false, "out of date");
+        set_fed(stream, false, "out of date", 0);
     }
 }
 
@@ -535,6 +549,7 @@
     if (stream->upstream != NULL &&
         stream->upstream_granter != granter->holder.incarnation) {
         close_upstream(stream, "another granter");
+        stream->next_connect_ms = 0;
     }
     if (stream->upstream != NULL && now_ms - stream->heard_ms >= SILENT_MS) {
         close_upstream(stream, "silent");
@@ -577,6 +592,7 @@
     struct sockaddr_in address;
     stream->options = *options;
     stream->subscribers = g_ptr_array_new_with_free_func(free_subscriber);
+    stream->oldest_table = "";
     stream->hold_until_ms = RsClock_NowMs() + START_HOLD_MS;
     uv_ip4_addr(options->host, (int)options->port, &address);
     if (RsLink_Listen(options->loop, &address, MAX_QUEUE_BYTES, on_accept,
