Join and tidy ranges of keys, so that they do not grow in number

Cause: 1,250 ranges for 150 targets after half a minute of hot keys; a row holds about 2,500. Joining alone did nothing, as neighbours rarely have one owner; giving small ranges away without looking whether they were about to be joined only moved them along.

--- a/router/balance.c
+++ b/router/balance.c
@@ -24,12 +24,21 @@
 #define MAX_PIECES 12
 #define LEAST_FAIR_SHARE 0.9
 
+/* More ranges than this for each target are too many: each is granted by
+ * itself and is part of what all nodes read with each change. */
+#define MOST_RANGES_PER_TARGET 3
+/* Small ranges given to the owner of a neighbour, in one plan. */
+#define MAX_TIDY_MOVES 8
+/* A range that weighs less than this share of a fair load is small. */
+#define SMALL_SHARE 0.25
+
 struct plan {
     struct rs_keymap *map;
     struct rs_balance_input *input;
     double idle_per_key;
     double mean_use;
     double fair_load; /* of a target of mean capacity */
+    size_t eligible;  /* targets */
     size_t max_moves;
     size_t moves;
 };
@@ -103,6 +112,7 @@
         eligible += target->eligible;
     }
     plan->mean_use = capacity > 0 ? load / capacity : INFINITY;
+    plan->eligible = eligible;
     plan->fair_load = load / (double)MAX(eligible, (size_t)1);
     plan->max_moves =
         MAX((size_t)((double)eligible * MAX_MOVES_SHARE), (size_t)MAX_MOVES);
@@ -323,13 +333,71 @@
     }
 }
 
+/* Returns the target that owns the range before or after one, if it may be
+ * given more keys, or NULL. */
+static struct rs_balance_target *
+neighbour_of(const struct plan *plan, size_t index)
+{
+    const size_t places[] = {index - 1, index + 1};
+    for (size_t i = 0; i < 2; i++) {
+        if (places[i] >= plan->map->ranges->len) {
+            continue; /* also before the first */
+        }
+        const struct rs_key_range *range = RsKeymap_At(plan->map, places[i]);
+        if (range->former.id == NULL && may_keep(plan, &range->owner)) {
+            return &plan->input->targets[find_target(plan, &range->owner)];
+        }
+    }
+    return NULL;
+}
+
+/* Tells whether the range will be joined with one beside it. */
+static bool
+is_to_be_joined(const struct plan *plan, size_t index)
+{
+    const struct rs_owner *owner = &RsKeymap_At(plan->map, index)->owner;
+    return (index > 0 &&
+            RsKeymap_SameOwner(owner,
+                               &RsKeymap_At(plan->map, index - 1)->owner)) ||
+           (index + 1 < plan->map->ranges->len &&
+            RsKeymap_SameOwner(owner,
+                               &RsKeymap_At(plan->map, index + 1)->owner));
+}
+
+/* Gives small ranges that lie between others to the owner of a neighbour, so
+ * that they can be joined. */
+static void
+tidy(struct plan *plan)
+{
+    size_t most = plan->eligible * MOST_RANGES_PER_TARGET;
+    size_t left = MAX_TIDY_MOVES;
+    for (size_t i = 0; i < plan->map->ranges->len && left > 0; i++) {
+        const struct rs_key_range range = *RsKeymap_At(plan->map, i);
+        struct rs_balance_target *to = neighbour_of(plan, i);
+        double weight = weight_of(plan, range.first_key, range.last_key);
+        if (plan->map->ranges->len <= most) {
+            return;
+        }
+        bool small = weight <= plan->fair_load * SMALL_SHARE;
+        if (small && to != NULL && range.former.id == NULL &&
+            !is_to_be_joined(plan, i) &&
+            to->load + weight <= give_limit(plan, to) &&
+            give(plan, range.first_key, range.last_key, to)) {
+            left--;
+            i++; /* its neighbour is not moved in the same plan */
+        }
+    }
+}
+
 /* Changes the owners in the map. Returns how many pieces move. */
 size_t
 RsBalance_Plan(struct rs_keymap *map, struct rs_balance_input *input)
 {
     struct plan plan = {.map = map, .input = input};
+    size_t joined = RsKeymap_Join(map);
     measure(&plan);
     replace_owners(&plan);
     even_out(&plan);
-    return plan.moves;
+    tidy(&plan);
+    return plan.moves + joined;
 }
--- a/router/balance.h
+++ b/router/balance.h
@@ -26,6 +26,7 @@
     double window_s;    /* over which they are means */
 };
 
+/* Returns how many changes the map has. */
 size_t RsBalance_Plan(struct rs_keymap *map, struct rs_balance_input *input);
 
 #endif
--- a/router/balance_test.c
+++ b/router/balance_test.c
@@ -242,6 +242,31 @@
     free_scene(scene);
 }
 
+/* The load pattern: the busy keys are others every few seconds, for a quarter
+ * of an hour. */
+static void
+test_ranges_do_not_grow_in_number(void)
+{
+    struct scene *scene = new_scene_of(MANY_TARGETS);
+    plan_out(scene);
+    for (uint32_t turn = 0; turn < 60; turn++) {
+        uint32_t first_key = turn * 1000 + 500;
+        memset(scene->rates, 0, sizeof(scene->rates));
+        for (uint32_t key = 0; key < RsKeymap_KEYS; key += 64) {
+            scene->rates[key] = 1.0f;
+        }
+        for (uint32_t key = first_key; key < first_key + 200; key++) {
+            scene->rates[key] = 2.5f;
+        }
+        for (int i = 0; i < 15; i++) { /* 4.5 s */
+            RsBalance_Plan(scene->map, &scene->input);
+            settle_all(scene);
+        }
+    }
+    CU_ASSERT_TRUE(scene->map->ranges->len < 4 * MANY_TARGETS);
+    free_scene(scene);
+}
+
 static void
 test_no_target_changes_nothing(void)
 {
@@ -267,6 +292,7 @@
     CU_ADD_TEST(suite, test_chance_moves_nothing);
     CU_ADD_TEST(suite, test_keys_of_a_lost_target_go_to_all_others);
     CU_ADD_TEST(suite, test_slow_target_gives_keys_away);
+    CU_ADD_TEST(suite, test_ranges_do_not_grow_in_number);
     CU_ADD_TEST(suite, test_no_target_changes_nothing);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
--- a/router/fixture.c
+++ b/router/fixture.c
@@ -750,8 +750,11 @@
     const struct target *target = &world->targets[number % RsFixture_TARGETS];
     const struct rs_owner owner = {.id = g_intern_string(target->id),
                                    .born_ms = target->born_ms};
-    if (!entry->dirty && !entry->offered &&
-        entry->map->ranges->len < MAX_HOLDS / 8 &&
+    if (entry->dirty || entry->offered) {
+        return;
+    }
+    entry->dirty = RsKeymap_Join(entry->map) > 0;
+    if (entry->map->ranges->len < MAX_HOLDS / 8 &&
         RsKeymap_Move(entry->map, first_key, last_key, &owner)) {
         entry->dirty = true;
     }
--- a/router/keymap.c
+++ b/router/keymap.c
@@ -342,3 +342,49 @@
     range->former = (struct rs_owner){0};
     range->former_fence = 0;
 }
+
+static bool
+is_quiet(const struct rs_key_range *range)
+{
+    return range->owner.id != NULL && range->former.id == NULL &&
+           !range->orders.grant_in_flight && !range->orders.release_in_flight;
+}
+
+/* Makes the first range take in the second, which follows it. The owner is
+ * granted all of it under the higher fence, which nobody else had. */
+static void
+take_in(struct rs_key_range *range, struct rs_key_range *next)
+{
+    struct rs_range_orders *orders = &range->orders;
+    range->last_key = next->last_key;
+    range->fence = MAX(range->fence, next->fence);
+    orders->hold_until_ms =
+        MAX(orders->hold_until_ms, next->orders.hold_until_ms);
+    orders->next_grant_ms =
+        MIN(orders->next_grant_ms, next->orders.next_grant_ms);
+    g_free(orders->handover);
+    g_free(next->orders.handover);
+    orders->handover = NULL;
+}
+
+/* Joins neighbours that one owner has, but for those with an order on its way.
+ * Returns how many ranges are gone. */
+size_t
+RsKeymap_Join(struct rs_keymap *map)
+{
+    guint kept = 0;
+    guint count = map->ranges->len;
+    for (guint i = 1; i < count; i++) {
+        struct rs_key_range *last = RsKeymap_At(map, kept);
+        struct rs_key_range *next = RsKeymap_At(map, i);
+        if (is_quiet(last) && is_quiet(next) &&
+            RsKeymap_SameOwner(&last->owner, &next->owner)) {
+            take_in(last, next);
+        }
+        else {
+            *RsKeymap_At(map, ++kept) = *next;
+        }
+    }
+    g_array_set_size(map->ranges, kept + 1);
+    return count - kept - 1;
+}
--- a/router/keymap.h
+++ b/router/keymap.h
@@ -62,5 +62,6 @@
 bool RsKeymap_Move(struct rs_keymap *map, uint32_t first_key,
                    uint32_t last_key, const struct rs_owner *to);
 void RsKeymap_Settle(struct rs_key_range *range);
+size_t RsKeymap_Join(struct rs_keymap *map);
 
 #endif
--- a/router/keymap_test.c
+++ b/router/keymap_test.c
@@ -111,6 +111,32 @@
     RsKeymap_Free(map);
 }
 
+static void
+test_neighbours_of_one_owner_are_joined(void)
+{
+    struct rs_keymap *map = map_of("a");
+    struct rs_owner b = owner("b");
+    RsKeymap_Move(map, 100, 199, &b);
+    RsKeymap_Move(map, 200, 299, &b);
+    CU_ASSERT_EQUAL(RsKeymap_Join(map), 0); /* the former owners are there */
+    RsKeymap_Settle(RsKeymap_Find(map, 100));
+    RsKeymap_Settle(RsKeymap_Find(map, 200));
+    RsKeymap_Find(map, 100)->orders.hold_until_ms = 10;
+    RsKeymap_Find(map, 200)->orders.hold_until_ms = 20;
+    RsKeymap_Find(map, 200)->orders.grant_in_flight = true;
+    CU_ASSERT_EQUAL(RsKeymap_Join(map), 0);
+    RsKeymap_Find(map, 200)->orders.grant_in_flight = false;
+    uint64_t fence = RsKeymap_Find(map, 200)->fence;
+    CU_ASSERT_EQUAL(RsKeymap_Join(map), 1);
+    CU_ASSERT_EQUAL(map->ranges->len, 3);
+    const struct rs_key_range *range = RsKeymap_Find(map, 150);
+    CU_ASSERT_EQUAL(range->first_key, 100);
+    CU_ASSERT_EQUAL(range->last_key, 299);
+    CU_ASSERT_EQUAL(range->fence, fence);
+    CU_ASSERT_EQUAL(range->orders.hold_until_ms, 20);
+    RsKeymap_Free(map);
+}
+
 /* The store takes rows of 64 KiB in base64, and each node reads the row with
  * each change: 1,000 ranges of 150 targets. */
 static void
@@ -170,6 +196,7 @@
     CU_ADD_TEST(suite, test_range_with_a_grant_on_its_way_stays);
     CU_ADD_TEST(suite, test_move_keeps_how_long_the_former_may_hold);
     CU_ADD_TEST(suite, test_row_holds_the_whole_map);
+    CU_ADD_TEST(suite, test_neighbours_of_one_owner_are_joined);
     CU_ADD_TEST(suite, test_row_of_many_ranges_is_small);
     CU_ADD_TEST(suite, test_rows_that_are_not_maps_are_refused);
     CU_basic_run_tests();
