--- a/router/stream.c
+++ b/router/stream.c
@@ -50,6 +50,7 @@
     bool asks_store; /* no other node feeds this one */
     int64_t hold_until_ms;
     bool knows_holder; /* a lease was seen, so that there is one to look for */
+    bool misses_rows;  /* they were asked for; beats don't count until then */
     bool leaving;
     int64_t heard_ms;      /* last beat that was up to date */
     struct rs_delay delay; /* of the link's beats */
@@ -207,14 +208,13 @@
                const Rs__Stream__Subscribe *subscribe)
 {
     struct rs_stream *stream = subscriber->stream;
-    if (subscriber->known) {
-        return RsLink_CLOSED;
-    }
-    if (stream->subscribers->len > MAX_SUBSCRIBERS) {
+    bool again = subscriber->known; /* it could not use what it was told */
+    if (!again && stream->subscribers->len > MAX_SUBSCRIBERS) {
         redirect(stream, subscriber->link);
         return 0;
     }
     subscriber->known = true;
+    g_free(subscriber->host);
     subscriber->host = g_strdup(subscribe->host);
     subscriber->port = subscribe->port;
     for (size_t i = 0; i < stream->options.follower_count; i++) {
@@ -222,10 +222,12 @@
         for (size_t k = 0; k < subscribe->n_tables; k++) {
             if (strcmp(table, subscribe->tables[k]->table) == 0) {
                 subscriber->versions[i] = subscribe->tables[k]->version;
+                subscriber->joined[i] = false;
             }
         }
     }
-    RsLog_EVENT(RsLog_INFO, "subscriber_joined",
+    RsLog_EVENT(RsLog_INFO,
+                again ? "subscriber_started_anew" : "subscriber_joined",
                 RsLog_TEXT("node", subscribe->node),
                 RsLog_NUMBER("subscribers", stream->subscribers->len));
     stream->next_beat_ms = 0;
@@ -361,6 +363,31 @@
     set_fed(stream, false, reason, LOST_HOLD_MS);
 }
 
+/* Tells the feeding node what this one has. */
+static int
+subscribe(struct rs_stream *stream)
+{
+    const struct rs_stream_options *options = &stream->options;
+    Rs__Stream__Subscribe__Known items[RsStream_MAX_TABLES];
+    Rs__Stream__Subscribe__Known *pointers[RsStream_MAX_TABLES];
+    Rs__Stream__Subscribe known = RS__STREAM__SUBSCRIBE__INIT;
+    for (size_t i = 0; i < options->follower_count; i++) {
+        rs__stream__subscribe__known__init(&items[i]);
+        items[i].table = (char *)RsFollower_Table(options->followers[i]);
+        items[i].version = RsFollower_Rows(options->followers[i])->version;
+        pointers[i] = &items[i];
+    }
+    known.node = (char *)options->node;
+    known.host = (char *)options->host;
+    known.port = options->port;
+    known.tables = pointers;
+    known.n_tables = options->follower_count;
+    Rs__Stream__Message message = RS__STREAM__MESSAGE__INIT;
+    message.message_case = RS__STREAM__MESSAGE__MESSAGE_SUBSCRIBE;
+    message.subscribe = &known;
+    return send_message(stream->upstream, &message);
+}
+
 static char *
 terminated_copy(const ProtobufCBinaryData *bytes)
 {
@@ -390,8 +417,8 @@
     return RsPatch_Apply(known->value, row->patch.data, row->patch.len);
 }
 
-/* Returns 0, or RsLink_CLOSED when a patch does not fit: all is told anew on
- * another link. */
+/* Takes changes. When a patch does not fit, as this node has learnt something
+ * else from the store, what it misses is asked for. */
 static int
 take_update(struct rs_stream *stream, const Rs__Stream__Update *update)
 {
@@ -399,7 +426,7 @@
     if (follower == NULL) {
         return 0;
     }
-    int status = 0;
+    bool fits = true;
     struct rs_store_rows rows = {
         .rows = g_new0(struct rs_store_row, update->n_rows + 1),
         .count = update->n_rows,
@@ -419,19 +446,20 @@
                         RsLog_TEXT("key", row->key),
                         RsLog_NUMBER("version", row->version),
                         RsLog_NUMBER("base_version", row->base_version));
-            status = RsLink_CLOSED;
+            fits = false;
             continue;
         }
         rows.rows[i].value_bytes = strlen(rows.rows[i].value);
     }
-    if (status == 0) {
+    stream->misses_rows = !fits;
+    if (fits) {
         RsFollower_Feed(follower, &rows, update->whole);
     }
     for (size_t i = 0; i < rows.count; i++) {
         g_free(rows.rows[i].value);
     }
     g_free(rows.rows);
-    return status;
+    return fits ? 0 : subscribe(stream);
 }
 
 /* A beat counts when it comes from the node with the lease, or through
@@ -441,6 +469,9 @@
 {
     int64_t now_ms = RsClock_NowMs();
     struct rs_granter *granter = stream->options.granter;
+    if (stream->misses_rows) {
+        return;
+    }
     stream->late_ms =
         RsDelay_Lateness(&stream->delay, (int64_t)beat->sent_ms, now_ms);
     stream->oldest_age_ms = 0;
@@ -503,26 +534,8 @@
 on_upstream_opened(void *arg)
 {
     struct rs_stream *stream = arg;
-    const struct rs_stream_options *options = &stream->options;
-    Rs__Stream__Subscribe__Known items[RsStream_MAX_TABLES];
-    Rs__Stream__Subscribe__Known *pointers[RsStream_MAX_TABLES];
-    Rs__Stream__Subscribe subscribe = RS__STREAM__SUBSCRIBE__INIT;
     stream->open = true;
-    for (size_t i = 0; i < options->follower_count; i++) {
-        rs__stream__subscribe__known__init(&items[i]);
-        items[i].table = (char *)RsFollower_Table(options->followers[i]);
-        items[i].version = RsFollower_Rows(options->followers[i])->version;
-        pointers[i] = &items[i];
-    }
-    subscribe.node = (char *)options->node;
-    subscribe.host = (char *)options->host;
-    subscribe.port = options->port;
-    subscribe.tables = pointers;
-    subscribe.n_tables = options->follower_count;
-    Rs__Stream__Message message = RS__STREAM__MESSAGE__INIT;
-    message.message_case = RS__STREAM__MESSAGE__MESSAGE_SUBSCRIBE;
-    message.subscribe = &subscribe;
-    if (send_message(stream->upstream, &message) != 0) {
+    if (subscribe(stream) != 0) {
         close_upstream(stream, "not taken");
     }
 }
@@ -564,6 +577,7 @@
     stream->upstream = RsLink_Connect(&options);
     stream->upstream_granter = holder->incarnation;
     stream->delay = (struct rs_delay){0};
+    stream->misses_rows = false;
     stream->heard_ms = now_ms;
 }
 
