--- a/router/fixture.c
+++ b/router/fixture.c
@@ -732,6 +732,17 @@
     return -1;
 }
 
+/* Tells the granter of the strong node. */
+void
+RsWorld_Yield(struct rs_world *world)
+{
+    int granting = RsWorld_Granter(world);
+    if (granting >= 0) {
+        RsGranter_MayYield(&world->nodes[granting].granter, STRONG_STRENGTH,
+                           world->now_ms);
+    }
+}
+
 /* Has the granter give keys to a target, if there is one and they are free. */
 void
 RsWorld_MoveKeys(struct rs_world *world, uint32_t first_key, uint32_t last_key,
--- a/router/fixture.h
+++ b/router/fixture.h
@@ -51,6 +51,9 @@
 void RsWorld_MoveKeys(struct rs_world *world, uint32_t first_key,
                       uint32_t last_key, uint32_t target);
 
+/* Has the granter leave the lease to a stronger node, if there is one. */
+void RsWorld_Yield(struct rs_world *world);
+
 /* What the oracle saw. */
 const char *RsWorld_Violation(const struct rs_world *world);
 uint32_t RsWorld_OwnedKeys(const struct rs_world *world);
--- a/router/follower.c
+++ b/router/follower.c
@@ -9,7 +9,6 @@
  * force, long against the store's 4 ms for a call. It doubles up to the most,
  * so that many nodes don't press a store that is away. */
 #define RETRY_LEAST_MS 150
-#define RETRY_MOST_MS 500
 
 struct rs_follower {
     struct rs_follower_options options;
@@ -21,6 +20,7 @@
     bool fed;
     bool calling;
     uint32_t retry_ms; /* after the next failed call */
+    uint32_t retry_most_ms;
     int64_t fresh_at_ms;
 };
 
@@ -46,7 +46,7 @@
 call_again(struct rs_follower *follower)
 {
     call_after(follower, follower->retry_ms);
-    follower->retry_ms = MIN(2 * follower->retry_ms, RETRY_MOST_MS);
+    follower->retry_ms = MIN(2 * follower->retry_ms, follower->retry_most_ms);
 }
 
 static void
@@ -174,6 +174,7 @@
     struct rs_follower *follower = g_new0(struct rs_follower, 1);
     follower->options = *options;
     follower->retry_ms = RETRY_LEAST_MS;
+    follower->retry_most_ms = RETRY_LEAST_MS;
     RsRows_Init(&follower->mirror);
     uv_timer_init(options->loop, &follower->timer);
     follower->timer.data = follower;
@@ -221,6 +222,13 @@
     follower->options.pause_ms = pause_ms;
 }
 
+/* Sets the longest pause after failed calls to the store, in ms. */
+void
+RsFollower_SetRetryMost(struct rs_follower *follower, uint32_t most_ms)
+{
+    follower->retry_most_ms = MAX(most_ms, RETRY_LEAST_MS);
+}
+
 /* Takes rows from another node; `whole` says that the table has no others as
  * of the rows' version. */
 void
--- a/router/follower.h
+++ b/router/follower.h
@@ -41,6 +41,7 @@
 /* News from another node. */
 void RsFollower_SetFed(struct rs_follower *follower, bool fed);
 void RsFollower_SetPause(struct rs_follower *follower, uint32_t pause_ms);
+void RsFollower_SetRetryMost(struct rs_follower *follower, uint32_t most_ms);
 void RsFollower_Feed(struct rs_follower *follower,
                      const struct rs_store_rows *rows, bool whole);
 void RsFollower_NoteFresh(struct rs_follower *follower, uint64_t version,
--- a/router/granter.c
+++ b/router/granter.c
@@ -31,6 +31,12 @@
 /* The granter feeds many nodes, so that strong VMs should have the lease. A
  * weak one claims it this much later, twice the spread below. */
 #define WEAK_CLAIM_DELAY_MS 120
+/* A granter leaves the lease to a node that is this much stronger, once it has
+ * taken over itself; seldom, as each change stops the planning for a while and
+ * the stronger one may not reach the store. */
+#define YIELD_FACTOR 2
+#define YIELD_AFTER_MS 2000
+#define YIELD_EVERY_MS 20000
 /* Nodes that are equally strong claim at different times, so that most see
  * the claim of the first and make none. */
 #define CLAIM_SPREAD_MS 60
@@ -391,6 +397,7 @@
         granter->holder.peer_port = granter->options.peer_port;
         granter->holder.incarnation = granter->options.incarnation;
         granter->phase = RsGranter_LOADING;
+        granter->elected_ms = now_ms;
         RsLog_EVENT(RsLog_INFO, "granter_elected",
                     RsLog_NUMBER("lease_version", version));
         granter->options.actions->load_maps(granter->options.arg);
@@ -446,6 +453,9 @@
     }
     if (status == RsStore_DONE && granter->resign_offered) {
         granter->lease_version = rows->version;
+        granter->lease_seen_ms = now_ms;
+        granter->resigning = !granter->yielding;
+        granter->yielding = false;
         step_down(granter, "resigned");
         return;
     }
@@ -763,6 +773,26 @@
     granter->next_commit_ms = now_ms;
 }
 
+/* Gives the lease up when a much stronger node, of which `strongest` is the
+ * strength, is there to take it. */
+void
+RsGranter_MayYield(struct rs_granter *granter, uint32_t strongest,
+                   int64_t now_ms)
+{
+    if (strongest < granter->options.strength * YIELD_FACTOR ||
+        !RsGranter_MayPlan(granter, now_ms) ||
+        now_ms - granter->elected_ms < YIELD_AFTER_MS ||
+        now_ms < granter->next_yield_ms) {
+        return;
+    }
+    RsLog_EVENT(RsLog_INFO, "granter_yields",
+                RsLog_NUMBER("strength", granter->options.strength),
+                RsLog_NUMBER("strongest", strongest));
+    granter->next_yield_ms = now_ms + YIELD_EVERY_MS;
+    granter->yielding = true;
+    RsGranter_Resign(granter, now_ms);
+}
+
 static struct rs_key_range *
 find_ordered(const struct rs_granter_map *entry, const struct rs_order *order)
 {
--- a/router/granter.h
+++ b/router/granter.h
@@ -99,6 +99,9 @@
     bool last_commit_done;
     uint32_t claims_failed; /* in a row, for want of an answer */
     bool resigning;
+    bool yielding; /* resigns for a stronger node; may claim again later */
+    int64_t elected_ms;
+    int64_t next_yield_ms;
     bool resign_offered; /* by the commit under way */
     int64_t commit_sent_ms;
     int64_t next_commit_ms;
@@ -134,6 +137,8 @@
                              const char *handover, int64_t now_ms);
 void RsGranter_Tick(struct rs_granter *granter, int64_t now_ms);
 void RsGranter_Resign(struct rs_granter *granter, int64_t now_ms);
+void RsGranter_MayYield(struct rs_granter *granter, uint32_t strongest,
+                        int64_t now_ms);
 
 /* What others may know and change. */
 bool RsGranter_MayPlan(const struct rs_granter *granter, int64_t now_ms);
--- a/router/granter_fuzz.c
+++ b/router/granter_fuzz.c
@@ -8,6 +8,7 @@
 #include "core/log.h"
 #include "router/fixture.h"
 
+#define YIELD_EVERY_STEPS 4
 #define MOST_STEPS 60
 #define STEP_BYTES 4
 #define SPAN_UNIT_MS 40
@@ -39,6 +40,9 @@
                            (enum rs_fixture_fault)(step[0] % RsFixture_FAULTS),
                            step[1], (step[2] + 1) * SPAN_UNIT_MS);
         }
+        if (step[3] % YIELD_EVERY_STEPS == 0) {
+            RsWorld_Yield(world);
+        }
         RsWorld_Step(world, step[3] * SPAN_UNIT_MS / 8 + 1);
         const char *violation = RsWorld_Violation(world);
         if (violation != NULL) {
--- a/router/granter_test.c
+++ b/router/granter_test.c
@@ -73,6 +73,29 @@
     check_sound(world);
 }
 
+/* An outage may have ended when a weak node asked first. */
+static void
+test_weak_granter_leaves_the_lease_to_a_strong_node(void)
+{
+    struct rs_world *world = settled_world();
+    RsWorld_Inject(world, RsFixture_NODE_FROZEN, RsFixture_STRONG, 4000);
+    RsWorld_Step(world, 3500);
+    int weak = RsWorld_Granter(world);
+    CU_ASSERT_TRUE(weak >= 0);
+    CU_ASSERT_NOT_EQUAL(weak, RsFixture_STRONG);
+    RsWorld_Step(world, 3000);
+    RsWorld_Yield(world);
+    RsWorld_Step(world, 1200);
+    CU_ASSERT_EQUAL(RsWorld_Granter(world), RsFixture_STRONG);
+    for (int i = 0; i < 30; i++) {
+        RsWorld_Step(world, 100);
+        RsWorld_Yield(world); /* nobody is stronger now */
+        CU_ASSERT_EQUAL(RsWorld_OwnedKeys(world), RsKeymap_KEYS);
+    }
+    CU_ASSERT_EQUAL(RsWorld_Granter(world), RsFixture_STRONG);
+    check_sound(world);
+}
+
 static void
 test_strength_is_bounded_by_the_link(void)
 {
@@ -245,6 +268,7 @@
     CU_ADD_TEST(suite, test_one_node_is_elected);
     CU_ADD_TEST(suite, test_strongest_node_is_elected);
     CU_ADD_TEST(suite, test_restarted_granter_goes_on_at_once);
+    CU_ADD_TEST(suite, test_weak_granter_leaves_the_lease_to_a_strong_node);
     CU_ADD_TEST(suite, test_strength_is_bounded_by_the_link);
     CU_ADD_TEST(suite, test_keys_move_in_a_fraction_of_a_second);
     CU_ADD_TEST(suite, test_loss_of_the_granter_lapses_nothing);
--- a/router/node.c
+++ b/router/node.c
@@ -288,8 +288,12 @@
              const struct rs_store_rows *rows)
 {
     struct node *node = arg;
+    bool yielding = node->granter.yielding;
     on_store(node, status);
     RsGranter_Committed(&node->granter, status, rows, RsClock_NowMs());
+    if (yielding && !node->granter.yielding) {
+        RsStream_DropAll(node->stream);
+    }
     if (status == RsStore_DONE && node->granter.phase == RsGranter_LEADING) {
         take_own_maps(node, rows->version);
     }
@@ -542,7 +546,8 @@
     if (RsGranter_HasAuthority(&node->granter, now_ms)) {
         RsReports_Report(node->reports, NULL, now_ms);
         node->granter.nodes = node->router.share.nodes;
-        node->granter.strongest = RsReports_Strongest(node->reports);
+        node->granter.strongest = RsReports_Strongest(node->reports, now_ms);
+        RsGranter_MayYield(&node->granter, node->granter.strongest, now_ms);
     }
     else if (holder->peer_host[0] != '\0' &&
              holder->incarnation != node->incarnation &&
--- a/router/reports.c
+++ b/router/reports.c
@@ -246,14 +246,17 @@
 
 /* Returns the most strength of a node that has reported of late. */
 uint32_t
-RsReports_Strongest(const struct rs_reports *reports)
+RsReports_Strongest(const struct rs_reports *reports, int64_t now_ms)
 {
     uint32_t strongest = 0;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, reports->nodes);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        strongest = MAX(strongest, ((const struct node *)value)->strength);
+        const struct node *node = value;
+        if (now_ms - node->reported_ms <= REPORT_LIFETIME_MS) {
+            strongest = MAX(strongest, node->strength);
+        }
     }
     return strongest;
 }
--- a/router/reports.h
+++ b/router/reports.h
@@ -24,7 +24,7 @@
 void RsReports_Report(struct rs_reports *reports,
                       const struct sockaddr_in *granter, int64_t now_ms);
 
-uint32_t RsReports_Strongest(const struct rs_reports *reports);
+uint32_t RsReports_Strongest(const struct rs_reports *reports, int64_t now_ms);
 
 /* Requests a second for each key of a service, as told by all nodes. */
 const float *RsReports_Rates(struct rs_reports *reports, const char *service,
--- a/router/stream.c
+++ b/router/stream.c
@@ -620,16 +620,23 @@
     }
 }
 
-/* Ends all links. */
+/* Ends the links of all subscribers. */
 void
-RsStream_Leave(struct rs_stream *stream)
+RsStream_DropAll(struct rs_stream *stream)
 {
-    stream->leaving = true;
     while (stream->subscribers->len > 0) {
         drop_subscriber(g_ptr_array_index(stream->subscribers, 0));
     }
 }
 
+/* Ends all links for good. */
+void
+RsStream_Leave(struct rs_stream *stream)
+{
+    stream->leaving = true;
+    RsStream_DropAll(stream);
+}
+
 /* Tells whether another node feeds this one. */
 bool
 RsStream_IsFed(const struct rs_stream *stream)
--- a/router/stream.h
+++ b/router/stream.h
@@ -32,6 +32,9 @@
 /* To be called every few tens of ms. */
 void RsStream_Tick(struct rs_stream *stream, int64_t now_ms);
 
+/* Ends all subscriptions; the others look for the granter. */
+void RsStream_DropAll(struct rs_stream *stream);
+
 /* Takes no subscribers, and ends those there are, before the node stops. */
 void RsStream_Leave(struct rs_stream *stream);
 
