Press a store that is away less, the more nodes there are

Cause: 59 nodes with three tables each tried a store that was down every half a second: refused calls cost as much as others.

--- a/router/node.c
+++ b/router/node.c
@@ -33,6 +33,11 @@
  * target leaves still learn it within a second. */
 #define TARGETS_PAUSE_MS_PER_NODE 8
 #define TARGETS_MOST_PAUSE_MS 900
+/* After failed calls, all nodes together make some hundred calls a second at
+ * the most; after an outage each is up to date well within 3 s. */
+#define RETRY_LEAST_MOST_MS 500
+#define RETRY_MS_PER_NODE 20
+#define RETRY_MOST_MS 1500
 /* The same for owners of keys, which change several times a second. */
 #define KEYS_PAUSE_MS_PER_NODE 4
 #define KEYS_MOST_PAUSE_MS 400
@@ -70,6 +75,7 @@
     struct rs_finder *finder;
     struct rs_follower *key_rows;
     struct rs_follower *target_rows;
+    struct rs_follower *operator_rows;
     struct rs_server *callers;
     struct rs_server *readiness;
     struct rs_server *admin;
@@ -382,6 +388,11 @@
     RsFollower_SetFed(node->key_rows,
                       leads || !RsStream_AsksStore(node->stream));
     uint32_t nodes = node->router.share.nodes;
+    uint32_t retry_ms =
+        CLAMP(nodes * RETRY_MS_PER_NODE, RETRY_LEAST_MOST_MS, RETRY_MOST_MS);
+    RsFollower_SetRetryMost(node->operator_rows, retry_ms);
+    RsFollower_SetRetryMost(node->target_rows, retry_ms);
+    RsFollower_SetRetryMost(node->key_rows, retry_ms);
     RsFollower_SetPause(
         node->target_rows,
         leads ? TARGETS_PAUSE_MS
@@ -396,12 +407,25 @@
     node->was_fed = fed;
 }
 
+/* Returns the pause between two readings of the lease: longer while the store
+ * is away. */
+static int64_t
+least_pause_ms(const struct node *node)
+{
+    const struct rs_fleet *fleet = &node->router.fleet;
+    bool away = fleet->store_lost_at_ms > fleet->store_back_at_ms;
+    return away ? MIN(node->router.share.nodes * RETRY_MS_PER_NODE,
+                      RETRY_MOST_MS)
+                : 0;
+}
+
 static void
 read_lease(struct node *node, int64_t now_ms)
 {
     bool asked = node->lease_asked_ms > 0 && now_ms >= node->lease_asked_ms;
     bool due = RsGranter_LeaseIsDue(&node->granter, node->lease_read_ms,
-                                    RsStream_IsFed(node->stream), now_ms);
+                                    RsStream_IsFed(node->stream), now_ms) &&
+               now_ms - node->lease_read_ms >= least_pause_ms(node);
     if (node->granter.phase != RsGranter_OBSERVING || node->reading_lease ||
         node->router.draining || !(asked || due)) {
         return;
@@ -761,6 +785,8 @@
     node->store = RsStore_Open(&node->loop, &address);
     node->key_rows =
         follow(node, RsGranter_MAP_TABLE, SOON_MS, KEYS_WAIT_MS, &key_events);
+    node->operator_rows = follow(node, RsWire_OPERATOR_TABLE, SOON_MS,
+                                 OPERATOR_WAIT_MS, &operator_events);
     node->target_rows = follow(node, RsWire_TARGET_TABLE, TARGETS_PAUSE_MS,
                                TARGETS_WAIT_MS, &target_events);
     const struct rs_stream_options options = {
@@ -769,9 +795,7 @@
         .host = settings->node.address,
         .port = settings->listen.peer_port,
         .granter = &node->granter,
-        .followers = {follow(node, RsWire_OPERATOR_TABLE, SOON_MS,
-                             OPERATOR_WAIT_MS, &operator_events),
-                      node->target_rows, node->key_rows},
+        .followers = {node->operator_rows, node->target_rows, node->key_rows},
         .follower_count = 3,
     };
     node->stream = RsStream_Open(&options);
