Tell those that are fed that the granter is lost; claim only by an answer of the store

Cause: nodes behind a relay heard beats of the old granter for up to 1.5 s after it had gone; and nodes claimed the lease from a store that did not answer.

--- a/router/granter.c
+++ b/router/granter.c
@@ -42,6 +42,8 @@
 #define CLAIM_SPREAD_MS 60
 /* By a node that hears of no renewals: a few times within a lease. */
 #define LEASE_READ_EVERY_MS 500
+/* A claim is made only by a node that the store has just answered. */
+#define CLAIM_READ_AGE_MS 700
 #define CLAIM_READ_AHEAD_MS 30 /* the lease is read shortly before a claim */
 /* Strength of a VM where none is known to be stronger: a core. */
 #define FULL_STRENGTH 1000
@@ -240,6 +242,7 @@
 RsGranter_LeaseRead(struct rs_granter *granter, uint64_t version,
                     const char *value, int64_t now_ms)
 {
+    granter->lease_read_ms = now_ms;
     if (granter->lease_known && version <= granter->lease_version) {
         return;
     }
@@ -735,7 +738,8 @@
 observe(struct rs_granter *granter, int64_t now_ms)
 {
     if (granter->lease_known && !granter->committing && !granter->resigning &&
-        now_ms >= granter->next_commit_ms && now_ms >= claim_at_ms(granter)) {
+        now_ms >= granter->next_commit_ms && now_ms >= claim_at_ms(granter) &&
+        now_ms - granter->lease_read_ms <= CLAIM_READ_AGE_MS) {
         granter->phase = RsGranter_CLAIMING;
         send_commit(granter, now_ms);
     }
--- a/router/granter.h
+++ b/router/granter.h
@@ -95,6 +95,7 @@
     uint64_t lease_version;
     int64_t lease_seen_ms; /* when this version was first seen */
     bool lease_known;      /* the row was read at least once */
+    int64_t lease_read_ms; /* last answer of the store about it */
     bool committing;
     bool last_commit_done;
     uint32_t claims_failed; /* in a row, for want of an answer */
--- a/router/stream.c
+++ b/router/stream.c
@@ -296,6 +296,7 @@
     beat.granter = options->granter->holder.incarnation;
     beat.lease_version = options->granter->lease_version;
     beat.sent_ms = (uint64_t)now_ms;
+    beat.lost = options->granter->phase == RsGranter_OBSERVING && !stream->fed;
     Rs__Stream__Message message = RS__STREAM__MESSAGE__INIT;
     message.message_case = RS__STREAM__MESSAGE__MESSAGE_BEAT;
     message.beat = &beat;
@@ -347,6 +348,7 @@
                 RsLog_NUMBER("age_ms", stream->oldest_age_ms),
                 RsLog_NUMBER("late_ms", stream->late_ms));
     stream->hold_until_ms = RsClock_NowMs() + hold_ms;
+    stream->next_beat_ms = 0; /* those that this node feeds learn it now */
     if (fed) {
         ask_store(stream, false);
     }
@@ -488,14 +490,15 @@
         }
         RsFollower_NoteFresh(follower, item->version, now_ms - age_ms);
     }
-    bool current = beat->granter == granter->holder.incarnation &&
+    bool current = !beat->lost &&
+                   beat->granter == granter->holder.incarnation &&
                    stream->oldest_age_ms < STALE_MS;
     if (current) {
         stream->heard_ms = now_ms;
         RsGranter_LeaseHeard(granter, beat->granter, beat->lease_version,
                              now_ms);
         set_fed(stream, true, "current", 0);
-        /* Those that this node feeds learn it without a wait of their own. */
+        /* Each beat is passed on without a wait of its own. */
         stream->next_beat_ms = 0;
     }
     else {
--- a/router/stream.pb-c.c
+++ b/router/stream.pb-c.c
@@ -622,7 +622,7 @@
   (ProtobufCMessageInit) rs__stream__beat__freshness__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__stream__beat__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rs__stream__beat__field_descriptors[5] =
 {
   {
     "tables",
@@ -672,17 +672,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lost",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Beat, lost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__stream__beat__field_indices_by_name[] = {
   1,   /* field[1] = granter */
   2,   /* field[2] = lease_version */
+  4,   /* field[4] = lost */
   3,   /* field[3] = sent_ms */
   0,   /* field[0] = tables */
 };
 static const ProtobufCIntRange rs__stream__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rs__stream__beat__descriptor =
 {
@@ -692,7 +705,7 @@
   "Rs__Stream__Beat",
   "rs.stream",
   sizeof(Rs__Stream__Beat),
-  4,
+  5,
   rs__stream__beat__field_descriptors,
   rs__stream__beat__field_indices_by_name,
   1,  rs__stream__beat__number_ranges,
--- a/router/stream.pb-c.h
+++ b/router/stream.pb-c.h
@@ -138,10 +138,14 @@
    * by the sender's steady clock
    */
   uint64_t sent_ms;
+  /*
+   * the sender does not hear from the granter
+   */
+  protobuf_c_boolean lost;
 };
 #define RS__STREAM__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__stream__beat__descriptor) \
-    , 0,NULL, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0 }
 
 
 /*
