Compress large rows on their way, and wait while they come

Its 400 KB blocked the beats, nodes took their stream for silent and read the same from the store over the same link, with a timeout that began anew.

--- /dev/null
+++ b/router/pack.h
@@ -0,0 +1,12 @@
+/* Compressed texts, for large rows on their way between nodes. No I/O. */
+
+#ifndef RATTANSHED_ROUTER_PACK_H
+#define RATTANSHED_ROUTER_PACK_H
+
+#include <glib.h>
+#include <stddef.h>
+
+GByteArray *RsPack_Make(const char *text, size_t size_bytes);
+char *RsPack_Open(const void *packed, size_t packed_bytes, size_t size_bytes);
+
+#endif
--- a/router/patch.c
+++ b/router/patch.c
@@ -6,7 +6,10 @@
 
 #include "router/patch.pb-c.h"
 
-/* A line of a text; it ends with its newline, or with the text. */
+/* JSON without newlines counts as a line for each object in it. */
+#define LINE_ENDS "\n}"
+
+/* A line of a text with what ends it, or the end of the text. */
 struct line {
     const char *start;
     size_t size_bytes;
@@ -17,9 +20,9 @@
 {
     GArray *lines = g_array_new(FALSE, FALSE, sizeof(struct line));
     while (*text != '\0') {
-        const char *newline = strchr(text, '\n');
+        const char *end = strpbrk(text, LINE_ENDS);
         size_t size_bytes =
-            newline != NULL ? (size_t)(newline - text) + 1 : strlen(text);
+            end != NULL ? (size_t)(end - text) + 1 : strlen(text);
         const struct line line = {text, size_bytes};
         g_array_append_val(lines, line);
         text += size_bytes;
--- a/router/rows.c
+++ b/router/rows.c
@@ -2,9 +2,10 @@
 
 #include <string.h>
 
+#include "router/pack.h"
 #include "router/patch.h"
 
-/* Rows below this size are passed on whole. */
+/* Rows below this size are passed on as they are. */
 #define LEAST_PATCHED_BYTES 2048
 
 static void
@@ -12,10 +13,8 @@
 {
     g_free(row->former_value);
     row->former_value = NULL;
-    if (row->patch != NULL) {
-        g_byte_array_unref(row->patch);
-        row->patch = NULL;
-    }
+    g_clear_pointer(&row->patch, g_byte_array_unref);
+    g_clear_pointer(&row->packed, g_byte_array_unref);
 }
 
 static void
@@ -130,6 +129,17 @@
     return row->patch->len < row->value_bytes ? row->patch : NULL;
 }
 
+/* Returns the compressed value, which is the row's, or NULL when the value is
+ * small or does not shrink. */
+const GByteArray *
+RsRows_Packed(struct rs_known_row *row)
+{
+    if (row->packed == NULL && row->value_bytes >= LEAST_PATCHED_BYTES) {
+        row->packed = RsPack_Make(row->value, row->value_bytes);
+    }
+    return row->packed;
+}
+
 /* A whole reading of the table begins. */
 void
 RsRows_BeginWhole(struct rs_rows *mirror)
--- a/router/rows.h
+++ b/router/rows.h
@@ -22,7 +22,8 @@
     /* Of a large row, what it was before, for those who have that. */
     char *former_value; /* NULL: not kept */
     uint64_t former_version;
-    GByteArray *patch; /* from the former value; NULL until it is asked for */
+    GByteArray *patch;  /* from the former value; NULL until it is asked for */
+    GByteArray *packed; /* the value, compressed; the same */
 };
 
 /* What a newer version of a row means to those who use the table. */
@@ -57,6 +58,9 @@
 /* What turns the former value into the present one, or NULL. */
 const GByteArray *RsRows_Patch(struct rs_known_row *row);
 
+/* A large value compressed, or NULL for others. */
+const GByteArray *RsRows_Packed(struct rs_known_row *row);
+
 void RsRows_Since(const struct rs_rows *mirror, uint64_t version,
                   rs_rows_visitor visit, void *arg);
 void RsRows_ChangedSince(const struct rs_rows *mirror, uint64_t version,
--- a/router/stream.c
+++ b/router/stream.c
@@ -5,6 +5,7 @@
 #include "core/clock.h"
 #include "core/log.h"
 #include "router/delay.h"
+#include "router/pack.h"
 #include "router/patch.h"
 #include "router/stream.pb-c.h"
 #include "wire/link.h"
@@ -13,6 +14,8 @@
 /* Three beats. The store is asked then, well within the 2 s in which a change
  * must be in force. */
 #define SILENT_MS 700
+/* The same while bytes of something else come. */
+#define SILENT_MOST_MS 2000
 /* News that is older is asked for at the store, within the 2 s in which a
  * change must be in force. The granter's longest call, two beats on the way
  * and a slow store take less. */
@@ -52,8 +55,10 @@
     bool knows_holder; /* a lease was seen, so that there is one to look for */
     bool misses_rows;  /* they were asked for; beats don't count until then */
     bool leaving;
-    int64_t heard_ms;      /* last beat that was up to date */
-    struct rs_delay delay; /* of the link's beats */
+    int64_t heard_ms;        /* last beat that was up to date */
+    uint64_t received_bytes; /* by the link so far */
+    int64_t received_ms;     /* the last of them */
+    struct rs_delay delay;   /* of the link's beats */
     /* By the last beat. */
     int64_t late_ms;
     int64_t oldest_age_ms;
@@ -85,12 +90,18 @@
         list->told >= row->former_version && list->told < row->version;
     const GByteArray *patch =
         list->told > 0 && has_former ? RsRows_Patch(row) : NULL;
+    const GByteArray *packed = patch == NULL ? RsRows_Packed(row) : NULL;
     item.key = row->key;
     if (patch != NULL) {
         item.base_version = row->former_version;
         item.patch.data = patch->data;
         item.patch.len = patch->len;
     }
+    else if (packed != NULL) {
+        item.packed.data = packed->data;
+        item.packed.len = packed->len;
+        item.value_bytes = (uint32_t)row->value_bytes;
+    }
     else {
         item.value.data = (uint8_t *)row->value;
         item.value.len = row->value_bytes;
@@ -402,11 +413,16 @@
 }
 
 /* Returns the value of a row that was told, which the caller frees, or NULL
- * when it is a patch of something else than this node has. */
+ * when it can't be read, or is a patch of something else than this node has.
+ */
 static char *
 value_of(const struct rs_follower *follower,
          const Rs__Stream__Update__Row *row)
 {
+    if (row->packed.len > 0) {
+        return RsPack_Open(row->packed.data, row->packed.len,
+                           row->value_bytes);
+    }
     if (row->patch.len == 0) {
         return terminated_copy(&row->value);
     }
@@ -580,10 +596,28 @@
     stream->upstream = RsLink_Connect(&options);
     stream->upstream_granter = holder->incarnation;
     stream->delay = (struct rs_delay){0};
+    stream->received_bytes = 0;
+    stream->received_ms = 0;
     stream->misses_rows = false;
     stream->heard_ms = now_ms;
 }
 
+/* Tells whether the feeding node is to be given up. While bytes come,
+ * something large is on its way, and the store would send the same over the
+ * same link. */
+static bool
+is_silent(struct rs_stream *stream, int64_t now_ms)
+{
+    uint64_t bytes = RsLink_ReceivedBytes(stream->upstream);
+    if (bytes != stream->received_bytes) {
+        stream->received_bytes = bytes;
+        stream->received_ms = now_ms;
+    }
+    int64_t alive_ms = MAX(stream->heard_ms, stream->received_ms);
+    return now_ms - alive_ms >= SILENT_MS ||
+           now_ms - stream->heard_ms >= SILENT_MOST_MS;
+}
+
 /* Sends beats, and looks after the link to the feeding node. */
 void
 RsStream_Tick(struct rs_stream *stream, int64_t now_ms)
@@ -615,7 +649,7 @@
         close_upstream(stream, "another granter");
         stream->next_connect_ms = 0;
     }
-    if (stream->upstream != NULL && now_ms - stream->heard_ms >= SILENT_MS) {
+    if (stream->upstream != NULL && is_silent(stream, now_ms)) {
         close_upstream(stream, "silent");
     }
     if (stream->upstream == NULL && now_ms >= stream->next_connect_ms) {
--- a/router/stream.pb-c.c
+++ b/router/stream.pb-c.c
@@ -378,7 +378,7 @@
   (ProtobufCMessageInit) rs__stream__subscribe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__stream__update__row__field_descriptors[6] =
+static const ProtobufCFieldDescriptor rs__stream__update__row__field_descriptors[8] =
 {
   {
     "key",
@@ -452,19 +452,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "packed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Update__Row, packed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value_bytes",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Update__Row, value_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__stream__update__row__field_indices_by_name[] = {
   4,   /* field[4] = base_version */
   3,   /* field[3] = deleted */
   0,   /* field[0] = key */
+  6,   /* field[6] = packed */
   5,   /* field[5] = patch */
   1,   /* field[1] = value */
+  7,   /* field[7] = value_bytes */
   2,   /* field[2] = version */
 };
 static const ProtobufCIntRange rs__stream__update__row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor rs__stream__update__row__descriptor =
 {
@@ -474,7 +500,7 @@
   "Rs__Stream__Update__Row",
   "rs.stream",
   sizeof(Rs__Stream__Update__Row),
-  6,
+  8,
   rs__stream__update__row__field_descriptors,
   rs__stream__update__row__field_indices_by_name,
   1,  rs__stream__update__row__number_ranges,
--- a/router/stream.pb-c.h
+++ b/router/stream.pb-c.h
@@ -77,10 +77,15 @@
    */
   uint64_t base_version;
   ProtobufCBinaryData patch;
+  /*
+   * In place of a value, if not empty: it compressed, and its size.
+   */
+  ProtobufCBinaryData packed;
+  uint32_t value_bytes;
 };
 #define RS__STREAM__UPDATE__ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__stream__update__row__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, {0,NULL} }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, {0,NULL}, {0,NULL}, 0 }
 
 
 /*
--- a/tools/deps.sh
+++ b/tools/deps.sh
@@ -5,7 +5,7 @@
 packages="gcc make cmake pkg-config clang clang-format clang-tidy cppcheck
 libclang-rt-14-dev libuv1-dev libh2o-dev libssl-dev libhttp-parser-dev
 libprotobuf-c-dev libcyaml-dev libargtable2-dev libglib2.0-dev
-libjansson-dev libxxhash-dev libcunit1-dev libcurl4-openssl-dev spin
+libjansson-dev libxxhash-dev zlib1g-dev libcunit1-dev libcurl4-openssl-dev spin
 gnuplot-nox curl jq"
 missing=""
 for package in $packages; do
--- a/wire/link.c
+++ b/wire/link.c
@@ -16,6 +16,7 @@
     const struct rs_link_events *events;
     void *arg;
     size_t max_queue_bytes;
+    uint64_t received_bytes;
     bool open;
     bool closing;
 };
@@ -80,6 +81,7 @@
         return;
     }
     totals.received_bytes += (uint64_t)size;
+    link->received_bytes += (uint64_t)size;
     int status = RsFrame_Read(&link->reader, (const uint8_t *)buffer->base,
                               (size_t)size, on_frame, link);
     if (status < 0) {
@@ -285,6 +287,14 @@
     return uv_stream_get_write_queue_size((const uv_stream_t *)&link->tcp);
 }
 
+/* Returns the bytes that have come so far, also of frames that are not whole.
+ */
+uint64_t
+RsLink_ReceivedBytes(const struct rs_link *link)
+{
+    return link->received_bytes;
+}
+
 /* Closes without telling the owner; no call follows. */
 void
 RsLink_Close(struct rs_link *link)
