--- a/router/granter.c
+++ b/router/granter.c
@@ -29,8 +29,9 @@
 #define CLOCK_RATE_PERCENT 2 /* by which the clock of a target may be slow */
 #define HOLD_MARGIN_MS 150   /* of a grant's way to the target */
 /* The granter feeds many nodes, so that strong VMs should have the lease. A
- * weak one claims it this much later, twice the spread below. */
-#define WEAK_CLAIM_DELAY_MS 120
+ * weak one claims it up to this much later: nodes hear of its last renewal up
+ * to a beat (200 ms) apart. */
+#define WEAK_CLAIM_DELAY_MS 350
 /* A granter leaves the lease to a node that is this much stronger, once it has
  * taken over itself; seldom, as each change stops the planning for a while and
  * the stronger one may not reach the store. */
