Pass rows on as they came, and before they are used

Cause: each relay decoded 1,859 routes, compressed the row anew and then passed it on; and a patch of 350 KB was preferred to a compressed row of a third of that.

--- a/router/follower.c
+++ b/router/follower.c
@@ -229,16 +229,51 @@
     follower->retry_most_ms = MAX(most_ms, RETRY_LEAST_MS);
 }
 
-/* Takes rows from another node; `whole` says that the table has no others as
- * of the rows' version. */
+static void
+drop_forms(struct rs_follower_forms *forms)
+{
+    g_clear_pointer(&forms->packed, g_byte_array_unref);
+    g_clear_pointer(&forms->patch, g_byte_array_unref);
+}
+
+/* Takes rows from another node, and how each came, or NULL; takes over these
+ * forms. `whole` says that the table has no others as of the rows' version.
+ * The rows are there to be passed on before this node uses them: that takes
+ * time, and all of them are news by the word of the other node. */
 void
 RsFollower_Feed(struct rs_follower *follower, const struct rs_store_rows *rows,
-                bool whole)
+                struct rs_follower_forms *forms, bool whole)
 {
+    const struct rs_follower_events *events = follower->options.events;
+    bool changed = false;
+    bool *newer = g_new0(bool, rows->count + 1);
     if (whole) {
         RsRows_BeginWhole(&follower->mirror);
     }
-    bool changed = take_rows(follower, rows);
+    for (size_t i = 0; i < rows->count; i++) {
+        const struct rs_store_row *row = &rows->rows[i];
+        newer[i] = RsRows_IsNewer(&follower->mirror, row);
+        if (newer[i]) {
+            RsRows_Put(&follower->mirror, row, RsRows_CHANGED);
+            changed = true;
+        }
+        if (forms != NULL && newer[i]) {
+            RsRows_KeepForms(&follower->mirror, row->key, forms[i].packed,
+                             forms[i].patch);
+        }
+        else if (forms != NULL) {
+            drop_forms(&forms[i]);
+        }
+    }
+    if (changed && !whole) {
+        events->fed(follower->options.arg);
+    }
+    for (size_t i = 0; i < rows->count; i++) {
+        if (newer[i]) {
+            events->row(follower->options.arg, &rows->rows[i]);
+        }
+    }
+    g_free(newer);
     if (whole) {
         RsRows_EndWhole(&follower->mirror, rows->version, on_gone, follower);
         follower->following = true;
--- a/router/follower.h
+++ b/router/follower.h
@@ -13,6 +13,8 @@
 struct rs_follower_events {
     /* A row that is newer than what was known; says what it means. */
     enum rs_rows_news (*row)(void *arg, const struct rs_store_row *row);
+    /* Another node told changes, which can be passed on; `row` comes next. */
+    void (*fed)(void *arg);
     void (*caught_up)(void *arg, bool changed);
     /* A call to the store had no good answer, or had one. */
     void (*store)(void *arg, enum rs_store_status status);
@@ -42,8 +44,15 @@
 void RsFollower_SetFed(struct rs_follower *follower, bool fed);
 void RsFollower_SetPause(struct rs_follower *follower, uint32_t pause_ms);
 void RsFollower_SetRetryMost(struct rs_follower *follower, uint32_t most_ms);
+/* How a row came, see RsRows_KeepForms(). */
+struct rs_follower_forms {
+    GByteArray *packed;
+    GByteArray *patch;
+};
+
 void RsFollower_Feed(struct rs_follower *follower,
-                     const struct rs_store_rows *rows, bool whole);
+                     const struct rs_store_rows *rows,
+                     struct rs_follower_forms *forms, bool whole);
 void RsFollower_NoteFresh(struct rs_follower *follower, uint64_t version,
                           int64_t fresh_at_ms);
 
--- a/router/node.c
+++ b/router/node.c
@@ -183,6 +183,13 @@
     }
 }
 
+static void
+on_fed(void *arg)
+{
+    struct node *node = arg;
+    RsStream_Publish(node->stream);
+}
+
 static void
 on_store(void *arg, enum rs_store_status status)
 {
@@ -195,6 +202,7 @@
 
 static const struct rs_follower_events operator_events = {
     .row = on_operator_row,
+    .fed = on_fed,
     .caught_up = on_caught_up,
     .store = on_store,
 };
@@ -226,6 +234,7 @@
 
 static const struct rs_follower_events target_events = {
     .row = on_target_row,
+    .fed = on_fed,
     .caught_up = on_targets_caught_up,
     .store = on_store,
 };
@@ -257,6 +266,7 @@
 
 static const struct rs_follower_events key_events = {
     .row = on_keys_row,
+    .fed = on_fed,
     .caught_up = on_caught_up,
     .store = on_store,
 };
@@ -282,7 +292,7 @@
             .version = version,
         };
         const struct rs_store_rows rows = {&row, 1, version, false};
-        RsFollower_Feed(node->key_rows, &rows, false);
+        RsFollower_Feed(node->key_rows, &rows, NULL, false);
         g_free(key);
         g_free(value);
     }
--- a/router/rows.c
+++ b/router/rows.c
@@ -1,5 +1,6 @@
 #include "router/rows.h"
 
+#include <assert.h>
 #include <string.h>
 
 #include "router/pack.h"
@@ -7,6 +8,9 @@
 
 /* Rows below this size are passed on as they are. */
 #define LEAST_PATCHED_BYTES 2048
+/* A patch below one in so many bytes of the value is sent without comparing it
+ * with the compressed value, which is hardly smaller. */
+#define SMALL_PATCH_SHARE 8
 
 static void
 drop_former(struct rs_known_row *row)
@@ -115,29 +119,55 @@
     return g_hash_table_lookup(mirror->rows, key);
 }
 
-/* Returns the patch, which is the row's, or NULL when the former value was not
- * kept or the patch would save nothing. */
-const GByteArray *
-RsRows_Patch(struct rs_known_row *row)
+/* Keeps the forms in which a row came, so that they need not be made again. */
+void
+RsRows_KeepForms(struct rs_rows *mirror, const char *key, GByteArray *packed,
+                 GByteArray *patch)
 {
-    if (row->former_value == NULL) {
-        return NULL;
-    }
-    if (row->patch == NULL) {
+    struct rs_known_row *row = g_hash_table_lookup(mirror->rows, key);
+    assert(row != NULL);
+    g_clear_pointer(&row->packed, g_byte_array_unref);
+    g_clear_pointer(&row->patch, g_byte_array_unref);
+    row->packed = packed;
+    row->patch = patch;
+}
+
+static void
+make_patch(struct rs_known_row *row)
+{
+    if (row->patch == NULL && row->packed == NULL &&
+        row->former_value != NULL) {
         row->patch = RsPatch_Make(row->former_value, row->value);
     }
-    return row->patch->len < row->value_bytes ? row->patch : NULL;
 }
 
-/* Returns the compressed value, which is the row's, or NULL when the value is
- * small or does not shrink. */
-const GByteArray *
-RsRows_Packed(struct rs_known_row *row)
+static void
+make_packed(struct rs_known_row *row)
 {
     if (row->packed == NULL && row->value_bytes >= LEAST_PATCHED_BYTES) {
         row->packed = RsPack_Make(row->value, row->value_bytes);
     }
-    return row->packed;
+}
+
+/* Returns the form in which the row is passed on to somebody who has its
+ * former value, or does not. The bytes are the row's. A row without a form is
+ * small. */
+struct rs_rows_form
+RsRows_Form(struct rs_known_row *row, bool has_former)
+{
+    if (has_former) {
+        make_patch(row);
+    }
+    const GByteArray *patch = has_former ? row->patch : NULL;
+    if (patch != NULL && patch->len <= row->value_bytes / SMALL_PATCH_SHARE) {
+        return (struct rs_rows_form){.patch = patch};
+    }
+    make_packed(row);
+    if (row->packed != NULL &&
+        (patch == NULL || row->packed->len < patch->len)) {
+        return (struct rs_rows_form){.packed = row->packed};
+    }
+    return (struct rs_rows_form){.patch = patch};
 }
 
 /* A whole reading of the table begins. */
--- a/router/rows.h
+++ b/router/rows.h
@@ -47,6 +47,11 @@
 void RsRows_Put(struct rs_rows *mirror, const struct rs_store_row *row,
                 enum rs_rows_news news);
 
+/* How a large value came from another node, to be passed on as it is. The
+ * bytes are the row's from then on; either may be NULL. */
+void RsRows_KeepForms(struct rs_rows *mirror, const char *key,
+                      GByteArray *packed, GByteArray *patch);
+
 /* A whole reading: rows that it does not name are gone. */
 void RsRows_BeginWhole(struct rs_rows *mirror);
 void RsRows_EndWhole(struct rs_rows *mirror, uint64_t version,
@@ -55,11 +60,13 @@
 const struct rs_known_row *RsRows_Find(const struct rs_rows *mirror,
                                        const char *key);
 
-/* What turns the former value into the present one, or NULL. */
-const GByteArray *RsRows_Patch(struct rs_known_row *row);
+/* The least form in which the value can be passed on, if not as it is. */
+struct rs_rows_form {
+    const GByteArray *packed; /* the value compressed; NULL: not so */
+    const GByteArray *patch;  /* from the former value; NULL: not so */
+};
 
-/* A large value compressed, or NULL for others. */
-const GByteArray *RsRows_Packed(struct rs_known_row *row);
+struct rs_rows_form RsRows_Form(struct rs_known_row *row, bool has_former);
 
 void RsRows_Since(const struct rs_rows *mirror, uint64_t version,
                   rs_rows_visitor visit, void *arg);
--- a/router/stream.c
+++ b/router/stream.c
@@ -88,18 +88,17 @@
     Rs__Stream__Update__Row item = RS__STREAM__UPDATE__ROW__INIT;
     bool has_former =
         list->told >= row->former_version && list->told < row->version;
-    const GByteArray *patch =
-        list->told > 0 && has_former ? RsRows_Patch(row) : NULL;
-    const GByteArray *packed = patch == NULL ? RsRows_Packed(row) : NULL;
+    const struct rs_rows_form form =
+        RsRows_Form(row, list->told > 0 && has_former);
     item.key = row->key;
-    if (patch != NULL) {
+    if (form.patch != NULL) {
         item.base_version = row->former_version;
-        item.patch.data = patch->data;
-        item.patch.len = patch->len;
+        item.patch.data = form.patch->data;
+        item.patch.len = form.patch->len;
     }
-    else if (packed != NULL) {
-        item.packed.data = packed->data;
-        item.packed.len = packed->len;
+    else if (form.packed != NULL) {
+        item.packed.data = form.packed->data;
+        item.packed.len = form.packed->len;
         item.value_bytes = (uint32_t)row->value_bytes;
     }
     else {
@@ -412,6 +411,16 @@
     return text;
 }
 
+static GByteArray *
+copy_bytes(const ProtobufCBinaryData *bytes)
+{
+    if (bytes->len == 0) {
+        return NULL;
+    }
+    GByteArray *copy = g_byte_array_sized_new((guint)bytes->len);
+    return g_byte_array_append(copy, bytes->data, (guint)bytes->len);
+}
+
 /* Returns the value of a row that was told, which the caller frees, or NULL
  * when it can't be read, or is a patch of something else than this node has.
  */
@@ -445,6 +454,8 @@
         return 0;
     }
     bool fits = true;
+    struct rs_follower_forms *forms =
+        g_new0(struct rs_follower_forms, update->n_rows + 1);
     struct rs_store_rows rows = {
         .rows = g_new0(struct rs_store_row, update->n_rows + 1),
         .count = update->n_rows,
@@ -468,14 +479,22 @@
             continue;
         }
         rows.rows[i].value_bytes = strlen(rows.rows[i].value);
+        forms[i].packed = copy_bytes(&row->packed);
+        forms[i].patch = copy_bytes(&row->patch);
     }
     stream->misses_rows = !fits;
     if (fits) {
-        RsFollower_Feed(follower, &rows, update->whole);
+        /* Takes over the forms. */
+        RsFollower_Feed(follower, &rows, forms, update->whole);
     }
     for (size_t i = 0; i < rows.count; i++) {
         g_free(rows.rows[i].value);
     }
+    for (size_t i = 0; i < rows.count && !fits; i++) {
+        g_clear_pointer(&forms[i].packed, g_byte_array_unref);
+        g_clear_pointer(&forms[i].patch, g_byte_array_unref);
+    }
+    g_free(forms);
     g_free(rows.rows);
     return fits ? 0 : subscribe(stream);
 }
