--- a/spec/check.sh
+++ b/spec/check.sh
@@ -68,6 +68,7 @@
 holds change change.pml whole
 holds rows rows.pml whole
 holds live live.pml live
+holds granter granter.pml whole
 caught cell-NO_WAIT_FOR_LAPSE cell.pml whole -DSLOTS=1 -DNO_WAIT_FOR_LAPSE
 caught cell-COUNT_FROM_RECEIPT cell.pml whole -DSLOTS=1 -DCOUNT_FROM_RECEIPT
 caught cell-VOTE_AFTER_RESTART cell.pml whole -DSLOTS=1 -DVOTE_AFTER_RESTART
@@ -79,6 +80,11 @@
 caught change-STALE_ROSTER_SERVED change.pml short -DSTALE_ROSTER_SERVED
 caught rows-ROW_WITHOUT_CAS rows.pml short -DROW_WITHOUT_CAS
 caught rows-ACK_WITHOUT_READING_BACK rows.pml short -DACK_WITHOUT_READING_BACK
+caught granter-RELEASE_UNDER_OLD_FENCE granter.pml short -DRELEASE_UNDER_OLD_FENCE
+caught granter-SETTLE_AT_ONCE granter.pml short -DSETTLE_AT_ONCE
+caught granter-NO_ASSUMED_HOLDS granter.pml short -DNO_ASSUMED_HOLDS
+caught granter-NO_CONDITION granter.pml short -DNO_CONDITION
+caught granter-GRANT_WITHOUT_AUTHORITY granter.pml short -DGRANT_WITHOUT_AUTHORITY
 caught live-NO_RETRY live.pml live -DNO_RETRY
 caught live-PROMISE_NEVER_LAPSES live.pml live -DPROMISE_NEVER_LAPSES
 "
