--- a/router/keymap_test.c
+++ b/router/keymap_test.c
@@ -175,8 +175,7 @@
         "{\"next_fence\":3,\"owners\":[[\"a\",1]],\"ranges\":[[65535,-2,1]]}",
         "{\"next_fence\":3,\"owners\":[[7,1]],\"ranges\":[[65535,0,1]]}",
         "{\"next_fence\":3,\"owners\":[],\"ranges\":[[9,-1,1],[8,-1,1]]}",
-        "{\"next_fence\":3,\"owners\":[[\"a\",1]],\"ranges\":[[65535,0,\"x\"]]"
-        "}",
+        "{\"next_fence\":3,\"owners\":[[\"a\",1]],\"ranges\":[[9,0,\"x\"]]}",
         "{\"owners\":[[\"a\",1]],\"ranges\":[[65535,0,1]]}",
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
