--- a/router/fleet_test.c
+++ b/router/fleet_test.c
@@ -302,7 +302,7 @@
     row.version = 6;
     CU_ASSERT_TRUE(RsRows_IsNewer(&rows, &row));
     RsRows_Put(&rows, &row, RsRows_CHANGED);
-    RsRows_Since(&rows, 5, collect, seen);
+    RsRows_Since(&rows, 5, false, collect, seen);
     CU_ASSERT_STRING_EQUAL(seen->str, "k- ");
     g_string_free(seen, TRUE);
     RsRows_Clear(&rows);
@@ -319,15 +319,15 @@
         .key = "k", .value = "v", .value_bytes = 1, .version = 5};
     RsRows_Init(&rows);
     RsRows_Put(&rows, &row, RsRows_REFRESHED);
-    RsRows_ChangedSince(&rows, 4, collect, seen);
+    RsRows_Since(&rows, 4, true, collect, seen);
     CU_ASSERT_STRING_EQUAL(seen->str, "k "); /* the first is a change */
     row.version = 6;
     RsRows_Put(&rows, &row, RsRows_REFRESHED);
-    RsRows_ChangedSince(&rows, 5, collect, seen);
+    RsRows_Since(&rows, 5, true, collect, seen);
     CU_ASSERT_STRING_EQUAL(seen->str, "k ");
     CU_ASSERT_EQUAL(rows.version, 6);
     /* Whoever comes from another node may have missed it all the same. */
-    RsRows_Since(&rows, 5, collect, seen);
+    RsRows_Since(&rows, 5, false, collect, seen);
     CU_ASSERT_STRING_EQUAL(seen->str, "k k ");
     g_string_free(seen, TRUE);
     RsRows_Clear(&rows);
@@ -353,9 +353,9 @@
     row.version = 6;
     RsRows_Put(&rows, &row, RsRows_IGNORED);
     CU_ASSERT_FALSE(RsRows_IsNewer(&rows, &row));
-    RsRows_Since(&rows, 0, note_value, seen);
+    RsRows_Since(&rows, 0, false, note_value, seen);
     CU_ASSERT_STRING_EQUAL(seen->str, "new");
-    RsRows_ChangedSince(&rows, 5, note_value, seen);
+    RsRows_Since(&rows, 5, true, note_value, seen);
     CU_ASSERT_STRING_EQUAL(seen->str, "new");
     g_string_free(seen, TRUE);
     RsRows_Clear(&rows);
--- a/router/node.c
+++ b/router/node.c
@@ -1,6 +1,5 @@
 #include "router/node.h"
 
-#include <math.h>
 #include <signal.h>
 #include <string.h>
 #include <unistd.h>
@@ -10,12 +9,12 @@
 #include "core/log.h"
 #include "http/server.h"
 #include "platform/wire.h"
-#include "router/balance.h"
 #include "router/exchange.h"
 #include "router/finder.h"
 #include "router/granter.h"
 #include "router/metrics.h"
 #include "router/orders.h"
+#include "router/owners.h"
 #include "router/reports.h"
 #include "router/router.h"
 #include "router/stream.h"
@@ -48,9 +47,6 @@
 #define RESIGNATION_MS 40 /* a commit of the node that leaves */
 /* Before the first owners are chosen, targets are given time to report. */
 #define FIRST_PLAN_AFTER_MS 1500
-/* Orders that fail for this long mean that a target can't be reached. */
-#define UNREACHABLE_MS 1500
-#define COLD_CAPACITY_SHARE 0.6 /* of the rate that a cold target bears */
 #define MS_PER_S 1000.0
 /* After SIGTERM new connections come for two readiness checks of a second
  * each. Then idle connections are closed and no new ones taken, so that all is
@@ -450,122 +446,12 @@
                  on_lease_row, node);
 }
 
-/* Planning: what the granter's maps should become. */
-
-/* Returns the least latency target of the routes to a service, in ms. */
-static double
-latency_target_ms(const struct rs_routing *config, const char *service)
-{
-    double least_ms = INFINITY;
-    for (size_t i = 0; i < config->route_count; i++) {
-        const struct rs_route *route = &config->routes[i];
-        for (size_t k = 0; k < route->share_count; k++) {
-            if (route->shares[k].service == service) {
-                least_ms = MIN(least_ms, route->target_latency_ms);
-            }
-        }
-    }
-    return least_ms;
-}
-
-static double
-capacity_of(const struct rs_fleet_target *target, double latency_ms,
-            double cold_per_s, int64_t now_ms)
-{
-    double capacity = RsLoad_PunctualPerS(target, latency_ms);
-    if (now_ms < target->cold_until_ms && cold_per_s > 0) {
-        capacity = MIN(capacity, cold_per_s * COLD_CAPACITY_SHARE);
-    }
-    return capacity;
-}
-
-static bool
-can_own(const struct node *node, const struct rs_fleet_target *target,
-        int64_t now_ms)
-{
-    bool unreachable =
-        target->order_failing_since_ms > 0 &&
-        now_ms - target->order_failing_since_ms > UNREACHABLE_MS;
-    return RsFleet_MayTakeWork(&node->router.fleet, target, now_ms) &&
-           !unreachable;
-}
-
-/* Notes which targets are asked for more than they can run. */
-static void
-note_demand(struct node *node, const struct rs_balance_input *input,
-            int64_t now_ms)
-{
-    for (size_t i = 0; i < input->target_count; i++) {
-        const struct rs_balance_target *item = &input->targets[i];
-        struct rs_fleet_target *target =
-            RsFleet_Find(&node->router.fleet, item->owner.id);
-        target->demand_per_s = item->load > item->capacity ? item->load : 0;
-        target->demand_at_ms = now_ms;
-    }
-}
-
-static void
-plan_service(struct node *node, const struct rs_service *service,
-             int64_t now_ms)
-{
-    struct rs_granter_map *entry =
-        RsGranter_FindMap(&node->granter, service->name);
-    if (entry == NULL) {
-        entry = RsGranter_AddMap(&node->granter, service->name);
-    }
-    if (entry == NULL || entry->dirty || entry->offered) {
-        return;
-    }
-    guint most = g_hash_table_size(node->router.fleet.targets);
-    double latency_ms = latency_target_ms(node->router.config, service->name);
-    struct rs_balance_target *targets =
-        g_new0(struct rs_balance_target, most + 1);
-    struct rs_balance_input input = {
-        .targets = targets,
-        .rates = RsReports_Rates(node->reports, service->name, now_ms),
-        .window_s = RsReports_RATE_WINDOW_MS / MS_PER_S,
-    };
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, node->router.fleet.targets);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct rs_fleet_target *target = value;
-        if (target->report.service == service->name) {
-            targets[input.target_count++] = (struct rs_balance_target){
-                .owner = {target->id, target->report.born_ms,
-                          target->report.address_text},
-                .eligible = can_own(node, target, now_ms),
-                .capacity = capacity_of(target, latency_ms,
-                                        service->cold_per_s, now_ms),
-            };
-        }
-    }
-    size_t moves = RsBalance_Plan(entry->map, &input);
-    note_demand(node, &input, now_ms);
-    if (moves > 0) {
-        entry->dirty = true;
-        RsLog_EVENT(RsLog_INFO, "keys_planned",
-                    RsLog_TEXT("service", service->name),
-                    RsLog_NUMBER("pieces", moves),
-                    RsLog_NUMBER("ranges", entry->map->ranges->len),
-                    RsLog_NUMBER("next_fence", entry->map->next_fence));
-    }
-    g_free(targets);
-}
-
 static void
 plan(struct node *node, int64_t now_ms)
 {
-    const struct rs_routing *config = node->router.config;
-    if (config == NULL || !node->targets_known ||
-        now_ms - node->targets_known_ms < FIRST_PLAN_AFTER_MS ||
-        !RsGranter_MayPlan(&node->granter, now_ms)) {
-        return;
-    }
-    for (size_t i = 0; i < config->service_count; i++) {
-        if (config->services[i].sharded) {
-            plan_service(node, &config->services[i], now_ms);
-        }
+    if (node->targets_known &&
+        now_ms - node->targets_known_ms >= FIRST_PLAN_AFTER_MS) {
+        RsOwners_Plan(&node->router, &node->granter, node->reports, now_ms);
     }
 }
 
--- /dev/null
+++ b/router/owners.c
@@ -0,0 +1,151 @@
+#include "router/owners.h"
+
+#include <math.h>
+
+#include "core/log.h"
+#include "router/balance.h"
+
+/* Orders that fail for this long mean that a target can't be reached. */
+#define UNREACHABLE_MS 1500
+#define COLD_CAPACITY_SHARE 0.6 /* of the rate that a cold target bears */
+#define MS_PER_S 1000.0
+
+/* What a plan is made from. */
+struct planning {
+    struct rs_router *router;
+    struct rs_granter *granter;
+    struct rs_reports *reports;
+    int64_t now_ms;
+};
+
+/* Returns the least latency target of the routes to a service, in ms. */
+static double
+latency_target_ms(const struct rs_routing *config, const char *service)
+{
+    double least_ms = INFINITY;
+    for (size_t i = 0; i < config->route_count; i++) {
+        const struct rs_route *route = &config->routes[i];
+        for (size_t k = 0; k < route->share_count; k++) {
+            if (route->shares[k].service == service) {
+                least_ms = MIN(least_ms, route->target_latency_ms);
+            }
+        }
+    }
+    return least_ms;
+}
+
+static double
+capacity_of(const struct rs_fleet_target *target, double latency_ms,
+            double cold_per_s, int64_t now_ms)
+{
+    double capacity = RsLoad_PunctualPerS(target, latency_ms);
+    if (now_ms < target->cold_until_ms && cold_per_s > 0) {
+        capacity = MIN(capacity, cold_per_s * COLD_CAPACITY_SHARE);
+    }
+    return capacity;
+}
+
+static bool
+can_own(const struct planning *planning, const struct rs_fleet_target *target)
+{
+    bool unreachable =
+        target->order_failing_since_ms > 0 &&
+        planning->now_ms - target->order_failing_since_ms > UNREACHABLE_MS;
+    return RsFleet_MayTakeWork(&planning->router->fleet, target,
+                               planning->now_ms) &&
+           !unreachable;
+}
+
+/* Notes which targets are asked for more than they can run. */
+static void
+note_demand(const struct planning *planning,
+            const struct rs_balance_input *input)
+{
+    for (size_t i = 0; i < input->target_count; i++) {
+        const struct rs_balance_target *item = &input->targets[i];
+        struct rs_fleet_target *target =
+            RsFleet_Find(&planning->router->fleet, item->owner.id);
+        target->demand_per_s = item->load > item->capacity ? item->load : 0;
+        target->demand_at_ms = planning->now_ms;
+    }
+}
+
+/* Fills in the targets of a service, for which there must be room. */
+static size_t
+list_targets(const struct planning *planning, const struct rs_service *service,
+             struct rs_balance_target *targets)
+{
+    const GPtrArray *list = planning->router->fleet.list;
+    double latency_ms =
+        latency_target_ms(planning->router->config, service->name);
+    size_t count = 0;
+    for (guint i = 0; i < list->len; i++) {
+        const struct rs_fleet_target *target = g_ptr_array_index(list, i);
+        if (target->report.service == service->name) {
+            targets[count++] = (struct rs_balance_target){
+                .owner = {target->id, target->report.born_ms,
+                          target->report.address_text},
+                .eligible = can_own(planning, target),
+                .capacity = capacity_of(target, latency_ms,
+                                        service->cold_per_s, planning->now_ms),
+            };
+        }
+    }
+    return count;
+}
+
+static void
+log_plan(const struct rs_granter_map *entry, size_t changes)
+{
+    RsLog_EVENT(RsLog_INFO, "keys_planned",
+                RsLog_TEXT("service", entry->map->service),
+                RsLog_NUMBER("pieces", changes),
+                RsLog_NUMBER("ranges", entry->map->ranges->len),
+                RsLog_NUMBER("next_fence", entry->map->next_fence));
+}
+
+static void
+plan_service(const struct planning *planning, const struct rs_service *service)
+{
+    struct rs_granter_map *entry =
+        RsGranter_FindMap(planning->granter, service->name);
+    if (entry == NULL) {
+        entry = RsGranter_AddMap(planning->granter, service->name);
+    }
+    if (entry == NULL || entry->dirty || entry->offered) {
+        return;
+    }
+    struct rs_balance_target *targets = g_new0(
+        struct rs_balance_target, planning->router->fleet.list->len + 1);
+    struct rs_balance_input input = {
+        .targets = targets,
+        .target_count = list_targets(planning, service, targets),
+        .rates = RsReports_Rates(planning->reports, service->name,
+                                 planning->now_ms),
+        .window_s = RsReports_RATE_WINDOW_MS / MS_PER_S,
+    };
+    size_t changes = RsBalance_Plan(entry->map, &input);
+    note_demand(planning, &input);
+    if (changes > 0) {
+        entry->dirty = true;
+        log_plan(entry, changes);
+    }
+    g_free(targets);
+}
+
+/* Changes the granter's maps, if it may do so now. */
+void
+RsOwners_Plan(struct rs_router *router, struct rs_granter *granter,
+              struct rs_reports *reports, int64_t now_ms)
+{
+    const struct planning planning = {router, granter, reports, now_ms};
+    const struct rs_routing *config = router->config;
+    if (config == NULL || !RsGranter_MayPlan(granter, now_ms)) {
+        return;
+    }
+    for (size_t i = 0; i < config->service_count; i++) {
+        if (config->services[i].sharded) {
+            plan_service(&planning, &config->services[i]);
+        }
+    }
+}
--- a/router/rows.c
+++ b/router/rows.c
@@ -206,9 +206,11 @@
     mirror->version = MAX(mirror->version, version);
 }
 
-/* Visits the rows that are newer than a version, deleted ones too. */
+/* Visits the rows that are newer than a version, deleted ones too; or, for
+ * those who know all that this mirror held at that version, only the rows that
+ * have had a change since. */
 void
-RsRows_Since(const struct rs_rows *mirror, uint64_t version,
+RsRows_Since(const struct rs_rows *mirror, uint64_t version, bool changes_only,
              rs_rows_visitor visit, void *arg)
 {
     GHashTableIter iter;
@@ -216,24 +218,8 @@
     g_hash_table_iter_init(&iter, mirror->rows);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct rs_known_row *row = value;
-        if (row->version > version) {
-            visit(arg, row);
-        }
-    }
-}
-
-/* Visits the rows that have had a change after a version, deleted ones too.
- * For those who know all that this mirror held at that version. */
-void
-RsRows_ChangedSince(const struct rs_rows *mirror, uint64_t version,
-                    rs_rows_visitor visit, void *arg)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, mirror->rows);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct rs_known_row *row = value;
-        if (row->changed_version > version) {
+        uint64_t changed = changes_only ? row->changed_version : row->version;
+        if (changed > version) {
             visit(arg, row);
         }
     }
--- a/router/rows.h
+++ b/router/rows.h
@@ -69,8 +69,6 @@
 struct rs_rows_form RsRows_Form(struct rs_known_row *row, bool has_former);
 
 void RsRows_Since(const struct rs_rows *mirror, uint64_t version,
-                  rs_rows_visitor visit, void *arg);
-void RsRows_ChangedSince(const struct rs_rows *mirror, uint64_t version,
-                         rs_rows_visitor visit, void *arg);
+                  bool changes_only, rs_rows_visitor visit, void *arg);
 
 #endif
--- a/router/stream.c
+++ b/router/stream.c
@@ -123,14 +123,11 @@
     struct row_list list = {
         .rows = g_array_new(FALSE, FALSE, sizeof(Rs__Stream__Update__Row))};
     uint64_t told = subscriber->versions[table];
-    if (subscriber->joined[table]) {
-        list.told = told;
-        RsRows_ChangedSince(mirror, told, add_row, &list);
-    }
-    else {
-        /* It may have learnt of changes that this node did not see. */
-        RsRows_Since(mirror, told, add_row, &list);
-    }
+    /* A new subscriber may have learnt of changes that this node did not see,
+     * so that it gets all newer rows. */
+    bool joined = subscriber->joined[table];
+    list.told = joined ? told : 0;
+    RsRows_Since(mirror, told, joined, add_row, &list);
     subscriber->joined[table] = true;
     subscriber->versions[table] = mirror->version;
     if (list.rows->len == 0 && told != 0) {
