--- a/router/balance_test.c
+++ b/router/balance_test.c
@@ -6,13 +6,14 @@
 
 #define TARGETS 4
 #define MANY_TARGETS 150
+#define MOST_TARGETS 1000
 #define LAST_KEY (RsKeymap_KEYS - 1)
 #define CAPACITY_PER_S 20.0
 #define WINDOW_S 1.5
 
 struct scene {
     struct rs_keymap *map;
-    struct rs_balance_target targets[MANY_TARGETS];
+    struct rs_balance_target targets[MOST_TARGETS];
     struct rs_balance_input input;
     float rates[RsKeymap_KEYS];
 };
@@ -243,6 +244,31 @@
     free_scene(scene);
 }
 
+/* The load pattern: a failure domain is lost, and with it a third of a
+ * thousand targets. All their keys get owners in one plan, and the map still
+ * fits its row of 64 KiB, which takes some 2,500 ranges. */
+static void
+test_loss_of_a_domain_leaves_a_map_that_fits(void)
+{
+    struct scene *scene = new_scene_of(MOST_TARGETS);
+    plan_out(scene);
+    for (uint32_t key = 0; key < RsKeymap_KEYS; key++) {
+        scene->rates[key] = 0.1f;
+    }
+    for (size_t i = 0; i < MOST_TARGETS; i += 3) {
+        scene->targets[i].eligible = false;
+    }
+    RsBalance_Plan(scene->map, &scene->input);
+    settle_all(scene);
+    CU_ASSERT_TRUE(scene->map->ranges->len < 2 * MOST_TARGETS);
+    for (size_t i = 0; i < MOST_TARGETS; i += 3) {
+        CU_ASSERT_EQUAL(load_of(scene, i), 0);
+    }
+    double fair = 0.1 * RsKeymap_KEYS / MOST_TARGETS * 3 / 2;
+    CU_ASSERT_TRUE(most_load(scene) < 2 * fair);
+    free_scene(scene);
+}
+
 /* The load pattern: the busy keys are others every few seconds, for a quarter
  * of an hour. */
 static void
@@ -293,6 +319,7 @@
     CU_ADD_TEST(suite, test_chance_moves_nothing);
     CU_ADD_TEST(suite, test_keys_of_a_lost_target_go_to_all_others);
     CU_ADD_TEST(suite, test_slow_target_gives_keys_away);
+    CU_ADD_TEST(suite, test_loss_of_a_domain_leaves_a_map_that_fits);
     CU_ADD_TEST(suite, test_ranges_do_not_grow_in_number);
     CU_ADD_TEST(suite, test_no_target_changes_nothing);
     CU_basic_run_tests();
