End an entry process only when its answers have reached the other processes

Ruled out: the callers' own connections; a request counts there until the system has taken all of its answer.

wire_test shows that bytes count until the peer has them.

--- a/dispatch/relay_server.c
+++ b/dispatch/relay_server.c
@@ -13,6 +13,7 @@
     struct rs_link_listener *listener;
     size_t max_streams;
     size_t streams;
+    GPtrArray *sessions;
 };
 
 struct session {
@@ -206,6 +207,7 @@
         g_hash_table_iter_init(&iter, session->streams);
     }
     g_hash_table_destroy(session->streams);
+    g_ptr_array_remove_fast(session->server->sessions, session);
     g_free(session);
 }
 
@@ -231,6 +233,7 @@
     session->link = link;
     session->streams =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_stream);
+    g_ptr_array_add(session->server->sessions, session);
     RsLink_SetEvents(link, &link_events, session);
 }
 
@@ -243,6 +246,7 @@
     struct rs_relay_server *server = g_new0(struct rs_relay_server, 1);
     server->holder = options->holder;
     server->max_streams = options->max_streams;
+    server->sessions = g_ptr_array_new();
     *out = server;
     return RsLink_Listen(options->loop, &options->address, MAX_QUEUE_BYTES,
                          on_accept, server, &server->listener);
@@ -254,3 +258,16 @@
 {
     return server->streams;
 }
+
+/* Returns the bytes of answers that other fronts have not got yet, also of
+ * requests that are not open any more. */
+size_t
+RsRelayServer_UnsentBytes(const struct rs_relay_server *server)
+{
+    size_t bytes = 0;
+    for (guint i = 0; i < server->sessions->len; i++) {
+        const struct session *session = g_ptr_array_index(server->sessions, i);
+        bytes += RsLink_UnsentBytes(session->link);
+    }
+    return bytes;
+}
--- a/front/data_task.c
+++ b/front/data_task.c
@@ -168,7 +168,8 @@
 {
     return RsFront_OpenRequests(data->front) == 0 &&
            RsHolder_Works(data->holder) == 0 &&
-           RsRelayServer_Streams(data->relay) == 0;
+           RsRelayServer_Streams(data->relay) == 0 &&
+           RsRelayServer_UnsentBytes(data->relay) == 0;
 }
 
 /* First the balancer is given time to turn away; then, with nothing open, the
--- a/wire/link.c
+++ b/wire/link.c
@@ -1,7 +1,9 @@
 #include "wire/link.h"
 
 #include <glib.h>
+#include <linux/sockios.h>
 #include <stdbool.h>
+#include <sys/ioctl.h>
 
 #include "wire/frame.h"
 
@@ -295,6 +297,21 @@
     return link->received_bytes;
 }
 
+/* Returns the bytes that the peer has not got yet: those that the system has
+ * not taken, and those that it has not seen acknowledged. A process that ends
+ * before may take them along. */
+size_t
+RsLink_UnsentBytes(const struct rs_link *link)
+{
+    uv_os_fd_t fd;
+    int unacknowledged = 0;
+    if (uv_fileno((const uv_handle_t *)&link->tcp, &fd) == 0 &&
+        ioctl(fd, SIOCOUTQ, &unacknowledged) != 0) {
+        unacknowledged = 0; /* not connected */
+    }
+    return RsLink_QueuedBytes(link) + (size_t)unacknowledged;
+}
+
 /* Closes without telling the owner; no call follows. */
 void
 RsLink_Close(struct rs_link *link)
--- a/wire/link.h
+++ b/wire/link.h
@@ -54,6 +54,7 @@
  * large. */
 int RsLink_SendFrame(struct rs_link *link, uint8_t *data, size_t size_bytes);
 size_t RsLink_QueuedBytes(const struct rs_link *link);
+size_t RsLink_UnsentBytes(const struct rs_link *link);
 uint64_t RsLink_ReceivedBytes(const struct rs_link *link);
 void RsLink_Close(struct rs_link *link);
 void RsLink_Abort(struct rs_link *link);
--- a/wire/wire_test.c
+++ b/wire/wire_test.c
@@ -1,8 +1,16 @@
 #include <CUnit/Basic.h>
 #include <glib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include "core/clock.h"
 #include "dispatch/relay.pb-c.h"
 #include "wire/frame.h"
+#include "wire/link.h"
+
+#define LINK_PORT 29318
+#define LINK_QUEUE_BYTES (64 * 1024 * 1024)
+#define LINK_LIMIT_MS 5000
 
 struct seen {
     int frames;
@@ -125,6 +133,76 @@
     CU_ASSERT_PTR_NULL(pack_body(RsFrame_MAX_BYTES, &size));
 }
 
+static struct rs_link *accepted;
+
+static int
+ignore_frame(void *arg, const uint8_t *data, size_t size_bytes)
+{
+    return 0;
+}
+
+static void
+ignore_closed(void *arg, int error)
+{
+}
+
+static const struct rs_link_events ignoring = {
+    .frame = ignore_frame,
+    .closed = ignore_closed,
+};
+
+static void
+keep_accepted(void *arg, struct rs_link *link)
+{
+    accepted = link;
+    RsLink_SetEvents(link, &ignoring, NULL);
+}
+
+/* Runs the loop for a while, or until the bytes are sent. */
+static void
+run_while_unsent(uv_loop_t *loop, int64_t limit_ms)
+{
+    int64_t end_ms = RsClock_NowMs() + limit_ms;
+    while (RsClock_NowMs() < end_ms &&
+           (accepted == NULL || RsLink_UnsentBytes(accepted) > 0)) {
+        uv_run(loop, UV_RUN_NOWAIT);
+    }
+}
+
+/* A process that leaves must not end while another has not got the end of an
+ * answer: the other one's caller would get it cut short. */
+static void
+test_bytes_count_as_unsent_until_the_peer_has_them(void)
+{
+    static char sink[65536];
+    uv_loop_t loop;
+    struct rs_link_listener *listener;
+    struct sockaddr_in address;
+    size_t size = 0;
+    uv_loop_init(&loop);
+    uv_ip4_addr("127.0.0.1", LINK_PORT, &address);
+    CU_ASSERT_EQUAL_FATAL(RsLink_Listen(&loop, &address, LINK_QUEUE_BYTES,
+                                        keep_accepted, NULL, &listener),
+                          0);
+    int peer = socket(AF_INET, SOCK_STREAM, 0);
+    CU_ASSERT_EQUAL_FATAL(
+        connect(peer, (struct sockaddr *)&address, sizeof(address)), 0);
+    run_while_unsent(&loop, 100);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(accepted);
+    uint8_t *frame = pack_body(RsFrame_MAX_BYTES - 64, &size);
+    CU_ASSERT_EQUAL(RsLink_SendFrame(accepted, frame, size), 0);
+    /* The peer does not read. */
+    run_while_unsent(&loop, 100);
+    CU_ASSERT_TRUE(RsLink_UnsentBytes(accepted) > 0);
+    int64_t end_ms = RsClock_NowMs() + LINK_LIMIT_MS;
+    while (RsLink_UnsentBytes(accepted) > 0 && RsClock_NowMs() < end_ms) {
+        (void)recv(peer, sink, sizeof(sink), MSG_DONTWAIT);
+        uv_run(&loop, UV_RUN_NOWAIT);
+    }
+    CU_ASSERT_EQUAL(RsLink_UnsentBytes(accepted), 0);
+    close(peer);
+}
+
 int
 main(void)
 {
@@ -135,6 +213,7 @@
     CU_ADD_TEST(suite, test_message_that_fits_no_frame_is_not_packed);
     CU_ADD_TEST(suite, test_oversize_frame_is_refused_at_its_length);
     CU_ADD_TEST(suite, test_malformed_message_ends_the_reading);
+    CU_ADD_TEST(suite, test_bytes_count_as_unsent_until_the_peer_has_them);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
     CU_cleanup_registry();
