--- a/router/owners.c
+++ b/router/owners.c
@@ -122,7 +122,7 @@
         .target_count = list_targets(planning, service, targets),
         .rates = RsReports_Rates(planning->reports, service->name,
                                  planning->now_ms),
-        .window_s = RsReports_RATE_WINDOW_MS / MS_PER_S,
+        .window_s = RsReports_WINDOW_S,
     };
     size_t changes = RsBalance_Plan(entry->map, &input);
     note_demand(planning, &input);
--- a/router/reports.c
+++ b/router/reports.c
@@ -14,6 +14,12 @@
  * granter, or paused, may go on, and the shares of budgets must not grow. */
 #define NODE_LIFETIME_MS 60000
 #define MS_PER_S 1000.0
+/* Keys get busy within a second, but over a window that shows this, chance
+ * makes up a quarter of the rate of a target's keys. A longer one evens it
+ * out. */
+#define FAST_WINDOW_MS 1500.0
+#define SLOW_WINDOW_MS 5000.0
+#define FAST_SHARE 0.4F
 #define US_PER_MS 1000.0
 #define MAX_DATAGRAM_BYTES 60000
 #define MAX_KEYS 4000 /* in one report */
@@ -43,7 +49,9 @@
 };
 
 struct rates {
-    float per_key[RsKeymap_KEYS];
+    float fast[RsKeymap_KEYS];  /* over FAST_WINDOW_MS */
+    float slow[RsKeymap_KEYS];  /* over SLOW_WINDOW_MS */
+    float blend[RsKeymap_KEYS]; /* filled in when asked for */
     int64_t decayed_ms;
 };
 
@@ -112,13 +120,17 @@
                 int64_t now_ms)
 {
     struct rates *rates = rates_of(reports, service, now_ms);
-    float factor = (float)exp(-(double)(now_ms - rates->decayed_ms) /
-                              RsReports_RATE_WINDOW_MS);
+    double span_ms = (double)(now_ms - rates->decayed_ms);
+    float fast = (float)exp(-span_ms / FAST_WINDOW_MS);
+    float slow = (float)exp(-span_ms / SLOW_WINDOW_MS);
     for (size_t key = 0; key < RsKeymap_KEYS; key++) {
-        rates->per_key[key] *= factor;
+        rates->fast[key] *= fast;
+        rates->slow[key] *= slow;
+        rates->blend[key] = FAST_SHARE * rates->fast[key] +
+                            (1 - FAST_SHARE) * rates->slow[key];
     }
     rates->decayed_ms = now_ms;
-    return rates->per_key;
+    return rates->blend;
 }
 
 static void
@@ -131,8 +143,10 @@
             rates_of(reports, g_intern_string(keys->service), now_ms);
         for (size_t k = 0; k < keys->n_keys; k++) {
             if (keys->keys[k] < RsKeymap_KEYS) {
-                rates->per_key[keys->keys[k]] +=
-                    (float)(MS_PER_S / RsReports_RATE_WINDOW_MS);
+                rates->fast[keys->keys[k]] +=
+                    (float)(MS_PER_S / FAST_WINDOW_MS);
+                rates->slow[keys->keys[k]] +=
+                    (float)(MS_PER_S / SLOW_WINDOW_MS);
             }
         }
     }
--- a/router/reports.h
+++ b/router/reports.h
@@ -9,7 +9,9 @@
 
 /* Requests of this span make a rate: a hot key must be noticed within a
  * second. */
-#define RsReports_RATE_WINDOW_MS 1500
+/* Rates vary by chance as if counted over this time: 0.4 of a window of 1.5 s
+ * and 0.6 of one of 5 s. */
+#define RsReports_WINDOW_S 3.0
 
 struct rs_reports;
 
