--- a/router/stream.c
+++ b/router/stream.c
@@ -57,7 +57,8 @@
     bool asks_store; /* no other node feeds this one */
     int64_t hold_until_ms;
     bool knows_holder; /* a lease was seen, so that there is one to look for */
-    bool misses_rows;  /* they were asked for; beats don't count until then */
+    /* Its rows were asked for anew; beats don't count until they came. */
+    const struct rs_follower *incomplete;
     bool leaving;
     int64_t heard_ms;        /* last beat that was up to date */
     uint64_t received_bytes; /* by the link so far */
@@ -483,7 +484,12 @@
         forms[i].packed = copy_bytes(&row->packed);
         forms[i].patch = copy_bytes(&row->patch);
     }
-    stream->misses_rows = !fits;
+    if (!fits) {
+        stream->incomplete = follower;
+    }
+    else if (stream->incomplete == follower) {
+        stream->incomplete = NULL;
+    }
     if (fits) {
         /* Takes over the forms. */
         RsFollower_Feed(follower, &rows, forms, update->whole);
@@ -507,7 +513,7 @@
 {
     int64_t now_ms = RsClock_NowMs();
     struct rs_granter *granter = stream->options.granter;
-    if (stream->misses_rows) {
+    if (stream->incomplete != NULL) {
         return;
     }
     stream->late_ms =
@@ -618,7 +624,7 @@
     stream->delay = (struct rs_delay){0};
     stream->received_bytes = 0;
     stream->received_ms = 0;
-    stream->misses_rows = false;
+    stream->incomplete = NULL;
     stream->heard_ms = now_ms;
 }
 
