--- a/router/node.c
+++ b/router/node.c
@@ -32,14 +32,14 @@
  * target leaves still learn it within a second. */
 #define TARGETS_PAUSE_MS_PER_NODE 8
 #define TARGETS_MOST_PAUSE_MS 900
+/* The same for owners of keys, which change several times a second. */
+#define KEYS_PAUSE_MS_PER_NODE 4
+#define KEYS_MOST_PAUSE_MS 400
 /* After failed calls, all nodes together make some hundred calls a second at
  * the most; after an outage each is up to date well within 3 s. */
 #define RETRY_LEAST_MOST_MS 500
 #define RETRY_MS_PER_NODE 20
 #define RETRY_MOST_MS 1500
-/* The same for owners of keys, which change several times a second. */
-#define KEYS_PAUSE_MS_PER_NODE 4
-#define KEYS_MOST_PAUSE_MS 400
 /* Subscribers take news for out of date after 1.5 s without an answer. */
 #define OPERATOR_WAIT_MS 500
 #define KEYS_WAIT_MS 800
@@ -385,17 +385,11 @@
     }
 }
 
-/* The node with the lease may have given it up when its stream ends. */
+/* Sets how often this node asks the store, if it does: the granter reads for
+ * all, the others ask less often the more nodes there are. */
 static void
-watch_stream(struct node *node, int64_t now_ms)
+pace_followers(struct node *node, bool leads)
 {
-    bool fed = RsStream_IsFed(node->stream);
-    if (fed) {
-        RsFleet_NoteStore(&node->router.fleet, true, now_ms);
-    }
-    bool leads = RsGranter_HasAuthority(&node->granter, now_ms);
-    RsFollower_SetFed(node->key_rows,
-                      leads || !RsStream_AsksStore(node->stream));
     uint32_t nodes = node->router.share.nodes;
     uint32_t retry_ms =
         CLAMP(nodes * RETRY_MS_PER_NODE, RETRY_LEAST_MOST_MS, RETRY_MOST_MS);
@@ -410,6 +404,20 @@
     RsFollower_SetPause(
         node->key_rows,
         MIN(SOON_MS + nodes * KEYS_PAUSE_MS_PER_NODE, KEYS_MOST_PAUSE_MS));
+}
+
+/* The node with the lease may have given it up when its stream ends. */
+static void
+watch_stream(struct node *node, int64_t now_ms)
+{
+    bool fed = RsStream_IsFed(node->stream);
+    bool leads = RsGranter_HasAuthority(&node->granter, now_ms);
+    if (fed) {
+        RsFleet_NoteStore(&node->router.fleet, true, now_ms);
+    }
+    RsFollower_SetFed(node->key_rows,
+                      leads || !RsStream_AsksStore(node->stream));
+    pace_followers(node, leads);
     if (node->was_fed && !fed) {
         node->lease_asked_ms = now_ms + RESIGNATION_MS;
     }
