Tell a node the whole table when deletions that it missed are not known

The node took the zone for evacuated for good. It has been so since the stream was built, also for targets that are gone.

--- a/router/fleet_test.c
+++ b/router/fleet_test.c
@@ -417,6 +417,26 @@
     RsRows_Clear(&rows);
 }
 
+/* Soak seed 314: a zone was taken back while a node was cut off, and then its
+ * feeding node started anew. Nobody told the node of the row that was gone. */
+static void
+test_whoever_may_have_rows_that_are_gone_is_told_all(void)
+{
+    struct rs_rows rows;
+    struct rs_store_row row = {.key = "k", .value = "", .version = 5};
+    RsRows_Init(&rows);
+    RsRows_BeginWhole(&rows);
+    RsRows_Put(&rows, &row, RsRows_CHANGED);
+    RsRows_EndWhole(&rows, 7, collect, NULL);
+    CU_ASSERT_FALSE(RsRows_KnowsSince(&rows, 0));
+    CU_ASSERT_FALSE(RsRows_KnowsSince(&rows, 6));
+    CU_ASSERT_TRUE(RsRows_KnowsSince(&rows, 7));
+    row.version = 9;
+    RsRows_Put(&rows, &row, RsRows_CHANGED);
+    CU_ASSERT_TRUE(RsRows_KnowsSince(&rows, 8));
+    RsRows_Clear(&rows);
+}
+
 int
 main(void)
 {
@@ -442,6 +462,7 @@
     CU_ADD_TEST(suite, test_rows_are_news_once);
     CU_ADD_TEST(suite, test_rows_that_say_the_same_are_not_passed_on);
     CU_ADD_TEST(suite, test_row_that_is_ignored_leaves_what_was_known);
+    CU_ADD_TEST(suite, test_whoever_may_have_rows_that_are_gone_is_told_all);
     CU_ADD_TEST(suite, test_whole_reading_drops_what_it_does_not_name);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
--- a/router/rows.c
+++ b/router/rows.c
@@ -204,6 +204,15 @@
         gone(arg, row);
     }
     mirror->version = MAX(mirror->version, version);
+    mirror->complete_from = MAX(mirror->complete_from, version);
+}
+
+/* Tells whether somebody who knows the table up to a version can be told what
+ * changed since; otherwise it must be told the whole table. */
+bool
+RsRows_KnowsSince(const struct rs_rows *mirror, uint64_t version)
+{
+    return version > 0 && version >= mirror->complete_from;
 }
 
 /* Visits the rows that are newer than a version, deleted ones too; or, for
--- a/router/rows.h
+++ b/router/rows.h
@@ -36,6 +36,9 @@
 struct rs_rows {
     GHashTable *rows; /* key to struct rs_known_row */
     uint64_t version; /* the table is known up to here */
+    /* Rows that were deleted before this version are not known of: the table
+     * was read whole then. */
+    uint64_t complete_from;
 };
 
 typedef void (*rs_rows_visitor)(void *arg, struct rs_known_row *row);
@@ -68,6 +71,9 @@
 
 struct rs_rows_form RsRows_Form(struct rs_known_row *row, bool has_former);
 
+/* Tells whether all changes after a version are known, deletions too. */
+bool RsRows_KnowsSince(const struct rs_rows *mirror, uint64_t version);
+
 void RsRows_Since(const struct rs_rows *mirror, uint64_t version,
                   bool changes_only, rs_rows_visitor visit, void *arg);
 
--- a/router/stream.c
+++ b/router/stream.c
@@ -124,6 +124,10 @@
     struct row_list list = {
         .rows = g_array_new(FALSE, FALSE, sizeof(Rs__Stream__Update__Row))};
     uint64_t told = subscriber->versions[table];
+    if (!RsRows_KnowsSince(mirror, told)) {
+        told =
+            0; /* it may have rows that are gone, of which nothing is known */
+    }
     /* A new subscriber may have learnt of changes that this node did not see,
      * so that it gets all newer rows. */
     bool joined = subscriber->joined[table];
