Count targets that are still asked as attempts

Also a route that allows one attempt could be hedged.

The failed answer is now left out while another target is still asked. The test fails without the change.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -229,11 +229,22 @@
     }
 }
 
+static uint32_t
+count_active(const struct rs_request *request)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < request->attempt_count; i++) {
+        count += request->attempts[i].exchange != NULL;
+    }
+    return count;
+}
+
 /* Tells whether the request may be sent to one more target. */
 static bool
 may_repeat(struct rs_request *request, int64_t now_ms)
 {
-    if (request->attempts_sent >= request->route->max_attempts ||
+    if (!RsLoad_MayTryOneMore(request->route->max_attempts,
+                              request->attempts_sent, count_active(request)) ||
         request->attempt_count == RsRequest_MAX_ATTEMPTS ||
         (request->may_have_run && !request->route->idempotent)) {
         return false;
@@ -281,12 +292,7 @@
 bool
 RsAttempt_AnyActive(const struct rs_request *request)
 {
-    for (uint32_t i = 0; i < request->attempt_count; i++) {
-        if (request->attempts[i].exchange != NULL) {
-            return true;
-        }
-    }
-    return false;
+    return count_active(request) > 0;
 }
 
 /* Ends all attempts but one. */
@@ -374,6 +380,27 @@
     attempt->target->in_flight--;
 }
 
+/* Leaves out the answer of a target that failed, if another one is still being
+ * asked, or may be asked. */
+static bool
+leave_failure(struct rs_attempt *attempt, int64_t now_ms)
+{
+    struct rs_request *request = attempt->request;
+    bool others = count_active(request) > 1;
+    if (!others && !may_repeat(request, now_ms)) {
+        return false;
+    }
+    log_attempt(attempt, "server-error");
+    request->may_have_run = true;
+    request->reason = "target-failed";
+    request->attempts_sent++;
+    end_exchange(attempt);
+    if (!others) {
+        RsAttempt_Next(request, now_ms);
+    }
+    return true;
+}
+
 static void
 on_head(void *arg, const struct rs_http_head *head)
 {
@@ -406,17 +433,8 @@
         return;
     }
     if (head->status >= STATUS_SERVER_ERROR && request->route->idempotent &&
-        request->attempts_sent + 1 < request->route->max_attempts &&
-        !request->service->sharded) {
-        request->may_have_run = true;
-        request->reason = "target-failed";
-        log_attempt(attempt, "server-error");
-        if (may_repeat(request, now_ms)) {
-            request->attempts_sent++;
-            end_exchange(attempt);
-            RsAttempt_Next(request, now_ms);
-            return;
-        }
+        !request->service->sharded && leave_failure(attempt, now_ms)) {
+        return;
     }
     attempt->sound = true;
     RsReply_TakeHead(attempt, head);
--- a/router/load.c
+++ b/router/load.c
@@ -359,6 +359,14 @@
     budget->requests[budget->second % RsLoad_BUDGET_SLOTS]++;
 }
 
+/* Tells whether one more target may be asked: those that are still being asked
+ * count like those that did not answer. */
+bool
+RsLoad_MayTryOneMore(uint32_t max_attempts, uint32_t ended, uint32_t active)
+{
+    return ended + active < max_attempts;
+}
+
 /* Tells whether a request may be sent once more, and counts it if so. */
 bool
 RsLoad_TakeRepeat(struct rs_load_budget *budget, uint32_t nodes,
--- a/router/load.h
+++ b/router/load.h
@@ -74,6 +74,9 @@
 };
 
 void RsLoad_CountRequest(struct rs_load_budget *budget, int64_t now_ms);
+/* Whether one more target may be asked, of so many at the most. */
+bool RsLoad_MayTryOneMore(uint32_t max_attempts, uint32_t ended,
+                          uint32_t active);
 bool RsLoad_TakeRepeat(struct rs_load_budget *budget, uint32_t nodes,
                        int64_t now_ms);
 
--- a/router/load_test.c
+++ b/router/load_test.c
@@ -272,6 +272,18 @@
     CU_ASSERT_TRUE(total >= 300);
 }
 
+/* A second target was asked as the first was late, and failed: a third one may
+ * not be asked while the first still works, where two are allowed. */
+static void
+test_targets_still_asked_count_as_attempts(void)
+{
+    CU_ASSERT_TRUE(RsLoad_MayTryOneMore(2, 0, 1));
+    CU_ASSERT_FALSE(RsLoad_MayTryOneMore(2, 0, 2));
+    CU_ASSERT_FALSE(RsLoad_MayTryOneMore(2, 1, 1));
+    CU_ASSERT_TRUE(RsLoad_MayTryOneMore(3, 1, 1));
+    CU_ASSERT_FALSE(RsLoad_MayTryOneMore(1, 0, 1));
+}
+
 static void
 test_quiet_node_repeats_within_its_part_of_the_slack(void)
 {
@@ -314,6 +326,7 @@
     CU_ADD_TEST(suite, test_many_nodes_share_the_bound_of_a_cold_target);
     CU_ADD_TEST(suite, test_target_that_turns_cold_is_within_its_bound);
     CU_ADD_TEST(suite, test_repeats_stay_in_the_budget_of_all_nodes);
+    CU_ADD_TEST(suite, test_targets_still_asked_count_as_attempts);
     CU_ADD_TEST(suite, test_quiet_node_repeats_within_its_part_of_the_slack);
     CU_ADD_TEST(suite, test_return_is_spread_over_a_third_of_the_time_left);
     CU_basic_run_tests();
