Count a target's leaving from the last current table

Cause: a node that learned late that an owner was leaving (the granter was cut off from the store) kept sending it requests for its keys for one second from the news, though the owner stops accepting them drain_ms after its own report. It may have begun to leave at any time since the table was last up to date.

Change: the fleet counts from the last time at which the target table was known to be up to date, and stops half a second before drain_ms, which is now a setting (bounds.drain_ms), since it differs between deployments. Evacuations are counted the same way.

The new test fails when the time of the news is used.

Ruled out: a shorter time from the news; it would be too long for a node that learns two seconds late and too short for one that learns at once.

--- a/router/fleet.c
+++ b/router/fleet.c
@@ -36,26 +36,51 @@
 /* Limits the pause, so that a target that has recovered is soon found. */
 #define AVOID_MAX_MS 1600
 
-/* How long at most a leaving target is still sent requests for its keys while
- * they are handed over. It accepts requests until 2 s after it starts to
- * leave. This node may learn of that up to 0.6 s late. */
-#define KEEP_LEAVING_MS 1000
-/* The same for a target in an evacuated zone; such a target accepts requests
- * for 5 s. */
-#define KEEP_EVACUATED_MS 2500
+/* A leaving target is sent requests for its keys, while they are handed over,
+ * until this long before it stops accepting requests. A request may take that
+ * long to reach the target, for instance on a new connection. */
+#define DRAIN_MARGIN_MS 500
+#define DEFAULT_DRAIN_MS 2000 /* until RsFleet_SetDrainMs() is called */
+/* How long after the request for its evacuation a zone's targets are sent
+ * requests for their keys. They accept requests for 5 s. */
+#define KEEP_EVACUATED_MS 3300
 
 /* Initializes an empty fleet. The events must outlive it. */
 void
 RsFleet_Init(struct rs_fleet *fleet, const struct rs_fleet_events *events,
              void *arg)
 {
-    *fleet = (struct rs_fleet){.events = events, .arg = arg};
+    *fleet = (struct rs_fleet){
+        .events = events, .arg = arg, .drain_ms = DEFAULT_DRAIN_MS};
     fleet->targets = g_hash_table_new(g_direct_hash, g_direct_equal);
     fleet->list = g_ptr_array_new();
     fleet->evacuated =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 }
 
+/* Sets how long a leaving target accepts requests. */
+void
+RsFleet_SetDrainMs(struct rs_fleet *fleet, uint32_t drain_ms)
+{
+    fleet->drain_ms = drain_ms;
+}
+
+/* Records when the target table was last known to be up to date; 0: never.
+ * What the rows applied next report may have happened since then. */
+void
+RsFleet_RecordRowsCurrent(struct rs_fleet *fleet, int64_t at_ms)
+{
+    fleet->rows_current_at_ms = at_ms;
+}
+
+/* Returns the earliest time at which what a row reports now may have happened,
+ * at least 1. */
+static int64_t
+earliest_change_at_ms(const struct rs_fleet *fleet, int64_t now_ms)
+{
+    return CLAMP(fleet->rows_current_at_ms, 1, now_ms);
+}
+
 /* Frees all targets; they must have no connections. */
 void
 RsFleet_Clear(struct rs_fleet *fleet)
@@ -234,7 +259,7 @@
         target->leaving_since_ms = 0;
     }
     else if (target->leaving_since_ms == 0) {
-        target->leaving_since_ms = now_ms;
+        target->leaving_since_ms = earliest_change_at_ms(fleet, now_ms);
     }
 }
 
@@ -281,25 +306,28 @@
     target->listed = false;
     target->lapse_at_ms = outage ? outage_end_at_ms + OUTAGE_GRACE_MS : now_ms;
     if (target->leaving_since_ms == 0) {
-        target->leaving_since_ms = target->lapse_at_ms;
+        target->leaving_since_ms = outage
+                                       ? target->lapse_at_ms
+                                       : earliest_change_at_ms(fleet, now_ms);
     }
     RsLog_EVENT(RsLog_INFO, "target_unlisted", RsLog_TEXT("target", id),
                 RsLog_NUMBER("believed_for_ms", target->lapse_at_ms - now_ms));
 }
 
-/* Records that a zone is evacuated, or that its evacuation has ended. */
+/* Records that a zone is evacuated, or that its evacuation has ended.
+ * `since_ms` is the earliest time at which that may have been requested. */
 void
 RsFleet_SetEvacuated(struct rs_fleet *fleet, const char *zone, bool evacuated,
-                     int64_t now_ms)
+                     int64_t since_ms)
 {
     gpointer interned_zone = (gpointer)g_intern_string(zone);
     if (g_hash_table_contains(fleet->evacuated, interned_zone) == evacuated) {
         return;
     }
     if (evacuated) {
-        int64_t *since_ms = g_new(int64_t, 1);
-        *since_ms = now_ms;
-        g_hash_table_insert(fleet->evacuated, interned_zone, since_ms);
+        int64_t *stored_since_ms = g_new(int64_t, 1);
+        *stored_since_ms = since_ms;
+        g_hash_table_insert(fleet->evacuated, interned_zone, stored_since_ms);
     }
     else {
         g_hash_table_remove(fleet->evacuated, interned_zone);
@@ -363,7 +391,8 @@
         return false;
     }
     return target->leaving_since_ms == 0 ||
-           now_ms - target->leaving_since_ms < KEEP_LEAVING_MS;
+           now_ms - target->leaving_since_ms <
+               (int64_t)fleet->drain_ms - DRAIN_MARGIN_MS;
 }
 
 /* Records the load that a target reported with an answer. */
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -18,7 +18,8 @@
     bool seen;           /* unused */
     bool replaced;       /* another target runs at its address */
     int64_t lapse_at_ms; /* if unlisted, it may be used until then */
-    /* When it began to drain or, if unlisted, lapses; 0: neither. */
+    /* The earliest time at which it may have begun to drain or, if unlisted,
+     * the time at which it lapses; 0: neither. */
     int64_t leaving_since_ms;
     int64_t cold_until_ms;
     /* When its last cold phase began; 0 if that was the start of its
@@ -61,8 +62,14 @@
 struct rs_fleet {
     GHashTable *targets; /* interned id to struct rs_fleet_target */
     GPtrArray *list;     /* the same, in the order of discovery */
-    /* Interned zone to int64_t, the time at which this node learned of it. */
+    /* Interned zone to int64_t, the earliest time at which its evacuation may
+     * have been requested. */
     GHashTable *evacuated;
+    /* How long a leaving target accepts requests, see settings/node.h. */
+    uint32_t drain_ms;
+    /* When the target table was last known to be up to date, before the rows
+     * that are being applied; 0: never. */
+    int64_t rows_current_at_ms;
     const struct rs_fleet_events *events;
     void *arg;
     int64_t store_lost_at_ms;     /* last failed call */
@@ -75,17 +82,19 @@
 
 void RsFleet_Init(struct rs_fleet *fleet, const struct rs_fleet_events *events,
                   void *arg);
+void RsFleet_SetDrainMs(struct rs_fleet *fleet, uint32_t drain_ms);
 
 void RsFleet_Clear(struct rs_fleet *fleet);
 
 /* Updates from the store. */
+void RsFleet_RecordRowsCurrent(struct rs_fleet *fleet, int64_t at_ms);
 enum rs_row_effect RsFleet_ApplyRow(struct rs_fleet *fleet, const char *id,
                                     const char *value, int64_t now_ms);
 void RsFleet_RemoveRow(struct rs_fleet *fleet, const char *id, int64_t now_ms);
 void RsFleet_AddUnlisted(struct rs_fleet *fleet, const char *id,
                          int64_t started_wall_ms, const char *address);
 void RsFleet_SetEvacuated(struct rs_fleet *fleet, const char *zone,
-                          bool evacuated, int64_t now_ms);
+                          bool evacuated, int64_t since_ms);
 void RsFleet_RecordStoreCall(struct rs_fleet *fleet, bool reachable,
                              int64_t now_ms);
 
--- a/router/fleet_test.c
+++ b/router/fleet_test.c
@@ -167,20 +167,58 @@
     RsFleet_Clear(&fleet);
 }
 
+/* The news of a leaving target is 0.6 s late. A target that drains for 2 s is
+ * sent requests until half a second before it stops. */
 static void
 test_leaving_target_keeps_its_keys_for_a_second(void)
 {
     open_fleet();
+    RsFleet_RecordRowsCurrent(&fleet, NOW_MS - 600);
     struct rs_fixture_report report = base_report;
     report.sequence = 6;
     report.draining = true;
     RsFixture_Report(&fleet, &report, NOW_MS);
     CU_ASSERT_FALSE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS));
-    CU_ASSERT_TRUE(RsFleet_MayKeepWork(&fleet, find("a"), NOW_MS + 900));
+    CU_ASSERT_TRUE(RsFleet_MayKeepWork(&fleet, find("a"), NOW_MS + 800));
     CU_ASSERT_FALSE(RsFleet_MayKeepWork(&fleet, find("a"), NOW_MS + 1100));
     RsFleet_Clear(&fleet);
 }
 
+/* Day hunt-9019-3 of lista-serrana-gw-grown: the granter was cut off from the
+ * store, and a node learned 1.5 s late that an owner was leaving. */
+static void
+test_leaving_is_counted_from_the_last_current_table(void)
+{
+    open_fleet();
+    RsFleet_RecordRowsCurrent(&fleet, NOW_MS - 1500);
+    struct rs_fixture_report report = base_report;
+    report.sequence = 6;
+    report.draining = true;
+    RsFixture_Report(&fleet, &report, NOW_MS);
+    CU_ASSERT_FALSE(RsFleet_MayKeepWork(&fleet, find("a"), NOW_MS));
+    RsFleet_Clear(&fleet);
+    open_fleet();
+    RsFleet_RecordRowsCurrent(&fleet, NOW_MS - 1500);
+    RsFleet_RemoveRow(&fleet, "a", NOW_MS);
+    CU_ASSERT_FALSE(RsFleet_MayKeepWork(&fleet, find("a"), NOW_MS));
+    RsFleet_Clear(&fleet);
+}
+
+static void
+test_leaving_target_is_used_for_as_long_as_it_drains(void)
+{
+    open_fleet();
+    RsFleet_SetDrainMs(&fleet, 3000);
+    RsFleet_RecordRowsCurrent(&fleet, NOW_MS);
+    struct rs_fixture_report report = base_report;
+    report.sequence = 6;
+    report.draining = true;
+    RsFixture_Report(&fleet, &report, NOW_MS);
+    CU_ASSERT_TRUE(RsFleet_MayKeepWork(&fleet, find("a"), NOW_MS + 2400));
+    CU_ASSERT_FALSE(RsFleet_MayKeepWork(&fleet, find("a"), NOW_MS + 2600));
+    RsFleet_Clear(&fleet);
+}
+
 static void
 test_deleted_row_stops_new_work_at_once(void)
 {
@@ -461,6 +499,8 @@
     CU_ADD_TEST(suite, test_unlisted_target_may_have_been_replaced);
     CU_ADD_TEST(suite, test_unlisted_target_may_be_listed_again);
     CU_ADD_TEST(suite, test_leaving_target_keeps_its_keys_for_a_second);
+    CU_ADD_TEST(suite, test_leaving_is_counted_from_the_last_current_table);
+    CU_ADD_TEST(suite, test_leaving_target_is_used_for_as_long_as_it_drains);
     CU_ADD_TEST(suite, test_deleted_row_stops_new_work_at_once);
     CU_ADD_TEST(suite, test_row_that_expired_in_an_outage_has_a_grace_period);
     CU_ADD_TEST(suite, test_one_failed_call_is_no_outage);
--- a/router/node.c
+++ b/router/node.c
@@ -192,9 +192,9 @@
         return apply_config(node, row);
     }
     if (g_str_has_prefix(row->key, RsWire_EVACUATION_PREFIX)) {
-        RsFleet_SetEvacuated(&node->router.fleet,
-                             row->key + strlen(RsWire_EVACUATION_PREFIX),
-                             !row->deleted, RsClock_NowMs());
+        RsFleet_SetEvacuated(
+            &node->router.fleet, row->key + strlen(RsWire_EVACUATION_PREFIX),
+            !row->deleted, RsFollower_FreshAtMs(node->operator_follower));
     }
     return RsTableCopy_CHANGED;
 }
@@ -242,6 +242,8 @@
 on_target_row(void *arg, const struct rs_store_row *row)
 {
     struct node *node = arg;
+    RsFleet_RecordRowsCurrent(&node->router.fleet,
+                              RsFollower_FreshAtMs(node->target_follower));
     if (row->deleted) {
         RsFleet_RemoveRow(&node->router.fleet, row->key, RsClock_NowMs());
         return RsTableCopy_CHANGED;
@@ -830,6 +832,7 @@
     node->incarnation = new_incarnation(settings->node.name);
     RsRouter_Init(&node->router, &node->loop, settings);
     RsFleet_Init(&node->router.fleet, &fleet_events, node);
+    RsFleet_SetDrainMs(&node->router.fleet, settings->bounds.drain_ms);
     watch_signals(node);
     int status = open_servers(node);
     if (status != 0) {
--- a/settings/node.c
+++ b/settings/node.c
@@ -10,6 +10,9 @@
 
 #define MAX_PORT 65535
 #define MIN_HOLD_MS 1000 /* a shorter grant expires between two renewals */
+/* With less, nodes could not stop in time, as they learn of a change of the
+ * target table up to half a second late. */
+#define MIN_DRAIN_MS 1000
 
 #define TEXT(type, member) RsYaml_TEXT(struct type, member, CYAML_FLAG_DEFAULT)
 #define NUMBER(type, member)                                                  \
@@ -36,6 +39,7 @@
 static const cyaml_schema_field_t bounds_schema[] = {
     NUMBER(rs_node_bounds, grace_s),
     NUMBER(rs_node_bounds, max_hold_ms),
+    NUMBER(rs_node_bounds, drain_ms),
     FLOAT(rs_node_bounds, retry_ratio),
     NUMBER(rs_node_bounds, retry_window_s),
     NUMBER(rs_node_bounds, retry_slack),
@@ -108,6 +112,10 @@
         return set_fault(fault, "bounds.max_hold_ms", "too short",
                          "1000 or more");
     }
+    if (bounds->drain_ms < MIN_DRAIN_MS) {
+        return set_fault(fault, "bounds.drain_ms", "too short",
+                         "1000 or more");
+    }
     if (bounds->grace_s == 0) {
         return set_fault(fault, "bounds.grace_s", "0", "1 or more");
     }
--- a/settings/node.h
+++ b/settings/node.h
@@ -36,6 +36,8 @@
 struct rs_node_bounds {
     uint32_t grace_s;     /* from the stop request until the node is killed */
     uint32_t max_hold_ms; /* longest grant of keys that a target accepts */
+    /* How long after it has started to leave a target may be sent requests. */
+    uint32_t drain_ms;
     /* Maximum number of retries of a service per first attempt, counted over
      * all nodes together. */
     float retry_ratio;
--- a/settings/node_test.c
+++ b/settings/node_test.c
@@ -25,6 +25,7 @@
                                  "bounds:\n"
                                  "  grace_s: 6\n"
                                  "  max_hold_ms: 10000\n"
+                                 "  drain_ms: 2000\n"
                                  "  retry_ratio: 0.2\n"
                                  "  retry_window_s: 10\n"
                                  "  retry_slack: 58\n"
@@ -94,7 +95,9 @@
     check_fault("max_hold_ms: 10000", "max_hold_ms: 10",
                 ":16: bounds.max_hold_ms: too short; allowed: 1000 or more");
     check_fault("retry_window_s: 10", "retry_window_s: 0",
-                ":18: bounds.retry_window_s: 0; allowed: 1 or more");
+                ":19: bounds.retry_window_s: 0; allowed: 1 or more");
+    check_fault("drain_ms: 2000", "drain_ms: 999",
+                ":17: bounds.drain_ms: too short; allowed: 1000 or more");
     check_fault("grace_s: 6", "grace_s: 0",
                 ":15: bounds.grace_s: 0; allowed: 1 or more");
 }
--- a/soak/main.c
+++ b/soak/main.c
@@ -523,7 +523,8 @@
         "listen:\n  callers: \"127.0.1.%u:%u\"\n"
         "  readiness: \"127.0.1.%u:%u\"\n  peer_port: %u\n  admin_port: %u\n"
         "store:\n  address: \"127.0.0.1:%u\"\n"
-        "bounds:\n  grace_s: 6\n  max_hold_ms: 10000\n  retry_ratio: 0.2\n"
+        "bounds:\n  grace_s: 6\n  max_hold_ms: 10000\n  drain_ms: 2000\n  "
+        "retry_ratio: 0.2\n"
         "  retry_window_s: 10\n  retry_slack: 58\n  cold_factor: 1.5\n"
         "  cold_slack: 5\n",
         number, 1 + number % 2, number + 1, number + 1,
