Empty the queue of a simulated target when it restarts

Cause: the stand-in of a target in the soak counted requests that had waited at its earlier process as waiting at the new one. h2o doesn't notice that their connections have closed before they are answered, so they stayed, and the target refused what it had room for.

soak.plant_crash: the first random fault could kill the crashed node before its end was noticed. kill_node() reports the end first, and the plant waits for it.

--- a/soak/main.c
+++ b/soak/main.c
@@ -196,10 +196,30 @@
     RsSoakStore_SetMode(soak->store, RsSoakStore_UP);
 }
 
-/* Kills a node with SIGKILL. The node restarts after a random delay. */
+/* Reports a violation (END) if the node has ended unexpectedly, by a signal or
+ * with a status other than 0. Returns whether the node has ended. */
+static bool
+notice_end(struct soak *soak, struct node *node)
+{
+    int status = 0;
+    if (!RsProcess_HasEnded(&node->process, &status)) {
+        return false;
+    }
+    if (!node->exit_expected || WIFSIGNALED(status) ||
+        WEXITSTATUS(status) != 0) {
+        RsCheck_ReportViolation(&soak->check, "END", RsClock_NowMs(),
+                                "node %u ended by itself, status %d",
+                                (unsigned)(node - soak->nodes), status);
+    }
+    return true;
+}
+
+/* Kills a node with SIGKILL, unless it has ended by itself. The node restarts
+ * after a random delay. */
 static void
 kill_node(struct soak *soak, struct node *node)
 {
+    notice_end(soak, node);
     node->exit_expected = true;
     node->paused = false;
     RsProcess_Kill(&node->process);
@@ -380,26 +400,17 @@
         0);
 }
 
-/* Restarts nodes that have ended, after a delay. It is a violation (END)
- * if a node ends unexpectedly, is ended by a signal, or exits with a status
- * other than 0. Nodes that kill_node() killed are not seen here, since it
- * waits for their end itself. */
+/* Restarts nodes that have ended, after a delay. Nodes that kill_node() killed
+ * are not seen here, since it waits for their end itself. */
 static void
 watch_processes(uv_timer_t *timer)
 {
     struct soak *soak = timer->data;
     for (uint32_t i = 0; i < soak->node_count; i++) {
         struct node *node = &soak->nodes[i];
-        int status = 0;
-        if (!RsProcess_HasEnded(&node->process, &status)) {
+        if (!notice_end(soak, node)) {
             continue;
         }
-        if (!node->exit_expected || WIFSIGNALED(status) ||
-            WEXITSTATUS(status) != 0) {
-            RsCheck_ReportViolation(&soak->check, "END", RsClock_NowMs(),
-                                    "node %u ended by itself, status %d", i,
-                                    status);
-        }
         uv_timer_start(
             &node->recovery_timer, recover_node,
             soak->recovering ? 1 : random_below(soak, MAX_RESTART_DELAY_MS),
@@ -473,7 +484,9 @@
                                      soak->injected_violation);
     }
     if (soak->crash_node) {
+        /* The first random fault may kill the same node. */
         RsProcess_Signal(&soak->nodes[0].process, SIGABRT);
+        RsProcess_AwaitEnd(&soak->nodes[0].process);
     }
     uv_timer_start(&soak->next_fault_timer, inject_fault, 1, 0);
     uv_timer_start(&soak->phase_timer, end_fault_phase,
--- a/soak/target.c
+++ b/soak/target.c
@@ -115,13 +115,16 @@
     return job->http != NULL && !job->response_sent;
 }
 
+/* Returns how many requests wait at the present process of the target. Those
+ * of an earlier process stay until their connections end. */
 static uint32_t
 count_queued(const struct rs_soak_target *target)
 {
     uint32_t count = 0;
     for (guint i = 0; i < target->jobs->len; i++) {
         const struct job *job = g_ptr_array_index(target->jobs, i);
-        count += needs_response(job) && !job->running;
+        count += needs_response(job) && !job->running &&
+                 job->incarnation == target->incarnation;
     }
     return count;
 }
--- a/tests/process.c
+++ b/tests/process.c
@@ -70,6 +70,17 @@
     }
 }
 
+/* Waits until the process has ended. RsProcess_HasEnded() still tells of the
+ * end. */
+void
+RsProcess_AwaitEnd(const struct rs_process *process)
+{
+    siginfo_t info;
+    if (process->pid > 0) {
+        waitid(P_PID, (id_t)process->pid, &info, WEXITED | WNOWAIT);
+    }
+}
+
 /* Returns whether the process has ended, without waiting. If it has ended,
  * stores its wait status. Returns true only once after each start. */
 bool
--- a/tests/process.h
+++ b/tests/process.h
@@ -23,6 +23,7 @@
 int RsProcess_Start(struct rs_process *process);
 void RsProcess_Signal(const struct rs_process *process, int number);
 void RsProcess_Kill(struct rs_process *process);
+void RsProcess_AwaitEnd(const struct rs_process *process);
 bool RsProcess_HasEnded(struct rs_process *process, int *status);
 bool RsProcess_WaitEnd(struct rs_process *process, int64_t within_ms,
                        int *status);
