Start only what can be answered while a node shuts down

Change: router/shutdown.c decides the phases of a shutdown and whether a request may be sent: only if it will most likely be answered, or has reached its deadline, before the node ends. Others are refused at once with a short Retry-After, as another node can take them. Shortly before the end all open requests get a final response: a refusal if nothing was sent, else 504.

Ruled out: to send longer in the hope that the target is fast; what is lost is a request whose outcome nobody knows.

--- a/http/connection.c
+++ b/http/connection.c
@@ -402,6 +402,13 @@
     }
 }
 
+/* Sets the argument of the callbacks. The connection must be idle. */
+void
+RsHttp_SetArg(struct rs_http_connection *connection, void *arg)
+{
+    connection->arg = arg;
+}
+
 /* Sends a request, copying all its parts. The connection must be connected and
  * idle. Returns 0, or RsHttp_RESET if nothing was written; the caller must
  * then close the connection. */
--- a/router/attempt.c
+++ b/router/attempt.c
@@ -242,6 +242,14 @@
             (double)(request->deadline_ms - now_ms)) {
         verdict = RsLoad_FULL;
     }
+    if (verdict == RsLoad_SEND &&
+        !RsShutdown_MayStart(&request->router->shutdown,
+                             RsLoad_ExpectedLatencyMs(target, now_ms),
+                             request->deadline_ms, now_ms)) {
+        request->come_back_at_ms = now_ms; /* to another node */
+        RsReply_Refuse(request, "stopping");
+        return;
+    }
     if (verdict == RsLoad_SEND) {
         RsRequest_StopWaiting(request);
         start_attempt(request, target, &input, now_ms);
--- a/router/load.c
+++ b/router/load.c
@@ -59,6 +59,10 @@
 #define MIN_RETRY_SHARE 0.12
 #define MAX_RETRY_SHARE 0.32
 #define MIN_RETRY_MS 20
+/* The return of callers who are told when they can be served is spread over
+ * this time, plus this share of their wait. */
+#define MIN_RETRY_SPREAD_MS 60.0
+#define RETRY_SPREAD_SHARE 0.25
 /* Share of the retry budget that is used, since each node counts only its own
  * requests. */
 #define BUDGET_SHARE 0.7
@@ -381,6 +385,18 @@
     return (uint32_t)MAX((double)time_left_ms * share, MIN_RETRY_MS);
 }
 
+/* Returns after how many ms a caller should retry who can be served from
+ * `retry_at_ms` on. The return of many callers is spread over a time in
+ * proportion to their wait. */
+uint32_t
+RsLoad_RetryAtMs(int64_t retry_at_ms, int64_t now_ms, GRand *random)
+{
+    double wait_ms = (double)MAX(retry_at_ms - now_ms, (int64_t)0);
+    double spread_ms = MIN_RETRY_SPREAD_MS + wait_ms * RETRY_SPREAD_SHARE;
+    return (uint32_t)(wait_ms + g_rand_double_range(random, 0, spread_ms)) +
+           MIN_RETRY_MS;
+}
+
 /* Moves the window of the budget on to the current second and clears the new
  * slots. */
 static void
--- a/router/load.h
+++ b/router/load.h
@@ -65,6 +65,7 @@
                                    int64_t now_ms,
                                    struct rs_fleet_target **chosen);
 uint32_t RsLoad_RetryAfterMs(int64_t time_left_ms, GRand *random);
+uint32_t RsLoad_RetryAtMs(int64_t retry_at_ms, int64_t now_ms, GRand *random);
 
 /* Limits the retries of requests to one service. All nodes share the
  * budget. */
--- a/router/node.c
+++ b/router/node.c
@@ -71,14 +71,6 @@
  * of key owners, which gives targets time to report. */
 #define FIRST_PLAN_DELAY_MS 1500
 #define MS_PER_S 1000.0
-/* After SIGTERM, new connections arrive until two readiness checks, one second
- * apart, have failed. Then idle connections are closed, and later no new ones
- * are accepted, so that requests end before the platform kills the process.
- * The process stops at the latest DRAIN_END_MARGIN_MS before its grace period
- * ends. */
-#define DRAIN_CLOSE_IDLE_MS 2600
-#define DRAIN_STOP_LISTENING_MS 3400
-#define DRAIN_END_MARGIN_MS 300
 #define MAX_CONNECTIONS 3500 /* to each server of this node */
 #define MAX_BODY_BYTES (64 * 1024 * 1024)
 #define CALLER_IDLE_MS 20000 /* used until the operator's limit is known */
@@ -114,15 +106,13 @@
     bool upstream_was_current; /* at the last tick */
     bool targets_known;        /* the target table was read completely once */
     int64_t targets_known_at_ms;
-    int64_t drain_started_at_ms;
-    int64_t drain_until_ms;
 };
 
 static bool
 is_ready(const struct node *node)
 {
     return node->router.config != NULL && node->targets_known &&
-           !node->router.draining;
+           !RsShutdown_Begun(&node->router.shutdown);
 }
 
 static void
@@ -484,7 +474,7 @@
 }
 
 /* Reads the lease row if a scheduled or requested read is due. Nodes that hold
- * or claim the lease, or are draining, don't read it. */
+ * or claim the lease, or are shutting down, don't read it. */
 static void
 read_lease(struct node *node, int64_t now_ms)
 {
@@ -496,7 +486,8 @@
                      now_ms - node->last_lease_read_at_ms >=
                          min_lease_read_interval_ms(node);
     if (node->granter.phase != RsGranter_OBSERVING || node->reading_lease ||
-        node->router.draining || !(requested || scheduled)) {
+        RsShutdown_Begun(&node->router.shutdown) ||
+        !(requested || scheduled)) {
         return;
     }
     node->requested_lease_read_at_ms = 0;
@@ -547,24 +538,28 @@
     }
 }
 
-/* Shuts down in steps after SIGTERM, and stops the event loop when all
- * requests and connections have ended or the grace period is almost over. */
+/* Does what is due in the present phase of the shutdown. Stops the event loop
+ * when all requests and connections have ended, or time is over. */
 static void
-continue_drain(struct node *node, int64_t now_ms)
+continue_shutdown(struct node *node, int64_t now_ms)
 {
-    int64_t drained_for_ms = now_ms - node->drain_started_at_ms;
-    if (drained_for_ms >= DRAIN_CLOSE_IDLE_MS) {
+    struct rs_router *router = &node->router;
+    enum rs_shutdown_phase phase = RsShutdown_Phase(&router->shutdown, now_ms);
+    if (phase >= RsShutdown_CLOSING_IDLE) {
         RsServer_CloseIdle(node->callers);
     }
-    if (drained_for_ms < DRAIN_STOP_LISTENING_MS) {
+    if (phase < RsShutdown_NOT_LISTENING) {
         return;
     }
     RsServer_StopListening(node->callers);
-    bool over = node->router.active.length == 0 &&
-                RsServer_ConnectionCount(node->callers) == 0;
-    if (over || now_ms >= node->drain_until_ms) {
+    if (phase >= RsShutdown_ANSWERING) {
+        RsRequest_AnswerAll(router);
+    }
+    bool all_ended = router->active.length == 0 &&
+                     RsServer_ConnectionCount(node->callers) == 0;
+    if (all_ended || phase == RsShutdown_OVER) {
         RsLog_EVENT(RsLog_INFO, "stopped",
-                    RsLog_NUMBER("open_requests", node->router.active.length),
+                    RsLog_NUMBER("open_requests", router->active.length),
                     RsLog_NUMBER("open_connections",
                                  RsServer_ConnectionCount(node->callers)));
         RsLog_Flush();
@@ -652,8 +647,8 @@
     RsGranter_Tick(&node->granter, now_ms);
     RsStream_Tick(node->stream, now_ms);
     RsLog_Flush();
-    if (node->router.draining) {
-        continue_drain(node, now_ms);
+    if (RsShutdown_Begun(&node->router.shutdown)) {
+        continue_shutdown(node, now_ms);
     }
 }
 
@@ -662,16 +657,14 @@
 {
     struct node *node = signal->data;
     int64_t now_ms = RsClock_NowMs();
-    if (node->router.draining) {
+    if (RsShutdown_Begun(&node->router.shutdown)) {
         return;
     }
     RsLog_EVENT(RsLog_INFO, "stopping",
                 RsLog_NUMBER("open_requests", node->router.active.length));
-    node->router.draining = true;
-    node->drain_started_at_ms = now_ms;
-    node->drain_until_ms =
-        now_ms + (int64_t)(node->options.settings->bounds.grace_s * MS_PER_S) -
-        DRAIN_END_MARGIN_MS;
+    RsShutdown_Begin(
+        &node->router.shutdown,
+        (int64_t)(node->options.settings->bounds.grace_s * MS_PER_S), now_ms);
     RsGranter_Resign(&node->granter, now_ms);
     RsStream_Shutdown(node->stream);
 }
--- a/router/reply.c
+++ b/router/reply.c
@@ -28,11 +28,24 @@
 add_router_headers(struct rs_request *request)
 {
     RsServer_AddHeader(request->http, RsWire_REQUEST_ID, request->id);
-    if (request->router->draining) {
+    if (RsShutdown_Begun(&request->router->shutdown)) {
         request->http->http1_is_persistent = 0;
     }
 }
 
+/* Returns after how many ms a refused caller should come back. */
+static uint32_t
+retry_after_ms(const struct rs_request *request)
+{
+    int64_t now_ms = RsClock_NowMs();
+    if (request->come_back_at_ms > 0) {
+        return RsLoad_RetryAtMs(request->come_back_at_ms, now_ms,
+                                request->router->random);
+    }
+    int64_t left_ms = MAX(request->deadline_ms - now_ms, (int64_t)0);
+    return RsLoad_RetryAfterMs(left_ms, request->router->random);
+}
+
 /* Cancels the running attempts, sends an error response of the router and
  * finishes the request. Responses with status 503 carry a retry-after header.
  */
@@ -45,10 +58,7 @@
     add_router_headers(request);
     if (status == STATUS_REFUSED) {
         char seconds[24];
-        int64_t left_ms =
-            MAX(request->deadline_ms - RsClock_NowMs(), (int64_t)0);
-        uint32_t after_ms =
-            RsLoad_RetryAfterMs(left_ms, request->router->random);
+        uint32_t after_ms = retry_after_ms(request);
         snprintf(seconds, sizeof(seconds), "%.3f", after_ms / MS_PER_S);
         RsServer_AddHeader(request->http, "retry-after", seconds);
     }
@@ -211,7 +221,7 @@
                                head->headers[i].value);
         }
     }
-    if (request->router->draining) {
+    if (RsShutdown_Begun(&request->router->shutdown)) {
         http->http1_is_persistent = 0;
     }
     if (head->length < 0 && !head->chunked) {
--- a/router/request.c
+++ b/router/request.c
@@ -367,6 +367,29 @@
     RsRequest_RetryWaiting(router, now_ms);
 }
 
+/* Ends all requests before the node ends. Those that were not sent are
+ * refused; the outcome of the others is unknown. Responses that have started
+ * go on. */
+void
+RsRequest_AnswerAll(struct rs_router *router)
+{
+    GList *link = router->active.head;
+    while (link != NULL) {
+        struct rs_request *request = link->data;
+        link = link->next;
+        if (request->response_started) {
+            continue;
+        }
+        RsAttempt_CancelOthers(request, NULL);
+        if (request->may_have_run) {
+            RsReply_Fail(request, STATUS_GATEWAY_TIMEOUT, "stopping");
+        }
+        else {
+            RsReply_Refuse(request, "stopping");
+        }
+    }
+}
+
 /* Ends the requests whose callers have closed their connections. A request
  * whose response head was sent is left to the HTTP server, which reports the
  * lost connection itself. */
--- a/router/request.h
+++ b/router/request.h
@@ -78,6 +78,9 @@
     GByteArray *body;    /* received, but not yet passed to the HTTP server */
     GByteArray *sending; /* being sent by the HTTP server */
     const char *reason;  /* of the last failure; NULL: none */
+    /* When the caller should come back after a refusal; 0: depends on the
+     * caller's time only. */
+    int64_t come_back_at_ms;
 };
 
 /* Implemented in router/attempt.c. */
--- a/router/router.h
+++ b/router/router.h
@@ -15,6 +15,7 @@
 #include "router/fleet.h"
 #include "router/keymap.h"
 #include "router/load.h"
+#include "router/shutdown.h"
 #include "settings/node.h"
 
 /* Number of router nodes assumed until the granter reports the real number or
@@ -67,7 +68,7 @@
     /* Unfinished requests that wait for target capacity or for a handover of
      * their key, ordered by arrival time plus latency target. */
     GQueue waiting;
-    bool draining;
+    struct rs_shutdown shutdown;
     struct rs_router_counters counters;
 };
 
@@ -91,5 +92,6 @@
 void RsRequest_RetryWaiting(struct rs_router *router, int64_t now_ms);
 void RsRequest_Tick(struct rs_router *router, int64_t now_ms);
 void RsRequest_EndAbandoned(struct rs_router *router);
+void RsRequest_AnswerAll(struct rs_router *router);
 
 #endif
--- /dev/null
+++ b/router/shutdown.c
@@ -0,0 +1,69 @@
+#include "router/shutdown.h"
+
+/* New connections arrive until two readiness checks, one second apart, have
+ * failed. Idle connections are closed after that. */
+#define CLOSE_IDLE_AFTER_MS 2600
+#define STOP_LISTENING_AFTER_MS 3400
+/* The process ends this long before the platform kills it. */
+#define END_MARGIN_MS 300
+/* Time to send the final responses. */
+#define ANSWERING_MS 100
+/* A target may take this many times the expected time: it may have become
+ * slow since its last responses, and some requests take much longer than the
+ * average. */
+#define LATE_FACTOR 4.0
+
+/* Starts the shutdown. The platform kills the process after `grace_ms`. */
+void
+RsShutdown_Begin(struct rs_shutdown *shutdown, int64_t grace_ms,
+                 int64_t now_ms)
+{
+    *shutdown = (struct rs_shutdown){
+        .close_idle_at_ms = now_ms + CLOSE_IDLE_AFTER_MS,
+        .stop_listening_at_ms = now_ms + STOP_LISTENING_AFTER_MS,
+        .answer_at_ms = now_ms + grace_ms - END_MARGIN_MS - ANSWERING_MS,
+        .end_at_ms = now_ms + grace_ms - END_MARGIN_MS,
+    };
+}
+
+/* Returns whether the node is shutting down. */
+bool
+RsShutdown_Begun(const struct rs_shutdown *shutdown)
+{
+    return shutdown->close_idle_at_ms > 0;
+}
+
+/* Returns the present phase. With a short grace period, phases may be skipped.
+ */
+enum rs_shutdown_phase
+RsShutdown_Phase(const struct rs_shutdown *shutdown, int64_t now_ms)
+{
+    if (!RsShutdown_Begun(shutdown)) {
+        return RsShutdown_RUNNING;
+    }
+    if (now_ms >= shutdown->end_at_ms) {
+        return RsShutdown_OVER;
+    }
+    if (now_ms >= shutdown->answer_at_ms) {
+        return RsShutdown_ANSWERING;
+    }
+    if (now_ms >= shutdown->stop_listening_at_ms) {
+        return RsShutdown_NOT_LISTENING;
+    }
+    return now_ms >= shutdown->close_idle_at_ms ? RsShutdown_CLOSING_IDLE
+                                                : RsShutdown_NOT_READY;
+}
+
+/* Returns whether a request may be sent to a target that is expected to answer
+ * it in `expected_ms`. A node that shuts down sends only what will most likely
+ * be answered, or has reached its deadline, before the node ends. */
+bool
+RsShutdown_MayStart(const struct rs_shutdown *shutdown, double expected_ms,
+                    int64_t deadline_ms, int64_t now_ms)
+{
+    if (!RsShutdown_Begun(shutdown) || deadline_ms <= shutdown->answer_at_ms) {
+        return true;
+    }
+    return expected_ms * LATE_FACTOR <=
+           (double)(shutdown->answer_at_ms - now_ms);
+}
--- a/soak/main.c
+++ b/soak/main.c
@@ -14,6 +14,7 @@
 #include "core/log.h"
 #include "soak/caller.h"
 #include "soak/check.h"
+#include "soak/setup.h"
 #include "soak/store.h"
 #include "soak/target.h"
 #include "tests/process.h"
@@ -33,10 +34,8 @@
 #define FAULT_DURATION_MAX_MS 4500
 #define MAX_RESTART_DELAY_MS 1500
 #define DRAIN_MS 3000
-#define CALLER_PORT_OFFSET 0 /* offsets from the first port of the soak */
-#define READINESS_PORT_OFFSET 1
-#define PEER_PORT_OFFSET 2
-#define ADMIN_PORT_OFFSET 3
+#define POST_TIMEOUT_MS 2000
+/* Offsets from the first port of the soak; see also soak/setup.h. */
 #define STORE_PORT_OFFSET 10
 #define STORE_PROXY_PORT_OFFSET 20 /* proxy to the store, one per node */
 #define TARGET_PORT_OFFSET 100     /* a target; the next port is its proxy */
@@ -121,22 +120,12 @@
 static void
 write_config(struct soak *soak)
 {
-    char *text = g_strdup_printf(
-        "{\"version\":\"%08x\",\"routes\":{"
-        "\"get\":{\"host\":\"soak.example\",\"prefix\":\"/get/\","
-        "\"kind\":\"idempotent\",\"timeout_ms\":%u,\"target_latency_ms\":300,"
-        "\"priority\":1,\"service\":\"keyed\",\"max_attempts\":2},"
-        "\"post\":{\"host\":\"soak.example\",\"prefix\":\"/post/\","
-        "\"kind\":\"non_idempotent\",\"timeout_ms\":2000,"
-        "\"target_latency_ms\":300,\"priority\":0,\"service\":\"plain\","
-        "\"max_attempts\":2}},\"services\":{"
-        "\"keyed\":{\"max_connections\":200,\"warmup_s\":1,"
-        "\"warmup_per_s\":50,\"sharded\":true},"
-        "\"plain\":{\"max_connections\":200,\"warmup_s\":1,"
-        "\"warmup_per_s\":50}},"
-        "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":1048576,"
-        "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}",
-        ++soak->config_version, 1500 + random_below(soak, 500));
+    const struct rs_soak_config config = {
+        .version = ++soak->config_version,
+        .get_timeout_ms = 1500 + random_below(soak, 500),
+        .post_timeout_ms = POST_TIMEOUT_MS,
+    };
+    char *text = RsSoakSetup_Config(&config);
     RsSoakStore_Put(soak->store, "op", "config", text);
     g_free(text);
 }
@@ -526,31 +515,6 @@
     return true;
 }
 
-/* Writes the settings file of a node. Returns whether that succeeded. */
-static bool
-write_settings(struct soak *soak, uint32_t number, const char *path)
-{
-    char *text = g_strdup_printf(
-        "node:\n  name: \"n%u\"\n  zone: \"z%u\"\n  address: \"127.0.1.%u\"\n"
-        "  cpu_share: 1.0\n  link_mbps: 1000\n"
-        "listen:\n  callers: \"127.0.1.%u:%u\"\n"
-        "  readiness: \"127.0.1.%u:%u\"\n  peer_port: %u\n  admin_port: %u\n"
-        "store:\n  address: \"127.0.0.1:%u\"\n"
-        "bounds:\n  grace_s: 6\n  max_hold_ms: 10000\n  drain_ms: 2000\n  "
-        "retry_ratio: 0.2\n"
-        "  retry_window_s: 10\n  retry_slack: 58\n  cold_factor: 1.5\n"
-        "  cold_slack: 5\n",
-        number, 1 + number % 2, number + 1, number + 1,
-        soak->base_port + CALLER_PORT_OFFSET, number + 1,
-        soak->base_port + READINESS_PORT_OFFSET,
-        soak->base_port + PEER_PORT_OFFSET,
-        soak->base_port + ADMIN_PORT_OFFSET,
-        soak->base_port + STORE_PROXY_PORT_OFFSET + number);
-    bool written = g_file_set_contents(path, text, -1, NULL);
-    g_free(text);
-    return written;
-}
-
 /* Starts the nodes and the proxies through which they reach the store. Returns
  * false on failure. */
 static bool
@@ -572,13 +536,18 @@
         };
         snprintf(name, sizeof(name), "n%u", i);
         snprintf(host, sizeof(host), "127.0.1.%u", i + 1);
-        uv_ip4_addr(host, soak->base_port + CALLER_PORT_OFFSET,
+        uv_ip4_addr(host, soak->base_port + RsSoakSetup_CALLER_PORT,
                     &soak->node_caller_addresses[i]);
         node->soak = soak;
         node->store_proxy = RsLinkProxy_New(&route, &soak->loop);
         uv_timer_init(&soak->loop, &node->recovery_timer);
         node->recovery_timer.data = node;
-        bool ready = write_settings(soak, i, path) &&
+        const struct rs_soak_node_setup setup = {
+            .number = i,
+            .base_port = soak->base_port,
+            .store_port = route.listen_port,
+        };
+        bool ready = RsSoakSetup_WriteSettings(&setup, path) &&
                      RsLinkProxy_Listen(node->store_proxy) == 0;
         RsProcess_Init(&node->process, name, soak->folder, arguments);
         g_free(path);
--- /dev/null
+++ b/tests/node_fixture.c
@@ -0,0 +1,343 @@
+#include "tests/node_fixture.h"
+
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/clock.h"
+#include "http/connection.h"
+
+#define STEP_MS 5
+#define STORE_PORT_OFFSET 10
+#define TARGET_PORT_OFFSET 20 /* a target; the next port is its proxy */
+#define DEADLINE_MS_TEXT "15000"
+#define PROBE_EVERY_MS 50
+#define KEYS_PER_PROBE 16 /* keys spread over the whole key space */
+
+/* Wakes up the loop. */
+static void
+on_step(uv_timer_t *timer)
+{
+}
+
+/* Runs the loop for some time. */
+void
+RsNodeFixture_Run(struct rs_node_fixture *fixture, int64_t span_ms)
+{
+    int64_t end_at_ms = RsClock_NowMs() + span_ms;
+    while (RsClock_NowMs() < end_at_ms) {
+        uv_run(&fixture->loop, UV_RUN_ONCE);
+    }
+}
+
+/* Writes a version of the operator's configuration to the store. */
+void
+RsNodeFixture_PutConfig(struct rs_node_fixture *fixture, uint32_t version)
+{
+    const struct rs_soak_config config = {
+        .version = version,
+        .get_timeout_ms = fixture->options.timeout_ms,
+        .post_timeout_ms = fixture->options.timeout_ms,
+    };
+    char *text = RsSoakSetup_Config(&config);
+    RsSoakStore_Put(fixture->store, "op", "config", text);
+    g_free(text);
+}
+
+static bool
+open_targets(struct rs_node_fixture *fixture)
+{
+    const struct rs_node_fixture_options *options = &fixture->options;
+    fixture->target_count = options->plain_targets + options->sharded_targets;
+    for (uint32_t i = 0; i < fixture->target_count; i++) {
+        uint32_t port = options->base_port + TARGET_PORT_OFFSET + 2 * i;
+        bool sharded = i >= options->plain_targets;
+        const struct rs_soak_target_options target = {
+            .loop = &fixture->loop,
+            .number = i,
+            .service = sharded ? "keyed" : "plain",
+            .zone = i % 2 == 0 ? "z1" : "z2",
+            .sharded = sharded,
+            .port = (uint16_t)port,
+            .proxy_port = (uint16_t)(port + 1),
+            .work_ms = options->work_ms,
+            .check = &fixture->check,
+            .store = fixture->store,
+            .random = fixture->random,
+        };
+        fixture->targets[i] = RsSoakTarget_Open(&target);
+        if (fixture->targets[i] == NULL) {
+            return false;
+        }
+        RsSoakTarget_Start(fixture->targets[i], true);
+    }
+    return true;
+}
+
+static bool
+open_nodes(struct rs_node_fixture *fixture)
+{
+    for (uint32_t i = 0; i < fixture->options.node_count; i++) {
+        char name[16];
+        snprintf(name, sizeof(name), "n%u", i);
+        char *path = g_strdup_printf("%s/%s.yaml", fixture->folder, name);
+        const char *const arguments[] = {RATTANSHED_BUILD
+                                         "/rattanshed/rattanshed",
+                                         "--serve", "-c", path, NULL};
+        const struct rs_soak_node_setup setup = {
+            .number = i,
+            .base_port = fixture->options.base_port,
+            .store_port =
+                (uint16_t)(fixture->options.base_port + STORE_PORT_OFFSET),
+        };
+        bool ready = RsSoakSetup_WriteSettings(&setup, path);
+        RsProcess_Init(&fixture->nodes[i], name, fixture->folder, arguments);
+        g_free(path);
+        if (!ready || RsProcess_Start(&fixture->nodes[i]) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Starts a deployment. Returns NULL if that fails, for instance because a port
+ * is in use. The caller ends it with RsNodeFixture_Close(). */
+struct rs_node_fixture *
+RsNodeFixture_Open(const struct rs_node_fixture_options *options)
+{
+    struct rs_node_fixture *fixture = g_new0(struct rs_node_fixture, 1);
+    fixture->options = *options;
+    fixture->random = g_rand_new_with_seed(1);
+    uv_loop_init(&fixture->loop);
+    uv_timer_init(&fixture->loop, &fixture->step);
+    uv_timer_start(&fixture->step, on_step, STEP_MS, STEP_MS);
+    snprintf(fixture->folder, sizeof(fixture->folder), "/tmp/node-XXXXXX");
+    RsCheck_Init(&fixture->check, stdout, RsClock_NowMs());
+    fixture->store = RsSoakStore_Open(
+        &fixture->loop, (uint16_t)(options->base_port + STORE_PORT_OFFSET),
+        fixture->random);
+    if (g_mkdtemp(fixture->folder) == NULL || fixture->store == NULL ||
+        !open_targets(fixture)) {
+        return NULL;
+    }
+    RsNodeFixture_PutConfig(fixture, 1);
+    return open_nodes(fixture) ? fixture : NULL;
+}
+
+/* Kills the nodes and closes the connections. The stand-ins, their ports and
+ * the nodes' logs stay until the test process ends. */
+void
+RsNodeFixture_Close(struct rs_node_fixture *fixture)
+{
+    for (uint32_t i = 0; i < fixture->options.node_count; i++) {
+        RsProcess_Clear(&fixture->nodes[i]);
+    }
+    for (uint32_t i = 0; i < fixture->request_count; i++) {
+        if (fixture->requests[i]->connection != NULL) {
+            RsHttp_Close(fixture->requests[i]->connection);
+        }
+        fixture->requests[i]->connection = NULL;
+    }
+    RsNodeFixture_Run(fixture, STEP_MS);
+}
+
+/* Requests. */
+
+static void
+send_request(struct rs_node_fixture_request *request)
+{
+    const struct rs_http_header headers[] = {
+        {"host", "soak.example"},
+        {"x-request-id", request->id},
+        {"x-deadline-ms", DEADLINE_MS_TEXT},
+        {"x-shard-key", request->key},
+    };
+    const struct rs_http_request message = {
+        .method = request->is_post ? "POST" : "GET",
+        .path = request->is_post ? "/post/x" : "/get/x",
+        .headers = headers,
+        .header_count = request->is_post ? 3 : 4,
+        .body = "body",
+        .body_bytes = request->is_post ? 4 : 0,
+    };
+    request->sent_at_ms = RsClock_NowMs();
+    RsHttp_Send(request->connection, &message);
+}
+
+static void
+on_connected(void *arg)
+{
+    send_request(arg);
+}
+
+static void
+on_head(void *arg, const struct rs_http_head *head)
+{
+    struct rs_node_fixture_request *request = arg;
+    const char *retry_after = RsHttp_FindHeader(head, "retry-after");
+    const char *target = RsHttp_FindHeader(head, "x-instance-id");
+    request->status = head->status;
+    request->retry_after_s =
+        retry_after != NULL ? g_ascii_strtod(retry_after, NULL) : -1;
+    g_strlcpy(request->target, target != NULL ? target : "",
+              sizeof(request->target));
+}
+
+static void
+on_body(void *arg, const char *data, size_t size_bytes)
+{
+}
+
+static void
+on_end(void *arg, bool keep_alive)
+{
+    struct rs_node_fixture_request *request = arg;
+    request->complete = true;
+    request->keep_alive = keep_alive;
+    request->ended_at_ms = RsClock_NowMs();
+    RsCheck_RecordResponse(&request->fixture->check, request->id,
+                           !request->is_post, request->status, true,
+                           request->ended_at_ms);
+    if (!keep_alive) {
+        RsHttp_Close(request->connection);
+        request->connection = NULL;
+    }
+}
+
+static void
+on_closed(void *arg, int error)
+{
+    struct rs_node_fixture_request *request = arg;
+    request->connection = NULL;
+    if (request->ended_at_ms == 0) {
+        request->ended_at_ms = RsClock_NowMs();
+    }
+    request->keep_alive = false;
+}
+
+static const struct rs_http_events events = {
+    .connected = on_connected,
+    .head = on_head,
+    .body = on_body,
+    .end = on_end,
+    .closed = on_closed,
+};
+
+static struct rs_node_fixture_request *
+new_request(struct rs_node_fixture *fixture, bool is_post, uint32_t key)
+{
+    struct rs_node_fixture_request *request =
+        g_new0(struct rs_node_fixture_request, 1);
+    g_assert(fixture->request_count < RsNodeFixture_MAX_REQUESTS);
+    request->fixture = fixture;
+    request->is_post = is_post;
+    request->retry_after_s = -1;
+    snprintf(request->id, sizeof(request->id), "r%u", fixture->request_count);
+    snprintf(request->key, sizeof(request->key), "%u", key);
+    fixture->requests[fixture->request_count++] = request;
+    return request;
+}
+
+/* Sends a request on a new connection to a node. */
+static struct rs_node_fixture_request *
+start_request(struct rs_node_fixture *fixture, uint32_t node, bool is_post,
+              uint32_t key)
+{
+    struct rs_node_fixture_request *request =
+        new_request(fixture, is_post, key);
+    char host[24];
+    struct rs_http_options options = {
+        .loop = &fixture->loop, .events = &events, .arg = request};
+    snprintf(host, sizeof(host), "127.0.1.%u", node + 1);
+    uv_ip4_addr(host, fixture->options.base_port + RsSoakSetup_CALLER_PORT,
+                &options.address);
+    request->sent_at_ms = RsClock_NowMs();
+    request->connection = RsHttp_Open(&options);
+    return request;
+}
+
+/* Sends a request that may not be repeated, on a new connection. */
+struct rs_node_fixture_request *
+RsNodeFixture_Post(struct rs_node_fixture *fixture, uint32_t node)
+{
+    return start_request(fixture, node, true, 0);
+}
+
+/* Sends a request for a key, which may be repeated, on a new connection. */
+struct rs_node_fixture_request *
+RsNodeFixture_Get(struct rs_node_fixture *fixture, uint32_t node, uint32_t key)
+{
+    return start_request(fixture, node, false, key);
+}
+
+/* Sends a request like RsNodeFixture_Post(), but on the connection of a former
+ * request, which must be open and free. */
+struct rs_node_fixture_request *
+RsNodeFixture_PostAgain(struct rs_node_fixture_request *former)
+{
+    struct rs_node_fixture_request *request =
+        new_request(former->fixture, true, 0);
+    g_assert(former->connection != NULL && former->keep_alive);
+    request->connection = former->connection;
+    former->connection = NULL;
+    RsHttp_SetArg(request->connection, request);
+    send_request(request);
+    return request;
+}
+
+/* Runs the loop until the request has ended. Returns false if it has not ended
+ * within this time. */
+bool
+RsNodeFixture_AwaitEnd(struct rs_node_fixture_request *request,
+                       int64_t within_ms)
+{
+    int64_t give_up_at_ms = RsClock_NowMs() + within_ms;
+    while (request->ended_at_ms == 0 && RsClock_NowMs() < give_up_at_ms) {
+        uv_run(&request->fixture->loop, UV_RUN_ONCE);
+    }
+    return request->ended_at_ms != 0;
+}
+
+/* Returns whether all nodes serve keys of the whole key space, and the service
+ * without keys, as far as there are targets for them. */
+static bool
+is_served(struct rs_node_fixture *fixture)
+{
+    struct rs_node_fixture_request
+        *probes[RsNodeFixture_MAX_NODES * (KEYS_PER_PROBE + 1)];
+    uint32_t count = 0;
+    bool served = true;
+    for (uint32_t i = 0; i < fixture->options.node_count; i++) {
+        for (uint32_t k = 0;
+             k < KEYS_PER_PROBE && fixture->options.sharded_targets > 0; k++) {
+            probes[count++] = RsNodeFixture_Get(
+                fixture, i, k * (RsCheck_KEYS / KEYS_PER_PROBE));
+        }
+        if (fixture->options.plain_targets > 0) {
+            probes[count++] = RsNodeFixture_Post(fixture, i);
+        }
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        served = RsNodeFixture_AwaitEnd(probes[i],
+                                        fixture->options.timeout_ms * 2) &&
+                 probes[i]->status == 200 && served;
+    }
+    return served;
+}
+
+/* Waits until all nodes serve all services. Returns false if they don't within
+ * this time. */
+bool
+RsNodeFixture_AwaitService(struct rs_node_fixture *fixture, int64_t within_ms)
+{
+    int64_t give_up_at_ms = RsClock_NowMs() + within_ms;
+    while (!is_served(fixture)) {
+        if (RsClock_NowMs() >= give_up_at_ms) {
+            return false;
+        }
+        RsNodeFixture_Run(fixture, PROBE_EVERY_MS);
+    }
+    return true;
+}
--- /dev/null
+++ b/tests/node_fixture.h
@@ -0,0 +1,83 @@
+/* A small deployment for tests of router nodes: real node processes, with the
+ * soak's stand-ins of the store and of targets on the test's own loop. The
+ * test sends requests at times of its choice and sees each response. */
+
+#ifndef RATTANSHED_TESTS_NODE_FIXTURE_H
+#define RATTANSHED_TESTS_NODE_FIXTURE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "soak/check.h"
+#include "soak/setup.h"
+#include "soak/store.h"
+#include "soak/target.h"
+#include "tests/process.h"
+
+#define RsNodeFixture_MAX_NODES 4
+#define RsNodeFixture_MAX_TARGETS 6
+#define RsNodeFixture_MAX_REQUESTS 4096
+
+struct rs_node_fixture_options {
+    uint16_t base_port;
+    uint32_t node_count;
+    uint32_t plain_targets; /* of the service without keys; they come first */
+    uint32_t sharded_targets; /* of the service with keys */
+    uint32_t work_ms;         /* mean duration of a request at a target */
+    uint32_t timeout_ms;      /* of both routes */
+};
+
+/* A request of a caller, and what became of it. */
+struct rs_node_fixture_request {
+    struct rs_node_fixture *fixture;
+    struct rs_http_connection *connection; /* NULL once it is closed */
+    char id[24];
+    char key[16];
+    bool is_post;
+    int64_t sent_at_ms;
+    int64_t ended_at_ms;  /* 0: still open */
+    int status;           /* 0: no response head arrived */
+    bool complete;        /* the whole response arrived */
+    bool keep_alive;      /* the connection can take another request */
+    double retry_after_s; /* of the response; negative if it has none */
+    char target[32];      /* that executed or refused the request, if known */
+};
+
+struct rs_node_fixture {
+    struct rs_node_fixture_options options;
+    uv_loop_t loop;
+    uv_timer_t step;
+    GRand *random;
+    char folder[64];
+    struct rs_check check;
+    struct rs_soak_store *store;
+    struct rs_soak_target *targets[RsNodeFixture_MAX_TARGETS];
+    uint32_t target_count;
+    struct rs_process nodes[RsNodeFixture_MAX_NODES];
+    struct rs_node_fixture_request *requests[RsNodeFixture_MAX_REQUESTS];
+    uint32_t request_count;
+};
+
+struct rs_node_fixture *
+RsNodeFixture_Open(const struct rs_node_fixture_options *options);
+void RsNodeFixture_Close(struct rs_node_fixture *fixture);
+
+void RsNodeFixture_Run(struct rs_node_fixture *fixture, int64_t span_ms);
+void RsNodeFixture_PutConfig(struct rs_node_fixture *fixture,
+                             uint32_t version);
+bool RsNodeFixture_AwaitService(struct rs_node_fixture *fixture,
+                                int64_t within_ms);
+
+/* Requests. The fixture owns them. */
+struct rs_node_fixture_request *
+RsNodeFixture_Post(struct rs_node_fixture *fixture, uint32_t node);
+struct rs_node_fixture_request *
+RsNodeFixture_Get(struct rs_node_fixture *fixture, uint32_t node,
+                  uint32_t key);
+struct rs_node_fixture_request *
+RsNodeFixture_PostAgain(struct rs_node_fixture_request *former);
+bool RsNodeFixture_AwaitEnd(struct rs_node_fixture_request *request,
+                            int64_t within_ms);
+
+#endif
--- /dev/null
+++ b/tests/node_main.c
@@ -0,0 +1,44 @@
+/* Runs the tests of router nodes, or the one that is named. */
+
+#include <CUnit/Basic.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <string.h>
+
+#include "core/log.h"
+#include "tests/node_tests.h"
+
+struct test {
+    const char *name;
+    void (*run)(void);
+};
+
+static const struct test tests[] = {
+    {"late_request_on_a_new_connection",
+     test_late_request_on_a_new_connection},
+    {"request_on_a_kept_connection", test_request_on_a_kept_connection},
+    {"request_at_a_slow_target", test_request_at_a_slow_target},
+};
+
+int
+main(int argc, char **argv)
+{
+    const char *name = argc > 1 ? argv[1] : NULL;
+    bool found = false;
+    signal(SIGPIPE, SIG_IGN);
+    RsLog_Open("test", RsLog_ERROR);
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("nodes", NULL, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(tests); i++) {
+        if (name == NULL || strcmp(name, tests[i].name) == 0) {
+            CU_add_test(suite, tests[i].name, tests[i].run);
+            found = true;
+        }
+    }
+    CU_basic_set_mode(CU_BRM_VERBOSE);
+    CU_basic_run_tests();
+    unsigned failures = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return found && failures == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/node_shutdown_test.c
@@ -0,0 +1,115 @@
+/* Shutdown of a node: each request that it has taken gets a complete response,
+ * which is true. */
+
+#include <CUnit/Basic.h>
+#include <signal.h>
+
+#include "core/clock.h"
+#include "tests/node_fixture.h"
+#include "tests/node_tests.h"
+
+#define START_WITHIN_MS 15000
+#define SLOW_WORK_MS 800
+#define SLOWDOWN 4
+#define LEARNING_REQUESTS 14 /* until the node knows how long they take */
+#define END_WITHIN_MS (RsSoakSetup_GRACE_MS + 1000)
+/* Times after SIGTERM. */
+#define LATE_CONNECTION_MS 3300
+#define LAST_REUSE_MS 2400
+
+/* Opens a deployment in which the node has learned how long the target takes.
+ */
+static struct rs_node_fixture *
+open_fixture(uint16_t base_port)
+{
+    const struct rs_node_fixture_options options = {
+        .base_port = base_port,
+        .node_count = 1,
+        .plain_targets = 1,
+        .work_ms = SLOW_WORK_MS,
+        .timeout_ms = 12000,
+    };
+    struct rs_node_fixture *fixture = RsNodeFixture_Open(&options);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture);
+    CU_ASSERT_TRUE(RsNodeFixture_AwaitService(fixture, START_WITHIN_MS));
+    for (uint32_t i = 0; i < LEARNING_REQUESTS; i++) {
+        struct rs_node_fixture_request *request =
+            RsNodeFixture_Post(fixture, 0);
+        CU_ASSERT_TRUE(RsNodeFixture_AwaitEnd(request, END_WITHIN_MS));
+    }
+    return fixture;
+}
+
+/* Checks that the request got a whole response and that a refusal was sent at
+ * once; RsCheck_RecordResponse() has checked that it was true. */
+static void
+check_answered(struct rs_node_fixture_request *request)
+{
+    CU_ASSERT_TRUE(RsNodeFixture_AwaitEnd(request, END_WITHIN_MS));
+    CU_ASSERT_TRUE(request->complete);
+    if (request->status == 503) {
+        CU_ASSERT_TRUE(request->ended_at_ms - request->sent_at_ms < 500);
+        CU_ASSERT_TRUE(request->retry_after_s >= 0 &&
+                       request->retry_after_s < 0.5);
+    }
+}
+
+static void
+check_end(struct rs_node_fixture *fixture)
+{
+    int status = -1;
+    RsNodeFixture_Run(fixture, 100);
+    CU_ASSERT_TRUE(
+        RsProcess_WaitEnd(&fixture->nodes[0], END_WITHIN_MS, &status));
+    CU_ASSERT_EQUAL(status, 0);
+    CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
+    RsNodeFixture_Close(fixture);
+}
+
+/* Day trouble-2 of bvs-pledge: a request arrived 3.3 s after SIGTERM, the
+ * target had become slow, and the connection was closed without a response. */
+void
+test_late_request_on_a_new_connection(void)
+{
+    struct rs_node_fixture *fixture = open_fixture(26000);
+    RsSoakTarget_SetSlowdown(fixture->targets[0], SLOWDOWN);
+    RsProcess_Signal(&fixture->nodes[0], SIGTERM);
+    RsNodeFixture_Run(fixture, LATE_CONNECTION_MS);
+    struct rs_node_fixture_request *request = RsNodeFixture_Post(fixture, 0);
+    check_answered(request);
+    CU_ASSERT_EQUAL(request->status, 503);
+    check_end(fixture);
+}
+
+/* A request on a kept connection is served while the node shuts down, and its
+ * response closes the connection. */
+void
+test_request_on_a_kept_connection(void)
+{
+    struct rs_node_fixture *fixture = open_fixture(26100);
+    struct rs_node_fixture_request *first = RsNodeFixture_Post(fixture, 0);
+    CU_ASSERT_TRUE(RsNodeFixture_AwaitEnd(first, END_WITHIN_MS));
+    CU_ASSERT_TRUE_FATAL(first->keep_alive);
+    RsProcess_Signal(&fixture->nodes[0], SIGTERM);
+    RsNodeFixture_Run(fixture, LAST_REUSE_MS);
+    struct rs_node_fixture_request *request = RsNodeFixture_PostAgain(first);
+    check_answered(request);
+    CU_ASSERT_EQUAL(request->status, 200);
+    CU_ASSERT_FALSE(request->keep_alive);
+    check_end(fixture);
+}
+
+/* A target that works until after the end of the node: the caller is told
+ * before, and not that the request has not run. */
+void
+test_request_at_a_slow_target(void)
+{
+    struct rs_node_fixture *fixture = open_fixture(26200);
+    RsSoakTarget_SetSlowdown(fixture->targets[0], 20 * SLOWDOWN);
+    RsProcess_Signal(&fixture->nodes[0], SIGTERM);
+    RsNodeFixture_Run(fixture, LAST_REUSE_MS / 2);
+    struct rs_node_fixture_request *request = RsNodeFixture_Post(fixture, 0);
+    check_answered(request);
+    CU_ASSERT_EQUAL(request->status, 504);
+    check_end(fixture);
+}
