--- a/router/fixture.c
+++ b/router/fixture.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Reports and fleets. */
@@ -50,7 +51,13 @@
 #define SERVICE "s"
 #define MAX_EVENTS 4096
 #define MAX_HOLDS 512
-#define MAX_ROWS 4
+#define MAX_ROWS 64
+#define MAX_WRITES 4 /* of a commit */
+/* The store keeps copies of its rows, one for each COPY_EVERY_MS. */
+#define COPIES 32
+#define COPY_EVERY_MS 200
+#define RESTORE_STEP_MS 500
+#define RESTORE_STEPS 10
 /* By how much the clocks of all targets run slow, which makes holds longer. */
 #define CLOCK_SLOW_PERCENT 2
 #define MAX_HOLD_MS 10000
@@ -85,9 +92,12 @@
     char *lease_value;     /* unused */
     /* Rows to be written. The `version` of each is the version that the row
      * must have before the write. */
-    struct row rows[MAX_ROWS];
+    struct row rows[MAX_WRITES];
     size_t row_count;
-    uint64_t version; /* of the store after a commit */
+    uint64_t version;     /* of the store after a commit */
+    uint32_t made_in_era; /* era that the node knew when it sent a commit */
+    uint32_t era;         /* of the answer; if `answered` */
+    bool answered;        /* the store has sent an answer */
 };
 
 struct hold {
@@ -117,6 +127,14 @@
     int64_t next_tick_at_ms;
 };
 
+/* The rows of the store at some time. */
+struct copy {
+    int64_t at_ms;
+    struct row rows[MAX_ROWS];
+    size_t row_count;
+    uint64_t version;
+};
+
 struct rs_simulation {
     int64_t now_ms;
     int64_t next_report_at_ms;
@@ -125,6 +143,11 @@
     struct row rows[MAX_ROWS];
     size_t row_count;
     uint64_t version;
+    uint32_t era;
+    bool tells_era_while_down;
+    struct copy copies[COPIES]; /* a ring */
+    size_t copy_count;
+    int64_t next_copy_at_ms;
     struct event events[MAX_EVENTS];
     size_t event_count;
     int64_t store_down_until_ms;
@@ -188,13 +211,14 @@
     }
     event->node = node->number;
     event->process = node->process;
-    for (size_t i = 0; i < commit->write_count && i < MAX_ROWS; i++) {
+    event->made_in_era = node->granter.era;
+    for (size_t i = 0; i < commit->write_count && i < MAX_WRITES; i++) {
         struct row *row = &event->rows[event->row_count++];
         g_strlcpy(row->key, commit->writes[i].key, sizeof(row->key));
         g_strlcpy(row->table, commit->writes[i].table, sizeof(row->table));
         row->value =
             g_strndup(commit->writes[i].value, commit->writes[i].value_bytes);
-        row->version = commit->conditions[i].version;
+        row->version = RsStore_Number(commit->conditions[i].version);
     }
 }
 
@@ -284,13 +308,25 @@
     }
     answer->node = event.node;
     answer->process = event.process;
-    answer->version = sim->version;
+    answer->version = RsStore_Version(sim->era, sim->version);
+    answer->made_in_era = event.made_in_era;
+    answer->era = sim->era;
+    answer->answered = !lost && (!down || sim->tells_era_while_down);
     answer->status = down    ? RsStore_REFUSED
                      : lost  ? RsStore_UNANSWERED
                      : holds ? RsStore_DONE
                              : RsStore_CONFLICT;
 }
 
+static int
+compare_keys(const void *a, const void *b)
+{
+    const struct rs_store_row *left = a;
+    const struct rs_store_row *right = b;
+    return strcmp(left->key, right->key);
+}
+
+/* Fills in the rows of a table, or of all tables, by ascending key. */
 static size_t
 list_rows(struct rs_simulation *sim, struct rs_store_row *rows,
           const char *table)
@@ -304,13 +340,56 @@
                 .key = (char *)row->key,
                 .value = row->value,
                 .value_bytes = strlen(row->value),
-                .version = row->version,
+                .version = RsStore_Version(sim->era, row->version),
             };
         }
     }
+    qsort(rows, count, sizeof(*rows), compare_keys);
     return count;
 }
 
+/* Passes the lease row to a node, as router/node.c does. */
+static void
+deliver_lease(struct rs_simulation *sim, struct simulated_node *node,
+              const struct rs_store_rows *rows)
+{
+    char *key = RsGranter_LeaseKey(sim->era);
+    const struct rs_store_row *row = rows->count > 0 ? &rows->rows[0] : NULL;
+    if (row != NULL && strcmp(row->key, key) == 0) {
+        RsGranter_LeaseRead(&node->granter, row->version, row->value,
+                            sim->now_ms);
+    }
+    else {
+        if (row != NULL) {
+            RsGranter_FormerLeaseRead(&node->granter, row->value, sim->now_ms);
+        }
+        RsGranter_LeaseRead(&node->granter,
+                            RsStore_Version(sim->era, RsStore_ABSENT), "",
+                            sim->now_ms);
+    }
+    g_free(key);
+}
+
+/* Passes the answer to a commit to a node. Answers of another era than that in
+ * which the commit was made count as none, as in platform/store.c. */
+static void
+deliver_commit_answer(struct rs_simulation *sim, struct simulated_node *node,
+                      const struct event *event, struct rs_store_rows *rows)
+{
+    enum rs_store_status status = (enum rs_store_status)event->status;
+    if (event->answered) {
+        RsGranter_EraSeen(&node->granter, event->era, sim->now_ms);
+        if (event->era != event->made_in_era ||
+            event->era < node->granter.era) {
+            status = RsStore_UNANSWERED;
+        }
+    }
+    if (status == RsStore_CONFLICT) {
+        rows->count = list_rows(sim, rows->rows, NULL);
+    }
+    RsGranter_CommitAnswered(&node->granter, status, rows, sim->now_ms);
+}
+
 static void
 deliver_store_response(struct rs_simulation *sim, struct simulated_node *node,
                        const struct event *event)
@@ -319,14 +398,13 @@
     struct rs_store_rows rows = {.rows = list, .version = event->version};
     bool down = sim->now_ms < sim->store_down_until_ms;
     if (event->kind == CommitAnswered) {
-        if (event->status == RsStore_CONFLICT) {
-            rows.count = list_rows(sim, list, NULL);
-        }
-        RsGranter_CommitAnswered(&node->granter,
-                                 (enum rs_store_status)event->status, &rows,
-                                 sim->now_ms);
+        deliver_commit_answer(sim, node, event, &rows);
+        return;
     }
-    else if (event->kind == MapsAnswered) {
+    if (!down || sim->tells_era_while_down) {
+        RsGranter_EraSeen(&node->granter, sim->era, sim->now_ms);
+    }
+    if (event->kind == MapsAnswered) {
         rows.count = list_rows(sim, list, RsGranter_MAP_TABLE);
         RsGranter_MapsLoaded(&node->granter,
                              down ? RsStore_REFUSED : RsStore_DONE, &rows,
@@ -334,12 +412,71 @@
     }
     else if (!down) {
         rows.count = list_rows(sim, list, RsGranter_LEASE_TABLE);
-        RsGranter_LeaseRead(&node->granter,
-                            rows.count > 0 ? list[0].version : 0,
-                            rows.count > 0 ? list[0].value : "", sim->now_ms);
+        deliver_lease(sim, node, &rows);
+    }
+}
+
+static void
+free_rows(struct row *rows, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        g_free(rows[i].value);
     }
 }
 
+static void
+copy_rows(struct row *to, const struct row *from, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        to[i] = from[i];
+        to[i].value = g_strdup(from[i].value);
+    }
+}
+
+/* Makes a copy of the store if one is due. */
+static void
+copy_store(struct rs_simulation *sim)
+{
+    if (sim->now_ms < sim->next_copy_at_ms) {
+        return;
+    }
+    sim->next_copy_at_ms = sim->now_ms + COPY_EVERY_MS;
+    struct copy *copy = &sim->copies[sim->copy_count++ % COPIES];
+    free_rows(copy->rows, copy->row_count);
+    copy->at_ms = sim->now_ms;
+    copy->row_count = sim->row_count;
+    copy->version = sim->version;
+    copy_rows(copy->rows, sim->rows, sim->row_count);
+}
+
+/* Sets the store back to a copy that is at least `age_ms` old, or to the
+ * oldest one, and begins a new era. */
+static void
+restore_store(struct rs_simulation *sim, int64_t age_ms)
+{
+    size_t count = MIN(sim->copy_count, (size_t)COPIES);
+    const struct copy *best = NULL;
+    for (size_t i = 0; i < count; i++) {
+        const struct copy *copy = &sim->copies[i];
+        bool old_enough = copy->at_ms <= sim->now_ms - age_ms;
+        bool best_old_enough =
+            best != NULL && best->at_ms <= sim->now_ms - age_ms;
+        bool better =
+            old_enough ? !best_old_enough || copy->at_ms > best->at_ms
+                       : best == NULL ||
+                             (!best_old_enough && copy->at_ms < best->at_ms);
+        best = better ? copy : best;
+    }
+    if (best == NULL) {
+        return;
+    }
+    free_rows(sim->rows, sim->row_count);
+    copy_rows(sim->rows, best->rows, best->row_count);
+    sim->row_count = best->row_count;
+    sim->version = best->version;
+    sim->era++;
+}
+
 /* Targets. */
 
 static bool
@@ -531,6 +668,7 @@
         .peer_host = "127.0.0.1",
         .peer_port = 1,
         .incarnation = node->process,
+        .bootstrap = node->process <= RsFixture_NODES,
         .max_hold_ms = MAX_HOLD_MS,
         .strength =
             number == RsFixture_STRONG_NODE ? STRONG_STRENGTH : WEAK_STRENGTH,
@@ -596,8 +734,9 @@
     for (size_t i = 0; i < sim->event_count; i++) {
         free_event(&sim->events[i]);
     }
-    for (size_t i = 0; i < sim->row_count; i++) {
-        g_free(sim->rows[i].value);
+    free_rows(sim->rows, sim->row_count);
+    for (size_t i = 0; i < COPIES; i++) {
+        free_rows(sim->copies[i].rows, sim->copies[i].row_count);
     }
     for (uint32_t i = 0; i < RsFixture_NODES; i++) {
         struct simulated_node *node = &sim->nodes[i];
@@ -684,6 +823,14 @@
     RsGranter_Tick(&node->granter, sim->now_ms);
 }
 
+/* Makes the store name its era also in the answers by which it refuses calls.
+ */
+void
+RsSimulation_TellEraOfNextRestore(struct rs_simulation *sim)
+{
+    sim->tells_era_while_down = true;
+}
+
 /* Advances the simulated time by `span_ms` and runs what is due in it. */
 void
 RsSimulation_Advance(struct rs_simulation *sim, int64_t span_ms)
@@ -695,6 +842,7 @@
             sim->next_report_at_ms = sim->now_ms + 800;
             report_targets(sim);
         }
+        copy_store(sim);
         run_events(sim);
         for (uint32_t i = 0; i < RsFixture_NODES; i++) {
             tick_node(sim, &sim->nodes[i]);
@@ -704,8 +852,10 @@
 
 /* Injects a fault. A fault of messages takes effect at the next message of its
  * kind, any other fault at once. `which` selects the node or target, if the
- * fault concerns one. `for_ms` is how long the fault lasts, or by how much the
- * grant is late; other faults ignore it. */
+ * fault concerns one, or for how many times half a second a store that will be
+ * restored is away, up to nine. `for_ms` is how long the fault lasts, by how
+ * much the grant is late or how old the copy is at least; other faults ignore
+ * it. */
 void
 RsSimulation_InjectFault(struct rs_simulation *sim,
                          enum rs_fixture_fault fault, uint32_t which,
@@ -733,6 +883,11 @@
     case RsFixture_NODE_RESIGNED:
         RsGranter_Resign(&node->granter, sim->now_ms);
         break;
+    case RsFixture_STORE_RESTORED:
+        restore_store(sim, for_ms);
+        sim->store_down_until_ms =
+            sim->now_ms + which % RESTORE_STEPS * RESTORE_STEP_MS;
+        break;
     case RsFixture_GRANT_LATE:
         sim->grant_delay_ms = for_ms;
         sim->pending_faults[fault]++;
@@ -823,6 +978,20 @@
     return held_count;
 }
 
+/* Returns whether a target holds a key. */
+bool
+RsSimulation_Holds(const struct rs_simulation *sim, uint32_t number,
+                   uint32_t key)
+{
+    const struct target *target = &sim->targets[number];
+    for (size_t i = 0; i < target->hold_count; i++) {
+        if (covers(&target->holds[i], key, sim->now_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Returns the simulated time in ms. */
 int64_t
 RsSimulation_NowMs(const struct rs_simulation *sim)
--- a/router/fixture.h
+++ b/router/fixture.h
@@ -40,6 +40,8 @@
     RsFixture_NODE_FROZEN,
     RsFixture_TARGET_RESTARTED,
     RsFixture_NODE_RESIGNED,
+    /* The store goes away and comes back from a copy. */
+    RsFixture_STORE_RESTORED,
     RsFixture_FAULTS
 };
 
@@ -52,6 +54,9 @@
 void RsSimulation_MoveKeys(struct rs_simulation *sim, uint32_t first_key,
                            uint32_t last_key, uint32_t target);
 
+/* Makes a store that is restored tell its era also while it is away. */
+void RsSimulation_TellEraOfNextRestore(struct rs_simulation *sim);
+
 /* Tells the granter the strength of the strong node, to which it may yield the
  * lease. */
 void RsSimulation_YieldIfStronger(struct rs_simulation *sim);
@@ -59,6 +64,8 @@
 /* Results of the checks. */
 const char *RsSimulation_Violation(const struct rs_simulation *sim);
 uint32_t RsSimulation_CountHeldKeys(const struct rs_simulation *sim);
+bool RsSimulation_Holds(const struct rs_simulation *sim, uint32_t target,
+                        uint32_t key);
 int RsSimulation_FindGranter(const struct rs_simulation *sim); /* -1: none */
 int64_t RsSimulation_NowMs(const struct rs_simulation *sim);
 
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -353,6 +353,15 @@
     }
 }
 
+/* Records that the store has gone back to a copy. Rows that expire soon after
+ * are treated as after an outage. */
+void
+RsFleet_RecordRestore(struct rs_fleet *fleet, int64_t now_ms)
+{
+    fleet->outage_at_ms = now_ms;
+    fleet->store_back_at_ms = now_ms;
+}
+
 /* Returns the target with this interned id, or NULL. */
 struct rs_fleet_target *
 RsFleet_Find(const struct rs_fleet *fleet, const char *id)
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -97,6 +97,7 @@
                           bool evacuated, int64_t since_ms);
 void RsFleet_RecordStoreCall(struct rs_fleet *fleet, bool reachable,
                              int64_t now_ms);
+void RsFleet_RecordRestore(struct rs_fleet *fleet, int64_t now_ms);
 
 struct rs_fleet_target *RsFleet_Find(const struct rs_fleet *fleet,
                                      const char *id);
--- a/router/follower.c
+++ b/router/follower.c
@@ -26,6 +26,9 @@
     uint32_t retry_delay_ms; /* delay after the next failed call */
     uint32_t max_retry_delay_ms;
     int64_t fresh_at_ms;
+    /* The store has gone back; when to read the whole table once more. 0: no.
+     */
+    int64_t settle_at_ms;
 };
 
 static void call(struct rs_follower *follower);
@@ -72,6 +75,30 @@
     follower->options.events->row(follower->options.arg, &deletion);
 }
 
+static bool
+is_outdated(const struct rs_follower *follower, const struct rs_store_row *row)
+{
+    const struct rs_follower_events *events = follower->options.events;
+    return events->is_outdated != NULL && !row->deleted &&
+           events->is_outdated(follower->options.arg, row);
+}
+
+/* Applies a row from the store if it is newer than the known one. Returns
+ * whether it changed something. */
+static bool
+apply_row(struct rs_follower *follower, const struct rs_store_row *row)
+{
+    if (!RsTableCopy_IsNewer(&follower->copy, row)) {
+        return false;
+    }
+    enum rs_row_effect effect =
+        is_outdated(follower, row)
+            ? RsTableCopy_IGNORED
+            : follower->options.events->row(follower->options.arg, row);
+    RsTableCopy_Put(&follower->copy, row, effect);
+    return effect == RsTableCopy_CHANGED;
+}
+
 /* Applies those rows from the store that are newer than the known ones.
  * Returns whether any of them changed something. */
 static bool
@@ -79,17 +106,29 @@
 {
     bool changed = false;
     for (size_t i = 0; i < rows->count; i++) {
-        const struct rs_store_row *row = &rows->rows[i];
-        if (RsTableCopy_IsNewer(&follower->copy, row)) {
-            enum rs_row_effect effect =
-                follower->options.events->row(follower->options.arg, row);
-            RsTableCopy_Put(&follower->copy, row, effect);
-            changed |= effect == RsTableCopy_CHANGED;
-        }
+        changed |= apply_row(follower, &rows->rows[i]);
     }
     return changed;
 }
 
+/* Applies rows of the whole table as it is after the store has gone back. Rows
+ * that are known to be deleted stay so. The others get the version of the
+ * read, since this node may know a later content than the copy. */
+static void
+apply_restored_rows(struct rs_follower *follower,
+                    const struct rs_store_rows *rows)
+{
+    for (size_t i = 0; i < rows->count; i++) {
+        struct rs_store_row row = rows->rows[i];
+        const struct rs_known_row *known =
+            RsTableCopy_Find(&follower->copy, row.key);
+        if (known == NULL || !known->deleted) {
+            row.version = follower->reading_version;
+            apply_row(follower, &row);
+        }
+    }
+}
+
 /* Makes the next call start a read of the whole table. */
 static void
 restart_reading(struct rs_follower *follower)
@@ -107,6 +146,46 @@
     follower->options.events->caught_up(follower->options.arg, changed);
 }
 
+/* Begins to apply a read of the whole table. */
+static void
+begin_snapshot(struct rs_follower *follower, uint64_t version)
+{
+    /* Later pages may be newer than the first. Polling afterwards starts from
+     * the highest version read on any page; a change made during the read to a
+     * page already read may be missed. */
+    uint64_t known_version = follower->copy.version;
+    follower->reading_version = version;
+    if (known_version > 0 &&
+        RsStore_Era(version) > RsStore_Era(known_version)) {
+        follower->settle_at_ms = RsClock_NowMs() + follower->options.settle_ms;
+        RsLog_EVENT(
+            RsLog_WARNING, "table_restored",
+            RsLog_TEXT("table", follower->options.table),
+            RsLog_NUMBER("era", RsStore_Era(version)),
+            RsLog_NUMBER("version", RsStore_Number(version)),
+            RsLog_NUMBER("known_era", RsStore_Era(known_version)),
+            RsLog_NUMBER("known_version", RsStore_Number(known_version)));
+    }
+    RsTableCopy_BeginSnapshot(&follower->copy);
+}
+
+/* Ends the read of the whole table. */
+static void
+end_snapshot(struct rs_follower *follower)
+{
+    if (follower->settle_at_ms > 0) {
+        RsTableCopy_EndSnapshotKeepingMissing(&follower->copy,
+                                              follower->reading_version);
+    }
+    else {
+        RsTableCopy_EndSnapshot(&follower->copy, follower->reading_version,
+                                on_row_missing, follower);
+    }
+    follower->fully_read = true;
+    caught_up(follower, true);
+    call_after(follower, follower->options.pause_ms);
+}
+
 static void
 on_page(void *arg, enum rs_store_status status,
         const struct rs_store_rows *rows)
@@ -117,14 +196,22 @@
         call_after_failure(follower);
         return;
     }
-    if (follower->next_key == NULL) {
-        /* Later pages may be newer than the first. Polling afterwards starts
-         * from the highest version read on any page; a change made during the
-         * read to a page already read may be missed. */
-        follower->reading_version = rows->version;
-        RsTableCopy_BeginSnapshot(&follower->copy);
+    bool is_first_page = follower->next_key == NULL;
+    if (!is_first_page &&
+        RsStore_Era(rows->version) != RsStore_Era(follower->reading_version)) {
+        restart_reading(follower);
+        call(follower);
+        return;
+    }
+    if (is_first_page) {
+        begin_snapshot(follower, rows->version);
+    }
+    if (follower->settle_at_ms > 0) {
+        apply_restored_rows(follower, rows);
+    }
+    else {
+        apply_rows(follower, rows);
     }
-    apply_rows(follower, rows);
     if (rows->more && rows->count > 0) {
         g_free(follower->next_key);
         /* The smallest key after the last one read. */
@@ -133,11 +220,7 @@
         call(follower);
         return;
     }
-    follower->fully_read = true;
-    RsTableCopy_EndSnapshot(&follower->copy, follower->reading_version,
-                            on_row_missing, follower);
-    caught_up(follower, true);
-    call_after(follower, follower->options.pause_ms);
+    end_snapshot(follower);
 }
 
 static void
@@ -147,9 +230,11 @@
     struct rs_follower *follower = arg;
     follower->options.events->store_call_ended(follower->options.arg, status);
     if (status == RsStore_TRUNCATED) {
-        RsLog_EVENT(RsLog_WARNING, "history_gone",
-                    RsLog_TEXT("table", follower->options.table),
-                    RsLog_NUMBER("version", follower->copy.version));
+        RsLog_EVENT(
+            RsLog_WARNING, "history_gone",
+            RsLog_TEXT("table", follower->options.table),
+            RsLog_NUMBER("era", RsStore_Era(follower->copy.version)),
+            RsLog_NUMBER("version", RsStore_Number(follower->copy.version)));
         restart_reading(follower);
         call(follower);
         return;
@@ -171,6 +256,11 @@
 {
     const struct rs_follower_options *options = &follower->options;
     follower->call_active = true;
+    if (follower->settle_at_ms > 0 && follower->fully_read &&
+        RsClock_NowMs() >= follower->settle_at_ms) {
+        follower->settle_at_ms = 0;
+        restart_reading(follower);
+    }
     if (follower->fully_read) {
         RsStore_WaitForChanges(options->store, options->table,
                                follower->copy.version, options->wait_ms,
@@ -222,6 +312,14 @@
     return follower->fresh_at_ms;
 }
 
+/* Returns whether the store has gone back and the table has not been read once
+ * more since. */
+bool
+RsFollower_IsSettling(const struct rs_follower *follower)
+{
+    return follower->settle_at_ms > 0;
+}
+
 /* Suspends polling, or resumes it at once. A call in progress is not
  * cancelled. */
 void
@@ -256,7 +354,8 @@
     g_clear_pointer(&encodings->patch, g_byte_array_unref);
 }
 
-/* Applies rows that came from another node. `encodings` has one entry for each
+/* Applies rows that came from another node. Those with outdated content only
+ * update the version. `encodings` has one entry for each
  * row, or is NULL; the follower takes ownership of the byte arrays in it.
  * `whole` says that the table had no other rows at the version of `rows`.
  *
@@ -279,6 +378,10 @@
     for (size_t i = 0; i < rows->count; i++) {
         const struct rs_store_row *row = &rows->rows[i];
         newer[i] = RsTableCopy_IsNewer(&follower->copy, row);
+        if (newer[i] && is_outdated(follower, row)) {
+            RsTableCopy_Put(&follower->copy, row, RsTableCopy_IGNORED);
+            newer[i] = false;
+        }
         if (newer[i]) {
             RsTableCopy_Put(&follower->copy, row, RsTableCopy_CHANGED);
             changed = true;
--- a/router/follower.h
+++ b/router/follower.h
@@ -2,7 +2,13 @@
  * reads the whole table, then polls for changes, and reads the table again
  * when the store no longer has the history. While polling is suspended, it
  * gets the changes through RsFollower_ApplyUpdate(). Polling is suspended
- * until RsFollower_SetSuspended() resumes it. */
+ * until RsFollower_SetSuspended() resumes it.
+ *
+ * When the store has gone back to a copy, rows that were written since the
+ * copy are missing and rows that were deleted since are there again, until
+ * their writers have written or deleted them again. The follower keeps what it
+ * knows of such rows, reads the whole table once more after some time, and
+ * then takes it as it is. */
 
 #ifndef RATTANSHED_ROUTER_FOLLOWER_H
 #define RATTANSHED_ROUTER_FOLLOWER_H
@@ -17,6 +23,9 @@
      * set for each row that is missing from the whole table. Returns the
      * effect of the row on what is known. */
     enum rs_row_effect (*row)(void *arg, const struct rs_store_row *row);
+    /* Returns whether the content of the row is older than what is known,
+     * although its version is newer; such a row is ignored. May be NULL. */
+    bool (*is_outdated)(void *arg, const struct rs_store_row *row);
     /* Called when changes, but not a whole table, came from another node,
      * before `row` is called for them, so that they can be forwarded first. */
     void (*updated)(void *arg);
@@ -35,6 +44,8 @@
     uint32_t pause_ms; /* between two calls to the store */
     /* How long at most the store holds a call while there is no change. */
     uint32_t wait_ms;
+    /* How long after the store has gone back the table is read once more. */
+    uint32_t settle_ms;
     const struct rs_follower_events *events;
     void *arg;
 };
@@ -46,6 +57,7 @@
 const struct rs_table_copy *
 RsFollower_TableCopy(const struct rs_follower *follower);
 int64_t RsFollower_FreshAtMs(const struct rs_follower *follower);
+bool RsFollower_IsSettling(const struct rs_follower *follower);
 void RsFollower_SetSuspended(struct rs_follower *follower, bool suspended);
 void RsFollower_SetPause(struct rs_follower *follower, uint32_t pause_ms);
 void RsFollower_SetMaxRetryDelay(struct rs_follower *follower,
--- a/router/granter.c
+++ b/router/granter.c
@@ -43,6 +43,17 @@
 /* Added to the end of a hold, for the time that a grant may take to reach the
  * target. */
 #define HOLD_MARGIN_MS 150
+/* A granter whose last confirmed commit is older than this doesn't go on after
+ * the store went back. A granter that followed it may have given keys to other
+ * targets without the word of their owners, once it had waited for the longest
+ * hold (10 s). */
+#define RESUME_WITHIN_MS 9000
+/* After the store went back, the granter may still have the maps in memory.
+ * Other nodes leave it this time, from when they find no lease, to renew its
+ * own; it tries every COMMIT_RETRY_MS. */
+#define HEAD_START_MS 700
+/* Fences of an era have the era in their high bits. */
+#define FENCE_NUMBER_BITS 32
 /* Nodes on strong VMs should get the lease, since the granter sends messages
  * to all other nodes. A weak node delays its claim by up to this long. The
  * delay exceeds the heartbeat interval (200 ms), because nodes learn of the
@@ -120,21 +131,57 @@
            now_ms - granter->confirmed_at_ms < STORE_OUTAGE_MS;
 }
 
-/* Returns the interned service name of a key map row, or NULL when the key is
- * not that of a key map. */
-static const char *
-service_of_row(const char *key)
+/* Returns the number that stands for an era in the keys of rows. It falls with
+ * the era, so that the rows of the present era are read first. */
+static uint32_t
+era_in_key(uint32_t era)
 {
-    return g_str_has_prefix(key, RsGranter_MAP_PREFIX)
-               ? g_intern_string(key + strlen(RsGranter_MAP_PREFIX))
-               : NULL;
+    return RsStore_MAX_ERA - era;
 }
 
-/* Returns the key of a map's row; the caller frees it with g_free(). */
+/* Returns the key of the lease row of an era; the caller frees it with
+ * g_free(). */
 char *
-RsGranter_RowKey(const struct rs_keymap *map)
+RsGranter_LeaseKey(uint32_t era)
 {
-    return g_strconcat(RsGranter_MAP_PREFIX, map->service, NULL);
+    return g_strdup_printf(RsGranter_LEASE_PREFIX "%05" PRIu32,
+                           era_in_key(era));
+}
+
+/* Returns the key of the row of a service's map in an era; the caller frees it
+ * with g_free(). */
+char *
+RsGranter_MapKey(uint32_t era, const char *service)
+{
+    return g_strdup_printf(RsGranter_MAP_PREFIX "%05" PRIu32 "/%s",
+                           era_in_key(era), service);
+}
+
+/* Parses the key of a row of a map. Returns false for keys of another form.
+ * `*service` is interned. */
+bool
+RsGranter_ParseMapKey(const char *key, uint32_t *era, const char **service)
+{
+    if (!g_str_has_prefix(key, RsGranter_MAP_PREFIX)) {
+        return false;
+    }
+    char *end = NULL;
+    const char *digits = key + strlen(RsGranter_MAP_PREFIX);
+    unsigned long number = strtoul(digits, &end, 10);
+    if (!g_ascii_isdigit(digits[0]) || *end != '/' || end[1] == '\0' ||
+        number > RsStore_MAX_ERA) {
+        return false;
+    }
+    *era = RsStore_MAX_ERA - (uint32_t)number;
+    *service = g_intern_string(end + 1);
+    return true;
+}
+
+/* Returns the lowest fence of an era. */
+static uint64_t
+first_fence(uint32_t era)
+{
+    return ((uint64_t)era << FENCE_NUMBER_BITS) + 1;
 }
 
 /* Decodes the key map in a row. Returns NULL for rows of another kind and,
@@ -142,13 +189,17 @@
 struct rs_keymap *
 RsGranter_DecodeRow(const char *key, const char *value, uint64_t version)
 {
-    const char *service = service_of_row(key);
-    struct rs_keymap *map =
-        service != NULL ? RsKeymap_Decode(service, value) : NULL;
-    if (service != NULL && map == NULL) {
+    const char *service = NULL;
+    uint32_t era = 0;
+    if (!RsGranter_ParseMapKey(key, &era, &service)) {
+        return NULL;
+    }
+    struct rs_keymap *map = RsKeymap_Decode(service, value);
+    if (map == NULL) {
         RsLog_EVENT(RsLog_ERROR, "keymap_malformed",
                     RsLog_TEXT("service", service),
-                    RsLog_NUMBER("row_version", version));
+                    RsLog_NUMBER("era", RsStore_Era(version)),
+                    RsLog_NUMBER("row_version", RsStore_Number(version)));
     }
     return map;
 }
@@ -166,6 +217,14 @@
     return NULL;
 }
 
+/* Marks a range as unproven, and as blocked if `blocked` is set. */
+static void
+doubt_range(struct rs_key_range *range, bool blocked)
+{
+    range->unproven = true;
+    range->orders.blocked |= blocked;
+}
+
 /* Adds a map without owners for a service that has no row yet; the name must
  * be interned. Returns NULL when there are RsGranter_MAX_MAPS already. */
 struct rs_granter_map *
@@ -177,9 +236,14 @@
     struct rs_granter_map *entry = &granter->maps[granter->map_count++];
     *entry = (struct rs_granter_map){
         .map = RsKeymap_New(service),
-        .row_version = RsStore_ABSENT,
-        .committed_fence = 1,
+        .row_version = RsStore_Version(granter->era, RsStore_ABSENT),
+        .committed_fence = first_fence(granter->era),
     };
+    entry->map->next_fence = first_fence(granter->era);
+    if (granter->restored) {
+        /* The copy may be older than the map. */
+        doubt_range(RsKeymap_GetRange(entry->map, 0), true);
+    }
     return entry;
 }
 
@@ -192,6 +256,15 @@
     granter->map_count = 0;
 }
 
+/* Returns the longest time for which a target may hold keys after it got a
+ * grant of `hold_ms`, given a slow clock and the time on the wire. */
+static int64_t
+max_hold_at_target_ms(uint32_t hold_ms)
+{
+    return hold_ms + (int64_t)hold_ms * CLOCK_DRIFT_PERCENT / 100 +
+           HOLD_MARGIN_MS;
+}
+
 /* Ends this node's role as granter or its claim, and drops the maps. */
 static void
 step_down(struct rs_granter *granter, const char *reason)
@@ -199,7 +272,9 @@
     if (granter->phase != RsGranter_OBSERVING) {
         RsLog_EVENT(RsLog_WARNING, "granter_stopped",
                     RsLog_TEXT("reason", reason),
-                    RsLog_NUMBER("lease_version", granter->lease_version));
+                    RsLog_NUMBER("era", RsStore_Era(granter->lease_version)),
+                    RsLog_NUMBER("lease_version",
+                                 RsStore_Number(granter->lease_version)));
     }
     granter->phase = RsGranter_OBSERVING;
     granter->authority_until_ms = 0;
@@ -257,7 +332,8 @@
         RsLog_EVENT(RsLog_INFO, "granter_seen",
                     RsLog_TEXT("node", lease->node),
                     RsLog_TEXT("source", source),
-                    RsLog_NUMBER("lease_version", version));
+                    RsLog_NUMBER("era", RsStore_Era(version)),
+                    RsLog_NUMBER("lease_version", RsStore_Number(version)));
     }
     granter->lease_known = true;
     granter->lease_version = version;
@@ -269,9 +345,29 @@
     }
 }
 
-/* Handles the lease row as read from the store; version 0 means that there is
- * no row. If the version is not newer than the known one, only the time of the
- * read is recorded. */
+/* Sets the times at which doubts about grants of a former era end, given that
+ * the store went back before `now_ms`. */
+static void
+set_doubt_times(struct rs_granter *granter, int64_t now_ms)
+{
+    granter->proof_from_ms = now_ms + LEASE_MS + LEASE_MARGIN_MS;
+    granter->lapsed_from_ms =
+        now_ms + LEASE_MS +
+        max_hold_at_target_ms(granter->options.max_hold_ms);
+}
+
+/* Records that the store has gone back to a copy. */
+static void
+record_restore(struct rs_granter *granter, int64_t now_ms)
+{
+    granter->restored = true;
+    granter->restored_at_ms = now_ms;
+    set_doubt_times(granter, now_ms);
+}
+
+/* Handles the lease row as read from the store; a version with the number
+ * RsStore_ABSENT means that the present era has no row. If the version is not
+ * newer than the known one, only the time of the read is recorded. */
 void
 RsGranter_LeaseRead(struct rs_granter *granter, uint64_t version,
                     const char *value, int64_t now_ms)
@@ -280,13 +376,36 @@
     if (granter->lease_known && version <= granter->lease_version) {
         return;
     }
-    struct rs_granter_lease lease = {0};
-    if (version != RsStore_ABSENT) {
-        lease = decode_lease(value);
+    if (RsStore_Number(version) == RsStore_ABSENT) {
+        if (!granter->restored && granter->era > 0 &&
+            !granter->options.bootstrap) {
+            /* The copy is older than the first lease. */
+            record_restore(granter, now_ms);
+        }
+        granter->lease_known = true;
+        granter->lease_version = version;
+        granter->lease_seen_at_ms = now_ms;
+        return;
     }
+    struct rs_granter_lease lease = decode_lease(value);
     update_holder(granter, &lease, version, "store", now_ms);
 }
 
+/* Handles the lease row of a former era, when the present one has none. This
+ * node may have started after the store had gone back. The holder is the node
+ * that most likely delivers current data. */
+void
+RsGranter_FormerLeaseRead(struct rs_granter *granter, const char *value,
+                          int64_t now_ms)
+{
+    if (!granter->restored) {
+        record_restore(granter, now_ms);
+    }
+    if (granter->holder.node[0] == '\0') {
+        granter->holder = decode_lease(value);
+    }
+}
+
 /* Handles a lease that a peer has sent. It is ignored unless it is newer than
  * the known one and this node is neither the granter nor claiming the lease. A
  * claim is still conditional on the version of the row in the store, so a
@@ -337,11 +456,18 @@
 static int64_t
 earliest_claim_at_ms(const struct rs_granter *granter)
 {
+    bool has_row = RsStore_Number(granter->lease_version) != RsStore_ABSENT;
+    if (!has_row && granter->restored) {
+        int64_t authority_ended_at_ms =
+            granter->restored_at_ms + LEASE_MS + LEASE_MARGIN_MS;
+        return MAX(authority_ended_at_ms,
+                   granter->lease_seen_at_ms + HEAD_START_MS) +
+               claim_delay_ms(granter);
+    }
     if (is_held_by_earlier_process(granter)) {
         return granter->lease_seen_at_ms;
     }
-    bool is_free = granter->lease_version == RsStore_ABSENT ||
-                   granter->holder.node[0] == '\0';
+    bool is_free = !has_row || granter->holder.node[0] == '\0';
     return granter->lease_seen_at_ms + claim_delay_ms(granter) +
            (is_free ? 0 : LEASE_MS + LEASE_MARGIN_MS);
 }
@@ -377,18 +503,20 @@
     size_t count = 0;
     size_t text_count = 0;
     char *lease = encode_lease(granter);
+    char *lease_key = RsGranter_LeaseKey(granter->era);
     texts[text_count++] = lease;
+    texts[text_count++] = lease_key;
     conditions[count] = (struct rs_store_condition){
-        RsGranter_LEASE_TABLE, RsGranter_LEASE_KEY, granter->lease_version};
-    writes[count++] = (struct rs_store_write){
-        RsGranter_LEASE_TABLE, RsGranter_LEASE_KEY, lease, strlen(lease)};
+        RsGranter_LEASE_TABLE, lease_key, granter->lease_version};
+    writes[count++] = (struct rs_store_write){RsGranter_LEASE_TABLE, lease_key,
+                                              lease, strlen(lease)};
     for (size_t i = 0; i < granter->map_count; i++) {
         struct rs_granter_map *entry = &granter->maps[i];
         entry->in_commit = entry->dirty && granter->phase == RsGranter_LEADING;
         if (!entry->in_commit) {
             continue;
         }
-        char *key = RsGranter_RowKey(entry->map);
+        char *key = RsGranter_MapKey(granter->era, entry->map->service);
         char *value = RsKeymap_Encode(entry->map);
         entry->in_commit_fence = entry->map->next_fence;
         entry->dirty = false;
@@ -456,7 +584,8 @@
         granter->phase = RsGranter_LOADING;
         granter->elected_at_ms = now_ms;
         RsLog_EVENT(RsLog_INFO, "granter_elected",
-                    RsLog_NUMBER("lease_version", version));
+                    RsLog_NUMBER("era", RsStore_Era(version)),
+                    RsLog_NUMBER("lease_version", RsStore_Number(version)));
         granter->options.actions->load_maps(granter->options.arg);
     }
 }
@@ -472,7 +601,8 @@
     for (size_t i = 0; i < rows->count; i++) {
         const struct rs_store_row *row = &rows->rows[i];
         if (strcmp(row->table, RsGranter_LEASE_TABLE) == 0) {
-            RsGranter_LeaseRead(granter, row->deleted ? 0 : row->version,
+            RsGranter_LeaseRead(granter,
+                                row->deleted ? RsStore_ABSENT : row->version,
                                 row->value, now_ms);
         }
     }
@@ -483,8 +613,13 @@
     }
     for (size_t i = 0; i < rows->count; i++) {
         const struct rs_store_row *row = &rows->rows[i];
+        uint32_t era = 0;
+        const char *service = NULL;
         struct rs_granter_map *entry =
-            RsGranter_FindMap(granter, service_of_row(row->key));
+            RsGranter_ParseMapKey(row->key, &era, &service) &&
+                    era == granter->era
+                ? RsGranter_FindMap(granter, service)
+                : NULL;
         if (entry != NULL) {
             entry->row_version = row->version;
         }
@@ -531,9 +666,11 @@
         entry->dirty = entry->dirty || entry->in_commit;
         entry->in_commit = false;
     }
-    RsLog_EVENT(RsLog_WARNING, "granter_commit_failed",
-                RsLog_TEXT("status", RsStore_StatusName(status)),
-                RsLog_NUMBER("lease_version", granter->lease_version));
+    RsLog_EVENT(
+        RsLog_WARNING, "granter_commit_failed",
+        RsLog_TEXT("status", RsStore_StatusName(status)),
+        RsLog_NUMBER("era", RsStore_Era(granter->lease_version)),
+        RsLog_NUMBER("lease_version", RsStore_Number(granter->lease_version)));
     granter->next_commit_at_ms = now_ms + COMMIT_RETRY_MS;
     if (status == RsStore_CONFLICT) {
         granter->next_commit_at_ms = now_ms + COMMIT_BATCH_MS;
@@ -546,15 +683,6 @@
     }
 }
 
-/* Returns the longest time for which a target may hold keys after it got a
- * grant of `hold_ms`, given a slow clock and the time on the wire. */
-static int64_t
-max_hold_at_target_ms(uint32_t hold_ms)
-{
-    return hold_ms + (int64_t)hold_ms * CLOCK_DRIFT_PERCENT / 100 +
-           HOLD_MARGIN_MS;
-}
-
 /* Assumes that all owners and former owners in a loaded map have just got
  * grants of the maximum duration, as the previous granter's orders are
  * unknown. */
@@ -588,24 +716,45 @@
     }
 }
 
+/* Marks all ranges of a map that is of a former era as unproven and blocked.
+ */
+static void
+doubt_map(struct rs_keymap *map)
+{
+    for (size_t i = 0; i < map->ranges->len; i++) {
+        doubt_range(RsKeymap_GetRange(map, i), true);
+    }
+}
+
+/* Adds the map in a row of the present era or, if there is none, of the last
+ * former one. Rows of later eras come first. */
 static void
 add_loaded_map(struct rs_granter *granter, const struct rs_store_row *row,
                int64_t now_ms)
 {
+    uint32_t era = 0;
+    const char *service = NULL;
+    if (!RsGranter_ParseMapKey(row->key, &era, &service) ||
+        RsGranter_FindMap(granter, service) != NULL ||
+        granter->map_count == RsGranter_MAX_MAPS) {
+        return;
+    }
     struct rs_keymap *map =
         RsGranter_DecodeRow(row->key, row->value, row->version);
     if (map == NULL) {
         return;
     }
-    if (granter->map_count == RsGranter_MAX_MAPS) {
-        RsKeymap_Free(map);
-        return;
+    bool current = era == granter->era;
+    if (!current) {
+        doubt_map(map);
+        map->next_fence = MAX(map->next_fence, first_fence(granter->era));
     }
     assume_max_holds(granter, map, now_ms);
     report_owners(granter, map);
     granter->maps[granter->map_count++] = (struct rs_granter_map){
         .map = map,
-        .row_version = row->version,
+        .row_version = current ? row->version
+                               : RsStore_Version(granter->era, RsStore_ABSENT),
         .committed_fence = map->next_fence,
     };
 }
@@ -625,6 +774,10 @@
         return;
     }
     drop_maps(granter);
+    if (!granter->restored) {
+        /* The former granter may have marked ranges as unproven. */
+        set_doubt_times(granter, now_ms);
+    }
     for (size_t i = 0; i < rows->count; i++) {
         add_loaded_map(granter, &rows->rows[i], now_ms);
     }
@@ -670,6 +823,7 @@
     }
     const struct rs_order order = {
         .service = map->service,
+        .sent_at_ms = now_ms,
         .send_before_ms = granter->authority_until_ms,
         .target_id = owner->id,
         .grant = {.first_key = range->first_key,
@@ -751,12 +905,30 @@
     }
 }
 
+/* Ends the doubt about a range when no target can hold its keys by a grant of
+ * a former era any more. Its grants get a fence of the present era. */
+static void
+settle_range(struct rs_granter_map *entry, struct rs_key_range *range)
+{
+    range->unproven = false;
+    range->orders.blocked = false;
+    range->orders.next_grant_at_ms = 0;
+    range->fence = entry->map->next_fence++;
+    entry->dirty = true;
+}
+
 /* Sends the orders for one range that are due. */
 static void
 process_range(struct rs_granter *granter, struct rs_granter_map *entry,
               struct rs_key_range *range, int64_t now_ms)
 {
     struct rs_range_orders *orders = &range->orders;
+    if (range->unproven && now_ms >= granter->lapsed_from_ms) {
+        settle_range(entry, range);
+    }
+    if (orders->blocked) {
+        return;
+    }
     if (range->former.id != NULL) {
         advance_handover(granter, entry, range, now_ms);
     }
@@ -815,6 +987,77 @@
            now_ms - granter->commit_sent_at_ms >= COMMIT_BATCH_MS;
 }
 
+/* Carries a map over into a new era. If the authority of this node has lapsed,
+ * moves that were not committed are undone, and all ranges are unproven. */
+static void
+carry_over_map(struct rs_granter *granter, struct rs_granter_map *entry,
+               bool proven)
+{
+    struct rs_keymap *map = entry->map;
+    for (size_t i = 0; !proven && i < map->ranges->len; i++) {
+        struct rs_key_range *range = RsKeymap_GetRange(map, i);
+        bool committed = range->fence < entry->committed_fence;
+        if (!committed && range->former.id != NULL) {
+            RsKeymap_UndoMove(range);
+            committed = true;
+        }
+        doubt_range(range, !committed);
+    }
+    entry->row_version = RsStore_Version(granter->era, RsStore_ABSENT);
+    entry->dirty = true;
+    map->next_fence = MAX(map->next_fence, first_fence(granter->era));
+}
+
+/* Decides whether this granter goes on after the store has gone back. */
+static void
+continue_in_new_era(struct rs_granter *granter, int64_t now_ms)
+{
+    bool proven = RsGranter_HasAuthority(granter, now_ms);
+    int64_t confirmed_age_ms = now_ms - granter->confirmed_at_ms;
+    if (!proven &&
+        (granter->resigning || confirmed_age_ms >= RESUME_WITHIN_MS)) {
+        step_down(granter, "the store has gone back");
+        return;
+    }
+    for (size_t i = 0; i < granter->map_count; i++) {
+        carry_over_map(granter, &granter->maps[i], proven);
+    }
+    granter->next_commit_at_ms = now_ms;
+    RsLog_EVENT(RsLog_WARNING, "granter_continues",
+                RsLog_NUMBER("era", granter->era),
+                RsLog_NUMBER("proven", proven),
+                RsLog_NUMBER("confirmed_age_ms", confirmed_age_ms));
+}
+
+/* Handles the era that a response of the store has named. Does nothing unless
+ * it is later than the known one. The first era that a node sees doesn't tell
+ * whether the store has gone back; see RsGranter_FormerLeaseRead(). */
+void
+RsGranter_EraSeen(struct rs_granter *granter, uint32_t era, int64_t now_ms)
+{
+    if (granter->era_known && era <= granter->era) {
+        return;
+    }
+    bool is_first = !granter->era_known;
+    granter->era_known = true;
+    granter->era = era;
+    if (is_first) {
+        return;
+    }
+    record_restore(granter, now_ms);
+    if (RsStore_Era(granter->lease_version) < era) {
+        granter->lease_known = false;
+        granter->lease_version = RsStore_Version(era, RsStore_ABSENT);
+        granter->lease_seen_at_ms = now_ms;
+    }
+    if (granter->phase == RsGranter_LEADING) {
+        continue_in_new_era(granter, now_ms);
+    }
+    else if (granter->phase != RsGranter_OBSERVING) {
+        step_down(granter, "the store has gone back");
+    }
+}
+
 /* Claims the lease if that is due. */
 static void
 claim_if_due(struct rs_granter *granter, int64_t now_ms)
@@ -923,9 +1166,12 @@
 }
 
 /* Handles the answer to a grant. If the owner refuses the fence as stale, the
- * range gets a new fence, unless it is being handed over. */
+ * range gets a new fence, unless it is being handed over. The owner of an
+ * unproven range has released the keys for another target then, so the range
+ * is blocked. */
 static void
-handle_grant_answer(struct rs_granter_map *entry, struct rs_key_range *range,
+handle_grant_answer(const struct rs_granter *granter,
+                    struct rs_granter_map *entry, struct rs_key_range *range,
                     const struct rs_order *order, int status, int64_t now_ms)
 {
     struct rs_range_orders *orders = &range->orders;
@@ -936,6 +1182,10 @@
     if (status == RsWire_GRANTED && to_owner) {
         g_free(orders->handover);
         orders->handover = NULL;
+        if (range->unproven && order->sent_at_ms >= granter->proof_from_ms) {
+            range->unproven = false;
+            entry->dirty = true;
+        }
         return;
     }
     if (status == RsWire_GRANTED) {
@@ -948,7 +1198,11 @@
                 RsLog_NUMBER("first_key", order->grant.first_key),
                 RsLog_NUMBER("fence", order->grant.fence),
                 RsLog_NUMBER("status", status));
-    if (status == RsWire_STALE_FENCE && to_owner && range->former.id == NULL) {
+    if (status == RsWire_STALE_FENCE && to_owner && range->unproven) {
+        orders->blocked = true;
+    }
+    else if (status == RsWire_STALE_FENCE && to_owner &&
+             range->former.id == NULL) {
         range->fence = entry->map->next_fence++;
         entry->dirty = true;
     }
@@ -969,7 +1223,7 @@
         return;
     }
     if (!order->release) {
-        handle_grant_answer(entry, range, order, status, now_ms);
+        handle_grant_answer(granter, entry, range, order, status, now_ms);
         return;
     }
     range->orders.release_in_flight = false;
--- a/router/granter.h
+++ b/router/granter.h
@@ -9,7 +9,23 @@
  * the store. A new owner gets its first grant only once the move is committed
  * and the former owner has confirmed its release, has been replaced at its
  * address, or can no longer hold the keys because its last grant has
- * expired. */
+ * expired.
+ *
+ * After the store has gone back to a copy, its rows don't show the last
+ * changes of owners. Each era of the store has rows of its own for the lease
+ * and the maps, so that no commit made for a former era touches them, and
+ * fences that are higher than those of former eras.
+ *
+ * - A granter that has authority when it learns of the era goes on with the
+ *   maps that it has in memory: nobody else has changed owners.
+ * - One whose authority has lapsed not long ago goes on too, but its ranges
+ * are unproven, since another node may have been the granter after it. It
+ * renews the grants under their fences, which owners refuse if they had to
+ * release the keys since, and moves a range only once the owner has accepted a
+ * grant that was sent after all authority of the former era had ended.
+ * - Any other node waits until that authority has ended before it claims the
+ *   lease, and until all grants of the former era have expired before it sends
+ *   any. */
 
 #ifndef RATTANSHED_ROUTER_GRANTER_H
 #define RATTANSHED_ROUTER_GRANTER_H
@@ -23,10 +39,12 @@
 #include "router/keymap.h"
 
 #define RsGranter_LEASE_TABLE "rattanshed-lease"
-#define RsGranter_LEASE_KEY "granter"
+/* The keys of these rows end with the era of the store, and those of the maps
+ * also with the service, see RsGranter_LeaseKey() and RsGranter_MapKey(). */
+#define RsGranter_LEASE_PREFIX "granter/"
 #define RsGranter_MAP_TABLE "rattanshed"
-#define RsGranter_MAP_PREFIX "keys/" /* followed by the service name */
-#define RsGranter_MAX_MAPS 32        /* one for each sharded service */
+#define RsGranter_MAP_PREFIX "keys/"
+#define RsGranter_MAX_MAPS 32 /* one for each sharded service */
 
 enum rs_granter_phase {
     RsGranter_OBSERVING, /* another node is the granter, or none */
@@ -60,6 +78,7 @@
     const char *service; /* interned, as is target_id */
     const char *target_id;
     struct rs_wire_order grant;
+    int64_t sent_at_ms;
     int64_t send_before_ms; /* end of the granter's authority */
 };
 
@@ -85,6 +104,7 @@
     const char *peer_host; /* where other nodes reach this one */
     uint32_t peer_port;
     uint64_t incarnation; /* of this process; differs after a restart */
+    bool bootstrap;       /* see settings/node.h */
     uint32_t max_hold_ms; /* longest grant that targets accept */
     uint32_t strength;    /* of this node's VM, in thousandths of a core */
     const struct rs_granter_actions *actions;
@@ -127,6 +147,16 @@
     uint32_t nodes;
     uint32_t strongest;
     bool extended_holds; /* grants last max_hold_ms, see STORE_OUTAGE_MS */
+    bool era_known;
+    uint32_t era; /* of the store */
+    /* The store has gone back: its rows may lack the last changes. */
+    bool restored;
+    int64_t restored_at_ms; /* when this node learned of that */
+    /* Valid on a granter. From the first time on, no node can have authority
+     * from a former era; from the second on, no target can hold keys by a
+     * grant of one. */
+    int64_t proof_from_ms;
+    int64_t lapsed_from_ms;
     struct rs_granter_map maps[RsGranter_MAX_MAPS];
     size_t map_count;
 };
@@ -135,6 +165,10 @@
                     const struct rs_granter_options *options);
 
 /* Inputs. They are described at their definitions. */
+void RsGranter_EraSeen(struct rs_granter *granter, uint32_t era,
+                       int64_t now_ms);
+void RsGranter_FormerLeaseRead(struct rs_granter *granter, const char *value,
+                               int64_t now_ms);
 void RsGranter_LeaseRead(struct rs_granter *granter, uint64_t version,
                          const char *value, int64_t now_ms);
 void RsGranter_LeaseLearned(struct rs_granter *granter,
@@ -166,7 +200,10 @@
                               int64_t now_ms);
 struct rs_keymap *RsGranter_DecodeRow(const char *key, const char *value,
                                       uint64_t version);
-char *RsGranter_RowKey(const struct rs_keymap *map);
+char *RsGranter_LeaseKey(uint32_t era);
+char *RsGranter_MapKey(uint32_t era, const char *service);
+bool RsGranter_ParseMapKey(const char *key, uint32_t *era,
+                           const char **service);
 struct rs_granter_map *RsGranter_FindMap(struct rs_granter *granter,
                                          const char *service);
 struct rs_granter_map *RsGranter_AddMap(struct rs_granter *granter,
--- a/router/granter_test.c
+++ b/router/granter_test.c
@@ -268,6 +268,157 @@
     check_and_free(sim);
 }
 
+/* Lets the simulation run and checks that all keys are held all the time. */
+static void
+expect_held(struct rs_simulation *sim, int64_t span_ms)
+{
+    for (int64_t ms = 0; ms < span_ms; ms += 100) {
+        RsSimulation_Advance(sim, 100);
+        CU_ASSERT_EQUAL(RsSimulation_CountHeldKeys(sim), RsKeymap_KEYS);
+    }
+}
+
+/* Moves made since the copy are lost in the store, but not at the granter. */
+static void
+test_granter_goes_on_after_a_restore(void)
+{
+    struct rs_simulation *sim = new_settled_simulation();
+    RsSimulation_Advance(sim, 3000);
+    int granter = RsSimulation_FindGranter(sim);
+    RsSimulation_MoveKeys(sim, 0, 9999, 2);
+    RsSimulation_Advance(sim, 500);
+    RsSimulation_InjectFault(sim, RsFixture_STORE_RESTORED, 1, 2000);
+    expect_held(sim, 700);
+    CU_ASSERT_EQUAL(RsSimulation_FindGranter(sim), granter);
+    RsSimulation_MoveKeys(sim, 0, 9999, 3);
+    RsSimulation_Advance(sim, 300);
+    expect_held(sim, 12000);
+    check_and_free(sim);
+}
+
+/* The authority of the granter lapses while the store is away. Keys move again
+ * within two seconds of its return, and half a second for a grant that proves
+ * their owner. */
+static void
+test_granter_goes_on_after_a_long_outage_and_a_restore(void)
+{
+    struct rs_simulation *sim = new_settled_simulation();
+    RsSimulation_Advance(sim, 3000);
+    RsSimulation_MoveKeys(sim, 0, 9999, 2);
+    RsSimulation_Advance(sim, 500);
+    RsSimulation_InjectFault(sim, RsFixture_STORE_RESTORED, 6, 2000);
+    expect_held(sim, 3000 + 2600);
+    CU_ASSERT_TRUE(RsSimulation_FindGranter(sim) >= 0);
+    for (int i = 0; i < 5; i++) {
+        RsSimulation_MoveKeys(sim, 0, 9999, 3);
+        RsSimulation_Advance(sim, 200);
+    }
+    CU_ASSERT_TRUE(RsSimulation_Holds(sim, 3, 5000));
+    expect_held(sim, 12000);
+    check_and_free(sim);
+}
+
+/* Soak seed 506: the other nodes had learned of the restore while the store
+ * was still away, and one of them, which knew only the copy, claimed the lease
+ * at once on its return. It had to wait until all grants had expired. */
+static void
+test_granter_that_knows_the_owners_is_left_the_lease(void)
+{
+    for (uint32_t away = 4; away <= 9; away++) {
+        struct rs_simulation *sim = new_settled_simulation();
+        RsSimulation_Advance(sim, 2000 + 70 * away);
+        int granter = RsSimulation_FindGranter(sim);
+        RsSimulation_MoveKeys(sim, 0, 9999, 2);
+        RsSimulation_Advance(sim, 500);
+        RsSimulation_TellEraOfNextRestore(sim);
+        RsSimulation_InjectFault(sim, RsFixture_STORE_RESTORED, away, 2000);
+        expect_held(sim, away * 500 + 1500);
+        CU_ASSERT_EQUAL(RsSimulation_FindGranter(sim), granter);
+        expect_held(sim, 12000);
+        check_and_free(sim);
+    }
+}
+
+static void
+test_store_goes_back_twice(void)
+{
+    struct rs_simulation *sim = new_settled_simulation();
+    RsSimulation_Advance(sim, 3000);
+    RsSimulation_MoveKeys(sim, 0, 9999, 2);
+    RsSimulation_Advance(sim, 400);
+    RsSimulation_InjectFault(sim, RsFixture_STORE_RESTORED, 1, 1500);
+    RsSimulation_Advance(sim, 900);
+    RsSimulation_MoveKeys(sim, 5000, 20000, 3);
+    RsSimulation_Advance(sim, 300);
+    RsSimulation_InjectFault(sim, RsFixture_STORE_RESTORED, 2, 2500);
+    expect_held(sim, 15000);
+    check_and_free(sim);
+}
+
+/* The granter is lost together with what the store has forgotten. Keys that
+ * had moved must not get a second owner, whatever the copy says. */
+static void
+test_lost_granter_and_restore_give_no_second_owner(void)
+{
+    struct rs_simulation *sim = new_settled_simulation();
+    RsSimulation_Advance(sim, 3000);
+    uint32_t granter = (uint32_t)RsSimulation_FindGranter(sim);
+    for (uint32_t i = 0; i < 4; i++) {
+        RsSimulation_MoveKeys(sim, i * 2000, i * 2000 + 1999, 2 + i % 2);
+        RsSimulation_Advance(sim, 300);
+    }
+    RsSimulation_InjectFault(sim, RsFixture_STORE_RESTORED, 1, 3000);
+    RsSimulation_InjectFault(sim, RsFixture_NODE_FROZEN, granter, 30000);
+    for (int i = 0; i < 180; i++) {
+        RsSimulation_Advance(sim, 100);
+        RsSimulation_MoveKeys(sim, 0, 7999, (uint32_t)i % 4);
+    }
+    RsSimulation_Advance(sim, 500);
+    CU_ASSERT_EQUAL(RsSimulation_CountHeldKeys(sim), RsKeymap_KEYS);
+    check_and_free(sim);
+}
+
+/* All nodes start anew and know only the copy. */
+static void
+test_restart_of_all_nodes_after_a_restore_gives_no_second_owner(void)
+{
+    struct rs_simulation *sim = new_settled_simulation();
+    RsSimulation_Advance(sim, 3000);
+    RsSimulation_MoveKeys(sim, 0, 9999, 2);
+    RsSimulation_Advance(sim, 400);
+    RsSimulation_InjectFault(sim, RsFixture_STORE_RESTORED, 2, 2000);
+    for (uint32_t i = 0; i < RsFixture_NODES; i++) {
+        RsSimulation_InjectFault(sim, RsFixture_NODE_RESTARTED, i, 0);
+    }
+    for (int i = 0; i < 170; i++) {
+        RsSimulation_Advance(sim, 100);
+        RsSimulation_MoveKeys(sim, 0, 32767, (uint32_t)i % 4);
+    }
+    RsSimulation_Advance(sim, 500);
+    CU_ASSERT_EQUAL(RsSimulation_CountHeldKeys(sim), RsKeymap_KEYS);
+    check_and_free(sim);
+}
+
+/* Soak seed 521: the copy was made before the first node claimed the lease,
+ * and a node that started anew took the store for one that was never used. */
+static void
+test_copy_without_any_lease_gives_no_second_owner(void)
+{
+    struct rs_simulation *sim = new_settled_simulation();
+    RsSimulation_Advance(sim, 2000);
+    RsSimulation_InjectFault(sim, RsFixture_STORE_RESTORED, 1, 4000);
+    for (uint32_t i = 0; i < RsFixture_NODES; i++) {
+        RsSimulation_InjectFault(sim, RsFixture_NODE_RESTARTED, i, 0);
+    }
+    for (int i = 0; i < 150; i++) {
+        RsSimulation_Advance(sim, 100);
+        RsSimulation_MoveKeys(sim, 0, LAST_KEY, (uint32_t)i / 10 % 4);
+    }
+    RsSimulation_Advance(sim, 500);
+    CU_ASSERT_EQUAL(RsSimulation_CountHeldKeys(sim), RsKeymap_KEYS);
+    check_and_free(sim);
+}
+
 int
 main(void)
 {
@@ -293,6 +444,15 @@
     CU_ADD_TEST(suite, test_lost_commit_responses_cause_no_violation);
     CU_ADD_TEST(suite,
                 test_frozen_granter_causes_no_violation_when_it_resumes);
+    CU_ADD_TEST(suite, test_granter_goes_on_after_a_restore);
+    CU_ADD_TEST(suite, test_granter_goes_on_after_a_long_outage_and_a_restore);
+    CU_ADD_TEST(suite, test_granter_that_knows_the_owners_is_left_the_lease);
+    CU_ADD_TEST(suite, test_store_goes_back_twice);
+    CU_ADD_TEST(suite, test_lost_granter_and_restore_give_no_second_owner);
+    CU_ADD_TEST(
+        suite,
+        test_restart_of_all_nodes_after_a_restore_gives_no_second_owner);
+    CU_ADD_TEST(suite, test_copy_without_any_lease_gives_no_second_owner);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
     CU_cleanup_registry();
--- a/router/keymap.c
+++ b/router/keymap.c
@@ -7,8 +7,12 @@
 #include <string.h>
 
 #define FIRST_FENCE 1
-#define NOBODY (-1)             /* index that stands for no owner */
-#define FIELDS_WITHOUT_FORMER 3 /* in a range without a former owner */
+#define NOBODY (-1) /* index that stands for no owner */
+/* Fields of an encoded range. */
+#define FIELDS 3
+#define FORMER_FIELDS 2   /* added if it has a former owner */
+#define UNPROVEN_FIELDS 1 /* added if it is unproven */
+#define UNPROVEN_MARK 1
 
 /* Creates a map without owners. `service` must be interned; the caller frees
  * the map with RsKeymap_Free(). */
@@ -137,6 +141,9 @@
                                index_of(owners, &range->former),
                                range->former_fence);
     }
+    if (range->unproven) {
+        g_string_append_printf(text, ",%d", UNPROVEN_MARK);
+    }
     g_string_append_c(text, ']');
 }
 
@@ -226,19 +233,26 @@
     json_int_t fence = 0;
     json_int_t former = NOBODY;
     json_int_t former_fence = 0;
-    bool has_no_former = json_array_size(item) == FIELDS_WITHOUT_FORMER;
-    int status = has_no_former
-                     ? json_unpack(item, "[III!]", &last_key, &owner, &fence)
-                     : json_unpack(item, "[IIIII!]", &last_key, &owner, &fence,
-                                   &former, &former_fence);
+    json_int_t mark = 0;
+    size_t fields = json_array_size(item);
+    bool has_former = fields >= FIELDS + FORMER_FIELDS;
+    bool unproven =
+        fields == FIELDS + UNPROVEN_FIELDS + (has_former ? FORMER_FIELDS : 0);
+    int status =
+        has_former
+            ? json_unpack(item, unproven ? "[IIIIII!]" : "[IIIII!]", &last_key,
+                          &owner, &fence, &former, &former_fence, &mark)
+            : json_unpack(item, unproven ? "[IIII!]" : "[III!]", &last_key,
+                          &owner, &fence, &mark);
     *range = (struct rs_key_range){
         .first_key = first_key,
         .last_key = (uint32_t)last_key,
         .fence = (uint64_t)fence,
         .former_fence = (uint64_t)former_fence,
+        .unproven = unproven,
     };
-    return status == 0 && last_key >= (json_int_t)first_key &&
-           last_key < RsKeymap_KEYS &&
+    return status == 0 && mark == (unproven ? UNPROVEN_MARK : 0) &&
+           last_key >= (json_int_t)first_key && last_key < RsKeymap_KEYS &&
            find_owner(owners, owner, &range->owner) &&
            find_owner(owners, former, &range->former);
 }
@@ -348,7 +362,7 @@
 }
 
 /* Returns whether the keys may be moved: none of their ranges has a former
- * owner or a grant in flight. */
+ * owner or a grant in flight, or is unproven. */
 static bool
 may_move(const struct rs_keymap *map, uint32_t first_key, uint32_t last_key)
 {
@@ -357,7 +371,8 @@
          RsKeymap_GetRange(map, i)->first_key <= last_key;
          i++) {
         const struct rs_key_range *range = RsKeymap_GetRange(map, i);
-        if (range->former.id != NULL || range->orders.grant_in_flight) {
+        if (range->former.id != NULL || range->orders.grant_in_flight ||
+            range->unproven) {
             return false;
         }
     }
@@ -380,9 +395,9 @@
 
 /* Assigns the keys to a target under a new fence; their current owners become
  * former owners. Keys that the target owns already keep their fence. Returns
- * false and changes nothing when some of the keys are still being handed over,
- * or when a grant for them is in flight, since a release could overtake the
- * grant. */
+ * false and changes nothing when some of the keys are still being handed over
+ * or unproven, or when a grant for them is in flight, since a release could
+ * overtake the grant. */
 bool
 RsKeymap_Move(struct rs_keymap *map, uint32_t first_key, uint32_t last_key,
               const struct rs_owner *to)
@@ -407,6 +422,17 @@
     return true;
 }
 
+/* Gives a range back to its former owner, under the former fence. No order may
+ * have been sent for the move. */
+void
+RsKeymap_UndoMove(struct rs_key_range *range)
+{
+    range->owner = range->former;
+    range->fence = range->former_fence;
+    range->orders.hold_until_ms = range->orders.former_hold_until_ms;
+    RsKeymap_ClearFormer(range);
+}
+
 /* Removes the former owner of a range. The former owner must have stopped
  * using the keys. */
 void
@@ -417,12 +443,13 @@
 }
 
 /* Returns whether the range has an owner, no former owner and no order in
- * flight. */
+ * flight, and is not unproven. */
 static bool
 is_mergeable(const struct rs_key_range *range)
 {
     return range->owner.id != NULL && range->former.id == NULL &&
-           !range->orders.grant_in_flight && !range->orders.release_in_flight;
+           !range->unproven && !range->orders.grant_in_flight &&
+           !range->orders.release_in_flight;
 }
 
 /* Extends a range by the next one. The owner is granted the merged range under
--- a/router/keymap.h
+++ b/router/keymap.h
@@ -28,6 +28,9 @@
     int64_t hold_until_ms;        /* latest end of the owner's grants */
     int64_t former_hold_until_ms; /* the same for the former owner */
     char *handover; /* text from the former owner's release; NULL: none */
+    /* Unproven only: the owner has refused its fence, or nothing is known of
+     * the last grants. No orders are sent. */
+    bool blocked;
 };
 
 struct rs_key_range {
@@ -39,6 +42,9 @@
      * none. */
     struct rs_owner former;
     uint64_t former_fence;
+    /* Another target may hold the keys, because the store has lost the last
+     * changes of owners. The range is not moved. */
+    bool unproven;
     struct rs_range_orders orders;
 };
 
@@ -64,6 +70,7 @@
 /* Changes of owners. */
 bool RsKeymap_Move(struct rs_keymap *map, uint32_t first_key,
                    uint32_t last_key, const struct rs_owner *to);
+void RsKeymap_UndoMove(struct rs_key_range *range);
 void RsKeymap_ClearFormer(struct rs_key_range *range);
 size_t RsKeymap_MergeRanges(struct rs_keymap *map);
 
--- a/router/node.c
+++ b/router/node.c
@@ -63,6 +63,11 @@
 /* Pause between two calls for changes of the operator table, and minimum pause
  * for the key ownership table. */
 #define STORE_CALL_PAUSE_MS 20
+/* After the store has gone back to a copy, the operator and the targets write
+ * their rows again. Until then this node keeps what it knows of rows that are
+ * missing or have come back. Targets need about two seconds. */
+#define TARGETS_SETTLE_MS 2200
+#define OPERATOR_SETTLE_MS 10000
 /* After the upstream node stopped delivering current data, the lease row is
  * read this much later, so that a lease holder that gives up the lease has
  * written that to the store by then. */
@@ -160,12 +165,14 @@
     if (config == NULL) {
         RsLog_EVENT(RsLog_ERROR, "config_malformed",
                     RsLog_TEXT("fault", fault),
-                    RsLog_NUMBER("row_version", row->version));
+                    RsLog_NUMBER("era", RsStore_Era(row->version)),
+                    RsLog_NUMBER("row_version", RsStore_Number(row->version)));
         return RsTableCopy_IGNORED;
     }
     RsLog_EVENT(RsLog_INFO, "config_in_force",
                 RsLog_NUMBER("config_version", config->version),
-                RsLog_NUMBER("row_version", row->version),
+                RsLog_NUMBER("era", RsStore_Era(row->version)),
+                RsLog_NUMBER("row_version", RsStore_Number(row->version)),
                 RsLog_NUMBER("routes", config->route_count),
                 RsLog_NUMBER("services", config->service_count));
     RsRouting_Release(node->router.config);
@@ -174,6 +181,30 @@
     return RsTableCopy_CHANGED;
 }
 
+/* Returns whether the row is a configuration older than the one in force. The
+ * store may have gone back to it. */
+static bool
+is_older_config(void *arg, const struct rs_store_row *row)
+{
+    const struct node *node = arg;
+    const char *fault;
+    if (strcmp(row->key, RsWire_CONFIG_KEY) != 0 ||
+        node->router.config == NULL) {
+        return false;
+    }
+    struct rs_routing *config = RsRouting_Decode(row->value, &fault);
+    bool older =
+        config != NULL && config->version < node->router.config->version;
+    if (older) {
+        RsLog_EVENT(RsLog_WARNING, "older_config_ignored",
+                    RsLog_NUMBER("config_version", config->version),
+                    RsLog_NUMBER("in_force", node->router.config->version),
+                    RsLog_NUMBER("era", RsStore_Era(row->version)));
+    }
+    RsRouting_Release(config);
+    return older;
+}
+
 static enum rs_row_effect
 on_operator_row(void *arg, const struct rs_store_row *row)
 {
@@ -221,6 +252,7 @@
 
 static const struct rs_follower_events operator_events = {
     .row = on_operator_row,
+    .is_outdated = is_older_config,
     .updated = on_updated,
     .caught_up = on_caught_up,
     .store_call_ended = on_store_call_ended,
@@ -272,10 +304,25 @@
 
 /* Rows of the key ownership table. */
 
+/* Returns whether a row holds a map of a former era of the store, and this
+ * node knows the map of the service already. */
+static bool
+is_former_map(const struct node *node, const struct rs_store_row *row)
+{
+    uint32_t era = 0;
+    const char *service = NULL;
+    return RsGranter_ParseMapKey(row->key, &era, &service) &&
+           era < RsStore_Era(row->version) &&
+           RsRouter_FindKeymap(&node->router, service) != NULL;
+}
+
 static enum rs_row_effect
 on_keys_row(void *arg, const struct rs_store_row *row)
 {
     struct node *node = arg;
+    if (!row->deleted && is_former_map(node, row)) {
+        return RsTableCopy_IGNORED;
+    }
     struct rs_keymap *map =
         row->deleted ? NULL
                      : RsGranter_DecodeRow(row->key, row->value, row->version);
@@ -306,7 +353,7 @@
         if (entry->row_version != version || entry->dirty) {
             continue;
         }
-        char *key = RsGranter_RowKey(entry->map);
+        char *key = RsGranter_MapKey(node->granter.era, entry->map->service);
         char *value = RsKeymap_Encode(entry->map);
         struct rs_store_row row = {
             .key = key,
@@ -407,14 +454,36 @@
     int64_t now_ms = RsClock_NowMs();
     node->reading_lease = false;
     on_store_call_ended(node, status);
-    if (status == RsStore_DONE && rows->count > 0) {
-        RsGranter_LeaseRead(&node->granter, rows->rows[0].version,
-                            rows->rows[0].value, now_ms);
+    if (status != RsStore_DONE) {
+        return;
+    }
+    uint32_t era = RsStore_Era(rows->version);
+    char *key = RsGranter_LeaseKey(era);
+    const struct rs_store_row *row = rows->count > 0 ? &rows->rows[0] : NULL;
+    if (row != NULL && strcmp(row->key, key) == 0) {
+        RsGranter_LeaseRead(&node->granter, row->version, row->value, now_ms);
         raise_node_count(node);
     }
-    else if (status == RsStore_DONE) {
-        RsGranter_LeaseRead(&node->granter, RsStore_ABSENT, "", now_ms);
+    else {
+        if (row != NULL) {
+            RsGranter_FormerLeaseRead(&node->granter, row->value, now_ms);
+        }
+        RsGranter_LeaseRead(&node->granter,
+                            RsStore_Version(era, RsStore_ABSENT), "", now_ms);
+    }
+    g_free(key);
+}
+
+/* Handles an era of the store that this node sees for the first time. */
+static void
+on_era(void *arg, uint32_t era)
+{
+    struct node *node = arg;
+    int64_t now_ms = RsClock_NowMs();
+    if (node->granter.era_known) {
+        RsFleet_RecordRestore(&node->router.fleet, now_ms);
     }
+    RsGranter_EraSeen(&node->granter, era, now_ms);
 }
 
 /* Sets the pauses between polls of the target and key ownership tables and the
@@ -493,7 +562,7 @@
     node->requested_lease_read_at_ms = 0;
     node->last_lease_read_at_ms = now_ms;
     node->reading_lease = true;
-    RsStore_Read(node->store, RsGranter_LEASE_TABLE, RsGranter_LEASE_KEY,
+    RsStore_Read(node->store, RsGranter_LEASE_TABLE, RsGranter_LEASE_PREFIX,
                  on_lease_row, node);
 }
 
@@ -732,7 +801,8 @@
 
 static struct rs_follower *
 open_follower(struct node *node, const char *table, uint32_t pause_ms,
-              uint32_t wait_ms, const struct rs_follower_events *events)
+              uint32_t wait_ms, uint32_t settle_ms,
+              const struct rs_follower_events *events)
 {
     const struct rs_follower_options options = {
         .loop = &node->loop,
@@ -740,6 +810,7 @@
         .table = table,
         .pause_ms = pause_ms,
         .wait_ms = wait_ms,
+        .settle_ms = settle_ms,
         .events = events,
         .arg = node,
     };
@@ -753,15 +824,16 @@
     const struct rs_node_settings *settings = node->options.settings;
     RsNodeSettings_ParseEndpoint(settings->store.address, &address);
     node->store = RsStore_Open(&node->loop, &address);
+    RsStore_OnEra(node->store, on_era, node);
     node->key_follower =
         open_follower(node, RsGranter_MAP_TABLE, STORE_CALL_PAUSE_MS,
-                      KEY_TABLE_WAIT_MS, &key_events);
-    node->operator_follower =
-        open_follower(node, RsWire_OPERATOR_TABLE, STORE_CALL_PAUSE_MS,
-                      OPERATOR_TABLE_WAIT_MS, &operator_events);
+                      KEY_TABLE_WAIT_MS, TARGETS_SETTLE_MS, &key_events);
+    node->operator_follower = open_follower(
+        node, RsWire_OPERATOR_TABLE, STORE_CALL_PAUSE_MS,
+        OPERATOR_TABLE_WAIT_MS, OPERATOR_SETTLE_MS, &operator_events);
     node->target_follower =
         open_follower(node, RsWire_TARGET_TABLE, TARGETS_PAUSE_MS,
-                      TARGET_TABLE_WAIT_MS, &target_events);
+                      TARGET_TABLE_WAIT_MS, TARGETS_SETTLE_MS, &target_events);
     const struct rs_stream_options options = {
         .loop = &node->loop,
         .node = settings->node.name,
@@ -785,6 +857,7 @@
         .peer_host = settings->node.address,
         .peer_port = settings->listen.peer_port,
         .incarnation = node->incarnation,
+        .bootstrap = settings->node.bootstrap,
         .max_hold_ms = settings->bounds.max_hold_ms,
         .strength = RsGranter_Strength(settings->node.cpu_share,
                                        settings->node.link_mbps),
--- a/router/router.c
+++ b/router/router.c
@@ -110,7 +110,8 @@
     keys->version = version;
     g_hash_table_insert(router->keymaps, (gpointer)map->service, keys);
     RsLog_EVENT(RsLog_INFO, "keys_read", RsLog_TEXT("service", map->service),
-                RsLog_NUMBER("row_version", version),
+                RsLog_NUMBER("era", RsStore_Era(version)),
+                RsLog_NUMBER("row_version", RsStore_Number(version)),
                 RsLog_NUMBER("ranges", map->ranges->len),
                 RsLog_NUMBER("next_fence", map->next_fence));
 }
--- a/router/stream.c
+++ b/router/stream.c
@@ -152,13 +152,16 @@
     struct row_list list = {
         .rows = g_array_new(FALSE, FALSE, sizeof(Rs__Stream__Update__Row))};
     uint64_t known_version = subscriber->versions[table];
-    if (!RsTableCopy_IsCompleteSince(copy, known_version)) {
-        /* Deletions since then may be unknown, so the whole table is sent. */
+    bool synced = subscriber->synced[table];
+    if (!RsTableCopy_IsCompleteSince(copy, known_version) ||
+        (!synced && RsFollower_IsSettling(follower))) {
+        /* Deletions since then may be unknown, or the subscriber may know only
+         * the copy to which the store has gone back. The whole table is sent.
+         */
         known_version = 0;
     }
     /* A new subscriber may have got changes from elsewhere that this node has
      * not seen, so it is sent all newer rows, and none as a patch. */
-    bool synced = subscriber->synced[table];
     list.known_version = synced ? known_version : 0;
     RsTableCopy_VisitSince(copy, known_version, synced, add_row, &list);
     subscriber->synced[table] = true;
@@ -528,8 +531,10 @@
         if (rows.rows[i].value == NULL) {
             RsLog_EVENT(RsLog_WARNING, "patch_refused",
                         RsLog_TEXT("key", row->key),
-                        RsLog_NUMBER("version", row->version),
-                        RsLog_NUMBER("base_version", row->base_version));
+                        RsLog_NUMBER("era", RsStore_Era(row->version)),
+                        RsLog_NUMBER("version", RsStore_Number(row->version)),
+                        RsLog_NUMBER("base_version",
+                                     RsStore_Number(row->base_version)));
             applicable = false;
             continue;
         }
@@ -580,6 +585,12 @@
             continue;
         }
         int64_t age_ms = item->age_ms + stream->late_ms;
+        if (RsStore_Era(item->version) <
+            RsStore_Era(RsFollower_TableCopy(follower)->version)) {
+            /* The upstream node doesn't know yet that the store has gone back.
+             */
+            age_ms = MAX(age_ms, MAX_AGE_MS);
+        }
         if (age_ms >= stream->oldest_age_ms) {
             stream->oldest_age_ms = age_ms;
             stream->oldest_table = RsFollower_TableName(follower);
--- a/router/table_copy.c
+++ b/router/table_copy.c
@@ -212,6 +212,25 @@
     copy->complete_from = MAX(copy->complete_from, version);
 }
 
+/* Ends a snapshot that was read as of `version`, after the store went back to
+ * a copy. Rows that are missing from it may have been written since the copy
+ * was made. They stay, with the version of the snapshot. */
+void
+RsTableCopy_EndSnapshotKeepingMissing(struct rs_table_copy *copy,
+                                      uint64_t version)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, copy->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rs_known_row *row = value;
+        if (!row->seen && !row->deleted) {
+            row->version = MAX(row->version, version);
+        }
+    }
+    copy->version = MAX(copy->version, version);
+}
+
 /* Returns whether all changes since a version are known, including deletions.
  * If not, a node that has only this version must be sent the whole table. */
 bool
--- a/router/table_copy.h
+++ b/router/table_copy.h
@@ -63,6 +63,8 @@
 void RsTableCopy_BeginSnapshot(struct rs_table_copy *copy);
 void RsTableCopy_EndSnapshot(struct rs_table_copy *copy, uint64_t version,
                              rs_row_visitor gone, void *arg);
+void RsTableCopy_EndSnapshotKeepingMissing(struct rs_table_copy *copy,
+                                           uint64_t version);
 
 const struct rs_known_row *RsTableCopy_Find(const struct rs_table_copy *copy,
                                             const char *key);
--- a/settings/node.c
+++ b/settings/node.c
@@ -23,10 +23,19 @@
     CYAML_FIELD_MAPPING(#member, CYAML_FLAG_DEFAULT, struct rs_node_settings, \
                         member, schema_fields)
 
+/* CYAML_FIELD_BOOL takes any text. */
+static const cyaml_strval_t truth_values[] = {{"false", false},
+                                              {"true", true}};
+
 static const cyaml_schema_field_t node_schema[] = {
-    TEXT(rs_node_identity, name),       TEXT(rs_node_identity, zone),
-    TEXT(rs_node_identity, address),    FLOAT(rs_node_identity, cpu_share),
-    FLOAT(rs_node_identity, link_mbps), CYAML_FIELD_END};
+    TEXT(rs_node_identity, name),
+    TEXT(rs_node_identity, zone),
+    TEXT(rs_node_identity, address),
+    FLOAT(rs_node_identity, cpu_share),
+    FLOAT(rs_node_identity, link_mbps),
+    CYAML_FIELD_ENUM("bootstrap", CYAML_FLAG_STRICT, struct rs_node_identity,
+                     bootstrap, truth_values, CYAML_ARRAY_LEN(truth_values)),
+    CYAML_FIELD_END};
 
 static const cyaml_schema_field_t listen_schema[] = {
     TEXT(rs_node_listen, callers), TEXT(rs_node_listen, readiness),
@@ -174,6 +183,9 @@
         fault->line = RsLocate_Line(lines, fault->field);
         g_hash_table_unref(lines);
     }
+    else if (strcmp(fault->field, "node.bootstrap") == 0) {
+        snprintf(fault->allowed, sizeof(fault->allowed), "true, false");
+    }
     if (status < 0) {
         RsNodeSettings_Free(settings);
         return status;
--- a/settings/node.h
+++ b/settings/node.h
@@ -6,6 +6,7 @@
 #define RATTANSHED_SETTINGS_NODE_H
 
 #include <netinet/in.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "settings/settings.h"
@@ -16,6 +17,9 @@
     char *address;   /* IPv4 address */
     float cpu_share; /* cores available to this VM, e.g. 0.2 */
     float link_mbps; /* bandwidth of this VM's network link */
+    /* The whole system starts for the first time, so the store can't have lost
+     * anything of it. */
+    bool bootstrap;
 };
 
 /* Local endpoints. Addresses have the form "IP:PORT". */
--- a/settings/node_test.c
+++ b/settings/node_test.c
@@ -15,6 +15,7 @@
                                  "  address: \"10.1.0.34\"\n"
                                  "  cpu_share: 0.2\n"
                                  "  link_mbps: 1000\n"
+                                 "  bootstrap: false\n"
                                  "listen:\n"
                                  "  callers: \"10.1.0.34:8548\"\n"
                                  "  readiness: \"10.1.0.34:8542\"\n"
@@ -83,23 +84,26 @@
                 ":1: node: cpu_share or link_mbps is not positive; "
                 "allowed: above 0");
     check_fault("\"10.1.0.34:8548\"", "\"10.1.0.34\"",
-                ":8: listen.callers: 10.1.0.34; allowed: IP:PORT");
+                ":9: listen.callers: 10.1.0.34; allowed: IP:PORT");
     check_fault("\"10.1.0.34:8542\"", "\"host:80\"",
-                ":9: listen.readiness: host:80; allowed: IP:PORT");
+                ":10: listen.readiness: host:80; allowed: IP:PORT");
     check_fault("\"10.200.1.7:8541\"", "\"10.200.1.7:0\"",
-                ":13: store.address: 10.200.1.7:0; allowed: IP:PORT");
+                ":14: store.address: 10.200.1.7:0; allowed: IP:PORT");
     check_fault("  address: \"10.1.0.34\"", "  address: \"\"",
                 ":4: node.address: ; allowed: an IPv4 number");
     check_fault("peer_port: 7540", "peer_port: 75400",
-                ":10: listen.peer_port: not a port; allowed: 1 to 65535");
+                ":11: listen.peer_port: not a port; allowed: 1 to 65535");
     check_fault("max_hold_ms: 10000", "max_hold_ms: 10",
-                ":16: bounds.max_hold_ms: too short; allowed: 1000 or more");
+                ":17: bounds.max_hold_ms: too short; allowed: 1000 or more");
     check_fault("retry_window_s: 10", "retry_window_s: 0",
-                ":19: bounds.retry_window_s: 0; allowed: 1 or more");
+                ":20: bounds.retry_window_s: 0; allowed: 1 or more");
     check_fault("drain_ms: 2000", "drain_ms: 999",
-                ":17: bounds.drain_ms: too short; allowed: 1000 or more");
+                ":18: bounds.drain_ms: too short; allowed: 1000 or more");
+    check_fault("bootstrap: false", "bootstrap: maybe",
+                ":7: node.bootstrap: maybe is not allowed; "
+                "allowed: true, false");
     check_fault("grace_s: 6", "grace_s: 0",
-                ":15: bounds.grace_s: 0; allowed: 1 or more");
+                ":16: bounds.grace_s: 0; allowed: 1 or more");
 }
 
 static void
--- a/soak/main.c
+++ b/soak/main.c
@@ -33,6 +33,8 @@
 #define FAULT_DURATION_MIN_MS 300
 #define FAULT_DURATION_MAX_MS 4500
 #define MAX_RESTART_DELAY_MS 1500
+#define MAX_AWAY_MS 5000 /* of a store that will go back to a copy */
+#define MAX_REWRITE_DELAY_MS 2000
 #define DRAIN_MS 3000
 #define POST_TIMEOUT_MS 2000
 /* Offsets from the first port of the soak; see also soak/setup.h. */
@@ -48,6 +50,7 @@
 struct node {
     struct soak *soak;
     struct rs_process process;
+    struct rs_soak_node_setup setup;
     struct rs_link_proxy *store_proxy;
     uv_timer_t recovery_timer; /* ends a fault or restarts the node */
     bool paused;               /* with SIGSTOP */
@@ -84,6 +87,7 @@
     bool verbose;
     enum rs_soak_violation injected_violation;
     bool crash_node; /* abort node 0 when the fault phase starts */
+    bool restores;   /* the store may go back to a copy */
     uint64_t fault_count;
 };
 
@@ -143,8 +147,13 @@
     RsLinkProxy_SetOneWayCut(node->store_proxy, false);
     RsLinkProxy_SetDelay(node->store_proxy, 0);
     if (node->process.pid == 0) {
+        char *path = g_strdup_printf("%s/n%u.yaml", node->soak->folder,
+                                     (unsigned)(node - node->soak->nodes));
         node->exit_expected = false;
+        node->setup.bootstrap = false;
+        RsSoakSetup_WriteSettings(&node->setup, path);
         RsProcess_Start(&node->process);
+        g_free(path);
     }
 }
 
@@ -335,12 +344,30 @@
     uv_timer_start(&soak->store_recovery_timer, recover_store, duration_ms, 0);
 }
 
-/* Makes a random change that an operator could make, or trims the store's
- * history. */
+/* Sets the store back to a copy. */
+static void
+restore_store(struct soak *soak)
+{
+    const struct rs_soak_restore restore = {
+        .copy_age_ms = random_below(soak, RsSoakStore_MAX_COPY_AGE_MS),
+        .away_ms = random_below(soak, MAX_AWAY_MS),
+        .rewrite_after_ms = random_below(soak, MAX_REWRITE_DELAY_MS),
+    };
+    RsSoakStore_Restore(soak->store, &restore);
+    log_fault(soak, "store goes back, by ms", restore.copy_age_ms,
+              restore.away_ms);
+}
+
+/* Makes a random change that an operator could make, trims the store's history
+ * or sets the store back to a copy. */
 static void
 inject_operator_action(struct soak *soak)
 {
-    switch (random_below(soak, 4)) {
+    switch (random_below(soak, soak->restores ? 6 : 4)) {
+    case 4:
+    case 5:
+        restore_store(soak);
+        break;
     case 0:
         write_config(soak);
         log_fault(soak, "config", soak->config_version, 0);
@@ -542,12 +569,14 @@
         node->store_proxy = RsLinkProxy_New(&route, &soak->loop);
         uv_timer_init(&soak->loop, &node->recovery_timer);
         node->recovery_timer.data = node;
-        const struct rs_soak_node_setup setup = {
+        struct rs_soak_node_setup *setup = &node->setup;
+        *setup = (struct rs_soak_node_setup){
             .number = i,
             .base_port = soak->base_port,
             .store_port = route.listen_port,
+            .bootstrap = true,
         };
-        bool ready = RsSoakSetup_WriteSettings(&setup, path) &&
+        bool ready = RsSoakSetup_WriteSettings(setup, path) &&
                      RsLinkProxy_Listen(node->store_proxy) == 0;
         RsProcess_Init(&node->process, name, soak->folder, arguments);
         g_free(path);
@@ -658,11 +687,13 @@
     struct arg_str *injected_violation =
         arg_str0(NULL, "plant", "FAULT",
                  "violation to inject: owner, twice, mixed or crash");
+    struct arg_lit *restores =
+        arg_lit0(NULL, "restores", "the store may go back to a copy");
     struct arg_lit *verbose = arg_lit0("v", NULL, "print the faults");
     struct arg_end *ends = arg_end(4);
     void *table[] = {
-        program, seed, nodes, targets, seconds, port, injected_violation,
-        verbose, ends};
+        program,  seed,    nodes, targets, seconds, port, injected_violation,
+        restores, verbose, ends};
     seed->ival[0] = 1;
     nodes->ival[0] = 4;
     targets->ival[0] = 8;
@@ -687,6 +718,7 @@
     soak.target_count = (uint32_t)targets->ival[0];
     soak.fault_phase_ms = (int64_t)seconds->ival[0] * 1000;
     soak.base_port = (uint16_t)port->ival[0];
+    soak.restores = restores->count > 0;
     soak.verbose = verbose->count > 0;
     snprintf(soak.folder, sizeof(soak.folder), "/tmp/soak-XXXXXX");
     if (g_mkdtemp(soak.folder) == NULL) {
--- a/soak/setup.c
+++ b/soak/setup.c
@@ -10,14 +10,15 @@
     uint32_t host = setup->number + 1;
     char *text = g_strdup_printf(
         "node:\n  name: \"n%u\"\n  zone: \"z%u\"\n  address: \"127.0.1.%u\"\n"
-        "  cpu_share: 1.0\n  link_mbps: 1000\n"
+        "  cpu_share: 1.0\n  link_mbps: 1000\n  bootstrap: %s\n"
         "listen:\n  callers: \"127.0.1.%u:%u\"\n"
         "  readiness: \"127.0.1.%u:%u\"\n  peer_port: %u\n  admin_port: %u\n"
         "store:\n  address: \"127.0.0.1:%u\"\n"
         "bounds:\n  grace_s: %u\n  max_hold_ms: 10000\n  drain_ms: 2000\n"
         "  retry_ratio: 0.2\n  retry_window_s: 10\n  retry_slack: 58\n"
         "  cold_factor: 1.5\n  cold_slack: 5\n",
-        setup->number, 1 + setup->number % 2, host, host,
+        setup->number, 1 + setup->number % 2, host,
+        setup->bootstrap ? "true" : "false", host,
         setup->base_port + RsSoakSetup_CALLER_PORT, host,
         setup->base_port + RsSoakSetup_READINESS_PORT,
         setup->base_port + RsSoakSetup_PEER_PORT,
--- a/soak/setup.h
+++ b/soak/setup.h
@@ -19,6 +19,7 @@
     uint32_t number;
     uint16_t base_port;
     uint16_t store_port; /* on 127.0.0.1 */
+    bool bootstrap;      /* the whole system starts for the first time */
 };
 
 /* The configuration has two routes of the host soak.example: "/get/" to the
--- a/soak/store.c
+++ b/soak/store.c
@@ -1,6 +1,7 @@
 #include "soak/store.h"
 
 #include <jansson.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,6 +15,8 @@
 #define SLOW_DELAY_MS 300
 #define LATE_WRITE_MIN_MS 500
 #define LATE_WRITE_MAX_MS 4000
+#define COPY_EVERY_MS 250
+#define COPIES (RsSoakStore_MAX_COPY_AGE_MS / COPY_EVERY_MS + 2)
 
 struct row {
     char *table;
@@ -23,6 +26,13 @@
     bool deleted;
 };
 
+/* The rows of the store at some time. */
+struct copy {
+    int64_t at_ms;
+    GPtrArray *rows; /* NULL: none */
+    uint64_t version;
+};
+
 /* A call that has not been answered yet, or that will never be answered. */
 struct pending {
     struct rs_soak_store *store;
@@ -46,6 +56,14 @@
     uint64_t trimmed_version; /* changes up to this version are gone */
     enum rs_soak_store_mode mode;
     GPtrArray *pending;
+    uint32_t era;
+    struct copy copies[COPIES]; /* a ring */
+    uint32_t copy_count;
+    int64_t next_copy_at_ms;
+    int64_t away_until_ms;
+    /* Rows of the operator and the targets that the last restore has lost. */
+    GPtrArray *lost_rows;
+    int64_t rewrite_at_ms;
 };
 
 static void
@@ -89,9 +107,13 @@
 }
 
 static void
-send_json(h2o_req_t *http, int status, json_t *body)
+send_json(const struct rs_soak_store *store, h2o_req_t *http, int status,
+          json_t *body)
 {
     char *text = json_dumps(body, JSON_COMPACT);
+    char era[16];
+    snprintf(era, sizeof(era), "%u", store->era);
+    RsServer_AddHeader(http, "store-era", era);
     RsServer_Reply(http, status, "application/json", text, strlen(text));
     free(text);
     json_decref(body);
@@ -103,7 +125,7 @@
 reply(struct rs_soak_store *store, h2o_req_t *http, int status, json_t *body)
 {
     if (store->mode != RsSoakStore_SLOW) {
-        send_json(http, status, body);
+        send_json(store, http, status, body);
         return;
     }
     struct pending *pending =
@@ -290,7 +312,7 @@
     int64_t wait_ms = wait_text != NULL ? strtol(wait_text, NULL, 10) : 0;
     g_free(after_text);
     g_free(wait_text);
-    if (after < store->trimmed_version) {
+    if (after < store->trimmed_version || after > store->version) {
         reply(store, http, 410, json_object());
         return;
     }
@@ -313,8 +335,9 @@
     char *path = RsServer_Path(http);
     char *table = RsServer_Query(http, "table");
     char *from = RsServer_Query(http, "from");
-    if (store->mode == RsSoakStore_UNAVAILABLE) {
-        send_json(http, 503, json_object());
+    if (store->mode == RsSoakStore_UNAVAILABLE ||
+        RsClock_NowMs() < store->away_until_ms) {
+        send_json(store, http, 503, json_object());
     }
     else if (store->mode == RsSoakStore_UNRESPONSIVE) {
         add_pending(store, http, INT64_MAX)->never_answered = true;
@@ -330,7 +353,7 @@
         handle_feed(store, http, table);
     }
     else {
-        send_json(http, 404, json_object());
+        send_json(store, http, 404, json_object());
     }
     g_free(path);
     g_free(table);
@@ -358,11 +381,12 @@
         return pending->delayed_transaction == NULL;
     }
     if (pending->reply != NULL && due) {
-        send_json(pending->http, pending->status, pending->reply);
+        send_json(store, pending->http, pending->status, pending->reply);
         pending->reply = NULL;
         return true;
     }
-    if (pending->table == NULL || store->mode == RsSoakStore_UNRESPONSIVE) {
+    if (pending->table == NULL || store->mode == RsSoakStore_UNRESPONSIVE ||
+        now_ms < store->away_until_ms) {
         return false;
     }
     json_t *rows = list_rows(store, pending->table, pending->after, true);
@@ -370,15 +394,108 @@
         json_decref(rows);
         return false;
     }
-    send_json(pending->http, 200, pack_response(store, rows));
+    send_json(store, pending->http, 200, pack_response(store, rows));
     return true;
 }
 
+static void
+free_row(gpointer data)
+{
+    struct row *row = data;
+    g_free(row->table);
+    g_free(row->key);
+    g_free(row->value);
+    g_free(row);
+}
+
+static struct row *
+duplicate_row(const struct row *row)
+{
+    struct row *copy = g_new(struct row, 1);
+    *copy = *row;
+    copy->table = g_strdup(row->table);
+    copy->key = g_strdup(row->key);
+    copy->value = g_strdup(row->value);
+    return copy;
+}
+
+static GPtrArray *
+duplicate_rows(const GPtrArray *rows)
+{
+    GPtrArray *copy = g_ptr_array_new_with_free_func(free_row);
+    for (guint i = 0; i < rows->len; i++) {
+        g_ptr_array_add(copy, duplicate_row(g_ptr_array_index(rows, i)));
+    }
+    return copy;
+}
+
+/* Makes a copy of the rows if one is due. */
+static void
+make_copy(struct rs_soak_store *store, int64_t now_ms)
+{
+    if (now_ms < store->next_copy_at_ms) {
+        return;
+    }
+    store->next_copy_at_ms = now_ms + COPY_EVERY_MS;
+    struct copy *copy = &store->copies[store->copy_count++ % COPIES];
+    if (copy->rows != NULL) {
+        g_ptr_array_unref(copy->rows);
+    }
+    *copy = (struct copy){now_ms, duplicate_rows(store->rows), store->version};
+}
+
+/* Returns the newest copy that is at least this old, or the oldest one, or
+ * NULL if there is none. */
+static const struct copy *
+find_copy(const struct rs_soak_store *store, int64_t before_ms)
+{
+    const struct copy *oldest = NULL;
+    const struct copy *newest = NULL;
+    for (uint32_t i = 0; i < COPIES; i++) {
+        const struct copy *copy = &store->copies[i];
+        if (copy->rows == NULL) {
+            continue;
+        }
+        if (oldest == NULL || copy->at_ms < oldest->at_ms) {
+            oldest = copy;
+        }
+        if (copy->at_ms <= before_ms &&
+            (newest == NULL || copy->at_ms > newest->at_ms)) {
+            newest = copy;
+        }
+    }
+    return newest != NULL ? newest : oldest;
+}
+
+/* Writes the rows again that the last restore has lost, unless they have been
+ * written since. */
+static void
+rewrite_lost_rows(struct rs_soak_store *store, int64_t now_ms)
+{
+    if (store->lost_rows == NULL || now_ms < store->rewrite_at_ms) {
+        return;
+    }
+    for (guint i = 0; i < store->lost_rows->len; i++) {
+        const struct row *lost = g_ptr_array_index(store->lost_rows, i);
+        const struct row *present = find_row(store, lost->table, lost->key);
+        uint64_t version = present != NULL ? present->version : 0;
+        if (version == lost->version) {
+            store->version++;
+            write_row(store, lost->table, lost->key,
+                      lost->deleted ? NULL : lost->value, store->version);
+        }
+    }
+    g_ptr_array_unref(store->lost_rows);
+    store->lost_rows = NULL;
+}
+
 static void
 on_timer(uv_timer_t *timer)
 {
     struct rs_soak_store *store = timer->data;
     int64_t now_ms = RsClock_NowMs();
+    make_copy(store, now_ms);
+    rewrite_lost_rows(store, now_ms);
     for (guint i = store->pending->len; i > 0; i--) {
         struct pending *pending = g_ptr_array_index(store->pending, i - 1);
         if (process_pending(store, pending, now_ms)) {
@@ -405,7 +522,7 @@
         .arg = store,
     };
     store->random = random;
-    store->rows = g_ptr_array_new();
+    store->rows = g_ptr_array_new_with_free_func(free_row);
     store->pending = g_ptr_array_new();
     uv_ip4_addr("127.0.0.1", port, &options.address);
     if (RsServer_Open(&options, &store->server) != 0) {
@@ -453,3 +570,51 @@
 {
     store->trimmed_version = store->version;
 }
+
+/* Returns the rows of the operator and the targets that differ from the copy.
+ * The `version` of each is that of the row in the copy, 0 if it has none. */
+static GPtrArray *
+list_lost_rows(struct rs_soak_store *store, const GPtrArray *former_rows)
+{
+    GPtrArray *lost_rows = g_ptr_array_new_with_free_func(free_row);
+    for (guint i = 0; i < former_rows->len; i++) {
+        const struct row *former = g_ptr_array_index(former_rows, i);
+        const struct row *present =
+            find_row(store, former->table, former->key);
+        uint64_t version = present != NULL ? present->version : 0;
+        if ((strcmp(former->table, "op") == 0 ||
+             strcmp(former->table, "servers") == 0) &&
+            version != former->version) {
+            struct row *lost = duplicate_row(former);
+            lost->version = version;
+            g_ptr_array_add(lost_rows, lost);
+        }
+    }
+    return lost_rows;
+}
+
+/* Sets the store back to a copy of its rows and begins a new era. The store is
+ * away for some time first. What the operator and the targets had written
+ * since the copy is written again later; what nodes had written is lost. */
+void
+RsSoakStore_Restore(struct rs_soak_store *store,
+                    const struct rs_soak_restore *restore)
+{
+    int64_t now_ms = RsClock_NowMs();
+    const struct copy *copy = find_copy(store, now_ms - restore->copy_age_ms);
+    if (copy == NULL) {
+        return;
+    }
+    GPtrArray *former_rows = store->rows;
+    store->rows = duplicate_rows(copy->rows);
+    store->version = copy->version;
+    store->trimmed_version = MIN(store->trimmed_version, store->version);
+    store->era++;
+    if (store->lost_rows != NULL) {
+        g_ptr_array_unref(store->lost_rows);
+    }
+    store->lost_rows = list_lost_rows(store, former_rows);
+    g_ptr_array_unref(former_rows);
+    store->away_until_ms = now_ms + restore->away_ms;
+    store->rewrite_at_ms = store->away_until_ms + restore->rewrite_after_ms;
+}
--- a/soak/store.h
+++ b/soak/store.h
@@ -34,4 +34,19 @@
                         const char *key);
 void RsSoakStore_TrimHistory(struct rs_soak_store *store);
 
+/* How the store goes back to a copy of its rows, see RsSoakStore_Restore(). */
+struct rs_soak_restore {
+    uint32_t copy_age_ms; /* at the least, up to RsSoakStore_MAX_COPY_AGE_MS */
+    uint32_t away_ms;     /* no call is answered */
+    /* From the return until the rows of operator and targets are written
+     * again.
+     */
+    uint32_t rewrite_after_ms;
+};
+
+#define RsSoakStore_MAX_COPY_AGE_MS 8000
+
+void RsSoakStore_Restore(struct rs_soak_store *store,
+                         const struct rs_soak_restore *restore);
+
 #endif
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -9,7 +9,7 @@
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 jobs=3
-memory_mb=1200
+memory_mb=1600
 depth=3000000
 
 # verify NAME MODEL SEARCH FLAGS...: builds and runs pan, the verifier that
@@ -78,6 +78,7 @@
 holds rows rows.pml whole
 holds live live.pml live
 holds granter granter.pml whole
+holds granter-RESTORE granter.pml whole -DRESTORE
 caught cell-NO_WAIT_FOR_LAPSE cell.pml whole -DSLOTS=1 -DNO_WAIT_FOR_LAPSE
 caught cell-COUNT_FROM_RECEIPT cell.pml whole -DSLOTS=1 -DCOUNT_FROM_RECEIPT
 caught cell-VOTE_AFTER_RESTART cell.pml whole -DSLOTS=1 -DVOTE_AFTER_RESTART
@@ -94,6 +95,10 @@
 caught granter-NO_ASSUMED_HOLDS granter.pml short -DNO_ASSUMED_HOLDS
 caught granter-NO_CONDITION granter.pml short -DNO_CONDITION
 caught granter-GRANT_WITHOUT_AUTHORITY granter.pml short -DGRANT_WITHOUT_AUTHORITY
+caught restore-VERSION_WITHOUT_ERA granter.pml whole -DRESTORE -DVERSION_WITHOUT_ERA
+caught restore-LEASE_ROW_TRUSTED granter.pml whole -DRESTORE -DLEASE_ROW_TRUSTED
+caught restore-FENCE_REUSED granter.pml whole -DRESTORE -DFENCE_REUSED
+caught restore-UNPROVEN_MOVED granter.pml whole -DRESTORE -DUNPROVEN_MOVED
 caught live-NO_RETRY live.pml live -DNO_RETRY
 caught live-PROMISE_NEVER_LAPSES live.pml live -DPROMISE_NEVER_LAPSES
 "
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -91,6 +91,7 @@
             .base_port = fixture->options.base_port,
             .store_port =
                 (uint16_t)(fixture->options.base_port + STORE_PORT_OFFSET),
+            .bootstrap = true,
         };
         bool ready = RsSoakSetup_WriteSettings(&setup, path);
         RsProcess_Init(&fixture->nodes[i], name, fixture->folder, arguments);
