Heed what targets say of leaving and of coming back later

Cause: a target that leaves now says so in all its answers (Server-Leaving: 1), and one that refuses with 503 may name a time in which it wants nothing from the node (Retry-After). Nodes heard neither: they sent to the first until its report arrived, and to the second after one service time.

Change: router/notices.c reads both from the answers to requests and orders, if the process that answered is the one that runs. A target that leaves gets no new work from then on, requests for its keys until half a second before drain_ms, and the granter a report at once, which moves its keys. A target that is closed gets nothing; requests go to others, wait if it opens in time, or are refused at once with a Retry-After that counts the time left and spreads the return. Nodes report which targets are closed to them, and the planner takes that share off the capacity. Times that are negative, above an hour, no number or given twice are logged, counted and ignored.

Tests: notices, load, five with a real node.

Ruled out: to take a closed target out for all nodes on the word of one; its words are to that node.

--- a/http/connection.c
+++ b/http/connection.c
@@ -487,3 +487,14 @@
     }
     return NULL;
 }
+
+/* Returns how many headers have this name, compared without regard to case. */
+size_t
+RsHttp_CountHeaders(const struct rs_http_head *head, const char *name)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < head->header_count; i++) {
+        count += g_ascii_strcasecmp(head->headers[i].name, name) == 0;
+    }
+    return count;
+}
--- a/http/connection.h
+++ b/http/connection.h
@@ -90,5 +90,6 @@
 void RsHttp_Close(struct rs_http_connection *connection);
 const char *RsHttp_FindHeader(const struct rs_http_head *head,
                               const char *name);
+size_t RsHttp_CountHeaders(const struct rs_http_head *head, const char *name);
 
 #endif
--- a/router/attempt.c
+++ b/router/attempt.c
@@ -130,6 +130,7 @@
     *attempt = (struct rs_attempt){
         .request = request,
         .target = target,
+        .target_started_wall_ms = target->report.started_wall_ms,
         .started_at_us = RsClock_NowUs(),
         .queued_ahead = RsLoad_CountOutstanding(target, now_ms),
         .expected_ms = RsLoad_ExpectedLatencyMs(target, now_ms),
@@ -153,8 +154,8 @@
  * may be sent to the owner now, and RsLoad_NONE if no owner can take it.
  * Returns RsLoad_FULL if the request has to wait for the key ownership map,
  * for `next_attempt_at_ms`, for a handover of the key or for capacity. Sets
- * `*chosen` to the owner for RsLoad_SEND, and for RsLoad_FULL if only capacity
- * is missing. */
+ * `*chosen` to the owner for RsLoad_SEND and RsLoad_CLOSED, and for
+ * RsLoad_FULL if only capacity is missing. */
 static enum rs_load_verdict
 choose_owner(const struct rs_request *request,
              const struct rs_load_choice_input *input, int64_t now_ms,
@@ -181,6 +182,9 @@
         return RsLoad_NONE;
     }
     *chosen = target;
+    if (RsFleet_IsClosed(target, now_ms)) {
+        return RsLoad_CLOSED;
+    }
     if (!RsLoad_HasRoom(target, input, now_ms) ||
         !RsLoad_MaySendToCold(target, input, now_ms)) {
         return RsLoad_FULL;
@@ -216,6 +220,20 @@
     return RsLoad_Choose(input, now_ms, chosen);
 }
 
+/* Lets the request wait for `target`, the first of the closed ones to take
+ * requests again, or refuses it at once if that is too late. */
+static void
+await_reopening(struct rs_request *request,
+                const struct rs_fleet_target *target)
+{
+    if (target->closed_until_ms < request->wait_until_ms) {
+        RsRequest_Wait(request);
+        return;
+    }
+    request->come_back_at_ms = target->closed_until_ms;
+    RsReply_Refuse(request, "target-closed");
+}
+
 /* Sends the request to a target. If none has room, or the expected latency
  * exceeds the time left, the request waits until its `wait_until_ms` and is
  * refused after that. It is refused at once when there is no target, when all
@@ -232,6 +250,10 @@
     }
     enum rs_load_verdict verdict =
         choose_target(request, &input, now_ms, &target);
+    if (verdict == RsLoad_CLOSED) {
+        await_reopening(request, target);
+        return;
+    }
     struct rs_fleet_target *owner = request->service->sharded ? target : NULL;
     if (reject_by_admission(request, owner, now_ms)) {
         RsReply_Refuse(request, "owner-overloaded");
@@ -467,6 +489,9 @@
         return;
     }
     record_load(attempt, head, now_ms);
+    request->router->has_news |=
+        RsNotices_Read(&request->router->notices, attempt->target,
+                       attempt->target_started_wall_ms, head, now_ms);
     attempt->status = head->status;
     attempt->not_run = RsHttp_FindHeader(head, RsWire_NOT_EXECUTED) != NULL ||
                        head->status == RsWire_MISDIRECTED;
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -187,6 +187,8 @@
     target->answers = 0;
     target->answered_at_ms = 0;
     target->full_until_ms = 0;
+    target->closed_until_ms = 0;
+    target->said_leaving_at_ms = 0;
     target->order_failing_since_ms = 0;
     target->cold_until_ms = 0;
     RsLog_EVENT(RsLog_INFO, "target_started", RsLog_TEXT("target", target->id),
@@ -384,6 +386,7 @@
                     const struct rs_fleet_target *target, int64_t now_ms)
 {
     return RsFleet_IsListed(target, now_ms) && !target->report.draining &&
+           target->said_leaving_at_ms == 0 &&
            !g_hash_table_contains(fleet->evacuated, target->report.zone);
 }
 
@@ -399,9 +402,50 @@
                              now_ms - *evacuated_at_ms > KEEP_EVACUATED_MS)) {
         return false;
     }
-    return target->leaving_since_ms == 0 ||
-           now_ms - target->leaving_since_ms <
-               (int64_t)fleet->drain_ms - DRAIN_MARGIN_MS;
+    int64_t keep_ms = (int64_t)fleet->drain_ms - DRAIN_MARGIN_MS;
+    return (target->leaving_since_ms == 0 ||
+            now_ms - target->leaving_since_ms < keep_ms) &&
+           (target->said_leaving_at_ms == 0 ||
+            now_ms - target->said_leaving_at_ms < keep_ms);
+}
+
+/* Returns whether the target wants no requests from this node now. */
+bool
+RsFleet_IsClosed(const struct rs_fleet_target *target, int64_t now_ms)
+{
+    return now_ms < target->closed_until_ms;
+}
+
+/* Records that the process that was started at `started_wall_ms` has said that
+ * it is leaving. Returns whether that is news. */
+bool
+RsFleet_RecordLeaving(struct rs_fleet_target *target, int64_t started_wall_ms,
+                      int64_t now_ms)
+{
+    if (target->report.started_wall_ms != started_wall_ms ||
+        target->said_leaving_at_ms > 0) {
+        return false;
+    }
+    target->said_leaving_at_ms = now_ms;
+    RsLog_EVENT(RsLog_INFO, "target_leaving", RsLog_TEXT("target", target->id),
+                RsLog_NUMBER("born_ms", started_wall_ms));
+    return true;
+}
+
+/* Records that the process that was started at `started_wall_ms` wants no
+ * requests from this node until `until_ms`. */
+void
+RsFleet_RecordClosed(struct rs_fleet_target *target, int64_t started_wall_ms,
+                     int64_t until_ms)
+{
+    if (target->report.started_wall_ms != started_wall_ms ||
+        until_ms <= target->closed_until_ms) {
+        return;
+    }
+    target->closed_until_ms = until_ms;
+    RsLog_EVENT(RsLog_INFO, "target_closed", RsLog_TEXT("target", target->id),
+                RsLog_NUMBER("born_ms", started_wall_ms),
+                RsLog_NUMBER("until_ms", until_ms));
 }
 
 /* Records the load that a target reported with an answer. */
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -21,6 +21,10 @@
     /* The earliest time at which it may have begun to drain or, if unlisted,
      * the time at which it lapses; 0: neither. */
     int64_t leaving_since_ms;
+    /* When its present process said in a response that it leaves; 0: never. */
+    int64_t said_leaving_at_ms;
+    /* It has refused a request of this node and wants no others until then. */
+    int64_t closed_until_ms;
     int64_t cold_until_ms;
     /* When its last cold phase began; 0 if that was the start of its
      * process. */
@@ -107,6 +111,14 @@
 
 bool RsFleet_MayKeepWork(const struct rs_fleet *fleet,
                          const struct rs_fleet_target *target, int64_t now_ms);
+bool RsFleet_IsClosed(const struct rs_fleet_target *target, int64_t now_ms);
+
+/* What a process of the target says of itself in its responses. Nothing
+ * happens if another process of the target runs by now. */
+bool RsFleet_RecordLeaving(struct rs_fleet_target *target,
+                           int64_t started_wall_ms, int64_t now_ms);
+void RsFleet_RecordClosed(struct rs_fleet_target *target,
+                          int64_t started_wall_ms, int64_t until_ms);
 
 /* Recording what this node observes of a target (loads, responses, failures
  * and refusals), and estimates based on it. */
--- a/router/load.c
+++ b/router/load.c
@@ -284,24 +284,41 @@
     return RsLoad_ExpectedLatencyMs(target, now_ms) * noise + network_ms;
 }
 
+/* Returns whether the target takes work of the service, is not excluded and is
+ * not avoided. */
+static bool
+is_candidate(const struct rs_load_choice_input *input,
+             const struct rs_fleet_target *target, int64_t now_ms)
+{
+    return target->report.service == input->service &&
+           RsFleet_MayTakeWork(input->fleet, target, now_ms) &&
+           !is_excluded(input, target->id) && now_ms >= target->avoid_until_ms;
+}
+
 /* Adds the targets that may take the request now to `usable`. Returns
- * RsLoad_SEND if there are any, otherwise why there are none. */
+ * RsLoad_SEND if there are any, otherwise why there are none. For
+ * RsLoad_CLOSED sets `*first_open` to the target that takes requests again
+ * first. */
 static enum rs_load_verdict
 list_usable(const struct rs_load_choice_input *input, int64_t now_ms,
-            GPtrArray *usable)
+            GPtrArray *usable, struct rs_fleet_target **first_open)
 {
     bool full = false;
+    *first_open = NULL;
     for (guint i = 0; i < input->fleet->list->len; i++) {
         struct rs_fleet_target *target =
             g_ptr_array_index(input->fleet->list, i);
-        if (target->report.service != input->service ||
-            !RsFleet_MayTakeWork(input->fleet, target, now_ms) ||
-            is_excluded(input, target->id) ||
-            now_ms < target->avoid_until_ms) {
+        if (!is_candidate(input, target, now_ms)) {
             continue;
         }
-        if (RsLoad_HasRoom(target, input, now_ms) &&
-            RsLoad_MaySendToCold(target, input, now_ms)) {
+        if (RsFleet_IsClosed(target, now_ms)) {
+            bool is_first =
+                *first_open == NULL ||
+                target->closed_until_ms < (*first_open)->closed_until_ms;
+            *first_open = is_first ? target : *first_open;
+        }
+        else if (RsLoad_HasRoom(target, input, now_ms) &&
+                 RsLoad_MaySendToCold(target, input, now_ms)) {
             g_ptr_array_add(usable, target);
         }
         else {
@@ -311,7 +328,10 @@
     if (usable->len > 0) {
         return RsLoad_SEND;
     }
-    return full ? RsLoad_FULL : RsLoad_NONE;
+    if (full) {
+        return RsLoad_FULL;
+    }
+    return *first_open != NULL ? RsLoad_CLOSED : RsLoad_NONE;
 }
 
 /* Moves the home targets to the front and returns their number. */
@@ -351,17 +371,20 @@
 
 /* Chooses the target with the lowest cost, see cost_of() and home_factor(),
  * among this node's home targets and a random sample of the others. Sets
- * `chosen` to NULL unless it returns RsLoad_SEND. */
+ * `chosen` to the target for RsLoad_SEND, to the target that takes requests
+ * again first for RsLoad_CLOSED, and to NULL otherwise. */
 enum rs_load_verdict
 RsLoad_Choose(const struct rs_load_choice_input *input, int64_t now_ms,
               struct rs_fleet_target **chosen)
 {
     GPtrArray *usable = g_ptr_array_new();
     double lowest_cost = INFINITY;
-    enum rs_load_verdict verdict = list_usable(input, now_ms, usable);
+    struct rs_fleet_target *first_open = NULL;
+    enum rs_load_verdict verdict =
+        list_usable(input, now_ms, usable, &first_open);
     guint home_count = move_home_targets_first(input, usable);
     guint count = move_sample_after_home(input, usable, home_count);
-    *chosen = NULL;
+    *chosen = verdict == RsLoad_CLOSED ? first_open : NULL;
     for (guint i = 0; i < count; i++) {
         struct rs_fleet_target *target = g_ptr_array_index(usable, i);
         double cost = cost_of(input, target, now_ms) *
--- a/router/load.h
+++ b/router/load.h
@@ -42,6 +42,9 @@
 enum rs_load_verdict {
     RsLoad_SEND,
     RsLoad_FULL, /* some targets take work, but none can get a request now */
+    /* Targets take work, but not from this node for now; see closed_until_ms
+     * of struct rs_fleet_target. */
+    RsLoad_CLOSED,
     RsLoad_NONE, /* no target takes work, or all are excluded or avoided */
 };
 
--- a/router/load_test.c
+++ b/router/load_test.c
@@ -146,6 +146,53 @@
     close_scenario(&scenario);
 }
 
+/* Targets that refuse this node for a time are passed over. If no other takes
+ * work, the one that opens first is named; a full one is better to wait for.
+ */
+static void
+test_closed_targets_are_passed_over(void)
+{
+    struct scenario scenario;
+    struct rs_fleet_target *chosen;
+    open_scenario(&scenario, 0);
+    for (size_t i = 0; i < 3; i++) {
+        scenario.targets[i]->closed_until_ms = NOW_MS + 3000 - 500 * (int)i;
+    }
+    CU_ASSERT_EQUAL(RsLoad_Choose(&scenario.choice, NOW_MS, &chosen),
+                    RsLoad_SEND);
+    CU_ASSERT_PTR_EQUAL(chosen, scenario.targets[3]);
+    scenario.targets[3]->in_flight = 10;
+    CU_ASSERT_EQUAL(RsLoad_Choose(&scenario.choice, NOW_MS, &chosen),
+                    RsLoad_FULL);
+    scenario.targets[3]->closed_until_ms = NOW_MS + 9000;
+    CU_ASSERT_EQUAL(RsLoad_Choose(&scenario.choice, NOW_MS, &chosen),
+                    RsLoad_CLOSED);
+    CU_ASSERT_PTR_EQUAL(chosen, scenario.targets[2]);
+    CU_ASSERT_EQUAL(RsLoad_Choose(&scenario.choice, NOW_MS + 2000, &chosen),
+                    RsLoad_SEND);
+    close_scenario(&scenario);
+}
+
+/* All targets open at the same time. The callers come back after that, not all
+ * in the same moment. */
+static void
+test_return_to_closed_targets_is_spread(void)
+{
+    GRand *random = g_rand_new_with_seed(1);
+    uint32_t lowest_ms = UINT32_MAX;
+    uint32_t highest_ms = 0;
+    for (int i = 0; i < 1000; i++) {
+        uint32_t after_ms = RsLoad_RetryAtMs(NOW_MS + 2000, NOW_MS, random);
+        lowest_ms = MIN(lowest_ms, after_ms);
+        highest_ms = MAX(highest_ms, after_ms);
+    }
+    CU_ASSERT_TRUE(lowest_ms >= 2000);
+    CU_ASSERT_TRUE(highest_ms - lowest_ms >= 400);
+    CU_ASSERT_TRUE(highest_ms <= 3000);
+    CU_ASSERT_TRUE(RsLoad_RetryAtMs(NOW_MS - 1, NOW_MS, random) < 200);
+    g_rand_free(random);
+}
+
 /* Nine nodes send as fast as they are allowed to. A cold target must not get
  * more than 6.3 x 1.5 + 5 requests in any second. */
 static void
@@ -335,6 +382,8 @@
     CU_ADD_TEST(suite, test_capacity_falls_faster_than_the_speed_of_a_target);
     CU_ADD_TEST(suite, test_own_zone_is_preferred_among_equals);
     CU_ADD_TEST(suite, test_full_and_unusable_targets_are_distinguished);
+    CU_ADD_TEST(suite, test_closed_targets_are_passed_over);
+    CU_ADD_TEST(suite, test_return_to_closed_targets_is_spread);
     CU_ADD_TEST(suite, test_cold_target_is_within_its_bound_over_all_nodes);
     CU_ADD_TEST(suite, test_many_nodes_share_the_bound_of_a_cold_target);
     CU_ADD_TEST(suite, test_target_that_turns_cold_is_within_its_bound);
--- a/router/metrics.c
+++ b/router/metrics.c
@@ -36,6 +36,15 @@
     print_counter(text, "rattanshed_repeats_total",
                   "Sends beyond the first of a request.",
                   &router->extra_attempts);
+    const struct rs_notice_counters *notices = &sources->router->notices;
+    print_counter(text, "rattanshed_targets_leaving_total",
+                  "Targets that said in an answer that they leave.",
+                  &notices->leaving);
+    print_counter(text, "rattanshed_targets_closed_total",
+                  "Refusals of targets with a time to come back.",
+                  &notices->closed);
+    print_counter(text, "rattanshed_retry_after_malformed_total",
+                  "Such times that could not be used.", &notices->malformed);
     RsHistogram_AppendText(text, "rattanshed_request_us", "",
                            "From a request's arrival to its end.",
                            &router->latency_us);
--- a/router/node.c
+++ b/router/node.c
@@ -584,9 +584,10 @@
 static void
 send_report(struct node *node, int64_t now_ms)
 {
-    if (now_ms < node->next_report_at_ms) {
+    if (now_ms < node->next_report_at_ms && !node->router.has_news) {
         return;
     }
+    node->router.has_news = false;
     node->next_report_at_ms =
         now_ms + MAX(REPORT_EVERY_MS,
                      node->router.share.nodes * REPORT_EVERY_MS_PER_NODE);
--- a/router/orders.c
+++ b/router/orders.c
@@ -38,6 +38,7 @@
     struct rs_http_request message;
     struct rs_exchange *exchange;
     struct rs_fleet_target *target;
+    int64_t target_started_wall_ms; /* of the target's process */
     int status;
     char *handover; /* from the response; NULL if it has none */
 };
@@ -104,7 +105,11 @@
 on_head(void *arg, const struct rs_http_head *head)
 {
     struct order_call *call = arg;
+    struct rs_router *router = call->orders->router;
     call->status = head->status;
+    router->has_news |=
+        RsNotices_Read(&router->notices, call->target,
+                       call->target_started_wall_ms, head, RsClock_NowMs());
     g_free(call->handover);
     call->handover = g_strdup(RsHttp_FindHeader(head, RsWire_HANDOVER));
 }
@@ -193,6 +198,7 @@
     if (left_ms == 0) {
         return;
     }
+    call->target_started_wall_ms = call->target->report.started_wall_ms;
     call->exchange = RsExchange_Start(&options);
 }
 
--- a/router/owners.c
+++ b/router/owners.c
@@ -12,6 +12,9 @@
  * take. */
 #define COLD_CAPACITY_SHARE 0.6
 #define MS_PER_S 1000.0
+/* Least share of its capacity that is assumed of a target that wants no
+ * requests from any node, so that its keys move to others. */
+#define MIN_OPEN_SHARE 0.02
 
 /* Inputs of one planning round. */
 struct planning {
@@ -80,6 +83,15 @@
     }
 }
 
+/* Returns the share of the nodes from which the target takes requests. */
+static double
+open_share(const struct planning *planning,
+           const struct rs_fleet_target *target)
+{
+    return MAX(1 - RsReports_ClosedShare(planning->reports, target->id),
+               MIN_OPEN_SHARE);
+}
+
 /* Fills in the targets of a service and returns their number. The array must
  * have room for all targets of the fleet. */
 static size_t
@@ -97,8 +109,10 @@
                 .owner = {target->id, target->report.started_wall_ms,
                           target->report.address_text},
                 .eligible = can_own(planning, target),
-                .capacity = capacity_of(target, latency_ms,
-                                        service->cold_per_s, planning->now_ms),
+                .capacity =
+                    capacity_of(target, latency_ms, service->cold_per_s,
+                                planning->now_ms) *
+                    open_share(planning, target),
             };
         }
     }
--- a/router/peer.pb-c.c
+++ b/router/peer.pb-c.c
@@ -148,7 +148,7 @@
   assert(message->base.descriptor == &rs__peer__summary__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor rs__peer__target_load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rs__peer__target_load__field_descriptors[6] =
 {
   {
     "id",
@@ -198,17 +198,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving_started_wall_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SFIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TargetLoad, leaving_started_wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "closed_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TargetLoad, closed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__target_load__field_indices_by_name[] = {
+  5,   /* field[5] = closed_ms */
   3,   /* field[3] = demand_per_s */
   0,   /* field[0] = id */
   1,   /* field[1] = in_flight */
+  4,   /* field[4] = leaving_started_wall_ms */
   2,   /* field[2] = service_us */
 };
 static const ProtobufCIntRange rs__peer__target_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor rs__peer__target_load__descriptor =
 {
@@ -218,7 +244,7 @@
   "Rs__Peer__TargetLoad",
   "rs.peer",
   sizeof(Rs__Peer__TargetLoad),
-  4,
+  6,
   rs__peer__target_load__field_descriptors,
   rs__peer__target_load__field_indices_by_name,
   1,  rs__peer__target_load__number_ranges,
--- a/router/peer.pb-c.h
+++ b/router/peer.pb-c.h
@@ -43,10 +43,20 @@
    * set only in a Summary.
    */
   float demand_per_s;
+  /*
+   * When the process of the target started that said it is leaving, in ms by
+   * the wall clock; 0: none.
+   */
+  int64_t leaving_started_wall_ms;
+  /*
+   * Set only in a Report: for how long the target wants no requests from the
+   * node, in ms.
+   */
+  uint32_t closed_ms;
 };
 #define RS__PEER__TARGET_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__peer__target_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Rs__Peer__Report__ServiceKeys
--- a/router/reports.c
+++ b/router/reports.c
@@ -38,6 +38,7 @@
 struct load {
     uint32_t in_flight;
     uint32_t service_us;
+    bool closed; /* the target wants no requests from the node */
 };
 
 /* What the granter knows of a node. */
@@ -54,8 +55,9 @@
 /* Load of a target over all nodes. */
 struct totals {
     uint32_t in_flight;
-    uint64_t service_us; /* sum of the nodes' mean service times */
-    uint32_t node_count; /* nodes whose service times are in the sum */
+    uint64_t service_us;   /* sum of the nodes' mean service times */
+    uint32_t node_count;   /* nodes whose service times are in the sum */
+    uint32_t closed_count; /* nodes from which it wants no requests */
 };
 
 /* Requests per second for each key of a service, as exponential moving
@@ -196,7 +198,9 @@
         totals->in_flight -= load->in_flight;
         totals->service_us -= load->service_us;
         totals->node_count -= load->service_us > 0;
-        if (totals->in_flight == 0 && totals->node_count == 0) {
+        totals->closed_count -= load->closed;
+        if (totals->in_flight == 0 && totals->node_count == 0 &&
+            totals->closed_count == 0) {
             g_hash_table_remove(reports->totals_by_target, id);
         }
     }
@@ -216,6 +220,7 @@
     struct load *load = g_new0(struct load, 1);
     load->in_flight = item->in_flight;
     load->service_us = item->service_us;
+    load->closed = item->closed_ms > 0;
     g_hash_table_insert(node->loads, id, load);
     struct totals *totals = g_hash_table_lookup(reports->totals_by_target, id);
     if (totals == NULL) {
@@ -225,6 +230,41 @@
     totals->in_flight += load->in_flight;
     totals->service_us += load->service_us;
     totals->node_count += load->service_us > 0;
+    totals->closed_count += load->closed;
+}
+
+/* Returns from which share of the nodes, by their last reports, the target
+ * wants no requests. `id` must be interned. */
+double
+RsReports_ClosedShare(const struct rs_reports *reports, const char *id)
+{
+    const struct totals *totals =
+        g_hash_table_lookup(reports->totals_by_target, id);
+    guint nodes = g_hash_table_size(reports->nodes);
+    return totals != NULL && nodes > 0 ? (double)totals->closed_count / nodes
+                                       : 0;
+}
+
+/* Records that another node has heard from a target that it is leaving. */
+static void
+record_leaving(struct rs_reports *reports, const Rs__Peer__TargetLoad *item,
+               int64_t now_ms)
+{
+    struct rs_fleet_target *target =
+        RsFleet_Find(&reports->router->fleet, g_intern_string(item->id));
+    if (target != NULL && item->leaving_started_wall_ms != 0) {
+        RsFleet_RecordLeaving(target, item->leaving_started_wall_ms, now_ms);
+    }
+}
+
+/* Returns when the target's process started if it has said that it is leaving,
+ * or 0. */
+static int64_t
+leaving_started_wall_ms(const struct rs_fleet_target *target)
+{
+    return target != NULL && target->said_leaving_at_ms > 0
+               ? target->report.started_wall_ms
+               : 0;
 }
 
 /* On the granter: records a report of a node. Replaces the node's earlier load
@@ -250,6 +290,7 @@
     remove_load(reports, node);
     for (size_t i = 0; i < report->n_targets; i++) {
         add_load(reports, node, report->targets[i]);
+        record_leaving(reports, report->targets[i], now_ms);
     }
     record_keys(reports, report, now_ms);
 }
@@ -401,6 +442,8 @@
             loads[count].in_flight = overall.in_flight;
             loads[count].service_us = overall.service_us;
             loads[count].demand_per_s = find_demand(reports, id);
+            loads[count].leaving_started_wall_ms = leaving_started_wall_ms(
+                RsFleet_Find(&reports->router->fleet, id));
             count++;
         }
     }
@@ -521,7 +564,9 @@
     for (size_t i = 0; i < summary->n_targets; i++) {
         const Rs__Peer__TargetLoad *item = summary->targets[i];
         const char *id = g_intern_string(item->id);
-        const struct load totals = {item->in_flight, item->service_us};
+        const struct load totals = {.in_flight = item->in_flight,
+                                    .service_us = item->service_us};
+        record_leaving(reports, item, now_ms);
         set_remote_load(reports, id, &totals, now_ms);
         struct rs_fleet_target *target = RsFleet_Find(&router->fleet, id);
         if (target != NULL) {
@@ -609,10 +654,12 @@
 }
 
 /* Fills `loads` with the load from this node of each target that has requests
- * of this node in flight or has answered one. Records in `reports->reported`
- * how many requests in flight are reported. Returns the number of loads. */
+ * of this node in flight, has answered one or has given notice. Records in
+ * `reports->reported` how many requests in flight are reported. Returns the
+ * number of loads. */
 static size_t
-fill_loads(struct rs_reports *reports, Rs__Peer__TargetLoad *loads)
+fill_loads(struct rs_reports *reports, Rs__Peer__TargetLoad *loads,
+           int64_t now_ms)
 {
     GHashTableIter iter;
     gpointer value;
@@ -621,7 +668,9 @@
     g_hash_table_iter_init(&iter, reports->router->fleet.targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct rs_fleet_target *target = value;
-        if (target->in_flight == 0 && target->answers == 0) {
+        bool closed = RsFleet_IsClosed(target, now_ms);
+        if (target->in_flight == 0 && target->answers == 0 && !closed &&
+            target->said_leaving_at_ms == 0) {
             continue;
         }
         rs__peer__target_load__init(&loads[count]);
@@ -630,6 +679,9 @@
         loads[count].service_us =
             target->answers > 0 ? (uint32_t)(target->service_ms * US_PER_MS)
                                 : 0;
+        loads[count].leaving_started_wall_ms = leaving_started_wall_ms(target);
+        loads[count].closed_ms =
+            closed ? (uint32_t)(target->closed_until_ms - now_ms) : 0;
         g_hash_table_insert(reports->reported, (gpointer)target->id,
                             GUINT_TO_POINTER(target->in_flight));
         count++;
@@ -691,7 +743,7 @@
     report.incarnation = reports->incarnation;
     report.strength = reports->strength;
     report.zone = (char *)reports->router->zone;
-    report.n_targets = fill_loads(reports, loads);
+    report.n_targets = fill_loads(reports, loads, now_ms);
     report.n_keys = fill_keys(reports, keys);
     for (size_t i = 0; i < report.n_targets; i++) {
         load_list[i] = &loads[i];
--- a/router/reports.h
+++ b/router/reports.h
@@ -33,6 +33,7 @@
 
 /* Returns the highest strength, in thousandths of a core, of the nodes that
  * reported to this node within the last second; 0 if there are none. */
+double RsReports_ClosedShare(const struct rs_reports *reports, const char *id);
 uint32_t RsReports_MaxStrength(const struct rs_reports *reports,
                                int64_t now_ms);
 
--- a/router/request.h
+++ b/router/request.h
@@ -23,6 +23,7 @@
     struct rs_request *request;
     struct rs_exchange *exchange; /* NULL once the attempt has ended */
     struct rs_fleet_target *target;
+    int64_t target_started_wall_ms; /* of the target's process */
     int64_t started_at_us;
     /* Estimated number of requests running or queued at the target when the
      * attempt started. */
--- a/router/router.h
+++ b/router/router.h
@@ -15,6 +15,7 @@
 #include "router/fleet.h"
 #include "router/keymap.h"
 #include "router/load.h"
+#include "router/notices.h"
 #include "router/shutdown.h"
 #include "settings/node.h"
 
@@ -69,6 +70,8 @@
      * their key, ordered by arrival time plus latency target. */
     GQueue waiting;
     struct rs_shutdown shutdown;
+    struct rs_notice_counters notices;
+    bool has_news; /* the granter is to be sent a report at once */
     struct rs_router_counters counters;
 };
 
--- a/soak/main.c
+++ b/soak/main.c
@@ -36,6 +36,7 @@
 #define MAX_AWAY_MS 5000 /* of a store that will go back to a copy */
 #define MAX_REWRITE_DELAY_MS 2000
 #define DRAIN_MS 3000
+#define REFUSAL_RETRY_AFTER "0.7" /* seconds */
 #define POST_TIMEOUT_MS 2000
 /* Offsets from the first port of the soak; see also soak/setup.h. */
 #define STORE_PORT_OFFSET 10
@@ -166,6 +167,7 @@
     RsSoakTarget_SetSlowdown(target, 1);
     RsSoakTarget_SetLateOrders(target, false);
     RsSoakTarget_SetReporting(target, true);
+    RsSoakTarget_Close(target, "");
     RsLinkProxy_SetDelay(RsSoakTarget_Proxy(target), 0);
     RsLinkProxy_SetOneWayCut(RsSoakTarget_Proxy(target), false);
     if (!RsSoakTarget_IsUp(target)) {
@@ -282,7 +284,7 @@
     if (uv_is_active((uv_handle_t *)&slot->recovery_timer)) {
         return;
     }
-    switch (random_below(soak, 9)) {
+    switch (random_below(soak, soak->restores ? 10 : 9)) {
     case 0:
         RsSoakTarget_Crash(target);
         log_fault(soak, "target crashes", number, duration_ms);
@@ -316,6 +318,10 @@
         RsLinkProxy_SetOneWayCut(RsSoakTarget_Proxy(target), true);
         log_fault(soak, "target's responses lost", number, duration_ms);
         break;
+    case 9:
+        RsSoakTarget_Close(target, REFUSAL_RETRY_AFTER);
+        log_fault(soak, "target refuses for a time", number, duration_ms);
+        break;
     default:
         RsLinkProxy_SetDelay(RsSoakTarget_Proxy(target), 80000);
         log_fault(soak, "target's link slow", number, duration_ms);
--- a/soak/target.c
+++ b/soak/target.c
@@ -77,6 +77,9 @@
     bool draining;
     bool late_orders;
     bool reporting;
+    bool says_leaving;    /* in its responses */
+    char retry_after[16]; /* if not empty, all requests are refused with it */
+    uint64_t request_count;
     enum rs_soak_violation violation;
 };
 
@@ -140,11 +143,15 @@
     return count;
 }
 
-/* Adds the header that reports the load of the target. */
+/* Adds the headers in which the target speaks of itself: its load and, if it
+ * is leaving, that it is. */
 static void
-add_load(struct rs_soak_target *target, h2o_req_t *http)
+add_notices(struct rs_soak_target *target, h2o_req_t *http)
 {
     char text[64];
+    if (target->says_leaving) {
+        RsServer_AddHeader(http, "server-leaving", "1");
+    }
     snprintf(text, sizeof(text), "%u,%u,%d,100", count_running(target),
              count_queued(target), MAX_RUNNING_JOBS);
     RsServer_AddHeader(http, "x-instance-load", text);
@@ -160,7 +167,7 @@
     }
     RsServer_AddHeader(http, "x-not-executed", "1");
     RsServer_AddHeader(http, "x-instance-id", target->id);
-    add_load(target, http);
+    add_notices(target, http);
     RsServer_Reply(http, status, NULL, "", 0);
     g_free(id);
 }
@@ -350,7 +357,7 @@
     }
     RsServer_AddHeader(job->http, "x-request-id", job->id);
     RsServer_AddHeader(job->http, "x-server-signature", signature);
-    add_load(target, job->http);
+    add_notices(target, job->http);
     RsServer_Reply(job->http, 200, "text/plain", body, strlen(body));
     g_free(body);
     g_free(signature);
@@ -386,9 +393,14 @@
     char *expected = RsServer_Header(http, "x-target-instance");
     char *id = RsServer_Header(http, "x-request-id");
     char *key = RsServer_Header(http, "x-shard-key");
+    target->request_count++;
     if (id == NULL) {
         reject(target, http, 400);
     }
+    else if (target->retry_after[0] != '\0') {
+        RsServer_AddHeader(http, "retry-after", target->retry_after);
+        reject(target, http, 503);
+    }
     else if (expected != NULL && strcmp(expected, target->id) != 0) {
         reject(target, http, 421);
     }
@@ -529,6 +541,8 @@
     target->next_report_at_ms = 0;
     target->up = true;
     target->draining = false;
+    target->says_leaving = false;
+    target->retry_after[0] = '\0';
     memset(target->highest_fence, 0, sizeof(target->highest_fence));
     RsLinkProxy_SetCut(target->proxy, false);
     RsCheck_RecordTargetStart(target->options.check, target->options.number);
@@ -546,11 +560,12 @@
     RsLinkProxy_SetCut(target->proxy, true);
 }
 
-/* Makes the target report that it is draining. */
+/* Makes the target report that it is draining, and say so in its responses. */
 void
 RsSoakTarget_Drain(struct rs_soak_target *target)
 {
     target->draining = true;
+    target->says_leaving = true;
     target->next_report_at_ms = 0;
 }
 
@@ -594,6 +609,29 @@
     }
 }
 
+/* Makes the target say in its responses that it is leaving, but not report it
+ * to the store. */
+void
+RsSoakTarget_SayLeaving(struct rs_soak_target *target)
+{
+    target->says_leaving = true;
+}
+
+/* Makes the target refuse all requests, with this time in seconds to come
+ * back. An empty text ends that. */
+void
+RsSoakTarget_Close(struct rs_soak_target *target, const char *retry_after)
+{
+    g_strlcpy(target->retry_after, retry_after, sizeof(target->retry_after));
+}
+
+/* Returns how many requests, not orders, have reached the target. */
+uint64_t
+RsSoakTarget_RequestCount(const struct rs_soak_target *target)
+{
+    return target->request_count;
+}
+
 /* Returns whether the target is running. */
 bool
 RsSoakTarget_IsUp(const struct rs_soak_target *target)
--- a/soak/target.h
+++ b/soak/target.h
@@ -48,7 +48,11 @@
 void RsSoakTarget_SetReporting(struct rs_soak_target *target, bool on);
 void RsSoakTarget_InjectViolation(struct rs_soak_target *target,
                                   enum rs_soak_violation violation);
+void RsSoakTarget_SayLeaving(struct rs_soak_target *target);
+void RsSoakTarget_Close(struct rs_soak_target *target,
+                        const char *retry_after);
 bool RsSoakTarget_IsUp(const struct rs_soak_target *target);
+uint64_t RsSoakTarget_RequestCount(const struct rs_soak_target *target);
 
 char *RsSoakTarget_Signature(const char *request_id);
 
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -16,6 +16,8 @@
 #define PROBE_EVERY_MS 50
 #define KEYS_PER_PROBE 16 /* keys spread over the whole key space */
 
+static const char program[] = RATTANSHED_BUILD "/rattanshed/rattanshed";
+
 /* Wakes up the loop. */
 static void
 on_step(uv_timer_t *timer)
@@ -83,9 +85,7 @@
         char name[16];
         snprintf(name, sizeof(name), "n%u", i);
         char *path = g_strdup_printf("%s/%s.yaml", fixture->folder, name);
-        const char *const arguments[] = {RATTANSHED_BUILD
-                                         "/rattanshed/rattanshed",
-                                         "--serve", "-c", path, NULL};
+        const char *const arguments[] = {program, "--serve", "-c", path, NULL};
         const struct rs_soak_node_setup setup = {
             .number = i,
             .base_port = fixture->options.base_port,
--- a/tests/node_main.c
+++ b/tests/node_main.c
@@ -19,6 +19,15 @@
      test_late_request_on_a_new_connection},
     {"request_on_a_kept_connection", test_request_on_a_kept_connection},
     {"request_at_a_slow_target", test_request_at_a_slow_target},
+    {"target_that_says_it_leaves_gets_no_more",
+     test_target_that_says_it_leaves_gets_no_more},
+    {"keys_of_a_target_that_says_it_leaves_move",
+     test_keys_of_a_target_that_says_it_leaves_move},
+    {"target_that_refuses_for_a_time_is_left_alone",
+     test_target_that_refuses_for_a_time_is_left_alone},
+    {"callers_are_told_when_closed_targets_open",
+     test_callers_are_told_when_closed_targets_open},
+    {"keys_of_a_closed_target_move", test_keys_of_a_closed_target_move},
 };
 
 int
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -8,4 +8,11 @@
 void test_request_on_a_kept_connection(void);
 void test_request_at_a_slow_target(void);
 
+/* tests/node_notices_test.c */
+void test_target_that_says_it_leaves_gets_no_more(void);
+void test_keys_of_a_target_that_says_it_leaves_move(void);
+void test_target_that_refuses_for_a_time_is_left_alone(void);
+void test_callers_are_told_when_closed_targets_open(void);
+void test_keys_of_a_closed_target_move(void);
+
 #endif
