--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -1,6 +1,7 @@
 #include "tests/node_fixture.h"
 
 #include <glib/gstdio.h>
+#include <jansson.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -14,6 +15,7 @@
 #define TARGET_PORT_OFFSET 20 /* a target; the next port is its proxy */
 #define DEADLINE_MS_TEXT "15000"
 #define PROBE_EVERY_MS 50
+#define STATE_WITHIN_MS 1000
 #define KEYS_PER_PROBE 16 /* keys spread over the whole key space */
 
 static const char program[] = RATTANSHED_BUILD "/rattanshed/rattanshed";
@@ -78,31 +80,55 @@
     return true;
 }
 
+/* Writes the settings file of a node. The caller frees its path with g_free().
+ * Returns NULL if the file can't be written. */
+static char *
+write_settings(struct rs_node_fixture *fixture, uint32_t node)
+{
+    char *path = g_strdup_printf("%s/n%u.yaml", fixture->folder, node);
+    if (!RsSoakSetup_WriteSettings(&fixture->setups[node], path)) {
+        g_free(path);
+        return NULL;
+    }
+    return path;
+}
+
 static bool
 open_nodes(struct rs_node_fixture *fixture)
 {
     for (uint32_t i = 0; i < fixture->options.node_count; i++) {
         char name[16];
-        snprintf(name, sizeof(name), "n%u", i);
-        char *path = g_strdup_printf("%s/%s.yaml", fixture->folder, name);
-        const char *const arguments[] = {program, "--serve", "-c", path, NULL};
-        const struct rs_soak_node_setup setup = {
+        fixture->setups[i] = (struct rs_soak_node_setup){
             .number = i,
             .base_port = fixture->options.base_port,
             .store_port =
                 (uint16_t)(fixture->options.base_port + STORE_PORT_OFFSET),
             .bootstrap = true,
         };
-        bool ready = RsSoakSetup_WriteSettings(&setup, path);
+        char *path = write_settings(fixture, i);
+        const char *const arguments[] = {program, "--serve", "-c", path, NULL};
+        snprintf(name, sizeof(name), "n%u", i);
         RsProcess_Init(&fixture->nodes[i], name, fixture->folder, arguments);
+        bool started =
+            path != NULL && RsProcess_Start(&fixture->nodes[i]) == 0;
         g_free(path);
-        if (!ready || RsProcess_Start(&fixture->nodes[i]) != 0) {
+        if (!started) {
             return false;
         }
     }
     return true;
 }
 
+/* Kills a node and starts it again. */
+void
+RsNodeFixture_RestartNode(struct rs_node_fixture *fixture, uint32_t node)
+{
+    RsProcess_Kill(&fixture->nodes[node]);
+    fixture->setups[node].bootstrap = false;
+    g_free(write_settings(fixture, node));
+    RsProcess_Start(&fixture->nodes[node]);
+}
+
 /* Starts a deployment. Returns NULL if that fails, for instance because a port
  * is in use. The caller ends it with RsNodeFixture_Close(). */
 struct rs_node_fixture *
@@ -342,3 +368,87 @@
     }
     return true;
 }
+
+/* The state that a node serves on its admin port. */
+struct state_read {
+    struct rs_http_connection *connection;
+    GString *body;
+    bool ended;
+};
+
+static void
+on_state_connected(void *arg)
+{
+    struct state_read *read = arg;
+    const struct rs_http_header headers[] = {{"host", "admin"}};
+    const struct rs_http_request message = {.method = "GET",
+                                            .path = "/state",
+                                            .headers = headers,
+                                            .header_count = 1};
+    RsHttp_Send(read->connection, &message);
+}
+
+static void
+on_state_head(void *arg, const struct rs_http_head *head)
+{
+}
+
+static void
+on_state_body(void *arg, const char *data, size_t size_bytes)
+{
+    g_string_append_len(((struct state_read *)arg)->body, data,
+                        (gssize)size_bytes);
+}
+
+static void
+on_state_end(void *arg, bool keep_alive)
+{
+    ((struct state_read *)arg)->ended = true;
+}
+
+static void
+on_state_closed(void *arg, int error)
+{
+    struct state_read *read = arg;
+    read->ended = true;
+    read->connection = NULL;
+}
+
+static const struct rs_http_events state_events = {
+    .connected = on_state_connected,
+    .head = on_state_head,
+    .body = on_state_body,
+    .end = on_state_end,
+    .closed = on_state_closed,
+};
+
+/* Returns the version of the configuration in force at a node, 0 if it has
+ * none, or -1 if the node doesn't answer. */
+int
+RsNodeFixture_ConfigVersion(struct rs_node_fixture *fixture, uint32_t node)
+{
+    struct state_read read = {.body = g_string_new(NULL)};
+    struct rs_http_options options = {
+        .loop = &fixture->loop, .events = &state_events, .arg = &read};
+    char host[24];
+    int version = -1;
+    snprintf(host, sizeof(host), "127.0.1.%u", node + 1);
+    uv_ip4_addr(host, fixture->options.base_port + RsSoakSetup_ADMIN_PORT,
+                &options.address);
+    read.connection = RsHttp_Open(&options);
+    int64_t give_up_at_ms = RsClock_NowMs() + STATE_WITHIN_MS;
+    while (!read.ended && RsClock_NowMs() < give_up_at_ms) {
+        uv_run(&fixture->loop, UV_RUN_ONCE);
+    }
+    if (read.connection != NULL) {
+        RsHttp_Close(read.connection);
+    }
+    json_t *state = json_loads(read.body->str, 0, NULL);
+    json_t *value = json_object_get(state, "config_version");
+    if (json_is_integer(value)) {
+        version = (int)json_integer_value(value);
+    }
+    json_decref(state);
+    g_string_free(read.body, TRUE);
+    return version;
+}
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -55,6 +55,7 @@
     struct rs_soak_target *targets[RsNodeFixture_MAX_TARGETS];
     uint32_t target_count;
     struct rs_process nodes[RsNodeFixture_MAX_NODES];
+    struct rs_soak_node_setup setups[RsNodeFixture_MAX_NODES];
     struct rs_node_fixture_request *requests[RsNodeFixture_MAX_REQUESTS];
     uint32_t request_count;
 };
@@ -66,6 +67,9 @@
 void RsNodeFixture_Run(struct rs_node_fixture *fixture, int64_t span_ms);
 void RsNodeFixture_PutConfig(struct rs_node_fixture *fixture,
                              uint32_t version);
+void RsNodeFixture_RestartNode(struct rs_node_fixture *fixture, uint32_t node);
+int RsNodeFixture_ConfigVersion(struct rs_node_fixture *fixture,
+                                uint32_t node);
 bool RsNodeFixture_AwaitService(struct rs_node_fixture *fixture,
                                 int64_t within_ms);
 
--- a/tests/node_main.c
+++ b/tests/node_main.c
@@ -28,6 +28,10 @@
     {"callers_are_told_when_closed_targets_open",
      test_callers_are_told_when_closed_targets_open},
     {"keys_of_a_closed_target_move", test_keys_of_a_closed_target_move},
+    {"service_goes_on_after_a_restore", test_service_goes_on_after_a_restore},
+    {"restarted_nodes_do_not_trust_the_copy",
+     test_restarted_nodes_do_not_trust_the_copy},
+    {"configuration_does_not_go_back", test_configuration_does_not_go_back},
 };
 
 int
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -15,4 +15,9 @@
 void test_callers_are_told_when_closed_targets_open(void);
 void test_keys_of_a_closed_target_move(void);
 
+/* tests/node_restore_test.c */
+void test_service_goes_on_after_a_restore(void);
+void test_restarted_nodes_do_not_trust_the_copy(void);
+void test_configuration_does_not_go_back(void);
+
 #endif
