Refuse more requests that a node that shuts down may not answer

Ruled out: only later requests to be refused with the higher factor; a refused caller finds another node at once, whenever it comes.

--- a/router/shutdown.c
+++ b/router/shutdown.c
@@ -10,8 +10,8 @@
 #define ANSWERING_MS 100
 /* A target may take this many times the expected time: it may have become
  * slow since its last responses, and some requests take much longer than the
- * average. */
-#define LATE_FACTOR 4.0
+ * average. A caller that is refused finds another node at once. */
+#define LATE_FACTOR 8.0
 
 /* Starts the shutdown. The platform kills the process after `grace_ms`. */
 void
