--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SOAK_NODES ?= 4
 SOAK_TARGETS ?= 8
 
-.PHONY: all soak soak-check deps build fuzz-build test fuzz-check fuzz format format-check \
+.PHONY: all soak soak-check nodes deps build fuzz-build test fuzz-check fuzz format format-check \
 	lint model check demo measure measure-cell failures install clean proto
 
 all: build
@@ -26,11 +26,15 @@
 	@cmake --build $(FUZZ_BUILD) -j $(JOBS)
 
 test: build
-	@tools/known_red.sh $(BUILD) -LE 'failures|soak' -j 4
+	@tools/known_red.sh $(BUILD) -LE 'failures|soak|nodes' -j 4
 
 failures: build
 	@tools/known_red.sh $(BUILD) -L failures -j 1
 
+# Tests of router nodes as processes.
+nodes: build
+	@tools/known_red.sh $(BUILD) -L nodes -j 3
+
 # Runs the soak test with SEED, which is the current time by default.
 # `make soak SEED=7` repeats the faults of the run with seed 7.
 soak: build
@@ -60,7 +64,7 @@
 model: deps
 	@spec/check.sh
 
-check: format-check build lint test failures soak-check fuzz-check model
+check: format-check build lint test failures nodes soak-check fuzz-check model
 	@tools/known_red.sh
 	@echo "make check: passed"
 
--- a/router/attempt.c
+++ b/router/attempt.c
@@ -223,7 +223,7 @@
 /* Lets the request wait for `target`, the first of the closed ones to take
  * requests again, or refuses it at once if that is too late. */
 static void
-await_reopening(struct rs_request *request,
+wait_until_open(struct rs_request *request,
                 const struct rs_fleet_target *target)
 {
     if (target->closed_until_ms < request->wait_until_ms) {
@@ -251,7 +251,7 @@
     enum rs_load_verdict verdict =
         choose_target(request, &input, now_ms, &target);
     if (verdict == RsLoad_CLOSED) {
-        await_reopening(request, target);
+        wait_until_open(request, target);
         return;
     }
     struct rs_fleet_target *owner = request->service->sharded ? target : NULL;
--- a/router/granter.c
+++ b/router/granter.c
@@ -219,7 +219,7 @@
 
 /* Marks a range as unproven, and as blocked if `blocked` is set. */
 static void
-doubt_range(struct rs_key_range *range, bool blocked)
+mark_unproven(struct rs_key_range *range, bool blocked)
 {
     range->unproven = true;
     range->orders.blocked |= blocked;
@@ -242,7 +242,7 @@
     entry->map->next_fence = first_fence(granter->era);
     if (granter->restored) {
         /* The copy may be older than the map. */
-        doubt_range(RsKeymap_GetRange(entry->map, 0), true);
+        mark_unproven(RsKeymap_GetRange(entry->map, 0), true);
     }
     return entry;
 }
@@ -345,10 +345,10 @@
     }
 }
 
-/* Sets the times at which doubts about grants of a former era end, given that
- * the store went back before `now_ms`. */
+/* Sets the times from which owners can be proven and former grants have
+ * lapsed, given that the store went back before `now_ms`. */
 static void
-set_doubt_times(struct rs_granter *granter, int64_t now_ms)
+set_proof_times(struct rs_granter *granter, int64_t now_ms)
 {
     granter->proof_from_ms = now_ms + LEASE_MS + LEASE_MARGIN_MS;
     granter->lapsed_from_ms =
@@ -362,7 +362,7 @@
 {
     granter->restored = true;
     granter->restored_at_ms = now_ms;
-    set_doubt_times(granter, now_ms);
+    set_proof_times(granter, now_ms);
 }
 
 /* Handles the lease row as read from the store; a version with the number
@@ -719,10 +719,10 @@
 /* Marks all ranges of a map that is of a former era as unproven and blocked.
  */
 static void
-doubt_map(struct rs_keymap *map)
+mark_map_unproven(struct rs_keymap *map)
 {
     for (size_t i = 0; i < map->ranges->len; i++) {
-        doubt_range(RsKeymap_GetRange(map, i), true);
+        mark_unproven(RsKeymap_GetRange(map, i), true);
     }
 }
 
@@ -746,7 +746,7 @@
     }
     bool current = era == granter->era;
     if (!current) {
-        doubt_map(map);
+        mark_map_unproven(map);
         map->next_fence = MAX(map->next_fence, first_fence(granter->era));
     }
     assume_max_holds(granter, map, now_ms);
@@ -776,7 +776,7 @@
     drop_maps(granter);
     if (!granter->restored) {
         /* The former granter may have marked ranges as unproven. */
-        set_doubt_times(granter, now_ms);
+        set_proof_times(granter, now_ms);
     }
     for (size_t i = 0; i < rows->count; i++) {
         add_loaded_map(granter, &rows->rows[i], now_ms);
@@ -905,10 +905,10 @@
     }
 }
 
-/* Ends the doubt about a range when no target can hold its keys by a grant of
- * a former era any more. Its grants get a fence of the present era. */
+/* Makes a range proven once no target can hold its keys by a grant of a former
+ * era any more. Its grants get a fence of the present era. */
 static void
-settle_range(struct rs_granter_map *entry, struct rs_key_range *range)
+prove_by_lapse(struct rs_granter_map *entry, struct rs_key_range *range)
 {
     range->unproven = false;
     range->orders.blocked = false;
@@ -924,7 +924,7 @@
 {
     struct rs_range_orders *orders = &range->orders;
     if (range->unproven && now_ms >= granter->lapsed_from_ms) {
-        settle_range(entry, range);
+        prove_by_lapse(entry, range);
     }
     if (orders->blocked) {
         return;
@@ -1001,7 +1001,7 @@
             RsKeymap_UndoMove(range);
             committed = true;
         }
-        doubt_range(range, !committed);
+        mark_unproven(range, !committed);
     }
     entry->row_version = RsStore_Version(granter->era, RsStore_ABSENT);
     entry->dirty = true;
