Count the granter's head start from the return of the store

A node took it for a renewal and counted the head start from then; on the store's return it claimed the lease at once, and knew only the copy.

Change: versions of rows that were not written are no news of the lease. The new test fails without it.

--- a/router/granter.c
+++ b/router/granter.c
@@ -406,6 +406,15 @@
     }
 }
 
+/* Returns whether this is the version of a lease row that was written. A
+ * granter that goes on in a new era has not written the row of that era at
+ * first. */
+static bool
+is_written(uint64_t version)
+{
+    return RsStore_Number(version) != RsStore_ABSENT;
+}
+
 /* Handles a lease that a peer has sent. It is ignored unless it is newer than
  * the known one and this node is neither the granter nor claiming the lease. A
  * claim is still conditional on the version of the row in the store, so a
@@ -416,7 +425,7 @@
                        int64_t now_ms)
 {
     if (granter->phase == RsGranter_OBSERVING && !granter->commit_in_flight &&
-        version > granter->lease_version) {
+        is_written(version) && version > granter->lease_version) {
         update_holder(granter, lease, version, "peer", now_ms);
     }
 }
@@ -430,7 +439,7 @@
                        uint64_t version, int64_t now_ms)
 {
     if (granter->phase == RsGranter_OBSERVING &&
-        incarnation == granter->holder.incarnation &&
+        incarnation == granter->holder.incarnation && is_written(version) &&
         version > granter->lease_version) {
         granter->lease_version = version;
         granter->lease_seen_at_ms = now_ms;
--- a/router/granter_test.c
+++ b/router/granter_test.c
@@ -399,6 +399,39 @@
     check_and_free(sim);
 }
 
+static uint32_t commits;
+
+static void
+count_commit(void *arg, const struct rs_store_commit *commit)
+{
+    commits++;
+}
+
+/* Soak seed 520: the granter had told a node of the new era before the node
+ * saw it itself. The node counted the head start of the granter from then on,
+ * not from the return of the store, and claimed the lease at once. */
+static void
+test_head_start_counts_from_the_return_of_the_store(void)
+{
+    static const struct rs_granter_actions actions = {.commit = count_commit};
+    static const char lease[] = "{\"node\":\"n9\",\"incarnation\":\"9\"}";
+    const struct rs_granter_options options = {
+        .node = "n1", .peer_host = "127.0.0.1", .actions = &actions};
+    struct rs_granter granter;
+    commits = 0;
+    RsGranter_Init(&granter, &options);
+    RsGranter_EraSeen(&granter, 0, 1000);
+    RsGranter_LeaseRead(&granter, 5, lease, 1000);
+    RsGranter_LeaseRenewed(&granter, 9, RsStore_Version(1, 0), 1500);
+    RsGranter_EraSeen(&granter, 1, 1600);
+    RsGranter_LeaseRead(&granter, RsStore_Version(1, 0), "", 6000);
+    RsGranter_Tick(&granter, 6100);
+    CU_ASSERT_EQUAL(commits, 0);
+    RsGranter_LeaseRead(&granter, RsStore_Version(1, 0), "", 7400);
+    RsGranter_Tick(&granter, 7500);
+    CU_ASSERT_EQUAL(commits, 1);
+}
+
 /* Soak seed 521: the copy was made before the first node claimed the lease,
  * and a node that started anew took the store for one that was never used. */
 static void
@@ -452,6 +485,7 @@
     CU_ADD_TEST(
         suite,
         test_restart_of_all_nodes_after_a_restore_gives_no_second_owner);
+    CU_ADD_TEST(suite, test_head_start_counts_from_the_return_of_the_store);
     CU_ADD_TEST(suite, test_copy_without_any_lease_gives_no_second_owner);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
