List the rows of the soak's store by key

Cause: the stand-in of the store answered reads of a table in the order of versions; the platform answers by key.

Change: rows-get sorts by key.

The nodes' reliance on the order of keys stays; the platform promises it.

--- a/soak/store.c
+++ b/soak/store.c
@@ -186,19 +186,39 @@
     return (left->version > right->version) - (left->version < right->version);
 }
 
-/* Returns the rows of a table with a version above `after`, ordered by
- * version. Rows marked as deleted are included only if `with_deleted` is set.
- */
+/* Returns the rows of a table with a version above `after`, also deleted ones,
+ * ordered by version. */
 static json_t *
-list_rows(struct rs_soak_store *store, const char *table, uint64_t after,
-          bool with_deleted)
+list_rows(struct rs_soak_store *store, const char *table, uint64_t after)
 {
     json_t *list = json_array();
     g_ptr_array_sort(store->rows, compare_versions);
     for (guint i = 0; i < store->rows->len; i++) {
         const struct row *row = g_ptr_array_index(store->rows, i);
-        if (strcmp(row->table, table) == 0 && row->version > after &&
-            (with_deleted || !row->deleted)) {
+        if (strcmp(row->table, table) == 0 && row->version > after) {
+            json_array_append_new(list, pack_row(row));
+        }
+    }
+    return list;
+}
+
+static int
+compare_keys(const void *a, const void *b)
+{
+    const struct row *left = *(struct row *const *)a;
+    const struct row *right = *(struct row *const *)b;
+    return strcmp(left->key, right->key);
+}
+
+/* Returns the rows of a table by ascending key. */
+static json_t *
+list_table(struct rs_soak_store *store, const char *table)
+{
+    json_t *list = json_array();
+    g_ptr_array_sort(store->rows, compare_keys);
+    for (guint i = 0; i < store->rows->len; i++) {
+        const struct row *row = g_ptr_array_index(store->rows, i);
+        if (strcmp(row->table, table) == 0 && !row->deleted) {
             json_array_append_new(list, pack_row(row));
         }
     }
@@ -316,7 +336,7 @@
         reply(store, http, 410, json_object());
         return;
     }
-    json_t *rows = list_rows(store, table, after, true);
+    json_t *rows = list_rows(store, table, after);
     if (json_array_size(rows) > 0) {
         reply(store, http, 200, pack_response(store, rows));
         return;
@@ -347,7 +367,7 @@
     }
     else if (table != NULL && strcmp(path, "/rows-get") == 0) {
         reply(store, http, 200,
-              pack_response(store, list_rows(store, table, 0, false)));
+              pack_response(store, list_table(store, table)));
     }
     else if (table != NULL && strcmp(path, "/rows-feed") == 0) {
         handle_feed(store, http, table);
@@ -389,7 +409,7 @@
         now_ms < store->away_until_ms) {
         return false;
     }
-    json_t *rows = list_rows(store, pending->table, pending->after, true);
+    json_t *rows = list_rows(store, pending->table, pending->after);
     if (!due && json_array_size(rows) == 0) {
         json_decref(rows);
         return false;
