Match the lease rows to the store's era in one place

Cause: found while reading the change as a whole. router/node.c and the simulation in router/fixture.c both compared the first lease row with the key of the present era and chose between the row of this era, that of a former one and none. So the model tests ran a copy of the decision and not the one that nodes use. The granter also kept the time of a restore beside a time derived from it, router/notices_test.c had the same report three times, and tests/node_fixture.h a member that nothing read.

Change: RsGranter_LeaseRowsRead() makes the decision for both callers. earliest_claim_at_ms() uses proof_from_ms, which is the same time whenever the store has gone back: after record_restore() it is only set again by a later restore. No behaviour, check or expectation is changed.

Ruled out: merging the simulation's rows.version with that of real responses; lease reads of the simulation have no version, so it is set to the era alone.

--- a/router/fixture.c
+++ b/router/fixture.c
@@ -348,28 +348,6 @@
     return count;
 }
 
-/* Passes the lease row to a node, as router/node.c does. */
-static void
-deliver_lease(struct rs_simulation *sim, struct simulated_node *node,
-              const struct rs_store_rows *rows)
-{
-    char *key = RsGranter_LeaseKey(sim->era);
-    const struct rs_store_row *row = rows->count > 0 ? &rows->rows[0] : NULL;
-    if (row != NULL && strcmp(row->key, key) == 0) {
-        RsGranter_LeaseRead(&node->granter, row->version, row->value,
-                            sim->now_ms);
-    }
-    else {
-        if (row != NULL) {
-            RsGranter_FormerLeaseRead(&node->granter, row->value, sim->now_ms);
-        }
-        RsGranter_LeaseRead(&node->granter,
-                            RsStore_Version(sim->era, RsStore_ABSENT), "",
-                            sim->now_ms);
-    }
-    g_free(key);
-}
-
 /* Passes the answer to a commit to a node. Answers of another era than that in
  * which the commit was made count as none, as in platform/store.c. */
 static void
@@ -412,7 +390,8 @@
     }
     else if (!down) {
         rows.count = list_rows(sim, list, RsGranter_LEASE_TABLE);
-        deliver_lease(sim, node, &rows);
+        rows.version = RsStore_Version(sim->era, RsStore_ABSENT);
+        (void)RsGranter_LeaseRowsRead(&node->granter, &rows, sim->now_ms);
     }
 }
 
--- a/router/granter.c
+++ b/router/granter.c
@@ -361,7 +361,6 @@
 record_restore(struct rs_granter *granter, int64_t now_ms)
 {
     granter->restored = true;
-    granter->restored_at_ms = now_ms;
     set_proof_times(granter, now_ms);
 }
 
@@ -394,9 +393,9 @@
 /* Handles the lease row of a former era, when the present one has none. This
  * node may have started after the store had gone back. The holder is the node
  * that most likely delivers current data. */
-void
-RsGranter_FormerLeaseRead(struct rs_granter *granter, const char *value,
-                          int64_t now_ms)
+static void
+read_former_lease(struct rs_granter *granter, const char *value,
+                  int64_t now_ms)
 {
     if (!granter->restored) {
         record_restore(granter, now_ms);
@@ -406,6 +405,30 @@
     }
 }
 
+/* Handles the lease rows as read from the store, in the order of their keys;
+ * the row of the latest era comes first. Returns whether the era of the store
+ * that answered has a lease row. */
+bool
+RsGranter_LeaseRowsRead(struct rs_granter *granter,
+                        const struct rs_store_rows *rows, int64_t now_ms)
+{
+    uint32_t era = RsStore_Era(rows->version);
+    const struct rs_store_row *row = rows->count > 0 ? &rows->rows[0] : NULL;
+    char *key = RsGranter_LeaseKey(era);
+    bool has_row = row != NULL && strcmp(row->key, key) == 0;
+    g_free(key);
+    if (has_row) {
+        RsGranter_LeaseRead(granter, row->version, row->value, now_ms);
+        return true;
+    }
+    if (row != NULL) {
+        read_former_lease(granter, row->value, now_ms);
+    }
+    RsGranter_LeaseRead(granter, RsStore_Version(era, RsStore_ABSENT), "",
+                        now_ms);
+    return false;
+}
+
 /* Returns whether this is the version of a lease row that was written. A
  * granter that goes on in a new era has not written the row of that era at
  * first. */
@@ -467,9 +490,7 @@
 {
     bool has_row = RsStore_Number(granter->lease_version) != RsStore_ABSENT;
     if (!has_row && granter->restored) {
-        int64_t authority_ended_at_ms =
-            granter->restored_at_ms + LEASE_MS + LEASE_MARGIN_MS;
-        return MAX(authority_ended_at_ms,
+        return MAX(granter->proof_from_ms,
                    granter->lease_seen_at_ms + HEAD_START_MS) +
                claim_delay_ms(granter);
     }
@@ -1040,7 +1061,7 @@
 
 /* Handles the era that a response of the store has named. Does nothing unless
  * it is later than the known one. The first era that a node sees doesn't tell
- * whether the store has gone back; see RsGranter_FormerLeaseRead(). */
+ * whether the store has gone back; see RsGranter_LeaseRowsRead(). */
 void
 RsGranter_EraSeen(struct rs_granter *granter, uint32_t era, int64_t now_ms)
 {
--- a/router/granter.h
+++ b/router/granter.h
@@ -151,10 +151,9 @@
     uint32_t era; /* of the store */
     /* The store has gone back: its rows may lack the last changes. */
     bool restored;
-    int64_t restored_at_ms; /* when this node learned of that */
-    /* Valid on a granter. From the first time on, no node can have authority
-     * from a former era; from the second on, no target can hold keys by a
-     * grant of one. */
+    /* Valid on a granter, and if `restored`. From the first time on, no node
+     * can have authority from a former era; from the second on, no target can
+     * hold keys by a grant of one. */
     int64_t proof_from_ms;
     int64_t lapsed_from_ms;
     struct rs_granter_map maps[RsGranter_MAX_MAPS];
@@ -167,8 +166,8 @@
 /* Inputs. They are described at their definitions. */
 void RsGranter_EraSeen(struct rs_granter *granter, uint32_t era,
                        int64_t now_ms);
-void RsGranter_FormerLeaseRead(struct rs_granter *granter, const char *value,
-                               int64_t now_ms);
+bool RsGranter_LeaseRowsRead(struct rs_granter *granter,
+                             const struct rs_store_rows *rows, int64_t now_ms);
 void RsGranter_LeaseRead(struct rs_granter *granter, uint64_t version,
                          const char *value, int64_t now_ms);
 void RsGranter_LeaseLearned(struct rs_granter *granter,
--- a/router/node.c
+++ b/router/node.c
@@ -457,21 +457,9 @@
     if (status != RsStore_DONE) {
         return;
     }
-    uint32_t era = RsStore_Era(rows->version);
-    char *key = RsGranter_LeaseKey(era);
-    const struct rs_store_row *row = rows->count > 0 ? &rows->rows[0] : NULL;
-    if (row != NULL && strcmp(row->key, key) == 0) {
-        RsGranter_LeaseRead(&node->granter, row->version, row->value, now_ms);
+    if (RsGranter_LeaseRowsRead(&node->granter, rows, now_ms)) {
         raise_node_count(node);
     }
-    else {
-        if (row != NULL) {
-            RsGranter_FormerLeaseRead(&node->granter, row->value, now_ms);
-        }
-        RsGranter_LeaseRead(&node->granter,
-                            RsStore_Version(era, RsStore_ABSENT), "", now_ms);
-    }
-    g_free(key);
 }
 
 /* Handles an era of the store that this node sees for the first time. */
--- a/router/notices_test.c
+++ b/router/notices_test.c
@@ -12,22 +12,29 @@
 static struct rs_fleet fleet;
 static struct rs_notice_counters counters;
 
-/* Returns a target of a fleet that has no other. */
-static struct rs_fleet_target *
-new_target(void)
+/* Passes a report of the only target to the fleet. */
+static void
+report_target(int64_t started_wall_ms, uint64_t sequence, int64_t now_ms)
 {
     const struct rs_fixture_report report = {
         .id = "a",
         .service = "s",
         .zone = "z",
         .port = 1000,
-        .started_wall_ms = STARTED_WALL_MS,
-        .sequence = 5,
+        .started_wall_ms = started_wall_ms,
+        .sequence = sequence,
     };
+    RsFixture_Report(&fleet, &report, now_ms);
+}
+
+/* Returns a target of a fleet that has no other. */
+static struct rs_fleet_target *
+new_target(void)
+{
     counters = (struct rs_notice_counters){0};
     RsFleet_Init(&fleet, RsFixture_FleetEvents(), NULL);
     RsFleet_SetDrainMs(&fleet, DRAIN_MS);
-    RsFixture_Report(&fleet, &report, NOW_MS);
+    report_target(STARTED_WALL_MS, 5, NOW_MS);
     return RsFleet_Find(&fleet, g_intern_string("a"));
 }
 
@@ -35,15 +42,7 @@
 static void
 restart_target(void)
 {
-    const struct rs_fixture_report report = {
-        .id = "a",
-        .service = "s",
-        .zone = "z",
-        .port = 1000,
-        .started_wall_ms = STARTED_WALL_MS + 1000,
-        .sequence = 1,
-    };
-    RsFixture_Report(&fleet, &report, NOW_MS);
+    report_target(STARTED_WALL_MS + 1000, 1, NOW_MS);
 }
 
 static bool
@@ -92,15 +91,7 @@
 {
     struct rs_fleet_target *target = new_target();
     read_leaving(target);
-    const struct rs_fixture_report report = {
-        .id = "a",
-        .service = "s",
-        .zone = "z",
-        .port = 1000,
-        .started_wall_ms = STARTED_WALL_MS,
-        .sequence = 6,
-    };
-    RsFixture_Report(&fleet, &report, NOW_MS + 100);
+    report_target(STARTED_WALL_MS, 6, NOW_MS + 100);
     CU_ASSERT_FALSE(RsFleet_MayTakeWork(&fleet, target, NOW_MS + 100));
     RsFleet_Clear(&fleet);
 }
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -204,12 +204,9 @@
 {
     struct rs_node_fixture_request *request = arg;
     const char *retry_after = RsHttp_FindHeader(head, "retry-after");
-    const char *target = RsHttp_FindHeader(head, "x-instance-id");
     request->status = head->status;
     request->retry_after_s =
         retry_after != NULL ? g_ascii_strtod(retry_after, NULL) : -1;
-    g_strlcpy(request->target, target != NULL ? target : "",
-              sizeof(request->target));
 }
 
 static void
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -41,7 +41,6 @@
     bool complete;        /* the whole response arrived */
     bool keep_alive;      /* the connection can take another request */
     double retry_after_s; /* of the response; negative if it has none */
-    char target[32];      /* that executed or refused the request, if known */
 };
 
 struct rs_node_fixture {
