Log the request limit that a target states in its answers

The logs of the limit incident can't tell whether nodes read Server-Limit at all. A node now decodes it, keeps it for the process that stated it, logs when it begins and ends, counts it and shows it at /state. Nothing acts on it yet. A signed answer without the header ends a limit; a refusal may lack it. Malformed values, two headers and those of a former process are ignored, the first two with a log line and a counter (notices_test, 3 new tests).

--- a/router/fleet.c
+++ b/router/fleet.c
@@ -188,6 +188,7 @@
     target->answered_at_ms = 0;
     target->full_until_ms = 0;
     target->closed_until_ms = 0;
+    target->limit = (struct rs_limit){0};
     target->said_leaving_at_ms = 0;
     target->order_failing_since_ms = 0;
     target->cold_until_ms = 0;
@@ -448,6 +449,28 @@
                 RsLog_NUMBER("until_ms", until_ms));
 }
 
+/* Records what the process that was started at `started_wall_ms` stated of its
+ * limit, see RsLimit_Record(). `source` says for the log who told this node.
+ * Returns whether a limit has begun or ended. */
+bool
+RsFleet_RecordLimit(struct rs_fleet_target *target, int64_t started_wall_ms,
+                    double per_s, int64_t stated_at_ms, const char *source)
+{
+    if (target->report.started_wall_ms != started_wall_ms ||
+        !RsLimit_Record(&target->limit, per_s, stated_at_ms)) {
+        return false;
+    }
+    char text[G_ASCII_DTOSTR_BUF_SIZE];
+    g_ascii_formatd(text, sizeof(text), "%.3f", target->limit.per_s);
+    RsLog_EVENT(RsLog_INFO,
+                target->limit.per_s > 0 ? "target_limited"
+                                        : "target_limit_ended",
+                RsLog_TEXT("target", target->id), RsLog_TEXT("per_s", text),
+                RsLog_TEXT("source", source),
+                RsLog_NUMBER("born_ms", started_wall_ms));
+    return true;
+}
+
 /* Records the load that a target reported with an answer. */
 void
 RsFleet_RecordLoad(struct rs_fleet_target *target,
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "platform/report.h"
+#include "router/limit.h"
 #include "router/table_copy.h"
 
 struct rs_fleet_target {
@@ -25,6 +26,7 @@
     int64_t said_leaving_at_ms;
     /* It has refused a request of this node and wants no others until then. */
     int64_t closed_until_ms;
+    struct rs_limit limit; /* as stated by its present process */
     int64_t cold_until_ms;
     /* When its last cold phase began; 0 if that was the start of its
      * process. */
@@ -119,6 +121,9 @@
                            int64_t started_wall_ms, int64_t now_ms);
 void RsFleet_RecordClosed(struct rs_fleet_target *target,
                           int64_t started_wall_ms, int64_t until_ms);
+bool RsFleet_RecordLimit(struct rs_fleet_target *target,
+                         int64_t started_wall_ms, double per_s,
+                         int64_t stated_at_ms, const char *source);
 
 /* Recording what this node observes of a target (loads, responses, failures
  * and refusals), and estimates based on it. */
--- a/router/metrics.c
+++ b/router/metrics.c
@@ -45,6 +45,12 @@
                   &notices->closed);
     print_counter(text, "rattanshed_retry_after_malformed_total",
                   "Such times that could not be used.", &notices->malformed);
+    print_counter(text, "rattanshed_limits_stated_total",
+                  "Answers of targets that stated a request limit.",
+                  &notices->limited);
+    print_counter(text, "rattanshed_limits_malformed_total",
+                  "Such limits that could not be used.",
+                  &notices->malformed_limits);
     RsHistogram_AppendText(text, "rattanshed_request_us", "",
                            "From a request's arrival to its end.",
                            &router->latency_us);
@@ -78,13 +84,14 @@
             text,
             "%s{\"id\":\"%s\",\"service\":\"%s\",\"zone\":\"%s\","
             "\"listed\":%s,\"may_take_work\":%s,\"in_flight\":%u,"
-            "\"ahead\":%.1f,\"service_ms\":%.1f,\"failures\":%u}",
+            "\"ahead\":%.1f,\"service_ms\":%.1f,\"failures\":%u,"
+            "\"limit_per_s\":%.3f}",
             comma, target->id, target->report.service, target->report.zone,
             target->listed ? "true" : "false",
             RsFleet_MayTakeWork(&router->fleet, target, now_ms) ? "true"
                                                                 : "false",
             target->in_flight, RsLoad_CountOutstanding(target, now_ms),
-            target->service_ms, target->failures);
+            target->service_ms, target->failures, target->limit.per_s);
         comma = ",";
     }
 }
--- a/router/notices.c
+++ b/router/notices.c
@@ -7,6 +7,7 @@
 
 #define STATUS_REFUSED 503
 #define IS_LEAVING "1"
+#define NO_LIMIT (-1.0) /* see RsLimit_Record() */
 
 /* Reads the time for which a target that has refused a request wants no
  * others. Returns false if there is none, or after logging it, if it can't be
@@ -31,6 +32,32 @@
     return false;
 }
 
+/* Reads the limit that a target states. A response that a target gave without
+ * running the request may lack it, so only a signed one states that there is
+ * none. Returns whether a limit has begun or ended. */
+static bool
+read_limit(struct rs_notice_counters *counters, struct rs_fleet_target *target,
+           int64_t started_wall_ms, const struct rs_http_head *head,
+           int64_t now_ms)
+{
+    size_t count = RsHttp_CountHeaders(head, RsWire_LIMIT);
+    const char *text = RsHttp_FindHeader(head, RsWire_LIMIT);
+    double per_s = NO_LIMIT;
+    if (count == 0 && RsHttp_FindHeader(head, RsWire_SIGNATURE) == NULL) {
+        return false;
+    }
+    if (count > 1 || (count == 1 && RsReport_DecodeLimit(text, &per_s) != 0)) {
+        RsCounter_Add(&counters->malformed_limits, 1);
+        RsLog_EVENT(RsLog_WARNING, "limit_malformed",
+                    RsLog_TEXT("target", target->id),
+                    RsLog_TEXT("value", text), RsLog_NUMBER("headers", count));
+        return false;
+    }
+    RsCounter_Add(&counters->limited, count);
+    return RsFleet_RecordLimit(target, started_wall_ms, per_s, now_ms,
+                               "response");
+}
+
 /* Reads the notices in the head of a response, which came from the process
  * that was started at `started_wall_ms`. Returns whether the granter should be
  * told at once. */
@@ -52,5 +79,6 @@
         RsFleet_RecordClosed(target, started_wall_ms, now_ms + closed_ms);
         is_news = true;
     }
+    is_news |= read_limit(counters, target, started_wall_ms, head, now_ms);
     return is_news;
 }
--- a/router/notices_test.c
+++ b/router/notices_test.c
@@ -188,6 +188,61 @@
     RsFleet_Clear(&fleet);
 }
 
+static bool
+read_limit(struct rs_fleet_target *target, const char *limit)
+{
+    const struct rs_http_header headers[] = {{"X-Server-Signature", "s"},
+                                             {"Server-Limit", limit}};
+    return read_notices(target, 200, headers, limit != NULL ? 2 : 1);
+}
+
+static void
+test_limit_lasts_until_a_signed_answer_without_it(void)
+{
+    const struct rs_http_header refusal = {"X-Not-Executed", "1"};
+    struct rs_fleet_target *target = new_target();
+    CU_ASSERT_TRUE(read_limit(target, "2.5"));
+    CU_ASSERT_FALSE(read_limit(target, "1.5")); /* no news */
+    CU_ASSERT_EQUAL(target->limit.per_s, 1.5);
+    CU_ASSERT_FALSE(read_notices(target, 503, &refusal, 1));
+    CU_ASSERT_EQUAL(target->limit.per_s, 1.5);
+    CU_ASSERT_TRUE(read_limit(target, NULL));
+    CU_ASSERT_EQUAL(target->limit.per_s, 0);
+    CU_ASSERT_EQUAL(RsCounter_Read(&counters.limited), 2);
+    RsFleet_Clear(&fleet);
+}
+
+static void
+test_new_process_has_no_limit(void)
+{
+    struct rs_fleet_target *target = new_target();
+    read_limit(target, "2");
+    restart_target();
+    CU_ASSERT_EQUAL(target->limit.per_s, 0);
+    CU_ASSERT_FALSE(read_limit(target, "2")); /* of the former process */
+    CU_ASSERT_EQUAL(target->limit.per_s, 0);
+    RsFleet_Clear(&fleet);
+}
+
+static void
+test_bad_limits_are_ignored_and_counted(void)
+{
+    static const char *const values[] = {"",    "-1",  "few", "1/s",
+                                         "nan", "inf", " 1"};
+    const struct rs_http_header two[] = {{"Server-Limit", "1"},
+                                         {"server-limit", "2"}};
+    struct rs_fleet_target *target = new_target();
+    read_limit(target, "3");
+    for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+        CU_ASSERT_FALSE(read_limit(target, values[i]));
+    }
+    CU_ASSERT_FALSE(read_notices(target, 200, two, 2));
+    CU_ASSERT_EQUAL(target->limit.per_s, 3);
+    CU_ASSERT_EQUAL(RsCounter_Read(&counters.malformed_limits),
+                    G_N_ELEMENTS(values) + 1);
+    RsFleet_Clear(&fleet);
+}
+
 int
 main(void)
 {
@@ -203,6 +258,9 @@
     CU_ADD_TEST(suite, test_later_refusal_does_not_shorten_the_time);
     CU_ADD_TEST(suite, test_bad_times_are_ignored_and_counted);
     CU_ADD_TEST(suite, test_retry_after_counts_only_in_a_refusal);
+    CU_ADD_TEST(suite, test_limit_lasts_until_a_signed_answer_without_it);
+    CU_ADD_TEST(suite, test_new_process_has_no_limit);
+    CU_ADD_TEST(suite, test_bad_limits_are_ignored_and_counted);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
     CU_cleanup_registry();
