Reproduce the limit incident with node processes

Four nodes and six targets, 125 requests a second; two targets name limits of 1.1 and 2.7 a second. The stand-in of targets states limits and keeps the times of requests.

--- a/soak/target.c
+++ b/soak/target.c
@@ -79,7 +79,8 @@
     bool reporting;
     bool says_leaving;    /* in its responses */
     char retry_after[16]; /* if not empty, all requests are refused with it */
-    uint64_t request_count;
+    char limit[16];       /* if not empty, all responses state it */
+    GArray *arrivals;     /* int64_t: when each request came */
     enum rs_soak_violation violation;
 };
 
@@ -144,7 +145,7 @@
 }
 
 /* Adds the headers in which the target speaks of itself: its load and, if it
- * is leaving, that it is. */
+ * is leaving or limited, that it is. */
 static void
 add_notices(struct rs_soak_target *target, h2o_req_t *http)
 {
@@ -152,6 +153,9 @@
     if (target->says_leaving) {
         RsServer_AddHeader(http, "server-leaving", "1");
     }
+    if (target->limit[0] != '\0') {
+        RsServer_AddHeader(http, "server-limit", target->limit);
+    }
     snprintf(text, sizeof(text), "%u,%u,%d,100", count_running(target),
              count_queued(target), MAX_RUNNING_JOBS);
     RsServer_AddHeader(http, "x-instance-load", text);
@@ -393,7 +397,8 @@
     char *expected = RsServer_Header(http, "x-target-instance");
     char *id = RsServer_Header(http, "x-request-id");
     char *key = RsServer_Header(http, "x-shard-key");
-    target->request_count++;
+    int64_t now_ms = RsClock_NowMs();
+    g_array_append_val(target->arrivals, now_ms);
     if (id == NULL) {
         reject(target, http, 400);
     }
@@ -418,7 +423,7 @@
         job->idempotent =
             h2o_memis(http->method.base, http->method.len, H2O_STRLIT("GET"));
         g_ptr_array_add(target->jobs, job);
-        start_jobs(target, RsClock_NowMs());
+        start_jobs(target, now_ms);
     }
     g_free(expected);
     g_free(id);
@@ -504,6 +509,7 @@
     target->options = *options;
     target->jobs = g_ptr_array_new();
     target->orders = g_ptr_array_new();
+    target->arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
     target->slowdown_factor = 1;
     target->reporting = true;
     uv_ip4_addr("127.0.0.1", options->port, &server.address);
@@ -543,6 +549,7 @@
     target->draining = false;
     target->says_leaving = false;
     target->retry_after[0] = '\0';
+    target->limit[0] = '\0';
     memset(target->highest_fence, 0, sizeof(target->highest_fence));
     RsLinkProxy_SetCut(target->proxy, false);
     RsCheck_RecordTargetStart(target->options.check, target->options.number);
@@ -629,7 +636,37 @@
 uint64_t
 RsSoakTarget_RequestCount(const struct rs_soak_target *target)
 {
-    return target->request_count;
+    return target->arrivals->len;
+}
+
+/* Makes the target state a limit in its responses, in requests a second of all
+ * nodes together. An empty text ends that. */
+void
+RsSoakTarget_SetLimit(struct rs_soak_target *target, const char *limit)
+{
+    g_strlcpy(target->limit, limit, sizeof(target->limit));
+}
+
+/* Returns the highest number of requests that reached the target within
+ * `window_ms`, counting those that came at `since_ms` or later. */
+uint32_t
+RsSoakTarget_MostRequestsWithin(const struct rs_soak_target *target,
+                                int64_t since_ms, int64_t window_ms)
+{
+    const int64_t *at_ms = (const int64_t *)(void *)target->arrivals->data;
+    uint32_t most = 0;
+    guint first = 0;
+    for (guint last = 0; last < target->arrivals->len; last++) {
+        while (at_ms[first] < since_ms ||
+               at_ms[first] <= at_ms[last] - window_ms) {
+            if (first == last) {
+                break;
+            }
+            first++;
+        }
+        most = at_ms[last] >= since_ms ? MAX(most, last - first + 1) : most;
+    }
+    return most;
 }
 
 /* Returns whether the target is running. */
--- a/soak/target.h
+++ b/soak/target.h
@@ -51,6 +51,9 @@
 void RsSoakTarget_SayLeaving(struct rs_soak_target *target);
 void RsSoakTarget_Close(struct rs_soak_target *target,
                         const char *retry_after);
+void RsSoakTarget_SetLimit(struct rs_soak_target *target, const char *limit);
+uint32_t RsSoakTarget_MostRequestsWithin(const struct rs_soak_target *target,
+                                         int64_t since_ms, int64_t window_ms);
 bool RsSoakTarget_IsUp(const struct rs_soak_target *target);
 uint64_t RsSoakTarget_RequestCount(const struct rs_soak_target *target);
 
--- /dev/null
+++ b/tests/node_limit_test.c
@@ -0,0 +1,146 @@
+/* Targets that state a limit on the requests of all nodes together. */
+
+#include <CUnit/Basic.h>
+#include <glib.h>
+
+#include "core/clock.h"
+#include "tests/node_fixture.h"
+#include "tests/node_tests.h"
+
+#define START_WITHIN_MS 15000
+#define WORK_MS 20
+#define NODES 4
+#define TARGETS 6
+#define REQUEST_INTERVAL_MS 8
+/* When the first answers with the limit must have reached all nodes. */
+#define TOLD_WITHIN_MS 1000
+#define LIMITED_MS 12000
+/* A target may get this many requests within LIMIT_WINDOW_MS, see
+ * max_requests(). */
+#define LIMIT_WINDOW_MS 4000
+#define LIMIT_FACTOR 1.5
+#define LIMIT_SLACK 5
+/* When the keys of a limited target must have moved to others. */
+#define KEYS_MOVED_WITHIN_MS 6000
+#define MIN_SERVED 0.95
+#define AFTER_LIMIT_MS 10000
+#define MS_PER_S 1000
+
+static struct rs_node_fixture *
+open_fixture(uint16_t base_port, uint32_t plain, uint32_t sharded)
+{
+    const struct rs_node_fixture_options options = {
+        .base_port = base_port,
+        .node_count = NODES,
+        .plain_targets = plain,
+        .sharded_targets = sharded,
+        .work_ms = WORK_MS,
+        .timeout_ms = 2000,
+    };
+    struct rs_node_fixture *fixture = RsNodeFixture_Open(&options);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture);
+    CU_ASSERT_TRUE(RsNodeFixture_AwaitService(fixture, START_WITHIN_MS));
+    return fixture;
+}
+
+/* Sends requests to all nodes in turn, for keys spread over the key space,
+ * without waiting for the answers. */
+static void
+send_requests(struct rs_node_fixture *fixture, int64_t span_ms)
+{
+    int64_t end_at_ms = RsClock_NowMs() + span_ms;
+    for (uint32_t i = 0; RsClock_NowMs() < end_at_ms; i++) {
+        uint32_t key =
+            (uint32_t)g_rand_int_range(fixture->random, 0, RsCheck_KEYS);
+        if (fixture->options.sharded_targets > 0) {
+            RsNodeFixture_Get(fixture, i % NODES, key);
+        }
+        else {
+            RsNodeFixture_Post(fixture, i % NODES);
+        }
+        RsNodeFixture_Run(fixture, REQUEST_INTERVAL_MS);
+    }
+}
+
+static uint32_t
+max_requests(double limit_per_s)
+{
+    return (uint32_t)(LIMIT_FACTOR * limit_per_s * LIMIT_WINDOW_MS / MS_PER_S +
+                      LIMIT_SLACK);
+}
+
+/* Returns the share of the requests from number `first` on that were served,
+ * without those that are still open. */
+static double
+served_share(const struct rs_node_fixture *fixture, uint32_t first)
+{
+    uint32_t served = 0;
+    uint32_t ended = 0;
+    for (uint32_t i = first; i < fixture->request_count; i++) {
+        ended += fixture->requests[i]->ended_at_ms > 0;
+        served += fixture->requests[i]->status == 200;
+    }
+    return (double)served / MAX(ended, 1);
+}
+
+/* Two targets in the zone of the nodes state different limits while requests
+ * come at a rate that the other targets can take. */
+static void
+check_limits(struct rs_node_fixture *fixture)
+{
+    static const char *const limits[] = {"1.1", "2.7"};
+    for (size_t i = 0; i < G_N_ELEMENTS(limits); i++) {
+        RsSoakTarget_SetLimit(fixture->targets[2 * i], limits[i]);
+    }
+    int64_t told_at_ms = RsClock_NowMs() + TOLD_WITHIN_MS;
+    send_requests(fixture, KEYS_MOVED_WITHIN_MS);
+    uint32_t first = fixture->request_count;
+    send_requests(fixture, LIMITED_MS - KEYS_MOVED_WITHIN_MS);
+    for (size_t i = 0; i < G_N_ELEMENTS(limits); i++) {
+        uint32_t most = RsSoakTarget_MostRequestsWithin(
+            fixture->targets[2 * i], told_at_ms, LIMIT_WINDOW_MS);
+        uint32_t allowed = max_requests(g_ascii_strtod(limits[i], NULL));
+        printf("limit %s: %u requests in 4 s, allowed %u\n", limits[i], most,
+               allowed);
+        CU_ASSERT_TRUE(most <= allowed);
+    }
+    printf("served: %.3f\n", served_share(fixture, first));
+    CU_ASSERT_TRUE(served_share(fixture, first) >= MIN_SERVED);
+    CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
+}
+
+void
+test_all_nodes_together_keep_a_limit(void)
+{
+    struct rs_node_fixture *fixture = open_fixture(26800, 0, TARGETS);
+    check_limits(fixture);
+    RsNodeFixture_Close(fixture);
+}
+
+void
+test_all_nodes_together_keep_a_limit_without_keys(void)
+{
+    struct rs_node_fixture *fixture = open_fixture(26900, TARGETS, 0);
+    check_limits(fixture);
+    RsNodeFixture_Close(fixture);
+}
+
+/* Nodes learn of the end of a limit only from a target's answers, so a limited
+ * target must keep some keys. */
+void
+test_target_is_used_again_after_its_limit(void)
+{
+    static const char limit[] = "2";
+    struct rs_node_fixture *fixture = open_fixture(27000, 0, TARGETS);
+    struct rs_soak_target *target = fixture->targets[0];
+    RsSoakTarget_SetLimit(target, limit);
+    send_requests(fixture, KEYS_MOVED_WITHIN_MS);
+    RsSoakTarget_SetLimit(target, "");
+    int64_t ended_at_ms = RsClock_NowMs();
+    send_requests(fixture, AFTER_LIMIT_MS);
+    CU_ASSERT_TRUE(
+        RsSoakTarget_MostRequestsWithin(target, ended_at_ms, LIMIT_WINDOW_MS) >
+        max_requests(g_ascii_strtod(limit, NULL)));
+    CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
+    RsNodeFixture_Close(fixture);
+}
