Make the limited targets of the test without keys busy

With requests of 20 ms the targets of the service without keys were used so little that the limited ones got none in one of two runs.

--- a/tests/node_limit_test.c
+++ b/tests/node_limit_test.c
@@ -8,7 +8,7 @@
 #include "tests/node_tests.h"
 
 #define START_WITHIN_MS 15000
-#define WORK_MS 20
+#define WORK_MS 40
 #define NODES 4
 #define TARGETS 6
 #define REQUEST_INTERVAL_MS 8
