Keep the limit of a target over all nodes together

Callers of a target that had named Server-Limit saw nothing, but the target got two to eight times what it can take: each node sent by its own estimate of slots and service times, and the granter planned keys by service time alone. The class of fault: a bound that holds for all nodes was not divided among them. The bound on cold targets is of the same class and was divided already, but by ranks with gaps: the granter counts nodes that may exist, while ranks go only to those that have reported, so that a target could be without senders.

The order has no gaps, and a new granter gives no ranks before all nodes have reported. Reports and summaries spread what targets say.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -136,7 +136,7 @@
         .expected_ms = RsLoad_ExpectedLatencyMs(target, now_ms),
     };
     build_request(attempt, now_ms);
-    RsLoad_RecordColdSend(target, input, now_ms);
+    RsLoad_RecordSend(target, input, now_ms);
     target->in_flight++;
     RsCounter_Add(&request->router->counters.attempts, 1);
     const struct rs_exchange_options options = {
@@ -182,7 +182,7 @@
         return RsLoad_NONE;
     }
     *chosen = target;
-    if (RsFleet_IsClosed(target, now_ms)) {
+    if (RsLoad_OpenAtMs(target, input) > now_ms) {
         return RsLoad_CLOSED;
     }
     if (!RsLoad_HasRoom(target, input, now_ms) ||
@@ -220,18 +220,24 @@
     return RsLoad_Choose(input, now_ms, chosen);
 }
 
-/* Lets the request wait for `target`, the first of the closed ones to take
- * requests again, or refuses it at once if that is too late. */
+/* Lets the request wait for `target`, the first one to take requests of this
+ * node again, or refuses it at once if that is too late. */
 static void
 wait_until_open(struct rs_request *request,
-                const struct rs_fleet_target *target)
+                const struct rs_load_choice_input *input,
+                const struct rs_fleet_target *target, int64_t now_ms)
 {
-    if (target->closed_until_ms < request->wait_until_ms) {
+    if (RsLoad_OpenAtMs(target, input) < request->wait_until_ms) {
         RsRequest_Wait(request);
-        return;
     }
-    request->come_back_at_ms = target->closed_until_ms;
-    RsReply_Refuse(request, "target-closed");
+    else if (RsFleet_IsClosed(target, now_ms)) {
+        request->come_back_at_ms = target->closed_until_ms;
+        RsReply_Refuse(request, "target-closed");
+    }
+    else {
+        /* Another node may send earlier than this one. */
+        RsReply_Refuse(request, "target-limited");
+    }
 }
 
 /* Sends the request to a target. If none has room, or the expected latency
@@ -251,7 +257,7 @@
     enum rs_load_verdict verdict =
         choose_target(request, &input, now_ms, &target);
     if (verdict == RsLoad_CLOSED) {
-        wait_until_open(request, target);
+        wait_until_open(request, &input, target, now_ms);
         return;
     }
     struct rs_fleet_target *owner = request->service->sharded ? target : NULL;
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -449,15 +449,15 @@
                 RsLog_NUMBER("until_ms", until_ms));
 }
 
-/* Records what the process that was started at `started_wall_ms` stated of its
- * limit, see RsLimit_Record(). `source` says for the log who told this node.
- * Returns whether a limit has begun or ended. */
+/* Records what the process that was started at `started_wall_ms` has stated of
+ * its limit. Returns whether that is news, see RsLimit_Record(). */
 bool
 RsFleet_RecordLimit(struct rs_fleet_target *target, int64_t started_wall_ms,
-                    double per_s, int64_t stated_at_ms, const char *source)
+                    const struct rs_fleet_limit_notice *notice, int64_t now_ms)
 {
     if (target->report.started_wall_ms != started_wall_ms ||
-        !RsLimit_Record(&target->limit, per_s, stated_at_ms)) {
+        !RsLimit_Record(&target->limit, notice->per_s, notice->stated_at_ms,
+                        now_ms)) {
         return false;
     }
     char text[G_ASCII_DTOSTR_BUF_SIZE];
@@ -466,7 +466,7 @@
                 target->limit.per_s > 0 ? "target_limited"
                                         : "target_limit_ended",
                 RsLog_TEXT("target", target->id), RsLog_TEXT("per_s", text),
-                RsLog_TEXT("source", source),
+                RsLog_TEXT("source", notice->source),
                 RsLog_NUMBER("born_ms", started_wall_ms));
     return true;
 }
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -58,6 +58,13 @@
     uint32_t connections; /* open or being opened by this node */
 };
 
+/* What a target has stated of its limit. */
+struct rs_fleet_limit_notice {
+    double per_s;         /* requests a second; negative: no limit */
+    int64_t stated_at_ms; /* when the response came */
+    const char *source;   /* who told this node, for the log */
+};
+
 struct rs_fleet_events {
     /* Called when a process of the target is first reported, or when another
      * target has taken the target's address. Connections to the old process
@@ -122,8 +129,9 @@
 void RsFleet_RecordClosed(struct rs_fleet_target *target,
                           int64_t started_wall_ms, int64_t until_ms);
 bool RsFleet_RecordLimit(struct rs_fleet_target *target,
-                         int64_t started_wall_ms, double per_s,
-                         int64_t stated_at_ms, const char *source);
+                         int64_t started_wall_ms,
+                         const struct rs_fleet_limit_notice *notice,
+                         int64_t now_ms);
 
 /* Recording what this node observes of a target (loads, responses, failures
  * and refusals), and estimates based on it. */
--- a/router/load.c
+++ b/router/load.c
@@ -194,6 +194,38 @@
     return MIN(input->share.nodes, MAX(1.0, floor(bound * COLD_BOUND_SHARE)));
 }
 
+/* Returns the number of this node, from 0, in an order of all nodes that
+ * differs between targets. Only the first of them send to a target that bears
+ * a limited request rate. */
+static uint32_t
+sender_rank_of(const struct rs_fleet_target *target,
+               const struct rs_load_choice_input *input)
+{
+    uint32_t ranked =
+        input->share.ranked > 0 ? input->share.ranked : input->share.nodes;
+    return (input->share.rank + g_str_hash(target->id)) % MAX(ranked, 1);
+}
+
+static struct rs_limit_place
+place_of(const struct rs_fleet_target *target,
+         const struct rs_load_choice_input *input)
+{
+    return (struct rs_limit_place){sender_rank_of(target, input),
+                                   input->share.ranked};
+}
+
+/* Returns from when on the target takes requests from this node, as far as its
+ * refusals and its limit are concerned. That may be in the past, or
+ * RsLimit_NEVER. */
+int64_t
+RsLoad_OpenAtMs(const struct rs_fleet_target *target,
+                const struct rs_load_choice_input *input)
+{
+    struct rs_limit_place place = place_of(target, input);
+    return MAX(target->closed_until_ms,
+               RsLimit_OpenAtMs(&target->limit, &place));
+}
+
 /* Returns whether this node may send a request to a target now, as far as the
  * target's warm-up is concerned. Cold targets are still warming up and bear a
  * limited request rate; to other targets a node may always send. */
@@ -204,8 +236,7 @@
     if (now_ms >= target->cold_until_ms) {
         return true;
     }
-    uint32_t sender_rank = (input->share.rank + g_str_hash(target->id)) %
-                           MAX(input->share.nodes, 1);
+    uint32_t sender_rank = sender_rank_of(target, input);
     double senders = max_cold_senders(input);
     /* The target may have received as many requests as it bears in the second
      * before it turned cold, so the senders start one after the other. */
@@ -215,12 +246,15 @@
            now_ms >= target->next_cold_send_at_ms;
 }
 
-/* Records that a request is sent to a target. If the target is cold,
- * sets the earliest time at which this node may send the next request. */
+/* Records that a request is sent to a target. If the target is cold or has a
+ * limit, sets the earliest time at which this node may send the next request.
+ */
 void
-RsLoad_RecordColdSend(struct rs_fleet_target *target,
-                      const struct rs_load_choice_input *input, int64_t now_ms)
+RsLoad_RecordSend(struct rs_fleet_target *target,
+                  const struct rs_load_choice_input *input, int64_t now_ms)
 {
+    struct rs_limit_place place = place_of(target, input);
+    RsLimit_RecordSend(&target->limit, &place, now_ms);
     if (now_ms < target->cold_until_ms && input->cold_per_s > 0) {
         double interval_ms =
             MS_PER_S * max_cold_senders(input) / input->cold_per_s;
@@ -270,13 +304,17 @@
 }
 
 /* Returns the cost of choosing the target: the expected latency in ms, with a
- * random part and the cost of crossing zones, but without home_factor(). */
+ * random part and the cost of crossing zones, but without home_factor(). A
+ * target whose limit may have ended costs nothing. */
 static double
 cost_of(const struct rs_load_choice_input *input,
         const struct rs_fleet_target *target, int64_t now_ms)
 {
     double noise = 1 + CHOICE_NOISE * g_rand_double(input->random);
     double network_ms = 0;
+    if (RsLimit_IsUnconfirmed(&target->limit, now_ms)) {
+        return 0;
+    }
     if (target->report.zone != input->zone) {
         network_ms =
             CROSS_ZONE_MS + input->answer_bytes / CROSS_ZONE_BYTES_PER_MS;
@@ -304,6 +342,7 @@
             GPtrArray *usable, struct rs_fleet_target **first_open)
 {
     bool full = false;
+    int64_t first_open_at_ms = 0;
     *first_open = NULL;
     for (guint i = 0; i < input->fleet->list->len; i++) {
         struct rs_fleet_target *target =
@@ -311,11 +350,12 @@
         if (!is_candidate(input, target, now_ms)) {
             continue;
         }
-        if (RsFleet_IsClosed(target, now_ms)) {
-            bool is_first =
-                *first_open == NULL ||
-                target->closed_until_ms < (*first_open)->closed_until_ms;
-            *first_open = is_first ? target : *first_open;
+        int64_t open_at_ms = RsLoad_OpenAtMs(target, input);
+        if (open_at_ms > now_ms) {
+            if (*first_open == NULL || open_at_ms < first_open_at_ms) {
+                *first_open = target;
+                first_open_at_ms = open_at_ms;
+            }
         }
         else if (RsLoad_HasRoom(target, input, now_ms) &&
                  RsLoad_MaySendToCold(target, input, now_ms)) {
--- a/router/load.h
+++ b/router/load.h
@@ -18,6 +18,9 @@
     uint32_t rank;       /* of this node, from 0 */
     uint32_t zone_nodes; /* nodes in the zone of this node; 0: unknown */
     uint32_t zone_rank;
+    /* Nodes that have a rank; 0: ranks are not known. `nodes` may be higher:
+     * it also counts nodes that may exist. */
+    uint32_t ranked;
 };
 
 struct rs_load_bounds {
@@ -42,8 +45,8 @@
 enum rs_load_verdict {
     RsLoad_SEND,
     RsLoad_FULL, /* some targets take work, but none can get a request now */
-    /* Targets take work, but not from this node for now; see closed_until_ms
-     * of struct rs_fleet_target. */
+    /* Targets take work, but not from this node for now; see
+     * RsLoad_OpenAtMs(). */
     RsLoad_CLOSED,
     RsLoad_NONE, /* no target takes work, or all are excluded or avoided */
 };
@@ -61,9 +64,11 @@
 bool RsLoad_MaySendToCold(const struct rs_fleet_target *target,
                           const struct rs_load_choice_input *input,
                           int64_t now_ms);
-void RsLoad_RecordColdSend(struct rs_fleet_target *target,
-                           const struct rs_load_choice_input *input,
-                           int64_t now_ms);
+int64_t RsLoad_OpenAtMs(const struct rs_fleet_target *target,
+                        const struct rs_load_choice_input *input);
+void RsLoad_RecordSend(struct rs_fleet_target *target,
+                       const struct rs_load_choice_input *input,
+                       int64_t now_ms);
 enum rs_load_verdict RsLoad_Choose(const struct rs_load_choice_input *input,
                                    int64_t now_ms,
                                    struct rs_fleet_target **chosen);
--- a/router/load_test.c
+++ b/router/load_test.c
@@ -213,8 +213,7 @@
             struct rs_fleet_target *target = scenarios[i].targets[0];
             if (RsLoad_MaySendToCold(target, &scenarios[i].choice,
                                      NOW_MS + ms)) {
-                RsLoad_RecordColdSend(target, &scenarios[i].choice,
-                                      NOW_MS + ms);
+                RsLoad_RecordSend(target, &scenarios[i].choice, NOW_MS + ms);
                 sent[ms]++;
                 total++;
             }
@@ -284,8 +283,7 @@
             struct rs_fleet_target *target = scenarios[i].targets[0];
             if (RsLoad_MaySendToCold(target, &scenarios[i].choice,
                                      NOW_MS + ms)) {
-                RsLoad_RecordColdSend(target, &scenarios[i].choice,
-                                      NOW_MS + ms);
+                RsLoad_RecordSend(target, &scenarios[i].choice, NOW_MS + ms);
                 sent[ms]++;
             }
         }
--- a/router/notices.c
+++ b/router/notices.c
@@ -34,7 +34,7 @@
 
 /* Reads the limit that a target states. A response that a target gave without
  * running the request may lack it, so only a signed one states that there is
- * none. Returns whether a limit has begun or ended. */
+ * none. Returns whether that is news. */
 static bool
 read_limit(struct rs_notice_counters *counters, struct rs_fleet_target *target,
            int64_t started_wall_ms, const struct rs_http_head *head,
@@ -54,8 +54,8 @@
         return false;
     }
     RsCounter_Add(&counters->limited, count);
-    return RsFleet_RecordLimit(target, started_wall_ms, per_s, now_ms,
-                               "response");
+    const struct rs_fleet_limit_notice notice = {per_s, now_ms, "response"};
+    return RsFleet_RecordLimit(target, started_wall_ms, &notice, now_ms);
 }
 
 /* Reads the notices in the head of a response, which came from the process
--- a/router/owners.c
+++ b/router/owners.c
@@ -11,6 +11,13 @@
 /* Plans count on only this share of the request rate that a cold target can
  * take. */
 #define COLD_CAPACITY_SHARE 0.6
+/* Plans count on only this share of a target's limit: its senders pace their
+ * requests, so more demand would be refused although the limit isn't used up.
+ */
+#define LIMITED_CAPACITY_SHARE 0.5
+/* Limited targets keep no keys while the others have at least this share of
+ * the capacity that all would have without limits. */
+#define MIN_UNLIMITED_SHARE 0.5
 #define MS_PER_S 1000.0
 /* Least share of its capacity that is assumed of a target that wants no
  * requests from any node, so that its keys move to others. */
@@ -41,6 +48,14 @@
     return lowest_ms;
 }
 
+/* Returns whether the target has lately stated a limit. */
+static bool
+is_limited(const struct rs_fleet_target *target, int64_t now_ms)
+{
+    return target->limit.per_s > 0 &&
+           !RsLimit_IsUnconfirmed(&target->limit, now_ms);
+}
+
 /* Returns the capacity of a target in requests a second. `latency_ms` is the
  * latency target; `cold_per_s` is the request rate that a cold target can
  * take, 0 for no limit. */
@@ -52,6 +67,9 @@
     if (now_ms < target->cold_until_ms && cold_per_s > 0) {
         capacity = MIN(capacity, cold_per_s * COLD_CAPACITY_SHARE);
     }
+    if (is_limited(target, now_ms)) {
+        capacity = MIN(capacity, target->limit.per_s * LIMITED_CAPACITY_SHARE);
+    }
     return capacity;
 }
 
@@ -92,6 +110,27 @@
                MIN_OPEN_SHARE);
 }
 
+/* Returns whether the targets of a service without a limit have capacity for
+ * the keys of the limited ones, too. */
+static bool
+can_spare_limited(const struct planning *planning,
+                  const struct rs_service *service, double latency_ms)
+{
+    const GPtrArray *list = planning->router->fleet.list;
+    double unlimited = 0;
+    double all = 0;
+    for (guint i = 0; i < list->len; i++) {
+        const struct rs_fleet_target *target = g_ptr_array_index(list, i);
+        if (target->report.service == service->name &&
+            can_own(planning, target)) {
+            double capacity = RsLoad_CapacityPerS(target, latency_ms);
+            all += capacity;
+            unlimited += is_limited(target, planning->now_ms) ? 0 : capacity;
+        }
+    }
+    return unlimited >= MIN_UNLIMITED_SHARE * all;
+}
+
 /* Fills in the targets of a service and returns their number. The array must
  * have room for all targets of the fleet. */
 static size_t
@@ -101,14 +140,17 @@
     const GPtrArray *list = planning->router->fleet.list;
     double latency_ms =
         latency_target_ms(planning->router->config, service->name);
+    bool spare_limited = can_spare_limited(planning, service, latency_ms);
     size_t count = 0;
     for (guint i = 0; i < list->len; i++) {
         const struct rs_fleet_target *target = g_ptr_array_index(list, i);
         if (target->report.service == service->name) {
+            bool spared =
+                spare_limited && is_limited(target, planning->now_ms);
             targets[count++] = (struct rs_balance_target){
                 .owner = {target->id, target->report.started_wall_ms,
                           target->report.address_text},
-                .eligible = can_own(planning, target),
+                .eligible = can_own(planning, target) && !spared,
                 .capacity =
                     capacity_of(target, latency_ms, service->cold_per_s,
                                 planning->now_ms) *
--- a/router/peer.pb-c.c
+++ b/router/peer.pb-c.c
@@ -7,6 +7,51 @@
 #endif
 
 #include "router/peer.pb-c.h"
+void   rs__peer__limit__init
+                     (Rs__Peer__Limit         *message)
+{
+  static const Rs__Peer__Limit init_value = RS__PEER__LIMIT__INIT;
+  *message = init_value;
+}
+size_t rs__peer__limit__get_packed_size
+                     (const Rs__Peer__Limit *message)
+{
+  assert(message->base.descriptor == &rs__peer__limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rs__peer__limit__pack
+                     (const Rs__Peer__Limit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rs__peer__limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rs__peer__limit__pack_to_buffer
+                     (const Rs__Peer__Limit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rs__peer__limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rs__Peer__Limit *
+       rs__peer__limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rs__Peer__Limit *)
+     protobuf_c_message_unpack (&rs__peer__limit__descriptor,
+                                allocator, len, data);
+}
+void   rs__peer__limit__free_unpacked
+                     (Rs__Peer__Limit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__peer__limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rs__peer__target_load__init
                      (Rs__Peer__TargetLoad         *message)
 {
@@ -148,6 +193,83 @@
   assert(message->base.descriptor == &rs__peer__summary__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+static const ProtobufCFieldDescriptor rs__peer__limit__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Limit, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Limit, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Limit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_wall_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SFIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Limit, started_wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__peer__limit__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = id */
+  1,   /* field[1] = per_s */
+  3,   /* field[3] = started_wall_ms */
+};
+static const ProtobufCIntRange rs__peer__limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rs__peer__limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.Limit",
+  "Limit",
+  "Rs__Peer__Limit",
+  "rs.peer",
+  sizeof(Rs__Peer__Limit),
+  4,
+  rs__peer__limit__field_descriptors,
+  rs__peer__limit__field_indices_by_name,
+  1,  rs__peer__limit__number_ranges,
+  (ProtobufCMessageInit) rs__peer__limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor rs__peer__target_load__field_descriptors[6] =
 {
   {
@@ -302,7 +424,7 @@
   (ProtobufCMessageInit) rs__peer__report__service_keys__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__peer__report__field_descriptors[6] =
+static const ProtobufCFieldDescriptor rs__peer__report__field_descriptors[7] =
 {
   {
     "node",
@@ -376,10 +498,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limits",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__Report, n_limits),
+    offsetof(Rs__Peer__Report, limits),
+    &rs__peer__limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__report__field_indices_by_name[] = {
   1,   /* field[1] = incarnation */
   3,   /* field[3] = keys */
+  6,   /* field[6] = limits */
   0,   /* field[0] = node */
   4,   /* field[4] = strength */
   2,   /* field[2] = targets */
@@ -388,7 +523,7 @@
 static const ProtobufCIntRange rs__peer__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor rs__peer__report__descriptor =
 {
@@ -398,14 +533,14 @@
   "Rs__Peer__Report",
   "rs.peer",
   sizeof(Rs__Peer__Report),
-  6,
+  7,
   rs__peer__report__field_descriptors,
   rs__peer__report__field_indices_by_name,
   1,  rs__peer__report__number_ranges,
   (ProtobufCMessageInit) rs__peer__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__peer__summary__field_descriptors[7] =
+static const ProtobufCFieldDescriptor rs__peer__summary__field_descriptors[9] =
 {
   {
     "incarnation",
@@ -491,12 +626,38 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limits",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__Summary, n_limits),
+    offsetof(Rs__Peer__Summary, limits),
+    &rs__peer__limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ranked",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Summary, ranked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__summary__field_indices_by_name[] = {
   0,   /* field[0] = incarnation */
+  7,   /* field[7] = limits */
   1,   /* field[1] = nodes */
   6,   /* field[6] = peers */
   2,   /* field[2] = rank */
+  8,   /* field[8] = ranked */
   3,   /* field[3] = targets */
   4,   /* field[4] = zone_nodes */
   5,   /* field[5] = zone_rank */
@@ -504,7 +665,7 @@
 static const ProtobufCIntRange rs__peer__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor rs__peer__summary__descriptor =
 {
@@ -514,7 +675,7 @@
   "Rs__Peer__Summary",
   "rs.peer",
   sizeof(Rs__Peer__Summary),
-  7,
+  9,
   rs__peer__summary__field_descriptors,
   rs__peer__summary__field_indices_by_name,
   1,  rs__peer__summary__number_ranges,
--- a/router/peer.pb-c.h
+++ b/router/peer.pb-c.h
@@ -15,6 +15,7 @@
 #endif
 
 
+typedef struct Rs__Peer__Limit Rs__Peer__Limit;
 typedef struct Rs__Peer__TargetLoad Rs__Peer__TargetLoad;
 typedef struct Rs__Peer__Report Rs__Peer__Report;
 typedef struct Rs__Peer__Report__ServiceKeys Rs__Peer__Report__ServiceKeys;
@@ -26,6 +27,31 @@
 
 /* --- messages --- */
 
+/*
+ * What a process of a target has stated of its request limit.
+ */
+struct  Rs__Peer__Limit
+{
+  ProtobufCMessage base;
+  char *id;
+  /*
+   * requests a second of all nodes; negative: no limit
+   */
+  float per_s;
+  /*
+   * time since the response that stated it
+   */
+  uint32_t age_ms;
+  /*
+   * start of the process, by the wall clock
+   */
+  int64_t started_wall_ms;
+};
+#define RS__PEER__LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rs__peer__limit__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 /*
  * Load of a target: of one node in a Report, of all nodes in a Summary.
  */
@@ -92,10 +118,12 @@
    */
   uint32_t strength;
   char *zone;
+  size_t n_limits;
+  Rs__Peer__Limit **limits;
 };
 #define RS__PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0,NULL }
 
 
 /*
@@ -131,12 +159,38 @@
    */
   size_t n_peers;
   uint32_t *peers;
+  size_t n_limits;
+  Rs__Peer__Limit **limits;
+  /*
+   * Nodes that have a rank; 0: the granter is new and does not know all nodes
+   * yet, so earlier ranks stay in use.
+   */
+  uint32_t ranked;
 };
 #define RS__PEER__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__peer__summary__descriptor) \
-    , 0, 0, 0, 0,NULL, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
+/* Rs__Peer__Limit methods */
+void   rs__peer__limit__init
+                     (Rs__Peer__Limit         *message);
+size_t rs__peer__limit__get_packed_size
+                     (const Rs__Peer__Limit   *message);
+size_t rs__peer__limit__pack
+                     (const Rs__Peer__Limit   *message,
+                      uint8_t             *out);
+size_t rs__peer__limit__pack_to_buffer
+                     (const Rs__Peer__Limit   *message,
+                      ProtobufCBuffer     *buffer);
+Rs__Peer__Limit *
+       rs__peer__limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rs__peer__limit__free_unpacked
+                     (Rs__Peer__Limit *message,
+                      ProtobufCAllocator *allocator);
 /* Rs__Peer__TargetLoad methods */
 void   rs__peer__target_load__init
                      (Rs__Peer__TargetLoad         *message);
@@ -199,6 +253,9 @@
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
+typedef void (*Rs__Peer__Limit_Closure)
+                 (const Rs__Peer__Limit *message,
+                  void *closure_data);
 typedef void (*Rs__Peer__TargetLoad_Closure)
                  (const Rs__Peer__TargetLoad *message,
                   void *closure_data);
@@ -217,6 +274,7 @@
 
 /* --- descriptors --- */
 
+extern const ProtobufCMessageDescriptor rs__peer__limit__descriptor;
 extern const ProtobufCMessageDescriptor rs__peer__target_load__descriptor;
 extern const ProtobufCMessageDescriptor rs__peer__report__descriptor;
 extern const ProtobufCMessageDescriptor rs__peer__report__service_keys__descriptor;
--- a/router/reports.c
+++ b/router/reports.c
@@ -18,6 +18,9 @@
  * granter, or paused, may continue to route, and the other nodes' shares of
  * the global limits must not grow then. */
 #define NODE_LIFETIME_MS 60000
+/* The interval between the reports of a node is 5 ms times the number of nodes
+ * (see router/node.c); two of them may be lost. */
+#define COLLECT_MS_PER_NODE 15
 #define MS_PER_S 1000.0
 /* Time constants of the moving averages of key rates. The short one shows
  * within a second that a key has become busy, but in it random variation makes
@@ -27,6 +30,7 @@
 #define LONG_WINDOW_MS 5000.0
 #define SHORT_WINDOW_WEIGHT 0.4F
 #define US_PER_MS 1000.0
+#define NO_LIMIT (-1.0F) /* see router/peer.proto */
 #define MAX_DATAGRAM_BYTES 60000
 /* Maximum number of requested keys that one report lists for a service, one
  * entry per request. */
@@ -83,6 +87,9 @@
     /* Number of nodes known when this node became the granter. */
     uint32_t min_nodes;
     int64_t min_nodes_until_ms; /* until when min_nodes applies */
+    /* When all nodes have reported to this node since it became the granter.
+     */
+    int64_t ranks_known_at_ms;
     /* Target id to the requests in flight that this node last reported. */
     GHashTable *reported;
 };
@@ -267,6 +274,59 @@
                : 0;
 }
 
+/* Returns what this node knows of the limits that targets have stated, and
+ * their number in `*count`. The caller frees the result with free_limits(). */
+static Rs__Peer__Limit **
+list_limits(const struct rs_reports *reports, size_t *count, int64_t now_ms)
+{
+    const GPtrArray *targets = reports->router->fleet.list;
+    Rs__Peer__Limit **limits = g_new0(Rs__Peer__Limit *, targets->len + 1);
+    *count = 0;
+    for (guint i = 0; i < targets->len; i++) {
+        const struct rs_fleet_target *target = g_ptr_array_index(targets, i);
+        const struct rs_limit *known = &target->limit;
+        if (known->limited_since_ms > 0) {
+            Rs__Peer__Limit *limit = g_new0(Rs__Peer__Limit, 1);
+            rs__peer__limit__init(limit);
+            limit->id = (char *)target->id;
+            limit->per_s = known->per_s > 0 ? (float)known->per_s : NO_LIMIT;
+            limit->age_ms = (uint32_t)(now_ms - known->stated_at_ms);
+            limit->started_wall_ms = target->report.started_wall_ms;
+            limits[(*count)++] = limit;
+        }
+    }
+    return limits;
+}
+
+static void
+free_limits(Rs__Peer__Limit **limits, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        g_free(limits[i]);
+    }
+    g_free(limits);
+}
+
+/* Records what another node knows of the limits of targets. */
+static void
+record_limits(struct rs_reports *reports, Rs__Peer__Limit *const *limits,
+              size_t count, int64_t now_ms)
+{
+    for (size_t i = 0; i < count; i++) {
+        struct rs_fleet_target *target = RsFleet_Find(
+            &reports->router->fleet, g_intern_string(limits[i]->id));
+        const struct rs_fleet_limit_notice notice = {
+            .per_s = limits[i]->per_s,
+            .stated_at_ms = now_ms - limits[i]->age_ms,
+            .source = "peer",
+        };
+        if (target != NULL) {
+            RsFleet_RecordLimit(target, limits[i]->started_wall_ms, &notice,
+                                now_ms);
+        }
+    }
+}
+
 /* On the granter: records a report of a node. Replaces the node's earlier load
  * by the new one, and adds its keys to the key rates. `address` is the node's
  * IPv4 address in network byte order, 0 for this node. */
@@ -292,6 +352,7 @@
         add_load(reports, node, report->targets[i]);
         record_leaving(reports, report->targets[i], now_ms);
     }
+    record_limits(reports, report->limits, report->n_limits, now_ms);
     record_keys(reports, report, now_ms);
 }
 
@@ -367,12 +428,17 @@
     }
 }
 
+/* Returns this node's share by a summary. While the granter knows no ranks,
+ * the former rank stays. */
 static struct rs_load_share
-decode_share(const Rs__Peer__Summary *summary)
+decode_share(const Rs__Peer__Summary *summary,
+             const struct rs_load_share *former)
 {
+    bool has_rank = summary->ranked > 0 || former->ranked == 0;
     return (struct rs_load_share){
         .nodes = MAX(summary->nodes, 1),
-        .rank = summary->rank,
+        .rank = has_rank ? summary->rank : former->rank,
+        .ranked = has_rank ? summary->ranked : former->ranked,
         .zone_nodes = summary->zone_nodes,
         .zone_rank = summary->zone_rank,
     };
@@ -486,6 +552,8 @@
     reports->is_granter = true;
     reports->min_nodes = reports->router->share.nodes;
     reports->min_nodes_until_ms = now_ms + NODE_LIFETIME_MS;
+    reports->ranks_known_at_ms =
+        now_ms + REPORT_LIFETIME_MS + reports->min_nodes * COLLECT_MS_PER_NODE;
 }
 
 /* Fills `peers` with the addresses of up to NAMED_PEERS nodes, starting at a
@@ -533,16 +601,22 @@
     uint32_t peers[NAMED_PEERS];
     summary.n_peers = choose_peers(reports, peers);
     summary.peers = peers;
+    summary.limits = list_limits(reports, &summary.n_limits, now_ms);
     summary.incarnation = report->incarnation;
     summary.nodes = count_nodes(reports, now_ms);
     rank_node(reports, report->node, report->zone, &summary);
+    summary.ranked = now_ms >= reports->ranks_known_at_ms
+                         ? g_hash_table_size(reports->nodes)
+                         : 0;
     if (from != NULL) {
         send_to(reports, from, &summary.base);
     }
     else {
-        reports->router->share = decode_share(&summary);
+        reports->router->share =
+            decode_share(&summary, &reports->router->share);
         apply_own_totals(reports, now_ms);
     }
+    free_limits(summary.limits, summary.n_limits);
     g_free(loads);
     g_free(load_pointers);
 }
@@ -556,10 +630,11 @@
     if (summary->incarnation != reports->incarnation || summary->nodes == 0) {
         return;
     }
-    router->share = decode_share(summary);
+    router->share = decode_share(summary, &router->share);
     for (size_t i = 0; i < summary->n_peers; i++) {
         reports->on_peer(reports->arg, summary->peers[i]);
     }
+    record_limits(reports, summary->limits, summary->n_limits, now_ms);
     clear_remote_load(reports, now_ms);
     for (size_t i = 0; i < summary->n_targets; i++) {
         const Rs__Peer__TargetLoad *item = summary->targets[i];
@@ -752,6 +827,7 @@
         key_list[i] = &keys[i];
     }
     report.targets = load_list;
+    report.limits = list_limits(reports, &report.n_limits, now_ms);
     report.keys = key_list;
     if (granter != NULL) {
         reports->is_granter = false;
@@ -766,6 +842,7 @@
         respond_to_report(reports, &report, NULL, now_ms);
     }
     clear_requested_keys(reports);
+    free_limits(report.limits, report.n_limits);
     g_free(loads);
     g_free(load_list);
     g_free(keys);
--- a/tests/node_limit_test.c
+++ b/tests/node_limit_test.c
@@ -14,7 +14,7 @@
 #define REQUEST_INTERVAL_MS 8
 /* When the first answers with the limit must have reached all nodes. */
 #define TOLD_WITHIN_MS 1000
-#define LIMITED_MS 12000
+#define LIMITED_MS 20000
 /* A target may get this many requests within LIMIT_WINDOW_MS, see
  * max_requests(). */
 #define LIMIT_WINDOW_MS 4000
@@ -23,7 +23,9 @@
 /* When the keys of a limited target must have moved to others. */
 #define KEYS_MOVED_WITHIN_MS 6000
 #define MIN_SERVED 0.95
-#define AFTER_LIMIT_MS 10000
+#define RECOVERY_MS 15000
+/* Part of their limits that overloaded targets get. */
+#define MIN_USED 0.5
 #define MS_PER_S 1000
 
 static struct rs_node_fixture *
@@ -125,8 +127,8 @@
     RsNodeFixture_Close(fixture);
 }
 
-/* Nodes learn of the end of a limit only from a target's answers, so a limited
- * target must keep some keys. */
+/* Nodes learn of the end of a limit only from the target's answers, but its
+ * keys have moved to others. */
 void
 test_target_is_used_again_after_its_limit(void)
 {
@@ -137,10 +139,40 @@
     send_requests(fixture, KEYS_MOVED_WITHIN_MS);
     RsSoakTarget_SetLimit(target, "");
     int64_t ended_at_ms = RsClock_NowMs();
-    send_requests(fixture, AFTER_LIMIT_MS);
+    send_requests(fixture, RECOVERY_MS);
     CU_ASSERT_TRUE(
         RsSoakTarget_MostRequestsWithin(target, ended_at_ms, LIMIT_WINDOW_MS) >
         max_requests(g_ascii_strtod(limit, NULL)));
     CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
     RsNodeFixture_Close(fixture);
 }
+
+/* Nothing can be moved to targets without a limit, so the limits are used. */
+void
+test_limits_of_all_targets_are_used_and_kept(void)
+{
+    static const char limit[] = "3";
+    double limit_per_s = g_ascii_strtod(limit, NULL);
+    struct rs_node_fixture *fixture = open_fixture(27100, 0, TARGETS);
+    uint64_t first_count[TARGETS];
+    for (uint32_t i = 0; i < TARGETS; i++) {
+        RsSoakTarget_SetLimit(fixture->targets[i], limit);
+    }
+    send_requests(fixture, TOLD_WITHIN_MS);
+    int64_t told_at_ms = RsClock_NowMs();
+    for (uint32_t i = 0; i < TARGETS; i++) {
+        first_count[i] = RsSoakTarget_RequestCount(fixture->targets[i]);
+    }
+    send_requests(fixture, RECOVERY_MS);
+    for (uint32_t i = 0; i < TARGETS; i++) {
+        uint64_t count =
+            RsSoakTarget_RequestCount(fixture->targets[i]) - first_count[i];
+        CU_ASSERT_TRUE(RsSoakTarget_MostRequestsWithin(
+                           fixture->targets[i], told_at_ms, LIMIT_WINDOW_MS) <=
+                       max_requests(limit_per_s));
+        CU_ASSERT_TRUE((double)count >=
+                       MIN_USED * limit_per_s * RECOVERY_MS / MS_PER_S);
+    }
+    CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
+    RsNodeFixture_Close(fixture);
+}
--- a/tests/node_main.c
+++ b/tests/node_main.c
@@ -33,6 +33,8 @@
      test_all_nodes_together_keep_a_limit_without_keys},
     {"target_is_used_again_after_its_limit",
      test_target_is_used_again_after_its_limit},
+    {"limits_of_all_targets_are_used_and_kept",
+     test_limits_of_all_targets_are_used_and_kept},
     {"service_goes_on_after_a_restore", test_service_goes_on_after_a_restore},
     {"restarted_nodes_do_not_trust_the_copy",
      test_restarted_nodes_do_not_trust_the_copy},
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -19,6 +19,7 @@
 void test_all_nodes_together_keep_a_limit(void);
 void test_all_nodes_together_keep_a_limit_without_keys(void);
 void test_target_is_used_again_after_its_limit(void);
+void test_limits_of_all_targets_are_used_and_kept(void);
 
 /* tests/node_restore_test.c */
 void test_service_goes_on_after_a_restore(void);
