Reproduce the incident of nodes that reach no target

Three of four node processes fail to connect to any target, by a preloaded connect() that refuses or never answers; the store, the callers and the other nodes reach them.

The admin port of the soak's nodes moves, as the port after the peer port will be used over TCP, too.

--- a/soak/setup.h
+++ b/soak/setup.h
@@ -12,7 +12,7 @@
 #define RsSoakSetup_CALLER_PORT 0
 #define RsSoakSetup_READINESS_PORT 1
 #define RsSoakSetup_PEER_PORT 2
-#define RsSoakSetup_ADMIN_PORT 3
+#define RsSoakSetup_ADMIN_PORT 4
 #define RsSoakSetup_GRACE_MS 6000
 
 struct rs_soak_node_setup {
--- /dev/null
+++ b/tests/node_cut_test.c
@@ -0,0 +1,119 @@
+/* Nodes that reach no target, while callers, the store and the other nodes
+ * still reach them. */
+
+#include <CUnit/Basic.h>
+#include <glib.h>
+
+#include "core/clock.h"
+#include "tests/node_fixture.h"
+#include "tests/node_tests.h"
+
+#define START_WITHIN_MS 15000
+#define WORK_MS 20
+#define NODES 4
+#define PLAIN_TARGETS 2
+#define SHARDED_TARGETS 6 /* have room for the probes of all nodes at once */
+#define REQUEST_INTERVAL_MS 10
+/* Requests count from this time after the links were cut. */
+#define CONTACT_MS 3000
+#define CUT_MS 8000
+#define ALLOWED_FAILURES 10
+#define ALLOWED_FAILURE_SHARE 0.02
+#define HEALED_WITHIN_MS 3000
+
+static struct rs_node_fixture *
+open_fixture(uint16_t base_port)
+{
+    const struct rs_node_fixture_options options = {
+        .base_port = base_port,
+        .node_count = NODES,
+        .plain_targets = PLAIN_TARGETS,
+        .sharded_targets = SHARDED_TARGETS,
+        .work_ms = WORK_MS,
+        .timeout_ms = 2000,
+        .cuttable = true,
+    };
+    struct rs_node_fixture *fixture = RsNodeFixture_Open(&options);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture);
+    CU_ASSERT_TRUE(RsNodeFixture_AwaitService(fixture, START_WITHIN_MS));
+    return fixture;
+}
+
+/* Sends requests to both services at all nodes in turn, without waiting for
+ * the answers. */
+static void
+send_requests(struct rs_node_fixture *fixture, int64_t span_ms)
+{
+    int64_t end_at_ms = RsClock_NowMs() + span_ms;
+    for (uint32_t i = 0; RsClock_NowMs() < end_at_ms; i++) {
+        uint32_t key =
+            (uint32_t)g_rand_int_range(fixture->random, 0, RsCheck_KEYS);
+        if (i / NODES % 2 == 0) {
+            RsNodeFixture_Get(fixture, i % NODES, key);
+        }
+        else {
+            RsNodeFixture_Post(fixture, i % NODES);
+        }
+        RsNodeFixture_Run(fixture, REQUEST_INTERVAL_MS);
+    }
+}
+
+/* Checks that the requests from number `first` on were served, at each node,
+ * as far as they have ended. */
+static void
+check_served(const struct rs_node_fixture *fixture, uint32_t first)
+{
+    for (uint32_t node = 0; node < NODES; node++) {
+        uint32_t ended = 0;
+        uint32_t served = 0;
+        for (uint32_t i = first; i < fixture->request_count; i++) {
+            const struct rs_node_fixture_request *request =
+                fixture->requests[i];
+            if (request->node == node && request->ended_at_ms > 0) {
+                ended++;
+                served += request->status == 200 && request->complete;
+            }
+        }
+        printf("node %u: %u of %u served\n", node, served, ended);
+        CU_ASSERT_TRUE(ended > 0);
+        CU_ASSERT_TRUE(ended - served <=
+                       ALLOWED_FAILURES + ALLOWED_FAILURE_SHARE * ended);
+    }
+}
+
+/* Cuts three of the four nodes off from all targets, beginning with
+ * `first_node`, and later lets them reach the targets again. */
+static void
+check_cut(uint16_t base_port, uint32_t first_node, bool hang)
+{
+    struct rs_node_fixture *fixture = open_fixture(base_port);
+    for (uint32_t i = 0; i < NODES - 1; i++) {
+        RsNodeFixture_CutFromTargets(fixture, first_node + i, hang);
+    }
+    send_requests(fixture, CONTACT_MS);
+    uint32_t first = fixture->request_count;
+    send_requests(fixture, CUT_MS);
+    check_served(fixture, first);
+    for (uint32_t i = 0; i < NODES - 1; i++) {
+        RsNodeFixture_HealLinks(fixture, first_node + i);
+    }
+    send_requests(fixture, HEALED_WITHIN_MS);
+    first = fixture->request_count;
+    send_requests(fixture, HEALED_WITHIN_MS);
+    check_served(fixture, first);
+    CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
+    RsNodeFixture_Close(fixture);
+}
+
+/* In one of these two tests, at least, the granter is cut off. */
+void
+test_nodes_without_links_to_targets_serve_refused(void)
+{
+    check_cut(27500, 0, false);
+}
+
+void
+test_nodes_without_links_to_targets_serve_silent(void)
+{
+    check_cut(27300, 1, true);
+}
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -16,7 +16,7 @@
 #include "tests/process.h"
 
 #define RsNodeFixture_MAX_NODES 4
-#define RsNodeFixture_MAX_TARGETS 6
+#define RsNodeFixture_MAX_TARGETS 8
 #define RsNodeFixture_MAX_REQUESTS 4096
 
 struct rs_node_fixture_options {
@@ -26,12 +26,14 @@
     uint32_t sharded_targets; /* of the service with keys */
     uint32_t work_ms;         /* mean duration of a request at a target */
     uint32_t timeout_ms;      /* of both routes */
+    bool cuttable;            /* RsNodeFixture_CutFromTargets() may be used */
 };
 
 /* A request of a caller, and what became of it. */
 struct rs_node_fixture_request {
     struct rs_node_fixture *fixture;
     struct rs_http_connection *connection; /* NULL once it is closed */
+    uint32_t node;
     char id[24];
     char key[16];
     bool is_post;
@@ -67,6 +69,9 @@
 void RsNodeFixture_PutConfig(struct rs_node_fixture *fixture,
                              uint32_t version);
 void RsNodeFixture_RestartNode(struct rs_node_fixture *fixture, uint32_t node);
+void RsNodeFixture_CutFromTargets(struct rs_node_fixture *fixture,
+                                  uint32_t node, bool hang);
+void RsNodeFixture_HealLinks(struct rs_node_fixture *fixture, uint32_t node);
 int RsNodeFixture_ConfigVersion(struct rs_node_fixture *fixture,
                                 uint32_t node);
 bool RsNodeFixture_AwaitService(struct rs_node_fixture *fixture,
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -15,7 +15,11 @@
 void test_callers_are_told_when_closed_targets_open(void);
 void test_keys_of_a_closed_target_move(void);
 
-/* node_limit_test.c */
+/* tests/node_cut_test.c */
+void test_nodes_without_links_to_targets_serve_refused(void);
+void test_nodes_without_links_to_targets_serve_silent(void);
+
+/* tests/node_limit_test.c */
 void test_all_nodes_together_keep_a_limit(void);
 void test_all_nodes_together_keep_a_limit_without_keys(void);
 void test_target_is_used_again_after_its_limit(void);
