Reach targets through other nodes when the own links are lost

Callers of seven of eleven nodes that had lost their links to all targets got 503 no-target, and those of the others were served less than half: the granter was among the seven, its grants failed, and the owners' holds ran out. The class of fault: a node took the state of its own links for the state of the targets, and what one node can't do, no other did for it.

Each node now opens tunnels to targets for the others, with the method CONNECT on the port after the peer port. A node that fails to connect to three targets in a row is isolated: its new connections, those for grants and releases too, go through nodes that are not isolated, until a probe gets through. Silence on all connections starts probes at once. A single target that can't be reached is tried through another node where no other target may take the request, so a cut between one node and one owner is covered as well.

Ruled out: not being ready while isolated. Open connections stay with the node, and with half of a domain cut off the balancer uses all of its nodes. Handing the lease over: it moves the grants to another node, but not the requests.

--- a/http/connection.c
+++ b/http/connection.c
@@ -3,9 +3,14 @@
 #include <assert.h>
 #include <glib.h>
 #include <http_parser.h>
+#include <stdio.h>
 #include <string.h>
 
 #define NO_VALUE SIZE_MAX
+#define MAX_TUNNEL_ANSWER_BYTES 1024
+#define TUNNEL_OPEN 200
+#define TUNNEL_REFUSED 503
+#define END_OF_HEAD "\r\n\r\n"
 
 struct rs_http_connection {
     uv_tcp_t tcp;
@@ -19,6 +24,9 @@
     size_t header_count;
     bool in_value; /* the end of `header_text` belongs to a value */
     bool connected;
+    /* Waiting for the answer to CONNECT; its bytes are in `header_text`. */
+    bool opening_tunnel;
+    struct sockaddr_in address;
     bool awaiting_response; /* from sending a request until its
                                response is complete */
     bool is_head_request;
@@ -221,10 +229,43 @@
     }
 }
 
+/* Reads the answer to CONNECT. The connection can be used after status 200;
+ * the target sends nothing before a request. */
+static void
+read_tunnel_answer(struct rs_http_connection *connection, const char *data,
+                   size_t size)
+{
+    GString *answer = connection->header_text;
+    int status = 0;
+    g_string_append_len(answer, data, (gssize)size);
+    const char *end = strstr(answer->str, END_OF_HEAD);
+    if (end == NULL && answer->len < MAX_TUNNEL_ANSWER_BYTES) {
+        return;
+    }
+    if (end == NULL || end[strlen(END_OF_HEAD)] != '\0' ||
+        sscanf(answer->str, "HTTP/1.1 %3d", &status) != 1) {
+        close_with_error(connection, RsHttp_MALFORMED);
+    }
+    else if (status == TUNNEL_OPEN) {
+        connection->opening_tunnel = false;
+        connection->connected = true;
+        connection->events->connected(connection->arg);
+    }
+    else {
+        close_with_error(connection, status == TUNNEL_REFUSED
+                                         ? RsHttp_TUNNEL_REFUSED
+                                         : RsHttp_TUNNEL_FAILED);
+    }
+}
+
 static void
 parse_bytes(struct rs_http_connection *connection, const char *data,
             size_t size)
 {
+    if (connection->opening_tunnel) {
+        read_tunnel_answer(connection, data, size);
+        return;
+    }
     if (!connection->awaiting_response) {
         close_with_error(connection, RsHttp_UNSOLICITED);
         return;
@@ -283,6 +324,49 @@
     }
 }
 
+static void
+on_written(uv_write_t *write, int status)
+{
+    struct write_request *request = write->data;
+    struct rs_http_connection *connection = write->handle->data;
+    g_free(request->data);
+    g_free(request);
+    if (status != 0) {
+        close_with_error(connection, RsHttp_RESET);
+    }
+}
+
+/* Writes `text`, which it takes over. Returns whether that has begun. */
+static bool
+write_text(struct rs_http_connection *connection, GString *text)
+{
+    struct write_request *write = g_new0(struct write_request, 1);
+    uv_buf_t buffer = uv_buf_init(text->str, (unsigned)text->len);
+    write->data = g_string_free(text, FALSE);
+    write->write.data = write;
+    if (uv_write(&write->write, (uv_stream_t *)&connection->tcp, &buffer, 1,
+                 on_written) != 0) {
+        g_free(write->data);
+        g_free(write);
+        return false;
+    }
+    return true;
+}
+
+static void
+request_tunnel(struct rs_http_connection *connection)
+{
+    char host[INET_ADDRSTRLEN];
+    GString *text = g_string_new(NULL);
+    unsigned port = ntohs(connection->address.sin_port);
+    uv_ip4_name(&connection->address, host, sizeof(host));
+    g_string_printf(text, "CONNECT %s:%u HTTP/1.1\r\nhost: %s:%u" END_OF_HEAD,
+                    host, port, host, port);
+    if (!write_text(connection, text)) {
+        close_with_error(connection, RsHttp_RESET);
+    }
+}
+
 static void
 on_connect(uv_connect_t *connect, int status)
 {
@@ -294,9 +378,13 @@
         close_with_error(connection, RsHttp_CONNECT_FAILED);
         return;
     }
-    connection->connected = true;
     uv_tcp_nodelay(&connection->tcp, 1);
     uv_read_start((uv_stream_t *)&connection->tcp, provide_buffer, on_read);
+    if (connection->opening_tunnel) {
+        request_tunnel(connection);
+        return;
+    }
+    connection->connected = true;
     connection->events->connected(connection->arg);
 }
 
@@ -342,9 +430,12 @@
     }
     http_parser_init(&connection->parser, HTTP_RESPONSE);
     connection->parser.data = connection;
-    int status =
-        uv_tcp_connect(&connection->connect, &connection->tcp,
-                       (const struct sockaddr *)&options->address, on_connect);
+    connection->address = options->address;
+    connection->opening_tunnel = options->via.sin_family != 0;
+    const struct sockaddr_in *peer =
+        connection->opening_tunnel ? &options->via : &options->address;
+    int status = uv_tcp_connect(&connection->connect, &connection->tcp,
+                                (const struct sockaddr *)peer, on_connect);
     if (status != 0) {
         connection->closing = true;
         uv_close((uv_handle_t *)&connection->tcp, on_handle_closed);
@@ -390,18 +481,6 @@
     return text;
 }
 
-static void
-on_written(uv_write_t *write, int status)
-{
-    struct write_request *request = write->data;
-    struct rs_http_connection *connection = write->handle->data;
-    g_free(request->data);
-    g_free(request);
-    if (status != 0) {
-        close_with_error(connection, RsHttp_RESET);
-    }
-}
-
 /* Sets the argument of the callbacks. The connection must be idle. */
 void
 RsHttp_SetArg(struct rs_http_connection *connection, void *arg)
@@ -417,21 +496,9 @@
             const struct rs_http_request *request)
 {
     assert(connection->connected && !connection->awaiting_response);
-    struct write_request *write = g_new0(struct write_request, 1);
-    GString *text = format_request(request);
-    uv_buf_t buffer = uv_buf_init(text->str, (unsigned)text->len);
-    write->data = g_string_free(text, FALSE);
-    write->write.data = write;
     connection->awaiting_response = true;
     connection->is_head_request = strcmp(request->method, "HEAD") == 0;
-    int status = uv_write(&write->write, (uv_stream_t *)&connection->tcp,
-                          &buffer, 1, on_written);
-    if (status != 0) {
-        g_free(write->data);
-        g_free(write);
-        return RsHttp_RESET;
-    }
-    return 0;
+    return write_text(connection, format_request(request)) ? 0 : RsHttp_RESET;
 }
 
 /* Stops reading from the connection until RsHttp_Resume(). Bytes that were
--- a/http/connection.h
+++ b/http/connection.h
@@ -25,7 +25,9 @@
     RsHttp_RESET = RsError_HTTP - 3,  /* a read or write failed */
     RsHttp_MALFORMED = RsError_HTTP - 4,   /* or a head above the limits */
     RsHttp_UNSOLICITED = RsError_HTTP - 5, /* bytes of no request */
-    RsHttp_BAD_ADDRESS = RsError_HTTP - 6
+    RsHttp_BAD_ADDRESS = RsError_HTTP - 6,
+    RsHttp_TUNNEL_REFUSED = RsError_HTTP - 7, /* the tunnel takes no more */
+    RsHttp_TUNNEL_FAILED = RsError_HTTP - 8   /* it can't reach the address */
 };
 
 struct rs_http_header {
@@ -62,6 +64,9 @@
 struct rs_http_options {
     uv_loop_t *loop;
     struct sockaddr_in address;
+    /* Server that is asked with CONNECT for a tunnel to `address`; with family
+     * 0 the connection is direct. */
+    struct sockaddr_in via;
     const struct rs_http_events *events;
     void *arg;
     /* Sets SO_LINGER to 0, so that closing the connection, also by the exit of
--- a/router/attempt.c
+++ b/router/attempt.c
@@ -141,6 +141,9 @@
     RsCounter_Add(&request->router->counters.attempts, 1);
     const struct rs_exchange_options options = {
         .loop = request->router->loop,
+        .paths = &request->router->paths,
+        .tunnel_port = RsRouter_TunnelPort(request->router),
+        .only_target = request->service->sharded,
         .target = target,
         .max_connections = max_connections_to_target(request),
         .request = &attempt->message,
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -9,6 +9,9 @@
 /* A connect takes about a millisecond; a target that has not accepted the
  * connection within this time is treated as unreachable. */
 #define CONNECT_TIMEOUT_MS 250
+/* The other node needs up to CONNECT_TIMEOUT_MS to connect to the target. */
+#define TUNNEL_TIMEOUT_MS 350
+#define MAX_TUNNEL_TRIES 4
 /* Idle connections are reused for this long if the target names no keep-alive
  * timeout. Such targets close idle connections after a few seconds. */
 #define DEFAULT_IDLE_MS 2000
@@ -23,10 +26,14 @@
     uv_timer_t timer;
     struct rs_fleet_target *target;
     struct rs_http_connection *connection; /* NULL if none was opened */
+    struct rs_exchange_options options;    /* of the first request */
+    uint32_t peer;         /* node with the tunnel; 0: direct connection */
+    uint32_t tunnel_tries; /* tunnels that were asked for */
     struct rs_http_request request;
     /* NULL while the connection is idle */
     const struct rs_exchange_events *events;
     void *arg;
+    bool connecting;
     bool sent;                /* the target may have received the request */
     uint32_t idle_timeout_ms; /* how long the connection may stay idle */
     int64_t idle_until_ms;
@@ -59,13 +66,44 @@
     }
 }
 
+/* Sends the request on the connection, which is open. */
+static int
+send_request(struct rs_exchange *exchange)
+{
+    int status = RsHttp_Send(exchange->connection, &exchange->request);
+    if (status == 0 && exchange->peer == 0) {
+        RsPaths_RecordSent(exchange->options.paths, RsClock_NowMs());
+    }
+    return status;
+}
+
+/* Records what became of an attempt to connect. */
+static void
+record_connect(struct rs_exchange *exchange, enum rs_path_result result)
+{
+    struct rs_paths *paths = exchange->options.paths;
+    int64_t now_ms = RsClock_NowMs();
+    if (exchange->peer != 0) {
+        RsPaths_RecordPeer(paths, exchange->peer, exchange->target, result,
+                           now_ms);
+    }
+    else if (result == RsPath_CONNECTED) {
+        RsPaths_RecordConnected(paths, exchange->target, now_ms);
+    }
+    else {
+        RsPaths_RecordConnectFailed(paths, exchange->target, now_ms);
+    }
+}
+
 static void
 on_connected(void *arg)
 {
     struct rs_exchange *exchange = arg;
     exchange->sent = true;
+    exchange->connecting = false;
     uv_timer_stop(&exchange->timer);
-    if (RsHttp_Send(exchange->connection, &exchange->request) != 0) {
+    record_connect(exchange, RsPath_CONNECTED);
+    if (send_request(exchange) != 0) {
         RsHttp_Close(exchange->connection);
         finish(exchange, RsExchange_BROKEN);
         free_exchange(exchange);
@@ -91,6 +129,9 @@
 on_head(void *arg, const struct rs_http_head *head)
 {
     struct rs_exchange *exchange = arg;
+    if (exchange->peer == 0) {
+        RsPaths_RecordAnswered(exchange->options.paths, RsClock_NowMs());
+    }
     read_idle_timeout(exchange, head);
     exchange->events->head(exchange->arg, head);
 }
@@ -117,6 +158,30 @@
     free_exchange(exchange);
 }
 
+static void connect_to(struct rs_exchange *exchange);
+
+/* Handles a connection that could not be opened: tries again through another
+ * node, or reports that the request was not sent. */
+static void
+on_connect_failed(struct rs_exchange *exchange, enum rs_path_result result)
+{
+    uint32_t peer;
+    record_connect(exchange, result);
+    exchange->connection = NULL;
+    bool may_try =
+        result == RsPath_PEER_FAILED ||
+        (exchange->peer == 0 &&
+         (exchange->options.only_target || exchange->options.paths->isolated));
+    if (may_try && exchange->tunnel_tries < MAX_TUNNEL_TRIES &&
+        RsPaths_Choose(exchange->options.paths, exchange->target,
+                       RsClock_NowMs(), &peer) == RsPath_PEER) {
+        connect_to(exchange);
+        return;
+    }
+    finish(exchange, RsExchange_NOT_SENT);
+    free_exchange(exchange);
+}
+
 static void
 on_closed(void *arg, int error)
 {
@@ -124,6 +189,13 @@
     if (exchange->events == NULL) {
         g_queue_remove(&exchange->target->idle, exchange);
     }
+    if (exchange->events != NULL && !exchange->sent) {
+        bool peer_failed =
+            exchange->peer != 0 && error != RsHttp_TUNNEL_FAILED;
+        on_connect_failed(exchange, peer_failed ? RsPath_PEER_FAILED
+                                                : RsPath_TARGET_FAILED);
+        return;
+    }
     finish(exchange, exchange->sent ? RsExchange_BROKEN : RsExchange_NOT_SENT);
     free_exchange(exchange);
 }
@@ -136,8 +208,8 @@
     .closed = on_closed,
 };
 
-/* Reports that the request was not sent: no connection could be opened in
- * time, there were too many, or sending on a reused connection failed. */
+/* The connection was not opened in time, none may be opened, or sending on a
+ * reused connection failed. */
 static void
 on_timeout(uv_timer_t *timer)
 {
@@ -145,6 +217,12 @@
     if (exchange->connection != NULL) {
         RsHttp_Close(exchange->connection);
     }
+    if (exchange->connecting) {
+        on_connect_failed(exchange, exchange->peer != 0
+                                        ? RsPath_PEER_FAILED
+                                        : RsPath_TARGET_FAILED);
+        return;
+    }
     finish(exchange, RsExchange_NOT_SENT);
     free_exchange(exchange);
 }
@@ -166,13 +244,14 @@
     return NULL;
 }
 
-/* Opens a connection to the target, unless that would exceed
- * `max_connections`. Failures are reported later. */
+/* Opens a connection to the target, directly or through another node, unless
+ * there is no way or that would exceed the maximum number of connections.
+ * Failures are reported later. */
 static void
-connect_to(struct rs_exchange *exchange,
-           const struct rs_exchange_options *options)
+connect_to(struct rs_exchange *exchange)
 {
-    const struct rs_http_options http = {
+    const struct rs_exchange_options *options = &exchange->options;
+    struct rs_http_options http = {
         .loop = options->loop,
         .address = exchange->target->report.address,
         .events = &events,
@@ -180,9 +259,28 @@
         .reset_on_close = true,
     };
     uint32_t timeout_ms = 0;
-    if (exchange->target->connections <= options->max_connections) {
+    uint32_t peer = 0;
+    enum rs_path path = RsPaths_Choose(options->paths, exchange->target,
+                                       RsClock_NowMs(), &peer);
+    exchange->peer = 0;
+    exchange->connecting = false;
+    if (path == RsPath_PEER) {
+        exchange->peer = peer;
+        exchange->tunnel_tries++;
+        http.via = (struct sockaddr_in){
+            .sin_family = AF_INET,
+            .sin_port = htons((uint16_t)options->tunnel_port),
+            .sin_addr.s_addr = peer,
+        };
+    }
+    if (path != RsPath_NONE &&
+        exchange->target->connections <= options->max_connections) {
         exchange->connection = RsHttp_Open(&http);
-        timeout_ms = exchange->connection != NULL ? CONNECT_TIMEOUT_MS : 0;
+        exchange->connecting = exchange->connection != NULL;
+    }
+    if (exchange->connecting) {
+        timeout_ms =
+            exchange->peer != 0 ? TUNNEL_TIMEOUT_MS : CONNECT_TIMEOUT_MS;
     }
     uv_timer_start(&exchange->timer, on_timeout, timeout_ms, 0);
 }
@@ -208,12 +306,14 @@
     exchange->arg = options->arg;
     exchange->sent = false;
     if (!reused) {
-        connect_to(exchange, options);
+        exchange->options = *options;
+        connect_to(exchange);
         return exchange;
     }
     exchange->sent = true;
-    if (RsHttp_Send(exchange->connection, &exchange->request) != 0) {
+    if (send_request(exchange) != 0) {
         exchange->sent = false;
+        exchange->connecting = false;
         uv_timer_start(&exchange->timer, on_timeout, 0, 0);
     }
     return exchange;
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -8,6 +8,7 @@
 
 #include "http/connection.h"
 #include "router/fleet.h"
+#include "router/paths.h"
 
 enum rs_exchange_error {
     /* The request was not sent: no connection could be opened in time, there
@@ -29,6 +30,11 @@
 
 struct rs_exchange_options {
     uv_loop_t *loop;
+    struct rs_paths *paths;
+    uint32_t tunnel_port; /* of the other nodes */
+    /* After a direct connection has failed, a tunnel is tried, also if the
+     * node is not isolated: no other target can take the request. */
+    bool only_target;
     struct rs_fleet_target *target;
     uint32_t max_connections; /* from this node to the target */
     /* What the request points to must stay valid until the request was sent.
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -189,6 +189,8 @@
     target->full_until_ms = 0;
     target->closed_until_ms = 0;
     target->limit = (struct rs_limit){0};
+    target->through_peers_until_ms = 0;
+    target->direct_until_ms = 0;
     target->said_leaving_at_ms = 0;
     target->order_failing_since_ms = 0;
     target->cold_until_ms = 0;
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -54,6 +54,10 @@
     uint32_t failures;              /* of requests, consecutive */
     int64_t avoid_until_ms;
     int64_t next_cold_send_at_ms;
+    /* See router/paths.c: until when it is connected to through other nodes,
+     * and until when it is not because they have failed, too. */
+    int64_t through_peers_until_ms;
+    int64_t direct_until_ms;
     GQueue idle;          /* idle connections, see router/exchange.c */
     uint32_t connections; /* open or being opened by this node */
 };
--- a/router/metrics.c
+++ b/router/metrics.c
@@ -51,6 +51,15 @@
     print_counter(text, "rattanshed_limits_malformed_total",
                   "Such limits that could not be used.",
                   &notices->malformed_limits);
+    print_counter(text, "rattanshed_tunnels_total",
+                  "Tunnels to targets opened for other nodes.",
+                  &sources->tunnels->opened);
+    print_counter(text, "rattanshed_tunnels_refused_total",
+                  "Tunnels that other nodes did not get.",
+                  &sources->tunnels->refused);
+    print_counter(text, "rattanshed_tunnels_failed_total",
+                  "Tunnels whose target could not be reached.",
+                  &sources->tunnels->failed);
     RsHistogram_AppendText(text, "rattanshed_request_us", "",
                            "From a request's arrival to its end.",
                            &router->latency_us);
@@ -107,14 +116,16 @@
     GHashTableIter iter;
     gpointer value;
     const char *comma = "";
-    RsText_Append(text,
-                  "{\"config_version\":%" PRIu32 ",\"nodes\":%" PRIu32
-                  ",\"granter\":\"%s\",\"authority_left_ms\":%" PRId64
-                  ",\"active\":%u,\"waiting\":%u,\"targets\":[",
-                  router->config != NULL ? router->config->version : 0,
-                  router->share.nodes, sources->granter->holder.node,
-                  sources->granter->authority_until_ms - now_ms,
-                  router->active.length, router->waiting.length);
+    RsText_Append(
+        text,
+        "{\"config_version\":%" PRIu32 ",\"nodes\":%" PRIu32
+        ",\"isolated\":%s,\"granter\":\"%s\",\"authority_left_ms\":%" PRId64
+        ",\"active\":%u,\"waiting\":%u,\"targets\":[",
+        router->config != NULL ? router->config->version : 0,
+        router->share.nodes, router->paths.isolated ? "true" : "false",
+        sources->granter->holder.node,
+        sources->granter->authority_until_ms - now_ms, router->active.length,
+        router->waiting.length);
     print_targets(text, router, now_ms);
     RsText_Append(text, "],\"keys\":[");
     g_hash_table_iter_init(&iter, router->keymaps);
--- a/router/metrics.h
+++ b/router/metrics.h
@@ -7,12 +7,14 @@
 #include "router/granter.h"
 #include "router/orders.h"
 #include "router/router.h"
+#include "router/tunnel.h"
 
 struct rs_metrics_sources {
     const struct rs_router *router;
     const struct rs_store_counters *store_counters;
     const struct rs_orders *orders;
     const struct rs_granter *granter;
+    const struct rs_tunnel_counters *tunnels;
 };
 
 void RsMetrics_Print(struct rs_text_buffer *text,
--- a/router/node.c
+++ b/router/node.c
@@ -15,6 +15,7 @@
 #include "router/metrics.h"
 #include "router/orders.h"
 #include "router/owners.h"
+#include "router/probe.h"
 #include "router/reports.h"
 #include "router/router.h"
 #include "router/stream.h"
@@ -97,6 +98,7 @@
     struct rs_server *callers;
     struct rs_server *readiness;
     struct rs_server *admin;
+    struct rs_tunnel_server *tunnels;
     uv_timer_t tick;
     uv_signal_t terminate;
     uv_signal_t hangup;
@@ -109,6 +111,7 @@
     int64_t next_report_at_ms;
     bool reading_lease;
     bool upstream_was_current; /* at the last tick */
+    bool was_isolated;         /* at the last tick */
     bool targets_known;        /* the target table was read completely once */
     int64_t targets_known_at_ms;
 };
@@ -138,6 +141,7 @@
         .store_counters = RsStore_Counters(node->store),
         .orders = &node->orders,
         .granter = &node->granter,
+        .tunnels = RsTunnel_Counters(node->tunnels),
     };
     char *path = RsServer_Path(http);
     bool state = strcmp(path, "/state") == 0;
@@ -592,6 +596,7 @@
              holder->incarnation != node->incarnation &&
              uv_ip4_addr(holder->peer_host, (int)holder->peer_port,
                          &address) == 0) {
+        RsPaths_AddPeer(&node->router.paths, address.sin_addr.s_addr);
         RsReports_Send(node->reports, &address, now_ms);
     }
 }
@@ -630,6 +635,7 @@
 {
     struct node *node = arg;
     RsFinder_AddPeer(node->finder, address);
+    RsPaths_AddPeer(&node->router.paths, address);
 }
 
 /* Returns whether this node receives current data from the granter, or is the
@@ -685,12 +691,46 @@
     }
 }
 
+/* Forgets the failures of all targets: this node had lost its links. Idle
+ * connections are closed if they are likely to be dead. */
+static void
+forgive_targets(struct node *node, int64_t now_ms)
+{
+    const GPtrArray *list = node->router.fleet.list;
+    for (guint i = 0; i < list->len; i++) {
+        struct rs_fleet_target *target = g_ptr_array_index(list, i);
+        target->failures = 0;
+        target->avoid_until_ms = 0;
+        target->order_failing_since_ms = 0;
+        if (RsPaths_IsSilent(&node->router.paths, now_ms)) {
+            RsExchange_CloseIdle(target);
+        }
+    }
+}
+
+/* Notices when this node loses its links to the targets, and probes them when
+ * they may be lost or back. */
+static void
+check_links(struct node *node, int64_t now_ms)
+{
+    struct rs_router *router = &node->router;
+    if (router->paths.isolated && !node->was_isolated) {
+        forgive_targets(node, now_ms);
+        RsRequest_RetryWaiting(router, now_ms);
+    }
+    node->was_isolated = router->paths.isolated;
+    if (RsPaths_TakeProbe(&router->paths, now_ms)) {
+        RsProbe_Start(router);
+    }
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
     struct node *node = timer->data;
     int64_t now_ms = RsClock_NowMs();
     node->ticks++;
+    check_links(node, now_ms);
     RsRequest_Tick(&node->router, now_ms);
     if (node->ticks % CALLER_CHECK_EVERY_TICKS == 0) {
         RsRequest_EndAbandoned(&node->router);
@@ -898,6 +938,10 @@
     if (node->reports == NULL) {
         return RsNode_NO_PEER_PORT;
     }
+    node->tunnels = RsTunnel_Open(&node->router);
+    if (node->tunnels == NULL) {
+        return RsNode_NO_PEER_PORT;
+    }
     open_granter(node);
     status = open_store(node);
     if (status == 0) {
--- a/router/orders.c
+++ b/router/orders.c
@@ -181,6 +181,9 @@
     };
     const struct rs_exchange_options options = {
         .loop = call->orders->router->loop,
+        .paths = &call->orders->router->paths,
+        .tunnel_port = RsRouter_TunnelPort(call->orders->router),
+        .only_target = true,
         .target = call->target,
         .max_connections = MAX_CONNECTIONS,
         .request = &call->message,
--- a/router/orders_test.c
+++ b/router/orders_test.c
@@ -12,6 +12,7 @@
     uv_loop_t loop;
     uv_tcp_t listener;
     uv_timer_t stop;
+    struct rs_node_settings settings;
     struct rs_router router;
     struct rs_granter granter;
     struct rs_orders orders;
@@ -62,7 +63,9 @@
     uv_tcp_bind(&fixture->listener, (struct sockaddr *)&address, 0);
     uv_listen((uv_stream_t *)&fixture->listener, 8, on_connection);
     uv_tcp_getsockname(&fixture->listener, (struct sockaddr *)&address, &size);
-    fixture->router.loop = &fixture->loop;
+    fixture->settings.node.address = (char *)"127.0.0.1";
+    fixture->settings.node.zone = (char *)"z";
+    RsRouter_Init(&fixture->router, &fixture->loop, &fixture->settings);
     RsFleet_Init(&fixture->router.fleet, RsFixture_FleetEvents(), NULL);
     const struct rs_fixture_report report = {
         .id = "a",
--- /dev/null
+++ b/router/probe.c
@@ -0,0 +1,108 @@
+#include "router/probe.h"
+
+#include "core/clock.h"
+#include "http/connection.h"
+
+#define CONNECT_TIMEOUT_MS 250
+
+/* A connection that is closed as soon as it is open. */
+struct probe {
+    uv_timer_t timer;
+    struct rs_router *router;
+    struct rs_fleet_target *target;
+    struct rs_http_connection *connection;
+};
+
+static void
+on_freed(uv_handle_t *handle)
+{
+    g_free(handle->data);
+}
+
+static void
+finish(struct probe *probe, bool connected)
+{
+    struct rs_paths *paths = &probe->router->paths;
+    int64_t now_ms = RsClock_NowMs();
+    if (connected) {
+        RsPaths_RecordConnected(paths, probe->target, now_ms);
+    }
+    else {
+        RsPaths_RecordConnectFailed(paths, probe->target, now_ms);
+    }
+    uv_close((uv_handle_t *)&probe->timer, on_freed);
+}
+
+static void
+on_connected(void *arg)
+{
+    struct probe *probe = arg;
+    RsHttp_Close(probe->connection);
+    finish(probe, true);
+}
+
+static void
+on_closed(void *arg, int error)
+{
+    finish(arg, false);
+}
+
+static void
+on_timeout(uv_timer_t *timer)
+{
+    struct probe *probe = timer->data;
+    if (probe->connection != NULL) {
+        RsHttp_Close(probe->connection);
+    }
+    finish(probe, false);
+}
+
+/* No request is sent, so that there are no responses. */
+static const struct rs_http_events events = {
+    .connected = on_connected,
+    .closed = on_closed,
+};
+
+/* Returns a random listed target, or NULL if there is none. */
+static struct rs_fleet_target *
+choose_target(struct rs_router *router)
+{
+    const GPtrArray *list = router->fleet.list;
+    guint first = list->len > 0 ? (guint)g_rand_int_range(router->random, 0,
+                                                          (gint32)list->len)
+                                : 0;
+    for (guint i = 0; i < list->len; i++) {
+        struct rs_fleet_target *target =
+            g_ptr_array_index(list, (first + i) % list->len);
+        if (target->listed && !target->replaced) {
+            return target;
+        }
+    }
+    return NULL;
+}
+
+/* Connects to a random target, and records in the router's paths whether that
+ * succeeds. */
+void
+RsProbe_Start(struct rs_router *router)
+{
+    struct rs_fleet_target *target = choose_target(router);
+    if (target == NULL) {
+        return;
+    }
+    struct probe *probe = g_new0(struct probe, 1);
+    const struct rs_http_options http = {
+        .loop = router->loop,
+        .address = target->report.address,
+        .events = &events,
+        .arg = probe,
+        .reset_on_close = true,
+    };
+    probe->router = router;
+    probe->target = target;
+    uv_timer_init(router->loop, &probe->timer);
+    probe->timer.data = probe;
+    probe->connection = RsHttp_Open(&http);
+    uv_timer_start(&probe->timer, on_timeout,
+                   probe->connection != NULL ? CONNECT_TIMEOUT_MS : 0, 0);
+}
--- a/router/reports.c
+++ b/router/reports.c
@@ -346,6 +346,9 @@
     node->reported_at_ms = now_ms;
     node->address = address;
     node->strength = report->strength;
+    if (address != 0) {
+        reports->on_peer(reports->arg, address);
+    }
     node->zone = g_intern_string(report->zone);
     remove_load(reports, node);
     for (size_t i = 0; i < report->n_targets; i++) {
--- a/router/router.c
+++ b/router/router.c
@@ -36,6 +36,11 @@
         .share = {.nodes = RsRouter_ASSUMED_NODES},
         .random = g_rand_new(),
     };
+    router->paths = (struct rs_paths){
+        .fleet = &router->fleet,
+        .own_address = inet_addr(settings->node.address),
+        .random = router->random,
+    };
     router->keymaps = g_hash_table_new_full(g_direct_hash, g_direct_equal,
                                             NULL, free_keymap);
     router->services =
@@ -46,6 +51,13 @@
     g_queue_init(&router->waiting);
 }
 
+/* Returns the port on which each node opens tunnels, see router/tunnel.h. */
+uint32_t
+RsRouter_TunnelPort(const struct rs_router *router)
+{
+    return router->settings->listen.peer_port + 1;
+}
+
 /* Returns the state of a service, creating it with the configured retry budget
  * when needed. `name` must be interned; the router owns the result. */
 struct rs_router_service *
--- a/router/router.h
+++ b/router/router.h
@@ -16,6 +16,7 @@
 #include "router/keymap.h"
 #include "router/load.h"
 #include "router/notices.h"
+#include "router/paths.h"
 #include "router/shutdown.h"
 #include "settings/node.h"
 
@@ -69,6 +70,7 @@
     /* Unfinished requests that wait for target capacity or for a handover of
      * their key, ordered by arrival time plus latency target. */
     GQueue waiting;
+    struct rs_paths paths;
     struct rs_shutdown shutdown;
     struct rs_notice_counters notices;
     bool has_news; /* the granter is to be sent a report at once */
@@ -77,6 +79,7 @@
 
 void RsRouter_Init(struct rs_router *router, uv_loop_t *loop,
                    const struct rs_node_settings *settings);
+uint32_t RsRouter_TunnelPort(const struct rs_router *router);
 struct rs_router_service *RsRouter_GetOrCreateService(struct rs_router *router,
                                                       const char *service);
 struct rs_load_retry_budget *RsRouter_RetryBudget(struct rs_router *router,
--- /dev/null
+++ b/router/tunnel_test.c
@@ -0,0 +1,477 @@
+/* Tunnels on the loopback, between a client connection and a target that does
+ * what each test says. */
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "core/clock.h"
+#include "core/log.h"
+#include "http/connection.h"
+#include "router/fixture.h"
+#include "router/tunnel.h"
+
+#define PEER_PORT 27600
+#define TARGET_PORT 27620
+#define CLOSED_PORT 27621
+#define UNKNOWN_PORT 27622
+#define WAIT_MS 3000
+#define LARGE_BODY_BYTES (8 * 1024 * 1024)
+#define CHUNK_BYTES 65536
+#define MAX_HEAD_BYTES 512
+
+/* What the target does with a request. */
+enum behaviour {
+    Answers,
+    AnswersLarge,
+    ResetsInBody,
+    EndsWithoutLength,
+    Silent,
+};
+
+struct chunk {
+    uv_write_t write;
+    char data[CHUNK_BYTES];
+};
+
+static struct {
+    uv_loop_t loop;
+    uv_timer_t step;
+    struct rs_router router;
+    struct rs_node_settings settings;
+    struct rs_tunnel_server *server;
+    uv_tcp_t listener;
+    uv_tcp_t *target_side; /* the last accepted connection */
+    enum behaviour behaviour;
+    bool target_closed; /* that connection was closed from the other side */
+} world;
+
+/* What the client has seen. */
+static struct {
+    struct rs_http_connection *connection;
+    bool connected;
+    bool ended;
+    bool closed;
+    int error;
+    int status;
+    size_t body_bytes;
+    bool damaged; /* the body is not the one that was sent */
+} seen;
+
+static void
+on_freed(uv_handle_t *handle)
+{
+    g_free(handle);
+}
+
+static void
+on_written(uv_write_t *write, int status)
+{
+    g_free(write->data);
+}
+
+static char
+body_byte(size_t position)
+{
+    return (char)('a' + position % 23);
+}
+
+static void
+write_bytes(uv_tcp_t *tcp, const char *data, size_t size)
+{
+    struct chunk *chunk = g_new(struct chunk, 1);
+    uv_buf_t buffer = uv_buf_init(chunk->data, (unsigned)size);
+    memcpy(chunk->data, data, size);
+    chunk->write.data = chunk;
+    uv_write(&chunk->write, (uv_stream_t *)tcp, &buffer, 1, on_written);
+}
+
+static void
+write_large_body(uv_tcp_t *tcp)
+{
+    char data[CHUNK_BYTES];
+    for (size_t sent = 0; sent < LARGE_BODY_BYTES; sent += CHUNK_BYTES) {
+        for (size_t i = 0; i < CHUNK_BYTES; i++) {
+            data[i] = body_byte(sent + i);
+        }
+        write_bytes(tcp, data, CHUNK_BYTES);
+    }
+}
+
+/* Answers a request as the test says. */
+static void
+answer(uv_tcp_t *tcp)
+{
+    char head[MAX_HEAD_BYTES];
+    switch (world.behaviour) {
+    case Answers:
+        snprintf(head, sizeof(head),
+                 "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc");
+        write_bytes(tcp, head, strlen(head));
+        break;
+    case AnswersLarge:
+        snprintf(head, sizeof(head),
+                 "HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n",
+                 LARGE_BODY_BYTES);
+        write_bytes(tcp, head, strlen(head));
+        write_large_body(tcp);
+        break;
+    case ResetsInBody:
+    case EndsWithoutLength:
+        snprintf(head, sizeof(head), "HTTP/1.1 200 OK\r\n\r\nab");
+        write_bytes(tcp, head, strlen(head));
+        break;
+    case Silent:
+        break;
+    }
+}
+
+/* Ends the target's connection, by a reset or not. */
+static void
+close_target_side(bool reset)
+{
+    uv_tcp_t *tcp = world.target_side;
+    world.target_side = NULL;
+    if (reset) {
+        uv_tcp_close_reset(tcp, on_freed);
+    }
+    else {
+        uv_close((uv_handle_t *)tcp, on_freed);
+    }
+}
+
+static void
+provide_buffer(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    static char bytes[CHUNK_BYTES];
+    *buffer = uv_buf_init(bytes, sizeof(bytes));
+}
+
+static void
+on_target_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
+{
+    if (size > 0) {
+        answer((uv_tcp_t *)stream);
+    }
+    else if (size < 0) {
+        world.target_closed = true;
+        uv_read_stop(stream);
+    }
+}
+
+static void
+on_target_connection(uv_stream_t *listener, int status)
+{
+    uv_tcp_t *tcp = g_new0(uv_tcp_t, 1);
+    uv_tcp_init(&world.loop, tcp);
+    CU_ASSERT_EQUAL(uv_accept(listener, (uv_stream_t *)tcp), 0);
+    world.target_side = tcp;
+    world.target_closed = false;
+    uv_read_start((uv_stream_t *)tcp, provide_buffer, on_target_read);
+}
+
+static void
+on_connected(void *arg)
+{
+    const struct rs_http_request request = {.method = "GET", .path = "/"};
+    seen.connected = true;
+    RsHttp_Send(seen.connection, &request);
+}
+
+static void
+on_head(void *arg, const struct rs_http_head *head)
+{
+    seen.status = head->status;
+}
+
+static void
+on_body(void *arg, const char *data, size_t size)
+{
+    for (size_t i = 0; i < size; i++) {
+        seen.damaged |= data[i] != body_byte(seen.body_bytes + i);
+    }
+    seen.body_bytes += size;
+}
+
+static void
+on_end(void *arg, bool keep_alive)
+{
+    seen.ended = true;
+}
+
+static void
+on_closed(void *arg, int error)
+{
+    seen.closed = true;
+    seen.error = error;
+    seen.connection = NULL;
+}
+
+static const struct rs_http_events events = {
+    .connected = on_connected,
+    .head = on_head,
+    .body = on_body,
+    .end = on_end,
+    .closed = on_closed,
+};
+
+static void
+on_step(uv_timer_t *timer)
+{
+}
+
+static bool
+await(const bool *condition)
+{
+    int64_t give_up_at_ms = RsClock_NowMs() + WAIT_MS;
+    while (!*condition && RsClock_NowMs() < give_up_at_ms) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    return *condition;
+}
+
+static void
+run_for(int64_t span_ms)
+{
+    int64_t end_at_ms = RsClock_NowMs() + span_ms;
+    while (RsClock_NowMs() < end_at_ms) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+}
+
+static void
+report_target(const char *id, uint16_t port)
+{
+    const struct rs_fixture_report report = {
+        .id = id,
+        .service = "s",
+        .zone = "z",
+        .port = port,
+        .started_wall_ms = 1,
+        .sequence = 1,
+    };
+    RsFixture_Report(&world.router.fleet, &report, RsClock_NowMs());
+}
+
+static int
+open_world(void)
+{
+    struct sockaddr_in address;
+    uv_loop_init(&world.loop);
+    uv_timer_init(&world.loop, &world.step);
+    uv_timer_start(&world.step, on_step, 5, 5);
+    world.settings.node.address = (char *)"127.0.0.1";
+    world.settings.node.zone = (char *)"z";
+    world.settings.listen.peer_port = PEER_PORT;
+    RsRouter_Init(&world.router, &world.loop, &world.settings);
+    RsFleet_Init(&world.router.fleet, RsFixture_FleetEvents(), NULL);
+    report_target("t0", TARGET_PORT);
+    report_target("t1", CLOSED_PORT);
+    world.server = RsTunnel_Open(&world.router);
+    uv_ip4_addr("127.0.0.1", TARGET_PORT, &address);
+    uv_tcp_init(&world.loop, &world.listener);
+    bool listens = uv_tcp_bind(&world.listener,
+                               (const struct sockaddr *)&address, 0) == 0 &&
+                   uv_listen((uv_stream_t *)&world.listener, 16,
+                             on_target_connection) == 0;
+    return world.server != NULL && listens ? 0 : -1;
+}
+
+/* Opens a connection to a port through the tunnel server, and sends a request
+ * when it is open. */
+static void
+start_request(uint16_t port, enum behaviour behaviour)
+{
+    struct rs_http_options options = {
+        .loop = &world.loop, .events = &events, .reset_on_close = true};
+    memset(&seen, 0, sizeof(seen));
+    world.behaviour = behaviour;
+    uv_ip4_addr("127.0.0.1", port, &options.address);
+    uv_ip4_addr("127.0.0.1", PEER_PORT + 1, &options.via);
+    seen.connection = RsHttp_Open(&options);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(seen.connection);
+}
+
+static void
+end_request(void)
+{
+    if (seen.connection != NULL) {
+        RsHttp_Close(seen.connection);
+    }
+    run_for(50);
+    if (world.target_side != NULL) {
+        close_target_side(false);
+    }
+    run_for(20);
+}
+
+static void
+test_request_passes_through_a_tunnel(void)
+{
+    start_request(TARGET_PORT, Answers);
+    CU_ASSERT_TRUE(await(&seen.ended));
+    CU_ASSERT_EQUAL(seen.status, 200);
+    CU_ASSERT_EQUAL(seen.body_bytes, 3);
+    CU_ASSERT_FALSE(seen.damaged);
+    end_request();
+}
+
+static void
+test_slow_reader_gets_a_large_body_whole(void)
+{
+    start_request(TARGET_PORT, AnswersLarge);
+    CU_ASSERT_TRUE(await(&seen.connected));
+    run_for(20);
+    RsHttp_Pause(seen.connection);
+    run_for(200);
+    CU_ASSERT_FALSE(seen.ended);
+    RsHttp_Resume(seen.connection);
+    CU_ASSERT_TRUE(await(&seen.ended));
+    CU_ASSERT_EQUAL(seen.body_bytes, LARGE_BODY_BYTES);
+    CU_ASSERT_FALSE(seen.damaged);
+    end_request();
+}
+
+static void
+test_answer_that_ends_with_its_connection_is_whole(void)
+{
+    start_request(TARGET_PORT, EndsWithoutLength);
+    CU_ASSERT_TRUE(await(&seen.connected));
+    run_for(50);
+    close_target_side(false);
+    CU_ASSERT_TRUE(await(&seen.ended));
+    CU_ASSERT_EQUAL(seen.body_bytes, 2);
+    end_request();
+}
+
+/* A response that the target breaks off must not look complete. */
+static void
+test_reset_of_the_target_is_passed_on(void)
+{
+    start_request(TARGET_PORT, ResetsInBody);
+    CU_ASSERT_TRUE(await(&seen.connected));
+    run_for(50);
+    close_target_side(true);
+    CU_ASSERT_TRUE(await(&seen.closed));
+    CU_ASSERT_FALSE(seen.ended);
+    CU_ASSERT_EQUAL(seen.error, RsHttp_RESET);
+    end_request();
+}
+
+/* The target must be able to stop its work. */
+static void
+test_close_of_the_client_is_passed_on(void)
+{
+    start_request(TARGET_PORT, Silent);
+    CU_ASSERT_TRUE(await(&seen.connected));
+    run_for(50);
+    CU_ASSERT_FALSE(world.target_closed);
+    RsHttp_Close(seen.connection);
+    seen.connection = NULL;
+    CU_ASSERT_TRUE(await(&world.target_closed));
+    end_request();
+}
+
+static void
+check_not_opened(uint16_t port, int error)
+{
+    start_request(port, Answers);
+    CU_ASSERT_TRUE(await(&seen.closed));
+    CU_ASSERT_FALSE(seen.connected);
+    CU_ASSERT_EQUAL(seen.error, error);
+    end_request();
+}
+
+static void
+test_only_known_targets_are_reached(void)
+{
+    check_not_opened(UNKNOWN_PORT, RsHttp_TUNNEL_REFUSED);
+}
+
+static void
+test_target_that_can_not_be_reached(void)
+{
+    check_not_opened(CLOSED_PORT, RsHttp_TUNNEL_FAILED);
+}
+
+static void
+test_isolated_node_opens_no_tunnels(void)
+{
+    world.router.paths.isolated = true;
+    check_not_opened(TARGET_PORT, RsHttp_TUNNEL_REFUSED);
+    world.router.paths.isolated = false;
+}
+
+static void
+on_raw_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
+{
+    if (size < 0) {
+        *(bool *)stream->data = true;
+    }
+}
+
+static void
+on_raw_connect(uv_connect_t *connect, int status)
+{
+    uv_read_start(connect->handle, provide_buffer, on_raw_read);
+}
+
+/* Sends bytes to the tunnel port and checks that the connection is closed. */
+static void
+check_closed_after(const char *data, size_t size)
+{
+    struct sockaddr_in address;
+    uv_connect_t connect;
+    bool closed = false;
+    uv_tcp_t *tcp = g_new0(uv_tcp_t, 1);
+    uv_ip4_addr("127.0.0.1", PEER_PORT + 1, &address);
+    uv_tcp_init(&world.loop, tcp);
+    tcp->data = &closed;
+    uv_tcp_connect(&connect, tcp, (const struct sockaddr *)&address,
+                   on_raw_connect);
+    write_bytes(tcp, data, size);
+    CU_ASSERT_TRUE(await(&closed));
+    uv_close((uv_handle_t *)tcp, on_freed);
+    run_for(20);
+}
+
+static void
+test_bad_heads_are_closed(void)
+{
+    static const char *const heads[] = {
+        "GET / HTTP/1.1\r\n\r\n", "CONNECT \r\n\r\n",
+        "CONNECT 127.0.0.1:27620 HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+        "CONNECT 127.0.0.1:27620", /* and nothing more */
+    };
+    char endless[1024];
+    for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+        check_closed_after(heads[i], strlen(heads[i]));
+    }
+    memset(endless, 'x', sizeof(endless));
+    check_closed_after(endless, sizeof(endless));
+}
+
+int
+main(void)
+{
+    RsLog_Open("test", RsLog_ERROR);
+    if (open_world() != 0) {
+        printf("ports in use\n");
+        return 1;
+    }
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("tunnel", NULL, NULL);
+    CU_ADD_TEST(suite, test_request_passes_through_a_tunnel);
+    CU_ADD_TEST(suite, test_slow_reader_gets_a_large_body_whole);
+    CU_ADD_TEST(suite, test_answer_that_ends_with_its_connection_is_whole);
+    CU_ADD_TEST(suite, test_reset_of_the_target_is_passed_on);
+    CU_ADD_TEST(suite, test_close_of_the_client_is_passed_on);
+    CU_ADD_TEST(suite, test_only_known_targets_are_reached);
+    CU_ADD_TEST(suite, test_target_that_can_not_be_reached);
+    CU_ADD_TEST(suite, test_isolated_node_opens_no_tunnels);
+    CU_ADD_TEST(suite, test_bad_heads_are_closed);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? 0 : 1;
+}
--- a/settings/node.h
+++ b/settings/node.h
@@ -27,7 +27,7 @@
     char *callers;
     char *readiness;
     uint32_t peer_port; /* for messages between nodes, over UDP and TCP; the
-                           next port is used as well, over UDP */
+                           next port is used as well */
     uint32_t admin_port;
 };
 
