Check that a tunnel holds back what its client does not read

A tunnel that never stopped reading passed tunnel_test: 8 MB fit into what was checked. With 64 MB the target's queue shows it; the break is caught now.

--- a/router/tunnel_test.c
+++ b/router/tunnel_test.c
@@ -16,7 +16,8 @@
 #define CLOSED_PORT 27621
 #define UNKNOWN_PORT 27622
 #define WAIT_MS 3000
-#define LARGE_BODY_BYTES (8 * 1024 * 1024)
+/* More than the sockets on the way can buffer. */
+#define LARGE_BODY_BYTES (64 * 1024 * 1024)
 #define CHUNK_BYTES 65536
 #define MAX_HEAD_BYTES 512
 
@@ -325,6 +326,10 @@
     RsHttp_Pause(seen.connection);
     run_for(200);
     CU_ASSERT_FALSE(seen.ended);
+    /* The tunnel holds back what the client doesn't read. */
+    CU_ASSERT_TRUE(
+        uv_stream_get_write_queue_size((uv_stream_t *)world.target_side) >
+        LARGE_BODY_BYTES / 2);
     RsHttp_Resume(seen.connection);
     CU_ASSERT_TRUE(await(&seen.ended));
     CU_ASSERT_EQUAL(seen.body_bytes, LARGE_BODY_BYTES);
