--- a/soak/main.c
+++ b/soak/main.c
@@ -14,6 +14,7 @@
 #include "core/log.h"
 #include "soak/caller.h"
 #include "soak/check.h"
+#include "soak/link_cut.h"
 #include "soak/setup.h"
 #include "soak/store.h"
 #include "soak/target.h"
@@ -38,6 +39,13 @@
 #define DRAIN_MS 3000
 #define REFUSAL_RETRY_AFTER "0.7" /* seconds */
 #define POST_TIMEOUT_MS 2000
+#define LIMIT_MS 8000
+/* A limited target may get LIMIT_FACTOR times its limit within
+ * LIMIT_WINDOW_MS, and LIMIT_SLACK more, from when all nodes were told. */
+#define LIMIT_TOLD_MS 1500
+#define LIMIT_WINDOW_MS 4000
+#define LIMIT_FACTOR 1.5
+#define LIMIT_SLACK 5
 /* Offsets from the first port of the soak; see also soak/setup.h. */
 #define STORE_PORT_OFFSET 10
 #define STORE_PROXY_PORT_OFFSET 20 /* proxy to the store, one per node */
@@ -53,6 +61,7 @@
     struct rs_process process;
     struct rs_soak_node_setup setup;
     struct rs_link_proxy *store_proxy;
+    struct rs_soak_link_cut link_cut;
     uv_timer_t recovery_timer; /* ends a fault or restarts the node */
     bool paused;               /* with SIGSTOP */
     bool exit_expected;        /* a signal to end was sent */
@@ -62,6 +71,8 @@
     struct soak *soak;
     struct rs_soak_target *target;
     uv_timer_t recovery_timer;
+    double limit_per_s; /* 0: it states none */
+    int64_t limited_since_ms;
 };
 
 struct soak {
@@ -89,6 +100,11 @@
     enum rs_soak_violation injected_violation;
     bool crash_node; /* abort node 0 when the fault phase starts */
     bool restores;   /* the store may go back to a copy */
+    bool links;      /* nodes may lose their links to all targets */
+    bool limits;     /* targets may state request limits */
+    /* Until then, no faults are injected into nodes, as their restarts and
+     * pauses would excuse too many requests at a limited target. */
+    int64_t nodes_spared_until_ms;
     uint64_t fault_count;
 };
 
@@ -147,6 +163,7 @@
     RsLinkProxy_SetCut(node->store_proxy, false);
     RsLinkProxy_SetOneWayCut(node->store_proxy, false);
     RsLinkProxy_SetDelay(node->store_proxy, 0);
+    RsSoakLinkCut_Heal(&node->link_cut);
     if (node->process.pid == 0) {
         char *path = g_strdup_printf("%s/n%u.yaml", node->soak->folder,
                                      (unsigned)(node - node->soak->nodes));
@@ -237,7 +254,13 @@
     uint32_t number = (uint32_t)(node - soak->nodes);
     uint64_t duration_ms = random_duration_ms(soak);
     if (uv_is_active((uv_handle_t *)&node->recovery_timer) ||
-        node->exit_expected) {
+        node->exit_expected || RsClock_NowMs() < soak->nodes_spared_until_ms) {
+        return;
+    }
+    if (soak->links && random_below(soak, 3) == 0) {
+        RsSoakLinkCut_Cut(&node->link_cut, random_below(soak, 2) == 0);
+        log_fault(soak, "node cut off from all targets", number, duration_ms);
+        uv_timer_start(&node->recovery_timer, recover_node, duration_ms, 0);
         return;
     }
     switch (random_below(soak, 7)) {
@@ -271,6 +294,62 @@
     uv_timer_start(&node->recovery_timer, recover_node, duration_ms, 0);
 }
 
+static bool
+any_node_has_fault(const struct soak *soak)
+{
+    bool any = false;
+    for (uint32_t i = 0; i < soak->node_count; i++) {
+        const struct node *node = &soak->nodes[i];
+        any |= node->exit_expected || node->process.pid == 0 ||
+               uv_is_active((const uv_handle_t *)&node->recovery_timer);
+    }
+    return any;
+}
+
+/* Reports a violation (LIMIT) if the target got more requests than its limit
+ * allows, and ends the limit. */
+static void
+end_limit(uv_timer_t *timer)
+{
+    struct target_slot *slot = timer->data;
+    struct soak *soak = slot->soak;
+    uint32_t most = RsSoakTarget_MostRequestsWithin(
+        slot->target, slot->limited_since_ms + LIMIT_TOLD_MS, LIMIT_WINDOW_MS);
+    double allowed =
+        LIMIT_FACTOR * slot->limit_per_s * LIMIT_WINDOW_MS / 1000 +
+        LIMIT_SLACK;
+    if (most > allowed) {
+        RsCheck_ReportViolation(
+            &soak->check, "LIMIT", RsClock_NowMs(),
+            "target %u with a limit of %.1f a second got %u requests in 4 s, "
+            "allowed %.0f",
+            (unsigned)(slot - soak->targets), slot->limit_per_s, most,
+            allowed);
+    }
+    slot->limit_per_s = 0;
+    RsSoakTarget_SetLimit(slot->target, "");
+}
+
+/* Makes a target state a limit, unless a node has a fault. */
+static void
+start_limit(struct target_slot *slot)
+{
+    static const double limits[] = {0.8, 2, 5};
+    struct soak *soak = slot->soak;
+    char text[G_ASCII_DTOSTR_BUF_SIZE];
+    if (any_node_has_fault(soak)) {
+        return;
+    }
+    slot->limit_per_s = limits[random_below(soak, G_N_ELEMENTS(limits))];
+    slot->limited_since_ms = RsClock_NowMs();
+    soak->nodes_spared_until_ms = slot->limited_since_ms + LIMIT_MS;
+    g_ascii_formatd(text, sizeof(text), "%.1f", slot->limit_per_s);
+    RsSoakTarget_SetLimit(slot->target, text);
+    log_fault(soak, "target limited", (uint32_t)(slot - soak->targets),
+              LIMIT_MS);
+    uv_timer_start(&slot->recovery_timer, end_limit, LIMIT_MS, 0);
+}
+
 /* Injects a random fault into a random target, unless the target has a fault.
  */
 static void
@@ -284,6 +363,10 @@
     if (uv_is_active((uv_handle_t *)&slot->recovery_timer)) {
         return;
     }
+    if (soak->limits && random_below(soak, 3) == 0) {
+        start_limit(slot);
+        return;
+    }
     switch (random_below(soak, soak->restores ? 10 : 9)) {
     case 0:
         RsSoakTarget_Crash(target);
@@ -558,8 +641,20 @@
         char name[16];
         char host[24];
         char *path = g_strdup_printf("%s/n%u.yaml", soak->folder, i);
-        const char *const arguments[] = {soak->program, "--serve", "-c", path,
-                                         NULL};
+        const uint32_t first_port = soak->base_port + TARGET_PORT_OFFSET;
+        const struct rs_soak_link_cut_options cut = {
+            .folder = soak->folder,
+            .library = RATTANSHED_CUT_LIBRARY,
+            .node = i,
+            .first_port = first_port,
+            .last_port = first_port + 2 * soak->target_count - 1,
+        };
+        RsSoakLinkCut_Init(&soak->nodes[i].link_cut, &cut);
+        char **variables = soak->nodes[i].link_cut.variables;
+        const char *const arguments[] = {
+            "/usr/bin/env", variables[0],  variables[1], variables[2],
+            variables[3],   soak->program, "--serve",    "-c",
+            path,           NULL};
         struct rs_link_route route = {
             .listen_port =
                 (uint16_t)(soak->base_port + STORE_PROXY_PORT_OFFSET + i),
@@ -695,11 +790,15 @@
                  "violation to inject: owner, twice, mixed or crash");
     struct arg_lit *restores =
         arg_lit0(NULL, "restores", "the store may go back to a copy");
+    struct arg_lit *links =
+        arg_lit0(NULL, "links", "nodes may lose their links to all targets");
+    struct arg_lit *limits =
+        arg_lit0(NULL, "limits", "targets may state request limits");
     struct arg_lit *verbose = arg_lit0("v", NULL, "print the faults");
     struct arg_end *ends = arg_end(4);
     void *table[] = {
-        program,  seed,    nodes, targets, seconds, port, injected_violation,
-        restores, verbose, ends};
+        program,  seed,  nodes,  targets, seconds, port, injected_violation,
+        restores, links, limits, verbose, ends};
     seed->ival[0] = 1;
     nodes->ival[0] = 4;
     targets->ival[0] = 8;
@@ -725,6 +824,8 @@
     soak.fault_phase_ms = (int64_t)seconds->ival[0] * 1000;
     soak.base_port = (uint16_t)port->ival[0];
     soak.restores = restores->count > 0;
+    soak.links = links->count > 0;
+    soak.limits = limits->count > 0;
     soak.verbose = verbose->count > 0;
     snprintf(soak.folder, sizeof(soak.folder), "/tmp/soak-XXXXXX");
     if (g_mkdtemp(soak.folder) == NULL) {
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -1,14 +1,11 @@
 #include "tests/node_fixture.h"
 
-#include <errno.h>
 #include <glib/gstdio.h>
 #include <jansson.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include "core/clock.h"
 #include "http/connection.h"
@@ -19,9 +16,7 @@
 #define DEADLINE_MS_TEXT "15000"
 #define PROBE_EVERY_MS 50
 #define STATE_WITHIN_MS 1000
-#define CUT_VARIABLES 4      /* of the environment */
-#define SILENT_CONNECTIONS 4 /* more than fit into the queue of a listener */
-#define KEYS_PER_PROBE 16    /* keys spread over the whole key space */
+#define KEYS_PER_PROBE 16 /* keys spread over the whole key space */
 
 static const char program[] = RATTANSHED_BUILD "/rattanshed/rattanshed";
 
@@ -98,83 +93,23 @@
     return path;
 }
 
-/* Returns the path of the file whose presence cuts a node off from the
- * targets. The caller frees it with g_free(). */
-static char *
-cut_file_of(const struct rs_node_fixture *fixture, uint32_t node)
-{
-    return g_strdup_printf("%s/n%u.cut", fixture->folder, node);
-}
-
-/* Sets `environment` to the variables of tests/cut_connect.c. The caller frees
- * them with g_free(). */
-static void
-set_cut_environment(const struct rs_node_fixture *fixture,
-                    const char *cut_file, char *environment[CUT_VARIABLES])
-{
-    uint32_t first_port = fixture->options.base_port + TARGET_PORT_OFFSET;
-    environment[0] =
-        g_strdup("LD_PRELOAD=" RATTANSHED_BUILD "/tests/libcut_connect.so");
-    environment[1] = g_strdup_printf("RS_CUT_FILE=%s", cut_file);
-    environment[2] = g_strdup_printf("RS_CUT_FIRST_PORT=%u", first_port);
-    environment[3] = g_strdup_printf(
-        "RS_CUT_LAST_PORT=%u", first_port + 2 * RsNodeFixture_MAX_TARGETS - 1);
-}
-
-/* Returns the port of a listener on the loopback whose queue of connections is
- * full, so that connecting to it takes forever. It lives as long as the
- * process. Returns 0 if it can't be opened. */
-static uint16_t
-open_silent_listener(void)
-{
-    static uint16_t port;
-    struct sockaddr_in address = {.sin_family = AF_INET,
-                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    struct sockaddr *generic = (struct sockaddr *)&address;
-    socklen_t size = sizeof(address);
-    if (port != 0) {
-        return port;
-    }
-    int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    if (bind(listener, generic, size) != 0 || listen(listener, 0) != 0 ||
-        getsockname(listener, generic, &size) != 0) {
-        return 0;
-    }
-    for (int i = 0; i < SILENT_CONNECTIONS; i++) {
-        int client =
-            socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-        if (connect(client, generic, size) != 0 && errno != EINPROGRESS) {
-            return 0;
-        }
-    }
-    port = ntohs(address.sin_port);
-    return port;
-}
-
 /* Cuts a node off from all targets: its connections to them are reset, and new
  * ones are refused or, with `hang`, get no answer. */
 void
 RsNodeFixture_CutFromTargets(struct rs_node_fixture *fixture, uint32_t node,
                              bool hang)
 {
-    char *path = cut_file_of(fixture, node);
-    char *text = hang ? g_strdup_printf("%u", open_silent_listener())
-                      : g_strdup("refuse");
-    g_file_set_contents(path, text, -1, NULL);
+    RsSoakLinkCut_Cut(&fixture->link_cuts[node], hang);
     for (uint32_t i = 0; i < fixture->target_count; i++) {
         RsLinkProxy_CloseConnections(RsSoakTarget_Proxy(fixture->targets[i]));
     }
-    g_free(text);
-    g_free(path);
 }
 
 /* Lets a node reach the targets again. */
 void
 RsNodeFixture_HealLinks(struct rs_node_fixture *fixture, uint32_t node)
 {
-    char *path = cut_file_of(fixture, node);
-    g_unlink(path);
-    g_free(path);
+    RsSoakLinkCut_Heal(&fixture->link_cuts[node]);
 }
 
 static bool
@@ -190,25 +125,28 @@
             .bootstrap = true,
         };
         char *path = write_settings(fixture, i);
-        char *cut_file = cut_file_of(fixture, i);
-        char *environment[CUT_VARIABLES];
-        set_cut_environment(fixture, cut_file, environment);
+        const uint32_t first_port =
+            fixture->options.base_port + TARGET_PORT_OFFSET;
+        const struct rs_soak_link_cut_options cut = {
+            .folder = fixture->folder,
+            .library = RATTANSHED_BUILD "/soak/libcut_connect.so",
+            .node = i,
+            .first_port = first_port,
+            .last_port = first_port + 2 * RsNodeFixture_MAX_TARGETS - 1,
+        };
+        RsSoakLinkCut_Init(&fixture->link_cuts[i], &cut);
+        char **variables = fixture->link_cuts[i].variables;
         const char *const plain[] = {program, "--serve", "-c", path, NULL};
-        const char *const cuttable[] = {"/usr/bin/env", environment[0],
-                                        environment[1], environment[2],
-                                        environment[3], program,
-                                        "--serve",      "-c",
-                                        path,           NULL};
+        const char *const cuttable[] = {
+            "/usr/bin/env", variables[0], variables[1], variables[2],
+            variables[3],   program,      "--serve",    "-c",
+            path,           NULL};
         const char *const *arguments =
             fixture->options.cuttable ? cuttable : plain;
         snprintf(name, sizeof(name), "n%u", i);
         RsProcess_Init(&fixture->nodes[i], name, fixture->folder, arguments);
         bool started =
             path != NULL && RsProcess_Start(&fixture->nodes[i]) == 0;
-        for (size_t k = 0; k < CUT_VARIABLES; k++) {
-            g_free(environment[k]);
-        }
-        g_free(cut_file);
         g_free(path);
         if (!started) {
             return false;
@@ -258,6 +196,7 @@
 {
     for (uint32_t i = 0; i < fixture->options.node_count; i++) {
         RsProcess_Clear(&fixture->nodes[i]);
+        RsSoakLinkCut_Clear(&fixture->link_cuts[i]);
     }
     for (uint32_t i = 0; i < fixture->request_count; i++) {
         if (fixture->requests[i]->connection != NULL) {
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -10,6 +10,7 @@
 #include <uv.h>
 
 #include "soak/check.h"
+#include "soak/link_cut.h"
 #include "soak/setup.h"
 #include "soak/store.h"
 #include "soak/target.h"
@@ -57,6 +58,7 @@
     uint32_t target_count;
     struct rs_process nodes[RsNodeFixture_MAX_NODES];
     struct rs_soak_node_setup setups[RsNodeFixture_MAX_NODES];
+    struct rs_soak_link_cut link_cuts[RsNodeFixture_MAX_NODES];
     struct rs_node_fixture_request *requests[RsNodeFixture_MAX_REQUESTS];
     uint32_t request_count;
 };
