Keep limits out of the way of targets that have none

For each target of each choice of a target the node's place among the senders was computed, a hash of the target's id, though hardly any target has a limit. A reused connection on which sending failed and that closed afterwards counted as a failed attempt to connect. The reset on close is one function now.

--- a/http/connection.c
+++ b/http/connection.c
@@ -397,8 +397,10 @@
     return uv_ip4_addr(host, port, address) == 0 ? 0 : RsHttp_BAD_ADDRESS;
 }
 
-static void
-reset_on_close(uv_tcp_t *tcp)
+/* Makes closing a connection, also by the exit of the process, discard data
+ * that was not sent and reset the connection. */
+void
+RsHttp_ResetOnClose(uv_tcp_t *tcp)
 {
     const struct linger no_linger = {.l_onoff = 1, .l_linger = 0};
     uv_os_fd_t fd;
@@ -426,7 +428,7 @@
     connection->tcp.data = connection;
     connection->connect.data = connection;
     if (options->reset_on_close) {
-        reset_on_close(&connection->tcp);
+        RsHttp_ResetOnClose(&connection->tcp);
     }
     http_parser_init(&connection->parser, HTTP_RESPONSE);
     connection->parser.data = connection;
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -189,7 +189,7 @@
     if (exchange->events == NULL) {
         g_queue_remove(&exchange->target->idle, exchange);
     }
-    if (exchange->events != NULL && !exchange->sent) {
+    if (exchange->connecting) {
         bool peer_failed =
             exchange->peer != 0 && error != RsHttp_TUNNEL_FAILED;
         on_connect_failed(exchange, peer_failed ? RsPath_PEER_FAILED
--- a/router/limit.c
+++ b/router/limit.c
@@ -51,15 +51,13 @@
            (was_unconfirmed && !RsLimit_IsUnconfirmed(limit, now_ms));
 }
 
-/* Returns from when on this node may send the next request, which may be in
- * the past; RsLimit_NEVER if it is not one of the senders. */
+/* Returns from when on this node may send the next request to a target with a
+ * limit, which may be in the past; RsLimit_NEVER if it is not one of the
+ * senders. */
 int64_t
 RsLimit_OpenAtMs(const struct rs_limit *limit,
                  const struct rs_limit_place *place)
 {
-    if (limit->per_s == 0) {
-        return 0;
-    }
     if (place->nodes == 0 || place->number >= count_senders(limit, place)) {
         return RsLimit_NEVER;
     }
@@ -69,14 +67,11 @@
                limit->limited_since_ms + (int64_t)first_delay_ms);
 }
 
-/* Records that this node sends a request. */
+/* Records that this node sends a request to a target with a limit. */
 void
 RsLimit_RecordSend(struct rs_limit *limit, const struct rs_limit_place *place,
                    int64_t now_ms)
 {
-    if (limit->per_s > 0) {
-        double interval_ms =
-            MS_PER_S * count_senders(limit, place) / limit->per_s;
-        limit->next_send_at_ms = now_ms + (int64_t)ceil(interval_ms);
-    }
+    double interval_ms = MS_PER_S * count_senders(limit, place) / limit->per_s;
+    limit->next_send_at_ms = now_ms + (int64_t)ceil(interval_ms);
 }
--- a/router/load.c
+++ b/router/load.c
@@ -221,6 +221,9 @@
 RsLoad_OpenAtMs(const struct rs_fleet_target *target,
                 const struct rs_load_choice_input *input)
 {
+    if (target->limit.per_s == 0) {
+        return target->closed_until_ms;
+    }
     struct rs_limit_place place = place_of(target, input);
     return MAX(target->closed_until_ms,
                RsLimit_OpenAtMs(&target->limit, &place));
@@ -253,8 +256,10 @@
 RsLoad_RecordSend(struct rs_fleet_target *target,
                   const struct rs_load_choice_input *input, int64_t now_ms)
 {
-    struct rs_limit_place place = place_of(target, input);
-    RsLimit_RecordSend(&target->limit, &place, now_ms);
+    if (target->limit.per_s > 0) {
+        struct rs_limit_place place = place_of(target, input);
+        RsLimit_RecordSend(&target->limit, &place, now_ms);
+    }
     if (now_ms < target->cold_until_ms && input->cold_per_s > 0) {
         double interval_ms =
             MS_PER_S * max_cold_senders(input) / input->cold_per_s;
--- a/router/tunnel.c
+++ b/router/tunnel.c
@@ -5,6 +5,7 @@
 
 #include "core/clock.h"
 #include "core/log.h"
+#include "http/connection.h"
 
 #define MAX_TUNNELS 600
 #define MAX_HEAD_BYTES 255
@@ -82,16 +83,6 @@
     uv_close(handle, on_handle_closed);
 }
 
-static void
-set_linger_reset(uv_tcp_t *tcp)
-{
-    const struct linger no_linger = {.l_onoff = 1, .l_linger = 0};
-    uv_os_fd_t fd;
-    if (uv_fileno((const uv_handle_t *)tcp, &fd) == 0) {
-        setsockopt(fd, SOL_SOCKET, SO_LINGER, &no_linger, sizeof(no_linger));
-    }
-}
-
 /* Closes both connections. With `reset` the other node must not take what it
  * has received for a whole response, and bytes that were not sent are
  * discarded. */
@@ -103,8 +94,8 @@
     }
     tunnel->closing = true;
     if (reset) {
-        set_linger_reset(&tunnel->node.tcp);
-        set_linger_reset(&tunnel->target.tcp);
+        RsHttp_ResetOnClose(&tunnel->node.tcp);
+        RsHttp_ResetOnClose(&tunnel->target.tcp);
     }
     close_handle(tunnel, (uv_handle_t *)&tunnel->node.tcp);
     close_handle(tunnel, (uv_handle_t *)&tunnel->target.tcp);
@@ -250,7 +241,7 @@
     uv_tcp_nodelay(&tunnel->target.tcp, 1);
     /* Discards what the target has not received when the other node, or this
      * one, closes its connection. */
-    set_linger_reset(&tunnel->target.tcp);
+    RsHttp_ResetOnClose(&tunnel->target.tcp);
     send_to(&tunnel->node, opened_answer, strlen(opened_answer));
     uv_read_start((uv_stream_t *)&tunnel->node.tcp, provide_buffer, on_read);
     uv_read_start((uv_stream_t *)&tunnel->target.tcp, provide_buffer, on_read);
