--- a/soak/main.c
+++ b/soak/main.c
@@ -14,10 +14,10 @@
 #include "core/log.h"
 #include "soak/caller.h"
 #include "soak/check.h"
-#include "soak/link_cut.h"
 #include "soak/setup.h"
 #include "soak/store.h"
 #include "soak/target.h"
+#include "tests/link_cut.h"
 #include "tests/process.h"
 
 #define MAX_NODES 64
@@ -61,7 +61,7 @@
     struct rs_process process;
     struct rs_soak_node_setup setup;
     struct rs_link_proxy *store_proxy;
-    struct rs_soak_link_cut link_cut;
+    struct rs_link_cut link_cut;
     uv_timer_t recovery_timer; /* ends a fault or restarts the node */
     bool paused;               /* with SIGSTOP */
     bool exit_expected;        /* a signal to end was sent */
@@ -163,7 +163,7 @@
     RsLinkProxy_SetCut(node->store_proxy, false);
     RsLinkProxy_SetOneWayCut(node->store_proxy, false);
     RsLinkProxy_SetDelay(node->store_proxy, 0);
-    RsSoakLinkCut_Heal(&node->link_cut);
+    RsLinkCut_Heal(&node->link_cut);
     if (node->process.pid == 0) {
         char *path = g_strdup_printf("%s/n%u.yaml", node->soak->folder,
                                      (unsigned)(node - node->soak->nodes));
@@ -258,7 +258,7 @@
         return;
     }
     if (soak->links && random_below(soak, 3) == 0) {
-        RsSoakLinkCut_Cut(&node->link_cut, random_below(soak, 2) == 0);
+        RsLinkCut_Cut(&node->link_cut, random_below(soak, 2) == 0);
         log_fault(soak, "node cut off from all targets", number, duration_ms);
         uv_timer_start(&node->recovery_timer, recover_node, duration_ms, 0);
         return;
@@ -642,14 +642,14 @@
         char host[24];
         char *path = g_strdup_printf("%s/n%u.yaml", soak->folder, i);
         const uint32_t first_port = soak->base_port + TARGET_PORT_OFFSET;
-        const struct rs_soak_link_cut_options cut = {
+        const struct rs_link_cut_options cut = {
             .folder = soak->folder,
             .library = RATTANSHED_CUT_LIBRARY,
             .node = i,
             .first_port = first_port,
             .last_port = first_port + 2 * soak->target_count - 1,
         };
-        RsSoakLinkCut_Init(&soak->nodes[i].link_cut, &cut);
+        RsLinkCut_Init(&soak->nodes[i].link_cut, &cut);
         char **variables = soak->nodes[i].link_cut.variables;
         const char *const arguments[] = {
             "/usr/bin/env", variables[0],  variables[1], variables[2],
--- a/soak/link_cut.c
+++ b/tests/link_cut.c
@@ -1,4 +1,4 @@
-#include "soak/link_cut.h"
+#include "tests/link_cut.h"
 
 #include <errno.h>
 #include <glib.h>
@@ -10,10 +10,10 @@
 #define SILENT_CONNECTIONS 4
 
 /* Prepares the cut of a node; the links stay whole. Ends with
- * RsSoakLinkCut_Clear(). */
+ * RsLinkCut_Clear(). */
 void
-RsSoakLinkCut_Init(struct rs_soak_link_cut *cut,
-                   const struct rs_soak_link_cut_options *options)
+RsLinkCut_Init(struct rs_link_cut *cut,
+               const struct rs_link_cut_options *options)
 {
     cut->path = g_strdup_printf("%s/n%u.cut", options->folder, options->node);
     cut->variables[0] = g_strdup_printf("LD_PRELOAD=%s", options->library);
@@ -25,9 +25,9 @@
 }
 
 void
-RsSoakLinkCut_Clear(struct rs_soak_link_cut *cut)
+RsLinkCut_Clear(struct rs_link_cut *cut)
 {
-    for (size_t i = 0; i < RsSoakLinkCut_VARIABLES; i++) {
+    for (size_t i = 0; i < RsLinkCut_VARIABLES; i++) {
         g_free(cut->variables[i]);
     }
     g_free(cut->path);
@@ -66,7 +66,7 @@
 /* Makes new connections of the node to targets fail: they are refused or, with
  * `hang`, get no answer. Those that are open stay. */
 void
-RsSoakLinkCut_Cut(const struct rs_soak_link_cut *cut, bool hang)
+RsLinkCut_Cut(const struct rs_link_cut *cut, bool hang)
 {
     char *text = hang ? g_strdup_printf("%u", open_silent_listener())
                       : g_strdup("refuse");
@@ -76,7 +76,7 @@
 
 /* Lets the node connect to targets again. */
 void
-RsSoakLinkCut_Heal(const struct rs_soak_link_cut *cut)
+RsLinkCut_Heal(const struct rs_link_cut *cut)
 {
     g_unlink(cut->path);
 }
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -99,7 +99,7 @@
 RsNodeFixture_CutFromTargets(struct rs_node_fixture *fixture, uint32_t node,
                              bool hang)
 {
-    RsSoakLinkCut_Cut(&fixture->link_cuts[node], hang);
+    RsLinkCut_Cut(&fixture->link_cuts[node], hang);
     for (uint32_t i = 0; i < fixture->target_count; i++) {
         RsLinkProxy_CloseConnections(RsSoakTarget_Proxy(fixture->targets[i]));
     }
@@ -109,7 +109,7 @@
 void
 RsNodeFixture_HealLinks(struct rs_node_fixture *fixture, uint32_t node)
 {
-    RsSoakLinkCut_Heal(&fixture->link_cuts[node]);
+    RsLinkCut_Heal(&fixture->link_cuts[node]);
 }
 
 static bool
@@ -127,14 +127,14 @@
         char *path = write_settings(fixture, i);
         const uint32_t first_port =
             fixture->options.base_port + TARGET_PORT_OFFSET;
-        const struct rs_soak_link_cut_options cut = {
+        const struct rs_link_cut_options cut = {
             .folder = fixture->folder,
-            .library = RATTANSHED_BUILD "/soak/libcut_connect.so",
+            .library = RATTANSHED_BUILD "/tests/libcut_connect.so",
             .node = i,
             .first_port = first_port,
             .last_port = first_port + 2 * RsNodeFixture_MAX_TARGETS - 1,
         };
-        RsSoakLinkCut_Init(&fixture->link_cuts[i], &cut);
+        RsLinkCut_Init(&fixture->link_cuts[i], &cut);
         char **variables = fixture->link_cuts[i].variables;
         const char *const plain[] = {program, "--serve", "-c", path, NULL};
         const char *const cuttable[] = {
@@ -196,7 +196,7 @@
 {
     for (uint32_t i = 0; i < fixture->options.node_count; i++) {
         RsProcess_Clear(&fixture->nodes[i]);
-        RsSoakLinkCut_Clear(&fixture->link_cuts[i]);
+        RsLinkCut_Clear(&fixture->link_cuts[i]);
     }
     for (uint32_t i = 0; i < fixture->request_count; i++) {
         if (fixture->requests[i]->connection != NULL) {
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -10,10 +10,10 @@
 #include <uv.h>
 
 #include "soak/check.h"
-#include "soak/link_cut.h"
 #include "soak/setup.h"
 #include "soak/store.h"
 #include "soak/target.h"
+#include "tests/link_cut.h"
 #include "tests/process.h"
 
 #define RsNodeFixture_MAX_NODES 4
@@ -58,7 +58,7 @@
     uint32_t target_count;
     struct rs_process nodes[RsNodeFixture_MAX_NODES];
     struct rs_soak_node_setup setups[RsNodeFixture_MAX_NODES];
-    struct rs_soak_link_cut link_cuts[RsNodeFixture_MAX_NODES];
+    struct rs_link_cut link_cuts[RsNodeFixture_MAX_NODES];
     struct rs_node_fixture_request *requests[RsNodeFixture_MAX_REQUESTS];
     uint32_t request_count;
 };
