--- a/router/load.c
+++ b/router/load.c
@@ -194,24 +194,24 @@
     return MIN(input->share.nodes, MAX(1.0, floor(bound * COLD_BOUND_SHARE)));
 }
 
-/* Returns the number of this node, from 0, in an order of all nodes that
- * differs between targets. Only the first of them send to a target that bears
- * a limited request rate. */
+/* Returns the number of a node, from 0, in an order of all nodes that differs
+ * between targets. Only the first of them send to a target that bears a
+ * limited request rate. */
 static uint32_t
-sender_rank_of(const struct rs_fleet_target *target,
-               const struct rs_load_choice_input *input)
+sender_rank_of(const struct rs_fleet_target *target, uint32_t rank,
+               uint32_t nodes)
 {
-    uint32_t ranked =
-        input->share.ranked > 0 ? input->share.ranked : input->share.nodes;
-    return (input->share.rank + g_str_hash(target->id)) % MAX(ranked, 1);
+    return (rank + g_str_hash(target->id)) % MAX(nodes, 1);
 }
 
 static struct rs_limit_place
 place_of(const struct rs_fleet_target *target,
          const struct rs_load_choice_input *input)
 {
-    return (struct rs_limit_place){sender_rank_of(target, input),
-                                   input->share.ranked};
+    const struct rs_load_share *share = &input->share;
+    return (struct rs_limit_place){
+        sender_rank_of(target, share->stable_rank, share->ranked),
+        share->ranked};
 }
 
 /* Returns from when on the target takes requests from this node, as far as its
@@ -239,7 +239,8 @@
     if (now_ms >= target->cold_until_ms) {
         return true;
     }
-    uint32_t sender_rank = sender_rank_of(target, input);
+    uint32_t sender_rank =
+        sender_rank_of(target, input->share.rank, input->share.nodes);
     double senders = max_cold_senders(input);
     /* The target may have received as many requests as it bears in the second
      * before it turned cold, so the senders start one after the other. */
--- a/router/load.h
+++ b/router/load.h
@@ -18,8 +18,11 @@
     uint32_t rank;       /* of this node, from 0 */
     uint32_t zone_nodes; /* nodes in the zone of this node; 0: unknown */
     uint32_t zone_rank;
-    /* Nodes that have a rank; 0: ranks are not known. `nodes` may be higher:
-     * it also counts nodes that may exist. */
+    /* Place of this node in an order without gaps, which stays the same while
+     * a new granter collects reports. `ranked` is the number of nodes in that
+     * order, 0 if it is not known; `nodes` also counts nodes that may exist.
+     */
+    uint32_t stable_rank;
     uint32_t ranked;
 };
 
--- a/router/reports.c
+++ b/router/reports.c
@@ -431,17 +431,18 @@
     }
 }
 
-/* Returns this node's share by a summary. While the granter knows no ranks,
- * the former rank stays. */
+/* Returns this node's share by a summary. While the granter knows no order of
+ * all nodes, the former one stays. */
 static struct rs_load_share
 decode_share(const Rs__Peer__Summary *summary,
              const struct rs_load_share *former)
 {
-    bool has_rank = summary->ranked > 0 || former->ranked == 0;
+    bool is_ordered = summary->ranked > 0;
     return (struct rs_load_share){
         .nodes = MAX(summary->nodes, 1),
-        .rank = has_rank ? summary->rank : former->rank,
-        .ranked = has_rank ? summary->ranked : former->ranked,
+        .rank = summary->rank,
+        .stable_rank = is_ordered ? summary->rank : former->stable_rank,
+        .ranked = is_ordered ? summary->ranked : former->ranked,
         .zone_nodes = summary->zone_nodes,
         .zone_rank = summary->zone_rank,
     };
