--- a/router/paths.c
+++ b/router/paths.c
@@ -10,6 +10,10 @@
 /* The links may be lost when no target has responded for this long to the
  * requests on direct connections. */
 #define SILENT_MS 500
+/* A node that has reached a target within this time is not isolated: others
+ * may fail at the same moment, for instance all of another failure domain. */
+#define REACHED_MS 400
+#define DOUBTFUL_TARGETS 2
 #define PROBE_SILENT_EVERY_MS 50
 /* Interval of the probes that find out whether an isolated node reaches
  * targets again. */
@@ -145,11 +149,15 @@
     if (now_ms >= target->direct_until_ms) {
         target->through_peers_until_ms = now_ms + THROUGH_PEERS_MS;
     }
-    if (paths->isolated || has_failed(paths, target->id)) {
+    if (paths->isolated) {
         return false;
     }
-    paths->failed[paths->failed_count++] = target->id;
-    paths->isolated = paths->failed_count >= count_needed(paths);
+    if (paths->failed_count < RsPaths_ISOLATED_TARGETS &&
+        !has_failed(paths, target->id)) {
+        paths->failed[paths->failed_count++] = target->id;
+    }
+    paths->isolated = paths->failed_count >= count_needed(paths) &&
+                      now_ms - paths->answered_at_ms >= REACHED_MS;
     if (paths->isolated) {
         RsLog_EVENT(RsLog_WARNING, "links_lost",
                     RsLog_TEXT("target", target->id),
@@ -171,13 +179,23 @@
     }
 }
 
-/* Records that a response arrived on a direct connection. */
+/* Records that a response arrived on a direct connection: the links to some
+ * targets work. That does not end an isolation, as open connections may live
+ * on while no new ones can be made. */
 void
 RsPaths_RecordAnswered(struct rs_paths *paths, int64_t now_ms)
 {
     paths->answered_at_ms = now_ms;
 }
 
+/* Returns whether this node's links are in doubt: it could not connect to
+ * several targets, and to none since. */
+bool
+RsPaths_AreDoubtful(const struct rs_paths *paths)
+{
+    return paths->failed_count >= DOUBTFUL_TARGETS;
+}
+
 /* Returns whether no target has responded for SILENT_MS to requests on direct
  * connections. */
 bool
--- a/router/paths.h
+++ b/router/paths.h
@@ -15,8 +15,8 @@
 #include "router/fleet.h"
 
 #define RsPaths_MAX_PEERS 32
-/* A node is isolated when connecting to this many targets has failed, and none
- * has succeeded in between. */
+/* A node is isolated when connecting to this many targets has failed, and for
+ * some time none has succeeded, nor has a target responded. */
 #define RsPaths_ISOLATED_TARGETS 3
 
 enum rs_path {
@@ -41,8 +41,8 @@
     uint32_t own_address; /* IPv4, network byte order */
     struct rs_path_peer peers[RsPaths_MAX_PEERS];
     uint32_t peer_count;
-    /* Ids of targets that could not be connected to since the last direct
-     * connection was made. */
+    /* Ids of targets that could not be connected to since a direct connection
+     * was last made. */
     const char *failed[RsPaths_ISOLATED_TARGETS];
     uint32_t failed_count;
     bool isolated;
@@ -72,6 +72,7 @@
                                  int64_t now_ms);
 void RsPaths_RecordSent(struct rs_paths *paths, int64_t now_ms);
 void RsPaths_RecordAnswered(struct rs_paths *paths, int64_t now_ms);
+bool RsPaths_AreDoubtful(const struct rs_paths *paths);
 bool RsPaths_IsSilent(const struct rs_paths *paths, int64_t now_ms);
 bool RsPaths_TakeProbe(struct rs_paths *paths, int64_t now_ms);
 
--- a/router/paths_test.c
+++ b/router/paths_test.c
@@ -107,6 +107,57 @@
     close_paths();
 }
 
+/* A node that is cut off from other failure domains reaches the targets of its
+ * own on connections that it has. */
+static void
+test_targets_that_fail_between_answers_do_not_isolate(void)
+{
+    open_paths(TARGETS);
+    for (uint32_t i = 0; i < 6; i++) {
+        fail_targets(i, 1);
+        RsPaths_RecordAnswered(&paths, NOW_MS + i);
+    }
+    CU_ASSERT_FALSE(paths.isolated);
+    fail_targets(0, 3);
+    CU_ASSERT_FALSE(paths.isolated);
+    RsPaths_RecordConnectFailed(&paths, targets[0], NOW_MS + 1000);
+    CU_ASSERT_TRUE(paths.isolated);
+    RsPaths_RecordAnswered(&paths, NOW_MS + 1001);
+    CU_ASSERT_TRUE(paths.isolated);
+    close_paths();
+}
+
+/* All targets of another failure domain fail at the same moment. */
+static void
+test_many_failures_at_once_do_not_isolate(void)
+{
+    open_paths(TARGETS);
+    for (int64_t ms = 0; ms < 10000; ms += 200) {
+        RsPaths_RecordAnswered(&paths, NOW_MS + ms);
+        for (uint32_t i = 0; i < 5; i++) {
+            RsPaths_RecordConnectFailed(&paths, targets[i], NOW_MS + ms + 100);
+        }
+        CU_ASSERT_FALSE(paths.isolated);
+    }
+    close_paths();
+}
+
+static void
+test_links_are_in_doubt_until_a_connection_is_made(void)
+{
+    open_paths(TARGETS);
+    fail_targets(0, 1);
+    fail_targets(0, 1);
+    CU_ASSERT_FALSE(RsPaths_AreDoubtful(&paths));
+    fail_targets(1, 1);
+    CU_ASSERT_TRUE(RsPaths_AreDoubtful(&paths));
+    RsPaths_RecordAnswered(&paths, NOW_MS + 1);
+    CU_ASSERT_TRUE(RsPaths_AreDoubtful(&paths));
+    RsPaths_RecordConnected(&paths, targets[2], NOW_MS + 2);
+    CU_ASSERT_FALSE(RsPaths_AreDoubtful(&paths));
+    close_paths();
+}
+
 static void
 test_few_targets_isolate_when_all_fail(void)
 {
@@ -222,6 +273,9 @@
     CU_ADD_TEST(suite, test_one_failing_target_does_not_isolate_the_node);
     CU_ADD_TEST(suite,
                 test_targets_that_fail_between_connections_do_not_isolate);
+    CU_ADD_TEST(suite, test_targets_that_fail_between_answers_do_not_isolate);
+    CU_ADD_TEST(suite, test_many_failures_at_once_do_not_isolate);
+    CU_ADD_TEST(suite, test_links_are_in_doubt_until_a_connection_is_made);
     CU_ADD_TEST(suite, test_few_targets_isolate_when_all_fail);
     CU_ADD_TEST(suite, test_failed_target_is_tried_through_other_nodes);
     CU_ADD_TEST(suite, test_nodes_that_cannot_help_are_left_out);
--- a/router/tunnel.c
+++ b/router/tunnel.c
@@ -165,10 +165,16 @@
 fail(struct tunnel *tunnel)
 {
     struct rs_router *router = tunnel->server->router;
-    RsCounter_Add(&tunnel->server->counters.failed, 1);
     RsPaths_RecordConnectFailed(&router->paths, tunnel->requested,
                                 RsClock_NowMs());
-    refuse(tunnel, failed_answer, "target not reached");
+    if (RsPaths_AreDoubtful(&router->paths)) {
+        RsCounter_Add(&tunnel->server->counters.refused, 1);
+        refuse(tunnel, refused_answer, "links in doubt");
+    }
+    else {
+        RsCounter_Add(&tunnel->server->counters.failed, 1);
+        refuse(tunnel, failed_answer, "target not reached");
+    }
 }
 
 static void
--- a/tests/node_cut_test.c
+++ b/tests/node_cut_test.c
@@ -84,11 +84,12 @@
 /* Cuts three of the four nodes off from all targets, beginning with
  * `first_node`, and later lets them reach the targets again. */
 static void
-check_cut(uint16_t base_port, uint32_t first_node, bool hang)
+check_cut(uint16_t base_port, uint32_t first_node,
+          enum rs_node_fixture_cut cut)
 {
     struct rs_node_fixture *fixture = open_fixture(base_port);
     for (uint32_t i = 0; i < NODES - 1; i++) {
-        RsNodeFixture_CutFromTargets(fixture, first_node + i, hang);
+        RsNodeFixture_CutFromTargets(fixture, first_node + i, cut);
     }
     send_requests(fixture, CONTACT_MS);
     uint32_t first = fixture->request_count;
@@ -105,15 +106,21 @@
     RsNodeFixture_Close(fixture);
 }
 
-/* In one of these two tests, at least, the granter is cut off. */
+/* In one of the first two tests, at least, the granter is cut off. */
 void
 test_nodes_without_links_to_targets_serve_refused(void)
 {
-    check_cut(27500, 0, false);
+    check_cut(27500, 0, RsNodeFixture_REFUSED);
 }
 
 void
 test_nodes_without_links_to_targets_serve_silent(void)
 {
-    check_cut(27300, 1, true);
+    check_cut(27300, 1, RsNodeFixture_SILENT);
+}
+
+void
+test_nodes_without_new_links_to_targets_serve(void)
+{
+    check_cut(27400, 0, RsNodeFixture_LIVE_ON);
 }
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -93,14 +93,14 @@
     return path;
 }
 
-/* Cuts a node off from all targets: its connections to them are reset, and new
- * ones are refused or, with `hang`, get no answer. */
+/* Cuts a node off from all targets. */
 void
 RsNodeFixture_CutFromTargets(struct rs_node_fixture *fixture, uint32_t node,
-                             bool hang)
+                             enum rs_node_fixture_cut cut)
 {
-    RsLinkCut_Cut(&fixture->link_cuts[node], hang);
-    for (uint32_t i = 0; i < fixture->target_count; i++) {
+    RsLinkCut_Cut(&fixture->link_cuts[node], cut == RsNodeFixture_SILENT);
+    for (uint32_t i = 0;
+         i < fixture->target_count && cut != RsNodeFixture_LIVE_ON; i++) {
         RsLinkProxy_CloseConnections(RsSoakTarget_Proxy(fixture->targets[i]));
     }
 }
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -71,8 +71,14 @@
 void RsNodeFixture_PutConfig(struct rs_node_fixture *fixture,
                              uint32_t version);
 void RsNodeFixture_RestartNode(struct rs_node_fixture *fixture, uint32_t node);
+enum rs_node_fixture_cut {
+    RsNodeFixture_REFUSED, /* connections are reset, new ones refused */
+    RsNodeFixture_SILENT,  /* connections are reset, new ones hang */
+    RsNodeFixture_LIVE_ON, /* connections live on, new ones are refused */
+};
+
 void RsNodeFixture_CutFromTargets(struct rs_node_fixture *fixture,
-                                  uint32_t node, bool hang);
+                                  uint32_t node, enum rs_node_fixture_cut cut);
 void RsNodeFixture_HealLinks(struct rs_node_fixture *fixture, uint32_t node);
 int RsNodeFixture_ConfigVersion(struct rs_node_fixture *fixture,
                                 uint32_t node);
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -18,6 +18,7 @@
 /* tests/node_cut_test.c */
 void test_nodes_without_links_to_targets_serve_refused(void);
 void test_nodes_without_links_to_targets_serve_silent(void);
+void test_nodes_without_new_links_to_targets_serve(void);
 
 /* tests/node_limit_test.c */
 void test_all_nodes_together_keep_a_limit(void);
