Reset the connection when an answer without length is broken off

Callers saw a broken-off answer as whole: where a target's answer has no length and ends with its connection, it is passed on the same way, and when it had to be broken off (the target reset it, or the caller's time was over) the caller's connection was ended with FIN, which marks the end of such an answer. Such connections are reset; answers in chunks are ended by FIN as before, as their missing end shows.

The code has one such place.

--- a/http/server.c
+++ b/http/server.c
@@ -188,14 +188,23 @@
     }
 }
 
-/* Aborts a response that has been started and can't be completed. Shuts down
- * the sending side of the connection first, so that the client sees a
+/* Aborts a response that has been started and can't be completed. If the end
+ * of the connection marks the end of the response, resets the connection.
+ * Otherwise shuts down its sending side first, so that the client sees a
  * truncated response; h2o alone would send a malformed chunk. */
 void
 RsServer_AbortResponse(h2o_req_t *request)
 {
     h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
-    shutdown(h2o_socket_get_fd(socket), SHUT_WR);
+    int fd = h2o_socket_get_fd(socket);
+    if (request->version == RsServer_HTTP_1_0 &&
+        request->res.content_length == SIZE_MAX) {
+        const struct linger no_linger = {.l_onoff = 1, .l_linger = 0};
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &no_linger, sizeof(no_linger));
+    }
+    else {
+        shutdown(fd, SHUT_WR);
+    }
     h2o_send(request, NULL, 0, H2O_SEND_STATE_ERROR);
 }
 
--- a/http/server.h
+++ b/http/server.h
@@ -16,6 +16,9 @@
     RsServer_LISTEN_FAILED = RsError_HTTP - 50
 };
 
+/* Value of `version` of struct h2o_req_t. */
+#define RsServer_HTTP_1_0 0x100
+
 struct rs_server;
 
 /* Called for each request that h2o has accepted and read as a whole. The
--- a/router/reply.c
+++ b/router/reply.c
@@ -22,7 +22,6 @@
 /* When more than this is buffered for a caller that reads slowly, reading from
  * the target is paused. */
 #define PAUSE_ABOVE_BUFFERED_BYTES (192 * 1024)
-#define HTTP_1_0 0x100
 
 static void
 add_router_headers(struct rs_request *request)
@@ -228,7 +227,7 @@
         /* HTTP/1.0 keeps the server from adding chunked framing, which the
          * target's response did not have. */
         request->close_delimited = true;
-        http->version = HTTP_1_0;
+        http->version = RsServer_HTTP_1_0;
         http->http1_is_persistent = 0;
     }
 }
--- a/tests/node_main.c
+++ b/tests/node_main.c
@@ -35,6 +35,8 @@
      test_target_is_used_again_after_its_limit},
     {"limits_of_all_targets_are_used_and_kept",
      test_limits_of_all_targets_are_used_and_kept},
+    {"endless_bytes_of_a_target_are_cut_off",
+     test_endless_bytes_of_a_target_are_cut_off},
     {"nodes_without_links_to_targets_serve_refused",
      test_nodes_without_links_to_targets_serve_refused},
     {"nodes_without_links_to_targets_serve_silent",
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -15,6 +15,9 @@
 void test_callers_are_told_when_closed_targets_open(void);
 void test_keys_of_a_closed_target_move(void);
 
+/* tests/node_endless_test.c */
+void test_endless_bytes_of_a_target_are_cut_off(void);
+
 /* tests/node_cut_test.c */
 void test_nodes_without_links_to_targets_serve_refused(void);
 void test_nodes_without_links_to_targets_serve_silent(void);
