--- a/tests/node_endless_test.c
+++ b/tests/node_endless_test.c
@@ -12,6 +12,7 @@
 #define BASE_PORT 28000
 #define ENDLESS_PORT (BASE_PORT + 90)
 #define START_WITHIN_MS 15000
+#define LISTED_WITHIN_MS 1000 /* at the node */
 #define TIMEOUT_MS 1500
 /* After their timeout, requests must have ended within this time. */
 #define END_MARGIN_MS 500
@@ -246,8 +247,8 @@
     CU_ASSERT_TRUE(memory_kb > 0 && memory_kb < MAX_MEMORY_KB);
 }
 
-void
-test_endless_bytes_of_a_target_are_cut_off(void)
+static struct rs_node_fixture *
+open_fixture(void)
 {
     const struct rs_node_fixture_options options = {
         .base_port = BASE_PORT,
@@ -259,8 +260,15 @@
     struct rs_node_fixture *fixture = RsNodeFixture_Open(&options);
     CU_ASSERT_PTR_NOT_NULL_FATAL(fixture);
     CU_ASSERT_TRUE(RsNodeFixture_AwaitService(fixture, START_WITHIN_MS));
+    return fixture;
+}
+
+void
+test_endless_bytes_of_a_target_are_cut_off(void)
+{
+    struct rs_node_fixture *fixture = open_fixture();
     open_target(fixture);
-    RsNodeFixture_Run(fixture, 1000);
+    RsNodeFixture_Run(fixture, LISTED_WITHIN_MS);
     for (int mode = EndlessHead; mode <= EndlessOtherResponse; mode++) {
         check_mode(fixture, (enum endless)mode);
         RsNodeFixture_Run(fixture, AVOIDED_MS);
