--- a/router/load_simulation_test.c
+++ b/router/load_simulation_test.c
@@ -128,7 +128,10 @@
             .fleet = &sim->fleets[n],
             .service = g_intern_string("s"),
             .zone = g_intern_string("z"),
-            .share = {node_count, n, node_count, n},
+            .share = {.nodes = node_count,
+                      .rank = n,
+                      .zone_nodes = node_count,
+                      .zone_rank = n},
             .random = sim->random,
         };
     }
