Keep one connect timeout for targets, and drop an unused result

The timeout of a direct connection stood in three files with the same value; it is in router/paths.h now. Nobody used what RsPaths_RecordConnectFailed() returned.

--- a/router/exchange.c
+++ b/router/exchange.c
@@ -6,10 +6,8 @@
 
 #include "core/clock.h"
 
-/* A connect takes about a millisecond; a target that has not accepted the
- * connection within this time is treated as unreachable. */
-#define CONNECT_TIMEOUT_MS 250
-/* The other node needs up to CONNECT_TIMEOUT_MS to connect to the target. */
+/* The other node needs up to RsPaths_CONNECT_TIMEOUT_MS to connect to the
+ * target. */
 #define TUNNEL_TIMEOUT_MS 350
 #define MAX_TUNNEL_TRIES 4
 /* Idle connections are reused for this long if the target names no keep-alive
@@ -279,8 +277,8 @@
         exchange->connecting = exchange->connection != NULL;
     }
     if (exchange->connecting) {
-        timeout_ms =
-            exchange->peer != 0 ? TUNNEL_TIMEOUT_MS : CONNECT_TIMEOUT_MS;
+        timeout_ms = exchange->peer != 0 ? TUNNEL_TIMEOUT_MS
+                                         : RsPaths_CONNECT_TIMEOUT_MS;
     }
     uv_timer_start(&exchange->timer, on_timeout, timeout_ms, 0);
 }
--- a/router/paths.c
+++ b/router/paths.c
@@ -140,9 +140,9 @@
     return MAX(listed, 1);
 }
 
-/* Records that a direct connection could not be made. Returns whether the node
- * is isolated from now on. */
-bool
+/* Records that a direct connection could not be made, which may isolate the
+ * node. */
+void
 RsPaths_RecordConnectFailed(struct rs_paths *paths,
                             struct rs_fleet_target *target, int64_t now_ms)
 {
@@ -150,7 +150,7 @@
         target->through_peers_until_ms = now_ms + THROUGH_PEERS_MS;
     }
     if (paths->isolated) {
-        return false;
+        return;
     }
     if (paths->failed_count < RsPaths_ISOLATED_TARGETS &&
         !has_failed(paths, target->id)) {
@@ -167,7 +167,6 @@
                                                   ? now_ms - paths->asked_at_ms
                                                   : 0));
     }
-    return paths->isolated;
 }
 
 /* Records that a request was sent on a direct connection. */
--- a/router/paths.h
+++ b/router/paths.h
@@ -15,6 +15,9 @@
 #include "router/fleet.h"
 
 #define RsPaths_MAX_PEERS 32
+/* A connect takes about a millisecond; a target that has not accepted the
+ * connection within this time is treated as unreachable. */
+#define RsPaths_CONNECT_TIMEOUT_MS 250
 /* A node is isolated when connecting to this many targets has failed, and for
  * some time none has succeeded, nor has a target responded. */
 #define RsPaths_ISOLATED_TARGETS 3
@@ -67,7 +70,7 @@
 /* Direct connections. */
 void RsPaths_RecordConnected(struct rs_paths *paths,
                              struct rs_fleet_target *target, int64_t now_ms);
-bool RsPaths_RecordConnectFailed(struct rs_paths *paths,
+void RsPaths_RecordConnectFailed(struct rs_paths *paths,
                                  struct rs_fleet_target *target,
                                  int64_t now_ms);
 void RsPaths_RecordSent(struct rs_paths *paths, int64_t now_ms);
--- a/router/probe.c
+++ b/router/probe.c
@@ -3,8 +3,6 @@
 #include "core/clock.h"
 #include "http/connection.h"
 
-#define CONNECT_TIMEOUT_MS 250
-
 /* A connection that is closed as soon as it is open. */
 struct probe {
     uv_timer_t timer;
@@ -104,5 +102,6 @@
     probe->timer.data = probe;
     probe->connection = RsHttp_Open(&http);
     uv_timer_start(&probe->timer, on_timeout,
-                   probe->connection != NULL ? CONNECT_TIMEOUT_MS : 0, 0);
+                   probe->connection != NULL ? RsPaths_CONNECT_TIMEOUT_MS : 0,
+                   0);
 }
--- a/router/tunnel.c
+++ b/router/tunnel.c
@@ -10,7 +10,6 @@
 #define MAX_TUNNELS 600
 #define MAX_HEAD_BYTES 255
 #define HEAD_TIMEOUT_MS 1000
-#define CONNECT_TIMEOUT_MS 250
 /* While this many bytes wait to be sent to one side, the other is not read. */
 #define MAX_QUEUED_BYTES 65536
 /* A side that doesn't respond to probes is noticed after about this time and
@@ -303,7 +302,7 @@
     }
     tunnel->state = Connecting;
     tunnel->connect.data = tunnel;
-    uv_timer_start(&tunnel->timer, on_timeout, CONNECT_TIMEOUT_MS, 0);
+    uv_timer_start(&tunnel->timer, on_timeout, RsPaths_CONNECT_TIMEOUT_MS, 0);
     if (uv_tcp_connect(
             &tunnel->connect, &tunnel->target.tcp,
             (const struct sockaddr *)&tunnel->requested->report.address,
