Say that a target is not reached only after reaching another

Cause: a node that was cut off from all targets while its open connections lived on opened new connections to one target only. Its list of failed targets held that one however often it failed, so that its links were not in doubt, and it answered other nodes' CONNECT with "target not reached".

Change: the links are in doubt after one failure, too, unless a direct connection was made within a second; after each failed connect a node probes other targets until one can be connected to.

Ruled out: load (the refusals take 0.1 ms and stand in the logs as tunnel_refused, "target not reached", at another cut node).

The expectation of test_links_are_in_doubt_until_a_connection_is_made was wrong, a single failure proves nothing without a recent connection; it has one now, and two new tests cover the case without. The fixture asks one node after the other whether all keys are served, so that one target has room for the probes.

Conclusion: the claim about a target needs evidence about one's own links.

--- a/router/paths.c
+++ b/router/paths.c
@@ -14,7 +14,11 @@
  * may fail at the same moment, for instance all of another failure domain. */
 #define REACHED_MS 400
 #define DOUBTFUL_TARGETS 2
-#define PROBE_SILENT_EVERY_MS 50
+/* A node that has connected to a target within this time may tell others that
+ * a target can't be reached. */
+#define PROVEN_MS 1000
+/* Interval of the probes that find out whether the links are lost. */
+#define PROBE_DOUBTFUL_EVERY_MS 50
 /* Interval of the probes that find out whether an isolated node reaches
  * targets again. */
 #define PROBE_ISOLATED_EVERY_MS 250
@@ -110,15 +114,19 @@
     }
     paths->isolated = false;
     paths->failed_count = 0;
+    paths->connected_at_ms = now_ms;
     paths->answered_at_ms = now_ms;
     target->through_peers_until_ms = 0;
 }
 
-static bool
-has_failed(const struct rs_paths *paths, const char *id)
+/* Returns whether the target could not be connected to since a direct
+ * connection was last made. */
+bool
+RsPaths_HasFailed(const struct rs_paths *paths,
+                  const struct rs_fleet_target *target)
 {
     for (uint32_t i = 0; i < paths->failed_count; i++) {
-        if (paths->failed[i] == id) {
+        if (paths->failed[i] == target->id) {
             return true;
         }
     }
@@ -153,7 +161,7 @@
         return;
     }
     if (paths->failed_count < RsPaths_ISOLATED_TARGETS &&
-        !has_failed(paths, target->id)) {
+        !RsPaths_HasFailed(paths, target)) {
         paths->failed[paths->failed_count++] = target->id;
     }
     paths->isolated = paths->failed_count >= count_needed(paths) &&
@@ -188,11 +196,13 @@
 }
 
 /* Returns whether this node's links are in doubt: it could not connect to
- * several targets, and to none since. */
+ * several targets, and to none since, or to one, and to no other lately. */
 bool
-RsPaths_AreDoubtful(const struct rs_paths *paths)
+RsPaths_AreDoubtful(const struct rs_paths *paths, int64_t now_ms)
 {
-    return paths->failed_count >= DOUBTFUL_TARGETS;
+    return paths->failed_count >= DOUBTFUL_TARGETS ||
+           (paths->failed_count > 0 &&
+            now_ms - paths->connected_at_ms >= PROVEN_MS);
 }
 
 /* Returns whether no target has responded for SILENT_MS to requests on direct
@@ -208,12 +218,12 @@
 bool
 RsPaths_TakeProbe(struct rs_paths *paths, int64_t now_ms)
 {
-    bool silent = RsPaths_IsSilent(paths, now_ms);
-    if ((!paths->isolated && !silent) || now_ms < paths->next_probe_at_ms) {
+    bool doubtful = paths->failed_count > 0 || RsPaths_IsSilent(paths, now_ms);
+    if ((!paths->isolated && !doubtful) || now_ms < paths->next_probe_at_ms) {
         return false;
     }
     paths->next_probe_at_ms =
         now_ms +
-        (paths->isolated ? PROBE_ISOLATED_EVERY_MS : PROBE_SILENT_EVERY_MS);
+        (paths->isolated ? PROBE_ISOLATED_EVERY_MS : PROBE_DOUBTFUL_EVERY_MS);
     return true;
 }
--- a/router/paths.h
+++ b/router/paths.h
@@ -49,6 +49,7 @@
     const char *failed[RsPaths_ISOLATED_TARGETS];
     uint32_t failed_count;
     bool isolated;
+    int64_t connected_at_ms; /* the last direct connection was made */
     /* Direct connections: when the oldest request was sent since the last
      * response, and when that response came. */
     int64_t asked_at_ms;
@@ -68,6 +69,8 @@
                             int64_t now_ms, uint32_t *peer);
 
 /* Direct connections. */
+bool RsPaths_HasFailed(const struct rs_paths *paths,
+                       const struct rs_fleet_target *target);
 void RsPaths_RecordConnected(struct rs_paths *paths,
                              struct rs_fleet_target *target, int64_t now_ms);
 void RsPaths_RecordConnectFailed(struct rs_paths *paths,
@@ -75,7 +78,7 @@
                                  int64_t now_ms);
 void RsPaths_RecordSent(struct rs_paths *paths, int64_t now_ms);
 void RsPaths_RecordAnswered(struct rs_paths *paths, int64_t now_ms);
-bool RsPaths_AreDoubtful(const struct rs_paths *paths);
+bool RsPaths_AreDoubtful(const struct rs_paths *paths, int64_t now_ms);
 bool RsPaths_IsSilent(const struct rs_paths *paths, int64_t now_ms);
 bool RsPaths_TakeProbe(struct rs_paths *paths, int64_t now_ms);
 
--- a/router/paths_test.c
+++ b/router/paths_test.c
@@ -146,15 +146,50 @@
 test_links_are_in_doubt_until_a_connection_is_made(void)
 {
     open_paths(TARGETS);
+    RsPaths_RecordConnected(&paths, targets[2], NOW_MS);
     fail_targets(0, 1);
     fail_targets(0, 1);
-    CU_ASSERT_FALSE(RsPaths_AreDoubtful(&paths));
+    CU_ASSERT_FALSE(RsPaths_AreDoubtful(&paths, NOW_MS));
     fail_targets(1, 1);
-    CU_ASSERT_TRUE(RsPaths_AreDoubtful(&paths));
+    CU_ASSERT_TRUE(RsPaths_AreDoubtful(&paths, NOW_MS));
     RsPaths_RecordAnswered(&paths, NOW_MS + 1);
-    CU_ASSERT_TRUE(RsPaths_AreDoubtful(&paths));
+    CU_ASSERT_TRUE(RsPaths_AreDoubtful(&paths, NOW_MS + 1));
     RsPaths_RecordConnected(&paths, targets[2], NOW_MS + 2);
-    CU_ASSERT_FALSE(RsPaths_AreDoubtful(&paths));
+    CU_ASSERT_FALSE(RsPaths_AreDoubtful(&paths, NOW_MS + 2));
+    close_paths();
+}
+
+/* Responses on open connections don't show that new connections could be
+ * made. */
+static void
+test_links_are_in_doubt_long_after_the_last_connection(void)
+{
+    open_paths(TARGETS);
+    RsPaths_RecordConnected(&paths, targets[2], NOW_MS - 5000);
+    RsPaths_RecordAnswered(&paths, NOW_MS);
+    CU_ASSERT_FALSE(RsPaths_AreDoubtful(&paths, NOW_MS));
+    fail_targets(0, 1);
+    fail_targets(0, 1);
+    CU_ASSERT_TRUE(RsPaths_AreDoubtful(&paths, NOW_MS));
+    close_paths();
+}
+
+/* The one failure shows soon whether the links are lost. */
+static void
+test_failed_connection_is_followed_by_probes(void)
+{
+    int probes = 0;
+    open_paths(TARGETS);
+    RsPaths_RecordConnected(&paths, targets[2], NOW_MS - 100);
+    CU_ASSERT_FALSE(RsPaths_TakeProbe(&paths, NOW_MS));
+    fail_targets(0, 1);
+    for (int64_t ms = 0; ms < 1000; ms += 10) {
+        RsPaths_RecordAnswered(&paths, NOW_MS + ms);
+        probes += RsPaths_TakeProbe(&paths, NOW_MS + ms);
+    }
+    CU_ASSERT_TRUE(probes >= 10 && probes <= 20);
+    RsPaths_RecordConnected(&paths, targets[2], NOW_MS + 1000);
+    CU_ASSERT_FALSE(RsPaths_TakeProbe(&paths, NOW_MS + 2000));
     close_paths();
 }
 
@@ -276,6 +311,8 @@
     CU_ADD_TEST(suite, test_targets_that_fail_between_answers_do_not_isolate);
     CU_ADD_TEST(suite, test_many_failures_at_once_do_not_isolate);
     CU_ADD_TEST(suite, test_links_are_in_doubt_until_a_connection_is_made);
+    CU_ADD_TEST(suite, test_links_are_in_doubt_long_after_the_last_connection);
+    CU_ADD_TEST(suite, test_failed_connection_is_followed_by_probes);
     CU_ADD_TEST(suite, test_few_targets_isolate_when_all_fail);
     CU_ADD_TEST(suite, test_failed_target_is_tried_through_other_nodes);
     CU_ADD_TEST(suite, test_nodes_that_cannot_help_are_left_out);
--- a/router/probe.c
+++ b/router/probe.c
@@ -61,7 +61,8 @@
     .closed = on_closed,
 };
 
-/* Returns a random listed target, or NULL if there is none. */
+/* Returns a random listed target, one that has not failed if possible, or NULL
+ * if none is listed. */
 static struct rs_fleet_target *
 choose_target(struct rs_router *router)
 {
@@ -69,14 +70,19 @@
     guint first = list->len > 0 ? (guint)g_rand_int_range(router->random, 0,
                                                           (gint32)list->len)
                                 : 0;
+    struct rs_fleet_target *failed = NULL;
     for (guint i = 0; i < list->len; i++) {
         struct rs_fleet_target *target =
             g_ptr_array_index(list, (first + i) % list->len);
-        if (target->listed && !target->replaced) {
+        if (!target->listed || target->replaced) {
+            continue;
+        }
+        if (!RsPaths_HasFailed(&router->paths, target)) {
             return target;
         }
+        failed = target;
     }
-    return NULL;
+    return failed;
 }
 
 /* Connects to a random target, and records in the router's paths whether that
--- a/router/tunnel.c
+++ b/router/tunnel.c
@@ -164,9 +164,9 @@
 fail(struct tunnel *tunnel)
 {
     struct rs_router *router = tunnel->server->router;
-    RsPaths_RecordConnectFailed(&router->paths, tunnel->requested,
-                                RsClock_NowMs());
-    if (RsPaths_AreDoubtful(&router->paths)) {
+    int64_t now_ms = RsClock_NowMs();
+    RsPaths_RecordConnectFailed(&router->paths, tunnel->requested, now_ms);
+    if (RsPaths_AreDoubtful(&router->paths, now_ms)) {
         RsCounter_Add(&tunnel->server->counters.refused, 1);
         refuse(tunnel, refused_answer, "links in doubt");
     }
--- a/tests/node_cut_test.c
+++ b/tests/node_cut_test.c
@@ -17,18 +17,19 @@
 /* Requests count from this time after the links were cut. */
 #define CONTACT_MS 3000
 #define CUT_MS 8000
+#define CLOSE_INTERVAL_MS 1000
 #define ALLOWED_FAILURES 10
 #define ALLOWED_FAILURE_SHARE 0.02
 #define HEALED_WITHIN_MS 3000
 
 static struct rs_node_fixture *
-open_fixture(uint16_t base_port)
+open_fixture(uint16_t base_port, uint32_t sharded_targets)
 {
     const struct rs_node_fixture_options options = {
         .base_port = base_port,
         .node_count = NODES,
         .plain_targets = PLAIN_TARGETS,
-        .sharded_targets = SHARDED_TARGETS,
+        .sharded_targets = sharded_targets,
         .work_ms = WORK_MS,
         .timeout_ms = 2000,
         .cuttable = true,
@@ -87,7 +88,7 @@
 check_cut(uint16_t base_port, uint32_t first_node,
           enum rs_node_fixture_cut cut)
 {
-    struct rs_node_fixture *fixture = open_fixture(base_port);
+    struct rs_node_fixture *fixture = open_fixture(base_port, SHARDED_TARGETS);
     for (uint32_t i = 0; i < NODES - 1; i++) {
         RsNodeFixture_CutFromTargets(fixture, first_node + i, cut);
     }
@@ -124,3 +125,23 @@
 {
     check_cut(27400, 0, RsNodeFixture_LIVE_ON);
 }
+
+/* Three of the nodes need new connections to the only owner of keys, while
+ * those to the other targets live on. */
+void
+test_nodes_without_new_links_to_one_target_serve(void)
+{
+    struct rs_node_fixture *fixture = open_fixture(27200, 1);
+    for (uint32_t i = 0; i < NODES - 1; i++) {
+        RsNodeFixture_CutFromTargets(fixture, i, RsNodeFixture_LIVE_ON);
+    }
+    send_requests(fixture, CONTACT_MS);
+    uint32_t first = fixture->request_count;
+    for (int64_t ms = 0; ms < CUT_MS; ms += CLOSE_INTERVAL_MS) {
+        RsNodeFixture_CloseConnections(fixture, PLAIN_TARGETS);
+        send_requests(fixture, CLOSE_INTERVAL_MS);
+    }
+    check_served(fixture, first);
+    CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
+    RsNodeFixture_Close(fixture);
+}
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -93,6 +93,14 @@
     return path;
 }
 
+/* Closes the connections of all nodes to a target. */
+void
+RsNodeFixture_CloseConnections(struct rs_node_fixture *fixture,
+                               uint32_t target)
+{
+    RsLinkProxy_CloseConnections(RsSoakTarget_Proxy(fixture->targets[target]));
+}
+
 /* Cuts a node off from all targets. */
 void
 RsNodeFixture_CutFromTargets(struct rs_node_fixture *fixture, uint32_t node,
@@ -101,7 +109,7 @@
     RsLinkCut_Cut(&fixture->link_cuts[node], cut == RsNodeFixture_SILENT);
     for (uint32_t i = 0;
          i < fixture->target_count && cut != RsNodeFixture_LIVE_ON; i++) {
-        RsLinkProxy_CloseConnections(RsSoakTarget_Proxy(fixture->targets[i]));
+        RsNodeFixture_CloseConnections(fixture, i);
     }
 }
 
@@ -363,24 +371,21 @@
     return request->ended_at_ms != 0;
 }
 
-/* Returns whether all nodes serve keys of the whole key space, and the service
+/* Returns whether a node serves keys of the whole key space, and the service
  * without keys, as far as there are targets for them. */
 static bool
-is_served(struct rs_node_fixture *fixture)
+is_served_by(struct rs_node_fixture *fixture, uint32_t node)
 {
-    struct rs_node_fixture_request
-        *probes[RsNodeFixture_MAX_NODES * (KEYS_PER_PROBE + 1)];
+    struct rs_node_fixture_request *probes[KEYS_PER_PROBE + 1];
     uint32_t count = 0;
     bool served = true;
-    for (uint32_t i = 0; i < fixture->options.node_count; i++) {
-        for (uint32_t k = 0;
-             k < KEYS_PER_PROBE && fixture->options.sharded_targets > 0; k++) {
-            probes[count++] = RsNodeFixture_Get(
-                fixture, i, k * (RsCheck_KEYS / KEYS_PER_PROBE));
-        }
-        if (fixture->options.plain_targets > 0) {
-            probes[count++] = RsNodeFixture_Post(fixture, i);
-        }
+    for (uint32_t k = 0;
+         k < KEYS_PER_PROBE && fixture->options.sharded_targets > 0; k++) {
+        probes[count++] = RsNodeFixture_Get(
+            fixture, node, k * (RsCheck_KEYS / KEYS_PER_PROBE));
+    }
+    if (fixture->options.plain_targets > 0) {
+        probes[count++] = RsNodeFixture_Post(fixture, node);
     }
     for (uint32_t i = 0; i < count; i++) {
         served = RsNodeFixture_AwaitEnd(probes[i],
@@ -390,6 +395,19 @@
     return served;
 }
 
+/* Returns whether all nodes serve, asking one after the other, so that targets
+ * without much room can serve all probes. */
+static bool
+is_served(struct rs_node_fixture *fixture)
+{
+    for (uint32_t i = 0; i < fixture->options.node_count; i++) {
+        if (!is_served_by(fixture, i)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Waits until all nodes serve all services. Returns false if they don't within
  * this time. */
 bool
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -79,6 +79,8 @@
 
 void RsNodeFixture_CutFromTargets(struct rs_node_fixture *fixture,
                                   uint32_t node, enum rs_node_fixture_cut cut);
+void RsNodeFixture_CloseConnections(struct rs_node_fixture *fixture,
+                                    uint32_t target);
 void RsNodeFixture_HealLinks(struct rs_node_fixture *fixture, uint32_t node);
 int RsNodeFixture_ConfigVersion(struct rs_node_fixture *fixture,
                                 uint32_t node);
--- a/tests/node_main.c
+++ b/tests/node_main.c
@@ -43,6 +43,8 @@
      test_nodes_without_links_to_targets_serve_silent},
     {"nodes_without_new_links_to_targets_serve",
      test_nodes_without_new_links_to_targets_serve},
+    {"nodes_without_new_links_to_one_target_serve",
+     test_nodes_without_new_links_to_one_target_serve},
     {"service_goes_on_after_a_restore", test_service_goes_on_after_a_restore},
     {"restarted_nodes_do_not_trust_the_copy",
      test_restarted_nodes_do_not_trust_the_copy},
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -22,6 +22,7 @@
 void test_nodes_without_links_to_targets_serve_refused(void);
 void test_nodes_without_links_to_targets_serve_silent(void);
 void test_nodes_without_new_links_to_targets_serve(void);
+void test_nodes_without_new_links_to_one_target_serve(void);
 
 /* tests/node_limit_test.c */
 void test_all_nodes_together_keep_a_limit(void);
