Tell restarted nodes the configuration that the restored store has lost

Cause (known red nodes.configuration_does_not_go_back): a store that has gone back to a copy holds an older configuration for a while. Nodes that know the later one keep it, but told it only downward, to their subscribers. A restarted granter reads the copy, is the source of all tables, and asks nobody.

Change: a row whose content is later than the store's is marked as kept when the older one is seen. Kept rows go with each subscription to the upstream node and, once for each change, to each subscriber. Whoever gets one compares the content, here the configuration's version, and adopts a later one without touching the versions of rows and table, so that it polls the store from where it was.

Ruled out: giving the kept row a version of its own, as a node that takes it would skip changes of the store up to that version; asking peers before the first read of the store, which delays each start and does not reach a granter that claims its lease at once; sending the row of an ordinary update upward, as it has the version of the copy and is dropped as not newer.

Tests: nodes.configuration_does_not_go_back_at_the_granter restarts the granter and one more node of three.

--- a/router/follower.c
+++ b/router/follower.c
@@ -75,12 +75,14 @@
     follower->options.events->row(follower->options.arg, &deletion);
 }
 
-static bool
-is_outdated(const struct rs_follower *follower, const struct rs_store_row *row)
+/* Compares the content of a row with what is known, see rs_follower_events. */
+static int
+compare(const struct rs_follower *follower, const struct rs_store_row *row)
 {
     const struct rs_follower_events *events = follower->options.events;
-    return events->is_outdated != NULL && !row->deleted &&
-           events->is_outdated(follower->options.arg, row);
+    return events->compare != NULL && !row->deleted
+               ? events->compare(follower->options.arg, row)
+               : 0;
 }
 
 /* Applies a row from the store if it is newer than the known one. Returns
@@ -92,8 +94,8 @@
         return false;
     }
     enum rs_row_effect effect =
-        is_outdated(follower, row)
-            ? RsTableCopy_IGNORED
+        compare(follower, row) < 0
+            ? RsTableCopy_OUTDATED
             : follower->options.events->row(follower->options.arg, row);
     RsTableCopy_Put(&follower->copy, row, effect);
     return effect == RsTableCopy_CHANGED;
@@ -348,61 +350,85 @@
 }
 
 static void
-free_encodings(struct rs_follower_encodings *encodings)
+free_encodings(struct rs_follower_origin *origin)
 {
-    g_clear_pointer(&encodings->packed, g_byte_array_unref);
-    g_clear_pointer(&encodings->patch, g_byte_array_unref);
+    g_clear_pointer(&origin->packed, g_byte_array_unref);
+    g_clear_pointer(&origin->patch, g_byte_array_unref);
 }
 
-/* Applies rows that came from another node. Those with outdated content only
- * update the version. `encodings` has one entry for each
+/* Stores a row that came from another node, unless it is neither newer nor
+ * kept by that node as a later one. Takes over the encodings. Returns its
+ * effect. */
+static enum rs_row_effect
+store_row(struct rs_follower *follower, const struct rs_store_row *row,
+          struct rs_follower_origin *origin)
+{
+    struct rs_table_copy *copy = &follower->copy;
+    bool newer = RsTableCopy_IsNewer(copy, row);
+    int order = newer || origin->kept ? compare(follower, row) : 0;
+    enum rs_row_effect effect = RsTableCopy_IGNORED;
+    if (newer && order < 0) {
+        effect = RsTableCopy_OUTDATED;
+        RsTableCopy_Put(copy, row, effect);
+    }
+    else if (newer) {
+        effect = RsTableCopy_CHANGED;
+        RsTableCopy_Put(copy, row, effect);
+        RsTableCopy_KeepEncodings(copy, row->key, origin->packed,
+                                  origin->patch);
+        if (origin->kept) {
+            RsTableCopy_MarkKept(copy, row->key);
+        }
+        return effect;
+    }
+    else if (origin->kept && order > 0) {
+        effect = RsTableCopy_CHANGED;
+        RsTableCopy_Adopt(copy, row);
+    }
+    free_encodings(origin);
+    return effect;
+}
+
+/* Applies rows that came from another node. `origins` has one entry for each
  * row, or is NULL; the follower takes ownership of the byte arrays in it.
  * `whole` says that the table had no other rows at the version of `rows`.
+ * Returns whether
+ * the other node has rows that are newer but have older content than this
+ * node's, which are ignored.
  *
- * Rows that aren't newer than the known ones are ignored. The others are
- * stored first and, unless the whole table was sent, forwarded before this
- * node uses them, since using them takes time. Each of these rows counts as
- * changed, since the other node normally sends only rows whose content has
- * changed. */
-void
+ * Rows that aren't newer than the known ones are ignored, unless the other
+ * node keeps them and their content is later. The others are stored first and,
+ * unless the whole table was sent, forwarded before this node uses them, since
+ * using them takes time. Each of these rows counts as changed, since the other
+ * node normally sends only rows whose content has changed. */
+bool
 RsFollower_ApplyUpdate(struct rs_follower *follower,
                        const struct rs_store_rows *rows,
-                       struct rs_follower_encodings *encodings, bool whole)
+                       struct rs_follower_origin *origins, bool whole)
 {
     const struct rs_follower_events *events = follower->options.events;
     bool changed = false;
-    bool *newer = g_new0(bool, rows->count + 1);
+    bool outdated = false;
+    enum rs_row_effect *effects = g_new0(enum rs_row_effect, rows->count + 1);
     if (whole) {
         RsTableCopy_BeginSnapshot(&follower->copy);
     }
     for (size_t i = 0; i < rows->count; i++) {
-        const struct rs_store_row *row = &rows->rows[i];
-        newer[i] = RsTableCopy_IsNewer(&follower->copy, row);
-        if (newer[i] && is_outdated(follower, row)) {
-            RsTableCopy_Put(&follower->copy, row, RsTableCopy_IGNORED);
-            newer[i] = false;
-        }
-        if (newer[i]) {
-            RsTableCopy_Put(&follower->copy, row, RsTableCopy_CHANGED);
-            changed = true;
-        }
-        if (encodings != NULL && newer[i]) {
-            RsTableCopy_KeepEncodings(&follower->copy, row->key,
-                                      encodings[i].packed, encodings[i].patch);
-        }
-        else if (encodings != NULL) {
-            free_encodings(&encodings[i]);
-        }
+        struct rs_follower_origin none = {0};
+        effects[i] = store_row(follower, &rows->rows[i],
+                               origins != NULL ? &origins[i] : &none);
+        changed |= effects[i] == RsTableCopy_CHANGED;
+        outdated |= effects[i] == RsTableCopy_OUTDATED;
     }
     if (changed && !whole) {
         events->updated(follower->options.arg);
     }
     for (size_t i = 0; i < rows->count; i++) {
-        if (newer[i]) {
+        if (effects[i] == RsTableCopy_CHANGED) {
             events->row(follower->options.arg, &rows->rows[i]);
         }
     }
-    g_free(newer);
+    g_free(effects);
     if (whole) {
         RsTableCopy_EndSnapshot(&follower->copy, rows->version, on_row_missing,
                                 follower);
@@ -411,6 +437,27 @@
     follower->copy.version = MAX(follower->copy.version, rows->version);
     follower->options.events->caught_up(follower->options.arg,
                                         changed || whole);
+    return outdated;
+}
+
+/* Applies those rows, which another node keeps against older ones in the
+ * store, whose content is later than what is known. */
+void
+RsFollower_AdoptKept(struct rs_follower *follower,
+                     const struct rs_store_rows *rows)
+{
+    bool changed = false;
+    for (size_t i = 0; i < rows->count; i++) {
+        if (compare(follower, &rows->rows[i]) > 0) {
+            RsTableCopy_Adopt(&follower->copy, &rows->rows[i]);
+            follower->options.events->row(follower->options.arg,
+                                          &rows->rows[i]);
+            changed = true;
+        }
+    }
+    if (changed) {
+        follower->options.events->caught_up(follower->options.arg, true);
+    }
 }
 
 /* Records that the table was known to be up to date at `fresh_at_ms`, and that
--- a/router/follower.h
+++ b/router/follower.h
@@ -8,7 +8,9 @@
  * copy are missing and rows that were deleted since are there again, until
  * their writers have written or deleted them again. The follower keeps what it
  * knows of such rows, reads the whole table once more after some time, and
- * then takes it as it is. */
+ * then takes it as it is. A row whose content has an order of its own is kept
+ * until the store has a later one; nodes that know only the copy get it from
+ * those that keep it. */
 
 #ifndef RATTANSHED_ROUTER_FOLLOWER_H
 #define RATTANSHED_ROUTER_FOLLOWER_H
@@ -23,9 +25,11 @@
      * set for each row that is missing from the whole table. Returns the
      * effect of the row on what is known. */
     enum rs_row_effect (*row)(void *arg, const struct rs_store_row *row);
-    /* Returns whether the content of the row is older than what is known,
-     * although its version is newer; such a row is ignored. May be NULL. */
-    bool (*is_outdated)(void *arg, const struct rs_store_row *row);
+    /* Compares the content of the row with what is known, whatever the
+     * versions of the rows. Returns a negative value if it is older, a
+     * positive one if it is later, and else 0. Rows with older content are
+     * ignored. May be NULL. */
+    int (*compare)(void *arg, const struct rs_store_row *row);
     /* Called when changes, but not a whole table, came from another node,
      * before `row` is called for them, so that they can be forwarded first. */
     void (*updated)(void *arg);
@@ -63,17 +67,20 @@
 void RsFollower_SetMaxRetryDelay(struct rs_follower *follower,
                                  uint32_t max_ms);
 
-/* The encodings in which a row came from another node, NULL where absent; see
- * RsTableCopy_KeepEncodings(). */
-struct rs_follower_encodings {
+/* How a row came from another node: the encodings, NULL where absent (see
+ * RsTableCopy_KeepEncodings()), and whether that node keeps the row against an
+ * older one in the store. */
+struct rs_follower_origin {
     GByteArray *packed;
     GByteArray *patch;
+    bool kept;
 };
 
-void RsFollower_ApplyUpdate(struct rs_follower *follower,
+bool RsFollower_ApplyUpdate(struct rs_follower *follower,
                             const struct rs_store_rows *rows,
-                            struct rs_follower_encodings *encodings,
-                            bool whole);
+                            struct rs_follower_origin *origins, bool whole);
+void RsFollower_AdoptKept(struct rs_follower *follower,
+                          const struct rs_store_rows *rows);
 void RsFollower_MarkFresh(struct rs_follower *follower, uint64_t version,
                           int64_t fresh_at_ms);
 
--- a/router/node.c
+++ b/router/node.c
@@ -185,28 +185,31 @@
     return RsTableCopy_CHANGED;
 }
 
-/* Returns whether the row is a configuration older than the one in force. The
- * store may have gone back to it. */
-static bool
-is_older_config(void *arg, const struct rs_store_row *row)
+/* Compares a configuration with the one in force, see rs_follower_events. The
+ * store may have gone back to an older one. */
+static int
+compare_config(void *arg, const struct rs_store_row *row)
 {
     const struct node *node = arg;
     const char *fault;
-    if (strcmp(row->key, RsWire_CONFIG_KEY) != 0 ||
-        node->router.config == NULL) {
-        return false;
+    if (strcmp(row->key, RsWire_CONFIG_KEY) != 0) {
+        return 0;
     }
     struct rs_routing *config = RsRouting_Decode(row->value, &fault);
-    bool older =
-        config != NULL && config->version < node->router.config->version;
-    if (older) {
+    if (config == NULL) {
+        return 0;
+    }
+    uint32_t in_force =
+        node->router.config != NULL ? node->router.config->version : 0;
+    int order = (config->version > in_force) - (config->version < in_force);
+    if (order < 0) {
         RsLog_EVENT(RsLog_WARNING, "older_config_ignored",
                     RsLog_NUMBER("config_version", config->version),
-                    RsLog_NUMBER("in_force", node->router.config->version),
+                    RsLog_NUMBER("in_force", in_force),
                     RsLog_NUMBER("era", RsStore_Era(row->version)));
     }
     RsRouting_Release(config);
-    return older;
+    return order;
 }
 
 static enum rs_row_effect
@@ -256,7 +259,7 @@
 
 static const struct rs_follower_events operator_events = {
     .row = on_operator_row,
-    .is_outdated = is_older_config,
+    .compare = compare_config,
     .updated = on_updated,
     .caught_up = on_caught_up,
     .store_call_ended = on_store_call_ended,
--- a/router/stream.c
+++ b/router/stream.c
@@ -56,6 +56,8 @@
     /* For each table: this node has sent its rows since the last Subscribe
      * message, so that patches to them can be applied. */
     bool synced[RsStream_MAX_TABLES];
+    /* For each table, the revision of the kept rows that were last sent. */
+    uint32_t kept_revisions[RsStream_MAX_TABLES];
 };
 
 struct rs_stream {
@@ -94,6 +96,121 @@
     int64_t next_connect_at_ms;
 };
 
+/* Decoding updates. */
+
+/* Returns a copy that ends with a zero byte. */
+static char *
+terminated_copy(const ProtobufCBinaryData *bytes)
+{
+    char *text = g_malloc(bytes->len + 1);
+    if (bytes->len > 0) {
+        memcpy(text, bytes->data, bytes->len);
+    }
+    text[bytes->len] = '\0';
+    return text;
+}
+
+/* Returns NULL if there are no bytes. */
+static GByteArray *
+copy_bytes(const ProtobufCBinaryData *bytes)
+{
+    if (bytes->len == 0) {
+        return NULL;
+    }
+    GByteArray *copy = g_byte_array_sized_new((guint)bytes->len);
+    return g_byte_array_append(copy, bytes->data, (guint)bytes->len);
+}
+
+/* Returns the value of a row from an update, to be freed by the caller with
+ * g_free(). Returns NULL if it can't be decoded or is a patch of a version
+ * that this node does not have. */
+static char *
+decode_value(const struct rs_follower *follower,
+             const Rs__Stream__Update__Row *row)
+{
+    if (row->packed.len > 0) {
+        return RsPack_Decompress(row->packed.data, row->packed.len,
+                                 row->value_bytes);
+    }
+    if (row->patch.len == 0) {
+        return terminated_copy(&row->value);
+    }
+    const struct rs_known_row *known =
+        RsTableCopy_Find(RsFollower_TableCopy(follower), row->key);
+    if (known == NULL || known->deleted ||
+        known->version != row->base_version) {
+        return NULL;
+    }
+    return RsPatch_Apply(known->value, row->patch.data, row->patch.len);
+}
+
+/* The rows of an update, and how they came. */
+struct decoded_rows {
+    struct rs_store_rows rows;
+    struct rs_follower_origin *origins;
+    bool applicable; /* all values could be decoded */
+};
+
+/* Decodes the rows of an update. They are to be freed with free_rows() and,
+ * unless the follower takes over the encodings, free_encodings(). */
+static struct decoded_rows
+decode_rows(const struct rs_follower *follower,
+            const Rs__Stream__Update *update)
+{
+    struct decoded_rows decoded = {
+        .rows = {.rows = g_new0(struct rs_store_row, update->n_rows + 1),
+                 .count = update->n_rows,
+                 .version = update->version},
+        .origins = g_new0(struct rs_follower_origin, update->n_rows + 1),
+        .applicable = true,
+    };
+    for (size_t i = 0; i < update->n_rows; i++) {
+        const Rs__Stream__Update__Row *row = update->rows[i];
+        struct rs_store_row *decoded_row = &decoded.rows.rows[i];
+        *decoded_row = (struct rs_store_row){
+            .table = update->table,
+            .key = row->key,
+            .value = decode_value(follower, row),
+            .version = row->version,
+            .deleted = row->deleted,
+        };
+        if (decoded_row->value == NULL) {
+            RsLog_EVENT(RsLog_WARNING, "patch_refused",
+                        RsLog_TEXT("key", row->key),
+                        RsLog_NUMBER("era", RsStore_Era(row->version)),
+                        RsLog_NUMBER("version", RsStore_Number(row->version)),
+                        RsLog_NUMBER("base_version",
+                                     RsStore_Number(row->base_version)));
+            decoded.applicable = false;
+            continue;
+        }
+        decoded_row->value_bytes = strlen(decoded_row->value);
+        decoded.origins[i].packed = copy_bytes(&row->packed);
+        decoded.origins[i].patch = copy_bytes(&row->patch);
+        decoded.origins[i].kept = row->kept;
+    }
+    return decoded;
+}
+
+static void
+free_encodings(struct decoded_rows *decoded)
+{
+    for (size_t i = 0; i < decoded->rows.count; i++) {
+        g_clear_pointer(&decoded->origins[i].packed, g_byte_array_unref);
+        g_clear_pointer(&decoded->origins[i].patch, g_byte_array_unref);
+    }
+}
+
+static void
+free_rows(struct decoded_rows *decoded)
+{
+    for (size_t i = 0; i < decoded->rows.count; i++) {
+        g_free(decoded->rows.rows[i].value);
+    }
+    g_free(decoded->rows.rows);
+    g_free(decoded->origins);
+}
+
 /* Serving subscribers. */
 
 static int
@@ -138,9 +255,24 @@
     }
     item.version = row->version;
     item.deleted = row->deleted;
+    item.kept = row->kept;
     g_array_append_val(list->rows, item);
 }
 
+/* Puts the rows of a table into an update. The caller frees `update->rows`
+ * with g_free(), and keeps `rows` until then. */
+static void
+set_rows(Rs__Stream__Update *update, const struct rs_follower *follower,
+         GArray *rows)
+{
+    update->table = (char *)RsFollower_TableName(follower);
+    update->n_rows = rows->len;
+    update->rows = g_new0(Rs__Stream__Update__Row *, rows->len + 1);
+    for (guint i = 0; i < rows->len; i++) {
+        update->rows[i] = &g_array_index(rows, Rs__Stream__Update__Row, i);
+    }
+}
+
 /* Sends the changes of one table that the subscriber does not have. Returns 0,
  * or the error of RsLink_Send(). */
 static int
@@ -164,28 +296,26 @@
      * not seen, so it is sent all newer rows, and none as a patch. */
     list.known_version = synced ? known_version : 0;
     RsTableCopy_VisitSince(copy, known_version, synced, add_row, &list);
+    if (subscriber->kept_revisions[table] != copy->kept_revision) {
+        list.known_version = 0;
+        RsTableCopy_VisitKept(copy, add_row, &list);
+    }
     subscriber->synced[table] = true;
     subscriber->versions[table] = copy->version;
+    subscriber->kept_revisions[table] = copy->kept_revision;
     if (list.rows->len == 0 && known_version != 0) {
         g_array_unref(list.rows); /* the next heartbeat carries the version */
         return 0;
     }
-    Rs__Stream__Update__Row **pointers =
-        g_new0(Rs__Stream__Update__Row *, list.rows->len + 1);
-    for (guint i = 0; i < list.rows->len; i++) {
-        pointers[i] = &g_array_index(list.rows, Rs__Stream__Update__Row, i);
-    }
     Rs__Stream__Update update = RS__STREAM__UPDATE__INIT;
-    update.table = (char *)RsFollower_TableName(follower);
     update.version = copy->version;
     update.whole = known_version == 0;
-    update.n_rows = list.rows->len;
-    update.rows = pointers;
+    set_rows(&update, follower, list.rows);
     Rs__Stream__Message message = RS__STREAM__MESSAGE__INIT;
     message.message_case = RS__STREAM__MESSAGE__MESSAGE_UPDATE;
     message.update = &update;
     int status = send_message(subscriber->link, &message);
-    g_free(pointers);
+    g_free(update.rows);
     g_array_unref(list.rows);
     return status;
 }
@@ -205,6 +335,17 @@
     g_ptr_array_remove_fast(subscriber->stream->subscribers, subscriber);
 }
 
+static bool
+has_changes(const struct subscriber *subscriber, size_t table)
+{
+    const struct rs_follower *follower =
+        subscriber->stream->options.followers[table];
+    const struct rs_table_copy *copy = RsFollower_TableCopy(follower);
+    return RsFollower_FreshAtMs(follower) > 0 &&
+           (copy->version > subscriber->versions[table] ||
+            copy->kept_revision != subscriber->kept_revisions[table]);
+}
+
 /* Sends the subscriber the changes of all tables. Returns false if the
  * subscriber was dropped because sending failed. */
 static bool
@@ -212,11 +353,7 @@
 {
     const struct rs_stream_options *options = &subscriber->stream->options;
     for (size_t i = 0; i < options->follower_count; i++) {
-        const struct rs_follower *follower = options->followers[i];
-        if (RsFollower_FreshAtMs(follower) > 0 &&
-            RsFollower_TableCopy(follower)->version >
-                subscriber->versions[i] &&
-            send_update(subscriber, i) != 0) {
+        if (has_changes(subscriber, i) && send_update(subscriber, i) != 0) {
             drop_subscriber(subscriber);
             return false;
         }
@@ -254,9 +391,40 @@
     send_message(link, &message);
 }
 
+static struct rs_follower *
+find_follower(const struct rs_stream *stream, const char *table)
+{
+    for (size_t i = 0; i < stream->options.follower_count; i++) {
+        if (strcmp(RsFollower_TableName(stream->options.followers[i]),
+                   table) == 0) {
+            return stream->options.followers[i];
+        }
+    }
+    return NULL;
+}
+
+/* Adopts rows that a subscriber keeps against older ones of the store. */
+static void
+adopt_kept(struct rs_stream *stream, const Rs__Stream__Subscribe *subscribe)
+{
+    for (size_t i = 0; i < subscribe->n_kept; i++) {
+        const Rs__Stream__Update *update = subscribe->kept[i];
+        struct rs_follower *follower = find_follower(stream, update->table);
+        if (follower == NULL) {
+            continue;
+        }
+        struct decoded_rows decoded = decode_rows(follower, update);
+        if (decoded.applicable) {
+            RsFollower_AdoptKept(follower, &decoded.rows);
+        }
+        free_encodings(&decoded);
+        free_rows(&decoded);
+    }
+}
+
 /* Handles a Subscribe message. A subscriber sends it again when it could not
- * apply an update. A new subscriber is redirected if there are too many.
- * Returns 0. */
+ * apply an update, or keeps rows that this node doesn't. A new subscriber is
+ * redirected if there are too many. Returns 0. */
 static int
 handle_subscribe(struct subscriber *subscriber,
                  const Rs__Stream__Subscribe *subscribe)
@@ -267,6 +435,10 @@
         redirect(stream, subscriber->link);
         return 0;
     }
+    /* The changes must not be sent, which may drop the subscriber, before all
+     * of the message is handled. */
+    subscriber->subscribed = false;
+    adopt_kept(stream, subscribe);
     subscriber->subscribed = true;
     g_free(subscriber->host);
     subscriber->host = g_strdup(subscribe->host);
@@ -277,6 +449,7 @@
             if (strcmp(table, subscribe->tables[k]->table) == 0) {
                 subscriber->versions[i] = subscribe->tables[k]->version;
                 subscriber->synced[i] = false;
+                subscriber->kept_revisions[i] = 0;
             }
         }
     }
@@ -369,18 +542,6 @@
 
 /* Receiving changes from the upstream node. */
 
-static struct rs_follower *
-find_follower(const struct rs_stream *stream, const char *table)
-{
-    for (size_t i = 0; i < stream->options.follower_count; i++) {
-        if (strcmp(RsFollower_TableName(stream->options.followers[i]),
-                   table) == 0) {
-            return stream->options.followers[i];
-        }
-    }
-    return NULL;
-}
-
 /* Makes the followers poll the store, or stop polling it. */
 static void
 set_polling(struct rs_stream *stream, bool enabled)
@@ -427,83 +588,56 @@
     set_upstream_current(stream, false, reason, LOST_POLL_DELAY_MS);
 }
 
-/* Sends the upstream node the table versions that this node has. Returns 0, or
- * the error of RsLink_Send(). */
+/* Sends the upstream node the table versions that this node has, and the rows
+ * that it keeps. Returns 0, or the error of RsLink_Send(). */
 static int
 subscribe(struct rs_stream *stream)
 {
     const struct rs_stream_options *options = &stream->options;
     Rs__Stream__Subscribe__Known items[RsStream_MAX_TABLES];
     Rs__Stream__Subscribe__Known *pointers[RsStream_MAX_TABLES];
+    Rs__Stream__Update kept[RsStream_MAX_TABLES];
+    Rs__Stream__Update *kept_pointers[RsStream_MAX_TABLES];
+    struct row_list lists[RsStream_MAX_TABLES];
     Rs__Stream__Subscribe request = RS__STREAM__SUBSCRIBE__INIT;
     for (size_t i = 0; i < options->follower_count; i++) {
+        const struct rs_follower *follower = options->followers[i];
+        const struct rs_table_copy *copy = RsFollower_TableCopy(follower);
         rs__stream__subscribe__known__init(&items[i]);
-        items[i].table = (char *)RsFollower_TableName(options->followers[i]);
-        items[i].version =
-            RsFollower_TableCopy(options->followers[i])->version;
+        items[i].table = (char *)RsFollower_TableName(follower);
+        items[i].version = copy->version;
         pointers[i] = &items[i];
+        lists[i] = (struct row_list){
+            .rows =
+                g_array_new(FALSE, FALSE, sizeof(Rs__Stream__Update__Row))};
+        RsTableCopy_VisitKept(copy, add_row, &lists[i]);
+        rs__stream__update__init(&kept[i]);
+        set_rows(&kept[i], follower, lists[i].rows);
+        kept_pointers[request.n_kept] = &kept[i];
+        request.n_kept += kept[i].n_rows > 0;
     }
     request.node = (char *)options->node;
     request.host = (char *)options->host;
     request.port = options->port;
     request.tables = pointers;
     request.n_tables = options->follower_count;
+    request.kept = kept_pointers;
     Rs__Stream__Message message = RS__STREAM__MESSAGE__INIT;
     message.message_case = RS__STREAM__MESSAGE__MESSAGE_SUBSCRIBE;
     message.subscribe = &request;
-    return send_message(stream->upstream, &message);
-}
-
-/* Returns a copy that ends with a zero byte. */
-static char *
-terminated_copy(const ProtobufCBinaryData *bytes)
-{
-    char *text = g_malloc(bytes->len + 1);
-    if (bytes->len > 0) {
-        memcpy(text, bytes->data, bytes->len);
-    }
-    text[bytes->len] = '\0';
-    return text;
-}
-
-/* Returns NULL if there are no bytes. */
-static GByteArray *
-copy_bytes(const ProtobufCBinaryData *bytes)
-{
-    if (bytes->len == 0) {
-        return NULL;
-    }
-    GByteArray *copy = g_byte_array_sized_new((guint)bytes->len);
-    return g_byte_array_append(copy, bytes->data, (guint)bytes->len);
-}
-
-/* Returns the value of a row from an update, to be freed by the caller with
- * g_free(). Returns NULL if it can't be decoded or is a patch of a version
- * that this node does not have. */
-static char *
-decode_value(const struct rs_follower *follower,
-             const Rs__Stream__Update__Row *row)
-{
-    if (row->packed.len > 0) {
-        return RsPack_Decompress(row->packed.data, row->packed.len,
-                                 row->value_bytes);
-    }
-    if (row->patch.len == 0) {
-        return terminated_copy(&row->value);
-    }
-    const struct rs_known_row *known =
-        RsTableCopy_Find(RsFollower_TableCopy(follower), row->key);
-    if (known == NULL || known->deleted ||
-        known->version != row->base_version) {
-        return NULL;
+    int status = send_message(stream->upstream, &message);
+    for (size_t i = 0; i < options->follower_count; i++) {
+        g_free(kept[i].rows);
+        g_array_unref(lists[i].rows);
     }
-    return RsPatch_Apply(known->value, row->patch.data, row->patch.len);
+    return status;
 }
 
 /* Applies an update. If a value can't be decoded, for example because it is a
  * patch of a version that this node does not have, none of the rows are
- * applied and this node subscribes again. Returns 0, or the error of
- * RsLink_Send(). Updates of unknown tables are ignored. */
+ * applied. Then, and when the upstream node has rows with older content, this
+ * node subscribes again. Returns 0, or the error of RsLink_Send(). Updates of
+ * unknown tables are ignored. */
 static int
 apply_update(struct rs_stream *stream, const Rs__Stream__Update *update)
 {
@@ -511,57 +645,23 @@
     if (follower == NULL) {
         return 0;
     }
-    bool applicable = true;
-    struct rs_follower_encodings *encodings =
-        g_new0(struct rs_follower_encodings, update->n_rows + 1);
-    struct rs_store_rows rows = {
-        .rows = g_new0(struct rs_store_row, update->n_rows + 1),
-        .count = update->n_rows,
-        .version = update->version,
-    };
-    for (size_t i = 0; i < update->n_rows; i++) {
-        const Rs__Stream__Update__Row *row = update->rows[i];
-        rows.rows[i] = (struct rs_store_row){
-            .table = update->table,
-            .key = row->key,
-            .value = decode_value(follower, row),
-            .version = row->version,
-            .deleted = row->deleted,
-        };
-        if (rows.rows[i].value == NULL) {
-            RsLog_EVENT(RsLog_WARNING, "patch_refused",
-                        RsLog_TEXT("key", row->key),
-                        RsLog_NUMBER("era", RsStore_Era(row->version)),
-                        RsLog_NUMBER("version", RsStore_Number(row->version)),
-                        RsLog_NUMBER("base_version",
-                                     RsStore_Number(row->base_version)));
-            applicable = false;
-            continue;
+    struct decoded_rows decoded = decode_rows(follower, update);
+    bool outdated = false;
+    if (decoded.applicable) {
+        /* This call takes ownership of the encodings. */
+        outdated = RsFollower_ApplyUpdate(follower, &decoded.rows,
+                                          decoded.origins, update->whole);
+        if (stream->incomplete_follower == follower) {
+            stream->incomplete_follower = NULL;
         }
-        rows.rows[i].value_bytes = strlen(rows.rows[i].value);
-        encodings[i].packed = copy_bytes(&row->packed);
-        encodings[i].patch = copy_bytes(&row->patch);
     }
-    if (!applicable) {
+    else {
+        free_encodings(&decoded);
         stream->incomplete_follower = follower;
     }
-    else if (stream->incomplete_follower == follower) {
-        stream->incomplete_follower = NULL;
-    }
-    if (applicable) {
-        /* This call takes ownership of the encodings. */
-        RsFollower_ApplyUpdate(follower, &rows, encodings, update->whole);
-    }
-    for (size_t i = 0; i < rows.count; i++) {
-        g_free(rows.rows[i].value);
-    }
-    for (size_t i = 0; i < rows.count && !applicable; i++) {
-        g_clear_pointer(&encodings[i].packed, g_byte_array_unref);
-        g_clear_pointer(&encodings[i].patch, g_byte_array_unref);
-    }
-    g_free(encodings);
-    g_free(rows.rows);
-    return applicable ? 0 : subscribe(stream);
+    bool applicable = decoded.applicable;
+    free_rows(&decoded);
+    return applicable && !outdated ? 0 : subscribe(stream);
 }
 
 /* Handles a heartbeat, unless the rows of an update are missing. The heartbeat
--- a/router/stream.pb-c.c
+++ b/router/stream.pb-c.c
@@ -301,7 +301,7 @@
   (ProtobufCMessageInit) rs__stream__subscribe__known__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__stream__subscribe__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rs__stream__subscribe__field_descriptors[5] =
 {
   {
     "node",
@@ -351,9 +351,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kept",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Stream__Subscribe, n_kept),
+    offsetof(Rs__Stream__Subscribe, kept),
+    &rs__stream__update__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__stream__subscribe__field_indices_by_name[] = {
   1,   /* field[1] = host */
+  4,   /* field[4] = kept */
   0,   /* field[0] = node */
   2,   /* field[2] = port */
   3,   /* field[3] = tables */
@@ -361,7 +374,7 @@
 static const ProtobufCIntRange rs__stream__subscribe__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rs__stream__subscribe__descriptor =
 {
@@ -371,14 +384,14 @@
   "Rs__Stream__Subscribe",
   "rs.stream",
   sizeof(Rs__Stream__Subscribe),
-  4,
+  5,
   rs__stream__subscribe__field_descriptors,
   rs__stream__subscribe__field_indices_by_name,
   1,  rs__stream__subscribe__number_ranges,
   (ProtobufCMessageInit) rs__stream__subscribe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__stream__update__row__field_descriptors[8] =
+static const ProtobufCFieldDescriptor rs__stream__update__row__field_descriptors[9] =
 {
   {
     "key",
@@ -476,10 +489,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kept",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Update__Row, kept),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__stream__update__row__field_indices_by_name[] = {
   4,   /* field[4] = base_version */
   3,   /* field[3] = deleted */
+  8,   /* field[8] = kept */
   0,   /* field[0] = key */
   6,   /* field[6] = packed */
   5,   /* field[5] = patch */
@@ -490,7 +516,7 @@
 static const ProtobufCIntRange rs__stream__update__row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor rs__stream__update__row__descriptor =
 {
@@ -500,7 +526,7 @@
   "Rs__Stream__Update__Row",
   "rs.stream",
   sizeof(Rs__Stream__Update__Row),
-  8,
+  9,
   rs__stream__update__row__field_descriptors,
   rs__stream__update__row__field_indices_by_name,
   1,  rs__stream__update__row__number_ranges,
--- a/router/stream.pb-c.h
+++ b/router/stream.pb-c.h
@@ -59,10 +59,16 @@
   uint32_t port;
   size_t n_tables;
   Rs__Stream__Subscribe__Known **tables;
+  /*
+   * Rows that the node keeps against older ones of the store; the versions of
+   * the updates are not set.
+   */
+  size_t n_kept;
+  Rs__Stream__Update **kept;
 };
 #define RS__STREAM__SUBSCRIBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__stream__subscribe__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
 
 
 struct  Rs__Stream__Update__Row
@@ -84,10 +90,14 @@
    */
   ProtobufCBinaryData packed;
   uint32_t value_bytes;
+  /*
+   * later than the row of the store, which has gone back
+   */
+  protobuf_c_boolean kept;
 };
 #define RS__STREAM__UPDATE__ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__stream__update__row__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, {0,NULL}, {0,NULL}, 0 }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, {0,NULL}, {0,NULL}, 0, 0 }
 
 
 /*
--- a/router/table_copy.c
+++ b/router/table_copy.c
@@ -87,20 +87,34 @@
     return row;
 }
 
+static void
+mark_kept(struct rs_table_copy *copy, struct rs_known_row *row)
+{
+    row->kept = true;
+    copy->kept_revision++;
+}
+
 /* Adds or replaces a row, which must be newer than the one in the copy. An
- * ignored row updates only the version, unless its key is new. */
+ * ignored or outdated row updates only the version, unless its key is new. */
 void
 RsTableCopy_Put(struct rs_table_copy *copy, const struct rs_store_row *update,
                 enum rs_row_effect effect)
 {
     struct rs_known_row *row = find_or_add(copy, update->key);
-    bool first = row->version == 0;
+    bool first = row->value == NULL;
     uint64_t former_version = row->version;
     row->version = update->version;
     copy->version = MAX(copy->version, update->version);
+    if (effect == RsTableCopy_OUTDATED && !first) {
+        /* Nodes that are sent the kept value don't have the former one. */
+        drop_former(row);
+        mark_kept(copy, row);
+        return;
+    }
     if (effect == RsTableCopy_IGNORED && !first) {
         return;
     }
+    row->kept = false;
     if (effect == RsTableCopy_CHANGED || first) {
         row->changed_version = update->version;
     }
@@ -116,6 +130,28 @@
               update->deleted ? 0 : update->value_bytes);
 }
 
+/* Marks a row that is in the copy as later than the store's. */
+void
+RsTableCopy_MarkKept(struct rs_table_copy *copy, const char *key)
+{
+    struct rs_known_row *row = g_hash_table_lookup(copy->rows, key);
+    assert(row != NULL);
+    mark_kept(copy, row);
+}
+
+/* Adds or replaces the value of a row by one that another node keeps. The
+ * versions stay, so that later changes in the store are still recognized. */
+void
+RsTableCopy_Adopt(struct rs_table_copy *copy,
+                  const struct rs_store_row *update)
+{
+    struct rs_known_row *row = find_or_add(copy, update->key);
+    drop_former(row);
+    row->deleted = false;
+    set_value(row, update->value, update->value_bytes);
+    mark_kept(copy, row);
+}
+
 /* Returns the row with this key, which may be a deleted one, or NULL. */
 const struct rs_known_row *
 RsTableCopy_Find(const struct rs_table_copy *copy, const char *key)
@@ -203,6 +239,7 @@
         }
         drop_former(row);
         row->deleted = true;
+        row->kept = false;
         row->version = version;
         row->changed_version = version;
         set_value(row, "", 0);
@@ -257,3 +294,19 @@
         }
     }
 }
+
+/* Visits the rows whose values are later than the store's. */
+void
+RsTableCopy_VisitKept(const struct rs_table_copy *copy, rs_row_visitor visit,
+                      void *arg)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, copy->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rs_known_row *row = value;
+        if (row->kept) {
+            visit(arg, row);
+        }
+    }
+}
--- a/router/table_copy.h
+++ b/router/table_copy.h
@@ -19,6 +19,7 @@
     uint64_t changed_version; /* of the last change to be passed on */
     bool deleted;
     bool seen; /* in the snapshot being read */
+    bool kept; /* the store has an older value, as it has gone back */
     /* The previous value of a large row, for nodes that have it. */
     char *former_value; /* NULL: not kept */
     uint64_t former_version;
@@ -29,6 +30,7 @@
 /* How a new version of a row affects what is known. */
 enum rs_row_effect {
     RsTableCopy_IGNORED,   /* not adopted: the earlier value stays in force */
+    RsTableCopy_OUTDATED,  /* the same, as the value is older */
     RsTableCopy_REFRESHED, /* nothing new apart from the version */
     RsTableCopy_CHANGED,
 };
@@ -39,6 +41,7 @@
     /* Rows that were deleted before this version may be missing from the copy,
      * since the table was read as a whole at this version. */
     uint64_t complete_from;
+    uint32_t kept_revision; /* counts the values that were marked as kept */
 };
 
 typedef void (*rs_row_visitor)(void *arg, struct rs_known_row *row);
@@ -52,6 +55,13 @@
                      const struct rs_store_row *row,
                      enum rs_row_effect effect);
 
+/* Values that are later than the store's, which has gone back to a copy. */
+void RsTableCopy_MarkKept(struct rs_table_copy *copy, const char *key);
+void RsTableCopy_Adopt(struct rs_table_copy *copy,
+                       const struct rs_store_row *row);
+void RsTableCopy_VisitKept(const struct rs_table_copy *copy,
+                           rs_row_visitor visit, void *arg);
+
 /* Keeps the encodings in which a large value came from another node, for
  * passing it on; a row with this key must be in the copy. Takes over the
  * references; either may be NULL. */
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -476,16 +476,15 @@
     .closed = on_state_closed,
 };
 
-/* Returns the version of the configuration in force at a node, 0 if it has
- * none, or -1 if the node doesn't answer. */
-int
-RsNodeFixture_ConfigVersion(struct rs_node_fixture *fixture, uint32_t node)
+/* Returns the state of a node, to be released with json_decref(), or NULL if
+ * the node doesn't answer. */
+static json_t *
+read_state(struct rs_node_fixture *fixture, uint32_t node)
 {
     struct state_read read = {.body = g_string_new(NULL)};
     struct rs_http_options options = {
         .loop = &fixture->loop, .events = &state_events, .arg = &read};
     char host[24];
-    int version = -1;
     snprintf(host, sizeof(host), "127.0.1.%u", node + 1);
     uv_ip4_addr(host, fixture->options.base_port + RsSoakSetup_ADMIN_PORT,
                 &options.address);
@@ -498,11 +497,33 @@
         RsHttp_Close(read.connection);
     }
     json_t *state = json_loads(read.body->str, 0, NULL);
+    g_string_free(read.body, TRUE);
+    return state;
+}
+
+/* Returns the version of the configuration in force at a node, 0 if it has
+ * none, or -1 if the node doesn't answer. */
+int
+RsNodeFixture_ConfigVersion(struct rs_node_fixture *fixture, uint32_t node)
+{
+    json_t *state = read_state(fixture, node);
     json_t *value = json_object_get(state, "config_version");
-    if (json_is_integer(value)) {
-        version = (int)json_integer_value(value);
-    }
+    int version = json_is_integer(value) ? (int)json_integer_value(value) : -1;
     json_decref(state);
-    g_string_free(read.body, TRUE);
     return version;
 }
+
+/* Returns the node that is the granter, as one node knows it, or that node if
+ * it knows none. */
+uint32_t
+RsNodeFixture_Granter(struct rs_node_fixture *fixture, uint32_t asked)
+{
+    json_t *state = read_state(fixture, asked);
+    const char *name = json_string_value(json_object_get(state, "granter"));
+    uint32_t granter = asked;
+    if (name != NULL && sscanf(name, "n%u", &granter) != 1) {
+        granter = asked;
+    }
+    json_decref(state);
+    return granter;
+}
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -84,6 +84,8 @@
 void RsNodeFixture_HealLinks(struct rs_node_fixture *fixture, uint32_t node);
 int RsNodeFixture_ConfigVersion(struct rs_node_fixture *fixture,
                                 uint32_t node);
+uint32_t RsNodeFixture_Granter(struct rs_node_fixture *fixture,
+                               uint32_t asked);
 bool RsNodeFixture_AwaitService(struct rs_node_fixture *fixture,
                                 int64_t within_ms);
 
--- a/tests/node_main.c
+++ b/tests/node_main.c
@@ -49,6 +49,8 @@
     {"restarted_nodes_do_not_trust_the_copy",
      test_restarted_nodes_do_not_trust_the_copy},
     {"configuration_does_not_go_back", test_configuration_does_not_go_back},
+    {"configuration_does_not_go_back_at_the_granter",
+     test_configuration_does_not_go_back_at_the_granter},
 };
 
 int
--- a/tests/node_restore_test.c
+++ b/tests/node_restore_test.c
@@ -101,28 +101,65 @@
     close_fixture(fixture);
 }
 
-/* The route that the newest configuration has is served while the store has
- * only the one before, also by a node that was restarted meanwhile. */
-void
-test_configuration_does_not_go_back(void)
+/* Checks which configuration is in force at all nodes. */
+static void
+expect_config(struct rs_node_fixture *fixture, int version)
 {
-    struct rs_node_fixture *fixture = open_fixture(31200);
+    for (uint32_t i = 0; i < fixture->options.node_count; i++) {
+        CU_ASSERT_EQUAL(RsNodeFixture_ConfigVersion(fixture, i), version);
+    }
+}
+
+/* Puts a second configuration, and lets the store go back to the first until
+ * the operator writes the second again, after six seconds. */
+static struct rs_node_fixture *
+open_fixture_and_restore_config(uint16_t base_port)
+{
+    struct rs_node_fixture *fixture = open_fixture(base_port);
     const struct rs_soak_restore restore = {
         .copy_age_ms = 3000, .away_ms = 300, .rewrite_after_ms = 6000};
     RsNodeFixture_PutConfig(fixture, 2);
     RsNodeFixture_Run(fixture, 1500);
     RsSoakStore_Restore(fixture->store, &restore);
     RsNodeFixture_Run(fixture, 1200);
-    RsNodeFixture_RestartNode(fixture, 2);
+    return fixture;
+}
+
+/* Checks that all nodes have the second configuration though nodes have just
+ * been restarted, and take a third one. */
+static void
+expect_config_stays(struct rs_node_fixture *fixture)
+{
     RsNodeFixture_Run(fixture, 2000);
-    for (uint32_t i = 0; i < fixture->options.node_count; i++) {
-        CU_ASSERT_EQUAL(RsNodeFixture_ConfigVersion(fixture, i), 2);
-    }
+    expect_config(fixture, 2);
     RsNodeFixture_Run(fixture, 5000);
+    expect_config(fixture, 2);
     RsNodeFixture_PutConfig(fixture, 3);
     RsNodeFixture_Run(fixture, 1500);
-    for (uint32_t i = 0; i < fixture->options.node_count; i++) {
-        CU_ASSERT_EQUAL(RsNodeFixture_ConfigVersion(fixture, i), 3);
-    }
+    expect_config(fixture, 3);
+}
+
+/* The route that the newest configuration has is served while the store has
+ * only the one before, also by a node that was restarted meanwhile. */
+void
+test_configuration_does_not_go_back(void)
+{
+    struct rs_node_fixture *fixture = open_fixture_and_restore_config(31200);
+    RsNodeFixture_RestartNode(fixture, 2);
+    expect_config_stays(fixture);
+    close_fixture(fixture);
+}
+
+/* The granter is restarted, too, so that only one node is left that knows the
+ * newest configuration. */
+void
+test_configuration_does_not_go_back_at_the_granter(void)
+{
+    struct rs_node_fixture *fixture = open_fixture_and_restore_config(31300);
+    uint32_t granter = RsNodeFixture_Granter(fixture, 0);
+    RsNodeFixture_RestartNode(fixture, granter);
+    RsNodeFixture_RestartNode(fixture,
+                              (granter + 1) % fixture->options.node_count);
+    expect_config_stays(fixture);
     close_fixture(fixture);
 }
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -34,5 +34,6 @@
 void test_service_goes_on_after_a_restore(void);
 void test_restarted_nodes_do_not_trust_the_copy(void);
 void test_configuration_does_not_go_back(void);
+void test_configuration_does_not_go_back_at_the_granter(void);
 
 #endif
