Send no order before the target has taken the connection

Change: orders have connections of their own, which requests don't take. The first order on one is sent when the target has answered a GET of its health path. An order that is given up before was not sent, and the connection stays, as a new one would wait anew. Idle connections are closed only after an order that was sent got no answer.

Left: a grant on a connection in use can still be taken late.

Tests: router_exchange_test; it fails with one pool of connections, and when orders are sent at once.

--- a/router/exchange.c
+++ b/router/exchange.c
@@ -5,11 +5,14 @@
 #include <string.h>
 
 #include "core/clock.h"
+#include "platform/wire.h"
 
 /* The other node needs up to RsPaths_CONNECT_TIMEOUT_MS to connect to the
  * target. */
 #define TUNNEL_TIMEOUT_MS 350
 #define MAX_TUNNEL_TRIES 4
+/* How long a target may take to answer first on a new connection. */
+#define OPENING_TIMEOUT_MS 5000
 /* Idle connections are reused for this long if the target names no keep-alive
  * timeout. Such targets close idle connections after a few seconds. */
 #define DEFAULT_IDLE_MS 2000
@@ -32,6 +35,7 @@
     const struct rs_exchange_events *events;
     void *arg;
     bool connecting;
+    bool opening;             /* the target's first answer is awaited */
     bool sent;                /* the target may have received the request */
     uint32_t idle_timeout_ms; /* how long the connection may stay idle */
     int64_t idle_until_ms;
@@ -47,7 +51,7 @@
 static void
 free_exchange(struct rs_exchange *exchange)
 {
-    exchange->target->connections--;
+    exchange->target->connections[exchange->options.use]--;
     exchange->timer.data = exchange;
     uv_close((uv_handle_t *)&exchange->timer, on_freed);
 }
@@ -93,19 +97,58 @@
     }
 }
 
+static void on_timeout(uv_timer_t *timer);
+
+/* Closes the connection, reports the result and releases the exchange. */
+static void
+end_exchange(struct rs_exchange *exchange, int error)
+{
+    RsHttp_Close(exchange->connection);
+    finish(exchange, error);
+    free_exchange(exchange);
+}
+
+/* Sends the request on a connection that was just opened. */
+static void
+send_first(struct rs_exchange *exchange)
+{
+    exchange->sent = true;
+    if (send_request(exchange) != 0) {
+        end_exchange(exchange, RsExchange_BROKEN);
+    }
+}
+
+/* Asks for the target's first answer. */
+static void
+send_opening(struct rs_exchange *exchange)
+{
+    const struct rs_http_header header = {RsWire_TARGET_ID,
+                                          exchange->target->id};
+    const struct rs_http_request request = {
+        .method = "GET",
+        .path = exchange->options.opening_path,
+        .headers = &header,
+        .header_count = 1,
+    };
+    exchange->opening = true;
+    if (RsHttp_Send(exchange->connection, &request) != 0) {
+        end_exchange(exchange, RsExchange_NOT_SENT);
+    }
+}
+
 static void
 on_connected(void *arg)
 {
     struct rs_exchange *exchange = arg;
-    exchange->sent = true;
     exchange->connecting = false;
     uv_timer_stop(&exchange->timer);
     record_connect(exchange, RsPath_CONNECTED);
-    if (send_request(exchange) != 0) {
-        RsHttp_Close(exchange->connection);
-        finish(exchange, RsExchange_BROKEN);
-        free_exchange(exchange);
+    if (exchange->options.opening_path == NULL) {
+        send_first(exchange);
+        return;
     }
+    uv_timer_start(&exchange->timer, on_timeout, OPENING_TIMEOUT_MS, 0);
+    send_opening(exchange);
 }
 
 /* Sets the idle timeout from the keep-alive timeout that the target announces
@@ -131,25 +174,37 @@
         RsPaths_RecordAnswered(exchange->options.paths, RsClock_NowMs());
     }
     read_idle_timeout(exchange, head);
-    exchange->events->head(exchange->arg, head);
+    if (!exchange->opening) {
+        exchange->events->head(exchange->arg, head);
+    }
 }
 
 static void
 on_body(void *arg, const char *data, size_t size_bytes)
 {
     struct rs_exchange *exchange = arg;
-    exchange->events->body(exchange->arg, data, size_bytes);
+    if (!exchange->opening) {
+        exchange->events->body(exchange->arg, data, size_bytes);
+    }
 }
 
 static void
 on_end(void *arg, bool keep_alive)
 {
     struct rs_exchange *exchange = arg;
-    finish(exchange, 0);
+    bool opening = exchange->opening;
+    exchange->opening = false;
+    uv_timer_stop(&exchange->timer);
+    if (opening && keep_alive && exchange->events != NULL) {
+        send_first(exchange);
+        return;
+    }
+    finish(exchange, opening ? RsExchange_NOT_SENT : 0);
     if (keep_alive && exchange->idle_timeout_ms > 0 &&
         RsFleet_IsListed(exchange->target, RsClock_NowMs())) {
         exchange->idle_until_ms = RsClock_NowMs() + exchange->idle_timeout_ms;
-        g_queue_push_head(&exchange->target->idle, exchange);
+        g_queue_push_head(&exchange->target->idle[exchange->options.use],
+                          exchange);
         return;
     }
     RsHttp_Close(exchange->connection);
@@ -185,7 +240,8 @@
 {
     struct rs_exchange *exchange = arg;
     if (exchange->events == NULL) {
-        g_queue_remove(&exchange->target->idle, exchange);
+        g_queue_remove(&exchange->target->idle[exchange->options.use],
+                       exchange);
     }
     if (exchange->connecting) {
         bool peer_failed =
@@ -228,11 +284,11 @@
 /* Returns an idle connection to the target that may still be used, or NULL.
  * Closes those that have been idle for too long. */
 static struct rs_exchange *
-take_idle(struct rs_fleet_target *target)
+take_idle(struct rs_fleet_target *target, enum rs_fleet_use use)
 {
     int64_t now_ms = RsClock_NowMs();
     struct rs_exchange *exchange;
-    while ((exchange = g_queue_pop_head(&target->idle)) != NULL) {
+    while ((exchange = g_queue_pop_head(&target->idle[use])) != NULL) {
         if (now_ms < exchange->idle_until_ms) {
             return exchange;
         }
@@ -271,8 +327,8 @@
             .sin_addr.s_addr = peer,
         };
     }
-    if (path != RsPath_NONE &&
-        exchange->target->connections <= options->max_connections) {
+    if (path != RsPath_NONE && exchange->target->connections[options->use] <=
+                                   options->max_connections) {
         exchange->connection = RsHttp_Open(&http);
         exchange->connecting = exchange->connection != NULL;
     }
@@ -289,12 +345,13 @@
 struct rs_exchange *
 RsExchange_Start(const struct rs_exchange_options *options)
 {
-    struct rs_exchange *exchange = take_idle(options->target);
+    struct rs_exchange *exchange = take_idle(options->target, options->use);
     bool reused = exchange != NULL;
     if (!reused) {
         exchange = g_new0(struct rs_exchange, 1);
+        exchange->options = *options;
         exchange->target = options->target;
-        exchange->target->connections++;
+        exchange->target->connections[options->use]++;
         exchange->idle_timeout_ms = DEFAULT_IDLE_MS;
         uv_timer_init(options->loop, &exchange->timer);
         exchange->timer.data = exchange;
@@ -304,7 +361,6 @@
     exchange->arg = options->arg;
     exchange->sent = false;
     if (!reused) {
-        exchange->options = *options;
         connect_to(exchange);
         return exchange;
     }
@@ -340,11 +396,15 @@
 }
 
 /* Closes the connection, so that the target can stop working on the request,
- * and releases the exchange. No more events follow. */
+ * and releases the exchange. A connection on which the target has not answered
+ * yet stays, for later exchanges. No more events follow. */
 void
 RsExchange_Cancel(struct rs_exchange *exchange)
 {
     exchange->events = NULL;
+    if (exchange->opening) {
+        return;
+    }
     if (exchange->connection != NULL) {
         RsHttp_Close(exchange->connection);
     }
@@ -363,8 +423,10 @@
 RsExchange_CloseIdle(struct rs_fleet_target *target)
 {
     struct rs_exchange *exchange;
-    while ((exchange = g_queue_pop_head(&target->idle)) != NULL) {
-        RsHttp_Close(exchange->connection);
-        free_exchange(exchange);
+    for (size_t use = 0; use < RsFleet_USES; use++) {
+        while ((exchange = g_queue_pop_head(&target->idle[use])) != NULL) {
+            RsHttp_Close(exchange->connection);
+            free_exchange(exchange);
+        }
     }
 }
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -36,7 +36,14 @@
      * node is not isolated: no other target can take the request. */
     bool only_target;
     struct rs_fleet_target *target;
-    uint32_t max_connections; /* from this node to the target */
+    /* Connections of different uses are kept and counted apart. */
+    enum rs_fleet_use use;
+    uint32_t max_connections; /* from this node to the target, for this use */
+    /* If not NULL, the request is sent on a new connection only after the
+     * target has answered a GET of this path on it: a target without room lets
+     * new connections wait, and may take the request long after it was given
+     * up. Must stay valid as long as the connection. */
+    const char *opening_path;
     /* What the request points to must stay valid until the request was sent.
      */
     const struct rs_http_request *request;
--- /dev/null
+++ b/router/exchange_test.c
@@ -0,0 +1,304 @@
+/* Exchanges on the loopback, with a target that answers all requests but those
+ * for /slow, and, while it has no room, those for /health. */
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#include "core/clock.h"
+#include "core/log.h"
+#include "router/exchange.h"
+#include "router/fixture.h"
+
+#define TARGET_PORT 27640
+#define WAIT_MS 3000
+#define READ_BYTES 4096
+#define MAX_CONNECTIONS 8
+
+static struct {
+    uv_loop_t loop;
+    uv_timer_t step;
+    uv_tcp_t listener;
+    struct rs_fleet fleet;
+    struct rs_paths paths;
+    struct rs_fleet_target *target;
+    uint32_t accepted; /* connections */
+    uint32_t grants;   /* requests for /grant that arrived */
+    bool full;
+    uv_stream_t *waiting; /* connection whose /health was not answered */
+} world;
+
+/* A request and its result. */
+struct call {
+    struct rs_http_request request;
+    struct rs_exchange *exchange;
+    bool done;
+    int error;
+};
+
+static void
+on_written(uv_write_t *write, int status)
+{
+    g_free(write);
+}
+
+static void
+provide_buffer(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    static char bytes[READ_BYTES];
+    *buffer = uv_buf_init(bytes, sizeof(bytes));
+}
+
+static void
+on_freed(uv_handle_t *handle)
+{
+    g_free(handle);
+}
+
+static void
+answer(uv_stream_t *stream)
+{
+    static char text[] = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    uv_write_t *write = g_new0(uv_write_t, 1);
+    uv_buf_t bytes = uv_buf_init(text, strlen(text));
+    uv_write(write, stream, &bytes, 1, on_written);
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
+{
+    if (size < 0) {
+        uv_close((uv_handle_t *)stream, on_freed);
+        return;
+    }
+    world.grants += g_strstr_len(buffer->base, size, "/grant") != NULL;
+    if (world.full && g_strstr_len(buffer->base, size, "/health") != NULL) {
+        world.waiting = stream;
+    }
+    else if (size > 0 && g_strstr_len(buffer->base, size, "/slow") == NULL) {
+        answer(stream);
+    }
+}
+
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+    uv_tcp_t *tcp = g_new0(uv_tcp_t, 1);
+    uv_tcp_init(&world.loop, tcp);
+    CU_ASSERT_EQUAL(uv_accept(listener, (uv_stream_t *)tcp), 0);
+    world.accepted++;
+    uv_read_start((uv_stream_t *)tcp, provide_buffer, on_read);
+}
+
+static void
+on_head(void *arg, const struct rs_http_head *head)
+{
+}
+
+static void
+on_body(void *arg, const char *data, size_t size_bytes)
+{
+}
+
+static void
+on_done(void *arg, int error)
+{
+    struct call *call = arg;
+    call->done = true;
+    call->error = error;
+}
+
+static const struct rs_exchange_events events = {
+    .head = on_head,
+    .body = on_body,
+    .done = on_done,
+};
+
+static void
+start(struct call *call, enum rs_fleet_use use, const char *path)
+{
+    const struct rs_exchange_options options = {
+        .loop = &world.loop,
+        .paths = &world.paths,
+        .target = world.target,
+        .use = use,
+        .max_connections = MAX_CONNECTIONS,
+        .opening_path = use == RsFleet_ORDERS ? "/health" : NULL,
+        .request = &call->request,
+        .events = &events,
+        .arg = call,
+    };
+    *call = (struct call){.request = {.method = "GET", .path = path}};
+    call->exchange = RsExchange_Start(&options);
+}
+
+static void
+expect_answer(struct call *call)
+{
+    int64_t give_up_at_ms = RsClock_NowMs() + WAIT_MS;
+    while (!call->done && RsClock_NowMs() < give_up_at_ms) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    CU_ASSERT_TRUE(call->done);
+    CU_ASSERT_EQUAL(call->error, 0);
+}
+
+static void
+run_for(int64_t span_ms)
+{
+    int64_t end_at_ms = RsClock_NowMs() + span_ms;
+    while (RsClock_NowMs() < end_at_ms) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+}
+
+static void
+on_step(uv_timer_t *timer)
+{
+}
+
+static int
+open_world(void)
+{
+    const struct rs_fixture_report report = {
+        .id = "t0",
+        .service = "s",
+        .zone = "z",
+        .port = TARGET_PORT,
+        .started_wall_ms = 1,
+        .sequence = 1,
+    };
+    struct sockaddr_in address;
+    uv_loop_init(&world.loop);
+    uv_timer_init(&world.loop, &world.step);
+    uv_timer_start(&world.step, on_step, 5, 5);
+    RsFleet_Init(&world.fleet, RsFixture_FleetEvents(), NULL);
+    RsFixture_Report(&world.fleet, &report, RsClock_NowMs());
+    world.target = RsFleet_Find(&world.fleet, g_intern_string("t0"));
+    world.paths = (struct rs_paths){.fleet = &world.fleet};
+    uv_ip4_addr("127.0.0.1", TARGET_PORT, &address);
+    uv_tcp_init(&world.loop, &world.listener);
+    return uv_tcp_bind(&world.listener, (const struct sockaddr *)&address,
+                       0) == 0 &&
+                   uv_listen((uv_stream_t *)&world.listener, 16,
+                             on_connection) == 0
+               ? 0
+               : -1;
+}
+
+/* A target without room lets new connections wait. */
+static void
+test_requests_leave_the_connections_of_orders(void)
+{
+    struct call call;
+    uint32_t accepted = world.accepted;
+    start(&call, RsFleet_ORDERS, "/grant");
+    expect_answer(&call);
+    CU_ASSERT_EQUAL(world.accepted, accepted + 1);
+    for (int i = 0; i < 3; i++) {
+        start(&call, RsFleet_REQUESTS, "/");
+        expect_answer(&call);
+        start(&call, RsFleet_ORDERS, "/grant");
+        expect_answer(&call);
+        CU_ASSERT_EQUAL(world.accepted, accepted + 2);
+    }
+    RsExchange_CloseIdle(world.target);
+}
+
+static void
+test_orders_pass_requests_in_progress(void)
+{
+    struct call request;
+    struct call order;
+    start(&order, RsFleet_ORDERS, "/grant");
+    expect_answer(&order);
+    uint32_t accepted = world.accepted;
+    start(&request, RsFleet_REQUESTS, "/slow");
+    start(&order, RsFleet_ORDERS, "/grant");
+    expect_answer(&order);
+    CU_ASSERT_FALSE(request.done);
+    CU_ASSERT_TRUE(world.accepted <= accepted + 1);
+    RsExchange_Cancel(request.exchange);
+    RsExchange_CloseIdle(world.target);
+}
+
+static void
+test_connections_are_counted_for_each_use(void)
+{
+    struct call request;
+    struct call order;
+    start(&request, RsFleet_REQUESTS, "/slow");
+    start(&order, RsFleet_ORDERS, "/grant");
+    CU_ASSERT_EQUAL(world.target->connections[RsFleet_REQUESTS], 1);
+    CU_ASSERT_EQUAL(world.target->connections[RsFleet_ORDERS], 1);
+    expect_answer(&order);
+    RsExchange_Cancel(request.exchange);
+    CU_ASSERT_EQUAL(world.target->connections[RsFleet_REQUESTS], 0);
+    RsExchange_CloseIdle(world.target);
+    CU_ASSERT_EQUAL(world.target->connections[RsFleet_ORDERS], 0);
+}
+
+/* A grant that is given up before the target has taken its connection must not
+ * arrive later. The connection is used once the target has room. */
+static void
+test_order_is_not_sent_before_the_target_has_answered(void)
+{
+    struct call first;
+    struct call second;
+    uint32_t grants = world.grants;
+    uint32_t accepted = world.accepted;
+    world.full = true;
+    world.waiting = NULL;
+    start(&first, RsFleet_ORDERS, "/grant");
+    run_for(200);
+    CU_ASSERT_FALSE(RsExchange_IsSent(first.exchange));
+    CU_ASSERT_EQUAL(world.grants, grants);
+    RsExchange_Cancel(first.exchange);
+    world.full = false;
+    CU_ASSERT_PTR_NOT_NULL_FATAL(world.waiting);
+    answer(world.waiting);
+    run_for(200);
+    CU_ASSERT_EQUAL(world.grants, grants);
+    start(&second, RsFleet_ORDERS, "/grant");
+    expect_answer(&second);
+    CU_ASSERT_EQUAL(world.grants, grants + 1);
+    CU_ASSERT_EQUAL(world.accepted, accepted + 1);
+    RsExchange_CloseIdle(world.target);
+}
+
+static void
+test_order_waits_for_room(void)
+{
+    struct call order;
+    uint32_t grants = world.grants;
+    world.full = true;
+    world.waiting = NULL;
+    start(&order, RsFleet_ORDERS, "/grant");
+    run_for(200);
+    CU_ASSERT_FALSE(order.done);
+    world.full = false;
+    CU_ASSERT_PTR_NOT_NULL_FATAL(world.waiting);
+    answer(world.waiting);
+    expect_answer(&order);
+    CU_ASSERT_EQUAL(world.grants, grants + 1);
+    RsExchange_CloseIdle(world.target);
+}
+
+int
+main(void)
+{
+    RsLog_Open("test", RsLog_ERROR);
+    if (open_world() != 0) {
+        return 1;
+    }
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("exchange", NULL, NULL);
+    CU_ADD_TEST(suite, test_requests_leave_the_connections_of_orders);
+    CU_ADD_TEST(suite, test_orders_pass_requests_in_progress);
+    CU_ADD_TEST(suite, test_connections_are_counted_for_each_use);
+    CU_ADD_TEST(suite, test_order_is_not_sent_before_the_target_has_answered);
+    CU_ADD_TEST(suite, test_order_waits_for_room);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? 0 : 1;
+}
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -103,7 +103,9 @@
     struct rs_fleet_target *target = g_new0(struct rs_fleet_target, 1);
     target->id = id;
     target->service_ms = DEFAULT_SERVICE_MS;
-    g_queue_init(&target->idle);
+    for (size_t use = 0; use < RsFleet_USES; use++) {
+        g_queue_init(&target->idle[use]);
+    }
     g_hash_table_insert(fleet->targets, (gpointer)id, target);
     g_ptr_array_add(fleet->list, target);
     return target;
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -12,6 +12,13 @@
 #include "router/limit.h"
 #include "router/table_copy.h"
 
+/* What connections to targets are used for. */
+enum rs_fleet_use {
+    RsFleet_REQUESTS,
+    RsFleet_ORDERS,
+    RsFleet_USES, /* number of uses */
+};
+
 struct rs_fleet_target {
     const char *id; /* interned */
     struct rs_target_report report;
@@ -58,8 +65,9 @@
      * and until when it is not because they have failed, too. */
     int64_t through_peers_until_ms;
     int64_t direct_until_ms;
-    GQueue idle;          /* idle connections, see router/exchange.c */
-    uint32_t connections; /* open or being opened by this node */
+    /* Of this node, for each use; see router/exchange.c. */
+    GQueue idle[RsFleet_USES];          /* idle connections */
+    uint32_t connections[RsFleet_USES]; /* open or being opened */
 };
 
 /* What a target has stated of its limit. */
--- a/router/orders.c
+++ b/router/orders.c
@@ -8,11 +8,6 @@
 /* Targets respond to a release when all work on its keys has ended. */
 #define RELEASE_TIMEOUT_MS 2500
 #define MAX_ACTIVE_ORDERS 3 /* orders in progress at one target */
-/* An order may open a connection to a target unless this node already has this
- * many to it. Normally higher than the limit for requests
- * (max_connections_to_target() in router/attempt.c), so that orders get a
- * connection even when requests use all of theirs. */
-#define MAX_CONNECTIONS 64
 /* An order that has waited this long in its queue fails as not sent; the
  * granter sends an order for its range again. */
 #define QUEUE_TIMEOUT_MS 800
@@ -154,6 +149,8 @@
     }
     if (call->exchange != NULL) {
         RsExchange_Cancel(call->exchange);
+    }
+    if (sent) {
         RsExchange_CloseIdle(call->target);
     }
     finish(call, sent ? RsGranter_UNANSWERED : RsGranter_NOT_SENT);
@@ -162,6 +159,7 @@
 static void
 start_exchange(struct order_call *call)
 {
+    struct rs_router *router = call->orders->router;
     call->headers[0] =
         (struct rs_http_header){"content-type", "application/json"};
     /* Lets a target that has taken over the address recognize that the order
@@ -179,13 +177,19 @@
                 ? RsWire_FormatRelease(&call->order.grant, call->text)
                 : RsWire_FormatGrant(&call->order.grant, call->text),
     };
+    const struct rs_service *service =
+        router->config != NULL
+            ? RsRouting_FindService(router->config, call->order.service)
+            : NULL;
     const struct rs_exchange_options options = {
-        .loop = call->orders->router->loop,
-        .paths = &call->orders->router->paths,
-        .tunnel_port = RsRouter_TunnelPort(call->orders->router),
+        .loop = router->loop,
+        .paths = &router->paths,
+        .tunnel_port = RsRouter_TunnelPort(router),
         .only_target = true,
         .target = call->target,
-        .max_connections = MAX_CONNECTIONS,
+        .use = RsFleet_ORDERS,
+        .opening_path = service != NULL ? service->health_path : NULL,
+        .max_connections = MAX_ACTIVE_ORDERS,
         .request = &call->message,
         .events = &exchange_events,
         .arg = call,
--- a/soak/setup.c
+++ b/soak/setup.c
@@ -43,9 +43,11 @@
         "\"kind\":\"non_idempotent\",\"timeout_ms\":%u,"
         "\"target_latency_ms\":300,\"priority\":0,\"service\":\"plain\","
         "\"max_attempts\":2}},\"services\":{"
-        "\"keyed\":{\"max_connections\":200,\"warmup_s\":1,"
+        "\"keyed\":{\"health_path\":\"/"
+        "health\",\"max_connections\":200,\"warmup_s\":1,"
         "\"warmup_per_s\":50,\"sharded\":true},"
-        "\"plain\":{\"max_connections\":200,\"warmup_s\":1,"
+        "\"plain\":{\"health_path\":\"/"
+        "health\",\"max_connections\":200,\"warmup_s\":1,"
         "\"warmup_per_s\":50}},"
         "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":1048576,"
         "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}",
--- a/soak/target.c
+++ b/soak/target.c
@@ -444,6 +444,9 @@
     else if (is_order) {
         handle_order(target, http, strcmp(path, "/release") == 0);
     }
+    else if (strcmp(path, "/health") == 0) {
+        RsServer_Reply(http, target->draining ? 503 : 200, NULL, "", 0);
+    }
     else {
         handle_request(target, http);
     }
