--- a/router/follower.c
+++ b/router/follower.c
@@ -392,9 +392,8 @@
 /* Applies rows that came from another node. `origins` has one entry for each
  * row, or is NULL; the follower takes ownership of the byte arrays in it.
  * `whole` says that the table had no other rows at the version of `rows`.
- * Returns whether
- * the other node has rows that are newer but have older content than this
- * node's, which are ignored.
+ * Returns whether the other node has rows that are newer but have older
+ * content than this node's, which are ignored.
  *
  * Rows that aren't newer than the known ones are ignored, unless the other
  * node keeps them and their content is later. The others are stored first and,
