Share what the change wrote twice, and send kept rows once

No behaviour changes but one: an update to a node that subscribes anew held a kept row twice, once as newer and once as kept; it is sent once now.

SO_LINGER is set by one function for the server and the client side, "no limit" has one constant for responses and peers, and the list of limits is an array that frees its items, without the room for all targets that was filled with zeroes for each report.

--- a/http/connection.c
+++ b/http/connection.c
@@ -397,15 +397,22 @@
     return uv_ip4_addr(host, port, address) == 0 ? 0 : RsHttp_BAD_ADDRESS;
 }
 
-/* Makes closing a connection, also by the exit of the process, discard data
- * that was not sent and reset the connection. */
+/* Makes closing a socket, also by the exit of the process, discard data that
+ * was not sent and reset the connection. */
 void
-RsHttp_ResetOnClose(uv_tcp_t *tcp)
+RsHttp_ResetSocketOnClose(int fd)
 {
     const struct linger no_linger = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &no_linger, sizeof(no_linger));
+}
+
+/* Does the same for a handle. */
+void
+RsHttp_ResetOnClose(uv_tcp_t *tcp)
+{
     uv_os_fd_t fd;
     if (uv_fileno((const uv_handle_t *)tcp, &fd) == 0) {
-        setsockopt(fd, SOL_SOCKET, SO_LINGER, &no_linger, sizeof(no_linger));
+        RsHttp_ResetSocketOnClose(fd);
     }
 }
 
--- a/http/server.c
+++ b/http/server.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "http/connection.h"
+
 #define LISTEN_BACKLOG 1024
 #define DEFAULT_IDLE_TIMEOUT_MS 10000
 
@@ -199,8 +201,7 @@
     int fd = h2o_socket_get_fd(socket);
     if (request->version == RsServer_HTTP_1_0 &&
         request->res.content_length == SIZE_MAX) {
-        const struct linger no_linger = {.l_onoff = 1, .l_linger = 0};
-        setsockopt(fd, SOL_SOCKET, SO_LINGER, &no_linger, sizeof(no_linger));
+        RsHttp_ResetSocketOnClose(fd);
     }
     else {
         shutdown(fd, SHUT_WR);
--- a/router/limit.c
+++ b/router/limit.c
@@ -29,8 +29,8 @@
 
 /* Records what a response stated at `stated_at_ms`: a limit in requests a
  * second, or none if `per_s` is negative. Does nothing if a newer statement is
- * known. Returns whether that is news: a limit has begun or
- * ended, or an unconfirmed one still holds. */
+ * known. Returns whether that is news: a limit has begun or ended, or an
+ * unconfirmed one still holds. */
 bool
 RsLimit_Record(struct rs_limit *limit, double per_s, int64_t stated_at_ms,
                int64_t now_ms)
--- a/router/limit.h
+++ b/router/limit.h
@@ -26,6 +26,7 @@
 };
 
 #define RsLimit_NEVER INT64_MAX
+#define RsLimit_NONE (-1.0) /* instead of requests a second: no limit */
 
 bool RsLimit_Record(struct rs_limit *limit, double per_s, int64_t stated_at_ms,
                     int64_t now_ms);
--- a/router/notices.c
+++ b/router/notices.c
@@ -7,7 +7,6 @@
 
 #define STATUS_REFUSED 503
 #define IS_LEAVING "1"
-#define NO_LIMIT (-1.0) /* see RsLimit_Record() */
 
 /* Reads the time for which a target that has refused a request wants no
  * others. Returns false if there is none, or after logging it, if it can't be
@@ -42,7 +41,7 @@
 {
     size_t count = RsHttp_CountHeaders(head, RsWire_LIMIT);
     const char *text = RsHttp_FindHeader(head, RsWire_LIMIT);
-    double per_s = NO_LIMIT;
+    double per_s = RsLimit_NONE;
     if (count == 0 && RsHttp_FindHeader(head, RsWire_SIGNATURE) == NULL) {
         return false;
     }
--- a/router/reports.c
+++ b/router/reports.c
@@ -30,7 +30,6 @@
 #define LONG_WINDOW_MS 5000.0
 #define SHORT_WINDOW_WEIGHT 0.4F
 #define US_PER_MS 1000.0
-#define NO_LIMIT (-1.0F) /* see router/peer.proto */
 #define MAX_DATAGRAM_BYTES 60000
 /* Maximum number of requested keys that one report lists for a service, one
  * entry per request. */
@@ -274,14 +273,13 @@
                : 0;
 }
 
-/* Returns what this node knows of the limits that targets have stated, and
- * their number in `*count`. The caller frees the result with free_limits(). */
-static Rs__Peer__Limit **
-list_limits(const struct rs_reports *reports, size_t *count, int64_t now_ms)
+/* Returns what this node knows of the limits that targets have stated, as
+ * Rs__Peer__Limit, to be released with g_ptr_array_unref(). */
+static GPtrArray *
+list_limits(const struct rs_reports *reports, int64_t now_ms)
 {
     const GPtrArray *targets = reports->router->fleet.list;
-    Rs__Peer__Limit **limits = g_new0(Rs__Peer__Limit *, targets->len + 1);
-    *count = 0;
+    GPtrArray *limits = g_ptr_array_new_with_free_func(g_free);
     for (guint i = 0; i < targets->len; i++) {
         const struct rs_fleet_target *target = g_ptr_array_index(targets, i);
         const struct rs_limit *known = &target->limit;
@@ -289,24 +287,16 @@
             Rs__Peer__Limit *limit = g_new0(Rs__Peer__Limit, 1);
             rs__peer__limit__init(limit);
             limit->id = (char *)target->id;
-            limit->per_s = known->per_s > 0 ? (float)known->per_s : NO_LIMIT;
+            limit->per_s =
+                (float)(known->per_s > 0 ? known->per_s : RsLimit_NONE);
             limit->age_ms = (uint32_t)(now_ms - known->stated_at_ms);
             limit->started_wall_ms = target->report.started_wall_ms;
-            limits[(*count)++] = limit;
+            g_ptr_array_add(limits, limit);
         }
     }
     return limits;
 }
 
-static void
-free_limits(Rs__Peer__Limit **limits, size_t count)
-{
-    for (size_t i = 0; i < count; i++) {
-        g_free(limits[i]);
-    }
-    g_free(limits);
-}
-
 /* Records what another node knows of the limits of targets. */
 static void
 record_limits(struct rs_reports *reports, Rs__Peer__Limit *const *limits,
@@ -605,7 +595,9 @@
     uint32_t peers[NAMED_PEERS];
     summary.n_peers = choose_peers(reports, peers);
     summary.peers = peers;
-    summary.limits = list_limits(reports, &summary.n_limits, now_ms);
+    GPtrArray *limits = list_limits(reports, now_ms);
+    summary.limits = (Rs__Peer__Limit **)limits->pdata;
+    summary.n_limits = limits->len;
     summary.incarnation = report->incarnation;
     summary.nodes = count_nodes(reports, now_ms);
     rank_node(reports, report->node, report->zone, &summary);
@@ -620,7 +612,7 @@
             decode_share(&summary, &reports->router->share);
         apply_own_totals(reports, now_ms);
     }
-    free_limits(summary.limits, summary.n_limits);
+    g_ptr_array_unref(limits);
     g_free(loads);
     g_free(load_pointers);
 }
@@ -831,7 +823,9 @@
         key_list[i] = &keys[i];
     }
     report.targets = load_list;
-    report.limits = list_limits(reports, &report.n_limits, now_ms);
+    GPtrArray *limits = list_limits(reports, now_ms);
+    report.limits = (Rs__Peer__Limit **)limits->pdata;
+    report.n_limits = limits->len;
     report.keys = key_list;
     if (granter != NULL) {
         reports->is_granter = false;
@@ -846,7 +840,7 @@
         respond_to_report(reports, &report, NULL, now_ms);
     }
     clear_requested_keys(reports);
-    free_limits(report.limits, report.n_limits);
+    g_ptr_array_unref(limits);
     g_free(loads);
     g_free(load_list);
     g_free(keys);
--- a/router/stream.c
+++ b/router/stream.c
@@ -224,6 +224,7 @@
     /* Version up to which the receiver has the same rows as this node; 0:
      * unknown. */
     uint64_t known_version;
+    bool without_kept; /* rows that are kept are sent apart */
 };
 
 /* Adds a row to an update: as a patch if the receiver has the former version,
@@ -233,6 +234,9 @@
 add_row(void *arg, struct rs_known_row *row)
 {
     struct row_list *list = arg;
+    if (list->without_kept && row->kept) {
+        return;
+    }
     Rs__Stream__Update__Row item = RS__STREAM__UPDATE__ROW__INIT;
     bool has_former = list->known_version >= row->former_version &&
                       list->known_version < row->version;
@@ -295,8 +299,11 @@
     /* A new subscriber may have got changes from elsewhere that this node has
      * not seen, so it is sent all newer rows, and none as a patch. */
     list.known_version = synced ? known_version : 0;
+    list.without_kept =
+        subscriber->kept_revisions[table] != copy->kept_revision;
     RsTableCopy_VisitSince(copy, known_version, synced, add_row, &list);
-    if (subscriber->kept_revisions[table] != copy->kept_revision) {
+    if (list.without_kept) {
+        list.without_kept = false;
         list.known_version = 0;
         RsTableCopy_VisitKept(copy, add_row, &list);
     }
