Share the set-up, the load and the limit rule of the tests

The bound on requests at a limited target stood in the soak and in a test; it is one function beside the other checks. The event loop of three tests on the loopback is one file, and the tests of kept rows share how the store went back.

--- a/router/exchange_test.c
+++ b/router/exchange_test.c
@@ -8,6 +8,7 @@
 #include "core/log.h"
 #include "router/exchange.h"
 #include "router/fixture.h"
+#include "tests/loop.h"
 
 #define TARGET_PORT 27640
 #define WAIT_MS 3000
@@ -15,8 +16,7 @@
 #define MAX_CONNECTIONS 8
 
 static struct {
-    uv_loop_t loop;
-    uv_timer_t step;
+    struct rs_test_loop loop;
     uv_tcp_t listener;
     struct rs_fleet fleet;
     struct rs_paths paths;
@@ -83,7 +83,7 @@
 on_connection(uv_stream_t *listener, int status)
 {
     uv_tcp_t *tcp = g_new0(uv_tcp_t, 1);
-    uv_tcp_init(&world.loop, tcp);
+    uv_tcp_init(&world.loop.uv, tcp);
     CU_ASSERT_EQUAL(uv_accept(listener, (uv_stream_t *)tcp), 0);
     world.accepted++;
     uv_read_start((uv_stream_t *)tcp, provide_buffer, on_read);
@@ -117,7 +117,7 @@
 start(struct call *call, enum rs_fleet_use use, const char *path)
 {
     const struct rs_exchange_options options = {
-        .loop = &world.loop,
+        .loop = &world.loop.uv,
         .paths = &world.paths,
         .target = world.target,
         .use = use,
@@ -134,28 +134,10 @@
 static void
 expect_answer(struct call *call)
 {
-    int64_t give_up_at_ms = RsClock_NowMs() + WAIT_MS;
-    while (!call->done && RsClock_NowMs() < give_up_at_ms) {
-        uv_run(&world.loop, UV_RUN_ONCE);
-    }
-    CU_ASSERT_TRUE(call->done);
+    CU_ASSERT_TRUE(RsTestLoop_Await(&world.loop, &call->done, WAIT_MS));
     CU_ASSERT_EQUAL(call->error, 0);
 }
 
-static void
-run_for(int64_t span_ms)
-{
-    int64_t end_at_ms = RsClock_NowMs() + span_ms;
-    while (RsClock_NowMs() < end_at_ms) {
-        uv_run(&world.loop, UV_RUN_ONCE);
-    }
-}
-
-static void
-on_step(uv_timer_t *timer)
-{
-}
-
 static int
 open_world(void)
 {
@@ -168,15 +150,13 @@
         .sequence = 1,
     };
     struct sockaddr_in address;
-    uv_loop_init(&world.loop);
-    uv_timer_init(&world.loop, &world.step);
-    uv_timer_start(&world.step, on_step, 5, 5);
+    RsTestLoop_Open(&world.loop);
     RsFleet_Init(&world.fleet, RsFixture_FleetEvents(), NULL);
     RsFixture_Report(&world.fleet, &report, RsClock_NowMs());
     world.target = RsFleet_Find(&world.fleet, g_intern_string("t0"));
     world.paths = (struct rs_paths){.fleet = &world.fleet};
     uv_ip4_addr("127.0.0.1", TARGET_PORT, &address);
-    uv_tcp_init(&world.loop, &world.listener);
+    uv_tcp_init(&world.loop.uv, &world.listener);
     return uv_tcp_bind(&world.listener, (const struct sockaddr *)&address,
                        0) == 0 &&
                    uv_listen((uv_stream_t *)&world.listener, 16,
@@ -249,14 +229,14 @@
     world.full = true;
     world.waiting = NULL;
     start(&first, RsFleet_ORDERS, "/grant");
-    run_for(200);
+    RsTestLoop_Run(&world.loop, 200);
     CU_ASSERT_FALSE(RsExchange_IsSent(first.exchange));
     CU_ASSERT_EQUAL(world.grants, grants);
     RsExchange_Cancel(first.exchange);
     world.full = false;
     CU_ASSERT_PTR_NOT_NULL_FATAL(world.waiting);
     answer(world.waiting);
-    run_for(200);
+    RsTestLoop_Run(&world.loop, 200);
     CU_ASSERT_EQUAL(world.grants, grants);
     start(&second, RsFleet_ORDERS, "/grant");
     expect_answer(&second);
@@ -273,7 +253,7 @@
     world.full = true;
     world.waiting = NULL;
     start(&order, RsFleet_ORDERS, "/grant");
-    run_for(200);
+    RsTestLoop_Run(&world.loop, 200);
     CU_ASSERT_FALSE(order.done);
     world.full = false;
     CU_ASSERT_PTR_NOT_NULL_FATAL(world.waiting);
--- a/router/follower_test.c
+++ b/router/follower_test.c
@@ -116,6 +116,18 @@
     return RsFollower_TableCopy(fixture->follower)->kept_revision;
 }
 
+/* Opens a node that keeps content 2 against the older content that the store
+ * has at `version`, and another one that knows nothing. */
+static void
+open_after_restore(struct fixture *node, struct fixture *restarted,
+                   uint64_t version)
+{
+    open_node(node);
+    open_node(restarted);
+    CU_ASSERT_FALSE(send_row(node, 2, 50, false));
+    CU_ASSERT_TRUE(send_row(node, 1, version, false));
+}
+
 static void
 test_older_content_is_ignored_and_the_later_kept(void)
 {
@@ -138,10 +150,7 @@
 {
     struct fixture node;
     struct fixture restarted;
-    open_node(&node);
-    open_node(&restarted);
-    send_row(&node, 2, 50, false);
-    send_row(&node, 1, 60, false);
+    open_after_restore(&node, &restarted, 60);
     send_row(&restarted, 1, 60, false);
     uint32_t published = restarted.published;
     CU_ASSERT_TRUE(tell_kept(&restarted, &node));
@@ -158,10 +167,7 @@
 {
     struct fixture node;
     struct fixture restarted;
-    open_node(&node);
-    open_node(&restarted);
-    send_row(&node, 2, 50, false);
-    send_row(&node, 1, 90, false);
+    open_after_restore(&node, &restarted, 90);
     send_row(&restarted, 1, 60, false);
     tell_kept(&restarted, &node);
     CU_ASSERT_EQUAL(RsFollower_TableCopy(restarted.follower)->version, 60);
@@ -176,10 +182,7 @@
 {
     struct fixture node;
     struct fixture restarted;
-    open_node(&node);
-    open_node(&restarted);
-    send_row(&node, 2, 50, false);
-    send_row(&node, 1, 60, false);
+    open_after_restore(&node, &restarted, 60);
     tell_kept(&restarted, &node);
     CU_ASSERT_TRUE(send_row(&restarted, 1, 60, false));
     CU_ASSERT_EQUAL(restarted.in_force, 2);
@@ -209,10 +212,7 @@
 {
     struct fixture node;
     struct fixture other;
-    open_node(&node);
-    open_node(&other);
-    send_row(&node, 2, 50, false);
-    send_row(&node, 1, 60, false);
+    open_after_restore(&node, &other, 60);
     CU_ASSERT_FALSE(send_row(&node, 2, 70, false));
     CU_ASSERT_FALSE(tell_kept(&other, &node));
 }
--- a/router/tunnel_test.c
+++ b/router/tunnel_test.c
@@ -10,6 +10,7 @@
 #include "http/connection.h"
 #include "router/fixture.h"
 #include "router/tunnel.h"
+#include "tests/loop.h"
 
 #define PEER_PORT 27600
 #define TARGET_PORT 27620
@@ -36,8 +37,7 @@
 };
 
 static struct {
-    uv_loop_t loop;
-    uv_timer_t step;
+    struct rs_test_loop loop;
     struct rs_router router;
     struct rs_node_settings settings;
     struct rs_tunnel_server *server;
@@ -164,7 +164,7 @@
 on_target_connection(uv_stream_t *listener, int status)
 {
     uv_tcp_t *tcp = g_new0(uv_tcp_t, 1);
-    uv_tcp_init(&world.loop, tcp);
+    uv_tcp_init(&world.loop.uv, tcp);
     CU_ASSERT_EQUAL(uv_accept(listener, (uv_stream_t *)tcp), 0);
     world.target_side = tcp;
     world.target_closed = false;
@@ -216,30 +216,6 @@
     .closed = on_closed,
 };
 
-static void
-on_step(uv_timer_t *timer)
-{
-}
-
-static bool
-await(const bool *condition)
-{
-    int64_t give_up_at_ms = RsClock_NowMs() + WAIT_MS;
-    while (!*condition && RsClock_NowMs() < give_up_at_ms) {
-        uv_run(&world.loop, UV_RUN_ONCE);
-    }
-    return *condition;
-}
-
-static void
-run_for(int64_t span_ms)
-{
-    int64_t end_at_ms = RsClock_NowMs() + span_ms;
-    while (RsClock_NowMs() < end_at_ms) {
-        uv_run(&world.loop, UV_RUN_ONCE);
-    }
-}
-
 static void
 report_target(const char *id, uint16_t port)
 {
@@ -258,19 +234,17 @@
 open_world(void)
 {
     struct sockaddr_in address;
-    uv_loop_init(&world.loop);
-    uv_timer_init(&world.loop, &world.step);
-    uv_timer_start(&world.step, on_step, 5, 5);
+    RsTestLoop_Open(&world.loop);
     world.settings.node.address = (char *)"127.0.0.1";
     world.settings.node.zone = (char *)"z";
     world.settings.listen.peer_port = PEER_PORT;
-    RsRouter_Init(&world.router, &world.loop, &world.settings);
+    RsRouter_Init(&world.router, &world.loop.uv, &world.settings);
     RsFleet_Init(&world.router.fleet, RsFixture_FleetEvents(), NULL);
     report_target("t0", TARGET_PORT);
     report_target("t1", CLOSED_PORT);
     world.server = RsTunnel_Open(&world.router);
     uv_ip4_addr("127.0.0.1", TARGET_PORT, &address);
-    uv_tcp_init(&world.loop, &world.listener);
+    uv_tcp_init(&world.loop.uv, &world.listener);
     bool listens = uv_tcp_bind(&world.listener,
                                (const struct sockaddr *)&address, 0) == 0 &&
                    uv_listen((uv_stream_t *)&world.listener, 16,
@@ -284,7 +258,7 @@
 start_request(uint16_t port, enum behaviour behaviour)
 {
     struct rs_http_options options = {
-        .loop = &world.loop, .events = &events, .reset_on_close = true};
+        .loop = &world.loop.uv, .events = &events, .reset_on_close = true};
     memset(&seen, 0, sizeof(seen));
     world.behaviour = behaviour;
     uv_ip4_addr("127.0.0.1", port, &options.address);
@@ -299,18 +273,18 @@
     if (seen.connection != NULL) {
         RsHttp_Close(seen.connection);
     }
-    run_for(50);
+    RsTestLoop_Run(&world.loop, 50);
     if (world.target_side != NULL) {
         close_target_side(false);
     }
-    run_for(20);
+    RsTestLoop_Run(&world.loop, 20);
 }
 
 static void
 test_request_passes_through_a_tunnel(void)
 {
     start_request(TARGET_PORT, Answers);
-    CU_ASSERT_TRUE(await(&seen.ended));
+    CU_ASSERT_TRUE(RsTestLoop_Await(&world.loop, &seen.ended, WAIT_MS));
     CU_ASSERT_EQUAL(seen.status, 200);
     CU_ASSERT_EQUAL(seen.body_bytes, 3);
     CU_ASSERT_FALSE(seen.damaged);
@@ -321,17 +295,17 @@
 test_slow_reader_gets_a_large_body_whole(void)
 {
     start_request(TARGET_PORT, AnswersLarge);
-    CU_ASSERT_TRUE(await(&seen.connected));
-    run_for(20);
+    CU_ASSERT_TRUE(RsTestLoop_Await(&world.loop, &seen.connected, WAIT_MS));
+    RsTestLoop_Run(&world.loop, 20);
     RsHttp_Pause(seen.connection);
-    run_for(200);
+    RsTestLoop_Run(&world.loop, 200);
     CU_ASSERT_FALSE(seen.ended);
     /* The tunnel holds back what the client doesn't read. */
     CU_ASSERT_TRUE(
         uv_stream_get_write_queue_size((uv_stream_t *)world.target_side) >
         LARGE_BODY_BYTES / 2);
     RsHttp_Resume(seen.connection);
-    CU_ASSERT_TRUE(await(&seen.ended));
+    CU_ASSERT_TRUE(RsTestLoop_Await(&world.loop, &seen.ended, WAIT_MS));
     CU_ASSERT_EQUAL(seen.body_bytes, LARGE_BODY_BYTES);
     CU_ASSERT_FALSE(seen.damaged);
     end_request();
@@ -341,10 +315,10 @@
 test_answer_that_ends_with_its_connection_is_whole(void)
 {
     start_request(TARGET_PORT, EndsWithoutLength);
-    CU_ASSERT_TRUE(await(&seen.connected));
-    run_for(50);
+    CU_ASSERT_TRUE(RsTestLoop_Await(&world.loop, &seen.connected, WAIT_MS));
+    RsTestLoop_Run(&world.loop, 50);
     close_target_side(false);
-    CU_ASSERT_TRUE(await(&seen.ended));
+    CU_ASSERT_TRUE(RsTestLoop_Await(&world.loop, &seen.ended, WAIT_MS));
     CU_ASSERT_EQUAL(seen.body_bytes, 2);
     end_request();
 }
@@ -354,10 +328,10 @@
 test_reset_of_the_target_is_passed_on(void)
 {
     start_request(TARGET_PORT, ResetsInBody);
-    CU_ASSERT_TRUE(await(&seen.connected));
-    run_for(50);
+    CU_ASSERT_TRUE(RsTestLoop_Await(&world.loop, &seen.connected, WAIT_MS));
+    RsTestLoop_Run(&world.loop, 50);
     close_target_side(true);
-    CU_ASSERT_TRUE(await(&seen.closed));
+    CU_ASSERT_TRUE(RsTestLoop_Await(&world.loop, &seen.closed, WAIT_MS));
     CU_ASSERT_FALSE(seen.ended);
     CU_ASSERT_EQUAL(seen.error, RsHttp_RESET);
     end_request();
@@ -368,12 +342,13 @@
 test_close_of_the_client_is_passed_on(void)
 {
     start_request(TARGET_PORT, Silent);
-    CU_ASSERT_TRUE(await(&seen.connected));
-    run_for(50);
+    CU_ASSERT_TRUE(RsTestLoop_Await(&world.loop, &seen.connected, WAIT_MS));
+    RsTestLoop_Run(&world.loop, 50);
     CU_ASSERT_FALSE(world.target_closed);
     RsHttp_Close(seen.connection);
     seen.connection = NULL;
-    CU_ASSERT_TRUE(await(&world.target_closed));
+    CU_ASSERT_TRUE(
+        RsTestLoop_Await(&world.loop, &world.target_closed, WAIT_MS));
     end_request();
 }
 
@@ -381,7 +356,7 @@
 check_not_opened(uint16_t port, int error)
 {
     start_request(port, Answers);
-    CU_ASSERT_TRUE(await(&seen.closed));
+    CU_ASSERT_TRUE(RsTestLoop_Await(&world.loop, &seen.closed, WAIT_MS));
     CU_ASSERT_FALSE(seen.connected);
     CU_ASSERT_EQUAL(seen.error, error);
     end_request();
@@ -430,14 +405,14 @@
     bool closed = false;
     uv_tcp_t *tcp = g_new0(uv_tcp_t, 1);
     uv_ip4_addr("127.0.0.1", PEER_PORT + 1, &address);
-    uv_tcp_init(&world.loop, tcp);
+    uv_tcp_init(&world.loop.uv, tcp);
     tcp->data = &closed;
     uv_tcp_connect(&connect, tcp, (const struct sockaddr *)&address,
                    on_raw_connect);
     write_bytes(tcp, data, size);
-    CU_ASSERT_TRUE(await(&closed));
+    CU_ASSERT_TRUE(RsTestLoop_Await(&world.loop, &closed, WAIT_MS));
     uv_close((uv_handle_t *)tcp, on_freed);
-    run_for(20);
+    RsTestLoop_Run(&world.loop, 20);
 }
 
 static void
--- a/soak/check.c
+++ b/soak/check.c
@@ -5,6 +5,9 @@
 
 #define STATUS_OK 200
 #define STATUS_MULTIPLE_CHOICES 300
+#define LIMIT_FACTOR 1.5
+#define LIMIT_SLACK 5
+#define MS_PER_S 1000
 
 /* Initializes a check that writes violations to `report`, with the time since
  * `now_ms`. */
@@ -237,3 +240,13 @@
     }
     g_hash_table_add(check->not_executed, g_strdup(request_id));
 }
+
+/* Returns how many requests a target with a limit may get from all nodes
+ * within RsCheck_LIMIT_WINDOW_MS, once all nodes were told. */
+uint32_t
+RsCheck_MaxLimited(double limit_per_s)
+{
+    return (uint32_t)(LIMIT_FACTOR * limit_per_s * RsCheck_LIMIT_WINDOW_MS /
+                          MS_PER_S +
+                      LIMIT_SLACK);
+}
--- a/soak/check.h
+++ b/soak/check.h
@@ -13,6 +13,9 @@
 
 #define RsCheck_KEYS 65536
 #define RsCheck_MAX_TARGETS 32
+/* A target that states a limit may get RsCheck_MaxLimited() requests within
+ * this time. */
+#define RsCheck_LIMIT_WINDOW_MS 4000
 
 /* A range of keys that a target holds until a point in time. */
 struct rs_check_hold {
@@ -54,6 +57,8 @@
 void RsCheck_RecordRun(struct rs_check *check, const char *request_id,
                        bool idempotent, int64_t now_ms);
 
+uint32_t RsCheck_MaxLimited(double limit_per_s);
+
 /* Reports of callers. */
 void RsCheck_RecordResponse(struct rs_check *check, const char *request_id,
                             bool idempotent, int status, bool matches_request,
--- a/soak/main.c
+++ b/soak/main.c
@@ -40,12 +40,7 @@
 #define REFUSAL_RETRY_AFTER "0.7" /* seconds */
 #define POST_TIMEOUT_MS 2000
 #define LIMIT_MS 8000
-/* A limited target may get LIMIT_FACTOR times its limit within
- * LIMIT_WINDOW_MS, and LIMIT_SLACK more, from when all nodes were told. */
-#define LIMIT_TOLD_MS 1500
-#define LIMIT_WINDOW_MS 4000
-#define LIMIT_FACTOR 1.5
-#define LIMIT_SLACK 5
+#define LIMIT_TOLD_MS 1500 /* until all nodes were told of a limit */
 /* Offsets from the first port of the soak; see also soak/setup.h. */
 #define STORE_PORT_OFFSET 10
 #define STORE_PROXY_PORT_OFFSET 20 /* proxy to the store, one per node */
@@ -314,15 +309,14 @@
     struct target_slot *slot = timer->data;
     struct soak *soak = slot->soak;
     uint32_t most = RsSoakTarget_MostRequestsWithin(
-        slot->target, slot->limited_since_ms + LIMIT_TOLD_MS, LIMIT_WINDOW_MS);
-    double allowed =
-        LIMIT_FACTOR * slot->limit_per_s * LIMIT_WINDOW_MS / 1000 +
-        LIMIT_SLACK;
+        slot->target, slot->limited_since_ms + LIMIT_TOLD_MS,
+        RsCheck_LIMIT_WINDOW_MS);
+    uint32_t allowed = RsCheck_MaxLimited(slot->limit_per_s);
     if (most > allowed) {
         RsCheck_ReportViolation(
             &soak->check, "LIMIT", RsClock_NowMs(),
             "target %u with a limit of %.1f a second got %u requests in 4 s, "
-            "allowed %.0f",
+            "allowed %u",
             (unsigned)(slot - soak->targets), slot->limit_per_s, most,
             allowed);
     }
--- a/soak/target_test.c
+++ b/soak/target_test.c
@@ -5,6 +5,7 @@
 #include "core/log.h"
 #include "http/connection.h"
 #include "soak/target.h"
+#include "tests/loop.h"
 
 #define STORE_PORT 20810
 #define TARGET_PORT 20811
@@ -22,8 +23,7 @@
 };
 
 struct scenario {
-    uv_loop_t loop;
-    uv_timer_t step;
+    struct rs_test_loop loop;
     struct rs_check check;
     struct rs_soak_store *store;
     struct rs_soak_target *target;
@@ -81,7 +81,7 @@
     snprintf(request->id, sizeof(request->id), "r%u",
              scenario.request_count++);
     struct rs_http_options options = {
-        .loop = &scenario.loop,
+        .loop = &scenario.loop.uv,
         .events = &events,
         .arg = request,
     };
@@ -90,33 +90,16 @@
     return request;
 }
 
-static void
-on_step(uv_timer_t *timer)
-{
-}
-
-/* Runs the loop for some time. */
-static void
-run_for(int64_t span_ms)
-{
-    int64_t end_at_ms = RsClock_NowMs() + span_ms;
-    while (RsClock_NowMs() < end_at_ms) {
-        uv_run(&scenario.loop, UV_RUN_ONCE);
-    }
-}
-
 static void
 open_scenario(void)
 {
-    uv_loop_init(&scenario.loop);
-    uv_timer_init(&scenario.loop, &scenario.step);
-    uv_timer_start(&scenario.step, on_step, STEP_MS, STEP_MS);
+    RsTestLoop_Open(&scenario.loop);
     RsCheck_Init(&scenario.check, stdout, RsClock_NowMs());
     GRand *random = g_rand_new_with_seed(1);
-    scenario.store = RsSoakStore_Open(&scenario.loop, STORE_PORT, random);
+    scenario.store = RsSoakStore_Open(&scenario.loop.uv, STORE_PORT, random);
     CU_ASSERT_PTR_NOT_NULL_FATAL(scenario.store);
     const struct rs_soak_target_options options = {
-        .loop = &scenario.loop,
+        .loop = &scenario.loop.uv,
         .number = 0,
         .service = "plain",
         .zone = "z1",
@@ -142,13 +125,13 @@
     for (uint32_t i = 0; i < QUEUE_CAPACITY; i++) {
         send_request();
     }
-    run_for(WORK_MS / 2);
+    RsTestLoop_Run(&scenario.loop, WORK_MS / 2);
     RsSoakTarget_Crash(scenario.target);
     RsSoakTarget_Start(scenario.target, true);
     struct request *request = send_request();
     int64_t give_up_at_ms = RsClock_NowMs() + GIVE_UP_AFTER_MS;
     while (request->status == 0 && RsClock_NowMs() < give_up_at_ms) {
-        run_for(STEP_MS);
+        RsTestLoop_Run(&scenario.loop, STEP_MS);
     }
     CU_ASSERT_EQUAL(request->status, 200);
 }
--- a/tests/node_cut_test.c
+++ b/tests/node_cut_test.c
@@ -2,17 +2,14 @@
  * still reach them. */
 
 #include <CUnit/Basic.h>
-#include <glib.h>
 
-#include "core/clock.h"
 #include "tests/node_fixture.h"
 #include "tests/node_tests.h"
 
-#define START_WITHIN_MS 15000
 #define WORK_MS 20
 #define NODES 4
 #define PLAIN_TARGETS 2
-#define SHARDED_TARGETS 6 /* have room for the probes of all nodes at once */
+#define SHARDED_TARGETS 6
 #define REQUEST_INTERVAL_MS 10
 /* Requests count from this time after the links were cut. */
 #define CONTACT_MS 3000
@@ -34,29 +31,7 @@
         .timeout_ms = 2000,
         .cuttable = true,
     };
-    struct rs_node_fixture *fixture = RsNodeFixture_Open(&options);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture);
-    CU_ASSERT_TRUE(RsNodeFixture_AwaitService(fixture, START_WITHIN_MS));
-    return fixture;
-}
-
-/* Sends requests to both services at all nodes in turn, without waiting for
- * the answers. */
-static void
-send_requests(struct rs_node_fixture *fixture, int64_t span_ms)
-{
-    int64_t end_at_ms = RsClock_NowMs() + span_ms;
-    for (uint32_t i = 0; RsClock_NowMs() < end_at_ms; i++) {
-        uint32_t key =
-            (uint32_t)g_rand_int_range(fixture->random, 0, RsCheck_KEYS);
-        if (i / NODES % 2 == 0) {
-            RsNodeFixture_Get(fixture, i % NODES, key);
-        }
-        else {
-            RsNodeFixture_Post(fixture, i % NODES);
-        }
-        RsNodeFixture_Run(fixture, REQUEST_INTERVAL_MS);
-    }
+    return RsNodeFixture_OpenServing(&options);
 }
 
 /* Checks that the requests from number `first` on were served, at each node,
@@ -92,16 +67,16 @@
     for (uint32_t i = 0; i < NODES - 1; i++) {
         RsNodeFixture_CutFromTargets(fixture, first_node + i, cut);
     }
-    send_requests(fixture, CONTACT_MS);
+    RsNodeFixture_SendToAll(fixture, CONTACT_MS, REQUEST_INTERVAL_MS);
     uint32_t first = fixture->request_count;
-    send_requests(fixture, CUT_MS);
+    RsNodeFixture_SendToAll(fixture, CUT_MS, REQUEST_INTERVAL_MS);
     check_served(fixture, first);
     for (uint32_t i = 0; i < NODES - 1; i++) {
         RsNodeFixture_HealLinks(fixture, first_node + i);
     }
-    send_requests(fixture, HEALED_WITHIN_MS);
+    RsNodeFixture_SendToAll(fixture, HEALED_WITHIN_MS, REQUEST_INTERVAL_MS);
     first = fixture->request_count;
-    send_requests(fixture, HEALED_WITHIN_MS);
+    RsNodeFixture_SendToAll(fixture, HEALED_WITHIN_MS, REQUEST_INTERVAL_MS);
     check_served(fixture, first);
     CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
     RsNodeFixture_Close(fixture);
@@ -135,11 +110,12 @@
     for (uint32_t i = 0; i < NODES - 1; i++) {
         RsNodeFixture_CutFromTargets(fixture, i, RsNodeFixture_LIVE_ON);
     }
-    send_requests(fixture, CONTACT_MS);
+    RsNodeFixture_SendToAll(fixture, CONTACT_MS, REQUEST_INTERVAL_MS);
     uint32_t first = fixture->request_count;
     for (int64_t ms = 0; ms < CUT_MS; ms += CLOSE_INTERVAL_MS) {
         RsNodeFixture_CloseConnections(fixture, PLAIN_TARGETS);
-        send_requests(fixture, CLOSE_INTERVAL_MS);
+        RsNodeFixture_SendToAll(fixture, CLOSE_INTERVAL_MS,
+                                REQUEST_INTERVAL_MS);
     }
     check_served(fixture, first);
     CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
--- a/tests/node_endless_test.c
+++ b/tests/node_endless_test.c
@@ -11,7 +11,6 @@
 
 #define BASE_PORT 28000
 #define ENDLESS_PORT (BASE_PORT + 90)
-#define START_WITHIN_MS 15000
 #define LISTED_WITHIN_MS 1000 /* at the node */
 #define TIMEOUT_MS 1500
 /* After their timeout, requests must have ended within this time. */
@@ -257,10 +256,7 @@
         .work_ms = WORK_MS,
         .timeout_ms = TIMEOUT_MS,
     };
-    struct rs_node_fixture *fixture = RsNodeFixture_Open(&options);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture);
-    CU_ASSERT_TRUE(RsNodeFixture_AwaitService(fixture, START_WITHIN_MS));
-    return fixture;
+    return RsNodeFixture_OpenServing(&options);
 }
 
 void
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -1,5 +1,6 @@
 #include "tests/node_fixture.h"
 
+#include <CUnit/Basic.h>
 #include <glib/gstdio.h>
 #include <jansson.h>
 #include <signal.h>
@@ -11,6 +12,7 @@
 #include "http/connection.h"
 
 #define STEP_MS 5
+#define START_WITHIN_MS 15000
 #define STORE_PORT_OFFSET 10
 #define TARGET_PORT_OFFSET 20 /* a target; the next port is its proxy */
 #define DEADLINE_MS_TEXT "15000"
@@ -423,6 +425,43 @@
     return true;
 }
 
+/* Opens a fixture and waits until all nodes serve; the test fails if they
+ * don't. */
+struct rs_node_fixture *
+RsNodeFixture_OpenServing(const struct rs_node_fixture_options *options)
+{
+    struct rs_node_fixture *fixture = RsNodeFixture_Open(options);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture);
+    CU_ASSERT_TRUE(RsNodeFixture_AwaitService(fixture, START_WITHIN_MS));
+    return fixture;
+}
+
+/* Sends requests to all nodes in turn, without waiting for the answers: for
+ * keys spread over the key space, for the service without keys, or for both in
+ * turn, as there are targets. */
+void
+RsNodeFixture_SendToAll(struct rs_node_fixture *fixture, int64_t span_ms,
+                        int64_t interval_ms)
+{
+    const struct rs_node_fixture_options *options = &fixture->options;
+    int64_t end_at_ms = RsClock_NowMs() + span_ms;
+    for (uint32_t i = 0; RsClock_NowMs() < end_at_ms; i++) {
+        uint32_t node = i % options->node_count;
+        uint32_t key =
+            (uint32_t)g_rand_int_range(fixture->random, 0, RsCheck_KEYS);
+        bool keyed =
+            options->plain_targets == 0 ||
+            (options->sharded_targets > 0 && i / options->node_count % 2 == 0);
+        if (keyed) {
+            RsNodeFixture_Get(fixture, node, key);
+        }
+        else {
+            RsNodeFixture_Post(fixture, node);
+        }
+        RsNodeFixture_Run(fixture, interval_ms);
+    }
+}
+
 /* The state that a node serves on its admin port. */
 struct state_read {
     struct rs_http_connection *connection;
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -65,6 +65,8 @@
 
 struct rs_node_fixture *
 RsNodeFixture_Open(const struct rs_node_fixture_options *options);
+struct rs_node_fixture *
+RsNodeFixture_OpenServing(const struct rs_node_fixture_options *options);
 void RsNodeFixture_Close(struct rs_node_fixture *fixture);
 
 void RsNodeFixture_Run(struct rs_node_fixture *fixture, int64_t span_ms);
@@ -97,6 +99,8 @@
                   uint32_t key);
 struct rs_node_fixture_request *
 RsNodeFixture_PostAgain(struct rs_node_fixture_request *former);
+void RsNodeFixture_SendToAll(struct rs_node_fixture *fixture, int64_t span_ms,
+                             int64_t interval_ms);
 bool RsNodeFixture_AwaitEnd(struct rs_node_fixture_request *request,
                             int64_t within_ms);
 
--- a/tests/node_limit_test.c
+++ b/tests/node_limit_test.c
@@ -7,7 +7,6 @@
 #include "tests/node_fixture.h"
 #include "tests/node_tests.h"
 
-#define START_WITHIN_MS 15000
 #define WORK_MS 40
 #define NODES 4
 #define TARGETS 6
@@ -15,11 +14,6 @@
 /* When the first answers with the limit must have reached all nodes. */
 #define TOLD_WITHIN_MS 1000
 #define LIMITED_MS 20000
-/* A target may get this many requests within LIMIT_WINDOW_MS, see
- * max_requests(). */
-#define LIMIT_WINDOW_MS 4000
-#define LIMIT_FACTOR 1.5
-#define LIMIT_SLACK 5
 /* When the keys of a limited target must have moved to others. */
 #define KEYS_MOVED_WITHIN_MS 6000
 #define MIN_SERVED 0.95
@@ -40,36 +34,7 @@
         .work_ms = WORK_MS,
         .timeout_ms = 2000,
     };
-    struct rs_node_fixture *fixture = RsNodeFixture_Open(&options);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture);
-    CU_ASSERT_TRUE(RsNodeFixture_AwaitService(fixture, START_WITHIN_MS));
-    return fixture;
-}
-
-/* Sends requests to all nodes in turn, for keys spread over the key space,
- * without waiting for the answers. */
-static void
-send_requests(struct rs_node_fixture *fixture, int64_t span_ms)
-{
-    int64_t end_at_ms = RsClock_NowMs() + span_ms;
-    for (uint32_t i = 0; RsClock_NowMs() < end_at_ms; i++) {
-        uint32_t key =
-            (uint32_t)g_rand_int_range(fixture->random, 0, RsCheck_KEYS);
-        if (fixture->options.sharded_targets > 0) {
-            RsNodeFixture_Get(fixture, i % NODES, key);
-        }
-        else {
-            RsNodeFixture_Post(fixture, i % NODES);
-        }
-        RsNodeFixture_Run(fixture, REQUEST_INTERVAL_MS);
-    }
-}
-
-static uint32_t
-max_requests(double limit_per_s)
-{
-    return (uint32_t)(LIMIT_FACTOR * limit_per_s * LIMIT_WINDOW_MS / MS_PER_S +
-                      LIMIT_SLACK);
+    return RsNodeFixture_OpenServing(&options);
 }
 
 /* Returns the share of the requests from number `first` on that were served,
@@ -96,13 +61,15 @@
         RsSoakTarget_SetLimit(fixture->targets[2 * i], limits[i]);
     }
     int64_t told_at_ms = RsClock_NowMs() + TOLD_WITHIN_MS;
-    send_requests(fixture, KEYS_MOVED_WITHIN_MS);
+    RsNodeFixture_SendToAll(fixture, KEYS_MOVED_WITHIN_MS,
+                            REQUEST_INTERVAL_MS);
     uint32_t first = fixture->request_count;
-    send_requests(fixture, LIMITED_MS - KEYS_MOVED_WITHIN_MS);
+    RsNodeFixture_SendToAll(fixture, LIMITED_MS - KEYS_MOVED_WITHIN_MS,
+                            REQUEST_INTERVAL_MS);
     for (size_t i = 0; i < G_N_ELEMENTS(limits); i++) {
         uint32_t most = RsSoakTarget_MostRequestsWithin(
-            fixture->targets[2 * i], told_at_ms, LIMIT_WINDOW_MS);
-        uint32_t allowed = max_requests(g_ascii_strtod(limits[i], NULL));
+            fixture->targets[2 * i], told_at_ms, RsCheck_LIMIT_WINDOW_MS);
+        uint32_t allowed = RsCheck_MaxLimited(g_ascii_strtod(limits[i], NULL));
         printf("limit %s: %u requests in 4 s, allowed %u\n", limits[i], most,
                allowed);
         CU_ASSERT_TRUE(most <= allowed);
@@ -139,16 +106,18 @@
     for (uint32_t i = 0; i < LIMITED_TARGETS; i++) {
         RsSoakTarget_SetLimit(fixture->targets[i], limit);
     }
-    send_requests(fixture, KEYS_MOVED_WITHIN_MS);
+    RsNodeFixture_SendToAll(fixture, KEYS_MOVED_WITHIN_MS,
+                            REQUEST_INTERVAL_MS);
     for (uint32_t i = 0; i < LIMITED_TARGETS; i++) {
         RsSoakTarget_SetLimit(fixture->targets[i], "");
     }
     int64_t ended_at_ms = RsClock_NowMs();
-    send_requests(fixture, RECOVERY_MS);
+    RsNodeFixture_SendToAll(fixture, RECOVERY_MS, REQUEST_INTERVAL_MS);
     for (uint32_t i = 0; i < LIMITED_TARGETS; i++) {
-        CU_ASSERT_TRUE(RsSoakTarget_MostRequestsWithin(
-                           fixture->targets[i], ended_at_ms, LIMIT_WINDOW_MS) >
-                       max_requests(g_ascii_strtod(limit, NULL)));
+        CU_ASSERT_TRUE(
+            RsSoakTarget_MostRequestsWithin(fixture->targets[i], ended_at_ms,
+                                            RsCheck_LIMIT_WINDOW_MS) >
+            RsCheck_MaxLimited(g_ascii_strtod(limit, NULL)));
     }
     CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
     RsNodeFixture_Close(fixture);
@@ -165,18 +134,19 @@
     for (uint32_t i = 0; i < TARGETS; i++) {
         RsSoakTarget_SetLimit(fixture->targets[i], limit);
     }
-    send_requests(fixture, TOLD_WITHIN_MS);
+    RsNodeFixture_SendToAll(fixture, TOLD_WITHIN_MS, REQUEST_INTERVAL_MS);
     int64_t told_at_ms = RsClock_NowMs();
     for (uint32_t i = 0; i < TARGETS; i++) {
         first_count[i] = RsSoakTarget_RequestCount(fixture->targets[i]);
     }
-    send_requests(fixture, RECOVERY_MS);
+    RsNodeFixture_SendToAll(fixture, RECOVERY_MS, REQUEST_INTERVAL_MS);
     for (uint32_t i = 0; i < TARGETS; i++) {
         uint64_t count =
             RsSoakTarget_RequestCount(fixture->targets[i]) - first_count[i];
-        CU_ASSERT_TRUE(RsSoakTarget_MostRequestsWithin(
-                           fixture->targets[i], told_at_ms, LIMIT_WINDOW_MS) <=
-                       max_requests(limit_per_s));
+        CU_ASSERT_TRUE(
+            RsSoakTarget_MostRequestsWithin(fixture->targets[i], told_at_ms,
+                                            RsCheck_LIMIT_WINDOW_MS) <=
+            RsCheck_MaxLimited(limit_per_s));
         CU_ASSERT_TRUE((double)count >=
                        MIN_USED * limit_per_s * RECOVERY_MS / MS_PER_S);
     }
--- a/tests/node_notices_test.c
+++ b/tests/node_notices_test.c
@@ -7,7 +7,6 @@
 #include "tests/node_fixture.h"
 #include "tests/node_tests.h"
 
-#define START_WITHIN_MS 15000
 #define WORK_MS 10
 #define ANSWER_WITHIN_MS 3000
 #define REQUEST_INTERVAL_MS 20
@@ -30,10 +29,7 @@
         .work_ms = WORK_MS,
         .timeout_ms = 2000,
     };
-    struct rs_node_fixture *fixture = RsNodeFixture_Open(&options);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture);
-    CU_ASSERT_TRUE(RsNodeFixture_AwaitService(fixture, START_WITHIN_MS));
-    return fixture;
+    return RsNodeFixture_OpenServing(&options);
 }
 
 static void
--- a/tests/node_shutdown_test.c
+++ b/tests/node_shutdown_test.c
@@ -8,7 +8,6 @@
 #include "tests/node_fixture.h"
 #include "tests/node_tests.h"
 
-#define START_WITHIN_MS 15000
 #define SLOW_WORK_MS 800
 #define QUICK_WORK_MS 100
 #define SLOWDOWN 4
@@ -31,9 +30,7 @@
         .work_ms = work_ms,
         .timeout_ms = 12000,
     };
-    struct rs_node_fixture *fixture = RsNodeFixture_Open(&options);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture);
-    CU_ASSERT_TRUE(RsNodeFixture_AwaitService(fixture, START_WITHIN_MS));
+    struct rs_node_fixture *fixture = RsNodeFixture_OpenServing(&options);
     for (uint32_t i = 0; i < LEARNING_REQUESTS; i++) {
         struct rs_node_fixture_request *request =
             RsNodeFixture_Post(fixture, 0);
