Log how long a target may hold keys when a grant fails or a move is settled

The logs could not tell whether the granter had taken the former owner's hold to be over, and for how long it had, nor when a grant that failed had been sent: `keys_settled` and `grant_failed` have hold_left_ms, `grant_failed` and `release_failed` have age_ms.

router_granter_test passes; no decision changes.

--- a/router/granter.c
+++ b/router/granter.c
@@ -875,6 +875,7 @@
     const struct rs_order order = {
         .release = true,
         .service = map->service,
+        .sent_at_ms = now_ms,
         .send_before_ms = granter->authority_until_ms,
         .target_id = range->former.id,
         /* The new fence makes the target refuse late grants under the former
@@ -892,7 +893,7 @@
  * names the reason in the log. */
 static void
 complete_handover(struct rs_granter_map *entry, struct rs_key_range *range,
-                  const char *how)
+                  const char *how, int64_t now_ms)
 {
     RsLog_EVENT(RsLog_INFO, "keys_settled",
                 RsLog_TEXT("service", entry->map->service),
@@ -900,7 +901,9 @@
                 RsLog_NUMBER("last_key", range->last_key),
                 RsLog_TEXT("former", range->former.id),
                 RsLog_TEXT("owner", range->owner.id),
-                RsLog_NUMBER("fence", range->fence), RsLog_TEXT("how", how));
+                RsLog_NUMBER("fence", range->fence), RsLog_TEXT("how", how),
+                RsLog_NUMBER("hold_left_ms",
+                             range->orders.former_hold_until_ms - now_ms));
     RsKeymap_ClearFormer(range);
     range->orders.next_grant_at_ms = 0;
     entry->dirty = true;
@@ -920,14 +923,14 @@
         return;
     }
     if (is_replaced(granter, &range->former)) {
-        complete_handover(entry, range, "ended");
+        complete_handover(entry, range, "ended", now_ms);
     }
     else if (orders->released) {
-        complete_handover(entry, range, "released");
+        complete_handover(entry, range, "released", now_ms);
     }
     else if (!orders->grant_in_flight &&
              now_ms >= orders->former_hold_until_ms) {
-        complete_handover(entry, range, "lapsed");
+        complete_handover(entry, range, "lapsed", now_ms);
     }
     else if (!orders->release_in_flight && !orders->grant_in_flight &&
              now_ms >= orders->next_release_at_ms) {
@@ -1227,7 +1230,12 @@
                 RsLog_TEXT("target", order->target_id),
                 RsLog_NUMBER("first_key", order->grant.first_key),
                 RsLog_NUMBER("fence", order->grant.fence),
-                RsLog_NUMBER("status", status));
+                RsLog_NUMBER("status", status),
+                RsLog_NUMBER("age_ms", now_ms - order->sent_at_ms),
+                RsLog_NUMBER("hold_left_ms",
+                             (to_owner ? orders->hold_until_ms
+                                       : orders->former_hold_until_ms) -
+                                 now_ms));
     if (status == RsWire_STALE_FENCE && to_owner && range->unproven) {
         orders->blocked = true;
     }
@@ -1261,7 +1269,8 @@
         RsLog_EVENT(RsLog_WARNING, "release_failed",
                     RsLog_TEXT("target", order->target_id),
                     RsLog_NUMBER("first_key", order->grant.first_key),
-                    RsLog_NUMBER("status", status));
+                    RsLog_NUMBER("status", status),
+                    RsLog_NUMBER("age_ms", now_ms - order->sent_at_ms));
         return;
     }
     range->orders.released = true;
