--- a/router/fixture.c
+++ b/router/fixture.c
@@ -61,6 +61,8 @@
 /* By how much the clocks of all targets run slow, which makes holds longer. */
 #define CLOCK_SLOW_PERCENT 2
 #define MAX_HOLD_MS 10000
+#define CONNECT_TIMEOUT_MS 300
+#define GRANT_TIMEOUT_MS 500
 #define STRONG_STRENGTH 500
 #define WEAK_STRENGTH 50
 
@@ -88,6 +90,7 @@
     struct rs_order order;
     int status;            /* of a commit or an order */
     bool delayed;          /* a late grant, see RsFixture_GRANT_LATE */
+    bool held_up;          /* see RsFixture_GRANT_HELD_UP */
     int64_t arrived_at_ms; /* of a delayed grant; its hold counts from here */
     char *lease_value;     /* unused */
     /* Rows to be written. The `version` of each is the version that the row
@@ -114,6 +117,8 @@
     struct hold holds[MAX_HOLDS];
     size_t hold_count;
     uint64_t seen_fence[RsKeymap_KEYS]; /* highest in any order for the key */
+    int64_t hold_up_ms;       /* how long the next grant takes; 0: as usual */
+    int64_t cut_off_until_ms; /* see RsFixture_TARGET_CUT_OFF */
 };
 
 struct simulated_node {
@@ -121,6 +126,7 @@
     struct rs_fleet fleet;
     uint64_t process;
     int64_t frozen_until_ms;
+    int64_t refused_until_ms; /* by the store */
     uint32_t number;
     struct rs_simulation *sim;
     int64_t lease_read_at_ms; /* 0: not read yet */
@@ -233,17 +239,61 @@
     }
 }
 
-static void
-send_order(void *arg, const struct rs_order *order)
+static struct target *
+find_ordered_target(struct rs_simulation *sim, const struct rs_order *order)
 {
-    struct simulated_node *node = arg;
-    struct event *event = add_event(node->sim, OrderArrives, DELAY_MS);
+    return &sim->targets[order->target_id[1] - '0'];
+}
+
+static struct event *
+add_order_event(struct simulated_node *node, enum event_kind kind,
+                const struct rs_order *order, int64_t delay_ms)
+{
+    struct event *event = add_event(node->sim, kind, delay_ms);
     if (event != NULL) {
         event->node = node->number;
         event->process = node->process;
         event->order = *order;
         event->order.grant.handover = NULL;
     }
+    return event;
+}
+
+/* Sends a grant that is on its way for longer than the granter waits. */
+static void
+send_held_up(struct simulated_node *node, const struct rs_order *order,
+             int64_t delay_ms)
+{
+    struct event *event = add_order_event(node, OrderArrives, order, delay_ms);
+    if (event != NULL) {
+        event->held_up = true;
+    }
+    event = add_order_event(node, OrderAnswered, order, GRANT_TIMEOUT_MS);
+    if (event != NULL) {
+        event->status = RsGranter_UNANSWERED;
+    }
+}
+
+static void
+send_order(void *arg, const struct rs_order *order)
+{
+    struct simulated_node *node = arg;
+    struct rs_simulation *sim = node->sim;
+    struct target *target = find_ordered_target(sim, order);
+    if (!order->release && target->hold_up_ms > GRANT_TIMEOUT_MS) {
+        send_held_up(node, order, target->hold_up_ms);
+        target->hold_up_ms = 0;
+    }
+    else if (sim->now_ms < target->cut_off_until_ms) {
+        struct event *event =
+            add_order_event(node, OrderAnswered, order, CONNECT_TIMEOUT_MS);
+        if (event != NULL) {
+            event->status = RsGranter_NOT_SENT;
+        }
+    }
+    else {
+        add_order_event(node, OrderArrives, order, DELAY_MS);
+    }
 }
 
 static void
@@ -292,10 +342,18 @@
     }
 }
 
+/* Returns whether the store refuses the calls of a node. */
+static bool
+is_refused(const struct rs_simulation *sim, uint32_t node)
+{
+    return sim->now_ms < sim->store_down_until_ms ||
+           sim->now_ms < sim->nodes[node].refused_until_ms;
+}
+
 static void
 commit_arrives(struct rs_simulation *sim, struct event event)
 {
-    bool down = sim->now_ms < sim->store_down_until_ms;
+    bool down = is_refused(sim, event.node);
     bool holds = !down && conditions_hold(sim, &event);
     if (holds) {
         apply_writes(sim, &event);
@@ -374,7 +432,7 @@
 {
     struct rs_store_row list[MAX_ROWS];
     struct rs_store_rows rows = {.rows = list, .version = event->version};
-    bool down = sim->now_ms < sim->store_down_until_ms;
+    bool down = is_refused(sim, event->node);
     if (event->kind == CommitAnswered) {
         deliver_commit_answer(sim, node, event, &rows);
         return;
@@ -607,6 +665,10 @@
         apply_order(sim, number, order, event.arrived_at_ms);
         return;
     }
+    if (event.held_up) {
+        apply_order(sim, number, order, sim->now_ms);
+        return;
+    }
     if (!order->release && consume_fault(sim, RsFixture_GRANT_LATE)) {
         struct event *late = add_event(sim, OrderArrives, sim->grant_delay_ms);
         if (late != NULL) {
@@ -616,7 +678,7 @@
             late->delayed = true;
             late->arrived_at_ms = sim->now_ms;
         }
-        answer_order(sim, &event, RsGranter_UNANSWERED, 500);
+        answer_order(sim, &event, RsGranter_UNANSWERED, GRANT_TIMEOUT_MS);
         return;
     }
     int status = apply_order(sim, number, order, sim->now_ms);
@@ -624,7 +686,7 @@
                     ? consume_fault(sim, RsFixture_RELEASE_ANSWER_LOST)
                     : consume_fault(sim, RsFixture_GRANT_ANSWER_LOST);
     answer_order(sim, &event, lost ? RsGranter_UNANSWERED : status,
-                 lost ? 500 : DELAY_MS);
+                 lost ? GRANT_TIMEOUT_MS : DELAY_MS);
 }
 
 /* Running the simulation. */
@@ -833,8 +895,8 @@
  * kind, any other fault at once. `which` selects the node or target, if the
  * fault concerns one, or for how many times half a second a store that will be
  * restored is away, up to nine. `for_ms` is how long the fault lasts, by how
- * much the grant is late or how old the copy is at least; other faults ignore
- * it. */
+ * much the grant is late, how long it takes to arrive or how old the copy is
+ * at least; other faults ignore it. */
 void
 RsSimulation_InjectFault(struct rs_simulation *sim,
                          enum rs_fixture_fault fault, uint32_t which,
@@ -852,6 +914,9 @@
     case RsFixture_NODE_FROZEN:
         node->frozen_until_ms = sim->now_ms + for_ms;
         break;
+    case RsFixture_NODE_REFUSED:
+        node->refused_until_ms = sim->now_ms + for_ms;
+        break;
     case RsFixture_TARGET_RESTARTED:
         target->started_wall_ms = sim->now_ms;
         target->sequence = 0;
@@ -871,6 +936,12 @@
         sim->grant_delay_ms = for_ms;
         sim->pending_faults[fault]++;
         break;
+    case RsFixture_GRANT_HELD_UP:
+        target->hold_up_ms = for_ms;
+        break;
+    case RsFixture_TARGET_CUT_OFF:
+        target->cut_off_until_ms = sim->now_ms + for_ms;
+        break;
     default:
         sim->pending_faults[fault]++;
     }
