Let given-up grants arrive late before their keys go to another target

Cause: without an answer to a grant, the granter took the grant to have arrived before it was given up, because its connection is reset then. But packets that carry it may be lost and repeated, or wait in the network, and the reset comes after them. The target then holds the keys until later than the granter knows. If no other order reaches this target (no release, no renewal) the move is settled by lapse, and the next owner gets the keys too early. In the record the last grant was taken about 1.3 s after it was sent; the granter counted 0.5 s.

Ruled out: a release answered by another message (the hold would have ended when the release arrived, a round trip later), and a wrong report of another target at the address (none can be younger than a running target).

Cost: keys of a target that falls silent are served again up to 3 s later if a grant was on its way then.

--- a/router/fixture.c
+++ b/router/fixture.c
@@ -63,6 +63,8 @@
 #define MAX_HOLD_MS 10000
 #define CONNECT_TIMEOUT_MS 300
 #define GRANT_TIMEOUT_MS 500
+/* A grant arrives at most 3 s after it was given up. */
+#define MAX_HOLD_UP_MS (GRANT_TIMEOUT_MS + 3000)
 #define STRONG_STRENGTH 500
 #define WEAK_STRENGTH 50
 
@@ -937,7 +939,7 @@
         sim->pending_faults[fault]++;
         break;
     case RsFixture_GRANT_HELD_UP:
-        target->hold_up_ms = for_ms;
+        target->hold_up_ms = MIN(for_ms, (int64_t)MAX_HOLD_UP_MS);
         break;
     case RsFixture_TARGET_CUT_OFF:
         target->cut_off_until_ms = sim->now_ms + for_ms;
--- a/router/granter.c
+++ b/router/granter.c
@@ -40,9 +40,10 @@
 /* By how much at most the clock of a target runs slow, which makes holds
  * longer. */
 #define CLOCK_DRIFT_PERCENT 2
-/* Added to the end of a hold, for the time that a grant may take to reach the
- * target. */
-#define HOLD_MARGIN_MS 150
+#define HOLD_MARGIN_MS 150 /* added to the end of a hold */
+/* A grant that was given up may arrive up to this long afterwards. Resetting
+ * its connection doesn't recall packets that the network holds or repeats. */
+#define GRANT_DELAY_MS 3000
 /* A granter whose last confirmed commit is older than this doesn't go on after
  * the store went back. A granter that followed it may have given keys to other
  * targets without the word of their owners, once it had waited for the longest
@@ -713,15 +714,15 @@
     }
 }
 
-/* Assumes that all owners and former owners in a loaded map have just got
+/* Assumes that all owners and former owners in a loaded map are about to get
  * grants of the maximum duration, as the previous granter's orders are
  * unknown. */
 static void
 assume_max_holds(const struct rs_granter *granter, struct rs_keymap *map,
                  int64_t now_ms)
 {
-    int64_t until_ms =
-        now_ms + max_hold_at_target_ms(granter->options.max_hold_ms);
+    int64_t until_ms = now_ms + GRANT_DELAY_MS +
+                       max_hold_at_target_ms(granter->options.max_hold_ms);
     for (size_t i = 0; i < map->ranges->len; i++) {
         struct rs_range_orders *orders = &RsKeymap_GetRange(map, i)->orders;
         orders->hold_until_ms = until_ms;
@@ -1182,9 +1183,9 @@
 }
 
 /* Extends the time until which the target may hold the range. The hold counts
- * from the arrival of the grant. The grant arrived before its answer or, if
- * there was none, before the connection was reset, so `now_ms` is an upper
- * bound. An order that was not sent extends nothing. */
+ * from the arrival of the grant. The grant arrived before its answer; without
+ * an answer, it may arrive until GRANT_DELAY_MS from now. An order that was
+ * not sent extends nothing. */
 static void
 extend_hold(struct rs_range_orders *orders, const struct rs_order *order,
             bool to_owner, int status, int64_t now_ms)
@@ -1194,8 +1195,11 @@
     if (status == RsGranter_NOT_SENT) {
         return;
     }
+    int64_t arrived_by_ms =
+        now_ms + (status == RsGranter_UNANSWERED ? GRANT_DELAY_MS : 0);
     *until_ms =
-        MAX(*until_ms, now_ms + max_hold_at_target_ms(order->grant.hold_ms));
+        MAX(*until_ms,
+            arrived_by_ms + max_hold_at_target_ms(order->grant.hold_ms));
 }
 
 /* Handles the answer to a grant. If the owner refuses the fence as stale, the
