Ask a target that was silent before it is sent a grant

Cause: since a grant without an answer may arrive late, the keys of a target that falls silent wait 3 s longer. Nearly always the first grant after the silence began is lost on a connection that was idle.

Change: on a connection on which the target has not answered for 100 ms, an order is sent only after the target has answered a GET of its health path there, as on a new connection. Only targets that tell their load are asked: they answer at once, the others once they have room. The time-out of an order counts from when it was sent, and an order is not sent after the granter's authority has ended, which may happen while the target is asked.

Three tests in router_exchange_test.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -376,7 +376,8 @@
         struct rs_attempt *attempt = &request->attempts[i];
         if (attempt != keep && attempt->exchange != NULL) {
             request->may_have_run |=
-                RsExchange_IsSent(attempt->exchange) && !attempt->not_run;
+                RsExchange_SentAtMs(attempt->exchange) != 0 &&
+                !attempt->not_run;
             RsExchange_Cancel(attempt->exchange);
             attempt->exchange = NULL;
             attempt->target->in_flight--;
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -27,7 +27,7 @@
     uv_timer_t timer;
     struct rs_fleet_target *target;
     struct rs_http_connection *connection; /* NULL if none was opened */
-    struct rs_exchange_options options;    /* of the first request */
+    struct rs_exchange_options options;    /* of the present request */
     uint32_t peer;         /* node with the tunnel; 0: direct connection */
     uint32_t tunnel_tries; /* tunnels that were asked for */
     struct rs_http_request request;
@@ -35,8 +35,10 @@
     const struct rs_exchange_events *events;
     void *arg;
     bool connecting;
-    bool opening;             /* the target's first answer is awaited */
-    bool sent;                /* the target may have received the request */
+    bool reused;              /* the connection has been idle before */
+    bool opening;             /* the answer to the opening GET is awaited */
+    int64_t sent_at_ms;       /* when the request was sent; 0: not yet */
+    int64_t answered_at_ms;   /* last complete answer on the connection */
     uint32_t idle_timeout_ms; /* how long the connection may stay idle */
     int64_t idle_until_ms;
 };
@@ -112,14 +114,21 @@
 static void
 send_first(struct rs_exchange *exchange)
 {
-    exchange->sent = true;
+    int64_t now_ms = RsClock_NowMs();
+    int64_t before_ms = exchange->options.send_before_ms;
+    if (before_ms != 0 && now_ms >= before_ms) {
+        end_exchange(exchange, RsExchange_NOT_SENT);
+        return;
+    }
+    exchange->sent_at_ms = now_ms;
     if (send_request(exchange) != 0) {
         end_exchange(exchange, RsExchange_BROKEN);
     }
 }
 
-/* Asks for the target's first answer. */
-static void
+/* Asks for an answer that shows that the target takes requests on the
+ * connection. Returns 0 or an error of RsHttp_Send(). */
+static int
 send_opening(struct rs_exchange *exchange)
 {
     const struct rs_http_header header = {RsWire_TARGET_ID,
@@ -131,9 +140,8 @@
         .header_count = 1,
     };
     exchange->opening = true;
-    if (RsHttp_Send(exchange->connection, &request) != 0) {
-        end_exchange(exchange, RsExchange_NOT_SENT);
-    }
+    uv_timer_start(&exchange->timer, on_timeout, OPENING_TIMEOUT_MS, 0);
+    return RsHttp_Send(exchange->connection, &request);
 }
 
 static void
@@ -147,8 +155,9 @@
         send_first(exchange);
         return;
     }
-    uv_timer_start(&exchange->timer, on_timeout, OPENING_TIMEOUT_MS, 0);
-    send_opening(exchange);
+    if (send_opening(exchange) != 0) {
+        end_exchange(exchange, RsExchange_NOT_SENT);
+    }
 }
 
 /* Sets the idle timeout from the keep-alive timeout that the target announces
@@ -194,6 +203,7 @@
     struct rs_exchange *exchange = arg;
     bool opening = exchange->opening;
     exchange->opening = false;
+    exchange->answered_at_ms = RsClock_NowMs();
     uv_timer_stop(&exchange->timer);
     if (opening && keep_alive && exchange->events != NULL) {
         send_first(exchange);
@@ -250,7 +260,8 @@
                                                 : RsPath_TARGET_FAILED);
         return;
     }
-    finish(exchange, exchange->sent ? RsExchange_BROKEN : RsExchange_NOT_SENT);
+    finish(exchange, exchange->sent_at_ms != 0 ? RsExchange_BROKEN
+                                               : RsExchange_NOT_SENT);
     free_exchange(exchange);
 }
 
@@ -339,6 +350,21 @@
     uv_timer_start(&exchange->timer, on_timeout, timeout_ms, 0);
 }
 
+/* Sends the request on an idle connection or, if the target has been silent on
+ * it for too long, the opening GET. Returns 0 or an error of RsHttp_Send(). */
+static int
+send_again(struct rs_exchange *exchange)
+{
+    const struct rs_exchange_options *options = &exchange->options;
+    int64_t now_ms = RsClock_NowMs();
+    if (options->opening_path != NULL && options->max_silence_ms != 0 &&
+        now_ms - exchange->answered_at_ms > options->max_silence_ms) {
+        return send_opening(exchange);
+    }
+    exchange->sent_at_ms = now_ms;
+    return send_request(exchange);
+}
+
 /* Starts an exchange, on an idle connection if there is one. Events are
  * delivered later, never during this call. The result stays valid until `done`
  * or RsExchange_Cancel() was called. */
@@ -349,24 +375,24 @@
     bool reused = exchange != NULL;
     if (!reused) {
         exchange = g_new0(struct rs_exchange, 1);
-        exchange->options = *options;
         exchange->target = options->target;
         exchange->target->connections[options->use]++;
         exchange->idle_timeout_ms = DEFAULT_IDLE_MS;
         uv_timer_init(options->loop, &exchange->timer);
         exchange->timer.data = exchange;
     }
+    exchange->options = *options;
+    exchange->reused = reused;
     exchange->request = *options->request;
     exchange->events = options->events;
     exchange->arg = options->arg;
-    exchange->sent = false;
+    exchange->sent_at_ms = 0;
     if (!reused) {
         connect_to(exchange);
-        return exchange;
     }
-    exchange->sent = true;
-    if (send_request(exchange) != 0) {
-        exchange->sent = false;
+    else if (send_again(exchange) != 0) {
+        exchange->sent_at_ms = 0;
+        exchange->opening = false;
         exchange->connecting = false;
         uv_timer_start(&exchange->timer, on_timeout, 0, 0);
     }
@@ -396,13 +422,13 @@
 }
 
 /* Closes the connection, so that the target can stop working on the request,
- * and releases the exchange. A connection on which the target has not answered
- * yet stays, for later exchanges. No more events follow. */
+ * and releases the exchange. A new connection on which the target has not
+ * answered yet stays, for later exchanges. No more events follow. */
 void
 RsExchange_Cancel(struct rs_exchange *exchange)
 {
     exchange->events = NULL;
-    if (exchange->opening) {
+    if (exchange->opening && !exchange->reused) {
         return;
     }
     if (exchange->connection != NULL) {
@@ -411,11 +437,21 @@
     free_exchange(exchange);
 }
 
-/* Returns whether the target may have received the request. */
+/* Returns when the request was sent, so that the target may have received it;
+ * 0 if it wasn't. */
+int64_t
+RsExchange_SentAtMs(const struct rs_exchange *exchange)
+{
+    return exchange->sent_at_ms;
+}
+
+/* Returns whether the target has not answered on a connection on which it
+ * answered before, so that others may be dead, too. */
 bool
-RsExchange_IsSent(const struct rs_exchange *exchange)
+RsExchange_IsSilent(const struct rs_exchange *exchange)
 {
-    return exchange->sent;
+    return exchange->sent_at_ms != 0 ||
+           (exchange->opening && exchange->reused);
 }
 
 /* Closes the idle connections to a target. */
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -44,6 +44,10 @@
      * new connections wait, and may take the request long after it was given
      * up. Must stay valid as long as the connection. */
     const char *opening_path;
+    /* If not 0, the same holds for a connection on which the target has not
+     * answered for this long: it may be cut off. */
+    uint32_t max_silence_ms;
+    int64_t send_before_ms; /* not sent later than this; 0: no limit */
     /* What the request points to must stay valid until the request was sent.
      */
     const struct rs_http_request *request;
@@ -59,7 +63,8 @@
 void RsExchange_Pause(struct rs_exchange *exchange);
 void RsExchange_Resume(struct rs_exchange *exchange);
 void RsExchange_Cancel(struct rs_exchange *exchange);
-bool RsExchange_IsSent(const struct rs_exchange *exchange);
+int64_t RsExchange_SentAtMs(const struct rs_exchange *exchange);
+bool RsExchange_IsSilent(const struct rs_exchange *exchange);
 void RsExchange_CloseIdle(struct rs_fleet_target *target);
 
 #endif
--- a/router/exchange_test.c
+++ b/router/exchange_test.c
@@ -14,6 +14,7 @@
 #define WAIT_MS 3000
 #define READ_BYTES 4096
 #define MAX_CONNECTIONS 8
+#define MAX_SILENCE_MS 100
 
 static struct {
     struct rs_test_loop loop;
@@ -23,6 +24,8 @@
     struct rs_fleet_target *target;
     uint32_t accepted; /* connections */
     uint32_t grants;   /* requests for /grant that arrived */
+    uint32_t openings; /* requests for /health that arrived */
+    int64_t send_before_ms;
     bool full;
     uv_stream_t *waiting; /* connection whose /health was not answered */
 } world;
@@ -71,6 +74,7 @@
         return;
     }
     world.grants += g_strstr_len(buffer->base, size, "/grant") != NULL;
+    world.openings += g_strstr_len(buffer->base, size, "/health") != NULL;
     if (world.full && g_strstr_len(buffer->base, size, "/health") != NULL) {
         world.waiting = stream;
     }
@@ -123,6 +127,8 @@
         .use = use,
         .max_connections = MAX_CONNECTIONS,
         .opening_path = use == RsFleet_ORDERS ? "/health" : NULL,
+        .max_silence_ms = MAX_SILENCE_MS,
+        .send_before_ms = world.send_before_ms,
         .request = &call->request,
         .events = &events,
         .arg = call,
@@ -230,7 +236,7 @@
     world.waiting = NULL;
     start(&first, RsFleet_ORDERS, "/grant");
     RsTestLoop_Run(&world.loop, 200);
-    CU_ASSERT_FALSE(RsExchange_IsSent(first.exchange));
+    CU_ASSERT_EQUAL(RsExchange_SentAtMs(first.exchange), 0);
     CU_ASSERT_EQUAL(world.grants, grants);
     RsExchange_Cancel(first.exchange);
     world.full = false;
@@ -263,6 +269,67 @@
     RsExchange_CloseIdle(world.target);
 }
 
+static void
+test_order_follows_another_without_asking(void)
+{
+    struct call order;
+    start(&order, RsFleet_ORDERS, "/grant");
+    expect_answer(&order);
+    uint32_t openings = world.openings;
+    start(&order, RsFleet_ORDERS, "/grant");
+    expect_answer(&order);
+    CU_ASSERT_EQUAL(world.openings, openings);
+    RsTestLoop_Run(&world.loop, 2 * MAX_SILENCE_MS);
+    start(&order, RsFleet_ORDERS, "/grant");
+    expect_answer(&order);
+    CU_ASSERT_EQUAL(world.openings, openings + 1);
+    RsExchange_CloseIdle(world.target);
+}
+
+/* A target that was cut off since its last answer may get a grant late. */
+static void
+test_order_is_not_sent_on_a_connection_that_fell_silent(void)
+{
+    struct call order;
+    start(&order, RsFleet_ORDERS, "/grant");
+    expect_answer(&order);
+    RsTestLoop_Run(&world.loop, 2 * MAX_SILENCE_MS);
+    uint32_t grants = world.grants;
+    uint32_t accepted = world.accepted;
+    world.full = true;
+    start(&order, RsFleet_ORDERS, "/grant");
+    RsTestLoop_Run(&world.loop, 200);
+    CU_ASSERT_EQUAL(RsExchange_SentAtMs(order.exchange), 0);
+    CU_ASSERT_TRUE(RsExchange_IsSilent(order.exchange));
+    RsExchange_Cancel(order.exchange);
+    world.full = false;
+    start(&order, RsFleet_ORDERS, "/grant");
+    expect_answer(&order);
+    CU_ASSERT_EQUAL(world.grants, grants + 1);
+    CU_ASSERT_EQUAL(world.accepted, accepted + 1);
+    RsExchange_CloseIdle(world.target);
+}
+
+/* The granter's authority ends while the target is asked. */
+static void
+test_order_is_not_sent_too_late(void)
+{
+    struct call order;
+    uint32_t grants = world.grants;
+    world.full = true;
+    world.waiting = NULL;
+    world.send_before_ms = RsClock_NowMs() + 100;
+    start(&order, RsFleet_ORDERS, "/grant");
+    RsTestLoop_Run(&world.loop, 200);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(world.waiting);
+    answer(world.waiting);
+    CU_ASSERT_TRUE(RsTestLoop_Await(&world.loop, &order.done, WAIT_MS));
+    CU_ASSERT_EQUAL(order.error, RsExchange_NOT_SENT);
+    CU_ASSERT_EQUAL(world.grants, grants);
+    world.full = false;
+    world.send_before_ms = 0;
+}
+
 int
 main(void)
 {
@@ -277,6 +344,10 @@
     CU_ADD_TEST(suite, test_connections_are_counted_for_each_use);
     CU_ADD_TEST(suite, test_order_is_not_sent_before_the_target_has_answered);
     CU_ADD_TEST(suite, test_order_waits_for_room);
+    CU_ADD_TEST(suite, test_order_follows_another_without_asking);
+    CU_ADD_TEST(suite,
+                test_order_is_not_sent_on_a_connection_that_fell_silent);
+    CU_ADD_TEST(suite, test_order_is_not_sent_too_late);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
     CU_cleanup_registry();
--- a/router/orders.c
+++ b/router/orders.c
@@ -5,6 +5,10 @@
 
 /* Targets respond to a grant immediately. */
 #define GRANT_TIMEOUT_MS 500
+/* Unless a target has answered on a connection this recently, it is asked
+ * first whether it takes requests there. A grant that a target doesn't answer
+ * may arrive late, so its keys can't move for a while. */
+#define MAX_SILENCE_MS 100
 /* Targets respond to a release when all work on its keys has ended. */
 #define RELEASE_TIMEOUT_MS 2500
 #define MAX_ACTIVE_ORDERS 3 /* orders in progress at one target */
@@ -23,8 +27,6 @@
     uv_timer_t timer;
     struct queue *queue;
     bool started;
-    /* When the order is given up if it was sent but got no response. */
-    int64_t give_up_at_ms;
     struct rs_orders *orders;
     struct rs_order order;
     char *handover_copy; /* owned copy of the order's handover */
@@ -134,6 +136,13 @@
     .done = on_done,
 };
 
+/* Returns how long the response to an order may take. */
+static int64_t
+response_timeout_ms(const struct order_call *call)
+{
+    return call->order.release ? RELEASE_TIMEOUT_MS : GRANT_TIMEOUT_MS;
+}
+
 /* Gives up an order that got no response or could not be sent in time. An
  * order that was sent gets its full response time. */
 static void
@@ -141,19 +150,31 @@
 {
     struct order_call *call = timer->data;
     int64_t now_ms = RsClock_NowMs();
-    bool sent = call->exchange != NULL && RsExchange_IsSent(call->exchange);
-    if (sent && now_ms < call->give_up_at_ms) {
-        uv_timer_start(timer, on_timeout,
-                       (uint64_t)(call->give_up_at_ms - now_ms), 0);
+    int64_t sent_at_ms =
+        call->exchange != NULL ? RsExchange_SentAtMs(call->exchange) : 0;
+    int64_t give_up_at_ms = sent_at_ms + response_timeout_ms(call);
+    if (sent_at_ms != 0 && now_ms < give_up_at_ms) {
+        uv_timer_start(timer, on_timeout, (uint64_t)(give_up_at_ms - now_ms),
+                       0);
         return;
     }
     if (call->exchange != NULL) {
+        bool silent = RsExchange_IsSilent(call->exchange);
         RsExchange_Cancel(call->exchange);
+        if (silent) {
+            RsExchange_CloseIdle(call->target);
+        }
     }
-    if (sent) {
-        RsExchange_CloseIdle(call->target);
-    }
-    finish(call, sent ? RsGranter_UNANSWERED : RsGranter_NOT_SENT);
+    finish(call, sent_at_ms != 0 ? RsGranter_UNANSWERED : RsGranter_NOT_SENT);
+}
+
+/* Returns the longest silence of a target on a connection on which an order is
+ * sent without asking first. Targets that tell their load answer at once when
+ * asked. Others answer once they have room, which takes too long. */
+static uint32_t
+max_silence_ms(const struct rs_fleet_target *target)
+{
+    return target->load_at_ms > 0 ? MAX_SILENCE_MS : 0;
 }
 
 static void
@@ -189,6 +210,8 @@
         .target = call->target,
         .use = RsFleet_ORDERS,
         .opening_path = service != NULL ? service->health_path : NULL,
+        .max_silence_ms = max_silence_ms(call->target),
+        .send_before_ms = call->order.send_before_ms,
         .max_connections = MAX_ACTIVE_ORDERS,
         .request = &call->message,
         .events = &exchange_events,
@@ -196,12 +219,9 @@
     };
     /* An order must be sent before the granter's authority ends. */
     int64_t now_ms = RsClock_NowMs();
-    int64_t timeout_ms =
-        call->order.release ? RELEASE_TIMEOUT_MS : GRANT_TIMEOUT_MS;
     int64_t left_ms = MAX(call->order.send_before_ms - now_ms, (int64_t)0);
-    call->give_up_at_ms = now_ms + timeout_ms;
     uv_timer_start(&call->timer, on_timeout,
-                   (uint64_t)MIN(timeout_ms, left_ms), 0);
+                   (uint64_t)MIN(response_timeout_ms(call), left_ms), 0);
     if (left_ms == 0) {
         return;
     }
