--- a/soak/target.c
+++ b/soak/target.c
@@ -23,6 +23,7 @@
 #define LATE_ORDER_PERCENT 50
 #define LATE_ORDER_MIN_MS 1000
 #define LATE_ORDER_MAX_MS 5000
+#define RESTART_AFTER_MS 1000  /* after a request that crashed the target */
 #define WORK_SPREAD_PERCENT 60 /* of the mean duration, up or down */
 
 /* Special values of an order's `due_at_ms`. */
@@ -38,6 +39,7 @@
     char *id;
     uint32_t key;
     bool idempotent;
+    bool deadly; /* crashes the target that runs it */
     bool running;
     int64_t end_at_ms;
 };
@@ -81,6 +83,8 @@
     char retry_after[16]; /* if not empty, all requests are refused with it */
     char limit[16];       /* if not empty, all responses state it */
     GArray *arrivals;     /* int64_t: when each request came */
+    uint32_t deadly_runs;
+    int64_t restart_at_ms; /* after a deadly request; 0: none */
     enum rs_soak_violation violation;
 };
 
@@ -343,6 +347,10 @@
         }
         job->running = true;
         job->end_at_ms = now_ms + work_ms(target);
+        if (job->deadly && target->restart_at_ms == 0) {
+            target->deadly_runs++;
+            target->restart_at_ms = now_ms + RESTART_AFTER_MS;
+        }
         RsCheck_RecordRun(target->options.check, job->id, job->idempotent,
                           now_ms);
         if (target->violation == RsSoakViolation_TWICE && !job->idempotent) {
@@ -392,7 +400,8 @@
 
 /* Queues a request and starts it if possible, or rejects it. */
 static void
-handle_request(struct rs_soak_target *target, h2o_req_t *http)
+handle_request(struct rs_soak_target *target, h2o_req_t *http,
+               const char *path)
 {
     char *expected = RsServer_Header(http, "x-target-instance");
     char *id = RsServer_Header(http, "x-request-id");
@@ -420,6 +429,7 @@
         job->incarnation = target->incarnation;
         job->id = g_strdup(id);
         job->key = key != NULL ? (uint32_t)strtoul(key, NULL, 10) : 0;
+        job->deadly = strcmp(path, RsSoakTarget_DEADLY_PATH) == 0;
         job->idempotent =
             h2o_memis(http->method.base, http->method.len, H2O_STRLIT("GET"));
         g_ptr_array_add(target->jobs, job);
@@ -448,7 +458,7 @@
         RsServer_Reply(http, target->draining ? 503 : 200, NULL, "", 0);
     }
     else {
-        handle_request(target, http);
+        handle_request(target, http, path);
     }
     g_free(expected);
     g_free(path);
@@ -477,6 +487,13 @@
 {
     struct rs_soak_target *target = timer->data;
     int64_t now_ms = RsClock_NowMs();
+    if (target->up && target->restart_at_ms > 0) {
+        RsSoakTarget_Crash(target);
+    }
+    if (!target->up && target->restart_at_ms > 0 &&
+        now_ms >= target->restart_at_ms) {
+        RsSoakTarget_Start(target, true);
+    }
     process_jobs(target, now_ms);
     process_orders(target, now_ms);
     if (target->up && target->reporting &&
@@ -551,6 +568,7 @@
     target->up = true;
     target->draining = false;
     target->says_leaving = false;
+    target->restart_at_ms = 0;
     target->retry_after[0] = '\0';
     target->limit[0] = '\0';
     memset(target->highest_fence, 0, sizeof(target->highest_fence));
@@ -642,6 +660,14 @@
     return target->arrivals->len;
 }
 
+/* Returns how many requests for RsSoakTarget_DEADLY_PATH have crashed the
+ * target. */
+uint32_t
+RsSoakTarget_DeadlyRuns(const struct rs_soak_target *target)
+{
+    return target->deadly_runs;
+}
+
 /* Makes the target state a limit in its responses, in requests a second of all
  * nodes together. An empty text ends that. */
 void
--- a/soak/target.h
+++ b/soak/target.h
@@ -25,6 +25,10 @@
     GRand *random;
 };
 
+/* A request for this path crashes the target that begins to run it. The target
+ * starts again after a second, with a new id. */
+#define RsSoakTarget_DEADLY_PATH "/get/deadly"
+
 /* Violations that are injected to test that the check detects them. */
 enum rs_soak_violation {
     RsSoakViolation_NONE,
@@ -52,6 +56,7 @@
 void RsSoakTarget_Close(struct rs_soak_target *target,
                         const char *retry_after);
 void RsSoakTarget_SetLimit(struct rs_soak_target *target, const char *limit);
+uint32_t RsSoakTarget_DeadlyRuns(const struct rs_soak_target *target);
 uint32_t RsSoakTarget_MostRequestsWithin(const struct rs_soak_target *target,
                                          int64_t since_ms, int64_t window_ms);
 bool RsSoakTarget_IsUp(const struct rs_soak_target *target);
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -230,7 +230,7 @@
     };
     const struct rs_http_request message = {
         .method = request->is_post ? "POST" : "GET",
-        .path = request->is_post ? "/post/x" : "/get/x",
+        .path = request->path,
         .headers = headers,
         .header_count = request->is_post ? 3 : 4,
         .body = "body",
@@ -306,6 +306,7 @@
     request->fixture = fixture;
     request->node = node;
     request->is_post = is_post;
+    request->path = is_post ? "/post/x" : "/get/x";
     request->retry_after_s = -1;
     snprintf(request->id, sizeof(request->id), "r%u", fixture->request_count);
     snprintf(request->key, sizeof(request->key), "%u", key);
@@ -345,6 +346,18 @@
     return start_request(fixture, node, false, key);
 }
 
+/* Sends a request like RsNodeFixture_Get() that crashes the target that runs
+ * it. */
+struct rs_node_fixture_request *
+RsNodeFixture_GetDeadly(struct rs_node_fixture *fixture, uint32_t node,
+                        uint32_t key)
+{
+    struct rs_node_fixture_request *request =
+        start_request(fixture, node, false, key);
+    request->path = RsSoakTarget_DEADLY_PATH;
+    return request;
+}
+
 /* Sends a request like RsNodeFixture_Post(), but on the connection of a former
  * request, which must be open and free. */
 struct rs_node_fixture_request *
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -38,6 +38,7 @@
     char id[24];
     char key[16];
     bool is_post;
+    const char *path;
     int64_t sent_at_ms;
     int64_t ended_at_ms;  /* 0: still open */
     int status;           /* 0: no response head arrived */
@@ -98,6 +99,9 @@
 RsNodeFixture_Get(struct rs_node_fixture *fixture, uint32_t node,
                   uint32_t key);
 struct rs_node_fixture_request *
+RsNodeFixture_GetDeadly(struct rs_node_fixture *fixture, uint32_t node,
+                        uint32_t key);
+struct rs_node_fixture_request *
 RsNodeFixture_PostAgain(struct rs_node_fixture_request *former);
 void RsNodeFixture_SendToAll(struct rs_node_fixture *fixture, int64_t span_ms,
                              int64_t interval_ms);
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -30,6 +30,9 @@
 void test_targets_are_used_again_after_their_limits(void);
 void test_limits_of_all_targets_are_used_and_kept(void);
 
+/* tests/node_deadly_test.c */
+void test_deadly_request_no_longer_reaches_targets(void);
+
 /* tests/node_restore_test.c */
 void test_service_goes_on_after_a_restore(void);
 void test_restarted_nodes_do_not_trust_the_copy(void);
