Refuse requests that crash the targets that run them

Cause: nothing outlived a request that told what had become of its targets, so each repeat was sent on like any other. Ids are new with each repeat.

Requests are known by a fingerprint of their content. When a connection breaks without a response, the node finds out whether the process has ended; all requests in flight there are suspected, an answer clears. What nodes know is shared with the load reports.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -9,6 +9,7 @@
 #include "core/log.h"
 #include "http/server.h"
 #include "platform/wire.h"
+#include "router/probe.h"
 #include "router/request.h"
 
 #define US_PER_MS 1000.0
@@ -257,6 +258,9 @@
         RsReply_Refuse(request, "no-target-reached");
         return;
     }
+    if (RsRequest_RefuseIfSuspected(request, now_ms)) {
+        return;
+    }
     enum rs_load_verdict verdict =
         choose_target(request, &input, now_ms, &target);
     if (verdict == RsLoad_CLOSED) {
@@ -553,6 +557,17 @@
             request->next_attempt_at_ms + OWNER_CHANGE_DELAY_MS);
 }
 
+/* Clears the request of the suspicion that it crashes targets. */
+static void
+record_answer(struct rs_request *request, int64_t now_ms)
+{
+    struct rs_router *router = request->router;
+    if (!RsSuspects_IsEmpty(&router->suspects)) {
+        router->has_news |= RsSuspects_RecordAnswer(
+            &router->suspects, RsRequest_Fingerprint(request), now_ms);
+    }
+}
+
 /* Handles the end of a complete response. */
 static void
 handle_response_end(struct rs_attempt *attempt, int64_t now_ms)
@@ -560,6 +575,7 @@
     struct rs_request *request = attempt->request;
     int64_t elapsed_us = RsClock_NowUs() - attempt->started_at_us;
     if (attempt->forwarded) {
+        record_answer(request, now_ms);
         RsHistogram_Record(&request->router->counters.attempt_us,
                            (uint64_t)elapsed_us);
         if (attempt->status < STATUS_SERVER_ERROR) {
@@ -582,6 +598,24 @@
     retry_or_refuse(request, now_ms);
 }
 
+/* Suspects the request of having ended the target's process, and finds out
+ * whether that has ended. While the links of this node may be lost, a broken
+ * connection tells nothing of the target. */
+static void
+suspect(struct rs_attempt *attempt, int64_t now_ms)
+{
+    struct rs_router *router = attempt->request->router;
+    if (attempt->status != 0 || router->paths.isolated ||
+        RsPaths_AreDoubtful(&router->paths, now_ms)) {
+        return;
+    }
+    if (RsSuspects_RecordBreak(
+            &router->suspects, RsRequest_Fingerprint(attempt->request),
+            attempt->target->id, attempt->target_started_wall_ms, now_ms)) {
+        RsProbe_FindEnd(router, attempt->target);
+    }
+}
+
 /* Records a broken connection. A full target may reset connections at once, so
  * an immediate reset by a target that responded recently means that it is
  * full. Any other broken connection counts as a failure. */
@@ -590,6 +624,7 @@
 {
     struct rs_fleet_target *target = attempt->target;
     int64_t elapsed_us = RsClock_NowUs() - attempt->started_at_us;
+    suspect(attempt, now_ms);
     bool was_immediate =
         attempt->status == 0 && elapsed_us < MAX_FULL_RESET_US;
     if (was_immediate && RsFleet_AnsweredRecently(target, now_ms)) {
--- a/router/node.c
+++ b/router/node.c
@@ -302,7 +302,12 @@
 static void
 on_target_reset(void *arg, struct rs_fleet_target *target)
 {
+    struct node *node = arg;
+    int64_t before_wall_ms =
+        target->replaced ? INT64_MAX : target->report.started_wall_ms;
     RsExchange_CloseIdle(target);
+    node->router.has_news |= RsSuspects_RecordEnd(
+        &node->router.suspects, target->id, before_wall_ms, RsClock_NowMs());
 }
 
 static const struct rs_fleet_events fleet_events = {
--- a/router/peer.pb-c.c
+++ b/router/peer.pb-c.c
@@ -52,6 +52,57 @@
   assert(message->base.descriptor == &rs__peer__limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rs__peer__suspect__crash__init
+                     (Rs__Peer__Suspect__Crash         *message)
+{
+  static const Rs__Peer__Suspect__Crash init_value = RS__PEER__SUSPECT__CRASH__INIT;
+  *message = init_value;
+}
+void   rs__peer__suspect__init
+                     (Rs__Peer__Suspect         *message)
+{
+  static const Rs__Peer__Suspect init_value = RS__PEER__SUSPECT__INIT;
+  *message = init_value;
+}
+size_t rs__peer__suspect__get_packed_size
+                     (const Rs__Peer__Suspect *message)
+{
+  assert(message->base.descriptor == &rs__peer__suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rs__peer__suspect__pack
+                     (const Rs__Peer__Suspect *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rs__peer__suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rs__peer__suspect__pack_to_buffer
+                     (const Rs__Peer__Suspect *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rs__peer__suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rs__Peer__Suspect *
+       rs__peer__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rs__Peer__Suspect *)
+     protobuf_c_message_unpack (&rs__peer__suspect__descriptor,
+                                allocator, len, data);
+}
+void   rs__peer__suspect__free_unpacked
+                     (Rs__Peer__Suspect *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__peer__suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rs__peer__target_load__init
                      (Rs__Peer__TargetLoad         *message)
 {
@@ -270,6 +321,121 @@
   (ProtobufCMessageInit) rs__peer__limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rs__peer__suspect__crash__field_descriptors[2] =
+{
+  {
+    "process",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Suspect__Crash, process),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Suspect__Crash, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__peer__suspect__crash__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = process */
+};
+static const ProtobufCIntRange rs__peer__suspect__crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rs__peer__suspect__crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.Suspect.Crash",
+  "Crash",
+  "Rs__Peer__Suspect__Crash",
+  "rs.peer",
+  sizeof(Rs__Peer__Suspect__Crash),
+  2,
+  rs__peer__suspect__crash__field_descriptors,
+  rs__peer__suspect__crash__field_indices_by_name,
+  1,  rs__peer__suspect__crash__number_ranges,
+  (ProtobufCMessageInit) rs__peer__suspect__crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__peer__suspect__field_descriptors[3] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Suspect, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__Suspect, n_crashes),
+    offsetof(Rs__Peer__Suspect, crashes),
+    &rs__peer__suspect__crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered_age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Suspect, answered_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__peer__suspect__field_indices_by_name[] = {
+  2,   /* field[2] = answered_age_ms */
+  1,   /* field[1] = crashes */
+  0,   /* field[0] = fingerprint */
+};
+static const ProtobufCIntRange rs__peer__suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rs__peer__suspect__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.Suspect",
+  "Suspect",
+  "Rs__Peer__Suspect",
+  "rs.peer",
+  sizeof(Rs__Peer__Suspect),
+  3,
+  rs__peer__suspect__field_descriptors,
+  rs__peer__suspect__field_indices_by_name,
+  1,  rs__peer__suspect__number_ranges,
+  (ProtobufCMessageInit) rs__peer__suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor rs__peer__target_load__field_descriptors[6] =
 {
   {
@@ -424,7 +590,7 @@
   (ProtobufCMessageInit) rs__peer__report__service_keys__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__peer__report__field_descriptors[7] =
+static const ProtobufCFieldDescriptor rs__peer__report__field_descriptors[8] =
 {
   {
     "node",
@@ -510,6 +676,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspects",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__Report, n_suspects),
+    offsetof(Rs__Peer__Report, suspects),
+    &rs__peer__suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__report__field_indices_by_name[] = {
   1,   /* field[1] = incarnation */
@@ -517,13 +695,14 @@
   6,   /* field[6] = limits */
   0,   /* field[0] = node */
   4,   /* field[4] = strength */
+  7,   /* field[7] = suspects */
   2,   /* field[2] = targets */
   5,   /* field[5] = zone */
 };
 static const ProtobufCIntRange rs__peer__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor rs__peer__report__descriptor =
 {
@@ -533,14 +712,14 @@
   "Rs__Peer__Report",
   "rs.peer",
   sizeof(Rs__Peer__Report),
-  7,
+  8,
   rs__peer__report__field_descriptors,
   rs__peer__report__field_indices_by_name,
   1,  rs__peer__report__number_ranges,
   (ProtobufCMessageInit) rs__peer__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__peer__summary__field_descriptors[9] =
+static const ProtobufCFieldDescriptor rs__peer__summary__field_descriptors[10] =
 {
   {
     "incarnation",
@@ -650,6 +829,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspects",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__Summary, n_suspects),
+    offsetof(Rs__Peer__Summary, suspects),
+    &rs__peer__suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__summary__field_indices_by_name[] = {
   0,   /* field[0] = incarnation */
@@ -658,6 +849,7 @@
   6,   /* field[6] = peers */
   2,   /* field[2] = rank */
   8,   /* field[8] = ranked */
+  9,   /* field[9] = suspects */
   3,   /* field[3] = targets */
   4,   /* field[4] = zone_nodes */
   5,   /* field[5] = zone_rank */
@@ -665,7 +857,7 @@
 static const ProtobufCIntRange rs__peer__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor rs__peer__summary__descriptor =
 {
@@ -675,7 +867,7 @@
   "Rs__Peer__Summary",
   "rs.peer",
   sizeof(Rs__Peer__Summary),
-  9,
+  10,
   rs__peer__summary__field_descriptors,
   rs__peer__summary__field_indices_by_name,
   1,  rs__peer__summary__number_ranges,
--- a/router/peer.pb-c.h
+++ b/router/peer.pb-c.h
@@ -16,6 +16,8 @@
 
 
 typedef struct Rs__Peer__Limit Rs__Peer__Limit;
+typedef struct Rs__Peer__Suspect Rs__Peer__Suspect;
+typedef struct Rs__Peer__Suspect__Crash Rs__Peer__Suspect__Crash;
 typedef struct Rs__Peer__TargetLoad Rs__Peer__TargetLoad;
 typedef struct Rs__Peer__Report Rs__Peer__Report;
 typedef struct Rs__Peer__Report__ServiceKeys Rs__Peer__Report__ServiceKeys;
@@ -52,6 +54,37 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+struct  Rs__Peer__Suspect__Crash
+{
+  ProtobufCMessage base;
+  uint64_t process;
+  uint32_t age_ms;
+};
+#define RS__PEER__SUSPECT__CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rs__peer__suspect__crash__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * A request under which processes of targets have ended, see
+ * router/suspects.h.
+ */
+struct  Rs__Peer__Suspect
+{
+  ProtobufCMessage base;
+  uint64_t fingerprint;
+  size_t n_crashes;
+  Rs__Peer__Suspect__Crash **crashes;
+  /*
+   * 0: not answered
+   */
+  uint32_t answered_age_ms;
+};
+#define RS__PEER__SUSPECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rs__peer__suspect__descriptor) \
+    , 0, 0,NULL, 0 }
+
+
 /*
  * Load of a target: of one node in a Report, of all nodes in a Summary.
  */
@@ -120,10 +153,12 @@
   char *zone;
   size_t n_limits;
   Rs__Peer__Limit **limits;
+  size_t n_suspects;
+  Rs__Peer__Suspect **suspects;
 };
 #define RS__PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
 
 
 /*
@@ -166,10 +201,12 @@
    * yet, so earlier ranks stay in use.
    */
   uint32_t ranked;
+  size_t n_suspects;
+  Rs__Peer__Suspect **suspects;
 };
 #define RS__PEER__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__peer__summary__descriptor) \
-    , 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /* Rs__Peer__Limit methods */
@@ -191,6 +228,28 @@
 void   rs__peer__limit__free_unpacked
                      (Rs__Peer__Limit *message,
                       ProtobufCAllocator *allocator);
+/* Rs__Peer__Suspect__Crash methods */
+void   rs__peer__suspect__crash__init
+                     (Rs__Peer__Suspect__Crash         *message);
+/* Rs__Peer__Suspect methods */
+void   rs__peer__suspect__init
+                     (Rs__Peer__Suspect         *message);
+size_t rs__peer__suspect__get_packed_size
+                     (const Rs__Peer__Suspect   *message);
+size_t rs__peer__suspect__pack
+                     (const Rs__Peer__Suspect   *message,
+                      uint8_t             *out);
+size_t rs__peer__suspect__pack_to_buffer
+                     (const Rs__Peer__Suspect   *message,
+                      ProtobufCBuffer     *buffer);
+Rs__Peer__Suspect *
+       rs__peer__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rs__peer__suspect__free_unpacked
+                     (Rs__Peer__Suspect *message,
+                      ProtobufCAllocator *allocator);
 /* Rs__Peer__TargetLoad methods */
 void   rs__peer__target_load__init
                      (Rs__Peer__TargetLoad         *message);
@@ -256,6 +315,12 @@
 typedef void (*Rs__Peer__Limit_Closure)
                  (const Rs__Peer__Limit *message,
                   void *closure_data);
+typedef void (*Rs__Peer__Suspect__Crash_Closure)
+                 (const Rs__Peer__Suspect__Crash *message,
+                  void *closure_data);
+typedef void (*Rs__Peer__Suspect_Closure)
+                 (const Rs__Peer__Suspect *message,
+                  void *closure_data);
 typedef void (*Rs__Peer__TargetLoad_Closure)
                  (const Rs__Peer__TargetLoad *message,
                   void *closure_data);
@@ -275,6 +340,8 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor rs__peer__limit__descriptor;
+extern const ProtobufCMessageDescriptor rs__peer__suspect__descriptor;
+extern const ProtobufCMessageDescriptor rs__peer__suspect__crash__descriptor;
 extern const ProtobufCMessageDescriptor rs__peer__target_load__descriptor;
 extern const ProtobufCMessageDescriptor rs__peer__report__descriptor;
 extern const ProtobufCMessageDescriptor rs__peer__report__service_keys__descriptor;
--- a/router/probe.c
+++ b/router/probe.c
@@ -9,6 +9,8 @@
     struct rs_router *router;
     struct rs_fleet_target *target;
     struct rs_http_connection *connection;
+    /* The process that may have ended, see RsProbe_FindEnd(); 0: none. */
+    int64_t started_wall_ms;
 };
 
 static void
@@ -39,10 +41,20 @@
     finish(probe, true);
 }
 
+/* The connection was refused at once: nobody listens at the address. */
 static void
 on_closed(void *arg, int error)
 {
-    finish(arg, false);
+    struct probe *probe = arg;
+    struct rs_router *router = probe->router;
+    int64_t now_ms = RsClock_NowMs();
+    if (probe->started_wall_ms != 0 && !router->paths.isolated &&
+        !RsPaths_AreDoubtful(&router->paths, now_ms)) {
+        router->has_news |=
+            RsSuspects_RecordEnd(&router->suspects, probe->target->id,
+                                 probe->started_wall_ms + 1, now_ms);
+    }
+    finish(probe, false);
 }
 
 static void
@@ -85,15 +97,10 @@
     return failed;
 }
 
-/* Connects to a random target, and records in the router's paths whether that
- * succeeds. */
-void
-RsProbe_Start(struct rs_router *router)
+/* Connects to a target. */
+static struct probe *
+start(struct rs_router *router, struct rs_fleet_target *target)
 {
-    struct rs_fleet_target *target = choose_target(router);
-    if (target == NULL) {
-        return;
-    }
     struct probe *probe = g_new0(struct probe, 1);
     const struct rs_http_options http = {
         .loop = router->loop,
@@ -110,4 +117,24 @@
     uv_timer_start(&probe->timer, on_timeout,
                    probe->connection != NULL ? RsPaths_CONNECT_TIMEOUT_MS : 0,
                    0);
+    return probe;
+}
+
+/* Connects to a random target, and records in the router's paths whether that
+ * succeeds. */
+void
+RsProbe_Start(struct rs_router *router)
+{
+    struct rs_fleet_target *target = choose_target(router);
+    if (target != NULL) {
+        start(router, target);
+    }
+}
+
+/* Finds out whether the present process of a target has ended, and tells the
+ * router's suspects. */
+void
+RsProbe_FindEnd(struct rs_router *router, struct rs_fleet_target *target)
+{
+    start(router, target)->started_wall_ms = target->report.started_wall_ms;
 }
--- a/router/probe.h
+++ b/router/probe.h
@@ -6,5 +6,6 @@
 #include "router/router.h"
 
 void RsProbe_Start(struct rs_router *router);
+void RsProbe_FindEnd(struct rs_router *router, struct rs_fleet_target *target);
 
 #endif
--- a/router/reports.c
+++ b/router/reports.c
@@ -317,6 +317,71 @@
     }
 }
 
+static void
+free_suspect(gpointer data)
+{
+    rs__peer__suspect__free_unpacked(data, NULL);
+}
+
+static Rs__Peer__Suspect *
+encode_suspect(const struct rs_suspect *suspect, int64_t now_ms)
+{
+    Rs__Peer__Suspect *item = g_new0(Rs__Peer__Suspect, 1);
+    rs__peer__suspect__init(item);
+    item->fingerprint = suspect->fingerprint;
+    item->answered_age_ms =
+        suspect->answered_at_ms > 0
+            ? (uint32_t)MAX(now_ms - suspect->answered_at_ms, (int64_t)1)
+            : 0;
+    item->n_crashes = suspect->crash_count;
+    item->crashes = g_new0(Rs__Peer__Suspect__Crash *, item->n_crashes);
+    for (size_t i = 0; i < item->n_crashes; i++) {
+        item->crashes[i] = g_new0(Rs__Peer__Suspect__Crash, 1);
+        rs__peer__suspect__crash__init(item->crashes[i]);
+        item->crashes[i]->process = suspect->crashes[i].process;
+        item->crashes[i]->age_ms =
+            (uint32_t)(now_ms - suspect->crashes[i].at_ms);
+    }
+    return item;
+}
+
+/* Returns what the other side is to be told of requests that may crash
+ * targets, as Rs__Peer__Suspect, to be released with g_ptr_array_unref(). */
+static GPtrArray *
+list_suspects(const struct rs_reports *reports, int64_t now_ms)
+{
+    GPtrArray *items = g_ptr_array_new_with_free_func(free_suspect);
+    GPtrArray *due = RsSuspects_ListDue(&reports->router->suspects, now_ms);
+    for (guint i = 0; i < due->len; i++) {
+        g_ptr_array_add(items,
+                        encode_suspect(g_ptr_array_index(due, i), now_ms));
+    }
+    g_ptr_array_unref(due);
+    return items;
+}
+
+/* Records what another node knows of requests that may crash targets. */
+static void
+record_suspects(struct rs_reports *reports, Rs__Peer__Suspect *const *items,
+                size_t count, int64_t now_ms)
+{
+    for (size_t i = 0; i < count; i++) {
+        const Rs__Peer__Suspect *item = items[i];
+        struct rs_suspect suspect = {
+            .fingerprint = item->fingerprint,
+            .answered_at_ms =
+                item->answered_age_ms > 0 ? now_ms - item->answered_age_ms : 0,
+            .crash_count =
+                (uint32_t)MIN(item->n_crashes, (size_t)RsSuspects_MAX_CRASHES),
+        };
+        for (uint32_t k = 0; k < suspect.crash_count; k++) {
+            suspect.crashes[k] = (struct rs_suspect_crash){
+                item->crashes[k]->process, now_ms - item->crashes[k]->age_ms};
+        }
+        RsSuspects_Merge(&reports->router->suspects, &suspect, now_ms);
+    }
+}
+
 /* On the granter: records a report of a node. Replaces the node's earlier load
  * by the new one, and adds its keys to the key rates. `address` is the node's
  * IPv4 address in network byte order, 0 for this node. */
@@ -346,6 +411,9 @@
         record_leaving(reports, report->targets[i], now_ms);
     }
     record_limits(reports, report->limits, report->n_limits, now_ms);
+    if (address != 0) {
+        record_suspects(reports, report->suspects, report->n_suspects, now_ms);
+    }
     record_keys(reports, report, now_ms);
 }
 
@@ -598,6 +666,9 @@
     GPtrArray *limits = list_limits(reports, now_ms);
     summary.limits = (Rs__Peer__Limit **)limits->pdata;
     summary.n_limits = limits->len;
+    GPtrArray *suspects = list_suspects(reports, now_ms);
+    summary.suspects = (Rs__Peer__Suspect **)suspects->pdata;
+    summary.n_suspects = suspects->len;
     summary.incarnation = report->incarnation;
     summary.nodes = count_nodes(reports, now_ms);
     rank_node(reports, report->node, report->zone, &summary);
@@ -613,6 +684,7 @@
         apply_own_totals(reports, now_ms);
     }
     g_ptr_array_unref(limits);
+    g_ptr_array_unref(suspects);
     g_free(loads);
     g_free(load_pointers);
 }
@@ -631,6 +703,7 @@
         reports->on_peer(reports->arg, summary->peers[i]);
     }
     record_limits(reports, summary->limits, summary->n_limits, now_ms);
+    record_suspects(reports, summary->suspects, summary->n_suspects, now_ms);
     clear_remote_load(reports, now_ms);
     for (size_t i = 0; i < summary->n_targets; i++) {
         const Rs__Peer__TargetLoad *item = summary->targets[i];
@@ -826,6 +899,9 @@
     GPtrArray *limits = list_limits(reports, now_ms);
     report.limits = (Rs__Peer__Limit **)limits->pdata;
     report.n_limits = limits->len;
+    GPtrArray *suspects = list_suspects(reports, now_ms);
+    report.suspects = (Rs__Peer__Suspect **)suspects->pdata;
+    report.n_suspects = suspects->len;
     report.keys = key_list;
     if (granter != NULL) {
         reports->is_granter = false;
@@ -841,6 +917,7 @@
     }
     clear_requested_keys(reports);
     g_ptr_array_unref(limits);
+    g_ptr_array_unref(suspects);
     g_free(loads);
     g_free(load_list);
     g_free(keys);
--- a/router/request.c
+++ b/router/request.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "core/clock.h"
+#include "core/id.h"
 #include "core/log.h"
 #include "http/server.h"
 #include "platform/wire.h"
@@ -184,6 +185,62 @@
         RsLog_NUMBER("config_version", request->config->version));
 }
 
+static void
+append_part(GString *text, const char *data, size_t size)
+{
+    g_string_append_len(text, data, (gssize)size);
+    g_string_append_c(text, '\0');
+}
+
+static void
+append_header(GString *text, const h2o_req_t *http, const char *name)
+{
+    char *value = RsServer_Header(http, name);
+    append_part(text, value != NULL ? value : "",
+                value != NULL ? strlen(value) : 0);
+    g_free(value);
+}
+
+/* Returns the hash of what a repeat of the request has in common with it:
+ * method, host, path, credentials, key and body. Not 0. */
+uint64_t
+RsRequest_Fingerprint(struct rs_request *request)
+{
+    h2o_req_t *http = request->http;
+    if (request->fingerprint != 0) {
+        return request->fingerprint;
+    }
+    GString *text = g_string_new(NULL);
+    append_part(text, http->input.method.base, http->input.method.len);
+    append_part(text, http->input.authority.base, http->input.authority.len);
+    append_part(text, http->input.path.base, http->input.path.len);
+    append_header(text, http, "authorization");
+    append_header(text, http, RsWire_KEY);
+    append_part(text, http->entity.base, http->entity.len);
+    request->fingerprint = MAX(RsId_FromBytes(text->str, text->len), 1);
+    g_string_free(text, TRUE);
+    return request->fingerprint;
+}
+
+/* Refuses the request if targets have ended under it, and returns whether it
+ * did. */
+bool
+RsRequest_RefuseIfSuspected(struct rs_request *request, int64_t now_ms)
+{
+    const struct rs_suspects *suspects = &request->router->suspects;
+    if (RsSuspects_IsEmpty(suspects)) {
+        return false;
+    }
+    int64_t until_ms = RsSuspects_RefusedUntilMs(
+        suspects, RsRequest_Fingerprint(request), now_ms);
+    if (until_ms == 0) {
+        return false;
+    }
+    request->come_back_at_ms = until_ms;
+    RsReply_Refuse(request, "crashed-targets");
+    return true;
+}
+
 /* Returns the value of a decimal header, or `fallback` if the header is absent
  * or not a number of 32 bits. */
 static uint32_t
--- a/router/request.h
+++ b/router/request.h
@@ -47,6 +47,7 @@
     const struct rs_service *service;
     uint32_t key; /* RsRequest_NO_KEY unless the service is sharded */
     char id[RsRequest_MAX_ID_BYTES];
+    uint64_t fingerprint; /* see RsRequest_Fingerprint(); 0: not computed */
     int64_t arrived_at_ms;
     int64_t arrived_at_us;
     int64_t deadline_ms; /* when the caller must have a final response */
@@ -106,6 +107,8 @@
 /* Implemented in router/request.c. */
 void RsRequest_Wait(struct rs_request *request);
 void RsRequest_StopWaiting(struct rs_request *request);
+uint64_t RsRequest_Fingerprint(struct rs_request *request);
+bool RsRequest_RefuseIfSuspected(struct rs_request *request, int64_t now_ms);
 bool RsRequest_IsHopByHop(const char *header);
 void RsRequest_Finish(struct rs_request *request, int status,
                       const char *outcome);
--- a/router/router.c
+++ b/router/router.c
@@ -47,6 +47,7 @@
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     router->requested_keys =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_array);
+    RsSuspects_Init(&router->suspects);
     g_queue_init(&router->active);
     g_queue_init(&router->waiting);
 }
--- a/router/router.h
+++ b/router/router.h
@@ -18,6 +18,7 @@
 #include "router/notices.h"
 #include "router/paths.h"
 #include "router/shutdown.h"
+#include "router/suspects.h"
 #include "settings/node.h"
 
 /* Number of router nodes assumed until the granter reports the real number or
@@ -73,6 +74,7 @@
     struct rs_paths paths;
     struct rs_shutdown shutdown;
     struct rs_notice_counters notices;
+    struct rs_suspects suspects;
     bool has_news; /* the granter is to be sent a report at once */
     struct rs_router_counters counters;
 };
