--- a/router/fixture.c
+++ b/router/fixture.c
@@ -162,6 +162,7 @@
     uint32_t pending_faults[RsFixture_FAULTS];
     int64_t grant_delay_ms;
     uint64_t process_count;
+    bool nodes_are_equal; /* see RsSimulation_MakeNodesEqual() */
     /* Highest fence under which each key was granted, and the target to which
      * it was granted last. */
     uint64_t granted_fence[RsKeymap_KEYS];
@@ -854,8 +855,9 @@
     }
     node->next_tick_at_ms = sim->now_ms + TICK_MS;
     if (node->granter.phase == RsGranter_OBSERVING &&
-        RsGranter_LeaseReadIsDue(&node->granter, node->lease_read_at_ms, false,
-                                 sim->now_ms)) {
+        (sim->nodes_are_equal ||
+         RsGranter_LeaseReadIsDue(&node->granter, node->lease_read_at_ms,
+                                  false, sim->now_ms))) {
         node->lease_read_at_ms = sim->now_ms;
         struct event *event = add_event(sim, LeaseRead, 2 * DELAY_MS);
         if (event != NULL) {
@@ -866,6 +868,17 @@
     RsGranter_Tick(&node->granter, sim->now_ms);
 }
 
+/* Gives all nodes the same strength, and has them learn of changes of the
+ * lease at once, as from an upstream node. Restarts undo the first. */
+void
+RsSimulation_MakeNodesEqual(struct rs_simulation *sim)
+{
+    sim->nodes_are_equal = true;
+    for (uint32_t i = 0; i < RsFixture_NODES; i++) {
+        sim->nodes[i].granter.options.strength = STRONG_STRENGTH;
+    }
+}
+
 /* Makes the store name its era also in the answers by which it refuses calls.
  */
 void
@@ -949,6 +962,25 @@
     }
 }
 
+/* Ends a target and starts another one, which no map names, at its address. */
+void
+RsSimulation_ReplaceTarget(struct rs_simulation *sim, uint32_t number)
+{
+    struct target *target = &sim->targets[number];
+    const struct rs_fixture_report report = {
+        .id = "other",
+        .service = SERVICE,
+        .zone = "z",
+        .port = 1000 + number,
+        .started_wall_ms = sim->now_ms,
+        .sequence = 1,
+    };
+    target->hold_count = 0;
+    for (uint32_t k = 0; k < RsFixture_NODES; k++) {
+        RsFixture_Report(&sim->nodes[k].fleet, &report, sim->now_ms);
+    }
+}
+
 /* Returns the index of the node that is the granter and may change owners, or
  * -1. */
 int
--- a/router/fixture.h
+++ b/router/fixture.h
@@ -60,6 +60,12 @@
 void RsSimulation_MoveKeys(struct rs_simulation *sim, uint32_t first_key,
                            uint32_t last_key, uint32_t target);
 
+/* Ends a target; another one starts at its address. */
+void RsSimulation_ReplaceTarget(struct rs_simulation *sim, uint32_t number);
+
+/* Makes all nodes equally strong and well informed of the lease. */
+void RsSimulation_MakeNodesEqual(struct rs_simulation *sim);
+
 /* Makes a store that is restored tell its era also while it is away. */
 void RsSimulation_TellEraOfNextRestore(struct rs_simulation *sim);
 
--- a/router/granter.c
+++ b/router/granter.c
@@ -923,7 +923,7 @@
         }
         return;
     }
-    if (is_replaced(granter, &range->former)) {
+    if (!orders->grant_in_flight && is_replaced(granter, &range->former)) {
         complete_handover(entry, range, "ended", now_ms);
     }
     else if (orders->released) {
--- /dev/null
+++ b/router/granter_settle_test.c
@@ -0,0 +1,68 @@
+#include <CUnit/Basic.h>
+
+#include "core/log.h"
+#include "router/fixture.h"
+
+#define LAST_KEY (RsKeymap_KEYS - 1)
+#define FORMER_TARGET 0
+#define OWNER_TARGET 1
+#define CUT_OFF_MS 40000
+
+/* Returns a simulation in which FORMER_TARGET holds all keys. */
+static struct rs_simulation *
+new_settled_simulation(bool equal_nodes)
+{
+    struct rs_simulation *sim = RsSimulation_New();
+    if (equal_nodes) {
+        RsSimulation_MakeNodesEqual(sim);
+    }
+    RsSimulation_Advance(sim, 500);
+    RsSimulation_MoveKeys(sim, 0, LAST_KEY, FORMER_TARGET);
+    RsSimulation_Advance(sim, 300);
+    CU_ASSERT_EQUAL_FATAL(RsSimulation_CountHeldKeys(sim), RsKeymap_KEYS);
+    return sim;
+}
+
+static void
+check_violation(struct rs_simulation *sim)
+{
+    const char *violation = RsSimulation_Violation(sim);
+    if (violation != NULL) {
+        fprintf(stderr, "%s\n", violation);
+    }
+    CU_ASSERT_PTR_NULL(violation);
+}
+
+/* The former owner does not answer, and another target starts at its address
+ * while a renewal is on its way to it. */
+static void
+test_owner_gets_keys_of_a_replaced_target_with_a_grant_in_flight(void)
+{
+    struct rs_simulation *sim = new_settled_simulation(false);
+    RsSimulation_InjectFault(sim, RsFixture_TARGET_CUT_OFF, FORMER_TARGET,
+                             CUT_OFF_MS);
+    RsSimulation_Advance(sim, 50);
+    RsSimulation_MoveKeys(sim, 0, LAST_KEY, OWNER_TARGET);
+    RsSimulation_Advance(sim, 30);
+    RsSimulation_ReplaceTarget(sim, FORMER_TARGET);
+    RsSimulation_Advance(sim, 5000);
+    CU_ASSERT_TRUE(RsSimulation_Holds(sim, OWNER_TARGET, 0));
+    check_violation(sim);
+    RsSimulation_Free(sim);
+}
+
+int
+main(void)
+{
+    RsLog_Open("test", RsLog_ERROR);
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("granter_settle", NULL, NULL);
+    CU_ADD_TEST(
+        suite,
+        test_owner_gets_keys_of_a_replaced_target_with_a_grant_in_flight);
+    CU_basic_set_mode(CU_BRM_VERBOSE);
+    CU_basic_run_tests();
+    unsigned failures = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failures == 0 ? 0 : 1;
+}
