--- a/router/granter.c
+++ b/router/granter.c
@@ -957,7 +957,8 @@
               struct rs_key_range *range, int64_t now_ms)
 {
     struct rs_range_orders *orders = &range->orders;
-    if (range->unproven && now_ms >= granter->lapsed_from_ms) {
+    if (range->unproven && !orders->grant_in_flight &&
+        now_ms >= granter->lapsed_from_ms) {
         prove_by_lapse(entry, range);
     }
     if (orders->blocked) {
--- a/router/granter_settle_test.c
+++ b/router/granter_settle_test.c
@@ -51,6 +51,24 @@
     RsSimulation_Free(sim);
 }
 
+/* The owner of unproven keys answers again only after all grants of the former
+ * era have lapsed. A grant is in flight when they do. */
+static void
+test_lapse_of_unproven_keys_with_a_grant_in_flight(void)
+{
+    for (int64_t cut_off_ms = 15500; cut_off_ms < 16100; cut_off_ms += 100) {
+        struct rs_simulation *sim = new_settled_simulation(false);
+        RsSimulation_InjectFault(sim, RsFixture_STORE_RESTORED, 5, 100);
+        RsSimulation_Advance(sim, cut_off_ms - 15500);
+        RsSimulation_InjectFault(sim, RsFixture_TARGET_CUT_OFF, FORMER_TARGET,
+                                 cut_off_ms);
+        RsSimulation_Advance(sim, cut_off_ms + 3000);
+        CU_ASSERT_TRUE(RsSimulation_Holds(sim, FORMER_TARGET, 0));
+        check_violation(sim);
+        RsSimulation_Free(sim);
+    }
+}
+
 int
 main(void)
 {
@@ -60,6 +78,7 @@
     CU_ADD_TEST(
         suite,
         test_owner_gets_keys_of_a_replaced_target_with_a_grant_in_flight);
+    CU_ADD_TEST(suite, test_lapse_of_unproven_keys_with_a_grant_in_flight);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
     unsigned failures = CU_get_number_of_failures();
