Wait for late grants of a granter that resigned or restarted

And an order that waited in its queue was still sent after the granter had resigned or lost its role.

The same delay after a store that went back would let keys wait 15.9 s, longer than recover_s (15 s). Service within recover_s after a restore goes before a hole that needs a grant held up for more than 0.25 s in the last moment of a granter that does not learn of the restore.

--- a/router/granter.c
+++ b/router/granter.c
@@ -41,9 +41,13 @@
  * longer. */
 #define CLOCK_DRIFT_PERCENT 2
 #define HOLD_MARGIN_MS 150 /* added to the end of a hold */
-/* A grant that was given up may arrive up to this long afterwards. Resetting
- * its connection doesn't recall packets that the network holds or repeats. */
-#define GRANT_DELAY_MS 3000
+/* A grant without an answer may arrive up to this long after it was given up,
+ * or after its granter gave up the lease. Resetting its connection doesn't
+ * recall packets that the network holds or repeats. */
+#define GRANT_DELAY_MS 3500
+/* A granter that resigns may still send an order that waits for the target's
+ * readiness. */
+#define LAST_ORDER_MS 500
 /* A granter whose last confirmed commit is older than this doesn't go on after
  * the store went back. A granter that followed it may have given keys to other
  * targets without the word of their owners, once it had waited for the longest
@@ -721,7 +725,7 @@
 assume_max_holds(const struct rs_granter *granter, struct rs_keymap *map,
                  int64_t now_ms)
 {
-    int64_t until_ms = now_ms + GRANT_DELAY_MS +
+    int64_t until_ms = now_ms + LAST_ORDER_MS + GRANT_DELAY_MS +
                        max_hold_at_target_ms(granter->options.max_hold_ms);
     for (size_t i = 0; i < map->ranges->len; i++) {
         struct rs_range_orders *orders = &RsKeymap_GetRange(map, i)->orders;
--- a/router/granter_settle_test.c
+++ b/router/granter_settle_test.c
@@ -33,6 +33,48 @@
     CU_ASSERT_PTR_NULL(violation);
 }
 
+/* A granter sends a grant of the longest duration, which is held up as long as
+ * GRANT_DELAY_MS allows, and resigns. The next granter takes over at once. */
+static void
+check_resignation(int64_t phase_ms, int64_t refused_ms,
+                  int64_t held_up_after_ms, int64_t resigned_after_ms)
+{
+    struct rs_simulation *sim = new_settled_simulation(true);
+    RsSimulation_Advance(sim, phase_ms);
+    int granter = RsSimulation_FindGranter(sim);
+    CU_ASSERT_TRUE_FATAL(granter >= 0);
+    RsSimulation_InjectFault(sim, RsFixture_NODE_REFUSED, (uint32_t)granter,
+                             refused_ms);
+    RsSimulation_Advance(sim, held_up_after_ms);
+    RsSimulation_InjectFault(sim, RsFixture_GRANT_HELD_UP, FORMER_TARGET,
+                             3500);
+    RsSimulation_InjectFault(sim, RsFixture_TARGET_CUT_OFF, FORMER_TARGET,
+                             CUT_OFF_MS);
+    RsSimulation_Advance(sim, resigned_after_ms);
+    RsSimulation_InjectFault(sim, RsFixture_NODE_RESIGNED, (uint32_t)granter,
+                             0);
+    for (int i = 0; i < 2400 && !RsSimulation_Holds(sim, OWNER_TARGET, 0);
+         i++) {
+        if (i < 300) {
+            RsSimulation_MoveKeys(sim, 0, LAST_KEY, OWNER_TARGET);
+        }
+        RsSimulation_Advance(sim, 10);
+    }
+    CU_ASSERT_TRUE(RsSimulation_Holds(sim, OWNER_TARGET, 0));
+    check_violation(sim);
+    RsSimulation_Free(sim);
+}
+
+static void
+test_keys_stay_while_a_grant_of_a_granter_that_resigned_may_hold(void)
+{
+    for (int64_t phase_ms = 0; phase_ms < 650; phase_ms += 100) {
+        for (int64_t after_ms = 700; after_ms < 1100; after_ms += 25) {
+            check_resignation(phase_ms, 800, after_ms, 60);
+        }
+    }
+}
+
 /* The former owner does not answer, and another target starts at its address
  * while a renewal is on its way to it. */
 static void
@@ -75,6 +117,9 @@
     RsLog_Open("test", RsLog_ERROR);
     CU_initialize_registry();
     CU_pSuite suite = CU_add_suite("granter_settle", NULL, NULL);
+    CU_ADD_TEST(
+        suite,
+        test_keys_stay_while_a_grant_of_a_granter_that_resigned_may_hold);
     CU_ADD_TEST(
         suite,
         test_owner_gets_keys_of_a_replaced_target_with_a_grant_in_flight);
--- a/router/orders.c
+++ b/router/orders.c
@@ -219,7 +219,10 @@
     };
     /* An order must be sent before the granter's authority ends. */
     int64_t now_ms = RsClock_NowMs();
-    int64_t left_ms = MAX(call->order.send_before_ms - now_ms, (int64_t)0);
+    bool has_authority = RsGranter_HasAuthority(call->orders->granter, now_ms);
+    int64_t left_ms =
+        has_authority ? MAX(call->order.send_before_ms - now_ms, (int64_t)0)
+                      : 0;
     uv_timer_start(&call->timer, on_timeout,
                    (uint64_t)MIN(response_timeout_ms(call), left_ms), 0);
     if (left_ms == 0) {
--- a/router/orders_test.c
+++ b/router/orders_test.c
@@ -76,6 +76,8 @@
         .sequence = 1,
     };
     RsFixture_Report(&fixture->router.fleet, &report, RsClock_NowMs());
+    fixture->granter.phase = RsGranter_LEADING;
+    fixture->granter.authority_until_ms = INT64_MAX;
     RsOrders_Init(&fixture->orders, &fixture->router, &fixture->granter);
 }
 
@@ -116,6 +118,18 @@
     CU_ASSERT_EQUAL(RsCounter_Read(&fixture.orders.failed), 1);
 }
 
+/* The next granter may have taken over then. */
+static void
+test_order_is_not_sent_after_a_resignation(void)
+{
+    static struct fixture fixture;
+    open_fixture(&fixture);
+    RsGranter_Resign(&fixture.granter, RsClock_NowMs());
+    run_order(&fixture, 5000);
+    CU_ASSERT_EQUAL(fixture.received_bytes, 0);
+    CU_ASSERT_EQUAL(RsCounter_Read(&fixture.orders.failed), 1);
+}
+
 int
 main(void)
 {
@@ -124,6 +138,7 @@
     CU_pSuite suite = CU_add_suite("orders", NULL, NULL);
     CU_ADD_TEST(suite, test_order_is_sent_while_authority_lasts);
     CU_ADD_TEST(suite, test_order_is_not_sent_after_authority_ended);
+    CU_ADD_TEST(suite, test_order_is_not_sent_after_a_resignation);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
     CU_cleanup_registry();
