Let grants of the model arrive after they were given up

Now the duration counts from the arrival. A grant without an answer may arrive for DELAY_TICKS more, the granter counts from the give-up and that delay, and a new granter and a node that learns of a new era assume it too. Authority ends after the other times in a tick, so that orders are sent until its very end.

The search with RESTORE also showed that grants of the former era may outlast the one by which the owner is proven; a granter that goes on now takes the owner to hold the range as long as grants of that era can last.

Values that are of no more use are set to 0, which makes the states fewer.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -9,7 +9,7 @@
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 jobs=3
-memory_mb=1600
+memory_mb=2000
 depth=3000000
 
 # verify NAME MODEL SEARCH FLAGS...: builds and runs pan, the verifier that
@@ -93,12 +93,16 @@
 caught granter-RELEASE_UNDER_OLD_FENCE granter.pml short -DRELEASE_UNDER_OLD_FENCE
 caught granter-SETTLE_AT_ONCE granter.pml short -DSETTLE_AT_ONCE
 caught granter-NO_ASSUMED_HOLDS granter.pml short -DNO_ASSUMED_HOLDS
+caught granter-GIVEN_UP_IS_ARRIVED granter.pml short -DGIVEN_UP_IS_ARRIVED
+caught granter-NO_DELAY_ASSUMED granter.pml short -DNO_DELAY_ASSUMED
 caught granter-NO_CONDITION granter.pml short -DNO_CONDITION
 caught granter-GRANT_WITHOUT_AUTHORITY granter.pml short -DGRANT_WITHOUT_AUTHORITY
 caught restore-VERSION_WITHOUT_ERA granter.pml whole -DRESTORE -DVERSION_WITHOUT_ERA
 caught restore-LEASE_ROW_TRUSTED granter.pml whole -DRESTORE -DLEASE_ROW_TRUSTED
 caught restore-FENCE_REUSED granter.pml whole -DRESTORE -DFENCE_REUSED
 caught restore-UNPROVEN_MOVED granter.pml whole -DRESTORE -DUNPROVEN_MOVED
+caught restore-NO_DELAY_IN_ERA granter.pml whole -DRESTORE -DNO_DELAY_IN_ERA
+caught restore-PROOF_IS_LAST_HOLD granter.pml whole -DRESTORE -DPROOF_IS_LAST_HOLD
 caught live-NO_RETRY live.pml live -DNO_RETRY
 caught live-PROMISE_NEVER_LAPSES live.pml live -DPROMISE_NEVER_LAPSES
 "
--- a/spec/granter.pml
+++ b/spec/granter.pml
@@ -1,29 +1,38 @@
 /* Ownership of one range of keys: two nodes, each of which can become the
  * granter, two targets, and the rows of the granter's lease and of the key map
  * in the platform's table.
- * A grant's duration counts from when it was sent; until the grant expires,
- * the target may apply it at any time. Releases and their answers may be lost.
- * A commit requires that the node still has the lease row, but may take effect
- * after the node's authority has ended. Time passes in ticks.
+ * A grant's duration counts from its arrival. The granter either has the answer
+ * at once, or gives the grant up; then it may arrive up to DELAY_TICKS later,
+ * once, repeatedly or never, also after the next grant. There is no state for
+ * a grant whose answer is awaited: meanwhile the granter neither moves nor
+ * settles the range, so it does less than after giving the grant up. Releases
+ * and their answers may be lost. A commit requires that the node still has the
+ * lease row, but may take effect after the node's authority has ended. Time
+ * passes in ticks.
  *
  * With -DRESTORE the store once goes back to an earlier copy of its rows and
  * begins a new era. A node learns the era with its next call. Rows of an era
  * are not touched by commits that were made for an earlier one. A node that has
  * authority when it learns the era goes on with what it knows; one whose
  * authority has lapsed, but not long ago, only renews the owner's grant until
- * the owner has accepted it after the end of all authority of the former era;
+ * the owner has accepted it after the end of all authority of the former era,
+ * and takes it to hold the range as long as a grant of that era can last;
  * any other waits until nobody can hold the range by a grant of that era.
  * Fences of the new era are higher than all before.
  *
  * Properties: the two targets never hold the range at the same time; a target
  * gets the range only under a fence above all under which the other had it.
- * Broken variants (-D), the last four with RESTORE:
+ * Broken variants (-D), the last six with RESTORE:
  * RELEASE_UNDER_OLD_FENCE: a release doesn't raise the fence that the target
  *     has seen, so that the target still applies earlier grants.
  * SETTLE_AT_ONCE: the former owner is removed from the row without waiting for
  *     its release or for its grants to expire.
  * NO_ASSUMED_HOLDS: a new granter doesn't assume that the owners in the row
  *     still hold the range by earlier grants.
+ * GIVEN_UP_IS_ARRIVED: a grant without an answer is taken to have arrived
+ *     before it was given up.
+ * NO_DELAY_ASSUMED: a new granter assumes that the grants of the former one
+ *     have arrived.
  * NO_CONDITION: a node commits also after it has lost the lease row.
  * GRANT_WITHOUT_AUTHORITY: a node sends grants and releases also after its
  *     authority has ended.
@@ -34,9 +43,15 @@
  * FENCE_REUSED: fences go on from the restored row.
  * UNPROVEN_MOVED: a granter whose authority has lapsed moves the range before
  *     its owner has accepted a grant.
+ * NO_DELAY_IN_ERA: when a node learns of the new era, it takes the grants of
+ *     the former one to arrive while there is authority from it.
+ * PROOF_IS_LAST_HOLD: once the owner has accepted a grant, a granter whose
+ *     authority has lapsed disregards grants of the former era that may still
+ *     arrive.
  */
 
 #define GRANT_TICKS 2 /* duration of a grant */
+#define DELAY_TICKS 1 /* for so long a grant may be on its way */
 #define AUTHORITY_TICKS 1 /* authority from a claim or renewal of the lease */
 #ifdef RESTORE
 #define MAX_FENCE 2
@@ -47,7 +62,13 @@
 #endif
 #define NONE 2 /* no former owner */
 #define ERA_FENCE 8 /* fences of the new era are higher than this */
+/* For so long a target may hold the range by a grant that was sent by now. */
+#define UNKNOWN_HOLD_TICKS (DELAY_TICKS + GRANT_TICKS)
+#ifdef NO_DELAY_IN_ERA
 #define ASSUMED_TICKS (AUTHORITY_TICKS + GRANT_TICKS)
+#else
+#define ASSUMED_TICKS (AUTHORITY_TICKS + UNKNOWN_HOLD_TICKS)
+#endif
 /* A granter without authority goes on if its last commit is not older. */
 #define RESUME_TICKS GRANT_TICKS
 
@@ -94,31 +115,46 @@
 byte seen_fence[2]; /* highest fence of the grants and releases accepted */
 byte granted_fence[2]; /* highest fence of the grants accepted */
 
-/* The grant in flight to each target: its remaining ticks, 0 for none, and its
- * fence. A new grant replaces it: except in broken variants, its fence and its
- * remaining ticks are never lower. */
-byte in_flight_ticks[2];
-byte in_flight_fence[2];
+/* The last grant to each target that was given up and may still arrive: the
+ * ticks left, plus 1, 0 for none, and its fence. It stands also for earlier
+ * ones under the same fence. */
+byte late_ticks[2];
+byte late_fence[2];
+/* The same for the last one under another fence; no search found a third. */
+byte older_ticks[2];
+byte older_fence[2];
 
 #define DECREMENT(x) if :: x > 0 -> x-- :: else fi
-#define INCREMENT(x) if :: x <= RESUME_TICKS -> x++ :: else fi
+/* What is of no more use is set to 0, so that there are fewer states. */
+#define CLEAR(x, condition) if :: condition -> x = 0 :: else fi
+#define COUNT_COMMIT_AGE(g) \
+    if \
+    :: !in_new_era[g] && since_commit[g] <= RESUME_TICKS -> since_commit[g]++ \
+    :: else \
+    fi
 
+/* Authority ends last in a tick: orders are sent until its very end. */
 active proctype clock()
 {
     do
     :: atomic {
         DECREMENT(held_ticks[0]); DECREMENT(held_ticks[1]);
-        DECREMENT(in_flight_ticks[0]); DECREMENT(in_flight_ticks[1]);
-        DECREMENT(authority[0]); DECREMENT(authority[1]);
+        DECREMENT(late_ticks[0]); DECREMENT(late_ticks[1]);
         DECREMENT(owner_ticks[0]); DECREMENT(owner_ticks[1]);
-        DECREMENT(former_ticks[0]); DECREMENT(former_ticks[1])
+        DECREMENT(former_ticks[0]); DECREMENT(former_ticks[1]);
+        CLEAR(late_fence[0], late_ticks[0] == 0);
+        CLEAR(late_fence[1], late_ticks[1] == 0);
+        DECREMENT(older_ticks[0]); DECREMENT(older_ticks[1]);
+        CLEAR(older_fence[0], older_ticks[0] == 0);
+        CLEAR(older_fence[1], older_ticks[1] == 0)
 #ifdef RESTORE
         ;
         DECREMENT(assumed_ticks[0]); DECREMENT(assumed_ticks[1]);
         DECREMENT(proof_ticks[0]); DECREMENT(proof_ticks[1]);
-        INCREMENT(since_commit[0]); INCREMENT(since_commit[1])
+        COUNT_COMMIT_AGE(0); COUNT_COMMIT_AGE(1)
 #endif
     }
+    atomic { DECREMENT(authority[0]); DECREMENT(authority[1]) }
     od
 }
 
@@ -130,23 +166,23 @@
     assert(f > granted_fence[1 - (t)]); \
     granted_fence[t] = f
 
-/* A target may receive the grant in flight to it at any time until the grant
- * expires, once, repeatedly or never. */
+/* Target t receives a grant under fence f. */
+#define RECEIVE(t, f) \
+    held_ticks[t] = GRANT_TICKS; \
+    seen_fence[t] = f; \
+    CHECK(t, f)
+
+/* A grant that was given up arrives, also repeatedly. */
 active [2] proctype target()
 {
     do
-    :: atomic { in_flight_ticks[_pid - 1] > 0 ->
-        if
-        :: ACCEPTS(_pid - 1, in_flight_fence[_pid - 1]) ->
-            if
-            :: in_flight_ticks[_pid - 1] > held_ticks[_pid - 1] ->
-                held_ticks[_pid - 1] = in_flight_ticks[_pid - 1]
-            :: else
-            fi;
-            seen_fence[_pid - 1] = in_flight_fence[_pid - 1];
-            CHECK(_pid - 1, in_flight_fence[_pid - 1])
-        :: else
-        fi
+    :: atomic { late_ticks[_pid - 1] > 0 &&
+                ACCEPTS(_pid - 1, late_fence[_pid - 1]) ->
+        RECEIVE(_pid - 1, late_fence[_pid - 1])
+    }
+    :: atomic { older_ticks[_pid - 1] > 0 &&
+                ACCEPTS(_pid - 1, older_fence[_pid - 1]) ->
+        RECEIVE(_pid - 1, older_fence[_pid - 1])
     }
     od
 }
@@ -164,7 +200,10 @@
         restored = true;
         lease_version = copy_version; lease_node = copy_node;
         row_owner = copy_owner; row_former = copy_former;
-        row_fence = copy_fence
+        row_fence = copy_fence;
+        copy_version = 0; copy_node = 0;
+        copy_owner = 0; copy_former = 0;
+        copy_fence = 0
     }
 }
 #endif
@@ -226,6 +265,22 @@
 #define MAY_MOVE(g) (MAY_COMMIT(g) && SETTLED(g))
 #endif
 
+#define EXTEND(x, ticks) if :: x < ticks -> x = ticks :: else fi
+
+/* A grant of node g to the owner is given up. */
+inline give_up(g)
+{
+    if
+    :: late_fence[owner[g]] != fence[g] &&
+       late_fence[owner[g]] >= seen_fence[owner[g]] ->
+        older_ticks[owner[g]] = late_ticks[owner[g]];
+        older_fence[owner[g]] = late_fence[owner[g]]
+    :: else
+    fi;
+    late_ticks[owner[g]] = DELAY_TICKS + 1;
+    late_fence[owner[g]] = fence[g]
+}
+
 inline take_lease(g)
 {
     lease_version++;
@@ -248,12 +303,27 @@
 #ifdef NO_ASSUMED_HOLDS
     owner_ticks[g] = 0;
     former_ticks[g] = 0
-#else
+#elif defined(NO_DELAY_ASSUMED)
     owner_ticks[g] = GRANT_TICKS;
     former_ticks[g] = GRANT_TICKS
+#else
+    owner_ticks[g] = UNKNOWN_HOLD_TICKS;
+    former_ticks[g] = UNKNOWN_HOLD_TICKS
 #endif
+    ;
+    CLEAR(former_ticks[g], former[g] == NONE)
 }
 
+#ifdef RESTORE
+inline forget_rows(g)
+{
+    loaded[g] = false;
+    owner[g] = 0; former[g] = 0; fence[g] = 0;
+    owner_ticks[g] = 0; former_ticks[g] = 0;
+    released[g] = false; unproven[g] = false; blocked[g] = false
+}
+#endif
+
 inline write_rows(g)
 {
     row_owner = owner[g];
@@ -297,8 +367,9 @@
         :: loaded[g] && authority[g] == 0 && since_commit[g] <= RESUME_TICKS ->
             continues[g] = true;
             unproven[g] = true
-        :: else -> loaded[g] = false
-        fi
+        :: else -> forget_rows(g)
+        fi;
+        since_commit[g] = 0
     }
     /* It goes on as granter, with what it knows. */
     :: atomic { in_new_era[g] && continues[g] && !claimed ->
@@ -309,7 +380,7 @@
     /* Another node has the lease of the new era. */
     :: atomic { in_new_era[g] && continues[g] && claimed ->
         continues[g] = false;
-        loaded[g] = false
+        forget_rows(g)
     }
     /* A node that was not the granter claims the lease of the new era. */
     :: atomic { in_new_era[g] && !continues[g] && !claimed ->
@@ -319,15 +390,16 @@
         blocked[g] = !ROWS_ARE_TRUTH
     }
     /* The owner accepts a grant that was sent when no other node could have
-     * authority from the former era. */
+     * authority from the former era. Grants of that era may still arrive. */
     :: atomic { MAY_ORDER(g) && unproven[g] && former[g] == NONE &&
                 proof_ticks[g] == 0 && MAY_COMMIT(g) ->
         if
         :: ACCEPTS(owner[g], fence[g]) ->
-            held_ticks[owner[g]] = GRANT_TICKS;
-            owner_ticks[g] = GRANT_TICKS;
-            seen_fence[owner[g]] = fence[g];
-            CHECK(owner[g], fence[g]);
+            RECEIVE(owner[g], fence[g]);
+            EXTEND(owner_ticks[g], GRANT_TICKS);
+#ifndef PROOF_IS_LAST_HOLD
+            EXTEND(owner_ticks[g], assumed_ticks[g]);
+#endif
             unproven[g] = false;
             write_rows(g)
         :: else -> blocked[g] = true
@@ -382,14 +454,25 @@
                 (released[g] || former_ticks[g] == 0) ->
 #endif
         former[g] = NONE;
+        former_ticks[g] = 0;
         released[g] = false;
         write_rows(g)
     }
-    /* The granter sends the owner a grant, also to renew the one before. */
+    /* The granter sends the owner a grant, also to renew the one before, and
+     * has the answer or gives the grant up. */
     :: atomic { MAY_ORDER(g) && former[g] == NONE ->
-        in_flight_ticks[owner[g]] = GRANT_TICKS;
-        in_flight_fence[owner[g]] = fence[g];
-        owner_ticks[g] = GRANT_TICKS
+        if
+        :: ACCEPTS(owner[g], fence[g]) ->
+            RECEIVE(owner[g], fence[g]);
+            EXTEND(owner_ticks[g], GRANT_TICKS)
+        :: skip ->
+            give_up(g);
+#ifdef GIVEN_UP_IS_ARRIVED
+            EXTEND(owner_ticks[g], GRANT_TICKS)
+#else
+            EXTEND(owner_ticks[g], UNKNOWN_HOLD_TICKS)
+#endif
+        fi
     }
     od
 }
