--- a/router/granter.c
+++ b/router/granter.c
@@ -1227,6 +1227,10 @@
         if (range->unproven && order->sent_at_ms >= granter->proof_from_ms) {
             range->unproven = false;
             entry->dirty = true;
+            /* The last grant of the former era, under the same fence, may
+             * arrive after this one and outlast it. */
+            orders->hold_until_ms =
+                MAX(orders->hold_until_ms, granter->lapsed_from_ms);
         }
         return;
     }
