--- a/router/tunnel_test.c
+++ b/router/tunnel_test.c
@@ -4,6 +4,8 @@
 #include <CUnit/Basic.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "core/clock.h"
 #include "core/log.h"
@@ -44,7 +46,8 @@
     uv_tcp_t listener;
     uv_tcp_t *target_side; /* the last accepted connection */
     enum behaviour behaviour;
-    bool target_closed; /* that connection was closed from the other side */
+    size_t target_bytes; /* that the target has read */
+    bool target_closed;  /* that connection was closed from the other side */
 } world;
 
 /* What the client has seen. */
@@ -152,6 +155,7 @@
 on_target_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
 {
     if (size > 0) {
+        world.target_bytes += (size_t)size;
         answer((uv_tcp_t *)stream);
     }
     else if (size < 0) {
@@ -431,6 +435,34 @@
     check_closed_after(endless, sizeof(endless));
 }
 
+/* This node is frozen while the other node sends a request and gives it up. */
+static void
+test_request_that_was_given_up_is_not_passed_on_after_a_freeze(void)
+{
+    static const char head[] = "CONNECT 127.0.0.1:27620 HTTP/1.1\r\n\r\n";
+    static const char grant[] = "POST /grant HTTP/1.1\r\n\r\n";
+    const struct linger no_linger = {.l_onoff = 1, .l_linger = 0};
+    struct sockaddr_in address;
+    world.behaviour = Silent;
+    world.target_side = NULL;
+    uv_ip4_addr("127.0.0.1", PEER_PORT + 1, &address);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    CU_ASSERT_EQUAL_FATAL(
+        connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+    CU_ASSERT_EQUAL(send(fd, head, strlen(head), 0), (ssize_t)strlen(head));
+    RsTestLoop_Run(&world.loop, 200);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(world.target_side);
+    world.target_bytes = 0;
+    CU_ASSERT_EQUAL(send(fd, grant, strlen(grant), 0), (ssize_t)strlen(grant));
+    usleep(100000);
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &no_linger, sizeof(no_linger));
+    close(fd);
+    usleep(100000);
+    RsTestLoop_Run(&world.loop, 200);
+    CU_ASSERT_EQUAL(world.target_bytes, 0);
+    close_target_side(false);
+}
+
 int
 main(void)
 {
@@ -450,6 +482,8 @@
     CU_ADD_TEST(suite, test_target_that_can_not_be_reached);
     CU_ADD_TEST(suite, test_isolated_node_opens_no_tunnels);
     CU_ADD_TEST(suite, test_bad_heads_are_closed);
+    CU_ADD_TEST(
+        suite, test_request_that_was_given_up_is_not_passed_on_after_a_freeze);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
     CU_cleanup_registry();
