--- a/router/metrics.c
+++ b/router/metrics.c
@@ -25,6 +25,9 @@
                   &router->answered);
     print_counter(text, "rattanshed_refused_total",
                   "Requests that were not run.", &router->refused);
+    print_counter(text, "rattanshed_refused_suspects_total",
+                  "Requests refused because targets crashed under them.",
+                  &router->suspected);
     print_counter(text, "rattanshed_failed_total",
                   "Requests that may have been run.", &router->failed);
     print_counter(text, "rattanshed_rejected_total",
--- a/router/request.c
+++ b/router/request.c
@@ -236,6 +236,7 @@
     if (until_ms == 0) {
         return false;
     }
+    RsCounter_Add(&request->router->counters.suspected, 1);
     request->come_back_at_ms = until_ms;
     RsReply_Refuse(request, "crashed-targets");
     return true;
