Let the link proxy hold up bytes for a target beyond the end of the connection

The proxy dropped what it held when one side closed, so that no soak could show what a network does to an order that was given up: it arrives later. Now bytes from callers can be held up for a given time and reach the target also when the caller has reset its connection by then, or while the route is cut; the answer is lost. And the route can be cut for new connections only. Both are off by default; a proxy without them behaves as before.

--- a/standin/link_proxy.c
+++ b/standin/link_proxy.c
@@ -23,10 +23,13 @@
     int timer_fd; /* libuv's timers only have a resolution of 1 ms */
     uv_poll_t timer;
     int64_t delay_us;
+    int64_t hold_up_us; /* of bytes from callers, added to the delay */
     bool is_cut;
+    bool cuts_new;      /* connections opened from now on are frozen */
     bool drops_answers; /* discard all bytes from the target */
     GQueue chunks;      /* of all connections, in order of arrival; a chunk
                            waits for those before it */
+    GQueue held_up;     /* chunks of all connections, in order of due time */
     GList *connections;
     size_t connection_count;
     char buffer[READ_BYTES];
@@ -38,6 +41,8 @@
     uv_tcp_t source;
     struct stream *other;
     size_t held_bytes; /* in chunks and pending writes */
+    size_t held_up_chunks;
+    int64_t held_up_until_us; /* due time of the last of them */
     bool reading;
     bool ended; /* the end of the stream was passed on */
 };
@@ -51,7 +56,9 @@
     uv_connect_t connect;
     size_t references;
     bool closed;
-    bool frozen; /* was open during a cut; closed when the cut ends */
+    bool frozen;    /* was open during a cut; closed when the cut ends */
+    bool abandoned; /* the caller's socket is closed; the target still gets
+                       the bytes that were held up */
 };
 
 /* Bytes to pass on when their delay is over. A chunk of size 0 stands for the
@@ -59,6 +66,7 @@
 struct chunk {
     struct stream *stream;
     int64_t due_at_us;
+    bool held_up;
     uv_write_t write;
     uv_shutdown_t shutdown;
     size_t size_bytes;
@@ -93,24 +101,61 @@
     proxy->connections =
         g_list_delete_link(proxy->connections, connection->link);
     proxy->connection_count--;
-    uv_close((uv_handle_t *)&connection->streams[0].source, on_closed);
+    if (!connection->abandoned) {
+        uv_close((uv_handle_t *)&connection->streams[0].source, on_closed);
+    }
     uv_close((uv_handle_t *)&connection->streams[1].source, on_closed);
 }
 
+static void queue_chunk(struct stream *stream, const char *data,
+                        size_t size_bytes);
+static void start_reading(struct stream *stream);
+
+/* Closes the caller's socket, and the connection once the target has got the
+ * bytes that were held up, if there are any. */
+static void
+abandon_connection(struct connection *connection)
+{
+    if (connection->closed || connection->abandoned) {
+        return;
+    }
+    if (connection->streams[0].held_up_chunks == 0) {
+        close_connection(connection);
+        return;
+    }
+    connection->abandoned = true;
+    connection->frozen = false;
+    uv_close((uv_handle_t *)&connection->streams[0].source, on_closed);
+    queue_chunk(&connection->streams[0], NULL, 0);
+    start_reading(&connection->streams[1]);
+}
+
 static void
 free_chunk(struct chunk *chunk)
 {
     struct connection *connection = chunk->stream->connection;
     chunk->stream->held_bytes -= chunk->size_bytes;
+    chunk->stream->held_up_chunks -= chunk->held_up;
     g_free(chunk);
     unref_connection(connection);
 }
 
+/* Returns the queue whose first chunk is due first. */
+static GQueue *
+find_next_queue(struct rs_link_proxy *proxy)
+{
+    const struct chunk *next = g_queue_peek_head(&proxy->chunks);
+    const struct chunk *held_up = g_queue_peek_head(&proxy->held_up);
+    bool is_held_up = held_up != NULL &&
+                      (next == NULL || held_up->due_at_us < next->due_at_us);
+    return is_held_up ? &proxy->held_up : &proxy->chunks;
+}
+
 /* Sets the timer to the due time of the next chunk, or stops it. */
 static void
 arm_timer(struct rs_link_proxy *proxy)
 {
-    const struct chunk *next = g_queue_peek_head(&proxy->chunks);
+    const struct chunk *next = g_queue_peek_head(find_next_queue(proxy));
     struct itimerspec at = {.it_value = {0, 0}};
     if (next != NULL) {
         at.it_value.tv_sec = next->due_at_us / US_PER_S;
@@ -119,14 +164,15 @@
     timerfd_settime(proxy->timer_fd, TFD_TIMER_ABSTIME, &at, NULL);
 }
 
-static void start_reading(struct stream *stream);
-
 static void
 on_written(uv_write_t *write, int status)
 {
     struct chunk *chunk = write->data;
     struct stream *stream = chunk->stream;
-    if (status != 0) {
+    if (status != 0 && stream == &stream->connection->streams[1]) {
+        abandon_connection(stream->connection);
+    }
+    else if (status != 0) {
         close_connection(stream->connection);
     }
     else if (stream->held_bytes - chunk->size_bytes < MAX_HELD_BYTES) {
@@ -147,6 +193,15 @@
     free_chunk(chunk);
 }
 
+/* Returns whether a chunk can't be delivered any more. */
+static bool
+is_lost(const struct chunk *chunk)
+{
+    const struct connection *connection = chunk->stream->connection;
+    return connection->closed || (connection->frozen && !chunk->held_up) ||
+           (connection->abandoned && chunk->stream == &connection->streams[1]);
+}
+
 /* Writes a chunk to the other side and frees it when that is done. Discards
  * the chunk if its connection is closed or frozen. */
 static void
@@ -155,7 +210,7 @@
     struct stream *stream = chunk->stream;
     uv_stream_t *sink = (uv_stream_t *)&stream->other->source;
     uv_buf_t buffer = uv_buf_init(chunk->data, (unsigned)chunk->size_bytes);
-    if (stream->connection->closed || stream->connection->frozen) {
+    if (is_lost(chunk)) {
         free_chunk(chunk);
         return;
     }
@@ -174,11 +229,13 @@
 deliver_due(struct rs_link_proxy *proxy)
 {
     int64_t now_us = RsClock_NowUs();
-    struct chunk *next = g_queue_peek_head(&proxy->chunks);
+    GQueue *queue = find_next_queue(proxy);
+    struct chunk *next = g_queue_peek_head(queue);
     while (next != NULL && next->due_at_us <= now_us) {
-        g_queue_pop_head(&proxy->chunks);
+        g_queue_pop_head(queue);
         deliver(next);
-        next = g_queue_peek_head(&proxy->chunks);
+        queue = find_next_queue(proxy);
+        next = g_queue_peek_head(queue);
     }
     arm_timer(proxy);
 }
@@ -194,6 +251,33 @@
     deliver_due(proxy);
 }
 
+/* Orders chunks by due time, and those due at the same time by arrival. */
+static gint
+compare_due(gconstpointer earlier, gconstpointer later, gpointer arg)
+{
+    const struct chunk *a = earlier;
+    const struct chunk *b = later;
+    return a->due_at_us <= b->due_at_us ? -1 : 1;
+}
+
+/* Queues a chunk from the caller that is to be held up, or that comes after
+ * such chunks of its stream. */
+static void
+queue_held_up(struct chunk *chunk)
+{
+    struct stream *stream = chunk->stream;
+    struct rs_link_proxy *proxy = stream->connection->proxy;
+    chunk->held_up = true;
+    chunk->due_at_us += proxy->hold_up_us;
+    if (stream->held_up_chunks > 0) {
+        chunk->due_at_us = MAX(chunk->due_at_us, stream->held_up_until_us);
+    }
+    stream->held_up_chunks++;
+    stream->held_up_until_us = chunk->due_at_us;
+    g_queue_insert_sorted(&proxy->held_up, chunk, compare_due, NULL);
+    arm_timer(proxy);
+}
+
 /* Queues a copy of the data for the other side, or writes it at once if there
  * is no delay and no chunk is queued. `size_bytes` of 0 stands for the end of
  * the stream. */
@@ -211,6 +295,11 @@
     }
     connection->references++;
     stream->held_bytes += size_bytes;
+    if (stream->held_up_chunks > 0 ||
+        (proxy->hold_up_us > 0 && stream == &connection->streams[0])) {
+        queue_held_up(chunk);
+        return;
+    }
     if (proxy->delay_us == 0 && g_queue_is_empty(&proxy->chunks)) {
         deliver(chunk);
         return;
@@ -240,18 +329,23 @@
 on_read(uv_stream_t *source, ssize_t size_bytes, const uv_buf_t *buffer)
 {
     struct stream *stream = source->data;
-    if (size_bytes == UV_EOF) {
+    struct connection *connection = stream->connection;
+    bool from_target = stream == &connection->streams[1];
+    if (size_bytes == UV_EOF && !connection->abandoned) {
         stop_reading(stream);
         queue_chunk(stream, NULL, 0);
         return;
     }
+    if (size_bytes < 0 && !from_target) {
+        abandon_connection(connection);
+        return;
+    }
     if (size_bytes < 0) {
-        close_connection(stream->connection);
+        close_connection(connection);
         return;
     }
-    struct connection *connection = stream->connection;
-    bool is_dropped =
-        connection->proxy->drops_answers && stream == &connection->streams[1];
+    bool is_dropped = from_target && (connection->proxy->drops_answers ||
+                                      connection->abandoned);
     if (size_bytes == 0 || is_dropped) {
         return;
     }
@@ -265,7 +359,9 @@
 start_reading(struct stream *stream)
 {
     const struct connection *connection = stream->connection;
-    if (!stream->reading && !connection->closed && !connection->frozen &&
+    bool is_open = !connection->closed &&
+                   (!connection->abandoned || stream != connection->streams);
+    if (!stream->reading && is_open && !connection->frozen &&
         uv_is_readable((uv_stream_t *)&stream->source)) {
         stream->reading = true;
         uv_read_start((uv_stream_t *)&stream->source, provide_buffer, on_read);
@@ -337,7 +433,7 @@
         return;
     }
     uv_tcp_nodelay(caller, 1);
-    connection->frozen = proxy->is_cut;
+    connection->frozen = proxy->is_cut || proxy->cuts_new;
     if (!connection->frozen) {
         connect_target(connection);
     }
@@ -352,6 +448,7 @@
     proxy->route = *route;
     proxy->loop = loop;
     g_queue_init(&proxy->chunks);
+    g_queue_init(&proxy->held_up);
     proxy->timer_fd = timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK);
     uv_poll_init(loop, &proxy->timer, proxy->timer_fd);
     proxy->timer.data = proxy;
@@ -401,7 +498,18 @@
     proxy->delay_us = has_own ? proxy->route.delay_us : common_delay_us;
 }
 
-/* Closes all open connections; new ones are still accepted. */
+/* Holds up bytes that arrive from callers from now on for this long, 0 for not
+ * at all. They reach the target also when the caller has closed or reset the
+ * connection by then, or the route was cut; the target's answer is lost then.
+ */
+void
+RsLinkProxy_SetHoldUp(struct rs_link_proxy *proxy, int64_t hold_up_us)
+{
+    proxy->hold_up_us = hold_up_us;
+}
+
+/* Closes all open connections; new ones are still accepted. Bytes that are
+ * held up are lost. */
 void
 RsLinkProxy_CloseConnections(struct rs_link_proxy *proxy)
 {
@@ -421,22 +529,44 @@
     proxy->drops_answers = drops_answers;
 }
 
+/* Closes the connections that were open during a cut, once no cut is left. */
+static void
+close_frozen(struct rs_link_proxy *proxy)
+{
+    if (proxy->is_cut || proxy->cuts_new) {
+        return;
+    }
+    for (GList *at = proxy->connections; at != NULL;) {
+        struct connection *connection = at->data;
+        at = at->next;
+        if (connection->frozen) {
+            abandon_connection(connection);
+        }
+    }
+}
+
 /* Cuts the route in both directions, or ends the cut. Ending the cut closes
  * the connections that were open during the cut. */
 void
 RsLinkProxy_SetCut(struct rs_link_proxy *proxy, bool is_cut)
 {
     proxy->is_cut = is_cut;
-    for (GList *at = proxy->connections; at != NULL;) {
+    close_frozen(proxy);
+    for (GList *at = proxy->connections; is_cut && at != NULL; at = at->next) {
         struct connection *connection = at->data;
-        at = at->next;
-        if (is_cut) {
+        if (!connection->abandoned) {
             connection->frozen = true;
             stop_reading(&connection->streams[0]);
             stop_reading(&connection->streams[1]);
         }
-        else if (connection->frozen) {
-            close_connection(connection);
-        }
     }
 }
+
+/* Cuts the route for connections that are opened from now on, while open ones
+ * live on, or ends that, which closes the former. */
+void
+RsLinkProxy_SetNewCut(struct rs_link_proxy *proxy, bool cuts_new)
+{
+    proxy->cuts_new = cuts_new;
+    close_frozen(proxy);
+}
--- a/standin/link_proxy.h
+++ b/standin/link_proxy.h
@@ -24,7 +24,9 @@
 void RsLinkProxy_SetDelay(struct rs_link_proxy *proxy,
                           int64_t common_delay_us);
 void RsLinkProxy_SetCut(struct rs_link_proxy *proxy, bool is_cut);
+void RsLinkProxy_SetNewCut(struct rs_link_proxy *proxy, bool cuts_new);
 void RsLinkProxy_SetOneWayCut(struct rs_link_proxy *proxy, bool drops_answers);
+void RsLinkProxy_SetHoldUp(struct rs_link_proxy *proxy, int64_t hold_up_us);
 void RsLinkProxy_CloseConnections(struct rs_link_proxy *proxy);
 
 #endif
