--- a/soak/main.c
+++ b/soak/main.c
@@ -47,6 +47,17 @@
 #define TARGET_PORT_OFFSET 100     /* a target; the next port is its proxy */
 #define SHARDED_PER_UNSHARDED 2    /* sharded targets per unsharded target */
 #define TARGET_WORK_MS 25
+/* A series of hold-ups at a target: in each, all that nodes send is held up
+ * for one time. A hold-up lasts longer than the granter's interval between
+ * grants (RENEW_GRANT_EVERY_MS in router/granter.c). The cut that may follow
+ * outlasts the hold of a grant. */
+#define MAX_HOLD_UPS 3
+#define HOLD_UP_MIN_MS 600
+#define HOLD_UP_MAX_MS 3000
+#define HOLD_UP_LASTS_MS 1100
+#define HOLD_UP_CUT_MIN_MS 5000
+#define HOLD_UP_CUT_MAX_MS 8000
+#define US_PER_MS 1000
 #define CALLER_PAUSE_MS 60
 
 struct soak;
@@ -66,6 +77,7 @@
     struct soak *soak;
     struct rs_soak_target *target;
     uv_timer_t recovery_timer;
+    uint32_t hold_ups;  /* that are still to come in this series */
     double limit_per_s; /* 0: it states none */
     int64_t limited_since_ms;
 };
@@ -97,6 +109,7 @@
     bool restores;   /* the store may go back to a copy */
     bool links;      /* nodes may lose their links to all targets */
     bool limits;     /* targets may state request limits */
+    bool hold_ups;   /* what nodes send to targets may be held up */
     /* Until then, no faults are injected into nodes, as their restarts and
      * pauses would excuse too many requests at a limited target. */
     int64_t nodes_spared_until_ms;
@@ -181,6 +194,8 @@
     RsSoakTarget_SetReporting(target, true);
     RsSoakTarget_Close(target, "");
     RsLinkProxy_SetDelay(RsSoakTarget_Proxy(target), 0);
+    RsLinkProxy_SetHoldUp(RsSoakTarget_Proxy(target), 0);
+    RsLinkProxy_SetNewCut(RsSoakTarget_Proxy(target), false);
     RsLinkProxy_SetOneWayCut(RsSoakTarget_Proxy(target), false);
     if (!RsSoakTarget_IsUp(target)) {
         RsSoakTarget_Start(target, random_below(slot->soak, 3) > 0);
@@ -344,6 +359,55 @@
     uv_timer_start(&slot->recovery_timer, end_limit, LIMIT_MS, 0);
 }
 
+/* Ends a series of hold-ups: cuts the target's link, or cuts it for new
+ * connections, or leaves it whole. */
+static void
+end_hold_ups(struct target_slot *slot)
+{
+    struct soak *soak = slot->soak;
+    struct rs_link_proxy *proxy = RsSoakTarget_Proxy(slot->target);
+    uint32_t number = (uint32_t)(slot - soak->targets);
+    uint64_t duration_ms =
+        HOLD_UP_CUT_MIN_MS +
+        random_below(soak, HOLD_UP_CUT_MAX_MS - HOLD_UP_CUT_MIN_MS);
+    RsLinkProxy_SetHoldUp(proxy, 0);
+    switch (random_below(soak, 3)) {
+    case 0:
+        RsLinkProxy_SetCut(proxy, true);
+        log_fault(soak, "target link cut", number, duration_ms);
+        break;
+    case 1:
+        RsLinkProxy_SetNewCut(proxy, true);
+        log_fault(soak, "target link cut for new connections", number,
+                  duration_ms);
+        break;
+    default:
+        duration_ms = 1;
+    }
+    uv_timer_start(&slot->recovery_timer, recover_target, duration_ms, 0);
+}
+
+/* Holds up all that nodes send to a target from now on, for another time than
+ * before, or ends the series. */
+static void
+next_hold_up(uv_timer_t *timer)
+{
+    struct target_slot *slot = timer->data;
+    struct soak *soak = slot->soak;
+    if (slot->hold_ups == 0) {
+        end_hold_ups(slot);
+        return;
+    }
+    slot->hold_ups--;
+    uint64_t hold_up_ms =
+        HOLD_UP_MIN_MS + random_below(soak, HOLD_UP_MAX_MS - HOLD_UP_MIN_MS);
+    RsLinkProxy_SetHoldUp(RsSoakTarget_Proxy(slot->target),
+                          (int64_t)hold_up_ms * US_PER_MS);
+    log_fault(soak, "nodes' bytes held up at target",
+              (uint32_t)(slot - soak->targets), hold_up_ms);
+    uv_timer_start(&slot->recovery_timer, next_hold_up, HOLD_UP_LASTS_MS, 0);
+}
+
 /* Injects a random fault into a random target, unless the target has a fault.
  */
 static void
@@ -361,6 +425,11 @@
         start_limit(slot);
         return;
     }
+    if (soak->hold_ups && random_below(soak, 2) == 0) {
+        slot->hold_ups = 1 + random_below(soak, MAX_HOLD_UPS);
+        next_hold_up(&slot->recovery_timer);
+        return;
+    }
     switch (random_below(soak, soak->restores ? 10 : 9)) {
     case 0:
         RsSoakTarget_Crash(target);
@@ -609,6 +678,8 @@
             .proxy_port =
                 (uint16_t)(soak->base_port + TARGET_PORT_OFFSET + 2 * i + 1),
             .work_ms = TARGET_WORK_MS,
+            /* Such targets are sent grants without being asked first. */
+            .hides_load = soak->hold_ups && i % 2 == 0,
             .check = &soak->check,
             .store = soak->store,
             .random = soak->random,
@@ -788,11 +859,13 @@
         arg_lit0(NULL, "links", "nodes may lose their links to all targets");
     struct arg_lit *limits =
         arg_lit0(NULL, "limits", "targets may state request limits");
+    struct arg_lit *hold_ups = arg_lit0(
+        NULL, "hold-ups", "what nodes send to targets may be held up");
     struct arg_lit *verbose = arg_lit0("v", NULL, "print the faults");
     struct arg_end *ends = arg_end(4);
     void *table[] = {
-        program,  seed,  nodes,  targets, seconds, port, injected_violation,
-        restores, links, limits, verbose, ends};
+        program,  seed,  nodes,  targets,  seconds, port, injected_violation,
+        restores, links, limits, hold_ups, verbose, ends};
     seed->ival[0] = 1;
     nodes->ival[0] = 4;
     targets->ival[0] = 8;
@@ -820,6 +893,7 @@
     soak.restores = restores->count > 0;
     soak.links = links->count > 0;
     soak.limits = limits->count > 0;
+    soak.hold_ups = hold_ups->count > 0;
     soak.verbose = verbose->count > 0;
     snprintf(soak.folder, sizeof(soak.folder), "/tmp/soak-XXXXXX");
     if (g_mkdtemp(soak.folder) == NULL) {
--- a/soak/target.c
+++ b/soak/target.c
@@ -148,8 +148,8 @@
     return count;
 }
 
-/* Adds the headers in which the target speaks of itself: its load and, if it
- * is leaving or limited, that it is. */
+/* Adds the headers in which the target speaks of itself: its load, unless it
+ * hides that, and, if it is leaving or limited, that it is. */
 static void
 add_notices(struct rs_soak_target *target, h2o_req_t *http)
 {
@@ -160,9 +160,11 @@
     if (target->limit[0] != '\0') {
         RsServer_AddHeader(http, "server-limit", target->limit);
     }
-    snprintf(text, sizeof(text), "%u,%u,%d,100", count_running(target),
-             count_queued(target), MAX_RUNNING_JOBS);
-    RsServer_AddHeader(http, "x-instance-load", text);
+    if (!target->options.hides_load) {
+        snprintf(text, sizeof(text), "%u,%u,%d,100", count_running(target),
+                 count_queued(target), MAX_RUNNING_JOBS);
+        RsServer_AddHeader(http, "x-instance-load", text);
+    }
 }
 
 /* Answers that a request was not executed. */
--- a/soak/target.h
+++ b/soak/target.h
@@ -20,6 +20,7 @@
     uint16_t port;       /* where the target listens */
     uint16_t proxy_port; /* where nodes connect; forwards to `port` */
     uint32_t work_ms;    /* mean duration of a request */
+    bool hides_load;     /* states no load in its responses */
     struct rs_check *check;
     struct rs_soak_store *store;
     GRand *random;
