--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -69,6 +69,7 @@
             .port = (uint16_t)port,
             .proxy_port = (uint16_t)(port + 1),
             .work_ms = options->work_ms,
+            .hides_load = options->targets_hide_load,
             .check = &fixture->check,
             .store = fixture->store,
             .random = fixture->random,
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -27,6 +27,7 @@
     uint32_t sharded_targets; /* of the service with keys */
     uint32_t work_ms;         /* mean duration of a request at a target */
     uint32_t timeout_ms;      /* of both routes */
+    bool targets_hide_load;   /* state no load in their responses */
     bool cuttable;            /* RsNodeFixture_CutFromTargets() may be used */
 };
 
--- a/tests/node_main.c
+++ b/tests/node_main.c
@@ -47,6 +47,8 @@
      test_nodes_without_new_links_to_one_target_serve},
     {"deadly_request_no_longer_reaches_targets",
      test_deadly_request_no_longer_reaches_targets},
+    {"two_targets_hold_keys_after_a_late_grant",
+     test_two_targets_hold_keys_after_a_late_grant},
     {"service_goes_on_after_a_restore", test_service_goes_on_after_a_restore},
     {"restarted_nodes_do_not_trust_the_copy",
      test_restarted_nodes_do_not_trust_the_copy},
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -24,6 +24,9 @@
 void test_nodes_without_new_links_to_targets_serve(void);
 void test_nodes_without_new_links_to_one_target_serve(void);
 
+/* tests/node_delay_test.c */
+void test_two_targets_hold_keys_after_a_late_grant(void);
+
 /* tests/node_limit_test.c */
 void test_all_nodes_together_keep_a_limit(void);
 void test_all_nodes_together_keep_a_limit_without_keys(void);
