--- a/soak/main.c
+++ b/soak/main.c
@@ -47,16 +47,16 @@
 #define TARGET_PORT_OFFSET 100     /* a target; the next port is its proxy */
 #define SHARDED_PER_UNSHARDED 2    /* sharded targets per unsharded target */
 #define TARGET_WORK_MS 25
-/* A series of hold-ups at a target: in each, all that nodes send is held up
- * for one time. A hold-up lasts longer than the granter's interval between
- * grants (RENEW_GRANT_EVERY_MS in router/granter.c). The cut that may follow
- * outlasts the hold of a grant. */
-#define MAX_HOLD_UPS 3
+/* A hold-up lasts longer than the granter's interval between grants
+ * (RENEW_GRANT_EVERY_MS in router/granter.c). What is sent meanwhile arrives
+ * after HOLD_UP_MIN_MS to HOLD_UP_MAX_MS. The cut that may follow outlasts the
+ * hold of a grant. */
 #define HOLD_UP_MIN_MS 600
 #define HOLD_UP_MAX_MS 3000
 #define HOLD_UP_LASTS_MS 1100
 #define HOLD_UP_CUT_MIN_MS 5000
 #define HOLD_UP_CUT_MAX_MS 8000
+#define GRANTER_SPARED_MS 8000
 #define US_PER_MS 1000
 #define CALLER_PAUSE_MS 60
 
@@ -77,7 +77,7 @@
     struct soak *soak;
     struct rs_soak_target *target;
     uv_timer_t recovery_timer;
-    uint32_t hold_ups;  /* that are still to come in this series */
+    bool new_cut;       /* with the present hold-up */
     double limit_per_s; /* 0: it states none */
     int64_t limited_since_ms;
 };
@@ -113,6 +113,9 @@
     /* Until then, no faults are injected into nodes, as their restarts and
      * pauses would excuse too many requests at a limited target. */
     int64_t nodes_spared_until_ms;
+    /* Until then, the granter is to stay the same and to send grants of the
+     * normal duration: no faults are injected into nodes and the store. */
+    int64_t granter_spared_until_ms;
     uint64_t fault_count;
 };
 
@@ -263,8 +266,10 @@
     struct node *node = &soak->nodes[random_below(soak, soak->node_count)];
     uint32_t number = (uint32_t)(node - soak->nodes);
     uint64_t duration_ms = random_duration_ms(soak);
+    int64_t spared_until_ms =
+        MAX(soak->nodes_spared_until_ms, soak->granter_spared_until_ms);
     if (uv_is_active((uv_handle_t *)&node->recovery_timer) ||
-        node->exit_expected || RsClock_NowMs() < soak->nodes_spared_until_ms) {
+        node->exit_expected || RsClock_NowMs() < spared_until_ms) {
         return;
     }
     if (soak->links && random_below(soak, 3) == 0) {
@@ -359,53 +364,58 @@
     uv_timer_start(&slot->recovery_timer, end_limit, LIMIT_MS, 0);
 }
 
-/* Ends a series of hold-ups: cuts the target's link, or cuts it for new
- * connections, or leaves it whole. */
+static void start_hold_up(struct target_slot *slot);
+
+/* Ends a hold-up. If new connections were cut, they stay so; otherwise the
+ * whole link is cut, or another hold-up follows, or the link is whole. */
 static void
-end_hold_ups(struct target_slot *slot)
+end_hold_up(uv_timer_t *timer)
 {
+    struct target_slot *slot = timer->data;
     struct soak *soak = slot->soak;
     struct rs_link_proxy *proxy = RsSoakTarget_Proxy(slot->target);
-    uint32_t number = (uint32_t)(slot - soak->targets);
     uint64_t duration_ms =
         HOLD_UP_CUT_MIN_MS +
         random_below(soak, HOLD_UP_CUT_MAX_MS - HOLD_UP_CUT_MIN_MS);
+    uint32_t next = random_below(soak, 3);
     RsLinkProxy_SetHoldUp(proxy, 0);
-    switch (random_below(soak, 3)) {
-    case 0:
+    if (!slot->new_cut && next == 0) {
+        start_hold_up(slot);
+        return;
+    }
+    if (!slot->new_cut && next == 1) {
+        duration_ms = 1;
+    }
+    else if (!slot->new_cut) {
         RsLinkProxy_SetCut(proxy, true);
-        log_fault(soak, "target link cut", number, duration_ms);
-        break;
-    case 1:
-        RsLinkProxy_SetNewCut(proxy, true);
-        log_fault(soak, "target link cut for new connections", number,
+        log_fault(soak, "target link cut", (uint32_t)(slot - soak->targets),
                   duration_ms);
-        break;
-    default:
-        duration_ms = 1;
     }
     uv_timer_start(&slot->recovery_timer, recover_target, duration_ms, 0);
 }
 
-/* Holds up all that nodes send to a target from now on, for another time than
- * before, or ends the series. */
+/* Holds up all that nodes send to a target from now on, for a random time, and
+ * mostly cuts its link for new connections, through which later orders could
+ * reach it. */
 static void
-next_hold_up(uv_timer_t *timer)
+start_hold_up(struct target_slot *slot)
 {
-    struct target_slot *slot = timer->data;
     struct soak *soak = slot->soak;
-    if (slot->hold_ups == 0) {
-        end_hold_ups(slot);
-        return;
-    }
-    slot->hold_ups--;
+    uint32_t number = (uint32_t)(slot - soak->targets);
     uint64_t hold_up_ms =
         HOLD_UP_MIN_MS + random_below(soak, HOLD_UP_MAX_MS - HOLD_UP_MIN_MS);
     RsLinkProxy_SetHoldUp(RsSoakTarget_Proxy(slot->target),
                           (int64_t)hold_up_ms * US_PER_MS);
-    log_fault(soak, "nodes' bytes held up at target",
-              (uint32_t)(slot - soak->targets), hold_up_ms);
-    uv_timer_start(&slot->recovery_timer, next_hold_up, HOLD_UP_LASTS_MS, 0);
+    log_fault(soak, "nodes' bytes held up at target", number, hold_up_ms);
+    slot->new_cut = random_below(soak, 3) > 0;
+    if (slot->new_cut) {
+        RsLinkProxy_SetNewCut(RsSoakTarget_Proxy(slot->target), true);
+        log_fault(soak, "new connections cut at target", number, 0);
+    }
+    if (random_below(soak, 4) > 0) {
+        soak->granter_spared_until_ms = RsClock_NowMs() + GRANTER_SPARED_MS;
+    }
+    uv_timer_start(&slot->recovery_timer, end_hold_up, HOLD_UP_LASTS_MS, 0);
 }
 
 /* Injects a random fault into a random target, unless the target has a fault.
@@ -425,9 +435,8 @@
         start_limit(slot);
         return;
     }
-    if (soak->hold_ups && random_below(soak, 2) == 0) {
-        slot->hold_ups = 1 + random_below(soak, MAX_HOLD_UPS);
-        next_hold_up(&slot->recovery_timer);
+    if (soak->hold_ups && random_below(soak, 3) > 0) {
+        start_hold_up(slot);
         return;
     }
     switch (random_below(soak, soak->restores ? 10 : 9)) {
@@ -487,7 +496,8 @@
                                         "store delays writes",
                                         "store slow"};
     uint64_t duration_ms = random_duration_ms(soak);
-    if (uv_is_active((uv_handle_t *)&soak->store_recovery_timer)) {
+    if (uv_is_active((uv_handle_t *)&soak->store_recovery_timer) ||
+        RsClock_NowMs() < soak->granter_spared_until_ms) {
         return;
     }
     uint32_t mode = 1 + random_below(soak, 5);
