Test that held up bytes pass a cut that begins before the caller's reset

Breaks of the proxy that were tried: closing at once instead of letting the bytes pass (two tests fail), not cutting new connections (one fails), dropping held up bytes of connections that a cut has frozen (seen by no test until this change, now by test_request_that_is_held_up_arrives_during_a_cut).

--- a/soak/target_test.c
+++ b/soak/target_test.c
@@ -187,8 +187,13 @@
 {
     open_scenario();
     struct rs_link_proxy *proxy = RsSoakTarget_Proxy(scenario->target);
-    send_and_reset();
+    RsLinkProxy_SetHoldUp(proxy, (int64_t)HOLD_UP_MS * US_PER_MS);
+    struct request *request = send_request(scenario->proxy_port);
+    RsTestLoop_Run(&scenario->loop, HOLD_UP_CALLER_MS);
     RsLinkProxy_SetCut(proxy, true);
+    RsHttp_Close(request->connection);
+    RsTestLoop_Run(&scenario->loop, HOLD_UP_CALLER_MS);
+    CU_ASSERT_EQUAL(RsSoakTarget_RequestCount(scenario->target), 0);
     struct request *later = send_request(scenario->proxy_port);
     RsTestLoop_Run(&scenario->loop, HOLD_UP_MS);
     CU_ASSERT_EQUAL(RsSoakTarget_RequestCount(scenario->target), 1);
