--- a/tests/node_deadly_test.c
+++ b/tests/node_deadly_test.c
@@ -77,7 +77,7 @@
 test_deadly_request_no_longer_reaches_targets(void)
 {
     const struct rs_node_fixture_options options = {
-        .base_port = 27100,
+        .base_port = 27850,
         .node_count = NODES,
         .sharded_targets = TARGETS,
         .work_ms = WORK_MS,
