Share suspects at any report interval, and forget them

Read through as a newcomer: changes were told for a fixed 0.6 s and in turns of 0.2 s, which the reports of more than about 40 nodes (5 ms for each) would have missed. Both count in report intervals now; router_suspects_test has a case with intervals up to 12 s. Requests of which nothing is heard for an hour are forgotten. The tests of the granter share their set-up and their check.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -602,7 +602,7 @@
  * whether that has ended. While the links of this node may be lost, a broken
  * connection tells nothing of the target. */
 static void
-suspect(struct rs_attempt *attempt, int64_t now_ms)
+suspect_request(struct rs_attempt *attempt, int64_t now_ms)
 {
     struct rs_router *router = attempt->request->router;
     if (attempt->status != 0 || router->paths.isolated ||
@@ -624,7 +624,7 @@
 {
     struct rs_fleet_target *target = attempt->target;
     int64_t elapsed_us = RsClock_NowUs() - attempt->started_at_us;
-    suspect(attempt, now_ms);
+    suspect_request(attempt, now_ms);
     bool was_immediate =
         attempt->status == 0 && elapsed_us < MAX_FULL_RESET_US;
     if (was_immediate && RsFleet_AnsweredRecently(target, now_ms)) {
--- a/router/fixture.c
+++ b/router/fixture.c
@@ -1044,6 +1044,17 @@
     return sim->violation[0] != '\0' ? sim->violation : NULL;
 }
 
+/* Returns whether there was no violation; prints it otherwise. */
+bool
+RsSimulation_IsSound(const struct rs_simulation *sim)
+{
+    const char *violation = RsSimulation_Violation(sim);
+    if (violation != NULL) {
+        fprintf(stderr, "%s\n", violation);
+    }
+    return violation == NULL;
+}
+
 /* Returns how many keys are held by at least one target. */
 uint32_t
 RsSimulation_CountHeldKeys(const struct rs_simulation *sim)
@@ -1082,3 +1093,19 @@
 {
     return sim->now_ms;
 }
+
+/* Creates a simulation in which one target holds all keys. With `equal_nodes`,
+ * see RsSimulation_MakeNodesEqual(). The caller frees it. */
+struct rs_simulation *
+RsSimulation_NewSettled(uint32_t target, bool equal_nodes)
+{
+    struct rs_simulation *sim = RsSimulation_New();
+    if (equal_nodes) {
+        RsSimulation_MakeNodesEqual(sim);
+    }
+    RsSimulation_Advance(sim, 500);
+    RsSimulation_MoveKeys(sim, 0, RsKeymap_KEYS - 1, target);
+    RsSimulation_Advance(sim, 300);
+    assert(RsSimulation_CountHeldKeys(sim) == RsKeymap_KEYS);
+    return sim;
+}
--- a/router/fixture.h
+++ b/router/fixture.h
@@ -52,6 +52,8 @@
 };
 
 struct rs_simulation *RsSimulation_New(void);
+struct rs_simulation *RsSimulation_NewSettled(uint32_t target,
+                                              bool equal_nodes);
 void RsSimulation_Free(struct rs_simulation *sim);
 void RsSimulation_Advance(struct rs_simulation *sim, int64_t span_ms);
 void RsSimulation_InjectFault(struct rs_simulation *sim,
@@ -75,6 +77,7 @@
 
 /* Results of the checks. */
 const char *RsSimulation_Violation(const struct rs_simulation *sim);
+bool RsSimulation_IsSound(const struct rs_simulation *sim);
 uint32_t RsSimulation_CountHeldKeys(const struct rs_simulation *sim);
 bool RsSimulation_Holds(const struct rs_simulation *sim, uint32_t target,
                         uint32_t key);
--- a/router/granter_delay_test.c
+++ b/router/granter_delay_test.c
@@ -8,18 +8,6 @@
 #define OWNER_TARGET 1
 #define CUT_OFF_MS 25000
 
-/* Returns a simulation in which FORMER_TARGET holds all keys. */
-static struct rs_simulation *
-new_settled_simulation(void)
-{
-    struct rs_simulation *sim = RsSimulation_New();
-    RsSimulation_Advance(sim, 500);
-    RsSimulation_MoveKeys(sim, 0, LAST_KEY, FORMER_TARGET);
-    RsSimulation_Advance(sim, 300);
-    CU_ASSERT_EQUAL_FATAL(RsSimulation_CountHeldKeys(sim), RsKeymap_KEYS);
-    return sim;
-}
-
 /* Moves all keys to OWNER_TARGET, and checks that it gets them, but not as
  * long as FORMER_TARGET holds them. Frees the simulation. */
 static void
@@ -33,11 +21,7 @@
         RsSimulation_Advance(sim, 100);
     }
     CU_ASSERT_TRUE(RsSimulation_Holds(sim, OWNER_TARGET, 0));
-    const char *violation = RsSimulation_Violation(sim);
-    if (violation != NULL) {
-        fprintf(stderr, "%s\n", violation);
-    }
-    CU_ASSERT_PTR_NULL(violation);
+    CU_ASSERT_TRUE(RsSimulation_IsSound(sim));
     RsSimulation_Free(sim);
 }
 
@@ -47,7 +31,8 @@
 test_keys_stay_while_a_given_up_grant_may_hold(void)
 {
     for (int64_t delay_ms = 600; delay_ms <= 3000; delay_ms += 400) {
-        struct rs_simulation *sim = new_settled_simulation();
+        struct rs_simulation *sim =
+            RsSimulation_NewSettled(FORMER_TARGET, false);
         RsSimulation_InjectFault(sim, RsFixture_GRANT_HELD_UP, FORMER_TARGET,
                                  delay_ms);
         RsSimulation_InjectFault(sim, RsFixture_TARGET_CUT_OFF, FORMER_TARGET,
@@ -62,7 +47,7 @@
 static void
 check_grant_of_the_former_granter(int64_t held_up_after_ms)
 {
-    struct rs_simulation *sim = new_settled_simulation();
+    struct rs_simulation *sim = RsSimulation_NewSettled(FORMER_TARGET, false);
     int granter = RsSimulation_FindGranter(sim);
     CU_ASSERT_TRUE_FATAL(granter >= 0);
     RsSimulation_InjectFault(sim, RsFixture_NODE_REFUSED, (uint32_t)granter,
--- a/router/granter_era_test.c
+++ b/router/granter_era_test.c
@@ -8,38 +8,13 @@
 #define OWNER_TARGET 1
 #define CUT_OFF_MS 40000
 
-/* Returns a simulation in which FORMER_TARGET holds all keys. */
-static struct rs_simulation *
-new_settled_simulation(bool equal_nodes)
-{
-    struct rs_simulation *sim = RsSimulation_New();
-    if (equal_nodes) {
-        RsSimulation_MakeNodesEqual(sim);
-    }
-    RsSimulation_Advance(sim, 500);
-    RsSimulation_MoveKeys(sim, 0, LAST_KEY, FORMER_TARGET);
-    RsSimulation_Advance(sim, 300);
-    CU_ASSERT_EQUAL_FATAL(RsSimulation_CountHeldKeys(sim), RsKeymap_KEYS);
-    return sim;
-}
-
-static void
-check_violation(struct rs_simulation *sim)
-{
-    const char *violation = RsSimulation_Violation(sim);
-    if (violation != NULL) {
-        fprintf(stderr, "%s\n", violation);
-    }
-    CU_ASSERT_PTR_NULL(violation);
-}
-
 /* The store goes back to a copy from before a move, and refuses the granter,
  * which doesn't learn of it. Its last grant, of the longest duration, is held
  * up as long as GRANT_DELAY_MS allows. */
 static void
 check_restore(int64_t held_up_after_ms)
 {
-    struct rs_simulation *sim = new_settled_simulation(false);
+    struct rs_simulation *sim = RsSimulation_NewSettled(FORMER_TARGET, false);
     int granter = RsSimulation_FindGranter(sim);
     CU_ASSERT_TRUE_FATAL(granter >= 0);
     RsSimulation_Advance(sim, 800);
@@ -57,7 +32,7 @@
         RsSimulation_Advance(sim, 500);
     }
     CU_ASSERT_TRUE(RsSimulation_Holds(sim, FORMER_TARGET, 0));
-    check_violation(sim);
+    CU_ASSERT_TRUE(RsSimulation_IsSound(sim));
     RsSimulation_Free(sim);
 }
 
--- a/router/granter_settle_test.c
+++ b/router/granter_settle_test.c
@@ -8,38 +8,13 @@
 #define OWNER_TARGET 1
 #define CUT_OFF_MS 40000
 
-/* Returns a simulation in which FORMER_TARGET holds all keys. */
-static struct rs_simulation *
-new_settled_simulation(bool equal_nodes)
-{
-    struct rs_simulation *sim = RsSimulation_New();
-    if (equal_nodes) {
-        RsSimulation_MakeNodesEqual(sim);
-    }
-    RsSimulation_Advance(sim, 500);
-    RsSimulation_MoveKeys(sim, 0, LAST_KEY, FORMER_TARGET);
-    RsSimulation_Advance(sim, 300);
-    CU_ASSERT_EQUAL_FATAL(RsSimulation_CountHeldKeys(sim), RsKeymap_KEYS);
-    return sim;
-}
-
-static void
-check_violation(struct rs_simulation *sim)
-{
-    const char *violation = RsSimulation_Violation(sim);
-    if (violation != NULL) {
-        fprintf(stderr, "%s\n", violation);
-    }
-    CU_ASSERT_PTR_NULL(violation);
-}
-
 /* A granter sends a grant of the longest duration, which is held up as long as
  * GRANT_DELAY_MS allows, and resigns. The next granter takes over at once. */
 static void
 check_resignation(int64_t phase_ms, int64_t refused_ms,
                   int64_t held_up_after_ms, int64_t resigned_after_ms)
 {
-    struct rs_simulation *sim = new_settled_simulation(true);
+    struct rs_simulation *sim = RsSimulation_NewSettled(FORMER_TARGET, true);
     RsSimulation_Advance(sim, phase_ms);
     int granter = RsSimulation_FindGranter(sim);
     CU_ASSERT_TRUE_FATAL(granter >= 0);
@@ -61,7 +36,7 @@
         RsSimulation_Advance(sim, 10);
     }
     CU_ASSERT_TRUE(RsSimulation_Holds(sim, OWNER_TARGET, 0));
-    check_violation(sim);
+    CU_ASSERT_TRUE(RsSimulation_IsSound(sim));
     RsSimulation_Free(sim);
 }
 
@@ -80,7 +55,7 @@
 static void
 test_owner_gets_keys_of_a_replaced_target_with_a_grant_in_flight(void)
 {
-    struct rs_simulation *sim = new_settled_simulation(false);
+    struct rs_simulation *sim = RsSimulation_NewSettled(FORMER_TARGET, false);
     RsSimulation_InjectFault(sim, RsFixture_TARGET_CUT_OFF, FORMER_TARGET,
                              CUT_OFF_MS);
     RsSimulation_Advance(sim, 50);
@@ -89,7 +64,7 @@
     RsSimulation_ReplaceTarget(sim, FORMER_TARGET);
     RsSimulation_Advance(sim, 5000);
     CU_ASSERT_TRUE(RsSimulation_Holds(sim, OWNER_TARGET, 0));
-    check_violation(sim);
+    CU_ASSERT_TRUE(RsSimulation_IsSound(sim));
     RsSimulation_Free(sim);
 }
 
@@ -99,14 +74,15 @@
 test_lapse_of_unproven_keys_with_a_grant_in_flight(void)
 {
     for (int64_t cut_off_ms = 15500; cut_off_ms < 16100; cut_off_ms += 100) {
-        struct rs_simulation *sim = new_settled_simulation(false);
+        struct rs_simulation *sim =
+            RsSimulation_NewSettled(FORMER_TARGET, false);
         RsSimulation_InjectFault(sim, RsFixture_STORE_RESTORED, 5, 100);
         RsSimulation_Advance(sim, cut_off_ms - 15500);
         RsSimulation_InjectFault(sim, RsFixture_TARGET_CUT_OFF, FORMER_TARGET,
                                  cut_off_ms);
         RsSimulation_Advance(sim, cut_off_ms + 3000);
         CU_ASSERT_TRUE(RsSimulation_Holds(sim, FORMER_TARGET, 0));
-        check_violation(sim);
+        CU_ASSERT_TRUE(RsSimulation_IsSound(sim));
         RsSimulation_Free(sim);
     }
 }
--- a/router/node.c
+++ b/router/node.c
@@ -23,12 +23,6 @@
 #define TICK_MS 25 /* how often the deadlines of requests are checked */
 /* Disconnected callers are detected within 100 ms. */
 #define CALLER_CHECK_EVERY_TICKS 4
-/* Minimum interval between reports to the granter; target queues change within
- * that time. */
-#define REPORT_EVERY_MS 150
-/* The report interval is at least this times the number of nodes, so that the
- * granter receives at most 200 reports per second. */
-#define REPORT_EVERY_MS_PER_NODE 5
 /* Key owners are planned every 300 ms. Key rates combine moving averages over
  * 1.5 s and 5 s (router/reports.c). */
 #define PLAN_EVERY_TICKS 12
@@ -589,8 +583,7 @@
     }
     node->router.has_news = false;
     node->next_report_at_ms =
-        now_ms + MAX(REPORT_EVERY_MS,
-                     node->router.share.nodes * REPORT_EVERY_MS_PER_NODE);
+        now_ms + RsReports_IntervalMs(node->router.share.nodes);
     struct sockaddr_in address;
     const struct rs_granter_lease *holder = &node->granter.holder;
     if (RsGranter_HasAuthority(&node->granter, now_ms)) {
--- a/router/probe.c
+++ b/router/probe.c
@@ -99,7 +99,7 @@
 
 /* Connects to a target. */
 static struct probe *
-start(struct rs_router *router, struct rs_fleet_target *target)
+start_probe(struct rs_router *router, struct rs_fleet_target *target)
 {
     struct probe *probe = g_new0(struct probe, 1);
     const struct rs_http_options http = {
@@ -127,7 +127,7 @@
 {
     struct rs_fleet_target *target = choose_target(router);
     if (target != NULL) {
-        start(router, target);
+        start_probe(router, target);
     }
 }
 
@@ -136,5 +136,6 @@
 void
 RsProbe_FindEnd(struct rs_router *router, struct rs_fleet_target *target)
 {
-    start(router, target)->started_wall_ms = target->report.started_wall_ms;
+    start_probe(router, target)->started_wall_ms =
+        target->report.started_wall_ms;
 }
--- a/router/reports.c
+++ b/router/reports.c
@@ -21,6 +21,12 @@
 /* The interval between the reports of a node is 5 ms times the number of nodes
  * (see router/node.c); two of them may be lost. */
 #define COLLECT_MS_PER_NODE 15
+/* Minimum interval between reports to the granter; target queues change within
+ * that time. */
+#define REPORT_EVERY_MS 150
+/* The report interval is at least this times the number of nodes, so that the
+ * granter receives at most 200 reports per second. */
+#define REPORT_EVERY_MS_PER_NODE 5
 #define MS_PER_S 1000.0
 /* Time constants of the moving averages of key rates. The short one shows
  * within a second that a key has become busy, but in it random variation makes
@@ -93,6 +99,13 @@
     GHashTable *reported;
 };
 
+/* Returns the interval between the reports of a node. */
+uint32_t
+RsReports_IntervalMs(uint32_t nodes)
+{
+    return MAX(nodes * REPORT_EVERY_MS_PER_NODE, REPORT_EVERY_MS);
+}
+
 struct datagram {
     uv_udp_send_t send;
     char data[];
@@ -351,7 +364,9 @@
 list_suspects(const struct rs_reports *reports, int64_t now_ms)
 {
     GPtrArray *items = g_ptr_array_new_with_free_func(free_suspect);
-    GPtrArray *due = RsSuspects_ListDue(&reports->router->suspects, now_ms);
+    const struct rs_router *router = reports->router;
+    GPtrArray *due = RsSuspects_ListDue(
+        &router->suspects, RsReports_IntervalMs(router->share.nodes), now_ms);
     for (guint i = 0; i < due->len; i++) {
         g_ptr_array_add(items,
                         encode_suspect(g_ptr_array_index(due, i), now_ms));
--- a/router/reports.h
+++ b/router/reports.h
@@ -26,6 +26,8 @@
                                   uint64_t incarnation,
                                   rs_reports_peer_handler on_peer, void *arg);
 
+uint32_t RsReports_IntervalMs(uint32_t nodes);
+
 /* Sends this node's report to the granter, or processes it if `granter` is
  * NULL, which means that this node is the granter. */
 void RsReports_Send(struct rs_reports *reports,
--- a/router/suspects.c
+++ b/router/suspects.c
@@ -21,11 +21,14 @@
 #define MAX_BREAKS 512
 #define MAX_ENDED 512
 #define MAX_SUSPECTS 256
-/* A change is told with all messages of this time, so that one that is lost
- * doesn't matter, and afterwards with one of TURNS, for nodes that start. */
-#define TELL_CHANGES_MS 600
-#define TURN_MS 200
+/* A change is told with this many messages in a row, as some may be lost, and
+ * afterwards in one of TURNS, for nodes that start. A turn is longer than the
+ * interval between two messages. */
+#define TELL_CHANGES 4
+#define TURN_PERCENT 140 /* of that interval */
 #define TURNS 16
+/* A request that is not refused is forgotten after this time without news. */
+#define FORGET_MS 3600000
 
 /* A connection that broke while a request was in flight on it. */
 struct break_record {
@@ -169,6 +172,53 @@
     g_hash_table_add(suspects->ended, key);
 }
 
+/* Returns when the next trial of a request begins, or 0 if it is on trial. */
+static int64_t
+next_trial_at_ms(const struct rs_suspect *suspect, int64_t now_ms)
+{
+    int64_t slot = (int64_t)(suspect->fingerprint % TRIAL_SLOTS);
+    int64_t trial_at_ms =
+        last_crash_at_ms(suspect) + TRIALS_AFTER_MS + slot * TRIAL_MS;
+    while (now_ms >= trial_at_ms + TRIAL_MS) {
+        trial_at_ms += TRIAL_SLOTS * TRIAL_MS;
+    }
+    return now_ms >= trial_at_ms ? 0 : trial_at_ms;
+}
+
+/* Returns until when a request is refused, 0 if it is not. */
+static int64_t
+refused_until_ms(const struct rs_suspect *suspect, int64_t now_ms)
+{
+    if (suspect->crash_count < MIN_CRASHES) {
+        return 0;
+    }
+    if (suspect->crash_count == MIN_CRASHES) {
+        return next_trial_at_ms(suspect, now_ms);
+    }
+    uint32_t doublings =
+        MIN(suspect->crash_count - MIN_CRASHES - 1, MAX_DOUBLINGS);
+    int64_t until_ms =
+        last_crash_at_ms(suspect) + ((int64_t)FIRST_REFUSAL_MS << doublings);
+    return now_ms < until_ms ? until_ms : 0;
+}
+
+static gboolean
+is_forgotten(gpointer key, gpointer value, gpointer data)
+{
+    const struct rs_suspect *suspect = value;
+    int64_t now_ms = *(const int64_t *)data;
+    return now_ms - suspect->changed_at_ms > FORGET_MS &&
+           (suspect->crash_count <= MIN_CRASHES ||
+            refused_until_ms(suspect, now_ms) == 0);
+}
+
+/* Forgets requests of which nothing was heard for long. */
+static void
+forget_old(struct rs_suspects *suspects, int64_t now_ms)
+{
+    g_hash_table_foreach_remove(suspects->suspects, is_forgotten, &now_ms);
+}
+
 /* Drops breaks that are too old, or the oldest if there are too many. */
 static void
 drop_old_breaks(struct rs_suspects *suspects, int64_t now_ms)
@@ -220,6 +270,7 @@
     GArray *breaks = suspects->breaks;
     bool any = false;
     drop_old_breaks(suspects, now_ms);
+    forget_old(suspects, now_ms);
     for (guint i = breaks->len; i > 0; i--) {
         struct break_record record =
             g_array_index(breaks, struct break_record, i - 1);
@@ -274,6 +325,7 @@
     if (suspect == NULL && other->crash_count == 0) {
         return;
     }
+    forget_old(suspects, now_ms);
     suspect = get_or_create(suspects, other->fingerprint);
     if (other->answered_at_ms > suspect->answered_at_ms &&
         suspect->crash_count > 0) {
@@ -290,18 +342,22 @@
 }
 
 /* Returns the requests (struct rs_suspect) that other nodes are to be told of
- * now. The caller releases the list with g_ptr_array_unref(). */
+ * now, given the interval between two messages to the same node. The caller
+ * releases the list with g_ptr_array_unref(). */
 GPtrArray *
-RsSuspects_ListDue(const struct rs_suspects *suspects, int64_t now_ms)
+RsSuspects_ListDue(const struct rs_suspects *suspects, uint32_t interval_ms,
+                   int64_t now_ms)
 {
     GPtrArray *due = g_ptr_array_new();
-    uint64_t turn = (uint64_t)(now_ms / TURN_MS) % TURNS;
+    int64_t turn_ms = (int64_t)interval_ms * TURN_PERCENT / 100;
+    uint64_t turn = (uint64_t)(now_ms / turn_ms) % TURNS;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, suspects->suspects);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct rs_suspect *suspect = value;
-        if (now_ms - suspect->changed_at_ms < TELL_CHANGES_MS ||
+        if (now_ms - suspect->changed_at_ms <
+                (int64_t)interval_ms * TELL_CHANGES ||
             suspect->fingerprint % TURNS == turn) {
             g_ptr_array_add(due, value);
         }
@@ -316,34 +372,11 @@
     return g_hash_table_size(suspects->suspects) == 0;
 }
 
-/* Returns when the next trial of a request begins, or 0 if it is on trial. */
-static int64_t
-next_trial_at_ms(const struct rs_suspect *suspect, int64_t now_ms)
-{
-    int64_t slot = (int64_t)(suspect->fingerprint % TRIAL_SLOTS);
-    int64_t trial_at_ms =
-        last_crash_at_ms(suspect) + TRIALS_AFTER_MS + slot * TRIAL_MS;
-    while (now_ms >= trial_at_ms + TRIAL_MS) {
-        trial_at_ms += TRIAL_SLOTS * TRIAL_MS;
-    }
-    return now_ms >= trial_at_ms ? 0 : trial_at_ms;
-}
-
 /* Returns until when the request is refused, 0 if it is not. */
 int64_t
 RsSuspects_RefusedUntilMs(const struct rs_suspects *suspects,
                           uint64_t fingerprint, int64_t now_ms)
 {
     const struct rs_suspect *suspect = find(suspects, fingerprint);
-    if (suspect == NULL || suspect->crash_count < MIN_CRASHES) {
-        return 0;
-    }
-    if (suspect->crash_count == MIN_CRASHES) {
-        return next_trial_at_ms(suspect, now_ms);
-    }
-    uint32_t doublings =
-        MIN(suspect->crash_count - MIN_CRASHES - 1, MAX_DOUBLINGS);
-    int64_t until_ms =
-        last_crash_at_ms(suspect) + ((int64_t)FIRST_REFUSAL_MS << doublings);
-    return now_ms < until_ms ? until_ms : 0;
+    return suspect != NULL ? refused_until_ms(suspect, now_ms) : 0;
 }
--- a/router/suspects.h
+++ b/router/suspects.h
@@ -59,7 +59,7 @@
 void RsSuspects_Merge(struct rs_suspects *suspects,
                       const struct rs_suspect *other, int64_t now_ms);
 GPtrArray *RsSuspects_ListDue(const struct rs_suspects *suspects,
-                              int64_t now_ms);
+                              uint32_t interval_ms, int64_t now_ms);
 
 /* Queries. */
 bool RsSuspects_IsEmpty(const struct rs_suspects *suspects);
--- a/router/suspects_test.c
+++ b/router/suspects_test.c
@@ -6,6 +6,7 @@
 #define REQUEST 7
 #define OTHER_REQUEST 8
 #define STARTED_MS 100
+#define INTERVAL_MS 150 /* between two messages to a node */
 
 /* The request was in flight at a process of a target when it ended. */
 static void
@@ -144,7 +145,7 @@
 static void
 tell(const struct rs_suspects *from, struct rs_suspects *to, int64_t now_ms)
 {
-    GPtrArray *due = RsSuspects_ListDue(from, now_ms);
+    GPtrArray *due = RsSuspects_ListDue(from, INTERVAL_MS, now_ms);
     for (guint i = 0; i < due->len; i++) {
         RsSuspects_Merge(to, g_ptr_array_index(due, i), now_ms);
     }
@@ -190,7 +191,7 @@
     crash(&known, REQUEST, "c", 3000);
     size_t told = 0;
     for (int64_t now_ms = 20000; now_ms < 24000; now_ms += 150) {
-        GPtrArray *due = RsSuspects_ListDue(&known, now_ms);
+        GPtrArray *due = RsSuspects_ListDue(&known, INTERVAL_MS, now_ms);
         told += due->len;
         g_ptr_array_unref(due);
         tell(&known, &started, now_ms);
@@ -201,6 +202,38 @@
     RsSuspects_Clear(&started);
 }
 
+/* With many nodes, each is told less often. */
+static void
+test_changes_are_told_at_any_interval(void)
+{
+    for (uint32_t interval_ms = 150; interval_ms < 20000; interval_ms *= 3) {
+        struct rs_suspects suspects;
+        uint32_t told = 0;
+        RsSuspects_Init(&suspects);
+        crash(&suspects, REQUEST, "a", 100000);
+        for (uint32_t i = 0; i < 40; i++) {
+            GPtrArray *due = RsSuspects_ListDue(
+                &suspects, interval_ms, 100100 + (int64_t)i * interval_ms);
+            told += due->len;
+            CU_ASSERT_TRUE(i >= 3 || due->len == 1);
+            g_ptr_array_unref(due);
+        }
+        CU_ASSERT_TRUE(told >= 4 && told <= 10);
+        RsSuspects_Clear(&suspects);
+    }
+}
+
+static void
+test_old_suspects_are_forgotten(void)
+{
+    struct rs_suspects suspects;
+    RsSuspects_Init(&suspects);
+    crash(&suspects, REQUEST, "a", 1000);
+    crash(&suspects, OTHER_REQUEST, "b", 3602000);
+    CU_ASSERT_EQUAL(g_hash_table_size(suspects.suspects), 1);
+    RsSuspects_Clear(&suspects);
+}
+
 static void
 test_memory_is_bounded(void)
 {
@@ -230,6 +263,8 @@
     CU_ADD_TEST(suite, test_answer_clears_a_request);
     CU_ADD_TEST(suite, test_nodes_together_know_all_crashes);
     CU_ADD_TEST(suite, test_old_suspects_are_told_in_turns);
+    CU_ADD_TEST(suite, test_changes_are_told_at_any_interval);
+    CU_ADD_TEST(suite, test_old_suspects_are_forgotten);
     CU_ADD_TEST(suite, test_memory_is_bounded);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
