--- a/router/suspects.c
+++ b/router/suspects.c
@@ -176,13 +176,15 @@
 static int64_t
 next_trial_at_ms(const struct rs_suspect *suspect, int64_t now_ms)
 {
+    const int64_t cycle_ms = (int64_t)TRIAL_SLOTS * TRIAL_MS;
     int64_t slot = (int64_t)(suspect->fingerprint % TRIAL_SLOTS);
-    int64_t trial_at_ms =
+    int64_t first_at_ms =
         last_crash_at_ms(suspect) + TRIALS_AFTER_MS + slot * TRIAL_MS;
-    while (now_ms >= trial_at_ms + TRIAL_MS) {
-        trial_at_ms += TRIAL_SLOTS * TRIAL_MS;
+    if (now_ms < first_at_ms) {
+        return first_at_ms;
     }
-    return now_ms >= trial_at_ms ? 0 : trial_at_ms;
+    int64_t phase_ms = (now_ms - first_at_ms) % cycle_ms;
+    return phase_ms < TRIAL_MS ? 0 : now_ms - phase_ms + cycle_ms;
 }
 
 /* Returns until when a request is refused, 0 if it is not. */
