--- a/router/orders_test.c
+++ b/router/orders_test.c
@@ -78,6 +78,7 @@
     RsFixture_Report(&fixture->router.fleet, &report, RsClock_NowMs());
     fixture->granter.phase = RsGranter_LEADING;
     fixture->granter.authority_until_ms = INT64_MAX;
+    fixture->granter.commit_in_flight = true; /* it sends no other */
     RsOrders_Init(&fixture->orders, &fixture->router, &fixture->granter);
 }
 
