--- a/settings/node.c
+++ b/settings/node.c
@@ -13,12 +13,22 @@
 /* With less, nodes could not stop in time, as they learn of a change of the
  * target table up to half a second late. */
 #define MIN_DRAIN_MS 1000
+#define DEFAULT_QUOTA_WINDOW_S 5
+#define DEFAULT_REVOKE_MS 5000
 
 #define TEXT(type, member) RsYaml_TEXT(struct type, member, CYAML_FLAG_DEFAULT)
 #define NUMBER(type, member)                                                  \
     RsYaml_NUMBER(struct type, member, CYAML_FLAG_DEFAULT)
 #define FLOAT(type, member)                                                   \
     CYAML_FIELD_FLOAT(#member, CYAML_FLAG_DEFAULT, struct type, member)
+#define OPTIONAL_NUMBER(type, member)                                         \
+    RsYaml_NUMBER(struct type, member, CYAML_FLAG_OPTIONAL)
+#define OPTIONAL_FLOAT(type, member)                                          \
+    CYAML_FIELD_FLOAT(#member, CYAML_FLAG_OPTIONAL, struct type, member)
+#define OPTIONAL_TRUTH(type, member)                                          \
+    CYAML_FIELD_ENUM(#member, CYAML_FLAG_OPTIONAL | CYAML_FLAG_STRICT,        \
+                     struct type, member, truth_values,                       \
+                     CYAML_ARRAY_LEN(truth_values))
 #define GROUP(member, schema_fields)                                          \
     CYAML_FIELD_MAPPING(#member, CYAML_FLAG_DEFAULT, struct rs_node_settings, \
                         member, schema_fields)
@@ -33,6 +43,7 @@
     TEXT(rs_node_identity, address),
     FLOAT(rs_node_identity, cpu_share),
     FLOAT(rs_node_identity, link_mbps),
+    OPTIONAL_NUMBER(rs_node_identity, memory_mb),
     CYAML_FIELD_ENUM("bootstrap", CYAML_FLAG_STRICT, struct rs_node_identity,
                      bootstrap, truth_values, CYAML_ARRAY_LEN(truth_values)),
     CYAML_FIELD_END};
@@ -54,11 +65,24 @@
     NUMBER(rs_node_bounds, retry_slack),
     FLOAT(rs_node_bounds, cold_factor),
     NUMBER(rs_node_bounds, cold_slack),
+    OPTIONAL_NUMBER(rs_node_bounds, quota_window_s),
+    OPTIONAL_FLOAT(rs_node_bounds, quota_overage),
+    OPTIONAL_NUMBER(rs_node_bounds, quota_slack),
+    OPTIONAL_TRUTH(rs_node_bounds, strict_revoke),
+    OPTIONAL_NUMBER(rs_node_bounds, revoke_ms),
     CYAML_FIELD_END};
 
+static const cyaml_schema_field_t load_schema[] = {
+    OPTIONAL_TRUTH(rs_node_load, adaptive), CYAML_FIELD_END};
+
 static const cyaml_schema_field_t settings_schema[] = {
-    GROUP(node, node_schema), GROUP(listen, listen_schema),
-    GROUP(store, store_schema), GROUP(bounds, bounds_schema), CYAML_FIELD_END};
+    GROUP(node, node_schema),
+    GROUP(listen, listen_schema),
+    GROUP(store, store_schema),
+    GROUP(bounds, bounds_schema),
+    CYAML_FIELD_MAPPING("load", CYAML_FLAG_OPTIONAL, struct rs_node_settings,
+                        load, load_schema),
+    CYAML_FIELD_END};
 
 static const cyaml_schema_value_t schema = {CYAML_VALUE_MAPPING(
     CYAML_FLAG_POINTER, struct rs_node_settings, settings_schema)};
@@ -131,7 +155,8 @@
     if (bounds->retry_window_s == 0) {
         return set_fault(fault, "bounds.retry_window_s", "0", "1 or more");
     }
-    if (bounds->retry_ratio < 0 || bounds->cold_factor < 0) {
+    if (bounds->retry_ratio < 0 || bounds->cold_factor < 0 ||
+        bounds->quota_overage < 0) {
         return set_fault(fault, "bounds", "negative", "0 or more");
     }
     return 0;
@@ -167,6 +192,18 @@
     return status == 0 ? check_bounds(&settings->bounds, fault) : status;
 }
 
+/* Sets the bounds that the file may leave out. */
+static void
+set_defaults(struct rs_node_bounds *bounds)
+{
+    if (bounds->quota_window_s == 0) {
+        bounds->quota_window_s = DEFAULT_QUOTA_WINDOW_S;
+    }
+    if (bounds->revoke_ms == 0) {
+        bounds->revoke_ms = DEFAULT_REVOKE_MS;
+    }
+}
+
 /* Loads and checks a settings file. On success, sets `*out`, which the caller
  * frees with RsNodeSettings_Free(), and returns 0. Otherwise returns
  * RsSettings_UNREADABLE or RsSettings_INVALID, describes the error in `*fault`
@@ -190,6 +227,7 @@
         RsNodeSettings_Free(settings);
         return status;
     }
+    set_defaults(&settings->bounds);
     *out = settings;
     return 0;
 }
--- a/settings/node.h
+++ b/settings/node.h
@@ -13,10 +13,11 @@
 
 struct rs_node_identity {
     char *name;
-    char *zone;      /* the failure domain of this VM */
-    char *address;   /* IPv4 address */
-    float cpu_share; /* cores available to this VM, e.g. 0.2 */
-    float link_mbps; /* bandwidth of this VM's network link */
+    char *zone;         /* the failure domain of this VM */
+    char *address;      /* IPv4 address */
+    float cpu_share;    /* cores available to this VM, e.g. 0.2 */
+    float link_mbps;    /* bandwidth of this VM's network link */
+    uint32_t memory_mb; /* memory available to the process; 0: not stated */
     /* The whole system starts for the first time, so the store can't have lost
      * anything of it. */
     bool bootstrap;
@@ -52,6 +53,22 @@
      * multiple of the warm-up rate of its service. */
     float cold_factor;
     uint32_t cold_slack; /* requests per second beyond this rate */
+    /* In any `quota_window_s`, all nodes together send at most (quota x window
+     * + burst) x (1 + `quota_overage`) + `quota_slack` requests of a
+     * workspace. */
+    uint32_t quota_window_s;
+    float quota_overage;
+    uint32_t quota_slack;
+    /* API keys are not trusted while the configuration has not been confirmed
+     * as current for `revoke_ms`. */
+    bool strict_revoke;
+    uint32_t revoke_ms;
+};
+
+/* How load is spread. */
+struct rs_node_load {
+    /* Learn how many requests at once each target answers in time. */
+    bool adaptive;
 };
 
 struct rs_node_settings {
@@ -59,6 +76,7 @@
     struct rs_node_listen listen;
     struct rs_node_store store;
     struct rs_node_bounds bounds;
+    struct rs_node_load load;
 };
 
 int RsNodeSettings_Load(const char *path, struct rs_node_settings **out,
