Hold back from cold targets while a node has a new place

Senders now use the order without gaps, which stays while a new granter collects reports; a node whose place in it has changed waits for a second, and one that has none yet sends nothing to cold targets. The order without gaps alone had not been enough, as a restarted node could take the place of another.

--- a/router/load.c
+++ b/router/load.c
@@ -54,6 +54,10 @@
 /* Share of the bound on a cold target that is used, since requests sent in two
  * different seconds may arrive in the same one. */
 #define COLD_BOUND_SHARE 0.6
+/* A node that gets another place among the senders to cold targets holds back
+ * for this long. The bound is on the requests in one second, in which the node
+ * that had the place before may have sent some. */
+#define PLACE_SETTLE_MS 1000
 /* Callers are told to retry after a random share of their remaining time
  * between these two, at most a third of it. */
 #define MIN_RETRY_SHARE 0.12
@@ -184,6 +188,21 @@
     return true;
 }
 
+/* Replaces the share of this node by a newer one. `update` need not have a
+ * `place_since_ms`. */
+void
+RsLoad_UpdateShare(struct rs_load_share *share,
+                   const struct rs_load_share *update, int64_t now_ms)
+{
+    int64_t since_ms = share->place_since_ms;
+    if (share->stable_rank != update->stable_rank ||
+        share->ranked != update->ranked) {
+        since_ms = now_ms;
+    }
+    *share = *update;
+    share->place_since_ms = since_ms;
+}
+
 /* Returns how many nodes may send to one cold target at all, so that together
  * they stay within the bound in each second. */
 static double
@@ -191,7 +210,7 @@
 {
     double bound = input->cold_per_s * input->bounds.cold_factor +
                    input->bounds.cold_slack;
-    return MIN(input->share.nodes, MAX(1.0, floor(bound * COLD_BOUND_SHARE)));
+    return MIN(input->share.ranked, MAX(1.0, floor(bound * COLD_BOUND_SHARE)));
 }
 
 /* Returns the number of a node, from 0, in an order of all nodes that differs
@@ -231,7 +250,8 @@
 
 /* Returns whether this node may send a request to a target now, as far as the
  * target's warm-up is concerned. Cold targets are still warming up and bear a
- * limited request rate; to other targets a node may always send. */
+ * limited request rate; to other targets a node may always send. A node that
+ * has no place among all nodes yet sends nothing to cold targets. */
 bool
 RsLoad_MaySendToCold(const struct rs_fleet_target *target,
                      const struct rs_load_choice_input *input, int64_t now_ms)
@@ -239,8 +259,14 @@
     if (now_ms >= target->cold_until_ms) {
         return true;
     }
+    const struct rs_load_share *share = &input->share;
+    bool is_settled = share->place_since_ms == 0 ||
+                      now_ms >= share->place_since_ms + PLACE_SETTLE_MS;
+    if (share->ranked == 0 || !is_settled) {
+        return false;
+    }
     uint32_t sender_rank =
-        sender_rank_of(target, input->share.rank, input->share.nodes);
+        sender_rank_of(target, share->stable_rank, share->ranked);
     double senders = max_cold_senders(input);
     /* The target may have received as many requests as it bears in the second
      * before it turned cold, so the senders start one after the other. */
--- a/router/load.h
+++ b/router/load.h
@@ -24,6 +24,9 @@
      */
     uint32_t stable_rank;
     uint32_t ranked;
+    /* Since when this node has had its place among the senders to cold
+     * targets; 0: always. */
+    int64_t place_since_ms;
 };
 
 struct rs_load_bounds {
@@ -54,6 +57,8 @@
     RsLoad_NONE, /* no target takes work, or all are excluded or avoided */
 };
 
+void RsLoad_UpdateShare(struct rs_load_share *share,
+                        const struct rs_load_share *update, int64_t now_ms);
 double RsLoad_CountOutstanding(const struct rs_fleet_target *target,
                                int64_t now_ms);
 double RsLoad_ServiceMs(const struct rs_fleet_target *target);
--- a/router/reports.c
+++ b/router/reports.c
@@ -694,8 +694,9 @@
         send_to(reports, from, &summary.base);
     }
     else {
-        reports->router->share =
+        const struct rs_load_share share =
             decode_share(&summary, &reports->router->share);
+        RsLoad_UpdateShare(&reports->router->share, &share, now_ms);
         apply_own_totals(reports, now_ms);
     }
     g_ptr_array_unref(limits);
@@ -713,7 +714,8 @@
     if (summary->incarnation != reports->incarnation || summary->nodes == 0) {
         return;
     }
-    router->share = decode_share(summary, &router->share);
+    const struct rs_load_share share = decode_share(summary, &router->share);
+    RsLoad_UpdateShare(&router->share, &share, now_ms);
     for (size_t i = 0; i < summary->n_peers; i++) {
         reports->on_peer(reports->arg, summary->peers[i]);
     }
--- a/router/router.c
+++ b/router/router.c
@@ -1,5 +1,6 @@
 #include "router/router.h"
 
+#include "core/clock.h"
 #include "core/log.h"
 
 /* Weight of a new sample in the moving average, which covers about the last 20
@@ -33,7 +34,8 @@
         .loop = loop,
         .settings = settings,
         .zone = g_intern_string(settings->node.zone),
-        .share = {.nodes = RsRouter_ASSUMED_NODES},
+        .share = {.nodes = RsRouter_ASSUMED_NODES,
+                  .place_since_ms = RsClock_NowMs()},
         .random = g_rand_new(),
     };
     router->paths = (struct rs_paths){
