Check callers' API keys and tell targets the workspace

With workspaces in the configuration, a request needs one valid API key unless its route is public; anything else gets 401 before a target is chosen. Targets get the name of the workspace instead of the key. The key is checked again before each send, retry and hedge, so that one that was revoked meanwhile is noticed.

request->workspace and request->rank are there for quotas and queueing.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -45,8 +45,13 @@
  * Hop-by-hop headers, Expect and those that this node sets itself are not
  * forwarded. */
 static bool
-is_forwarded_header(const char *name)
+is_forwarded_header(const struct rs_request *request, const char *name)
 {
+    if (request->hides_credentials &&
+        (g_ascii_strcasecmp(name, RsWire_AUTHORIZATION) == 0 ||
+         g_ascii_strcasecmp(name, RsWire_WORKSPACE) == 0)) {
+        return false;
+    }
     return !RsRequest_IsHopByHop(name) &&
            g_ascii_strcasecmp(name, RsWire_DEADLINE) != 0 &&
            g_ascii_strcasecmp(name, RsWire_TARGET_ID) != 0 &&
@@ -71,7 +76,7 @@
          i++) {
         const h2o_header_t *header = &http->headers.entries[i];
         const char *name = copy_to_pool(http, *header->name);
-        if (is_forwarded_header(name)) {
+        if (is_forwarded_header(request, name)) {
             attempt->headers[count++] = (struct rs_http_header){
                 name, copy_to_pool(http, header->value)};
         }
@@ -85,6 +90,10 @@
         (struct rs_http_header){RsWire_DEADLINE, attempt->deadline_text};
     attempt->headers[count++] =
         (struct rs_http_header){RsWire_TARGET_ID, attempt->target->id};
+    if (request->workspace != NULL) {
+        attempt->headers[count++] = (struct rs_http_header){
+            RsWire_WORKSPACE, request->workspace->name};
+    }
     attempt->message = (struct rs_http_request){
         .method = copy_to_pool(http, http->input.method),
         .path = copy_to_pool(http, http->input.path),
@@ -247,13 +256,17 @@
 /* Sends the request to a target. If none has room, or the expected latency
  * exceeds the time left, the request waits until its `wait_until_ms` and is
  * refused after that. It is refused at once when there is no target, when all
- * attempts are used up or when its key's owner is overloaded. */
+ * attempts are used up or when its key's owner is overloaded, and rejected
+ * when its API key is no longer valid. */
 void
 RsAttempt_Dispatch(struct rs_request *request, int64_t now_ms)
 {
     const char *tried[RsRequest_MAX_ATTEMPTS];
     struct rs_load_choice_input input = make_choice_input(request, tried);
     struct rs_fleet_target *target = NULL;
+    if (RsRequest_RejectIfUnauthorized(request, now_ms)) {
+        return;
+    }
     if (request->attempt_count == RsRequest_MAX_ATTEMPTS) {
         RsReply_Refuse(request, "no-target-reached");
         return;
@@ -332,8 +345,8 @@
 }
 
 /* Starts a hedged attempt if the only attempt so far is late, another target
- * has a free slot and the retry budget allows it. Only requests on idempotent
- * routes, to services without keys, are hedged. */
+ * has a free slot, the API key is still valid and the retry budget allows it.
+ * Only requests on idempotent routes, to services without keys, are hedged. */
 void
 RsAttempt_HedgeIfLate(struct rs_request *request, int64_t now_ms)
 {
@@ -354,6 +367,7 @@
     struct rs_load_choice_input input = make_choice_input(request, tried);
     if (RsLoad_Choose(&input, now_ms, &target) == RsLoad_SEND &&
         RsLoad_CountOutstanding(target, now_ms) < target->report.slots &&
+        RsRequest_CheckApiKey(request, now_ms) == RsWorkspaces_ADMITTED &&
         take_retry(request, now_ms)) {
         RsLog_EVENT(RsLog_INFO, "hedged",
                     RsLog_TEXT("request_id", request->id),
--- a/router/node.c
+++ b/router/node.c
@@ -173,8 +173,7 @@
                 RsLog_NUMBER("row_version", RsStore_Number(row->version)),
                 RsLog_NUMBER("routes", config->route_count),
                 RsLog_NUMBER("services", config->service_count));
-    RsRouting_Release(node->router.config);
-    node->router.config = config;
+    RsRouter_SetConfig(&node->router, config);
     RsServer_SetIdleTimeout(node->callers, config->idle_timeout_ms);
     return RsTableCopy_CHANGED;
 }
@@ -731,6 +730,9 @@
     struct node *node = timer->data;
     int64_t now_ms = RsClock_NowMs();
     node->ticks++;
+    RsWorkspaces_RecordConfirmed(
+        &node->router.workspaces,
+        RsFollower_FreshAtMs(node->operator_follower));
     check_links(node, now_ms);
     RsRequest_Tick(&node->router, now_ms);
     if (node->ticks % CALLER_CHECK_EVERY_TICKS == 0) {
--- a/router/reply.c
+++ b/router/reply.c
@@ -10,6 +10,7 @@
 #include "platform/wire.h"
 #include "router/request.h"
 
+#define STATUS_UNAUTHORIZED 401
 #define STATUS_REFUSED 503
 #define MS_PER_S 1000.0
 /* A response is buffered until it is complete or has reached this size, so
@@ -55,6 +56,10 @@
     RsAttempt_CancelOthers(request, NULL);
     request->http->res.headers = (h2o_headers_t){0};
     add_router_headers(request);
+    if (status == STATUS_UNAUTHORIZED) {
+        RsServer_AddHeader(request->http, RsWire_AUTHENTICATE,
+                           RsWire_API_KEY_SCHEME);
+    }
     if (status == STATUS_REFUSED) {
         char seconds[24];
         uint32_t after_ms = retry_after_ms(request);
--- a/router/request.c
+++ b/router/request.c
@@ -28,12 +28,14 @@
 /* Time allowed to a request until its route is known, and if the caller names
  * no deadline. */
 #define DEFAULT_DEADLINE_MS 3600000
+#define STATUS_UNAUTHORIZED 401
 #define STATUS_GATEWAY_TIMEOUT 504
 
 static void
 free_request(struct rs_request *request)
 {
     RsRouting_Release(request->config);
+    RsRouting_Release(request->identity);
     g_byte_array_unref(request->body);
     g_byte_array_unref(request->sending);
 }
@@ -174,6 +176,8 @@
                    request->route != NULL ? request->route->name : ""),
         RsLog_TEXT("service",
                    request->service != NULL ? request->service->name : ""),
+        RsLog_TEXT("workspace",
+                   request->workspace != NULL ? request->workspace->name : ""),
         RsLog_TEXT("target", target),
         RsLog_NUMBER("key", request->key == RsRequest_NO_KEY
                                 ? -1
@@ -242,6 +246,97 @@
     return true;
 }
 
+/* Returns the credentials that the request carries. They are valid as long as
+ * the request. */
+static struct rs_workspaces_credentials
+read_credentials(const h2o_req_t *http)
+{
+    struct rs_workspaces_credentials credentials = {0};
+    for (size_t i = 0; i < http->headers.size; i++) {
+        const h2o_header_t *header = &http->headers.entries[i];
+        if (header->name->len == strlen(RsWire_AUTHORIZATION) &&
+            g_ascii_strncasecmp(header->name->base, RsWire_AUTHORIZATION,
+                                header->name->len) == 0) {
+            credentials.value = header->value.base;
+            credentials.size_bytes = header->value.len;
+            credentials.count++;
+        }
+    }
+    return credentials;
+}
+
+/* Returns whether the request needs no API key. If the configuration has
+ * changed since the request arrived, the present route of the request decides,
+ * or if there is none, the former one. */
+static bool
+is_public(const struct rs_request *request)
+{
+    const struct rs_routing *config = request->router->config;
+    const h2o_req_t *http = request->http;
+    const struct rs_route *route = NULL;
+    if (config != request->config) {
+        route = RsRouting_Match(config, http->input.authority.base,
+                                http->input.authority.len,
+                                http->input.path.base, http->input.path.len);
+    }
+    return route != NULL ? route->is_public : request->route->is_public;
+}
+
+/* Checks the request's API key against the configuration in force, and sets
+ * its workspace. Must be called before each attempt, since the key may have
+ * been revoked. If the configuration no longer has workspaces, the request
+ * keeps the one it had. */
+enum rs_workspaces_verdict
+RsRequest_CheckApiKey(struct rs_request *request, int64_t now_ms)
+{
+    const struct rs_workspaces *workspaces = &request->router->workspaces;
+    struct rs_routing *config = request->router->config;
+    bool needs_key = config->has_workspaces && !is_public(request);
+    if (needs_key && !RsWorkspaces_IsConfirmed(workspaces, now_ms)) {
+        return RsWorkspaces_UNCONFIRMED;
+    }
+    if (config == request->identity) {
+        return RsWorkspaces_ADMITTED;
+    }
+    if (needs_key) {
+        const struct rs_workspaces_credentials credentials =
+            read_credentials(request->http);
+        const struct rs_workspace *workspace =
+            RsWorkspaces_Identify(workspaces, &credentials);
+        if (workspace == NULL) {
+            return RsWorkspaces_UNAUTHORIZED;
+        }
+        request->workspace = workspace;
+    }
+    else if (config->has_workspaces) {
+        request->workspace = NULL;
+    }
+    if (config->has_workspaces || request->identity == NULL) {
+        RsRouting_Release(request->identity);
+        request->identity = RsRouting_Retain(config);
+    }
+    request->hides_credentials |= config->has_workspaces;
+    return RsWorkspaces_ADMITTED;
+}
+
+/* Checks the request's API key. Sends an error response and returns true if
+ * the request must not be sent to a target. */
+bool
+RsRequest_RejectIfUnauthorized(struct rs_request *request, int64_t now_ms)
+{
+    switch (RsRequest_CheckApiKey(request, now_ms)) {
+    case RsWorkspaces_UNAUTHORIZED:
+        request->unauthorized = true;
+        RsReply_Reject(request, STATUS_UNAUTHORIZED, "unauthorized");
+        return true;
+    case RsWorkspaces_UNCONFIRMED:
+        RsReply_Refuse(request, "config-unconfirmed");
+        return true;
+    default:
+        return false;
+    }
+}
+
 /* Returns the value of a decimal header, or `fallback` if the header is absent
  * or not a number of 32 bits. */
 static uint32_t
@@ -286,9 +381,9 @@
         MIN(request->arrived_at_ms + wait_ms, request->deadline_ms);
 }
 
-/* Determines the route, service, key and deadlines of the request. If it has
- * no request id, or no valid route, service or key, sends an error response
- * and returns false. */
+/* Determines the route, workspace, service, key and deadlines of the request.
+ * If it has no request id, or no valid route, API key, service or key, sends
+ * an error response and returns false. */
 static bool
 resolve_route(struct rs_request *request)
 {
@@ -304,6 +399,10 @@
         RsReply_Reject(request, 404, "no-route");
         return false;
     }
+    if (RsRequest_RejectIfUnauthorized(request, request->arrived_at_ms)) {
+        return false;
+    }
+    request->rank = RsWorkspaces_Rank(request->workspace, request->route);
     if (request->id[0] == '\0') {
         RsReply_Reject(request, 400, "no-request-id");
         return false;
--- a/router/request.h
+++ b/router/request.h
@@ -10,7 +10,7 @@
 
 #define RsRequest_MAX_ATTEMPTS 4
 /* Maximum number of headers copied from the caller. An attempt has room for
- * four more, of which the router uses three. */
+ * four more, which the router sets itself. */
 #define RsRequest_MAX_HEADERS 44
 /* Maximum size of a request ID, including the terminating zero byte. */
 #define RsRequest_MAX_ID_BYTES 128
@@ -45,7 +45,18 @@
     struct rs_routing *config;
     const struct rs_route *route;
     const struct rs_service *service;
-    uint32_t key; /* RsRequest_NO_KEY unless the service is sharded */
+    /* Part of `identity`; NULL if the request needs no API key. */
+    const struct rs_workspace *workspace;
+    /* The configuration against which the API key was last checked. */
+    struct rs_routing *identity;
+    /* Of the workspace, or else of the route when the request arrived; 0 is
+     * the most urgent. */
+    uint32_t rank;
+    /* Credentials and the name of a workspace that the caller sent are not
+     * forwarded. */
+    bool hides_credentials;
+    bool unauthorized; /* it was answered with 401 */
+    uint32_t key;      /* RsRequest_NO_KEY unless the service is sharded */
     char id[RsRequest_MAX_ID_BYTES];
     uint64_t fingerprint; /* see RsRequest_Fingerprint(); 0: not computed */
     int64_t arrived_at_ms;
@@ -109,6 +120,10 @@
 void RsRequest_StopWaiting(struct rs_request *request);
 uint64_t RsRequest_Fingerprint(struct rs_request *request);
 bool RsRequest_RefuseIfSuspected(struct rs_request *request, int64_t now_ms);
+enum rs_workspaces_verdict RsRequest_CheckApiKey(struct rs_request *request,
+                                                 int64_t now_ms);
+bool RsRequest_RejectIfUnauthorized(struct rs_request *request,
+                                    int64_t now_ms);
 bool RsRequest_IsHopByHop(const char *header);
 void RsRequest_Finish(struct rs_request *request, int status,
                       const char *outcome);
--- a/router/router.c
+++ b/router/router.c
@@ -48,10 +48,23 @@
     router->requested_keys =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_array);
     RsSuspects_Init(&router->suspects);
+    RsWorkspaces_Init(&router->workspaces, settings->bounds.strict_revoke,
+                      settings->bounds.revoke_ms);
     g_queue_init(&router->active);
     g_queue_init(&router->waiting);
 }
 
+/* Puts a configuration in force, and takes ownership of it. Its API keys are
+ * held as digests only. */
+void
+RsRouter_SetConfig(struct rs_router *router, struct rs_routing *config)
+{
+    RsWorkspaces_SetConfig(&router->workspaces, config);
+    RsRouting_DropApiKeys(config);
+    RsRouting_Release(router->config);
+    router->config = config;
+}
+
 /* Returns the port on which each node opens tunnels, see router/tunnel.h. */
 uint32_t
 RsRouter_TunnelPort(const struct rs_router *router)
--- a/router/router.h
+++ b/router/router.h
@@ -19,6 +19,7 @@
 #include "router/paths.h"
 #include "router/shutdown.h"
 #include "router/suspects.h"
+#include "router/workspaces.h"
 #include "settings/node.h"
 
 /* Number of router nodes assumed until the granter reports the real number or
@@ -76,12 +77,14 @@
     struct rs_shutdown shutdown;
     struct rs_notice_counters notices;
     struct rs_suspects suspects;
+    struct rs_workspaces workspaces;
     bool has_news; /* the granter is to be sent a report at once */
     struct rs_router_counters counters;
 };
 
 void RsRouter_Init(struct rs_router *router, uv_loop_t *loop,
                    const struct rs_node_settings *settings);
+void RsRouter_SetConfig(struct rs_router *router, struct rs_routing *config);
 uint32_t RsRouter_TunnelPort(const struct rs_router *router);
 struct rs_router_service *RsRouter_GetOrCreateService(struct rs_router *router,
                                                       const char *service);
--- /dev/null
+++ b/router/workspaces.c
@@ -0,0 +1,179 @@
+#include "router/workspaces.h"
+
+#include <string.h>
+#include <sys/random.h>
+
+#include "core/log.h"
+#include "platform/wire.h"
+
+#define SHA256_BYTES 32
+/* The table of keys has at least this many entries for three keys, so that a
+ * lookup of an unknown key looks at nine entries on average at most. */
+#define ENTRIES_PER_3_KEYS 4
+
+/* Initializes an empty set of workspaces. `strict` and `revoke_ms`: see
+ * struct rs_workspaces. */
+void
+RsWorkspaces_Init(struct rs_workspaces *workspaces, bool strict,
+                  uint32_t revoke_ms)
+{
+    *workspaces = (struct rs_workspaces){
+        .checksum = g_checksum_new(G_CHECKSUM_SHA256),
+        .strict = strict,
+        .revoke_ms = revoke_ms,
+    };
+    ssize_t size = getrandom(workspaces->seed, sizeof(workspaces->seed), 0);
+    g_assert(size == sizeof(workspaces->seed));
+}
+
+/* Frees what the set of workspaces holds. */
+void
+RsWorkspaces_Clear(struct rs_workspaces *workspaces)
+{
+    g_checksum_free(workspaces->checksum);
+    g_free(workspaces->entries);
+}
+
+/* Computes the digest of a key: the first bytes of the SHA-256 hash of the
+ * seed and the key. */
+static void
+compute_digest(const struct rs_workspaces *workspaces, const char *key,
+               size_t key_bytes, uint8_t digest[RsWorkspaces_DIGEST_BYTES])
+{
+    uint8_t hash[SHA256_BYTES];
+    gsize hash_bytes = sizeof(hash);
+    g_checksum_reset(workspaces->checksum);
+    g_checksum_update(workspaces->checksum, workspaces->seed,
+                      sizeof(workspaces->seed));
+    g_checksum_update(workspaces->checksum, (const guchar *)key,
+                      (gssize)key_bytes);
+    g_checksum_get_digest(workspaces->checksum, hash, &hash_bytes);
+    memcpy(digest, hash, RsWorkspaces_DIGEST_BYTES);
+}
+
+/* Returns the entry with this digest, or else the unused entry where it
+ * belongs. */
+static struct rs_workspaces_entry *
+find_entry(const struct rs_workspaces *workspaces,
+           const uint8_t digest[RsWorkspaces_DIGEST_BYTES])
+{
+    uint64_t hash;
+    memcpy(&hash, digest, sizeof(hash));
+    size_t at = hash & workspaces->mask;
+    while (workspaces->entries[at].workspace != 0 &&
+           memcmp(workspaces->entries[at].digest, digest,
+                  RsWorkspaces_DIGEST_BYTES) != 0) {
+        at = (at + 1) & workspaces->mask;
+    }
+    return &workspaces->entries[at];
+}
+
+/* Adds a key of a workspace. A key that another workspace has already stays
+ * with that one. */
+static void
+add_key(struct rs_workspaces *workspaces, const char *key, size_t workspace)
+{
+    uint8_t digest[RsWorkspaces_DIGEST_BYTES];
+    size_t key_bytes = strlen(key);
+    compute_digest(workspaces, key, key_bytes, digest);
+    struct rs_workspaces_entry *entry = find_entry(workspaces, digest);
+    if (entry->workspace == 0) {
+        memcpy(entry->digest, digest, sizeof(entry->digest));
+        entry->workspace = (uint32_t)workspace + 1;
+        workspaces->max_key_bytes = MAX(workspaces->max_key_bytes, key_bytes);
+    }
+    else if (entry->workspace != workspace + 1) {
+        const struct rs_workspace *list = workspaces->config->workspaces;
+        RsLog_EVENT(RsLog_WARNING, "api_key_of_two_workspaces",
+                    RsLog_TEXT("workspace", list[entry->workspace - 1].name),
+                    RsLog_TEXT("other", list[workspace].name));
+    }
+}
+
+/* Replaces the known keys by those of `config`, which must stay valid until
+ * the next call. The keys of `config` are not needed afterwards. */
+void
+RsWorkspaces_SetConfig(struct rs_workspaces *workspaces,
+                       const struct rs_routing *config)
+{
+    size_t key_count = 0;
+    size_t entry_count = ENTRIES_PER_3_KEYS;
+    for (size_t i = 0; i < config->workspace_count; i++) {
+        key_count += g_strv_length(config->workspaces[i].api_keys);
+    }
+    while (entry_count * 3 < key_count * ENTRIES_PER_3_KEYS) {
+        entry_count *= 2;
+    }
+    g_free(workspaces->entries);
+    workspaces->entries = g_new0(struct rs_workspaces_entry, entry_count);
+    workspaces->mask = entry_count - 1;
+    workspaces->max_key_bytes = 0;
+    workspaces->config = config;
+    for (size_t i = 0; i < config->workspace_count; i++) {
+        char **keys = config->workspaces[i].api_keys;
+        for (size_t k = 0; keys[k] != NULL; k++) {
+            add_key(workspaces, keys[k], i);
+        }
+    }
+}
+
+/* Records when the configuration in force was last known to be the current
+ * one. */
+void
+RsWorkspaces_RecordConfirmed(struct rs_workspaces *workspaces,
+                             int64_t confirmed_at_ms)
+{
+    workspaces->confirmed_at_ms = confirmed_at_ms;
+}
+
+/* Returns whether API keys can be trusted. If not, a key may have been revoked
+ * without this node knowing. */
+bool
+RsWorkspaces_IsConfirmed(const struct rs_workspaces *workspaces,
+                         int64_t now_ms)
+{
+    return !workspaces->strict ||
+           (workspaces->confirmed_at_ms > 0 &&
+            now_ms - workspaces->confirmed_at_ms < workspaces->revoke_ms);
+}
+
+/* Returns the workspace that the credentials belong to, or NULL unless they
+ * are one valid API key. The workspace belongs to the configuration in force.
+ */
+const struct rs_workspace *
+RsWorkspaces_Identify(const struct rs_workspaces *workspaces,
+                      const struct rs_workspaces_credentials *credentials)
+{
+    uint8_t digest[RsWorkspaces_DIGEST_BYTES];
+    size_t scheme_bytes = strlen(RsWire_API_KEY_SCHEME);
+    const char *key = credentials->value;
+    size_t left_bytes = credentials->size_bytes;
+    if (credentials->count != 1 || left_bytes <= scheme_bytes ||
+        g_ascii_strncasecmp(key, RsWire_API_KEY_SCHEME, scheme_bytes) != 0 ||
+        key[scheme_bytes] != ' ') {
+        return NULL;
+    }
+    key += scheme_bytes;
+    left_bytes -= scheme_bytes;
+    while (left_bytes > 0 && key[0] == ' ') {
+        key++;
+        left_bytes--;
+    }
+    if (left_bytes == 0 || left_bytes > workspaces->max_key_bytes) {
+        return NULL;
+    }
+    compute_digest(workspaces, key, left_bytes, digest);
+    uint32_t found = find_entry(workspaces, digest)->workspace;
+    return found > 0 ? &workspaces->config->workspaces[found - 1] : NULL;
+}
+
+/* Returns how urgent a request is, 0 being the most urgent: the priority of
+ * its workspace or, if that has none, of its route. `workspace` may be NULL.
+ */
+uint32_t
+RsWorkspaces_Rank(const struct rs_workspace *workspace,
+                  const struct rs_route *route)
+{
+    return workspace != NULL && workspace->has_priority ? workspace->priority
+                                                        : route->priority;
+}
--- /dev/null
+++ b/router/workspaces.h
@@ -0,0 +1,67 @@
+/* Recognizes workspaces by API keys. The keys of the configuration in force
+ * are held as digests, since callers choose the bytes that are looked up. */
+
+#ifndef RATTANSHED_ROUTER_WORKSPACES_H
+#define RATTANSHED_ROUTER_WORKSPACES_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "platform/routing.h"
+
+#define RsWorkspaces_SEED_BYTES 16
+#define RsWorkspaces_DIGEST_BYTES 16
+
+/* Whether a request may be sent to a target. */
+enum rs_workspaces_verdict {
+    RsWorkspaces_ADMITTED,
+    RsWorkspaces_UNAUTHORIZED, /* it needs an API key and has no valid one */
+    /* It needs an API key, and keys are not trusted at present. */
+    RsWorkspaces_UNCONFIRMED,
+};
+
+/* Credentials as they came in the headers of a request. */
+struct rs_workspaces_credentials {
+    const char *value; /* not terminated; of the last header */
+    size_t size_bytes;
+    uint32_t count; /* headers with credentials */
+};
+
+/* An API key and its workspace. */
+struct rs_workspaces_entry {
+    uint8_t digest[RsWorkspaces_DIGEST_BYTES];
+    uint32_t workspace; /* index plus 1; 0: the entry is unused */
+};
+
+struct rs_workspaces {
+    const struct rs_routing *config; /* in force; NULL: none */
+    uint8_t seed[RsWorkspaces_SEED_BYTES];
+    GChecksum *checksum;
+    struct rs_workspaces_entry *entries; /* hash table with linear probing */
+    size_t mask;                         /* number of entries minus 1 */
+    size_t max_key_bytes;                /* size of the longest key */
+    /* API keys are not trusted while the configuration has not been confirmed
+     * as current for `revoke_ms`. */
+    bool strict;
+    uint32_t revoke_ms;
+    int64_t confirmed_at_ms; /* 0: never */
+};
+
+void RsWorkspaces_Init(struct rs_workspaces *workspaces, bool strict,
+                       uint32_t revoke_ms);
+void RsWorkspaces_Clear(struct rs_workspaces *workspaces);
+void RsWorkspaces_SetConfig(struct rs_workspaces *workspaces,
+                            const struct rs_routing *config);
+void RsWorkspaces_RecordConfirmed(struct rs_workspaces *workspaces,
+                                  int64_t confirmed_at_ms);
+bool RsWorkspaces_IsConfirmed(const struct rs_workspaces *workspaces,
+                              int64_t now_ms);
+const struct rs_workspace *
+RsWorkspaces_Identify(const struct rs_workspaces *workspaces,
+                      const struct rs_workspaces_credentials *credentials);
+uint32_t RsWorkspaces_Rank(const struct rs_workspace *workspace,
+                           const struct rs_route *route);
+
+#endif
