Replay the load of hot keys and move the rates of keys to a component

router/hot_keys_test.c replays the loads of docs/design/hard-load.md, Part E, with the granter's planning, the nodes' decisions and the real rate estimates, without a network. It is the baseline of the work on hot keys and asserts nothing yet. The rates move unchanged from router/reports.c to router/key_rates.c, so that the replay can use them.

--- a/router/owners.c
+++ b/router/owners.c
@@ -189,9 +189,11 @@
     struct rs_balance_problem problem = {
         .targets = targets,
         .target_count = list_targets(planning, service, targets),
-        .rates = RsReports_KeyRates(planning->reports, service->name,
-                                    planning->now_ms),
-        .window_s = RsReports_WINDOW_S,
+        .rates = RsKeyRates_Blend(RsReports_KeyRates(planning->reports,
+                                                     service->name,
+                                                     planning->now_ms),
+                                  planning->now_ms),
+        .window_s = RsKeyRates_WINDOW_S,
     };
     size_t changes = RsBalance_Plan(entry->map, &problem);
     record_demand(planning, &problem);
--- a/router/reports.c
+++ b/router/reports.c
@@ -1,11 +1,11 @@
 #include "router/reports.h"
 
-#include <math.h>
 #include <string.h>
 
 #include "core/clock.h"
 #include "core/log.h"
 #include "router/granter.h"
+#include "router/key_rates.h"
 #include "router/peer.pb-c.h"
 
 /* The load of a node that has not reported for this long is no longer counted.
@@ -27,14 +27,6 @@
 /* The report interval is at least this times the number of nodes, so that the
  * granter receives at most 200 reports per second. */
 #define REPORT_EVERY_MS_PER_NODE 5
-#define MS_PER_S 1000.0
-/* Time constants of the moving averages of key rates. The short one shows
- * within a second that a key has become busy, but in it random variation makes
- * up a quarter of the rate of a target's keys. The long one reduces this
- * variation. */
-#define SHORT_WINDOW_MS 1500.0
-#define LONG_WINDOW_MS 5000.0
-#define SHORT_WINDOW_WEIGHT 0.4F
 #define US_PER_MS 1000.0
 #define MAX_DATAGRAM_BYTES 60000
 /* Maximum number of requested keys that one report lists for a service, one
@@ -69,15 +61,6 @@
     uint32_t closed_count; /* nodes from which it wants no requests */
 };
 
-/* Requests per second for each key of a service, as exponential moving
- * averages. */
-struct rates {
-    float short_window[RsKeymap_KEYS]; /* over SHORT_WINDOW_MS */
-    float long_window[RsKeymap_KEYS];  /* over LONG_WINDOW_MS */
-    float blend[RsKeymap_KEYS];        /* computed by RsReports_KeyRates() */
-    int64_t decayed_at_ms;
-};
-
 struct rs_reports {
     uv_udp_t socket;
     struct rs_router *router;
@@ -87,7 +70,7 @@
     void *arg;
     GHashTable *nodes;            /* name to struct node */
     GHashTable *totals_by_target; /* target id to struct totals */
-    GHashTable *rates;            /* service to struct rates */
+    GHashTable *rates;            /* service to struct rs_key_rates */
     bool is_granter;              /* at the time of the last report */
     /* Number of nodes known when this node became the granter. */
     uint32_t min_nodes;
@@ -139,39 +122,26 @@
 
 /* Returns the rates of a service, whose name must be interned; creates them
  * with all rates 0 if there are none. */
-static struct rates *
+static struct rs_key_rates *
 get_or_create_rates(struct rs_reports *reports, const char *service,
                     int64_t now_ms)
 {
-    struct rates *rates = g_hash_table_lookup(reports->rates, service);
+    struct rs_key_rates *rates = g_hash_table_lookup(reports->rates, service);
     if (rates == NULL) {
-        rates = g_new0(struct rates, 1);
-        rates->decayed_at_ms = now_ms;
+        rates = RsKeyRates_New(now_ms);
         g_hash_table_insert(reports->rates, (gpointer)service, rates);
     }
     return rates;
 }
 
-/* Returns an array of the requests per second for each key of a service, over
- * all nodes, as reported to this node. The array belongs to `reports`; the
- * next call for the service overwrites it. `service` must be interned. */
-const float *
+/* Returns the request rates of the keys of a service, over all nodes, as
+ * reported to this node. They belong to `reports`. `service` must be interned.
+ */
+struct rs_key_rates *
 RsReports_KeyRates(struct rs_reports *reports, const char *service,
                    int64_t now_ms)
 {
-    struct rates *rates = get_or_create_rates(reports, service, now_ms);
-    double elapsed_ms = (double)(now_ms - rates->decayed_at_ms);
-    float short_decay = (float)exp(-elapsed_ms / SHORT_WINDOW_MS);
-    float long_decay = (float)exp(-elapsed_ms / LONG_WINDOW_MS);
-    for (size_t key = 0; key < RsKeymap_KEYS; key++) {
-        rates->short_window[key] *= short_decay;
-        rates->long_window[key] *= long_decay;
-        rates->blend[key] =
-            SHORT_WINDOW_WEIGHT * rates->short_window[key] +
-            (1 - SHORT_WINDOW_WEIGHT) * rates->long_window[key];
-    }
-    rates->decayed_at_ms = now_ms;
-    return rates->blend;
+    return get_or_create_rates(reports, service, now_ms);
 }
 
 static void
@@ -180,15 +150,10 @@
 {
     for (size_t i = 0; i < report->n_keys; i++) {
         const Rs__Peer__Report__ServiceKeys *keys = report->keys[i];
-        struct rates *rates = get_or_create_rates(
+        struct rs_key_rates *rates = get_or_create_rates(
             reports, g_intern_string(keys->service), now_ms);
         for (size_t k = 0; k < keys->n_keys; k++) {
-            if (keys->keys[k] < RsKeymap_KEYS) {
-                rates->short_window[keys->keys[k]] +=
-                    (float)(MS_PER_S / SHORT_WINDOW_MS);
-                rates->long_window[keys->keys[k]] +=
-                    (float)(MS_PER_S / LONG_WINDOW_MS);
-            }
+            RsKeyRates_Record(rates, keys->keys[k]);
         }
     }
 }
--- a/router/reports.h
+++ b/router/reports.h
@@ -7,15 +7,9 @@
 #ifndef RATTANSHED_ROUTER_REPORTS_H
 #define RATTANSHED_ROUTER_REPORTS_H
 
+#include "router/key_rates.h"
 #include "router/router.h"
 
-/* Effective time constant of the rates from RsReports_KeyRates(). A rate is
- * 0.4 of a moving average with a time constant of 1.5 s, since a hot key must
- * be noticed within a second, plus 0.6 of one with 5 s. The random variation
- * of the rates is that of a single exponential moving average with the time
- * constant RsReports_WINDOW_S. */
-#define RsReports_WINDOW_S 3.0
-
 struct rs_reports;
 
 /* Called for each node that the granter names, with its IPv4 address in
@@ -39,10 +33,7 @@
 uint32_t RsReports_MaxStrength(const struct rs_reports *reports,
                                int64_t now_ms);
 
-/* Returns an array of the requests per second for each key of a service, over
- * all nodes, as reported to this node. The array belongs to `reports`; the
- * next call for the service overwrites it. */
-const float *RsReports_KeyRates(struct rs_reports *reports,
-                                const char *service, int64_t now_ms);
+struct rs_key_rates *RsReports_KeyRates(struct rs_reports *reports,
+                                        const char *service, int64_t now_ms);
 
 #endif
