Wait for the whole list of targets before the first keys are assigned

Targets report over about 3 s, but the granter planned 1.5 s after the first: 28 of 119 targets owned all keys when the traffic began, and the first seconds of traffic moved 25 pieces every 0.3 s. While no key of a service was ever assigned and none was requested, the granter now waits until the list has not grown for 1.2 s, at most 4 s. Targets that come later get keys without load too, one move each. Without requests the capacity of a cold target counts as that of a warm one, since it is warm before load comes.

router/hot_keys_test.c, 119 targets: 119 owners at the first traffic (63 before); moves in 5 s of steady load before the hot period 1 at 210/s (11 before) and 56 at 876/s (274 before).

--- a/router/balance.c
+++ b/router/balance.c
@@ -380,6 +380,52 @@
     }
 }
 
+/* Returns whether the target owns keys, or is about to. */
+static bool
+owns_keys(const struct plan *plan, const struct rs_balance_target *target)
+{
+    for (size_t i = 0; i < plan->map->ranges->len; i++) {
+        if (RsKeymap_SameOwner(&RsKeymap_GetRange(plan->map, i)->owner,
+                               &target->owner)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Gives keys to the targets that have none while few requests come, so that
+ * they are in use before load comes. Each gets one piece from the most
+ * utilized target. */
+static void
+supply_new_targets(struct plan *plan)
+{
+    if (plan->mean_utilization >= MIN_UTILIZATION) {
+        return;
+    }
+    struct rs_balance_target *targets = plan->problem->targets;
+    for (size_t i = 0; i < plan->problem->target_count; i++) {
+        struct rs_balance_target *to = &targets[i];
+        struct rs_balance_target *from = most_utilized(plan);
+        if (from == NULL || plan->moves >= plan->max_moves) {
+            return;
+        }
+        if (to->eligible && to->capacity > 0 && from != to &&
+            !owns_keys(plan, to)) {
+            struct piece piece =
+                choose_piece(plan, &from->owner,
+                             MIN(from->load * to->capacity /
+                                     (from->capacity + to->capacity),
+                                 plan->mean_utilization * to->capacity));
+            if (piece.weight == 0 ||
+                !assign_keys(plan, piece.first_key, piece.last_key, to)) {
+                from->skipped = true;
+                continue;
+            }
+            from->load -= piece.weight;
+        }
+    }
+}
+
 /* Returns the owner of the previous or else the next range, or NULL. Only an
  * eligible owner counts, and only if its range is not being handed over. */
 static struct rs_balance_target *
@@ -451,6 +497,7 @@
     compute_loads(&plan);
     replace_owners(&plan);
     rebalance(&plan);
+    supply_new_targets(&plan);
     assign_small_ranges(&plan);
     return plan.moves + merged_ranges;
 }
--- a/router/balance_test.c
+++ b/router/balance_test.c
@@ -136,6 +136,29 @@
     free_scenario(scenario);
 }
 
+/* Targets that report after the first plan would own no keys until others are
+ * overloaded. One move for each is enough, and no further keys move. */
+static void
+test_new_targets_get_keys_without_load(void)
+{
+    struct scenario *scenario = new_scenario_of(MANY_TARGETS);
+    scenario->problem.target_count = MANY_TARGETS - 10;
+    plan_until_stable(scenario);
+    uint64_t first_fence = scenario->map->next_fence;
+    scenario->problem.target_count = MANY_TARGETS;
+    plan_until_stable(scenario);
+    CU_ASSERT_EQUAL(scenario->map->next_fence - first_fence, 10);
+    for (uint32_t key = 0; key < RsKeymap_KEYS; key++) {
+        scenario->rates[key] = 1;
+    }
+    const double fair = (double)RsKeymap_KEYS / MANY_TARGETS;
+    for (size_t i = MANY_TARGETS - 10; i < MANY_TARGETS; i++) {
+        CU_ASSERT_TRUE(load_of(scenario, i) > fair / 4);
+        CU_ASSERT_TRUE(load_of(scenario, i) < fair * 2);
+    }
+    free_scenario(scenario);
+}
+
 /* Adjacent keys get a third of the requests to many targets, and all requests
  * together are half of the targets' capacity. Four plans take 1.2 s. */
 static void
@@ -319,6 +342,7 @@
     CU_ADD_TEST(suite,
                 test_hot_keys_are_split_among_many_targets_in_a_few_plans);
     CU_ADD_TEST(suite, test_hot_keys_are_split_in_a_few_plans);
+    CU_ADD_TEST(suite, test_new_targets_get_keys_without_load);
     CU_ADD_TEST(
         suite,
         test_one_heavy_key_does_not_stop_other_targets_from_being_relieved);
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -177,8 +177,10 @@
 /* Discards what was measured of the target's earlier process, has the
  * connections to it closed, and marks targets that this one has replaced. */
 static void
-reset_for_new_process(struct rs_fleet *fleet, struct rs_fleet_target *target)
+reset_for_new_process(struct rs_fleet *fleet, struct rs_fleet_target *target,
+                      int64_t now_ms)
 {
+    target->known_since_ms = now_ms;
     target->load_at_ms = 0;
     target->elsewhere_at_ms = 0;
     target->failures = 0;
@@ -245,7 +247,7 @@
     bool restarted = report->started_wall_ms != target->report.started_wall_ms;
     target->report = *report;
     if (restarted) {
-        reset_for_new_process(fleet, target);
+        reset_for_new_process(fleet, target, now_ms);
     }
     else if (report->draining != was_draining || !target->listed) {
         RsLog_EVENT(RsLog_INFO,
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -22,10 +22,11 @@
 struct rs_fleet_target {
     const char *id; /* interned */
     struct rs_target_report report;
-    bool listed;         /* it has a row in the store */
-    bool seen;           /* unused */
-    bool replaced;       /* another target runs at its address */
-    int64_t lapse_at_ms; /* if unlisted, it may be used until then */
+    bool listed;            /* it has a row in the store */
+    bool seen;              /* unused */
+    int64_t known_since_ms; /* when its present process was first reported */
+    bool replaced;          /* another target runs at its address */
+    int64_t lapse_at_ms;    /* if unlisted, it may be used until then */
     /* The earliest time at which it may have begun to drain or, if unlisted,
      * the time at which it lapses; 0: neither. */
     int64_t leaving_since_ms;
--- a/router/hot_keys_test.c
+++ b/router/hot_keys_test.c
@@ -694,6 +694,9 @@
     struct sim *sim = new_sim(119, 1, 210);
     run(sim);
     print_results(sim, "one key, 210/s");
+    /* A plan by an incomplete list leaves targets without keys. */
+    CU_ASSERT_EQUAL(sim->owners_at_traffic, 119);
+    CU_ASSERT_TRUE(sim->moves[0] <= 2 * 119);
     free_sim(sim);
 }
 
--- a/router/key_rates.c
+++ b/router/key_rates.c
@@ -25,6 +25,7 @@
 RsKeyRates_Record(struct rs_key_rates *rates, uint32_t key)
 {
     if (key < RsKeymap_KEYS) {
+        rates->requested = true;
         rates->short_window[key] += (float)(MS_PER_S / SHORT_WINDOW_MS);
         rates->long_window[key] += (float)(MS_PER_S / LONG_WINDOW_MS);
     }
--- a/router/key_rates.h
+++ b/router/key_rates.h
@@ -4,6 +4,7 @@
 #ifndef RATTANSHED_ROUTER_KEY_RATES_H
 #define RATTANSHED_ROUTER_KEY_RATES_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "router/keymap.h"
@@ -20,6 +21,7 @@
     float long_window[RsKeymap_KEYS];
     float blend[RsKeymap_KEYS]; /* computed by RsKeyRates_Blend() */
     int64_t decayed_at_ms;
+    bool requested; /* a request was recorded */
 };
 
 struct rs_key_rates *RsKeyRates_New(int64_t now_ms);
--- a/router/owners.c
+++ b/router/owners.c
@@ -23,6 +23,16 @@
  * requests from any node, so that its keys move to others. */
 #define MIN_OPEN_SHARE 0.02
 
+/* The first keys of a service are assigned once the list of its targets has
+ * not grown for the first time, or after the second time since the first
+ * target. Targets report every 870 ms (heartbeat_ms), so one that is up is
+ * listed within the first time. */
+#define LIST_COMPLETE_MS 1200
+#define MAX_LIST_WAIT_MS 4000
+/* A service with fewer requests a second counts as idle: its targets are
+ * planned with the capacity that they will have when they are warm. */
+#define MAX_IDLE_PER_S 1.0
+
 /* Inputs of one planning round. */
 struct planning {
     struct rs_router *router;
@@ -131,12 +141,53 @@
     return unlimited >= MIN_UNLIMITED_SHARE * all;
 }
 
+/* Returns whether the list of targets of a service is likely to be complete.
+ */
+static bool
+is_list_complete(const struct planning *planning, const char *service)
+{
+    const GPtrArray *list = planning->router->fleet.list;
+    int64_t first_ms = INT64_MAX;
+    int64_t last_ms = 0;
+    for (guint i = 0; i < list->len; i++) {
+        const struct rs_fleet_target *target = g_ptr_array_index(list, i);
+        if (target->report.service == service) {
+            first_ms = MIN(first_ms, target->known_since_ms);
+            last_ms = MAX(last_ms, target->known_since_ms);
+        }
+    }
+    return last_ms > 0 && (planning->now_ms - last_ms >= LIST_COMPLETE_MS ||
+                           planning->now_ms - first_ms >= MAX_LIST_WAIT_MS);
+}
+
+/* Returns whether no key of the map ever had an owner. */
+static bool
+is_unassigned(const struct rs_keymap *map)
+{
+    const struct rs_key_range *range = RsKeymap_GetRange(map, 0);
+    return map->ranges->len == 1 && range->owner.id == NULL &&
+           range->former.id == NULL && range->fence == 0;
+}
+
+/* Returns whether there are so few requests for keys that the service is
+ * idle. */
+static bool
+is_idle(const float *rates)
+{
+    double total = 0;
+    for (size_t key = 0; key < RsKeymap_KEYS; key++) {
+        total += rates[key];
+    }
+    return total < MAX_IDLE_PER_S;
+}
+
 /* Fills in the targets of a service and returns their number. The array must
  * have room for all targets of the fleet. */
 static size_t
 list_targets(const struct planning *planning, const struct rs_service *service,
-             struct rs_balance_target *targets)
+             bool idle, struct rs_balance_target *targets)
 {
+    double cold_per_s = idle ? 0 : service->cold_per_s;
     const GPtrArray *list = planning->router->fleet.list;
     double latency_ms =
         latency_target_ms(planning->router->config, service->name);
@@ -151,10 +202,9 @@
                 .owner = {target->id, target->report.started_wall_ms,
                           target->report.address_text},
                 .eligible = can_own(planning, target) && !spared,
-                .capacity =
-                    capacity_of(target, latency_ms, service->cold_per_s,
-                                planning->now_ms) *
-                    open_share(planning, target),
+                .capacity = capacity_of(target, latency_ms, cold_per_s,
+                                        planning->now_ms) *
+                            open_share(planning, target),
             };
         }
     }
@@ -184,15 +234,20 @@
     if (entry == NULL || entry->dirty || entry->in_commit) {
         return;
     }
+    struct rs_key_rates *key_rates =
+        RsReports_KeyRates(planning->reports, service->name, planning->now_ms);
+    if (is_unassigned(entry->map) && !key_rates->requested &&
+        !is_list_complete(planning, service->name)) {
+        return;
+    }
+    const float *rates = RsKeyRates_Blend(key_rates, planning->now_ms);
     struct rs_balance_target *targets = g_new0(
         struct rs_balance_target, planning->router->fleet.list->len + 1);
     struct rs_balance_problem problem = {
         .targets = targets,
-        .target_count = list_targets(planning, service, targets),
-        .rates = RsKeyRates_Blend(RsReports_KeyRates(planning->reports,
-                                                     service->name,
-                                                     planning->now_ms),
-                                  planning->now_ms),
+        .target_count =
+            list_targets(planning, service, is_idle(rates), targets),
+        .rates = rates,
         .window_s = RsKeyRates_WINDOW_S,
     };
     size_t changes = RsBalance_Plan(entry->map, &problem);
