Do not avoid a full owner of keys as failing

A full target resets connections, and two resets counted as failures unless this node had an answer from it within 2 s. With many nodes each gets an answer of one owner only every few seconds, so that the keys of a full owner were refused with no-target. A reset now counts as a refusal for want of room also while the slots of the target are known to be in use by requests of all nodes. The sums of a target that has ended shrink with the next reports. A request for a key waits for the end of a short pause of its owner within its wait limit, since no other target has the key.

router/hot_keys_test.c, refused with no-target during the hot period: 28 of the hot key at 210/s before, none now; 549 of the hot key and 5 of other keys at 1,460/s before, 7 and none now.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -157,7 +157,8 @@
 /* Looks up the owner of the request's key. Returns RsLoad_SEND if the request
  * may be sent to the owner now, and RsLoad_NONE if no owner can take it.
  * Returns RsLoad_FULL if the request has to wait for the key ownership map,
- * for `next_attempt_at_ms`, for a handover of the key or for capacity. Sets
+ * for `next_attempt_at_ms`, for a handover of the key, for the end of a short
+ * pause after failures of the owner or for capacity. Sets
  * `*chosen` to the owner for RsLoad_SEND and RsLoad_CLOSED, and for
  * RsLoad_FULL if only capacity is missing. */
 static enum rs_load_verdict
@@ -181,10 +182,14 @@
             : NULL;
     if (target == NULL ||
         target->report.started_wall_ms != range->owner.started_wall_ms ||
-        !RsFleet_MayKeepWork(&request->router->fleet, target, now_ms) ||
-        now_ms < target->avoid_until_ms) {
+        !RsFleet_MayKeepWork(&request->router->fleet, target, now_ms)) {
         return RsLoad_NONE;
     }
+    if (now_ms < target->avoid_until_ms) {
+        /* No other target has the key, and this one may be only full. */
+        return target->avoid_until_ms < request->wait_until_ms ? RsLoad_FULL
+                                                               : RsLoad_NONE;
+    }
     *chosen = target;
     if (RsLoad_OpenAtMs(target, input) > now_ms) {
         return RsLoad_CLOSED;
@@ -616,9 +621,9 @@
     }
 }
 
-/* Records a broken connection. A full target may reset connections at once, so
- * an immediate reset by a target that responded recently means that it is
- * full. Any other broken connection counts as a failure. */
+/* Records a broken connection. A full target may reset connections at once,
+ * see RsLoad_RecordReset(). Any other broken connection counts as a failure.
+ */
 static void
 handle_broken_connection(struct rs_attempt *attempt, int64_t now_ms)
 {
@@ -627,8 +632,8 @@
     suspect_request(attempt, now_ms);
     bool was_immediate =
         attempt->status == 0 && elapsed_us < MAX_FULL_RESET_US;
-    if (was_immediate && RsFleet_AnsweredRecently(target, now_ms)) {
-        RsFleet_RecordFull(target, now_ms);
+    if (was_immediate) {
+        RsLoad_RecordReset(target, now_ms);
     }
     else {
         RsFleet_RecordFailure(target, now_ms);
--- a/router/hot_keys_test.c
+++ b/router/hot_keys_test.c
@@ -274,17 +274,6 @@
     g_queue_push_tail(&sim->returning, request);
 }
 
-static void
-handle_reset(struct rs_fleet_target *seen, int64_t now_ms)
-{
-    if (RsFleet_AnsweredRecently(seen, now_ms)) {
-        RsFleet_RecordFull(seen, now_ms);
-    }
-    else {
-        RsFleet_RecordFailure(seen, now_ms);
-    }
-}
-
 /* Sends the request. Returns false if the target resets the connection. */
 static bool
 send_to(struct sim *sim, struct request *request, uint32_t number)
@@ -293,7 +282,7 @@
     struct target *target = &sim->targets[number];
     if (target->count == MAX_JOBS) {
         sim->resets++;
-        handle_reset(seen, sim->now_ms);
+        RsLoad_RecordReset(seen, sim->now_ms);
         return false;
     }
     request->target = number;
@@ -341,6 +330,11 @@
             range->owner.id != NULL ? number_of(range->owner.id) : 0;
         struct rs_fleet_target *seen = sim->seen[request->node][number];
         if (range->owner.id == NULL || sim->now_ms < seen->avoid_until_ms) {
+            if (range->owner.id != NULL &&
+                seen->avoid_until_ms < request->wait_until_ms) {
+                g_queue_push_tail(&sim->waiting[request->node], request);
+                return;
+            }
             refuse(sim, request, &results_of(sim, request)->no_target, 0);
             return;
         }
@@ -697,6 +691,8 @@
     /* A plan by an incomplete list leaves targets without keys. */
     CU_ASSERT_EQUAL(sim->owners_at_traffic, 119);
     CU_ASSERT_TRUE(sim->moves[0] <= 2 * 119);
+    /* The full owner of the hot key must not be avoided. */
+    CU_ASSERT_EQUAL(sim->results[1][0].no_target, 0);
     free_sim(sim);
 }
 
--- a/router/load.c
+++ b/router/load.c
@@ -160,6 +160,23 @@
            now_ms >= target->full_until_ms;
 }
 
+/* Records that the target has reset a connection at once. A target does that
+ * when it is full: it counts as full if it answered recently, or if its slots
+ * are known to be in use by requests of any node. The sums of a target that
+ * has ended shrink with the next reports, so that it soon counts as failing.
+ */
+void
+RsLoad_RecordReset(struct rs_fleet_target *target, int64_t now_ms)
+{
+    if (RsFleet_AnsweredRecently(target, now_ms) ||
+        RsLoad_CountOutstanding(target, now_ms) >= target->report.slots) {
+        RsFleet_RecordFull(target, now_ms);
+    }
+    else {
+        RsFleet_RecordFailure(target, now_ms);
+    }
+}
+
 /* Returns whether a request for a key of the target is admitted. While the
  * demand exceeds OVERLOAD_FACTOR times what the target can run, each call adds
  * the admitted share to `target->admission`, and a request is admitted, which
--- a/router/load_test.c
+++ b/router/load_test.c
@@ -59,6 +59,29 @@
     RsFleet_Clear(&scenario->fleet);
 }
 
+/* Keys of a full owner have nowhere else to go, so they were refused with
+ * `no-target` while it was avoided. One that has ended is still avoided. */
+static void
+test_full_target_is_not_avoided_for_resets(void)
+{
+    struct scenario scenario;
+    open_scenario(&scenario, 0);
+    struct rs_fleet_target *full = scenario.targets[0];
+    struct rs_fleet_target *ended = scenario.targets[1];
+    full->elsewhere = full->report.slots;
+    full->elsewhere_at_ms = NOW_MS;
+    ended->elsewhere = ended->report.slots;
+    ended->elsewhere_at_ms = NOW_MS - SPAN_MS;
+    for (int i = 0; i < 4; i++) {
+        RsLoad_RecordReset(full, NOW_MS);
+        RsLoad_RecordReset(ended, NOW_MS);
+    }
+    CU_ASSERT_TRUE(full->avoid_until_ms <= NOW_MS);
+    CU_ASSERT_TRUE(full->full_until_ms > NOW_MS);
+    CU_ASSERT_TRUE(ended->avoid_until_ms > NOW_MS);
+    close_scenario(&scenario);
+}
+
 static void
 test_outstanding_requests_are_estimated_from_recent_data(void)
 {
@@ -376,6 +399,7 @@
     CU_pSuite suite = CU_add_suite("load", NULL, NULL);
     CU_ADD_TEST(suite,
                 test_outstanding_requests_are_estimated_from_recent_data);
+    CU_ADD_TEST(suite, test_full_target_is_not_avoided_for_resets);
     CU_ADD_TEST(suite, test_faster_target_is_chosen);
     CU_ADD_TEST(suite, test_capacity_falls_faster_than_the_speed_of_a_target);
     CU_ADD_TEST(suite, test_own_zone_is_preferred_among_equals);
