Apply changed settings while the node runs

SIGHUP, or a change of the settings file without a signal, had the file checked only. Most bounds and the load settings now take effect; addresses, names and the longest grant keep their values, and the log names those that differ (reload_needs_restart). A file with a fault changes nothing, as before.

--- a/router/node.c
+++ b/router/node.c
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include "core/clock.h"
@@ -17,6 +18,7 @@
 #include "router/owners.h"
 #include "router/probe.h"
 #include "router/reports.h"
+#include "router/reload.h"
 #include "router/router.h"
 #include "router/stream.h"
 
@@ -26,6 +28,8 @@
 /* Key owners are planned every 300 ms. Key rates combine moving averages over
  * 1.5 s and 5 s (router/reports.c). */
 #define PLAN_EVERY_TICKS 12
+/* The settings file is looked at every 2 s. */
+#define WATCH_SETTINGS_EVERY_TICKS 80
 /* Pause between calls for changes of the target table, and how long the store
  * may hold such a call. Each node must stop sending to a leaving target within
  * 2 s. */
@@ -79,6 +83,7 @@
 struct node {
     uv_loop_t loop;
     struct rs_node_options options;
+    struct stat settings_file; /* when it was last looked at */
     struct rs_router router;
     struct rs_store *store;
     struct rs_granter granter;
@@ -724,6 +729,63 @@
     }
 }
 
+/* Reads the settings file again. Those settings that may change while the node
+ * runs take effect; the others are named in the log. A file with a fault
+ * changes nothing. */
+static void
+reload_settings(struct node *node)
+{
+    struct rs_node_settings *settings = NULL;
+    struct rs_settings_fault fault;
+    if (RsNodeSettings_Load(node->options.settings_path, &settings, &fault) !=
+        0) {
+        char text[1024];
+        RsSettings_FormatFault(&fault, text, sizeof(text));
+        RsLog_EVENT(RsLog_ERROR, "reload_refused", RsLog_TEXT("fault", text));
+        return;
+    }
+    GString *needs_restart = g_string_new(NULL);
+    uint32_t changed = RsReload_Apply(&node->router, node->options.settings,
+                                      settings, needs_restart);
+    RsLog_EVENT(RsLog_INFO, "reloaded",
+                RsLog_TEXT("path", node->options.settings_path),
+                RsLog_NUMBER("changed", changed));
+    if (needs_restart->len > 0) {
+        RsLog_EVENT(RsLog_WARNING, "reload_needs_restart",
+                    RsLog_TEXT("settings", needs_restart->str));
+    }
+    g_string_free(needs_restart, TRUE);
+    RsNodeSettings_Free(settings);
+}
+
+static void
+on_hangup(uv_signal_t *signal, int number)
+{
+    struct node *node = signal->data;
+    reload_settings(node);
+}
+
+/* Reloads the settings when their file was replaced or written without a
+ * signal. */
+static void
+watch_settings(struct node *node)
+{
+    struct stat status;
+    if (stat(node->options.settings_path, &status) != 0) {
+        return;
+    }
+    bool known = node->settings_file.st_ino != 0;
+    bool changed =
+        status.st_ino != node->settings_file.st_ino ||
+        status.st_size != node->settings_file.st_size ||
+        status.st_mtim.tv_sec != node->settings_file.st_mtim.tv_sec ||
+        status.st_mtim.tv_nsec != node->settings_file.st_mtim.tv_nsec;
+    node->settings_file = status;
+    if (known && changed) {
+        reload_settings(node);
+    }
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
@@ -742,6 +804,9 @@
     if (node->ticks % PLAN_EVERY_TICKS == 0) {
         plan_owners(node, now_ms);
     }
+    if (node->ticks % WATCH_SETTINGS_EVERY_TICKS == 0) {
+        watch_settings(node);
+    }
     track_upstream(node, now_ms);
     read_lease(node, now_ms);
     find_granter(node, now_ms);
@@ -770,27 +835,6 @@
     RsStream_Shutdown(node->stream);
 }
 
-/* Checks the settings file on SIGHUP. Settings don't change while the process
- * runs, but a fault in the file is reported now rather than at the next start.
- */
-static void
-on_hangup(uv_signal_t *signal, int number)
-{
-    struct node *node = signal->data;
-    struct rs_node_settings *settings = NULL;
-    struct rs_settings_fault fault;
-    if (RsNodeSettings_Load(node->options.settings_path, &settings, &fault) !=
-        0) {
-        char text[1024];
-        RsSettings_FormatFault(&fault, text, sizeof(text));
-        RsLog_EVENT(RsLog_ERROR, "reload_refused", RsLog_TEXT("fault", text));
-        return;
-    }
-    RsLog_EVENT(RsLog_INFO, "reloaded",
-                RsLog_TEXT("path", node->options.settings_path));
-    RsNodeSettings_Free(settings);
-}
-
 /* Opens the servers for callers, readiness checks and administration. Returns
  * 0, or an rs_node_error. A failure to open the admin port is only logged. */
 static int
--- a/router/node.h
+++ b/router/node.h
@@ -15,8 +15,8 @@
 };
 
 struct rs_node_options {
-    const struct rs_node_settings *settings;
-    const char *settings_path; /* read again, and checked, on SIGHUP */
+    struct rs_node_settings *settings; /* a reload changes some of them */
+    const char *settings_path;         /* read again when it changes */
 };
 
 int RsNode_Run(const struct rs_node_options *options);
