Refuse early what an overloaded key owner can't answer in time

A request for a key whose owner is asked for more than its capacity waited for its whole latency target, was then refused, or answered late: between one and two times the capacity nothing was admitted or refused early.

The share that is admitted now follows from the granter's demand as soon as that exceeds what the owner can run. It is used up from the most urgent rank on, and each rank keeps a quarter of it. An admitted request is sent if its answer is expected within half of its latency target (more for urgent ranks), and waits for at most 60 ms otherwise. A request that the owner can't answer before the deadline is refused at once (no-time). The limits and the cold phase of a target, and everything without overload, are as before.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -154,6 +154,40 @@
     attempt->exchange = RsExchange_Start(&options);
 }
 
+static struct rs_overload_request
+describe_for_admission(const struct rs_request *request)
+{
+    return (struct rs_overload_request){
+        .rank = request->rank,
+        .arrived_at_ms = request->arrived_at_ms,
+        .admitted_at_ms = request->admitted_at_ms,
+        .latency_target_ms = request->route->target_latency_ms,
+        .wait_until_ms = request->wait_until_ms,
+    };
+}
+
+static const struct rs_overload_mix *
+find_mix(const struct rs_request *request)
+{
+    return &RsRouter_GetOrCreateService(request->router,
+                                        request->service->name)
+                ->mix;
+}
+
+/* Returns whether the owner of the request's key has room for it. */
+static bool
+owner_has_room(const struct rs_request *request,
+               const struct rs_fleet_target *owner,
+               const struct rs_load_choice_input *input, int64_t now_ms)
+{
+    if (!RsOverload_IsOverloaded(owner, now_ms)) {
+        return RsLoad_HasRoom(owner, input, now_ms);
+    }
+    const struct rs_overload_request described =
+        describe_for_admission(request);
+    return RsOverload_HasRoom(owner, find_mix(request), &described, now_ms);
+}
+
 /* Looks up the owner of the request's key. Returns RsLoad_SEND if the request
  * may be sent to the owner now, and RsLoad_NONE if no owner can take it.
  * Returns RsLoad_FULL if the request has to wait for the key ownership map,
@@ -189,7 +223,7 @@
     if (RsLoad_OpenAtMs(target, input) > now_ms) {
         return RsLoad_CLOSED;
     }
-    if (!RsLoad_HasRoom(target, input, now_ms) ||
+    if (!owner_has_room(request, target, input, now_ms) ||
         !RsLoad_MaySendToCold(target, input, now_ms)) {
         return RsLoad_FULL;
     }
@@ -207,7 +241,10 @@
     if (owner == NULL || request->admitted) {
         return false;
     }
-    request->admitted = RsLoad_Admit(owner, now_ms);
+    request->admitted =
+        RsOverload_Admit(owner, find_mix(request), request->rank,
+                         request->router->random, now_ms);
+    request->admitted_at_ms = now_ms;
     return !request->admitted;
 }
 
@@ -244,6 +281,31 @@
     }
 }
 
+/* Lets the request wait for room, or refuses it if it may not wait any longer
+ * or can't be answered before its deadline. `owner` is the owner of its key if
+ * that only lacks room, otherwise NULL. */
+static void
+wait_for_room(struct rs_request *request, const struct rs_fleet_target *owner,
+              int64_t now_ms)
+{
+    int64_t wait_until_ms = request->wait_until_ms;
+    if (owner != NULL) {
+        const struct rs_overload_request described =
+            describe_for_admission(request);
+        wait_until_ms = RsOverload_WaitUntilMs(owner, &described, now_ms);
+    }
+    if (owner != NULL &&
+        RsOverload_IsTooLate(owner, request->deadline_ms, now_ms)) {
+        RsReply_Refuse(request, "no-time");
+    }
+    else if (now_ms < wait_until_ms) {
+        RsRequest_Wait(request);
+    }
+    else {
+        RsReply_Refuse(request, "no-room");
+    }
+}
+
 /* Sends the request to a target. If none has room, or the expected latency
  * exceeds the time left, the request waits until its `wait_until_ms` and is
  * refused after that. It is refused at once when there is no target, when all
@@ -289,12 +351,11 @@
         RsRequest_StopWaiting(request);
         start_attempt(request, target, &input, now_ms);
     }
-    else if (verdict == RsLoad_FULL && now_ms < request->wait_until_ms) {
-        RsRequest_Wait(request);
+    else if (verdict == RsLoad_FULL) {
+        wait_for_room(request, owner, now_ms);
     }
     else {
-        RsReply_Refuse(request,
-                       verdict == RsLoad_NONE ? "no-target" : "no-room");
+        RsReply_Refuse(request, "no-target");
     }
 }
 
--- a/router/load.c
+++ b/router/load.c
@@ -34,16 +34,6 @@
  * to HOME_FACTOR. With a HOME_FACTOR closer to 1, fewer answers arrive in time
  * (router/load_simulation_test.c). */
 #define HOME_FACTOR 0.4
-/* Older reports of the demand are ignored; the granter sends them a few times
- * a second. */
-#define MAX_DEMAND_AGE_MS 1000
-/* Under load the service time is overestimated, as it includes some of the
- * time in the target's queue. Up to this factor, the queue may still cope with
- * the demand. */
-#define OVERLOAD_FACTOR 2.0
-/* Rate of admitted requests, as a multiple of the rate that an overloaded
- * target can run; above 1, so that the target is kept busy. */
-#define ADMITTED_SHARE 1.1
 /* Lower limit of the usable share of a target's capacity. It applies to a
  * target whose service time is near or above the latency target; such a target
  * still gets some requests, since its speed may change. */
@@ -160,30 +150,6 @@
            now_ms >= target->full_until_ms;
 }
 
-/* Returns whether a request for a key of the target is admitted. While the
- * demand exceeds OVERLOAD_FACTOR times what the target can run, each call adds
- * the admitted share to `target->admission`, and a request is admitted, which
- * subtracts 1, whenever that sum reaches 1. All nodes thus admit the same
- * share of their requests, and together keep the target busy without
- * overfilling it. */
-bool
-RsLoad_Admit(struct rs_fleet_target *target, int64_t now_ms)
-{
-    double max_runs_per_s =
-        MS_PER_S * target->report.slots / RsLoad_ServiceMs(target);
-    if (target->demand_per_s <= OVERLOAD_FACTOR * max_runs_per_s ||
-        now_ms - target->demand_at_ms > MAX_DEMAND_AGE_MS) {
-        return true;
-    }
-    target->admission +=
-        ADMITTED_SHARE * max_runs_per_s / target->demand_per_s;
-    if (target->admission < 1) {
-        return false;
-    }
-    target->admission -= 1;
-    return true;
-}
-
 /* Returns how many nodes may send to one cold target at all, so that together
  * they stay within the bound in each second. */
 static double
--- a/router/load.h
+++ b/router/load.h
@@ -63,7 +63,6 @@
                                 int64_t now_ms);
 bool RsLoad_HasRoom(const struct rs_fleet_target *target,
                     const struct rs_load_choice_input *input, int64_t now_ms);
-bool RsLoad_Admit(struct rs_fleet_target *target, int64_t now_ms);
 bool RsLoad_MaySendToCold(const struct rs_fleet_target *target,
                           const struct rs_load_choice_input *input,
                           int64_t now_ms);
--- a/router/load_simulation_test.c
+++ b/router/load_simulation_test.c
@@ -11,6 +11,7 @@
 #include "core/log.h"
 #include "router/fixture.h"
 #include "router/load.h"
+#include "router/overload.h"
 
 #define START_MS 100000
 #define MAX_NODES 60
@@ -85,7 +86,8 @@
      * owner of that key. Of the members below, only `served` is also used
      * without `keyed`. */
     bool keyed;
-    double demand_per_s;       /* as the granter reports it */
+    double demand_per_s; /* as the granter reports it */
+    struct rs_overload_mix mixes[MAX_NODES];
     GQueue pending[MAX_NODES]; /* struct pending */
     uint32_t refused;          /* without waiting */
     uint32_t refused_late;     /* after waiting */
@@ -273,7 +275,9 @@
     uint32_t number =
         (uint32_t)g_rand_int_range(sim->random, 0, (gint32)sim->target_count);
     struct rs_fleet_target *owner = sim->seen[node][number];
-    if (!RsLoad_Admit(owner, sim->now_ms)) {
+    struct rs_overload_mix *mix = &sim->mixes[node];
+    RsOverload_Count(mix, 0, sim->now_ms);
+    if (!RsOverload_Admit(owner, mix, 0, sim->random, sim->now_ms)) {
         sim->refused += sim->now_ms >= START_MS + WARM_UP_MS;
     }
     else if (RsLoad_HasRoom(owner, &sim->choices[node], sim->now_ms)) {
--- /dev/null
+++ b/router/overload_test.c
@@ -0,0 +1,199 @@
+#include <CUnit/Basic.h>
+
+#include "core/log.h"
+#include "router/fixture.h"
+#include "router/load.h"
+#include "router/overload.h"
+
+#define NOW_MS 100000
+#define REQUESTS 3000
+#define SERVICE_MS 100
+#define RUNS_PER_S 20.0 /* of 2 slots */
+
+struct scenario {
+    struct rs_fleet fleet;
+    struct rs_fleet_target *owner;
+    struct rs_overload_mix mix;
+    GRand *random;
+};
+
+/* Requests of the ranks 0, 1 and 2 arrive in the proportion 1:1:2. */
+static void
+open_scenario(struct scenario *scenario, double demand_per_s)
+{
+    *scenario = (struct scenario){.random = g_rand_new_with_seed(3)};
+    RsFleet_Init(&scenario->fleet, RsFixture_FleetEvents(), NULL);
+    const struct rs_fixture_report report = {.id = "a",
+                                             .service = "s",
+                                             .zone = "z",
+                                             .port = 1000,
+                                             .started_wall_ms = 1,
+                                             .sequence = 1};
+    RsFixture_Report(&scenario->fleet, &report, NOW_MS);
+    scenario->owner = RsFleet_Find(&scenario->fleet, g_intern_string("a"));
+    scenario->owner->service_ms = SERVICE_MS;
+    scenario->owner->demand_per_s = demand_per_s;
+    scenario->owner->demand_at_ms = NOW_MS;
+    for (uint32_t i = 0; i < REQUESTS; i++) {
+        static const uint32_t ranks[] = {0, 2, 1, 2};
+        RsOverload_Count(&scenario->mix, ranks[i % 4], NOW_MS);
+    }
+}
+
+static void
+close_scenario(struct scenario *scenario)
+{
+    g_rand_free(scenario->random);
+    RsFleet_Clear(&scenario->fleet);
+}
+
+static double
+admitted_share(struct scenario *scenario, uint32_t rank, int64_t now_ms)
+{
+    uint32_t admitted = 0;
+    for (uint32_t i = 0; i < REQUESTS; i++) {
+        admitted += RsOverload_Admit(scenario->owner, &scenario->mix, rank,
+                                     scenario->random, now_ms);
+    }
+    return (double)admitted / REQUESTS;
+}
+
+/* Guards against refusals on outdated demand, which no longer says anything
+ * about the load, and at targets that warm up. */
+static void
+test_all_are_admitted_without_known_overload(void)
+{
+    struct scenario scenario;
+    open_scenario(&scenario, 0);
+    CU_ASSERT_EQUAL(admitted_share(&scenario, 2, NOW_MS), 1);
+    scenario.owner->demand_per_s = 4 * RUNS_PER_S;
+    CU_ASSERT_TRUE(admitted_share(&scenario, 2, NOW_MS) < 0.5);
+    CU_ASSERT_EQUAL(admitted_share(&scenario, 2, NOW_MS + 1001), 1);
+    scenario.owner->cold_until_ms = NOW_MS + 1;
+    CU_ASSERT_EQUAL(admitted_share(&scenario, 2, NOW_MS), 1);
+    close_scenario(&scenario);
+}
+
+/* Guards against a rank that gets more than a less urgent one leaves to it,
+ * and against one that gets nothing. Half of the requests can be run: rank 0
+ * is admitted, rank 1 gets what is left but for the least part of rank 2. */
+static void
+test_urgent_ranks_use_the_share_first(void)
+{
+    struct scenario scenario;
+    open_scenario(&scenario, 0);
+    CU_ASSERT_DOUBLE_EQUAL(RsOverload_ShareOfRank(&scenario.mix, 0, 0.5), 1,
+                           0.001);
+    CU_ASSERT_DOUBLE_EQUAL(RsOverload_ShareOfRank(&scenario.mix, 1, 0.5), 0.75,
+                           0.001);
+    CU_ASSERT_DOUBLE_EQUAL(RsOverload_ShareOfRank(&scenario.mix, 2, 0.5),
+                           0.125, 0.001);
+    for (uint32_t percent = 1; percent <= 100; percent++) {
+        double share = percent / 100.0;
+        double sum = 0;
+        for (uint32_t rank = 0; rank < 3; rank++) {
+            double own = RsOverload_ShareOfRank(&scenario.mix, rank, share);
+            CU_ASSERT_TRUE(own >= 0.25 * share - 1e-9 && own <= 1 + 1e-9);
+            sum += own * (rank == 2 ? 0.5 : 0.25);
+        }
+        CU_ASSERT_DOUBLE_EQUAL(sum, share, 0.001);
+    }
+    close_scenario(&scenario);
+}
+
+/* Guards against admission that begins only far above the capacity. */
+static void
+test_admitted_rate_is_what_the_owner_can_run(void)
+{
+    static const double factors[] = {1.2, 1.6, 2, 5};
+    for (size_t i = 0; i < G_N_ELEMENTS(factors); i++) {
+        struct scenario scenario;
+        double demand_per_s = factors[i] * RUNS_PER_S;
+        open_scenario(&scenario, demand_per_s);
+        double sum = (admitted_share(&scenario, 0, NOW_MS) +
+                      admitted_share(&scenario, 1, NOW_MS) +
+                      2 * admitted_share(&scenario, 2, NOW_MS)) /
+                     4;
+        CU_ASSERT_TRUE(sum * demand_per_s >= 1.05 * RUNS_PER_S);
+        CU_ASSERT_TRUE(sum * demand_per_s <= 1.15 * RUNS_PER_S);
+        close_scenario(&scenario);
+    }
+}
+
+/* Guards against requests that fill the owner's queue until answers are late,
+ * and against a slow owner that gets none. */
+static void
+test_room_depends_on_the_latency_target(void)
+{
+    struct scenario scenario;
+    open_scenario(&scenario, 2 * RUNS_PER_S);
+    struct rs_overload_request request = {.rank = 2,
+                                          .arrived_at_ms = NOW_MS,
+                                          .admitted_at_ms = NOW_MS,
+                                          .latency_target_ms = 400,
+                                          .wait_until_ms = NOW_MS + 400};
+    struct rs_fleet_target *owner = scenario.owner;
+    const struct rs_overload_mix *mix = &scenario.mix;
+    /* With 3 others, the answer is expected after 200 ms, half the target. */
+    owner->in_flight = 3;
+    CU_ASSERT_TRUE(RsOverload_HasRoom(owner, mix, &request, NOW_MS));
+    CU_ASSERT_FALSE(RsOverload_HasRoom(owner, mix, &request, NOW_MS + 10));
+    owner->in_flight = 4;
+    CU_ASSERT_FALSE(RsOverload_HasRoom(owner, mix, &request, NOW_MS));
+    request.rank = 0;
+    CU_ASSERT_TRUE(RsOverload_HasRoom(owner, mix, &request, NOW_MS));
+    owner->in_flight = 6;
+    request.latency_target_ms = 60000;
+    CU_ASSERT_FALSE(RsOverload_HasRoom(owner, mix, &request, NOW_MS));
+    owner->service_ms = 5000;
+    owner->in_flight = 1;
+    request.latency_target_ms = 400;
+    CU_ASSERT_TRUE(RsOverload_HasRoom(owner, mix, &request, NOW_MS));
+    owner->full_until_ms = NOW_MS + 1;
+    CU_ASSERT_FALSE(RsOverload_HasRoom(owner, mix, &request, NOW_MS));
+    close_scenario(&scenario);
+}
+
+/* Guards against waits that end only after the answer could be in time, and
+ * against shorter waits without overload, as during a handover. */
+static void
+test_waits_at_an_overloaded_owner_are_short(void)
+{
+    struct scenario scenario;
+    open_scenario(&scenario, 2 * RUNS_PER_S);
+    struct rs_overload_request request = {.arrived_at_ms = NOW_MS - 300,
+                                          .admitted_at_ms = NOW_MS,
+                                          .latency_target_ms = 400,
+                                          .wait_until_ms = NOW_MS + 100};
+    CU_ASSERT_EQUAL(RsOverload_WaitUntilMs(scenario.owner, &request, NOW_MS),
+                    NOW_MS + 60);
+    request.wait_until_ms = NOW_MS + 10;
+    CU_ASSERT_EQUAL(RsOverload_WaitUntilMs(scenario.owner, &request, NOW_MS),
+                    NOW_MS + 10);
+    request.wait_until_ms = NOW_MS + 100;
+    scenario.owner->demand_per_s = 0;
+    CU_ASSERT_EQUAL(RsOverload_WaitUntilMs(scenario.owner, &request, NOW_MS),
+                    NOW_MS + 100);
+    CU_ASSERT_TRUE(
+        RsOverload_IsTooLate(scenario.owner, NOW_MS + SERVICE_MS - 1, NOW_MS));
+    CU_ASSERT_FALSE(
+        RsOverload_IsTooLate(scenario.owner, NOW_MS + SERVICE_MS, NOW_MS));
+    close_scenario(&scenario);
+}
+
+int
+main(void)
+{
+    RsLog_Open("test", RsLog_ERROR);
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("overload", NULL, NULL);
+    CU_ADD_TEST(suite, test_all_are_admitted_without_known_overload);
+    CU_ADD_TEST(suite, test_urgent_ranks_use_the_share_first);
+    CU_ADD_TEST(suite, test_admitted_rate_is_what_the_owner_can_run);
+    CU_ADD_TEST(suite, test_room_depends_on_the_latency_target);
+    CU_ADD_TEST(suite, test_waits_at_an_overloaded_owner_are_short);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? 0 : 1;
+}
--- a/router/request.c
+++ b/router/request.c
@@ -314,6 +314,7 @@
         RsReply_Refuse(request, "unknown-service");
         return false;
     }
+    request->rank = request->route->priority;
     set_deadlines(request);
     if (request->service->sharded) {
         request->key = read_number(http, RsWire_KEY, RsRequest_NO_KEY);
@@ -348,6 +349,9 @@
     }
     RsLoad_CountRequest(RsRouter_RetryBudget(router, request->service->name),
                         request->arrived_at_ms);
+    RsOverload_Count(
+        &RsRouter_GetOrCreateService(router, request->service->name)->mix,
+        request->rank, request->arrived_at_ms);
     RsAttempt_Dispatch(request, request->arrived_at_ms);
 }
 
--- a/router/request.h
+++ b/router/request.h
@@ -45,7 +45,10 @@
     struct rs_routing *config;
     const struct rs_route *route;
     const struct rs_service *service;
-    uint32_t key; /* RsRequest_NO_KEY unless the service is sharded */
+    /* Whose API key the request carries; NULL: none. */
+    const struct rs_workspace *workspace;
+    uint32_t rank; /* 0 is the most urgent */
+    uint32_t key;  /* RsRequest_NO_KEY unless the service is sharded */
     char id[RsRequest_MAX_ID_BYTES];
     uint64_t fingerprint; /* see RsRequest_Fingerprint(); 0: not computed */
     int64_t arrived_at_ms;
@@ -59,6 +62,7 @@
     bool waiting;
     /* Admission control for the owner of the key has accepted the request. */
     bool admitted;
+    int64_t admitted_at_ms;
     bool finished;
     bool may_have_run;
     /* Ended attempts that count towards the maximum of the route. Those that
--- a/router/router.h
+++ b/router/router.h
@@ -16,6 +16,7 @@
 #include "router/keymap.h"
 #include "router/load.h"
 #include "router/notices.h"
+#include "router/overload.h"
 #include "router/paths.h"
 #include "router/shutdown.h"
 #include "router/suspects.h"
@@ -51,6 +52,7 @@
 /* Per-service state of this node. */
 struct rs_router_service {
     struct rs_load_retry_budget budget;
+    struct rs_overload_mix mix;
     double answer_bytes; /* moving average of response body sizes */
 };
 
