--- a/router/hot_keys_test.c
+++ b/router/hot_keys_test.c
@@ -11,6 +11,7 @@
 #include "core/log.h"
 #include "router/fixture.h"
 #include "router/load.h"
+#include "router/overload.h"
 #include "router/owners.h"
 
 #define START_MS 100000
@@ -313,8 +314,9 @@
 admit(struct sim *sim, struct request *request, struct rs_fleet_target *seen,
       int64_t *retry_at_ms)
 {
+    static const struct rs_overload_mix one_rank;
     *retry_at_ms = 0;
-    return RsLoad_Admit(seen, sim->now_ms);
+    return RsOverload_Admit(seen, &one_rank, 0, sim->random, sim->now_ms);
 }
 
 /* Handles a request as RsAttempt_Dispatch() does. */
--- a/router/request.c
+++ b/router/request.c
@@ -447,6 +447,9 @@
     }
     RsLoad_CountRequest(RsRouter_RetryBudget(router, request->service->name),
                         request->arrived_at_ms);
+    RsOverload_Count(
+        &RsRouter_GetOrCreateService(router, request->service->name)->mix,
+        request->rank, request->arrived_at_ms);
     RsAttempt_Dispatch(request, request->arrived_at_ms);
 }
 
--- a/router/request.h
+++ b/router/request.h
@@ -70,6 +70,7 @@
     bool waiting;
     /* Admission control for the owner of the key has accepted the request. */
     bool admitted;
+    int64_t admitted_at_ms;
     bool finished;
     bool may_have_run;
     /* Ended attempts that count towards the maximum of the route. Those that
