--- a/settings/node.c
+++ b/settings/node.c
@@ -220,7 +220,9 @@
         fault->line = RsLocate_Line(lines, fault->field);
         g_hash_table_unref(lines);
     }
-    else if (strcmp(fault->field, "node.bootstrap") == 0) {
+    else if (strcmp(fault->field, "node.bootstrap") == 0 ||
+             strcmp(fault->field, "bounds.strict_revoke") == 0 ||
+             strcmp(fault->field, "load.adaptive") == 0) {
         snprintf(fault->allowed, sizeof(fault->allowed), "true, false");
     }
     if (status < 0) {
--- a/settings/node_test.c
+++ b/settings/node_test.c
@@ -124,6 +124,91 @@
     g_free(fault_of_unknown);
 }
 
+/* Loads the valid file with `original` replaced by `replacement`. The test
+ * fails if that can't be loaded. The caller frees the result. */
+static struct rs_node_settings *
+load_settings(const char *original, const char *replacement)
+{
+    char path[] = "/tmp/node-test-XXXXXX";
+    struct rs_node_settings *settings = NULL;
+    struct rs_settings_fault fault;
+    char **parts = g_strsplit(valid_file, original, 2);
+    char *file = g_strconcat(parts[0], replacement, parts[1], NULL);
+    close(g_mkstemp(path));
+    g_file_set_contents(path, file, -1, NULL);
+    CU_ASSERT_EQUAL_FATAL(RsNodeSettings_Load(path, &settings, &fault), 0);
+    g_unlink(path);
+    g_free(file);
+    g_strfreev(parts);
+    return settings;
+}
+
+/* Files of former versions, without the optional fields, must give the former
+ * behaviour. */
+static void
+test_optional_fields_have_defaults(void)
+{
+    struct rs_node_settings *settings = load_settings("zone", "zone");
+    CU_ASSERT_EQUAL(settings->bounds.quota_window_s, 5);
+    CU_ASSERT_EQUAL(settings->bounds.quota_overage, 0);
+    CU_ASSERT_EQUAL(settings->bounds.quota_slack, 0);
+    CU_ASSERT_FALSE(settings->bounds.strict_revoke);
+    CU_ASSERT_EQUAL(settings->bounds.revoke_ms, 5000);
+    CU_ASSERT_FALSE(settings->load.adaptive);
+    CU_ASSERT_EQUAL(settings->node.memory_mb, 0);
+    RsNodeSettings_Free(settings);
+}
+
+static void
+test_optional_fields_are_read(void)
+{
+    struct rs_node_settings *settings =
+        load_settings("  cold_slack: 5\n", "  cold_slack: 5\n"
+                                           "  quota_window_s: 7\n"
+                                           "  quota_overage: 0.25\n"
+                                           "  quota_slack: 20\n"
+                                           "  strict_revoke: true\n"
+                                           "  revoke_ms: 3000\n"
+                                           "load:\n"
+                                           "  adaptive: true\n");
+    CU_ASSERT_EQUAL(settings->bounds.quota_window_s, 7);
+    CU_ASSERT_EQUAL(settings->bounds.quota_overage, 0.25F);
+    CU_ASSERT_EQUAL(settings->bounds.quota_slack, 20);
+    CU_ASSERT_TRUE(settings->bounds.strict_revoke);
+    CU_ASSERT_EQUAL(settings->bounds.revoke_ms, 3000);
+    CU_ASSERT_TRUE(settings->load.adaptive);
+    RsNodeSettings_Free(settings);
+    settings = load_settings("  link_mbps: 1000\n",
+                             "  link_mbps: 1000\n  memory_mb: 160\n");
+    CU_ASSERT_EQUAL(settings->node.memory_mb, 160);
+    RsNodeSettings_Free(settings);
+    settings = load_settings("  cold_slack: 5\n",
+                             "  cold_slack: 5\n  strict_revoke: false\n"
+                             "load:\n  adaptive: false\n");
+    CU_ASSERT_FALSE(settings->bounds.strict_revoke);
+    CU_ASSERT_FALSE(settings->load.adaptive);
+    RsNodeSettings_Free(settings);
+}
+
+/* A mistyped switch must not be taken for "off". */
+static void
+test_faults_of_optional_fields(void)
+{
+    check_fault("cold_slack: 5", "cold_slack: 5\n  strict_revoke: maybe",
+                ":24: bounds.strict_revoke: maybe is not allowed; "
+                "allowed: true, false");
+    check_fault("  cold_slack: 5", "  cold_slack: 5\nload:\n  adaptive: on",
+                ":25: load.adaptive: on is not allowed; "
+                "allowed: true, false");
+    check_fault("cold_slack: 5", "cold_slack: 5\n  quota_overage: -0.1",
+                ":15: bounds: negative; allowed: 0 or more");
+    char *fault_of_number =
+        load_with_replacement("cold_slack: 5", "cold_slack: 5\n"
+                                               "  revoke_ms: soon");
+    CU_ASSERT_PTR_NOT_NULL(strstr(fault_of_number, "bounds.revoke_ms"));
+    g_free(fault_of_number);
+}
+
 int
 main(void)
 {
@@ -132,6 +217,9 @@
     CU_ADD_TEST(suite, test_valid_file_is_loaded);
     CU_ADD_TEST(suite, test_faults_name_line_field_and_allowed_values);
     CU_ADD_TEST(suite, test_missing_invalid_and_unknown_fields_are_rejected);
+    CU_ADD_TEST(suite, test_optional_fields_have_defaults);
+    CU_ADD_TEST(suite, test_optional_fields_are_read);
+    CU_ADD_TEST(suite, test_faults_of_optional_fields);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
     CU_cleanup_registry();
