Count requests of workspaces and log missing API keys

Metrics name the 20 busiest workspaces of the last minute and sum up the rest, as gauges, since a counter of the rest would go back when a workspace joins the busiest. 401 responses are logged together, once a second at most, instead of a line each: callers choose how many there are.

--- a/router/metrics.c
+++ b/router/metrics.c
@@ -11,6 +11,54 @@
     RsCounter_AppendText(text, name, "", help, "counter", counter);
 }
 
+/* Appends the value of a label. Names of workspaces have no line breaks. */
+static void
+print_escaped(struct rs_text_buffer *text, const char *value)
+{
+    for (; *value != '\0'; value++) {
+        bool special = *value == '"' || *value == '\\';
+        RsText_Append(text, special ? "\\%c" : "%c", *value);
+    }
+}
+
+/* Appends a metric of the busiest workspaces and of all others together, so
+ * that the number of series is bounded. They are gauges, since workspaces may
+ * join the busiest and leave them. `offset` is that of the value in struct
+ * rs_workspaces_usage. */
+static void
+print_usages(struct rs_text_buffer *text, const char *name, const char *help,
+             const struct rs_workspaces *workspaces, size_t offset)
+{
+    RsText_Append(text, "# HELP %s %s\n# TYPE %s gauge\n", name, help, name);
+    for (uint32_t i = 0; i < workspaces->busiest_count; i++) {
+        const struct rs_workspaces_usage *usage = &workspaces->busiest[i];
+        RsText_Append(text, "%s{workspace=\"", name);
+        print_escaped(text, usage->name);
+        RsText_Append(text, "\"} %" PRIu32 "\n",
+                      G_STRUCT_MEMBER(uint32_t, usage, offset));
+    }
+    RsText_Append(text, "%s{others=\"true\"} %" PRIu32 "\n", name,
+                  G_STRUCT_MEMBER(uint32_t, &workspaces->rest, offset));
+}
+
+static void
+print_workspaces(struct rs_text_buffer *text,
+                 const struct rs_workspaces *workspaces)
+{
+    print_counter(text, "rattanshed_unauthorized_total",
+                  "Requests without a valid API key.",
+                  &workspaces->unauthorized_total);
+    print_counter(text, "rattanshed_refused_unconfirmed_total",
+                  "Requests refused because API keys could not be trusted.",
+                  &workspaces->unconfirmed_total);
+    print_usages(text, "rattanshed_workspace_requests",
+                 "Requests that ended in the last whole minute.", workspaces,
+                 offsetof(struct rs_workspaces_usage, requests));
+    print_usages(text, "rattanshed_workspace_not_run",
+                 "Of these, requests that were not run.", workspaces,
+                 offsetof(struct rs_workspaces_usage, not_run));
+}
+
 /* Appends counters and histograms of the node to `text`, in the Prometheus
  * text format. */
 void
@@ -63,6 +111,7 @@
     print_counter(text, "rattanshed_tunnels_failed_total",
                   "Tunnels whose target could not be reached.",
                   &sources->tunnels->failed);
+    print_workspaces(text, &sources->router->workspaces);
     RsHistogram_AppendText(text, "rattanshed_request_us", "",
                            "From a request's arrival to its end.",
                            &router->latency_us);
@@ -123,12 +172,16 @@
         text,
         "{\"config_version\":%" PRIu32 ",\"nodes\":%" PRIu32
         ",\"isolated\":%s,\"granter\":\"%s\",\"authority_left_ms\":%" PRId64
-        ",\"active\":%u,\"waiting\":%u,\"targets\":[",
+        ",\"active\":%u,\"waiting\":%u,\"config_age_ms\":%" PRId64
+        ",\"targets\":[",
         router->config != NULL ? router->config->version : 0,
         router->share.nodes, router->paths.isolated ? "true" : "false",
         sources->granter->holder.node,
         sources->granter->authority_until_ms - now_ms, router->active.length,
-        router->waiting.length);
+        router->waiting.length,
+        router->workspaces.confirmed_at_ms > 0
+            ? now_ms - router->workspaces.confirmed_at_ms
+            : -1);
     print_targets(text, router, now_ms);
     RsText_Append(text, "],\"keys\":[");
     g_hash_table_iter_init(&iter, router->keymaps);
--- a/router/node.c
+++ b/router/node.c
@@ -730,9 +730,8 @@
     struct node *node = timer->data;
     int64_t now_ms = RsClock_NowMs();
     node->ticks++;
-    RsWorkspaces_RecordConfirmed(
-        &node->router.workspaces,
-        RsFollower_FreshAtMs(node->operator_follower));
+    RsWorkspaces_Tick(&node->router.workspaces,
+                      RsFollower_FreshAtMs(node->operator_follower), now_ms);
     check_links(node, now_ms);
     RsRequest_Tick(&node->router, now_ms);
     if (node->ticks % CALLER_CHECK_EVERY_TICKS == 0) {
--- a/router/request.c
+++ b/router/request.c
@@ -168,6 +168,11 @@
     g_queue_unlink(&request->router->active, &request->active_link);
     RsHistogram_Record(&request->router->counters.latency_us,
                        (uint64_t)elapsed_us);
+    RsWorkspaces_RecordEnd(&request->router->workspaces, request->workspace,
+                           strcmp(outcome, "not-run") == 0);
+    if (request->unauthorized) {
+        return; /* RsWorkspaces_RecordUnauthorized() logs it */
+    }
     RsLog_EVENT(
         RsLog_INFO, "request", RsLog_TEXT("request_id", request->id),
         RsLog_TEXT("outcome", outcome), RsLog_NUMBER("status", status),
@@ -324,12 +329,18 @@
 bool
 RsRequest_RejectIfUnauthorized(struct rs_request *request, int64_t now_ms)
 {
+    struct rs_workspaces *workspaces = &request->router->workspaces;
+    struct rs_workspaces_credentials credentials;
     switch (RsRequest_CheckApiKey(request, now_ms)) {
     case RsWorkspaces_UNAUTHORIZED:
+        credentials = read_credentials(request->http);
+        RsWorkspaces_RecordUnauthorized(workspaces, &credentials, request->id,
+                                        request->route->name, now_ms);
         request->unauthorized = true;
         RsReply_Reject(request, STATUS_UNAUTHORIZED, "unauthorized");
         return true;
     case RsWorkspaces_UNCONFIRMED:
+        RsCounter_Add(&workspaces->unconfirmed_total, 1);
         RsReply_Refuse(request, "config-unconfirmed");
         return true;
     default:
--- a/router/workspaces.c
+++ b/router/workspaces.c
@@ -10,6 +10,10 @@
 /* The table of keys has at least this many entries for three keys, so that a
  * lookup of an unknown key looks at nine entries on average at most. */
 #define ENTRIES_PER_3_KEYS 4
+#define MINUTE_MS 60000
+/* Callers choose how many requests without a valid key come, so they must not
+ * fill the log. */
+#define UNAUTHORIZED_LOG_INTERVAL_MS 1000
 
 /* Initializes an empty set of workspaces. `strict` and `revoke_ms`: see
  * struct rs_workspaces. */
@@ -21,6 +25,8 @@
         .checksum = g_checksum_new(G_CHECKSUM_SHA256),
         .strict = strict,
         .revoke_ms = revoke_ms,
+        .usages =
+            g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free),
     };
     ssize_t size = getrandom(workspaces->seed, sizeof(workspaces->seed), 0);
     g_assert(size == sizeof(workspaces->seed));
@@ -32,6 +38,7 @@
 {
     g_checksum_free(workspaces->checksum);
     g_free(workspaces->entries);
+    g_hash_table_unref(workspaces->usages);
 }
 
 /* Computes the digest of a key: the first bytes of the SHA-256 hash of the
@@ -117,15 +124,6 @@
     }
 }
 
-/* Records when the configuration in force was last known to be the current
- * one. */
-void
-RsWorkspaces_RecordConfirmed(struct rs_workspaces *workspaces,
-                             int64_t confirmed_at_ms)
-{
-    workspaces->confirmed_at_ms = confirmed_at_ms;
-}
-
 /* Returns whether API keys can be trusted. If not, a key may have been revoked
  * without this node knowing. */
 bool
@@ -137,14 +135,12 @@
             now_ms - workspaces->confirmed_at_ms < workspaces->revoke_ms);
 }
 
-/* Returns the workspace that the credentials belong to, or NULL unless they
- * are one valid API key. The workspace belongs to the configuration in force.
- */
-const struct rs_workspace *
-RsWorkspaces_Identify(const struct rs_workspaces *workspaces,
-                      const struct rs_workspaces_credentials *credentials)
+/* Returns the API key in the credentials, and its size in `*key_bytes`, or
+ * NULL unless they are one key of at least one byte. */
+static const char *
+parse_credentials(const struct rs_workspaces_credentials *credentials,
+                  size_t *key_bytes)
 {
-    uint8_t digest[RsWorkspaces_DIGEST_BYTES];
     size_t scheme_bytes = strlen(RsWire_API_KEY_SCHEME);
     const char *key = credentials->value;
     size_t left_bytes = credentials->size_bytes;
@@ -159,10 +155,24 @@
         key++;
         left_bytes--;
     }
-    if (left_bytes == 0 || left_bytes > workspaces->max_key_bytes) {
+    *key_bytes = left_bytes;
+    return left_bytes > 0 ? key : NULL;
+}
+
+/* Returns the workspace that the credentials belong to, or NULL unless they
+ * are one valid API key. The workspace belongs to the configuration in force.
+ */
+const struct rs_workspace *
+RsWorkspaces_Identify(const struct rs_workspaces *workspaces,
+                      const struct rs_workspaces_credentials *credentials)
+{
+    uint8_t digest[RsWorkspaces_DIGEST_BYTES];
+    size_t key_bytes = 0;
+    const char *key = parse_credentials(credentials, &key_bytes);
+    if (key == NULL || key_bytes > workspaces->max_key_bytes) {
         return NULL;
     }
-    compute_digest(workspaces, key, left_bytes, digest);
+    compute_digest(workspaces, key, key_bytes, digest);
     uint32_t found = find_entry(workspaces, digest)->workspace;
     return found > 0 ? &workspaces->config->workspaces[found - 1] : NULL;
 }
@@ -177,3 +187,113 @@
     return workspace != NULL && workspace->has_priority ? workspace->priority
                                                         : route->priority;
 }
+
+/* Logs the requests without a valid key since the last log line, if there are
+ * any and enough time has passed. */
+static void
+log_unauthorized(struct rs_workspaces_unauthorized *unauthorized,
+                 int64_t now_ms)
+{
+    if (unauthorized->count == 0 || now_ms < unauthorized->next_log_at_ms) {
+        return;
+    }
+    RsLog_EVENT(RsLog_WARNING, "unauthorized",
+                RsLog_NUMBER("count", unauthorized->count),
+                RsLog_NUMBER("missing", unauthorized->missing),
+                RsLog_NUMBER("malformed", unauthorized->malformed),
+                RsLog_TEXT("request_id", unauthorized->request_id),
+                RsLog_TEXT("route", unauthorized->route));
+    *unauthorized = (struct rs_workspaces_unauthorized){
+        .next_log_at_ms = now_ms + UNAUTHORIZED_LOG_INTERVAL_MS};
+}
+
+/* Records and logs a request that was answered with 401. */
+void
+RsWorkspaces_RecordUnauthorized(
+    struct rs_workspaces *workspaces,
+    const struct rs_workspaces_credentials *credentials,
+    const char *request_id, const char *route, int64_t now_ms)
+{
+    struct rs_workspaces_unauthorized *unauthorized =
+        &workspaces->unauthorized;
+    size_t key_bytes = 0;
+    bool malformed = parse_credentials(credentials, &key_bytes) == NULL;
+    RsCounter_Add(&workspaces->unauthorized_total, 1);
+    unauthorized->count++;
+    unauthorized->missing += credentials->count == 0;
+    unauthorized->malformed += credentials->count > 0 && malformed;
+    g_strlcpy(unauthorized->request_id, request_id,
+              sizeof(unauthorized->request_id));
+    unauthorized->route = g_intern_string(route);
+    log_unauthorized(unauthorized, now_ms);
+}
+
+/* Records the end of a request. `not_run`: it was refused. Does nothing if
+ * `workspace` is NULL. */
+void
+RsWorkspaces_RecordEnd(struct rs_workspaces *workspaces,
+                       const struct rs_workspace *workspace, bool not_run)
+{
+    if (workspace == NULL) {
+        return;
+    }
+    struct rs_workspaces_usage *usage =
+        g_hash_table_lookup(workspaces->usages, workspace->name);
+    if (usage == NULL) {
+        usage = g_new0(struct rs_workspaces_usage, 1);
+        usage->name = workspace->name;
+        g_hash_table_insert(workspaces->usages, (gpointer)usage->name, usage);
+    }
+    usage->requests++;
+    usage->not_run += not_run;
+}
+
+/* Adds a workspace to those that metrics name, or to the rest. The least busy
+ * one moves to the rest if there are too many. */
+static void
+rank_usage(struct rs_workspaces *workspaces, struct rs_workspaces_usage usage)
+{
+    struct rs_workspaces_usage *list = workspaces->busiest;
+    for (uint32_t i = 0; i < workspaces->busiest_count; i++) {
+        if (usage.requests > list[i].requests) {
+            struct rs_workspaces_usage former = list[i];
+            list[i] = usage;
+            usage = former;
+        }
+    }
+    if (workspaces->busiest_count < RsWorkspaces_MAX_BUSIEST) {
+        list[workspaces->busiest_count++] = usage;
+        return;
+    }
+    workspaces->rest.requests += usage.requests;
+    workspaces->rest.not_run += usage.not_run;
+}
+
+/* Ends a minute: finds its busiest workspaces, and counts anew. */
+static void
+end_minute(struct rs_workspaces *workspaces, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    workspaces->minute_ends_at_ms = now_ms + MINUTE_MS;
+    workspaces->busiest_count = 0;
+    workspaces->rest = (struct rs_workspaces_usage){0};
+    g_hash_table_iter_init(&iter, workspaces->usages);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        rank_usage(workspaces, *(const struct rs_workspaces_usage *)value);
+    }
+    g_hash_table_remove_all(workspaces->usages);
+}
+
+/* Records when the configuration in force was last known to be the current
+ * one. Must be called every few tens of milliseconds. */
+void
+RsWorkspaces_Tick(struct rs_workspaces *workspaces, int64_t confirmed_at_ms,
+                  int64_t now_ms)
+{
+    workspaces->confirmed_at_ms = confirmed_at_ms;
+    log_unauthorized(&workspaces->unauthorized, now_ms);
+    if (now_ms >= workspaces->minute_ends_at_ms) {
+        end_minute(workspaces, now_ms);
+    }
+}
--- a/router/workspaces_test.c
+++ b/router/workspaces_test.c
@@ -181,10 +181,10 @@
     struct rs_workspaces workspaces;
     RsWorkspaces_Init(&workspaces, true, REVOKE_MS);
     CU_ASSERT_FALSE(RsWorkspaces_IsConfirmed(&workspaces, 1000));
-    RsWorkspaces_RecordConfirmed(&workspaces, 100000);
+    RsWorkspaces_Tick(&workspaces, 100000, 100020);
     CU_ASSERT_TRUE(RsWorkspaces_IsConfirmed(&workspaces, 104999));
     CU_ASSERT_FALSE(RsWorkspaces_IsConfirmed(&workspaces, 105000));
-    RsWorkspaces_RecordConfirmed(&workspaces, 106000);
+    RsWorkspaces_Tick(&workspaces, 106000, 106005);
     CU_ASSERT_TRUE(RsWorkspaces_IsConfirmed(&workspaces, 106010));
     RsWorkspaces_Clear(&workspaces);
     RsWorkspaces_Init(&workspaces, false, REVOKE_MS);
@@ -220,6 +220,68 @@
     RsRouting_Release(config);
 }
 
+/* Any number of workspaces must give a bounded number of series, which
+ * together still count all requests. */
+static void
+test_metrics_name_the_busiest_workspaces(void)
+{
+    struct rs_workspaces workspaces;
+    char name[16];
+    RsWorkspaces_Init(&workspaces, false, REVOKE_MS);
+    RsWorkspaces_Tick(&workspaces, 0, 1000);
+    for (int i = 0; i < 100; i++) {
+        snprintf(name, sizeof(name), "w%d", i);
+        const struct rs_workspace workspace = {.name = g_intern_string(name)};
+        for (int k = 0; k <= i; k++) {
+            RsWorkspaces_RecordEnd(&workspaces, &workspace, k == 0);
+        }
+    }
+    RsWorkspaces_RecordEnd(&workspaces, NULL, true);
+    CU_ASSERT_EQUAL(workspaces.busiest_count, 0);
+    RsWorkspaces_Tick(&workspaces, 0, 61000);
+    CU_ASSERT_EQUAL_FATAL(workspaces.busiest_count, RsWorkspaces_MAX_BUSIEST);
+    for (uint32_t i = 0; i < workspaces.busiest_count; i++) {
+        snprintf(name, sizeof(name), "w%u", 99 - i);
+        CU_ASSERT_STRING_EQUAL(workspaces.busiest[i].name, name);
+        CU_ASSERT_EQUAL(workspaces.busiest[i].requests, 100 - i);
+        CU_ASSERT_EQUAL(workspaces.busiest[i].not_run, 1);
+    }
+    CU_ASSERT_EQUAL(workspaces.rest.requests, 80 * 81 / 2);
+    CU_ASSERT_EQUAL(workspaces.rest.not_run, 80);
+    RsWorkspaces_Tick(&workspaces, 0, 121000);
+    CU_ASSERT_EQUAL(workspaces.busiest_count, 0);
+    CU_ASSERT_EQUAL(workspaces.rest.requests, 0);
+    RsWorkspaces_Clear(&workspaces);
+}
+
+/* A flood of bad keys must not fill the log, nor may the last ones go
+ * unmentioned. */
+static void
+test_unauthorized_requests_are_logged_together(void)
+{
+    static const struct rs_workspaces_credentials bad[] = {
+        {NULL, 0, 0}, {"Basic x", 7, 1}, {"Bearer x", 8, 1}};
+    struct rs_workspaces workspaces;
+    const struct rs_workspaces_unauthorized *pending =
+        &workspaces.unauthorized;
+    RsWorkspaces_Init(&workspaces, false, REVOKE_MS);
+    for (int i = 0; i < 9; i++) {
+        RsWorkspaces_RecordUnauthorized(&workspaces, &bad[i % 3], "r", "route",
+                                        5000 + i);
+    }
+    CU_ASSERT_EQUAL(pending->count, 8);
+    CU_ASSERT_EQUAL(pending->missing, 2);
+    CU_ASSERT_EQUAL(pending->malformed, 3);
+    CU_ASSERT_EQUAL(pending->next_log_at_ms, 6000);
+    RsWorkspaces_Tick(&workspaces, 0, 5999);
+    CU_ASSERT_EQUAL(pending->count, 8);
+    RsWorkspaces_Tick(&workspaces, 0, 6000);
+    CU_ASSERT_EQUAL(pending->count, 0);
+    CU_ASSERT_EQUAL(pending->next_log_at_ms, 7000);
+    CU_ASSERT_EQUAL(RsCounter_Read(&workspaces.unauthorized_total), 9);
+    RsWorkspaces_Clear(&workspaces);
+}
+
 int
 main(void)
 {
@@ -233,6 +295,8 @@
     CU_ADD_TEST(suite, test_key_of_two_workspaces_belongs_to_the_first);
     CU_ADD_TEST(suite, test_many_keys_are_told_apart);
     CU_ADD_TEST(suite, test_strict_trust_ends);
+    CU_ADD_TEST(suite, test_metrics_name_the_busiest_workspaces);
+    CU_ADD_TEST(suite, test_unauthorized_requests_are_logged_together);
     CU_ADD_TEST(suite, test_malformed_workspaces_are_refused);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
