Let the soak use workspaces whose API keys change

The rule KEY is broken by a request that reaches a target without a key in force, for another workspace or with its key, and by a 401 for a valid key.

--- a/router/request.c
+++ b/router/request.c
@@ -223,7 +223,7 @@
     append_part(text, http->input.method.base, http->input.method.len);
     append_part(text, http->input.authority.base, http->input.authority.len);
     append_part(text, http->input.path.base, http->input.path.len);
-    append_header(text, http, "authorization");
+    append_header(text, http, RsWire_AUTHORIZATION);
     append_header(text, http, RsWire_KEY);
     append_part(text, http->entity.base, http->entity.len);
     request->fingerprint = MAX(RsId_FromBytes(text->str, text->len), 1);
--- a/soak/caller.c
+++ b/soak/caller.c
@@ -6,6 +6,7 @@
 #include "core/clock.h"
 #include "http/connection.h"
 #include "soak/target.h"
+#include "soak/workspaces.h"
 
 /* Above the longest route timeout, 2 s, by which a node must have answered. */
 #define REQUEST_TIMEOUT_MS 3000
@@ -25,8 +26,10 @@
     bool connected;
     bool awaiting_response;
     bool is_post;
-    char id[32];  /* of the request */
-    char key[16]; /* of the request */
+    char id[32];                                        /* of the request */
+    char key[16];                                       /* of the request */
+    char authorization[RsSoakWorkspaces_KEY_BYTES + 8]; /* empty: none */
+    bool counted; /* the request must be accepted, so it is in the tally */
     /* The members below are about the response. */
     int status;
     char signature[64];
@@ -91,17 +94,25 @@
 static void
 send_request(struct caller *caller)
 {
-    const struct rs_http_header headers[] = {
+    struct rs_http_header headers[5] = {
         {"host", "soak.example"},
         {"x-request-id", caller->id},
         {"x-deadline-ms", DEADLINE_MS_TEXT},
-        {"x-shard-key", caller->key},
     };
+    size_t header_count = 3;
+    if (!caller->is_post) {
+        headers[header_count++] =
+            (struct rs_http_header){"x-shard-key", caller->key};
+    }
+    if (caller->authorization[0] != '\0') {
+        headers[header_count++] =
+            (struct rs_http_header){"authorization", caller->authorization};
+    }
     const struct rs_http_request request = {
         .method = caller->is_post ? "POST" : "GET",
         .path = caller->is_post ? "/post/x" : "/get/x",
         .headers = headers,
-        .header_count = caller->is_post ? 3 : 4,
+        .header_count = header_count,
         .body = "body",
         .body_bytes = caller->is_post ? 4 : 0,
     };
@@ -159,9 +170,17 @@
     RsCheck_RecordResponse(callers->options.check, caller->id,
                            !caller->is_post, caller->status, matches_request,
                            RsClock_NowMs());
-    callers->tally.served += caller->status == 200 && matches_request;
-    callers->tally.refused += caller->status == 503;
-    callers->tally.failed += caller->status != 200 && caller->status != 503;
+    if (callers->options.check->workspaces != NULL) {
+        RsSoakWorkspaces_RecordResponse(callers->options.check->workspaces,
+                                        caller->id, caller->status,
+                                        RsClock_NowMs());
+    }
+    if (caller->counted) {
+        callers->tally.served += caller->status == 200 && matches_request;
+        callers->tally.refused += caller->status == 503;
+        callers->tally.failed +=
+            caller->status != 200 && caller->status != 503;
+    }
     bool keep = keep_alive && g_rand_int_range(callers->options.random, 0,
                                                100) < KEEP_ALIVE_PERCENT;
     if (!keep) {
@@ -178,7 +197,7 @@
     caller->connection = NULL;
     caller->connected = false;
     if (caller->awaiting_response) {
-        caller->callers->tally.failed++;
+        caller->callers->tally.failed += caller->counted;
         uv_timer_stop(&caller->timer);
         schedule_next_request(caller);
     }
@@ -196,7 +215,7 @@
 on_timeout(uv_timer_t *timer)
 {
     struct caller *caller = timer->data;
-    caller->callers->tally.failed++;
+    caller->callers->tally.failed += caller->counted;
     disconnect(caller);
     schedule_next_request(caller);
 }
@@ -214,6 +233,25 @@
     return base + (uint32_t)g_rand_int_range(random, 0, HOT_KEYS);
 }
 
+/* Chooses the API key of the next request, if there are workspaces. */
+static void
+pick_api_key(struct caller *caller)
+{
+    struct rs_soak_workspaces *workspaces =
+        caller->callers->options.check->workspaces;
+    const char *key = NULL;
+    caller->counted = true;
+    caller->authorization[0] = '\0';
+    if (workspaces != NULL) {
+        key = RsSoakWorkspaces_PickKey(workspaces, caller->id, RsClock_NowMs(),
+                                       &caller->counted);
+    }
+    if (key != NULL) {
+        snprintf(caller->authorization, sizeof(caller->authorization),
+                 "Bearer %s", key);
+    }
+}
+
 static void
 start_request(uv_timer_t *timer)
 {
@@ -230,7 +268,8 @@
     caller->status = 0;
     caller->body_bytes = 0;
     caller->body_too_long = false;
-    callers->tally.started++;
+    pick_api_key(caller);
+    callers->tally.started += caller->counted;
     uv_timer_start(&caller->timer, on_timeout, REQUEST_TIMEOUT_MS, 0);
     if (caller->connection != NULL) {
         send_request(caller);
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -10,6 +10,7 @@
 
 #include "soak/check.h"
 
+/* Only requests that carry a valid API key, if one is needed, are counted. */
 struct rs_soak_tally {
     uint64_t started; /* requests, including those that could not connect */
     uint64_t served;  /* status 200 and the right response */
--- a/soak/check.h
+++ b/soak/check.h
@@ -17,6 +17,8 @@
  * this time. */
 #define RsCheck_LIMIT_WINDOW_MS 4000
 
+struct rs_soak_workspaces;
+
 /* A range of keys that a target holds until a point in time. */
 struct rs_check_hold {
     uint32_t first_key;
@@ -36,6 +38,8 @@
     uint32_t last_holder[RsCheck_KEYS];   /* target of the last grant */
     GHashTable *executed; /* ids of non-idempotent requests that were run */
     GHashTable *not_executed; /* ids of those reported not to have run */
+    /* Checks the API keys of requests; NULL: there are no workspaces. */
+    struct rs_soak_workspaces *workspaces;
     uint32_t violation_count;
     FILE *report;
     int64_t started_at_ms;
--- a/soak/main.c
+++ b/soak/main.c
@@ -17,6 +17,7 @@
 #include "soak/setup.h"
 #include "soak/store.h"
 #include "soak/target.h"
+#include "soak/workspaces.h"
 #include "tests/link_cut.h"
 #include "tests/process.h"
 
@@ -59,6 +60,16 @@
 #define GRANTER_SPARED_MS 8000
 #define US_PER_MS 1000
 #define CALLER_PAUSE_MS 60
+/* API keys are not trusted by a node that has not confirmed the configuration
+ * for REVOKE_MS. A confirmation may be an answer that the store held, or was
+ * late with, for ANSWER_MS, and a request may reach the target when the
+ * longest fault has ended. Without faults, nodes have a change in
+ * CHANGE_IN_FORCE_MS.
+ */
+#define REVOKE_MS 2000
+#define ANSWER_MS 1500
+#define KEY_IN_FORCE_MS (REVOKE_MS + ANSWER_MS + FAULT_DURATION_MAX_MS)
+#define CHANGE_IN_FORCE_MS 2500
 
 struct soak;
 
@@ -105,11 +116,13 @@
     bool recovering;        /* set at the end of the fault phase */
     bool verbose;
     enum rs_soak_violation injected_violation;
-    bool crash_node; /* abort node 0 when the fault phase starts */
-    bool restores;   /* the store may go back to a copy */
-    bool links;      /* nodes may lose their links to all targets */
-    bool limits;     /* targets may state request limits */
-    bool hold_ups;   /* what nodes send to targets may be held up */
+    bool crash_node;     /* abort node 0 when the fault phase starts */
+    bool restores;       /* the store may go back to a copy */
+    bool links;          /* nodes may lose their links to all targets */
+    bool limits;         /* targets may state request limits */
+    bool hold_ups;       /* what nodes send to targets may be held up */
+    bool has_workspaces; /* requests need API keys, which change */
+    struct rs_soak_workspaces workspaces;
     /* Until then, no faults are injected into nodes, as their restarts and
      * pauses would excuse too many requests at a limited target. */
     int64_t nodes_spared_until_ms;
@@ -152,14 +165,28 @@
 static void
 write_config(struct soak *soak)
 {
+    char *workspaces = soak->has_workspaces
+                           ? RsSoakWorkspaces_Config(&soak->workspaces)
+                           : NULL;
     const struct rs_soak_config config = {
         .version = ++soak->config_version,
         .get_timeout_ms = 1500 + random_below(soak, 500),
         .post_timeout_ms = POST_TIMEOUT_MS,
+        .workspaces = workspaces,
     };
     char *text = RsSoakSetup_Config(&config);
     RsSoakStore_Put(soak->store, "op", "config", text);
     g_free(text);
+    g_free(workspaces);
+}
+
+/* Revokes an API key and adds one, if there are workspaces. */
+static void
+replace_key(struct soak *soak)
+{
+    if (soak->has_workspaces) {
+        RsSoakWorkspaces_ReplaceKey(&soak->workspaces, RsClock_NowMs());
+    }
 }
 
 /* Ends all faults of a node, and starts it if it isn't running. */
@@ -531,6 +558,7 @@
         restore_store(soak);
         break;
     case 0:
+        replace_key(soak);
         write_config(soak);
         log_fault(soak, "config", soak->config_version, 0);
         break;
@@ -626,6 +654,11 @@
     printf("under faults: %lu asked, %lu served, %lu refused, %lu failed\n",
            (unsigned long)tally.started, (unsigned long)tally.served,
            (unsigned long)tally.refused, (unsigned long)tally.failed);
+    soak->workspaces.in_force_ms = CHANGE_IN_FORCE_MS;
+    if (soak->has_workspaces) {
+        replace_key(soak);
+        write_config(soak);
+    }
     uv_timer_start(&soak->phase_timer, finish, FINAL_PHASE_MS, 0);
 }
 
@@ -751,6 +784,7 @@
             .base_port = soak->base_port,
             .store_port = route.listen_port,
             .bootstrap = true,
+            .revoke_ms = soak->has_workspaces ? REVOKE_MS : 0,
         };
         bool ready = RsSoakSetup_WriteSettings(setup, path) &&
                      RsLinkProxy_Listen(node->store_proxy) == 0;
@@ -782,6 +816,12 @@
     if (soak->store == NULL || !open_targets(soak)) {
         return false;
     }
+    if (soak->has_workspaces) {
+        RsSoakWorkspaces_Init(&soak->workspaces, &soak->check, soak->random,
+                              RsClock_NowMs());
+        soak->workspaces.in_force_ms = KEY_IN_FORCE_MS;
+        soak->check.workspaces = &soak->workspaces;
+    }
     write_config(soak);
     if (!open_nodes(soak)) {
         return false;
@@ -871,11 +911,24 @@
         arg_lit0(NULL, "limits", "targets may state request limits");
     struct arg_lit *hold_ups = arg_lit0(
         NULL, "hold-ups", "what nodes send to targets may be held up");
+    struct arg_lit *workspaces =
+        arg_lit0(NULL, "workspaces", "requests need API keys, which change");
     struct arg_lit *verbose = arg_lit0("v", NULL, "print the faults");
     struct arg_end *ends = arg_end(4);
-    void *table[] = {
-        program,  seed,  nodes,  targets,  seconds, port, injected_violation,
-        restores, links, limits, hold_ups, verbose, ends};
+    void *table[] = {program,
+                     seed,
+                     nodes,
+                     targets,
+                     seconds,
+                     port,
+                     injected_violation,
+                     restores,
+                     links,
+                     limits,
+                     hold_ups,
+                     workspaces,
+                     verbose,
+                     ends};
     seed->ival[0] = 1;
     nodes->ival[0] = 4;
     targets->ival[0] = 8;
@@ -904,6 +957,7 @@
     soak.links = links->count > 0;
     soak.limits = limits->count > 0;
     soak.hold_ups = hold_ups->count > 0;
+    soak.has_workspaces = workspaces->count > 0;
     soak.verbose = verbose->count > 0;
     snprintf(soak.folder, sizeof(soak.folder), "/tmp/soak-XXXXXX");
     if (g_mkdtemp(soak.folder) == NULL) {
--- a/soak/setup.h
+++ b/soak/setup.h
@@ -20,15 +20,18 @@
     uint16_t base_port;
     uint16_t store_port; /* on 127.0.0.1 */
     bool bootstrap;      /* the whole system starts for the first time */
+    uint32_t revoke_ms;  /* 0: revocation is not strict */
 };
 
 /* The configuration has two routes of the host soak.example: "/get/" to the
  * sharded service "keyed", which may be repeated, and "/post/" to "plain",
- * which may not. */
+ * which may not. With workspaces, it has also the public route "/open/" to
+ * "plain". */
 struct rs_soak_config {
     uint32_t version;
     uint32_t get_timeout_ms;
     uint32_t post_timeout_ms;
+    const char *workspaces; /* as JSON; NULL: none */
 };
 
 bool RsSoakSetup_WriteSettings(const struct rs_soak_node_setup *setup,
--- a/soak/target.c
+++ b/soak/target.c
@@ -8,6 +8,7 @@
 #include "core/clock.h"
 #include "core/id.h"
 #include "http/server.h"
+#include "soak/workspaces.h"
 
 #define MAX_RUNNING_JOBS 2
 #define MAX_QUEUED_JOBS 8
@@ -83,6 +84,8 @@
     char retry_after[16]; /* if not empty, all requests are refused with it */
     char limit[16];       /* if not empty, all responses state it */
     GArray *arrivals;     /* int64_t: when each request came */
+    char *workspace;      /* that the last request came for; empty: none */
+    uint32_t credentials_count; /* requests that came with credentials */
     uint32_t deadly_runs;
     int64_t restart_at_ms; /* after a deadly request; 0: none */
     enum rs_soak_violation violation;
@@ -400,6 +403,35 @@
     start_jobs(target, now_ms);
 }
 
+/* Records for which workspace a request comes, and whether it has credentials.
+ * Several workspaces are joined by commas. */
+static void
+record_identity(struct rs_soak_target *target, h2o_req_t *http, const char *id,
+                int64_t now_ms)
+{
+    struct rs_soak_workspaces *workspaces = target->options.check->workspaces;
+    GString *names = g_string_new(NULL);
+    bool has_credentials = false;
+    for (size_t i = 0; i < http->headers.size; i++) {
+        const h2o_header_t *header = &http->headers.entries[i];
+        has_credentials |= h2o_memis(header->name->base, header->name->len,
+                                     H2O_STRLIT("authorization"));
+        if (h2o_memis(header->name->base, header->name->len,
+                      H2O_STRLIT("x-tenant"))) {
+            g_string_append(names, names->len > 0 ? "," : "");
+            g_string_append_len(names, header->value.base,
+                                (gssize)header->value.len);
+        }
+    }
+    g_free(target->workspace);
+    target->workspace = g_string_free(names, FALSE);
+    target->credentials_count += has_credentials;
+    if (workspaces != NULL && id != NULL) {
+        RsSoakWorkspaces_RecordArrival(workspaces, id, target->workspace,
+                                       has_credentials, now_ms);
+    }
+}
+
 /* Queues a request and starts it if possible, or rejects it. */
 static void
 handle_request(struct rs_soak_target *target, h2o_req_t *http,
@@ -410,6 +442,7 @@
     char *key = RsServer_Header(http, "x-shard-key");
     int64_t now_ms = RsClock_NowMs();
     g_array_append_val(target->arrivals, now_ms);
+    record_identity(target, http, id, now_ms);
     if (id == NULL) {
         reject(target, http, 400);
     }
@@ -532,6 +565,7 @@
     target->jobs = g_ptr_array_new();
     target->orders = g_ptr_array_new();
     target->arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    target->workspace = g_strdup("");
     target->slowdown_factor = 1;
     target->reporting = true;
     uv_ip4_addr("127.0.0.1", options->port, &server.address);
@@ -662,6 +696,21 @@
     return target->arrivals->len;
 }
 
+/* Returns the workspace that the last request came for, several being joined
+ * by commas; empty: none. */
+const char *
+RsSoakTarget_Workspace(const struct rs_soak_target *target)
+{
+    return target->workspace;
+}
+
+/* Returns how many requests have reached the target with credentials. */
+uint32_t
+RsSoakTarget_CredentialsCount(const struct rs_soak_target *target)
+{
+    return target->credentials_count;
+}
+
 /* Returns how many requests for RsSoakTarget_DEADLY_PATH have crashed the
  * target. */
 uint32_t
--- a/soak/target.h
+++ b/soak/target.h
@@ -62,6 +62,8 @@
                                          int64_t since_ms, int64_t window_ms);
 bool RsSoakTarget_IsUp(const struct rs_soak_target *target);
 uint64_t RsSoakTarget_RequestCount(const struct rs_soak_target *target);
+const char *RsSoakTarget_Workspace(const struct rs_soak_target *target);
+uint32_t RsSoakTarget_CredentialsCount(const struct rs_soak_target *target);
 
 char *RsSoakTarget_Signature(const char *request_id);
 
