Test API keys at real nodes

All forms of bad credentials, names of workspaces sent by callers, keys revoked on open connections and while requests wait, nodes without a configuration, and nodes cut off from the store, strict or not.

--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -46,6 +46,7 @@
         .version = version,
         .get_timeout_ms = fixture->options.timeout_ms,
         .post_timeout_ms = fixture->options.timeout_ms,
+        .workspaces = fixture->options.workspaces,
     };
     char *text = RsSoakSetup_Config(&config);
     RsSoakStore_Put(fixture->store, "op", "config", text);
@@ -134,6 +135,7 @@
             .store_port =
                 (uint16_t)(fixture->options.base_port + STORE_PORT_OFFSET),
             .bootstrap = true,
+            .revoke_ms = fixture->options.revoke_ms,
         };
         char *path = write_settings(fixture, i);
         const uint32_t first_port =
@@ -196,7 +198,9 @@
         !open_targets(fixture)) {
         return NULL;
     }
-    RsNodeFixture_PutConfig(fixture, 1);
+    if (!options->no_config) {
+        RsNodeFixture_PutConfig(fixture, 1);
+    }
     return open_nodes(fixture) ? fixture : NULL;
 }
 
@@ -223,17 +227,26 @@
 static void
 send_request(struct rs_node_fixture_request *request)
 {
-    const struct rs_http_header headers[] = {
-        {"host", "soak.example"},
+    struct rs_http_header headers[4 + RsNodeFixture_MAX_EXTRA_HEADERS] = {
+        {"host", request->host},
         {"x-request-id", request->id},
         {"x-deadline-ms", DEADLINE_MS_TEXT},
-        {"x-shard-key", request->key},
     };
+    size_t header_count = 3;
+    if (!request->is_post) {
+        headers[header_count++] =
+            (struct rs_http_header){"x-shard-key", request->key};
+    }
+    for (size_t i = 0;
+         i < RsNodeFixture_MAX_EXTRA_HEADERS && request->extra[i].name != NULL;
+         i++) {
+        headers[header_count++] = request->extra[i];
+    }
     const struct rs_http_request message = {
         .method = request->is_post ? "POST" : "GET",
         .path = request->path,
         .headers = headers,
-        .header_count = request->is_post ? 3 : 4,
+        .header_count = header_count,
         .body = "body",
         .body_bytes = request->is_post ? 4 : 0,
     };
@@ -252,6 +265,9 @@
 {
     struct rs_node_fixture_request *request = arg;
     const char *retry_after = RsHttp_FindHeader(head, "retry-after");
+    const char *authenticate = RsHttp_FindHeader(head, "www-authenticate");
+    g_strlcpy(request->authenticate, authenticate != NULL ? authenticate : "",
+              sizeof(request->authenticate));
     request->status = head->status;
     request->retry_after_s =
         retry_after != NULL ? g_ascii_strtod(retry_after, NULL) : -1;
@@ -308,6 +324,11 @@
     request->node = node;
     request->is_post = is_post;
     request->path = is_post ? "/post/x" : "/get/x";
+    request->host = "soak.example";
+    if (fixture->options.authorization != NULL) {
+        request->extra[0] = (struct rs_http_header){
+            "authorization", fixture->options.authorization};
+    }
     request->retry_after_s = -1;
     snprintf(request->id, sizeof(request->id), "r%u", fixture->request_count);
     snprintf(request->key, sizeof(request->key), "%u", key);
@@ -347,6 +368,39 @@
     return start_request(fixture, node, false, key);
 }
 
+static void
+apply_call(struct rs_node_fixture_request *request,
+           const struct rs_node_fixture_call *call)
+{
+    request->path = call->path != NULL ? call->path : request->path;
+    request->host = call->host != NULL ? call->host : request->host;
+    memcpy(request->extra, call->headers, sizeof(request->extra));
+}
+
+/* Sends a request like RsNodeFixture_Post() that differs from it. What `call`
+ * points to must stay valid until the request is sent. */
+struct rs_node_fixture_request *
+RsNodeFixture_PostWith(struct rs_node_fixture *fixture, uint32_t node,
+                       const struct rs_node_fixture_call *call)
+{
+    struct rs_node_fixture_request *request =
+        start_request(fixture, node, true, 0);
+    apply_call(request, call);
+    return request;
+}
+
+/* Sends a request like RsNodeFixture_Get() that differs from it. What `call`
+ * points to must stay valid until the request is sent. */
+struct rs_node_fixture_request *
+RsNodeFixture_GetWith(struct rs_node_fixture *fixture, uint32_t node,
+                      uint32_t key, const struct rs_node_fixture_call *call)
+{
+    struct rs_node_fixture_request *request =
+        start_request(fixture, node, false, key);
+    apply_call(request, call);
+    return request;
+}
+
 /* Sends a request like RsNodeFixture_Get() that crashes the target that runs
  * it. */
 struct rs_node_fixture_request *
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 #include <uv.h>
 
+#include "http/connection.h"
 #include "soak/check.h"
 #include "soak/setup.h"
 #include "soak/store.h"
@@ -29,6 +30,20 @@
     uint32_t timeout_ms;      /* of both routes */
     bool targets_hide_load;   /* state no load in their responses */
     bool cuttable;            /* RsNodeFixture_CutFromTargets() may be used */
+    bool no_config; /* the test writes the first configuration itself */
+    const char *workspaces;    /* of the configuration, as JSON; NULL: none */
+    const char *authorization; /* of requests by default; NULL: none */
+    uint32_t revoke_ms;        /* 0: revocation is not strict */
+};
+
+#define RsNodeFixture_MAX_EXTRA_HEADERS 4
+
+/* How a request differs from those of RsNodeFixture_Post(). */
+struct rs_node_fixture_call {
+    const char *path; /* NULL: the usual one */
+    const char *host; /* NULL: the usual one */
+    /* Instead of the usual credentials. A name of NULL ends them. */
+    struct rs_http_header headers[RsNodeFixture_MAX_EXTRA_HEADERS];
 };
 
 /* A request of a caller, and what became of it. */
@@ -40,12 +55,15 @@
     char key[16];
     bool is_post;
     const char *path;
+    const char *host;
+    struct rs_http_header extra[RsNodeFixture_MAX_EXTRA_HEADERS];
     int64_t sent_at_ms;
-    int64_t ended_at_ms;  /* 0: still open */
-    int status;           /* 0: no response head arrived */
-    bool complete;        /* the whole response arrived */
-    bool keep_alive;      /* the connection can take another request */
-    double retry_after_s; /* of the response; negative if it has none */
+    int64_t ended_at_ms;   /* 0: still open */
+    int status;            /* 0: no response head arrived */
+    bool complete;         /* the whole response arrived */
+    bool keep_alive;       /* the connection can take another request */
+    double retry_after_s;  /* of the response; negative if it has none */
+    char authenticate[32]; /* the scheme that the response asks for */
 };
 
 struct rs_node_fixture {
@@ -104,6 +122,12 @@
                         uint32_t key);
 struct rs_node_fixture_request *
 RsNodeFixture_PostAgain(struct rs_node_fixture_request *former);
+struct rs_node_fixture_request *
+RsNodeFixture_PostWith(struct rs_node_fixture *fixture, uint32_t node,
+                       const struct rs_node_fixture_call *call);
+struct rs_node_fixture_request *
+RsNodeFixture_GetWith(struct rs_node_fixture *fixture, uint32_t node,
+                      uint32_t key, const struct rs_node_fixture_call *call);
 void RsNodeFixture_SendToAll(struct rs_node_fixture *fixture, int64_t span_ms,
                              int64_t interval_ms);
 bool RsNodeFixture_AwaitEnd(struct rs_node_fixture_request *request,
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -36,6 +36,17 @@
 /* tests/node_deadly_test.c */
 void test_deadly_request_no_longer_reaches_targets(void);
 
+/* tests/node_workspaces_test.c */
+void test_requests_without_a_valid_key_reach_no_target(void);
+void test_targets_are_told_the_workspace_only(void);
+void test_key_revoked_on_an_open_connection(void);
+void test_key_revoked_while_a_request_waits(void);
+void test_key_revoked_while_requests_wait_for_room(void);
+void test_node_without_configuration_rejects_no_key(void);
+void test_malformed_workspaces_do_not_come_into_force(void);
+void test_node_cut_off_from_the_store_trusts_keys(void);
+void test_strict_node_cut_off_from_the_store_trusts_no_keys(void);
+
 /* tests/node_restore_test.c */
 void test_service_goes_on_after_a_restore(void);
 void test_restarted_nodes_do_not_trust_the_copy(void);
