--- a/core/core_test.c
+++ b/core/core_test.c
@@ -1,10 +1,12 @@
 #include <CUnit/Basic.h>
+#include <stdio.h>
 #include <uv.h>
 
 #include "core/clock.h"
 #include "core/counter.h"
 #include "core/id.h"
 #include "core/mailbox.h"
+#include "core/siphash.h"
 
 static void
 test_quantile_error_is_at_most_a_sixteenth(void)
@@ -96,6 +98,38 @@
     CU_ASSERT(RsClock_NowUs() >= before_us);
 }
 
+/* Vectors of SipHash-2-4-128 for the key 00 01 .. 0f and the message 00 01 ..,
+ * as `openssl mac SIPHASH` gives them; that of 15 bytes crosses a word, those
+ * of 7, 8 and 63 are at the edges of one. */
+static void
+test_siphash_gives_the_published_digests(void)
+{
+    static const struct {
+        size_t size_bytes;
+        const char *digest;
+    } vectors[] = {
+        {0, "a3817f04ba25a8e66df67214c7550293"},
+        {1, "da87c1d86b99af44347659119b22fc45"},
+        {7, "a1f1ebbed8dbc153c0b84aa61ff08239"},
+        {8, "3b62a9ba6258f5610f83e264f31497b4"},
+        {15, "5493e99933b0a8117e08ec0f97cfc3d9"},
+        {63, "5150d1772f50834a503e069a973fbd7c"},
+    };
+    uint8_t bytes[64];
+    uint8_t digest[RsSipHash_DIGEST_BYTES];
+    for (size_t i = 0; i < sizeof(bytes); i++) {
+        bytes[i] = (uint8_t)i;
+    }
+    for (size_t i = 0; i < sizeof(vectors) / sizeof(vectors[0]); i++) {
+        char text[2 * RsSipHash_DIGEST_BYTES + 1];
+        RsSipHash_Digest(bytes, bytes, vectors[i].size_bytes, digest);
+        for (size_t k = 0; k < sizeof(digest); k++) {
+            snprintf(text + 2 * k, 3, "%02x", digest[k]);
+        }
+        CU_ASSERT_STRING_EQUAL(text, vectors[i].digest);
+    }
+}
+
 int
 main(void)
 {
@@ -107,6 +141,7 @@
     CU_ADD_TEST(suite, test_id_is_formatted_and_parsed);
     CU_ADD_TEST(suite, test_mailbox_keeps_order);
     CU_ADD_TEST(suite, test_clock_is_monotonic);
+    CU_ADD_TEST(suite, test_siphash_gives_the_published_digests);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
     CU_cleanup_registry();
--- a/router/workspaces.c
+++ b/router/workspaces.c
@@ -6,7 +6,6 @@
 #include "core/log.h"
 #include "platform/wire.h"
 
-#define SHA256_BYTES 32
 /* The table of keys has at least this many entries for three keys, so that a
  * lookup of an unknown key looks at nine entries on average at most. */
 #define ENTRIES_PER_3_KEYS 4
@@ -22,7 +21,6 @@
                   uint32_t revoke_ms)
 {
     *workspaces = (struct rs_workspaces){
-        .checksum = g_checksum_new(G_CHECKSUM_SHA256),
         .strict = strict,
         .revoke_ms = revoke_ms,
         .usages =
@@ -36,40 +34,22 @@
 void
 RsWorkspaces_Clear(struct rs_workspaces *workspaces)
 {
-    g_checksum_free(workspaces->checksum);
     g_free(workspaces->entries);
     g_hash_table_unref(workspaces->usages);
 }
 
-/* Computes the digest of a key: the first bytes of the SHA-256 hash of the
- * seed and the key. */
-static void
-compute_digest(const struct rs_workspaces *workspaces, const char *key,
-               size_t key_bytes, uint8_t digest[RsWorkspaces_DIGEST_BYTES])
-{
-    uint8_t hash[SHA256_BYTES];
-    gsize hash_bytes = sizeof(hash);
-    g_checksum_reset(workspaces->checksum);
-    g_checksum_update(workspaces->checksum, workspaces->seed,
-                      sizeof(workspaces->seed));
-    g_checksum_update(workspaces->checksum, (const guchar *)key,
-                      (gssize)key_bytes);
-    g_checksum_get_digest(workspaces->checksum, hash, &hash_bytes);
-    memcpy(digest, hash, RsWorkspaces_DIGEST_BYTES);
-}
-
 /* Returns the entry with this digest, or else the unused entry where it
  * belongs. */
 static struct rs_workspaces_entry *
 find_entry(const struct rs_workspaces *workspaces,
-           const uint8_t digest[RsWorkspaces_DIGEST_BYTES])
+           const uint8_t digest[RsSipHash_DIGEST_BYTES])
 {
     uint64_t hash;
     memcpy(&hash, digest, sizeof(hash));
     size_t at = hash & workspaces->mask;
     while (workspaces->entries[at].workspace != 0 &&
            memcmp(workspaces->entries[at].digest, digest,
-                  RsWorkspaces_DIGEST_BYTES) != 0) {
+                  RsSipHash_DIGEST_BYTES) != 0) {
         at = (at + 1) & workspaces->mask;
     }
     return &workspaces->entries[at];
@@ -80,9 +60,9 @@
 static void
 add_key(struct rs_workspaces *workspaces, const char *key, size_t workspace)
 {
-    uint8_t digest[RsWorkspaces_DIGEST_BYTES];
+    uint8_t digest[RsSipHash_DIGEST_BYTES];
     size_t key_bytes = strlen(key);
-    compute_digest(workspaces, key, key_bytes, digest);
+    RsSipHash_Digest(workspaces->seed, key, key_bytes, digest);
     struct rs_workspaces_entry *entry = find_entry(workspaces, digest);
     if (entry->workspace == 0) {
         memcpy(entry->digest, digest, sizeof(entry->digest));
@@ -166,13 +146,13 @@
 RsWorkspaces_Identify(const struct rs_workspaces *workspaces,
                       const struct rs_workspaces_credentials *credentials)
 {
-    uint8_t digest[RsWorkspaces_DIGEST_BYTES];
+    uint8_t digest[RsSipHash_DIGEST_BYTES];
     size_t key_bytes = 0;
     const char *key = parse_credentials(credentials, &key_bytes);
     if (key == NULL || key_bytes > workspaces->max_key_bytes) {
         return NULL;
     }
-    compute_digest(workspaces, key, key_bytes, digest);
+    RsSipHash_Digest(workspaces->seed, key, key_bytes, digest);
     uint32_t found = find_entry(workspaces, digest)->workspace;
     return found > 0 ? &workspaces->config->workspaces[found - 1] : NULL;
 }
--- a/router/workspaces.h
+++ b/router/workspaces.h
@@ -11,10 +11,9 @@
 #include <stdint.h>
 
 #include "core/counter.h"
+#include "core/siphash.h"
 #include "platform/routing.h"
 
-#define RsWorkspaces_SEED_BYTES 16
-#define RsWorkspaces_DIGEST_BYTES 16
 /* Metrics name at most this many workspaces. */
 #define RsWorkspaces_MAX_BUSIEST 20
 
@@ -35,7 +34,7 @@
 
 /* An API key and its workspace. */
 struct rs_workspaces_entry {
-    uint8_t digest[RsWorkspaces_DIGEST_BYTES];
+    uint8_t digest[RsSipHash_DIGEST_BYTES];
     uint32_t workspace; /* index plus 1; 0: the entry is unused */
 };
 
@@ -57,9 +56,8 @@
 };
 
 struct rs_workspaces {
-    const struct rs_routing *config; /* in force; NULL: none */
-    uint8_t seed[RsWorkspaces_SEED_BYTES];
-    GChecksum *checksum;
+    const struct rs_routing *config;     /* in force; NULL: none */
+    uint8_t seed[RsSipHash_KEY_BYTES];   /* of the digests; random */
     struct rs_workspaces_entry *entries; /* hash table with linear probing */
     size_t mask;                         /* number of entries minus 1 */
     size_t max_key_bytes;                /* size of the longest key */
