Hold workspaces to their quotas at real nodes

A request takes a token of its workspace before its first attempt, or waits for one for at most 150 ms. Over the quota the caller gets 429 with the time to come back; without a granter's answer and an own rate, 503. Tokens of requests that did not run are given back. Nothing sets request->workspace yet.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -10,6 +10,7 @@
 #include "http/server.h"
 #include "platform/wire.h"
 #include "router/probe.h"
+#include "router/quota_exchange.h"
 #include "router/request.h"
 
 #define US_PER_MS 1000.0
@@ -244,6 +245,23 @@
     }
 }
 
+/* Takes a token of the request's workspace before its first attempt. Returns
+ * false if there is none; the request waits for one then, or was refused. */
+static bool
+take_token(struct rs_request *request, int64_t now_ms)
+{
+    enum rs_quota_verdict verdict =
+        RsQuotaExchange_Take(request->router->quotas, request->workspace,
+                             &request->quota_claim, now_ms);
+    if (verdict == RsQuota_WAITING) {
+        RsRequest_Wait(request);
+    }
+    else if (verdict != RsQuota_TAKEN) {
+        RsReply_RefuseWithoutToken(request, verdict == RsQuota_OVER, now_ms);
+    }
+    return verdict == RsQuota_TAKEN;
+}
+
 /* Sends the request to a target. If none has room, or the expected latency
  * exceeds the time left, the request waits until its `wait_until_ms` and is
  * refused after that. It is refused at once when there is no target, when all
@@ -285,6 +303,9 @@
         RsReply_Refuse(request, "stopping");
         return;
     }
+    if (verdict == RsLoad_SEND && !take_token(request, now_ms)) {
+        return;
+    }
     if (verdict == RsLoad_SEND) {
         RsRequest_StopWaiting(request);
         start_attempt(request, target, &input, now_ms);
--- a/router/metrics.c
+++ b/router/metrics.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 
 #include "core/clock.h"
+#include "router/quota_exchange.h"
 
 static void
 print_counter(struct rs_text_buffer *text, const char *name, const char *help,
@@ -11,6 +12,31 @@
     RsCounter_AppendText(text, name, "", help, "counter", counter);
 }
 
+static void
+print_quotas(struct rs_text_buffer *text,
+             const struct rs_quota_counters *counters)
+{
+    print_counter(text, "rattanshed_quota_over_total",
+                  "Requests refused because their workspace was over its "
+                  "quota.",
+                  &counters->over);
+    print_counter(text, "rattanshed_quota_unknown_total",
+                  "Requests refused because no granter gave tokens.",
+                  &counters->unknown);
+    print_counter(text, "rattanshed_quota_waited_total",
+                  "Requests that waited for a token.", &counters->waited);
+    print_counter(text, "rattanshed_quota_returned_total",
+                  "Tokens of requests that did not run.", &counters->returned);
+    print_counter(text, "rattanshed_quota_asked_total",
+                  "Requests for tokens sent to the granter.",
+                  &counters->asked);
+    print_counter(text, "rattanshed_quota_answered_total",
+                  "Requests for tokens that this node answered as granter.",
+                  &counters->answered);
+    print_counter(text, "rattanshed_quota_granted_total",
+                  "Tokens that this node granted.", &counters->granted);
+}
+
 /* Appends counters and histograms of the node to `text`, in the Prometheus
  * text format. */
 void
@@ -63,6 +89,9 @@
     print_counter(text, "rattanshed_tunnels_failed_total",
                   "Tunnels whose target could not be reached.",
                   &sources->tunnels->failed);
+    if (sources->router->quotas != NULL) {
+        print_quotas(text, RsQuotaExchange_Counters(sources->router->quotas));
+    }
     RsHistogram_AppendText(text, "rattanshed_request_us", "",
                            "From a request's arrival to its end.",
                            &router->latency_us);
--- a/router/node.c
+++ b/router/node.c
@@ -16,6 +16,7 @@
 #include "router/orders.h"
 #include "router/owners.h"
 #include "router/probe.h"
+#include "router/quota_exchange.h"
 #include "router/reports.h"
 #include "router/router.h"
 #include "router/stream.h"
@@ -175,6 +176,7 @@
                 RsLog_NUMBER("services", config->service_count));
     RsRouting_Release(node->router.config);
     node->router.config = config;
+    RsQuotaExchange_SetConfig(node->router.quotas, config, RsClock_NowMs());
     RsServer_SetIdleTimeout(node->callers, config->idle_timeout_ms);
     return RsTableCopy_CHANGED;
 }
@@ -732,6 +734,7 @@
     int64_t now_ms = RsClock_NowMs();
     node->ticks++;
     check_links(node, now_ms);
+    RsQuotaExchange_Tick(node->router.quotas, now_ms);
     RsRequest_Tick(&node->router, now_ms);
     if (node->ticks % CALLER_CHECK_EVERY_TICKS == 0) {
         RsRequest_EndAbandoned(&node->router);
@@ -899,6 +902,19 @@
     RsOrders_Init(&node->orders, &node->router, &node->granter);
 }
 
+static void
+open_quotas(struct node *node)
+{
+    const struct rs_quota_exchange_options options = {
+        .router = &node->router,
+        .granter = &node->granter,
+        .incarnation = node->incarnation,
+        .send = RsReports_SendDatagram,
+        .arg = node->reports,
+    };
+    node->router.quotas = RsQuotaExchange_New(&options);
+}
+
 static void
 watch_signals(struct node *node)
 {
@@ -944,6 +960,7 @@
         return RsNode_NO_PEER_PORT;
     }
     open_granter(node);
+    open_quotas(node);
     status = open_store(node);
     if (status == 0) {
         status = open_finder(node);
--- a/router/peer.pb-c.c
+++ b/router/peer.pb-c.c
@@ -244,6 +244,108 @@
   assert(message->base.descriptor == &rs__peer__summary__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rs__peer__quota_request__need__init
+                     (Rs__Peer__QuotaRequest__Need         *message)
+{
+  static const Rs__Peer__QuotaRequest__Need init_value = RS__PEER__QUOTA_REQUEST__NEED__INIT;
+  *message = init_value;
+}
+void   rs__peer__quota_request__init
+                     (Rs__Peer__QuotaRequest         *message)
+{
+  static const Rs__Peer__QuotaRequest init_value = RS__PEER__QUOTA_REQUEST__INIT;
+  *message = init_value;
+}
+size_t rs__peer__quota_request__get_packed_size
+                     (const Rs__Peer__QuotaRequest *message)
+{
+  assert(message->base.descriptor == &rs__peer__quota_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rs__peer__quota_request__pack
+                     (const Rs__Peer__QuotaRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rs__peer__quota_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rs__peer__quota_request__pack_to_buffer
+                     (const Rs__Peer__QuotaRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rs__peer__quota_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rs__Peer__QuotaRequest *
+       rs__peer__quota_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rs__Peer__QuotaRequest *)
+     protobuf_c_message_unpack (&rs__peer__quota_request__descriptor,
+                                allocator, len, data);
+}
+void   rs__peer__quota_request__free_unpacked
+                     (Rs__Peer__QuotaRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__peer__quota_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rs__peer__quota_grant__item__init
+                     (Rs__Peer__QuotaGrant__Item         *message)
+{
+  static const Rs__Peer__QuotaGrant__Item init_value = RS__PEER__QUOTA_GRANT__ITEM__INIT;
+  *message = init_value;
+}
+void   rs__peer__quota_grant__init
+                     (Rs__Peer__QuotaGrant         *message)
+{
+  static const Rs__Peer__QuotaGrant init_value = RS__PEER__QUOTA_GRANT__INIT;
+  *message = init_value;
+}
+size_t rs__peer__quota_grant__get_packed_size
+                     (const Rs__Peer__QuotaGrant *message)
+{
+  assert(message->base.descriptor == &rs__peer__quota_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rs__peer__quota_grant__pack
+                     (const Rs__Peer__QuotaGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rs__peer__quota_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rs__peer__quota_grant__pack_to_buffer
+                     (const Rs__Peer__QuotaGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rs__peer__quota_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rs__Peer__QuotaGrant *
+       rs__peer__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rs__Peer__QuotaGrant *)
+     protobuf_c_message_unpack (&rs__peer__quota_grant__descriptor,
+                                allocator, len, data);
+}
+void   rs__peer__quota_grant__free_unpacked
+                     (Rs__Peer__QuotaGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__peer__quota_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor rs__peer__limit__field_descriptors[4] =
 {
   {
@@ -874,3 +976,311 @@
   (ProtobufCMessageInit) rs__peer__summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rs__peer__quota_request__need__field_descriptors[4] =
+{
+  {
+    "workspace",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaRequest__Need, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaRequest__Need, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "own_rate",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaRequest__Need, own_rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaRequest__Need, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__peer__quota_request__need__field_indices_by_name[] = {
+  2,   /* field[2] = own_rate */
+  3,   /* field[3] = refused */
+  1,   /* field[1] = wanted */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange rs__peer__quota_request__need__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rs__peer__quota_request__need__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.QuotaRequest.Need",
+  "Need",
+  "Rs__Peer__QuotaRequest__Need",
+  "rs.peer",
+  sizeof(Rs__Peer__QuotaRequest__Need),
+  4,
+  rs__peer__quota_request__need__field_descriptors,
+  rs__peer__quota_request__need__field_indices_by_name,
+  1,  rs__peer__quota_request__need__number_ranges,
+  (ProtobufCMessageInit) rs__peer__quota_request__need__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__peer__quota_request__field_descriptors[5] =
+{
+  {
+    "incarnation",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaRequest, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaRequest, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaRequest, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "needs",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__QuotaRequest, n_needs),
+    offsetof(Rs__Peer__QuotaRequest, needs),
+    &rs__peer__quota_request__need__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaRequest, answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__peer__quota_request__field_indices_by_name[] = {
+  4,   /* field[4] = answered */
+  0,   /* field[0] = incarnation */
+  3,   /* field[3] = needs */
+  1,   /* field[1] = node */
+  2,   /* field[2] = sequence */
+};
+static const ProtobufCIntRange rs__peer__quota_request__number_ranges[1 + 1] =
+{
+  { 15, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor rs__peer__quota_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.QuotaRequest",
+  "QuotaRequest",
+  "Rs__Peer__QuotaRequest",
+  "rs.peer",
+  sizeof(Rs__Peer__QuotaRequest),
+  5,
+  rs__peer__quota_request__field_descriptors,
+  rs__peer__quota_request__field_indices_by_name,
+  1,  rs__peer__quota_request__number_ranges,
+  (ProtobufCMessageInit) rs__peer__quota_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__peer__quota_grant__item__field_descriptors[4] =
+{
+  {
+    "workspace",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaGrant__Item, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaGrant__Item, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "own_rate",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaGrant__Item, own_rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "debt_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaGrant__Item, debt_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__peer__quota_grant__item__field_indices_by_name[] = {
+  3,   /* field[3] = debt_ms */
+  2,   /* field[2] = own_rate */
+  1,   /* field[1] = tokens */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange rs__peer__quota_grant__item__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rs__peer__quota_grant__item__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.QuotaGrant.Item",
+  "Item",
+  "Rs__Peer__QuotaGrant__Item",
+  "rs.peer",
+  sizeof(Rs__Peer__QuotaGrant__Item),
+  4,
+  rs__peer__quota_grant__item__field_descriptors,
+  rs__peer__quota_grant__item__field_indices_by_name,
+  1,  rs__peer__quota_grant__item__number_ranges,
+  (ProtobufCMessageInit) rs__peer__quota_grant__item__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__peer__quota_grant__field_descriptors[3] =
+{
+  {
+    "incarnation",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaGrant, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaGrant, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "items",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__QuotaGrant, n_items),
+    offsetof(Rs__Peer__QuotaGrant, items),
+    &rs__peer__quota_grant__item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__peer__quota_grant__field_indices_by_name[] = {
+  0,   /* field[0] = incarnation */
+  2,   /* field[2] = items */
+  1,   /* field[1] = sequence */
+};
+static const ProtobufCIntRange rs__peer__quota_grant__number_ranges[1 + 1] =
+{
+  { 20, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rs__peer__quota_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.QuotaGrant",
+  "QuotaGrant",
+  "Rs__Peer__QuotaGrant",
+  "rs.peer",
+  sizeof(Rs__Peer__QuotaGrant),
+  3,
+  rs__peer__quota_grant__field_descriptors,
+  rs__peer__quota_grant__field_indices_by_name,
+  1,  rs__peer__quota_grant__number_ranges,
+  (ProtobufCMessageInit) rs__peer__quota_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/router/peer.pb-c.h
+++ b/router/peer.pb-c.h
@@ -22,6 +22,10 @@
 typedef struct Rs__Peer__Report Rs__Peer__Report;
 typedef struct Rs__Peer__Report__ServiceKeys Rs__Peer__Report__ServiceKeys;
 typedef struct Rs__Peer__Summary Rs__Peer__Summary;
+typedef struct Rs__Peer__QuotaRequest Rs__Peer__QuotaRequest;
+typedef struct Rs__Peer__QuotaRequest__Need Rs__Peer__QuotaRequest__Need;
+typedef struct Rs__Peer__QuotaGrant Rs__Peer__QuotaGrant;
+typedef struct Rs__Peer__QuotaGrant__Item Rs__Peer__QuotaGrant__Item;
 
 
 /* --- enums --- */
@@ -209,6 +213,91 @@
     , 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
+struct  Rs__Peer__QuotaRequest__Need
+{
+  ProtobufCMessage base;
+  char *workspace;
+  uint32_t wanted;
+  /*
+   * what the node would use without a granter
+   */
+  float own_rate;
+  /*
+   * Callers that were told to come back since the last request.
+   */
+  uint32_t refused;
+};
+#define RS__PEER__QUOTA_REQUEST__NEED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rs__peer__quota_request__need__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * A node's request for tokens of workspaces with a quota, see router/quota.h.
+ * Its first byte, the tag of `incarnation`, is 0x78.
+ */
+struct  Rs__Peer__QuotaRequest
+{
+  ProtobufCMessage base;
+  /*
+   * of the sender; not 0
+   */
+  uint64_t incarnation;
+  char *node;
+  uint64_t sequence;
+  size_t n_needs;
+  Rs__Peer__QuotaRequest__Need **needs;
+  /*
+   * last request of which the answer came in time
+   */
+  uint64_t answered;
+};
+#define RS__PEER__QUOTA_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rs__peer__quota_request__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
+
+
+struct  Rs__Peer__QuotaGrant__Item
+{
+  ProtobufCMessage base;
+  char *workspace;
+  uint32_t tokens;
+  /*
+   * that the node may use if it loses the granter
+   */
+  float own_rate;
+  /*
+   * how long the workspace is over its quota
+   */
+  uint32_t debt_ms;
+};
+#define RS__PEER__QUOTA_GRANT__ITEM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rs__peer__quota_grant__item__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * The granter's answer to a QuotaRequest. Its first byte is 0xa0.
+ */
+struct  Rs__Peer__QuotaGrant
+{
+  ProtobufCMessage base;
+  /*
+   * of the receiver
+   */
+  uint64_t incarnation;
+  /*
+   * of the request
+   */
+  uint64_t sequence;
+  size_t n_items;
+  Rs__Peer__QuotaGrant__Item **items;
+};
+#define RS__PEER__QUOTA_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rs__peer__quota_grant__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 /* Rs__Peer__Limit methods */
 void   rs__peer__limit__init
                      (Rs__Peer__Limit         *message);
@@ -310,6 +399,50 @@
 void   rs__peer__summary__free_unpacked
                      (Rs__Peer__Summary *message,
                       ProtobufCAllocator *allocator);
+/* Rs__Peer__QuotaRequest__Need methods */
+void   rs__peer__quota_request__need__init
+                     (Rs__Peer__QuotaRequest__Need         *message);
+/* Rs__Peer__QuotaRequest methods */
+void   rs__peer__quota_request__init
+                     (Rs__Peer__QuotaRequest         *message);
+size_t rs__peer__quota_request__get_packed_size
+                     (const Rs__Peer__QuotaRequest   *message);
+size_t rs__peer__quota_request__pack
+                     (const Rs__Peer__QuotaRequest   *message,
+                      uint8_t             *out);
+size_t rs__peer__quota_request__pack_to_buffer
+                     (const Rs__Peer__QuotaRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Rs__Peer__QuotaRequest *
+       rs__peer__quota_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rs__peer__quota_request__free_unpacked
+                     (Rs__Peer__QuotaRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Rs__Peer__QuotaGrant__Item methods */
+void   rs__peer__quota_grant__item__init
+                     (Rs__Peer__QuotaGrant__Item         *message);
+/* Rs__Peer__QuotaGrant methods */
+void   rs__peer__quota_grant__init
+                     (Rs__Peer__QuotaGrant         *message);
+size_t rs__peer__quota_grant__get_packed_size
+                     (const Rs__Peer__QuotaGrant   *message);
+size_t rs__peer__quota_grant__pack
+                     (const Rs__Peer__QuotaGrant   *message,
+                      uint8_t             *out);
+size_t rs__peer__quota_grant__pack_to_buffer
+                     (const Rs__Peer__QuotaGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Rs__Peer__QuotaGrant *
+       rs__peer__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rs__peer__quota_grant__free_unpacked
+                     (Rs__Peer__QuotaGrant *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Rs__Peer__Limit_Closure)
@@ -333,6 +466,18 @@
 typedef void (*Rs__Peer__Summary_Closure)
                  (const Rs__Peer__Summary *message,
                   void *closure_data);
+typedef void (*Rs__Peer__QuotaRequest__Need_Closure)
+                 (const Rs__Peer__QuotaRequest__Need *message,
+                  void *closure_data);
+typedef void (*Rs__Peer__QuotaRequest_Closure)
+                 (const Rs__Peer__QuotaRequest *message,
+                  void *closure_data);
+typedef void (*Rs__Peer__QuotaGrant__Item_Closure)
+                 (const Rs__Peer__QuotaGrant__Item *message,
+                  void *closure_data);
+typedef void (*Rs__Peer__QuotaGrant_Closure)
+                 (const Rs__Peer__QuotaGrant *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -346,6 +491,10 @@
 extern const ProtobufCMessageDescriptor rs__peer__report__descriptor;
 extern const ProtobufCMessageDescriptor rs__peer__report__service_keys__descriptor;
 extern const ProtobufCMessageDescriptor rs__peer__summary__descriptor;
+extern const ProtobufCMessageDescriptor rs__peer__quota_request__descriptor;
+extern const ProtobufCMessageDescriptor rs__peer__quota_request__need__descriptor;
+extern const ProtobufCMessageDescriptor rs__peer__quota_grant__descriptor;
+extern const ProtobufCMessageDescriptor rs__peer__quota_grant__item__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/router/quota.c
+++ b/router/quota.c
@@ -27,6 +27,8 @@
  * REQUEST_EVERY_MS apart, so that more than 8 are rare; then two are merged,
  * with the earlier end. */
 #define MAX_BATCHES 8
+/* Maximum number of workspaces in a request, so that it fits a datagram. */
+#define MAX_NEEDS 1000
 /* Requests whose answers are waited for. */
 #define SENT_COUNT 64
 /* Share of RsQuota_MAX_DEBT_MS from which the line is taken as full. Callers
@@ -66,7 +68,8 @@
     GHashTable *purses; /* interned name to struct purse */
     GPtrArray *active;  /* purses with demand or an own rate */
     GRand *random;
-    GArray *needs; /* of the request made last */
+    GArray *needs;     /* of the request made last */
+    guint next_active; /* the first in `active` for the next request */
     uint32_t nodes;
     uint32_t slack;    /* of the operator's bound */
     uint64_t ledger;   /* incarnation of its node; 0: none is known */
@@ -75,6 +78,7 @@
     uint64_t answered;
     int64_t answered_at_ms; /* when that request was sent */
     int64_t sent_at_ms;
+    int64_t named_at_ms; /* when a request last named all active workspaces */
     struct sent sent[SENT_COUNT];
 };
 
@@ -188,6 +192,19 @@
     return now_ms - quota->answered_at_ms >= RsQuota_LOST_MS;
 }
 
+/* Returns whether the node may send requests without the granter. */
+bool
+RsQuota_HasOwnRates(const struct rs_quota *quota)
+{
+    for (guint i = 0; i < quota->active->len; i++) {
+        const struct purse *purse = g_ptr_array_index(quota->active, i);
+        if (purse->own_rate > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Applies the workspaces of a new configuration. Tokens of a workspace whose
  * rate was lowered are dropped, because the ledger may have granted them by
  * the former rate. */
@@ -421,6 +438,38 @@
            now_ms - purse->demand_at_ms >= RsQuota_IDLE_MS;
 }
 
+/* Gives up the own rates of workspaces without requests. */
+static void
+drop_idle(struct rs_quota *quota, int64_t now_ms)
+{
+    for (guint i = quota->active->len; i-- > 0;) {
+        struct purse *purse = g_ptr_array_index(quota->active, i);
+        if (is_idle(purse, now_ms)) {
+            purse->own_rate = 0;
+            purse->listed = false;
+            g_ptr_array_remove_index_fast(quota->active, i);
+        }
+    }
+}
+
+static void
+add_need(struct rs_quota *quota, struct purse *purse, bool keepalive,
+         int64_t now_ms)
+{
+    uint32_t wanted =
+        now_ms >= purse->ask_again_at_ms ? count_wanted(purse, now_ms) : 0;
+    if (wanted == 0 && !keepalive) {
+        return;
+    }
+    if (wanted > 0) {
+        purse->ask_again_at_ms = now_ms + ASK_AGAIN_MS;
+    }
+    const struct rs_quota_need need = {purse->name, wanted, purse->refused,
+                                       purse->own_rate};
+    purse->refused = 0;
+    g_array_append_val(quota->needs, need);
+}
+
 /* Makes the next request to the ledger, if one is due. The needs belong to the
  * account and are valid until the next call. Call it after RsQuota_Take() has
  * returned RsQuota_WAITING, and every few tens of milliseconds. */
@@ -431,37 +480,26 @@
     int64_t since_ms = now_ms - quota->sent_at_ms;
     bool announcing =
         !quota->is_announced && quota->ledger != 0 && since_ms >= ASK_AGAIN_MS;
-    bool keepalive = announcing || since_ms >= KEEPALIVE_MS;
+    bool keepalive = announcing || now_ms - quota->named_at_ms >= KEEPALIVE_MS;
     if (since_ms < REQUEST_EVERY_MS) {
         return false;
     }
+    if (keepalive && !RsQuota_IsLost(quota, now_ms)) {
+        drop_idle(quota, now_ms);
+    }
     g_array_set_size(quota->needs, 0);
-    for (guint i = quota->active->len; i-- > 0;) {
-        struct purse *purse = g_ptr_array_index(quota->active, i);
-        if (is_idle(purse, now_ms) && !RsQuota_IsLost(quota, now_ms)) {
-            purse->own_rate = 0;
-            purse->listed = false;
-            g_ptr_array_remove_index_fast(quota->active, i);
-            continue;
-        }
-        uint32_t wanted =
-            now_ms >= purse->ask_again_at_ms ? count_wanted(purse, now_ms) : 0;
-        if (wanted == 0 && !keepalive) {
-            continue;
-        }
-        if (wanted > 0) {
-            purse->ask_again_at_ms = now_ms + ASK_AGAIN_MS;
-        }
-        const struct rs_quota_need need = {purse->name, wanted, purse->refused,
-                                           purse->own_rate};
-        purse->refused = 0;
-        g_array_append_val(quota->needs, need);
+    guint count = quota->active->len;
+    for (guint i = 0; i < count && quota->needs->len < MAX_NEEDS; i++) {
+        quota->next_active = (quota->next_active + 1) % count;
+        add_need(quota, g_ptr_array_index(quota->active, quota->next_active),
+                 keepalive, now_ms);
     }
     if (quota->needs->len == 0 && !announcing) {
         return false;
     }
     quota->sequence++;
     quota->sent_at_ms = now_ms;
+    quota->named_at_ms = keepalive ? now_ms : quota->named_at_ms;
     quota->sent[quota->sequence % SENT_COUNT] =
         (struct sent){quota->sequence, quota->ledger, now_ms};
     *out = (struct rs_quota_request){quota->sequence, quota->answered,
--- a/router/quota.h
+++ b/router/quota.h
@@ -127,6 +127,7 @@
                          struct rs_quota_request *out);
 bool RsQuota_ApplyGrant(struct rs_quota *quota,
                         const struct rs_quota_grant *grant, int64_t now_ms);
+bool RsQuota_HasOwnRates(const struct rs_quota *quota);
 bool RsQuota_IsLost(const struct rs_quota *quota, int64_t now_ms);
 
 #endif
--- a/router/quota_test.c
+++ b/router/quota_test.c
@@ -305,17 +305,22 @@
     RsQuotaFixture_Advance(sim, 14000);
 }
 
-/* Cuts off the granter with the only domain that sends requests. The next
- * granter, in another domain, doesn't know the rates of the cut-off nodes. */
+/* Cuts off the only domain that sends requests, then lets all send. Half of
+ * the time the granter is in it, and the next one, in another domain, doesn't
+ * know the rates of the cut-off nodes. */
 static void
-run_granter_cut(struct rs_quota_simulation *sim, GRand *random)
+run_busy_domain_cut(struct rs_quota_simulation *sim, GRand *random)
 {
+    bool with_granter = g_rand_boolean(random);
+    uint32_t domain = with_granter ? 0 : 1; /* node 0 is the granter */
     for (uint32_t w = 0; w < RsQuotaFixture_WORKSPACES; w++) {
-        RsQuotaFixture_SetLoad(sim, w, RsQuotaLoad_DOMAIN, 0);
+        RsQuotaFixture_SetLoad(sim, w, RsQuotaLoad_DOMAIN, domain);
     }
     RsQuotaFixture_Advance(sim, g_rand_int_range(random, 8000, 16000));
-    RsQuotaFixture_InjectFault(sim, RsQuotaFault_CUT, 0, 30000);
-    RsQuotaFixture_InjectFault(sim, RsQuotaFault_GRANTER, 1, 0);
+    RsQuotaFixture_InjectFault(sim, RsQuotaFault_CUT, domain, 30000);
+    if (with_granter) {
+        RsQuotaFixture_InjectFault(sim, RsQuotaFault_GRANTER, 1, 0);
+    }
     RsQuotaFixture_Advance(sim, g_rand_int_range(random, 1, 3000));
     set_all_loads(sim, RsQuotaLoad_GREEDY);
     RsQuotaFixture_Advance(sim, 16000);
@@ -354,7 +359,7 @@
         run_cut(sim, random);
     }
     else {
-        run_granter_cut(sim, random);
+        run_busy_domain_cut(sim, random);
     }
     const char *violation = RsQuotaFixture_Violation(sim);
     if (violation != NULL && fault == RsQuotaBreak_NONE) {
--- a/router/reply.c
+++ b/router/reply.c
@@ -8,9 +8,11 @@
 #include "core/clock.h"
 #include "http/server.h"
 #include "platform/wire.h"
+#include "router/quota_exchange.h"
 #include "router/request.h"
 
 #define STATUS_REFUSED 503
+#define STATUS_OVER_QUOTA 429
 #define MS_PER_S 1000.0
 /* A response is buffered until it is complete or has reached this size, so
  * that the request can be retried if the response breaks off early. */
@@ -46,8 +48,8 @@
 }
 
 /* Cancels the running attempts, sends an error response of the router and
- * finishes the request. Responses with status 503 carry a retry-after header.
- */
+ * finishes the request. Responses with status 503 or 429 carry a retry-after
+ * header. */
 static void
 send_error(struct rs_request *request, int status, const char *outcome,
            const char *reason)
@@ -55,7 +57,7 @@
     RsAttempt_CancelOthers(request, NULL);
     request->http->res.headers = (h2o_headers_t){0};
     add_router_headers(request);
-    if (status == STATUS_REFUSED) {
+    if (status == STATUS_REFUSED || status == STATUS_OVER_QUOTA) {
         char seconds[24];
         uint32_t after_ms = retry_after_ms(request);
         snprintf(seconds, sizeof(seconds), "%.3f", after_ms / MS_PER_S);
@@ -84,6 +86,20 @@
     send_error(request, STATUS_REFUSED, "not-run", reason);
 }
 
+/* Refuses a request that has not been sent because its workspace has no token
+ * left: with 429 if the workspace is over its quota, or with 503 if no granter
+ * answers. */
+void
+RsReply_RefuseWithoutToken(struct rs_request *request, bool is_over,
+                           int64_t now_ms)
+{
+    request->come_back_at_ms = RsQuotaExchange_Refuse(
+        request->router->quotas, request->workspace, is_over, now_ms);
+    RsCounter_Add(&request->router->counters.refused, 1);
+    send_error(request, is_over ? STATUS_OVER_QUOTA : STATUS_REFUSED,
+               "not-run", is_over ? "over-quota" : "quota-unknown");
+}
+
 /* Responds with an error status that means that the request may have been
  * executed. `reason` must be a string literal. */
 void
--- a/router/reports.c
+++ b/router/reports.c
@@ -7,6 +7,7 @@
 #include "core/log.h"
 #include "router/granter.h"
 #include "router/peer.pb-c.h"
+#include "router/quota_exchange.h"
 
 /* The load of a node that has not reported for this long is no longer counted.
  * With up to 30 nodes that is six reports, each node reporting every 150 ms;
@@ -137,6 +138,15 @@
     }
 }
 
+/* Sends a message of another component from the peer port. `arg` is the struct
+ * rs_reports. */
+void
+RsReports_SendDatagram(void *arg, const struct sockaddr *address,
+                       const ProtobufCMessage *message)
+{
+    send_to(arg, address, message);
+}
+
 /* Returns the rates of a service, whose name must be interned; creates them
  * with all rates 0 if there are none. */
 static struct rates *
@@ -737,7 +747,8 @@
 
 /* Distinguishes reports from summaries by the first byte, the tag of the first
  * field: in a report this field is `node`, a string in field 1 (0x0a); in a
- * summary the first field is a number (see router/peer.proto). */
+ * summary the first field is a number (see router/peer.proto). Messages of
+ * quotas begin with tags of their own. */
 #define REPORT_TAG 0x0a
 
 static void
@@ -750,6 +761,11 @@
     if (size <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0) {
         return;
     }
+    if (reports->router->quotas != NULL &&
+        RsQuotaExchange_HandleDatagram(reports->router->quotas, data,
+                                       (size_t)size, from, now_ms)) {
+        return;
+    }
     if (data[0] == REPORT_TAG) {
         Rs__Peer__Report *report =
             rs__peer__report__unpack(NULL, (size_t)size, data);
--- a/router/reports.h
+++ b/router/reports.h
@@ -7,6 +7,8 @@
 #ifndef RATTANSHED_ROUTER_REPORTS_H
 #define RATTANSHED_ROUTER_REPORTS_H
 
+#include <protobuf-c/protobuf-c.h>
+
 #include "router/router.h"
 
 /* Effective time constant of the rates from RsReports_KeyRates(). A rate is
@@ -33,6 +35,11 @@
 void RsReports_Send(struct rs_reports *reports,
                     const struct sockaddr_in *granter, int64_t now_ms);
 
+/* Sends another message from the peer port. `reports` is a struct rs_reports.
+ */
+void RsReports_SendDatagram(void *reports, const struct sockaddr *address,
+                            const ProtobufCMessage *message);
+
 /* Returns the highest strength, in thousandths of a core, of the nodes that
  * reported to this node within the last second; 0 if there are none. */
 double RsReports_ClosedShare(const struct rs_reports *reports, const char *id);
--- a/router/request.c
+++ b/router/request.c
@@ -11,6 +11,7 @@
 #include "core/log.h"
 #include "http/server.h"
 #include "platform/wire.h"
+#include "router/quota_exchange.h"
 
 /* A request to a service without keys waits for capacity for at most the
  * latency target divided by this. A wait of up to an eighth of the target does
@@ -163,6 +164,10 @@
     int64_t elapsed_us = RsClock_NowUs() - request->arrived_at_us;
     request->finished = true;
     RsRequest_StopWaiting(request);
+    RsQuotaExchange_End(
+        request->router->quotas, request->workspace, &request->quota_claim,
+        !request->may_have_run && request->forwarded_attempt == NULL,
+        RsClock_NowMs());
     g_queue_unlink(&request->router->active, &request->active_link);
     RsHistogram_Record(&request->router->counters.latency_us,
                        (uint64_t)elapsed_us);
@@ -369,7 +374,7 @@
         }
         RsAttempt_Dispatch(request, now_ms);
         if (!request->finished && request->waiting &&
-            !request->service->sharded) {
+            !request->service->sharded && !request->quota_claim.waiting) {
             saturated_service = request->service->name;
         }
     }
--- a/router/request.h
+++ b/router/request.h
@@ -6,6 +6,7 @@
 #define RATTANSHED_ROUTER_REQUEST_H
 
 #include "router/exchange.h"
+#include "router/quota.h"
 #include "router/router.h"
 
 #define RsRequest_MAX_ATTEMPTS 4
@@ -45,6 +46,9 @@
     struct rs_routing *config;
     const struct rs_route *route;
     const struct rs_service *service;
+    /* Of the caller; NULL: none. Belongs to `config`. */
+    const struct rs_workspace *workspace;
+    struct rs_quota_claim quota_claim;
     uint32_t key; /* RsRequest_NO_KEY unless the service is sharded */
     char id[RsRequest_MAX_ID_BYTES];
     uint64_t fingerprint; /* see RsRequest_Fingerprint(); 0: not computed */
@@ -94,6 +98,8 @@
 
 /* Implemented in router/reply.c. */
 void RsReply_Refuse(struct rs_request *request, const char *reason);
+void RsReply_RefuseWithoutToken(struct rs_request *request, bool is_over,
+                                int64_t now_ms);
 void RsReply_Fail(struct rs_request *request, int status, const char *reason);
 void RsReply_Reject(struct rs_request *request, int status,
                     const char *reason);
--- a/router/router.h
+++ b/router/router.h
@@ -48,6 +48,8 @@
     uint64_t version; /* of its row in the store */
 };
 
+struct rs_quota_exchange;
+
 /* Per-service state of this node. */
 struct rs_router_service {
     struct rs_load_retry_budget budget;
@@ -76,6 +78,7 @@
     struct rs_shutdown shutdown;
     struct rs_notice_counters notices;
     struct rs_suspects suspects;
+    struct rs_quota_exchange *quotas; /* NULL until the node has opened it */
     bool has_news; /* the granter is to be sent a report at once */
     struct rs_router_counters counters;
 };
