--- a/router/attempt.c
+++ b/router/attempt.c
@@ -46,8 +46,13 @@
  * Hop-by-hop headers, Expect and those that this node sets itself are not
  * forwarded. */
 static bool
-is_forwarded_header(const char *name)
+is_forwarded_header(const struct rs_request *request, const char *name)
 {
+    if (request->hides_credentials &&
+        (g_ascii_strcasecmp(name, RsWire_AUTHORIZATION) == 0 ||
+         g_ascii_strcasecmp(name, RsWire_WORKSPACE) == 0)) {
+        return false;
+    }
     return !RsRequest_IsHopByHop(name) &&
            g_ascii_strcasecmp(name, RsWire_DEADLINE) != 0 &&
            g_ascii_strcasecmp(name, RsWire_TARGET_ID) != 0 &&
@@ -72,7 +77,7 @@
          i++) {
         const h2o_header_t *header = &http->headers.entries[i];
         const char *name = copy_to_pool(http, *header->name);
-        if (is_forwarded_header(name)) {
+        if (is_forwarded_header(request, name)) {
             attempt->headers[count++] = (struct rs_http_header){
                 name, copy_to_pool(http, header->value)};
         }
@@ -86,6 +91,10 @@
         (struct rs_http_header){RsWire_DEADLINE, attempt->deadline_text};
     attempt->headers[count++] =
         (struct rs_http_header){RsWire_TARGET_ID, attempt->target->id};
+    if (request->workspace != NULL) {
+        attempt->headers[count++] = (struct rs_http_header){
+            RsWire_WORKSPACE, request->workspace->name};
+    }
     attempt->message = (struct rs_http_request){
         .method = copy_to_pool(http, http->input.method),
         .path = copy_to_pool(http, http->input.path),
@@ -158,7 +167,8 @@
 /* Looks up the owner of the request's key. Returns RsLoad_SEND if the request
  * may be sent to the owner now, and RsLoad_NONE if no owner can take it.
  * Returns RsLoad_FULL if the request has to wait for the key ownership map,
- * for `next_attempt_at_ms`, for a handover of the key or for capacity. Sets
+ * for `next_attempt_at_ms`, for a handover of the key, for the end of a short
+ * pause after failures of the owner or for capacity. Sets
  * `*chosen` to the owner for RsLoad_SEND and RsLoad_CLOSED, and for
  * RsLoad_FULL if only capacity is missing. */
 static enum rs_load_verdict
@@ -182,10 +192,14 @@
             : NULL;
     if (target == NULL ||
         target->report.started_wall_ms != range->owner.started_wall_ms ||
-        !RsFleet_MayKeepWork(&request->router->fleet, target, now_ms) ||
-        now_ms < target->avoid_until_ms) {
+        !RsFleet_MayKeepWork(&request->router->fleet, target, now_ms)) {
         return RsLoad_NONE;
     }
+    if (now_ms < target->avoid_until_ms) {
+        /* No other target has the key, and this one may be only full. */
+        return target->avoid_until_ms < request->wait_until_ms ? RsLoad_FULL
+                                                               : RsLoad_NONE;
+    }
     *chosen = target;
     if (RsLoad_OpenAtMs(target, input) > now_ms) {
         return RsLoad_CLOSED;
@@ -265,13 +279,17 @@
 /* Sends the request to a target. If none has room, or the expected latency
  * exceeds the time left, the request waits until its `wait_until_ms` and is
  * refused after that. It is refused at once when there is no target, when all
- * attempts are used up or when its key's owner is overloaded. */
+ * attempts are used up or when its key's owner is overloaded, and rejected
+ * when its API key is no longer valid. */
 void
 RsAttempt_Dispatch(struct rs_request *request, int64_t now_ms)
 {
     const char *tried[RsRequest_MAX_ATTEMPTS];
     struct rs_load_choice_input input = make_choice_input(request, tried);
     struct rs_fleet_target *target = NULL;
+    if (RsRequest_RejectIfUnauthorized(request, now_ms)) {
+        return;
+    }
     if (request->attempt_count == RsRequest_MAX_ATTEMPTS) {
         RsReply_Refuse(request, "no-target-reached");
         return;
@@ -298,6 +316,7 @@
     if (verdict == RsLoad_SEND &&
         !RsShutdown_MayStart(&request->router->shutdown,
                              RsLoad_ExpectedLatencyMs(target, now_ms),
+                             request->route->target_latency_ms,
                              request->deadline_ms, now_ms)) {
         request->come_back_at_ms = now_ms; /* to another node */
         RsReply_Refuse(request, "stopping");
@@ -353,8 +372,8 @@
 }
 
 /* Starts a hedged attempt if the only attempt so far is late, another target
- * has a free slot and the retry budget allows it. Only requests on idempotent
- * routes, to services without keys, are hedged. */
+ * has a free slot, the API key is still valid and the retry budget allows it.
+ * Only requests on idempotent routes, to services without keys, are hedged. */
 void
 RsAttempt_HedgeIfLate(struct rs_request *request, int64_t now_ms)
 {
@@ -375,6 +394,7 @@
     struct rs_load_choice_input input = make_choice_input(request, tried);
     if (RsLoad_Choose(&input, now_ms, &target) == RsLoad_SEND &&
         RsLoad_CountOutstanding(target, now_ms) < target->report.slots &&
+        RsRequest_CheckApiKey(request, now_ms) == RsWorkspaces_ADMITTED &&
         take_retry(request, now_ms)) {
         RsLog_EVENT(RsLog_INFO, "hedged",
                     RsLog_TEXT("request_id", request->id),
@@ -637,9 +657,9 @@
     }
 }
 
-/* Records a broken connection. A full target may reset connections at once, so
- * an immediate reset by a target that responded recently means that it is
- * full. Any other broken connection counts as a failure. */
+/* Records a broken connection. A full target may reset connections at once,
+ * see RsLoad_RecordReset(). Any other broken connection counts as a failure.
+ */
 static void
 handle_broken_connection(struct rs_attempt *attempt, int64_t now_ms)
 {
@@ -648,8 +668,8 @@
     suspect_request(attempt, now_ms);
     bool was_immediate =
         attempt->status == 0 && elapsed_us < MAX_FULL_RESET_US;
-    if (was_immediate && RsFleet_AnsweredRecently(target, now_ms)) {
-        RsFleet_RecordFull(target, now_ms);
+    if (was_immediate) {
+        RsLoad_RecordReset(target, now_ms);
     }
     else {
         RsFleet_RecordFailure(target, now_ms);
--- a/router/quota.c
+++ b/router/quota.c
@@ -326,6 +326,12 @@
         return RsQuota_TAKEN;
     }
     struct purse *purse = get_or_create(quota, workspace, now_ms);
+    if (claim->workspace != purse->name) {
+        /* The caller's key may have been given to another workspace. */
+        RsQuota_StopWaiting(quota, claim);
+        claim->workspace = purse->name;
+        claim->wait_until_ms = 0;
+    }
     if (claim->wait_until_ms == 0) {
         purse->demand = demand_now(purse, now_ms) + 1;
         purse->demand_at_ms = now_ms;
@@ -334,7 +340,7 @@
     add_own_tokens(quota, purse, now_ms);
     claim->token_until_ms = take_token(purse, now_ms);
     if (claim->token_until_ms > 0) {
-        RsQuota_StopWaiting(quota, workspace, claim);
+        RsQuota_StopWaiting(quota, claim);
         return RsQuota_TAKEN;
     }
     /* The ledger has no more than this for all requests that wait. */
@@ -342,7 +348,7 @@
                    purse->waiting >=
                        MIN_WAITING + purse->per_s * RsQuota_WAIT_MS / MS_PER_S;
     if (now_ms >= claim->wait_until_ms || is_full) {
-        RsQuota_StopWaiting(quota, workspace, claim);
+        RsQuota_StopWaiting(quota, claim);
         return RsQuota_IsLost(quota, now_ms) ? RsQuota_UNKNOWN : RsQuota_OVER;
     }
     purse->waiting += !claim->waiting;
@@ -352,13 +358,11 @@
 
 /* Call it when a request that waits for a token ends. */
 void
-RsQuota_StopWaiting(struct rs_quota *quota,
-                    const struct rs_workspace *workspace,
-                    struct rs_quota_claim *claim)
+RsQuota_StopWaiting(struct rs_quota *quota, struct rs_quota_claim *claim)
 {
     if (claim->waiting) {
         struct purse *purse =
-            g_hash_table_lookup(quota->purses, workspace->name);
+            g_hash_table_lookup(quota->purses, claim->workspace);
         claim->waiting = false;
         if (purse != NULL && purse->waiting > 0) {
             purse->waiting--;
@@ -369,14 +373,14 @@
 /* Gives back the token of a request that did not run, unless it has expired.
  */
 void
-RsQuota_Return(struct rs_quota *quota, const struct rs_workspace *workspace,
-               struct rs_quota_claim *claim, int64_t now_ms)
+RsQuota_Return(struct rs_quota *quota, struct rs_quota_claim *claim,
+               int64_t now_ms)
 {
     int64_t until_ms = claim->token_until_ms;
     claim->token_until_ms = 0;
     if (until_ms > now_ms) {
         struct purse *purse =
-            g_hash_table_lookup(quota->purses, workspace->name);
+            g_hash_table_lookup(quota->purses, claim->workspace);
         if (purse != NULL) {
             add_tokens(purse, 1, until_ms);
         }
--- a/router/quota.h
+++ b/router/quota.h
@@ -91,6 +91,7 @@
 
 /* A request's part in the account; zero it before the first use. */
 struct rs_quota_claim {
+    const char *workspace; /* interned; NULL: not used yet */
     bool waiting;
     int64_t wait_until_ms;
     int64_t token_until_ms; /* of the token that it took; 0: none */
@@ -112,12 +113,9 @@
                                    const struct rs_workspace *workspace,
                                    struct rs_quota_claim *claim,
                                    int64_t now_ms);
-void RsQuota_StopWaiting(struct rs_quota *quota,
-                         const struct rs_workspace *workspace,
-                         struct rs_quota_claim *claim);
-void RsQuota_Return(struct rs_quota *quota,
-                    const struct rs_workspace *workspace,
-                    struct rs_quota_claim *claim, int64_t now_ms);
+void RsQuota_StopWaiting(struct rs_quota *quota, struct rs_quota_claim *claim);
+void RsQuota_Return(struct rs_quota *quota, struct rs_quota_claim *claim,
+                    int64_t now_ms);
 int64_t RsQuota_ComeBackAtMs(struct rs_quota *quota,
                              const struct rs_workspace *workspace,
                              int64_t now_ms);
--- a/router/quota_exchange.c
+++ b/router/quota_exchange.c
@@ -417,16 +417,15 @@
 /* Call it when a request has ended. `not_run`: no target has run it. */
 void
 RsQuotaExchange_End(struct rs_quota_exchange *exchange,
-                    const struct rs_workspace *workspace,
                     struct rs_quota_claim *claim, bool not_run, int64_t now_ms)
 {
-    if (workspace == NULL || exchange == NULL) {
+    if (exchange == NULL || claim->workspace == NULL) {
         return;
     }
-    RsQuota_StopWaiting(exchange->quota, workspace, claim);
+    RsQuota_StopWaiting(exchange->quota, claim);
     if (not_run && claim->token_until_ms > 0) {
         RsCounter_Add(&exchange->counters.returned, 1);
-        RsQuota_Return(exchange->quota, workspace, claim, now_ms);
+        RsQuota_Return(exchange->quota, claim, now_ms);
     }
 }
 
--- a/router/quota_exchange.h
+++ b/router/quota_exchange.h
@@ -59,7 +59,6 @@
                                const struct rs_workspace *workspace,
                                bool is_over, int64_t now_ms);
 void RsQuotaExchange_End(struct rs_quota_exchange *exchange,
-                         const struct rs_workspace *workspace,
                          struct rs_quota_claim *claim, bool not_run,
                          int64_t now_ms);
 const struct rs_quota_counters *
--- a/router/quota_exchange_test.c
+++ b/router/quota_exchange_test.c
@@ -123,7 +123,7 @@
     CU_ASSERT_EQUAL(
         RsQuotaExchange_Take(nodes[0].exchange, workspace, &claim, now_ms),
         RsQuota_TAKEN);
-    RsQuotaExchange_End(nodes[0].exchange, workspace, &claim, true, now_ms);
+    RsQuotaExchange_End(nodes[0].exchange, &claim, true, now_ms);
     CU_ASSERT_EQUAL(claim.token_until_ms, 0);
 }
 
--- a/router/quota_test.c
+++ b/router/quota_test.c
@@ -88,11 +88,11 @@
     CU_ASSERT_TRUE(exchange(&pair, 30));
     CU_ASSERT_EQUAL(take(&pair, &first), RsQuota_TAKEN);
     CU_ASSERT_EQUAL(first.token_until_ms, START_MS + RsQuota_TOKEN_MS);
-    RsQuota_Return(pair.quota, &pair.workspace, &first, pair.now_ms);
+    RsQuota_Return(pair.quota, &first, pair.now_ms);
     struct rs_quota_claim second = {0};
     pair.now_ms = START_MS + RsQuota_TOKEN_MS - 1;
     CU_ASSERT_EQUAL(take(&pair, &second), RsQuota_TAKEN);
-    RsQuota_Return(pair.quota, &pair.workspace, &second, pair.now_ms);
+    RsQuota_Return(pair.quota, &second, pair.now_ms);
     struct rs_quota_claim third = {0};
     pair.now_ms = START_MS + RsQuota_TOKEN_MS;
     CU_ASSERT_EQUAL(take(&pair, &third), RsQuota_WAITING);
--- a/router/reply.c
+++ b/router/reply.c
@@ -11,6 +11,7 @@
 #include "router/quota_exchange.h"
 #include "router/request.h"
 
+#define STATUS_UNAUTHORIZED 401
 #define STATUS_REFUSED 503
 #define STATUS_OVER_QUOTA 429
 #define MS_PER_S 1000.0
@@ -57,6 +58,10 @@
     RsAttempt_CancelOthers(request, NULL);
     request->http->res.headers = (h2o_headers_t){0};
     add_router_headers(request);
+    if (status == STATUS_UNAUTHORIZED) {
+        RsServer_AddHeader(request->http, RsWire_AUTHENTICATE,
+                           RsWire_API_KEY_SCHEME);
+    }
     if (status == STATUS_REFUSED || status == STATUS_OVER_QUOTA) {
         char seconds[24];
         uint32_t after_ms = retry_after_ms(request);
