--- a/router/attempt.c
+++ b/router/attempt.c
@@ -10,6 +10,7 @@
 #include "http/server.h"
 #include "platform/wire.h"
 #include "router/probe.h"
+#include "router/quota_exchange.h"
 #include "router/request.h"
 
 #define US_PER_MS 1000.0
@@ -320,6 +321,25 @@
     }
 }
 
+/* Takes a token of the request's workspace before its first attempt, and again
+ * if the token has expired meanwhile. Requests over the quota thus don't wait
+ * for room beside others. Returns false if there is no token; the request
+ * waits for one then, or was refused. */
+static bool
+take_token(struct rs_request *request, int64_t now_ms)
+{
+    enum rs_quota_verdict verdict =
+        RsQuotaExchange_Take(request->router->quotas, request->workspace,
+                             &request->quota_claim, now_ms);
+    if (verdict == RsQuota_WAITING) {
+        RsRequest_Wait(request);
+    }
+    else if (verdict != RsQuota_TAKEN) {
+        RsReply_RefuseWithoutToken(request, verdict == RsQuota_OVER, now_ms);
+    }
+    return verdict == RsQuota_TAKEN;
+}
+
 /* Sends the request to a target. If none has room, or the expected latency
  * exceeds the time left, the request waits until its `wait_until_ms` and is
  * refused after that. It is refused at once when there is no target, when all
@@ -341,6 +361,9 @@
     if (RsRequest_RefuseIfSuspected(request, now_ms)) {
         return;
     }
+    if (request->attempt_count == 0 && !take_token(request, now_ms)) {
+        return;
+    }
     enum rs_load_verdict verdict =
         choose_target(request, &input, now_ms, &target);
     if (verdict == RsLoad_CLOSED) {
--- a/router/request.h
+++ b/router/request.h
@@ -6,6 +6,7 @@
 #define RATTANSHED_ROUTER_REQUEST_H
 
 #include "router/exchange.h"
+#include "router/quota.h"
 #include "router/router.h"
 
 #define RsRequest_MAX_ATTEMPTS 4
@@ -55,6 +56,7 @@
     /* Credentials and the name of a workspace that the caller sent are not
      * forwarded. */
     bool hides_credentials;
+    struct rs_quota_claim quota_claim;
     bool unauthorized; /* it was answered with 401 */
     uint32_t key;      /* RsRequest_NO_KEY unless the service is sharded */
     char id[RsRequest_MAX_ID_BYTES];
@@ -106,6 +108,8 @@
 
 /* Implemented in router/reply.c. */
 void RsReply_Refuse(struct rs_request *request, const char *reason);
+void RsReply_RefuseWithoutToken(struct rs_request *request, bool is_over,
+                                int64_t now_ms);
 void RsReply_Fail(struct rs_request *request, int status, const char *reason);
 void RsReply_Reject(struct rs_request *request, int status,
                     const char *reason);
