Learn the service time of a target from its first answers

A node's average started at 110 ms and took many answers to leave it. With 65 nodes each has few answers of one target, so that the granter's mean of them showed 138 ms for a target that takes 367 ms, and slow targets owned as many keys as others. The first samples now weigh as in a plain average, unless they come from a queue, and a node without samples starts from the mean of all nodes.

--- a/router/fleet.c
+++ b/router/fleet.c
@@ -513,8 +513,18 @@
     }
     double sample_ms =
         elapsed_ms / RsFleet_QueueingFactor(target, ahead_at_target);
-    target->service_ms += SERVICE_WEIGHT * (sample_ms - target->service_ms);
+    if (target->answers == 0 && target->shared_service_ms > 0) {
+        target->service_ms = target->shared_service_ms;
+    }
     target->answers++;
+    /* The first samples weigh as in a plain average, so that a node with few
+     * answers reports these and not the initial value: with many nodes, a slow
+     * target would look like the others for a minute. Samples from a queue are
+     * estimates. */
+    double weight = ahead_at_target < target->report.slots
+                        ? MAX(SERVICE_WEIGHT, 1.0 / target->answers)
+                        : SERVICE_WEIGHT;
+    target->service_ms += weight * (sample_ms - target->service_ms);
     target->answered_at_ms = now_ms;
     target->failures = 0;
     target->avoid_until_ms = 0;
