Put hot keys alone on a fast owner and spread busy neighbours at once

A key with more requests than any target can run is recognised by an average over 0.3 s and put alone on the fastest owner that is not full; its neighbours leave in the same plan and nothing else moves there. The rest of the planner:

- Requests are recorded at their time.
They decayed as if they had come at the plan before.
- A new granter moves nothing by rates until all nodes could report twice, and at least 1 s; it corrects averages that started at 0.
It drops rates of an earlier term, and nodes drop keys requested while there was no granter.

--- a/router/balance_test.c
+++ b/router/balance_test.c
@@ -222,6 +222,79 @@
     free_scenario(scenario);
 }
 
+/* A key that no target can run was left at a slow owner with its neighbours,
+ * which were refused with it. */
+static void
+test_hot_key_gets_a_fast_owner_of_its_own(void)
+{
+    struct scenario *scenario = new_scenario_of(MANY_TARGETS);
+    struct rs_balance_hot_key hot = {.key = 31000};
+    for (size_t i = 0; i < MANY_TARGETS; i++) {
+        scenario->targets[i].capacity = CAPACITY_PER_S * (i % 3 + 1) / 2;
+    }
+    plan_until_stable(scenario);
+    for (uint32_t key = 0; key < RsKeymap_KEYS; key += 64) {
+        scenario->rates[key] = key != hot.key ? 1.0f : 0;
+    }
+    plan_until_stable(scenario);
+    scenario->problem.hot_keys = &hot;
+    scenario->problem.hot_key_count = 1;
+    uint64_t first_fence = scenario->map->next_fence;
+    RsBalance_Plan(scenario->map, &scenario->problem);
+    complete_handovers(scenario);
+    CU_ASSERT_TRUE(scenario->map->next_fence - first_fence <= 12);
+    const struct rs_balance_target *owner = &scenario->targets[hot.target];
+    CU_ASSERT_EQUAL(owner->capacity, CAPACITY_PER_S * 3 / 2);
+    for (int i = 0; i < 4; i++) {
+        for (size_t k = 0; k < scenario->map->ranges->len; k++) {
+            const struct rs_key_range *range =
+                RsKeymap_GetRange(scenario->map, k);
+            CU_ASSERT_EQUAL(range->owner.id == owner->owner.id,
+                            range->first_key == hot.key);
+        }
+        RsBalance_Plan(scenario->map, &scenario->problem);
+        complete_handovers(scenario);
+        CU_ASSERT_EQUAL(hot.target, (size_t)(owner - scenario->targets));
+    }
+    free_scenario(scenario);
+}
+
+/* The owner of a hot key has ended: the key gets another one, alone. */
+static void
+test_hot_key_gets_another_owner(void)
+{
+    struct scenario *scenario = new_scenario_of(MANY_TARGETS);
+    struct rs_balance_hot_key hot = {.key = 31000};
+    scenario->problem.hot_keys = &hot;
+    scenario->problem.hot_key_count = 1;
+    plan_until_stable(scenario);
+    size_t former = hot.target;
+    scenario->targets[former].eligible = false;
+    plan_until_stable(scenario);
+    CU_ASSERT_NOT_EQUAL(hot.target, former);
+    CU_ASSERT_TRUE(scenario->targets[hot.target].dedicated);
+    free_scenario(scenario);
+}
+
+/* A new granter has rates of a few requests only. It replaces owners that have
+ * ended, but moves nothing by these rates. */
+static void
+test_unknown_rates_move_nothing(void)
+{
+    struct scenario *scenario = new_scenario_of(MANY_TARGETS);
+    plan_until_stable(scenario);
+    for (uint32_t key = 30000; key < 30200; key++) {
+        scenario->rates[key] = 2.5f;
+    }
+    scenario->problem.rates_unknown = true;
+    CU_ASSERT_EQUAL(RsBalance_Plan(scenario->map, &scenario->problem), 0);
+    scenario->targets[3].eligible = false;
+    CU_ASSERT_TRUE(RsBalance_Plan(scenario->map, &scenario->problem) > 0);
+    complete_handovers(scenario);
+    CU_ASSERT_EQUAL(load_of(scenario, 3), 0);
+    free_scenario(scenario);
+}
+
 static void
 test_random_variation_moves_nothing(void)
 {
@@ -346,6 +419,9 @@
     CU_ADD_TEST(
         suite,
         test_one_heavy_key_does_not_stop_other_targets_from_being_relieved);
+    CU_ADD_TEST(suite, test_hot_key_gets_a_fast_owner_of_its_own);
+    CU_ADD_TEST(suite, test_hot_key_gets_another_owner);
+    CU_ADD_TEST(suite, test_unknown_rates_move_nothing);
     CU_ADD_TEST(suite, test_random_variation_moves_nothing);
     CU_ADD_TEST(suite, test_keys_of_an_ineligible_target_go_to_all_others);
     CU_ADD_TEST(suite, test_slow_target_gives_keys_away);
--- a/router/key_rates.h
+++ b/router/key_rates.h
@@ -16,16 +16,24 @@
  * constant. */
 #define RsKeyRates_WINDOW_S 3.0
 
+/* Time constant of `fast_window`, in which a key with many times the requests
+ * that a target can run shows within half a second. */
+#define RsKeyRates_FAST_WINDOW_S 0.3
+
 struct rs_key_rates {
+    float fast_window[RsKeymap_KEYS];
     float short_window[RsKeymap_KEYS];
     float long_window[RsKeymap_KEYS];
     float blend[RsKeymap_KEYS]; /* computed by RsKeyRates_Blend() */
+    int64_t since_ms;           /* requests are recorded since then */
     int64_t decayed_at_ms;
     bool requested; /* a request was recorded */
 };
 
 struct rs_key_rates *RsKeyRates_New(int64_t now_ms);
-void RsKeyRates_Record(struct rs_key_rates *rates, uint32_t key);
-const float *RsKeyRates_Blend(struct rs_key_rates *rates, int64_t now_ms);
+void RsKeyRates_Record(struct rs_key_rates *rates, const uint32_t *keys,
+                       size_t count, int64_t now_ms);
+float *RsKeyRates_Blend(struct rs_key_rates *rates, int64_t now_ms);
+double RsKeyRates_WindowS(const struct rs_key_rates *rates, int64_t now_ms);
 
 #endif
--- a/router/owners.c
+++ b/router/owners.c
@@ -33,6 +33,22 @@
  * planned with the capacity that they will have when they are warm. */
 #define MAX_IDLE_PER_S 1.0
 
+/* Share of the requests that the owner of a hot key can run that is admitted.
+ * At 0.8, requests arrive at random and wait for about two thirds of the time
+ * that one takes; closer to 1 the owner is often full and resets connections.
+ */
+#define HOT_OWNER_SHARE 0.8
+/* Least admitted share while the owner still has other keys. */
+#define MIN_HOT_SHARE 0.2
+/* A target is full when this many more requests than it has slots are known
+ * to run or wait there. */
+#define FULL_QUEUE 2
+
+/* Rates are known once all nodes had time for two reports since the granter
+ * began to collect them, and this time has passed; younger ones are mostly
+ * random variation. */
+#define MIN_RATE_AGE_MS 1000
+
 /* Inputs of one planning round. */
 struct planning {
     struct rs_router *router;
@@ -66,6 +82,21 @@
            !RsLimit_IsUnconfirmed(&target->limit, now_ms);
 }
 
+/* Returns the rate that a target which could run `per_s` requests a second
+ * takes while it is cold or has a limit. */
+static double
+bound_rate(const struct rs_fleet_target *target, double per_s,
+           double cold_per_s, int64_t now_ms)
+{
+    if (now_ms < target->cold_until_ms && cold_per_s > 0) {
+        per_s = MIN(per_s, cold_per_s * COLD_CAPACITY_SHARE);
+    }
+    if (is_limited(target, now_ms)) {
+        per_s = MIN(per_s, target->limit.per_s * LIMITED_CAPACITY_SHARE);
+    }
+    return per_s;
+}
+
 /* Returns the capacity of a target in requests a second. `latency_ms` is the
  * latency target; `cold_per_s` is the request rate that a cold target can
  * take, 0 for no limit. */
@@ -73,14 +104,8 @@
 capacity_of(const struct rs_fleet_target *target, double latency_ms,
             double cold_per_s, int64_t now_ms)
 {
-    double capacity = RsLoad_CapacityPerS(target, latency_ms);
-    if (now_ms < target->cold_until_ms && cold_per_s > 0) {
-        capacity = MIN(capacity, cold_per_s * COLD_CAPACITY_SHARE);
-    }
-    if (is_limited(target, now_ms)) {
-        capacity = MIN(capacity, target->limit.per_s * LIMITED_CAPACITY_SHARE);
-    }
-    return capacity;
+    return bound_rate(target, RsLoad_CapacityPerS(target, latency_ms),
+                      cold_per_s, now_ms);
 }
 
 /* Returns whether the target may be given keys and keep them. */
@@ -205,12 +230,82 @@
                 .capacity = capacity_of(target, latency_ms, cold_per_s,
                                         planning->now_ms) *
                             open_share(planning, target),
+                .full = RsLoad_CountOutstanding(target, planning->now_ms) >=
+                        target->report.slots + FULL_QUEUE,
             };
         }
     }
     return count;
 }
 
+static bool
+are_rates_known(const struct planning *planning,
+                const struct rs_key_rates *key_rates)
+{
+    int64_t interval_ms = RsReports_IntervalMs(planning->router->share.nodes);
+    return planning->now_ms - key_rates->since_ms >=
+           MIN_RATE_AGE_MS + 2 * interval_ms;
+}
+
+/* Finds the hot keys of a service and lists them in `planned`. Their rates are
+ * set to 0, see struct rs_balance_problem. Returns their number. */
+static size_t
+list_hot_keys(const struct planning *planning,
+              const struct rs_balance_problem *problem,
+              const struct rs_key_rates *key_rates, float *rates,
+              const char *service, struct rs_balance_hot_key *planned)
+{
+    struct rs_hot_keys *hot = &planning->router->hot_keys;
+    double fastest_per_s = 0;
+    size_t count = 0;
+    for (size_t i = 0; i < problem->target_count; i++) {
+        if (problem->targets[i].eligible) {
+            fastest_per_s = MAX(fastest_per_s, problem->targets[i].capacity);
+        }
+    }
+    RsHotKeys_Detect(hot, service, key_rates, fastest_per_s, planning->now_ms);
+    for (size_t i = 0; i < hot->count; i++) {
+        if (hot->keys[i].service == service) {
+            planned[count++].key = hot->keys[i].key;
+            rates[hot->keys[i].key] = 0;
+        }
+    }
+    return count;
+}
+
+/* Sets the rates at which requests for hot keys are admitted: what their
+ * owners can run beside their other keys. */
+static void
+set_admitted(const struct planning *planning, const struct rs_service *service,
+             const struct rs_balance_problem *problem)
+{
+    if (problem->rates_unknown) {
+        return; /* what the former granter has stated stays in use */
+    }
+    for (size_t i = 0; i < problem->hot_key_count; i++) {
+        const struct rs_balance_hot_key *planned = &problem->hot_keys[i];
+        struct rs_hot_key *hot = RsHotKeys_Find(&planning->router->hot_keys,
+                                                service->name, planned->key);
+        if (planned->target == problem->target_count) {
+            hot->admitted_per_s = hot->demand_per_s;
+            continue;
+        }
+        const struct rs_fleet_target *owner =
+            RsFleet_Find(&planning->router->fleet,
+                         problem->targets[planned->target].owner.id);
+        double runs_per_s = bound_rate(
+            owner, MS_PER_S * owner->report.slots / RsLoad_ServiceMs(owner),
+            service->cold_per_s, planning->now_ms);
+        RsHotKeys_SetPace(hot,
+                          RsLoad_CountOutstanding(owner, planning->now_ms),
+                          owner->report.slots);
+        hot->admitted_per_s = hot->pace * MAX(HOT_OWNER_SHARE * runs_per_s -
+                                                  planned->others_per_s,
+                                              MIN_HOT_SHARE * runs_per_s);
+    }
+    planning->router->hot_keys.known = true;
+}
+
 static void
 log_plan(const struct rs_granter_map *entry, size_t changes)
 {
@@ -240,7 +335,7 @@
         !is_list_complete(planning, service->name)) {
         return;
     }
-    const float *rates = RsKeyRates_Blend(key_rates, planning->now_ms);
+    float *rates = RsKeyRates_Blend(key_rates, planning->now_ms);
     struct rs_balance_target *targets = g_new0(
         struct rs_balance_target, planning->router->fleet.list->len + 1);
     struct rs_balance_problem problem = {
@@ -248,10 +343,16 @@
         .target_count =
             list_targets(planning, service, is_idle(rates), targets),
         .rates = rates,
-        .window_s = RsKeyRates_WINDOW_S,
+        .window_s = RsKeyRates_WindowS(key_rates, planning->now_ms),
+        .rates_unknown = !are_rates_known(planning, key_rates),
     };
+    struct rs_balance_hot_key hot_keys[RsHotKeys_MAX] = {0};
+    problem.hot_keys = hot_keys;
+    problem.hot_key_count = list_hot_keys(planning, &problem, key_rates, rates,
+                                          service->name, hot_keys);
     size_t changes = RsBalance_Plan(entry->map, &problem);
     record_demand(planning, &problem);
+    set_admitted(planning, service, &problem);
     if (changes > 0) {
         entry->dirty = true;
         log_plan(entry, changes);
--- a/router/reports.c
+++ b/router/reports.c
@@ -32,6 +32,9 @@
 /* Maximum number of requested keys that one report lists for a service, one
  * entry per request. */
 #define MAX_REPORTED_KEYS_PER_SERVICE 4000
+/* The keys that were requested since a report longer ago than this many
+ * intervals are not reported. */
+#define MAX_KEY_INTERVALS 3
 /* Maximum number of peers named in each response to a report. */
 #define NAMED_PEERS 4
 
@@ -78,6 +81,7 @@
     /* When all nodes have reported to this node since it became the granter.
      */
     int64_t ranks_known_at_ms;
+    int64_t sent_at_ms; /* last report; 0: none */
     /* Target id to the requests in flight that this node last reported. */
     GHashTable *reported;
 };
@@ -152,9 +156,7 @@
         const Rs__Peer__Report__ServiceKeys *keys = report->keys[i];
         struct rs_key_rates *rates = get_or_create_rates(
             reports, g_intern_string(keys->service), now_ms);
-        for (size_t k = 0; k < keys->n_keys; k++) {
-            RsKeyRates_Record(rates, keys->keys[k]);
-        }
+        RsKeyRates_Record(rates, keys->keys, keys->n_keys, now_ms);
     }
 }
 
@@ -592,6 +594,7 @@
 start_collecting(struct rs_reports *reports, int64_t now_ms)
 {
     reports->is_granter = true;
+    g_hash_table_remove_all(reports->rates); /* of an earlier term */
     reports->min_nodes = reports->router->share.nodes;
     reports->min_nodes_until_ms = now_ms + NODE_LIFETIME_MS;
     reports->ranks_known_at_ms =
@@ -853,6 +856,13 @@
 RsReports_Send(struct rs_reports *reports, const struct sockaddr_in *granter,
                int64_t now_ms)
 {
+    /* Requests from a time without a granter would look like a burst. */
+    if (now_ms - reports->sent_at_ms >
+        MAX_KEY_INTERVALS *
+            (int64_t)RsReports_IntervalMs(reports->router->share.nodes)) {
+        clear_requested_keys(reports);
+    }
+    reports->sent_at_ms = now_ms;
     guint targets = g_hash_table_size(reports->router->fleet.targets);
     guint services = g_hash_table_size(reports->router->requested_keys);
     Rs__Peer__TargetLoad *loads = g_new0(Rs__Peer__TargetLoad, targets + 1);
--- a/router/router.h
+++ b/router/router.h
@@ -13,6 +13,7 @@
 #include "core/counter.h"
 #include "platform/routing.h"
 #include "router/fleet.h"
+#include "router/hot_keys.h"
 #include "router/keymap.h"
 #include "router/load.h"
 #include "router/notices.h"
@@ -76,6 +77,7 @@
     struct rs_shutdown shutdown;
     struct rs_notice_counters notices;
     struct rs_suspects suspects;
+    struct rs_hot_keys hot_keys; /* planned on the granter, else as stated */
     bool has_news; /* the granter is to be sent a report at once */
     struct rs_router_counters counters;
 };
