Admit the requests for a hot key in proportion at each node

The granter names hot keys with their demand and admitted rate in field 11 of its summaries, and field 12 says that it has measured for long enough to name all. Nodes admit that share of the requests for the key and refuse the others at once with the reason hot-key, where all keys of the owner were refused before in proportion (owner-overloaded). Retry-After is when this node will have admitted the callers before; one that can come back then has a place.

rattanshed_refused_hot_keys_total counts these refusals; the state of a node lists the hot keys.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -201,6 +201,28 @@
     return RsLoad_SEND;
 }
 
+/* Returns whether the request is for a hot key and not admitted. An admitted
+ * one is not checked again. */
+static bool
+reject_hot_key(struct rs_request *request, int64_t now_ms)
+{
+    struct rs_hot_keys *hot = &request->router->hot_keys;
+    if (request->admitted ||
+        RsHotKeys_Find(hot, request->service->name, request->key) == NULL) {
+        return false;
+    }
+    const struct rs_hot_key_request asked = {
+        request->service->name, request->key, RsRequest_Fingerprint(request),
+        request->deadline_ms};
+    int64_t come_back_at_ms = RsHotKeys_Admit(hot, &asked, now_ms);
+    request->admitted = come_back_at_ms == 0;
+    if (!request->admitted) {
+        request->come_back_at_ms = come_back_at_ms;
+        RsCounter_Add(&request->router->counters.hot_key, 1);
+    }
+    return !request->admitted;
+}
+
 /* Returns whether admission control rejects the request because the owner of
  * its key gets more requests than it can serve. Records the admission in the
  * request: an admitted request is not checked again. `owner` is NULL if the
@@ -273,6 +295,10 @@
         return;
     }
     struct rs_fleet_target *owner = request->service->sharded ? target : NULL;
+    if (owner != NULL && reject_hot_key(request, now_ms)) {
+        RsReply_Refuse(request, "hot-key");
+        return;
+    }
     if (reject_by_admission(request, owner, now_ms)) {
         RsReply_Refuse(request, "owner-overloaded");
         return;
--- a/router/metrics.c
+++ b/router/metrics.c
@@ -28,6 +28,10 @@
     print_counter(text, "rattanshed_refused_suspects_total",
                   "Requests refused because targets crashed under them.",
                   &router->suspected);
+    print_counter(text, "rattanshed_refused_hot_keys_total",
+                  "Requests refused because their key has more than its owner "
+                  "can run.",
+                  &router->hot_key);
     print_counter(text, "rattanshed_failed_total",
                   "Requests that may have been run.", &router->failed);
     print_counter(text, "rattanshed_rejected_total",
@@ -108,6 +112,19 @@
     }
 }
 
+static void
+print_hot_keys(struct rs_text_buffer *text, const struct rs_hot_keys *hot)
+{
+    for (size_t i = 0; i < hot->count; i++) {
+        const struct rs_hot_key *key = &hot->keys[i];
+        RsText_Append(text,
+                      "%s{\"service\":\"%s\",\"key\":%u,"
+                      "\"demand_per_s\":%.1f,\"admitted_per_s\":%.1f}",
+                      i > 0 ? "," : "", key->service, key->key,
+                      key->demand_per_s, key->admitted_per_s);
+    }
+}
+
 /* Appends the state of the node to `text`, as JSON: the targets and key owners
  * that the node knows, and the granter. */
 void
@@ -130,6 +147,8 @@
         sources->granter->authority_until_ms - now_ms, router->active.length,
         router->waiting.length);
     print_targets(text, router, now_ms);
+    RsText_Append(text, "],\"hot_keys\":[");
+    print_hot_keys(text, &router->hot_keys);
     RsText_Append(text, "],\"keys\":[");
     g_hash_table_iter_init(&iter, router->keymaps);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/router/peer.pb-c.c
+++ b/router/peer.pb-c.c
@@ -148,6 +148,51 @@
   assert(message->base.descriptor == &rs__peer__target_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rs__peer__hot_key__init
+                     (Rs__Peer__HotKey         *message)
+{
+  static const Rs__Peer__HotKey init_value = RS__PEER__HOT_KEY__INIT;
+  *message = init_value;
+}
+size_t rs__peer__hot_key__get_packed_size
+                     (const Rs__Peer__HotKey *message)
+{
+  assert(message->base.descriptor == &rs__peer__hot_key__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rs__peer__hot_key__pack
+                     (const Rs__Peer__HotKey *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rs__peer__hot_key__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rs__peer__hot_key__pack_to_buffer
+                     (const Rs__Peer__HotKey *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rs__peer__hot_key__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rs__Peer__HotKey *
+       rs__peer__hot_key__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rs__Peer__HotKey *)
+     protobuf_c_message_unpack (&rs__peer__hot_key__descriptor,
+                                allocator, len, data);
+}
+void   rs__peer__hot_key__free_unpacked
+                     (Rs__Peer__HotKey *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__peer__hot_key__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rs__peer__report__service_keys__init
                      (Rs__Peer__Report__ServiceKeys         *message)
 {
@@ -539,6 +584,83 @@
   (ProtobufCMessageInit) rs__peer__target_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rs__peer__hot_key__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__HotKey, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__HotKey, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demand_per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__HotKey, demand_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admitted_per_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__HotKey, admitted_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__peer__hot_key__field_indices_by_name[] = {
+  3,   /* field[3] = admitted_per_s */
+  2,   /* field[2] = demand_per_s */
+  1,   /* field[1] = key */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange rs__peer__hot_key__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rs__peer__hot_key__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.HotKey",
+  "HotKey",
+  "Rs__Peer__HotKey",
+  "rs.peer",
+  sizeof(Rs__Peer__HotKey),
+  4,
+  rs__peer__hot_key__field_descriptors,
+  rs__peer__hot_key__field_indices_by_name,
+  1,  rs__peer__hot_key__number_ranges,
+  (ProtobufCMessageInit) rs__peer__hot_key__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor rs__peer__report__service_keys__field_descriptors[2] =
 {
   {
@@ -719,7 +841,7 @@
   (ProtobufCMessageInit) rs__peer__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__peer__summary__field_descriptors[10] =
+static const ProtobufCFieldDescriptor rs__peer__summary__field_descriptors[12] =
 {
   {
     "incarnation",
@@ -841,8 +963,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hot_keys",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__Summary, n_hot_keys),
+    offsetof(Rs__Peer__Summary, hot_keys),
+    &rs__peer__hot_key__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hot_keys_known",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Summary, hot_keys_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__summary__field_indices_by_name[] = {
+  10,   /* field[10] = hot_keys */
+  11,   /* field[11] = hot_keys_known */
   0,   /* field[0] = incarnation */
   7,   /* field[7] = limits */
   1,   /* field[1] = nodes */
@@ -857,7 +1005,7 @@
 static const ProtobufCIntRange rs__peer__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor rs__peer__summary__descriptor =
 {
@@ -867,7 +1015,7 @@
   "Rs__Peer__Summary",
   "rs.peer",
   sizeof(Rs__Peer__Summary),
-  10,
+  12,
   rs__peer__summary__field_descriptors,
   rs__peer__summary__field_indices_by_name,
   1,  rs__peer__summary__number_ranges,
--- a/router/peer.pb-c.h
+++ b/router/peer.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct Rs__Peer__Suspect Rs__Peer__Suspect;
 typedef struct Rs__Peer__Suspect__Crash Rs__Peer__Suspect__Crash;
 typedef struct Rs__Peer__TargetLoad Rs__Peer__TargetLoad;
+typedef struct Rs__Peer__HotKey Rs__Peer__HotKey;
 typedef struct Rs__Peer__Report Rs__Peer__Report;
 typedef struct Rs__Peer__Report__ServiceKeys Rs__Peer__Report__ServiceKeys;
 typedef struct Rs__Peer__Summary Rs__Peer__Summary;
@@ -118,6 +119,28 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
+/*
+ * A key with more requests than any target can run, see router/hot_keys.h.
+ */
+struct  Rs__Peer__HotKey
+{
+  ProtobufCMessage base;
+  char *service;
+  uint32_t key;
+  /*
+   * requests a second, of all nodes
+   */
+  float demand_per_s;
+  /*
+   * of these, the requests that nodes admit
+   */
+  float admitted_per_s;
+};
+#define RS__PEER__HOT_KEY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rs__peer__hot_key__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 struct  Rs__Peer__Report__ServiceKeys
 {
   ProtobufCMessage base;
@@ -203,10 +226,17 @@
   uint32_t ranked;
   size_t n_suspects;
   Rs__Peer__Suspect **suspects;
+  size_t n_hot_keys;
+  Rs__Peer__HotKey **hot_keys;
+  /*
+   * The granter has measured for long enough to name all hot keys; otherwise
+   * those that it named earlier stay in use.
+   */
+  protobuf_c_boolean hot_keys_known;
 };
 #define RS__PEER__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__peer__summary__descriptor) \
-    , 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* Rs__Peer__Limit methods */
@@ -269,6 +299,25 @@
 void   rs__peer__target_load__free_unpacked
                      (Rs__Peer__TargetLoad *message,
                       ProtobufCAllocator *allocator);
+/* Rs__Peer__HotKey methods */
+void   rs__peer__hot_key__init
+                     (Rs__Peer__HotKey         *message);
+size_t rs__peer__hot_key__get_packed_size
+                     (const Rs__Peer__HotKey   *message);
+size_t rs__peer__hot_key__pack
+                     (const Rs__Peer__HotKey   *message,
+                      uint8_t             *out);
+size_t rs__peer__hot_key__pack_to_buffer
+                     (const Rs__Peer__HotKey   *message,
+                      ProtobufCBuffer     *buffer);
+Rs__Peer__HotKey *
+       rs__peer__hot_key__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rs__peer__hot_key__free_unpacked
+                     (Rs__Peer__HotKey *message,
+                      ProtobufCAllocator *allocator);
 /* Rs__Peer__Report__ServiceKeys methods */
 void   rs__peer__report__service_keys__init
                      (Rs__Peer__Report__ServiceKeys         *message);
@@ -324,6 +373,9 @@
 typedef void (*Rs__Peer__TargetLoad_Closure)
                  (const Rs__Peer__TargetLoad *message,
                   void *closure_data);
+typedef void (*Rs__Peer__HotKey_Closure)
+                 (const Rs__Peer__HotKey *message,
+                  void *closure_data);
 typedef void (*Rs__Peer__Report__ServiceKeys_Closure)
                  (const Rs__Peer__Report__ServiceKeys *message,
                   void *closure_data);
@@ -343,6 +395,7 @@
 extern const ProtobufCMessageDescriptor rs__peer__suspect__descriptor;
 extern const ProtobufCMessageDescriptor rs__peer__suspect__crash__descriptor;
 extern const ProtobufCMessageDescriptor rs__peer__target_load__descriptor;
+extern const ProtobufCMessageDescriptor rs__peer__hot_key__descriptor;
 extern const ProtobufCMessageDescriptor rs__peer__report__descriptor;
 extern const ProtobufCMessageDescriptor rs__peer__report__service_keys__descriptor;
 extern const ProtobufCMessageDescriptor rs__peer__summary__descriptor;
--- a/router/reports.c
+++ b/router/reports.c
@@ -594,6 +594,7 @@
 start_collecting(struct rs_reports *reports, int64_t now_ms)
 {
     reports->is_granter = true;
+    reports->router->hot_keys.known = false;
     g_hash_table_remove_all(reports->rates); /* of an earlier term */
     reports->min_nodes = reports->router->share.nodes;
     reports->min_nodes_until_ms = now_ms + NODE_LIFETIME_MS;
@@ -627,6 +628,43 @@
     return count;
 }
 
+/* Fills `keys` with the hot keys. */
+static void
+list_hot_keys(const struct rs_reports *reports, Rs__Peer__HotKey *keys,
+              Rs__Peer__HotKey **pointers)
+{
+    const struct rs_hot_keys *hot = &reports->router->hot_keys;
+    for (size_t i = 0; i < hot->count; i++) {
+        rs__peer__hot_key__init(&keys[i]);
+        keys[i].service = (char *)hot->keys[i].service;
+        keys[i].key = hot->keys[i].key;
+        keys[i].demand_per_s = (float)hot->keys[i].demand_per_s;
+        keys[i].admitted_per_s = (float)hot->keys[i].admitted_per_s;
+        pointers[i] = &keys[i];
+    }
+}
+
+/* Records the hot keys that the granter has stated. */
+static void
+record_hot_keys(struct rs_reports *reports, const Rs__Peer__Summary *summary,
+                int64_t now_ms)
+{
+    struct rs_hot_keys *hot = &reports->router->hot_keys;
+    for (size_t i = 0; i < summary->n_hot_keys; i++) {
+        const Rs__Peer__HotKey *item = summary->hot_keys[i];
+        const struct rs_hot_key stated = {
+            .service = g_intern_string(item->service),
+            .key = item->key,
+            .demand_per_s = item->demand_per_s,
+            .admitted_per_s = item->admitted_per_s,
+        };
+        RsHotKeys_Record(hot, &stated, now_ms);
+    }
+    if (summary->hot_keys_known) {
+        RsHotKeys_DropUnnamed(hot, now_ms);
+    }
+}
+
 /* Responds to a report with the totals over all nodes. `from` is NULL if the
  * report came from this node itself; the totals are applied here then. */
 static void
@@ -646,6 +684,12 @@
     uint32_t peers[NAMED_PEERS];
     summary.n_peers = choose_peers(reports, peers);
     summary.peers = peers;
+    Rs__Peer__HotKey hot_keys[RsHotKeys_MAX];
+    Rs__Peer__HotKey *hot_key_pointers[RsHotKeys_MAX];
+    list_hot_keys(reports, hot_keys, hot_key_pointers);
+    summary.hot_keys = hot_key_pointers;
+    summary.n_hot_keys = reports->router->hot_keys.count;
+    summary.hot_keys_known = reports->router->hot_keys.known;
     GPtrArray *limits = list_limits(reports, now_ms);
     summary.limits = (Rs__Peer__Limit **)limits->pdata;
     summary.n_limits = limits->len;
@@ -687,6 +731,7 @@
     }
     record_limits(reports, summary->limits, summary->n_limits, now_ms);
     record_suspects(reports, summary->suspects, summary->n_suspects, now_ms);
+    record_hot_keys(reports, summary, now_ms);
     clear_remote_load(reports, now_ms);
     for (size_t i = 0; i < summary->n_targets; i++) {
         const Rs__Peer__TargetLoad *item = summary->targets[i];
--- a/router/router.h
+++ b/router/router.h
@@ -33,6 +33,7 @@
     struct rs_counter answered;
     struct rs_counter refused;   /* not executed; the caller may retry */
     struct rs_counter suspected; /* of these: suspected of crashing targets */
+    struct rs_counter hot_key;   /* of these: for a hot key, not admitted */
     struct rs_counter failed;    /* failed; may have been executed */
     struct rs_counter rejected;  /* 4xx responses made by the router */
     struct rs_counter abandoned; /* the caller disconnected */
