--- a/router/attempt.c
+++ b/router/attempt.c
@@ -202,12 +202,13 @@
 }
 
 /* Returns whether the request is for a hot key and not admitted. An admitted
- * one is not checked again. */
+ * one is not checked again. `owner` is NULL as in reject_by_admission(). */
 static bool
-reject_hot_key(struct rs_request *request, int64_t now_ms)
+reject_hot_key(struct rs_request *request, const struct rs_fleet_target *owner,
+               int64_t now_ms)
 {
     struct rs_hot_keys *hot = &request->router->hot_keys;
-    if (request->admitted ||
+    if (owner == NULL || request->admitted ||
         RsHotKeys_Find(hot, request->service->name, request->key) == NULL) {
         return false;
     }
@@ -295,7 +296,7 @@
         return;
     }
     struct rs_fleet_target *owner = request->service->sharded ? target : NULL;
-    if (owner != NULL && reject_hot_key(request, now_ms)) {
+    if (reject_hot_key(request, owner, now_ms)) {
         RsReply_Refuse(request, "hot-key");
         return;
     }
--- a/router/balance.c
+++ b/router/balance.c
@@ -665,6 +665,9 @@
 static void
 clear_dedicated(struct plan *plan)
 {
+    if (plan->problem->hot_key_count == 0) {
+        return;
+    }
     GArray *leaving = g_array_new(FALSE, FALSE, sizeof(struct rs_key_range));
     for (size_t i = 0; i < plan->map->ranges->len; i++) {
         struct rs_key_range range = *RsKeymap_GetRange(plan->map, i);
