--- a/router/overload.c
+++ b/router/overload.c
@@ -7,6 +7,10 @@
 /* Older reports of the demand are ignored; the granter sends them a few times
  * a second. */
 #define MAX_DEMAND_AGE_MS 1000
+/* A target counts as overloaded from this share of what it can run, as the
+ * service time is measured too high under load. A slow target that is asked
+ * for less answers late, which is better for callers than to be refused. */
+#define OVERLOAD_SHARE 1.05
 /* Rate of admitted requests, as a multiple of the rate that the target can run
  * by its service time. */
 #define ADMITTED_SHARE 1.1
@@ -38,13 +42,21 @@
  * evenly, so that out of any few successive requests the share is admitted. */
 #define GOLDEN_FRACTION 0.6180339887498949
 
-/* Returns whether the owner of keys is asked for more than its capacity, as
- * far as the granter has lately said so. A cold target is not judged by that:
- * its requests wait for their time in its warm-up. */
+/* Returns how many requests a second the target can run. */
+static double
+max_runs_per_s(const struct rs_fleet_target *target)
+{
+    return MS_PER_S * target->report.slots / RsLoad_ServiceMs(target);
+}
+
+/* Returns whether the owner of keys is asked for more than it can run, as far
+ * as the granter has lately said so. A cold target is not judged by that: its
+ * requests wait for their time in its warm-up. */
 bool
 RsOverload_IsOverloaded(const struct rs_fleet_target *target, int64_t now_ms)
 {
-    return target->demand_per_s > 0 && now_ms >= target->cold_until_ms &&
+    return target->demand_per_s > OVERLOAD_SHARE * max_runs_per_s(target) &&
+           now_ms >= target->cold_until_ms &&
            now_ms - target->demand_at_ms <= MAX_DEMAND_AGE_MS;
 }
 
@@ -96,9 +108,8 @@
     if (!RsOverload_IsOverloaded(target, now_ms)) {
         return true;
     }
-    double max_runs_per_s =
-        MS_PER_S * target->report.slots / RsLoad_ServiceMs(target);
-    double share = ADMITTED_SHARE * max_runs_per_s / target->demand_per_s;
+    double share =
+        ADMITTED_SHARE * max_runs_per_s(target) / target->demand_per_s;
     if (share >= 1) {
         return true;
     }
--- a/router/router.h
+++ b/router/router.h
@@ -13,6 +13,7 @@
 #include "core/counter.h"
 #include "platform/routing.h"
 #include "router/fleet.h"
+#include "router/hot_keys.h"
 #include "router/keymap.h"
 #include "router/load.h"
 #include "router/notices.h"
@@ -34,6 +35,7 @@
     struct rs_counter answered;
     struct rs_counter refused;   /* not executed; the caller may retry */
     struct rs_counter suspected; /* of these: suspected of crashing targets */
+    struct rs_counter hot_key;   /* of these: for a hot key, not admitted */
     struct rs_counter failed;    /* failed; may have been executed */
     struct rs_counter rejected;  /* 4xx responses made by the router */
     struct rs_counter abandoned; /* the caller disconnected */
@@ -83,6 +85,7 @@
     struct rs_suspects suspects;
     struct rs_workspaces workspaces;
     struct rs_quota_exchange *quotas; /* NULL until the node has opened it */
+    struct rs_hot_keys hot_keys; /* planned on the granter, else as stated */
     bool has_news; /* the granter is to be sent a report at once */
     struct rs_router_counters counters;
 };
