Tell callers refused at an overloaded owner when they will be served

They were told a random share of the time they had left, came back and were refused again: at 1.6 times the capacity 85% of the second requests of the least urgent rank.

Up to half of what a rank is admitted is now kept for callers with a place in a virtual queue. One node sees too few requests for an owner to number the places, so that each refused caller draws one with the probability that makes as many places as are kept. It is told a time for which callers wait, is admitted when it comes back, and goes before others when room is short. The others are told the truth, the end of their time. A request that comes too early keeps its place, but isn't admitted by it. rattanshed_refused_again_total counts second refusals.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -163,6 +163,7 @@
         .admitted_at_ms = request->admitted_at_ms,
         .latency_target_ms = request->route->target_latency_ms,
         .wait_until_ms = request->wait_until_ms,
+        .has_place = request->has_place,
     };
 }
 
@@ -241,13 +242,42 @@
     if (owner == NULL || request->admitted) {
         return false;
     }
+    struct rs_overload_places *places = &request->router->places;
+    request->has_place =
+        RsOverload_IsOverloaded(owner, now_ms) &&
+        RsOverload_HasPlaces(places) &&
+        RsOverload_TakePlace(places, RsRequest_Fingerprint(request), now_ms);
     request->admitted =
+        request->has_place ||
         RsOverload_Admit(owner, find_mix(request), request->rank,
                          request->router->random, now_ms);
     request->admitted_at_ms = now_ms;
     return !request->admitted;
 }
 
+/* Refuses a request for a key whose owner is overloaded, and counts it if a
+ * request like it was refused lately. One that was not admitted is told when
+ * to come back. */
+static void
+refuse_at_overload(struct rs_request *request,
+                   const struct rs_fleet_target *owner, const char *reason,
+                   int64_t now_ms)
+{
+    struct rs_router *router = request->router;
+    struct rs_overload_place place = {0};
+    if (!request->admitted) {
+        place = RsOverload_DrawPlace(owner, find_mix(request), request->rank,
+                                     request->deadline_ms - now_ms,
+                                     router->random, now_ms);
+        request->come_back_at_ms = place.back_at_ms;
+    }
+    if (RsOverload_RecordPlace(&router->places, RsRequest_Fingerprint(request),
+                               &place, now_ms)) {
+        RsCounter_Add(&router->counters.refused_again, 1);
+    }
+    RsReply_Refuse(request, reason);
+}
+
 /* Chooses the target for the next attempt. See choose_owner() and
  * RsLoad_Choose() for the results. */
 static enum rs_load_verdict
@@ -301,6 +331,9 @@
     else if (now_ms < wait_until_ms) {
         RsRequest_Wait(request);
     }
+    else if (owner != NULL && RsOverload_IsOverloaded(owner, now_ms)) {
+        refuse_at_overload(request, owner, "no-room", now_ms);
+    }
     else {
         RsReply_Refuse(request, "no-room");
     }
@@ -331,7 +364,7 @@
     }
     struct rs_fleet_target *owner = request->service->sharded ? target : NULL;
     if (reject_by_admission(request, owner, now_ms)) {
-        RsReply_Refuse(request, "owner-overloaded");
+        refuse_at_overload(request, owner, "owner-overloaded", now_ms);
         return;
     }
     if (verdict == RsLoad_SEND &&
--- a/router/metrics.c
+++ b/router/metrics.c
@@ -28,6 +28,10 @@
     print_counter(text, "rattanshed_refused_suspects_total",
                   "Requests refused because targets crashed under them.",
                   &router->suspected);
+    print_counter(text, "rattanshed_refused_again_total",
+                  "Requests refused at an overloaded owner within some "
+                  "seconds of a request like it.",
+                  &router->refused_again);
     print_counter(text, "rattanshed_failed_total",
                   "Requests that may have been run.", &router->failed);
     print_counter(text, "rattanshed_rejected_total",
--- a/router/request.h
+++ b/router/request.h
@@ -63,6 +63,7 @@
     /* Admission control for the owner of the key has accepted the request. */
     bool admitted;
     int64_t admitted_at_ms;
+    bool has_place; /* admitted because it came back when it was told to */
     bool finished;
     bool may_have_run;
     /* Ended attempts that count towards the maximum of the route. Those that
--- a/router/router.c
+++ b/router/router.c
@@ -48,6 +48,7 @@
     router->requested_keys =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_array);
     RsSuspects_Init(&router->suspects);
+    RsOverload_InitPlaces(&router->places);
     g_queue_init(&router->active);
     g_queue_init(&router->waiting);
 }
--- a/router/router.h
+++ b/router/router.h
@@ -33,9 +33,10 @@
     struct rs_counter answered;
     struct rs_counter refused;   /* not executed; the caller may retry */
     struct rs_counter suspected; /* of these: suspected of crashing targets */
-    struct rs_counter failed;    /* failed; may have been executed */
-    struct rs_counter rejected;  /* 4xx responses made by the router */
-    struct rs_counter abandoned; /* the caller disconnected */
+    struct rs_counter refused_again; /* refused, as a request like it before */
+    struct rs_counter failed;        /* failed; may have been executed */
+    struct rs_counter rejected;      /* 4xx responses made by the router */
+    struct rs_counter abandoned;     /* the caller disconnected */
     struct rs_counter attempts;
     /* Retries and hedged attempts that the retry budget allowed. */
     struct rs_counter extra_attempts;
@@ -78,6 +79,7 @@
     struct rs_shutdown shutdown;
     struct rs_notice_counters notices;
     struct rs_suspects suspects;
+    struct rs_overload_places places;
     bool has_news; /* the granter is to be sent a report at once */
     struct rs_router_counters counters;
 };
