Order waiting requests by rank and let workspaces take turns

The waiting requests of a node were one list, ordered by the end of their latency target. They are now in router/schedule.c: a queue for each service, in which the most urgent rank goes first but each rank gets one in four turns while it waits, and the workspaces of a rank take turns. A full queue refuses a less urgent request instead of an urgent one. With one rank and no workspaces the order within a service is as before.

A pass over the waiting requests no longer keeps a pointer to the next one, which a pass within the pass could have freed.

fair_queue moves from dispatch to core, since packages use only those before them and both dispatch and router need it; its code and its users' tests are unchanged.

--- a/dispatch/fair_queue.c
+++ b/core/fair_queue.c
@@ -1,4 +1,4 @@
-#include "dispatch/fair_queue.h"
+#include "core/fair_queue.h"
 
 #include <assert.h>
 #include <stdlib.h>
--- a/dispatch/fair_queue.h
+++ b/core/fair_queue.h
@@ -1,9 +1,9 @@
-/* A fair queue. The items of one flow (caller and service) form a list ordered
- * by deadline. In each turn one item of every flow is served; within a turn
- * the item with the earliest deadline goes first. */
+/* A fair queue. The items of one flow (caller and service, or workspace) form
+ * a list ordered by deadline. In each turn one item of every flow is served;
+ * within a turn the item with the earliest deadline goes first. */
 
-#ifndef RATTANSHED_DISPATCH_FAIR_QUEUE_H
-#define RATTANSHED_DISPATCH_FAIR_QUEUE_H
+#ifndef RATTANSHED_CORE_FAIR_QUEUE_H
+#define RATTANSHED_CORE_FAIR_QUEUE_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/dispatch/admission.c
+++ b/dispatch/admission.c
@@ -4,7 +4,7 @@
 #include <glib.h>
 
 #include "core/id.h"
-#include "dispatch/fair_queue.h"
+#include "core/fair_queue.h"
 
 #define MAX_RETRY_AFTER_MS 5000
 #define MIN_RETRY_AFTER_MS 1
--- a/router/attempt.c
+++ b/router/attempt.c
@@ -381,7 +381,7 @@
         return;
     }
     if (verdict == RsLoad_SEND) {
-        RsRequest_StopWaiting(request);
+        RsRequest_TakeFromQueue(request);
         start_attempt(request, target, &input, now_ms);
     }
     else if (verdict == RsLoad_FULL) {
--- a/router/metrics.c
+++ b/router/metrics.c
@@ -132,7 +132,7 @@
         router->share.nodes, router->paths.isolated ? "true" : "false",
         sources->granter->holder.node,
         sources->granter->authority_until_ms - now_ms, router->active.length,
-        router->waiting.length);
+        router->schedule.count);
     print_targets(text, router, now_ms);
     RsText_Append(text, "],\"keys\":[");
     g_hash_table_iter_init(&iter, router->keymaps);
--- a/router/request.c
+++ b/router/request.c
@@ -67,46 +67,49 @@
     request->body = g_byte_array_new();
     request->sending = g_byte_array_new();
     request->active_link.data = request;
-    request->waiting_link.data = request;
     g_queue_push_tail_link(&router->active, &request->active_link);
     return request;
 }
 
-/* Adds the request to the queue of waiting requests, unless it is there
- * already. The queue is ordered by arrival time plus latency target. Refuses
- * the request when the queue is full. */
+/* Makes room in the full schedule by refusing a request that is less urgent.
+ * Returns false if there is none. */
+static bool
+evict_less_urgent(struct rs_router *router, uint32_t rank)
+{
+    struct rs_schedule_item *item =
+        RsSchedule_FindLessUrgent(&router->schedule, rank);
+    if (item == NULL) {
+        return false;
+    }
+    RsReply_Refuse(item->request, "too-many-waiting");
+    return true;
+}
+
+/* Adds the request to the schedule of waiting requests, unless it is there
+ * already. Refuses the request when the schedule is full and no less urgent
+ * request can be refused instead. */
 void
 RsRequest_Wait(struct rs_request *request)
 {
-    GQueue *queue = &request->router->waiting;
+    struct rs_router *router = request->router;
     if (request->waiting) {
         return;
     }
-    if (queue->length >= MAX_WAITING) {
+    if (router->schedule.count >= MAX_WAITING &&
+        !evict_less_urgent(router, request->rank)) {
         RsReply_Refuse(request, "too-many-waiting");
         return;
     }
-    int64_t due_ms =
-        request->arrived_at_ms + request->route->target_latency_ms;
-    GList *predecessor = queue->tail;
-    while (predecessor != NULL) {
-        const struct rs_request *other = predecessor->data;
-        if (other->arrived_at_ms + other->route->target_latency_ms <= due_ms) {
-            break;
-        }
-        predecessor = predecessor->prev;
-    }
     request->waiting = true;
-    if (predecessor == NULL) {
-        g_queue_push_head_link(queue, &request->waiting_link);
-    }
-    else if (predecessor->next == NULL) {
-        g_queue_push_tail_link(queue, &request->waiting_link);
-    }
-    else {
-        g_queue_insert_before_link(queue, predecessor->next,
-                                   &request->waiting_link);
-    }
+    request->schedule_item = (struct rs_schedule_item){
+        .service = request->service->name,
+        .workspace =
+            request->workspace != NULL ? request->workspace->name : NULL,
+        .rank = request->rank,
+        .due_ms = request->arrived_at_ms + request->route->target_latency_ms,
+        .request = request,
+    };
+    RsSchedule_Add(&router->schedule, &request->schedule_item);
 }
 
 /* Returns whether a header applies to a single connection or to the framing of
@@ -126,12 +129,22 @@
     return false;
 }
 
-/* Removes the request from the queue of waiting requests, if it is there. */
+/* Removes the request from the waiting ones, if it is there. */
 void
 RsRequest_StopWaiting(struct rs_request *request)
 {
     if (request->waiting) {
-        g_queue_unlink(&request->router->waiting, &request->waiting_link);
+        RsSchedule_Remove(&request->router->schedule, &request->schedule_item);
+        request->waiting = false;
+    }
+}
+
+/* Removes the request from the waiting ones because it is sent to a target. */
+void
+RsRequest_TakeFromQueue(struct rs_request *request)
+{
+    if (request->waiting) {
+        RsSchedule_Take(&request->router->schedule, &request->schedule_item);
         request->waiting = false;
     }
 }
@@ -355,23 +368,28 @@
     RsAttempt_Dispatch(request, request->arrived_at_ms);
 }
 
-/* Tries to send the waiting requests, the most urgent first. After a request
- * to a service without keys finds no capacity, the next requests to that
- * service are skipped. Call it whenever target capacity may have become free.
- */
+/* Tries to send the waiting requests, in the order of the schedule. After a
+ * request to a service without keys finds no capacity, the next requests to
+ * that service are skipped. Call it whenever target capacity may have become
+ * free. */
 void
 RsRequest_RetryWaiting(struct rs_router *router, int64_t now_ms)
 {
-    /* The service without keys last found to have no capacity left. */
+    /* The service without keys last found to have no capacity left. The items
+     * of a service follow each other. */
     const char *saturated_service = NULL;
-    GList *link = router->waiting.head;
-    while (link != NULL) {
-        struct rs_request *request = link->data;
-        link = link->next;
-        if (request->service->name == saturated_service) {
+    if (!RsSchedule_BeginPass(&router->schedule)) {
+        return;
+    }
+    for (struct rs_schedule_item *item = RsSchedule_Next(&router->schedule);
+         item != NULL; item = RsSchedule_Next(&router->schedule)) {
+        struct rs_request *request = item->request;
+        if (item->service == saturated_service) {
             continue;
         }
         RsAttempt_Dispatch(request, now_ms);
+        /* The item is the request's, whose memory outlives the response at
+         * least until the event loop runs again. */
         if (!request->finished && request->waiting &&
             !request->service->sharded) {
             saturated_service = request->service->name;
--- a/router/request.h
+++ b/router/request.h
@@ -58,7 +58,7 @@
     int64_t next_attempt_at_ms;
     int64_t wait_until_ms; /* if it is still waiting then, it is refused */
     GList active_link;
-    GList waiting_link;
+    struct rs_schedule_item schedule_item;
     bool waiting;
     /* Admission control for the owner of the key has accepted the request. */
     bool admitted;
@@ -112,6 +112,7 @@
 /* Implemented in router/request.c. */
 void RsRequest_Wait(struct rs_request *request);
 void RsRequest_StopWaiting(struct rs_request *request);
+void RsRequest_TakeFromQueue(struct rs_request *request);
 uint64_t RsRequest_Fingerprint(struct rs_request *request);
 bool RsRequest_RefuseIfSuspected(struct rs_request *request, int64_t now_ms);
 bool RsRequest_IsHopByHop(const char *header);
--- a/router/router.c
+++ b/router/router.c
@@ -50,7 +50,7 @@
     RsSuspects_Init(&router->suspects);
     RsOverload_InitPlaces(&router->places);
     g_queue_init(&router->active);
-    g_queue_init(&router->waiting);
+    RsSchedule_Init(&router->schedule);
 }
 
 /* Returns the port on which each node opens tunnels, see router/tunnel.h. */
--- a/router/router.h
+++ b/router/router.h
@@ -18,6 +18,7 @@
 #include "router/notices.h"
 #include "router/overload.h"
 #include "router/paths.h"
+#include "router/schedule.h"
 #include "router/shutdown.h"
 #include "router/suspects.h"
 #include "settings/node.h"
@@ -73,8 +74,8 @@
     GRand *random;
     GQueue active; /* unfinished requests */
     /* Unfinished requests that wait for target capacity or for a handover of
-     * their key, ordered by arrival time plus latency target. */
-    GQueue waiting;
+     * their key. */
+    struct rs_schedule schedule;
     struct rs_paths paths;
     struct rs_shutdown shutdown;
     struct rs_notice_counters notices;
