--- a/router/metrics.c
+++ b/router/metrics.c
@@ -106,6 +106,10 @@
                   "Requests refused because their key has more than its owner "
                   "can run.",
                   &router->hot_key);
+    print_counter(text, "rattanshed_refused_again_total",
+                  "Requests refused at an overloaded owner within some "
+                  "seconds of a request like it.",
+                  &router->refused_again);
     print_counter(text, "rattanshed_failed_total",
                   "Requests that may have been run.", &router->failed);
     print_counter(text, "rattanshed_rejected_total",
@@ -224,7 +228,7 @@
         router->share.nodes, router->paths.isolated ? "true" : "false",
         sources->granter->holder.node,
         sources->granter->authority_until_ms - now_ms, router->active.length,
-        router->waiting.length,
+        router->schedule.count,
         router->workspaces.confirmed_at_ms > 0
             ? now_ms - router->workspaces.confirmed_at_ms
             : -1);
--- a/router/request.h
+++ b/router/request.h
@@ -68,11 +68,12 @@
     int64_t next_attempt_at_ms;
     int64_t wait_until_ms; /* if it is still waiting then, it is refused */
     GList active_link;
-    GList waiting_link;
+    struct rs_schedule_item schedule_item;
     bool waiting;
     /* Admission control for the owner of the key has accepted the request. */
     bool admitted;
     int64_t admitted_at_ms;
+    bool has_place; /* admitted because it came back when it was told to */
     bool finished;
     bool may_have_run;
     /* Ended attempts that count towards the maximum of the route. Those that
@@ -123,6 +124,7 @@
 /* Implemented in router/request.c. */
 void RsRequest_Wait(struct rs_request *request);
 void RsRequest_StopWaiting(struct rs_request *request);
+void RsRequest_TakeFromQueue(struct rs_request *request);
 uint64_t RsRequest_Fingerprint(struct rs_request *request);
 bool RsRequest_RefuseIfSuspected(struct rs_request *request, int64_t now_ms);
 enum rs_workspaces_verdict RsRequest_CheckApiKey(struct rs_request *request,
--- a/router/router.c
+++ b/router/router.c
@@ -52,8 +52,9 @@
     RsSuspects_Init(&router->suspects);
     RsWorkspaces_Init(&router->workspaces, settings->bounds.strict_revoke,
                       settings->bounds.revoke_ms);
+    RsOverload_InitPlaces(&router->places);
     g_queue_init(&router->active);
-    g_queue_init(&router->waiting);
+    RsSchedule_Init(&router->schedule);
 }
 
 /* Puts a configuration in force, and takes ownership of it. Its API keys are
--- a/router/router.h
+++ b/router/router.h
@@ -19,6 +19,7 @@
 #include "router/notices.h"
 #include "router/overload.h"
 #include "router/paths.h"
+#include "router/schedule.h"
 #include "router/shutdown.h"
 #include "router/suspects.h"
 #include "router/workspaces.h"
@@ -36,9 +37,10 @@
     struct rs_counter refused;   /* not executed; the caller may retry */
     struct rs_counter suspected; /* of these: suspected of crashing targets */
     struct rs_counter hot_key;   /* of these: for a hot key, not admitted */
-    struct rs_counter failed;    /* failed; may have been executed */
-    struct rs_counter rejected;  /* 4xx responses made by the router */
-    struct rs_counter abandoned; /* the caller disconnected */
+    struct rs_counter refused_again; /* refused, as a request like it before */
+    struct rs_counter failed;        /* failed; may have been executed */
+    struct rs_counter rejected;      /* 4xx responses made by the router */
+    struct rs_counter abandoned;     /* the caller disconnected */
     struct rs_counter attempts;
     /* Retries and hedged attempts that the retry budget allowed. */
     struct rs_counter extra_attempts;
@@ -77,8 +79,8 @@
     GRand *random;
     GQueue active; /* unfinished requests */
     /* Unfinished requests that wait for target capacity or for a handover of
-     * their key, ordered by arrival time plus latency target. */
-    GQueue waiting;
+     * their key. */
+    struct rs_schedule schedule;
     struct rs_paths paths;
     struct rs_shutdown shutdown;
     struct rs_notice_counters notices;
@@ -86,6 +88,7 @@
     struct rs_workspaces workspaces;
     struct rs_quota_exchange *quotas; /* NULL until the node has opened it */
     struct rs_hot_keys hot_keys; /* planned on the granter, else as stated */
+    struct rs_overload_places places;
     bool has_news; /* the granter is to be sent a report at once */
     struct rs_router_counters counters;
 };
