--- a/router/balance.c
+++ b/router/balance.c
@@ -66,6 +66,7 @@
 struct plan {
     struct rs_keymap *map;
     struct rs_balance_problem *problem;
+    GHashTable *indexes; /* id to index of the target */
     double base_weight_per_key;
     double mean_utilization;
     double fair_load; /* at mean capacity and mean utilization */
@@ -92,12 +93,26 @@
 static size_t
 find_target(const struct plan *plan, const struct rs_owner *owner)
 {
-    size_t i = 0;
-    while (i < plan->problem->target_count &&
-           !RsKeymap_SameOwner(&plan->problem->targets[i].owner, owner)) {
-        i++;
+    gpointer index;
+    bool found =
+        owner->id != NULL &&
+        g_hash_table_lookup_extended(plan->indexes, owner->id, NULL, &index);
+    return found && RsKeymap_SameOwner(
+                        &plan->problem->targets[GPOINTER_TO_SIZE(index)].owner,
+                        owner)
+               ? GPOINTER_TO_SIZE(index)
+               : plan->problem->target_count;
+}
+
+static GHashTable *
+index_targets(const struct rs_balance_problem *problem)
+{
+    GHashTable *indexes = g_hash_table_new(g_direct_hash, g_direct_equal);
+    for (size_t i = 0; i < problem->target_count; i++) {
+        g_hash_table_insert(indexes, (gpointer)problem->targets[i].owner.id,
+                            GSIZE_TO_POINTER(i));
     }
-    return i;
+    return indexes;
 }
 
 /* Returns whether the owner is an eligible target. */
@@ -726,7 +741,8 @@
 size_t
 RsBalance_Plan(struct rs_keymap *map, struct rs_balance_problem *problem)
 {
-    struct plan plan = {.map = map, .problem = problem};
+    struct plan plan = {
+        .map = map, .problem = problem, .indexes = index_targets(problem)};
     size_t merged_ranges = RsKeymap_MergeRanges(map);
     compute_loads(&plan);
     compute_totals(&plan);
@@ -739,5 +755,6 @@
         assign_small_ranges(&plan);
     }
     measure_others(&plan);
+    g_hash_table_unref(plan.indexes);
     return plan.moves + merged_ranges;
 }
