--- a/router/quota.h
+++ b/router/quota.h
@@ -44,9 +44,11 @@
 #define RsQuota_IDLE_MS 10000
 /* Time constant of the moving averages that become the nodes' own rates. */
 #define RsQuota_RATE_WINDOW_MS 10000.0
-/* Callers are told to come back within this time at the latest: they don't
- * wait longer, and a longer line would be of callers that have given up. */
-#define RsQuota_MAX_DEBT_MS 5000
+/* Longest line of refused callers. Few callers come back after so long. */
+#define RsQuota_MAX_DEBT_MS 60000
+/* Callers honour Retry-After up to this part of the time they have left. Those
+ * that are told a later time get no place in the line. */
+#define RsQuota_PATIENCE_DIVISOR 3
 
 /* The operator's bound, see settings/node.h. */
 struct rs_quota_bounds {
@@ -118,7 +120,7 @@
                     int64_t now_ms);
 int64_t RsQuota_ComeBackAtMs(struct rs_quota *quota,
                              const struct rs_workspace *workspace,
-                             int64_t now_ms);
+                             int64_t deadline_ms, int64_t now_ms);
 
 /* Messages. */
 bool RsQuota_MakeRequest(struct rs_quota *quota, int64_t now_ms,
--- a/router/quota_exchange.h
+++ b/router/quota_exchange.h
@@ -57,7 +57,8 @@
                      struct rs_quota_claim *claim, int64_t now_ms);
 int64_t RsQuotaExchange_Refuse(struct rs_quota_exchange *exchange,
                                const struct rs_workspace *workspace,
-                               bool is_over, int64_t now_ms);
+                               bool is_over, int64_t deadline_ms,
+                               int64_t now_ms);
 void RsQuotaExchange_End(struct rs_quota_exchange *exchange,
                          struct rs_quota_claim *claim, bool not_run,
                          int64_t now_ms);
--- a/router/quota_fixture.c
+++ b/router/quota_fixture.c
@@ -19,6 +19,7 @@
 #define MAX_DELAY_MS 3
 #define MAX_SLOW_MS 600
 #define LOSS_RATE 0.3
+#define DEADLINE_MS 9000
 #define LATE_MS 4000
 #define NODES RsQuotaFixture_NODES
 #define START_MS 1000000
@@ -383,11 +384,14 @@
         return false;
     }
     counts->refused++;
-    struct caller back = {.workspace = caller->workspace,
-                          .is_back = true,
-                          .asks_at_ms = RsQuota_ComeBackAtMs(
-                              node->quota, workspace, sim->now_ms)};
-    if (!caller->is_back) {
+    struct caller back = {
+        .workspace = caller->workspace,
+        .is_back = true,
+        .asks_at_ms = RsQuota_ComeBackAtMs(
+            node->quota, workspace, sim->now_ms + DEADLINE_MS, sim->now_ms),
+    };
+    if (!caller->is_back && back.asks_at_ms - sim->now_ms <=
+                                DEADLINE_MS / RsQuota_PATIENCE_DIVISOR) {
         g_array_append_val(sim->back, back);
     }
     return false;
--- a/router/reply.c
+++ b/router/reply.c
@@ -35,11 +35,15 @@
     }
 }
 
-/* Returns after how many ms a refused caller should come back. */
+/* Returns after how many ms a refused caller should come back. With status
+ * 429 the return of callers is spread already. */
 static uint32_t
-retry_after_ms(const struct rs_request *request)
+retry_after_ms(const struct rs_request *request, int status)
 {
     int64_t now_ms = RsClock_NowMs();
+    if (status == STATUS_OVER_QUOTA) {
+        return (uint32_t)MAX(request->come_back_at_ms - now_ms, (int64_t)1);
+    }
     if (request->come_back_at_ms > 0) {
         return RsLoad_RetryAtMs(request->come_back_at_ms, now_ms,
                                 request->router->random);
@@ -64,7 +68,7 @@
     }
     if (status == STATUS_REFUSED || status == STATUS_OVER_QUOTA) {
         char seconds[24];
-        uint32_t after_ms = retry_after_ms(request);
+        uint32_t after_ms = retry_after_ms(request, status);
         snprintf(seconds, sizeof(seconds), "%.3f", after_ms / MS_PER_S);
         RsServer_AddHeader(request->http, "retry-after", seconds);
     }
@@ -98,8 +102,9 @@
 RsReply_RefuseWithoutToken(struct rs_request *request, bool is_over,
                            int64_t now_ms)
 {
-    request->come_back_at_ms = RsQuotaExchange_Refuse(
-        request->router->quotas, request->workspace, is_over, now_ms);
+    request->come_back_at_ms =
+        RsQuotaExchange_Refuse(request->router->quotas, request->workspace,
+                               is_over, request->deadline_ms, now_ms);
     RsCounter_Add(&request->router->counters.refused, 1);
     send_error(request, is_over ? STATUS_OVER_QUOTA : STATUS_REFUSED,
                "not-run", is_over ? "over-quota" : "quota-unknown");
