--- a/router/quota.c
+++ b/router/quota.c
@@ -31,9 +31,8 @@
 #define MAX_NEEDS 1000
 /* Requests whose answers are waited for. */
 #define SENT_COUNT 64
-/* Share of RsQuota_MAX_DEBT_MS from which the line is taken as full. Callers
- * then get places over the whole line. */
-#define FULL_LINE 0.9
+/* Without a ledger, callers come back from this part of the time between two
+ * tokens by the own rate on. */
 #define FIRST_PLACE 0.4
 
 struct batch {
@@ -399,31 +398,31 @@
     return MAX(purse->own_rate, purse->per_s / quota->nodes);
 }
 
-/* Returns when a caller that is refused should come back, and counts it in the
- * line of refused callers. Callers that are refused at all nodes before the
+/* Returns when a caller that is refused should come back: when the ledger will
+ * have a token for it. Callers that are refused at all nodes before the
  * ledger's next answer are spread over the time that the tokens for them take,
- * or by which the line grew before the last answer. */
+ * or by which the line grew before the last answer. `deadline_ms` is when the
+ * caller gives up. */
 int64_t
 RsQuota_ComeBackAtMs(struct rs_quota *quota,
-                     const struct rs_workspace *workspace, int64_t now_ms)
+                     const struct rs_workspace *workspace, int64_t deadline_ms,
+                     int64_t now_ms)
 {
     struct purse *purse = get_or_create(quota, workspace, now_ms);
     double draw = g_rand_double(quota->random);
-    purse->refused++;
+    double part_per_s = MIN(own_part(quota, purse), purse->per_s);
     if (RsQuota_IsLost(quota, now_ms)) {
-        double interval_ms = MS_PER_S / own_part(quota, purse);
-        return now_ms + (int64_t)((FIRST_PLACE + draw) *
-                                  MIN(interval_ms, RsQuota_MAX_DEBT_MS));
+        return now_ms +
+               (int64_t)((FIRST_PLACE + draw) *
+                         MIN(MS_PER_S / part_per_s, RsQuota_MAX_DEBT_MS));
     }
     int64_t line_ms = MAX(purse->line_until_ms - now_ms, 0);
-    if ((double)line_ms >= RsQuota_MAX_DEBT_MS * FULL_LINE) {
-        return now_ms + (int64_t)(RsQuota_MAX_DEBT_MS *
-                                  (FIRST_PLACE + (1 - FIRST_PLACE) * draw));
-    }
-    double part_per_s = MIN(own_part(quota, purse), purse->per_s);
     double span_ms = MAX((double)purse->line_growth_ms,
-                         purse->refused * MS_PER_S / part_per_s);
-    return now_ms + line_ms + (int64_t)ceil(draw * span_ms);
+                         (purse->refused + 1) * MS_PER_S / part_per_s);
+    int64_t place_ms = line_ms + (int64_t)ceil(draw * span_ms);
+    purse->refused +=
+        place_ms <= (deadline_ms - now_ms) / RsQuota_PATIENCE_DIVISOR;
+    return now_ms + place_ms;
 }
 
 /* Returns how many tokens the node should ask for. */
--- a/router/quota_exchange.c
+++ b/router/quota_exchange.c
@@ -10,6 +10,10 @@
 #define REQUEST_TAG 0x78
 #define GRANT_TAG 0xa0
 #define LEDGER_TICK_MS 100
+/* With many buckets the ledger ticks less often, so that it takes some 4% of a
+ * core at the most: 0.8 us a bucket (router/quota_measure.c). Buckets that are
+ * asked for are filled at each answer as well. */
+#define BUCKETS_PER_MS 50
 /* At most one line in this time tells of refusals. */
 #define LOG_EVERY_MS 1000
 
@@ -360,7 +364,9 @@
         return;
     }
     if (exchange->was_granter && now_ms >= exchange->next_ledger_tick_at_ms) {
-        exchange->next_ledger_tick_at_ms = now_ms + LEDGER_TICK_MS;
+        size_t buckets = RsQuotaLedger_BucketCount(exchange->ledger);
+        exchange->next_ledger_tick_at_ms =
+            now_ms + MAX(LEDGER_TICK_MS, (int64_t)buckets / BUCKETS_PER_MS);
         RsQuotaLedger_Tick(exchange->ledger, now_ms);
     }
     ask(exchange, now_ms);
@@ -398,7 +404,7 @@
 int64_t
 RsQuotaExchange_Refuse(struct rs_quota_exchange *exchange,
                        const struct rs_workspace *workspace, bool is_over,
-                       int64_t now_ms)
+                       int64_t deadline_ms, int64_t now_ms)
 {
     RsCounter_Add(
         is_over ? &exchange->counters.over : &exchange->counters.unknown, 1);
@@ -411,7 +417,8 @@
         exchange->unlogged = 0;
         exchange->next_log_at_ms = now_ms + LOG_EVERY_MS;
     }
-    return RsQuota_ComeBackAtMs(exchange->quota, workspace, now_ms);
+    return RsQuota_ComeBackAtMs(exchange->quota, workspace, deadline_ms,
+                                now_ms);
 }
 
 /* Call it when a request has ended. `not_run`: no target has run it. */
--- a/soak/setup.c
+++ b/soak/setup.c
@@ -22,7 +22,8 @@
         "store:\n  address: \"127.0.0.1:%u\"\n"
         "bounds:\n  grace_s: %u\n  max_hold_ms: 10000\n  drain_ms: 2000\n"
         "  retry_ratio: 0.2\n  retry_window_s: 10\n  retry_slack: 58\n"
-        "  cold_factor: 1.5\n  cold_slack: 5\n%s",
+        "  cold_factor: 1.5\n  cold_slack: 5\n"
+        "  quota_window_s: 5\n  quota_overage: 0.1\n  quota_slack: 20\n%s",
         setup->number, 1 + setup->number % 2, host,
         setup->bootstrap ? "true" : "false", host,
         setup->base_port + RsSoakSetup_CALLER_PORT, host,
