--- a/soak/main.c
+++ b/soak/main.c
@@ -875,7 +875,8 @@
 static bool
 parse_violation(struct soak *soak, const char *name)
 {
-    static const char *const names[] = {"none", "owner", "twice", "mixed"};
+    static const char *const names[] = {"none", "owner", "twice", "mixed",
+                                        "key"};
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
         if (strcmp(name, names[i]) == 0) {
             soak->injected_violation = (enum rs_soak_violation)i;
@@ -902,7 +903,7 @@
         arg_int0(NULL, "port", "N", "first port, default 21000");
     struct arg_str *injected_violation =
         arg_str0(NULL, "plant", "FAULT",
-                 "violation to inject: owner, twice, mixed or crash");
+                 "violation to inject: owner, twice, mixed, key or crash");
     struct arg_lit *restores =
         arg_lit0(NULL, "restores", "the store may go back to a copy");
     struct arg_lit *links =
--- a/soak/target.c
+++ b/soak/target.c
@@ -411,7 +411,7 @@
 {
     struct rs_soak_workspaces *workspaces = target->options.check->workspaces;
     GString *names = g_string_new(NULL);
-    bool has_credentials = false;
+    bool has_credentials = target->violation == RsSoakViolation_KEY;
     for (size_t i = 0; i < http->headers.size; i++) {
         const h2o_header_t *header = &http->headers.entries[i];
         has_credentials |= h2o_memis(header->name->base, header->name->len,
--- a/soak/target.h
+++ b/soak/target.h
@@ -37,6 +37,7 @@
                                      1 s */
     RsSoakViolation_TWICE,        /* non-idempotent requests are run twice */
     RsSoakViolation_MIXED,        /* response bodies are corrupted */
+    RsSoakViolation_KEY,          /* requests are said to come with keys */
 };
 
 struct rs_soak_target;
