Let the room of a target follow from its speed and the latency target

With load.adaptive set, a node sends to a target as many requests as are answered within the route's latency target: 6 slots at 285 ms of work and a latency target of 800 ms bear a queue of several requests, 2 slots at 366 ms and 500 ms bear none. Until now the queue was two requests for all. The first service time of a target is the mean of its service instead of one default. Without the setting nothing changes.

The mean work is kept for each route and a factor for each target, so that requests with long work do not make their target look slow. The sums of other nodes do not enter yet.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -119,6 +119,11 @@
         .excluded = tried,
         .excluded_count = count,
         .random = router->random,
+        .latency_target_ms = router->settings->load.adaptive
+                                 ? request->route->target_latency_ms
+                                 : 0,
+        .work_ms = RsRouter_MeanWorkMs(request->router, request->service->name,
+                                       request->route->name),
     };
 }
 
@@ -568,6 +573,27 @@
     }
 }
 
+/* Records how long the target took to answer, to learn its speed. */
+static void
+record_work(const struct rs_attempt *attempt, double elapsed_ms,
+            int64_t now_ms)
+{
+    struct rs_request *request = attempt->request;
+    struct rs_fleet_target *target = attempt->target;
+    const struct rs_concurrency_sample sample = {
+        .elapsed_ms = elapsed_ms,
+        .queueing_factor = RsFleet_AnswerQueueingFactor(
+            target, (uint32_t)attempt->queued_ahead, now_ms),
+        .duration_percent = target->load_at_ms == now_ms
+                                ? target->load.duration_percent
+                                : RsReport_NORMAL_DURATION_PERCENT,
+    };
+    if (attempt->target_started_wall_ms == target->report.started_wall_ms) {
+        RsRouter_RecordWork(request->router, target, request->route->name,
+                            &sample, now_ms);
+    }
+}
+
 /* Handles the end of a complete response. */
 static void
 handle_response_end(struct rs_attempt *attempt, int64_t now_ms)
@@ -581,6 +607,7 @@
         if (attempt->status < STATUS_SERVER_ERROR) {
             RsFleet_RecordAnswer(attempt->target, elapsed_us / US_PER_MS,
                                  (uint32_t)attempt->queued_ahead, now_ms);
+            record_work(attempt, elapsed_us / US_PER_MS, now_ms);
         }
         RsReply_Complete(attempt);
         return;
--- /dev/null
+++ b/router/concurrency.c
@@ -0,0 +1,218 @@
+#include "router/concurrency.h"
+
+#include <math.h>
+
+/* Time constant of the sums of a target. A change of its speed shows to 3/4
+ * after 2 s; with 4 to 10 requests a second at a target, the mean has a
+ * standard error of about 15%. */
+#define SUMS_WINDOW_MS 1500.0
+/* The sums of a target without traffic are not decayed below this number of
+ * samples, so that its speed is remembered. */
+#define MIN_KEPT_SAMPLES 4.0
+/* The estimated factor of a target starts at the mean of its service, which
+ * counts as this many samples. */
+#define PRIOR_SAMPLES 2.0
+/* Time constant of the mean work of a kind, in which the kind's mean changes
+ * slowly against the factors of targets. */
+#define WORK_WINDOW_MS 10000.0
+/* With fewer samples the mean work of a kind is not compared with. */
+#define MIN_WORK_SAMPLES 5.0
+/* Targets with fewer samples are not included in the mean factor. */
+#define MIN_FACTOR_SAMPLES 1.0
+/* A sample counts as at most this many times the target's present factor. A
+ * noisy neighbour slows work down three times for 400 ms, and most answers
+ * that it delays come when the load header is normal again. */
+#define MAX_SAMPLE_RATIO 2.0
+/* Share of the mean work that most requests stay below. */
+#define WORK_MARGIN 1.3
+/* No more requests than this many times the slots are sent into a target's
+ * queue: it refuses those that wait there when their keys move, and its queue
+ * is bounded (4 times its slots in the present deployments), while the sums of
+ * the nodes are out of date. */
+#define MAX_QUEUED_PER_SLOT 1.5
+#define NORMAL_PERCENT 100.0
+/* A change of a factor by this share is logged, at most once in a while. */
+#define NEWS_SHARE 0.5
+#define NEWS_EVERY_MS 10000
+
+/* Initializes a service of which nothing is known. */
+void
+RsConcurrency_InitService(struct rs_concurrency_service *service)
+{
+    *service = (struct rs_concurrency_service){
+        .kinds = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
+                                       g_free)};
+}
+
+void
+RsConcurrency_ClearService(struct rs_concurrency_service *service)
+{
+    g_hash_table_unref(service->kinds);
+}
+
+/* Returns the mean work of the requests of a route, which must be interned, at
+ * a target of factor 1, in ms; 0 if it is unknown. */
+double
+RsConcurrency_MeanWorkMs(const struct rs_concurrency_service *service,
+                         const char *route)
+{
+    const struct rs_concurrency_work *kind =
+        g_hash_table_lookup(service->kinds, route);
+    return kind != NULL && kind->samples >= MIN_WORK_SAMPLES ? kind->mean_ms
+                                                             : 0;
+}
+
+static struct rs_concurrency_work *
+get_or_create_kind(struct rs_concurrency_service *service, const char *route)
+{
+    struct rs_concurrency_work *kind =
+        g_hash_table_lookup(service->kinds, route);
+    if (kind == NULL) {
+        kind = g_new0(struct rs_concurrency_work, 1);
+        g_hash_table_insert(service->kinds, (gpointer)route, kind);
+    }
+    return kind;
+}
+
+static void
+add_work(struct rs_concurrency_work *work, double work_ms, int64_t now_ms)
+{
+    double elapsed_ms = (double)(now_ms - work->updated_at_ms);
+    work->samples = work->samples * exp(-elapsed_ms / WORK_WINDOW_MS) + 1;
+    work->mean_ms += (work_ms - work->mean_ms) / work->samples;
+    work->updated_at_ms = now_ms;
+}
+
+static void
+decay_sums(struct rs_concurrency_sums *sums, double decay, double min_samples)
+{
+    if (sums->samples <= min_samples) {
+        return;
+    }
+    double share = MAX(decay, min_samples / sums->samples);
+    sums->samples *= share;
+    sums->relative_work *= share;
+}
+
+/* Lets the samples of a target age up to `now_ms`. */
+void
+RsConcurrency_Decay(struct rs_concurrency *target, int64_t now_ms)
+{
+    double elapsed_ms = (double)(now_ms - target->decayed_at_ms);
+    double decay = exp(-elapsed_ms / SUMS_WINDOW_MS);
+    decay_sums(&target->own, decay, 0);
+    decay_sums(&target->all, decay, MIN_KEPT_SAMPLES);
+    target->decayed_at_ms = now_ms;
+}
+
+/* Starts to compute the mean factor of the service's targets anew. */
+void
+RsConcurrency_ResetFactors(struct rs_concurrency_service *service)
+{
+    service->factor_sum = 0;
+    service->factor_count = 0;
+}
+
+/* Includes a target of the service in the mean factor. */
+void
+RsConcurrency_CountFactor(struct rs_concurrency_service *service,
+                          const struct rs_concurrency *target)
+{
+    if (target->all.samples >= MIN_FACTOR_SAMPLES) {
+        service->factor_sum += target->all.relative_work / target->all.samples;
+        service->factor_count++;
+    }
+}
+
+static double
+mean_factor(const struct rs_concurrency_service *service)
+{
+    return service->factor_count > 0
+               ? service->factor_sum / service->factor_count
+               : 1;
+}
+
+/* Derives the factor and the service time of a target from the known sums. */
+void
+RsConcurrency_Refresh(struct rs_concurrency *target,
+                      const struct rs_concurrency_service *service)
+{
+    target->factor =
+        (PRIOR_SAMPLES * mean_factor(service) + target->all.relative_work) /
+        (PRIOR_SAMPLES + target->all.samples);
+    target->service_ms = service->work.samples >= MIN_WORK_SAMPLES
+                             ? service->work.mean_ms * target->factor
+                             : 0;
+}
+
+/* Records the answer of a target to a request of a route. The mean work of the
+ * kind is updated with the work at a target of mean speed, so that a node that
+ * mostly sees slow targets does not take them for the usual ones. */
+void
+RsConcurrency_Record(struct rs_concurrency *target,
+                     struct rs_concurrency_service *service, const char *route,
+                     const struct rs_concurrency_sample *sample,
+                     int64_t now_ms)
+{
+    struct rs_concurrency_work *kind = get_or_create_kind(service, route);
+    double duration =
+        MAX(sample->duration_percent, NORMAL_PERCENT) / NORMAL_PERCENT;
+    double work_ms = sample->elapsed_ms / sample->queueing_factor / duration;
+    RsConcurrency_Decay(target, now_ms);
+    RsConcurrency_Refresh(target, service);
+    if (kind->samples >= MIN_WORK_SAMPLES) {
+        double relative =
+            MIN(work_ms / kind->mean_ms, MAX_SAMPLE_RATIO * target->factor);
+        target->own.samples++;
+        target->own.relative_work += relative;
+        target->all.samples++;
+        target->all.relative_work += relative;
+    }
+    double mean_work_ms = work_ms * mean_factor(service) / target->factor;
+    add_work(kind, mean_work_ms, now_ms);
+    add_work(&service->work, mean_work_ms, now_ms);
+    RsConcurrency_Refresh(target, service);
+}
+
+/* Replaces what is known of a target by the sums of all nodes. While those
+ * hold few samples, earlier ones are kept in addition. */
+void
+RsConcurrency_SetSums(struct rs_concurrency *target,
+                      const struct rs_concurrency_sums *sums, int64_t now_ms)
+{
+    RsConcurrency_Decay(target, now_ms);
+    double kept =
+        CLAMP(MIN_KEPT_SAMPLES - sums->samples, 0, target->all.samples);
+    double kept_work =
+        kept > 0 ? kept * target->all.relative_work / target->all.samples : 0;
+    target->all = (struct rs_concurrency_sums){
+        sums->samples + kept, sums->relative_work + kept_work};
+}
+
+/* Returns up to how many requests may run or wait at the target, such that
+ * most of those that wait are still answered within the latency target. */
+double
+RsConcurrency_Limit(const struct rs_concurrency_input *input)
+{
+    double wait_ms = input->latency_target_ms - WORK_MARGIN * input->work_ms;
+    double queued = floor(wait_ms * input->slots / input->service_ms);
+    return input->slots +
+           CLAMP(queued, 0, floor(MAX_QUEUED_PER_SLOT * input->slots));
+}
+
+/* Returns whether the factor has changed so much since it was last logged that
+ * it is to be logged now. */
+bool
+RsConcurrency_IsNews(struct rs_concurrency *target, int64_t now_ms)
+{
+    double logged = target->logged_factor > 0 ? target->logged_factor : 1;
+    double change = MAX(target->factor, logged) / MIN(target->factor, logged);
+    if (target->factor <= 0 || change < 1 + NEWS_SHARE ||
+        (target->logged_at_ms > 0 &&
+         now_ms - target->logged_at_ms < NEWS_EVERY_MS)) {
+        return false;
+    }
+    target->logged_factor = target->factor;
+    target->logged_at_ms = now_ms;
+    return true;
+}
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -186,6 +186,7 @@
     target->replaced = false;
     target->service_ms = DEFAULT_SERVICE_MS;
     target->shared_service_ms = 0;
+    target->concurrency = (struct rs_concurrency){0};
     target->answers = 0;
     target->answered_at_ms = 0;
     target->full_until_ms = 0;
@@ -494,12 +495,12 @@
     return 1 + MAX(0.0, ahead - slots + 1) / slots;
 }
 
-/* Updates the service time from an answer that took `elapsed_ms`, and ends a
- * series of failures. `ahead` is the estimated number of requests that were
+/* Returns how many times the service time an answer that came now was
+ * expected to take. `ahead` is the estimated number of requests that were
  * running or waiting at the target when the answered request was sent. */
-void
-RsFleet_RecordAnswer(struct rs_fleet_target *target, double elapsed_ms,
-                     uint32_t ahead, int64_t now_ms)
+double
+RsFleet_AnswerQueueingFactor(const struct rs_fleet_target *target,
+                             uint32_t ahead, int64_t now_ms)
 {
     double ahead_at_target = ahead;
     if (target->load_at_ms == now_ms) {
@@ -509,8 +510,17 @@
         double at_target = target->load.running + target->load.waiting;
         ahead_at_target = MAX(ahead_at_target, at_target);
     }
+    return RsFleet_QueueingFactor(target, ahead_at_target);
+}
+
+/* Updates the service time from an answer that took `elapsed_ms`, and ends a
+ * series of failures. See RsFleet_AnswerQueueingFactor() for `ahead`. */
+void
+RsFleet_RecordAnswer(struct rs_fleet_target *target, double elapsed_ms,
+                     uint32_t ahead, int64_t now_ms)
+{
     double sample_ms =
-        elapsed_ms / RsFleet_QueueingFactor(target, ahead_at_target);
+        elapsed_ms / RsFleet_AnswerQueueingFactor(target, ahead, now_ms);
     target->service_ms += SERVICE_WEIGHT * (sample_ms - target->service_ms);
     target->answers++;
     target->answered_at_ms = now_ms;
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "platform/report.h"
+#include "router/concurrency.h"
 #include "router/limit.h"
 #include "router/table_copy.h"
 
@@ -55,10 +56,11 @@
     double admission;  /* admitted fraction carried over to the next request */
     double service_ms; /* moving average of the service time */
     uint32_t answers;  /* number of samples in service_ms */
-    int64_t answered_at_ms;         /* last answer; 0: none */
-    double shared_service_ms;       /* mean of all nodes; 0: unknown */
-    int64_t order_failing_since_ms; /* 0: orders are not failing */
-    uint32_t failures;              /* of requests, consecutive */
+    int64_t answered_at_ms;            /* last answer; 0: none */
+    double shared_service_ms;          /* mean of all nodes; 0: unknown */
+    struct rs_concurrency concurrency; /* unused unless load.adaptive is set */
+    int64_t order_failing_since_ms;    /* 0: orders are not failing */
+    uint32_t failures;                 /* of requests, consecutive */
     int64_t avoid_until_ms;
     int64_t next_cold_send_at_ms;
     /* See router/paths.c: until when it is connected to through other nodes,
@@ -151,6 +153,8 @@
                         const struct rs_target_load *load, int64_t now_ms);
 double RsFleet_QueueingFactor(const struct rs_fleet_target *target,
                               double ahead);
+double RsFleet_AnswerQueueingFactor(const struct rs_fleet_target *target,
+                                    uint32_t ahead, int64_t now_ms);
 void RsFleet_RecordAnswer(struct rs_fleet_target *target, double elapsed_ms,
                           uint32_t ahead, int64_t now_ms);
 bool RsFleet_AnsweredRecently(const struct rs_fleet_target *target,
--- a/router/load.c
+++ b/router/load.c
@@ -10,9 +10,9 @@
 /* A load reported by a target with an answer is valid for this long only,
  * since it changes many times a second. */
 #define MAX_LOAD_AGE_MS 400
-/* A target has room while fewer requests than this, of the 8 that fit, are
- * estimated to wait there. A target refuses its waiting requests when their
- * keys move; those that wait at a node are kept. */
+/* Without load.adaptive, a target has room while fewer requests than this, of
+ * the 8 that fit, are estimated to wait there. A target refuses its waiting
+ * requests when their keys move; those that wait at a node are kept. */
 #define MAX_QUEUED 2
 /* Up to this many further requests may wait when the known queue length is out
  * of date. */
@@ -95,11 +95,15 @@
 }
 
 /* Returns the estimated time that the target takes for one request without
- * queueing, in ms: the average of this node or, while it has few samples, the
- * mean of all nodes if known. */
+ * queueing, in ms: the learned one (router/concurrency.h) if there is any,
+ * else the average of this node or, while it has few samples, the mean of all
+ * nodes if known. */
 double
 RsLoad_ServiceMs(const struct rs_fleet_target *target)
 {
+    if (target->concurrency.service_ms > 0) {
+        return target->concurrency.service_ms;
+    }
     if (target->shared_service_ms > 0 && target->answers < MIN_OWN_SAMPLES) {
         return target->shared_service_ms;
     }
@@ -145,6 +149,28 @@
     return MIN(share * share, 1.0);
 }
 
+/* Returns up to how many requests may be outstanding at the target, for the
+ * request to be sent there. */
+static double
+max_outstanding(const struct rs_fleet_target *target,
+                const struct rs_load_choice_input *input)
+{
+    double uncertain = MAX_QUEUED_UNCERTAIN * (1 - load_confidence(input));
+    if (input->latency_target_ms <= 0) {
+        return target->report.slots + MAX_QUEUED + uncertain;
+    }
+    double service_ms = RsLoad_ServiceMs(target);
+    const struct rs_concurrency_input limit = {
+        .slots = target->report.slots,
+        .service_ms = service_ms,
+        .work_ms = input->work_ms > 0 && target->concurrency.factor > 0
+                       ? input->work_ms * target->concurrency.factor
+                       : service_ms,
+        .latency_target_ms = input->latency_target_ms,
+    };
+    return RsConcurrency_Limit(&limit) + uncertain;
+}
+
 /* Returns whether the target has room for one more request. A target that
  * refused a request for lack of room has none for a while. Where the sums are
  * out of date, the target knows its own queue best, so it is sent more
@@ -153,10 +179,8 @@
 RsLoad_HasRoom(const struct rs_fleet_target *target,
                const struct rs_load_choice_input *input, int64_t now_ms)
 {
-    double room =
-        MAX_QUEUED + MAX_QUEUED_UNCERTAIN * (1 - load_confidence(input));
     return RsLoad_CountOutstanding(target, now_ms) <
-               target->report.slots + room &&
+               max_outstanding(target, input) &&
            now_ms >= target->full_until_ms;
 }
 
--- a/router/load.h
+++ b/router/load.h
@@ -38,6 +38,10 @@
     const char *zone;    /* of this node */
     double answer_bytes; /* average body size of the service's answers */
     double cold_per_s;   /* see struct rs_service */
+    /* Of the request. Set only if the room of a target follows from its
+     * learned speed, see router/concurrency.h; 0: from constants. */
+    double latency_target_ms;
+    double work_ms; /* at a target of factor 1; 0: as the service's mean */
     struct rs_load_bounds bounds;
     struct rs_load_share share;
     const char *const *excluded; /* interned ids of targets not to choose */
--- a/router/reports.c
+++ b/router/reports.c
@@ -888,6 +888,7 @@
 RsReports_Send(struct rs_reports *reports, const struct sockaddr_in *granter,
                int64_t now_ms)
 {
+    RsRouter_RefreshConcurrency(reports->router, now_ms);
     guint targets = g_hash_table_size(reports->router->fleet.targets);
     guint services = g_hash_table_size(reports->router->requested_keys);
     Rs__Peer__TargetLoad *loads = g_new0(Rs__Peer__TargetLoad, targets + 1);
--- a/router/router.c
+++ b/router/router.c
@@ -17,6 +17,14 @@
     g_free(keys);
 }
 
+static void
+free_service(gpointer data)
+{
+    struct rs_router_service *service = data;
+    RsConcurrency_ClearService(&service->concurrency);
+    g_free(service);
+}
+
 static void
 free_array(gpointer data)
 {
@@ -43,8 +51,8 @@
     };
     router->keymaps = g_hash_table_new_full(g_direct_hash, g_direct_equal,
                                             NULL, free_keymap);
-    router->services =
-        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    router->services = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+                                             NULL, free_service);
     router->requested_keys =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_array);
     RsSuspects_Init(&router->suspects);
@@ -72,6 +80,7 @@
         service->budget.ratio = bounds->retry_ratio;
         service->budget.slack = bounds->retry_slack;
         service->budget.window_s = bounds->retry_window_s;
+        RsConcurrency_InitService(&service->concurrency);
         g_hash_table_insert(router->services, (gpointer)name, service);
     }
     return service;
@@ -97,6 +106,85 @@
         ANSWER_BYTES_WEIGHT * ((double)size_bytes - state->answer_bytes);
 }
 
+/* Returns what is known of the requests to the target's service. */
+static struct rs_concurrency_service *
+concurrency_of(struct rs_router *router, const struct rs_fleet_target *target)
+{
+    return &RsRouter_GetOrCreateService(router, target->report.service)
+                ->concurrency;
+}
+
+static void
+log_factor(struct rs_fleet_target *target, int64_t now_ms)
+{
+    char factor[G_ASCII_DTOSTR_BUF_SIZE];
+    if (!RsConcurrency_IsNews(&target->concurrency, now_ms)) {
+        return;
+    }
+    g_ascii_formatd(factor, sizeof(factor), "%.2f",
+                    target->concurrency.factor);
+    RsLog_EVENT(RsLog_INFO, "target_speed", RsLog_TEXT("target", target->id),
+                RsLog_TEXT("service", target->report.service),
+                RsLog_TEXT("factor", factor),
+                RsLog_NUMBER("service_ms", target->concurrency.service_ms));
+}
+
+/* Returns the mean work of the requests of a route to a service, which must be
+ * interned, in ms; 0 if that is unknown. */
+double
+RsRouter_MeanWorkMs(struct rs_router *router, const char *service,
+                    const char *route)
+{
+    struct rs_router_service *state =
+        RsRouter_GetOrCreateService(router, service);
+    return RsConcurrency_MeanWorkMs(&state->concurrency,
+                                    g_intern_string(route));
+}
+
+/* Records the answer to a request of a route that took `elapsed_ms`. Does
+ * nothing unless load.adaptive is set. */
+void
+RsRouter_RecordWork(struct rs_router *router, struct rs_fleet_target *target,
+                    const char *route,
+                    const struct rs_concurrency_sample *sample, int64_t now_ms)
+{
+    if (router->settings->load.adaptive) {
+        RsConcurrency_Record(&target->concurrency,
+                             concurrency_of(router, target),
+                             g_intern_string(route), sample, now_ms);
+    }
+}
+
+/* Derives the expected work at each target from the samples known by now. Does
+ * nothing unless load.adaptive is set. */
+void
+RsRouter_RefreshConcurrency(struct rs_router *router, int64_t now_ms)
+{
+    const GPtrArray *list = router->fleet.list;
+    if (!router->settings->load.adaptive) {
+        return;
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rs_router_service *service = value;
+        RsConcurrency_ResetFactors(&service->concurrency);
+    }
+    for (guint i = 0; i < list->len; i++) {
+        struct rs_fleet_target *target = g_ptr_array_index(list, i);
+        RsConcurrency_Decay(&target->concurrency, now_ms);
+        RsConcurrency_CountFactor(concurrency_of(router, target),
+                                  &target->concurrency);
+    }
+    for (guint i = 0; i < list->len; i++) {
+        struct rs_fleet_target *target = g_ptr_array_index(list, i);
+        RsConcurrency_Refresh(&target->concurrency,
+                              concurrency_of(router, target));
+        log_factor(target, now_ms);
+    }
+}
+
 /* Returns the key ownership map of a service, or NULL if none is known yet.
  * `service` must be interned; the router owns the result. */
 const struct rs_router_keymap *
--- a/router/router.h
+++ b/router/router.h
@@ -52,6 +52,7 @@
 struct rs_router_service {
     struct rs_load_retry_budget budget;
     double answer_bytes; /* moving average of response body sizes */
+    struct rs_concurrency_service concurrency;
 };
 
 struct rs_router {
@@ -93,6 +94,13 @@
                         uint64_t version);
 void RsRouter_RecordAnswerSize(struct rs_router *router, const char *service,
                                uint64_t size_bytes);
+double RsRouter_MeanWorkMs(struct rs_router *router, const char *service,
+                           const char *route);
+void RsRouter_RecordWork(struct rs_router *router,
+                         struct rs_fleet_target *target, const char *route,
+                         const struct rs_concurrency_sample *sample,
+                         int64_t now_ms);
+void RsRouter_RefreshConcurrency(struct rs_router *router, int64_t now_ms);
 void RsRouter_RecordKeyUse(struct rs_router *router, const char *service,
                            uint32_t key);
 
