--- a/router/concurrency.c
+++ b/router/concurrency.c
@@ -2,19 +2,20 @@
 
 #include <math.h>
 
-/* Time constant of the sums of a target. A change of its speed shows to 3/4
- * after 2 s; with 4 to 10 requests a second at a target, the mean has a
- * standard error of about 15%. */
-#define SUMS_WINDOW_MS 1500.0
+/* Time constant of the sums of a target. With 700 ms the estimate varies more
+ * and fewer answers are in time, with 1,500 ms the limit follows a change
+ * about 0.7 s later (docs/design/concurrency.md). */
+#define SUMS_WINDOW_MS 1000.0
 /* The sums of a target without traffic are not decayed below this number of
  * samples, so that its speed is remembered. */
 #define MIN_KEPT_SAMPLES 4.0
-/* The estimated factor of a target starts at the mean of its service, which
- * counts as this many samples. */
-#define PRIOR_SAMPLES 2.0
 /* Time constant of the mean work of a kind, in which the kind's mean changes
  * slowly against the factors of targets. */
 #define WORK_WINDOW_MS 10000.0
+/* A request without an answer counts as a sample once it has taken this many
+ * times what is expected. Without such samples a change of speed is seen about
+ * 2 s later, as the answers of a slow target come late. */
+#define OVERDUE_RATIO 1.2
 /* With fewer samples the mean work of a kind is not compared with. */
 #define MIN_WORK_SAMPLES 5.0
 /* Targets with fewer samples are not included in the mean factor. */
@@ -22,9 +23,7 @@
 /* A sample counts as at most this many times the target's present factor. A
  * noisy neighbour slows work down three times for 400 ms, and most answers
  * that it delays come when the load header is normal again. */
-#define MAX_SAMPLE_RATIO 2.0
-/* Share of the mean work that most requests stay below. */
-#define WORK_MARGIN 1.3
+#define MAX_SAMPLE_RATIO 2.5
 /* No more requests than this many times the slots are sent into a target's
  * queue: it refuses those that wait there when their keys move, and its queue
  * is bounded (4 times its slots in the present deployments), while the sums of
@@ -111,19 +110,28 @@
 {
     service->factor_sum = 0;
     service->factor_count = 0;
+    service->shared_ms_sum = 0;
+    service->shared_count = 0;
 }
 
-/* Includes a target of the service in the mean factor. */
+/* Includes a target of the service in the mean factor. `shared_service_ms` is
+ * the mean service time that all nodes have seen there, 0 if unknown. */
 void
 RsConcurrency_CountFactor(struct rs_concurrency_service *service,
-                          const struct rs_concurrency *target)
+                          const struct rs_concurrency *target,
+                          double shared_service_ms)
 {
+    if (shared_service_ms > 0) {
+        service->shared_ms_sum += shared_service_ms;
+        service->shared_count++;
+    }
     if (target->all.samples >= MIN_FACTOR_SAMPLES) {
         service->factor_sum += target->all.relative_work / target->all.samples;
         service->factor_count++;
     }
 }
 
+/* Returns the mean factor of the service's targets, 1 if none is known. */
 static double
 mean_factor(const struct rs_concurrency_service *service)
 {
@@ -132,17 +140,33 @@
                : 1;
 }
 
-/* Derives the factor and the service time of a target from the known sums. */
+/* Returns the mean work of the service at a target of factor 1, 0 if unknown.
+ * A node without requests of its own, for example a granter that plans the
+ * keys of a service, takes the mean service time that the nodes report. */
+static double
+mean_work_ms(const struct rs_concurrency_service *service)
+{
+    if (service->work.samples >= MIN_WORK_SAMPLES) {
+        return service->work.mean_ms;
+    }
+    return service->shared_count > 0
+               ? service->shared_ms_sum / service->shared_count /
+                     mean_factor(service)
+               : 0;
+}
+
+/* Derives the factor and the service time of a target from the known sums.
+ * Samples that are missing up to MIN_KEPT_SAMPLES are assumed to be as the
+ * mean of the service's targets. */
 void
 RsConcurrency_Refresh(struct rs_concurrency *target,
                       const struct rs_concurrency_service *service)
 {
+    double assumed = MAX(MIN_KEPT_SAMPLES - target->all.samples, 0);
     target->factor =
-        (PRIOR_SAMPLES * mean_factor(service) + target->all.relative_work) /
-        (PRIOR_SAMPLES + target->all.samples);
-    target->service_ms = service->work.samples >= MIN_WORK_SAMPLES
-                             ? service->work.mean_ms * target->factor
-                             : 0;
+        (assumed * mean_factor(service) + target->all.relative_work) /
+        (assumed + target->all.samples);
+    target->service_ms = mean_work_ms(service) * target->factor;
 }
 
 /* Records the answer of a target to a request of a route. The mean work of the
@@ -174,6 +198,39 @@
     RsConcurrency_Refresh(target, service);
 }
 
+/* Counts a request that has not been answered yet as a sample, if it is
+ * overdue: a target that turned slow shows by that long before its answers
+ * come. `sample->elapsed_ms` is the time since the request was sent. The
+ * caller sets `overdue` of the target to zero before. */
+void
+RsConcurrency_RecordOverdue(struct rs_concurrency *target,
+                            const struct rs_concurrency_service *service,
+                            const char *route,
+                            const struct rs_concurrency_sample *sample)
+{
+    double mean_ms = RsConcurrency_MeanWorkMs(service, route);
+    double factor = target->factor > 0 ? target->factor : 1;
+    if (mean_ms <= 0) {
+        return;
+    }
+    double relative = sample->elapsed_ms / sample->queueing_factor / mean_ms;
+    if (relative >= OVERDUE_RATIO * factor) {
+        target->overdue.samples++;
+        target->overdue.relative_work +=
+            MIN(relative, MAX_SAMPLE_RATIO * factor);
+    }
+}
+
+/* Returns the sums that this node reports of a target. */
+struct rs_concurrency_sums
+RsConcurrency_Reported(const struct rs_concurrency *target)
+{
+    return (struct rs_concurrency_sums){
+        target->own.samples + target->overdue.samples,
+        target->own.relative_work + target->overdue.relative_work,
+    };
+}
+
 /* Replaces what is known of a target by the sums of all nodes. While those
  * hold few samples, earlier ones are kept in addition. */
 void
@@ -194,7 +251,7 @@
 double
 RsConcurrency_Limit(const struct rs_concurrency_input *input)
 {
-    double wait_ms = input->latency_target_ms - WORK_MARGIN * input->work_ms;
+    double wait_ms = input->latency_target_ms - input->work_ms;
     double queued = floor(wait_ms * input->slots / input->service_ms);
     return input->slots +
            CLAMP(queued, 0, floor(MAX_QUEUED_PER_SLOT * input->slots));
--- a/router/concurrency.h
+++ b/router/concurrency.h
@@ -26,6 +26,8 @@
     /* Over the targets with samples; see RsConcurrency_CountFactor(). */
     double factor_sum;
     uint32_t factor_count;
+    double shared_ms_sum; /* of the service times that all nodes have seen */
+    uint32_t shared_count;
 };
 
 /* Decayed sums of samples. A sample is the work of one request relative to the
@@ -39,6 +41,8 @@
  * one. */
 struct rs_concurrency {
     struct rs_concurrency_sums own; /* of this node, for its reports */
+    /* Of this node's requests that should have been answered by now. */
+    struct rs_concurrency_sums overdue;
     struct rs_concurrency_sums all; /* of all nodes, as far as known */
     int64_t decayed_at_ms;
     double factor;     /* duration of its work relative to the mean; 0: none */
@@ -73,13 +77,20 @@
                           const char *route,
                           const struct rs_concurrency_sample *sample,
                           int64_t now_ms);
+void RsConcurrency_RecordOverdue(struct rs_concurrency *target,
+                                 const struct rs_concurrency_service *service,
+                                 const char *route,
+                                 const struct rs_concurrency_sample *sample);
 void RsConcurrency_Decay(struct rs_concurrency *target, int64_t now_ms);
+struct rs_concurrency_sums
+RsConcurrency_Reported(const struct rs_concurrency *target);
 void RsConcurrency_SetSums(struct rs_concurrency *target,
                            const struct rs_concurrency_sums *sums,
                            int64_t now_ms);
 void RsConcurrency_ResetFactors(struct rs_concurrency_service *service);
 void RsConcurrency_CountFactor(struct rs_concurrency_service *service,
-                               const struct rs_concurrency *target);
+                               const struct rs_concurrency *target,
+                               double shared_service_ms);
 void RsConcurrency_Refresh(struct rs_concurrency *target,
                            const struct rs_concurrency_service *service);
 double RsConcurrency_Limit(const struct rs_concurrency_input *input);
--- a/router/concurrency_test.c
+++ b/router/concurrency_test.c
@@ -46,8 +46,8 @@
         record(&targets[0], route, elapsed_ms[0], now_ms);
         record(&targets[1], route, elapsed_ms[1], now_ms);
         RsConcurrency_ResetFactors(&service);
-        RsConcurrency_CountFactor(&service, &targets[0]);
-        RsConcurrency_CountFactor(&service, &targets[1]);
+        RsConcurrency_CountFactor(&service, &targets[0], 0);
+        RsConcurrency_CountFactor(&service, &targets[1], 0);
     }
 }
 
--- a/router/load.c
+++ b/router/load.c
@@ -48,6 +48,10 @@
  * target whose service time is near or above the latency target; such a target
  * still gets some requests, since its speed may change. */
 #define MIN_CAPACITY_SHARE 0.1
+/* The same if the service time is learned (router/concurrency.h). With 0.1,
+ * fast targets get so many keys of the slow ones that fewer answers arrive in
+ * time than with equal shares (docs/design/concurrency.md). */
+#define MIN_LEARNED_CAPACITY_SHARE 0.7
 /* With fewer own samples, the mean service time of all nodes is better. */
 #define MIN_OWN_SAMPLES 8
 #define MS_PER_S 1000
@@ -114,15 +118,19 @@
  * answers meet the latency target. At equal utilization, the queueing time is
  * the same multiple of the service time at each target, so a slow target must
  * be utilized less to answer as early as a fast one. For targets that can't
- * meet the latency target, MIN_CAPACITY_SHARE applies. */
+ * meet the latency target, MIN_CAPACITY_SHARE applies, or
+ * MIN_LEARNED_CAPACITY_SHARE. */
 double
 RsLoad_CapacityPerS(const struct rs_fleet_target *target,
                     double latency_target_ms)
 {
     double service_ms = RsLoad_ServiceMs(target);
     double share = 1 - service_ms / latency_target_ms;
+    double min_share = target->concurrency.service_ms > 0
+                           ? MIN_LEARNED_CAPACITY_SHARE
+                           : MIN_CAPACITY_SHARE;
     return MS_PER_S * target->report.slots / service_ms *
-           MAX(share, MIN_CAPACITY_SHARE);
+           MAX(share, min_share);
 }
 
 /* Returns the expected time until the answer to a request sent now, in ms. */
--- a/router/router.c
+++ b/router/router.c
@@ -175,7 +175,8 @@
         struct rs_fleet_target *target = g_ptr_array_index(list, i);
         RsConcurrency_Decay(&target->concurrency, now_ms);
         RsConcurrency_CountFactor(concurrency_of(router, target),
-                                  &target->concurrency);
+                                  &target->concurrency,
+                                  target->shared_service_ms);
     }
     for (guint i = 0; i < list->len; i++) {
         struct rs_fleet_target *target = g_ptr_array_index(list, i);
