Sum what nodes learn of targets over the fleet

Nodes report the samples of each target's relative work with its load, the granter sums them and tells all nodes. A node sees a target about twice a second; over the fleet it is 4 to 10 times. Samples carry the process of the target, so that a former process is forgotten also while nodes still report it. They are decayed sums, not differences: the next report makes good a lost one. Without load.adaptive no field is set and nothing is read.

Work is measured up to the head of the response, since the transfer of the body depends on links and on the caller.

/state has the factor, the expected work and the limit of each target; the log event target_speed says when a factor changes by half.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -101,6 +101,7 @@
 make_choice_input(const struct rs_request *request, const char **tried)
 {
     const struct rs_router *router = request->router;
+    bool adaptive = router->settings->load.adaptive;
     size_t count = 0;
     for (uint32_t i = 0; i < request->attempt_count; i++) {
         tried[count++] = request->attempts[i].target->id;
@@ -119,11 +120,11 @@
         .excluded = tried,
         .excluded_count = count,
         .random = router->random,
-        .latency_target_ms = router->settings->load.adaptive
-                                 ? request->route->target_latency_ms
-                                 : 0,
-        .work_ms = RsRouter_MeanWorkMs(request->router, request->service->name,
-                                       request->route->name),
+        .latency_target_ms = adaptive ? request->route->target_latency_ms : 0,
+        .work_ms = adaptive ? RsRouter_MeanWorkMs(request->router,
+                                                  request->service->name,
+                                                  request->route->name)
+                            : 0,
     };
 }
 
@@ -487,6 +488,84 @@
     return true;
 }
 
+/* Returns how long the target has worked on the request, for
+ * router/concurrency.h. */
+static struct rs_concurrency_sample
+make_sample(const struct rs_attempt *attempt, double queueing_factor,
+            int64_t now_ms)
+{
+    const struct rs_fleet_target *target = attempt->target;
+    return (struct rs_concurrency_sample){
+        .elapsed_ms =
+            (double)(RsClock_NowUs() - attempt->started_at_us) / US_PER_MS,
+        .queueing_factor = queueing_factor,
+        .duration_percent = target->load_at_ms == now_ms
+                                ? target->load.duration_percent
+                                : RsReport_NORMAL_DURATION_PERCENT,
+    };
+}
+
+/* Returns whether the request was sent to the target's present process, whose
+ * speed is learned. */
+static bool
+is_learned_from(const struct rs_attempt *attempt)
+{
+    return attempt->request->router->settings->load.adaptive &&
+           attempt->target_started_wall_ms ==
+               attempt->target->report.started_wall_ms;
+}
+
+/* Records how long the target has worked until the head of its response. The
+ * transfer of the body depends on links and on the caller. */
+static void
+record_work(const struct rs_attempt *attempt, int64_t now_ms)
+{
+    const struct rs_request *request = attempt->request;
+    struct rs_fleet_target *target = attempt->target;
+    if (attempt->status >= STATUS_SERVER_ERROR || !is_learned_from(attempt)) {
+        return;
+    }
+    const struct rs_concurrency_sample sample =
+        make_sample(attempt,
+                    RsFleet_AnswerQueueingFactor(
+                        target, (uint32_t)attempt->queued_ahead, now_ms),
+                    now_ms);
+    RsRouter_RecordWork(request->router, target, request->route->name, &sample,
+                        now_ms);
+}
+
+/* Counts those requests as samples that their targets should have answered by
+ * now. They are replaced by the next call. Does nothing unless load.adaptive
+ * is set. */
+void
+RsRequest_RecordOverdue(struct rs_router *router, int64_t now_ms)
+{
+    const GPtrArray *list = router->fleet.list;
+    if (!router->settings->load.adaptive) {
+        return;
+    }
+    for (guint i = 0; i < list->len; i++) {
+        struct rs_fleet_target *target = g_ptr_array_index(list, i);
+        target->concurrency.overdue = (struct rs_concurrency_sums){0};
+    }
+    for (GList *link = router->active.head; link != NULL; link = link->next) {
+        const struct rs_request *request = link->data;
+        for (uint32_t i = 0; i < request->attempt_count; i++) {
+            const struct rs_attempt *attempt = &request->attempts[i];
+            if (attempt->exchange != NULL && attempt->status == 0 &&
+                is_learned_from(attempt)) {
+                const struct rs_concurrency_sample sample =
+                    make_sample(attempt,
+                                RsFleet_QueueingFactor(attempt->target,
+                                                       attempt->queued_ahead),
+                                now_ms);
+                RsRouter_RecordOverdueWork(router, attempt->target,
+                                           request->route->name, &sample);
+            }
+        }
+    }
+}
+
 /* Checks the head of a response and decides whether the response is forwarded.
  * The response to another request is skipped. One that says that the request
  * was not executed is handled at its end. An invalid response ends the
@@ -531,6 +610,7 @@
         return;
     }
     attempt->forwarded = true;
+    record_work(attempt, now_ms);
     RsReply_ForwardHead(attempt, head);
 }
 
@@ -573,27 +653,6 @@
     }
 }
 
-/* Records how long the target took to answer, to learn its speed. */
-static void
-record_work(const struct rs_attempt *attempt, double elapsed_ms,
-            int64_t now_ms)
-{
-    struct rs_request *request = attempt->request;
-    struct rs_fleet_target *target = attempt->target;
-    const struct rs_concurrency_sample sample = {
-        .elapsed_ms = elapsed_ms,
-        .queueing_factor = RsFleet_AnswerQueueingFactor(
-            target, (uint32_t)attempt->queued_ahead, now_ms),
-        .duration_percent = target->load_at_ms == now_ms
-                                ? target->load.duration_percent
-                                : RsReport_NORMAL_DURATION_PERCENT,
-    };
-    if (attempt->target_started_wall_ms == target->report.started_wall_ms) {
-        RsRouter_RecordWork(request->router, target, request->route->name,
-                            &sample, now_ms);
-    }
-}
-
 /* Handles the end of a complete response. */
 static void
 handle_response_end(struct rs_attempt *attempt, int64_t now_ms)
@@ -607,7 +666,6 @@
         if (attempt->status < STATUS_SERVER_ERROR) {
             RsFleet_RecordAnswer(attempt->target, elapsed_us / US_PER_MS,
                                  (uint32_t)attempt->queued_ahead, now_ms);
-            record_work(attempt, elapsed_us / US_PER_MS, now_ms);
         }
         RsReply_Complete(attempt);
         return;
--- a/router/load.c
+++ b/router/load.c
@@ -157,6 +157,25 @@
     return MIN(share * share, 1.0);
 }
 
+/* Returns up to how many requests may be outstanding at a target whose speed
+ * is learned, for requests with this latency target. `work_ms` is the work of
+ * a request at a target of factor 1, 0 for the service's mean. */
+double
+RsLoad_ConcurrencyLimit(const struct rs_fleet_target *target, double work_ms,
+                        double latency_target_ms)
+{
+    double service_ms = RsLoad_ServiceMs(target);
+    const struct rs_concurrency_input limit = {
+        .slots = target->report.slots,
+        .service_ms = service_ms,
+        .work_ms = work_ms > 0 && target->concurrency.factor > 0
+                       ? work_ms * target->concurrency.factor
+                       : service_ms,
+        .latency_target_ms = latency_target_ms,
+    };
+    return RsConcurrency_Limit(&limit);
+}
+
 /* Returns up to how many requests may be outstanding at the target, for the
  * request to be sent there. */
 static double
@@ -167,16 +186,9 @@
     if (input->latency_target_ms <= 0) {
         return target->report.slots + MAX_QUEUED + uncertain;
     }
-    double service_ms = RsLoad_ServiceMs(target);
-    const struct rs_concurrency_input limit = {
-        .slots = target->report.slots,
-        .service_ms = service_ms,
-        .work_ms = input->work_ms > 0 && target->concurrency.factor > 0
-                       ? input->work_ms * target->concurrency.factor
-                       : service_ms,
-        .latency_target_ms = input->latency_target_ms,
-    };
-    return RsConcurrency_Limit(&limit) + uncertain;
+    return RsLoad_ConcurrencyLimit(target, input->work_ms,
+                                   input->latency_target_ms) +
+           uncertain;
 }
 
 /* Returns whether the target has room for one more request. A target that
--- a/router/load.h
+++ b/router/load.h
@@ -65,6 +65,8 @@
                            double latency_target_ms);
 double RsLoad_ExpectedLatencyMs(const struct rs_fleet_target *target,
                                 int64_t now_ms);
+double RsLoad_ConcurrencyLimit(const struct rs_fleet_target *target,
+                               double work_ms, double latency_target_ms);
 bool RsLoad_HasRoom(const struct rs_fleet_target *target,
                     const struct rs_load_choice_input *input, int64_t now_ms);
 bool RsLoad_Admit(struct rs_fleet_target *target, int64_t now_ms);
--- a/router/metrics.c
+++ b/router/metrics.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 
 #include "core/clock.h"
+#include "router/owners.h"
 
 static void
 print_counter(struct rs_text_buffer *text, const char *name, const char *help,
@@ -39,6 +40,9 @@
     print_counter(text, "rattanshed_repeats_total",
                   "Sends beyond the first of a request.",
                   &router->extra_attempts);
+    print_counter(text, "rattanshed_target_speed_changes_total",
+                  "Logged changes of the learned speed of targets.",
+                  &router->speed_changes);
     const struct rs_notice_counters *notices = &sources->router->notices;
     print_counter(text, "rattanshed_targets_leaving_total",
                   "Targets that said in an answer that they leave.",
@@ -82,6 +86,20 @@
                   &sources->orders->failed);
 }
 
+/* Returns how many requests of the route with the lowest latency target may be
+ * outstanding at the target; 0 if its speed is not learned. */
+static double
+concurrency_limit(const struct rs_router *router,
+                  const struct rs_fleet_target *target)
+{
+    if (router->config == NULL || target->concurrency.service_ms <= 0) {
+        return 0;
+    }
+    return RsLoad_ConcurrencyLimit(
+        target, 0,
+        RsOwners_LatencyTargetMs(router->config, target->report.service));
+}
+
 static void
 print_targets(struct rs_text_buffer *text, const struct rs_router *router,
               int64_t now_ms)
@@ -97,13 +115,18 @@
             "%s{\"id\":\"%s\",\"service\":\"%s\",\"zone\":\"%s\","
             "\"listed\":%s,\"may_take_work\":%s,\"in_flight\":%u,"
             "\"ahead\":%.1f,\"service_ms\":%.1f,\"failures\":%u,"
-            "\"limit_per_s\":%.3f}",
+            "\"limit_per_s\":%.3f,\"speed_factor\":%.2f,"
+            "\"expected_work_ms\":%.1f,\"work_samples\":%.1f,"
+            "\"concurrency_limit\":%.0f}",
             comma, target->id, target->report.service, target->report.zone,
             target->listed ? "true" : "false",
             RsFleet_MayTakeWork(&router->fleet, target, now_ms) ? "true"
                                                                 : "false",
             target->in_flight, RsLoad_CountOutstanding(target, now_ms),
-            target->service_ms, target->failures, target->limit.per_s);
+            target->service_ms, target->failures, target->limit.per_s,
+            target->concurrency.factor, target->concurrency.service_ms,
+            target->concurrency.all.samples,
+            concurrency_limit(router, target));
         comma = ",";
     }
 }
--- a/router/owners.c
+++ b/router/owners.c
@@ -33,8 +33,8 @@
 
 /* Returns the lowest latency target of the routes to a service, in ms, or
  * INFINITY when there are none. */
-static double
-latency_target_ms(const struct rs_routing *config, const char *service)
+double
+RsOwners_LatencyTargetMs(const struct rs_routing *config, const char *service)
 {
     double lowest_ms = INFINITY;
     for (size_t i = 0; i < config->route_count; i++) {
@@ -139,7 +139,7 @@
 {
     const GPtrArray *list = planning->router->fleet.list;
     double latency_ms =
-        latency_target_ms(planning->router->config, service->name);
+        RsOwners_LatencyTargetMs(planning->router->config, service->name);
     bool spare_limited = can_spare_limited(planning, service, latency_ms);
     size_t count = 0;
     for (guint i = 0; i < list->len; i++) {
--- a/router/owners.h
+++ b/router/owners.h
@@ -9,6 +9,8 @@
 #include "router/reports.h"
 #include "router/router.h"
 
+double RsOwners_LatencyTargetMs(const struct rs_routing *config,
+                                const char *service);
 void RsOwners_Plan(struct rs_router *router, struct rs_granter *granter,
                    struct rs_reports *reports, int64_t now_ms);
 
--- a/router/peer.pb-c.c
+++ b/router/peer.pb-c.c
@@ -436,7 +436,7 @@
   (ProtobufCMessageInit) rs__peer__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__peer__target_load__field_descriptors[6] =
+static const ProtobufCFieldDescriptor rs__peer__target_load__field_descriptors[9] =
 {
   {
     "id",
@@ -510,6 +510,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "work_samples",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TargetLoad, work_samples),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_permille",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TargetLoad, work_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_process",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TargetLoad, work_process),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__target_load__field_indices_by_name[] = {
   5,   /* field[5] = closed_ms */
@@ -518,11 +554,14 @@
   1,   /* field[1] = in_flight */
   4,   /* field[4] = leaving_started_wall_ms */
   2,   /* field[2] = service_us */
+  7,   /* field[7] = work_permille */
+  8,   /* field[8] = work_process */
+  6,   /* field[6] = work_samples */
 };
 static const ProtobufCIntRange rs__peer__target_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor rs__peer__target_load__descriptor =
 {
@@ -532,7 +571,7 @@
   "Rs__Peer__TargetLoad",
   "rs.peer",
   sizeof(Rs__Peer__TargetLoad),
-  6,
+  9,
   rs__peer__target_load__field_descriptors,
   rs__peer__target_load__field_indices_by_name,
   1,  rs__peer__target_load__number_ranges,
--- a/router/peer.pb-c.h
+++ b/router/peer.pb-c.h
@@ -112,10 +112,27 @@
    * node, in ms.
    */
   uint32_t closed_ms;
+  /*
+   * How long the target's work takes relative to that of the others, see
+   * router/concurrency.h; set only with load.adaptive.
+   */
+  /*
+   * decayed number, in hundredths; 0: none
+   */
+  uint32_t work_samples;
+  /*
+   * mean of the samples
+   */
+  uint32_t work_permille;
+  /*
+   * The process of the target that the samples are of: the lower bits of the
+   * time of its start, in ms by the wall clock.
+   */
+  uint32_t work_process;
 };
 #define RS__PEER__TARGET_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__peer__target_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Rs__Peer__Report__ServiceKeys
--- a/router/reports.c
+++ b/router/reports.c
@@ -36,6 +36,11 @@
 #define LONG_WINDOW_MS 5000.0
 #define SHORT_WINDOW_WEIGHT 0.4F
 #define US_PER_MS 1000.0
+#define WORK_SAMPLE_UNITS 100.0
+#define PERMILLE 1000.0
+/* More samples of one target in the window of about a second are not
+ * plausible, so a larger number does not overflow the sums. */
+#define MAX_WORK_SAMPLES 1000000
 #define MAX_DATAGRAM_BYTES 60000
 /* Maximum number of requested keys that one report lists for a service, one
  * entry per request. */
@@ -43,11 +48,20 @@
 /* Maximum number of peers named in each response to a report. */
 #define NAMED_PEERS 4
 
+/* Samples of a target's relative work (router/concurrency.h). Integers, so
+ * that what was added to a sum can be subtracted again without a rest. */
+struct work {
+    uint32_t process; /* see router/peer.proto */
+    uint32_t samples; /* in hundredths */
+    uint64_t sum;     /* in permille of hundredths */
+};
+
 /* Load of a target, reported by one node or computed over all nodes. */
 struct load {
     uint32_t in_flight;
     uint32_t service_us;
     bool closed; /* the target wants no requests from the node */
+    struct work work;
 };
 
 /* What the granter knows of a node. */
@@ -67,6 +81,7 @@
     uint64_t service_us;   /* sum of the nodes' mean service times */
     uint32_t node_count;   /* nodes whose service times are in the sum */
     uint32_t closed_count; /* nodes from which it wants no requests */
+    struct work work;
 };
 
 /* Requests per second for each key of a service, as exponential moving
@@ -218,14 +233,55 @@
         totals->service_us -= load->service_us;
         totals->node_count -= load->service_us > 0;
         totals->closed_count -= load->closed;
+        if (load->work.process == totals->work.process) {
+            totals->work.samples -= load->work.samples;
+            totals->work.sum -= load->work.sum;
+        }
         if (totals->in_flight == 0 && totals->node_count == 0 &&
-            totals->closed_count == 0) {
+            totals->closed_count == 0 && totals->work.samples == 0) {
             g_hash_table_remove(reports->totals_by_target, id);
         }
     }
     g_hash_table_remove_all(node->loads);
 }
 
+/* Returns the number by which messages distinguish the target's present
+ * process from former ones; 0 if the target is not known. */
+static uint32_t
+process_of(const struct rs_reports *reports, const char *id)
+{
+    const struct rs_fleet_target *target =
+        RsFleet_Find(&reports->router->fleet, id);
+    return target != NULL ? (uint32_t)target->report.started_wall_ms : 0;
+}
+
+static struct work
+decode_work(const Rs__Peer__TargetLoad *item)
+{
+    uint32_t samples = MIN(item->work_samples, (uint32_t)MAX_WORK_SAMPLES);
+    return (struct work){item->work_process, samples,
+                         (uint64_t)samples * item->work_permille};
+}
+
+/* Adds the samples that a node reported of a target to the sums. Sums of a
+ * former process are discarded. Samples that are not of the present process
+ * are cleared in `work` and not added. */
+static void
+add_work(const struct rs_reports *reports, const char *id, struct work *work,
+         struct work *sums)
+{
+    uint32_t process = process_of(reports, id);
+    if (sums->process != process) {
+        *sums = (struct work){.process = process};
+    }
+    if (work->process != process) {
+        *work = (struct work){.process = work->process};
+        return;
+    }
+    sums->samples += work->samples;
+    sums->sum += work->sum;
+}
+
 /* Records the load that a node reported for a target, and adds it to the
  * totals. A target that is named again is ignored. */
 static void
@@ -250,6 +306,8 @@
     totals->service_us += load->service_us;
     totals->node_count += load->service_us > 0;
     totals->closed_count += load->closed;
+    load->work = decode_work(item);
+    add_work(reports, id, &load->work, &totals->work);
 }
 
 /* Returns from which share of the nodes, by their last reports, the target
@@ -463,6 +521,7 @@
         .service_us = totals->node_count > 0
                           ? (uint32_t)(totals->service_us / totals->node_count)
                           : 0,
+        .work = totals->work,
     };
 }
 
@@ -554,6 +613,15 @@
     if (totals->service_us > 0) {
         target->shared_service_ms = totals->service_us / US_PER_MS;
     }
+    const struct work *work = &totals->work;
+    if (reports->router->settings->load.adaptive && work->samples > 0 &&
+        work->process == (uint32_t)target->report.started_wall_ms) {
+        const struct rs_concurrency_sums sums = {
+            work->samples / WORK_SAMPLE_UNITS,
+            (double)work->sum / WORK_SAMPLE_UNITS / PERMILLE,
+        };
+        RsConcurrency_SetSums(&target->concurrency, &sums, now_ms);
+    }
 }
 
 /* Returns the requests per second for the keys of a target if they exceed its
@@ -566,8 +634,31 @@
     return target != NULL ? (float)target->demand_per_s : 0;
 }
 
-/* Fills `loads` with the totals of all targets that have requests in flight.
- * Returns their number. */
+static void
+encode_work(const struct work *work, Rs__Peer__TargetLoad *item)
+{
+    if (work->samples > 0) {
+        item->work_samples = work->samples;
+        item->work_permille = (uint32_t)(work->sum / work->samples);
+        item->work_process = work->process;
+    }
+}
+
+/* Returns what this node reports of a target's relative work. */
+static struct work
+own_work(const struct rs_fleet_target *target)
+{
+    struct rs_concurrency_sums sums =
+        RsConcurrency_Reported(&target->concurrency);
+    return (struct work){
+        (uint32_t)target->report.started_wall_ms,
+        (uint32_t)(sums.samples * WORK_SAMPLE_UNITS),
+        (uint64_t)(sums.relative_work * WORK_SAMPLE_UNITS * PERMILLE),
+    };
+}
+
+/* Fills `loads` with the totals of all targets that have requests in flight or
+ * samples of their work. Returns their number. */
 static size_t
 list_totals(struct rs_reports *reports, Rs__Peer__TargetLoad *loads)
 {
@@ -578,13 +669,14 @@
     g_hash_table_iter_init(&iter, reports->totals_by_target);
     while (g_hash_table_iter_next(&iter, &id, &value)) {
         const struct totals *totals = value;
-        if (totals->in_flight > 0) {
+        if (totals->in_flight > 0 || totals->work.samples > 0) {
             struct load overall = overall_load(totals);
             rs__peer__target_load__init(&loads[count]);
             loads[count].id = id;
             loads[count].in_flight = overall.in_flight;
             loads[count].service_us = overall.service_us;
             loads[count].demand_per_s = find_demand(reports, id);
+            encode_work(&overall.work, &loads[count]);
             loads[count].leaving_started_wall_ms = leaving_started_wall_ms(
                 RsFleet_Find(&reports->router->fleet, id));
             count++;
@@ -607,6 +699,7 @@
         struct load overall = overall_load(value);
         set_remote_load(reports, id, &overall, now_ms);
     }
+    RsRouter_RefreshConcurrency(reports->router, now_ms);
 }
 
 /* Returns the number of nodes that route requests. A new granter has received
@@ -724,7 +817,8 @@
         const Rs__Peer__TargetLoad *item = summary->targets[i];
         const char *id = g_intern_string(item->id);
         const struct load totals = {.in_flight = item->in_flight,
-                                    .service_us = item->service_us};
+                                    .service_us = item->service_us,
+                                    .work = decode_work(item)};
         record_leaving(reports, item, now_ms);
         set_remote_load(reports, id, &totals, now_ms);
         struct rs_fleet_target *target = RsFleet_Find(&router->fleet, id);
@@ -733,6 +827,7 @@
             target->demand_at_ms = now_ms;
         }
     }
+    RsRouter_RefreshConcurrency(router, now_ms);
 }
 
 /* Distinguishes reports from summaries by the first byte, the tag of the first
@@ -838,6 +933,8 @@
         loads[count].service_us =
             target->answers > 0 ? (uint32_t)(target->service_ms * US_PER_MS)
                                 : 0;
+        struct work work = own_work(target);
+        encode_work(&work, &loads[count]);
         loads[count].leaving_started_wall_ms = leaving_started_wall_ms(target);
         loads[count].closed_ms =
             closed ? (uint32_t)(target->closed_until_ms - now_ms) : 0;
@@ -889,6 +986,7 @@
                int64_t now_ms)
 {
     RsRouter_RefreshConcurrency(reports->router, now_ms);
+    RsRequest_RecordOverdue(reports->router, now_ms);
     guint targets = g_hash_table_size(reports->router->fleet.targets);
     guint services = g_hash_table_size(reports->router->requested_keys);
     Rs__Peer__TargetLoad *loads = g_new0(Rs__Peer__TargetLoad, targets + 1);
--- a/router/router.c
+++ b/router/router.c
@@ -115,12 +115,14 @@
 }
 
 static void
-log_factor(struct rs_fleet_target *target, int64_t now_ms)
+log_factor(struct rs_router *router, struct rs_fleet_target *target,
+           int64_t now_ms)
 {
     char factor[G_ASCII_DTOSTR_BUF_SIZE];
     if (!RsConcurrency_IsNews(&target->concurrency, now_ms)) {
         return;
     }
+    RsCounter_Add(&router->counters.speed_changes, 1);
     g_ascii_formatd(factor, sizeof(factor), "%.2f",
                     target->concurrency.factor);
     RsLog_EVENT(RsLog_INFO, "target_speed", RsLog_TEXT("target", target->id),
@@ -141,18 +143,27 @@
                                     g_intern_string(route));
 }
 
-/* Records the answer to a request of a route that took `elapsed_ms`. Does
- * nothing unless load.adaptive is set. */
+/* Records the work of a target for a request of a route, see
+ * RsConcurrency_Record(). */
 void
 RsRouter_RecordWork(struct rs_router *router, struct rs_fleet_target *target,
                     const char *route,
                     const struct rs_concurrency_sample *sample, int64_t now_ms)
 {
-    if (router->settings->load.adaptive) {
-        RsConcurrency_Record(&target->concurrency,
-                             concurrency_of(router, target),
-                             g_intern_string(route), sample, now_ms);
-    }
+    RsConcurrency_Record(&target->concurrency, concurrency_of(router, target),
+                         g_intern_string(route), sample, now_ms);
+}
+
+/* Records that a request of a route has not been answered yet, see
+ * RsConcurrency_RecordOverdue(). */
+void
+RsRouter_RecordOverdueWork(struct rs_router *router,
+                           struct rs_fleet_target *target, const char *route,
+                           const struct rs_concurrency_sample *sample)
+{
+    RsConcurrency_RecordOverdue(&target->concurrency,
+                                concurrency_of(router, target),
+                                g_intern_string(route), sample);
 }
 
 /* Derives the expected work at each target from the samples known by now. Does
@@ -182,7 +193,7 @@
         struct rs_fleet_target *target = g_ptr_array_index(list, i);
         RsConcurrency_Refresh(&target->concurrency,
                               concurrency_of(router, target));
-        log_factor(target, now_ms);
+        log_factor(router, target, now_ms);
     }
 }
 
--- a/router/router.h
+++ b/router/router.h
@@ -38,6 +38,7 @@
     struct rs_counter attempts;
     /* Retries and hedged attempts that the retry budget allowed. */
     struct rs_counter extra_attempts;
+    struct rs_counter speed_changes; /* logged changes of targets' factors */
     struct rs_histogram latency_us;
     struct rs_histogram attempt_us;
 };
@@ -100,12 +101,17 @@
                          struct rs_fleet_target *target, const char *route,
                          const struct rs_concurrency_sample *sample,
                          int64_t now_ms);
+void RsRouter_RecordOverdueWork(struct rs_router *router,
+                                struct rs_fleet_target *target,
+                                const char *route,
+                                const struct rs_concurrency_sample *sample);
 void RsRouter_RefreshConcurrency(struct rs_router *router, int64_t now_ms);
 void RsRouter_RecordKeyUse(struct rs_router *router, const char *service,
                            uint32_t key);
 
 /* Implemented in router/request.c. */
 void RsRequest_Begin(void *router, h2o_req_t *http);
+void RsRequest_RecordOverdue(struct rs_router *router, int64_t now_ms);
 void RsRequest_RetryWaiting(struct rs_router *router, int64_t now_ms);
 void RsRequest_Tick(struct rs_router *router, int64_t now_ms);
 void RsRequest_EndAbandoned(struct rs_router *router);
