--- a/router/reports.c
+++ b/router/reports.c
@@ -41,6 +41,12 @@
 /* More samples of one target in the window of about a second are not
  * plausible, so a larger number does not overflow the sums. */
 #define MAX_WORK_SAMPLES 1000000
+/* A summary tells the samples of about this many targets at most, 11 bytes
+ * each, so that it stays within its share of a node's 13 KB/s and below
+ * MAX_DATAGRAM_BYTES. Nodes keep what they were told before. */
+#define MAX_WORK_TARGETS 200
+/* Older samples are not reported; one sample is reported for 3 s. */
+#define MIN_REPORTED_SAMPLES 0.05
 #define MAX_DATAGRAM_BYTES 60000
 /* Maximum number of requested keys that one report lists for a service, one
  * entry per request. */
@@ -650,6 +656,9 @@
 {
     struct rs_concurrency_sums sums =
         RsConcurrency_Reported(&target->concurrency);
+    if (sums.samples < MIN_REPORTED_SAMPLES) {
+        return (struct work){0};
+    }
     return (struct work){
         (uint32_t)target->report.started_wall_ms,
         (uint32_t)(sums.samples * WORK_SAMPLE_UNITS),
@@ -658,7 +667,8 @@
 }
 
 /* Fills `loads` with the totals of all targets that have requests in flight or
- * samples of their work. Returns their number. */
+ * samples of their work; of many targets, a random part of the samples.
+ * Returns their number. */
 static size_t
 list_totals(struct rs_reports *reports, Rs__Peer__TargetLoad *loads)
 {
@@ -666,17 +676,23 @@
     gpointer id;
     gpointer value;
     size_t count = 0;
+    int work_parts = 1 + (int)g_hash_table_size(reports->totals_by_target) /
+                             MAX_WORK_TARGETS;
     g_hash_table_iter_init(&iter, reports->totals_by_target);
     while (g_hash_table_iter_next(&iter, &id, &value)) {
         const struct totals *totals = value;
-        if (totals->in_flight > 0 || totals->work.samples > 0) {
+        bool has_work =
+            totals->work.samples > 0 && g_random_int_range(0, work_parts) == 0;
+        if (totals->in_flight > 0 || has_work) {
             struct load overall = overall_load(totals);
             rs__peer__target_load__init(&loads[count]);
             loads[count].id = id;
             loads[count].in_flight = overall.in_flight;
             loads[count].service_us = overall.service_us;
             loads[count].demand_per_s = find_demand(reports, id);
-            encode_work(&overall.work, &loads[count]);
+            if (has_work) {
+                encode_work(&overall.work, &loads[count]);
+            }
             loads[count].leaving_started_wall_ms = leaving_started_wall_ms(
                 RsFleet_Find(&reports->router->fleet, id));
             count++;
