--- a/router/load.c
+++ b/router/load.c
@@ -10,9 +10,9 @@
 /* A load reported by a target with an answer is valid for this long only,
  * since it changes many times a second. */
 #define MAX_LOAD_AGE_MS 400
-/* A target has room while fewer requests than this, of the 8 that fit, are
- * estimated to wait there. A target refuses its waiting requests when their
- * keys move; those that wait at a node are kept. */
+/* Without load.adaptive, a target has room while fewer requests than this, of
+ * the 8 that fit, are estimated to wait there. A target refuses its waiting
+ * requests when their keys move; those that wait at a node are kept. */
 #define MAX_QUEUED 2
 /* Up to this many further requests may wait when the known queue length is out
  * of date. */
@@ -38,6 +38,10 @@
  * target whose service time is near or above the latency target; such a target
  * still gets some requests, since its speed may change. */
 #define MIN_CAPACITY_SHARE 0.1
+/* The same if the service time is learned (router/concurrency.h). With 0.1,
+ * fast targets get so many keys of the slow ones that fewer answers arrive in
+ * time than with equal shares (docs/design/concurrency.md). */
+#define MIN_LEARNED_CAPACITY_SHARE 0.7
 /* With fewer own samples, the mean service time of all nodes is better. */
 #define MIN_OWN_SAMPLES 8
 #define MS_PER_S 1000
@@ -89,11 +93,15 @@
 }
 
 /* Returns the estimated time that the target takes for one request without
- * queueing, in ms: the average of this node or, while it has few samples, the
- * mean of all nodes if known. */
+ * queueing, in ms: the learned one (router/concurrency.h) if there is any,
+ * else the average of this node or, while it has few samples, the mean of all
+ * nodes if known. */
 double
 RsLoad_ServiceMs(const struct rs_fleet_target *target)
 {
+    if (target->concurrency.service_ms > 0) {
+        return target->concurrency.service_ms;
+    }
     if (target->shared_service_ms > 0 && target->answers < MIN_OWN_SAMPLES) {
         return target->shared_service_ms;
     }
@@ -104,15 +112,19 @@
  * answers meet the latency target. At equal utilization, the queueing time is
  * the same multiple of the service time at each target, so a slow target must
  * be utilized less to answer as early as a fast one. For targets that can't
- * meet the latency target, MIN_CAPACITY_SHARE applies. */
+ * meet the latency target, MIN_CAPACITY_SHARE applies, or
+ * MIN_LEARNED_CAPACITY_SHARE. */
 double
 RsLoad_CapacityPerS(const struct rs_fleet_target *target,
                     double latency_target_ms)
 {
     double service_ms = RsLoad_ServiceMs(target);
     double share = 1 - service_ms / latency_target_ms;
+    double min_share = target->concurrency.service_ms > 0
+                           ? MIN_LEARNED_CAPACITY_SHARE
+                           : MIN_CAPACITY_SHARE;
     return MS_PER_S * target->report.slots / service_ms *
-           MAX(share, MIN_CAPACITY_SHARE);
+           MAX(share, min_share);
 }
 
 /* Returns the expected time until the answer to a request sent now, in ms. */
@@ -139,6 +151,40 @@
     return MIN(share * share, 1.0);
 }
 
+/* Returns up to how many requests may be outstanding at a target whose speed
+ * is learned, for requests with this latency target. `work_ms` is the work of
+ * a request at a target of factor 1, 0 for the service's mean. */
+double
+RsLoad_ConcurrencyLimit(const struct rs_fleet_target *target, double work_ms,
+                        double latency_target_ms)
+{
+    double service_ms = RsLoad_ServiceMs(target);
+    const struct rs_concurrency_input limit = {
+        .slots = target->report.slots,
+        .service_ms = service_ms,
+        .work_ms = work_ms > 0 && target->concurrency.factor > 0
+                       ? work_ms * target->concurrency.factor
+                       : service_ms,
+        .latency_target_ms = latency_target_ms,
+    };
+    return RsConcurrency_Limit(&limit);
+}
+
+/* Returns up to how many requests may be outstanding at the target, for the
+ * request to be sent there. */
+static double
+max_outstanding(const struct rs_fleet_target *target,
+                const struct rs_load_choice_input *input)
+{
+    double uncertain = MAX_QUEUED_UNCERTAIN * (1 - load_confidence(input));
+    if (input->latency_target_ms <= 0) {
+        return target->report.slots + MAX_QUEUED + uncertain;
+    }
+    return RsLoad_ConcurrencyLimit(target, input->work_ms,
+                                   input->latency_target_ms) +
+           uncertain;
+}
+
 /* Returns whether the target has room for one more request. A target that
  * refused a request for lack of room has none for a while. Where the sums are
  * out of date, the target knows its own queue best, so it is sent more
@@ -147,10 +193,8 @@
 RsLoad_HasRoom(const struct rs_fleet_target *target,
                const struct rs_load_choice_input *input, int64_t now_ms)
 {
-    double room =
-        MAX_QUEUED + MAX_QUEUED_UNCERTAIN * (1 - load_confidence(input));
     return RsLoad_CountOutstanding(target, now_ms) <
-               target->report.slots + room &&
+               max_outstanding(target, input) &&
            now_ms >= target->full_until_ms;
 }
 
