Serve workspaces better while the granter is lost

The rates are averages over 3 s now, a lost node begins with a bucket of 0.4 s of its rate and its part of a quarter of the slack, and a request waits up to 500 ms while no granter answers.

--- a/router/quota.c
+++ b/router/quota.c
@@ -12,10 +12,12 @@
 /* A node with own rates sends a request at least this often, so that the
  * ledger knows that the node doesn't use them. */
 #define KEEPALIVE_MS 250
-/* Tokens by the own rate may last longer than granted ones, up to MAX_MORE_MS,
- * if all of them together take at most this share of the operator's slack. */
-#define OWN_SHARE 0.15
-#define MAX_MORE_MS 600
+/* The bucket of a lost node holds its own rate for OWN_BURST_S, and its part
+ * of OWN_SHARE of the operator's slack. It has not been served for longer than
+ * OWN_BURST_S when it begins with a full one, as its last tokens have expired
+ * before RsQuota_LOST_MS. */
+#define OWN_BURST_S 0.4
+#define OWN_SHARE 0.25
 /* A node holds the tokens for this long ahead. For fewer than MIN_AHEAD tokens
  * nothing is held: most of them would expire unspent. */
 #define AHEAD_S 0.3
@@ -53,8 +55,9 @@
     int64_t line_until_ms; /* end of the line of refused callers */
     int64_t line_growth_ms;
     double own_rate;
-    int64_t next_own_at_ms; /* 0: the own rate is not used */
-    bool listed;            /* in quota->active */
+    double own_level;         /* tokens by the own rate */
+    int64_t own_filled_at_ms; /* 0: the own rate is not used */
+    bool listed;              /* in quota->active */
 };
 
 struct sent {
@@ -266,50 +269,69 @@
            exp(-(double)(now_ms - purse->demand_at_ms) / DEMAND_WINDOW_MS);
 }
 
-/* Returns how long a token by the own rate is valid. The nodes of a small
- * workspace have one or two of them a second; if each lasted RsQuota_TOKEN_MS
- * only, half of the requests would come between two tokens. */
-static int64_t
-own_token_ms(const struct rs_quota *quota, const struct purse *purse)
-{
-    double more_ms = quota->slack * OWN_SHARE / purse->per_s * MS_PER_S;
-    return RsQuota_TOKEN_MS + (int64_t)MIN(more_ms, MAX_MORE_MS);
-}
-
-/* Adds tokens by the own rate while the granter is lost. They come at fixed
- * times and expire like granted ones: with a burst, many nodes with a small
- * rate each could send at once. The first comes at a random time, so that the
- * nodes' tokens are spread. */
+/* Adds tokens by the own rate while the granter is lost. */
 static void
-add_own_tokens(struct rs_quota *quota, struct purse *purse, int64_t now_ms)
+fill_own_bucket(const struct rs_quota *quota, struct purse *purse,
+                int64_t now_ms)
 {
     int64_t lost_ms = now_ms - quota->answered_at_ms;
     double per_s = purse->own_rate;
     if (lost_ms < RsQuota_LOST_MS) {
-        purse->next_own_at_ms = 0;
+        purse->own_filled_at_ms = 0;
+        purse->own_level = 0;
         return;
     }
     if (lost_ms >= RsQuota_FULL_RATE_MS) {
         per_s = MIN(per_s, purse->per_s / quota->nodes);
     }
-    if (per_s <= 0) {
-        return;
-    }
-    double interval_ms = MS_PER_S / per_s;
-    int64_t valid_ms = own_token_ms(quota, purse);
-    if (purse->next_own_at_ms == 0) {
-        purse->next_own_at_ms =
-            now_ms + 1 + (int64_t)(g_rand_double(quota->random) * interval_ms);
+    double depth =
+        per_s * (OWN_BURST_S + quota->slack * OWN_SHARE / purse->per_s);
+    if (purse->own_filled_at_ms == 0) {
+        purse->own_level = depth;
     }
-    if (now_ms - purse->next_own_at_ms > valid_ms) {
-        double missed = floor(
-            (double)(now_ms - valid_ms - purse->next_own_at_ms) / interval_ms);
-        purse->next_own_at_ms += (int64_t)ceil(missed * interval_ms);
+    else {
+        purse->own_level +=
+            per_s * (double)(now_ms - purse->own_filled_at_ms) / MS_PER_S;
+        purse->own_level = MIN(purse->own_level, MAX(depth, 1));
     }
-    while (purse->next_own_at_ms <= now_ms) {
-        add_tokens(purse, 1, purse->next_own_at_ms + valid_ms);
-        purse->next_own_at_ms += (int64_t)ceil(interval_ms);
+    purse->own_filled_at_ms = now_ms;
+}
+
+/* Takes a token of the node's batches or of its own bucket. Returns its end,
+ * or 0 if there is none. */
+static int64_t
+take_any_token(const struct rs_quota *quota, struct purse *purse,
+               int64_t now_ms)
+{
+    int64_t until_ms = take_token(purse, now_ms);
+    fill_own_bucket(quota, purse, now_ms);
+    if (until_ms == 0 && purse->own_level >= 1) {
+        purse->own_level--;
+        until_ms = now_ms + RsQuota_TOKEN_MS;
     }
+    return until_ms;
+}
+
+/* Returns whether the ledger is late with its answer. */
+static bool
+is_silent(const struct rs_quota *quota, int64_t now_ms)
+{
+    return now_ms - quota->answered_at_ms > KEEPALIVE_MS + RsQuota_MAX_RTT_MS;
+}
+
+/* Returns whether more requests wait already than there will be tokens for. */
+static bool
+is_line_full(const struct rs_quota *quota, const struct purse *purse,
+             int64_t now_ms)
+{
+    if (is_silent(quota, now_ms)) {
+        return purse->waiting >= MIN_WAITING + purse->own_rate *
+                                                   RsQuota_SILENT_WAIT_MS /
+                                                   MS_PER_S;
+    }
+    return purse->line_until_ms > now_ms &&
+           purse->waiting >=
+               MIN_WAITING + purse->per_s * RsQuota_WAIT_MS / MS_PER_S;
 }
 
 /* Takes a token for a request, or lets the request wait for one. Call it again
@@ -338,18 +360,16 @@
     if (claim->wait_until_ms == 0) {
         purse->demand = demand_now(purse, now_ms) + 1;
         purse->demand_at_ms = now_ms;
-        claim->wait_until_ms = now_ms + RsQuota_WAIT_MS;
+        claim->wait_until_ms =
+            now_ms + (is_silent(quota, now_ms) ? RsQuota_SILENT_WAIT_MS
+                                               : RsQuota_WAIT_MS);
     }
-    add_own_tokens(quota, purse, now_ms);
-    claim->token_until_ms = take_token(purse, now_ms);
+    claim->token_until_ms = take_any_token(quota, purse, now_ms);
     if (claim->token_until_ms > 0) {
         RsQuota_StopWaiting(quota, claim);
         return RsQuota_TAKEN;
     }
-    /* The ledger has no more than this for all requests that wait. */
-    bool is_full = !claim->waiting && purse->line_until_ms > now_ms &&
-                   purse->waiting >=
-                       MIN_WAITING + purse->per_s * RsQuota_WAIT_MS / MS_PER_S;
+    bool is_full = !claim->waiting && is_line_full(quota, purse, now_ms);
     if (now_ms >= claim->wait_until_ms || is_full) {
         RsQuota_StopWaiting(quota, claim);
         return RsQuota_IsLost(quota, now_ms) ? RsQuota_UNKNOWN : RsQuota_OVER;
--- a/router/quota.h
+++ b/router/quota.h
@@ -26,8 +26,14 @@
  * for the time between spending a token and the arrival at the target. */
 #define RsQuota_TOKEN_MS 400
 #define RsQuota_ARRIVAL_MS 100
-/* A request waits for a token for at most this long. */
+/* A request waits for a token for at most this long, while the granter
+ * answers.
+ */
 #define RsQuota_WAIT_MS 150
+/* While the granter does not answer, it waits for longer: the time until the
+ * node counts as lost is over then, and tokens of a small own rate come less
+ * often than others. */
+#define RsQuota_SILENT_WAIT_MS 500
 /* A node without an answer for this long, counted from the sending of the last
  * request that was answered, uses its own rates. */
 #define RsQuota_LOST_MS 1000
@@ -43,7 +49,7 @@
  * rate. */
 #define RsQuota_IDLE_MS 10000
 /* Time constant of the moving averages that become the nodes' own rates. */
-#define RsQuota_RATE_WINDOW_MS 10000.0
+#define RsQuota_RATE_WINDOW_MS 3000.0
 /* Longest line of refused callers. Few callers come back after so long. */
 #define RsQuota_MAX_DEBT_MS 60000
 /* Callers honour Retry-After up to this part of the time they have left. Those
