Keep the granter from crashing on loads of zero

A node reports a target that said it leaves, also without requests or answers there. When two nodes did so and one stopped, the totals of the target were removed as they were zero, and the other node's next report subtracted from totals that no longer existed. Totals are now kept while they include any load.

Tests of the room and capacity by a learned speed are added to load_test.c, and one that a node's further report replaces its former one.

--- a/router/load_test.c
+++ b/router/load_test.c
@@ -93,6 +93,65 @@
     close_scenario(&scenario);
 }
 
+/* Returns how many requests of this node a target takes. */
+static uint32_t
+room_of(struct rs_fleet_target *target,
+        const struct rs_load_choice_input *input)
+{
+    target->in_flight = 0;
+    while (RsLoad_HasRoom(target, input, NOW_MS)) {
+        target->in_flight++;
+    }
+    return target->in_flight;
+}
+
+/* A target of six slots must not turn away what it can answer in time, and one
+ * of two slots must not let requests wait that come late. Without a learned
+ * speed and without the setting all is as before. */
+static void
+test_room_follows_from_learned_speed(void)
+{
+    struct scenario scenario;
+    open_scenario(&scenario, 0);
+    struct rs_load_choice_input input = scenario.choice;
+    struct rs_fleet_target *large = scenario.targets[0];
+    struct rs_fleet_target *small = scenario.targets[1];
+    large->report.slots = 6;
+    CU_ASSERT_EQUAL(room_of(large, &input), 8);
+    CU_ASSERT_EQUAL(room_of(small, &input), 4);
+    large->concurrency.service_ms = 285;
+    small->concurrency.service_ms = 366;
+    CU_ASSERT_EQUAL(room_of(large, &input), 8);
+    CU_ASSERT_EQUAL(room_of(small, &input), 4);
+    input.latency_target_ms = 800;
+    CU_ASSERT_TRUE(room_of(large, &input) >= 6 + 4);
+    input.latency_target_ms = 500;
+    CU_ASSERT_EQUAL(room_of(small, &input), 2);
+    /* A request with three times the mean work has less time to wait. */
+    large->concurrency.factor = 1;
+    input.latency_target_ms = 1000;
+    input.work_ms = 900;
+    CU_ASSERT_EQUAL(room_of(large, &input), 6 + 2);
+    close_scenario(&scenario);
+}
+
+/* A slow target must get fewer keys than a fast one, but not so few that the
+ * fast ones are overloaded in its place. */
+static void
+test_learned_capacity_has_a_lower_bound(void)
+{
+    struct scenario scenario;
+    open_scenario(&scenario, 0);
+    struct rs_fleet_target *slow = scenario.targets[0];
+    struct rs_fleet_target *fast = scenario.targets[1];
+    slow->concurrency.service_ms = 400;
+    fast->concurrency.service_ms = 200;
+    CU_ASSERT_DOUBLE_EQUAL(RsLoad_CapacityPerS(fast, 500),
+                           2 * RsLoad_CapacityPerS(slow, 500), 0.1);
+    CU_ASSERT_TRUE(RsLoad_CapacityPerS(fast, 500) < 2 * 1000 / 200.0);
+    close_scenario(&scenario);
+}
+
 /* With a latency target of 400 ms, the capacity of a target with a service
  * time of 200 ms is half of the rate that it can run, and with 50 ms it is
  * seven eighths. */
@@ -377,6 +436,8 @@
     CU_ADD_TEST(suite,
                 test_outstanding_requests_are_estimated_from_recent_data);
     CU_ADD_TEST(suite, test_faster_target_is_chosen);
+    CU_ADD_TEST(suite, test_room_follows_from_learned_speed);
+    CU_ADD_TEST(suite, test_learned_capacity_has_a_lower_bound);
     CU_ADD_TEST(suite, test_capacity_falls_faster_than_the_speed_of_a_target);
     CU_ADD_TEST(suite, test_own_zone_is_preferred_among_equals);
     CU_ADD_TEST(suite, test_full_and_unusable_targets_are_distinguished);
--- a/router/reports.c
+++ b/router/reports.c
@@ -87,6 +87,7 @@
     uint64_t service_us;   /* sum of the nodes' mean service times */
     uint32_t node_count;   /* nodes whose service times are in the sum */
     uint32_t closed_count; /* nodes from which it wants no requests */
+    uint32_t load_count;   /* loads of nodes that are included, also of zero */
     struct work work;
 };
 
@@ -243,8 +244,8 @@
             totals->work.samples -= load->work.samples;
             totals->work.sum -= load->work.sum;
         }
-        if (totals->in_flight == 0 && totals->node_count == 0 &&
-            totals->closed_count == 0 && totals->work.samples == 0) {
+        totals->load_count--;
+        if (totals->load_count == 0) {
             g_hash_table_remove(reports->totals_by_target, id);
         }
     }
@@ -312,6 +313,7 @@
     totals->service_us += load->service_us;
     totals->node_count += load->service_us > 0;
     totals->closed_count += load->closed;
+    totals->load_count++;
     load->work = decode_work(item);
     add_work(reports, id, &load->work, &totals->work);
 }
--- a/router/reports_test.c
+++ b/router/reports_test.c
@@ -166,6 +166,11 @@
     report_to(2, GRANTER);
     CU_ASSERT_DOUBLE_EQUAL(target_at(&nodes[2], 1)->concurrency.all.samples,
                            2 * samples, 0.2 * samples);
+    /* A further report replaces the node's former one. */
+    report_to(1, GRANTER);
+    report_to(2, GRANTER);
+    CU_ASSERT_DOUBLE_EQUAL(target_at(&nodes[2], 1)->concurrency.all.samples,
+                           2 * samples, 0.4 * samples);
 }
 
 /* A lost report must not lose samples: the next one contains them. */
@@ -259,6 +264,25 @@
         0.2 * own);
 }
 
+/* A node that restarted reports a target that leaves without requests or
+ * answers, so that its load is zero. The granter crashed when two nodes did
+ * so, one stopped, and the other reported again, with and without
+ * load.adaptive. */
+static void
+test_loads_of_zero_from_two_nodes(void)
+{
+    set_up(false);
+    for (uint32_t i = 1; i < NODES; i++) {
+        RsFleet_RecordLeaving(target_at(&nodes[i], SLOW), 1, start_ms);
+    }
+    report_to(1, GRANTER);
+    report_to(2, GRANTER);
+    target_at(&nodes[1], SLOW)->said_leaving_at_ms = 0;
+    report_to(1, GRANTER);
+    report_to(2, GRANTER);
+    CU_ASSERT_TRUE(target_at(&nodes[GRANTER], SLOW)->said_leaving_at_ms > 0);
+}
+
 /* Without load.adaptive nothing may be learned from the messages of nodes that
  * have it. */
 static void
@@ -287,6 +311,7 @@
     CU_ADD_TEST(suite, test_node_alone_uses_its_own_samples);
     CU_ADD_TEST(suite, test_former_process_is_forgotten);
     CU_ADD_TEST(suite, test_processes_are_not_mixed);
+    CU_ADD_TEST(suite, test_loads_of_zero_from_two_nodes);
     CU_ADD_TEST(suite, test_off_ignores_sums);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
