--- a/router/quota_measure.c
+++ b/router/quota_measure.c
@@ -7,6 +7,7 @@
 
 #include "core/clock.h"
 #include "core/log.h"
+#include "router/peer.pb-c.h"
 #include "router/quota_ledger.h"
 
 #define WORKSPACES 100000
@@ -147,6 +148,45 @@
     RsQuota_Free(quota);
 }
 
+/* Prints the size of messages with workspaces whose names have 16 bytes. */
+static void
+measure_bytes(uint32_t count)
+{
+    Rs__Peer__QuotaRequest request = RS__PEER__QUOTA_REQUEST__INIT;
+    Rs__Peer__QuotaRequest__Need need = RS__PEER__QUOTA_REQUEST__NEED__INIT;
+    Rs__Peer__QuotaGrant grant = RS__PEER__QUOTA_GRANT__INIT;
+    Rs__Peer__QuotaGrant__Item item = RS__PEER__QUOTA_GRANT__ITEM__INIT;
+    Rs__Peer__QuotaRequest__Need **needs =
+        g_new(Rs__Peer__QuotaRequest__Need *, count);
+    Rs__Peer__QuotaGrant__Item **items =
+        g_new(Rs__Peer__QuotaGrant__Item *, count);
+    need.workspace = "workspace-000001";
+    need.wanted = 3;
+    need.own_rate = 1;
+    item.workspace = need.workspace;
+    item.tokens = 3;
+    item.own_rate = 1;
+    for (uint32_t i = 0; i < count; i++) {
+        needs[i] = &need;
+        items[i] = &item;
+    }
+    request.incarnation = UINT64_MAX;
+    request.node = "node-0001";
+    request.sequence = 1000000;
+    request.answered = 1000000;
+    request.needs = needs;
+    request.n_needs = count;
+    grant.incarnation = UINT64_MAX;
+    grant.sequence = 1000000;
+    grant.items = items;
+    grant.n_items = count;
+    printf("messages with %u workspaces: %zu and %zu bytes\n", count,
+           protobuf_c_message_get_packed_size(&request.base),
+           protobuf_c_message_get_packed_size(&grant.base));
+    g_free(needs);
+    g_free(items);
+}
+
 int
 main(void)
 {
@@ -158,5 +198,7 @@
     measure_take(1000);
     measure_node();
     measure_ledger();
+    measure_bytes(1);
+    measure_bytes(10);
     return 0;
 }
--- a/soak/main.c
+++ b/soak/main.c
@@ -67,6 +67,8 @@
  * CHANGE_IN_FORCE_MS.
  */
 #define REVOKE_MS 2000
+#define PLANTED_FACTOR 10
+#define QUOTA_PER_S 8 /* of which callers send several times as many */
 #define ANSWER_MS 1500
 #define KEY_IN_FORCE_MS (REVOKE_MS + ANSWER_MS + FAULT_DURATION_MAX_MS)
 #define CHANGE_IN_FORCE_MS 2500
@@ -122,6 +124,8 @@
     bool limits;         /* targets may state request limits */
     bool hold_ups;       /* what nodes send to targets may be held up */
     bool has_workspaces; /* requests need API keys, which change */
+    bool plants_quota;   /* nodes are told a higher quota than the check */
+    bool quotas;         /* a workspace sends more than its quota */
     struct rs_soak_workspaces workspaces;
     /* Until then, no faults are injected into nodes, as their restarts and
      * pauses would excuse too many requests at a limited target. */
@@ -820,6 +824,9 @@
         RsSoakWorkspaces_Init(&soak->workspaces, &soak->check, soak->random,
                               RsClock_NowMs());
         soak->workspaces.in_force_ms = KEY_IN_FORCE_MS;
+        soak->workspaces.quota_per_s = soak->quotas ? QUOTA_PER_S : 0;
+        soak->workspaces.quota_factor =
+            soak->plants_quota ? PLANTED_FACTOR : 1;
         soak->check.workspaces = &soak->workspaces;
     }
     write_config(soak);
@@ -865,6 +872,10 @@
         printf("setup failed; a port may be in use\n");
         return 2;
     }
+    if (soak->quotas) {
+        printf("quota: %u requests in 5 s at the most\n",
+               soak->workspaces.most_in_window);
+    }
     printf("seed %u: %lu faults, %u violations\n", seed,
            (unsigned long)soak->fault_count, soak->check.violation_count);
     return soak->check.violation_count == 0 ? 0 : 1;
@@ -883,7 +894,21 @@
         }
     }
     soak->crash_node = strcmp(name, "crash") == 0;
-    return soak->crash_node;
+    soak->plants_quota = strcmp(name, "quota") == 0;
+    return soak->crash_node || soak->plants_quota;
+}
+
+/* Runs the soak with logs and settings in a new folder. Returns the exit
+ * status. */
+static int
+run_in_folder(struct soak *soak, uint32_t seed)
+{
+    signal(SIGPIPE, SIG_IGN);
+    setvbuf(stdout, NULL, _IOLBF, 0);
+    RsLog_Open("soak", RsLog_ERROR);
+    soak->random = g_rand_new_with_seed(seed);
+    snprintf(soak->folder, sizeof(soak->folder), "/tmp/soak-XXXXXX");
+    return g_mkdtemp(soak->folder) != NULL ? run(soak, seed) : 2;
 }
 
 int
@@ -902,7 +927,8 @@
         arg_int0(NULL, "port", "N", "first port, default 21000");
     struct arg_str *injected_violation =
         arg_str0(NULL, "plant", "FAULT",
-                 "violation to inject: owner, twice, mixed or crash");
+                 "violation to inject: owner, twice, mixed, crash or, with "
+                 "--quotas, quota");
     struct arg_lit *restores =
         arg_lit0(NULL, "restores", "the store may go back to a copy");
     struct arg_lit *links =
@@ -911,6 +937,8 @@
         arg_lit0(NULL, "limits", "targets may state request limits");
     struct arg_lit *hold_ups = arg_lit0(
         NULL, "hold-ups", "what nodes send to targets may be held up");
+    struct arg_lit *quotas = arg_lit0(
+        NULL, "quotas", "one of the workspaces sends more than its quota");
     struct arg_lit *workspaces =
         arg_lit0(NULL, "workspaces", "requests need API keys, which change");
     struct arg_lit *verbose = arg_lit0("v", NULL, "print the faults");
@@ -927,6 +955,7 @@
                      limits,
                      hold_ups,
                      workspaces,
+                     quotas,
                      verbose,
                      ends};
     seed->ival[0] = 1;
@@ -944,10 +973,6 @@
         arg_print_syntax(stderr, table, "\n");
         return 2;
     }
-    signal(SIGPIPE, SIG_IGN);
-    setvbuf(stdout, NULL, _IOLBF, 0);
-    RsLog_Open("soak", RsLog_ERROR);
-    soak.random = g_rand_new_with_seed((guint32)seed->ival[0]);
     soak.program = program->filename[0];
     soak.node_count = (uint32_t)nodes->ival[0];
     soak.target_count = (uint32_t)targets->ival[0];
@@ -957,11 +982,8 @@
     soak.links = links->count > 0;
     soak.limits = limits->count > 0;
     soak.hold_ups = hold_ups->count > 0;
-    soak.has_workspaces = workspaces->count > 0;
+    soak.quotas = quotas->count > 0;
+    soak.has_workspaces = workspaces->count > 0 || soak.quotas;
     soak.verbose = verbose->count > 0;
-    snprintf(soak.folder, sizeof(soak.folder), "/tmp/soak-XXXXXX");
-    if (g_mkdtemp(soak.folder) == NULL) {
-        return 2;
-    }
-    return run(&soak, (uint32_t)seed->ival[0]);
+    return run_in_folder(&soak, (uint32_t)seed->ival[0]);
 }
--- a/soak/workspaces.c
+++ b/soak/workspaces.c
@@ -12,8 +12,14 @@
                            */
 #define REVOKED_PERCENT 4 /* of requests: with a key that was revoked */
 #define STATUS_UNAUTHORIZED 401
+/* The operator's bound, as in the settings that soak/setup.c writes. */
+#define QUOTA_WINDOW_MS 5000
+#define QUOTA_WINDOW_S 5
+#define QUOTA_OVERAGE 0.1
+#define QUOTA_SLACK 20
 
 static const char *const names[] = {"shops", "depot", "office"};
+static const char limited[] = "depot";
 
 static struct rs_soak_key *
 key_at(const struct rs_soak_workspaces *workspaces, guint index)
@@ -44,6 +50,9 @@
         .random = random,
         .keys = g_array_new(FALSE, FALSE, sizeof(struct rs_soak_key)),
         .sent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+        .arrived =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+        .arrival_times = g_array_new(FALSE, FALSE, sizeof(int64_t)),
     };
     add_key(workspaces, NULL, now_ms);
     for (size_t i = 0; i < G_N_ELEMENTS(names) * KEYS_PER_WORKSPACE; i++) {
@@ -84,7 +93,12 @@
                 comma = ",";
             }
         }
-        g_string_append(text, "]}");
+        uint32_t per_s =
+            strcmp(names[i], limited) == 0
+                ? workspaces->quota_per_s * workspaces->quota_factor
+                : 0;
+        g_string_append_printf(text, "],\"per_s\":%u,\"burst\":%u}", per_s,
+                               per_s);
     }
     g_string_append_c(text, '}');
     return g_string_free(text, FALSE);
@@ -131,7 +145,10 @@
         draw < MISSING_PERCENT ? NULL : key_at(workspaces, index);
     g_hash_table_insert(workspaces->sent, g_strdup(request_id),
                         GUINT_TO_POINTER(key != NULL ? index + 1 : 0));
-    *valid = key != NULL && must_be_accepted(workspaces, key, now_ms);
+    bool has_quota = key != NULL && workspaces->quota_per_s > 0 &&
+                     g_strcmp0(key->workspace, limited) == 0;
+    *valid =
+        key != NULL && !has_quota && must_be_accepted(workspaces, key, now_ms);
     return key != NULL ? key->text : NULL;
 }
 
@@ -144,6 +161,33 @@
     return number > 0 ? key_at(workspaces, number - 1) : NULL;
 }
 
+/* Counts a request of the workspace with a quota when it first reaches a
+ * target: a repeat by a node needs no second token. */
+static void
+check_quota(struct rs_soak_workspaces *workspaces, const char *request_id,
+            int64_t now_ms)
+{
+    double per_s = workspaces->quota_per_s;
+    double allowed =
+        (per_s * QUOTA_WINDOW_S + per_s) * (1 + QUOTA_OVERAGE) + QUOTA_SLACK;
+    GArray *times = workspaces->arrival_times;
+    if (!g_hash_table_add(workspaces->arrived, g_strdup(request_id))) {
+        return;
+    }
+    g_array_append_val(times, now_ms);
+    while (g_array_index(times, int64_t, workspaces->window_first) <=
+           now_ms - QUOTA_WINDOW_MS) {
+        workspaces->window_first++;
+    }
+    uint32_t count = times->len - workspaces->window_first;
+    workspaces->most_in_window = MAX(workspaces->most_in_window, count);
+    if (count > allowed) {
+        RsCheck_ReportViolation(workspaces->check, "QUOTA", now_ms,
+                                "%u requests of %s in 5 s, allowed %.1f",
+                                count, limited, allowed);
+    }
+}
+
 /* Records that a request has reached a target, with this workspace (empty:
  * none), and whether with credentials. */
 void
@@ -158,6 +202,9 @@
                                 request_id);
         return;
     }
+    if (workspaces->quota_per_s > 0 && strcmp(workspace, limited) == 0) {
+        check_quota(workspaces, request_id, now_ms);
+    }
     if (key->revoked_at_ms != INT64_MAX &&
         now_ms - key->revoked_at_ms > workspaces->in_force_ms) {
         RsCheck_ReportViolation(
--- a/soak/workspaces.h
+++ b/soak/workspaces.h
@@ -1,7 +1,8 @@
 /* Workspaces of the soak, whose API keys change while it runs. Checks that no
  * request with a revoked, unknown or missing key reaches a target, that
  * targets are told the right workspace and never the key, and that requests
- * with a valid key are not rejected (KEY). */
+ * with a valid key are not rejected (KEY), and that a greedy workspace is held
+ * to its quota (QUOTA). */
 
 #ifndef RATTANSHED_SOAK_WORKSPACES_H
 #define RATTANSHED_SOAK_WORKSPACES_H
@@ -27,6 +28,15 @@
     GArray *keys;        /* struct rs_soak_key; the first was never in force */
     GHashTable *sent;    /* request id to index of its key plus 1; 0: none */
     int64_t in_force_ms; /* when a change must have reached all requests */
+    /* Requests a second and burst of the workspace "depot", whose callers send
+     * many times as many; 0: no quota. Checked by the arrivals at targets
+     * (QUOTA). */
+    uint32_t quota_per_s;
+    uint32_t quota_factor; /* of the quota that the configuration states */
+    GHashTable *arrived;   /* ids of its requests that reached a target */
+    GArray *arrival_times; /* int64_t, when these were first seen, ascending */
+    guint window_first;    /* the first of them in the present window */
+    uint32_t most_in_window;
 };
 
 void RsSoakWorkspaces_Init(struct rs_soak_workspaces *workspaces,
