--- a/router/attempt.c
+++ b/router/attempt.c
@@ -247,9 +247,10 @@
         RsOverload_IsOverloaded(owner, now_ms) &&
         RsOverload_HasPlaces(places) &&
         RsOverload_TakePlace(places, RsRequest_Fingerprint(request), now_ms);
+    RsCounter_Add(&request->router->counters.placed, request->has_place);
     request->admitted =
         request->has_place ||
-        RsOverload_Admit(owner, find_mix(request), request->rank,
+        RsOverload_Admit(owner, find_mix(request), places, request->rank,
                          request->router->random, now_ms);
     request->admitted_at_ms = now_ms;
     return !request->admitted;
@@ -266,6 +267,7 @@
     struct rs_router *router = request->router;
     struct rs_overload_place place = {0};
     if (!request->admitted) {
+        RsCounter_Add(&router->counters.not_admitted, 1);
         place = RsOverload_DrawPlace(owner, find_mix(request), request->rank,
                                      request->deadline_ms - now_ms,
                                      router->random, now_ms);
--- a/router/load_simulation_test.c
+++ b/router/load_simulation_test.c
@@ -56,7 +56,6 @@
 struct pending {
     uint32_t target;
     int64_t requested_at_ms;
-    int64_t give_up_at_ms;
 };
 
 struct target {
@@ -88,9 +87,10 @@
     bool keyed;
     double demand_per_s; /* as the granter reports it */
     struct rs_overload_mix mixes[MAX_NODES];
-    GQueue pending[MAX_NODES]; /* struct pending */
-    uint32_t refused;          /* without waiting */
-    uint32_t refused_late;     /* after waiting */
+    struct rs_overload_places places; /* unused, as no caller comes back */
+    GQueue pending[MAX_NODES];        /* struct pending */
+    uint32_t refused;                 /* without waiting */
+    uint32_t refused_late;            /* after waiting */
     uint32_t served;
 };
 
@@ -242,6 +242,27 @@
     start_jobs(sim, number);
 }
 
+/* Returns whether the owner has room for a request that arrived at
+ * `requested_at_ms`, and sets `*wait_until_ms` to the end of its wait. */
+static bool
+owner_has_room(const struct sim *sim, uint32_t node, uint32_t number,
+               int64_t requested_at_ms, int64_t *wait_until_ms)
+{
+    const struct rs_fleet_target *owner = sim->seen[node][number];
+    const struct rs_overload_request request = {
+        .arrived_at_ms = requested_at_ms,
+        .admitted_at_ms = requested_at_ms,
+        .latency_target_ms = LATENCY_TARGET_MS,
+        .wait_until_ms = requested_at_ms + LATENCY_TARGET_MS,
+    };
+    *wait_until_ms = RsOverload_WaitUntilMs(owner, &request, sim->now_ms);
+    if (RsOverload_IsOverloaded(owner, sim->now_ms)) {
+        return RsOverload_HasRoom(owner, &sim->mixes[node], &request,
+                                  sim->now_ms);
+    }
+    return RsLoad_HasRoom(owner, &sim->choices[node], sim->now_ms);
+}
+
 /* Sends those requests waiting at a node for which the owner of the key has
  * room, and refuses those that have waited for too long. */
 static void
@@ -251,9 +272,10 @@
     while (link != NULL) {
         struct pending *pending = link->data;
         GList *next = link->next;
-        struct rs_fleet_target *owner = sim->seen[node][pending->target];
-        bool late = sim->now_ms >= pending->give_up_at_ms;
-        bool room = RsLoad_HasRoom(owner, &sim->choices[node], sim->now_ms);
+        int64_t wait_until_ms = 0;
+        bool room = owner_has_room(sim, node, pending->target,
+                                   pending->requested_at_ms, &wait_until_ms);
+        bool late = sim->now_ms >= wait_until_ms;
         if (late || room) {
             g_queue_delete_link(&sim->pending[node], link);
             sim->refused_late += late && sim->now_ms >= START_MS + WARM_UP_MS;
@@ -276,18 +298,19 @@
         (uint32_t)g_rand_int_range(sim->random, 0, (gint32)sim->target_count);
     struct rs_fleet_target *owner = sim->seen[node][number];
     struct rs_overload_mix *mix = &sim->mixes[node];
+    int64_t wait_until_ms = 0;
     RsOverload_Count(mix, 0, sim->now_ms);
-    if (!RsOverload_Admit(owner, mix, 0, sim->random, sim->now_ms)) {
+    if (!RsOverload_Admit(owner, mix, &sim->places, 0, sim->random,
+                          sim->now_ms)) {
         sim->refused += sim->now_ms >= START_MS + WARM_UP_MS;
     }
-    else if (RsLoad_HasRoom(owner, &sim->choices[node], sim->now_ms)) {
+    else if (owner_has_room(sim, node, number, sim->now_ms, &wait_until_ms)) {
         send_to(sim, node, number, sim->now_ms);
     }
     else {
         struct pending *pending = g_new0(struct pending, 1);
         pending->target = number;
         pending->requested_at_ms = sim->now_ms;
-        pending->give_up_at_ms = sim->now_ms + LATENCY_TARGET_MS;
         g_queue_push_tail(&sim->pending[node], pending);
     }
 }
--- a/router/metrics.c
+++ b/router/metrics.c
@@ -28,6 +28,14 @@
     print_counter(text, "rattanshed_refused_suspects_total",
                   "Requests refused because targets crashed under them.",
                   &router->suspected);
+    print_counter(text, "rattanshed_not_admitted_total",
+                  "Requests refused because the owner of their key is "
+                  "overloaded.",
+                  &router->not_admitted);
+    print_counter(text, "rattanshed_admitted_by_place_total",
+                  "Requests admitted because they came back when they were "
+                  "told to.",
+                  &router->placed);
     print_counter(text, "rattanshed_refused_again_total",
                   "Requests refused at an overloaded owner within some "
                   "seconds of a request like it.",
--- a/router/overload.c
+++ b/router/overload.c
@@ -116,12 +116,21 @@
     return share >= 1 ? 1 : RsOverload_ShareOfRank(mix, rank, share);
 }
 
+/* Returns which share of all requests gets a place. */
+static double
+place_share(double share)
+{
+    return share * RESERVED_PART * (1 - share);
+}
+
 /* Returns the part of an admitted share that is left to callers without a
- * place. */
+ * place. Only as much is kept for places as was used of them lately, since not
+ * all callers come back. */
 static double
-unreserved_share(double share)
+unreserved_share(const struct rs_overload_places *places, double share)
 {
-    return share * (1 - RESERVED_PART * (1 - share));
+    double used = places->reserved > 0 ? places->taken / places->reserved : 0;
+    return share - place_share(share) * MIN(used, 1);
 }
 
 /* Returns whether a request for a key of the target is admitted. While the
@@ -131,7 +140,8 @@
  * node start at a random point of their sequence. */
 bool
 RsOverload_Admit(struct rs_fleet_target *target,
-                 const struct rs_overload_mix *mix, uint32_t rank,
+                 const struct rs_overload_mix *mix,
+                 const struct rs_overload_places *places, uint32_t rank,
                  GRand *random, int64_t now_ms)
 {
     double share = admitted_share(target, mix, rank, now_ms);
@@ -142,7 +152,7 @@
         target->admission = g_rand_double(random);
     }
     target->admission = fmod(target->admission + GOLDEN_FRACTION, 1);
-    return target->admission < unreserved_share(share);
+    return target->admission < unreserved_share(places, share);
 }
 
 /* Returns when a caller should come back whose request was not admitted, with
@@ -156,9 +166,9 @@
                      int64_t time_left_ms, GRand *random, int64_t now_ms)
 {
     double share = admitted_share(target, mix, rank, now_ms);
-    double unreserved = unreserved_share(share);
+    double refused_share = 1 - share + place_share(share);
     double with_place =
-        unreserved < 1 ? (share - unreserved) / (1 - unreserved) : 1;
+        refused_share > 0 ? place_share(share) / refused_share : 1;
     double left_ms = (double)MAX(time_left_ms, (int64_t)0);
     if (g_rand_double(random) < with_place) {
         double wait_ms = left_ms * g_rand_double_range(random, MIN_PLACE_SHARE,
@@ -184,7 +194,8 @@
 void
 RsOverload_InitPlaces(struct rs_overload_places *places)
 {
-    *places = (struct rs_overload_places){new_table(), new_table(), 0};
+    *places = (struct rs_overload_places){.newer = new_table(),
+                                          .older = new_table()};
 }
 
 void
@@ -221,6 +232,8 @@
     places->newer = oldest;
     g_hash_table_remove_all(oldest);
     places->changed_at_ms = now_ms;
+    places->reserved /= 2;
+    places->taken /= 2;
 }
 
 static struct place_entry *
@@ -279,6 +292,7 @@
                                 ? MIN(entry->back_at_ms, place->back_at_ms)
                                 : place->back_at_ms;
         entry->reserved++;
+        places->reserved++;
     }
     return again;
 }
@@ -296,6 +310,7 @@
         return false;
     }
     entry->reserved--;
+    places->taken++;
     return true;
 }
 
--- a/router/overload.h
+++ b/router/overload.h
@@ -27,6 +27,9 @@
     GHashTable *newer;
     GHashTable *older; /* entries before the last change of tables */
     int64_t changed_at_ms;
+    /* Places reserved and taken lately; both are halved from time to time. */
+    double reserved;
+    double taken;
 };
 
 /* When a refused caller should come back. */
@@ -52,7 +55,8 @@
 double RsOverload_ShareOfRank(const struct rs_overload_mix *mix, uint32_t rank,
                               double share);
 bool RsOverload_Admit(struct rs_fleet_target *target,
-                      const struct rs_overload_mix *mix, uint32_t rank,
+                      const struct rs_overload_mix *mix,
+                      const struct rs_overload_places *places, uint32_t rank,
                       GRand *random, int64_t now_ms);
 bool RsOverload_HasRoom(const struct rs_fleet_target *target,
                         const struct rs_overload_mix *mix,
--- a/router/overload_replay_test.c
+++ b/router/overload_replay_test.c
@@ -42,6 +42,8 @@
 /* Of the callers who are told when they can be served, most must be. */
 #define MAX_LOST_PLACES 0.25
 #define MAX_RANK_DISADVANTAGE_PERCENT 5
+/* As much of the urgent ranks may be lost although there is room for them. */
+#define MAX_URGENT_REFUSED_PERCENT 5
 
 /* The requests of one route. */
 struct kind {
@@ -449,7 +451,8 @@
         call->uses_place = true;
         return true;
     }
-    return RsOverload_Admit(owner, mix, rank, replay->random, replay->now_ms);
+    return RsOverload_Admit(owner, mix, &replay->places[call->node], rank,
+                            replay->random, replay->now_ms);
 }
 
 static void
@@ -762,6 +765,11 @@
                    overall_percent(former, RsReplay_IN_TIME));
     CU_ASSERT_TRUE(overall_percent(present, RsReplay_LATE) <=
                    overall_percent(former, RsReplay_LATE) / 2);
+    for (uint32_t k = 0; k + 1 < scenario->kind_count; k++) {
+        /* All ranks but the last one together fit the capacity. */
+        CU_ASSERT_TRUE(percent(present, k, RsReplay_REFUSED_TWICE) <=
+                       MAX_URGENT_REFUSED_PERCENT);
+    }
     CU_ASSERT_TRUE(present->place_lost <=
                    MAX_LOST_PLACES * present->with_place);
     check_ranks(present);
--- a/router/overload_test.c
+++ b/router/overload_test.c
@@ -14,6 +14,7 @@
     struct rs_fleet fleet;
     struct rs_fleet_target *owner;
     struct rs_overload_mix mix;
+    struct rs_overload_places places;
     GRand *random;
 };
 
@@ -34,6 +35,8 @@
     scenario->owner->service_ms = SERVICE_MS;
     scenario->owner->demand_per_s = demand_per_s;
     scenario->owner->demand_at_ms = NOW_MS;
+    scenario->places =
+        (struct rs_overload_places){.reserved = 10, .taken = 10};
     for (uint32_t i = 0; i < REQUESTS; i++) {
         static const uint32_t ranks[] = {0, 2, 1, 2};
         RsOverload_Count(&scenario->mix, ranks[i % 4], NOW_MS);
@@ -52,8 +55,9 @@
 {
     uint32_t admitted = 0;
     for (uint32_t i = 0; i < REQUESTS; i++) {
-        admitted += RsOverload_Admit(scenario->owner, &scenario->mix, rank,
-                                     scenario->random, now_ms);
+        admitted += RsOverload_Admit(scenario->owner, &scenario->mix,
+                                     &scenario->places, rank, scenario->random,
+                                     now_ms);
     }
     return (double)admitted / REQUESTS;
 }
@@ -64,8 +68,9 @@
 {
     uint32_t admitted = 0;
     for (uint32_t i = 0; i < REQUESTS; i++) {
-        admitted += RsOverload_Admit(scenario->owner, &scenario->mix, rank,
-                                     scenario->random, NOW_MS) ||
+        admitted += RsOverload_Admit(scenario->owner, &scenario->mix,
+                                     &scenario->places, rank, scenario->random,
+                                     NOW_MS) ||
                     RsOverload_DrawPlace(scenario->owner, &scenario->mix, rank,
                                          1000, scenario->random, NOW_MS)
                         .reserved;
@@ -130,6 +135,11 @@
                       admitted_or_placed_share(&scenario, 1) +
                       2 * admitted_or_placed_share(&scenario, 2)) /
                      4;
+        /* Guards against admission without regard to the rank. */
+        CU_ASSERT_TRUE(admitted_or_placed_share(&scenario, 0) >=
+                       admitted_or_placed_share(&scenario, 1));
+        CU_ASSERT_TRUE(admitted_or_placed_share(&scenario, 1) >
+                       admitted_or_placed_share(&scenario, 2));
         CU_ASSERT_TRUE(sum * demand_per_s >= 1.05 * RUNS_PER_S);
         CU_ASSERT_TRUE(sum * demand_per_s <= 1.15 * RUNS_PER_S);
         close_scenario(&scenario);
@@ -197,6 +207,20 @@
     close_scenario(&scenario);
 }
 
+/* Guards against an owner that is idle for callers who don't come back. */
+static void
+test_nothing_is_kept_for_callers_who_stay_away(void)
+{
+    struct scenario scenario;
+    open_scenario(&scenario, 10 * RUNS_PER_S);
+    scenario.mix = (struct rs_overload_mix){0};
+    RsOverload_Count(&scenario.mix, 0, NOW_MS);
+    CU_ASSERT_TRUE(admitted_share(&scenario, 0, NOW_MS) < 0.07);
+    scenario.places.taken = 0;
+    CU_ASSERT_DOUBLE_EQUAL(admitted_share(&scenario, 0, NOW_MS), 0.11, 0.005);
+    close_scenario(&scenario);
+}
+
 /* Guards against times to come back that are not true: those without a place
  * are told the end of their time, the others a time for which callers wait. */
 static void
@@ -290,6 +314,7 @@
     CU_ADD_TEST(suite, test_admitted_rate_is_what_the_owner_can_run);
     CU_ADD_TEST(suite, test_room_depends_on_the_latency_target);
     CU_ADD_TEST(suite, test_waits_at_an_overloaded_owner_are_short);
+    CU_ADD_TEST(suite, test_nothing_is_kept_for_callers_who_stay_away);
     CU_ADD_TEST(suite, test_refused_callers_are_told_a_true_time);
     CU_ADD_TEST(suite, test_places_are_taken_once_and_not_too_early);
     CU_ADD_TEST(suite, test_like_requests_have_a_place_each);
--- a/router/owners.c
+++ b/router/owners.c
@@ -85,6 +85,15 @@
            !unreachable;
 }
 
+static void
+log_overload(const struct rs_balance_target *planned, bool overloaded)
+{
+    RsLog_EVENT(RsLog_INFO, overloaded ? "owner_overloaded" : "owner_relieved",
+                RsLog_TEXT("target", planned->owner.id),
+                RsLog_NUMBER("demand_per_s", (int64_t)planned->load),
+                RsLog_NUMBER("capacity_per_s", (int64_t)planned->capacity));
+}
+
 /* Records the load of each overloaded target in the fleet, and 0 for each
  * target whose load is within its capacity. */
 static void
@@ -95,8 +104,12 @@
         const struct rs_balance_target *planned = &problem->targets[i];
         struct rs_fleet_target *target =
             RsFleet_Find(&planning->router->fleet, planned->owner.id);
-        target->demand_per_s =
+        double demand_per_s =
             planned->load > planned->capacity ? planned->load : 0;
+        if ((demand_per_s > 0) != (target->demand_per_s > 0)) {
+            log_overload(planned, demand_per_s > 0);
+        }
+        target->demand_per_s = demand_per_s;
         target->demand_at_ms = planning->now_ms;
     }
 }
--- a/router/router.h
+++ b/router/router.h
@@ -34,6 +34,8 @@
     struct rs_counter answered;
     struct rs_counter refused;   /* not executed; the caller may retry */
     struct rs_counter suspected; /* of these: suspected of crashing targets */
+    struct rs_counter not_admitted;  /* refused for their owners' overload */
+    struct rs_counter placed;        /* admitted, as they came back in time */
     struct rs_counter refused_again; /* refused, as a request like it before */
     struct rs_counter failed;        /* failed; may have been executed */
     struct rs_counter rejected;      /* 4xx responses made by the router */
--- a/router/schedule_measure.c
+++ b/router/schedule_measure.c
@@ -71,12 +71,14 @@
         .demand_per_s = demand_per_s,
     };
     struct rs_overload_mix mix = {0};
+    const struct rs_overload_places places = {0};
     GRand *random = g_rand_new_with_seed(5);
     uint32_t admitted = 0;
     int64_t start_us = RsClock_NowUs();
     for (uint32_t i = 0; i < ADMISSIONS; i++) {
         RsOverload_Count(&mix, i % RANKS, i / RANKS);
-        admitted += RsOverload_Admit(&owner, &mix, i % RANKS, random, 0);
+        admitted +=
+            RsOverload_Admit(&owner, &mix, &places, i % RANKS, random, 0);
     }
     int64_t spent_us = RsClock_NowUs() - start_us;
     printf("| %.0f | %.0f%% | %.0f |\n", demand_per_s,
