--- a/router/attempt.c
+++ b/router/attempt.c
@@ -10,6 +10,7 @@
 #include "http/server.h"
 #include "platform/wire.h"
 #include "router/probe.h"
+#include "router/quota_exchange.h"
 #include "router/request.h"
 
 #define US_PER_MS 1000.0
@@ -45,8 +46,13 @@
  * Hop-by-hop headers, Expect and those that this node sets itself are not
  * forwarded. */
 static bool
-is_forwarded_header(const char *name)
+is_forwarded_header(const struct rs_request *request, const char *name)
 {
+    if (request->hides_credentials &&
+        (g_ascii_strcasecmp(name, RsWire_AUTHORIZATION) == 0 ||
+         g_ascii_strcasecmp(name, RsWire_WORKSPACE) == 0)) {
+        return false;
+    }
     return !RsRequest_IsHopByHop(name) &&
            g_ascii_strcasecmp(name, RsWire_DEADLINE) != 0 &&
            g_ascii_strcasecmp(name, RsWire_TARGET_ID) != 0 &&
@@ -71,7 +77,7 @@
          i++) {
         const h2o_header_t *header = &http->headers.entries[i];
         const char *name = copy_to_pool(http, *header->name);
-        if (is_forwarded_header(name)) {
+        if (is_forwarded_header(request, name)) {
             attempt->headers[count++] = (struct rs_http_header){
                 name, copy_to_pool(http, header->value)};
         }
@@ -85,6 +91,10 @@
         (struct rs_http_header){RsWire_DEADLINE, attempt->deadline_text};
     attempt->headers[count++] =
         (struct rs_http_header){RsWire_TARGET_ID, attempt->target->id};
+    if (request->workspace != NULL) {
+        attempt->headers[count++] = (struct rs_http_header){
+            RsWire_WORKSPACE, request->workspace->name};
+    }
     attempt->message = (struct rs_http_request){
         .method = copy_to_pool(http, http->input.method),
         .path = copy_to_pool(http, http->input.path),
@@ -101,6 +111,7 @@
 make_choice_input(const struct rs_request *request, const char **tried)
 {
     const struct rs_router *router = request->router;
+    bool adaptive = router->settings->load.adaptive;
     size_t count = 0;
     for (uint32_t i = 0; i < request->attempt_count; i++) {
         tried[count++] = request->attempts[i].target->id;
@@ -119,6 +130,11 @@
         .excluded = tried,
         .excluded_count = count,
         .random = router->random,
+        .latency_target_ms = adaptive ? request->route->target_latency_ms : 0,
+        .work_ms = adaptive ? RsRouter_MeanWorkMs(request->router,
+                                                  request->service->name,
+                                                  request->route->name)
+                            : 0,
     };
 }
 
@@ -192,7 +208,8 @@
 /* Looks up the owner of the request's key. Returns RsLoad_SEND if the request
  * may be sent to the owner now, and RsLoad_NONE if no owner can take it.
  * Returns RsLoad_FULL if the request has to wait for the key ownership map,
- * for `next_attempt_at_ms`, for a handover of the key or for capacity. Sets
+ * for `next_attempt_at_ms`, for a handover of the key, for the end of a short
+ * pause after failures of the owner or for capacity. Sets
  * `*chosen` to the owner for RsLoad_SEND and RsLoad_CLOSED, and for
  * RsLoad_FULL if only capacity is missing. */
 static enum rs_load_verdict
@@ -216,10 +233,14 @@
             : NULL;
     if (target == NULL ||
         target->report.started_wall_ms != range->owner.started_wall_ms ||
-        !RsFleet_MayKeepWork(&request->router->fleet, target, now_ms) ||
-        now_ms < target->avoid_until_ms) {
+        !RsFleet_MayKeepWork(&request->router->fleet, target, now_ms)) {
         return RsLoad_NONE;
     }
+    if (now_ms < target->avoid_until_ms) {
+        /* No other target has the key, and this one may be only full. */
+        return target->avoid_until_ms < request->wait_until_ms ? RsLoad_FULL
+                                                               : RsLoad_NONE;
+    }
     *chosen = target;
     if (RsLoad_OpenAtMs(target, input) > now_ms) {
         return RsLoad_CLOSED;
@@ -231,6 +252,29 @@
     return RsLoad_SEND;
 }
 
+/* Returns whether the request is for a hot key and not admitted. An admitted
+ * one is not checked again. `owner` is NULL as in reject_by_admission(). */
+static bool
+reject_hot_key(struct rs_request *request, const struct rs_fleet_target *owner,
+               int64_t now_ms)
+{
+    struct rs_hot_keys *hot = &request->router->hot_keys;
+    if (owner == NULL || request->admitted ||
+        RsHotKeys_Find(hot, request->service->name, request->key) == NULL) {
+        return false;
+    }
+    const struct rs_hot_key_request asked = {
+        request->service->name, request->key, RsRequest_Fingerprint(request),
+        request->deadline_ms};
+    int64_t come_back_at_ms = RsHotKeys_Admit(hot, &asked, now_ms);
+    request->admitted = come_back_at_ms == 0;
+    if (!request->admitted) {
+        request->come_back_at_ms = come_back_at_ms;
+        RsCounter_Add(&request->router->counters.hot_key, 1);
+    }
+    return !request->admitted;
+}
+
 /* Returns whether admission control rejects the request because the owner of
  * its key gets more requests than it can serve. Records the admission in the
  * request: an admitted request is not checked again. `owner` is NULL if the
@@ -341,16 +385,39 @@
     }
 }
 
+/* Takes a token of the request's workspace before its first attempt, and again
+ * if the token has expired meanwhile. Requests over the quota thus don't wait
+ * for room beside others. Returns false if there is no token; the request
+ * waits for one then, or was refused. */
+static bool
+take_token(struct rs_request *request, int64_t now_ms)
+{
+    enum rs_quota_verdict verdict =
+        RsQuotaExchange_Take(request->router->quotas, request->workspace,
+                             &request->quota_claim, now_ms);
+    if (verdict == RsQuota_WAITING) {
+        RsRequest_Wait(request);
+    }
+    else if (verdict != RsQuota_TAKEN) {
+        RsReply_RefuseWithoutToken(request, verdict == RsQuota_OVER, now_ms);
+    }
+    return verdict == RsQuota_TAKEN;
+}
+
 /* Sends the request to a target. If none has room, or the expected latency
  * exceeds the time left, the request waits until its `wait_until_ms` and is
  * refused after that. It is refused at once when there is no target, when all
- * attempts are used up or when its key's owner is overloaded. */
+ * attempts are used up or when its key's owner is overloaded, and rejected
+ * when its API key is no longer valid. */
 void
 RsAttempt_Dispatch(struct rs_request *request, int64_t now_ms)
 {
     const char *tried[RsRequest_MAX_ATTEMPTS];
     struct rs_load_choice_input input = make_choice_input(request, tried);
     struct rs_fleet_target *target = NULL;
+    if (RsRequest_RejectIfUnauthorized(request, now_ms)) {
+        return;
+    }
     if (request->attempt_count == RsRequest_MAX_ATTEMPTS) {
         RsReply_Refuse(request, "no-target-reached");
         return;
@@ -358,6 +425,9 @@
     if (RsRequest_RefuseIfSuspected(request, now_ms)) {
         return;
     }
+    if (request->attempt_count == 0 && !take_token(request, now_ms)) {
+        return;
+    }
     enum rs_load_verdict verdict =
         choose_target(request, &input, now_ms, &target);
     if (verdict == RsLoad_CLOSED) {
@@ -365,6 +435,10 @@
         return;
     }
     struct rs_fleet_target *owner = request->service->sharded ? target : NULL;
+    if (reject_hot_key(request, owner, now_ms)) {
+        RsReply_Refuse(request, "hot-key");
+        return;
+    }
     if (reject_by_admission(request, owner, now_ms)) {
         refuse_at_overload(request, owner, "owner-overloaded", now_ms);
         return;
@@ -377,6 +451,7 @@
     if (verdict == RsLoad_SEND &&
         !RsShutdown_MayStart(&request->router->shutdown,
                              RsLoad_ExpectedLatencyMs(target, now_ms),
+                             request->route->target_latency_ms,
                              request->deadline_ms, now_ms)) {
         request->come_back_at_ms = now_ms; /* to another node */
         RsReply_Refuse(request, "stopping");
@@ -428,8 +503,8 @@
 }
 
 /* Starts a hedged attempt if the only attempt so far is late, another target
- * has a free slot and the retry budget allows it. Only requests on idempotent
- * routes, to services without keys, are hedged. */
+ * has a free slot, the API key is still valid and the retry budget allows it.
+ * Only requests on idempotent routes, to services without keys, are hedged. */
 void
 RsAttempt_HedgeIfLate(struct rs_request *request, int64_t now_ms)
 {
@@ -450,6 +525,7 @@
     struct rs_load_choice_input input = make_choice_input(request, tried);
     if (RsLoad_Choose(&input, now_ms, &target) == RsLoad_SEND &&
         RsLoad_CountOutstanding(target, now_ms) < target->report.slots &&
+        RsRequest_CheckApiKey(request, now_ms) == RsWorkspaces_ADMITTED &&
         take_retry(request, now_ms)) {
         RsLog_EVENT(RsLog_INFO, "hedged",
                     RsLog_TEXT("request_id", request->id),
@@ -578,6 +654,84 @@
     return true;
 }
 
+/* Returns how long the target has worked on the request, for
+ * router/concurrency.h. */
+static struct rs_concurrency_sample
+make_sample(const struct rs_attempt *attempt, double queueing_factor,
+            int64_t now_ms)
+{
+    const struct rs_fleet_target *target = attempt->target;
+    return (struct rs_concurrency_sample){
+        .elapsed_ms =
+            (double)(RsClock_NowUs() - attempt->started_at_us) / US_PER_MS,
+        .queueing_factor = queueing_factor,
+        .duration_percent = target->load_at_ms == now_ms
+                                ? target->load.duration_percent
+                                : RsReport_NORMAL_DURATION_PERCENT,
+    };
+}
+
+/* Returns whether the request was sent to the target's present process, whose
+ * speed is learned. */
+static bool
+is_learned_from(const struct rs_attempt *attempt)
+{
+    return attempt->request->router->settings->load.adaptive &&
+           attempt->target_started_wall_ms ==
+               attempt->target->report.started_wall_ms;
+}
+
+/* Records how long the target has worked until the head of its response. The
+ * transfer of the body depends on links and on the caller. */
+static void
+record_work(const struct rs_attempt *attempt, int64_t now_ms)
+{
+    const struct rs_request *request = attempt->request;
+    struct rs_fleet_target *target = attempt->target;
+    if (attempt->status >= STATUS_SERVER_ERROR || !is_learned_from(attempt)) {
+        return;
+    }
+    const struct rs_concurrency_sample sample =
+        make_sample(attempt,
+                    RsFleet_AnswerQueueingFactor(
+                        target, (uint32_t)attempt->queued_ahead, now_ms),
+                    now_ms);
+    RsRouter_RecordWork(request->router, target, request->route->name, &sample,
+                        now_ms);
+}
+
+/* Counts those requests as samples that their targets should have answered by
+ * now. They are replaced by the next call. Does nothing unless load.adaptive
+ * is set. */
+void
+RsRequest_RecordOverdue(struct rs_router *router, int64_t now_ms)
+{
+    const GPtrArray *list = router->fleet.list;
+    if (!router->settings->load.adaptive) {
+        return;
+    }
+    for (guint i = 0; i < list->len; i++) {
+        struct rs_fleet_target *target = g_ptr_array_index(list, i);
+        target->concurrency.overdue = (struct rs_concurrency_sums){0};
+    }
+    for (GList *link = router->active.head; link != NULL; link = link->next) {
+        const struct rs_request *request = link->data;
+        for (uint32_t i = 0; i < request->attempt_count; i++) {
+            const struct rs_attempt *attempt = &request->attempts[i];
+            if (attempt->exchange != NULL && attempt->status == 0 &&
+                is_learned_from(attempt)) {
+                const struct rs_concurrency_sample sample =
+                    make_sample(attempt,
+                                RsFleet_QueueingFactor(attempt->target,
+                                                       attempt->queued_ahead),
+                                now_ms);
+                RsRouter_RecordOverdueWork(router, attempt->target,
+                                           request->route->name, &sample);
+            }
+        }
+    }
+}
+
 /* Checks the head of a response and decides whether the response is forwarded.
  * The response to another request is skipped. One that says that the request
  * was not executed is handled at its end. An invalid response ends the
@@ -622,6 +776,7 @@
         return;
     }
     attempt->forwarded = true;
+    record_work(attempt, now_ms);
     RsReply_ForwardHead(attempt, head);
 }
 
@@ -712,9 +867,9 @@
     }
 }
 
-/* Records a broken connection. A full target may reset connections at once, so
- * an immediate reset by a target that responded recently means that it is
- * full. Any other broken connection counts as a failure. */
+/* Records a broken connection. A full target may reset connections at once,
+ * see RsLoad_RecordReset(). Any other broken connection counts as a failure.
+ */
 static void
 handle_broken_connection(struct rs_attempt *attempt, int64_t now_ms)
 {
@@ -723,8 +878,8 @@
     suspect_request(attempt, now_ms);
     bool was_immediate =
         attempt->status == 0 && elapsed_us < MAX_FULL_RESET_US;
-    if (was_immediate && RsFleet_AnsweredRecently(target, now_ms)) {
-        RsFleet_RecordFull(target, now_ms);
+    if (was_immediate) {
+        RsLoad_RecordReset(target, now_ms);
     }
     else {
         RsFleet_RecordFailure(target, now_ms);
--- a/router/load.h
+++ b/router/load.h
@@ -24,6 +24,9 @@
      */
     uint32_t stable_rank;
     uint32_t ranked;
+    /* Since when this node has had its place among the senders to cold
+     * targets; 0: always. */
+    int64_t place_since_ms;
 };
 
 struct rs_load_bounds {
@@ -38,6 +41,10 @@
     const char *zone;    /* of this node */
     double answer_bytes; /* average body size of the service's answers */
     double cold_per_s;   /* see struct rs_service */
+    /* Of the request. Set only if the room of a target follows from its
+     * learned speed, see router/concurrency.h; 0: from constants. */
+    double latency_target_ms;
+    double work_ms; /* at a target of factor 1; 0: as the service's mean */
     struct rs_load_bounds bounds;
     struct rs_load_share share;
     const char *const *excluded; /* interned ids of targets not to choose */
@@ -54,6 +61,8 @@
     RsLoad_NONE, /* no target takes work, or all are excluded or avoided */
 };
 
+void RsLoad_UpdateShare(struct rs_load_share *share,
+                        const struct rs_load_share *update, int64_t now_ms);
 double RsLoad_CountOutstanding(const struct rs_fleet_target *target,
                                int64_t now_ms);
 double RsLoad_ServiceMs(const struct rs_fleet_target *target);
@@ -61,8 +70,11 @@
                            double latency_target_ms);
 double RsLoad_ExpectedLatencyMs(const struct rs_fleet_target *target,
                                 int64_t now_ms);
+double RsLoad_ConcurrencyLimit(const struct rs_fleet_target *target,
+                               double work_ms, double latency_target_ms);
 bool RsLoad_HasRoom(const struct rs_fleet_target *target,
                     const struct rs_load_choice_input *input, int64_t now_ms);
+void RsLoad_RecordReset(struct rs_fleet_target *target, int64_t now_ms);
 bool RsLoad_MaySendToCold(const struct rs_fleet_target *target,
                           const struct rs_load_choice_input *input,
                           int64_t now_ms);
--- a/router/overload.c
+++ b/router/overload.c
@@ -7,9 +7,13 @@
 /* Older reports of the demand are ignored; the granter sends them a few times
  * a second. */
 #define MAX_DEMAND_AGE_MS 1000
+/* A target counts as overloaded from this share of what it can run, as the
+ * service time is measured too high under load. A slow target that is asked
+ * for less answers late, which is better for callers than to be refused. */
+#define OVERLOAD_SHARE 1.05
 /* Rate of admitted requests, as a multiple of the rate that the target can run
- * by its service time. */
-#define ADMITTED_SHARE 1.1
+ * by its service time, which is measured too high under load. */
+#define ADMITTED_SHARE 1.2
 /* Each rank gets at least this part of the share that all ranks together get.
  */
 #define MIN_RANK_PART 0.25
@@ -20,9 +24,9 @@
 #define MS_PER_S 1000.0
 /* A request goes to an overloaded target if its answer is expected within this
  * part of its latency target. The load is known only from sums that are some
- * hundred milliseconds old, and with 0.7 half as many answers again were late.
- */
-#define LATENCY_PART 0.5
+ * hundred milliseconds old, and with more, more answers are late
+ * (docs/design/schedule.md). */
+#define LATENCY_PART 0.65
 /* The part is higher by up to this for ranks with many less urgent requests
  * and for callers with a place, so that the others leave room for them. */
 #define URGENT_PART 0.3
@@ -55,13 +59,21 @@
  * evenly, so that out of any few successive requests the share is admitted. */
 #define GOLDEN_FRACTION 0.6180339887498949
 
-/* Returns whether the owner of keys is asked for more than its capacity, as
- * far as the granter has lately said so. A cold target is not judged by that:
- * its requests wait for their time in its warm-up. */
+/* Returns how many requests a second the target can run. */
+static double
+max_runs_per_s(const struct rs_fleet_target *target)
+{
+    return MS_PER_S * target->report.slots / RsLoad_ServiceMs(target);
+}
+
+/* Returns whether the owner of keys is asked for more than it can run, as far
+ * as the granter has lately said so. A cold target is not judged by that: its
+ * requests wait for their time in its warm-up. */
 bool
 RsOverload_IsOverloaded(const struct rs_fleet_target *target, int64_t now_ms)
 {
-    return target->demand_per_s > 0 && now_ms >= target->cold_until_ms &&
+    return target->demand_per_s > OVERLOAD_SHARE * max_runs_per_s(target) &&
+           now_ms >= target->cold_until_ms &&
            now_ms - target->demand_at_ms <= MAX_DEMAND_AGE_MS;
 }
 
@@ -110,9 +122,8 @@
     if (!RsOverload_IsOverloaded(target, now_ms)) {
         return 1;
     }
-    double max_runs_per_s =
-        MS_PER_S * target->report.slots / RsLoad_ServiceMs(target);
-    double share = ADMITTED_SHARE * max_runs_per_s / target->demand_per_s;
+    double share =
+        ADMITTED_SHARE * max_runs_per_s(target) / target->demand_per_s;
     return share >= 1 ? 1 : RsOverload_ShareOfRank(mix, rank, share);
 }
 
--- a/router/reports.c
+++ b/router/reports.c
@@ -1,12 +1,13 @@
 #include "router/reports.h"
 
-#include <math.h>
 #include <string.h>
 
 #include "core/clock.h"
 #include "core/log.h"
 #include "router/granter.h"
+#include "router/key_rates.h"
 #include "router/peer.pb-c.h"
+#include "router/quota_exchange.h"
 
 /* The load of a node that has not reported for this long is no longer counted.
  * With up to 30 nodes that is six reports, each node reporting every 150 ms;
@@ -27,27 +28,42 @@
 /* The report interval is at least this times the number of nodes, so that the
  * granter receives at most 200 reports per second. */
 #define REPORT_EVERY_MS_PER_NODE 5
-#define MS_PER_S 1000.0
-/* Time constants of the moving averages of key rates. The short one shows
- * within a second that a key has become busy, but in it random variation makes
- * up a quarter of the rate of a target's keys. The long one reduces this
- * variation. */
-#define SHORT_WINDOW_MS 1500.0
-#define LONG_WINDOW_MS 5000.0
-#define SHORT_WINDOW_WEIGHT 0.4F
 #define US_PER_MS 1000.0
+#define WORK_SAMPLE_UNITS 100.0
+#define PERMILLE 1000.0
+/* More samples of one target in the window of about a second are not
+ * plausible, so a larger number does not overflow the sums. */
+#define MAX_WORK_SAMPLES 1000000
+/* A summary tells the samples of about this many targets at most, 11 bytes
+ * each, so that it stays within its share of a node's 13 KB/s and below
+ * MAX_DATAGRAM_BYTES. Nodes keep what they were told before. */
+#define MAX_WORK_TARGETS 200
+/* Older samples are not reported; one sample is reported for 4.5 s. */
+#define MIN_REPORTED_SAMPLES 0.05
 #define MAX_DATAGRAM_BYTES 60000
 /* Maximum number of requested keys that one report lists for a service, one
  * entry per request. */
 #define MAX_REPORTED_KEYS_PER_SERVICE 4000
+/* The keys that were requested since a report longer ago than this many
+ * intervals are not reported. */
+#define MAX_KEY_INTERVALS 3
 /* Maximum number of peers named in each response to a report. */
 #define NAMED_PEERS 4
 
+/* Samples of a target's relative work (router/concurrency.h). Integers, so
+ * that what was added to a sum can be subtracted again without a rest. */
+struct work {
+    uint32_t process; /* see router/peer.proto */
+    uint32_t samples; /* in hundredths */
+    uint64_t sum;     /* in permille of hundredths */
+};
+
 /* Load of a target, reported by one node or computed over all nodes. */
 struct load {
     uint32_t in_flight;
     uint32_t service_us;
     bool closed; /* the target wants no requests from the node */
+    struct work work;
 };
 
 /* What the granter knows of a node. */
@@ -67,15 +83,7 @@
     uint64_t service_us;   /* sum of the nodes' mean service times */
     uint32_t node_count;   /* nodes whose service times are in the sum */
     uint32_t closed_count; /* nodes from which it wants no requests */
-};
-
-/* Requests per second for each key of a service, as exponential moving
- * averages. */
-struct rates {
-    float short_window[RsKeymap_KEYS]; /* over SHORT_WINDOW_MS */
-    float long_window[RsKeymap_KEYS];  /* over LONG_WINDOW_MS */
-    float blend[RsKeymap_KEYS];        /* computed by RsReports_KeyRates() */
-    int64_t decayed_at_ms;
+    struct work work;
 };
 
 struct rs_reports {
@@ -87,7 +95,7 @@
     void *arg;
     GHashTable *nodes;            /* name to struct node */
     GHashTable *totals_by_target; /* target id to struct totals */
-    GHashTable *rates;            /* service to struct rates */
+    GHashTable *rates;            /* service to struct rs_key_rates */
     bool is_granter;              /* at the time of the last report */
     /* Number of nodes known when this node became the granter. */
     uint32_t min_nodes;
@@ -95,6 +103,7 @@
     /* When all nodes have reported to this node since it became the granter.
      */
     int64_t ranks_known_at_ms;
+    int64_t sent_at_ms; /* last report; 0: none */
     /* Target id to the requests in flight that this node last reported. */
     GHashTable *reported;
 };
@@ -137,41 +146,37 @@
     }
 }
 
+/* Sends a message of another component from the peer port. `arg` is the struct
+ * rs_reports. */
+void
+RsReports_SendDatagram(void *arg, const struct sockaddr *address,
+                       const ProtobufCMessage *message)
+{
+    send_to(arg, address, message);
+}
+
 /* Returns the rates of a service, whose name must be interned; creates them
  * with all rates 0 if there are none. */
-static struct rates *
+static struct rs_key_rates *
 get_or_create_rates(struct rs_reports *reports, const char *service,
                     int64_t now_ms)
 {
-    struct rates *rates = g_hash_table_lookup(reports->rates, service);
+    struct rs_key_rates *rates = g_hash_table_lookup(reports->rates, service);
     if (rates == NULL) {
-        rates = g_new0(struct rates, 1);
-        rates->decayed_at_ms = now_ms;
+        rates = RsKeyRates_New(now_ms);
         g_hash_table_insert(reports->rates, (gpointer)service, rates);
     }
     return rates;
 }
 
-/* Returns an array of the requests per second for each key of a service, over
- * all nodes, as reported to this node. The array belongs to `reports`; the
- * next call for the service overwrites it. `service` must be interned. */
-const float *
+/* Returns the request rates of the keys of a service, over all nodes, as
+ * reported to this node. They belong to `reports`. `service` must be interned.
+ */
+struct rs_key_rates *
 RsReports_KeyRates(struct rs_reports *reports, const char *service,
                    int64_t now_ms)
 {
-    struct rates *rates = get_or_create_rates(reports, service, now_ms);
-    double elapsed_ms = (double)(now_ms - rates->decayed_at_ms);
-    float short_decay = (float)exp(-elapsed_ms / SHORT_WINDOW_MS);
-    float long_decay = (float)exp(-elapsed_ms / LONG_WINDOW_MS);
-    for (size_t key = 0; key < RsKeymap_KEYS; key++) {
-        rates->short_window[key] *= short_decay;
-        rates->long_window[key] *= long_decay;
-        rates->blend[key] =
-            SHORT_WINDOW_WEIGHT * rates->short_window[key] +
-            (1 - SHORT_WINDOW_WEIGHT) * rates->long_window[key];
-    }
-    rates->decayed_at_ms = now_ms;
-    return rates->blend;
+    return get_or_create_rates(reports, service, now_ms);
 }
 
 static void
@@ -180,16 +185,9 @@
 {
     for (size_t i = 0; i < report->n_keys; i++) {
         const Rs__Peer__Report__ServiceKeys *keys = report->keys[i];
-        struct rates *rates = get_or_create_rates(
+        struct rs_key_rates *rates = get_or_create_rates(
             reports, g_intern_string(keys->service), now_ms);
-        for (size_t k = 0; k < keys->n_keys; k++) {
-            if (keys->keys[k] < RsKeymap_KEYS) {
-                rates->short_window[keys->keys[k]] +=
-                    (float)(MS_PER_S / SHORT_WINDOW_MS);
-                rates->long_window[keys->keys[k]] +=
-                    (float)(MS_PER_S / LONG_WINDOW_MS);
-            }
-        }
+        RsKeyRates_Record(rates, keys->keys, keys->n_keys, now_ms);
     }
 }
 
@@ -218,14 +216,55 @@
         totals->service_us -= load->service_us;
         totals->node_count -= load->service_us > 0;
         totals->closed_count -= load->closed;
+        if (load->work.process == totals->work.process) {
+            totals->work.samples -= load->work.samples;
+            totals->work.sum -= load->work.sum;
+        }
         if (totals->in_flight == 0 && totals->node_count == 0 &&
-            totals->closed_count == 0) {
+            totals->closed_count == 0 && totals->work.samples == 0) {
             g_hash_table_remove(reports->totals_by_target, id);
         }
     }
     g_hash_table_remove_all(node->loads);
 }
 
+/* Returns the number by which messages distinguish the target's present
+ * process from former ones; 0 if the target is not known. */
+static uint32_t
+process_of(const struct rs_reports *reports, const char *id)
+{
+    const struct rs_fleet_target *target =
+        RsFleet_Find(&reports->router->fleet, id);
+    return target != NULL ? (uint32_t)target->report.started_wall_ms : 0;
+}
+
+static struct work
+decode_work(const Rs__Peer__TargetLoad *item)
+{
+    uint32_t samples = MIN(item->work_samples, (uint32_t)MAX_WORK_SAMPLES);
+    return (struct work){item->work_process, samples,
+                         (uint64_t)samples * item->work_permille};
+}
+
+/* Adds the samples that a node reported of a target to the sums. Sums of a
+ * former process are discarded. Samples that are not of the present process
+ * are cleared in `work` and not added. */
+static void
+add_work(const struct rs_reports *reports, const char *id, struct work *work,
+         struct work *sums)
+{
+    uint32_t process = process_of(reports, id);
+    if (sums->process != process) {
+        *sums = (struct work){.process = process};
+    }
+    if (work->process != process) {
+        *work = (struct work){.process = work->process};
+        return;
+    }
+    sums->samples += work->samples;
+    sums->sum += work->sum;
+}
+
 /* Records the load that a node reported for a target, and adds it to the
  * totals. A target that is named again is ignored. */
 static void
@@ -250,6 +289,8 @@
     totals->service_us += load->service_us;
     totals->node_count += load->service_us > 0;
     totals->closed_count += load->closed;
+    load->work = decode_work(item);
+    add_work(reports, id, &load->work, &totals->work);
 }
 
 /* Returns from which share of the nodes, by their last reports, the target
@@ -463,6 +504,7 @@
         .service_us = totals->node_count > 0
                           ? (uint32_t)(totals->service_us / totals->node_count)
                           : 0,
+        .work = totals->work,
     };
 }
 
@@ -554,6 +596,15 @@
     if (totals->service_us > 0) {
         target->shared_service_ms = totals->service_us / US_PER_MS;
     }
+    const struct work *work = &totals->work;
+    if (reports->router->settings->load.adaptive && work->samples > 0 &&
+        work->process == (uint32_t)target->report.started_wall_ms) {
+        const struct rs_concurrency_sums sums = {
+            work->samples / WORK_SAMPLE_UNITS,
+            (double)work->sum / WORK_SAMPLE_UNITS / PERMILLE,
+        };
+        RsConcurrency_SetSums(&target->concurrency, &sums, now_ms);
+    }
 }
 
 /* Returns the requests per second for the keys of a target if they exceed its
@@ -566,7 +617,34 @@
     return target != NULL ? (float)target->demand_per_s : 0;
 }
 
-/* Fills `loads` with the totals of all targets that have requests in flight.
+static void
+encode_work(const struct work *work, Rs__Peer__TargetLoad *item)
+{
+    if (work->samples > 0) {
+        item->work_samples = work->samples;
+        item->work_permille = (uint32_t)(work->sum / work->samples);
+        item->work_process = work->process;
+    }
+}
+
+/* Returns what this node reports of a target's relative work. */
+static struct work
+own_work(const struct rs_fleet_target *target)
+{
+    struct rs_concurrency_sums sums =
+        RsConcurrency_Reported(&target->concurrency);
+    if (sums.samples < MIN_REPORTED_SAMPLES) {
+        return (struct work){0};
+    }
+    return (struct work){
+        (uint32_t)target->report.started_wall_ms,
+        (uint32_t)(sums.samples * WORK_SAMPLE_UNITS),
+        (uint64_t)(sums.relative_work * WORK_SAMPLE_UNITS * PERMILLE),
+    };
+}
+
+/* Fills `loads` with the totals of all targets that have requests in flight or
+ * samples of their work; of many targets, a random part of the samples.
  * Returns their number. */
 static size_t
 list_totals(struct rs_reports *reports, Rs__Peer__TargetLoad *loads)
@@ -575,16 +653,23 @@
     gpointer id;
     gpointer value;
     size_t count = 0;
+    int work_parts = 1 + (int)g_hash_table_size(reports->totals_by_target) /
+                             MAX_WORK_TARGETS;
     g_hash_table_iter_init(&iter, reports->totals_by_target);
     while (g_hash_table_iter_next(&iter, &id, &value)) {
         const struct totals *totals = value;
-        if (totals->in_flight > 0) {
+        bool has_work =
+            totals->work.samples > 0 && g_random_int_range(0, work_parts) == 0;
+        if (totals->in_flight > 0 || has_work) {
             struct load overall = overall_load(totals);
             rs__peer__target_load__init(&loads[count]);
             loads[count].id = id;
             loads[count].in_flight = overall.in_flight;
             loads[count].service_us = overall.service_us;
             loads[count].demand_per_s = find_demand(reports, id);
+            if (has_work) {
+                encode_work(&overall.work, &loads[count]);
+            }
             loads[count].leaving_started_wall_ms = leaving_started_wall_ms(
                 RsFleet_Find(&reports->router->fleet, id));
             count++;
@@ -607,6 +692,7 @@
         struct load overall = overall_load(value);
         set_remote_load(reports, id, &overall, now_ms);
     }
+    RsRouter_RefreshConcurrency(reports->router, now_ms);
 }
 
 /* Returns the number of nodes that route requests. A new granter has received
@@ -627,6 +713,8 @@
 start_collecting(struct rs_reports *reports, int64_t now_ms)
 {
     reports->is_granter = true;
+    reports->router->hot_keys.known = false;
+    g_hash_table_remove_all(reports->rates); /* of an earlier term */
     reports->min_nodes = reports->router->share.nodes;
     reports->min_nodes_until_ms = now_ms + NODE_LIFETIME_MS;
     reports->ranks_known_at_ms =
@@ -659,6 +747,43 @@
     return count;
 }
 
+/* Fills `keys` with the hot keys. */
+static void
+list_hot_keys(const struct rs_reports *reports, Rs__Peer__HotKey *keys,
+              Rs__Peer__HotKey **pointers)
+{
+    const struct rs_hot_keys *hot = &reports->router->hot_keys;
+    for (size_t i = 0; i < hot->count; i++) {
+        rs__peer__hot_key__init(&keys[i]);
+        keys[i].service = (char *)hot->keys[i].service;
+        keys[i].key = hot->keys[i].key;
+        keys[i].demand_per_s = (float)hot->keys[i].demand_per_s;
+        keys[i].admitted_per_s = (float)hot->keys[i].admitted_per_s;
+        pointers[i] = &keys[i];
+    }
+}
+
+/* Records the hot keys that the granter has stated. */
+static void
+record_hot_keys(struct rs_reports *reports, const Rs__Peer__Summary *summary,
+                int64_t now_ms)
+{
+    struct rs_hot_keys *hot = &reports->router->hot_keys;
+    for (size_t i = 0; i < summary->n_hot_keys; i++) {
+        const Rs__Peer__HotKey *item = summary->hot_keys[i];
+        const struct rs_hot_key stated = {
+            .service = g_intern_string(item->service),
+            .key = item->key,
+            .demand_per_s = item->demand_per_s,
+            .admitted_per_s = item->admitted_per_s,
+        };
+        RsHotKeys_Record(hot, &stated, now_ms);
+    }
+    if (summary->hot_keys_known) {
+        RsHotKeys_DropUnnamed(hot, now_ms);
+    }
+}
+
 /* Responds to a report with the totals over all nodes. `from` is NULL if the
  * report came from this node itself; the totals are applied here then. */
 static void
@@ -678,6 +803,12 @@
     uint32_t peers[NAMED_PEERS];
     summary.n_peers = choose_peers(reports, peers);
     summary.peers = peers;
+    Rs__Peer__HotKey hot_keys[RsHotKeys_MAX];
+    Rs__Peer__HotKey *hot_key_pointers[RsHotKeys_MAX];
+    list_hot_keys(reports, hot_keys, hot_key_pointers);
+    summary.hot_keys = hot_key_pointers;
+    summary.n_hot_keys = reports->router->hot_keys.count;
+    summary.hot_keys_known = reports->router->hot_keys.known;
     GPtrArray *limits = list_limits(reports, now_ms);
     summary.limits = (Rs__Peer__Limit **)limits->pdata;
     summary.n_limits = limits->len;
@@ -694,8 +825,9 @@
         send_to(reports, from, &summary.base);
     }
     else {
-        reports->router->share =
+        const struct rs_load_share share =
             decode_share(&summary, &reports->router->share);
+        RsLoad_UpdateShare(&reports->router->share, &share, now_ms);
         apply_own_totals(reports, now_ms);
     }
     g_ptr_array_unref(limits);
@@ -713,18 +845,21 @@
     if (summary->incarnation != reports->incarnation || summary->nodes == 0) {
         return;
     }
-    router->share = decode_share(summary, &router->share);
+    const struct rs_load_share share = decode_share(summary, &router->share);
+    RsLoad_UpdateShare(&router->share, &share, now_ms);
     for (size_t i = 0; i < summary->n_peers; i++) {
         reports->on_peer(reports->arg, summary->peers[i]);
     }
     record_limits(reports, summary->limits, summary->n_limits, now_ms);
     record_suspects(reports, summary->suspects, summary->n_suspects, now_ms);
+    record_hot_keys(reports, summary, now_ms);
     clear_remote_load(reports, now_ms);
     for (size_t i = 0; i < summary->n_targets; i++) {
         const Rs__Peer__TargetLoad *item = summary->targets[i];
         const char *id = g_intern_string(item->id);
         const struct load totals = {.in_flight = item->in_flight,
-                                    .service_us = item->service_us};
+                                    .service_us = item->service_us,
+                                    .work = decode_work(item)};
         record_leaving(reports, item, now_ms);
         set_remote_load(reports, id, &totals, now_ms);
         struct rs_fleet_target *target = RsFleet_Find(&router->fleet, id);
@@ -733,11 +868,13 @@
             target->demand_at_ms = now_ms;
         }
     }
+    RsRouter_RefreshConcurrency(router, now_ms);
 }
 
 /* Distinguishes reports from summaries by the first byte, the tag of the first
  * field: in a report this field is `node`, a string in field 1 (0x0a); in a
- * summary the first field is a number (see router/peer.proto). */
+ * summary the first field is a number (see router/peer.proto). Messages of
+ * quotas begin with tags of their own. */
 #define REPORT_TAG 0x0a
 
 static void
@@ -750,6 +887,11 @@
     if (size <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0) {
         return;
     }
+    if (reports->router->quotas != NULL &&
+        RsQuotaExchange_HandleDatagram(reports->router->quotas, data,
+                                       (size_t)size, from, now_ms)) {
+        return;
+    }
     if (data[0] == REPORT_TAG) {
         Rs__Peer__Report *report =
             rs__peer__report__unpack(NULL, (size_t)size, data);
@@ -838,6 +980,8 @@
         loads[count].service_us =
             target->answers > 0 ? (uint32_t)(target->service_ms * US_PER_MS)
                                 : 0;
+        struct work work = own_work(target);
+        encode_work(&work, &loads[count]);
         loads[count].leaving_started_wall_ms = leaving_started_wall_ms(target);
         loads[count].closed_ms =
             closed ? (uint32_t)(target->closed_until_ms - now_ms) : 0;
@@ -888,6 +1032,15 @@
 RsReports_Send(struct rs_reports *reports, const struct sockaddr_in *granter,
                int64_t now_ms)
 {
+    /* Requests from a time without a granter would look like a burst. */
+    if (now_ms - reports->sent_at_ms >
+        MAX_KEY_INTERVALS *
+            (int64_t)RsReports_IntervalMs(reports->router->share.nodes)) {
+        clear_requested_keys(reports);
+    }
+    reports->sent_at_ms = now_ms;
+    RsRouter_RefreshConcurrency(reports->router, now_ms);
+    RsRequest_RecordOverdue(reports->router, now_ms);
     guint targets = g_hash_table_size(reports->router->fleet.targets);
     guint services = g_hash_table_size(reports->router->requested_keys);
     Rs__Peer__TargetLoad *loads = g_new0(Rs__Peer__TargetLoad, targets + 1);
--- a/router/request.c
+++ b/router/request.c
@@ -11,6 +11,7 @@
 #include "core/log.h"
 #include "http/server.h"
 #include "platform/wire.h"
+#include "router/quota_exchange.h"
 
 /* A request to a service without keys waits for capacity for at most the
  * latency target divided by this. A wait of up to an eighth of the target does
@@ -28,12 +29,14 @@
 /* Time allowed to a request until its route is known, and if the caller names
  * no deadline. */
 #define DEFAULT_DEADLINE_MS 3600000
+#define STATUS_UNAUTHORIZED 401
 #define STATUS_GATEWAY_TIMEOUT 504
 
 static void
 free_request(struct rs_request *request)
 {
     RsRouting_Release(request->config);
+    RsRouting_Release(request->identity);
     g_byte_array_unref(request->body);
     g_byte_array_unref(request->sending);
 }
@@ -176,9 +179,18 @@
     int64_t elapsed_us = RsClock_NowUs() - request->arrived_at_us;
     request->finished = true;
     RsRequest_StopWaiting(request);
+    RsQuotaExchange_End(request->router->quotas, &request->quota_claim,
+                        !request->may_have_run &&
+                            request->forwarded_attempt == NULL,
+                        RsClock_NowMs());
     g_queue_unlink(&request->router->active, &request->active_link);
     RsHistogram_Record(&request->router->counters.latency_us,
                        (uint64_t)elapsed_us);
+    RsWorkspaces_RecordEnd(&request->router->workspaces, request->workspace,
+                           strcmp(outcome, "not-run") == 0);
+    if (request->unauthorized) {
+        return; /* RsWorkspaces_RecordUnauthorized() logs it */
+    }
     RsLog_EVENT(
         RsLog_INFO, "request", RsLog_TEXT("request_id", request->id),
         RsLog_TEXT("outcome", outcome), RsLog_NUMBER("status", status),
@@ -187,6 +199,8 @@
                    request->route != NULL ? request->route->name : ""),
         RsLog_TEXT("service",
                    request->service != NULL ? request->service->name : ""),
+        RsLog_TEXT("workspace",
+                   request->workspace != NULL ? request->workspace->name : ""),
         RsLog_TEXT("target", target),
         RsLog_NUMBER("key", request->key == RsRequest_NO_KEY
                                 ? -1
@@ -227,7 +241,7 @@
     append_part(text, http->input.method.base, http->input.method.len);
     append_part(text, http->input.authority.base, http->input.authority.len);
     append_part(text, http->input.path.base, http->input.path.len);
-    append_header(text, http, "authorization");
+    append_header(text, http, RsWire_AUTHORIZATION);
     append_header(text, http, RsWire_KEY);
     append_part(text, http->entity.base, http->entity.len);
     request->fingerprint = MAX(RsId_FromBytes(text->str, text->len), 1);
@@ -255,6 +269,103 @@
     return true;
 }
 
+/* Returns the credentials that the request carries. They are valid as long as
+ * the request. */
+static struct rs_workspaces_credentials
+read_credentials(const h2o_req_t *http)
+{
+    struct rs_workspaces_credentials credentials = {0};
+    for (size_t i = 0; i < http->headers.size; i++) {
+        const h2o_header_t *header = &http->headers.entries[i];
+        if (header->name->len == strlen(RsWire_AUTHORIZATION) &&
+            g_ascii_strncasecmp(header->name->base, RsWire_AUTHORIZATION,
+                                header->name->len) == 0) {
+            credentials.value = header->value.base;
+            credentials.size_bytes = header->value.len;
+            credentials.count++;
+        }
+    }
+    return credentials;
+}
+
+/* Returns whether the request needs no API key. If the configuration has
+ * changed since the request arrived, the present route of the request decides,
+ * or if there is none, the former one. */
+static bool
+is_public(const struct rs_request *request)
+{
+    const struct rs_routing *config = request->router->config;
+    const h2o_req_t *http = request->http;
+    const struct rs_route *route = NULL;
+    if (config != request->config) {
+        route = RsRouting_Match(config, http->input.authority.base,
+                                http->input.authority.len,
+                                http->input.path.base, http->input.path.len);
+    }
+    return route != NULL ? route->is_public : request->route->is_public;
+}
+
+/* Checks the request's API key against the configuration in force, and sets
+ * its workspace. Must be called before each attempt, since the key may have
+ * been revoked. If the configuration no longer has workspaces, the request
+ * keeps the one it had. */
+enum rs_workspaces_verdict
+RsRequest_CheckApiKey(struct rs_request *request, int64_t now_ms)
+{
+    const struct rs_workspaces *workspaces = &request->router->workspaces;
+    struct rs_routing *config = request->router->config;
+    bool needs_key = config->has_workspaces && !is_public(request);
+    if (needs_key && !RsWorkspaces_IsConfirmed(workspaces, now_ms)) {
+        return RsWorkspaces_UNCONFIRMED;
+    }
+    if (config == request->identity) {
+        return RsWorkspaces_ADMITTED;
+    }
+    if (needs_key) {
+        const struct rs_workspaces_credentials credentials =
+            read_credentials(request->http);
+        const struct rs_workspace *workspace =
+            RsWorkspaces_Identify(workspaces, &credentials);
+        if (workspace == NULL) {
+            return RsWorkspaces_UNAUTHORIZED;
+        }
+        request->workspace = workspace;
+    }
+    else if (config->has_workspaces) {
+        request->workspace = NULL;
+    }
+    if (config->has_workspaces || request->identity == NULL) {
+        RsRouting_Release(request->identity);
+        request->identity = RsRouting_Retain(config);
+    }
+    request->hides_credentials |= config->has_workspaces;
+    return RsWorkspaces_ADMITTED;
+}
+
+/* Checks the request's API key. Sends an error response and returns true if
+ * the request must not be sent to a target. */
+bool
+RsRequest_RejectIfUnauthorized(struct rs_request *request, int64_t now_ms)
+{
+    struct rs_workspaces *workspaces = &request->router->workspaces;
+    struct rs_workspaces_credentials credentials;
+    switch (RsRequest_CheckApiKey(request, now_ms)) {
+    case RsWorkspaces_UNAUTHORIZED:
+        credentials = read_credentials(request->http);
+        RsWorkspaces_RecordUnauthorized(workspaces, &credentials, request->id,
+                                        request->route->name, now_ms);
+        request->unauthorized = true;
+        RsReply_Reject(request, STATUS_UNAUTHORIZED, "unauthorized");
+        return true;
+    case RsWorkspaces_UNCONFIRMED:
+        RsCounter_Add(&workspaces->unconfirmed_total, 1);
+        RsReply_Refuse(request, "config-unconfirmed");
+        return true;
+    default:
+        return false;
+    }
+}
+
 /* Returns the value of a decimal header, or `fallback` if the header is absent
  * or not a number of 32 bits. */
 static uint32_t
@@ -299,9 +410,9 @@
         MIN(request->arrived_at_ms + wait_ms, request->deadline_ms);
 }
 
-/* Determines the route, service, key and deadlines of the request. If it has
- * no request id, or no valid route, service or key, sends an error response
- * and returns false. */
+/* Determines the route, workspace, service, key and deadlines of the request.
+ * If it has no request id, or no valid route, API key, service or key, sends
+ * an error response and returns false. */
 static bool
 resolve_route(struct rs_request *request)
 {
@@ -317,6 +428,10 @@
         RsReply_Reject(request, 404, "no-route");
         return false;
     }
+    if (RsRequest_RejectIfUnauthorized(request, request->arrived_at_ms)) {
+        return false;
+    }
+    request->rank = RsWorkspaces_Rank(request->workspace, request->route);
     if (request->id[0] == '\0') {
         RsReply_Reject(request, 400, "no-request-id");
         return false;
@@ -327,7 +442,6 @@
         RsReply_Refuse(request, "unknown-service");
         return false;
     }
-    request->rank = request->route->priority;
     set_deadlines(request);
     if (request->service->sharded) {
         request->key = read_number(http, RsWire_KEY, RsRequest_NO_KEY);
@@ -391,7 +505,7 @@
         /* The item is the request's, whose memory outlives the response at
          * least until the event loop runs again. */
         if (!request->finished && request->waiting &&
-            !request->service->sharded) {
+            !request->service->sharded && !request->quota_claim.waiting) {
             saturated_service = request->service->name;
         }
     }
--- a/router/request.h
+++ b/router/request.h
@@ -6,11 +6,12 @@
 #define RATTANSHED_ROUTER_REQUEST_H
 
 #include "router/exchange.h"
+#include "router/quota.h"
 #include "router/router.h"
 
 #define RsRequest_MAX_ATTEMPTS 4
 /* Maximum number of headers copied from the caller. An attempt has room for
- * four more, of which the router uses three. */
+ * four more, which the router sets itself. */
 #define RsRequest_MAX_HEADERS 44
 /* Maximum size of a request ID, including the terminating zero byte. */
 #define RsRequest_MAX_ID_BYTES 128
@@ -45,10 +46,19 @@
     struct rs_routing *config;
     const struct rs_route *route;
     const struct rs_service *service;
-    /* Whose API key the request carries; NULL: none. */
+    /* Part of `identity`; NULL if the request needs no API key. */
     const struct rs_workspace *workspace;
-    uint32_t rank; /* 0 is the most urgent */
-    uint32_t key;  /* RsRequest_NO_KEY unless the service is sharded */
+    /* The configuration against which the API key was last checked. */
+    struct rs_routing *identity;
+    /* Of the workspace, or else of the route when the request arrived; 0 is
+     * the most urgent. */
+    uint32_t rank;
+    /* Credentials and the name of a workspace that the caller sent are not
+     * forwarded. */
+    bool hides_credentials;
+    struct rs_quota_claim quota_claim;
+    bool unauthorized; /* it was answered with 401 */
+    uint32_t key;      /* RsRequest_NO_KEY unless the service is sharded */
     char id[RsRequest_MAX_ID_BYTES];
     uint64_t fingerprint; /* see RsRequest_Fingerprint(); 0: not computed */
     int64_t arrived_at_ms;
@@ -99,6 +109,8 @@
 
 /* Implemented in router/reply.c. */
 void RsReply_Refuse(struct rs_request *request, const char *reason);
+void RsReply_RefuseWithoutToken(struct rs_request *request, bool is_over,
+                                int64_t now_ms);
 void RsReply_Fail(struct rs_request *request, int status, const char *reason);
 void RsReply_Reject(struct rs_request *request, int status,
                     const char *reason);
@@ -115,6 +127,10 @@
 void RsRequest_TakeFromQueue(struct rs_request *request);
 uint64_t RsRequest_Fingerprint(struct rs_request *request);
 bool RsRequest_RefuseIfSuspected(struct rs_request *request, int64_t now_ms);
+enum rs_workspaces_verdict RsRequest_CheckApiKey(struct rs_request *request,
+                                                 int64_t now_ms);
+bool RsRequest_RejectIfUnauthorized(struct rs_request *request,
+                                    int64_t now_ms);
 bool RsRequest_IsHopByHop(const char *header);
 void RsRequest_Finish(struct rs_request *request, int status,
                       const char *outcome);
--- a/router/router.c
+++ b/router/router.c
@@ -1,5 +1,6 @@
 #include "router/router.h"
 
+#include "core/clock.h"
 #include "core/log.h"
 
 /* Weight of a new sample in the moving average, which covers about the last 20
@@ -17,6 +18,14 @@
     g_free(keys);
 }
 
+static void
+free_service(gpointer data)
+{
+    struct rs_router_service *service = data;
+    RsConcurrency_ClearService(&service->concurrency);
+    g_free(service);
+}
+
 static void
 free_array(gpointer data)
 {
@@ -33,7 +42,8 @@
         .loop = loop,
         .settings = settings,
         .zone = g_intern_string(settings->node.zone),
-        .share = {.nodes = RsRouter_ASSUMED_NODES},
+        .share = {.nodes = RsRouter_ASSUMED_NODES,
+                  .place_since_ms = RsClock_NowMs()},
         .random = g_rand_new(),
     };
     router->paths = (struct rs_paths){
@@ -43,16 +53,29 @@
     };
     router->keymaps = g_hash_table_new_full(g_direct_hash, g_direct_equal,
                                             NULL, free_keymap);
-    router->services =
-        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    router->services = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+                                             NULL, free_service);
     router->requested_keys =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_array);
     RsSuspects_Init(&router->suspects);
+    RsWorkspaces_Init(&router->workspaces, settings->bounds.strict_revoke,
+                      settings->bounds.revoke_ms);
     RsOverload_InitPlaces(&router->places);
     g_queue_init(&router->active);
     RsSchedule_Init(&router->schedule);
 }
 
+/* Puts a configuration in force, and takes ownership of it. Its API keys are
+ * held as digests only. */
+void
+RsRouter_SetConfig(struct rs_router *router, struct rs_routing *config)
+{
+    RsWorkspaces_SetConfig(&router->workspaces, config);
+    RsRouting_DropApiKeys(config);
+    RsRouting_Release(router->config);
+    router->config = config;
+}
+
 /* Returns the port on which each node opens tunnels, see router/tunnel.h. */
 uint32_t
 RsRouter_TunnelPort(const struct rs_router *router)
@@ -73,6 +96,7 @@
         service->budget.ratio = bounds->retry_ratio;
         service->budget.slack = bounds->retry_slack;
         service->budget.window_s = bounds->retry_window_s;
+        RsConcurrency_InitService(&service->concurrency);
         g_hash_table_insert(router->services, (gpointer)name, service);
     }
     return service;
@@ -98,6 +122,97 @@
         ANSWER_BYTES_WEIGHT * ((double)size_bytes - state->answer_bytes);
 }
 
+/* Returns what is known of the requests to the target's service. */
+static struct rs_concurrency_service *
+concurrency_of(struct rs_router *router, const struct rs_fleet_target *target)
+{
+    return &RsRouter_GetOrCreateService(router, target->report.service)
+                ->concurrency;
+}
+
+static void
+log_factor(struct rs_router *router, struct rs_fleet_target *target,
+           int64_t now_ms)
+{
+    char factor[G_ASCII_DTOSTR_BUF_SIZE];
+    if (!RsConcurrency_IsNews(&target->concurrency, now_ms)) {
+        return;
+    }
+    RsCounter_Add(&router->counters.speed_changes, 1);
+    g_ascii_formatd(factor, sizeof(factor), "%.2f",
+                    target->concurrency.factor);
+    RsLog_EVENT(RsLog_INFO, "target_speed", RsLog_TEXT("target", target->id),
+                RsLog_TEXT("service", target->report.service),
+                RsLog_TEXT("factor", factor),
+                RsLog_NUMBER("service_ms", target->concurrency.service_ms));
+}
+
+/* Returns the mean work of the requests of a route to a service, which must be
+ * interned, in ms; 0 if that is unknown. */
+double
+RsRouter_MeanWorkMs(struct rs_router *router, const char *service,
+                    const char *route)
+{
+    struct rs_router_service *state =
+        RsRouter_GetOrCreateService(router, service);
+    return RsConcurrency_MeanWorkMs(&state->concurrency,
+                                    g_intern_string(route));
+}
+
+/* Records the work of a target for a request of a route, see
+ * RsConcurrency_Record(). */
+void
+RsRouter_RecordWork(struct rs_router *router, struct rs_fleet_target *target,
+                    const char *route,
+                    const struct rs_concurrency_sample *sample, int64_t now_ms)
+{
+    RsConcurrency_Record(&target->concurrency, concurrency_of(router, target),
+                         g_intern_string(route), sample, now_ms);
+}
+
+/* Records that a request of a route has not been answered yet, see
+ * RsConcurrency_RecordOverdue(). */
+void
+RsRouter_RecordOverdueWork(struct rs_router *router,
+                           struct rs_fleet_target *target, const char *route,
+                           const struct rs_concurrency_sample *sample)
+{
+    RsConcurrency_RecordOverdue(&target->concurrency,
+                                concurrency_of(router, target),
+                                g_intern_string(route), sample);
+}
+
+/* Derives the expected work at each target from the samples known by now. Does
+ * nothing unless load.adaptive is set. */
+void
+RsRouter_RefreshConcurrency(struct rs_router *router, int64_t now_ms)
+{
+    const GPtrArray *list = router->fleet.list;
+    if (!router->settings->load.adaptive) {
+        return;
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rs_router_service *service = value;
+        RsConcurrency_ResetFactors(&service->concurrency);
+    }
+    for (guint i = 0; i < list->len; i++) {
+        struct rs_fleet_target *target = g_ptr_array_index(list, i);
+        RsConcurrency_Decay(&target->concurrency, now_ms);
+        RsConcurrency_CountFactor(concurrency_of(router, target),
+                                  &target->concurrency,
+                                  target->shared_service_ms);
+    }
+    for (guint i = 0; i < list->len; i++) {
+        struct rs_fleet_target *target = g_ptr_array_index(list, i);
+        RsConcurrency_Refresh(&target->concurrency,
+                              concurrency_of(router, target));
+        log_factor(router, target, now_ms);
+    }
+}
+
 /* Returns the key ownership map of a service, or NULL if none is known yet.
  * `service` must be interned; the router owns the result. */
 const struct rs_router_keymap *
--- a/router/router.h
+++ b/router/router.h
@@ -13,6 +13,7 @@
 #include "core/counter.h"
 #include "platform/routing.h"
 #include "router/fleet.h"
+#include "router/hot_keys.h"
 #include "router/keymap.h"
 #include "router/load.h"
 #include "router/notices.h"
@@ -21,6 +22,7 @@
 #include "router/schedule.h"
 #include "router/shutdown.h"
 #include "router/suspects.h"
+#include "router/workspaces.h"
 #include "settings/node.h"
 
 /* Number of router nodes assumed until the granter reports the real number or
@@ -34,8 +36,9 @@
     struct rs_counter answered;
     struct rs_counter refused;   /* not executed; the caller may retry */
     struct rs_counter suspected; /* of these: suspected of crashing targets */
-    struct rs_counter not_admitted;  /* refused for their owners' overload */
-    struct rs_counter placed;        /* admitted, as they came back in time */
+    struct rs_counter not_admitted; /* refused for their owners' overload */
+    struct rs_counter placed;       /* admitted, as they came back in time */
+    struct rs_counter hot_key;      /* of these: for a hot key, not admitted */
     struct rs_counter refused_again; /* refused, as a request like it before */
     struct rs_counter failed;        /* failed; may have been executed */
     struct rs_counter rejected;      /* 4xx responses made by the router */
@@ -43,6 +46,7 @@
     struct rs_counter attempts;
     /* Retries and hedged attempts that the retry budget allowed. */
     struct rs_counter extra_attempts;
+    struct rs_counter speed_changes; /* logged changes of targets' factors */
     struct rs_histogram latency_us;
     struct rs_histogram attempt_us;
 };
@@ -53,11 +57,14 @@
     uint64_t version; /* of its row in the store */
 };
 
+struct rs_quota_exchange;
+
 /* Per-service state of this node. */
 struct rs_router_service {
     struct rs_load_retry_budget budget;
     struct rs_overload_mix mix;
     double answer_bytes; /* moving average of response body sizes */
+    struct rs_concurrency_service concurrency;
 };
 
 struct rs_router {
@@ -82,6 +89,9 @@
     struct rs_shutdown shutdown;
     struct rs_notice_counters notices;
     struct rs_suspects suspects;
+    struct rs_workspaces workspaces;
+    struct rs_quota_exchange *quotas; /* NULL until the node has opened it */
+    struct rs_hot_keys hot_keys; /* planned on the granter, else as stated */
     struct rs_overload_places places;
     bool has_news; /* the granter is to be sent a report at once */
     struct rs_router_counters counters;
@@ -89,6 +99,7 @@
 
 void RsRouter_Init(struct rs_router *router, uv_loop_t *loop,
                    const struct rs_node_settings *settings);
+void RsRouter_SetConfig(struct rs_router *router, struct rs_routing *config);
 uint32_t RsRouter_TunnelPort(const struct rs_router *router);
 struct rs_router_service *RsRouter_GetOrCreateService(struct rs_router *router,
                                                       const char *service);
@@ -100,11 +111,23 @@
                         uint64_t version);
 void RsRouter_RecordAnswerSize(struct rs_router *router, const char *service,
                                uint64_t size_bytes);
+double RsRouter_MeanWorkMs(struct rs_router *router, const char *service,
+                           const char *route);
+void RsRouter_RecordWork(struct rs_router *router,
+                         struct rs_fleet_target *target, const char *route,
+                         const struct rs_concurrency_sample *sample,
+                         int64_t now_ms);
+void RsRouter_RecordOverdueWork(struct rs_router *router,
+                                struct rs_fleet_target *target,
+                                const char *route,
+                                const struct rs_concurrency_sample *sample);
+void RsRouter_RefreshConcurrency(struct rs_router *router, int64_t now_ms);
 void RsRouter_RecordKeyUse(struct rs_router *router, const char *service,
                            uint32_t key);
 
 /* Implemented in router/request.c. */
 void RsRequest_Begin(void *router, h2o_req_t *http);
+void RsRequest_RecordOverdue(struct rs_router *router, int64_t now_ms);
 void RsRequest_RetryWaiting(struct rs_router *router, int64_t now_ms);
 void RsRequest_Tick(struct rs_router *router, int64_t now_ms);
 void RsRequest_EndAbandoned(struct rs_router *router);
