--- a/router/metrics.c
+++ b/router/metrics.c
@@ -86,18 +86,10 @@
                   "Tokens that this node granted.", &counters->granted);
 }
 
-/* Appends counters and histograms of the node to `text`, in the Prometheus
- * text format. */
-void
-RsMetrics_Print(struct rs_text_buffer *text,
-                const struct rs_metrics_sources *sources)
+static void
+print_refusals(struct rs_text_buffer *text,
+               const struct rs_router_counters *router)
 {
-    const struct rs_router_counters *router = &sources->router->counters;
-    const struct rs_store_counters *store = sources->store_counters;
-    print_counter(text, "rattanshed_requests_total", "Requests of callers.",
-                  &router->requests);
-    print_counter(text, "rattanshed_answered_total", "Targets' answers.",
-                  &router->answered);
     print_counter(text, "rattanshed_refused_total",
                   "Requests that were not run.", &router->refused);
     print_counter(text, "rattanshed_refused_suspects_total",
@@ -119,6 +111,21 @@
                   "Requests refused at an overloaded owner within some "
                   "seconds of a request like it.",
                   &router->refused_again);
+}
+
+/* Appends counters and histograms of the node to `text`, in the Prometheus
+ * text format. */
+void
+RsMetrics_Print(struct rs_text_buffer *text,
+                const struct rs_metrics_sources *sources)
+{
+    const struct rs_router_counters *router = &sources->router->counters;
+    const struct rs_store_counters *store = sources->store_counters;
+    print_counter(text, "rattanshed_requests_total", "Requests of callers.",
+                  &router->requests);
+    print_counter(text, "rattanshed_answered_total", "Targets' answers.",
+                  &router->answered);
+    print_refusals(text, router);
     print_counter(text, "rattanshed_failed_total",
                   "Requests that may have been run.", &router->failed);
     print_counter(text, "rattanshed_rejected_total",
