--- a/router/hot_keys_test.c
+++ b/router/hot_keys_test.c
@@ -334,6 +334,8 @@
 admit(struct sim *sim, struct request *request, struct rs_fleet_target *seen,
       int64_t *retry_at_ms)
 {
+    /* No caller comes back. */
+    static const struct rs_overload_places no_places;
     static const struct rs_overload_mix one_rank;
     const struct rs_hot_key_request asked = {sim->service.name, request->key,
                                              request->number,
@@ -343,7 +345,8 @@
     return *retry_at_ms == 0 &&
            (RsHotKeys_Find(&sim->hot[request->node], sim->service.name,
                            request->key) != NULL ||
-            RsOverload_Admit(seen, &one_rank, 0, sim->random, sim->now_ms));
+            RsOverload_Admit(seen, &one_rank, &no_places, 0, sim->random,
+                             sim->now_ms));
 }
 
 /* Handles a request as RsAttempt_Dispatch() does. */
--- a/router/overload.c
+++ b/router/overload.c
@@ -12,8 +12,8 @@
  * for less answers late, which is better for callers than to be refused. */
 #define OVERLOAD_SHARE 1.05
 /* Rate of admitted requests, as a multiple of the rate that the target can run
- * by its service time. */
-#define ADMITTED_SHARE 1.1
+ * by its service time, which is measured too high under load. */
+#define ADMITTED_SHARE 1.2
 /* Each rank gets at least this part of the share that all ranks together get.
  */
 #define MIN_RANK_PART 0.25
@@ -24,9 +24,9 @@
 #define MS_PER_S 1000.0
 /* A request goes to an overloaded target if its answer is expected within this
  * part of its latency target. The load is known only from sums that are some
- * hundred milliseconds old, and with 0.7 half as many answers again were late.
- */
-#define LATENCY_PART 0.5
+ * hundred milliseconds old, and with more, more answers are late
+ * (docs/design/schedule.md). */
+#define LATENCY_PART 0.65
 /* The part is higher by up to this for ranks with many less urgent requests
  * and for callers with a place, so that the others leave room for them. */
 #define URGENT_PART 0.3
@@ -127,12 +127,21 @@
     return share >= 1 ? 1 : RsOverload_ShareOfRank(mix, rank, share);
 }
 
+/* Returns which share of all requests gets a place. */
+static double
+place_share(double share)
+{
+    return share * RESERVED_PART * (1 - share);
+}
+
 /* Returns the part of an admitted share that is left to callers without a
- * place. */
+ * place. Only as much is kept for places as was used of them lately, since not
+ * all callers come back. */
 static double
-unreserved_share(double share)
+unreserved_share(const struct rs_overload_places *places, double share)
 {
-    return share * (1 - RESERVED_PART * (1 - share));
+    double used = places->reserved > 0 ? places->taken / places->reserved : 0;
+    return share - place_share(share) * MIN(used, 1);
 }
 
 /* Returns whether a request for a key of the target is admitted. While the
@@ -142,7 +151,8 @@
  * node start at a random point of their sequence. */
 bool
 RsOverload_Admit(struct rs_fleet_target *target,
-                 const struct rs_overload_mix *mix, uint32_t rank,
+                 const struct rs_overload_mix *mix,
+                 const struct rs_overload_places *places, uint32_t rank,
                  GRand *random, int64_t now_ms)
 {
     double share = admitted_share(target, mix, rank, now_ms);
@@ -153,7 +163,7 @@
         target->admission = g_rand_double(random);
     }
     target->admission = fmod(target->admission + GOLDEN_FRACTION, 1);
-    return target->admission < unreserved_share(share);
+    return target->admission < unreserved_share(places, share);
 }
 
 /* Returns when a caller should come back whose request was not admitted, with
@@ -167,9 +177,9 @@
                      int64_t time_left_ms, GRand *random, int64_t now_ms)
 {
     double share = admitted_share(target, mix, rank, now_ms);
-    double unreserved = unreserved_share(share);
+    double refused_share = 1 - share + place_share(share);
     double with_place =
-        unreserved < 1 ? (share - unreserved) / (1 - unreserved) : 1;
+        refused_share > 0 ? place_share(share) / refused_share : 1;
     double left_ms = (double)MAX(time_left_ms, (int64_t)0);
     if (g_rand_double(random) < with_place) {
         double wait_ms = left_ms * g_rand_double_range(random, MIN_PLACE_SHARE,
@@ -195,7 +205,8 @@
 void
 RsOverload_InitPlaces(struct rs_overload_places *places)
 {
-    *places = (struct rs_overload_places){new_table(), new_table(), 0};
+    *places = (struct rs_overload_places){.newer = new_table(),
+                                          .older = new_table()};
 }
 
 void
@@ -232,6 +243,8 @@
     places->newer = oldest;
     g_hash_table_remove_all(oldest);
     places->changed_at_ms = now_ms;
+    places->reserved /= 2;
+    places->taken /= 2;
 }
 
 static struct place_entry *
@@ -290,6 +303,7 @@
                                 ? MIN(entry->back_at_ms, place->back_at_ms)
                                 : place->back_at_ms;
         entry->reserved++;
+        places->reserved++;
     }
     return again;
 }
@@ -307,6 +321,7 @@
         return false;
     }
     entry->reserved--;
+    places->taken++;
     return true;
 }
 
