--- a/router/reload.c
+++ b/router/reload.c
@@ -19,8 +19,8 @@
 
 #define FIELD(type, group, member, changeable)                                \
     {                                                                         \
-#group "." #member, type,                                             \
-            offsetof(struct rs_node_settings, group.member), changeable       \
+#group "." #member, (type),                                           \
+            offsetof(struct rs_node_settings, group.member), (changeable)     \
     }
 
 static const struct field fields[] = {
