State own rates with headroom while the ledger knows all nodes

A node that loses the granter may use 1.5 times what it was given on average, as far as all stated rates together stay within the workspace's rate; a new ledger that has not heard from all nodes states no more than the average, since it reserves the rest for them.

--- a/router/quota.c
+++ b/router/quota.c
@@ -11,12 +11,12 @@
 #define ASK_AGAIN_MS 60
 /* A node with own rates sends a request at least this often, so that the
  * ledger knows that the node doesn't use them. */
-#define KEEPALIVE_MS 250
+#define KEEPALIVE_MS 180
 /* The bucket of a lost node holds its own rate for OWN_BURST_S, and its part
  * of OWN_SHARE of the operator's slack. It has not been served for longer than
  * OWN_BURST_S when it begins with a full one, as its last tokens have expired
  * before RsQuota_LOST_MS. */
-#define OWN_BURST_S 0.4
+#define OWN_BURST_S 0.3
 #define OWN_SHARE 0.25
 /* A node holds the tokens for this long ahead. For fewer than MIN_AHEAD tokens
  * nothing is held: most of them would expire unspent. */
@@ -316,7 +316,10 @@
 static bool
 is_silent(const struct rs_quota *quota, int64_t now_ms)
 {
-    return now_ms - quota->answered_at_ms > KEEPALIVE_MS + RsQuota_MAX_RTT_MS;
+    const struct sent *last = &quota->sent[quota->sequence % SENT_COUNT];
+    return now_ms - quota->answered_at_ms >
+               KEEPALIVE_MS + RsQuota_MAX_RTT_MS ||
+           (last->sequence != 0 && now_ms - last->at_ms > ASK_AGAIN_MS);
 }
 
 /* Returns whether more requests wait already than there will be tokens for. */
--- a/router/quota.h
+++ b/router/quota.h
@@ -36,11 +36,11 @@
 #define RsQuota_SILENT_WAIT_MS 500
 /* A node without an answer for this long, counted from the sending of the last
  * request that was answered, uses its own rates. */
-#define RsQuota_LOST_MS 1000
+#define RsQuota_LOST_MS 700
 /* An answer that took longer doesn't count as one for RsQuota_LOST_MS. The
  * ledger takes a node for lost RsQuota_MAX_RTT_MS earlier than the node itself
  * does, so that the rate is reserved before it is used. */
-#define RsQuota_MAX_RTT_MS 300
+#define RsQuota_MAX_RTT_MS 200
 /* A lost node uses its own rate for this long. After that it uses at most the
  * rate divided by the number of nodes, which a granter that never heard of the
  * node reserves for it. */
--- a/router/quota_ledger.c
+++ b/router/quota_ledger.c
@@ -30,6 +30,10 @@
  * back at random around their places. With places for all tokens, up to 11 in
  * 100 found none in the simulation. */
 #define LINE_PART 0.85
+/* An own rate is this many times what the node was given on average, as far as
+ * the workspace's rate allows: requests come at random, and more come back
+ * after a gap. */
+#define OWN_RATE_HEADROOM 1.5
 /* A moving average below this rate counts as 0. */
 #define MIN_RATE_PER_S 0.001
 
@@ -413,16 +417,23 @@
              struct share *share, uint32_t tokens, int64_t now_ms)
 {
     double total = 0;
+    double others = 0;
     share->given_per_s =
         given_now(share, now_ms) + tokens * MS_PER_S / RsQuota_RATE_WINDOW_MS;
     share->given_at_ms = now_ms;
     for (guint i = 0; i < bucket->shares->len; i++) {
-        total +=
-            given_now(&g_array_index(bucket->shares, struct share, i), now_ms);
+        const struct share *each =
+            &g_array_index(bucket->shares, struct share, i);
+        total += given_now(each, now_ms);
+        others += each != share ? share_rate(each) : 0;
     }
     double full = bucket->per_s * ledger->fill;
+    /* What nodes use that this ledger has not heard from is known only as the
+     * rest of the stated rates, so these must not grow then. */
+    double headroom = count_unknown(ledger) > 0 ? 1 : OWN_RATE_HEADROOM;
+    double factor = total * headroom > full ? full / total : headroom;
     share->stated_per_s =
-        share->given_per_s * (total > full ? full / total : 1);
+        MIN(share->given_per_s * factor, MAX(full - others, 0));
 }
 
 /* Puts callers that were refused into the line. */
