--- a/router/reload.c
+++ b/router/reload.c
@@ -17,40 +17,39 @@
     bool changeable; /* may change while the node runs */
 };
 
-#define FIELD(type, group, member, changeable)                                \
+#define FIELD(type, path, changeable)                                         \
     {                                                                         \
-#group "." #member, (type),                                           \
-            offsetof(struct rs_node_settings, group.member), (changeable)     \
+#path, (type), offsetof(struct rs_node_settings, path), (changeable)  \
     }
 
 static const struct field fields[] = {
-    FIELD(Text, node, name, false),
-    FIELD(Text, node, zone, false),
-    FIELD(Text, node, address, false),
-    FIELD(Float, node, cpu_share, false),
-    FIELD(Float, node, link_mbps, false),
-    FIELD(Number, node, memory_mb, false),
-    FIELD(Text, listen, callers, false),
-    FIELD(Text, listen, readiness, false),
-    FIELD(Number, listen, peer_port, false),
-    FIELD(Number, listen, admin_port, false),
-    FIELD(Text, store, address, false),
-    FIELD(Number, bounds, grace_s, true),
+    FIELD(Text, node.name, false),
+    FIELD(Text, node.zone, false),
+    FIELD(Text, node.address, false),
+    FIELD(Float, node.cpu_share, false),
+    FIELD(Float, node.link_mbps, false),
+    FIELD(Number, node.memory_mb, false),
+    FIELD(Text, listen.callers, false),
+    FIELD(Text, listen.readiness, false),
+    FIELD(Number, listen.peer_port, false),
+    FIELD(Number, listen.admin_port, false),
+    FIELD(Text, store.address, false),
+    FIELD(Number, bounds.grace_s, true),
     /* A new granter relies on the grants of the former one not being longer.
      */
-    FIELD(Number, bounds, max_hold_ms, false),
-    FIELD(Number, bounds, drain_ms, true),
-    FIELD(Float, bounds, retry_ratio, true),
-    FIELD(Number, bounds, retry_window_s, true),
-    FIELD(Number, bounds, retry_slack, true),
-    FIELD(Float, bounds, cold_factor, true),
-    FIELD(Number, bounds, cold_slack, true),
-    FIELD(Number, bounds, quota_window_s, true),
-    FIELD(Float, bounds, quota_overage, true),
-    FIELD(Number, bounds, quota_slack, true),
-    FIELD(Truth, bounds, strict_revoke, true),
-    FIELD(Number, bounds, revoke_ms, true),
-    FIELD(Truth, load, adaptive, true),
+    FIELD(Number, bounds.max_hold_ms, false),
+    FIELD(Number, bounds.drain_ms, true),
+    FIELD(Float, bounds.retry_ratio, true),
+    FIELD(Number, bounds.retry_window_s, true),
+    FIELD(Number, bounds.retry_slack, true),
+    FIELD(Float, bounds.cold_factor, true),
+    FIELD(Number, bounds.cold_slack, true),
+    FIELD(Number, bounds.quota_window_s, true),
+    FIELD(Float, bounds.quota_overage, true),
+    FIELD(Number, bounds.quota_slack, true),
+    FIELD(Truth, bounds.strict_revoke, true),
+    FIELD(Number, bounds.revoke_ms, true),
+    FIELD(Truth, load.adaptive, true),
 };
 
 static size_t
