--- a/router/finder.pb-c.c
+++ b/router/finder.pb-c.c
@@ -7,280 +7,343 @@
 #endif
 
 #include "router/finder.pb-c.h"
-void
-rs__finder__ask__init(Rs__Finder__Ask *message)
+void   rs__finder__ask__init
+                     (Rs__Finder__Ask         *message)
 {
-    static const Rs__Finder__Ask init_value = RS__FINDER__ASK__INIT;
-    *message = init_value;
+  static const Rs__Finder__Ask init_value = RS__FINDER__ASK__INIT;
+  *message = init_value;
 }
-size_t
-rs__finder__ask__get_packed_size(const Rs__Finder__Ask *message)
+size_t rs__finder__ask__get_packed_size
+                     (const Rs__Finder__Ask *message)
 {
-    assert(message->base.descriptor == &rs__finder__ask__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__finder__ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__finder__ask__pack(const Rs__Finder__Ask *message, uint8_t *out)
+size_t rs__finder__ask__pack
+                     (const Rs__Finder__Ask *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__finder__ask__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__finder__ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__finder__ask__pack_to_buffer(const Rs__Finder__Ask *message,
-                                ProtobufCBuffer *buffer)
+size_t rs__finder__ask__pack_to_buffer
+                     (const Rs__Finder__Ask *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__finder__ask__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__finder__ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Finder__Ask *
-rs__finder__ask__unpack(ProtobufCAllocator *allocator, size_t len,
-                        const uint8_t *data)
+       rs__finder__ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Finder__Ask *)protobuf_c_message_unpack(
-        &rs__finder__ask__descriptor, allocator, len, data);
+  return (Rs__Finder__Ask *)
+     protobuf_c_message_unpack (&rs__finder__ask__descriptor,
+                                allocator, len, data);
 }
-void
-rs__finder__ask__free_unpacked(Rs__Finder__Ask *message,
-                               ProtobufCAllocator *allocator)
+void   rs__finder__ask__free_unpacked
+                     (Rs__Finder__Ask *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__finder__ask__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__finder__ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__finder__answer__init(Rs__Finder__Answer *message)
+void   rs__finder__answer__init
+                     (Rs__Finder__Answer         *message)
 {
-    static const Rs__Finder__Answer init_value = RS__FINDER__ANSWER__INIT;
-    *message = init_value;
+  static const Rs__Finder__Answer init_value = RS__FINDER__ANSWER__INIT;
+  *message = init_value;
 }
-size_t
-rs__finder__answer__get_packed_size(const Rs__Finder__Answer *message)
+size_t rs__finder__answer__get_packed_size
+                     (const Rs__Finder__Answer *message)
 {
-    assert(message->base.descriptor == &rs__finder__answer__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__finder__answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__finder__answer__pack(const Rs__Finder__Answer *message, uint8_t *out)
+size_t rs__finder__answer__pack
+                     (const Rs__Finder__Answer *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__finder__answer__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__finder__answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__finder__answer__pack_to_buffer(const Rs__Finder__Answer *message,
-                                   ProtobufCBuffer *buffer)
+size_t rs__finder__answer__pack_to_buffer
+                     (const Rs__Finder__Answer *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__finder__answer__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__finder__answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Finder__Answer *
-rs__finder__answer__unpack(ProtobufCAllocator *allocator, size_t len,
-                           const uint8_t *data)
+       rs__finder__answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Finder__Answer *)protobuf_c_message_unpack(
-        &rs__finder__answer__descriptor, allocator, len, data);
+  return (Rs__Finder__Answer *)
+     protobuf_c_message_unpack (&rs__finder__answer__descriptor,
+                                allocator, len, data);
 }
-void
-rs__finder__answer__free_unpacked(Rs__Finder__Answer *message,
-                                  ProtobufCAllocator *allocator)
+void   rs__finder__answer__free_unpacked
+                     (Rs__Finder__Answer *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__finder__answer__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__finder__answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__finder__datagram__init(Rs__Finder__Datagram *message)
+void   rs__finder__datagram__init
+                     (Rs__Finder__Datagram         *message)
 {
-    static const Rs__Finder__Datagram init_value = RS__FINDER__DATAGRAM__INIT;
-    *message = init_value;
+  static const Rs__Finder__Datagram init_value = RS__FINDER__DATAGRAM__INIT;
+  *message = init_value;
 }
-size_t
-rs__finder__datagram__get_packed_size(const Rs__Finder__Datagram *message)
+size_t rs__finder__datagram__get_packed_size
+                     (const Rs__Finder__Datagram *message)
 {
-    assert(message->base.descriptor == &rs__finder__datagram__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__finder__datagram__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__finder__datagram__pack(const Rs__Finder__Datagram *message, uint8_t *out)
+size_t rs__finder__datagram__pack
+                     (const Rs__Finder__Datagram *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__finder__datagram__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__finder__datagram__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__finder__datagram__pack_to_buffer(const Rs__Finder__Datagram *message,
-                                     ProtobufCBuffer *buffer)
+size_t rs__finder__datagram__pack_to_buffer
+                     (const Rs__Finder__Datagram *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__finder__datagram__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__finder__datagram__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Finder__Datagram *
-rs__finder__datagram__unpack(ProtobufCAllocator *allocator, size_t len,
-                             const uint8_t *data)
+       rs__finder__datagram__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Finder__Datagram *)protobuf_c_message_unpack(
-        &rs__finder__datagram__descriptor, allocator, len, data);
+  return (Rs__Finder__Datagram *)
+     protobuf_c_message_unpack (&rs__finder__datagram__descriptor,
+                                allocator, len, data);
 }
-void
-rs__finder__datagram__free_unpacked(Rs__Finder__Datagram *message,
-                                    ProtobufCAllocator *allocator)
+void   rs__finder__datagram__free_unpacked
+                     (Rs__Finder__Datagram *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__finder__datagram__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__finder__datagram__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor rs__finder__ask__field_descriptors[1] = {
-    {
-        "incarnation", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-        0, /* quantifier_offset */
-        offsetof(Rs__Finder__Ask, incarnation), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-};
-static const unsigned rs__finder__ask__field_indices_by_name[] = {
-    0, /* field[0] = incarnation */
-};
-static const ProtobufCIntRange rs__finder__ask__number_ranges[1 + 1] = {
-    {1, 0}, {0, 1}};
-const ProtobufCMessageDescriptor rs__finder__ask__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.finder.Ask",
-    "Ask",
-    "Rs__Finder__Ask",
-    "rs.finder",
-    sizeof(Rs__Finder__Ask),
-    1,
-    rs__finder__ask__field_descriptors,
-    rs__finder__ask__field_indices_by_name,
+static const ProtobufCFieldDescriptor rs__finder__ask__field_descriptors[1] =
+{
+  {
+    "incarnation",
     1,
-    rs__finder__ask__number_ranges,
-    (ProtobufCMessageInit)rs__finder__ask__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Finder__Ask, incarnation),
     NULL,
     NULL,
-    NULL /* reserved[123] */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCFieldDescriptor
-    rs__finder__answer__field_descriptors[7] = {
-        {
-            "node", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Finder__Answer, node), NULL, &protobuf_c_empty_string,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "peer_host", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Finder__Answer, peer_host), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "peer_port", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Finder__Answer, peer_port), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "incarnation", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Finder__Answer, incarnation), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "lease_version", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Finder__Answer, lease_version), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "nodes", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Finder__Answer, nodes), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "strongest", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Finder__Answer, strongest), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+static const unsigned rs__finder__ask__field_indices_by_name[] = {
+  0,   /* field[0] = incarnation */
 };
-static const unsigned rs__finder__answer__field_indices_by_name[] = {
-    3, /* field[3] = incarnation */
-    4, /* field[4] = lease_version */
-    0, /* field[0] = node */
-    5, /* field[5] = nodes */
-    1, /* field[1] = peer_host */
-    2, /* field[2] = peer_port */
-    6, /* field[6] = strongest */
+static const ProtobufCIntRange rs__finder__ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
 };
-static const ProtobufCIntRange rs__finder__answer__number_ranges[1 + 1] = {
-    {1, 0}, {0, 7}};
-const ProtobufCMessageDescriptor rs__finder__answer__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.finder.Answer",
-    "Answer",
-    "Rs__Finder__Answer",
-    "rs.finder",
-    sizeof(Rs__Finder__Answer),
-    7,
-    rs__finder__answer__field_descriptors,
-    rs__finder__answer__field_indices_by_name,
+const ProtobufCMessageDescriptor rs__finder__ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.finder.Ask",
+  "Ask",
+  "Rs__Finder__Ask",
+  "rs.finder",
+  sizeof(Rs__Finder__Ask),
+  1,
+  rs__finder__ask__field_descriptors,
+  rs__finder__ask__field_indices_by_name,
+  1,  rs__finder__ask__number_ranges,
+  (ProtobufCMessageInit) rs__finder__ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__finder__answer__field_descriptors[7] =
+{
+  {
+    "node",
     1,
-    rs__finder__answer__number_ranges,
-    (ProtobufCMessageInit)rs__finder__answer__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Finder__Answer, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer_host",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Finder__Answer, peer_host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer_port",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Finder__Answer, peer_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Finder__Answer, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Finder__Answer, lease_version),
     NULL,
     NULL,
-    NULL /* reserved[123] */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nodes",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Finder__Answer, nodes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "strongest",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Finder__Answer, strongest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCFieldDescriptor
-    rs__finder__datagram__field_descriptors[2] = {
-        {
-            "ask", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Finder__Datagram, message_case),
-            offsetof(Rs__Finder__Datagram, ask), &rs__finder__ask__descriptor,
-            NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "answer", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Finder__Datagram, message_case),
-            offsetof(Rs__Finder__Datagram, answer),
-            &rs__finder__answer__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
+static const unsigned rs__finder__answer__field_indices_by_name[] = {
+  3,   /* field[3] = incarnation */
+  4,   /* field[4] = lease_version */
+  0,   /* field[0] = node */
+  5,   /* field[5] = nodes */
+  1,   /* field[1] = peer_host */
+  2,   /* field[2] = peer_port */
+  6,   /* field[6] = strongest */
 };
-static const unsigned rs__finder__datagram__field_indices_by_name[] = {
-    1, /* field[1] = answer */
-    0, /* field[0] = ask */
+static const ProtobufCIntRange rs__finder__answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
 };
-static const ProtobufCIntRange rs__finder__datagram__number_ranges[1 + 1] = {
-    {1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor rs__finder__datagram__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.finder.Datagram",
-    "Datagram",
-    "Rs__Finder__Datagram",
-    "rs.finder",
-    sizeof(Rs__Finder__Datagram),
-    2,
-    rs__finder__datagram__field_descriptors,
-    rs__finder__datagram__field_indices_by_name,
+const ProtobufCMessageDescriptor rs__finder__answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.finder.Answer",
+  "Answer",
+  "Rs__Finder__Answer",
+  "rs.finder",
+  sizeof(Rs__Finder__Answer),
+  7,
+  rs__finder__answer__field_descriptors,
+  rs__finder__answer__field_indices_by_name,
+  1,  rs__finder__answer__number_ranges,
+  (ProtobufCMessageInit) rs__finder__answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__finder__datagram__field_descriptors[2] =
+{
+  {
+    "ask",
     1,
-    rs__finder__datagram__number_ranges,
-    (ProtobufCMessageInit)rs__finder__datagram__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Finder__Datagram, message_case),
+    offsetof(Rs__Finder__Datagram, ask),
+    &rs__finder__ask__descriptor,
     NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Finder__Datagram, message_case),
+    offsetof(Rs__Finder__Datagram, answer),
+    &rs__finder__answer__descriptor,
     NULL,
-    NULL /* reserved[123] */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__finder__datagram__field_indices_by_name[] = {
+  1,   /* field[1] = answer */
+  0,   /* field[0] = ask */
+};
+static const ProtobufCIntRange rs__finder__datagram__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rs__finder__datagram__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.finder.Datagram",
+  "Datagram",
+  "Rs__Finder__Datagram",
+  "rs.finder",
+  sizeof(Rs__Finder__Datagram),
+  2,
+  rs__finder__datagram__field_descriptors,
+  rs__finder__datagram__field_indices_by_name,
+  1,  rs__finder__datagram__number_ranges,
+  (ProtobufCMessageInit) rs__finder__datagram__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
--- a/router/patch.pb-c.c
+++ b/router/patch.pb-c.c
@@ -7,108 +7,138 @@
 #endif
 
 #include "router/patch.pb-c.h"
-void
-rs__patch__patch__init(Rs__Patch__Patch *message)
+void   rs__patch__patch__init
+                     (Rs__Patch__Patch         *message)
 {
-    static const Rs__Patch__Patch init_value = RS__PATCH__PATCH__INIT;
-    *message = init_value;
+  static const Rs__Patch__Patch init_value = RS__PATCH__PATCH__INIT;
+  *message = init_value;
 }
-size_t
-rs__patch__patch__get_packed_size(const Rs__Patch__Patch *message)
+size_t rs__patch__patch__get_packed_size
+                     (const Rs__Patch__Patch *message)
 {
-    assert(message->base.descriptor == &rs__patch__patch__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__patch__patch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__patch__patch__pack(const Rs__Patch__Patch *message, uint8_t *out)
+size_t rs__patch__patch__pack
+                     (const Rs__Patch__Patch *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__patch__patch__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__patch__patch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__patch__patch__pack_to_buffer(const Rs__Patch__Patch *message,
-                                 ProtobufCBuffer *buffer)
+size_t rs__patch__patch__pack_to_buffer
+                     (const Rs__Patch__Patch *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__patch__patch__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__patch__patch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Patch__Patch *
-rs__patch__patch__unpack(ProtobufCAllocator *allocator, size_t len,
-                         const uint8_t *data)
+       rs__patch__patch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Patch__Patch *)protobuf_c_message_unpack(
-        &rs__patch__patch__descriptor, allocator, len, data);
+  return (Rs__Patch__Patch *)
+     protobuf_c_message_unpack (&rs__patch__patch__descriptor,
+                                allocator, len, data);
 }
-void
-rs__patch__patch__free_unpacked(Rs__Patch__Patch *message,
-                                ProtobufCAllocator *allocator)
+void   rs__patch__patch__free_unpacked
+                     (Rs__Patch__Patch *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__patch__patch__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__patch__patch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 static const ProtobufCFieldDescriptor rs__patch__patch__field_descriptors[5] =
-    {
-        {
-            "from", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-            offsetof(Rs__Patch__Patch, n_from),
-            offsetof(Rs__Patch__Patch, from), NULL, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-            0, NULL, NULL                     /* reserved1,reserved2, etc */
-        },
-        {
-            "count", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-            offsetof(Rs__Patch__Patch, n_count),
-            offsetof(Rs__Patch__Patch, count), NULL, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-            0, NULL, NULL                     /* reserved1,reserved2, etc */
-        },
-        {
-            "insert", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-            offsetof(Rs__Patch__Patch, n_insert),
-            offsetof(Rs__Patch__Patch, insert), NULL, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-            0, NULL, NULL                     /* reserved1,reserved2, etc */
-        },
-        {
-            "text", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-            0, /* quantifier_offset */
-            offsetof(Rs__Patch__Patch, text), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "hash", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Patch__Patch, hash), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-};
-static const unsigned rs__patch__patch__field_indices_by_name[] = {
-    1, /* field[1] = count */
-    0, /* field[0] = from */
-    4, /* field[4] = hash */
-    2, /* field[2] = insert */
-    3, /* field[3] = text */
-};
-static const ProtobufCIntRange rs__patch__patch__number_ranges[1 + 1] = {
-    {1, 0}, {0, 5}};
-const ProtobufCMessageDescriptor rs__patch__patch__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.patch.Patch",
-    "Patch",
-    "Rs__Patch__Patch",
-    "rs.patch",
-    sizeof(Rs__Patch__Patch),
-    5,
-    rs__patch__patch__field_descriptors,
-    rs__patch__patch__field_indices_by_name,
+{
+  {
+    "from",
     1,
-    rs__patch__patch__number_ranges,
-    (ProtobufCMessageInit)rs__patch__patch__init,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Rs__Patch__Patch, n_from),
+    offsetof(Rs__Patch__Patch, from),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Rs__Patch__Patch, n_count),
+    offsetof(Rs__Patch__Patch, count),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "insert",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Rs__Patch__Patch, n_insert),
+    offsetof(Rs__Patch__Patch, insert),
+    NULL,
     NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Patch__Patch, text),
     NULL,
-    NULL /* reserved[123] */
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hash",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Patch__Patch, hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__patch__patch__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  0,   /* field[0] = from */
+  4,   /* field[4] = hash */
+  2,   /* field[2] = insert */
+  3,   /* field[3] = text */
+};
+static const ProtobufCIntRange rs__patch__patch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor rs__patch__patch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.patch.Patch",
+  "Patch",
+  "Rs__Patch__Patch",
+  "rs.patch",
+  sizeof(Rs__Patch__Patch),
+  5,
+  rs__patch__patch__field_descriptors,
+  rs__patch__patch__field_indices_by_name,
+  1,  rs__patch__patch__number_ranges,
+  (ProtobufCMessageInit) rs__patch__patch__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
--- a/router/peer.pb-c.c
+++ b/router/peer.pb-c.c
@@ -7,1135 +7,1467 @@
 #endif
 
 #include "router/peer.pb-c.h"
-void
-rs__peer__limit__init(Rs__Peer__Limit *message)
+void   rs__peer__limit__init
+                     (Rs__Peer__Limit         *message)
 {
-    static const Rs__Peer__Limit init_value = RS__PEER__LIMIT__INIT;
-    *message = init_value;
+  static const Rs__Peer__Limit init_value = RS__PEER__LIMIT__INIT;
+  *message = init_value;
 }
-size_t
-rs__peer__limit__get_packed_size(const Rs__Peer__Limit *message)
+size_t rs__peer__limit__get_packed_size
+                     (const Rs__Peer__Limit *message)
 {
-    assert(message->base.descriptor == &rs__peer__limit__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__peer__limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__peer__limit__pack(const Rs__Peer__Limit *message, uint8_t *out)
+size_t rs__peer__limit__pack
+                     (const Rs__Peer__Limit *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__peer__limit__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__peer__limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__peer__limit__pack_to_buffer(const Rs__Peer__Limit *message,
-                                ProtobufCBuffer *buffer)
+size_t rs__peer__limit__pack_to_buffer
+                     (const Rs__Peer__Limit *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__peer__limit__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__peer__limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Peer__Limit *
-rs__peer__limit__unpack(ProtobufCAllocator *allocator, size_t len,
-                        const uint8_t *data)
+       rs__peer__limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Peer__Limit *)protobuf_c_message_unpack(
-        &rs__peer__limit__descriptor, allocator, len, data);
+  return (Rs__Peer__Limit *)
+     protobuf_c_message_unpack (&rs__peer__limit__descriptor,
+                                allocator, len, data);
 }
-void
-rs__peer__limit__free_unpacked(Rs__Peer__Limit *message,
-                               ProtobufCAllocator *allocator)
-{
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__peer__limit__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+void   rs__peer__limit__free_unpacked
+                     (Rs__Peer__Limit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__peer__limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__peer__suspect__crash__init(Rs__Peer__Suspect__Crash *message)
+void   rs__peer__suspect__crash__init
+                     (Rs__Peer__Suspect__Crash         *message)
 {
-    static const Rs__Peer__Suspect__Crash init_value =
-        RS__PEER__SUSPECT__CRASH__INIT;
-    *message = init_value;
+  static const Rs__Peer__Suspect__Crash init_value = RS__PEER__SUSPECT__CRASH__INIT;
+  *message = init_value;
 }
-void
-rs__peer__suspect__init(Rs__Peer__Suspect *message)
+void   rs__peer__suspect__init
+                     (Rs__Peer__Suspect         *message)
 {
-    static const Rs__Peer__Suspect init_value = RS__PEER__SUSPECT__INIT;
-    *message = init_value;
+  static const Rs__Peer__Suspect init_value = RS__PEER__SUSPECT__INIT;
+  *message = init_value;
 }
-size_t
-rs__peer__suspect__get_packed_size(const Rs__Peer__Suspect *message)
+size_t rs__peer__suspect__get_packed_size
+                     (const Rs__Peer__Suspect *message)
 {
-    assert(message->base.descriptor == &rs__peer__suspect__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__peer__suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__peer__suspect__pack(const Rs__Peer__Suspect *message, uint8_t *out)
+size_t rs__peer__suspect__pack
+                     (const Rs__Peer__Suspect *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__peer__suspect__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__peer__suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__peer__suspect__pack_to_buffer(const Rs__Peer__Suspect *message,
-                                  ProtobufCBuffer *buffer)
+size_t rs__peer__suspect__pack_to_buffer
+                     (const Rs__Peer__Suspect *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__peer__suspect__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__peer__suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Peer__Suspect *
-rs__peer__suspect__unpack(ProtobufCAllocator *allocator, size_t len,
-                          const uint8_t *data)
+       rs__peer__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Peer__Suspect *)protobuf_c_message_unpack(
-        &rs__peer__suspect__descriptor, allocator, len, data);
+  return (Rs__Peer__Suspect *)
+     protobuf_c_message_unpack (&rs__peer__suspect__descriptor,
+                                allocator, len, data);
 }
-void
-rs__peer__suspect__free_unpacked(Rs__Peer__Suspect *message,
-                                 ProtobufCAllocator *allocator)
-{
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__peer__suspect__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+void   rs__peer__suspect__free_unpacked
+                     (Rs__Peer__Suspect *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__peer__suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__peer__target_load__init(Rs__Peer__TargetLoad *message)
+void   rs__peer__target_load__init
+                     (Rs__Peer__TargetLoad         *message)
 {
-    static const Rs__Peer__TargetLoad init_value = RS__PEER__TARGET_LOAD__INIT;
-    *message = init_value;
+  static const Rs__Peer__TargetLoad init_value = RS__PEER__TARGET_LOAD__INIT;
+  *message = init_value;
 }
-size_t
-rs__peer__target_load__get_packed_size(const Rs__Peer__TargetLoad *message)
+size_t rs__peer__target_load__get_packed_size
+                     (const Rs__Peer__TargetLoad *message)
 {
-    assert(message->base.descriptor == &rs__peer__target_load__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__peer__target_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__peer__target_load__pack(const Rs__Peer__TargetLoad *message, uint8_t *out)
+size_t rs__peer__target_load__pack
+                     (const Rs__Peer__TargetLoad *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__peer__target_load__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__peer__target_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__peer__target_load__pack_to_buffer(const Rs__Peer__TargetLoad *message,
-                                      ProtobufCBuffer *buffer)
+size_t rs__peer__target_load__pack_to_buffer
+                     (const Rs__Peer__TargetLoad *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__peer__target_load__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__peer__target_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Peer__TargetLoad *
-rs__peer__target_load__unpack(ProtobufCAllocator *allocator, size_t len,
-                              const uint8_t *data)
+       rs__peer__target_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Peer__TargetLoad *)protobuf_c_message_unpack(
-        &rs__peer__target_load__descriptor, allocator, len, data);
+  return (Rs__Peer__TargetLoad *)
+     protobuf_c_message_unpack (&rs__peer__target_load__descriptor,
+                                allocator, len, data);
 }
-void
-rs__peer__target_load__free_unpacked(Rs__Peer__TargetLoad *message,
-                                     ProtobufCAllocator *allocator)
-{
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__peer__target_load__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+void   rs__peer__target_load__free_unpacked
+                     (Rs__Peer__TargetLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__peer__target_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__peer__hot_key__init(Rs__Peer__HotKey *message)
+void   rs__peer__hot_key__init
+                     (Rs__Peer__HotKey         *message)
 {
-    static const Rs__Peer__HotKey init_value = RS__PEER__HOT_KEY__INIT;
-    *message = init_value;
+  static const Rs__Peer__HotKey init_value = RS__PEER__HOT_KEY__INIT;
+  *message = init_value;
 }
-size_t
-rs__peer__hot_key__get_packed_size(const Rs__Peer__HotKey *message)
+size_t rs__peer__hot_key__get_packed_size
+                     (const Rs__Peer__HotKey *message)
 {
-    assert(message->base.descriptor == &rs__peer__hot_key__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__peer__hot_key__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__peer__hot_key__pack(const Rs__Peer__HotKey *message, uint8_t *out)
+size_t rs__peer__hot_key__pack
+                     (const Rs__Peer__HotKey *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__peer__hot_key__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__peer__hot_key__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__peer__hot_key__pack_to_buffer(const Rs__Peer__HotKey *message,
-                                  ProtobufCBuffer *buffer)
+size_t rs__peer__hot_key__pack_to_buffer
+                     (const Rs__Peer__HotKey *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__peer__hot_key__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__peer__hot_key__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Peer__HotKey *
-rs__peer__hot_key__unpack(ProtobufCAllocator *allocator, size_t len,
-                          const uint8_t *data)
+       rs__peer__hot_key__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Peer__HotKey *)protobuf_c_message_unpack(
-        &rs__peer__hot_key__descriptor, allocator, len, data);
+  return (Rs__Peer__HotKey *)
+     protobuf_c_message_unpack (&rs__peer__hot_key__descriptor,
+                                allocator, len, data);
 }
-void
-rs__peer__hot_key__free_unpacked(Rs__Peer__HotKey *message,
-                                 ProtobufCAllocator *allocator)
-{
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__peer__hot_key__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+void   rs__peer__hot_key__free_unpacked
+                     (Rs__Peer__HotKey *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__peer__hot_key__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__peer__report__service_keys__init(Rs__Peer__Report__ServiceKeys *message)
+void   rs__peer__report__service_keys__init
+                     (Rs__Peer__Report__ServiceKeys         *message)
 {
-    static const Rs__Peer__Report__ServiceKeys init_value =
-        RS__PEER__REPORT__SERVICE_KEYS__INIT;
-    *message = init_value;
+  static const Rs__Peer__Report__ServiceKeys init_value = RS__PEER__REPORT__SERVICE_KEYS__INIT;
+  *message = init_value;
 }
-void
-rs__peer__report__init(Rs__Peer__Report *message)
+void   rs__peer__report__init
+                     (Rs__Peer__Report         *message)
 {
-    static const Rs__Peer__Report init_value = RS__PEER__REPORT__INIT;
-    *message = init_value;
+  static const Rs__Peer__Report init_value = RS__PEER__REPORT__INIT;
+  *message = init_value;
 }
-size_t
-rs__peer__report__get_packed_size(const Rs__Peer__Report *message)
+size_t rs__peer__report__get_packed_size
+                     (const Rs__Peer__Report *message)
 {
-    assert(message->base.descriptor == &rs__peer__report__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__peer__report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__peer__report__pack(const Rs__Peer__Report *message, uint8_t *out)
+size_t rs__peer__report__pack
+                     (const Rs__Peer__Report *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__peer__report__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__peer__report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__peer__report__pack_to_buffer(const Rs__Peer__Report *message,
-                                 ProtobufCBuffer *buffer)
+size_t rs__peer__report__pack_to_buffer
+                     (const Rs__Peer__Report *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__peer__report__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__peer__report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Peer__Report *
-rs__peer__report__unpack(ProtobufCAllocator *allocator, size_t len,
-                         const uint8_t *data)
+       rs__peer__report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Peer__Report *)protobuf_c_message_unpack(
-        &rs__peer__report__descriptor, allocator, len, data);
+  return (Rs__Peer__Report *)
+     protobuf_c_message_unpack (&rs__peer__report__descriptor,
+                                allocator, len, data);
 }
-void
-rs__peer__report__free_unpacked(Rs__Peer__Report *message,
-                                ProtobufCAllocator *allocator)
-{
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__peer__report__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+void   rs__peer__report__free_unpacked
+                     (Rs__Peer__Report *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__peer__report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__peer__summary__init(Rs__Peer__Summary *message)
+void   rs__peer__summary__init
+                     (Rs__Peer__Summary         *message)
 {
-    static const Rs__Peer__Summary init_value = RS__PEER__SUMMARY__INIT;
-    *message = init_value;
+  static const Rs__Peer__Summary init_value = RS__PEER__SUMMARY__INIT;
+  *message = init_value;
 }
-size_t
-rs__peer__summary__get_packed_size(const Rs__Peer__Summary *message)
+size_t rs__peer__summary__get_packed_size
+                     (const Rs__Peer__Summary *message)
 {
-    assert(message->base.descriptor == &rs__peer__summary__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__peer__summary__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__peer__summary__pack(const Rs__Peer__Summary *message, uint8_t *out)
+size_t rs__peer__summary__pack
+                     (const Rs__Peer__Summary *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__peer__summary__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__peer__summary__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__peer__summary__pack_to_buffer(const Rs__Peer__Summary *message,
-                                  ProtobufCBuffer *buffer)
+size_t rs__peer__summary__pack_to_buffer
+                     (const Rs__Peer__Summary *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__peer__summary__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__peer__summary__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Peer__Summary *
-rs__peer__summary__unpack(ProtobufCAllocator *allocator, size_t len,
-                          const uint8_t *data)
+       rs__peer__summary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Peer__Summary *)protobuf_c_message_unpack(
-        &rs__peer__summary__descriptor, allocator, len, data);
+  return (Rs__Peer__Summary *)
+     protobuf_c_message_unpack (&rs__peer__summary__descriptor,
+                                allocator, len, data);
 }
-void
-rs__peer__summary__free_unpacked(Rs__Peer__Summary *message,
-                                 ProtobufCAllocator *allocator)
-{
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__peer__summary__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+void   rs__peer__summary__free_unpacked
+                     (Rs__Peer__Summary *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__peer__summary__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__peer__quota_request__need__init(Rs__Peer__QuotaRequest__Need *message)
+void   rs__peer__quota_request__need__init
+                     (Rs__Peer__QuotaRequest__Need         *message)
 {
-    static const Rs__Peer__QuotaRequest__Need init_value =
-        RS__PEER__QUOTA_REQUEST__NEED__INIT;
-    *message = init_value;
+  static const Rs__Peer__QuotaRequest__Need init_value = RS__PEER__QUOTA_REQUEST__NEED__INIT;
+  *message = init_value;
 }
-void
-rs__peer__quota_request__init(Rs__Peer__QuotaRequest *message)
+void   rs__peer__quota_request__init
+                     (Rs__Peer__QuotaRequest         *message)
 {
-    static const Rs__Peer__QuotaRequest init_value =
-        RS__PEER__QUOTA_REQUEST__INIT;
-    *message = init_value;
+  static const Rs__Peer__QuotaRequest init_value = RS__PEER__QUOTA_REQUEST__INIT;
+  *message = init_value;
 }
-size_t
-rs__peer__quota_request__get_packed_size(const Rs__Peer__QuotaRequest *message)
+size_t rs__peer__quota_request__get_packed_size
+                     (const Rs__Peer__QuotaRequest *message)
 {
-    assert(message->base.descriptor == &rs__peer__quota_request__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__peer__quota_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__peer__quota_request__pack(const Rs__Peer__QuotaRequest *message,
-                              uint8_t *out)
+size_t rs__peer__quota_request__pack
+                     (const Rs__Peer__QuotaRequest *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__peer__quota_request__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__peer__quota_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__peer__quota_request__pack_to_buffer(const Rs__Peer__QuotaRequest *message,
-                                        ProtobufCBuffer *buffer)
+size_t rs__peer__quota_request__pack_to_buffer
+                     (const Rs__Peer__QuotaRequest *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__peer__quota_request__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__peer__quota_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Peer__QuotaRequest *
-rs__peer__quota_request__unpack(ProtobufCAllocator *allocator, size_t len,
-                                const uint8_t *data)
+       rs__peer__quota_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Peer__QuotaRequest *)protobuf_c_message_unpack(
-        &rs__peer__quota_request__descriptor, allocator, len, data);
+  return (Rs__Peer__QuotaRequest *)
+     protobuf_c_message_unpack (&rs__peer__quota_request__descriptor,
+                                allocator, len, data);
 }
-void
-rs__peer__quota_request__free_unpacked(Rs__Peer__QuotaRequest *message,
-                                       ProtobufCAllocator *allocator)
-{
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__peer__quota_request__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+void   rs__peer__quota_request__free_unpacked
+                     (Rs__Peer__QuotaRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__peer__quota_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__peer__quota_grant__item__init(Rs__Peer__QuotaGrant__Item *message)
+void   rs__peer__quota_grant__item__init
+                     (Rs__Peer__QuotaGrant__Item         *message)
 {
-    static const Rs__Peer__QuotaGrant__Item init_value =
-        RS__PEER__QUOTA_GRANT__ITEM__INIT;
-    *message = init_value;
+  static const Rs__Peer__QuotaGrant__Item init_value = RS__PEER__QUOTA_GRANT__ITEM__INIT;
+  *message = init_value;
 }
-void
-rs__peer__quota_grant__init(Rs__Peer__QuotaGrant *message)
+void   rs__peer__quota_grant__init
+                     (Rs__Peer__QuotaGrant         *message)
 {
-    static const Rs__Peer__QuotaGrant init_value = RS__PEER__QUOTA_GRANT__INIT;
-    *message = init_value;
+  static const Rs__Peer__QuotaGrant init_value = RS__PEER__QUOTA_GRANT__INIT;
+  *message = init_value;
 }
-size_t
-rs__peer__quota_grant__get_packed_size(const Rs__Peer__QuotaGrant *message)
+size_t rs__peer__quota_grant__get_packed_size
+                     (const Rs__Peer__QuotaGrant *message)
 {
-    assert(message->base.descriptor == &rs__peer__quota_grant__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__peer__quota_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__peer__quota_grant__pack(const Rs__Peer__QuotaGrant *message, uint8_t *out)
+size_t rs__peer__quota_grant__pack
+                     (const Rs__Peer__QuotaGrant *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__peer__quota_grant__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__peer__quota_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__peer__quota_grant__pack_to_buffer(const Rs__Peer__QuotaGrant *message,
-                                      ProtobufCBuffer *buffer)
+size_t rs__peer__quota_grant__pack_to_buffer
+                     (const Rs__Peer__QuotaGrant *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__peer__quota_grant__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__peer__quota_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Peer__QuotaGrant *
-rs__peer__quota_grant__unpack(ProtobufCAllocator *allocator, size_t len,
-                              const uint8_t *data)
+       rs__peer__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Peer__QuotaGrant *)protobuf_c_message_unpack(
-        &rs__peer__quota_grant__descriptor, allocator, len, data);
+  return (Rs__Peer__QuotaGrant *)
+     protobuf_c_message_unpack (&rs__peer__quota_grant__descriptor,
+                                allocator, len, data);
 }
-void
-rs__peer__quota_grant__free_unpacked(Rs__Peer__QuotaGrant *message,
-                                     ProtobufCAllocator *allocator)
-{
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__peer__quota_grant__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+void   rs__peer__quota_grant__free_unpacked
+                     (Rs__Peer__QuotaGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__peer__quota_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor rs__peer__limit__field_descriptors[4] = {
-    {
-        "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-        0, /* quantifier_offset */
-        offsetof(Rs__Peer__Limit, id), NULL, &protobuf_c_empty_string,
-        0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "per_s", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FLOAT,
-        0, /* quantifier_offset */
-        offsetof(Rs__Peer__Limit, per_s), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "age_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-        0, /* quantifier_offset */
-        offsetof(Rs__Peer__Limit, age_ms), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "started_wall_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_SFIXED64,
-        0, /* quantifier_offset */
-        offsetof(Rs__Peer__Limit, started_wall_ms), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+static const ProtobufCFieldDescriptor rs__peer__limit__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Limit, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Limit, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Limit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_wall_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SFIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Limit, started_wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__limit__field_indices_by_name[] = {
-    2, /* field[2] = age_ms */
-    0, /* field[0] = id */
-    1, /* field[1] = per_s */
-    3, /* field[3] = started_wall_ms */
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = id */
+  1,   /* field[1] = per_s */
+  3,   /* field[3] = started_wall_ms */
 };
-static const ProtobufCIntRange rs__peer__limit__number_ranges[1 + 1] = {
-    {1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor rs__peer__limit__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.peer.Limit",
-    "Limit",
-    "Rs__Peer__Limit",
-    "rs.peer",
-    sizeof(Rs__Peer__Limit),
-    4,
-    rs__peer__limit__field_descriptors,
-    rs__peer__limit__field_indices_by_name,
+static const ProtobufCIntRange rs__peer__limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rs__peer__limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.Limit",
+  "Limit",
+  "Rs__Peer__Limit",
+  "rs.peer",
+  sizeof(Rs__Peer__Limit),
+  4,
+  rs__peer__limit__field_descriptors,
+  rs__peer__limit__field_indices_by_name,
+  1,  rs__peer__limit__number_ranges,
+  (ProtobufCMessageInit) rs__peer__limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__peer__suspect__crash__field_descriptors[2] =
+{
+  {
+    "process",
     1,
-    rs__peer__limit__number_ranges,
-    (ProtobufCMessageInit)rs__peer__limit__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Suspect__Crash, process),
     NULL,
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    rs__peer__suspect__crash__field_descriptors[2] = {
-        {
-            "process", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__Suspect__Crash, process), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "age_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__Suspect__Crash, age_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Suspect__Crash, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__suspect__crash__field_indices_by_name[] = {
-    1, /* field[1] = age_ms */
-    0, /* field[0] = process */
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = process */
 };
 static const ProtobufCIntRange rs__peer__suspect__crash__number_ranges[1 + 1] =
-    {{1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor rs__peer__suspect__crash__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.peer.Suspect.Crash",
-    "Crash",
-    "Rs__Peer__Suspect__Crash",
-    "rs.peer",
-    sizeof(Rs__Peer__Suspect__Crash),
-    2,
-    rs__peer__suspect__crash__field_descriptors,
-    rs__peer__suspect__crash__field_indices_by_name,
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rs__peer__suspect__crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.Suspect.Crash",
+  "Crash",
+  "Rs__Peer__Suspect__Crash",
+  "rs.peer",
+  sizeof(Rs__Peer__Suspect__Crash),
+  2,
+  rs__peer__suspect__crash__field_descriptors,
+  rs__peer__suspect__crash__field_indices_by_name,
+  1,  rs__peer__suspect__crash__number_ranges,
+  (ProtobufCMessageInit) rs__peer__suspect__crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__peer__suspect__field_descriptors[3] =
+{
+  {
+    "fingerprint",
     1,
-    rs__peer__suspect__crash__number_ranges,
-    (ProtobufCMessageInit)rs__peer__suspect__crash__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Suspect, fingerprint),
     NULL,
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rs__peer__suspect__field_descriptors[3] =
-    {
-        {
-            "fingerprint", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__Suspect, fingerprint), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "crashes", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Peer__Suspect, n_crashes),
-            offsetof(Rs__Peer__Suspect, crashes),
-            &rs__peer__suspect__crash__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "answered_age_ms", 3, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-            offsetof(Rs__Peer__Suspect, answered_age_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__Suspect, n_crashes),
+    offsetof(Rs__Peer__Suspect, crashes),
+    &rs__peer__suspect__crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered_age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Suspect, answered_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__suspect__field_indices_by_name[] = {
-    2, /* field[2] = answered_age_ms */
-    1, /* field[1] = crashes */
-    0, /* field[0] = fingerprint */
+  2,   /* field[2] = answered_age_ms */
+  1,   /* field[1] = crashes */
+  0,   /* field[0] = fingerprint */
 };
-static const ProtobufCIntRange rs__peer__suspect__number_ranges[1 + 1] = {
-    {1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor rs__peer__suspect__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.peer.Suspect",
-    "Suspect",
-    "Rs__Peer__Suspect",
-    "rs.peer",
-    sizeof(Rs__Peer__Suspect),
-    3,
-    rs__peer__suspect__field_descriptors,
-    rs__peer__suspect__field_indices_by_name,
+static const ProtobufCIntRange rs__peer__suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rs__peer__suspect__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.Suspect",
+  "Suspect",
+  "Rs__Peer__Suspect",
+  "rs.peer",
+  sizeof(Rs__Peer__Suspect),
+  3,
+  rs__peer__suspect__field_descriptors,
+  rs__peer__suspect__field_indices_by_name,
+  1,  rs__peer__suspect__number_ranges,
+  (ProtobufCMessageInit) rs__peer__suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__peer__target_load__field_descriptors[9] =
+{
+  {
+    "id",
     1,
-    rs__peer__suspect__number_ranges,
-    (ProtobufCMessageInit)rs__peer__suspect__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TargetLoad, id),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_flight",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TargetLoad, in_flight),
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    rs__peer__target_load__field_descriptors[9] = {
-        {
-            "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__TargetLoad, id), NULL, &protobuf_c_empty_string,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "in_flight", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__TargetLoad, in_flight), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "service_us", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__TargetLoad, service_us), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "demand_per_s", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FLOAT,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__TargetLoad, demand_per_s), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "leaving_started_wall_ms", 5, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_SFIXED64, 0, /* quantifier_offset */
-            offsetof(Rs__Peer__TargetLoad, leaving_started_wall_ms), NULL,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "closed_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__TargetLoad, closed_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "work_samples", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__TargetLoad, work_samples), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "work_permille", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__TargetLoad, work_permille), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "work_process", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__TargetLoad, work_process), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TargetLoad, service_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demand_per_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TargetLoad, demand_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving_started_wall_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SFIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TargetLoad, leaving_started_wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "closed_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TargetLoad, closed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_samples",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TargetLoad, work_samples),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_permille",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TargetLoad, work_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_process",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TargetLoad, work_process),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__target_load__field_indices_by_name[] = {
-    5, /* field[5] = closed_ms */
-    3, /* field[3] = demand_per_s */
-    0, /* field[0] = id */
-    1, /* field[1] = in_flight */
-    4, /* field[4] = leaving_started_wall_ms */
-    2, /* field[2] = service_us */
-    7, /* field[7] = work_permille */
-    8, /* field[8] = work_process */
-    6, /* field[6] = work_samples */
+  5,   /* field[5] = closed_ms */
+  3,   /* field[3] = demand_per_s */
+  0,   /* field[0] = id */
+  1,   /* field[1] = in_flight */
+  4,   /* field[4] = leaving_started_wall_ms */
+  2,   /* field[2] = service_us */
+  7,   /* field[7] = work_permille */
+  8,   /* field[8] = work_process */
+  6,   /* field[6] = work_samples */
 };
-static const ProtobufCIntRange rs__peer__target_load__number_ranges[1 + 1] = {
-    {1, 0}, {0, 9}};
-const ProtobufCMessageDescriptor rs__peer__target_load__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.peer.TargetLoad",
-    "TargetLoad",
-    "Rs__Peer__TargetLoad",
-    "rs.peer",
-    sizeof(Rs__Peer__TargetLoad),
-    9,
-    rs__peer__target_load__field_descriptors,
-    rs__peer__target_load__field_indices_by_name,
+static const ProtobufCIntRange rs__peer__target_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor rs__peer__target_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.TargetLoad",
+  "TargetLoad",
+  "Rs__Peer__TargetLoad",
+  "rs.peer",
+  sizeof(Rs__Peer__TargetLoad),
+  9,
+  rs__peer__target_load__field_descriptors,
+  rs__peer__target_load__field_indices_by_name,
+  1,  rs__peer__target_load__number_ranges,
+  (ProtobufCMessageInit) rs__peer__target_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__peer__hot_key__field_descriptors[4] =
+{
+  {
+    "service",
     1,
-    rs__peer__target_load__number_ranges,
-    (ProtobufCMessageInit)rs__peer__target_load__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__HotKey, service),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__HotKey, key),
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rs__peer__hot_key__field_descriptors[4] =
-    {
-        {
-            "service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__HotKey, service), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "key", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__HotKey, key), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "demand_per_s", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FLOAT,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__HotKey, demand_per_s), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "admitted_per_s", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FLOAT,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__HotKey, admitted_per_s), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demand_per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__HotKey, demand_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admitted_per_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__HotKey, admitted_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__hot_key__field_indices_by_name[] = {
-    3, /* field[3] = admitted_per_s */
-    2, /* field[2] = demand_per_s */
-    1, /* field[1] = key */
-    0, /* field[0] = service */
+  3,   /* field[3] = admitted_per_s */
+  2,   /* field[2] = demand_per_s */
+  1,   /* field[1] = key */
+  0,   /* field[0] = service */
 };
-static const ProtobufCIntRange rs__peer__hot_key__number_ranges[1 + 1] = {
-    {1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor rs__peer__hot_key__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.peer.HotKey",
-    "HotKey",
-    "Rs__Peer__HotKey",
-    "rs.peer",
-    sizeof(Rs__Peer__HotKey),
-    4,
-    rs__peer__hot_key__field_descriptors,
-    rs__peer__hot_key__field_indices_by_name,
+static const ProtobufCIntRange rs__peer__hot_key__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rs__peer__hot_key__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.HotKey",
+  "HotKey",
+  "Rs__Peer__HotKey",
+  "rs.peer",
+  sizeof(Rs__Peer__HotKey),
+  4,
+  rs__peer__hot_key__field_descriptors,
+  rs__peer__hot_key__field_indices_by_name,
+  1,  rs__peer__hot_key__number_ranges,
+  (ProtobufCMessageInit) rs__peer__hot_key__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__peer__report__service_keys__field_descriptors[2] =
+{
+  {
+    "service",
     1,
-    rs__peer__hot_key__number_ranges,
-    (ProtobufCMessageInit)rs__peer__hot_key__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Report__ServiceKeys, service),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Rs__Peer__Report__ServiceKeys, n_keys),
+    offsetof(Rs__Peer__Report__ServiceKeys, keys),
     NULL,
-    NULL /* reserved[123] */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCFieldDescriptor
-    rs__peer__report__service_keys__field_descriptors[2] = {
-        {
-            "service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__Report__ServiceKeys, service), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "keys", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-            offsetof(Rs__Peer__Report__ServiceKeys, n_keys),
-            offsetof(Rs__Peer__Report__ServiceKeys, keys), NULL, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-            0, NULL, NULL                     /* reserved1,reserved2, etc */
-        },
+static const unsigned rs__peer__report__service_keys__field_indices_by_name[] = {
+  1,   /* field[1] = keys */
+  0,   /* field[0] = service */
 };
-static const unsigned rs__peer__report__service_keys__field_indices_by_name[] =
-    {
-        1, /* field[1] = keys */
-        0, /* field[0] = service */
+static const ProtobufCIntRange rs__peer__report__service_keys__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-static const ProtobufCIntRange
-    rs__peer__report__service_keys__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor rs__peer__report__service_keys__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.peer.Report.ServiceKeys",
-    "ServiceKeys",
-    "Rs__Peer__Report__ServiceKeys",
-    "rs.peer",
-    sizeof(Rs__Peer__Report__ServiceKeys),
-    2,
-    rs__peer__report__service_keys__field_descriptors,
-    rs__peer__report__service_keys__field_indices_by_name,
+const ProtobufCMessageDescriptor rs__peer__report__service_keys__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.Report.ServiceKeys",
+  "ServiceKeys",
+  "Rs__Peer__Report__ServiceKeys",
+  "rs.peer",
+  sizeof(Rs__Peer__Report__ServiceKeys),
+  2,
+  rs__peer__report__service_keys__field_descriptors,
+  rs__peer__report__service_keys__field_indices_by_name,
+  1,  rs__peer__report__service_keys__number_ranges,
+  (ProtobufCMessageInit) rs__peer__report__service_keys__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__peer__report__field_descriptors[8] =
+{
+  {
+    "node",
     1,
-    rs__peer__report__service_keys__number_ranges,
-    (ProtobufCMessageInit)rs__peer__report__service_keys__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Report, node),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Report, incarnation),
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rs__peer__report__field_descriptors[8] =
-    {
-        {
-            "node", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__Report, node), NULL, &protobuf_c_empty_string,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__Report, incarnation), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "targets", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Peer__Report, n_targets),
-            offsetof(Rs__Peer__Report, targets),
-            &rs__peer__target_load__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "keys", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Peer__Report, n_keys),
-            offsetof(Rs__Peer__Report, keys),
-            &rs__peer__report__service_keys__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "strength", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__Report, strength), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "zone", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__Report, zone), NULL, &protobuf_c_empty_string,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "limits", 7, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Peer__Report, n_limits),
-            offsetof(Rs__Peer__Report, limits), &rs__peer__limit__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "suspects", 8, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Peer__Report, n_suspects),
-            offsetof(Rs__Peer__Report, suspects),
-            &rs__peer__suspect__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__Report, n_targets),
+    offsetof(Rs__Peer__Report, targets),
+    &rs__peer__target_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__Report, n_keys),
+    offsetof(Rs__Peer__Report, keys),
+    &rs__peer__report__service_keys__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "strength",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Report, strength),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Report, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limits",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__Report, n_limits),
+    offsetof(Rs__Peer__Report, limits),
+    &rs__peer__limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspects",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__Report, n_suspects),
+    offsetof(Rs__Peer__Report, suspects),
+    &rs__peer__suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__report__field_indices_by_name[] = {
-    1, /* field[1] = incarnation */
-    3, /* field[3] = keys */
-    6, /* field[6] = limits */
-    0, /* field[0] = node */
-    4, /* field[4] = strength */
-    7, /* field[7] = suspects */
-    2, /* field[2] = targets */
-    5, /* field[5] = zone */
+  1,   /* field[1] = incarnation */
+  3,   /* field[3] = keys */
+  6,   /* field[6] = limits */
+  0,   /* field[0] = node */
+  4,   /* field[4] = strength */
+  7,   /* field[7] = suspects */
+  2,   /* field[2] = targets */
+  5,   /* field[5] = zone */
 };
-static const ProtobufCIntRange rs__peer__report__number_ranges[1 + 1] = {
-    {1, 0}, {0, 8}};
-const ProtobufCMessageDescriptor rs__peer__report__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.peer.Report",
-    "Report",
-    "Rs__Peer__Report",
-    "rs.peer",
-    sizeof(Rs__Peer__Report),
-    8,
-    rs__peer__report__field_descriptors,
-    rs__peer__report__field_indices_by_name,
+static const ProtobufCIntRange rs__peer__report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor rs__peer__report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.Report",
+  "Report",
+  "Rs__Peer__Report",
+  "rs.peer",
+  sizeof(Rs__Peer__Report),
+  8,
+  rs__peer__report__field_descriptors,
+  rs__peer__report__field_indices_by_name,
+  1,  rs__peer__report__number_ranges,
+  (ProtobufCMessageInit) rs__peer__report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__peer__summary__field_descriptors[12] =
+{
+  {
+    "incarnation",
     1,
-    rs__peer__report__number_ranges,
-    (ProtobufCMessageInit)rs__peer__report__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Summary, incarnation),
     NULL,
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    rs__peer__summary__field_descriptors[12] = {
-        {
-            "incarnation", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__Summary, incarnation), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "nodes", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__Summary, nodes), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "rank", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__Summary, rank), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "targets", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Peer__Summary, n_targets),
-            offsetof(Rs__Peer__Summary, targets),
-            &rs__peer__target_load__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "zone_nodes", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__Summary, zone_nodes), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "zone_rank", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__Summary, zone_rank), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "peers", 7, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED32,
-            offsetof(Rs__Peer__Summary, n_peers),
-            offsetof(Rs__Peer__Summary, peers), NULL, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-            0, NULL, NULL                     /* reserved1,reserved2, etc */
-        },
-        {
-            "limits", 8, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Peer__Summary, n_limits),
-            offsetof(Rs__Peer__Summary, limits), &rs__peer__limit__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "ranked", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__Summary, ranked), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "suspects", 10, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Peer__Summary, n_suspects),
-            offsetof(Rs__Peer__Summary, suspects),
-            &rs__peer__suspect__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "hot_keys", 11, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Peer__Summary, n_hot_keys),
-            offsetof(Rs__Peer__Summary, hot_keys),
-            &rs__peer__hot_key__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "hot_keys_known", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__Summary, hot_keys_known), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nodes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Summary, nodes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Summary, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__Summary, n_targets),
+    offsetof(Rs__Peer__Summary, targets),
+    &rs__peer__target_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone_nodes",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Summary, zone_nodes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone_rank",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Summary, zone_rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peers",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Rs__Peer__Summary, n_peers),
+    offsetof(Rs__Peer__Summary, peers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limits",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__Summary, n_limits),
+    offsetof(Rs__Peer__Summary, limits),
+    &rs__peer__limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ranked",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Summary, ranked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspects",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__Summary, n_suspects),
+    offsetof(Rs__Peer__Summary, suspects),
+    &rs__peer__suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hot_keys",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__Summary, n_hot_keys),
+    offsetof(Rs__Peer__Summary, hot_keys),
+    &rs__peer__hot_key__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hot_keys_known",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Summary, hot_keys_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__summary__field_indices_by_name[] = {
-    10, /* field[10] = hot_keys */
-    11, /* field[11] = hot_keys_known */
-    0,  /* field[0] = incarnation */
-    7,  /* field[7] = limits */
-    1,  /* field[1] = nodes */
-    6,  /* field[6] = peers */
-    2,  /* field[2] = rank */
-    8,  /* field[8] = ranked */
-    9,  /* field[9] = suspects */
-    3,  /* field[3] = targets */
-    4,  /* field[4] = zone_nodes */
-    5,  /* field[5] = zone_rank */
+  10,   /* field[10] = hot_keys */
+  11,   /* field[11] = hot_keys_known */
+  0,   /* field[0] = incarnation */
+  7,   /* field[7] = limits */
+  1,   /* field[1] = nodes */
+  6,   /* field[6] = peers */
+  2,   /* field[2] = rank */
+  8,   /* field[8] = ranked */
+  9,   /* field[9] = suspects */
+  3,   /* field[3] = targets */
+  4,   /* field[4] = zone_nodes */
+  5,   /* field[5] = zone_rank */
 };
-static const ProtobufCIntRange rs__peer__summary__number_ranges[1 + 1] = {
-    {1, 0}, {0, 12}};
-const ProtobufCMessageDescriptor rs__peer__summary__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.peer.Summary",
-    "Summary",
-    "Rs__Peer__Summary",
-    "rs.peer",
-    sizeof(Rs__Peer__Summary),
-    12,
-    rs__peer__summary__field_descriptors,
-    rs__peer__summary__field_indices_by_name,
+static const ProtobufCIntRange rs__peer__summary__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor rs__peer__summary__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.Summary",
+  "Summary",
+  "Rs__Peer__Summary",
+  "rs.peer",
+  sizeof(Rs__Peer__Summary),
+  12,
+  rs__peer__summary__field_descriptors,
+  rs__peer__summary__field_indices_by_name,
+  1,  rs__peer__summary__number_ranges,
+  (ProtobufCMessageInit) rs__peer__summary__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__peer__quota_request__need__field_descriptors[4] =
+{
+  {
+    "workspace",
     1,
-    rs__peer__summary__number_ranges,
-    (ProtobufCMessageInit)rs__peer__summary__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaRequest__Need, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaRequest__Need, wanted),
     NULL,
     NULL,
-    NULL /* reserved[123] */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "own_rate",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaRequest__Need, own_rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaRequest__Need, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCFieldDescriptor
-    rs__peer__quota_request__need__field_descriptors[4] = {
-        {
-            "workspace", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__QuotaRequest__Need, workspace), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "wanted", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__QuotaRequest__Need, wanted), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "own_rate", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FLOAT,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__QuotaRequest__Need, own_rate), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "refused", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__QuotaRequest__Need, refused), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+static const unsigned rs__peer__quota_request__need__field_indices_by_name[] = {
+  2,   /* field[2] = own_rate */
+  3,   /* field[3] = refused */
+  1,   /* field[1] = wanted */
+  0,   /* field[0] = workspace */
 };
-static const unsigned rs__peer__quota_request__need__field_indices_by_name[] =
-    {
-        2, /* field[2] = own_rate */
-        3, /* field[3] = refused */
-        1, /* field[1] = wanted */
-        0, /* field[0] = workspace */
+static const ProtobufCIntRange rs__peer__quota_request__need__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
 };
-static const ProtobufCIntRange
-    rs__peer__quota_request__need__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor rs__peer__quota_request__need__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.peer.QuotaRequest.Need",
-    "Need",
-    "Rs__Peer__QuotaRequest__Need",
-    "rs.peer",
-    sizeof(Rs__Peer__QuotaRequest__Need),
-    4,
-    rs__peer__quota_request__need__field_descriptors,
-    rs__peer__quota_request__need__field_indices_by_name,
-    1,
-    rs__peer__quota_request__need__number_ranges,
-    (ProtobufCMessageInit)rs__peer__quota_request__need__init,
+const ProtobufCMessageDescriptor rs__peer__quota_request__need__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.QuotaRequest.Need",
+  "Need",
+  "Rs__Peer__QuotaRequest__Need",
+  "rs.peer",
+  sizeof(Rs__Peer__QuotaRequest__Need),
+  4,
+  rs__peer__quota_request__need__field_descriptors,
+  rs__peer__quota_request__need__field_indices_by_name,
+  1,  rs__peer__quota_request__need__number_ranges,
+  (ProtobufCMessageInit) rs__peer__quota_request__need__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__peer__quota_request__field_descriptors[5] =
+{
+  {
+    "incarnation",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaRequest, incarnation),
     NULL,
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    rs__peer__quota_request__field_descriptors[5] = {
-        {
-            "incarnation", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__QuotaRequest, incarnation), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "node", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__QuotaRequest, node), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "sequence", 17, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__QuotaRequest, sequence), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "needs", 18, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Peer__QuotaRequest, n_needs),
-            offsetof(Rs__Peer__QuotaRequest, needs),
-            &rs__peer__quota_request__need__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "answered", 19, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__QuotaRequest, answered), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaRequest, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaRequest, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "needs",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__QuotaRequest, n_needs),
+    offsetof(Rs__Peer__QuotaRequest, needs),
+    &rs__peer__quota_request__need__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaRequest, answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__quota_request__field_indices_by_name[] = {
-    4, /* field[4] = answered */
-    0, /* field[0] = incarnation */
-    3, /* field[3] = needs */
-    1, /* field[1] = node */
-    2, /* field[2] = sequence */
+  4,   /* field[4] = answered */
+  0,   /* field[0] = incarnation */
+  3,   /* field[3] = needs */
+  1,   /* field[1] = node */
+  2,   /* field[2] = sequence */
 };
 static const ProtobufCIntRange rs__peer__quota_request__number_ranges[1 + 1] =
-    {{15, 0}, {0, 5}};
-const ProtobufCMessageDescriptor rs__peer__quota_request__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.peer.QuotaRequest",
-    "QuotaRequest",
-    "Rs__Peer__QuotaRequest",
-    "rs.peer",
-    sizeof(Rs__Peer__QuotaRequest),
-    5,
-    rs__peer__quota_request__field_descriptors,
-    rs__peer__quota_request__field_indices_by_name,
+{
+  { 15, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor rs__peer__quota_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.QuotaRequest",
+  "QuotaRequest",
+  "Rs__Peer__QuotaRequest",
+  "rs.peer",
+  sizeof(Rs__Peer__QuotaRequest),
+  5,
+  rs__peer__quota_request__field_descriptors,
+  rs__peer__quota_request__field_indices_by_name,
+  1,  rs__peer__quota_request__number_ranges,
+  (ProtobufCMessageInit) rs__peer__quota_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__peer__quota_grant__item__field_descriptors[4] =
+{
+  {
+    "workspace",
     1,
-    rs__peer__quota_request__number_ranges,
-    (ProtobufCMessageInit)rs__peer__quota_request__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaGrant__Item, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaGrant__Item, tokens),
     NULL,
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    rs__peer__quota_grant__item__field_descriptors[4] = {
-        {
-            "workspace", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__QuotaGrant__Item, workspace), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "tokens", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__QuotaGrant__Item, tokens), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "own_rate", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FLOAT,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__QuotaGrant__Item, own_rate), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "debt_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__QuotaGrant__Item, debt_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-};
-static const unsigned rs__peer__quota_grant__item__field_indices_by_name[] = {
-    3, /* field[3] = debt_ms */
-    2, /* field[2] = own_rate */
-    1, /* field[1] = tokens */
-    0, /* field[0] = workspace */
-};
-static const ProtobufCIntRange
-    rs__peer__quota_grant__item__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor rs__peer__quota_grant__item__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.peer.QuotaGrant.Item",
-    "Item",
-    "Rs__Peer__QuotaGrant__Item",
-    "rs.peer",
-    sizeof(Rs__Peer__QuotaGrant__Item),
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "own_rate",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaGrant__Item, own_rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "debt_ms",
     4,
-    rs__peer__quota_grant__item__field_descriptors,
-    rs__peer__quota_grant__item__field_indices_by_name,
-    1,
-    rs__peer__quota_grant__item__number_ranges,
-    (ProtobufCMessageInit)rs__peer__quota_grant__item__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaGrant__Item, debt_ms),
     NULL,
     NULL,
-    NULL /* reserved[123] */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCFieldDescriptor
-    rs__peer__quota_grant__field_descriptors[3] = {
-        {
-            "incarnation", 20, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__QuotaGrant, incarnation), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "sequence", 21, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Peer__QuotaGrant, sequence), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "items", 22, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Peer__QuotaGrant, n_items),
-            offsetof(Rs__Peer__QuotaGrant, items),
-            &rs__peer__quota_grant__item__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+static const unsigned rs__peer__quota_grant__item__field_indices_by_name[] = {
+  3,   /* field[3] = debt_ms */
+  2,   /* field[2] = own_rate */
+  1,   /* field[1] = tokens */
+  0,   /* field[0] = workspace */
 };
-static const unsigned rs__peer__quota_grant__field_indices_by_name[] = {
-    0, /* field[0] = incarnation */
-    2, /* field[2] = items */
-    1, /* field[1] = sequence */
+static const ProtobufCIntRange rs__peer__quota_grant__item__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
 };
-static const ProtobufCIntRange rs__peer__quota_grant__number_ranges[1 + 1] = {
-    {20, 0}, {0, 3}};
-const ProtobufCMessageDescriptor rs__peer__quota_grant__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.peer.QuotaGrant",
-    "QuotaGrant",
-    "Rs__Peer__QuotaGrant",
-    "rs.peer",
-    sizeof(Rs__Peer__QuotaGrant),
-    3,
-    rs__peer__quota_grant__field_descriptors,
-    rs__peer__quota_grant__field_indices_by_name,
-    1,
-    rs__peer__quota_grant__number_ranges,
-    (ProtobufCMessageInit)rs__peer__quota_grant__init,
+const ProtobufCMessageDescriptor rs__peer__quota_grant__item__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.QuotaGrant.Item",
+  "Item",
+  "Rs__Peer__QuotaGrant__Item",
+  "rs.peer",
+  sizeof(Rs__Peer__QuotaGrant__Item),
+  4,
+  rs__peer__quota_grant__item__field_descriptors,
+  rs__peer__quota_grant__item__field_indices_by_name,
+  1,  rs__peer__quota_grant__item__number_ranges,
+  (ProtobufCMessageInit) rs__peer__quota_grant__item__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__peer__quota_grant__field_descriptors[3] =
+{
+  {
+    "incarnation",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaGrant, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__QuotaGrant, sequence),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "items",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Peer__QuotaGrant, n_items),
+    offsetof(Rs__Peer__QuotaGrant, items),
+    &rs__peer__quota_grant__item__descriptor,
     NULL,
-    NULL /* reserved[123] */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__peer__quota_grant__field_indices_by_name[] = {
+  0,   /* field[0] = incarnation */
+  2,   /* field[2] = items */
+  1,   /* field[1] = sequence */
+};
+static const ProtobufCIntRange rs__peer__quota_grant__number_ranges[1 + 1] =
+{
+  { 20, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rs__peer__quota_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.QuotaGrant",
+  "QuotaGrant",
+  "Rs__Peer__QuotaGrant",
+  "rs.peer",
+  sizeof(Rs__Peer__QuotaGrant),
+  3,
+  rs__peer__quota_grant__field_descriptors,
+  rs__peer__quota_grant__field_indices_by_name,
+  1,  rs__peer__quota_grant__number_ranges,
+  (ProtobufCMessageInit) rs__peer__quota_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
--- a/router/stream.pb-c.c
+++ b/router/stream.pb-c.c
@@ -7,699 +7,888 @@
 #endif
 
 #include "router/stream.pb-c.h"
-void
-rs__stream__subscribe__known__init(Rs__Stream__Subscribe__Known *message)
+void   rs__stream__subscribe__known__init
+                     (Rs__Stream__Subscribe__Known         *message)
 {
-    static const Rs__Stream__Subscribe__Known init_value =
-        RS__STREAM__SUBSCRIBE__KNOWN__INIT;
-    *message = init_value;
+  static const Rs__Stream__Subscribe__Known init_value = RS__STREAM__SUBSCRIBE__KNOWN__INIT;
+  *message = init_value;
 }
-void
-rs__stream__subscribe__init(Rs__Stream__Subscribe *message)
+void   rs__stream__subscribe__init
+                     (Rs__Stream__Subscribe         *message)
 {
-    static const Rs__Stream__Subscribe init_value =
-        RS__STREAM__SUBSCRIBE__INIT;
-    *message = init_value;
+  static const Rs__Stream__Subscribe init_value = RS__STREAM__SUBSCRIBE__INIT;
+  *message = init_value;
 }
-size_t
-rs__stream__subscribe__get_packed_size(const Rs__Stream__Subscribe *message)
+size_t rs__stream__subscribe__get_packed_size
+                     (const Rs__Stream__Subscribe *message)
 {
-    assert(message->base.descriptor == &rs__stream__subscribe__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__stream__subscribe__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__stream__subscribe__pack(const Rs__Stream__Subscribe *message, uint8_t *out)
+size_t rs__stream__subscribe__pack
+                     (const Rs__Stream__Subscribe *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__stream__subscribe__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__stream__subscribe__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__stream__subscribe__pack_to_buffer(const Rs__Stream__Subscribe *message,
-                                      ProtobufCBuffer *buffer)
+size_t rs__stream__subscribe__pack_to_buffer
+                     (const Rs__Stream__Subscribe *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__stream__subscribe__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__stream__subscribe__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Stream__Subscribe *
-rs__stream__subscribe__unpack(ProtobufCAllocator *allocator, size_t len,
-                              const uint8_t *data)
+       rs__stream__subscribe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Stream__Subscribe *)protobuf_c_message_unpack(
-        &rs__stream__subscribe__descriptor, allocator, len, data);
+  return (Rs__Stream__Subscribe *)
+     protobuf_c_message_unpack (&rs__stream__subscribe__descriptor,
+                                allocator, len, data);
 }
-void
-rs__stream__subscribe__free_unpacked(Rs__Stream__Subscribe *message,
-                                     ProtobufCAllocator *allocator)
+void   rs__stream__subscribe__free_unpacked
+                     (Rs__Stream__Subscribe *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__stream__subscribe__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__stream__subscribe__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__stream__update__row__init(Rs__Stream__Update__Row *message)
+void   rs__stream__update__row__init
+                     (Rs__Stream__Update__Row         *message)
 {
-    static const Rs__Stream__Update__Row init_value =
-        RS__STREAM__UPDATE__ROW__INIT;
-    *message = init_value;
+  static const Rs__Stream__Update__Row init_value = RS__STREAM__UPDATE__ROW__INIT;
+  *message = init_value;
 }
-void
-rs__stream__update__init(Rs__Stream__Update *message)
+void   rs__stream__update__init
+                     (Rs__Stream__Update         *message)
 {
-    static const Rs__Stream__Update init_value = RS__STREAM__UPDATE__INIT;
-    *message = init_value;
+  static const Rs__Stream__Update init_value = RS__STREAM__UPDATE__INIT;
+  *message = init_value;
 }
-size_t
-rs__stream__update__get_packed_size(const Rs__Stream__Update *message)
+size_t rs__stream__update__get_packed_size
+                     (const Rs__Stream__Update *message)
 {
-    assert(message->base.descriptor == &rs__stream__update__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__stream__update__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__stream__update__pack(const Rs__Stream__Update *message, uint8_t *out)
+size_t rs__stream__update__pack
+                     (const Rs__Stream__Update *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__stream__update__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__stream__update__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__stream__update__pack_to_buffer(const Rs__Stream__Update *message,
-                                   ProtobufCBuffer *buffer)
+size_t rs__stream__update__pack_to_buffer
+                     (const Rs__Stream__Update *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__stream__update__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__stream__update__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Stream__Update *
-rs__stream__update__unpack(ProtobufCAllocator *allocator, size_t len,
-                           const uint8_t *data)
+       rs__stream__update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Stream__Update *)protobuf_c_message_unpack(
-        &rs__stream__update__descriptor, allocator, len, data);
+  return (Rs__Stream__Update *)
+     protobuf_c_message_unpack (&rs__stream__update__descriptor,
+                                allocator, len, data);
 }
-void
-rs__stream__update__free_unpacked(Rs__Stream__Update *message,
-                                  ProtobufCAllocator *allocator)
+void   rs__stream__update__free_unpacked
+                     (Rs__Stream__Update *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__stream__update__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__stream__update__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__stream__beat__freshness__init(Rs__Stream__Beat__Freshness *message)
+void   rs__stream__beat__freshness__init
+                     (Rs__Stream__Beat__Freshness         *message)
 {
-    static const Rs__Stream__Beat__Freshness init_value =
-        RS__STREAM__BEAT__FRESHNESS__INIT;
-    *message = init_value;
+  static const Rs__Stream__Beat__Freshness init_value = RS__STREAM__BEAT__FRESHNESS__INIT;
+  *message = init_value;
 }
-void
-rs__stream__beat__init(Rs__Stream__Beat *message)
+void   rs__stream__beat__init
+                     (Rs__Stream__Beat         *message)
 {
-    static const Rs__Stream__Beat init_value = RS__STREAM__BEAT__INIT;
-    *message = init_value;
+  static const Rs__Stream__Beat init_value = RS__STREAM__BEAT__INIT;
+  *message = init_value;
 }
-size_t
-rs__stream__beat__get_packed_size(const Rs__Stream__Beat *message)
+size_t rs__stream__beat__get_packed_size
+                     (const Rs__Stream__Beat *message)
 {
-    assert(message->base.descriptor == &rs__stream__beat__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__stream__beat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__stream__beat__pack(const Rs__Stream__Beat *message, uint8_t *out)
+size_t rs__stream__beat__pack
+                     (const Rs__Stream__Beat *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__stream__beat__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__stream__beat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__stream__beat__pack_to_buffer(const Rs__Stream__Beat *message,
-                                 ProtobufCBuffer *buffer)
+size_t rs__stream__beat__pack_to_buffer
+                     (const Rs__Stream__Beat *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__stream__beat__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__stream__beat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Stream__Beat *
-rs__stream__beat__unpack(ProtobufCAllocator *allocator, size_t len,
-                         const uint8_t *data)
+       rs__stream__beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Stream__Beat *)protobuf_c_message_unpack(
-        &rs__stream__beat__descriptor, allocator, len, data);
+  return (Rs__Stream__Beat *)
+     protobuf_c_message_unpack (&rs__stream__beat__descriptor,
+                                allocator, len, data);
 }
-void
-rs__stream__beat__free_unpacked(Rs__Stream__Beat *message,
-                                ProtobufCAllocator *allocator)
+void   rs__stream__beat__free_unpacked
+                     (Rs__Stream__Beat *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__stream__beat__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__stream__beat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__stream__redirect__init(Rs__Stream__Redirect *message)
+void   rs__stream__redirect__init
+                     (Rs__Stream__Redirect         *message)
 {
-    static const Rs__Stream__Redirect init_value = RS__STREAM__REDIRECT__INIT;
-    *message = init_value;
+  static const Rs__Stream__Redirect init_value = RS__STREAM__REDIRECT__INIT;
+  *message = init_value;
 }
-size_t
-rs__stream__redirect__get_packed_size(const Rs__Stream__Redirect *message)
+size_t rs__stream__redirect__get_packed_size
+                     (const Rs__Stream__Redirect *message)
 {
-    assert(message->base.descriptor == &rs__stream__redirect__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__stream__redirect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__stream__redirect__pack(const Rs__Stream__Redirect *message, uint8_t *out)
+size_t rs__stream__redirect__pack
+                     (const Rs__Stream__Redirect *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__stream__redirect__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__stream__redirect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__stream__redirect__pack_to_buffer(const Rs__Stream__Redirect *message,
-                                     ProtobufCBuffer *buffer)
+size_t rs__stream__redirect__pack_to_buffer
+                     (const Rs__Stream__Redirect *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__stream__redirect__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__stream__redirect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Stream__Redirect *
-rs__stream__redirect__unpack(ProtobufCAllocator *allocator, size_t len,
-                             const uint8_t *data)
+       rs__stream__redirect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Rs__Stream__Redirect *)protobuf_c_message_unpack(
-        &rs__stream__redirect__descriptor, allocator, len, data);
+  return (Rs__Stream__Redirect *)
+     protobuf_c_message_unpack (&rs__stream__redirect__descriptor,
+                                allocator, len, data);
 }
-void
-rs__stream__redirect__free_unpacked(Rs__Stream__Redirect *message,
-                                    ProtobufCAllocator *allocator)
+void   rs__stream__redirect__free_unpacked
+                     (Rs__Stream__Redirect *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__stream__redirect__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__stream__redirect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-rs__stream__message__init(Rs__Stream__Message *message)
+void   rs__stream__message__init
+                     (Rs__Stream__Message         *message)
 {
-    static const Rs__Stream__Message init_value = RS__STREAM__MESSAGE__INIT;
-    *message = init_value;
+  static const Rs__Stream__Message init_value = RS__STREAM__MESSAGE__INIT;
+  *message = init_value;
 }
-size_t
-rs__stream__message__get_packed_size(const Rs__Stream__Message *message)
+size_t rs__stream__message__get_packed_size
+                     (const Rs__Stream__Message *message)
 {
-    assert(message->base.descriptor == &rs__stream__message__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rs__stream__message__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-rs__stream__message__pack(const Rs__Stream__Message *message, uint8_t *out)
+size_t rs__stream__message__pack
+                     (const Rs__Stream__Message *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &rs__stream__message__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rs__stream__message__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-rs__stream__message__pack_to_buffer(const Rs__Stream__Message *message,
-                                    ProtobufCBuffer *buffer)
+size_t rs__stream__message__pack_to_buffer
+                     (const Rs__Stream__Message *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &rs__stream__message__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &rs__stream__message__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Rs__Stream__Message *
-rs__stream__message__unpack(ProtobufCAllocator *allocator, size_t len,
-                            const uint8_t *data)
-{
-    return (Rs__Stream__Message *)protobuf_c_message_unpack(
-        &rs__stream__message__descriptor, allocator, len, data);
-}
-void
-rs__stream__message__free_unpacked(Rs__Stream__Message *message,
-                                   ProtobufCAllocator *allocator)
-{
-    if (!message)
-        return;
-    assert(message->base.descriptor == &rs__stream__message__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
-}
-static const ProtobufCFieldDescriptor
-    rs__stream__subscribe__known__field_descriptors[2] = {
-        {
-            "table", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Subscribe__Known, table), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Subscribe__Known, version), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+       rs__stream__message__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rs__Stream__Message *)
+     protobuf_c_message_unpack (&rs__stream__message__descriptor,
+                                allocator, len, data);
+}
+void   rs__stream__message__free_unpacked
+                     (Rs__Stream__Message *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__stream__message__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor rs__stream__subscribe__known__field_descriptors[2] =
+{
+  {
+    "table",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Subscribe__Known, table),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Subscribe__Known, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__stream__subscribe__known__field_indices_by_name[] = {
-    0, /* field[0] = table */
-    1, /* field[1] = version */
-};
-static const ProtobufCIntRange
-    rs__stream__subscribe__known__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor rs__stream__subscribe__known__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.stream.Subscribe.Known",
-    "Known",
-    "Rs__Stream__Subscribe__Known",
-    "rs.stream",
-    sizeof(Rs__Stream__Subscribe__Known),
-    2,
-    rs__stream__subscribe__known__field_descriptors,
-    rs__stream__subscribe__known__field_indices_by_name,
+  0,   /* field[0] = table */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange rs__stream__subscribe__known__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rs__stream__subscribe__known__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.stream.Subscribe.Known",
+  "Known",
+  "Rs__Stream__Subscribe__Known",
+  "rs.stream",
+  sizeof(Rs__Stream__Subscribe__Known),
+  2,
+  rs__stream__subscribe__known__field_descriptors,
+  rs__stream__subscribe__known__field_indices_by_name,
+  1,  rs__stream__subscribe__known__number_ranges,
+  (ProtobufCMessageInit) rs__stream__subscribe__known__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__stream__subscribe__field_descriptors[5] =
+{
+  {
+    "node",
     1,
-    rs__stream__subscribe__known__number_ranges,
-    (ProtobufCMessageInit)rs__stream__subscribe__known__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    rs__stream__subscribe__field_descriptors[5] = {
-        {
-            "node", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Subscribe, node), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "host", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Subscribe, host), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "port", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Subscribe, port), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "tables", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Stream__Subscribe, n_tables),
-            offsetof(Rs__Stream__Subscribe, tables),
-            &rs__stream__subscribe__known__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "kept", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Stream__Subscribe, n_kept),
-            offsetof(Rs__Stream__Subscribe, kept),
-            &rs__stream__update__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Subscribe, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Subscribe, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Subscribe, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tables",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Stream__Subscribe, n_tables),
+    offsetof(Rs__Stream__Subscribe, tables),
+    &rs__stream__subscribe__known__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kept",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Stream__Subscribe, n_kept),
+    offsetof(Rs__Stream__Subscribe, kept),
+    &rs__stream__update__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__stream__subscribe__field_indices_by_name[] = {
-    1, /* field[1] = host */
-    4, /* field[4] = kept */
-    0, /* field[0] = node */
-    2, /* field[2] = port */
-    3, /* field[3] = tables */
-};
-static const ProtobufCIntRange rs__stream__subscribe__number_ranges[1 + 1] = {
-    {1, 0}, {0, 5}};
-const ProtobufCMessageDescriptor rs__stream__subscribe__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.stream.Subscribe",
-    "Subscribe",
-    "Rs__Stream__Subscribe",
-    "rs.stream",
-    sizeof(Rs__Stream__Subscribe),
-    5,
-    rs__stream__subscribe__field_descriptors,
-    rs__stream__subscribe__field_indices_by_name,
+  1,   /* field[1] = host */
+  4,   /* field[4] = kept */
+  0,   /* field[0] = node */
+  2,   /* field[2] = port */
+  3,   /* field[3] = tables */
+};
+static const ProtobufCIntRange rs__stream__subscribe__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor rs__stream__subscribe__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.stream.Subscribe",
+  "Subscribe",
+  "Rs__Stream__Subscribe",
+  "rs.stream",
+  sizeof(Rs__Stream__Subscribe),
+  5,
+  rs__stream__subscribe__field_descriptors,
+  rs__stream__subscribe__field_indices_by_name,
+  1,  rs__stream__subscribe__number_ranges,
+  (ProtobufCMessageInit) rs__stream__subscribe__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__stream__update__row__field_descriptors[9] =
+{
+  {
+    "key",
     1,
-    rs__stream__subscribe__number_ranges,
-    (ProtobufCMessageInit)rs__stream__subscribe__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    rs__stream__update__row__field_descriptors[9] = {
-        {
-            "key", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Update__Row, key), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "value", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Update__Row, value), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "version", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Update__Row, version), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "deleted", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Update__Row, deleted), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "base_version", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Update__Row, base_version), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "patch", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Update__Row, patch), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "packed", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Update__Row, packed), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "value_bytes", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Update__Row, value_bytes), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "kept", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Update__Row, kept), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Update__Row, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Update__Row, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Update__Row, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deleted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Update__Row, deleted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Update__Row, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "patch",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Update__Row, patch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "packed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Update__Row, packed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value_bytes",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Update__Row, value_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kept",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Update__Row, kept),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__stream__update__row__field_indices_by_name[] = {
-    4, /* field[4] = base_version */
-    3, /* field[3] = deleted */
-    8, /* field[8] = kept */
-    0, /* field[0] = key */
-    6, /* field[6] = packed */
-    5, /* field[5] = patch */
-    1, /* field[1] = value */
-    7, /* field[7] = value_bytes */
-    2, /* field[2] = version */
+  4,   /* field[4] = base_version */
+  3,   /* field[3] = deleted */
+  8,   /* field[8] = kept */
+  0,   /* field[0] = key */
+  6,   /* field[6] = packed */
+  5,   /* field[5] = patch */
+  1,   /* field[1] = value */
+  7,   /* field[7] = value_bytes */
+  2,   /* field[2] = version */
 };
 static const ProtobufCIntRange rs__stream__update__row__number_ranges[1 + 1] =
-    {{1, 0}, {0, 9}};
-const ProtobufCMessageDescriptor rs__stream__update__row__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.stream.Update.Row",
-    "Row",
-    "Rs__Stream__Update__Row",
-    "rs.stream",
-    sizeof(Rs__Stream__Update__Row),
-    9,
-    rs__stream__update__row__field_descriptors,
-    rs__stream__update__row__field_indices_by_name,
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor rs__stream__update__row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.stream.Update.Row",
+  "Row",
+  "Rs__Stream__Update__Row",
+  "rs.stream",
+  sizeof(Rs__Stream__Update__Row),
+  9,
+  rs__stream__update__row__field_descriptors,
+  rs__stream__update__row__field_indices_by_name,
+  1,  rs__stream__update__row__number_ranges,
+  (ProtobufCMessageInit) rs__stream__update__row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__stream__update__field_descriptors[4] =
+{
+  {
+    "table",
     1,
-    rs__stream__update__row__number_ranges,
-    (ProtobufCMessageInit)rs__stream__update__row__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    rs__stream__update__field_descriptors[4] = {
-        {
-            "table", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Update, table), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Update, version), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "whole", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Update, whole), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "rows", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Stream__Update, n_rows),
-            offsetof(Rs__Stream__Update, rows),
-            &rs__stream__update__row__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Update, table),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Update, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Update, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Stream__Update, n_rows),
+    offsetof(Rs__Stream__Update, rows),
+    &rs__stream__update__row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__stream__update__field_indices_by_name[] = {
-    3, /* field[3] = rows */
-    0, /* field[0] = table */
-    1, /* field[1] = version */
-    2, /* field[2] = whole */
-};
-static const ProtobufCIntRange rs__stream__update__number_ranges[1 + 1] = {
-    {1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor rs__stream__update__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.stream.Update",
-    "Update",
-    "Rs__Stream__Update",
-    "rs.stream",
-    sizeof(Rs__Stream__Update),
-    4,
-    rs__stream__update__field_descriptors,
-    rs__stream__update__field_indices_by_name,
-    1,
-    rs__stream__update__number_ranges,
-    (ProtobufCMessageInit)rs__stream__update__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    rs__stream__beat__freshness__field_descriptors[3] = {
-        {
-            "table", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Beat__Freshness, table), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Beat__Freshness, version), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "age_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Beat__Freshness, age_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+  3,   /* field[3] = rows */
+  0,   /* field[0] = table */
+  1,   /* field[1] = version */
+  2,   /* field[2] = whole */
 };
-static const unsigned rs__stream__beat__freshness__field_indices_by_name[] = {
-    2, /* field[2] = age_ms */
-    0, /* field[0] = table */
-    1, /* field[1] = version */
-};
-static const ProtobufCIntRange
-    rs__stream__beat__freshness__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor rs__stream__beat__freshness__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.stream.Beat.Freshness",
-    "Freshness",
-    "Rs__Stream__Beat__Freshness",
-    "rs.stream",
-    sizeof(Rs__Stream__Beat__Freshness),
-    3,
-    rs__stream__beat__freshness__field_descriptors,
-    rs__stream__beat__freshness__field_indices_by_name,
+static const ProtobufCIntRange rs__stream__update__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rs__stream__update__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.stream.Update",
+  "Update",
+  "Rs__Stream__Update",
+  "rs.stream",
+  sizeof(Rs__Stream__Update),
+  4,
+  rs__stream__update__field_descriptors,
+  rs__stream__update__field_indices_by_name,
+  1,  rs__stream__update__number_ranges,
+  (ProtobufCMessageInit) rs__stream__update__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__stream__beat__freshness__field_descriptors[3] =
+{
+  {
+    "table",
     1,
-    rs__stream__beat__freshness__number_ranges,
-    (ProtobufCMessageInit)rs__stream__beat__freshness__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Beat__Freshness, table),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Beat__Freshness, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Beat__Freshness, age_ms),
     NULL,
     NULL,
-    NULL /* reserved[123] */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__stream__beat__freshness__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = table */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange rs__stream__beat__freshness__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rs__stream__beat__freshness__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.stream.Beat.Freshness",
+  "Freshness",
+  "Rs__Stream__Beat__Freshness",
+  "rs.stream",
+  sizeof(Rs__Stream__Beat__Freshness),
+  3,
+  rs__stream__beat__freshness__field_descriptors,
+  rs__stream__beat__freshness__field_indices_by_name,
+  1,  rs__stream__beat__freshness__number_ranges,
+  (ProtobufCMessageInit) rs__stream__beat__freshness__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor rs__stream__beat__field_descriptors[5] =
-    {
-        {
-            "tables", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Stream__Beat, n_tables),
-            offsetof(Rs__Stream__Beat, tables),
-            &rs__stream__beat__freshness__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "granter", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Beat, granter), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "lease_version", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Beat, lease_version), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "sent_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Beat, sent_ms), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "lost", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Beat, lost), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+{
+  {
+    "tables",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Stream__Beat, n_tables),
+    offsetof(Rs__Stream__Beat, tables),
+    &rs__stream__beat__freshness__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granter",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Beat, granter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Beat, lease_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Beat, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lost",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Beat, lost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__stream__beat__field_indices_by_name[] = {
-    1, /* field[1] = granter */
-    2, /* field[2] = lease_version */
-    4, /* field[4] = lost */
-    3, /* field[3] = sent_ms */
-    0, /* field[0] = tables */
-};
-static const ProtobufCIntRange rs__stream__beat__number_ranges[1 + 1] = {
-    {1, 0}, {0, 5}};
-const ProtobufCMessageDescriptor rs__stream__beat__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.stream.Beat",
-    "Beat",
-    "Rs__Stream__Beat",
-    "rs.stream",
-    sizeof(Rs__Stream__Beat),
-    5,
-    rs__stream__beat__field_descriptors,
-    rs__stream__beat__field_indices_by_name,
+  1,   /* field[1] = granter */
+  2,   /* field[2] = lease_version */
+  4,   /* field[4] = lost */
+  3,   /* field[3] = sent_ms */
+  0,   /* field[0] = tables */
+};
+static const ProtobufCIntRange rs__stream__beat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor rs__stream__beat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.stream.Beat",
+  "Beat",
+  "Rs__Stream__Beat",
+  "rs.stream",
+  sizeof(Rs__Stream__Beat),
+  5,
+  rs__stream__beat__field_descriptors,
+  rs__stream__beat__field_indices_by_name,
+  1,  rs__stream__beat__number_ranges,
+  (ProtobufCMessageInit) rs__stream__beat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__stream__redirect__field_descriptors[2] =
+{
+  {
+    "host",
     1,
-    rs__stream__beat__number_ranges,
-    (ProtobufCMessageInit)rs__stream__beat__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    rs__stream__redirect__field_descriptors[2] = {
-        {
-            "host", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Redirect, host), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "port", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Rs__Stream__Redirect, port), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Redirect, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Stream__Redirect, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__stream__redirect__field_indices_by_name[] = {
-    0, /* field[0] = host */
-    1, /* field[1] = port */
-};
-static const ProtobufCIntRange rs__stream__redirect__number_ranges[1 + 1] = {
-    {1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor rs__stream__redirect__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.stream.Redirect",
-    "Redirect",
-    "Rs__Stream__Redirect",
-    "rs.stream",
-    sizeof(Rs__Stream__Redirect),
-    2,
-    rs__stream__redirect__field_descriptors,
-    rs__stream__redirect__field_indices_by_name,
-    1,
-    rs__stream__redirect__number_ranges,
-    (ProtobufCMessageInit)rs__stream__redirect__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    rs__stream__message__field_descriptors[4] = {
-        {
-            "subscribe", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Stream__Message, message_case),
-            offsetof(Rs__Stream__Message, subscribe),
-            &rs__stream__subscribe__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "update", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Stream__Message, message_case),
-            offsetof(Rs__Stream__Message, update),
-            &rs__stream__update__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "beat", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Stream__Message, message_case),
-            offsetof(Rs__Stream__Message, beat), &rs__stream__beat__descriptor,
-            NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "redirect", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Rs__Stream__Message, message_case),
-            offsetof(Rs__Stream__Message, redirect),
-            &rs__stream__redirect__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
+  0,   /* field[0] = host */
+  1,   /* field[1] = port */
 };
-static const unsigned rs__stream__message__field_indices_by_name[] = {
-    2, /* field[2] = beat */
-    3, /* field[3] = redirect */
-    0, /* field[0] = subscribe */
-    1, /* field[1] = update */
-};
-static const ProtobufCIntRange rs__stream__message__number_ranges[1 + 1] = {
-    {1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor rs__stream__message__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "rs.stream.Message",
-    "Message",
-    "Rs__Stream__Message",
-    "rs.stream",
-    sizeof(Rs__Stream__Message),
-    4,
-    rs__stream__message__field_descriptors,
-    rs__stream__message__field_indices_by_name,
+static const ProtobufCIntRange rs__stream__redirect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rs__stream__redirect__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.stream.Redirect",
+  "Redirect",
+  "Rs__Stream__Redirect",
+  "rs.stream",
+  sizeof(Rs__Stream__Redirect),
+  2,
+  rs__stream__redirect__field_descriptors,
+  rs__stream__redirect__field_indices_by_name,
+  1,  rs__stream__redirect__number_ranges,
+  (ProtobufCMessageInit) rs__stream__redirect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rs__stream__message__field_descriptors[4] =
+{
+  {
+    "subscribe",
     1,
-    rs__stream__message__number_ranges,
-    (ProtobufCMessageInit)rs__stream__message__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Stream__Message, message_case),
+    offsetof(Rs__Stream__Message, subscribe),
+    &rs__stream__subscribe__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "update",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Stream__Message, message_case),
+    offsetof(Rs__Stream__Message, update),
+    &rs__stream__update__descriptor,
     NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "beat",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Stream__Message, message_case),
+    offsetof(Rs__Stream__Message, beat),
+    &rs__stream__beat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "redirect",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rs__Stream__Message, message_case),
+    offsetof(Rs__Stream__Message, redirect),
+    &rs__stream__redirect__descriptor,
     NULL,
-    NULL /* reserved[123] */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__stream__message__field_indices_by_name[] = {
+  2,   /* field[2] = beat */
+  3,   /* field[3] = redirect */
+  0,   /* field[0] = subscribe */
+  1,   /* field[1] = update */
+};
+static const ProtobufCIntRange rs__stream__message__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rs__stream__message__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.stream.Message",
+  "Message",
+  "Rs__Stream__Message",
+  "rs.stream",
+  sizeof(Rs__Stream__Message),
+  4,
+  rs__stream__message__field_descriptors,
+  rs__stream__message__field_indices_by_name,
+  1,  rs__stream__message__number_ranges,
+  (ProtobufCMessageInit) rs__stream__message__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
