Intern route names once, and learn room only for requests with an owner

Found on reading the change again. Each request interned the name of its route up to three times (a lock and a hash of the text each) to look up the expected work, and requests to a service without keys looked it up for nothing: a second field, `any_target`, then told the choice not to use it.

A request to a service without keys has no latency target in the choice, which already means room from constants; `any_target` is gone, and its test sets the same meaning with the remaining field.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -111,7 +111,10 @@
 make_choice_input(const struct rs_request *request, const char **tried)
 {
     const struct rs_router *router = request->router;
-    bool adaptive = router->settings->load.adaptive;
+    /* Any target may take a request without a key, so it waits here for the
+     * first that has room rather than in the queue of one. */
+    bool room_is_learned =
+        router->settings->load.adaptive && request->service->sharded;
     size_t count = 0;
     for (uint32_t i = 0; i < request->attempt_count; i++) {
         tried[count++] = request->attempts[i].target->id;
@@ -130,12 +133,13 @@
         .excluded = tried,
         .excluded_count = count,
         .random = router->random,
-        .any_target = !request->service->sharded,
-        .latency_target_ms = adaptive ? request->route->target_latency_ms : 0,
-        .work_ms = adaptive ? RsRouter_MeanWorkMs(request->router,
-                                                  request->service->name,
-                                                  request->route->name)
-                            : 0,
+        .latency_target_ms =
+            room_is_learned ? request->route->target_latency_ms : 0,
+        .work_ms =
+            room_is_learned
+                ? RsRouter_MeanWorkMs(request->router, request->service->name,
+                                      request->route->name)
+                : 0,
     };
 }
 
--- a/router/concurrency_measure.c
+++ b/router/concurrency_measure.c
@@ -73,8 +73,7 @@
         const struct rs_concurrency_sample sample = {
             WORK_MS * (0.4 + i % 7 * 0.2), 1, 100};
         RsConcurrency_Record(&target_at(i % TARGETS)->concurrency, &service,
-                             g_intern_string(kinds[i % KINDS]), &sample,
-                             i / TARGETS);
+                             kinds[i % KINDS], &sample, i / TARGETS);
     }
     print("a sample", started_at_us, ROUNDS * TARGETS);
 }
@@ -85,10 +84,10 @@
     uint32_t count = 0;
     input.latency_target_ms = latency_target_ms;
     for (uint32_t i = 0; i < ROUNDS * TARGETS; i++) {
-        input.work_ms = latency_target_ms > 0
-                            ? RsConcurrency_MeanWorkMs(
-                                  &service, g_intern_string(kinds[i % KINDS]))
-                            : 0;
+        input.work_ms =
+            latency_target_ms > 0
+                ? RsConcurrency_MeanWorkMs(&service, kinds[i % KINDS])
+                : 0;
         count += RsLoad_HasRoom(target_at(i % TARGETS), &input, 1);
     }
     return count;
--- a/router/load.c
+++ b/router/load.c
@@ -187,7 +187,7 @@
 {
     double uncertain = MAX_QUEUED_UNCERTAIN * (1 - load_confidence(input));
     double queued = target->report.slots + MAX_QUEUED;
-    if (input->latency_target_ms <= 0 || input->any_target) {
+    if (input->latency_target_ms <= 0) {
         return queued + uncertain;
     }
     return RsLoad_ConcurrencyLimit(target, input->work_ms,
--- a/router/load.h
+++ b/router/load.h
@@ -44,9 +44,6 @@
     /* Of the request. Set only if the room of a target follows from its
      * learned speed, see router/concurrency.h; 0: from constants. */
     double latency_target_ms;
-    /* Other targets may take the request as well, so that it waits here for
-     * the first that has room rather than in the queue of one. */
-    bool any_target;
     double work_ms; /* at a target of factor 1; 0: as the service's mean */
     struct rs_load_bounds bounds;
     struct rs_load_share share;
--- a/router/load_test.c
+++ b/router/load_test.c
@@ -373,7 +373,7 @@
     choice->latency_target_ms = 10000;
     target->in_flight = target->report.slots + 2;
     CU_ASSERT_TRUE(RsLoad_HasRoom(target, choice, NOW_MS));
-    choice->any_target = true;
+    choice->latency_target_ms = 0;
     CU_ASSERT_FALSE(RsLoad_HasRoom(target, choice, NOW_MS));
     target->in_flight--;
     CU_ASSERT_TRUE(RsLoad_HasRoom(target, choice, NOW_MS));
--- a/router/reports_test.c
+++ b/router/reports_test.c
@@ -106,7 +106,8 @@
             .queueing_factor = 1,
         };
         int64_t now_ms = start_ms + i * 10;
-        RsRouter_RecordWork(&node->router, target, "lookups", &sample, now_ms);
+        RsRouter_RecordWork(&node->router, target, g_intern_string("lookups"),
+                            &sample, now_ms);
         target->answers++;
         if (i % TARGETS == TARGETS - 1) {
             RsRouter_RefreshConcurrency(&node->router, now_ms);
--- a/router/router.c
+++ b/router/router.c
@@ -147,39 +147,37 @@
                 RsLog_NUMBER("service_ms", target->concurrency.service_ms));
 }
 
-/* Returns the mean work of the requests of a route to a service, which must be
- * interned, in ms; 0 if that is unknown. */
+/* Returns the mean work of the requests of a route to a service, in ms; 0 if
+ * that is unknown. Both names must be interned. */
 double
 RsRouter_MeanWorkMs(struct rs_router *router, const char *service,
                     const char *route)
 {
     struct rs_router_service *state =
         RsRouter_GetOrCreateService(router, service);
-    return RsConcurrency_MeanWorkMs(&state->concurrency,
-                                    g_intern_string(route));
+    return RsConcurrency_MeanWorkMs(&state->concurrency, route);
 }
 
-/* Records the work of a target for a request of a route, see
- * RsConcurrency_Record(). */
+/* Records the work of a target for a request of a route, whose name must be
+ * interned, see RsConcurrency_Record(). */
 void
 RsRouter_RecordWork(struct rs_router *router, struct rs_fleet_target *target,
                     const char *route,
                     const struct rs_concurrency_sample *sample, int64_t now_ms)
 {
     RsConcurrency_Record(&target->concurrency, concurrency_of(router, target),
-                         g_intern_string(route), sample, now_ms);
+                         route, sample, now_ms);
 }
 
-/* Records that a request of a route has not been answered yet, see
- * RsConcurrency_RecordOverdue(). */
+/* Records that a request of a route, whose name must be interned, has not been
+ * answered yet, see RsConcurrency_RecordOverdue(). */
 void
 RsRouter_RecordOverdueWork(struct rs_router *router,
                            struct rs_fleet_target *target, const char *route,
                            const struct rs_concurrency_sample *sample)
 {
     RsConcurrency_RecordOverdue(&target->concurrency,
-                                concurrency_of(router, target),
-                                g_intern_string(route), sample);
+                                concurrency_of(router, target), route, sample);
 }
 
 /* Derives the expected work at each target from the samples known by now. Does
