Drop a field nothing reads, a wrapper and three copies of a test's set-up

Found on reading the change again. `rank` in struct rs_load_share has had no reader since cold targets are shared out by `stable_rank`. RsReports_KeyRates() only called a function of the same file; they are one now. The simulations of load, overload and learned limits each set up the same fleets: they call RsFixture_InitFleet() now.

Left: concurrency_measure sets up its own fleet, since the length of the ids is part of the message size it prints; router_hot_keys_test adds its targets as they start.

--- a/router/concurrency_simulation_test.c
+++ b/router/concurrency_simulation_test.c
@@ -135,29 +135,17 @@
 add_node(struct sim *sim, uint32_t node)
 {
     const struct deployment *deployment = sim->deployment;
-    RsFleet_Init(&sim->fleets[node], RsFixture_FleetEvents(), NULL);
+    RsFixture_InitFleet(&sim->fleets[node], deployment->targets,
+                        sim->seen[node], START_MS);
     RsConcurrency_InitService(&sim->services[node]);
     for (uint32_t t = 0; t < deployment->targets; t++) {
-        char id[16];
-        snprintf(id, sizeof(id), "t%u", t);
-        const struct rs_fixture_report report = {
-            .id = id,
-            .service = "s",
-            .zone = "z",
-            .port = 1000 + t,
-            .started_wall_ms = 1,
-            .sequence = 1,
-        };
-        RsFixture_Report(&sim->fleets[node], &report, START_MS);
-        sim->seen[node][t] =
-            RsFleet_Find(&sim->fleets[node], g_intern_string(id));
         sim->seen[node][t]->report.slots = deployment->slots;
     }
     sim->choices[node] = (struct rs_load_choice_input){
         .fleet = &sim->fleets[node],
         .service = g_intern_string("s"),
         .zone = g_intern_string("z"),
-        .share = {.nodes = deployment->nodes, .rank = node},
+        .share = {.nodes = deployment->nodes},
         .random = sim->random,
     };
 }
--- a/router/fixture.c
+++ b/router/fixture.c
@@ -39,6 +39,29 @@
     return RsFleet_ApplyRow(fleet, report->id, text, now_ms);
 }
 
+/* Initializes a fleet with targets "t0", "t1" and so on of service "s" in zone
+ * "z". Stores them in `targets` in this order. */
+void
+RsFixture_InitFleet(struct rs_fleet *fleet, uint32_t target_count,
+                    struct rs_fleet_target **targets, int64_t now_ms)
+{
+    RsFleet_Init(fleet, RsFixture_FleetEvents(), NULL);
+    for (uint32_t t = 0; t < target_count; t++) {
+        char id[16];
+        snprintf(id, sizeof(id), "t%u", t);
+        const struct rs_fixture_report report = {
+            .id = id,
+            .service = "s",
+            .zone = "z",
+            .port = 1000 + t,
+            .started_wall_ms = 1,
+            .sequence = 1,
+        };
+        RsFixture_Report(fleet, &report, now_ms);
+        targets[t] = RsFleet_Find(fleet, g_intern_string(id));
+    }
+}
+
 /* A simulation of nodes with a granter each, targets that hold keys, and a
  * store with versioned rows. Time is simulated, and a message takes DELAY_MS
  * unless a fault delays it. The simulation checks what targets hold. It is a
--- a/router/fixture.h
+++ b/router/fixture.h
@@ -22,6 +22,8 @@
                                     const struct rs_fixture_report *report,
                                     int64_t now_ms);
 const struct rs_fleet_events *RsFixture_FleetEvents(void);
+void RsFixture_InitFleet(struct rs_fleet *fleet, uint32_t target_count,
+                         struct rs_fleet_target **targets, int64_t now_ms);
 
 /* The simulation, see router/fixture.c. */
 #define RsFixture_NODES 3
--- a/router/hot_keys_test.c
+++ b/router/hot_keys_test.c
@@ -216,10 +216,7 @@
             .zone = g_intern_string("z"),
             .cold_per_s = sim->service.cold_per_s,
             .bounds = {1.5, 3},
-            .share = {.nodes = NODES,
-                      .rank = n,
-                      .zone_nodes = NODES,
-                      .zone_rank = n},
+            .share = {.nodes = NODES, .zone_nodes = NODES, .zone_rank = n},
             .random = sim->random,
         };
     }
--- a/router/load.h
+++ b/router/load.h
@@ -15,7 +15,6 @@
  * bounds that apply to all nodes together. */
 struct rs_load_share {
     uint32_t nodes;      /* number of nodes that route requests; at least 1 */
-    uint32_t rank;       /* of this node, from 0 */
     uint32_t zone_nodes; /* nodes in the zone of this node; 0: unknown */
     uint32_t zone_rank;
     /* Place of this node in an order without gaps, which stays the same while
--- a/router/load_simulation_test.c
+++ b/router/load_simulation_test.c
@@ -110,28 +110,13 @@
         sim->targets[t].work_ms = WORK_MS / speeds[t % 3];
     }
     for (uint32_t n = 0; n < node_count; n++) {
-        RsFleet_Init(&sim->fleets[n], RsFixture_FleetEvents(), NULL);
-        for (uint32_t t = 0; t < target_count; t++) {
-            char id[16];
-            snprintf(id, sizeof(id), "t%u", t);
-            const struct rs_fixture_report report = {
-                .id = id,
-                .service = "s",
-                .zone = "z",
-                .port = 1000 + t,
-                .started_wall_ms = 1,
-                .sequence = 1,
-            };
-            RsFixture_Report(&sim->fleets[n], &report, START_MS);
-            sim->seen[n][t] =
-                RsFleet_Find(&sim->fleets[n], g_intern_string(id));
-        }
+        RsFixture_InitFleet(&sim->fleets[n], target_count, sim->seen[n],
+                            START_MS);
         sim->choices[n] = (struct rs_load_choice_input){
             .fleet = &sim->fleets[n],
             .service = g_intern_string("s"),
             .zone = g_intern_string("z"),
             .share = {.nodes = node_count,
-                      .rank = n,
                       .zone_nodes = node_count,
                       .zone_rank = n},
             .random = sim->random,
--- a/router/overload_replay_test.c
+++ b/router/overload_replay_test.c
@@ -176,20 +176,10 @@
 static void
 open_node(struct replay *replay, uint32_t n)
 {
-    RsFleet_Init(&replay->fleets[n], RsFixture_FleetEvents(), NULL);
+    RsFixture_InitFleet(&replay->fleets[n], replay->scenario->targets,
+                        replay->seen[n], START_MS);
     RsOverload_InitPlaces(&replay->places[n]);
     for (uint32_t t = 0; t < replay->scenario->targets; t++) {
-        char id[16];
-        snprintf(id, sizeof(id), "t%u", t);
-        const struct rs_fixture_report report = {.id = id,
-                                                 .service = "s",
-                                                 .zone = "z",
-                                                 .port = 1000 + t,
-                                                 .started_wall_ms = 1,
-                                                 .sequence = 1};
-        RsFixture_Report(&replay->fleets[n], &report, START_MS);
-        replay->seen[n][t] =
-            RsFleet_Find(&replay->fleets[n], g_intern_string(id));
         replay->seen[n][t]->report.slots = replay->scenario->slots;
     }
     replay->choices[n] = (struct rs_load_choice_input){
@@ -197,7 +187,6 @@
         .service = g_intern_string("s"),
         .zone = g_intern_string("z"),
         .share = {.nodes = replay->scenario->nodes,
-                  .rank = n,
                   .zone_nodes = replay->scenario->nodes,
                   .zone_rank = n},
         .random = replay->random,
--- a/router/reports.c
+++ b/router/reports.c
@@ -156,11 +156,12 @@
     send_to(arg, address, message);
 }
 
-/* Returns the rates of a service, whose name must be interned; creates them
- * with all rates 0 if there are none. */
-static struct rs_key_rates *
-get_or_create_rates(struct rs_reports *reports, const char *service,
-                    int64_t now_ms)
+/* Returns the request rates of the keys of a service, over all nodes, as
+ * reported to this node; creates them with all rates 0 if there are none. They
+ * belong to `reports`. `service` must be interned. */
+struct rs_key_rates *
+RsReports_KeyRates(struct rs_reports *reports, const char *service,
+                   int64_t now_ms)
 {
     struct rs_key_rates *rates = g_hash_table_lookup(reports->rates, service);
     if (rates == NULL) {
@@ -170,23 +171,13 @@
     return rates;
 }
 
-/* Returns the request rates of the keys of a service, over all nodes, as
- * reported to this node. They belong to `reports`. `service` must be interned.
- */
-struct rs_key_rates *
-RsReports_KeyRates(struct rs_reports *reports, const char *service,
-                   int64_t now_ms)
-{
-    return get_or_create_rates(reports, service, now_ms);
-}
-
 static void
 record_keys(struct rs_reports *reports, const Rs__Peer__Report *report,
             int64_t now_ms)
 {
     for (size_t i = 0; i < report->n_keys; i++) {
         const Rs__Peer__Report__ServiceKeys *keys = report->keys[i];
-        struct rs_key_rates *rates = get_or_create_rates(
+        struct rs_key_rates *rates = RsReports_KeyRates(
             reports, g_intern_string(keys->service), now_ms);
         RsKeyRates_Record(rates, keys->keys, keys->n_keys, now_ms);
     }
@@ -557,7 +548,6 @@
     bool is_ordered = summary->ranked > 0;
     return (struct rs_load_share){
         .nodes = MAX(summary->nodes, 1),
-        .rank = summary->rank,
         .stable_rank = is_ordered ? summary->rank : former->stable_rank,
         .ranked = is_ordered ? summary->ranked : former->ranked,
         .zone_nodes = summary->zone_nodes,
