Initialize all fields of a table copy

RsTableCopy_Init() left complete_from and kept_revision as they were. The only user in the product sets its memory to zero before, so nodes were not affected. Cause, seen on arm64: router_fleet_test keeps a copy on its stack, and test_node_that_may_have_deleted_rows_is_sent_the_table failed there on the untouched code, each time (lines 482 and 485).

Measured: router_fleet_test fails before and passes after, on the same machine.

--- a/router/table_copy.c
+++ b/router/table_copy.c
@@ -36,9 +36,9 @@
 void
 RsTableCopy_Init(struct rs_table_copy *copy)
 {
-    copy->rows =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_row);
-    copy->version = 0;
+    *copy = (struct rs_table_copy){
+        .rows = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_row),
+    };
 }
 
 /* Frees all rows. */
