Log for how long a target may have been leaving, and late table responses

Change: `target_draining` and `target_unlisted` have `leaving_for_ms`, `request` has `target_leaving_for_ms`, and a new event `store_answer_late` names a call for a table that took 150 ms longer than the wait that it asked for.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -156,6 +156,7 @@
         .started_at_us = RsClock_NowUs(),
         .queued_ahead = RsLoad_CountOutstanding(target, now_ms),
         .expected_ms = RsLoad_ExpectedLatencyMs(target, now_ms),
+        .leaving_for_ms = RsFleet_LeavingForMs(target, now_ms),
     };
     build_request(attempt, now_ms);
     RsLoad_RecordSend(target, input, now_ms);
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -239,6 +239,29 @@
                COLD_TOLERANCE_MS;
 }
 
+static void
+log_report(const struct rs_fleet_target *target, const char *event,
+           int64_t now_ms)
+{
+    RsLog_EVENT(
+        RsLog_INFO, event, RsLog_TEXT("target", target->id),
+        RsLog_NUMBER("sequence", target->report.sequence),
+        RsLog_NUMBER("leaving_for_ms", RsFleet_LeavingForMs(target, now_ms)));
+}
+
+/* Records since when the target has been leaving, by its latest report. */
+static void
+update_leaving(const struct rs_fleet *fleet, struct rs_fleet_target *target,
+               int64_t now_ms)
+{
+    if (!target->report.draining) {
+        target->leaving_since_ms = 0;
+    }
+    else if (target->leaving_since_ms == 0) {
+        target->leaving_since_ms = earliest_change_at_ms(fleet, now_ms);
+    }
+}
+
 /* Adopts a report that is not outdated. */
 static void
 apply_report(struct rs_fleet *fleet, struct rs_fleet_target *target,
@@ -247,14 +270,14 @@
     bool was_draining = target->report.draining;
     bool restarted = report->started_wall_ms != target->report.started_wall_ms;
     target->report = *report;
+    update_leaving(fleet, target, now_ms);
     if (restarted) {
         reset_for_new_process(fleet, target, now_ms);
     }
     else if (report->draining != was_draining || !target->listed) {
-        RsLog_EVENT(RsLog_INFO,
-                    report->draining ? "target_draining" : "target_listed",
-                    RsLog_TEXT("target", target->id),
-                    RsLog_NUMBER("sequence", report->sequence));
+        log_report(target,
+                   report->draining ? "target_draining" : "target_listed",
+                   now_ms);
     }
     if (report->warmup_left_ms > 0 && now_ms >= target->cold_until_ms) {
         target->turned_cold_at_ms = restarted ? 0 : now_ms;
@@ -265,12 +288,6 @@
             : 0;
     target->listed = true;
     target->lapse_at_ms = 0;
-    if (!report->draining) {
-        target->leaving_since_ms = 0;
-    }
-    else if (target->leaving_since_ms == 0) {
-        target->leaving_since_ms = earliest_change_at_ms(fleet, now_ms);
-    }
 }
 
 /* Handles a target's row. Malformed rows are logged and ignored; outdated ones
@@ -320,8 +337,10 @@
                                        ? target->lapse_at_ms
                                        : earliest_change_at_ms(fleet, now_ms);
     }
-    RsLog_EVENT(RsLog_INFO, "target_unlisted", RsLog_TEXT("target", id),
-                RsLog_NUMBER("believed_for_ms", target->lapse_at_ms - now_ms));
+    RsLog_EVENT(
+        RsLog_INFO, "target_unlisted", RsLog_TEXT("target", id),
+        RsLog_NUMBER("believed_for_ms", target->lapse_at_ms - now_ms),
+        RsLog_NUMBER("leaving_for_ms", RsFleet_LeavingForMs(target, now_ms)));
 }
 
 /* Records that a zone is evacuated, or that its evacuation has ended.
@@ -417,6 +436,17 @@
             now_ms - target->said_leaving_at_ms < keep_ms);
 }
 
+/* Returns for how long the target may have been leaving, -1 if it isn't. */
+int64_t
+RsFleet_LeavingForMs(const struct rs_fleet_target *target, int64_t now_ms)
+{
+    int64_t since_ms = target->leaving_since_ms;
+    if (since_ms == 0) {
+        since_ms = target->said_leaving_at_ms;
+    }
+    return since_ms > 0 && since_ms <= now_ms ? now_ms - since_ms : -1;
+}
+
 /* Returns whether the target wants no requests from this node now. */
 bool
 RsFleet_IsClosed(const struct rs_fleet_target *target, int64_t now_ms)
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -135,6 +135,8 @@
 
 bool RsFleet_MayKeepWork(const struct rs_fleet *fleet,
                          const struct rs_fleet_target *target, int64_t now_ms);
+int64_t RsFleet_LeavingForMs(const struct rs_fleet_target *target,
+                             int64_t now_ms);
 bool RsFleet_IsClosed(const struct rs_fleet_target *target, int64_t now_ms);
 
 /* What a process of the target says of itself in its responses. Nothing
--- a/router/follower.c
+++ b/router/follower.c
@@ -11,6 +11,10 @@
  * a store that is unavailable. */
 #define MIN_RETRY_DELAY_MS 150
 
+/* A response that takes longer than this, beyond the wait that was asked for,
+ * is logged. The store needs some milliseconds. */
+#define LATE_ANSWER_MS 150
+
 struct rs_follower {
     struct rs_follower_options options;
     uv_timer_t timer;
@@ -23,6 +27,7 @@
     bool fully_read;
     bool suspended;          /* no new call to the store is started */
     bool call_active;        /* a call to the store is in progress */
+    int64_t called_at_ms;    /* when the present call to the store was made */
     uint32_t retry_delay_ms; /* delay after the next failed call */
     uint32_t max_retry_delay_ms;
     int64_t fresh_at_ms;
@@ -188,6 +193,20 @@
     call_after(follower, follower->options.pause_ms);
 }
 
+/* Logs a response that came late: a change that was made after the response is
+ * learned late, too. */
+static void
+log_late_answer(const struct rs_follower *follower, uint32_t wait_ms)
+{
+    int64_t took_ms = RsClock_NowMs() - follower->called_at_ms;
+    if (took_ms >= (int64_t)wait_ms + LATE_ANSWER_MS) {
+        RsLog_EVENT(RsLog_INFO, "store_answer_late",
+                    RsLog_TEXT("table", follower->options.table),
+                    RsLog_NUMBER("took_ms", took_ms),
+                    RsLog_NUMBER("wait_ms", wait_ms));
+    }
+}
+
 static void
 on_page(void *arg, enum rs_store_status status,
         const struct rs_store_rows *rows)
@@ -198,6 +217,7 @@
         call_after_failure(follower);
         return;
     }
+    log_late_answer(follower, 0);
     bool is_first_page = follower->next_key == NULL;
     if (!is_first_page &&
         RsStore_Era(rows->version) != RsStore_Era(follower->reading_version)) {
@@ -245,6 +265,7 @@
         call_after_failure(follower);
         return;
     }
+    log_late_answer(follower, follower->options.wait_ms);
     bool changed = apply_rows(follower, rows);
     follower->copy.version = MAX(follower->copy.version, rows->version);
     caught_up(follower, changed);
@@ -258,6 +279,7 @@
 {
     const struct rs_follower_options *options = &follower->options;
     follower->call_active = true;
+    follower->called_at_ms = RsClock_NowMs();
     if (follower->settle_at_ms > 0 && follower->fully_read &&
         RsClock_NowMs() >= follower->settle_at_ms) {
         follower->settle_at_ms = 0;
--- a/router/request.c
+++ b/router/request.c
@@ -172,10 +172,10 @@
     if (request->finished) {
         return;
     }
-    const char *target = "";
-    if (request->attempt_count > 0) {
-        target = request->attempts[request->attempt_count - 1].target->id;
-    }
+    const struct rs_attempt *last =
+        request->attempt_count > 0
+            ? &request->attempts[request->attempt_count - 1]
+            : NULL;
     int64_t elapsed_us = RsClock_NowUs() - request->arrived_at_us;
     request->finished = true;
     RsRequest_StopWaiting(request);
@@ -201,7 +201,9 @@
                    request->service != NULL ? request->service->name : ""),
         RsLog_TEXT("workspace",
                    request->workspace != NULL ? request->workspace->name : ""),
-        RsLog_TEXT("target", target),
+        RsLog_TEXT("target", last != NULL ? last->target->id : ""),
+        RsLog_NUMBER("target_leaving_for_ms",
+                     last != NULL ? last->leaving_for_ms : -1),
         RsLog_NUMBER("key", request->key == RsRequest_NO_KEY
                                 ? -1
                                 : (int64_t)request->key),
--- a/router/request.h
+++ b/router/request.h
@@ -30,7 +30,10 @@
      * attempt started. */
     double queued_ahead;
     double expected_ms; /* expected time until the response */
-    int status;         /* HTTP status; 0 until the response head arrived */
+    /* For how long the target may have been leaving when the attempt started;
+     * -1: it wasn't. */
+    int64_t leaving_for_ms;
+    int status;   /* HTTP status; 0 until the response head arrived */
     bool not_run; /* the target reported that it did not execute the request */
     /* The target's response was accepted for forwarding to the caller. */
     bool forwarded;
