Add a failing test of a target that gets requests after it has drained

The stand-in of the store can delay a feed's response after it was made, and a target can report that it drains without saying so in its responses.

--- a/soak/store.c
+++ b/soak/store.c
@@ -56,6 +56,10 @@
     uint64_t trimmed_version; /* changes up to this version are gone */
     enum rs_soak_store_mode mode;
     GPtrArray *pending;
+    /* The next response to a feed of this table is delayed after it was made;
+     * NULL: none. */
+    const char *delayed_feed;
+    uint32_t feed_delay_ms;
     uint32_t era;
     struct copy copies[COPIES]; /* a ring */
     uint32_t copy_count;
@@ -320,6 +324,24 @@
           pack_response(store, failed != NULL ? failed : json_array()));
 }
 
+/* Makes the response of a feed. It is sent at once, or later if that was asked
+ * for. Returns whether it was sent. */
+static bool
+answer_feed(struct rs_soak_store *store, struct pending *pending, json_t *rows)
+{
+    json_t *body = pack_response(store, rows);
+    if (store->delayed_feed == NULL ||
+        strcmp(store->delayed_feed, pending->table) != 0) {
+        send_json(store, pending->http, 200, body);
+        return true;
+    }
+    store->delayed_feed = NULL;
+    pending->due_at_ms = RsClock_NowMs() + store->feed_delay_ms;
+    pending->status = 200;
+    pending->reply = body;
+    return false;
+}
+
 /* Answers with the changes after a version. If there are none yet, waits for
  * the first one for at most the `wait_ms` of the call. Answers 410 if some of
  * the changes have been trimmed. */
@@ -405,7 +427,8 @@
         pending->reply = NULL;
         return true;
     }
-    if (pending->table == NULL || store->mode == RsSoakStore_UNRESPONSIVE ||
+    if (pending->table == NULL || pending->reply != NULL ||
+        store->mode == RsSoakStore_UNRESPONSIVE ||
         now_ms < store->away_until_ms) {
         return false;
     }
@@ -414,8 +437,7 @@
         json_decref(rows);
         return false;
     }
-    send_json(store, pending->http, 200, pack_response(store, rows));
-    return true;
+    return answer_feed(store, pending, rows);
 }
 
 static void
@@ -583,6 +605,23 @@
     write_row(store, table, key, NULL, store->version);
 }
 
+/* Delays the next response to a feed of a table, after it was made. The name
+ * of the table must be a string literal. */
+void
+RsSoakStore_DelayFeed(struct rs_soak_store *store, const char *table,
+                      uint32_t delay_ms)
+{
+    store->delayed_feed = table;
+    store->feed_delay_ms = delay_ms;
+}
+
+/* Returns whether the response to be delayed has been made. */
+bool
+RsSoakStore_IsFeedDelayed(const struct rs_soak_store *store)
+{
+    return store->delayed_feed == NULL;
+}
+
 /* Discards the history of changes up to now, so that feeds from an earlier
  * version get a 410. The rows stay. */
 void
--- a/soak/store.h
+++ b/soak/store.h
@@ -32,6 +32,9 @@
                      const char *key, const char *value);
 void RsSoakStore_Delete(struct rs_soak_store *store, const char *table,
                         const char *key);
+void RsSoakStore_DelayFeed(struct rs_soak_store *store, const char *table,
+                           uint32_t delay_ms);
+bool RsSoakStore_IsFeedDelayed(const struct rs_soak_store *store);
 void RsSoakStore_TrimHistory(struct rs_soak_store *store);
 
 /* How the store goes back to a copy of its rows, see RsSoakStore_Restore(). */
--- a/soak/target.c
+++ b/soak/target.c
@@ -624,6 +624,15 @@
     RsLinkProxy_SetCut(target->proxy, true);
 }
 
+/* Makes the target report at once that it is draining, without saying so in
+ * its responses. */
+void
+RsSoakTarget_ReportDraining(struct rs_soak_target *target)
+{
+    target->draining = true;
+    write_report(target, RsClock_NowMs());
+}
+
 /* Makes the target report that it is draining, and say so in its responses. */
 void
 RsSoakTarget_Drain(struct rs_soak_target *target)
--- a/soak/target.h
+++ b/soak/target.h
@@ -48,6 +48,7 @@
 
 void RsSoakTarget_Start(struct rs_soak_target *target, bool new_id);
 void RsSoakTarget_Crash(struct rs_soak_target *target);
+void RsSoakTarget_ReportDraining(struct rs_soak_target *target);
 void RsSoakTarget_Drain(struct rs_soak_target *target);
 void RsSoakTarget_SetSlowdown(struct rs_soak_target *target, uint32_t factor);
 void RsSoakTarget_SetLateOrders(struct rs_soak_target *target, bool late);
--- a/tests/node_main.c
+++ b/tests/node_main.c
@@ -47,6 +47,8 @@
      test_nodes_without_new_links_to_one_target_serve},
     {"deadly_request_no_longer_reaches_targets",
      test_deadly_request_no_longer_reaches_targets},
+    {"request_reaches_a_target_that_has_drained",
+     test_request_reaches_a_target_that_has_drained},
     {"two_targets_hold_keys_after_a_late_grant",
      test_two_targets_hold_keys_after_a_late_grant},
     {"service_goes_on_after_a_restore", test_service_goes_on_after_a_restore},
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -45,6 +45,9 @@
 void test_node_without_configuration_rejects_no_key(void);
 void test_malformed_workspaces_do_not_come_into_force(void);
 
+/* tests/node_drain_test.c */
+void test_request_reaches_a_target_that_has_drained(void);
+
 /* tests/node_quota_test.c */
 void test_greedy_workspace_is_held_to_its_quota(void);
 void test_quota_holds_when_the_granter_is_killed(void);
