Count a target's leaving from when the store made its last response

Callers were served, but a target got a request 3,021 ms after the store had acknowledged that it was leaving, where 3,000 ms are allowed.

Cause: a node sends a leaving target requests for its keys for `drain_ms` less 500 ms, counted from when it last knew the table of targets to be up to date. That was the time at which it handled a response of the store. A target that began to leave after the store had made the response is only in the next one, so that its leaving was counted from too late a time, by as much as the response was late. The node that reads the store told all others an age that was too low by the same. The class: data is dated by when it arrived, not by when it was true.

Change: responses of the store name the time by its clock. core/clock_offset.c bounds the difference of the two clocks from below, from the fastest calls of the last 10 to 20 s, so that the date of a response is never later than the true one. A table is up to date as of that date, and a table that was read page by page as of its first page. The ages that nodes tell each other are true now and thus higher; the granter therefore lets the store hold its calls for changes for 300 ms instead of 600 ms. Evacuations (`since_ms`) and the confirmation of API keys (`strict_revoke`) are dated by the same value, so the same fault was there.

Why it works: whatever a node learns from a response was not in the one before, so it happened after that one was made; it is counted from then.

--- a/core/core_test.c
+++ b/core/core_test.c
@@ -3,6 +3,7 @@
 #include <uv.h>
 
 #include "core/clock.h"
+#include "core/clock_offset.h"
 #include "core/counter.h"
 #include "core/id.h"
 #include "core/mailbox.h"
@@ -130,6 +131,34 @@
     }
 }
 
+/* The server's clock is 1,000 ms behind. A response that is made at once tells
+ * that to within the way of the request, one after a wait does not. */
+static void
+test_time_of_a_response_is_bounded_by_the_fastest_request(void)
+{
+    struct rs_clock_offset offset = {0};
+    RsClockOffset_Record(&offset, 5000, 4600, 5610);
+    CU_ASSERT_EQUAL(RsClockOffset_EarliestMs(&offset, 4600), 5000);
+    RsClockOffset_Record(&offset, 6000, 5003, 6010);
+    CU_ASSERT_EQUAL(RsClockOffset_EarliestMs(&offset, 4600), 5597);
+    RsClockOffset_Record(&offset, 7000, 6600, 7990);
+    CU_ASSERT_EQUAL(RsClockOffset_EarliestMs(&offset, 6600), 7597);
+}
+
+/* The clocks drift, or the server's is set anew. */
+static void
+test_bound_of_a_clock_is_forgotten(void)
+{
+    struct rs_clock_offset offset = {0};
+    RsClockOffset_Record(&offset, 5000, 4000, 5000);
+    RsClockOffset_Record(&offset, 16000, 15500, 16000);
+    CU_ASSERT_EQUAL(RsClockOffset_EarliestMs(&offset, 15500), 16500);
+    RsClockOffset_Record(&offset, 27000, 26500, 27000);
+    CU_ASSERT_EQUAL(RsClockOffset_EarliestMs(&offset, 26500), 27000);
+    RsClockOffset_Record(&offset, 90000, 90000, 90000);
+    CU_ASSERT_EQUAL(RsClockOffset_EarliestMs(&offset, 90000), 90000);
+}
+
 int
 main(void)
 {
@@ -141,6 +170,9 @@
     CU_ADD_TEST(suite, test_id_is_formatted_and_parsed);
     CU_ADD_TEST(suite, test_mailbox_keeps_order);
     CU_ADD_TEST(suite, test_clock_is_monotonic);
+    CU_ADD_TEST(suite,
+                test_time_of_a_response_is_bounded_by_the_fastest_request);
+    CU_ADD_TEST(suite, test_bound_of_a_clock_is_forgotten);
     CU_ADD_TEST(suite, test_siphash_gives_the_published_digests);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
--- a/router/follower.c
+++ b/router/follower.c
@@ -11,8 +11,7 @@
  * a store that is unavailable. */
 #define MIN_RETRY_DELAY_MS 150
 
-/* A response that takes longer than this, beyond the wait that was asked for,
- * is logged. The store needs some milliseconds. */
+/* A response that is handled this long after it was made is logged. */
 #define LATE_ANSWER_MS 150
 
 struct rs_follower {
@@ -22,12 +21,12 @@
     /* Key at which the present read of the whole table continues; NULL: its
      * first key. */
     char *next_key;
-    uint64_t reading_version; /* store's version when that read began */
+    uint64_t reading_version;   /* store's version when that read began */
+    int64_t reading_made_at_ms; /* when the store made its first page */
     /* The whole table was read or received, so only changes are polled for. */
     bool fully_read;
     bool suspended;          /* no new call to the store is started */
     bool call_active;        /* a call to the store is in progress */
-    int64_t called_at_ms;    /* when the present call to the store was made */
     uint32_t retry_delay_ms; /* delay after the next failed call */
     uint32_t max_retry_delay_ms;
     int64_t fresh_at_ms;
@@ -145,10 +144,13 @@
     follower->next_key = NULL;
 }
 
+/* The table is up to date as of when the store made its response. A change
+ * that was made later comes with the next one, however late this one was
+ * handled. */
 static void
-caught_up(struct rs_follower *follower, bool changed)
+caught_up(struct rs_follower *follower, int64_t made_at_ms, bool changed)
 {
-    follower->fresh_at_ms = RsClock_NowMs();
+    follower->fresh_at_ms = MAX(follower->fresh_at_ms, made_at_ms);
     follower->retry_delay_ms = MIN_RETRY_DELAY_MS;
     follower->options.events->caught_up(follower->options.arg, changed);
 }
@@ -189,21 +191,20 @@
                                 on_row_missing, follower);
     }
     follower->fully_read = true;
-    caught_up(follower, true);
+    caught_up(follower, follower->reading_made_at_ms, true);
     call_after(follower, follower->options.pause_ms);
 }
 
 /* Logs a response that came late: a change that was made after the response is
  * learned late, too. */
 static void
-log_late_answer(const struct rs_follower *follower, uint32_t wait_ms)
+log_late_answer(const struct rs_follower *follower, int64_t made_at_ms)
 {
-    int64_t took_ms = RsClock_NowMs() - follower->called_at_ms;
-    if (took_ms >= (int64_t)wait_ms + LATE_ANSWER_MS) {
+    int64_t late_ms = RsClock_NowMs() - made_at_ms;
+    if (late_ms >= LATE_ANSWER_MS) {
         RsLog_EVENT(RsLog_INFO, "store_answer_late",
                     RsLog_TEXT("table", follower->options.table),
-                    RsLog_NUMBER("took_ms", took_ms),
-                    RsLog_NUMBER("wait_ms", wait_ms));
+                    RsLog_NUMBER("late_ms", late_ms));
     }
 }
 
@@ -217,7 +218,7 @@
         call_after_failure(follower);
         return;
     }
-    log_late_answer(follower, 0);
+    log_late_answer(follower, rows->made_at_ms);
     bool is_first_page = follower->next_key == NULL;
     if (!is_first_page &&
         RsStore_Era(rows->version) != RsStore_Era(follower->reading_version)) {
@@ -227,6 +228,7 @@
     }
     if (is_first_page) {
         begin_snapshot(follower, rows->version);
+        follower->reading_made_at_ms = rows->made_at_ms;
     }
     if (follower->settle_at_ms > 0) {
         apply_restored_rows(follower, rows);
@@ -265,10 +267,10 @@
         call_after_failure(follower);
         return;
     }
-    log_late_answer(follower, follower->options.wait_ms);
+    log_late_answer(follower, rows->made_at_ms);
     bool changed = apply_rows(follower, rows);
     follower->copy.version = MAX(follower->copy.version, rows->version);
-    caught_up(follower, changed);
+    caught_up(follower, rows->made_at_ms, changed);
     call_after(follower, follower->options.pause_ms);
 }
 
@@ -279,7 +281,6 @@
 {
     const struct rs_follower_options *options = &follower->options;
     follower->call_active = true;
-    follower->called_at_ms = RsClock_NowMs();
     if (follower->settle_at_ms > 0 && follower->fully_read &&
         RsClock_NowMs() >= follower->settle_at_ms) {
         follower->settle_at_ms = 0;
@@ -363,6 +364,13 @@
     follower->options.pause_ms = pause_ms;
 }
 
+/* Sets how long the store may hold the next call for changes, in ms. */
+void
+RsFollower_SetWait(struct rs_follower *follower, uint32_t wait_ms)
+{
+    follower->options.wait_ms = wait_ms;
+}
+
 /* Sets the maximum delay after failed calls to the store, in ms. Values below
  * MIN_RETRY_DELAY_MS are raised to it. */
 void
--- a/router/follower.h
+++ b/router/follower.h
@@ -64,6 +64,7 @@
 bool RsFollower_IsSettling(const struct rs_follower *follower);
 void RsFollower_SetSuspended(struct rs_follower *follower, bool suspended);
 void RsFollower_SetPause(struct rs_follower *follower, uint32_t pause_ms);
+void RsFollower_SetWait(struct rs_follower *follower, uint32_t wait_ms);
 void RsFollower_SetMaxRetryDelay(struct rs_follower *follower,
                                  uint32_t max_ms);
 
--- a/router/node.c
+++ b/router/node.c
@@ -36,6 +36,11 @@
  * 2 s. */
 #define TARGETS_PAUSE_MS 400
 #define TARGET_TABLE_WAIT_MS 600
+/* The same wait on the granter: the table that the other nodes get from it
+ * ages by this and TARGETS_PAUSE_MS between two responses without changes, and
+ * by as long as a response takes. Together they must stay below MAX_AGE_MS in
+ * router/stream.c. */
+#define GRANTER_TARGET_TABLE_WAIT_MS 300
 /* Added to TARGETS_PAUSE_MS for each router node, except on the granter. The
  * other nodes poll the store while no upstream node delivers current data, and
  * poll the less often the more nodes there are. Even at the maximum, a node
@@ -373,7 +378,8 @@
             .value_bytes = strlen(value),
             .version = version,
         };
-        const struct rs_store_rows rows = {&row, 1, version, false};
+        const struct rs_store_rows rows = {
+            .rows = &row, .count = 1, .version = version};
         RsFollower_ApplyUpdate(node->key_follower, &rows, NULL, false);
         g_free(key);
         g_free(value);
@@ -503,6 +509,9 @@
         is_granter ? TARGETS_PAUSE_MS
                    : MIN(TARGETS_PAUSE_MS + nodes * TARGETS_PAUSE_MS_PER_NODE,
                          TARGETS_MAX_PAUSE_MS));
+    RsFollower_SetWait(node->target_follower,
+                       is_granter ? GRANTER_TARGET_TABLE_WAIT_MS
+                                  : TARGET_TABLE_WAIT_MS);
     RsFollower_SetPause(
         node->key_follower,
         MIN(STORE_CALL_PAUSE_MS + nodes * KEYS_PAUSE_MS_PER_NODE,
