Do not send a request on a new connection to a target that has drained

Callers' requests could reach a leaving target after its time: whether it still takes requests was only asked when the request was given to it. Opening a connection then takes up to 250 ms, and up to 350 ms through each of four other nodes, more than the 500 ms that are kept in reserve.

Cause: a permission was checked before a wait and not when the bytes went out. Orders to targets already had a latest time of sending for the same reason.

Change: an exchange asks its owner once more when a new connection is open. If the target no longer takes requests for its keys, the attempt ends without having been sent, is not counted as a failure of the target, and the request is dispatched again.

Measured: router_exchange_test, test_request_is_not_sent_after_it_was_withdrawn, fails without the change (2 of its assertions) and passes with it.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -738,6 +738,16 @@
     }
 }
 
+/* Returns whether the target still takes requests for its keys: it may have
+ * begun to leave, or time may have passed, while a connection was opened. */
+static bool
+may_send(void *arg)
+{
+    const struct rs_attempt *attempt = arg;
+    return RsFleet_MayKeepWork(&attempt->request->router->fleet,
+                               attempt->target, RsClock_NowMs());
+}
+
 /* Checks the head of a response and decides whether the response is forwarded.
  * The response to another request is skipped. One that says that the request
  * was not executed is handled at its end. An invalid response ends the
@@ -906,10 +916,13 @@
     if (error == 0) {
         handle_response_end(attempt, now_ms);
     }
-    else if (error == RsExchange_NOT_SENT) {
-        log_failed_attempt(attempt, "not-sent");
-        request->reason = "not-reached";
-        RsFleet_RecordFailure(attempt->target, now_ms);
+    else if (error == RsExchange_NOT_SENT || error == RsExchange_WITHDRAWN) {
+        bool reached = error == RsExchange_WITHDRAWN;
+        log_failed_attempt(attempt, reached ? "withdrawn" : "not-sent");
+        request->reason = reached ? "no-target" : "not-reached";
+        if (!reached) {
+            RsFleet_RecordFailure(attempt->target, now_ms);
+        }
         if (!RsAttempt_AnyActive(request) && !request->finished) {
             RsAttempt_Dispatch(request, now_ms);
         }
@@ -928,6 +941,7 @@
 }
 
 static const struct rs_exchange_events exchange_events = {
+    .may_send = may_send,
     .head = on_head,
     .body = on_body,
     .done = on_done,
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -120,6 +120,11 @@
         end_exchange(exchange, RsExchange_NOT_SENT);
         return;
     }
+    if (exchange->events->may_send != NULL &&
+        !exchange->events->may_send(exchange->arg)) {
+        end_exchange(exchange, RsExchange_WITHDRAWN);
+        return;
+    }
     exchange->sent_at_ms = now_ms;
     if (send_request(exchange) != 0) {
         end_exchange(exchange, RsExchange_BROKEN);
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -17,12 +17,17 @@
     RsExchange_NOT_SENT = RsError_DISPATCH - 60,
     /* The request may have been sent, but no complete response arrived. */
     RsExchange_BROKEN = RsError_DISPATCH - 61,
+    /* The request was not sent, as `may_send` did not allow it. */
+    RsExchange_WITHDRAWN = RsError_DISPATCH - 62,
 };
 
-/* `head` and `body` report the response as it arrives. `done` is called
- * exactly once, with 0 after a complete response or an rs_exchange_error,
- * unless the exchange is cancelled first. */
+/* `may_send`, which may be NULL, is asked when a new connection has been
+ * opened, before the request is sent on it. `head` and `body` report the
+ * response as it arrives. `done` is called exactly once, with 0 after a
+ * complete response or an rs_exchange_error, unless the exchange is cancelled
+ * first. */
 struct rs_exchange_events {
+    bool (*may_send)(void *arg);
     void (*head)(void *arg, const struct rs_http_head *head);
     void (*body)(void *arg, const char *data, size_t size_bytes);
     void (*done)(void *arg, int error);
--- a/router/exchange_test.c
+++ b/router/exchange_test.c
@@ -26,6 +26,7 @@
     uint32_t grants;   /* requests for /grant that arrived */
     uint32_t openings; /* requests for /health that arrived */
     int64_t send_before_ms;
+    bool withdrawn; /* requests may not be sent any more */
     bool full;
     uv_stream_t *waiting; /* connection whose /health was not answered */
 } world;
@@ -111,7 +112,14 @@
     call->error = error;
 }
 
+static bool
+may_send(void *arg)
+{
+    return !world.withdrawn;
+}
+
 static const struct rs_exchange_events events = {
+    .may_send = may_send,
     .head = on_head,
     .body = on_body,
     .done = on_done,
@@ -330,6 +338,25 @@
     world.send_before_ms = 0;
 }
 
+/* DRAIN: the target began to leave, or its time was over, while the connection
+ * was opened. */
+static void
+test_request_is_not_sent_after_it_was_withdrawn(void)
+{
+    struct call call;
+    uint32_t accepted = world.accepted;
+    uint32_t grants = world.grants;
+    RsExchange_CloseIdle(world.target);
+    world.withdrawn = true;
+    start(&call, RsFleet_REQUESTS, "/grant");
+    CU_ASSERT_TRUE(RsTestLoop_Await(&world.loop, &call.done, WAIT_MS));
+    CU_ASSERT_EQUAL(call.error, RsExchange_WITHDRAWN);
+    RsTestLoop_Run(&world.loop, 50);
+    CU_ASSERT_EQUAL(world.accepted, accepted + 1);
+    CU_ASSERT_EQUAL(world.grants, grants);
+    world.withdrawn = false;
+}
+
 int
 main(void)
 {
@@ -348,6 +375,7 @@
     CU_ADD_TEST(suite,
                 test_order_is_not_sent_on_a_connection_that_fell_silent);
     CU_ADD_TEST(suite, test_order_is_not_sent_too_late);
+    CU_ADD_TEST(suite, test_request_is_not_sent_after_it_was_withdrawn);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
     CU_cleanup_registry();
