Notice callers that leave behind a further request or during a shutdown

Targets worked on requests whose callers had left, and got further ones of them.

Cause: while a request is in progress the HTTP server doesn't read its connection, and the node looked for the end of the stream by peeking one byte. If the caller had sent a further request, that was found instead, until the first one was answered; then the next was read and sent to a target. A connection that a shutdown had closed for reading was never found closed. The class: the absence of an event is concluded from a view that can hide it.

Change: the node asks for the state of the connection (TCP_INFO), which tells that the peer has closed whatever is unread. The special case of the shutdown goes.

Ruled out: POLLRDHUP, which is also set when this side has shut down reading.

--- a/http/http_test.c
+++ b/http/http_test.c
@@ -2,6 +2,8 @@
 #include <glib.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <uv.h>
 
 #include "http/connection.h"
@@ -45,6 +47,8 @@
     h2o_send(request, &piece, 1, H2O_SEND_STATE_IN_PROGRESS);
 }
 
+static h2o_req_t *open_request; /* received and not answered yet */
+
 static void
 serve(void *arg, h2o_req_t *request)
 {
@@ -65,6 +69,10 @@
         CU_ASSERT_FALSE(RsServer_ClientDisconnected(request));
         RsServer_Reply(request, 200, "text/plain", "last", 4);
     }
+    else if (strcmp(path, "/open") == 0) {
+        open_request = request;
+        uv_stop(&f->loop);
+    }
     else if (strcmp(path, "/big") == 0) {
         char *big_body = g_malloc(BIG_BYTES);
         memset(big_body, 'b', BIG_BYTES);
@@ -412,6 +420,51 @@
     CU_ASSERT_STRING_EQUAL(f.body->str, "last");
 }
 
+/* Returns a connected socket that the server has accepted. */
+static int
+connect_raw(struct fixture *f)
+{
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    CU_ASSERT_EQUAL(
+        connect(fd, (const struct sockaddr *)&f->address, sizeof(f->address)),
+        0);
+    while (RsServer_ConnectionCount(f->server) == 0) {
+        uv_run(&f->loop, UV_RUN_NOWAIT);
+    }
+    return fd;
+}
+
+static void
+write_raw(int fd, const char *text)
+{
+    CU_ASSERT_EQUAL(write(fd, text, strlen(text)), (ssize_t)strlen(text));
+}
+
+/* GONE of ekl-gateway-grown: what a client has sent behind its request, or the
+ * shutdown of the server, hides that it has closed its connection. */
+static void
+test_client_that_has_left_is_noticed(void)
+{
+    static const char request[] = "GET /open HTTP/1.1\r\nhost: h\r\n\r\n";
+    for (int variant = 0; variant < 4; variant++) {
+        struct fixture f;
+        open_fixture(&f);
+        int fd = connect_raw(&f);
+        write_raw(fd, request);
+        if (variant & 1) {
+            RsServer_CloseIdle(f.server);
+        }
+        uv_run(&f.loop, UV_RUN_DEFAULT);
+        CU_ASSERT_FALSE(RsServer_ClientDisconnected(open_request));
+        if (variant & 2) {
+            write_raw(fd, request);
+        }
+        CU_ASSERT_FALSE(RsServer_ClientDisconnected(open_request));
+        close(fd);
+        CU_ASSERT_TRUE(RsServer_ClientDisconnected(open_request));
+    }
+}
+
 int
 main(void)
 {
@@ -428,6 +481,7 @@
     CU_ADD_TEST(suite, test_reset_response_without_length_is_incomplete);
     CU_ADD_TEST(suite, test_aborted_response_does_not_look_complete);
     CU_ADD_TEST(suite, test_request_in_progress_is_served_after_close_idle);
+    CU_ADD_TEST(suite, test_client_that_has_left_is_noticed);
     CU_ADD_TEST(suite, test_refused_connection_is_reported);
     CU_ADD_TEST(suite, test_bad_address_is_an_error);
     CU_basic_run_tests();
--- a/http/server.c
+++ b/http/server.c
@@ -1,7 +1,8 @@
 #include "http/server.h"
 
-#include <errno.h>
 #include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdbool.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -43,7 +44,6 @@
     struct rs_server *server;
     uv_os_fd_t fd;
     uint32_t open_request_count; /* passed to the handler and not ended yet */
-    bool read_shut_down;         /* by RsServer_CloseIdle() */
 };
 
 /* Part of the memory pool of a request; h2o disposes of it when the request
@@ -215,32 +215,29 @@
 RsServer_CloseIdle(struct rs_server *server)
 {
     for (guint fd = 0; fd < server->clients_by_fd->len; fd++) {
-        struct client *client = g_ptr_array_index(server->clients_by_fd, fd);
+        const struct client *client =
+            g_ptr_array_index(server->clients_by_fd, fd);
         if (client != NULL && client->open_request_count == 0) {
             /* h2o reads the end of the stream and closes the connection. */
-            client->read_shut_down = true;
             shutdown((int)fd, SHUT_RD);
         }
     }
 }
 
 /* Returns whether the client of a request in progress has closed its
- * connection. Must be polled, since h2o doesn't read from the connection until
- * the response is sent. Returns false for a connection that
- * RsServer_CloseIdle() has shut down, because the client's close can't be
- * detected there. */
+ * connection, or its side of it. Must be polled, since h2o doesn't read from
+ * the connection until the response is sent. The state of the connection also
+ * tells that when the client has sent more than the request, or when
+ * RsServer_CloseIdle() has shut down reading. */
 bool
 RsServer_ClientDisconnected(h2o_req_t *request)
 {
-    char byte;
+    struct tcp_info info = {0};
+    socklen_t size_bytes = sizeof(info);
     h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
-    const struct client *client = find_client(request);
-    if (client->read_shut_down) {
-        return false;
-    }
-    ssize_t size = recv(h2o_socket_get_fd(socket), &byte, sizeof(byte),
-                        MSG_PEEK | MSG_DONTWAIT);
-    return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
+    return getsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_INFO, &info,
+                      &size_bytes) != 0 ||
+           info.tcpi_state != TCP_ESTABLISHED;
 }
 
 /* Sets how long a connection may stay idle, and how long the client may take
