Do not send requests on for callers that have left

Targets got requests whose callers had left: when a node read a request late, its caller could be gone by then, and the request was sent at once and cancelled up to 100 ms later. The same held for requests that waited for room, a token, a second attempt or a new connection between two checks.

Cause: the connection was looked at by a timer, not at the decisions that depend on it.

Change: a request is ended as abandoned when it would be given to a target, for the first time, again or as a hedge, and a new connection is not used for it. The timer stays, for requests that wait or are at a target.

It costs one system call for each attempt.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -413,8 +413,8 @@
 /* Sends the request to a target. If none has room, or the expected latency
  * exceeds the time left, the request waits until its `wait_until_ms` and is
  * refused after that. It is refused at once when there is no target, when all
- * attempts are used up or when its key's owner is overloaded, and rejected
- * when its API key is no longer valid. */
+ * attempts are used up or when its key's owner is overloaded, rejected when
+ * its API key is no longer valid, and ended when its caller has left. */
 void
 RsAttempt_Dispatch(struct rs_request *request, int64_t now_ms)
 {
@@ -463,6 +463,9 @@
         RsReply_Refuse(request, "stopping");
         return;
     }
+    if (verdict == RsLoad_SEND && RsRequest_EndIfAbandoned(request)) {
+        return;
+    }
     if (verdict == RsLoad_SEND) {
         RsRequest_TakeFromQueue(request);
         start_attempt(request, target, &input, now_ms);
@@ -532,7 +535,7 @@
     if (RsLoad_Choose(&input, now_ms, &target) == RsLoad_SEND &&
         RsLoad_CountOutstanding(target, now_ms) < target->report.slots &&
         RsRequest_CheckApiKey(request, now_ms) == RsWorkspaces_ADMITTED &&
-        take_retry(request, now_ms)) {
+        !RsRequest_EndIfAbandoned(request) && take_retry(request, now_ms)) {
         RsLog_EVENT(RsLog_INFO, "hedged",
                     RsLog_TEXT("request_id", request->id),
                     RsLog_TEXT("first", first->target->id),
@@ -738,14 +741,16 @@
     }
 }
 
-/* Returns whether the target still takes requests for its keys: it may have
- * begun to leave, or time may have passed, while a connection was opened. */
+/* Returns whether, after a connection was opened, the caller still waits and
+ * the target still takes requests for its keys. */
 static bool
 may_send(void *arg)
 {
     const struct rs_attempt *attempt = arg;
-    return RsFleet_MayKeepWork(&attempt->request->router->fleet,
-                               attempt->target, RsClock_NowMs());
+    const struct rs_request *request = attempt->request;
+    return !RsServer_ClientDisconnected(request->http) &&
+           RsFleet_MayKeepWork(&request->router->fleet, attempt->target,
+                               RsClock_NowMs());
 }
 
 /* Checks the head of a response and decides whether the response is forwarded.
--- a/router/request.c
+++ b/router/request.c
@@ -586,9 +586,26 @@
     }
 }
 
-/* Ends the requests whose callers have closed their connections. A request
- * whose response head was sent is left to the HTTP server, which reports the
- * lost connection itself. */
+/* Ends the request if its caller has closed its connection, and returns
+ * whether it did. A request whose response head was sent is left to the HTTP
+ * server, which reports the lost connection itself. */
+bool
+RsRequest_EndIfAbandoned(struct rs_request *request)
+{
+    if (request->response_started ||
+        !RsServer_ClientDisconnected(request->http)) {
+        return false;
+    }
+    RsCounter_Add(&request->router->counters.abandoned, 1);
+    RsAttempt_CancelOthers(request, NULL);
+    RsRequest_Finish(request, 0, "abandoned");
+    request->http->http1_is_persistent = 0;
+    request->http->res.headers = (h2o_headers_t){0};
+    RsServer_Reply(request->http, STATUS_GATEWAY_TIMEOUT, NULL, "", 0);
+    return true;
+}
+
+/* Ends the requests whose callers have closed their connections. */
 void
 RsRequest_EndAbandoned(struct rs_router *router)
 {
@@ -596,15 +613,6 @@
     while (link != NULL) {
         struct rs_request *request = link->data;
         link = link->next;
-        if (request->response_started ||
-            !RsServer_ClientDisconnected(request->http)) {
-            continue;
-        }
-        RsCounter_Add(&router->counters.abandoned, 1);
-        RsAttempt_CancelOthers(request, NULL);
-        RsRequest_Finish(request, 0, "abandoned");
-        request->http->http1_is_persistent = 0;
-        request->http->res.headers = (h2o_headers_t){0};
-        RsServer_Reply(request->http, STATUS_GATEWAY_TIMEOUT, NULL, "", 0);
+        RsRequest_EndIfAbandoned(request);
     }
 }
--- a/router/request.h
+++ b/router/request.h
@@ -134,6 +134,7 @@
                                                  int64_t now_ms);
 bool RsRequest_RejectIfUnauthorized(struct rs_request *request,
                                     int64_t now_ms);
+bool RsRequest_EndIfAbandoned(struct rs_request *request);
 bool RsRequest_IsHopByHop(const char *header);
 void RsRequest_Finish(struct rs_request *request, int status,
                       const char *outcome);
