Read the other rows when another writer has left an odd one

A node could stop following the table of targets, or send requests to a target that does not exist.

Names of any length were kept for the life of the process.

A row without a version still makes a response malformed, as the store gives versions.

That processes end by themselves was not seen.

--- a/router/fleet.c
+++ b/router/fleet.c
@@ -298,13 +298,13 @@
 {
     struct rs_target_report report;
     const char *fault;
-    const char *interned_id = g_intern_string(id);
-    struct rs_fleet_target *target = RsFleet_Find(fleet, interned_id);
     if (RsReport_Decode(value, &report, &fault) != 0) {
         RsLog_EVENT(RsLog_WARNING, "report_malformed",
                     RsLog_TEXT("target", id), RsLog_TEXT("fault", fault));
         return RsTableCopy_IGNORED;
     }
+    const char *interned_id = g_intern_string(id);
+    struct rs_fleet_target *target = RsFleet_Find(fleet, interned_id);
     if (target == NULL) {
         target = add_target(fleet, interned_id);
     }
--- a/tests/node_main.c
+++ b/tests/node_main.c
@@ -53,6 +53,8 @@
      test_request_behind_another_is_sent_for_a_caller_that_left},
     {"request_is_read_after_its_caller_has_left",
      test_request_is_read_after_its_caller_has_left},
+    {"odd_rows_among_those_of_the_targets",
+     test_odd_rows_among_those_of_the_targets},
     {"two_targets_hold_keys_after_a_late_grant",
      test_two_targets_hold_keys_after_a_late_grant},
     {"service_goes_on_after_a_restore", test_service_goes_on_after_a_restore},
--- /dev/null
+++ b/tests/node_rows_test.c
@@ -0,0 +1,80 @@
+/* Entries of other writers among those of the targets. */
+
+#include <CUnit/Basic.h>
+#include <glib.h>
+
+#include "tests/node_fixture.h"
+#include "tests/node_tests.h"
+
+#define NESTING 20000
+#define ANSWER_WITHIN_MS 3000
+#define REQUESTS 60
+#define SETTLE_MS 1500
+
+/* Writes entries that name no target: deeply nested, with numbers that are too
+ * large, and with a port that is out of range. */
+static void
+put_odd_rows(struct rs_node_fixture *fixture)
+{
+    static const char format[] =
+        "{\"service\":\"%s\",\"address\":\"127.0.0.1:%s\",\"zone\":\"z1\","
+        "\"version\":\"v1\",\"capacity\":%s,\"state\":\"ready\","
+        "\"warmup_left_ms\":0,\"sequence\":1,\"born\":1}";
+    static const struct {
+        const char *port;
+        const char *capacity;
+    } odd[] = {{"26", "4294967296"},
+               {"26", "9223372036854775807"},
+               {"26", "1e999"},
+               {"70000", "2"},
+               {"-1", "2"}};
+    char *nested = g_strnfill(NESTING, '[');
+    RsSoakStore_Put(fixture->store, "servers", "nested", nested);
+    for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+        for (int sharded = 0; sharded <= 1; sharded++) {
+            char *id = g_strdup_printf("odd-%zu-%d", i, sharded);
+            char *value = g_strdup_printf(format, sharded ? "keyed" : "plain",
+                                          odd[i].port, odd[i].capacity);
+            RsSoakStore_Put(fixture->store, "servers", id, value);
+            g_free(value);
+            g_free(id);
+        }
+    }
+    g_free(nested);
+}
+
+/* The node goes on serving and following the table. */
+void
+test_odd_rows_among_those_of_the_targets(void)
+{
+    const struct rs_node_fixture_options options = {
+        .base_port = 23600,
+        .node_count = 1,
+        .plain_targets = 2,
+        .sharded_targets = 2,
+        .work_ms = 10,
+        .timeout_ms = 2000,
+    };
+    struct rs_node_fixture *fixture = RsNodeFixture_OpenServing(&options);
+    int status = 0;
+    put_odd_rows(fixture);
+    RsNodeFixture_Run(fixture, SETTLE_MS);
+    uint32_t served = 0;
+    for (uint32_t i = 0; i < REQUESTS; i++) {
+        struct rs_node_fixture_request *request =
+            i % 2 == 0 ? RsNodeFixture_Post(fixture, 0)
+                       : RsNodeFixture_Get(fixture, 0, i * 1000);
+        CU_ASSERT_TRUE(RsNodeFixture_AwaitEnd(request, ANSWER_WITHIN_MS));
+        served += request->status == 200;
+    }
+    CU_ASSERT_EQUAL(served, REQUESTS);
+    CU_ASSERT_FALSE(RsProcess_HasEnded(&fixture->nodes[0], &status));
+    RsSoakTarget_Crash(fixture->targets[0]);
+    RsSoakTarget_Start(fixture->targets[0], true);
+    uint64_t count = RsSoakTarget_RequestCount(fixture->targets[0]);
+    RsNodeFixture_Run(fixture, SETTLE_MS);
+    RsNodeFixture_SendToAll(fixture, SETTLE_MS, 10);
+    CU_ASSERT_TRUE(RsSoakTarget_RequestCount(fixture->targets[0]) > count);
+    CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
+    RsNodeFixture_Close(fixture);
+}
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -52,6 +52,9 @@
 void test_request_behind_another_is_sent_for_a_caller_that_left(void);
 void test_request_is_read_after_its_caller_has_left(void);
 
+/* tests/node_rows_test.c */
+void test_odd_rows_among_those_of_the_targets(void);
+
 /* tests/node_quota_test.c */
 void test_greedy_workspace_is_held_to_its_quota(void);
 void test_quota_holds_when_the_granter_is_killed(void);
