Do not take a refusal that a target writes once more for a new one

Callers were told that their requests had not run, though a target ran them (REFUSED), or such a request was sent to a second target (TWICE).

Cause: a target that writes an earlier refusal once more on a kept connection. Responses are told apart by the request's id, which misses two cases. A response without an id was taken for the present request's if it said that it had not been executed. And a request that was refused may be sent to the same target again, on the same connection, where the second copy bears its id.

Change: a response without an id is used only on a connection that has carried no other request; elsewhere it counts as broken, so that the outcome is unknown. A request is not sent again on a connection that has carried it. Other requests still use that connection.

Ruled out: a copy that comes together with the refusal or while the connection is idle; the connection is closed then (http_test).

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -162,6 +162,13 @@
     RsLoad_RecordSend(target, input, now_ms);
     target->in_flight++;
     RsCounter_Add(&request->router->counters.attempts, 1);
+    /* A connection that has carried this request may have a second response to
+     * it on the way, which has the same id. */
+    uint64_t carried[RsRequest_MAX_ATTEMPTS];
+    size_t carried_count = 0;
+    for (uint32_t i = 0; i + 1 < request->attempt_count; i++) {
+        carried[carried_count++] = request->attempts[i].connection;
+    }
     const struct rs_exchange_options options = {
         .loop = request->router->loop,
         .paths = &request->router->paths,
@@ -169,11 +176,14 @@
         .only_target = request->service->sharded,
         .target = target,
         .max_connections = max_connections_to_target(request),
+        .excluded = carried,
+        .excluded_count = carried_count,
         .request = &attempt->message,
         .events = &exchange_events,
         .arg = attempt,
     };
     attempt->exchange = RsExchange_Start(&options);
+    attempt->connection = RsExchange_ConnectionNumber(attempt->exchange);
 }
 
 static struct rs_overload_request
@@ -778,13 +788,18 @@
         RsNotices_Read(&request->router->notices, attempt->target,
                        attempt->target_started_wall_ms, head, now_ms);
     attempt->status = head->status;
-    attempt->not_run = RsHttp_FindHeader(head, RsWire_NOT_EXECUTED) != NULL ||
-                       head->status == RsWire_MISDIRECTED;
+    /* Without an id, a response on a connection that has carried other
+     * requests may be one of theirs. */
+    bool is_own = id != NULL || !RsExchange_IsReused(attempt->exchange);
+    attempt->not_run =
+        is_own && (RsHttp_FindHeader(head, RsWire_NOT_EXECUTED) != NULL ||
+                   head->status == RsWire_MISDIRECTED);
     if (attempt->not_run) {
         return;
     }
     const char *fault = find_fault(head);
-    if (fault != NULL || (id == NULL && head->status < STATUS_SERVER_ERROR)) {
+    if (fault != NULL || !is_own ||
+        (id == NULL && head->status < STATUS_SERVER_ERROR)) {
         log_failed_attempt(attempt, fault != NULL ? fault : "no-id");
         request->may_have_run = true;
         request->reason = "bad-answer";
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -26,6 +26,7 @@
     /* For the connect timeout, and to report failures later. */
     uv_timer_t timer;
     struct rs_fleet_target *target;
+    uint64_t number; /* differs from those of all other connections */
     struct rs_http_connection *connection; /* NULL if none was opened */
     struct rs_exchange_options options;    /* of the present request */
     uint32_t peer;         /* node with the tunnel; 0: direct connection */
@@ -297,19 +298,41 @@
     free_exchange(exchange);
 }
 
-/* Returns an idle connection to the target that may still be used, or NULL.
- * Closes those that have been idle for too long. */
+static bool
+is_excluded(const struct rs_exchange *exchange,
+            const struct rs_exchange_options *options)
+{
+    for (size_t i = 0; i < options->excluded_count; i++) {
+        if (options->excluded[i] == exchange->number) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns an idle connection to the target that may be used, or NULL. Closes
+ * those that have been idle for too long. */
 static struct rs_exchange *
-take_idle(struct rs_fleet_target *target, enum rs_fleet_use use)
+take_idle(const struct rs_exchange_options *options)
 {
+    GQueue *idle = &options->target->idle[options->use];
     int64_t now_ms = RsClock_NowMs();
-    struct rs_exchange *exchange;
-    while ((exchange = g_queue_pop_head(&target->idle[use])) != NULL) {
-        if (now_ms < exchange->idle_until_ms) {
+    GList *link = idle->head;
+    while (link != NULL) {
+        struct rs_exchange *exchange = link->data;
+        GList *next = link->next;
+        bool expired = now_ms >= exchange->idle_until_ms;
+        if (expired || !is_excluded(exchange, options)) {
+            g_queue_delete_link(idle, link);
+        }
+        if (expired) {
+            RsHttp_Close(exchange->connection);
+            free_exchange(exchange);
+        }
+        else if (!is_excluded(exchange, options)) {
             return exchange;
         }
-        RsHttp_Close(exchange->connection);
-        free_exchange(exchange);
+        link = next;
     }
     return NULL;
 }
@@ -376,10 +399,12 @@
 struct rs_exchange *
 RsExchange_Start(const struct rs_exchange_options *options)
 {
-    struct rs_exchange *exchange = take_idle(options->target, options->use);
+    static uint64_t last_number;
+    struct rs_exchange *exchange = take_idle(options);
     bool reused = exchange != NULL;
     if (!reused) {
         exchange = g_new0(struct rs_exchange, 1);
+        exchange->number = ++last_number;
         exchange->target = options->target;
         exchange->target->connections[options->use]++;
         exchange->idle_timeout_ms = DEFAULT_IDLE_MS;
@@ -387,6 +412,8 @@
         exchange->timer.data = exchange;
     }
     exchange->options = *options;
+    exchange->options.excluded = NULL; /* valid only during this call */
+    exchange->options.excluded_count = 0;
     exchange->reused = reused;
     exchange->request = *options->request;
     exchange->events = options->events;
@@ -450,6 +477,20 @@
     return exchange->sent_at_ms;
 }
 
+/* Returns the number of the connection, which no other connection has. */
+uint64_t
+RsExchange_ConnectionNumber(const struct rs_exchange *exchange)
+{
+    return exchange->number;
+}
+
+/* Returns whether the connection has carried other requests before. */
+bool
+RsExchange_IsReused(const struct rs_exchange *exchange)
+{
+    return exchange->reused;
+}
+
 /* Returns whether the target has not answered on a connection on which it
  * answered before, so that others may be dead, too. */
 bool
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -52,6 +52,10 @@
     /* If not 0, the same holds for a connection on which the target has not
      * answered for this long: it may be cut off. */
     uint32_t max_silence_ms;
+    /* Connections that are not to be used, by RsExchange_ConnectionNumber().
+     */
+    const uint64_t *excluded;
+    size_t excluded_count;
     int64_t send_before_ms; /* not sent later than this; 0: no limit */
     /* What the request points to must stay valid until the request was sent.
      */
@@ -69,6 +73,8 @@
 void RsExchange_Resume(struct rs_exchange *exchange);
 void RsExchange_Cancel(struct rs_exchange *exchange);
 int64_t RsExchange_SentAtMs(const struct rs_exchange *exchange);
+uint64_t RsExchange_ConnectionNumber(const struct rs_exchange *exchange);
+bool RsExchange_IsReused(const struct rs_exchange *exchange);
 bool RsExchange_IsSilent(const struct rs_exchange *exchange);
 void RsExchange_CloseIdle(struct rs_fleet_target *target);
 
--- a/router/request.h
+++ b/router/request.h
@@ -23,6 +23,7 @@
 struct rs_attempt {
     struct rs_request *request;
     struct rs_exchange *exchange; /* NULL once the attempt has ended */
+    uint64_t connection;          /* its number */
     struct rs_fleet_target *target;
     int64_t target_started_wall_ms; /* of the target's process */
     int64_t started_at_us;
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -55,6 +55,10 @@
 /* tests/node_rows_test.c */
 void test_odd_rows_among_those_of_the_targets(void);
 
+/* tests/node_answers_test.c */
+void test_refusal_without_id_is_repeated(void);
+void test_refusal_is_repeated_to_the_same_request(void);
+
 /* tests/node_quota_test.c */
 void test_greedy_workspace_is_held_to_its_quota(void);
 void test_quota_holds_when_the_granter_is_killed(void);
