Read changes that are made while a table is read page by page

Cause: a table with more than 500 rows is read in pages. The calls for changes went on from the newest row of any page, so that an older change to a page that had been read before was left out, and the nodes that get the table from this one never got it. A comment said so.

The calls for changes go on from the version of the first page.

--- a/router/fleet_test.c
+++ b/router/fleet_test.c
@@ -486,6 +486,27 @@
     RsTableCopy_Clear(&rows);
 }
 
+/* A change to a page that has been read already is older than a row of the
+ * next page. It is among the changes after the version of the snapshot. */
+static void
+test_change_during_a_read_by_pages_is_not_missed(void)
+{
+    struct rs_table_copy rows;
+    struct rs_store_row first = {.key = "a", .value = "", .version = 5};
+    struct rs_store_row second = {.key = "b", .value = "", .version = 9};
+    RsTableCopy_Init(&rows);
+    RsTableCopy_BeginSnapshot(&rows);
+    RsTableCopy_Put(&rows, &first, RsTableCopy_CHANGED);
+    RsTableCopy_Put(&rows, &second, RsTableCopy_CHANGED);
+    RsTableCopy_EndSnapshot(&rows, 7, collect, NULL);
+    CU_ASSERT_EQUAL(rows.version, 7);
+    first.version = 8;
+    CU_ASSERT_TRUE(RsTableCopy_IsNewer(&rows, &first));
+    RsTableCopy_Put(&rows, &first, RsTableCopy_CHANGED);
+    CU_ASSERT_EQUAL(rows.version, 8);
+    RsTableCopy_Clear(&rows);
+}
+
 int
 main(void)
 {
@@ -513,6 +534,7 @@
     CU_ADD_TEST(suite, test_refreshed_rows_are_not_passed_on);
     CU_ADD_TEST(suite, test_ignored_row_keeps_the_earlier_value);
     CU_ADD_TEST(suite, test_node_that_may_have_deleted_rows_is_sent_the_table);
+    CU_ADD_TEST(suite, test_change_during_a_read_by_pages_is_not_missed);
     CU_ADD_TEST(suite, test_snapshot_deletes_missing_rows);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
--- a/router/follower.c
+++ b/router/follower.c
@@ -159,9 +159,6 @@
 static void
 begin_snapshot(struct rs_follower *follower, uint64_t version)
 {
-    /* Later pages may be newer than the first. Polling afterwards starts from
-     * the highest version read on any page; a change made during the read to a
-     * page already read may be missed. */
     uint64_t known_version = follower->copy.version;
     follower->reading_version = version;
     if (known_version > 0 &&
--- a/router/table_copy.c
+++ b/router/table_copy.c
@@ -104,7 +104,9 @@
     bool first = row->value == NULL;
     uint64_t former_version = row->version;
     row->version = update->version;
-    copy->version = MAX(copy->version, update->version);
+    if (!copy->in_snapshot) {
+        copy->version = MAX(copy->version, update->version);
+    }
     if (effect == RsTableCopy_OUTDATED && !first) {
         /* Nodes that are sent the kept value don't have the former one. */
         drop_former(row);
@@ -210,19 +212,28 @@
     return (struct rs_row_encoding){.patch = patch};
 }
 
-/* Starts a snapshot: all rows count as missing until they are put or
- * compared. */
+/* Starts a snapshot: all rows count as missing until they are put or compared.
+ * Rows may be put that are newer than the snapshot. Other changes may have
+ * been made before them, so that they don't raise the version of the copy. */
 void
 RsTableCopy_BeginSnapshot(struct rs_table_copy *copy)
 {
     GHashTableIter iter;
     gpointer value;
+    copy->in_snapshot = true;
     g_hash_table_iter_init(&iter, copy->rows);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         ((struct rs_known_row *)value)->seen = false;
     }
 }
 
+static void
+end_snapshot(struct rs_table_copy *copy, uint64_t version)
+{
+    copy->in_snapshot = false;
+    copy->version = MAX(copy->version, version);
+}
+
 /* Ends a snapshot that was read as of `version`. Rows that were missing from
  * it and aren't newer are marked as deleted and passed to `gone`. */
 void
@@ -245,7 +256,7 @@
         set_value(row, "", 0);
         gone(arg, row);
     }
-    copy->version = MAX(copy->version, version);
+    end_snapshot(copy, version);
     copy->complete_from = MAX(copy->complete_from, version);
 }
 
@@ -265,7 +276,7 @@
             row->version = MAX(row->version, version);
         }
     }
-    copy->version = MAX(copy->version, version);
+    end_snapshot(copy, version);
 }
 
 /* Returns whether all changes since a version are known, including deletions.
--- a/router/table_copy.h
+++ b/router/table_copy.h
@@ -37,7 +37,8 @@
 
 struct rs_table_copy {
     GHashTable *rows; /* key to struct rs_known_row */
-    uint64_t version; /* newest known version of the table */
+    uint64_t version; /* up to which all changes are known */
+    bool in_snapshot; /* rows of a snapshot are being put */
     /* Rows that were deleted before this version may be missing from the copy,
      * since the table was read as a whole at this version. */
     uint64_t complete_from;
