Give the test of bad answers under load more of them

Traced: of 20 faulty answers of each kind and target most are asked for again, and few requests may not be.

Change: 60 faulty answers of each kind. The check is the same, and stricter in what it puts the invariants through.

--- a/tests/answers_test.c
+++ b/tests/answers_test.c
@@ -157,14 +157,14 @@
     RsScenario_Finish(&scenario);
 }
 
-/* Sets each kind of faulty answer in turn, for up to 20 answers of each
+/* Sets each kind of faulty answer in turn, for up to 60 answers of each
  * keyed target, while the stream runs. */
 void
 test_bad_answers_under_load(void)
 {
     static const char *const faults[] = {
-        "{\"cross_answers\":20}", "{\"wrong_id_answers\":20}",
-        "{\"short_answers\":20}", "{\"double_answers\":20}"};
+        "{\"cross_answers\":60}", "{\"wrong_id_answers\":60}",
+        "{\"short_answers\":60}", "{\"double_answers\":60}"};
     struct rs_scenario scenario;
     if (RsScenario_Start(&scenario, &one_domain)) {
         for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
