Keep a part of a response from looking complete when a node is killed

Cause: a target's response without a length was passed on as one that ends with its connection. Breaking it off takes RsServer_AbortResponse(), thus a running process; a kernel that cleans up after a killed one closes in order.

Callers of HTTP/1.1 now get chunks, or a length if the response is complete within the first 48 KB. Callers of HTTP/1.0 have no chunks: their connection is set to be reset on close from the head on, until the kernel has the whole body. This works without any code of ours at the end of the process. Related: a target's chunked response to a caller of HTTP/1.0 had the same fault (shown by the test), and the entry process of the first form closed in order when a response broke off.

Ruled out: stating a length for a response that is still coming, which would hold it back whole; holding back up to 1 MB, as until now, only makes the fault rarer.

--- a/front/reply.c
+++ b/front/reply.c
@@ -117,9 +117,12 @@
     }
     if (request->body_ended) {
         finish(request);
-        h2o_send(request->http, NULL, 0,
-                 request->body_broken ? H2O_SEND_STATE_ERROR
-                                      : H2O_SEND_STATE_FINAL);
+        if (request->body_broken) {
+            RsServer_AbortResponse(request->http);
+        }
+        else {
+            RsServer_EndResponse(request->http);
+        }
     }
 }
 
@@ -169,7 +172,7 @@
     request->generator.proceed = on_proceed;
     request->generator.stop = on_stop;
     request->answer_started = true;
-    h2o_start_response(http, &request->generator);
+    RsServer_StartResponse(http, &request->generator);
 }
 
 /* Buffers a piece of the body and sends it to the caller when the HTTP server
--- a/http/connection.c
+++ b/http/connection.c
@@ -398,22 +398,24 @@
     return uv_ip4_addr(host, port, address) == 0 ? 0 : RsHttp_BAD_ADDRESS;
 }
 
-/* Makes closing a socket, also by the exit of the process, discard data that
- * was not sent and reset the connection. */
+/* Sets whether closing a socket, also by the end of the process, discards data
+ * that was not sent and resets the connection. Otherwise closing it ends the
+ * stream in order. */
 void
-RsHttp_ResetSocketOnClose(int fd)
+RsHttp_SetResetOnClose(int fd, bool reset)
 {
-    const struct linger no_linger = {.l_onoff = 1, .l_linger = 0};
-    setsockopt(fd, SOL_SOCKET, SO_LINGER, &no_linger, sizeof(no_linger));
+    const struct linger linger = {.l_onoff = reset, .l_linger = 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
 }
 
-/* Does the same for a handle. */
+/* Makes closing a handle, also by the end of the process, reset the
+ * connection. */
 void
 RsHttp_ResetOnClose(uv_tcp_t *tcp)
 {
     uv_os_fd_t fd;
     if (uv_fileno((const uv_handle_t *)tcp, &fd) == 0) {
-        RsHttp_ResetSocketOnClose(fd);
+        RsHttp_SetResetOnClose(fd, true);
     }
 }
 
--- a/http/http_test.c
+++ b/http/http_test.c
@@ -43,7 +43,7 @@
     h2o_iovec_t piece = h2o_iovec_init(H2O_STRLIT("some"));
     request->res.status = 200;
     request->res.reason = "OK";
-    h2o_start_response(request, &generator);
+    RsServer_StartResponse(request, &generator);
     h2o_send(request, &piece, 1, H2O_SEND_STATE_IN_PROGRESS);
 }
 
--- a/http/server.c
+++ b/http/server.c
@@ -59,14 +59,19 @@
     tracker->client->open_request_count--;
 }
 
+static int
+fd_of(h2o_req_t *request)
+{
+    return h2o_socket_get_fd(
+        request->conn->callbacks->get_socket(request->conn));
+}
+
 static struct client *
 find_client(h2o_req_t *request)
 {
     const struct server_context *context =
         (const struct server_context *)request->conn->ctx;
-    h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
-    return g_ptr_array_index(context->server->clients_by_fd,
-                             h2o_socket_get_fd(socket));
+    return g_ptr_array_index(context->server->clients_by_fd, fd_of(request));
 }
 
 static void
@@ -190,21 +195,54 @@
     }
 }
 
-/* Aborts a response that has been started and can't be completed. If the end
- * of the connection marks the end of the response, resets the connection.
- * Otherwise shuts down its sending side first, so that the client sees a
- * truncated response; h2o alone would send a malformed chunk. */
+/* Returns whether only the end of the connection marks the end of the body of
+ * a response that has been started: it has no length, and h2o doesn't send it
+ * in chunks, for instance because the client speaks HTTP/1.0. */
+bool
+RsServer_EndsWithConnection(const h2o_req_t *request)
+{
+    return request->res.content_length == SIZE_MAX &&
+           h2o_find_header(&request->res.headers, H2O_TOKEN_TRANSFER_ENCODING,
+                           -1) < 0;
+}
+
+/* Starts a response whose body `generator` sends. If only the end of the
+ * connection marks its end, the connection is reset when it is closed before
+ * RsServer_EndResponse(), also when the process is killed, so that the client
+ * can't take a part of the response for the whole. */
+void
+RsServer_StartResponse(h2o_req_t *request, h2o_generator_t *generator)
+{
+    h2o_start_response(request, generator);
+    if (RsServer_EndsWithConnection(request)) {
+        RsHttp_SetResetOnClose(fd_of(request), true);
+    }
+}
+
+/* Ends a response that was started with RsServer_StartResponse(). If it ends
+ * with its connection, the kernel must have all of its body: the generator was
+ * asked to proceed after the last piece. */
+void
+RsServer_EndResponse(h2o_req_t *request)
+{
+    if (RsServer_EndsWithConnection(request)) {
+        RsHttp_SetResetOnClose(fd_of(request), false);
+    }
+    h2o_send(request, NULL, 0, H2O_SEND_STATE_FINAL);
+}
+
+/* Aborts a response that has been started and can't be completed. A connection
+ * whose end marks the end of the response is reset. Otherwise shuts down its
+ * sending side first, so that the client sees a truncated response; h2o alone
+ * would send a malformed chunk. */
 void
 RsServer_AbortResponse(h2o_req_t *request)
 {
-    h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
-    int fd = h2o_socket_get_fd(socket);
-    if (request->version == RsServer_HTTP_1_0 &&
-        request->res.content_length == SIZE_MAX) {
-        RsHttp_ResetSocketOnClose(fd);
+    if (RsServer_EndsWithConnection(request)) {
+        RsHttp_SetResetOnClose(fd_of(request), true);
     }
     else {
-        shutdown(fd, SHUT_WR);
+        shutdown(fd_of(request), SHUT_WR);
     }
     h2o_send(request, NULL, 0, H2O_SEND_STATE_ERROR);
 }
@@ -234,8 +272,7 @@
 {
     struct tcp_info info = {0};
     socklen_t size_bytes = sizeof(info);
-    h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
-    return getsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_INFO, &info,
+    return getsockopt(fd_of(request), IPPROTO_TCP, TCP_INFO, &info,
                       &size_bytes) != 0 ||
            info.tcpi_state != TCP_ESTABLISHED;
 }
--- a/http/server.h
+++ b/http/server.h
@@ -16,9 +16,6 @@
     RsServer_LISTEN_FAILED = RsError_HTTP - 50
 };
 
-/* Value of `version` of struct h2o_req_t. */
-#define RsServer_HTTP_1_0 0x100
-
 struct rs_server;
 
 /* Called for each request that h2o has accepted and read as a whole. The
@@ -38,6 +35,9 @@
 int RsServer_Open(const struct rs_server_options *options,
                   struct rs_server **server);
 void RsServer_StopListening(struct rs_server *server);
+void RsServer_StartResponse(h2o_req_t *request, h2o_generator_t *generator);
+bool RsServer_EndsWithConnection(const h2o_req_t *request);
+void RsServer_EndResponse(h2o_req_t *request);
 void RsServer_AbortResponse(h2o_req_t *request);
 void RsServer_CloseIdle(struct rs_server *server);
 void RsServer_SetIdleTimeout(struct rs_server *server, uint32_t timeout_ms);
--- a/router/reply.c
+++ b/router/reply.c
@@ -18,10 +18,6 @@
 /* A response is buffered until it is complete or has reached this size, so
  * that the request can be retried if the response breaks off early. */
 #define MAX_BUFFERED_BYTES (48 * 1024)
-/* The same for a response whose end is marked only by the end of its
- * connection. The caller can't tell whether such a response is complete, so
- * more of it is buffered. */
-#define MAX_CLOSE_DELIMITED_BYTES (1024 * 1024)
 /* When more than this is buffered for a caller that reads slowly, reading from
  * the target is paused. */
 #define PAUSE_ABOVE_BUFFERED_BYTES (192 * 1024)
@@ -138,7 +134,7 @@
     request->response_started = true;
     request->generator.proceed = on_proceed;
     request->generator.stop = on_stop;
-    h2o_start_response(request->http, &request->generator);
+    RsServer_StartResponse(request->http, &request->generator);
 }
 
 /* Finishes the request. Ends the response to the caller, or breaks off the
@@ -157,7 +153,7 @@
         RsServer_AbortResponse(http);
     }
     else {
-        h2o_send(http, NULL, 0, H2O_SEND_STATE_FINAL);
+        RsServer_EndResponse(http);
     }
 }
 
@@ -182,7 +178,8 @@
     request->body = spare;
     h2o_iovec_t chunk =
         h2o_iovec_init((char *)request->sending->data, request->sending->len);
-    if (request->body_ended && !request->body_aborted) {
+    if (request->body_ended && !request->body_aborted &&
+        !RsServer_EndsWithConnection(request->http)) {
         h2o_req_t *http = request->http;
         RsCounter_Add(&request->router->counters.answered, 1);
         /* The server does not copy the data, so the last chunk must be in
@@ -249,13 +246,6 @@
     if (RsShutdown_Begun(&request->router->shutdown)) {
         http->http1_is_persistent = 0;
     }
-    if (head->length < 0 && !head->chunked) {
-        /* HTTP/1.0 keeps the server from adding chunked framing, which the
-         * target's response did not have. */
-        request->close_delimited = true;
-        http->version = RsServer_HTTP_1_0;
-        http->http1_is_persistent = 0;
-    }
 }
 
 /* Buffers a piece of the response body and forwards it once the response has
@@ -271,11 +261,8 @@
     request->body_bytes += size_bytes;
     g_byte_array_append(request->body, (const guint8 *)data,
                         (guint)size_bytes);
-    size_t max_buffered_bytes = request->close_delimited
-                                    ? MAX_CLOSE_DELIMITED_BYTES
-                                    : MAX_BUFFERED_BYTES;
     if (!request->response_started &&
-        request->body->len >= max_buffered_bytes) {
+        request->body->len >= MAX_BUFFERED_BYTES) {
         start_response(request);
     }
     send_buffered(request);
@@ -286,6 +273,13 @@
     }
 }
 
+static bool
+is_head_request(const struct rs_request *request)
+{
+    const h2o_iovec_t *method = &request->http->input.method;
+    return h2o_memis(method->base, method->len, H2O_STRLIT("HEAD"));
+}
+
 /* Marks the forwarded response as complete, and forwards what is left of it.
  */
 void
@@ -297,7 +291,7 @@
                               request->body_bytes);
     if (!request->response_started) {
         if (request->http->res.content_length == SIZE_MAX &&
-            !request->close_delimited) {
+            !is_head_request(request)) {
             request->http->res.content_length = request->body->len;
         }
         start_response(request);
@@ -318,7 +312,6 @@
     }
     if (!request->response_started) {
         request->forwarded_attempt = NULL;
-        request->close_delimited = false;
         request->body_bytes = 0;
         g_byte_array_set_size(request->body, 0);
         return false;
--- a/tests/node_main.c
+++ b/tests/node_main.c
@@ -55,6 +55,8 @@
      test_request_is_read_after_its_caller_has_left},
     {"odd_rows_among_those_of_the_targets",
      test_odd_rows_among_those_of_the_targets},
+    {"killed_node_leaves_no_whole_answer",
+     test_killed_node_leaves_no_whole_answer},
     {"refusal_without_id_is_repeated", test_refusal_without_id_is_repeated},
     {"refusal_is_repeated_to_the_same_request",
      test_refusal_is_repeated_to_the_same_request},
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -55,6 +55,9 @@
 /* tests/node_rows_test.c */
 void test_odd_rows_among_those_of_the_targets(void);
 
+/* tests/node_broken_off_test.c */
+void test_killed_node_leaves_no_whole_answer(void);
+
 /* tests/node_answers_test.c */
 void test_refusal_without_id_is_repeated(void);
 void test_refusal_is_repeated_to_the_same_request(void);
