Send a response without a length without chunks, as its target does

Cause: sent such a response in chunks to callers of HTTP/1.1.

Ruled out: holding back up to 1 MB to state a length; a caller waits for it.

--- a/http/server.c
+++ b/http/server.c
@@ -11,6 +11,7 @@
 
 #define LISTEN_BACKLOG 1024
 #define DEFAULT_IDLE_TIMEOUT_MS 10000
+#define HTTP_1_0 0x100 /* value of `version` of struct h2o_req_t */
 
 struct server_handler {
     h2o_handler_t super;
@@ -195,6 +196,16 @@
     }
 }
 
+/* Makes the body of a response without a length end with the connection; h2o
+ * would send chunks to a client of HTTP/1.1. Must be called before the
+ * response is started. */
+void
+RsServer_OmitChunks(h2o_req_t *request)
+{
+    request->version = HTTP_1_0;
+    request->http1_is_persistent = 0;
+}
+
 /* Returns whether only the end of the connection marks the end of the body of
  * a response that has been started: it has no length, and h2o doesn't send it
  * in chunks, for instance because the client speaks HTTP/1.0. */
--- a/http/server.h
+++ b/http/server.h
@@ -35,6 +35,7 @@
 int RsServer_Open(const struct rs_server_options *options,
                   struct rs_server **server);
 void RsServer_StopListening(struct rs_server *server);
+void RsServer_OmitChunks(h2o_req_t *request);
 void RsServer_StartResponse(h2o_req_t *request, h2o_generator_t *generator);
 bool RsServer_EndsWithConnection(const h2o_req_t *request);
 void RsServer_EndResponse(h2o_req_t *request);
--- a/router/reply.c
+++ b/router/reply.c
@@ -134,6 +134,10 @@
     request->response_started = true;
     request->generator.proceed = on_proceed;
     request->generator.stop = on_stop;
+    if (request->close_delimited &&
+        request->http->res.content_length == SIZE_MAX) {
+        RsServer_OmitChunks(request->http);
+    }
     RsServer_StartResponse(request->http, &request->generator);
 }
 
@@ -246,6 +250,7 @@
     if (RsShutdown_Begun(&request->router->shutdown)) {
         http->http1_is_persistent = 0;
     }
+    request->close_delimited = head->length < 0 && !head->chunked;
 }
 
 /* Buffers a piece of the response body and forwards it once the response has
--- a/router/request.h
+++ b/router/request.h
@@ -88,6 +88,8 @@
     /* The attempt whose response is forwarded to the caller; NULL: none yet.
      */
     struct rs_attempt *forwarded_attempt;
+    /* The target's response ends with its connection. */
+    bool close_delimited;
     /* The head of the forwarded response was passed to the HTTP server. */
     bool response_started;
     bool body_ended;     /* no more body data will come from the target */
