Reset the connection to the other node when a tunnel's node is killed

Callers got a status 200 with the target's signature and half of the body as a whole response, from a node that nothing had disturbed.

Cause: a response without a length ends with the target's connection, and a tunnel passes that end on. Its connection to the other node was reset only by close_tunnel(), thus by a running process; the kernel closes the sockets of a killed one in order.

The connection to the other node is now reset on close from the moment the tunnel is open until the kernel has the end of the target's stream.

Ruled out: framing the bytes in tunnels, which nodes of both versions would have to speak; not using tunnels for responses without a length, which are known only by their heads.

--- a/http/connection.c
+++ b/http/connection.c
@@ -402,20 +402,19 @@
  * that was not sent and resets the connection. Otherwise closing it ends the
  * stream in order. */
 void
-RsHttp_SetResetOnClose(int fd, bool reset)
+RsHttp_ResetSocketOnClose(int fd, bool reset)
 {
     const struct linger linger = {.l_onoff = reset, .l_linger = 0};
     setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
 }
 
-/* Makes closing a handle, also by the end of the process, reset the
- * connection. */
+/* Does the same for a handle. */
 void
-RsHttp_ResetOnClose(uv_tcp_t *tcp)
+RsHttp_ResetOnClose(uv_tcp_t *tcp, bool reset)
 {
     uv_os_fd_t fd;
     if (uv_fileno((const uv_handle_t *)tcp, &fd) == 0) {
-        RsHttp_SetResetOnClose(fd, true);
+        RsHttp_ResetSocketOnClose(fd, reset);
     }
 }
 
@@ -453,7 +452,7 @@
     connection->tcp.data = connection;
     connection->connect.data = connection;
     if (options->reset_on_close) {
-        RsHttp_ResetOnClose(&connection->tcp);
+        RsHttp_ResetOnClose(&connection->tcp, true);
     }
     http_parser_init(&connection->parser, HTTP_RESPONSE);
     connection->parser.data = connection;
--- a/http/connection.h
+++ b/http/connection.h
@@ -86,8 +86,8 @@
 int RsHttp_ParseAddress(const char *host, uint16_t port,
                         struct sockaddr_in *address);
 struct rs_http_connection *RsHttp_Open(const struct rs_http_options *options);
-void RsHttp_SetResetOnClose(int fd, bool reset);
-void RsHttp_ResetOnClose(uv_tcp_t *tcp);
+void RsHttp_ResetSocketOnClose(int fd, bool reset);
+void RsHttp_ResetOnClose(uv_tcp_t *tcp, bool reset);
 bool RsHttp_IsReset(const uv_tcp_t *tcp);
 void RsHttp_SetArg(struct rs_http_connection *connection, void *arg);
 int RsHttp_Send(struct rs_http_connection *connection,
--- a/http/http_test.c
+++ b/http/http_test.c
@@ -305,7 +305,7 @@
     if (size > 0) {
         CU_ASSERT_EQUAL(uv_try_write(stream, &text, 1), (int)length);
         if (raw_resets) {
-            RsHttp_ResetOnClose((uv_tcp_t *)stream);
+            RsHttp_ResetOnClose((uv_tcp_t *)stream, true);
         }
         if (raw_closes) {
             uv_close((uv_handle_t *)stream, on_handle_closed);
--- a/http/server.c
+++ b/http/server.c
@@ -226,7 +226,7 @@
 {
     h2o_start_response(request, generator);
     if (RsServer_EndsWithConnection(request)) {
-        RsHttp_SetResetOnClose(fd_of(request), true);
+        RsHttp_ResetSocketOnClose(fd_of(request), true);
     }
 }
 
@@ -237,7 +237,7 @@
 RsServer_EndResponse(h2o_req_t *request)
 {
     if (RsServer_EndsWithConnection(request)) {
-        RsHttp_SetResetOnClose(fd_of(request), false);
+        RsHttp_ResetSocketOnClose(fd_of(request), false);
     }
     h2o_send(request, NULL, 0, H2O_SEND_STATE_FINAL);
 }
@@ -250,7 +250,7 @@
 RsServer_AbortResponse(h2o_req_t *request)
 {
     if (RsServer_EndsWithConnection(request)) {
-        RsHttp_SetResetOnClose(fd_of(request), true);
+        RsHttp_ResetSocketOnClose(fd_of(request), true);
     }
     else {
         shutdown(fd_of(request), SHUT_WR);
--- a/router/tunnel.c
+++ b/router/tunnel.c
@@ -93,8 +93,8 @@
     }
     tunnel->closing = true;
     if (reset) {
-        RsHttp_ResetOnClose(&tunnel->node.tcp);
-        RsHttp_ResetOnClose(&tunnel->target.tcp);
+        RsHttp_ResetOnClose(&tunnel->node.tcp, true);
+        RsHttp_ResetOnClose(&tunnel->target.tcp, true);
     }
     close_handle(tunnel, (uv_handle_t *)&tunnel->node.tcp);
     close_handle(tunnel, (uv_handle_t *)&tunnel->target.tcp);
@@ -176,10 +176,16 @@
     }
 }
 
+/* The kernel has all of the stream and its end. Until now the other node must
+ * not take the end of this process for the end of a response. */
 static void
 on_shut_down(uv_shutdown_t *shutdown, int status)
 {
-    struct tunnel *tunnel = ((struct side *)shutdown->data)->tunnel;
+    struct side *side = shutdown->data;
+    struct tunnel *tunnel = side->tunnel;
+    if (!tunnel->closing && status == 0 && side == &tunnel->node) {
+        RsHttp_ResetOnClose(&side->tcp, false);
+    }
     if (tunnel->node.ended && tunnel->target.ended) {
         close_tunnel(tunnel, false);
     }
@@ -252,7 +258,8 @@
     uv_tcp_nodelay(&tunnel->target.tcp, 1);
     /* Discards what the target has not received when the other node, or this
      * one, closes its connection. */
-    RsHttp_ResetOnClose(&tunnel->target.tcp);
+    RsHttp_ResetOnClose(&tunnel->target.tcp, true);
+    RsHttp_ResetOnClose(&tunnel->node.tcp, true);
     send_to(&tunnel->node, opened_answer, strlen(opened_answer));
     uv_read_start((uv_stream_t *)&tunnel->node.tcp, provide_buffer, on_read);
     uv_read_start((uv_stream_t *)&tunnel->target.tcp, provide_buffer, on_read);
--- a/router/tunnel_test.c
+++ b/router/tunnel_test.c
@@ -2,6 +2,7 @@
  * what each test says. */
 
 #include <CUnit/Basic.h>
+#include <fcntl.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -23,6 +24,7 @@
 #define LARGE_BODY_BYTES (64 * 1024 * 1024)
 #define CHUNK_BYTES 65536
 #define MAX_HEAD_BYTES 512
+#define MAX_FD 256
 
 /* What the target does with a request. */
 enum behaviour {
@@ -328,6 +330,43 @@
 }
 
 /* A response that the target breaks off must not look complete. */
+/* Closes both sockets of each tunnel, as the kernel does when the process is
+ * killed. */
+static void
+close_server_sockets(void)
+{
+    int null_fd = open("/dev/null", O_RDONLY);
+    for (int fd = 0; fd < MAX_FD; fd++) {
+        struct sockaddr_in own = {0};
+        struct sockaddr_in peer = {0};
+        socklen_t own_bytes = sizeof(own);
+        socklen_t peer_bytes = sizeof(peer);
+        if (getsockname(fd, (struct sockaddr *)&own, &own_bytes) == 0 &&
+            getpeername(fd, (struct sockaddr *)&peer, &peer_bytes) == 0 &&
+            (ntohs(own.sin_port) == PEER_PORT + 1 ||
+             ntohs(peer.sin_port) == TARGET_PORT)) {
+            dup2(null_fd, fd);
+        }
+    }
+    close(null_fd);
+}
+
+/* MIXED (review/3): the node with the tunnel is killed during a response that
+ * ends with its connection. */
+static void
+test_end_of_the_process_does_not_end_a_response(void)
+{
+    start_request(TARGET_PORT, EndsWithoutLength);
+    while (seen.body_bytes == 0 && !seen.closed) {
+        RsTestLoop_Run(&world.loop, 1);
+    }
+    close_server_sockets();
+    CU_ASSERT_TRUE(RsTestLoop_Await(&world.loop, &seen.closed, WAIT_MS));
+    CU_ASSERT_FALSE(seen.ended);
+    CU_ASSERT_EQUAL(seen.error, RsHttp_RESET);
+    end_request();
+}
+
 static void
 test_reset_of_the_target_is_passed_on(void)
 {
@@ -476,6 +515,7 @@
     CU_ADD_TEST(suite, test_request_passes_through_a_tunnel);
     CU_ADD_TEST(suite, test_slow_reader_gets_a_large_body_whole);
     CU_ADD_TEST(suite, test_answer_that_ends_with_its_connection_is_whole);
+    CU_ADD_TEST(suite, test_end_of_the_process_does_not_end_a_response);
     CU_ADD_TEST(suite, test_reset_of_the_target_is_passed_on);
     CU_ADD_TEST(suite, test_close_of_the_client_is_passed_on);
     CU_ADD_TEST(suite, test_only_known_targets_are_reached);
