Refuse requests that may outlast a node that shuts down

Seen here: with a mean of 100 ms, a time limit of 12 s and a grace of 6 s, requests of 3.8 s that came 1.8 s or later after SIGTERM were passed on and ended by a 504 of the node while the target was at work.

Cause: a request was passed on if eight times its expected time fitted into the rest of the grace. The expected time is a mean; a request that takes much longer can't be told from the others before.

A request is now passed on only if its deadline comes before the node's last responses. Others are refused at once and truly: they have not run. So are those that wait for room, a token or an owner.

Ruled out: a larger factor, or the longest time seen lately, which the first long request breaks; a shorter X-Deadline-Ms for the target, which ends a request that another node could have finished.

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -423,8 +423,9 @@
 /* Sends the request to a target. If none has room, or the expected latency
  * exceeds the time left, the request waits until its `wait_until_ms` and is
  * refused after that. It is refused at once when there is no target, when all
- * attempts are used up or when its key's owner is overloaded, rejected when
- * its API key is no longer valid, and ended when its caller has left. */
+ * attempts are used up, when its key's owner is overloaded or when the node
+ * may end before its deadline, rejected when its API key is no longer valid,
+ * and ended when its caller has left. */
 void
 RsAttempt_Dispatch(struct rs_request *request, int64_t now_ms)
 {
@@ -438,7 +439,8 @@
         RsReply_Refuse(request, "no-target-reached");
         return;
     }
-    if (RsRequest_RefuseIfSuspected(request, now_ms)) {
+    if (RsRequest_RefuseIfStopping(request, now_ms) ||
+        RsRequest_RefuseIfSuspected(request, now_ms)) {
         return;
     }
     if (request->attempt_count == 0 && !take_token(request, now_ms)) {
@@ -464,15 +466,6 @@
             (double)(request->deadline_ms - now_ms)) {
         verdict = RsLoad_FULL;
     }
-    if (verdict == RsLoad_SEND &&
-        !RsShutdown_MayStart(&request->router->shutdown,
-                             RsLoad_ExpectedLatencyMs(target, now_ms),
-                             request->route->target_latency_ms,
-                             request->deadline_ms, now_ms)) {
-        request->come_back_at_ms = now_ms; /* to another node */
-        RsReply_Refuse(request, "stopping");
-        return;
-    }
     if (verdict == RsLoad_SEND && RsRequest_EndIfAbandoned(request)) {
         return;
     }
--- a/router/request.c
+++ b/router/request.c
@@ -271,6 +271,20 @@
     return true;
 }
 
+/* Refuses the request if the node may end before its deadline, and returns
+ * whether it did. */
+bool
+RsRequest_RefuseIfStopping(struct rs_request *request, int64_t now_ms)
+{
+    if (RsShutdown_MayStart(&request->router->shutdown,
+                            request->deadline_ms)) {
+        return false;
+    }
+    request->come_back_at_ms = now_ms; /* to another node */
+    RsReply_Refuse(request, "stopping");
+    return true;
+}
+
 /* Returns the credentials that the request carries. They are valid as long as
  * the request. */
 static struct rs_workspaces_credentials
@@ -560,8 +574,9 @@
     }
 }
 
-/* Ends requests whose deadlines have passed, starts hedged attempts and
- * retries waiting requests. Must be called every few tens of milliseconds. */
+/* Ends requests whose deadlines have passed, starts hedged attempts, refuses
+ * waiting requests that this node can't serve before it ends and retries the
+ * others. Must be called every few tens of milliseconds. */
 void
 RsRequest_Tick(struct rs_router *router, int64_t now_ms)
 {
@@ -575,6 +590,9 @@
         else if (!request->waiting) {
             RsAttempt_HedgeIfLate(request, now_ms);
         }
+        else {
+            RsRequest_RefuseIfStopping(request, now_ms);
+        }
     }
     RsRequest_RetryWaiting(router, now_ms);
 }
--- a/router/request.h
+++ b/router/request.h
@@ -130,6 +130,7 @@
 void RsRequest_StopWaiting(struct rs_request *request);
 void RsRequest_TakeFromQueue(struct rs_request *request);
 uint64_t RsRequest_Fingerprint(struct rs_request *request);
+bool RsRequest_RefuseIfStopping(struct rs_request *request, int64_t now_ms);
 bool RsRequest_RefuseIfSuspected(struct rs_request *request, int64_t now_ms);
 enum rs_workspaces_verdict RsRequest_CheckApiKey(struct rs_request *request,
                                                  int64_t now_ms);
--- a/router/shutdown.c
+++ b/router/shutdown.c
@@ -1,7 +1,5 @@
 #include "router/shutdown.h"
 
-#include <glib.h>
-
 /* New connections arrive until two readiness checks, one second apart, have
  * failed. Idle connections are closed after that. */
 #define CLOSE_IDLE_AFTER_MS 2600
@@ -10,15 +8,6 @@
 #define END_MARGIN_MS 300
 /* Time to send the final responses. */
 #define ANSWERING_MS 100
-/* A target may take this many times the expected time: it may have become
- * slow since its last responses, and some requests take much longer than the
- * average. A caller that is refused finds another node at once. */
-#define LATE_FACTOR 8.0
-/* Likewise this many times the latency target of the route. The expected time
- * is a mean over all routes of a service, and too low for a route whose
- * requests take longer than the others. */
-#define LATE_TARGET_FACTOR 2.0
-
 /* Starts the shutdown. The platform kills the process after `grace_ms`. */
 void
 RsShutdown_Begin(struct rs_shutdown *shutdown, int64_t grace_ms,
@@ -60,19 +49,13 @@
                                                 : RsShutdown_NOT_READY;
 }
 
-/* Returns whether a request may be sent to a target that is expected to answer
- * it in `expected_ms`, on a route with this latency target. A node that shuts
- * down sends only what will most likely be answered, or has reached its
- * deadline, before the node ends. */
+/* Returns whether a request with this deadline may be sent to a target. A node
+ * that shuts down sends only what has a final response before the node ends
+ * even if the target takes all of the time: how long a request takes is not
+ * known before, and a caller that is refused finds another node at once. */
 bool
-RsShutdown_MayStart(const struct rs_shutdown *shutdown, double expected_ms,
-                    uint32_t latency_target_ms, int64_t deadline_ms,
-                    int64_t now_ms)
+RsShutdown_MayStart(const struct rs_shutdown *shutdown, int64_t deadline_ms)
 {
-    if (!RsShutdown_Begun(shutdown) || deadline_ms <= shutdown->answer_at_ms) {
-        return true;
-    }
-    double late_ms =
-        MAX(expected_ms * LATE_FACTOR, latency_target_ms * LATE_TARGET_FACTOR);
-    return late_ms <= (double)(shutdown->answer_at_ms - now_ms);
+    return !RsShutdown_Begun(shutdown) ||
+           deadline_ms <= shutdown->answer_at_ms;
 }
--- a/router/shutdown.h
+++ b/router/shutdown.h
@@ -30,7 +30,6 @@
 enum rs_shutdown_phase RsShutdown_Phase(const struct rs_shutdown *shutdown,
                                         int64_t now_ms);
 bool RsShutdown_MayStart(const struct rs_shutdown *shutdown,
-                         double expected_ms, uint32_t latency_target_ms,
-                         int64_t deadline_ms, int64_t now_ms);
+                         int64_t deadline_ms);
 
 #endif
