Wait for tunnels of other nodes during a shutdown

A node without callers of its own ended 3.4 s after SIGTERM, in a grace of 6 s, and with it a request of another node that reached its target through it: 502 for a request that may not be repeated, from a node that nobody had stopped.

Cause: the shutdown ended when the node's own requests and connections had ended; tunnels were not counted. They are now.

nodes.request_through_a_node_that_shuts_down failed on (status 502 instead of 200) and passes now, one run each.

--- a/router/node.c
+++ b/router/node.c
@@ -619,7 +619,8 @@
 }
 
 /* Does what is due in the present phase of the shutdown. Stops the event loop
- * when all requests and connections have ended, or time is over. */
+ * when all requests, connections and tunnels of other nodes have ended, or
+ * time is over. */
 static void
 continue_shutdown(struct node *node, int64_t now_ms)
 {
@@ -636,12 +637,15 @@
         RsRequest_AnswerAll(router);
     }
     bool all_ended = router->active.length == 0 &&
-                     RsServer_ConnectionCount(node->callers) == 0;
+                     RsServer_ConnectionCount(node->callers) == 0 &&
+                     RsTunnel_Count(node->tunnels) == 0;
     if (all_ended || phase == RsShutdown_OVER) {
-        RsLog_EVENT(RsLog_INFO, "stopped",
-                    RsLog_NUMBER("open_requests", router->active.length),
-                    RsLog_NUMBER("open_connections",
-                                 RsServer_ConnectionCount(node->callers)));
+        RsLog_EVENT(
+            RsLog_INFO, "stopped",
+            RsLog_NUMBER("open_requests", router->active.length),
+            RsLog_NUMBER("open_connections",
+                         RsServer_ConnectionCount(node->callers)),
+            RsLog_NUMBER("open_tunnels", RsTunnel_Count(node->tunnels)));
         RsLog_Flush();
         uv_stop(&node->loop);
     }
--- a/router/tunnel.c
+++ b/router/tunnel.c
@@ -414,3 +414,10 @@
 {
     return &server->counters;
 }
+
+/* Returns the number of tunnels that are open or being opened. */
+uint32_t
+RsTunnel_Count(const struct rs_tunnel_server *server)
+{
+    return server->tunnel_count;
+}
--- a/router/tunnel.h
+++ b/router/tunnel.h
@@ -18,5 +18,6 @@
 struct rs_tunnel_server *RsTunnel_Open(struct rs_router *router);
 const struct rs_tunnel_counters *
 RsTunnel_Counters(const struct rs_tunnel_server *server);
+uint32_t RsTunnel_Count(const struct rs_tunnel_server *server);
 
 #endif
--- a/tests/node_main.c
+++ b/tests/node_main.c
@@ -20,6 +20,8 @@
     {"request_on_a_kept_connection", test_request_on_a_kept_connection},
     {"request_at_a_slow_target", test_request_at_a_slow_target},
     {"requests_late_in_the_grace", test_requests_late_in_the_grace},
+    {"request_through_a_node_that_shuts_down",
+     test_request_through_a_node_that_shuts_down},
     {"target_that_says_it_leaves_gets_no_more",
      test_target_that_says_it_leaves_gets_no_more},
     {"keys_of_a_target_that_says_it_leaves_move",
--- a/tests/node_shutdown_test.c
+++ b/tests/node_shutdown_test.c
@@ -24,6 +24,7 @@
 #define LATE_REQUESTS_FROM_MS 1800
 #define LATE_REQUESTS_TO_MS 3100
 #define LATE_REQUESTS 14
+#define TUNNELED_WORK_MS 4500
 
 /* Opens a deployment in which the node has learned how long the target takes.
  */
@@ -165,3 +166,39 @@
     printf("late in the grace: %u served, %u refused\n", served, refused);
     check_end(fixture);
 }
+
+/* LOST: a node without callers of its own ended early in its grace, and with
+ * it a request of another node that reached the target through it. */
+void
+test_request_through_a_node_that_shuts_down(void)
+{
+    const struct rs_node_fixture_options options = {
+        .base_port = 26400,
+        .node_count = 2,
+        .plain_targets = 1,
+        .work_ms = QUICK_WORK_MS,
+        .timeout_ms = LONG_TIMEOUT_MS,
+        .cuttable = true,
+    };
+    struct rs_node_fixture *fixture = RsNodeFixture_OpenServing(&options);
+    int status = -1;
+    RsNodeFixture_CutFromTargets(fixture, 0, RsNodeFixture_REFUSED);
+    for (uint32_t i = 0; i < LEARNING_REQUESTS; i++) {
+        struct rs_node_fixture_request *first = RsNodeFixture_Post(fixture, 0);
+        CU_ASSERT_TRUE(RsNodeFixture_AwaitEnd(first, END_WITHIN_MS));
+        RsNodeFixture_Run(fixture, QUICK_WORK_MS);
+    }
+    RsSoakTarget_SetSlowdown(fixture->targets[0],
+                             TUNNELED_WORK_MS / QUICK_WORK_MS);
+    struct rs_node_fixture_request *request = RsNodeFixture_Post(fixture, 0);
+    RsNodeFixture_Run(fixture, QUICK_WORK_MS);
+    RsProcess_Signal(&fixture->nodes[1], SIGTERM);
+    CU_ASSERT_TRUE(RsNodeFixture_AwaitEnd(request, END_WITHIN_MS));
+    CU_ASSERT_EQUAL(request->status, 200);
+    CU_ASSERT_TRUE(request->complete);
+    CU_ASSERT_TRUE(
+        RsProcess_WaitEnd(&fixture->nodes[1], END_WITHIN_MS, &status));
+    CU_ASSERT_EQUAL(status, 0);
+    CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
+    RsNodeFixture_Close(fixture);
+}
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -8,6 +8,7 @@
 void test_request_on_a_kept_connection(void);
 void test_request_at_a_slow_target(void);
 void test_requests_late_in_the_grace(void);
+void test_request_through_a_node_that_shuts_down(void);
 
 /* tests/node_notices_test.c */
 void test_target_that_says_it_leaves_gets_no_more(void);
