Give three tests of nodes ports of their own

Two more pairs had that in common (26300, 28100). They have 22300 to 22500 now, which no other test uses. No check was changed."

--- a/tests/node_endless_test.c
+++ b/tests/node_endless_test.c
@@ -10,6 +10,7 @@
 #include "tests/raw_peer.h"
 
 #define BASE_PORT 28000
+#define UNREAD_PORT 22500
 #define ENDLESS_PORT_OFFSET 90
 #define LISTED_WITHIN_MS 1000 /* at the node */
 #define TIMEOUT_MS 1500
@@ -217,7 +218,7 @@
 test_endless_bodies_for_callers_that_do_not_read(void)
 {
     const struct rs_node_fixture_options options = {
-        .base_port = BASE_PORT + 100,
+        .base_port = UNREAD_PORT,
         .node_count = 1,
         .sharded_targets = 1,
         .work_ms = WORK_MS / 10,
--- a/tests/node_shutdown_test.c
+++ b/tests/node_shutdown_test.c
@@ -132,7 +132,7 @@
     struct rs_node_fixture_request *kept[LATE_REQUESTS];
     struct rs_node_fixture_request *requests[2 * LATE_REQUESTS];
     struct rs_node_fixture *fixture =
-        open_fixture(26300, QUICK_WORK_MS, LONG_TIMEOUT_MS);
+        open_fixture(22300, QUICK_WORK_MS, LONG_TIMEOUT_MS);
     uint32_t served = 0;
     uint32_t refused = 0;
     for (uint32_t i = 0; i < LATE_REQUESTS; i++) {
@@ -173,7 +173,7 @@
 test_request_through_a_node_that_shuts_down(void)
 {
     const struct rs_node_fixture_options options = {
-        .base_port = 26400,
+        .base_port = 22400,
         .node_count = 2,
         .plain_targets = 1,
         .work_ms = QUICK_WORK_MS,
