--- a/tests/raw_peer.c
+++ b/tests/raw_peer.c
@@ -26,7 +26,9 @@
 static void
 on_timer_closed(uv_handle_t *handle)
 {
-    g_free(handle->data);
+    struct rs_raw_connection *connection = handle->data;
+    g_free(connection->text);
+    g_free(connection);
 }
 
 static void
--- a/tests/raw_peer.h
+++ b/tests/raw_peer.h
@@ -21,6 +21,7 @@
     const struct rs_raw_target *target;
     char id[RsRawPeer_MAX_ID_BYTES]; /* of the last request */
     uint32_t step;                   /* of the test */
+    char *text;                      /* of the test; freed with g_free() */
     bool closing;
 };
 
