Show that a stopping node cuts the requests that it carries for others

Cause: a node that could not reach a worker at once, as a packet was lost, keeps the connection through another node in its pool. That node goes on carrying requests after its own SIGTERM, until its process ends.

Nothing of the product is changed.

--- a/review/bed/bed.h
+++ b/review/bed/bed.h
@@ -13,7 +13,7 @@
 
 #define RsBed_KEYS 65536
 #define RsBed_MAX_WORKERS 16
-#define RsBed_MAX_NODES 4
+#define RsBed_MAX_NODES 8
 #define RsBed_HEAD_BYTES 16384
 
 /* Exit statuses of a case. */
@@ -55,6 +55,8 @@
 
 int RsBedHttp_Listen(const char *host, uint16_t *port, rs_bed_handler handler,
                      void *arg);
+void RsBedHttp_LoseConnects(uint16_t port);
+void RsBedHttp_LetConnect(uint16_t port);
 int RsBedHttp_Connect(const char *host, uint16_t port);
 int RsBedHttp_Read(struct rs_bed_stream *stream,
                    struct rs_bed_message *message);
@@ -116,6 +118,7 @@
     char host[32];
     uint16_t callers_port;
     uint16_t readiness_port;
+    uint16_t admin_port;
     char settings[256];
     char log[256];
     int pid;
@@ -125,6 +128,7 @@
 int RsBedNodes_Restart(uint32_t number);
 int RsBedNodes_AwaitReady(int64_t within_ms);
 struct rs_bed_node *RsBedNodes_Get(uint32_t number);
+long RsBedNodes_CountTunnels(uint32_t number);
 void RsBedNodes_End(void);
 
 /* Consumers: bed/caller.c. */
--- a/review/bed/http.c
+++ b/review/bed/http.c
@@ -14,8 +14,15 @@
 #define BACKLOG 256
 #define END_OF_HEAD "\r\n\r\n"
 
+#define MAX_LISTENERS 32
+#define HELD_BACKLOG 0
+#define FILLERS 4 /* connections that fill the queue of a held listener */
+
 struct listener {
     int fd;
+    uint16_t port;
+    bool held;
+    int fillers[FILLERS];
     rs_bed_handler handler;
     void *arg;
 };
@@ -25,6 +32,9 @@
     const struct listener *listener;
 };
 
+static struct listener *listeners[MAX_LISTENERS];
+static size_t listener_count;
+
 static void *
 serve(void *arg)
 {
@@ -40,6 +50,9 @@
 {
     const struct listener *listener = arg;
     for (;;) {
+        while (listener->held) {
+            RsBed_SleepMs(1);
+        }
         int fd = accept(listener->fd, NULL, NULL);
         if (fd < 0) {
             continue;
@@ -89,9 +102,54 @@
     }
     pthread_detach(thread);
     *port = ntohs(address.sin_port);
+    listener->port = *port;
+    if (listener_count < MAX_LISTENERS) {
+        listeners[listener_count++] = listener;
+    }
     return 0;
 }
 
+static struct listener *
+find_listener(uint16_t port)
+{
+    for (size_t i = 0; i < listener_count; i++) {
+        if (listeners[i]->port == port) {
+            return listeners[i];
+        }
+    }
+    return NULL;
+}
+
+/* Loses the first packet of each new connection to a port of
+ * RsBedHttp_Listen(), until RsBedHttp_LetConnect(): the queue of the listener
+ * is full. Open connections go on. */
+void
+RsBedHttp_LoseConnects(uint16_t port)
+{
+    struct listener *listener = find_listener(port);
+    struct sockaddr_in address = make_address("127.0.0.1", port);
+    listen(listener->fd, HELD_BACKLOG);
+    listener->held = true;
+    for (size_t i = 0; i < FILLERS; i++) {
+        listener->fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        connect(listener->fillers[i], (struct sockaddr *)&address,
+                sizeof(address));
+        RsBed_SleepMs(1);
+    }
+}
+
+/* Accepts connections again. */
+void
+RsBedHttp_LetConnect(uint16_t port)
+{
+    struct listener *listener = find_listener(port);
+    for (size_t i = 0; i < FILLERS; i++) {
+        close(listener->fillers[i]);
+    }
+    listen(listener->fd, BACKLOG);
+    listener->held = false;
+}
+
 /* Returns a connected socket, or -1. */
 int
 RsBedHttp_Connect(const char *host, uint16_t port)
--- a/review/bed/nodes.c
+++ b/review/bed/nodes.c
@@ -85,7 +85,7 @@
             "load:\n  adaptive: true\n",
             number + 1, zones[number % 3], node->host, node->host,
             node->callers_port, node->host, node->readiness_port, first_port,
-            first_port + 15U, store_port);
+            node->admin_port, store_port);
     return fclose(file);
 }
 
@@ -118,6 +118,7 @@
     }
     for (uint32_t i = 0; i < count; i++) {
         struct rs_bed_node *node = &nodes[i];
+        node->admin_port = (uint16_t)(first_port + 15);
         node->callers_port = (uint16_t)(first_port + 16);
         node->readiness_port = (uint16_t)(first_port + 17);
         snprintf(node->settings, sizeof(node->settings), "%s/node-%u.yaml",
@@ -180,6 +181,30 @@
     return &nodes[number];
 }
 
+/* Returns how many tunnels a node has opened for others by its own metrics, or
+ * -1. */
+long
+RsBedNodes_CountTunnels(uint32_t number)
+{
+    static const char question[] = "GET /metrics HTTP/1.1\r\nHost: n\r\n\r\n";
+    static const char name[] = "\nrattanshed_tunnels_total";
+    const struct rs_bed_node *node = &nodes[number];
+    struct rs_bed_stream stream = {
+        .fd = RsBedHttp_Connect(node->host, node->admin_port)};
+    struct rs_bed_message message = {0};
+    long count = -1;
+    if (stream.fd >= 0 &&
+        RsBedHttp_SendAll(stream.fd, question, strlen(question)) == 0 &&
+        RsBedHttp_Read(&stream, &message) == 0 && message.body != NULL) {
+        const char *line = strstr(message.body, name);
+        const char *value = line != NULL ? strchr(line, ' ') : NULL;
+        count = value != NULL ? strtol(value, NULL, 10) : -1;
+    }
+    RsBedHttp_Clear(&message);
+    close(stream.fd);
+    return count;
+}
+
 /* Ends all nodes. */
 void
 RsBedNodes_End(void)
