Drop the case of second answers to orders, which review/1 shows

Change: the case goes, the others become 6 (an entry of another writer), 7 (requests that a stopping node carries) and 8 (large bodies), and the stand-ins lose what only it needed.

--- a/review/6/case.c
+++ b/review/6/case.c
@@ -1,49 +1,32 @@
-/* A worker sends its answer to a grant a second time. The second answer comes
- * late, when the next answer on the connection is expected. */
+/* An entry of another writer comes into the store: a copy of a worker's entry
+ * under another key, without the field `version`. */
 
 #include "review/bed/bed.h"
 
-#include <stddef.h>
 #include <stdio.h>
 
 #define NODES 3
-#define CALLS 320
-#define CALL_EVERY_MS 25
-#define LONG_CALL_EVERY 28 /* every 28th takes 900 ms, the others 20 ms */
-#define LEAVE_AT_CALL 210
-#define REPEATS 2
+#define CALLS 24
+#define CALL_EVERY_MS 250
+#define WRITE_AT_CALL 10
 #define WATCH_MS 3000
-#define KEY_STEP 40503U /* spreads the keys of successive requests */
 
 static struct rs_bed_call calls[CALLS];
 
-/* Lets the worker leave. */
+/* Writes the entry. It names the address of `worker` and the time of writing.
+ */
 static void
-leave(struct rs_bed_worker *worker)
+write_foreign_entry(const struct rs_bed_worker *worker)
 {
-    RsBed_Record("%s leaves", worker->id);
-    worker->repeats_after_ms = RsBed_NowMs();
-    worker->repeats_left = RsBed_HasTrouble() ? REPEATS : 0;
-    RsBedWorker_SetDraining(worker);
-}
-
-/* Returns a request: a long one for a key that the worker holds, or a short
- * one for any key. */
-static struct rs_bed_call
-make_call(size_t number, const struct rs_bed_worker *worker)
-{
-    struct rs_bed_call call = {.node = number % NODES,
-                               .method = "GET",
-                               .host = "sorteo.example",
-                               .path = "/draws/club-7?ms=20",
-                               .key =
-                                   (int64_t)(number * KEY_STEP % RsBed_KEYS),
-                               .deadline_ms = 3000};
-    if (number % LONG_CALL_EVERY == 0) {
-        snprintf(call.path, sizeof(call.path), "/draws/club-7?ms=900");
-        call.key = RsBedWorker_FindHeldKey(worker) % RsBed_KEYS;
-    }
-    return call;
+    char text[512];
+    snprintf(text, sizeof(text),
+             "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"%s\""
+             ",\"capacity\":%u,\"state\":\"ready\",\"warmup_left_ms\":0,"
+             "\"sequence\":1,\"born\":%lld}",
+             worker->service, worker->port, worker->zone, worker->slots,
+             (long long)RsBed_WallMs());
+    RsBed_Record("another writer writes servers/copy-1: %s", text);
+    RsBedStore_Put("servers", "copy-1", text);
 }
 
 int
@@ -58,12 +41,18 @@
         RsBedNodes_End();
         return RsBed_NOT_RUN;
     }
+    uint32_t key = RsBedWorker_FindHeldKey(first);
     for (size_t i = 0; i < CALLS; i++) {
-        calls[i] = make_call(i, first);
+        calls[i] = (struct rs_bed_call){.node = i % NODES,
+                                        .method = "GET",
+                                        .host = "sorteo.example",
+                                        .path = "/draws/club-7?ms=300",
+                                        .key = key,
+                                        .deadline_ms = 3000};
         RsBedCaller_Begin(&calls[i], &threads[i]);
         RsBed_SleepMs(CALL_EVERY_MS);
-        if (i == LEAVE_AT_CALL) {
-            leave(first);
+        if (i == WRITE_AT_CALL && RsBed_HasTrouble()) {
+            write_foreign_entry(first);
         }
     }
     RsBed_SleepMs(WATCH_MS);
--- a/review/8/case.c
+++ b/review/8/case.c
@@ -1,119 +1,136 @@
-/* Nodes are stopped in turn. One of them carries a request of another one. */
+/* Four consumers at a time send requests with bodies of 60 MB, which the
+ * config allows, to each of two nodes. A process that takes more memory than
+ * its machine has is killed and started again, as the platform does. */
 
 #include "review/bed/bed.h"
 
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
 
-#define NODES 5
-#define FIRST 0 /* the node that takes the requests */
-#define START_MS 3000
-#define LOSS_MS 200
-#define CALM_MS 5000 /* over contact_ms, 3 s */
-#define CALL_EVERY_MS 100
-#define GAP_MS 2000  /* between two SIGTERMs */
-#define LATE_MS 1200 /* from the last SIGTERM to the last request */
+#define NODES 3
+#define HIT_NODES 2 /* a tenth of the machines in use, two at least */
+#define ROUNDS 3    /* processes end by themselves three times in the day */
+#define UPLOADS 4   /* at a time, to each of these nodes */
+#define LARGE_BYTES (60 * 1024 * 1024)
+#define SMALL_BYTES 24000
+#define MEMORY_MB 260
+#define WATCH_EVERY_MS 5
+#define RESTART_AFTER_MS 500
+#define ROUND_MS 6000
 
-/* Returns a request to the first node. */
-static struct rs_bed_call
-make_call(const char *path)
-{
-    struct rs_bed_call call = {.node = FIRST,
-                               .method = "POST",
-                               .host = "entries.example",
-                               .key = -1,
-                               .deadline_ms = 4000,
-                               .body_bytes = 2000};
-    snprintf(call.path, sizeof(call.path), "%s", path);
-    return call;
-}
+static struct rs_bed_call calls[HIT_NODES * UPLOADS];
+static uint32_t ends[HIT_NODES];
+static int64_t restart_at_ms[HIT_NODES]; /* 0: it runs */
 
-/* Returns the node other than the first that has opened a tunnel, or the
- * second one. */
-static uint32_t
-find_carrier(void)
+/* Returns the most resident memory that a node's process has had, in MB. */
+static long
+peak_mb(const struct rs_bed_node *node)
 {
-    for (uint32_t i = 0; i < NODES; i++) {
-        if (i != FIRST && RsBedNodes_CountTunnels(i) > 0) {
-            RsBed_Record("node %u carries requests of node %u", i + 1,
-                         FIRST + 1);
-            return i;
+    char path[64];
+    char line[256];
+    long kb = 0;
+    snprintf(path, sizeof(path), "/proc/%d/status", node->pid);
+    FILE *file = fopen(path, "r");
+    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
+        if (strncmp(line, "VmHWM:", 6) == 0) {
+            kb = strtol(line + 6, NULL, 10);
         }
     }
-    return 1;
-}
-
-static void
-stop(uint32_t number)
-{
-    RsBed_Record("SIGTERM to node %u", number + 1);
-    kill(RsBedNodes_Get(number)->pid, SIGTERM);
+    if (file != NULL) {
+        fclose(file);
+    }
+    return kb / 1024;
 }
 
-/* Sends a short request at a time to the first node. */
+/* Kills a node's process if it takes too much memory, and starts it again a
+ * little later. */
 static void
-send_for(int64_t duration_ms)
+check_memory(uint32_t number)
 {
-    int64_t until_ms = RsBed_NowMs() + duration_ms;
-    while (RsBed_NowMs() < until_ms) {
-        struct rs_bed_call call = make_call("/entries/a?ms=20");
-        RsBedCaller_Call(&call);
-        int64_t left_ms = until_ms - RsBed_NowMs();
-        RsBed_SleepMs(left_ms < CALL_EVERY_MS ? (left_ms > 0 ? left_ms : 0)
-                                              : CALL_EVERY_MS);
+    struct rs_bed_node *node = RsBedNodes_Get(number);
+    if (restart_at_ms[number] > 0) {
+        if (RsBed_NowMs() >= restart_at_ms[number]) {
+            restart_at_ms[number] = 0;
+            RsBedNodes_Restart(number);
+        }
+        return;
+    }
+    long mb = peak_mb(node);
+    if (mb > MEMORY_MB) {
+        ends[number]++;
+        RsBed_Record("node %u has taken %ld MB of %d and is killed",
+                     number + 1, mb, MEMORY_MB);
+        kill(node->pid, SIGKILL);
+        waitpid(node->pid, NULL, 0);
+        restart_at_ms[number] = RsBed_NowMs() + RESTART_AFTER_MS;
     }
 }
 
-/* Sends requests to the first node, the first of which can't reach the worker
- * directly if there is trouble. */
+/* Plays one round of uploads. */
 static void
-send_requests(const struct rs_bed_worker *worker)
+play_round(void)
 {
-    struct rs_bed_call call = make_call("/entries/a?ms=20");
-    pthread_t thread;
-    if (RsBed_HasTrouble()) {
-        RsBed_Record("first packets of connections to %s are lost",
-                     worker->id);
-        RsBedHttp_LoseConnects(worker->port);
+    pthread_t threads[HIT_NODES * UPLOADS];
+    int64_t until_ms = RsBed_NowMs() + ROUND_MS;
+    for (uint32_t i = 0; i < HIT_NODES * UPLOADS; i++) {
+        calls[i] = (struct rs_bed_call){
+            .node = i % HIT_NODES,
+            .method = "POST",
+            .host = "entries.example",
+            .path = "/entries/team?ms=210",
+            .key = -1,
+            .deadline_ms = 4000,
+            .body_bytes = RsBed_HasTrouble() ? LARGE_BYTES : SMALL_BYTES};
+        RsBedCaller_Begin(&calls[i], &threads[i]);
     }
-    RsBedCaller_Begin(&call, &thread);
-    RsBed_SleepMs(LOSS_MS);
-    if (RsBed_HasTrouble()) {
-        RsBedHttp_LetConnect(worker->port);
-        RsBed_Record("no packets are lost any more");
+    while (RsBed_NowMs() < until_ms) {
+        for (uint32_t i = 0; i < HIT_NODES; i++) {
+            check_memory(i);
+        }
+        RsBed_SleepMs(WATCH_EVERY_MS);
+    }
+    for (uint32_t i = 0; i < HIT_NODES * UPLOADS; i++) {
+        pthread_join(threads[i], NULL);
     }
-    pthread_join(thread, NULL);
-    send_for(CALM_MS);
 }
 
 int
 main(int count, char **arguments)
 {
     char folder[256];
-    struct rs_bed_worker *first = NULL;
-    struct rs_bed_worker *second = NULL;
+    uint16_t store_port = 0;
+    uint32_t hit = 0;
     if (RsBed_OpenFolder(count, arguments, folder, sizeof(folder)) != 0 ||
-        RsBed_Start(folder, NODES, &first, &second) != 0) {
+        RsBedStore_Open(&store_port) != 0) {
+        return RsBed_NOT_RUN;
+    }
+    RsBed_WriteConfig();
+    for (size_t i = 0; i < 4; i++) {
+        char id[] = "i-3a";
+        id[3] = (char)('a' + i);
+        RsBedWorker_Start(id, "inscripcion", "montevideo-a", false);
+    }
+    bool ready = RsBedNodes_Start(NODES, store_port, folder) == 0;
+    for (int i = 0; ready && i < ROUNDS; i++) {
+        ready = RsBedNodes_AwaitReady(15000) == 0;
+        if (ready) {
+            play_round();
+        }
+    }
+    if (!ready) {
         RsBedNodes_End();
         return RsBed_NOT_RUN;
     }
-    struct rs_bed_worker *worker =
-        RsBedWorker_Start("i-3c", "inscripcion", "maldonado-c", false);
-    RsBed_SleepMs(START_MS);
-    send_requests(worker);
-    uint32_t carrier = find_carrier();
-    stop(carrier);
-    send_for(GAP_MS);
-    stop(carrier == 1 ? 2 : 1);
-    send_for(GAP_MS);
-    stop(FIRST);
-    send_for(LATE_MS);
-    struct rs_bed_call call = make_call("/entries/b?ms=1200");
-    RsBedCaller_Call(&call);
-    if (call.status != 200 && RsBedWorker_HasRun(call.id)) {
-        RsBed_Break("LOST: after its SIGTERM node %u gave up %s, at which "
-                    "its worker was at work, and answered %d",
-                    FIRST + 1, call.id, call.status);
+    for (uint32_t i = 0; i < HIT_NODES; i++) {
+        hit += ends[i] >= ROUNDS;
+    }
+    if (hit == HIT_NODES) {
+        RsBed_Break("Fault: the processes of %u of %d machines have ended by "
+                    "themselves %d times, as they took too much memory",
+                    hit, NODES, ROUNDS);
     }
     return RsBed_End();
 }
--- a/review/bed/bed.h
+++ b/review/bed/bed.h
@@ -86,22 +86,12 @@
     uint64_t sequence;
     uint32_t running;
     uint32_t waiting;
-    uint64_t ran; /* requests that it began */
-    uint64_t answers;
     /* Of each key: the highest epoch number seen, the end of the hold, the end
      * that it would have had without a release, and requests at work. */
     uint64_t seen[RsBed_KEYS];
     int64_t hold_until_ms[RsBed_KEYS];
     int64_t granted_until_ms[RsBed_KEYS];
     uint16_t active[RsBed_KEYS];
-    /* Faults. */
-    /* Of the answers to grants after this time, so many are sent a second
-     * time; see bed/worker.c. */
-    int64_t repeats_after_ms;
-    uint32_t repeats_left;
-    uint32_t fail_percent;  /* of the requests that it has run */
-    uint32_t fail_status;   /* the status of their answers */
-    uint64_t failed_so_far; /* answers with that status */
 };
 
 struct rs_bed_worker *RsBedWorker_Start(const char *id, const char *service,
--- a/review/bed/http.c
+++ b/review/bed/http.c
@@ -132,8 +132,8 @@
     listener->held = true;
     for (size_t i = 0; i < FILLERS; i++) {
         listener->fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-        connect(listener->fillers[i], (struct sockaddr *)&address,
-                sizeof(address));
+        (void)connect(listener->fillers[i], (struct sockaddr *)&address,
+                      sizeof(address));
         RsBed_SleepMs(1);
     }
 }
--- a/review/bed/worker.c
+++ b/review/bed/worker.c
@@ -13,14 +13,12 @@
 #define HEALTH_MS 5 /* what a worker takes for its health answer */
 #define WORK_MS 100 /* unless the path names another duration */
 #define POLL_MS 5
-#define MAX_REPEAT_DELAY_MS 100
 #define REPORT_EVERY_MS 500
 #define JUDGE_EVERY_MS 20
 #define MAX_SHARED_MS                                                         \
     500 /* rule OWNER: two holders for over half a second                     \
          */
 #define DEFAULT_DEADLINE_MS 10000
-#define PERCENT 100
 
 struct run {
     char id[40];
@@ -93,7 +91,6 @@
                  "Keep-Alive: timeout=10\r\nContent-Length: %zu\r\n\r\n%s",
                  status, extra, worker->running, worker->waiting,
                  worker->slots, strlen(body), body);
-    __atomic_add_fetch(&worker->answers, 1, __ATOMIC_SEQ_CST);
     return RsBedHttp_SendAll(fd, text, (size_t)size);
 }
 
@@ -244,29 +241,6 @@
     return sent;
 }
 
-/* The fault of `repeats_left`: a second answer to the last grant on a
- * connection comes late, when the next answer there is expected, unless that
- * is more than MAX_REPEAT_DELAY_MS later. `granted_at_ms` is the time of that
- * grant, 0 if there was none. */
-static void
-repeat_answer(struct rs_bed_worker *worker, int fd, int64_t granted_at_ms,
-              const struct rs_bed_message *message)
-{
-    pthread_mutex_lock(&lock);
-    bool repeats = worker->repeats_left > 0 &&
-                   granted_at_ms >= worker->repeats_after_ms &&
-                   RsBed_NowMs() - granted_at_ms <= MAX_REPEAT_DELAY_MS;
-    worker->repeats_left -= repeats;
-    pthread_mutex_unlock(&lock);
-    if (repeats) {
-        RsBed_Record("%s sends its answer to a grant a second time, as %s %s "
-                     "arrives on that connection; it has given %llu answers",
-                     worker->id, message->method, message->path,
-                     (unsigned long long)worker->answers);
-        answer(worker, fd, 200, "", "");
-    }
-}
-
 /* Requests. */
 
 /* Returns the duration that a path names (?ms=N). */
@@ -309,7 +283,6 @@
         return 421;
     }
     worker->running++;
-    worker->ran++;
     if (worker->sharded) {
         worker->active[key]++;
     }
@@ -338,11 +311,6 @@
         RsBed_NowMs() >= worker->granted_until_ms[key]) {
         status = 500;
     }
-    if (status == 200 && worker->fail_percent > 0 &&
-        worker->failed_so_far * PERCENT < worker->ran * worker->fail_percent) {
-        worker->failed_so_far++;
-        status = (int)worker->fail_status;
-    }
     worker->running--;
     if (worker->sharded) {
         worker->active[key]--;
@@ -399,10 +367,7 @@
     char target[64];
     char extra[128];
     int sent = 0;
-    int64_t granted_at_ms = 0;
     while (sent == 0 && RsBedHttp_Read(stream, &message) == 0) {
-        repeat_answer(worker, stream->fd, granted_at_ms, &message);
-        granted_at_ms = 0;
         bool named = RsBedHttp_Header(&message, "x-target-instance", target,
                                       sizeof(target));
         snprintf(extra, sizeof(extra), "X-Instance-Id: %s\r\n", worker->id);
@@ -417,8 +382,6 @@
         else if (strcmp(message.path, "/grant") == 0 ||
                  strcmp(message.path, "/release") == 0) {
             sent = handle_order(worker, stream, &message);
-            granted_at_ms =
-                strcmp(message.path, "/grant") == 0 ? RsBed_NowMs() : 0;
         }
         else {
             sent = handle_request(worker, stream->fd, &message);
