Show that one unreadable row makes the next granter give all keys anew

Cause: the id of an owner goes into the key map's JSON without escaping. An entry of another writer, with a quotation mark in its key, is taken for a worker and so makes the committed row unreadable. A node that takes the lease then begins a new map, with the first epoch numbers, and grants keys that other workers still hold.

Nothing of the product is changed.

--- a/review/bed/bed.h
+++ b/review/bed/bed.h
@@ -70,6 +70,7 @@
 int RsBedStore_Open(uint16_t *port);
 void RsBedStore_Put(const char *table, const char *key, const char *value);
 void RsBedStore_Delete(const char *table, const char *key);
+bool RsBedStore_Read(const char *table, char *value, size_t size);
 
 /* Workers: bed/worker.c. */
 struct rs_bed_worker {
@@ -86,9 +87,11 @@
     uint64_t sequence;
     uint32_t running;
     uint32_t waiting;
-    /* Of each key: the highest epoch number seen, the end of the hold, the end
-     * that it would have had without a release, and requests at work. */
+    /* Of each key: the highest epoch number seen, the one of its last grant,
+     * the end of the hold, the end that it would have had without a release,
+     * and requests at work. */
     uint64_t seen[RsBed_KEYS];
+    uint64_t granted_fence[RsBed_KEYS];
     int64_t hold_until_ms[RsBed_KEYS];
     int64_t granted_until_ms[RsBed_KEYS];
     uint16_t active[RsBed_KEYS];
--- a/review/bed/store.c
+++ b/review/bed/store.c
@@ -352,3 +352,25 @@
     pthread_cond_broadcast(&changed);
     pthread_mutex_unlock(&lock);
 }
+
+/* Copies the value of the first row of a table as text. Returns whether there
+ * is one. */
+bool
+RsBedStore_Read(const char *table, char *value, size_t size)
+{
+    bool found = false;
+    pthread_mutex_lock(&lock);
+    for (guint i = 0; i < rows->len && !found; i++) {
+        const struct row *row = g_ptr_array_index(rows, i);
+        if (!row->deleted && strcmp(row->table, table) == 0) {
+            gsize decoded_size = 0;
+            guchar *decoded = g_base64_decode(row->value, &decoded_size);
+            snprintf(value, size, "%.*s", (int)decoded_size,
+                     (const char *)decoded);
+            g_free(decoded);
+            found = true;
+        }
+    }
+    pthread_mutex_unlock(&lock);
+    return found;
+}
--- a/review/bed/worker.c
+++ b/review/bed/worker.c
@@ -135,6 +135,31 @@
     }
 }
 
+/* Judges the epoch number of a grant: it must be above all with which other
+ * workers had the keys. */
+static void
+judge_fence(const struct rs_bed_worker *to, uint32_t first, uint32_t last,
+            uint64_t fence)
+{
+    for (size_t i = 0; i < worker_count; i++) {
+        const struct rs_bed_worker *other = workers[i];
+        if (other == to || strcmp(other->service, to->service) != 0) {
+            continue;
+        }
+        for (uint32_t key = first; key <= last; key++) {
+            if (other->granted_fence[key] >= fence) {
+                RsBed_Break(
+                    "OWNER: %s takes key %u with epoch %llu, %s had "
+                    "it with %llu and its hold ends in %lld ms",
+                    to->id, key, (unsigned long long)fence, other->id,
+                    (unsigned long long)other->granted_fence[key],
+                    (long long)(other->hold_until_ms[key] - RsBed_NowMs()));
+                return;
+            }
+        }
+    }
+}
+
 /* Applies a grant. Returns the HTTP status. */
 static int
 apply_grant(struct rs_bed_worker *worker, const json_t *body, int64_t now_ms)
@@ -163,9 +188,11 @@
                      worker->id, first, last, (unsigned long long)fence,
                      (long long)hold_ms);
         judge_grant(worker, first, last, now_ms);
+        judge_fence(worker, first, last, fence);
     }
     for (uint32_t key = first; key <= last; key++) {
         worker->seen[key] = fence;
+        worker->granted_fence[key] = fence;
         worker->hold_until_ms[key] = now_ms + hold_ms;
         worker->granted_until_ms[key] = now_ms + hold_ms;
     }
@@ -205,6 +232,7 @@
         worker->hold_until_ms[key] = 0;
         if (fence > worker->seen[key]) {
             worker->seen[key] = fence;
+            worker->granted_fence[key] = fence;
         }
     }
     while (is_at_work(worker, first, last)) {
