Escape the ids of owners in the rows of key maps

The first half of the cause: RsKeymap_Encode() put ids between quotation marks as they are. The id of a target is the key of its row in the store, so any text. One with a quotation mark made the committed row unreadable for all nodes. An id with an "@" and no known address was cut at it when the row was decoded.

Change: the JSON library encodes ids. A row whose key has control characters or isn't UTF-8 names no target: ids are sent in headers.

--- a/router/fleet.c
+++ b/router/fleet.c
@@ -146,13 +146,14 @@
 /* Adds a target that has no row, but is named as an owner or former owner in a
  * key map; `address` is an interned "IP:PORT". It gets no work, but may still
  * be ordered to release its keys or be found to be replaced. Does nothing for
- * known targets and unusable addresses. */
+ * known targets, unusable ids and unusable addresses. */
 void
 RsFleet_AddUnlisted(struct rs_fleet *fleet, const char *id,
                     int64_t started_wall_ms, const char *address)
 {
     struct sockaddr_in parsed;
     if (RsFleet_Find(fleet, id) != NULL || address == NULL ||
+        !RsReport_IsUsableId(id) ||
         RsNodeSettings_ParseEndpoint(address, &parsed) != 0) {
         return;
     }
@@ -297,8 +298,9 @@
                  int64_t now_ms)
 {
     struct rs_target_report report;
-    const char *fault;
-    if (RsReport_Decode(value, &report, &fault) != 0) {
+    const char *fault = "id";
+    if (!RsReport_IsUsableId(id) ||
+        RsReport_Decode(value, &report, &fault) != 0) {
         RsLog_EVENT(RsLog_WARNING, "report_malformed",
                     RsLog_TEXT("target", id), RsLog_TEXT("fault", fault));
         return RsTableCopy_IGNORED;
--- a/router/keymap.c
+++ b/router/keymap.c
@@ -42,18 +42,17 @@
     g_free(map);
 }
 
-/* Returns "ID@ADDRESS", "ID" without a known address, or "" for nobody. The
- * address lets a later granter find out whether another target has replaced
- * this one. The caller frees the text. */
+/* Returns "ID@ADDRESS". Without a known address it is "ID", or "ID@" if the id
+ * has an "@" of its own. The address lets a later granter ask the process at
+ * it whether the owner still runs. The caller frees the text. */
 static char *
 owner_text(const struct rs_owner *owner)
 {
-    if (owner->id == NULL) {
-        return g_strdup("");
+    if (owner->address == NULL && strchr(owner->id, '@') == NULL) {
+        return g_strdup(owner->id);
     }
-    return owner->address != NULL
-               ? g_strdup_printf("%s@%s", owner->id, owner->address)
-               : g_strdup(owner->id);
+    return g_strdup_printf("%s@%s", owner->id,
+                           owner->address != NULL ? owner->address : "");
 }
 
 /* The distinct owners in a map, to which the encoded ranges refer by index,
@@ -147,6 +146,20 @@
     g_string_append_c(text, ']');
 }
 
+/* Appends an owner as [TEXT, STARTED_MS]. Ids are texts of other programs. */
+static void
+encode_owner(GString *text, const char *name)
+{
+    const char *started = strrchr(name, ' ');
+    json_t *id = json_stringn(name, (size_t)(started - name));
+    char *quoted = json_dumps(id, JSON_ENCODE_ANY);
+    assert(quoted !=
+           NULL); /* ids are valid UTF-8, see RsReport_IsUsableId() */
+    g_string_append_printf(text, "[%s,%s]", quoted, started + 1);
+    free(quoted);
+    json_decref(id);
+}
+
 /* Returns the map as JSON text with a line for each owner and each range,
  * without the state of orders. The caller frees it with g_free(). */
 char *
@@ -157,10 +170,8 @@
     g_string_append_printf(text, "{\"next_fence\":%" PRIu64 ",\"owners\":[",
                            map->next_fence);
     for (guint i = 0; i < owners.names->len; i++) {
-        const char *name = g_ptr_array_index(owners.names, i);
-        const char *started = strrchr(name, ' ');
-        g_string_append_printf(text, "%s\n[\"%.*s\",%s]", i > 0 ? "," : "",
-                               (int)(started - name), name, started + 1);
+        g_string_append(text, i > 0 ? ",\n" : "\n");
+        encode_owner(text, g_ptr_array_index(owners.names, i));
     }
     g_string_append(text, "],\"ranges\":[");
     for (size_t i = 0; i < map->ranges->len; i++) {
@@ -173,7 +184,7 @@
     return g_string_free(text, FALSE);
 }
 
-/* Parses "ID@ADDRESS" or "ID". */
+/* Parses the result of owner_text(). */
 static struct rs_owner
 parse_owner(const char *text, int64_t started_wall_ms)
 {
@@ -182,7 +193,8 @@
     char *id =
         at != NULL ? g_strndup(text, (gsize)(at - text)) : g_strdup(text);
     owner.id = id[0] != '\0' ? g_intern_string(id) : NULL;
-    owner.address = at != NULL ? g_intern_string(at + 1) : NULL;
+    owner.address =
+        at != NULL && at[1] != '\0' ? g_intern_string(at + 1) : NULL;
     g_free(id);
     return owner;
 }
@@ -277,8 +289,8 @@
 }
 
 /* Decodes the value of a row. Returns NULL when it is malformed or doesn't
- * cover the whole key space. `service` must be interned; the caller frees the
- * map with RsKeymap_Free(). */
+ * cover the whole key space. `service`
+ * must be interned; the caller frees the map with RsKeymap_Free(). */
 struct rs_keymap *
 RsKeymap_Decode(const char *service, const char *value)
 {
--- a/router/keymap_test.c
+++ b/router/keymap_test.c
@@ -113,6 +113,51 @@
     RsKeymap_Free(map);
 }
 
+/* Encodes a map of two owners and decodes it again. */
+static void
+check_owner_round_trip(const struct rs_owner *first)
+{
+    struct rs_keymap *map = RsKeymap_New(g_intern_string("s"));
+    struct rs_owner other = owner("b");
+    RsKeymap_Move(map, 0, LAST_KEY, first);
+    RsKeymap_Move(map, 100, 199, &other);
+    char *encoded = RsKeymap_Encode(map);
+    struct rs_keymap *copy = RsKeymap_Decode(map->service, encoded);
+    CU_ASSERT_PTR_NOT_NULL(copy);
+    if (copy != NULL) {
+        const struct rs_owner *decoded = &RsKeymap_FindRange(copy, 0)->owner;
+        CU_ASSERT_PTR_EQUAL(decoded->id, first->id);
+        CU_ASSERT_PTR_EQUAL(decoded->address, first->address);
+        CU_ASSERT_EQUAL(decoded->started_wall_ms, first->started_wall_ms);
+        CU_ASSERT_PTR_EQUAL(RsKeymap_FindRange(copy, 150)->former.id,
+                            first->id);
+    }
+    RsKeymap_Free(copy);
+    g_free(encoded);
+    RsKeymap_Free(map);
+}
+
+/* review/6: a quotation mark in an owner's id made the row of the map
+ * unreadable. The id can be any text. */
+static void
+test_owners_of_any_id_survive_a_round_trip(void)
+{
+    for (gunichar c = 1; c < 0x180; c++) {
+        static const char *const parts[] = {"", "i-", "@", "a \" "};
+        char utf8[7] = {0};
+        g_unichar_to_utf8(c, utf8);
+        for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+            char *id = g_strconcat(parts[i], utf8, parts[i], utf8, NULL);
+            struct rs_owner named = owner("a");
+            named.id = g_intern_string(id);
+            check_owner_round_trip(&named);
+            named.address = NULL;
+            check_owner_round_trip(&named);
+            g_free(id);
+        }
+    }
+}
+
 static void
 test_adjacent_ranges_of_one_owner_are_merged(void)
 {
@@ -198,6 +243,7 @@
     CU_ADD_TEST(suite, test_range_with_a_grant_in_flight_does_not_move);
     CU_ADD_TEST(suite, test_move_keeps_the_hold_of_the_former_owner);
     CU_ADD_TEST(suite, test_decoded_row_equals_the_map);
+    CU_ADD_TEST(suite, test_owners_of_any_id_survive_a_round_trip);
     CU_ADD_TEST(suite, test_adjacent_ranges_of_one_owner_are_merged);
     CU_ADD_TEST(suite, test_row_of_many_ranges_is_small);
     CU_ADD_TEST(suite, test_malformed_rows_are_rejected);
