Wait for all grants when a key map can't be read

The second half of the cause: add_loaded_map() left out a row that it could not read, so that the next granter took the service for one without a row, began its map with the first fence and no holds, and wrote it over the row.

Its fences are above all that were given: the lease row, which is written with each change of a map, now states the next fence of all maps, and each node keeps the highest that it has seen. Where the former granter has not stated it (an older version, or a lease row that can't be read either), 2^28 fences are skipped. A map with fences that are not below its next one counts as unreadable.

Ruled out: going by the last map that the new granter has read. It may lack a move whose former owner never answered, and that owner would accept its old fence again.

--- a/router/fixture.c
+++ b/router/fixture.c
@@ -1004,6 +1004,34 @@
     }
 }
 
+static void
+overwrite_rows(struct rs_simulation *sim, const char *table, const char *value)
+{
+    sim->version++;
+    for (size_t i = 0; i < sim->row_count; i++) {
+        struct row *row = &sim->rows[i];
+        if (strcmp(row->table, table) == 0) {
+            g_free(row->value);
+            row->value = g_strdup(value);
+            row->version = sim->version;
+        }
+    }
+}
+
+/* Replaces the value of the row of the key map. */
+void
+RsSimulation_OverwriteMap(struct rs_simulation *sim, const char *value)
+{
+    overwrite_rows(sim, RsGranter_MAP_TABLE, value);
+}
+
+/* Replaces the value of the lease row. */
+void
+RsSimulation_OverwriteLease(struct rs_simulation *sim, const char *value)
+{
+    overwrite_rows(sim, RsGranter_LEASE_TABLE, value);
+}
+
 /* Returns the index of the node that is the granter and may change owners, or
  * -1. */
 int
--- a/router/fixture.h
+++ b/router/fixture.h
@@ -67,6 +67,11 @@
 /* Ends a target; another one starts at its address. */
 void RsSimulation_ReplaceTarget(struct rs_simulation *sim, uint32_t number);
 
+/* Has another writer replace the row of the key map, or that of the lease, by
+ * `value`. */
+void RsSimulation_OverwriteMap(struct rs_simulation *sim, const char *value);
+void RsSimulation_OverwriteLease(struct rs_simulation *sim, const char *value);
+
 /* Makes all nodes equally strong and well informed of the lease. */
 void RsSimulation_MakeNodesEqual(struct rs_simulation *sim);
 
--- a/router/granter.c
+++ b/router/granter.c
@@ -1,5 +1,6 @@
 #include "router/granter.h"
 
+#include <assert.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
@@ -59,6 +60,9 @@
 #define HEAD_START_MS 700
 /* Fences of an era have the era in their high bits. */
 #define FENCE_NUMBER_BITS 32
+/* More fences than an era has used when a map is begun anew and the former
+ * granter has not stated its next fence, as versions before that field. */
+#define UNSTATED_FENCES ((uint64_t)1 << 28)
 /* Nodes on strong VMs should get the lease, since the granter sends messages
  * to all other nodes. A weak node delays its claim by up to this long. The
  * delay exceeds the heartbeat interval (200 ms), because nodes learn of the
@@ -189,6 +193,13 @@
     return ((uint64_t)era << FENCE_NUMBER_BITS) + 1;
 }
 
+/* Records the fences of a map that this node knows. */
+void
+RsGranter_RecordFences(struct rs_granter *granter, const struct rs_keymap *map)
+{
+    granter->next_fence = MAX(granter->next_fence, map->next_fence);
+}
+
 /* Decodes the key map in a row. Returns NULL for rows of another kind and,
  * after logging it, for malformed maps. The caller owns the map. */
 struct rs_keymap *
@@ -230,22 +241,34 @@
     range->orders.blocked |= blocked;
 }
 
-/* Adds a map without owners for a service that has no row yet; the name must
- * be interned. Returns NULL when there are RsGranter_MAX_MAPS already. */
-struct rs_granter_map *
-RsGranter_AddMap(struct rs_granter *granter, const char *service)
+/* Adds a map without owners, whose row has this version. Returns NULL when
+ * there are RsGranter_MAX_MAPS already. */
+static struct rs_granter_map *
+begin_map(struct rs_granter *granter, const char *service,
+          uint64_t row_version)
 {
+    uint64_t fence = MAX(first_fence(granter->era), granter->next_fence);
     if (granter->map_count == RsGranter_MAX_MAPS) {
         return NULL;
     }
     struct rs_granter_map *entry = &granter->maps[granter->map_count++];
     *entry = (struct rs_granter_map){
         .map = RsKeymap_New(service),
-        .row_version = RsStore_Version(granter->era, RsStore_ABSENT),
-        .committed_fence = first_fence(granter->era),
+        .row_version = row_version,
+        .committed_fence = fence,
     };
-    entry->map->next_fence = first_fence(granter->era);
-    if (granter->restored) {
+    entry->map->next_fence = fence;
+    return entry;
+}
+
+/* Adds a map without owners for a service that has no row yet; the name must
+ * be interned. Returns NULL when there are RsGranter_MAX_MAPS already. */
+struct rs_granter_map *
+RsGranter_AddMap(struct rs_granter *granter, const char *service)
+{
+    struct rs_granter_map *entry = begin_map(
+        granter, service, RsStore_Version(granter->era, RsStore_ABSENT));
+    if (entry != NULL && granter->restored) {
         /* The copy may be older than the map. */
         mark_unproven(RsKeymap_GetRange(entry->map, 0), true);
     }
@@ -297,6 +320,11 @@
     const char *host = json_string_value(json_object_get(body, "peer_host"));
     const char *incarnation =
         json_string_value(json_object_get(body, "incarnation"));
+    json_int_t next_fence =
+        json_integer_value(json_object_get(body, "next_fence"));
+    if (node == NULL) {
+        RsLog_EVENT(RsLog_ERROR, "lease_malformed");
+    }
     snprintf(lease.node, sizeof(lease.node), "%s", node != NULL ? node : "?");
     snprintf(lease.peer_host, sizeof(lease.peer_host), "%s",
              host != NULL ? host : "");
@@ -305,6 +333,7 @@
     lease.nodes = (uint32_t)json_integer_value(json_object_get(body, "nodes"));
     lease.strongest =
         (uint32_t)json_integer_value(json_object_get(body, "strongest"));
+    lease.next_fence = next_fence > 0 ? (uint64_t)next_fence : 0;
     if (incarnation != NULL) {
         lease.incarnation = strtoull(incarnation, NULL, 16);
     }
@@ -312,17 +341,27 @@
     return lease;
 }
 
+/* Returns the value of the lease row, which the caller frees with g_free(). */
 static char *
 encode_lease(const struct rs_granter *granter)
 {
     const struct rs_granter_options *options = &granter->options;
-    return g_strdup_printf(
-        "{\"node\":\"%s\",\"peer_host\":\"%s\",\"peer_port\":%" PRIu32
-        ",\"incarnation\":\"%" PRIx64 "\",\"nodes\":%" PRIu32
-        ",\"strongest\":%" PRIu32 "}",
-        granter->resigning ? "" : options->node, options->peer_host,
-        options->peer_port, options->incarnation, granter->nodes,
-        MAX(granter->strongest, options->strength));
+    char incarnation[20];
+    snprintf(incarnation, sizeof(incarnation), "%" PRIx64,
+             options->incarnation);
+    json_t *body = json_pack(
+        "{s:s,s:s,s:I,s:s,s:I,s:I,s:I}", "node",
+        granter->resigning ? "" : options->node, "peer_host",
+        options->peer_host, "peer_port", (json_int_t)options->peer_port,
+        "incarnation", incarnation, "nodes", (json_int_t)granter->nodes,
+        "strongest", (json_int_t)MAX(granter->strongest, options->strength),
+        "next_fence", (json_int_t)granter->next_fence);
+    char *text = json_dumps(body, JSON_COMPACT);
+    assert(text != NULL); /* settings are valid UTF-8 */
+    char *copy = g_strdup(text);
+    free(text);
+    json_decref(body);
+    return copy;
 }
 
 /* Adopts a newer state of the lease, and steps down if another process holds
@@ -344,6 +383,7 @@
     granter->lease_version = version;
     granter->lease_seen_at_ms = now_ms;
     granter->holder = *lease;
+    granter->next_fence = MAX(granter->next_fence, lease->next_fence);
     if (lease->incarnation != granter->options.incarnation &&
         !granter->commit_in_flight) {
         step_down(granter, "another node holds the lease");
@@ -369,6 +409,21 @@
     set_proof_times(granter, now_ms);
 }
 
+/* Records the next fence in the lease row whose version is known already, but
+ * maybe from a peer, which doesn't tell the fence. */
+static void
+record_stated_fence(struct rs_granter *granter, uint64_t version,
+                    const char *value)
+{
+    if (version != granter->lease_version || granter->holder.next_fence > 0 ||
+        RsStore_Number(version) == RsStore_ABSENT) {
+        return;
+    }
+    const struct rs_granter_lease lease = decode_lease(value);
+    granter->holder.next_fence = lease.next_fence;
+    granter->next_fence = MAX(granter->next_fence, lease.next_fence);
+}
+
 /* Handles the lease row as read from the store; a version with the number
  * RsStore_ABSENT means that the present era has no row. If the version is not
  * newer than the known one, only the time of the read is recorded. */
@@ -378,6 +433,7 @@
 {
     granter->lease_read_at_ms = now_ms;
     if (granter->lease_known && version <= granter->lease_version) {
+        record_stated_fence(granter, version, value);
         return;
     }
     if (RsStore_Number(version) == RsStore_ABSENT) {
@@ -405,8 +461,10 @@
     if (!granter->restored) {
         record_restore(granter, now_ms);
     }
+    const struct rs_granter_lease lease = decode_lease(value);
+    granter->next_fence = MAX(granter->next_fence, lease.next_fence);
     if (granter->holder.node[0] == '\0') {
-        granter->holder = decode_lease(value);
+        granter->holder = lease;
     }
 }
 
@@ -527,6 +585,17 @@
             last_read_at_ms < read_due_at_ms);
 }
 
+/* Returns a fence above all that this node knows of. */
+static uint64_t
+highest_next_fence(const struct rs_granter *granter)
+{
+    uint64_t next_fence = granter->next_fence;
+    for (size_t i = 0; i < granter->map_count; i++) {
+        next_fence = MAX(next_fence, granter->maps[i].map->next_fence);
+    }
+    return next_fence;
+}
+
 /* Sends a commit that writes the lease row and, on the granter, all changed
  * maps. It is conditional on the known versions of these rows. */
 static void
@@ -537,6 +606,7 @@
     char *texts[2 * (1 + RsGranter_MAX_MAPS)];
     size_t count = 0;
     size_t text_count = 0;
+    granter->next_fence = highest_next_fence(granter);
     char *lease = encode_lease(granter);
     char *lease_key = RsGranter_LeaseKey(granter->era);
     texts[text_count++] = lease;
@@ -761,6 +831,25 @@
     }
 }
 
+/* Begins the map of a service anew whose row can't be read. Any target may
+ * hold its keys under any fence that was given. */
+static void
+replace_unreadable_map(struct rs_granter *granter, const char *service,
+                       uint64_t row_version, int64_t now_ms)
+{
+    if (granter->holder.next_fence == 0) {
+        granter->next_fence =
+            MAX(granter->next_fence, first_fence(granter->era)) +
+            UNSTATED_FENCES;
+    }
+    struct rs_granter_map *entry = begin_map(granter, service, row_version);
+    mark_unproven(RsKeymap_GetRange(entry->map, 0), true);
+    RsLog_EVENT(
+        RsLog_ERROR, "keymap_begun_anew", RsLog_TEXT("service", service),
+        RsLog_NUMBER("next_fence", entry->map->next_fence),
+        RsLog_NUMBER("grants_in_ms", granter->lapsed_from_ms - now_ms));
+}
+
 /* Adds the map in a row of the present era or, if there is none, of the last
  * former one. Rows of later eras come first. */
 static void
@@ -774,12 +863,16 @@
         granter->map_count == RsGranter_MAX_MAPS) {
         return;
     }
+    bool current = era == granter->era;
+    uint64_t row_version =
+        current ? row->version : RsStore_Version(granter->era, RsStore_ABSENT);
     struct rs_keymap *map =
         RsGranter_DecodeRow(row->key, row->value, row->version);
     if (map == NULL) {
+        replace_unreadable_map(granter, service, row_version, now_ms);
         return;
     }
-    bool current = era == granter->era;
+    RsGranter_RecordFences(granter, map);
     if (!current) {
         mark_map_unproven(map);
         map->next_fence = MAX(map->next_fence, first_fence(granter->era));
@@ -788,8 +881,7 @@
     report_owners(granter, map);
     granter->maps[granter->map_count++] = (struct rs_granter_map){
         .map = map,
-        .row_version = current ? row->version
-                               : RsStore_Version(granter->era, RsStore_ABSENT),
+        .row_version = row_version,
         .committed_fence = map->next_fence,
     };
 }
--- a/router/granter.h
+++ b/router/granter.h
@@ -25,7 +25,12 @@
  * grant that was sent after all authority of the former era had ended.
  * - Any other node waits until that authority has ended before it claims the
  *   lease, and until all grants of the former era have expired before it sends
- *   any. */
+ *   any.
+ *
+ * A map whose row can't be read is begun anew in the same way: any target may
+ * hold its keys, so none are granted until all earlier grants have expired,
+ * and its fences are higher than all that are known from the lease row and
+ * from maps. */
 
 #ifndef RATTANSHED_ROUTER_GRANTER_H
 #define RATTANSHED_ROUTER_GRANTER_H
@@ -120,6 +125,8 @@
     uint64_t incarnation;
     uint32_t nodes;     /* number of nodes that route requests; 0: unknown */
     uint32_t strongest; /* highest strength of a known node; 0: unknown */
+    /* All fences that were given in any map are lower; 0: unknown. */
+    uint64_t next_fence;
 };
 
 struct rs_granter {
@@ -156,6 +163,9 @@
      * hold keys by a grant of one. */
     int64_t proof_from_ms;
     int64_t lapsed_from_ms;
+    /* Highest next fence that this node has seen, of any lease or map. A map
+     * that is begun anew has no lower fences. */
+    uint64_t next_fence;
     struct rs_granter_map maps[RsGranter_MAX_MAPS];
     size_t map_count;
 };
@@ -199,6 +209,8 @@
                               int64_t now_ms);
 struct rs_keymap *RsGranter_DecodeRow(const char *key, const char *value,
                                       uint64_t version);
+void RsGranter_RecordFences(struct rs_granter *granter,
+                            const struct rs_keymap *map);
 char *RsGranter_LeaseKey(uint32_t era);
 char *RsGranter_MapKey(uint32_t era, const char *service);
 bool RsGranter_ParseMapKey(const char *key, uint32_t *era,
--- a/router/keymap.c
+++ b/router/keymap.c
@@ -153,8 +153,7 @@
     const char *started = strrchr(name, ' ');
     json_t *id = json_stringn(name, (size_t)(started - name));
     char *quoted = json_dumps(id, JSON_ENCODE_ANY);
-    assert(quoted !=
-           NULL); /* ids are valid UTF-8, see RsReport_IsUsableId() */
+    assert(quoted != NULL); /* see RsReport_IsUsableId() */
     g_string_append_printf(text, "[%s,%s]", quoted, started + 1);
     free(quoted);
     json_decref(id);
@@ -234,11 +233,11 @@
     return true;
 }
 
-/* Decodes a range that starts at `first_key`. Returns false if it is
- * malformed. */
+/* Decodes a range that starts at `first_key` of a map with this next fence.
+ * Returns false if it is malformed. */
 static bool
 decode_range(json_t *item, const GArray *owners, uint32_t first_key,
-             struct rs_key_range *range)
+             uint64_t next_fence, struct rs_key_range *range)
 {
     json_int_t last_key = 0;
     json_int_t owner = NOBODY;
@@ -265,6 +264,7 @@
     };
     return status == 0 && mark == (unproven ? UNPROVEN_MARK : 0) &&
            last_key >= (json_int_t)first_key && last_key < RsKeymap_KEYS &&
+           range->fence < next_fence && range->former_fence < next_fence &&
            find_owner(owners, owner, &range->owner) &&
            find_owner(owners, former, &range->former);
 }
@@ -279,7 +279,7 @@
     for (size_t i = 0; i < json_array_size(items); i++) {
         struct rs_key_range range;
         if (!decode_range(json_array_get(items, i), owners, next_key,
-                          &range)) {
+                          map->next_fence, &range)) {
             return false;
         }
         next_key = range.last_key + 1;
@@ -288,8 +288,8 @@
     return next_key == RsKeymap_KEYS;
 }
 
-/* Decodes the value of a row. Returns NULL when it is malformed or doesn't
- * cover the whole key space. `service`
+/* Decodes the value of a row. Returns NULL when it is malformed, doesn't cover
+ * the whole key space or has fences that are not below its next one. `service`
  * must be interned; the caller frees the map with RsKeymap_Free(). */
 struct rs_keymap *
 RsKeymap_Decode(const char *service, const char *value)
@@ -297,9 +297,10 @@
     json_t *body = json_loads(value, 0, NULL);
     GArray *owners = decode_owners(json_object_get(body, "owners"));
     struct rs_keymap *map = RsKeymap_New(service);
-    map->next_fence =
-        (uint64_t)json_integer_value(json_object_get(body, "next_fence"));
-    bool good = owners != NULL && map->next_fence >= FIRST_FENCE &&
+    json_int_t next_fence =
+        json_integer_value(json_object_get(body, "next_fence"));
+    map->next_fence = (uint64_t)next_fence;
+    bool good = owners != NULL && next_fence >= FIRST_FENCE &&
                 decode_ranges(map, json_object_get(body, "ranges"), owners);
     if (owners != NULL) {
         g_array_unref(owners);
--- a/router/keymap_test.c
+++ b/router/keymap_test.c
@@ -225,6 +225,9 @@
         "{\"next_fence\":3,\"owners\":[],\"ranges\":[[9,-1,1],[8,-1,1]]}",
         "{\"next_fence\":3,\"owners\":[[\"a\",1]],\"ranges\":[[9,0,\"x\"]]}",
         "{\"owners\":[[\"a\",1]],\"ranges\":[[65535,0,1]]}",
+        "{\"next_fence\":-3,\"owners\":[[\"a\",1]],\"ranges\":[[65535,0,1]]}",
+        "{\"next_fence\":3,\"owners\":[[\"a\",1]],\"ranges\":[[65535,0,3]]}",
+        "{\"next_fence\":3,\"owners\":[[\"a\",1]],\"ranges\":[[65535,0,-1]]}",
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         CU_ASSERT_PTR_NULL(RsKeymap_Decode("s", rows[i]));
--- a/router/node.c
+++ b/router/node.c
@@ -346,6 +346,7 @@
         row->deleted ? NULL
                      : RsGranter_DecodeRow(row->key, row->value, row->version);
     if (map != NULL) {
+        RsGranter_RecordFences(&node->granter, map);
         RsRouter_SetKeymap(&node->router, map, row->version);
     }
     return map != NULL || row->deleted ? RsTableCopy_CHANGED
