Encode other texts from outside by their formats, too

- A handover text with a quotation mark or backslash made the JSON of the grant to the next owner malformed; one over 200 bytes was cut.
The JSON library encodes it, whole.
- A control character in the value of a header, such as a line break, began another header or request.
It is sent as a space.
- Ids, zones and services went into the JSON of /state unquoted, and line breaks into labels of metrics.

Ruled out: logs, rows of the store and messages between nodes are encoded by libraries.

--- a/core/core_test.c
+++ b/core/core_test.c
@@ -1,4 +1,5 @@
 #include <CUnit/Basic.h>
+#include <jansson.h>
 #include <stdio.h>
 #include <uv.h>
 
@@ -37,6 +38,26 @@
     CU_ASSERT_EQUAL(RsCounter_Read(&histogram.count), 1);
 }
 
+/* Names of other programs in the JSON of /state. */
+static void
+test_any_text_is_quoted_as_json(void)
+{
+    for (unsigned c = 1; c < 0x80; c++) {
+        const char value[] = {'a', (char)c, '"', (char)c, '\0'};
+        struct rs_text_buffer text = {0};
+        RsText_AppendQuoted(&text, value);
+        json_t *decoded = json_loads(text.data, JSON_DECODE_ANY, NULL);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(decoded);
+        CU_ASSERT_STRING_EQUAL(json_string_value(decoded), value);
+        json_decref(decoded);
+        RsText_Free(&text);
+    }
+    struct rs_text_buffer text = {0};
+    RsText_AppendQuoted(&text, "\xff");
+    CU_ASSERT_STRING_EQUAL(text.data, "null");
+    RsText_Free(&text);
+}
+
 static void
 test_id_is_formatted_and_parsed(void)
 {
@@ -167,6 +188,7 @@
     CU_ADD_TEST(suite, test_quantile_error_is_at_most_a_sixteenth);
     CU_ADD_TEST(suite, test_empty_histogram_has_quantile_zero);
     CU_ADD_TEST(suite, test_largest_value_is_counted);
+    CU_ADD_TEST(suite, test_any_text_is_quoted_as_json);
     CU_ADD_TEST(suite, test_id_is_formatted_and_parsed);
     CU_ADD_TEST(suite, test_mailbox_keeps_order);
     CU_ADD_TEST(suite, test_clock_is_monotonic);
--- a/core/counter.c
+++ b/core/counter.c
@@ -1,6 +1,7 @@
 #include "core/counter.h"
 
 #include <glib.h>
+#include <jansson.h>
 #include <inttypes.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -131,6 +132,17 @@
     g_free(formatted);
 }
 
+/* Appends a text as a JSON string. One that isn't valid UTF-8 is null. */
+void
+RsText_AppendQuoted(struct rs_text_buffer *text, const char *value)
+{
+    json_t *string = json_string(value);
+    char *quoted = string != NULL ? json_dumps(string, JSON_ENCODE_ANY) : NULL;
+    RsText_Append(text, "%s", quoted != NULL ? quoted : "null");
+    free(quoted);
+    json_decref(string);
+}
+
 /* Frees the data and leaves the buffer empty. */
 void
 RsText_Free(struct rs_text_buffer *text)
--- a/core/counter.h
+++ b/core/counter.h
@@ -44,6 +44,7 @@
 
 void RsText_Append(struct rs_text_buffer *text, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
+void RsText_AppendQuoted(struct rs_text_buffer *text, const char *value);
 void RsText_Free(struct rs_text_buffer *text);
 
 void RsCounter_AppendText(struct rs_text_buffer *text, const char *name,
--- a/http/connection.c
+++ b/http/connection.c
@@ -517,6 +517,19 @@
     return false;
 }
 
+/* Appends a header. A control character in its value, which may be a text of
+ * another program, is sent as a space: a line break would begin another
+ * header. */
+static void
+append_header(GString *text, const struct rs_http_header *header)
+{
+    g_string_append_printf(text, "%s: ", header->name);
+    for (const char *c = header->value; *c != '\0'; c++) {
+        g_string_append_c(text, g_ascii_iscntrl(*c) && *c != '\t' ? ' ' : *c);
+    }
+    g_string_append(text, "\r\n");
+}
+
 /* Returns the head and body of a request as sent. Adds a Host header if there
  * is none, and a Content-Length if there is a body or the method is POST or
  * PUT. */
@@ -530,8 +543,7 @@
         g_string_append(text, "host: target\r\n");
     }
     for (size_t i = 0; i < request->header_count; i++) {
-        g_string_append_printf(text, "%s: %s\r\n", request->headers[i].name,
-                               request->headers[i].value);
+        append_header(text, &request->headers[i]);
     }
     if (request->body_bytes > 0 || strcmp(request->method, "POST") == 0 ||
         strcmp(request->method, "PUT") == 0) {
--- a/http/http_test.c
+++ b/http/http_test.c
@@ -232,6 +232,26 @@
     CU_ASSERT(f.ended);
 }
 
+/* Values of headers can be texts of other programs, such as ids. A line break
+ * in one must not begin another header, nor another request. */
+static void
+test_control_characters_begin_no_other_header(void)
+{
+    struct fixture f;
+    struct rs_http_header header = {"X-Request-Id",
+                                    "r\r\nContent-Length: 4\r\n\r\nGET /a\tb"};
+    struct rs_http_request request = {.method = "GET",
+                                      .path = "/a?color=red",
+                                      .headers = &header,
+                                      .header_count = 1};
+    open_fixture(&f);
+    run(&f, &request);
+    CU_ASSERT_EQUAL(f.status, 200);
+    CU_ASSERT_STRING_EQUAL(f.echoed_id, "r  Content-Length: 4    GET /a\tb");
+    CU_ASSERT_STRING_EQUAL(f.body->str, "red");
+    CU_ASSERT(f.keep_alive);
+}
+
 static void
 test_big_body_survives_a_pause(void)
 {
@@ -673,6 +693,7 @@
     CU_initialize_registry();
     CU_pSuite suite = CU_add_suite("http", NULL, NULL);
     CU_ADD_TEST(suite, test_response_with_headers_and_query);
+    CU_ADD_TEST(suite, test_control_characters_begin_no_other_header);
     CU_ADD_TEST(suite, test_big_body_survives_a_pause);
     CU_ADD_TEST(suite, test_head_request_has_no_body);
     CU_ADD_TEST(suite, test_oversize_body_is_rejected);
--- a/router/metrics.c
+++ b/router/metrics.c
@@ -13,13 +13,14 @@
     RsCounter_AppendText(text, name, "", help, "counter", counter);
 }
 
-/* Appends the value of a label. Names of workspaces have no line breaks. */
+/* Appends the value of a label. */
 static void
 print_escaped(struct rs_text_buffer *text, const char *value)
 {
     for (; *value != '\0'; value++) {
-        bool special = *value == '"' || *value == '\\';
-        RsText_Append(text, special ? "\\%c" : "%c", *value);
+        bool special = *value == '"' || *value == '\\' || *value == '\n';
+        RsText_Append(text, special ? "\\%c" : "%c",
+                      *value == '\n' ? 'n' : *value);
     }
 }
 
@@ -211,15 +212,19 @@
     g_hash_table_iter_init(&iter, router->fleet.targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct rs_fleet_target *target = value;
+        RsText_Append(text, "%s{\"id\":", comma);
+        RsText_AppendQuoted(text, target->id);
+        RsText_Append(text, ",\"service\":");
+        RsText_AppendQuoted(text, target->report.service);
+        RsText_Append(text, ",\"zone\":");
+        RsText_AppendQuoted(text, target->report.zone);
         RsText_Append(
             text,
-            "%s{\"id\":\"%s\",\"service\":\"%s\",\"zone\":\"%s\","
-            "\"listed\":%s,\"may_take_work\":%s,\"in_flight\":%u,"
+            ",\"listed\":%s,\"may_take_work\":%s,\"in_flight\":%u,"
             "\"ahead\":%.1f,\"service_ms\":%.1f,\"failures\":%u,"
             "\"limit_per_s\":%.3f,\"speed_factor\":%.2f,"
             "\"expected_work_ms\":%.1f,\"work_samples\":%.1f,"
             "\"concurrency_limit\":%.0f}",
-            comma, target->id, target->report.service, target->report.zone,
             target->listed ? "true" : "false",
             RsFleet_MayTakeWork(&router->fleet, target, now_ms) ? "true"
                                                                 : "false",
@@ -237,11 +242,12 @@
 {
     for (size_t i = 0; i < hot->count; i++) {
         const struct rs_hot_key *key = &hot->keys[i];
+        RsText_Append(text, "%s{\"service\":", i > 0 ? "," : "");
+        RsText_AppendQuoted(text, key->service);
         RsText_Append(text,
-                      "%s{\"service\":\"%s\",\"key\":%u,"
-                      "\"demand_per_s\":%.1f,\"admitted_per_s\":%.1f}",
-                      i > 0 ? "," : "", key->service, key->key,
-                      key->demand_per_s, key->admitted_per_s);
+                      ",\"key\":%u,\"demand_per_s\":%.1f,"
+                      "\"admitted_per_s\":%.1f}",
+                      key->key, key->demand_per_s, key->admitted_per_s);
     }
 }
 
@@ -256,20 +262,21 @@
     GHashTableIter iter;
     gpointer value;
     const char *comma = "";
-    RsText_Append(
-        text,
-        "{\"config_version\":%" PRIu32 ",\"nodes\":%" PRIu32
-        ",\"isolated\":%s,\"granter\":\"%s\",\"authority_left_ms\":%" PRId64
-        ",\"active\":%u,\"waiting\":%u,\"config_age_ms\":%" PRId64
-        ",\"targets\":[",
-        router->config != NULL ? router->config->version : 0,
-        router->share.nodes, router->paths.isolated ? "true" : "false",
-        sources->granter->holder.node,
-        sources->granter->authority_until_ms - now_ms, router->active.length,
-        router->schedule.count,
-        router->workspaces.confirmed_at_ms > 0
-            ? now_ms - router->workspaces.confirmed_at_ms
-            : -1);
+    RsText_Append(text,
+                  "{\"config_version\":%" PRIu32 ",\"nodes\":%" PRIu32
+                  ",\"isolated\":%s,\"authority_left_ms\":%" PRId64
+                  ",\"active\":%u,\"waiting\":%u,\"config_age_ms\":%" PRId64
+                  ",\"granter\":",
+                  router->config != NULL ? router->config->version : 0,
+                  router->share.nodes,
+                  router->paths.isolated ? "true" : "false",
+                  sources->granter->authority_until_ms - now_ms,
+                  router->active.length, router->schedule.count,
+                  router->workspaces.confirmed_at_ms > 0
+                      ? now_ms - router->workspaces.confirmed_at_ms
+                      : -1);
+    RsText_AppendQuoted(text, sources->granter->holder.node);
+    RsText_Append(text, ",\"targets\":[");
     print_targets(text, router, now_ms);
     RsText_Append(text, "],\"hot_keys\":[");
     print_hot_keys(text, &router->hot_keys);
@@ -278,8 +285,9 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct rs_router_keymap *keys = value;
         char *map = RsKeymap_Encode(keys->map);
-        RsText_Append(text, "%s{\"service\":\"%s\",\"map\":%s}", comma,
-                      keys->map->service, map);
+        RsText_Append(text, "%s{\"service\":", comma);
+        RsText_AppendQuoted(text, keys->map->service);
+        RsText_Append(text, ",\"map\":%s}", map);
         g_free(map);
         comma = ",";
     }
--- a/router/orders.c
+++ b/router/orders.c
@@ -1,5 +1,7 @@
 #include "router/orders.h"
 
+#include <string.h>
+
 #include "core/clock.h"
 #include "router/exchange.h"
 
@@ -31,7 +33,7 @@
     struct rs_orders *orders;
     struct rs_order order;
     char *handover_copy; /* owned copy of the order's handover */
-    char text[RsWire_MAX_ORDER_BYTES];
+    char *text;          /* body of the message */
     struct rs_http_header headers[2];
     struct rs_http_request message;
     struct rs_exchange *exchange;
@@ -96,6 +98,7 @@
     RsGranter_Tick(call->orders->granter, now_ms);
     g_free(call->handover);
     g_free(call->handover_copy);
+    g_free(call->text);
     uv_close((uv_handle_t *)&call->timer, on_freed);
 }
 
@@ -188,16 +191,15 @@
      * is not meant for it. */
     call->headers[1] =
         (struct rs_http_header){RsWire_TARGET_ID, call->order.target_id};
+    call->text = call->order.release ? RsWire_FormatRelease(&call->order.grant)
+                                     : RsWire_FormatGrant(&call->order.grant);
     call->message = (struct rs_http_request){
         .method = "POST",
         .path = call->order.release ? RsWire_RELEASE_PATH : RsWire_GRANT_PATH,
         .headers = call->headers,
         .header_count = 2,
         .body = call->text,
-        .body_bytes =
-            call->order.release
-                ? RsWire_FormatRelease(&call->order.grant, call->text)
-                : RsWire_FormatGrant(&call->order.grant, call->text),
+        .body_bytes = strlen(call->text),
     };
     const struct rs_service *service =
         router->config != NULL
