Let no row end the hold of another target

A row of another writer, without `version`, named the address of a live target and a later start; its keys were granted to another target within 0.3 s, without a release and up to 3.8 s before its hold ended.

Cause: advance_handover() took what a row says ("another target is listed at the address") for proof that the former owner has ended. With a row that lacks nothing the keys would have been given away just the same.

Change: a release is sent in any case. It names its target, so another one at the address answers 421: that is the proof now, and keeps the speed of the former way, also after a change of granter. Rows of services that the configuration doesn't name wait until it names them, instead of replacing others or taking the place of a live target under its own key. A target that goes on reporting is not replaced.

Ruled out: only checking the row (a wrong row may be sound); waiting for the end of the hold in any case (a new granter would wait 14 s for keys of targets whose addresses are in use again).

--- a/router/fixture.c
+++ b/router/fixture.c
@@ -7,6 +7,8 @@
 
 /* Reports and fleets. */
 
+#define MAX_SERVICES 16
+
 static void
 ignore_reset(void *arg, struct rs_fleet_target *target)
 {
@@ -21,11 +23,42 @@
     return &fleet_events;
 }
 
+/* Has the configuration of a fleet name one more service. */
+void
+RsFixture_NameService(struct rs_fleet *fleet, const char *service)
+{
+    const char *names[MAX_SERVICES] = {g_intern_string(service)};
+    size_t count = 1;
+    GHashTableIter iter;
+    gpointer name;
+    if (fleet->services != NULL) {
+        g_hash_table_iter_init(&iter, fleet->services);
+        while (count < MAX_SERVICES &&
+               g_hash_table_iter_next(&iter, &name, NULL)) {
+            names[count++] = name;
+        }
+    }
+    RsFleet_SetServices(fleet, names, count);
+}
+
 /* Encodes a report as targets do and applies it to a fleet as a row. Returns
- * the effect of the row. */
+ * the effect of the row. Its service is named by the configuration. */
 enum rs_row_effect
 RsFixture_Report(struct rs_fleet *fleet,
                  const struct rs_fixture_report *report, int64_t now_ms)
+{
+    if (fleet->services == NULL ||
+        !g_hash_table_contains(fleet->services,
+                               g_intern_string(report->service))) {
+        RsFixture_NameService(fleet, report->service);
+    }
+    return RsFixture_ReportUnnamed(fleet, report, now_ms);
+}
+
+/* The same for a service that the configuration may not name. */
+enum rs_row_effect
+RsFixture_ReportUnnamed(struct rs_fleet *fleet,
+                        const struct rs_fixture_report *report, int64_t now_ms)
 {
     char text[512];
     snprintf(
@@ -144,6 +177,7 @@
     uint64_t seen_fence[RsKeymap_KEYS]; /* highest in any order for the key */
     int64_t hold_up_ms;       /* how long the next grant takes; 0: as usual */
     int64_t cut_off_until_ms; /* see RsFixture_TARGET_CUT_OFF */
+    bool ended; /* another target, which isn't simulated, has its address */
 };
 
 struct simulated_node {
@@ -691,6 +725,10 @@
         apply_order(sim, number, order, event.arrived_at_ms);
         return;
     }
+    if (sim->targets[number].ended) {
+        answer_order(sim, &event, RsWire_MISDIRECTED, DELAY_MS);
+        return;
+    }
     if (event.held_up) {
         apply_order(sim, number, order, sim->now_ms);
         return;
@@ -751,6 +789,9 @@
 {
     for (uint32_t i = 0; i < RsFixture_TARGETS; i++) {
         struct target *target = &sim->targets[i];
+        if (target->ended) {
+            continue;
+        }
         target->sequence++;
         const struct rs_fixture_report report = {
             .id = target->id,
@@ -985,11 +1026,10 @@
     }
 }
 
-/* Ends a target and starts another one, which no map names, at its address. */
+/* Lists another target, which no map names, at the address of a target. */
 void
-RsSimulation_ReplaceTarget(struct rs_simulation *sim, uint32_t number)
+RsSimulation_ListAtAddress(struct rs_simulation *sim, uint32_t number)
 {
-    struct target *target = &sim->targets[number];
     const struct rs_fixture_report report = {
         .id = "other",
         .service = SERVICE,
@@ -998,12 +1038,20 @@
         .started_wall_ms = sim->now_ms,
         .sequence = 1,
     };
-    target->hold_count = 0;
     for (uint32_t k = 0; k < RsFixture_NODES; k++) {
         RsFixture_Report(&sim->nodes[k].fleet, &report, sim->now_ms);
     }
 }
 
+/* Ends a target and starts another one at its address. */
+void
+RsSimulation_ReplaceTarget(struct rs_simulation *sim, uint32_t number)
+{
+    sim->targets[number].hold_count = 0;
+    sim->targets[number].ended = true;
+    RsSimulation_ListAtAddress(sim, number);
+}
+
 static void
 overwrite_rows(struct rs_simulation *sim, const char *table, const char *value)
 {
--- a/router/fixture.h
+++ b/router/fixture.h
@@ -21,6 +21,11 @@
 enum rs_row_effect RsFixture_Report(struct rs_fleet *fleet,
                                     const struct rs_fixture_report *report,
                                     int64_t now_ms);
+enum rs_row_effect
+RsFixture_ReportUnnamed(struct rs_fleet *fleet,
+                        const struct rs_fixture_report *report,
+                        int64_t now_ms);
+void RsFixture_NameService(struct rs_fleet *fleet, const char *service);
 const struct rs_fleet_events *RsFixture_FleetEvents(void);
 void RsFixture_InitFleet(struct rs_fleet *fleet, uint32_t target_count,
                          struct rs_fleet_target **targets, int64_t now_ms);
@@ -64,6 +69,9 @@
 void RsSimulation_MoveKeys(struct rs_simulation *sim, uint32_t first_key,
                            uint32_t last_key, uint32_t target);
 
+/* Lists another target at the address of a target, which goes on running. */
+void RsSimulation_ListAtAddress(struct rs_simulation *sim, uint32_t number);
+
 /* Ends a target; another one starts at its address. */
 void RsSimulation_ReplaceTarget(struct rs_simulation *sim, uint32_t number);
 
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -56,6 +56,8 @@
     fleet->list = g_ptr_array_new();
     fleet->evacuated =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    fleet->held_rows =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 }
 
 /* Sets how long a leaving target accepts requests. */
@@ -94,6 +96,8 @@
     g_hash_table_unref(fleet->targets);
     g_ptr_array_unref(fleet->list);
     g_hash_table_unref(fleet->evacuated);
+    g_hash_table_unref(fleet->held_rows);
+    g_clear_pointer(&fleet->services, g_hash_table_unref);
 }
 
 /* Adds a target of which nothing but its interned id is known. */
@@ -111,15 +115,24 @@
     return target;
 }
 
-/* Returns whether the target `by` has replaced the other: two targets can't
- * run at one address, so the older one has ended. */
+/* Returns whether the configuration names a service. */
+static bool
+is_named(const struct rs_fleet *fleet, const char *service)
+{
+    return fleet->services != NULL &&
+           g_hash_table_contains(fleet->services, service);
+}
+
+/* Returns whether the target `by` has replaced the other, as their rows say:
+ * two targets can't run at one address, so the older one has ended. */
 static bool
-has_replaced(const struct rs_fleet_target *by,
+has_replaced(const struct rs_fleet *fleet, const struct rs_fleet_target *by,
              const struct rs_fleet_target *other)
 {
     const struct sockaddr_in *a = &other->report.address;
     const struct sockaddr_in *b = &by->report.address;
-    return other != by && a->sin_addr.s_addr == b->sin_addr.s_addr &&
+    return other != by && is_named(fleet, by->report.service) &&
+           a->sin_addr.s_addr == b->sin_addr.s_addr &&
            a->sin_port == b->sin_port &&
            other->report.started_wall_ms < by->report.started_wall_ms;
 }
@@ -133,7 +146,7 @@
     g_hash_table_iter_init(&iter, fleet->targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct rs_fleet_target *other = value;
-        if (!other->replaced && has_replaced(by, other)) {
+        if (!other->replaced && has_replaced(fleet, by, other)) {
             other->replaced = true;
             RsLog_EVENT(RsLog_INFO, "target_replaced",
                         RsLog_TEXT("target", other->id),
@@ -168,7 +181,7 @@
     gpointer value;
     g_hash_table_iter_init(&iter, fleet->targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        target->replaced |= has_replaced(value, target);
+        target->replaced |= has_replaced(fleet, value, target);
     }
     RsLog_EVENT(RsLog_INFO, "target_remembered", RsLog_TEXT("target", id),
                 RsLog_TEXT("address", address),
@@ -263,6 +276,23 @@
     }
 }
 
+/* A process that reports again after a younger one was listed at its address
+ * still runs: the younger row is wrong. */
+static void
+clear_replaced(struct rs_fleet_target *target,
+               const struct rs_target_report *report)
+{
+    if (!target->replaced || !target->listed ||
+        report->started_wall_ms != target->report.started_wall_ms ||
+        report->sequence == target->report.sequence) {
+        return;
+    }
+    target->replaced = false;
+    RsLog_EVENT(RsLog_WARNING, "target_not_replaced",
+                RsLog_TEXT("target", target->id),
+                RsLog_NUMBER("sequence", report->sequence));
+}
+
 /* Adopts a report that is not outdated. */
 static void
 apply_report(struct rs_fleet *fleet, struct rs_fleet_target *target,
@@ -270,6 +300,7 @@
 {
     bool was_draining = target->report.draining;
     bool restarted = report->started_wall_ms != target->report.started_wall_ms;
+    clear_replaced(target, report);
     target->report = *report;
     update_leaving(fleet, target, now_ms);
     if (restarted) {
@@ -291,8 +322,69 @@
     target->lapse_at_ms = 0;
 }
 
+/* Returns whether a row has no effect for now. It may be of another writer, so
+ * it must not change what is known of a target, nor of one at its address. A
+ * service that the configuration no longer names keeps its targets. */
+static bool
+is_held(const struct rs_fleet *fleet, const struct rs_fleet_target *target,
+        const struct rs_target_report *report)
+{
+    return !is_named(fleet, report->service) &&
+           (target == NULL || target->report.service != report->service);
+}
+
+/* Keeps a row until the configuration names its service. Returns whether it
+ * brings news. */
+static enum rs_row_effect
+hold_row(struct rs_fleet *fleet, const char *id,
+         const struct rs_target_report *report, int64_t now_ms)
+{
+    struct rs_fleet_held_row *held = g_hash_table_lookup(fleet->held_rows, id);
+    bool same = held != NULL && held->report.service == report->service &&
+                held->report.started_wall_ms == report->started_wall_ms &&
+                held->report.draining == report->draining;
+    if (held == NULL) {
+        held = g_new0(struct rs_fleet_held_row, 1);
+        g_hash_table_insert(fleet->held_rows, (gpointer)id, held);
+    }
+    held->report = *report;
+    held->at_ms = now_ms;
+    if (!same) {
+        held->rows_current_at_ms = fleet->rows_current_at_ms;
+    }
+    if (!same && fleet->services != NULL) {
+        RsLog_EVENT(RsLog_WARNING, "report_of_unnamed_service",
+                    RsLog_TEXT("target", id),
+                    RsLog_TEXT("service", report->service));
+    }
+    return same ? RsTableCopy_REFRESHED : RsTableCopy_CHANGED;
+}
+
+/* Handles a report of the target with this interned id. */
+static enum rs_row_effect
+handle_report(struct rs_fleet *fleet, const char *id,
+              const struct rs_target_report *report, int64_t now_ms)
+{
+    struct rs_fleet_target *target = RsFleet_Find(fleet, id);
+    if (is_held(fleet, target, report)) {
+        return hold_row(fleet, id, report, now_ms);
+    }
+    g_hash_table_remove(fleet->held_rows, id);
+    if (target == NULL) {
+        target = add_target(fleet, id);
+    }
+    if (is_outdated(target, report)) {
+        return RsTableCopy_IGNORED;
+    }
+    bool unchanged = is_unchanged(target, report, now_ms);
+    apply_report(fleet, target, report, now_ms);
+    return unchanged ? RsTableCopy_REFRESHED : RsTableCopy_CHANGED;
+}
+
 /* Handles a target's row. Malformed rows are logged and ignored; outdated ones
- * are ignored. Returns whether the row changed what is known of the target. */
+ * are ignored; those of services that the configuration doesn't name wait
+ * until it does. Returns whether the row changed what is known of the target.
+ */
 enum rs_row_effect
 RsFleet_ApplyRow(struct rs_fleet *fleet, const char *id, const char *value,
                  int64_t now_ms)
@@ -305,17 +397,53 @@
                     RsLog_TEXT("target", id), RsLog_TEXT("fault", fault));
         return RsTableCopy_IGNORED;
     }
-    const char *interned_id = g_intern_string(id);
-    struct rs_fleet_target *target = RsFleet_Find(fleet, interned_id);
-    if (target == NULL) {
-        target = add_target(fleet, interned_id);
+    return handle_report(fleet, g_intern_string(id), &report, now_ms);
+}
+
+/* Applies the held rows whose services are named now, as of when they came. */
+static void
+apply_held_rows(struct rs_fleet *fleet)
+{
+    GHashTableIter iter;
+    gpointer id;
+    gpointer value;
+    int64_t rows_current_at_ms = fleet->rows_current_at_ms;
+    GHashTable *held_rows = fleet->held_rows;
+    fleet->held_rows =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    g_hash_table_iter_init(&iter, held_rows);
+    while (g_hash_table_iter_next(&iter, &id, &value)) {
+        const struct rs_fleet_held_row *held = value;
+        fleet->rows_current_at_ms = held->rows_current_at_ms;
+        handle_report(fleet, id, &held->report, held->at_ms);
     }
-    if (is_outdated(target, &report)) {
-        return RsTableCopy_IGNORED;
+    fleet->rows_current_at_ms = rows_current_at_ms;
+    g_hash_table_unref(held_rows);
+}
+
+/* Sets the names of the services in the configuration, which must be interned.
+ * Targets of services that are named for the first time may now replace others
+ * at their addresses. */
+void
+RsFleet_SetServices(struct rs_fleet *fleet, const char *const *names,
+                    size_t count)
+{
+    GHashTable *former = fleet->services;
+    fleet->services = g_hash_table_new(g_direct_hash, g_direct_equal);
+    for (size_t i = 0; i < count; i++) {
+        g_hash_table_add(fleet->services, (gpointer)names[i]);
     }
-    bool unchanged = is_unchanged(target, &report, now_ms);
-    apply_report(fleet, target, &report, now_ms);
-    return unchanged ? RsTableCopy_REFRESHED : RsTableCopy_CHANGED;
+    for (guint i = 0; i < fleet->list->len; i++) {
+        const struct rs_fleet_target *target =
+            g_ptr_array_index(fleet->list, i);
+        const char *service = target->report.service;
+        if (is_named(fleet, service) &&
+            (former == NULL || !g_hash_table_contains(former, service))) {
+            mark_replaced(fleet, target);
+        }
+    }
+    g_clear_pointer(&former, g_hash_table_unref);
+    apply_held_rows(fleet);
 }
 
 /* Handles the deletion of a target's row. After an outage of the store the row
@@ -325,6 +453,7 @@
 RsFleet_RemoveRow(struct rs_fleet *fleet, const char *id, int64_t now_ms)
 {
     struct rs_fleet_target *target = RsFleet_Find(fleet, g_intern_string(id));
+    g_hash_table_remove(fleet->held_rows, g_intern_string(id));
     if (target == NULL || !target->listed) {
         return;
     }
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -26,8 +26,10 @@
     bool listed;            /* it has a row in the store */
     bool seen;              /* unused */
     int64_t known_since_ms; /* when its present process was first reported */
-    bool replaced;          /* another target runs at its address */
-    int64_t lapse_at_ms;    /* if unlisted, it may be used until then */
+    /* A younger target is listed at its address, as its row says. It gets no
+     * requests; whether it still holds keys is asked at the address. */
+    bool replaced;
+    int64_t lapse_at_ms; /* if unlisted, it may be used until then */
     /* The earliest time at which it may have begun to drain or, if unlisted,
      * the time at which it lapses; 0: neither. */
     int64_t leaving_since_ms;
@@ -80,6 +82,14 @@
     const char *source;   /* who told this node, for the log */
 };
 
+/* A row that has no effect until the configuration names its service. */
+struct rs_fleet_held_row {
+    struct rs_target_report report;
+    int64_t at_ms; /* when it came */
+    /* See rs_fleet; of the first row that reported the same state. */
+    int64_t rows_current_at_ms;
+};
+
 struct rs_fleet_events {
     /* Called when a process of the target is first reported, or when another
      * target has taken the target's address. Connections to the old process
@@ -90,6 +100,12 @@
 struct rs_fleet {
     GHashTable *targets; /* interned id to struct rs_fleet_target */
     GPtrArray *list;     /* the same, in the order of discovery */
+    /* Interned names of the services that the configuration names; NULL before
+     * the first one. */
+    GHashTable *services;
+    /* Interned id to struct rs_fleet_held_row: the last row of an id if it
+     * names a service that is not in `services`. */
+    GHashTable *held_rows;
     /* Interned zone to int64_t, the earliest time at which its evacuation may
      * have been requested. */
     GHashTable *evacuated;
@@ -114,6 +130,10 @@
 
 void RsFleet_Clear(struct rs_fleet *fleet);
 
+/* Update from the configuration. */
+void RsFleet_SetServices(struct rs_fleet *fleet, const char *const *names,
+                         size_t count);
+
 /* Updates from the store. */
 void RsFleet_RecordRowsCurrent(struct rs_fleet *fleet, int64_t at_ms);
 enum rs_row_effect RsFleet_ApplyRow(struct rs_fleet *fleet, const char *id,
--- a/router/fleet_test.c
+++ b/router/fleet_test.c
@@ -51,19 +51,24 @@
         "{}",
         "{\"service\":\"s\"}",
         "{\"service\":7,\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-        "\"capacity\":2,\"state\":\"ready\",\"warmup_left_ms\":0,"
+        "\"version\":\"v1\",\"capacity\":2,\"state\":\"ready\",\"warmup_left_"
+        "ms\":0,"
         "\"sequence\":9,\"born\":99}",
         "{\"service\":\"s\",\"address\":\"1.2.3.4\",\"zone\":\"z\","
-        "\"capacity\":2,\"state\":\"ready\",\"warmup_left_ms\":0,"
+        "\"version\":\"v1\",\"capacity\":2,\"state\":\"ready\",\"warmup_left_"
+        "ms\":0,"
         "\"sequence\":9,\"born\":99}",
         "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-        "\"capacity\":2,\"state\":\"odd\",\"warmup_left_ms\":0,"
+        "\"version\":\"v1\",\"capacity\":2,\"state\":\"odd\",\"warmup_left_"
+        "ms\":0,"
         "\"sequence\":9,\"born\":99}",
         "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-        "\"capacity\":0,\"state\":\"ready\",\"warmup_left_ms\":0,"
+        "\"version\":\"v1\",\"capacity\":0,\"state\":\"ready\",\"warmup_left_"
+        "ms\":0,"
         "\"sequence\":9,\"born\":99}",
         "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-        "\"capacity\":2,\"state\":\"ready\",\"warmup_left_ms\":0,"
+        "\"version\":\"v1\",\"capacity\":2,\"state\":\"ready\",\"warmup_left_"
+        "ms\":0,"
         "\"sequence\":9,\"born\":\"x\"}",
     };
     open_fleet();
@@ -126,6 +131,98 @@
     RsFleet_Clear(&fleet);
 }
 
+/* The row of a process that has ended is not written any more. */
+static void
+test_target_that_goes_on_reporting_was_not_replaced(void)
+{
+    open_fleet();
+    struct rs_fixture_report report = base_report;
+    report.id = "b";
+    report.started_wall_ms = 60;
+    RsFixture_Report(&fleet, &report, NOW_MS);
+    RsFixture_Report(&fleet, &base_report, NOW_MS + 100);
+    CU_ASSERT_TRUE(find("a")->replaced);
+    report = base_report;
+    report.sequence++;
+    RsFixture_Report(&fleet, &report, NOW_MS + 900);
+    CU_ASSERT_FALSE(find("a")->replaced);
+    CU_ASSERT_TRUE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS + 900));
+    RsFleet_Clear(&fleet);
+}
+
+/* A row of another writer at the address of a target, or under its id, names a
+ * service that the configuration doesn't name, or names a moment later. */
+static void
+test_row_of_an_unnamed_service_changes_no_other_target(void)
+{
+    open_fleet();
+    struct rs_fixture_report report = base_report;
+    report.id = "b";
+    report.service = "unnamed";
+    report.started_wall_ms = 60;
+    RsFixture_ReportUnnamed(&fleet, &report, NOW_MS);
+    CU_ASSERT_FALSE(find("a")->replaced);
+    CU_ASSERT_TRUE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS));
+    report.id = "a";
+    report.draining = true;
+    RsFixture_ReportUnnamed(&fleet, &report, NOW_MS);
+    CU_ASSERT_PTR_EQUAL(find("a")->report.service, g_intern_string("s"));
+    CU_ASSERT_TRUE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS));
+    CU_ASSERT_EQUAL(resets, 1);
+    RsFixture_NameService(&fleet, "unnamed");
+    CU_ASSERT_TRUE(find("a")->report.draining);
+    CU_ASSERT_TRUE(RsFleet_MayTakeWork(&fleet, find("b"), NOW_MS));
+    RsFleet_Clear(&fleet);
+}
+
+/* The worker's own next report takes the place of the row that waits. */
+static void
+test_own_report_follows_a_row_of_an_unnamed_service(void)
+{
+    open_fleet();
+    struct rs_fixture_report report = base_report;
+    report.service = "unnamed";
+    report.started_wall_ms = 60;
+    RsFixture_ReportUnnamed(&fleet, &report, NOW_MS);
+    report = base_report;
+    report.sequence++;
+    report.draining = true;
+    CU_ASSERT_EQUAL(RsFixture_ReportUnnamed(&fleet, &report, NOW_MS),
+                    RsTableCopy_CHANGED);
+    RsFixture_NameService(&fleet, "unnamed");
+    CU_ASSERT_EQUAL(find("a")->report.started_wall_ms, 50);
+    RsFleet_Clear(&fleet);
+}
+
+/* Targets report before the first configuration is read. One that drains is
+ * taken to have begun before its row came, not before it took effect. */
+static void
+test_rows_wait_for_the_first_configuration(void)
+{
+    resets = 0;
+    RsFleet_Init(&fleet, &counting_events, NULL);
+    struct rs_fixture_report report = base_report;
+    report.draining = true;
+    RsFleet_RecordRowsCurrent(&fleet, NOW_MS - 300);
+    RsFixture_ReportUnnamed(&fleet, &report, NOW_MS);
+    report.sequence++;
+    RsFleet_RecordRowsCurrent(&fleet, NOW_MS + 600);
+    CU_ASSERT_EQUAL(RsFixture_ReportUnnamed(&fleet, &report, NOW_MS + 900),
+                    RsTableCopy_REFRESHED);
+    CU_ASSERT_PTR_NULL(find("a"));
+    RsFixture_NameService(&fleet, "s");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(find("a"));
+    CU_ASSERT_EQUAL(find("a")->leaving_since_ms, NOW_MS - 300);
+    CU_ASSERT_EQUAL(fleet.rows_current_at_ms, NOW_MS + 600);
+    report.id = "gone";
+    report.service = "later";
+    RsFixture_ReportUnnamed(&fleet, &report, NOW_MS);
+    RsFleet_RemoveRow(&fleet, "gone", NOW_MS);
+    RsFixture_NameService(&fleet, "later");
+    CU_ASSERT_PTR_NULL(find("gone"));
+    RsFleet_Clear(&fleet);
+}
+
 /* A granter that has just started learns of owners without a row from the key
  * map. */
 static void
@@ -517,6 +614,10 @@
     CU_ADD_TEST(suite, test_older_reports_change_nothing);
     CU_ADD_TEST(suite, test_restart_under_the_same_id_is_accepted);
     CU_ADD_TEST(suite, test_another_target_at_the_address_replaces_the_first);
+    CU_ADD_TEST(suite, test_target_that_goes_on_reporting_was_not_replaced);
+    CU_ADD_TEST(suite, test_row_of_an_unnamed_service_changes_no_other_target);
+    CU_ADD_TEST(suite, test_own_report_follows_a_row_of_an_unnamed_service);
+    CU_ADD_TEST(suite, test_rows_wait_for_the_first_configuration);
     CU_ADD_TEST(suite, test_unlisted_target_may_have_been_replaced);
     CU_ADD_TEST(suite, test_unlisted_target_may_be_listed_again);
     CU_ADD_TEST(suite, test_leaving_target_keeps_its_keys_for_a_second);
--- a/router/granter.c
+++ b/router/granter.c
@@ -913,10 +913,8 @@
                 RsLog_NUMBER("maps", granter->map_count));
 }
 
-/* Returns whether an owner can't hold keys any more because another target
- * runs at its address; the new target refuses orders for the old id. A restart
- * under the same id is not enough: the new process may have accepted renewals
- * sent to the old one. The new process still answers releases. */
+/* Returns whether another target is listed at the address of an owner. That is
+ * what a row says, which may be wrong, so the owner may still hold keys. */
 static bool
 is_replaced(const struct rs_granter *granter, const struct rs_owner *owner)
 {
@@ -1019,11 +1017,9 @@
         }
         return;
     }
-    if (!orders->grant_in_flight && is_replaced(granter, &range->former)) {
-        complete_handover(entry, range, "ended", now_ms);
-    }
-    else if (orders->released) {
-        complete_handover(entry, range, "released", now_ms);
+    if (orders->released) {
+        complete_handover(entry, range, orders->ended ? "ended" : "released",
+                          now_ms);
     }
     else if (!orders->grant_in_flight &&
              now_ms >= orders->former_hold_until_ms) {
@@ -1370,7 +1366,11 @@
         return;
     }
     range->orders.release_in_flight = false;
-    if (status != RsWire_GRANTED) {
+    /* Another process runs at the address, so the former owner has ended. A
+     * restart under the same id doesn't look like that: the new process may
+     * have accepted renewals that were sent to the old one. */
+    range->orders.ended = status == RsWire_MISDIRECTED;
+    if (status != RsWire_GRANTED && !range->orders.ended) {
         RsLog_EVENT(RsLog_WARNING, "release_failed",
                     RsLog_TEXT("target", order->target_id),
                     RsLog_NUMBER("first_key", order->grant.first_key),
--- a/router/granter.h
+++ b/router/granter.h
@@ -7,9 +7,9 @@
  * that the store confirms extends its authority to a fixed time after the
  * commit was sent. Any granter may renew a grant whose fence is committed to
  * the store. A new owner gets its first grant only once the move is committed
- * and the former owner has confirmed its release, has been replaced at its
- * address, or can no longer hold the keys because its last grant has
- * expired.
+ * and the former owner has confirmed its release, another target has answered
+ * the release at its address, or its last grant has expired. What rows say of
+ * the former owner is no proof.
  *
  * After the store has gone back to a copy, its rows don't show the last
  * changes of owners. Each era of the store has rows of its own for the lease
--- a/router/granter_settle_test.c
+++ b/router/granter_settle_test.c
@@ -68,6 +68,56 @@
     RsSimulation_Free(sim);
 }
 
+/* The process that runs at the address of a former owner answers for it. Keys
+ * are held again within a second, also after a change of granter, which knows
+ * nothing of the last grants. */
+static void
+test_another_target_answers_for_one_that_has_ended(void)
+{
+    for (uint32_t change = 0; change < 2; change++) {
+        struct rs_simulation *sim =
+            RsSimulation_NewSettled(FORMER_TARGET, false);
+        RsSimulation_ReplaceTarget(sim, FORMER_TARGET);
+        if (change == 1) {
+            RsSimulation_InjectFault(sim, RsFixture_NODE_RESTARTED,
+                                     (uint32_t)RsSimulation_FindGranter(sim),
+                                     0);
+            RsSimulation_Advance(sim, 300);
+        }
+        RsSimulation_MoveKeys(sim, 0, LAST_KEY, OWNER_TARGET);
+        RsSimulation_Advance(sim, 1000);
+        CU_ASSERT_TRUE(RsSimulation_Holds(sim, OWNER_TARGET, 0));
+        CU_ASSERT_TRUE(RsSimulation_IsSound(sim));
+        RsSimulation_Free(sim);
+    }
+}
+
+/* review/7: a row named the address of a running target and a later start, so
+ * that its keys went to another one without a release. */
+static void
+test_row_at_the_address_of_an_owner_ends_no_hold(void)
+{
+    for (int64_t phase_ms = 0; phase_ms < 1000; phase_ms += 50) {
+        for (uint32_t cut_off = 0; cut_off < 2; cut_off++) {
+            struct rs_simulation *sim =
+                RsSimulation_NewSettled(FORMER_TARGET, false);
+            RsSimulation_Advance(sim, phase_ms);
+            if (cut_off == 1) {
+                RsSimulation_InjectFault(sim, RsFixture_TARGET_CUT_OFF,
+                                         FORMER_TARGET, CUT_OFF_MS);
+            }
+            RsSimulation_ListAtAddress(sim, FORMER_TARGET);
+            for (int i = 0; i < 60; i++) {
+                RsSimulation_MoveKeys(sim, 0, LAST_KEY, OWNER_TARGET);
+                RsSimulation_Advance(sim, 100);
+            }
+            CU_ASSERT_TRUE(RsSimulation_Holds(sim, OWNER_TARGET, 0));
+            CU_ASSERT_TRUE(RsSimulation_IsSound(sim));
+            RsSimulation_Free(sim);
+        }
+    }
+}
+
 /* The owner of unproven keys answers again only after all grants of the former
  * era have lapsed. A grant is in flight when they do. */
 static void
@@ -99,6 +149,8 @@
     CU_ADD_TEST(
         suite,
         test_owner_gets_keys_of_a_replaced_target_with_a_grant_in_flight);
+    CU_ADD_TEST(suite, test_another_target_answers_for_one_that_has_ended);
+    CU_ADD_TEST(suite, test_row_at_the_address_of_an_owner_ends_no_hold);
     CU_ADD_TEST(suite, test_lapse_of_unproven_keys_with_a_grant_in_flight);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
--- a/router/keymap.h
+++ b/router/keymap.h
@@ -21,8 +21,10 @@
 struct rs_range_orders {
     bool grant_in_flight;
     bool release_in_flight;
-    /* The former owner has confirmed its release. Set until the next move. */
+    /* The former owner has confirmed its release, or has `ended`: another
+     * target has answered at its address. Set until the next move. */
     bool released;
+    bool ended;
     int64_t next_grant_at_ms;
     int64_t next_release_at_ms;
     int64_t hold_until_ms;        /* latest end of the owner's grants */
--- a/router/orders.c
+++ b/router/orders.c
@@ -277,9 +277,10 @@
     call->timer.data = call;
     call->queue = get_or_create_queue(orders, order->target_id);
     g_queue_push_tail(&call->queue->waiting, call);
-    if (call->target == NULL || call->target->replaced) {
+    if (call->target == NULL || (call->target->replaced && !order->release)) {
         /* The target's address is unknown, or another target has it now, so
-         * the timer ends the order as not sent. */
+         * the timer ends the order as not sent. A release is sent: whoever
+         * runs at the address tells whether the target has ended. */
         static struct rs_fleet_target unknown_target;
         call->target = &unknown_target;
         uv_timer_start(&call->timer, on_timeout, 0, 0);
--- a/router/router.c
+++ b/router/router.c
@@ -74,6 +74,12 @@
     RsRouting_DropApiKeys(config);
     RsRouting_Release(router->config);
     router->config = config;
+    const char **services = g_new0(const char *, config->service_count + 1);
+    for (size_t i = 0; i < config->service_count; i++) {
+        services[i] = config->services[i].name;
+    }
+    RsFleet_SetServices(&router->fleet, services, config->service_count);
+    g_free(services);
 }
 
 /* Returns the port on which each node opens tunnels, see router/tunnel.h. */
