Tell the users of a node's tunnels that it stops

Cause: a node keeps connections through tunnels among its idle ones for as long as they are used. A node that stops opens no new tunnels, but nothing tells the others to leave the open ones.

Change: a node tells those that use its tunnels, by datagram, every 0.5 s that they can be used, and ten times a second from SIGTERM on that they can't. They close idle connections through it and don't keep those in use. Without a confirmation for 1.5 s a tunnel isn't reused either, so that lost messages do no harm. A request whose only way leads through nodes that stop is refused at once with 503. A tunnel that is being opened when SIGTERM comes is refused.

Ruled out: closing quiet tunnels at the node that stops (a request may be on its way, and a slow response looks quiet); one message without confirmations (it may be lost); leaving tunnels once direct connections work again (each request would try in vain where they don't).

--- a/http/connection.c
+++ b/http/connection.c
@@ -34,6 +34,7 @@
     /* Waiting for the answer to CONNECT; its bytes are in `header_text`. */
     bool opening_tunnel;
     struct sockaddr_in address;
+    uint32_t own_address;   /* see rs_http_options */
     bool awaiting_response; /* from sending a request until its
                                response is complete */
     bool is_head_request;
@@ -396,8 +397,15 @@
     GString *text = g_string_new(NULL);
     unsigned port = ntohs(connection->address.sin_port);
     uv_ip4_name(&connection->address, host, sizeof(host));
-    g_string_printf(text, "CONNECT %s:%u HTTP/1.1\r\nhost: %s:%u" END_OF_HEAD,
-                    host, port, host, port);
+    g_string_printf(text, "CONNECT %s:%u HTTP/1.1\r\nhost: %s:%u", host, port,
+                    host, port);
+    if (connection->own_address != 0) {
+        const struct sockaddr_in own = {
+            .sin_family = AF_INET, .sin_addr.s_addr = connection->own_address};
+        uv_ip4_name(&own, host, sizeof(host));
+        g_string_append_printf(text, "\r\n" RsHttp_TUNNEL_USER ": %s", host);
+    }
+    g_string_append(text, END_OF_HEAD);
     if (!write_text(connection, text)) {
         close_with_error(connection, RsHttp_RESET);
     }
@@ -492,6 +500,7 @@
     http_parser_init(&connection->parser, HTTP_RESPONSE);
     connection->parser.data = connection;
     connection->address = options->address;
+    connection->own_address = options->own_address;
     connection->max_body_bytes = options->max_body_bytes;
     connection->opening_tunnel = options->via.sin_family != 0;
     const struct sockaddr_in *peer =
--- a/http/connection.h
+++ b/http/connection.h
@@ -12,6 +12,8 @@
 
 #include "core/error.h"
 
+/* In a CONNECT request: the IPv4 address of the node that asks. */
+#define RsHttp_TUNNEL_USER "tunnel-user"
 #define RsHttp_READ_BYTES 65536 /* maximum size of one `body` call */
 /* Limits of a response head. RsHttp_MAX_HEAD_BYTES counts the header names and
  * values, each with a null byte at its end. */
@@ -69,6 +71,9 @@
     /* Server that is asked with CONNECT for a tunnel to `address`; with family
      * 0 the connection is direct. */
     struct sockaddr_in via;
+    /* IPv4 address, in network byte order, at which that server reaches this
+     * process; 0: it is not named. */
+    uint32_t own_address;
     const struct rs_http_events *events;
     void *arg;
     /* Sets SO_LINGER to 0, so that closing the connection, also by the exit of
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -30,6 +30,7 @@
     struct rs_http_connection *connection; /* NULL if none was opened */
     struct rs_exchange_options options;    /* of the present request */
     uint32_t peer;         /* node with the tunnel; 0: direct connection */
+    int64_t opened_at_ms;  /* when the connection was opened */
     uint32_t tunnel_tries; /* tunnels that were asked for */
     struct rs_http_request request;
     /* NULL while the connection is idle */
@@ -111,13 +112,24 @@
     free_exchange(exchange);
 }
 
+/* Returns whether a request may be sent on the connection: it is direct, or
+ * the node with the tunnel will not end before the response, as far as is
+ * known. */
+static bool
+is_path_usable(const struct rs_exchange *exchange)
+{
+    return exchange->peer == 0 ||
+           RsPaths_MayUseTunnel(exchange->options.paths, exchange->peer,
+                                exchange->opened_at_ms, RsClock_NowMs());
+}
+
 /* Sends the request on a connection that was just opened. */
 static void
 send_first(struct rs_exchange *exchange)
 {
     int64_t now_ms = RsClock_NowMs();
     int64_t before_ms = exchange->options.send_before_ms;
-    if (before_ms != 0 && now_ms >= before_ms) {
+    if ((before_ms != 0 && now_ms >= before_ms) || !is_path_usable(exchange)) {
         end_exchange(exchange, RsExchange_NOT_SENT);
         return;
     }
@@ -155,6 +167,7 @@
 {
     struct rs_exchange *exchange = arg;
     exchange->connecting = false;
+    exchange->opened_at_ms = RsClock_NowMs();
     uv_timer_stop(&exchange->timer);
     record_connect(exchange, RsPath_CONNECTED);
     if (exchange->options.opening_path == NULL) {
@@ -217,6 +230,7 @@
     }
     finish(exchange, opening ? RsExchange_NOT_SENT : 0);
     if (keep_alive && exchange->idle_timeout_ms > 0 &&
+        is_path_usable(exchange) &&
         RsFleet_IsListed(exchange->target, RsClock_NowMs())) {
         exchange->idle_until_ms = RsClock_NowMs() + exchange->idle_timeout_ms;
         g_queue_push_head(&exchange->target->idle[exchange->options.use],
@@ -311,7 +325,8 @@
 }
 
 /* Returns an idle connection to the target that may be used, or NULL. Closes
- * those that have been idle for too long. */
+ * those that have been idle for too long or lead through a node that may be
+ * stopping. */
 static struct rs_exchange *
 take_idle(const struct rs_exchange_options *options)
 {
@@ -321,7 +336,8 @@
     while (link != NULL) {
         struct rs_exchange *exchange = link->data;
         GList *next = link->next;
-        bool expired = now_ms >= exchange->idle_until_ms;
+        bool expired =
+            now_ms >= exchange->idle_until_ms || !is_path_usable(exchange);
         if (expired || !is_excluded(exchange, options)) {
             g_queue_delete_link(idle, link);
         }
@@ -349,6 +365,7 @@
         .address = exchange->target->report.address,
         .events = &events,
         .arg = exchange,
+        .own_address = options->paths->own_address,
         .reset_on_close = true,
         .max_body_bytes = options->max_body_bytes,
     };
@@ -513,3 +530,33 @@
         }
     }
 }
+
+static void
+close_idle_through(struct rs_fleet_target *target, enum rs_fleet_use use,
+                   uint32_t peer)
+{
+    GList *link = target->idle[use].head;
+    while (link != NULL) {
+        struct rs_exchange *exchange = link->data;
+        GList *next = link->next;
+        if (exchange->peer == peer) {
+            g_queue_delete_link(&target->idle[use], link);
+            RsHttp_Close(exchange->connection);
+            free_exchange(exchange);
+        }
+        link = next;
+    }
+}
+
+/* Closes the idle connections to all targets that lead through a node, which
+ * is named by its IPv4 address in network byte order. */
+void
+RsExchange_CloseIdleThrough(struct rs_fleet *fleet, uint32_t peer)
+{
+    for (guint i = 0; i < fleet->list->len; i++) {
+        for (size_t use = 0; use < RsFleet_USES; use++) {
+            close_idle_through(g_ptr_array_index(fleet->list, i),
+                               (enum rs_fleet_use)use, peer);
+        }
+    }
+}
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -78,5 +78,6 @@
 bool RsExchange_IsReused(const struct rs_exchange *exchange);
 bool RsExchange_IsSilent(const struct rs_exchange *exchange);
 void RsExchange_CloseIdle(struct rs_fleet_target *target);
+void RsExchange_CloseIdleThrough(struct rs_fleet *fleet, uint32_t peer);
 
 #endif
--- a/router/exchange_test.c
+++ b/router/exchange_test.c
@@ -15,6 +15,7 @@
 #define READ_BYTES 4096
 #define MAX_CONNECTIONS 8
 #define MAX_SILENCE_MS 100
+#define LOOPBACK 0x0100007fU
 
 static struct {
     struct rs_test_loop loop;
@@ -25,6 +26,7 @@
     uint32_t accepted; /* connections */
     uint32_t grants;   /* requests for /grant that arrived */
     uint32_t openings; /* requests for /health that arrived */
+    uint32_t connects; /* requests for tunnels that arrived */
     int64_t send_before_ms;
     bool withdrawn; /* requests may not be sent any more */
     bool full;
@@ -75,6 +77,7 @@
         return;
     }
     world.grants += g_strstr_len(buffer->base, size, "/grant") != NULL;
+    world.connects += g_strstr_len(buffer->base, size, "CONNECT") != NULL;
     world.openings += g_strstr_len(buffer->base, size, "/health") != NULL;
     if (world.full && g_strstr_len(buffer->base, size, "/health") != NULL) {
         world.waiting = stream;
@@ -131,6 +134,7 @@
     const struct rs_exchange_options options = {
         .loop = &world.loop.uv,
         .paths = &world.paths,
+        .tunnel_port = TARGET_PORT,
         .target = world.target,
         .use = use,
         .max_connections = MAX_CONNECTIONS,
@@ -357,6 +361,80 @@
     world.withdrawn = false;
 }
 
+/* Opens a connection to the target through a tunnel, and leaves it idle. The
+ * target's listener stands in for the node with the tunnel as well. */
+static void
+open_tunnel(void)
+{
+    struct call call;
+    world.paths.random = g_rand_new_with_seed(1);
+    RsPaths_AddPeer(&world.paths, LOOPBACK);
+    world.target->through_peers_until_ms = RsClock_NowMs() + WAIT_MS;
+    start(&call, RsFleet_REQUESTS, "/");
+    expect_answer(&call);
+    CU_ASSERT_EQUAL(world.connects, 1);
+    CU_ASSERT_EQUAL(world.target->idle[RsFleet_REQUESTS].length, 1);
+    world.target->through_peers_until_ms = 0;
+}
+
+static void
+close_tunnels(void)
+{
+    RsExchange_CloseIdle(world.target);
+    g_rand_free(world.paths.random);
+    world.paths = (struct rs_paths){.fleet = &world.fleet};
+    world.connects = 0;
+}
+
+/* LOST (review/8): connections through a node that stopped were kept for later
+ * requests, which ended with it. */
+static void
+test_idle_tunnel_of_a_node_that_stops_is_left(void)
+{
+    struct call call;
+    open_tunnel();
+    uint32_t accepted = world.accepted;
+    start(&call, RsFleet_REQUESTS, "/");
+    expect_answer(&call);
+    CU_ASSERT_EQUAL(world.accepted, accepted);
+    RsPaths_RecordTunnelState(&world.paths, LOOPBACK, true, RsClock_NowMs());
+    start(&call, RsFleet_REQUESTS, "/");
+    expect_answer(&call);
+    CU_ASSERT_EQUAL(world.accepted, accepted + 1);
+    CU_ASSERT_EQUAL(world.connects, 1);
+    close_tunnels();
+}
+
+/* A request in progress ends on its tunnel, which isn't kept. */
+static void
+test_tunnel_in_use_is_not_kept_when_its_node_stops(void)
+{
+    struct call call;
+    open_tunnel();
+    start(&call, RsFleet_REQUESTS, "/");
+    RsPaths_RecordTunnelState(&world.paths, LOOPBACK, true, RsClock_NowMs());
+    RsExchange_CloseIdleThrough(&world.fleet, LOOPBACK);
+    expect_answer(&call);
+    CU_ASSERT_EQUAL(world.target->idle[RsFleet_REQUESTS].length, 0);
+    close_tunnels();
+}
+
+static void
+test_only_idle_tunnels_of_the_node_are_closed(void)
+{
+    struct call call;
+    open_tunnel();
+    start(&call, RsFleet_REQUESTS, "/slow");
+    struct call direct;
+    start(&direct, RsFleet_REQUESTS, "/");
+    expect_answer(&direct);
+    RsExchange_Cancel(call.exchange);
+    CU_ASSERT_EQUAL(world.target->idle[RsFleet_REQUESTS].length, 1);
+    RsExchange_CloseIdleThrough(&world.fleet, LOOPBACK);
+    CU_ASSERT_EQUAL(world.target->idle[RsFleet_REQUESTS].length, 1);
+    close_tunnels();
+}
+
 int
 main(void)
 {
@@ -376,6 +454,9 @@
                 test_order_is_not_sent_on_a_connection_that_fell_silent);
     CU_ADD_TEST(suite, test_order_is_not_sent_too_late);
     CU_ADD_TEST(suite, test_request_is_not_sent_after_it_was_withdrawn);
+    CU_ADD_TEST(suite, test_idle_tunnel_of_a_node_that_stops_is_left);
+    CU_ADD_TEST(suite, test_tunnel_in_use_is_not_kept_when_its_node_stops);
+    CU_ADD_TEST(suite, test_only_idle_tunnels_of_the_node_are_closed);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
     CU_cleanup_registry();
--- a/router/node.c
+++ b/router/node.c
@@ -830,6 +830,7 @@
     find_granter(node, now_ms);
     RsGranter_Tick(&node->granter, now_ms);
     RsStream_Tick(node->stream, now_ms);
+    RsTunnel_Tick(node->tunnels, now_ms);
     RsLog_Flush();
     if (RsShutdown_Begun(&node->router.shutdown)) {
         continue_shutdown(node, now_ms);
@@ -1016,7 +1017,13 @@
     if (node->reports == NULL) {
         return RsNode_NO_PEER_PORT;
     }
-    node->tunnels = RsTunnel_Open(&node->router);
+    const struct rs_tunnel_options tunnels = {
+        .router = &node->router,
+        .incarnation = node->incarnation,
+        .send = RsReports_SendDatagram,
+        .arg = node->reports,
+    };
+    node->tunnels = RsTunnel_Open(&tunnels);
     if (node->tunnels == NULL) {
         return RsNode_NO_PEER_PORT;
     }
--- a/router/paths.c
+++ b/router/paths.c
@@ -4,6 +4,9 @@
 
 /* A node that has opened no tunnel is not asked for this long. */
 #define AVOID_PEER_MS 2000
+/* A node tells every half second that its tunnels can be used
+ * (router/tunnel.c). After two lost messages they aren't used any more. */
+#define CONFIRMED_MS 1500
 /* After a failed direct connection, a target is reached through other nodes
  * for this long, unless they can't reach it either. */
 #define THROUGH_PEERS_MS 2000
@@ -64,12 +67,45 @@
     if (result == RsPath_PEER_FAILED && peer != NULL) {
         peer->avoid_until_ms = now_ms + AVOID_PEER_MS;
     }
+    if (result == RsPath_CONNECTED && peer != NULL) {
+        peer->confirmed_at_ms = now_ms;
+    }
     if (result == RsPath_TARGET_FAILED) {
         target->through_peers_until_ms = 0;
         target->direct_until_ms = now_ms + THROUGH_PEERS_MS;
     }
 }
 
+/* Records what another node says of its tunnels. */
+void
+RsPaths_RecordTunnelState(struct rs_paths *paths, uint32_t address,
+                          bool stopping, int64_t now_ms)
+{
+    RsPaths_AddPeer(paths, address);
+    struct rs_path_peer *peer = find_peer(paths, address);
+    if (peer == NULL) {
+        return; /* this node */
+    }
+    if (!stopping) {
+        peer->confirmed_at_ms = now_ms;
+        return;
+    }
+    peer->stopping_at_ms = now_ms;
+    peer->avoid_until_ms = MAX(peer->avoid_until_ms, now_ms + AVOID_PEER_MS);
+}
+
+/* Returns whether a request may be sent through a tunnel of another node that
+ * was opened at `opened_at_ms`: the node isn't stopping, as it has said
+ * lately. */
+bool
+RsPaths_MayUseTunnel(struct rs_paths *paths, uint32_t address,
+                     int64_t opened_at_ms, int64_t now_ms)
+{
+    const struct rs_path_peer *peer = find_peer(paths, address);
+    return peer != NULL && opened_at_ms > peer->stopping_at_ms &&
+           now_ms - peer->confirmed_at_ms < CONFIRMED_MS;
+}
+
 /* Returns a random node that can be asked for a tunnel, or 0. */
 static uint32_t
 choose_peer(const struct rs_paths *paths, int64_t now_ms)
--- a/router/paths.h
+++ b/router/paths.h
@@ -37,6 +37,10 @@
 struct rs_path_peer {
     uint32_t address; /* IPv4, network byte order */
     int64_t avoid_until_ms;
+    /* When it last opened a tunnel, or said that its tunnels can be used, and
+     * when it last said that it is stopping. */
+    int64_t confirmed_at_ms;
+    int64_t stopping_at_ms;
 };
 
 struct rs_paths {
@@ -63,6 +67,10 @@
 void RsPaths_RecordPeer(struct rs_paths *paths, uint32_t address,
                         struct rs_fleet_target *target,
                         enum rs_path_result result, int64_t now_ms);
+void RsPaths_RecordTunnelState(struct rs_paths *paths, uint32_t address,
+                               bool stopping, int64_t now_ms);
+bool RsPaths_MayUseTunnel(struct rs_paths *paths, uint32_t address,
+                          int64_t opened_at_ms, int64_t now_ms);
 
 enum rs_path RsPaths_Choose(const struct rs_paths *paths,
                             const struct rs_fleet_target *target,
--- a/router/paths_test.c
+++ b/router/paths_test.c
@@ -298,6 +298,61 @@
     close_paths();
 }
 
+/* LOST (review/8): requests were begun through a node that had got SIGTERM. */
+static void
+test_tunnels_of_a_node_that_stops_are_not_used(void)
+{
+    open_paths(1);
+    RsPaths_RecordPeer(&paths, PEER_1, targets[0], RsPath_CONNECTED, NOW_MS);
+    CU_ASSERT_TRUE(RsPaths_MayUseTunnel(&paths, PEER_1, NOW_MS, NOW_MS + 10));
+    RsPaths_RecordTunnelState(&paths, PEER_1, true, NOW_MS + 20);
+    CU_ASSERT_FALSE(RsPaths_MayUseTunnel(&paths, PEER_1, NOW_MS, NOW_MS + 30));
+    /* An older message that arrives later. */
+    RsPaths_RecordTunnelState(&paths, PEER_1, false, NOW_MS + 40);
+    CU_ASSERT_FALSE(RsPaths_MayUseTunnel(&paths, PEER_1, NOW_MS, NOW_MS + 50));
+    /* The node is back, and has opened another tunnel. */
+    RsPaths_RecordPeer(&paths, PEER_1, targets[0], RsPath_CONNECTED,
+                       NOW_MS + 9000);
+    CU_ASSERT_TRUE(
+        RsPaths_MayUseTunnel(&paths, PEER_1, NOW_MS + 9000, NOW_MS + 9010));
+    close_paths();
+}
+
+static void
+test_node_that_stops_is_not_asked_for_tunnels(void)
+{
+    open_paths(TARGETS);
+    paths.isolated = true;
+    RsPaths_RecordTunnelState(&paths, PEER_1, true, NOW_MS);
+    for (int i = 0; i < 20; i++) {
+        uint32_t peer = 0;
+        CU_ASSERT_EQUAL(
+            RsPaths_Choose(&paths, targets[0], NOW_MS + 1900, &peer),
+            RsPath_PEER);
+        CU_ASSERT_EQUAL(peer, PEER_2);
+    }
+    RsPaths_RecordTunnelState(&paths, PEER_2, true, NOW_MS);
+    CU_ASSERT_EQUAL(choose(0, NOW_MS + 1900), RsPath_NONE);
+    close_paths();
+}
+
+/* All messages of a node are lost, or it is of a version without them. */
+static void
+test_tunnels_of_a_silent_node_are_not_used_again(void)
+{
+    open_paths(1);
+    RsPaths_RecordPeer(&paths, PEER_1, targets[0], RsPath_CONNECTED, NOW_MS);
+    CU_ASSERT_TRUE(
+        RsPaths_MayUseTunnel(&paths, PEER_1, NOW_MS, NOW_MS + 1400));
+    CU_ASSERT_FALSE(
+        RsPaths_MayUseTunnel(&paths, PEER_1, NOW_MS, NOW_MS + 1600));
+    RsPaths_RecordTunnelState(&paths, PEER_1, false, NOW_MS + 1700);
+    CU_ASSERT_TRUE(
+        RsPaths_MayUseTunnel(&paths, PEER_1, NOW_MS, NOW_MS + 3000));
+    CU_ASSERT_FALSE(RsPaths_MayUseTunnel(&paths, OWN, NOW_MS, NOW_MS));
+    close_paths();
+}
+
 int
 main(void)
 {
@@ -320,6 +375,9 @@
     CU_ADD_TEST(suite, test_silent_connections_are_probed);
     CU_ADD_TEST(suite, test_idle_node_and_answered_requests_need_no_probe);
     CU_ADD_TEST(suite, test_isolated_node_probes_its_links);
+    CU_ADD_TEST(suite, test_tunnels_of_a_node_that_stops_are_not_used);
+    CU_ADD_TEST(suite, test_node_that_stops_is_not_asked_for_tunnels);
+    CU_ADD_TEST(suite, test_tunnels_of_a_silent_node_are_not_used_again);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
     CU_cleanup_registry();
--- a/router/peer.pb-c.c
+++ b/router/peer.pb-c.c
@@ -391,6 +391,51 @@
   assert(message->base.descriptor == &rs__peer__quota_grant__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rs__peer__tunnel_state__init
+                     (Rs__Peer__TunnelState         *message)
+{
+  static const Rs__Peer__TunnelState init_value = RS__PEER__TUNNEL_STATE__INIT;
+  *message = init_value;
+}
+size_t rs__peer__tunnel_state__get_packed_size
+                     (const Rs__Peer__TunnelState *message)
+{
+  assert(message->base.descriptor == &rs__peer__tunnel_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rs__peer__tunnel_state__pack
+                     (const Rs__Peer__TunnelState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rs__peer__tunnel_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rs__peer__tunnel_state__pack_to_buffer
+                     (const Rs__Peer__TunnelState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rs__peer__tunnel_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rs__Peer__TunnelState *
+       rs__peer__tunnel_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rs__Peer__TunnelState *)
+     protobuf_c_message_unpack (&rs__peer__tunnel_state__descriptor,
+                                allocator, len, data);
+}
+void   rs__peer__tunnel_state__free_unpacked
+                     (Rs__Peer__TunnelState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rs__peer__tunnel_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor rs__peer__limit__field_descriptors[4] =
 {
   {
@@ -1471,3 +1516,54 @@
   (ProtobufCMessageInit) rs__peer__quota_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rs__peer__tunnel_state__field_descriptors[2] =
+{
+  {
+    "incarnation",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TunnelState, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stopping",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__TunnelState, stopping),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rs__peer__tunnel_state__field_indices_by_name[] = {
+  0,   /* field[0] = incarnation */
+  1,   /* field[1] = stopping */
+};
+static const ProtobufCIntRange rs__peer__tunnel_state__number_ranges[1 + 1] =
+{
+  { 24, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rs__peer__tunnel_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rs.peer.TunnelState",
+  "TunnelState",
+  "Rs__Peer__TunnelState",
+  "rs.peer",
+  sizeof(Rs__Peer__TunnelState),
+  2,
+  rs__peer__tunnel_state__field_descriptors,
+  rs__peer__tunnel_state__field_indices_by_name,
+  1,  rs__peer__tunnel_state__number_ranges,
+  (ProtobufCMessageInit) rs__peer__tunnel_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/router/peer.pb-c.h
+++ b/router/peer.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct Rs__Peer__QuotaRequest__Need Rs__Peer__QuotaRequest__Need;
 typedef struct Rs__Peer__QuotaGrant Rs__Peer__QuotaGrant;
 typedef struct Rs__Peer__QuotaGrant__Item Rs__Peer__QuotaGrant__Item;
+typedef struct Rs__Peer__TunnelState Rs__Peer__TunnelState;
 
 
 /* --- enums --- */
@@ -345,6 +346,27 @@
     , 0, 0, 0,NULL }
 
 
+/*
+ * Sent by a node to each node that reaches targets through tunnels of it, for
+ * as long as they are open, see router/tunnel.h. Its first byte is 0xc0.
+ */
+struct  Rs__Peer__TunnelState
+{
+  ProtobufCMessage base;
+  /*
+   * of the sender; not 0
+   */
+  uint64_t incarnation;
+  /*
+   * no more requests are to be sent through them
+   */
+  protobuf_c_boolean stopping;
+};
+#define RS__PEER__TUNNEL_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rs__peer__tunnel_state__descriptor) \
+    , 0, 0 }
+
+
 /* Rs__Peer__Limit methods */
 void   rs__peer__limit__init
                      (Rs__Peer__Limit         *message);
@@ -509,6 +531,25 @@
 void   rs__peer__quota_grant__free_unpacked
                      (Rs__Peer__QuotaGrant *message,
                       ProtobufCAllocator *allocator);
+/* Rs__Peer__TunnelState methods */
+void   rs__peer__tunnel_state__init
+                     (Rs__Peer__TunnelState         *message);
+size_t rs__peer__tunnel_state__get_packed_size
+                     (const Rs__Peer__TunnelState   *message);
+size_t rs__peer__tunnel_state__pack
+                     (const Rs__Peer__TunnelState   *message,
+                      uint8_t             *out);
+size_t rs__peer__tunnel_state__pack_to_buffer
+                     (const Rs__Peer__TunnelState   *message,
+                      ProtobufCBuffer     *buffer);
+Rs__Peer__TunnelState *
+       rs__peer__tunnel_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rs__peer__tunnel_state__free_unpacked
+                     (Rs__Peer__TunnelState *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Rs__Peer__Limit_Closure)
@@ -547,6 +588,9 @@
 typedef void (*Rs__Peer__QuotaGrant_Closure)
                  (const Rs__Peer__QuotaGrant *message,
                   void *closure_data);
+typedef void (*Rs__Peer__TunnelState_Closure)
+                 (const Rs__Peer__TunnelState *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -565,6 +609,7 @@
 extern const ProtobufCMessageDescriptor rs__peer__quota_request__need__descriptor;
 extern const ProtobufCMessageDescriptor rs__peer__quota_grant__descriptor;
 extern const ProtobufCMessageDescriptor rs__peer__quota_grant__item__descriptor;
+extern const ProtobufCMessageDescriptor rs__peer__tunnel_state__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/router/reports.c
+++ b/router/reports.c
@@ -8,6 +8,7 @@
 #include "router/key_rates.h"
 #include "router/peer.pb-c.h"
 #include "router/quota_exchange.h"
+#include "router/tunnel.h"
 
 /* The load of a node that has not reported for this long is no longer counted.
  * With up to 30 nodes that is six reports, each node reporting every 150 ms;
@@ -866,7 +867,7 @@
 /* Distinguishes reports from summaries by the first byte, the tag of the first
  * field: in a report this field is `node`, a string in field 1 (0x0a); in a
  * summary the first field is a number (see router/peer.proto). Messages of
- * quotas begin with tags of their own. */
+ * quotas and tunnels begin with tags of their own. */
 #define REPORT_TAG 0x0a
 
 static void
@@ -884,6 +885,10 @@
                                        (size_t)size, from, now_ms)) {
         return;
     }
+    if (RsTunnel_HandleDatagram(reports->router, data, (size_t)size, from,
+                                now_ms)) {
+        return;
+    }
     if (data[0] == REPORT_TAG) {
         Rs__Peer__Report *report =
             rs__peer__report__unpack(NULL, (size_t)size, data);
--- a/router/tunnel.c
+++ b/router/tunnel.c
@@ -6,6 +6,8 @@
 #include "core/clock.h"
 #include "core/log.h"
 #include "http/connection.h"
+#include "router/exchange.h"
+#include "router/peer.pb-c.h"
 
 #define MAX_TUNNELS 600
 #define MAX_HEAD_BYTES 255
@@ -17,6 +19,11 @@
 #define KEEPALIVE_DELAY_S 5
 #define BACKLOG 128
 #define SIDES 2
+#define TELL_EVERY_MS 500
+#define TELL_STOPPING_EVERY_MS 100
+#define STATE_TAG 0xc0 /* first byte of a TunnelState, see router/peer.proto  \
+                        */
+#define USER_HEADER "\r\n" RsHttp_TUNNEL_USER ": "
 
 static const char opened_answer[] = "HTTP/1.1 200 OK\r\n\r\n";
 static const char refused_answer[] =
@@ -26,8 +33,11 @@
 struct rs_tunnel_server {
     uv_tcp_t listener;
     struct rs_router *router;
+    struct rs_tunnel_options options;
     struct rs_tunnel_counters counters;
-    uint32_t tunnel_count;
+    GQueue tunnels; /* struct tunnel, those that are not closed yet */
+    int64_t next_tell_at_ms;
+    bool told_stopping;
 };
 
 enum tunnel_state {
@@ -56,6 +66,7 @@
     char head[MAX_HEAD_BYTES + 1];
     size_t head_bytes;
     struct rs_fleet_target *requested;
+    uint32_t user; /* IPv4 address of the other node, network byte order */
     bool closing;
     uint32_t open_handles;
 };
@@ -70,7 +81,7 @@
 {
     struct tunnel *tunnel = handle->data;
     if (--tunnel->open_handles == 0) {
-        tunnel->server->tunnel_count--;
+        g_queue_remove(&tunnel->server->tunnels, tunnel);
         g_free(tunnel);
     }
 }
@@ -250,6 +261,11 @@
         fail(tunnel);
         return;
     }
+    if (RsShutdown_Begun(&tunnel->server->router->shutdown)) {
+        RsCounter_Add(&tunnel->server->counters.refused, 1);
+        refuse(tunnel, refused_answer, "stopping");
+        return;
+    }
     RsCounter_Add(&tunnel->server->counters.opened, 1);
     RsPaths_RecordConnected(&tunnel->server->router->paths, tunnel->requested,
                             RsClock_NowMs());
@@ -305,7 +321,7 @@
     else if (RsShutdown_Begun(&router->shutdown)) {
         reason = "stopping";
     }
-    else if (tunnel->server->tunnel_count > MAX_TUNNELS) {
+    else if (tunnel->server->tunnels.length > MAX_TUNNELS) {
         reason = "too many tunnels";
     }
     if (reason != NULL) {
@@ -324,6 +340,25 @@
     }
 }
 
+/* Returns the IPv4 address of the node that asks for a tunnel, in network byte
+ * order: the one that it names, or else that of its connection, as versions
+ * before that header. */
+static uint32_t
+find_user(const struct tunnel *tunnel)
+{
+    char text[INET_ADDRSTRLEN];
+    struct sockaddr_in address = {0};
+    int size = sizeof(address);
+    const char *header = strstr(tunnel->head, USER_HEADER);
+    if (header != NULL &&
+        sscanf(header + strlen(USER_HEADER), "%15s", text) == 1 &&
+        uv_ip4_addr(text, 0, &address) == 0) {
+        return address.sin_addr.s_addr;
+    }
+    uv_tcp_getpeername(&tunnel->node.tcp, (struct sockaddr *)&address, &size);
+    return address.sin_addr.s_addr;
+}
+
 /* Collects the head of the CONNECT request; nothing may follow it before it is
  * answered. */
 static void
@@ -346,6 +381,7 @@
         close_tunnel(tunnel, true);
         return;
     }
+    tunnel->user = find_user(tunnel);
     tunnel->requested = find_target(&tunnel->server->router->fleet, address);
     connect_to_target(tunnel);
 }
@@ -372,7 +408,7 @@
     struct tunnel *tunnel = g_new0(struct tunnel, 1);
     tunnel->server = server;
     tunnel->open_handles = SIDES + 1;
-    server->tunnel_count++;
+    g_queue_push_tail(&server->tunnels, tunnel);
     init_side(&tunnel->node, &tunnel->target, tunnel);
     init_side(&tunnel->target, &tunnel->node, tunnel);
     uv_timer_init(server->router->loop, &tunnel->timer);
@@ -388,14 +424,17 @@
 }
 
 /* Starts to listen on this node's tunnel port. Returns NULL if the port can't
- * be opened. The server lives as long as the process; `router` must outlive
+ * be opened. The server lives as long as the process; the router must outlive
  * it. */
 struct rs_tunnel_server *
-RsTunnel_Open(struct rs_router *router)
+RsTunnel_Open(const struct rs_tunnel_options *options)
 {
     struct rs_tunnel_server *server = g_new0(struct rs_tunnel_server, 1);
+    struct rs_router *router = options->router;
     struct sockaddr_in address;
     server->router = router;
+    server->options = *options;
+    g_queue_init(&server->tunnels);
     uv_ip4_addr(router->settings->node.address,
                 (int)RsRouter_TunnelPort(router), &address);
     uv_tcp_init(router->loop, &server->listener);
@@ -409,6 +448,72 @@
     return server;
 }
 
+/* Sends the state of the tunnels to a node. */
+static void
+tell_user(const struct rs_tunnel_server *server, uint32_t user)
+{
+    Rs__Peer__TunnelState state = RS__PEER__TUNNEL_STATE__INIT;
+    const struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_port =
+            htons((uint16_t)server->router->settings->listen.peer_port),
+        .sin_addr.s_addr = user,
+    };
+    state.incarnation = server->options.incarnation;
+    state.stopping = RsShutdown_Begun(&server->router->shutdown);
+    server->options.send(server->options.arg,
+                         (const struct sockaddr *)&address, &state.base);
+}
+
+/* Tells each node with an open tunnel whether requests may still be sent
+ * through it, if that is due. Lost messages are made up for by later ones. */
+void
+RsTunnel_Tick(struct rs_tunnel_server *server, int64_t now_ms)
+{
+    bool stopping = RsShutdown_Begun(&server->router->shutdown);
+    bool is_news = stopping && !server->told_stopping;
+    if (now_ms < server->next_tell_at_ms && !is_news) {
+        return;
+    }
+    server->told_stopping = stopping;
+    server->next_tell_at_ms =
+        now_ms + (stopping ? TELL_STOPPING_EVERY_MS : TELL_EVERY_MS);
+    GHashTable *told = g_hash_table_new(g_direct_hash, g_direct_equal);
+    for (GList *link = server->tunnels.head; link != NULL; link = link->next) {
+        const struct tunnel *tunnel = link->data;
+        if (tunnel->state == Open && !tunnel->closing &&
+            g_hash_table_add(told, GUINT_TO_POINTER(tunnel->user))) {
+            tell_user(server, tunnel->user);
+        }
+    }
+    g_hash_table_unref(told);
+}
+
+/* Records the state of another node's tunnels, and closes the idle connections
+ * through a node that is stopping. Returns false for messages of other kinds.
+ */
+bool
+RsTunnel_HandleDatagram(struct rs_router *router, const uint8_t *data,
+                        size_t size_bytes, const struct sockaddr *from,
+                        int64_t now_ms)
+{
+    if (size_bytes == 0 || data[0] != STATE_TAG) {
+        return false;
+    }
+    uint32_t peer = ((const struct sockaddr_in *)from)->sin_addr.s_addr;
+    Rs__Peer__TunnelState *state =
+        rs__peer__tunnel_state__unpack(NULL, size_bytes, data);
+    if (state == NULL) {
+        return true;
+    }
+    RsPaths_RecordTunnelState(&router->paths, peer, state->stopping, now_ms);
+    if (state->stopping) {
+        RsExchange_CloseIdleThrough(&router->fleet, peer);
+    }
+    rs__peer__tunnel_state__free_unpacked(state, NULL);
+    return true;
+}
+
 const struct rs_tunnel_counters *
 RsTunnel_Counters(const struct rs_tunnel_server *server)
 {
@@ -419,5 +524,5 @@
 uint32_t
 RsTunnel_Count(const struct rs_tunnel_server *server)
 {
-    return server->tunnel_count;
+    return server->tunnels.length;
 }
--- a/router/tunnel_test.c
+++ b/router/tunnel_test.c
@@ -25,6 +25,8 @@
 #define CHUNK_BYTES 65536
 #define MAX_HEAD_BYTES 512
 #define MAX_FD 256
+#define USER 0x0500007fU /* 127.0.0.5 */
+#define PEER 0x0600007fU
 
 /* What the target does with a request. */
 enum behaviour {
@@ -52,6 +54,15 @@
     bool target_closed;  /* that connection was closed from the other side */
 } world;
 
+/* What the server has told the users of its tunnels. */
+static struct {
+    uint32_t count;
+    uint32_t user;
+    uint16_t port;
+    uint8_t bytes[MAX_HEAD_BYTES];
+    size_t size;
+} told;
+
 /* What the client has seen. */
 static struct {
     struct rs_http_connection *connection;
@@ -222,6 +233,18 @@
     .closed = on_closed,
 };
 
+/* Keeps the last datagram that the server has sent. */
+static void
+record_state(void *arg, const struct sockaddr *address,
+             const ProtobufCMessage *message)
+{
+    const struct sockaddr_in *to = (const struct sockaddr_in *)address;
+    told.count++;
+    told.user = to->sin_addr.s_addr;
+    told.port = ntohs(to->sin_port);
+    told.size = protobuf_c_message_pack(message, told.bytes);
+}
+
 static void
 report_target(const char *id, uint16_t port)
 {
@@ -248,7 +271,9 @@
     RsFleet_Init(&world.router.fleet, RsFixture_FleetEvents(), NULL);
     report_target("t0", TARGET_PORT);
     report_target("t1", CLOSED_PORT);
-    world.server = RsTunnel_Open(&world.router);
+    const struct rs_tunnel_options options = {
+        .router = &world.router, .incarnation = 7, .send = record_state};
+    world.server = RsTunnel_Open(&options);
     uv_ip4_addr("127.0.0.1", TARGET_PORT, &address);
     uv_tcp_init(&world.loop.uv, &world.listener);
     bool listens = uv_tcp_bind(&world.listener,
@@ -263,8 +288,10 @@
 static void
 start_request(uint16_t port, enum behaviour behaviour)
 {
-    struct rs_http_options options = {
-        .loop = &world.loop.uv, .events = &events, .reset_on_close = true};
+    struct rs_http_options options = {.loop = &world.loop.uv,
+                                      .events = &events,
+                                      .own_address = USER,
+                                      .reset_on_close = true};
     memset(&seen, 0, sizeof(seen));
     world.behaviour = behaviour;
     uv_ip4_addr("127.0.0.1", port, &options.address);
@@ -425,6 +452,57 @@
     world.router.paths.isolated = false;
 }
 
+/* Passes on what the server has told last, as from the node at PEER. Returns
+ * whether that node's tunnels may be used then. */
+static bool
+may_use_after_datagram(void)
+{
+    const struct sockaddr_in from = {.sin_family = AF_INET,
+                                     .sin_addr.s_addr = PEER};
+    int64_t now_ms = RsClock_NowMs();
+    CU_ASSERT_TRUE(
+        RsTunnel_HandleDatagram(&world.router, told.bytes, told.size,
+                                (const struct sockaddr *)&from, now_ms));
+    return RsPaths_MayUseTunnel(&world.router.paths, PEER, now_ms - 1, now_ms);
+}
+
+/* LOST (review/8): a node that stops tells the users of its tunnels at once,
+ * and again in case that is lost. */
+static void
+test_users_are_told_that_the_node_stops(void)
+{
+    memset(&told, 0, sizeof(told));
+    int64_t now_ms = RsClock_NowMs();
+    RsTunnel_Tick(world.server, now_ms);
+    CU_ASSERT_EQUAL(told.count, 0);
+    start_request(TARGET_PORT, Answers);
+    CU_ASSERT_TRUE(RsTestLoop_Await(&world.loop, &seen.ended, WAIT_MS));
+    RsTunnel_Tick(world.server, now_ms + 500);
+    CU_ASSERT_EQUAL(told.count, 1);
+    CU_ASSERT_EQUAL(told.user, USER);
+    CU_ASSERT_EQUAL(told.port, PEER_PORT);
+    CU_ASSERT_TRUE(may_use_after_datagram());
+    RsShutdown_Begin(&world.router.shutdown, 6000, now_ms + 500);
+    RsTunnel_Tick(world.server, now_ms + 501);
+    CU_ASSERT_EQUAL(told.count, 2);
+    CU_ASSERT_FALSE(may_use_after_datagram());
+    RsTunnel_Tick(world.server, now_ms + 601);
+    CU_ASSERT_EQUAL(told.count, 3);
+    world.router.shutdown = (struct rs_shutdown){0};
+    end_request();
+    RsTunnel_Tick(world.server, now_ms + 2000);
+    CU_ASSERT_EQUAL(told.count, 3);
+}
+
+/* The connection to the target is made while the shutdown begins. */
+static void
+test_node_that_stops_opens_no_tunnels(void)
+{
+    RsShutdown_Begin(&world.router.shutdown, 6000, RsClock_NowMs());
+    check_not_opened(TARGET_PORT, RsHttp_TUNNEL_REFUSED);
+    world.router.shutdown = (struct rs_shutdown){0};
+}
+
 static void
 on_raw_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
 {
@@ -513,6 +591,7 @@
     CU_initialize_registry();
     CU_pSuite suite = CU_add_suite("tunnel", NULL, NULL);
     CU_ADD_TEST(suite, test_request_passes_through_a_tunnel);
+    CU_ADD_TEST(suite, test_users_are_told_that_the_node_stops);
     CU_ADD_TEST(suite, test_slow_reader_gets_a_large_body_whole);
     CU_ADD_TEST(suite, test_answer_that_ends_with_its_connection_is_whole);
     CU_ADD_TEST(suite, test_end_of_the_process_does_not_end_a_response);
@@ -520,6 +599,7 @@
     CU_ADD_TEST(suite, test_close_of_the_client_is_passed_on);
     CU_ADD_TEST(suite, test_only_known_targets_are_reached);
     CU_ADD_TEST(suite, test_target_that_can_not_be_reached);
+    CU_ADD_TEST(suite, test_node_that_stops_opens_no_tunnels);
     CU_ADD_TEST(suite, test_isolated_node_opens_no_tunnels);
     CU_ADD_TEST(suite, test_bad_heads_are_closed);
     CU_ADD_TEST(
--- a/tests/node_shutdown_test.c
+++ b/tests/node_shutdown_test.c
@@ -25,6 +25,9 @@
 #define LATE_REQUESTS_TO_MS 3100
 #define LATE_REQUESTS 14
 #define TUNNELED_WORK_MS 4500
+/* Longer than a node asks others after a failed connection. */
+#define TUNNEL_KEPT_MS 3000
+#define REFUSED_MS 500
 
 /* Opens a deployment in which the node has learned how long the target takes.
  */
@@ -202,3 +205,81 @@
     CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
     RsNodeFixture_Close(fixture);
 }
+
+/* Opens two nodes of which the first has reached the targets through the other
+ * one, and keeps the connections. */
+static struct rs_node_fixture *
+open_with_tunnels(uint16_t base_port)
+{
+    const struct rs_node_fixture_options options = {
+        .base_port = base_port,
+        .node_count = 2,
+        .plain_targets = 1,
+        .work_ms = QUICK_WORK_MS,
+        .timeout_ms = LONG_TIMEOUT_MS,
+        .cuttable = true,
+    };
+    struct rs_node_fixture *fixture = RsNodeFixture_OpenServing(&options);
+    RsNodeFixture_CutFromTargets(fixture, 0, RsNodeFixture_REFUSED);
+    for (uint32_t i = 0; i < LEARNING_REQUESTS; i++) {
+        struct rs_node_fixture_request *request =
+            RsNodeFixture_Post(fixture, 0);
+        CU_ASSERT_TRUE(RsNodeFixture_AwaitEnd(request, END_WITHIN_MS));
+    }
+    return fixture;
+}
+
+/* Sends short requests to the first node, one after the other. */
+static void
+post_for(struct rs_node_fixture *fixture, int64_t span_ms)
+{
+    int64_t until_ms = RsClock_NowMs() + span_ms;
+    while (RsClock_NowMs() < until_ms) {
+        struct rs_node_fixture_request *request =
+            RsNodeFixture_Post(fixture, 0);
+        CU_ASSERT_TRUE(RsNodeFixture_AwaitEnd(request, END_WITHIN_MS));
+    }
+}
+
+/* LOST (review/8): a node had reached a target through another one for a
+ * moment. That one got SIGTERM, but the first node went on to use the
+ * connection, and the end of the other one cut its request. */
+void
+test_tunnel_is_left_before_its_node_ends(void)
+{
+    struct rs_node_fixture *fixture = open_with_tunnels(22600);
+    int status = -1;
+    RsNodeFixture_HealLinks(fixture, 0);
+    post_for(fixture, TUNNEL_KEPT_MS);
+    RsProcess_Signal(&fixture->nodes[1], SIGTERM);
+    post_for(fixture, LATE_REQUESTS_TO_MS);
+    RsSoakTarget_SetSlowdown(fixture->targets[0],
+                             TUNNELED_WORK_MS / QUICK_WORK_MS);
+    struct rs_node_fixture_request *request = RsNodeFixture_Post(fixture, 0);
+    CU_ASSERT_TRUE(RsNodeFixture_AwaitEnd(request, END_WITHIN_MS));
+    CU_ASSERT_EQUAL(request->status, 200);
+    CU_ASSERT_TRUE(request->complete);
+    CU_ASSERT_TRUE(
+        RsProcess_WaitEnd(&fixture->nodes[1], END_WITHIN_MS, &status));
+    CU_ASSERT_EQUAL(status, 0);
+    CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
+    RsNodeFixture_Close(fixture);
+}
+
+/* The only way leads through the node that stops: a request that may not be
+ * repeated is refused at once, rather than begun and cut. */
+void
+test_request_without_another_way_is_refused(void)
+{
+    struct rs_node_fixture *fixture = open_with_tunnels(22700);
+    RsSoakTarget_SetSlowdown(fixture->targets[0],
+                             TUNNELED_WORK_MS / QUICK_WORK_MS);
+    RsProcess_Signal(&fixture->nodes[1], SIGTERM);
+    RsNodeFixture_Run(fixture, LATE_REQUESTS_FROM_MS);
+    struct rs_node_fixture_request *request = RsNodeFixture_Post(fixture, 0);
+    CU_ASSERT_TRUE(RsNodeFixture_AwaitEnd(request, END_WITHIN_MS));
+    CU_ASSERT_EQUAL(request->status, 503);
+    CU_ASSERT_TRUE(request->ended_at_ms - request->sent_at_ms < REFUSED_MS);
+    CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
+    RsNodeFixture_Close(fixture);
+}
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -9,6 +9,8 @@
 void test_request_at_a_slow_target(void);
 void test_requests_late_in_the_grace(void);
 void test_request_through_a_node_that_shuts_down(void);
+void test_tunnel_is_left_before_its_node_ends(void);
+void test_request_without_another_way_is_refused(void);
 
 /* tests/node_notices_test.c */
 void test_target_that_says_it_leaves_gets_no_more(void);
