Count a target whose address answers for another as unreachable

A row that is sound but for a wrong address names a target that answers nothing itself: the one at the address answers grants with 421. Orders counted any HTTP response as a sign that the target can be reached, so that its keys stayed with it, and without service, for as long as the row was there.

--- a/router/orders.c
+++ b/router/orders.c
@@ -83,7 +83,8 @@
 {
     int64_t now_ms = RsClock_NowMs();
     struct rs_fleet_target *target = call->target;
-    if (status > 0) {
+    /* Status 421 comes from another target, at a wrong address. */
+    if (status > 0 && status != RsWire_MISDIRECTED) {
         target->order_failing_since_ms = 0;
     }
     else {
--- a/router/orders_test.c
+++ b/router/orders_test.c
@@ -17,13 +17,19 @@
     struct rs_granter granter;
     struct rs_orders orders;
     size_t received_bytes;
+    const char *answer; /* of the target to each order; NULL: none */
 };
 
 static void
-count_bytes(uv_stream_t *stream, ssize_t size_bytes, const uv_buf_t *buffer)
+handle_bytes(uv_stream_t *stream, ssize_t size_bytes, const uv_buf_t *buffer)
 {
     struct fixture *fixture = stream->data;
     fixture->received_bytes += size_bytes > 0 ? (size_t)size_bytes : 0;
+    if (size_bytes > 0 && fixture->answer != NULL) {
+        uv_buf_t answer = uv_buf_init((char *)fixture->answer,
+                                      (unsigned)strlen(fixture->answer));
+        CU_ASSERT_EQUAL(uv_try_write(stream, &answer, 1), (int)answer.len);
+    }
 }
 
 static void
@@ -40,7 +46,7 @@
     uv_tcp_init(listener->loop, tcp);
     tcp->data = listener->data;
     uv_accept(listener, (uv_stream_t *)tcp);
-    uv_read_start((uv_stream_t *)tcp, allocate_buffer, count_bytes);
+    uv_read_start((uv_stream_t *)tcp, allocate_buffer, handle_bytes);
 }
 
 static void
@@ -49,7 +55,7 @@
     uv_stop(timer->loop);
 }
 
-/* Starts a target that accepts connections but never responds. */
+/* Starts a target that responds to no order, unless `answer` is set later. */
 static void
 open_fixture(struct fixture *fixture)
 {
@@ -131,6 +137,20 @@
     CU_ASSERT_EQUAL(RsCounter_Read(&fixture.orders.failed), 1);
 }
 
+/* A row with a wrong address. Its target must not keep the keys that were
+ * planned for it. */
+static void
+test_target_at_a_wrong_address_counts_as_unreachable(void)
+{
+    static struct fixture fixture;
+    open_fixture(&fixture);
+    fixture.answer = "HTTP/1.1 421 Misdirected Request\r\n"
+                     "x-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+    run_order(&fixture, 5000);
+    CU_ASSERT_TRUE(RsFleet_Find(&fixture.router.fleet, g_intern_string("a"))
+                       ->order_failing_since_ms > 0);
+}
+
 int
 main(void)
 {
@@ -140,6 +160,7 @@
     CU_ADD_TEST(suite, test_order_is_sent_while_authority_lasts);
     CU_ADD_TEST(suite, test_order_is_not_sent_after_authority_ended);
     CU_ADD_TEST(suite, test_order_is_not_sent_after_a_resignation);
+    CU_ADD_TEST(suite, test_target_at_a_wrong_address_counts_as_unreachable);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
     CU_cleanup_registry();
