Show with nodes that an unreadable key map gives no second owner

This one has nodes, a store and targets: the row of the map is overwritten, the granter is killed, and a target leaves.

--- a/tests/node_main.c
+++ b/tests/node_main.c
@@ -64,6 +64,8 @@
      test_request_is_read_after_its_caller_has_left},
     {"odd_rows_among_those_of_the_targets",
      test_odd_rows_among_those_of_the_targets},
+    {"unreadable_key_map_gives_no_second_owner",
+     test_unreadable_key_map_gives_no_second_owner},
     {"killed_node_leaves_no_whole_answer",
      test_killed_node_leaves_no_whole_answer},
     {"answer_of_no_status_is_a_failure",
--- a/tests/node_rows_test.c
+++ b/tests/node_rows_test.c
@@ -10,6 +10,10 @@
 #define ANSWER_WITHIN_MS 3000
 #define REQUESTS 60
 #define SETTLE_MS 1500
+#define RECOVER_MS 15000 /* recover_s of the users' pages */
+#define KEY_STEP 40503   /* spreads the keys of successive requests */
+/* Of the service "keyed" in the first era, see router/granter.h. */
+#define MAP_KEY "keys/65535/keyed"
 
 /* Writes entries that name no target: deeply nested, with numbers that are too
  * large, and with a port that is out of range. */
@@ -78,3 +82,45 @@
     CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
     RsNodeFixture_Close(fixture);
 }
+
+/* Checks that all keys are served again within the time that the users allow
+ * after the loss of nodes. */
+static void
+expect_service_again(struct rs_node_fixture *fixture)
+{
+    CU_ASSERT_TRUE(RsNodeFixture_AwaitService(fixture, RECOVER_MS));
+    for (uint32_t i = 0; i < REQUESTS; i++) {
+        struct rs_node_fixture_request *request =
+            RsNodeFixture_Get(fixture, i % 3, i * KEY_STEP % RsCheck_KEYS);
+        CU_ASSERT_TRUE(RsNodeFixture_AwaitEnd(request, ANSWER_WITHIN_MS));
+        CU_ASSERT_EQUAL(request->status, 200);
+    }
+    CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
+}
+
+/* OWNER (review/6): the granter is lost while the row of the key map can't be
+ * read. The next one may not give keys to other targets while they are held.
+ */
+void
+test_unreadable_key_map_gives_no_second_owner(void)
+{
+    const struct rs_node_fixture_options options = {
+        .base_port = 22900,
+        .node_count = 3,
+        .plain_targets = 1,
+        .sharded_targets = 3,
+        .work_ms = 10,
+        .timeout_ms = 2000,
+    };
+    struct rs_node_fixture *fixture = RsNodeFixture_OpenServing(&options);
+    RsNodeFixture_Run(fixture, SETTLE_MS);
+    uint32_t granter = RsNodeFixture_Granter(fixture, 0);
+    RsSoakStore_Put(fixture->store, "rattanshed", MAP_KEY,
+                    "{\"next_fence\":2,\"owners\":[[\"i\"1\",7]]");
+    RsNodeFixture_RestartNode(fixture, granter);
+    /* Targets that leave and join have keys planned anew. */
+    RsSoakTarget_Drain(fixture->targets[1]);
+    RsNodeFixture_SendToAll(fixture, SETTLE_MS, 10);
+    expect_service_again(fixture);
+    RsNodeFixture_Close(fixture);
+}
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -59,6 +59,7 @@
 
 /* tests/node_rows_test.c */
 void test_odd_rows_among_those_of_the_targets(void);
+void test_unreadable_key_map_gives_no_second_owner(void);
 
 /* tests/node_broken_off_test.c */
 void test_killed_node_leaves_no_whole_answer(void);
