Survive that a row of the key map or of the lease is deleted

A record of ours that is gone was taken for one that was never written.

- The next granter took a service without a row for a new one, and gave keys to other targets while they were held.
The lease row now names the services whose maps have rows; one that isn't found is begun anew, like one that can't be read.
- A granter whose map row was deleted repeated its commit under the old version until it stopped.
It writes the row again.
- After the lease row was deleted, all commits and claims were under a version that no row had: there was no granter until all nodes had restarted.
The granter steps down when its authority has ended; a node that reads a newer state of the store without the row claims the lease once the former holder can have no authority.

Ruled out: stepping down at the first conflict without the lease row (a store may name only the rows that differ).

Evidence: the three new tests of router_granter_rows_test fail on the code before (two targets hold the same keys; no granter), and pass now. Unit tests: all pass but router_granter_era_test, known red, which fails for the same two delays as before.

--- a/router/fixture.c
+++ b/router/fixture.c
@@ -508,7 +508,7 @@
     }
     else if (!down) {
         rows.count = list_rows(sim, list, RsGranter_LEASE_TABLE);
-        rows.version = RsStore_Version(sim->era, RsStore_ABSENT);
+        rows.version = RsStore_Version(sim->era, sim->version);
         (void)RsGranter_LeaseRowsRead(&node->granter, &rows, sim->now_ms);
     }
 }
@@ -1066,6 +1066,35 @@
     }
 }
 
+static void
+delete_rows(struct rs_simulation *sim, const char *table)
+{
+    sim->version++;
+    for (size_t i = 0; i < sim->row_count;) {
+        if (strcmp(sim->rows[i].table, table) == 0) {
+            g_free(sim->rows[i].value);
+            sim->rows[i] = sim->rows[--sim->row_count];
+        }
+        else {
+            i++;
+        }
+    }
+}
+
+/* Deletes the row of the key map. */
+void
+RsSimulation_DeleteMap(struct rs_simulation *sim)
+{
+    delete_rows(sim, RsGranter_MAP_TABLE);
+}
+
+/* Deletes the lease row. */
+void
+RsSimulation_DeleteLease(struct rs_simulation *sim)
+{
+    delete_rows(sim, RsGranter_LEASE_TABLE);
+}
+
 /* Replaces the value of the row of the key map. */
 void
 RsSimulation_OverwriteMap(struct rs_simulation *sim, const char *value)
--- a/router/fixture.h
+++ b/router/fixture.h
@@ -80,6 +80,10 @@
 void RsSimulation_OverwriteMap(struct rs_simulation *sim, const char *value);
 void RsSimulation_OverwriteLease(struct rs_simulation *sim, const char *value);
 
+/* Has another writer delete one of these rows. */
+void RsSimulation_DeleteMap(struct rs_simulation *sim);
+void RsSimulation_DeleteLease(struct rs_simulation *sim);
+
 /* Makes all nodes equally strong and well informed of the lease. */
 void RsSimulation_MakeNodesEqual(struct rs_simulation *sim);
 
--- a/router/granter.c
+++ b/router/granter.c
@@ -309,6 +309,34 @@
     drop_maps(granter);
 }
 
+/* Adds a service to a list without it. Does nothing if `service` is NULL or
+ * the list is full. */
+static void
+add_service(const char *list[RsGranter_MAX_MAPS], size_t *count,
+            const char *service)
+{
+    const char *interned = g_intern_string(service);
+    for (size_t i = 0; i < *count; i++) {
+        if (list[i] == interned) {
+            return;
+        }
+    }
+    if (interned != NULL && *count < RsGranter_MAX_MAPS) {
+        list[(*count)++] = interned;
+    }
+}
+
+/* Keeps what a lease row states of fences and maps. */
+static void
+record_stated(struct rs_granter *granter, const struct rs_granter_lease *lease)
+{
+    granter->next_fence = MAX(granter->next_fence, lease->next_fence);
+    for (size_t i = 0; i < lease->service_count; i++) {
+        add_service(granter->services, &granter->service_count,
+                    lease->services[i]);
+    }
+}
+
 /* Decodes the lease row. A malformed row is treated as the lease of an unknown
  * node, which expires like any other. */
 static struct rs_granter_lease
@@ -334,6 +362,11 @@
     lease.strongest =
         (uint32_t)json_integer_value(json_object_get(body, "strongest"));
     lease.next_fence = next_fence > 0 ? (uint64_t)next_fence : 0;
+    const json_t *services = json_object_get(body, "services");
+    for (size_t i = 0; i < json_array_size(services); i++) {
+        add_service(lease.services, &lease.service_count,
+                    json_string_value(json_array_get(services, i)));
+    }
     if (incarnation != NULL) {
         lease.incarnation = strtoull(incarnation, NULL, 16);
     }
@@ -341,6 +374,26 @@
     return lease;
 }
 
+/* Returns the services whose maps have rows once the commit is confirmed that
+ * is being made, as a JSON array. */
+static json_t *
+encode_services(const struct rs_granter *granter)
+{
+    const char *services[RsGranter_MAX_MAPS];
+    size_t count = granter->service_count;
+    memcpy(services, granter->services, sizeof(services));
+    for (size_t i = 0; i < granter->map_count; i++) {
+        if (granter->maps[i].in_commit) {
+            add_service(services, &count, granter->maps[i].map->service);
+        }
+    }
+    json_t *array = json_array();
+    for (size_t i = 0; i < count; i++) {
+        json_array_append_new(array, json_string(services[i]));
+    }
+    return array;
+}
+
 /* Returns the value of the lease row, which the caller frees with g_free(). */
 static char *
 encode_lease(const struct rs_granter *granter)
@@ -350,12 +403,13 @@
     snprintf(incarnation, sizeof(incarnation), "%" PRIx64,
              options->incarnation);
     json_t *body = json_pack(
-        "{s:s,s:s,s:I,s:s,s:I,s:I,s:I}", "node",
+        "{s:s,s:s,s:I,s:s,s:I,s:I,s:I,s:o}", "node",
         granter->resigning ? "" : options->node, "peer_host",
         options->peer_host, "peer_port", (json_int_t)options->peer_port,
         "incarnation", incarnation, "nodes", (json_int_t)granter->nodes,
         "strongest", (json_int_t)MAX(granter->strongest, options->strength),
-        "next_fence", (json_int_t)granter->next_fence);
+        "next_fence", (json_int_t)granter->next_fence, "services",
+        encode_services(granter));
     char *text = json_dumps(body, JSON_COMPACT);
     assert(text != NULL); /* settings are valid UTF-8 */
     char *copy = g_strdup(text);
@@ -383,7 +437,8 @@
     granter->lease_version = version;
     granter->lease_seen_at_ms = now_ms;
     granter->holder = *lease;
-    granter->next_fence = MAX(granter->next_fence, lease->next_fence);
+    granter->lease_lost = false;
+    record_stated(granter, lease);
     if (lease->incarnation != granter->options.incarnation &&
         !granter->commit_in_flight) {
         step_down(granter, "another node holds the lease");
@@ -409,11 +464,11 @@
     set_proof_times(granter, now_ms);
 }
 
-/* Records the next fence in the lease row whose version is known already, but
- * maybe from a peer, which doesn't tell the fence. */
+/* Records what the lease row states whose version is known already, but maybe
+ * from a peer, which doesn't tell that. */
 static void
-record_stated_fence(struct rs_granter *granter, uint64_t version,
-                    const char *value)
+read_known_lease(struct rs_granter *granter, uint64_t version,
+                 const char *value)
 {
     if (version != granter->lease_version || granter->holder.next_fence > 0 ||
         RsStore_Number(version) == RsStore_ABSENT) {
@@ -421,7 +476,7 @@
     }
     const struct rs_granter_lease lease = decode_lease(value);
     granter->holder.next_fence = lease.next_fence;
-    granter->next_fence = MAX(granter->next_fence, lease.next_fence);
+    record_stated(granter, &lease);
 }
 
 /* Handles the lease row as read from the store; a version with the number
@@ -433,7 +488,7 @@
 {
     granter->lease_read_at_ms = now_ms;
     if (granter->lease_known && version <= granter->lease_version) {
-        record_stated_fence(granter, version, value);
+        read_known_lease(granter, version, value);
         return;
     }
     if (RsStore_Number(version) == RsStore_ABSENT) {
@@ -462,12 +517,36 @@
         record_restore(granter, now_ms);
     }
     const struct rs_granter_lease lease = decode_lease(value);
-    granter->next_fence = MAX(granter->next_fence, lease.next_fence);
+    record_stated(granter, &lease);
     if (granter->holder.node[0] == '\0') {
         granter->holder = lease;
     }
 }
 
+/* Returns whether this is the version of a lease row that was written. A
+ * granter that goes on in a new era has not written the row of that era at
+ * first. */
+static bool
+is_written(uint64_t version)
+{
+    return RsStore_Number(version) != RsStore_ABSENT;
+}
+
+/* Records that the lease row is gone, which no node deletes. Its holder may
+ * have authority yet. */
+static void
+record_lost_lease(struct rs_granter *granter, int64_t now_ms)
+{
+    RsLog_EVENT(
+        RsLog_ERROR, "lease_lost", RsLog_TEXT("node", granter->holder.node),
+        RsLog_NUMBER("era", RsStore_Era(granter->lease_version)),
+        RsLog_NUMBER("lease_version", RsStore_Number(granter->lease_version)));
+    granter->lease_lost = true;
+    granter->lease_version =
+        RsStore_Version(RsStore_Era(granter->lease_version), RsStore_ABSENT);
+    granter->lease_seen_at_ms = now_ms;
+}
+
 /* Handles the lease rows as read from the store, in the order of their keys;
  * the row of the latest era comes first. Returns whether the era of the store
  * that answered has a lease row. */
@@ -487,20 +566,16 @@
     if (row != NULL) {
         read_former_lease(granter, row->value, now_ms);
     }
+    if (is_written(granter->lease_version) &&
+        RsStore_Era(granter->lease_version) == era &&
+        rows->version > granter->lease_version) {
+        record_lost_lease(granter, now_ms);
+    }
     RsGranter_LeaseRead(granter, RsStore_Version(era, RsStore_ABSENT), "",
                         now_ms);
     return false;
 }
 
-/* Returns whether this is the version of a lease row that was written. A
- * granter that goes on in a new era has not written the row of that era at
- * first. */
-static bool
-is_written(uint64_t version)
-{
-    return RsStore_Number(version) != RsStore_ABSENT;
-}
-
 /* Handles a lease that a peer has sent. It is ignored unless it is newer than
  * the known one and this node is neither the granter nor claiming the lease. A
  * claim is still conditional on the version of the row in the store, so a
@@ -560,7 +635,8 @@
     if (is_held_by_earlier_process(granter)) {
         return granter->lease_seen_at_ms;
     }
-    bool is_free = !has_row || granter->holder.node[0] == '\0';
+    bool is_free =
+        !granter->lease_lost && (!has_row || granter->holder.node[0] == '\0');
     return granter->lease_seen_at_ms + claim_delay_ms(granter) +
            (is_free ? 0 : LEASE_MS + LEASE_MARGIN_MS);
 }
@@ -606,6 +682,10 @@
     char *texts[2 * (1 + RsGranter_MAX_MAPS)];
     size_t count = 0;
     size_t text_count = 0;
+    for (size_t i = 0; i < granter->map_count; i++) {
+        struct rs_granter_map *entry = &granter->maps[i];
+        entry->in_commit = entry->dirty && granter->phase == RsGranter_LEADING;
+    }
     granter->next_fence = highest_next_fence(granter);
     char *lease = encode_lease(granter);
     char *lease_key = RsGranter_LeaseKey(granter->era);
@@ -617,7 +697,6 @@
                                               lease, strlen(lease)};
     for (size_t i = 0; i < granter->map_count; i++) {
         struct rs_granter_map *entry = &granter->maps[i];
-        entry->in_commit = entry->dirty && granter->phase == RsGranter_LEADING;
         if (!entry->in_commit) {
             continue;
         }
@@ -667,6 +746,7 @@
     granter->lease_version = version;
     granter->lease_seen_at_ms = now_ms;
     granter->lease_known = true;
+    granter->lease_lost = false;
     granter->confirmed_at_ms = now_ms;
     granter->authority_until_ms =
         granter->commit_sent_at_ms + LEASE_MS - LEASE_MARGIN_MS;
@@ -677,6 +757,8 @@
             entry->row_version = version;
             entry->committed_fence = entry->in_commit_fence;
             entry->in_commit = false;
+            add_service(granter->services, &granter->service_count,
+                        entry->map->service);
         }
     }
     if (granter->phase == RsGranter_CLAIMING) {
@@ -695,38 +777,63 @@
     }
 }
 
+/* Returns the row that a commit found instead of the one that it knew, or NULL
+ * if there is none. */
+static const struct rs_store_row *
+find_row(const struct rs_store_rows *rows, const char *table, const char *key)
+{
+    for (size_t i = 0; i < rows->count; i++) {
+        const struct rs_store_row *row = &rows->rows[i];
+        if (strcmp(row->table, table) == 0 && strcmp(row->key, key) == 0 &&
+            !row->deleted) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+/* Adopts the version of the row of a map in the commit that was in conflict. A
+ * row that is gone is written anew. */
+static void
+adopt_row_version(struct rs_granter *granter, struct rs_granter_map *entry,
+                  const struct rs_store_rows *rows)
+{
+    char *key = RsGranter_MapKey(granter->era, entry->map->service);
+    const struct rs_store_row *row = find_row(rows, RsGranter_MAP_TABLE, key);
+    entry->row_version = row != NULL
+                             ? row->version
+                             : RsStore_Version(granter->era, RsStore_ABSENT);
+    g_free(key);
+}
+
 /* Handles a version conflict. The cause may be an earlier commit of this node
  * whose response was lost: then this node still holds the lease, and the map
  * rows are as it wrote them, so their versions are adopted. Otherwise it steps
- * down. */
+ * down, also if the lease row is gone and its authority has ended. */
 static void
 handle_conflict(struct rs_granter *granter, const struct rs_store_rows *rows,
                 int64_t now_ms)
 {
-    for (size_t i = 0; i < rows->count; i++) {
-        const struct rs_store_row *row = &rows->rows[i];
-        if (strcmp(row->table, RsGranter_LEASE_TABLE) == 0) {
-            RsGranter_LeaseRead(granter,
-                                row->deleted ? RsStore_ABSENT : row->version,
-                                row->value, now_ms);
-        }
+    char *key = RsGranter_LeaseKey(granter->era);
+    const struct rs_store_row *lease =
+        find_row(rows, RsGranter_LEASE_TABLE, key);
+    g_free(key);
+    if (lease != NULL) {
+        RsGranter_LeaseRead(granter, lease->version, lease->value, now_ms);
     }
     if (granter->holder.incarnation != granter->options.incarnation ||
         granter->holder.node[0] == '\0') {
         step_down(granter, "another node holds the lease");
         return;
     }
-    for (size_t i = 0; i < rows->count; i++) {
-        const struct rs_store_row *row = &rows->rows[i];
-        uint32_t era = 0;
-        const char *service = NULL;
-        struct rs_granter_map *entry =
-            RsGranter_ParseMapKey(row->key, &era, &service) &&
-                    era == granter->era
-                ? RsGranter_FindMap(granter, service)
-                : NULL;
-        if (entry != NULL) {
-            entry->row_version = row->version;
+    if (lease == NULL && granter->phase == RsGranter_LEADING &&
+        !RsGranter_HasAuthority(granter, now_ms)) {
+        step_down(granter, "the lease row is gone");
+        return;
+    }
+    for (size_t i = 0; i < granter->map_count; i++) {
+        if (granter->maps[i].in_commit) {
+            adopt_row_version(granter, &granter->maps[i], rows);
         }
     }
 }
@@ -766,11 +873,6 @@
         apply_confirmed_commit(granter, rows->version, now_ms);
         return;
     }
-    for (size_t i = 0; i < granter->map_count; i++) {
-        struct rs_granter_map *entry = &granter->maps[i];
-        entry->dirty = entry->dirty || entry->in_commit;
-        entry->in_commit = false;
-    }
     RsLog_EVENT(
         RsLog_WARNING, "granter_commit_failed",
         RsLog_TEXT("status", RsStore_StatusName(status)),
@@ -786,6 +888,11 @@
         granter->next_commit_at_ms = now_ms + claim_backoff_ms(granter);
         granter->failed_claims++;
     }
+    for (size_t i = 0; i < granter->map_count; i++) {
+        struct rs_granter_map *entry = &granter->maps[i];
+        entry->dirty = entry->dirty || entry->in_commit;
+        entry->in_commit = false;
+    }
 }
 
 /* Assumes that all owners and former owners in a loaded map are about to get
@@ -908,6 +1015,14 @@
     for (size_t i = 0; i < rows->count; i++) {
         add_loaded_map(granter, &rows->rows[i], now_ms);
     }
+    for (size_t i = 0; i < granter->service_count; i++) {
+        if (RsGranter_FindMap(granter, granter->services[i]) == NULL &&
+            granter->map_count < RsGranter_MAX_MAPS) {
+            replace_unreadable_map(
+                granter, granter->services[i],
+                RsStore_Version(granter->era, RsStore_ABSENT), now_ms);
+        }
+    }
     granter->phase = RsGranter_LEADING;
     RsLog_EVENT(RsLog_INFO, "granter_leads",
                 RsLog_NUMBER("maps", granter->map_count));
--- a/router/granter.h
+++ b/router/granter.h
@@ -27,10 +27,10 @@
  *   lease, and until all grants of the former era have expired before it sends
  *   any.
  *
- * A map whose row can't be read is begun anew in the same way: any target may
- * hold its keys, so none are granted until all earlier grants have expired,
- * and its fences are higher than all that are known from the lease row and
- * from maps. */
+ * A map whose row can't be read, or is gone, is begun anew in the same way:
+ * any target may hold its keys, so none are granted until all earlier grants
+ * have expired, and its fences are higher than all that are known from the
+ * lease row and from maps. */
 
 #ifndef RATTANSHED_ROUTER_GRANTER_H
 #define RATTANSHED_ROUTER_GRANTER_H
@@ -127,6 +127,9 @@
     uint32_t strongest; /* highest strength of a known node; 0: unknown */
     /* All fences that were given in any map are lower; 0: unknown. */
     uint64_t next_fence;
+    /* Services whose maps have rows; interned. */
+    const char *services[RsGranter_MAX_MAPS];
+    size_t service_count;
 };
 
 struct rs_granter {
@@ -136,6 +139,7 @@
     uint64_t lease_version;
     int64_t lease_seen_at_ms; /* when this node first saw that version */
     bool lease_known; /* the state of the lease was learned at least once */
+    bool lease_lost;  /* its row was deleted; a granter may have authority */
     int64_t lease_read_at_ms; /* last call of RsGranter_LeaseRead() */
     bool commit_in_flight;
     bool last_commit_confirmed;
@@ -166,6 +170,10 @@
     /* Highest next fence that this node has seen, of any lease or map. A map
      * that is begun anew has no lower fences. */
     uint64_t next_fence;
+    /* Services whose maps have rows, by the leases that were read and the
+     * commits of this node. */
+    const char *services[RsGranter_MAX_MAPS];
+    size_t service_count;
     struct rs_granter_map maps[RsGranter_MAX_MAPS];
     size_t map_count;
 };
--- a/router/granter_rows_test.c
+++ b/router/granter_rows_test.c
@@ -124,6 +124,60 @@
     check_recovery(sim);
 }
 
+/* A row of a map that is gone is not one that was never written. */
+static void
+test_next_granter_finds_no_map(void)
+{
+    for (uint32_t restarted = 1; restarted <= RsFixture_NODES; restarted++) {
+        struct rs_simulation *sim = new_moved_simulation();
+        uint32_t granter = (uint32_t)RsSimulation_FindGranter(sim);
+        RsSimulation_DeleteMap(sim);
+        for (uint32_t k = 0; k < restarted; k++) {
+            RsSimulation_InjectFault(sim, RsFixture_NODE_RESTARTED,
+                                     (granter + k) % RsFixture_NODES, 0);
+        }
+        check_recovery(sim);
+    }
+}
+
+/* The granter writes the map again. */
+static void
+test_granter_finds_no_map(void)
+{
+    struct rs_simulation *sim = new_moved_simulation();
+    RsSimulation_DeleteMap(sim);
+    for (uint32_t i = 0; i < 50; i++) {
+        RsSimulation_MoveKeys(sim, 0, 99, i % 4);
+        RsSimulation_Advance(sim, STEP_MS);
+        CU_ASSERT_TRUE(RsSimulation_FindGranter(sim) >= 0);
+    }
+    RsSimulation_Advance(sim, 500);
+    CU_ASSERT_EQUAL(RsSimulation_CountHeldKeys(sim), RsKeymap_KEYS);
+    check_recovery(sim);
+}
+
+/* Another node claims the lease once the granter has lost its authority. No
+ * key lapses meanwhile. */
+static void
+test_lease_is_deleted(void)
+{
+    for (uint32_t frozen = 0; frozen < 2; frozen++) {
+        struct rs_simulation *sim = new_moved_simulation();
+        if (frozen == 1) {
+            RsSimulation_InjectFault(sim, RsFixture_NODE_FROZEN,
+                                     (uint32_t)RsSimulation_FindGranter(sim),
+                                     60000);
+        }
+        RsSimulation_DeleteLease(sim);
+        for (int i = 0; i < 80; i++) {
+            RsSimulation_Advance(sim, STEP_MS);
+            CU_ASSERT_EQUAL(RsSimulation_CountHeldKeys(sim), RsKeymap_KEYS);
+        }
+        CU_ASSERT_TRUE(RsSimulation_FindGranter(sim) >= 0);
+        check_recovery(sim);
+    }
+}
+
 int
 main(void)
 {
@@ -135,6 +189,9 @@
     CU_ADD_TEST(suite, test_map_and_lease_are_unreadable);
     CU_ADD_TEST(suite, test_granter_is_lost_again_while_keys_wait);
     CU_ADD_TEST(suite, test_granter_with_the_map_goes_on);
+    CU_ADD_TEST(suite, test_next_granter_finds_no_map);
+    CU_ADD_TEST(suite, test_granter_finds_no_map);
+    CU_ADD_TEST(suite, test_lease_is_deleted);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
     unsigned failures = CU_get_number_of_failures();
