Share the set-up of tests with tunnels between nodes

Two tests of node_shutdown_test.c opened the same deployment. The checks are the same; the tests without another way wait between their first requests now, as the other did. A function of router/granter.c is named for what it is called for.

--- a/router/granter.c
+++ b/router/granter.c
@@ -938,11 +938,12 @@
     }
 }
 
-/* Begins the map of a service anew whose row can't be read. Any target may
- * hold its keys under any fence that was given. */
+/* Begins the map of a service anew whose row can't be read or is gone. Any
+ * target may hold its keys under any fence that was given. There must be room
+ * for one more map. */
 static void
-replace_unreadable_map(struct rs_granter *granter, const char *service,
-                       uint64_t row_version, int64_t now_ms)
+begin_lost_map(struct rs_granter *granter, const char *service,
+               uint64_t row_version, int64_t now_ms)
 {
     if (granter->holder.next_fence == 0) {
         granter->next_fence =
@@ -976,7 +977,7 @@
     struct rs_keymap *map =
         RsGranter_DecodeRow(row->key, row->value, row->version);
     if (map == NULL) {
-        replace_unreadable_map(granter, service, row_version, now_ms);
+        begin_lost_map(granter, service, row_version, now_ms);
         return;
     }
     RsGranter_RecordFences(granter, map);
@@ -1018,9 +1019,9 @@
     for (size_t i = 0; i < granter->service_count; i++) {
         if (RsGranter_FindMap(granter, granter->services[i]) == NULL &&
             granter->map_count < RsGranter_MAX_MAPS) {
-            replace_unreadable_map(
-                granter, granter->services[i],
-                RsStore_Version(granter->era, RsStore_ABSENT), now_ms);
+            begin_lost_map(granter, granter->services[i],
+                           RsStore_Version(granter->era, RsStore_ABSENT),
+                           now_ms);
         }
     }
     granter->phase = RsGranter_LEADING;
--- a/tests/node_shutdown_test.c
+++ b/tests/node_shutdown_test.c
@@ -170,13 +170,13 @@
     check_end(fixture);
 }
 
-/* LOST: a node without callers of its own ended early in its grace, and with
- * it a request of another node that reached the target through it. */
-void
-test_request_through_a_node_that_shuts_down(void)
+/* Opens two nodes of which the first has reached the targets through the other
+ * one, and keeps the connections. */
+static struct rs_node_fixture *
+open_with_tunnels(uint16_t base_port)
 {
     const struct rs_node_fixture_options options = {
-        .base_port = 22400,
+        .base_port = base_port,
         .node_count = 2,
         .plain_targets = 1,
         .work_ms = QUICK_WORK_MS,
@@ -184,13 +184,23 @@
         .cuttable = true,
     };
     struct rs_node_fixture *fixture = RsNodeFixture_OpenServing(&options);
-    int status = -1;
     RsNodeFixture_CutFromTargets(fixture, 0, RsNodeFixture_REFUSED);
     for (uint32_t i = 0; i < LEARNING_REQUESTS; i++) {
-        struct rs_node_fixture_request *first = RsNodeFixture_Post(fixture, 0);
-        CU_ASSERT_TRUE(RsNodeFixture_AwaitEnd(first, END_WITHIN_MS));
+        struct rs_node_fixture_request *request =
+            RsNodeFixture_Post(fixture, 0);
+        CU_ASSERT_TRUE(RsNodeFixture_AwaitEnd(request, END_WITHIN_MS));
         RsNodeFixture_Run(fixture, QUICK_WORK_MS);
     }
+    return fixture;
+}
+
+/* LOST: a node without callers of its own ended early in its grace, and with
+ * it a request of another node that reached the target through it. */
+void
+test_request_through_a_node_that_shuts_down(void)
+{
+    struct rs_node_fixture *fixture = open_with_tunnels(22400);
+    int status = -1;
     RsSoakTarget_SetSlowdown(fixture->targets[0],
                              TUNNELED_WORK_MS / QUICK_WORK_MS);
     struct rs_node_fixture_request *request = RsNodeFixture_Post(fixture, 0);
@@ -206,29 +216,6 @@
     RsNodeFixture_Close(fixture);
 }
 
-/* Opens two nodes of which the first has reached the targets through the other
- * one, and keeps the connections. */
-static struct rs_node_fixture *
-open_with_tunnels(uint16_t base_port)
-{
-    const struct rs_node_fixture_options options = {
-        .base_port = base_port,
-        .node_count = 2,
-        .plain_targets = 1,
-        .work_ms = QUICK_WORK_MS,
-        .timeout_ms = LONG_TIMEOUT_MS,
-        .cuttable = true,
-    };
-    struct rs_node_fixture *fixture = RsNodeFixture_OpenServing(&options);
-    RsNodeFixture_CutFromTargets(fixture, 0, RsNodeFixture_REFUSED);
-    for (uint32_t i = 0; i < LEARNING_REQUESTS; i++) {
-        struct rs_node_fixture_request *request =
-            RsNodeFixture_Post(fixture, 0);
-        CU_ASSERT_TRUE(RsNodeFixture_AwaitEnd(request, END_WITHIN_MS));
-    }
-    return fixture;
-}
-
 /* Sends short requests to the first node, one after the other. */
 static void
 post_for(struct rs_node_fixture *fixture, int64_t span_ms)
