--- a/http/http_test.c
+++ b/http/http_test.c
@@ -451,11 +451,13 @@
         "000 ", "000 OK", "001 OK", "20 OK",   "099 OK",  "101 Switching",
         "600 ", "700 OK", "999 OK", "1000 OK", "-200 OK", "2x0 OK",
     };
+    static const char chunked[] = "X-Request-Id: own\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n"
+                                  "1\r\na\r\n0\r\n\r\n";
     static const char *const framings[] = {
         "X-Request-Id: own\r\nContent-Length: 1\r\n\r\na",
         "X-Request-Id: own\r\nContent-Length: 0\r\n\r\n",
-        "X-Request-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n"
-        "1\r\na\r\n0\r\n\r\n",
+        chunked,
         "X-Request-Id: other\r\nContent-Length: 0\r\n\r\n",
     };
     skipped_id = "other";
