--- a/router/tunnel.c
+++ b/router/tunnel.c
@@ -21,9 +21,8 @@
 #define SIDES 2
 #define TELL_EVERY_MS 500
 #define TELL_STOPPING_EVERY_MS 100
-#define STATE_TAG                                                             \
-    0xc0 /* first byte of a TunnelState, see router/peer.proto                \
-          */
+/* First byte of a TunnelState, see router/peer.proto. */
+#define STATE_TAG 0xc0
 #define USER_HEADER "\r\n" RsHttp_TUNNEL_USER ": "
 
 static const char opened_answer[] = "HTTP/1.1 200 OK\r\n\r\n";
