Show a draining worker that gets requests after a clock's jump

Cause: reports of a worker are ordered by the time of day of its start. After a restart under the same id with an earlier time of day, all its reports are taken for old ones, also that it is draining.

The worker's stand-in has learned to drain; the other cases don't use that.

--- a/review/bed-3/worker.c
+++ b/review/bed-3/worker.c
@@ -2,7 +2,8 @@
  * and takes grants and releases of keys if it is sharded. It writes to the
  * record what it was granted and what it ran. From SIGUSR1 to SIGUSR2 it is
  * cut off from all nodes, but not from the store: nothing that they send
- * arrives.
+ * arrives. From SIGTERM on it reports that it is draining, and goes on serving
+ * for 8 s. Its time of day is ahead by CLOCK_AHEAD_MS.
  * usage: worker ID SERVICE PORT STORE_PORT SHARDED WORK_MS */
 
 #include <glib.h>
@@ -21,6 +22,7 @@
 #define HEARTBEAT_MS 870
 #define DECIMAL 10
 #define CUT_CHECK_MS 5
+#define DRAINING_MS 8000
 #define TEXT_BYTES 256
 #define PART_BYTES 1024
 
@@ -42,6 +44,7 @@
 static int running;
 static int waiting;
 static volatile sig_atomic_t is_cut;
+static volatile sig_atomic_t is_draining;
 
 static void
 on_cut(int number)
@@ -49,14 +52,20 @@
     is_cut = number == SIGUSR1;
 }
 
+static void
+on_terminate(int number)
+{
+    is_draining = number == SIGTERM;
+}
+
 static void
 report(int64_t sequence)
 {
     json_t *value = json_pack(
         "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:I}", "service", self.service,
         "address", "", "zone", "sul-poa", "version", "v1", "capacity", SLOTS,
-        "state", "ready", "warmup_left_ms", 0, "sequence",
-        (json_int_t)sequence, "born", (json_int_t)self.born_ms);
+        "state", is_draining ? "draining" : "ready", "warmup_left_ms", 0,
+        "sequence", (json_int_t)sequence, "born", (json_int_t)self.born_ms);
     char address[TEXT_BYTES];
     snprintf(address, sizeof(address), "127.0.0.1:%d", self.port);
     json_object_set_new(value, "address", json_string(address));
@@ -74,12 +83,29 @@
     json_decref(value);
 }
 
+/* Reports every HEARTBEAT_MS, and at once when the worker begins to drain. */
 static void *
 run_heartbeat(void *arg)
 {
-    for (int64_t sequence = 1;; sequence++) {
-        report(sequence);
-        RsBed_SleepMs(HEARTBEAT_MS);
+    int64_t drained_at_ms = 0;
+    int64_t next_ms = 0;
+    int64_t sequence = 0;
+    for (;;) {
+        bool begins = is_draining && drained_at_ms == 0;
+        if (begins || RsBed_NowMs() >= next_ms) {
+            report(++sequence);
+            next_ms = RsBed_NowMs() + HEARTBEAT_MS;
+        }
+        if (begins) {
+            RsBed_Record("draining %s born %lld accepted by the store",
+                         self.id, (long long)self.born_ms);
+            drained_at_ms = RsBed_NowMs();
+        }
+        if (drained_at_ms > 0 &&
+            RsBed_NowMs() - drained_at_ms >= DRAINING_MS) {
+            exit(0);
+        }
+        RsBed_SleepMs(CUT_CHECK_MS);
     }
     return arg;
 }
@@ -241,13 +267,16 @@
     }
     signal(SIGUSR1, on_cut);
     signal(SIGUSR2, on_cut);
+    signal(SIGTERM, on_terminate);
     self.id = argv[1];
     self.service = argv[2];
     self.port = (int)strtol(argv[3], NULL, DECIMAL);
     self.store_port = (int)strtol(argv[4], NULL, DECIMAL);
     self.sharded = strcmp(argv[5], "1") == 0;
     self.work_ms = (int)strtol(argv[6], NULL, DECIMAL);
-    self.born_ms = RsBed_WallMs();
+    const char *ahead = getenv("CLOCK_AHEAD_MS");
+    self.born_ms =
+        RsBed_WallMs() + (ahead != NULL ? strtoll(ahead, NULL, DECIMAL) : 0);
     int listener = RsBed_Listen("127.0.0.1", self.port);
     if (listener < 0) {
         return 2;
