--- a/review/bed-3/crash.c
+++ b/review/bed-3/crash.c
@@ -1,11 +1,13 @@
-/* All workers of a service crash at the same time and come back. The requests
- * that were in flight, which had nothing to do with that, are refused from
- * then on. The rule CONFIG is broken if requests on a route that was added
- * later are served less than a quarter as often as those on the first route,
- * long after the workers are back.
+/* All workers of a service crash at the same time and come back, twice. The
+ * requests that were in flight, which had nothing to do with that, are refused
+ * from then on. The rule CONFIG is broken if requests on a route that was
+ * added later are served less than a quarter as often as those on the first
+ * route, long after the workers are back.
+ *
  * usage: crash RECORD */
 
 #include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -13,6 +15,7 @@
 #include "review/bed-3/wire.h"
 
 #define WORKERS 6
+#define ROUNDS 2
 #define NODES 4
 #define CALLERS 24 /* half of them on each route */
 #define WORK_MS 600
@@ -34,15 +37,25 @@
     {"i-00a1c2d5", "membership", false, WORK_MS},
 };
 
-/* The same after the crash: a start is a new lifetime, mostly with a new id.
+/* The same after each crash: a start is a new lifetime, mostly with a new id.
  */
-static const struct rs_bed_worker new_workers[] = {
-    {"i-00b7e5f0", "membership", false, WORK_MS},
-    {"i-00b7e5f1", "membership", false, WORK_MS},
-    {"i-00b7e5f2", "membership", false, WORK_MS},
-    {"i-00b7e5f3", "membership", false, WORK_MS},
-    {"i-00b7e5f4", "membership", false, WORK_MS},
-    {"i-00b7e5f5", "membership", false, WORK_MS},
+static const struct rs_bed_worker new_workers[ROUNDS][WORKERS] = {
+    {
+        {"i-00b7e5f0", "membership", false, WORK_MS},
+        {"i-00b7e5f1", "membership", false, WORK_MS},
+        {"i-00b7e5f2", "membership", false, WORK_MS},
+        {"i-00b7e5f3", "membership", false, WORK_MS},
+        {"i-00b7e5f4", "membership", false, WORK_MS},
+        {"i-00b7e5f5", "membership", false, WORK_MS},
+    },
+    {
+        {"i-00c93a20", "membership", false, WORK_MS},
+        {"i-00c93a21", "membership", false, WORK_MS},
+        {"i-00c93a22", "membership", false, WORK_MS},
+        {"i-00c93a23", "membership", false, WORK_MS},
+        {"i-00c93a24", "membership", false, WORK_MS},
+        {"i-00c93a25", "membership", false, WORK_MS},
+    },
 };
 
 #define FIRST_ROUTE                                                           \
@@ -115,6 +128,22 @@
     return tallies[1].sent >= MIN_REQUESTS && later < LEAST_SHARE * first;
 }
 
+/* Kills all workers at once, and starts them again with the ids of a round. */
+static void
+crash_workers(int round)
+{
+    for (int i = 0; i < WORKERS && RsBed_HasTrouble(); i++) {
+        kill(bed.workers[i], SIGKILL); /* all, before any is awaited */
+    }
+    for (int i = 0; i < WORKERS && RsBed_HasTrouble(); i++) {
+        RsBed_KillWorker(&bed, i);
+    }
+    RsBed_SleepMs(DOWN_MS);
+    for (int i = 0; i < WORKERS && RsBed_HasTrouble(); i++) {
+        RsBed_StartWorker(&bed, i, &new_workers[round][i]);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -142,13 +171,9 @@
     for (long i = 0; i < CALLERS; i++) {
         pthread_create(&callers[i], NULL, run_caller, (void *)i);
     }
-    RsBed_SleepMs(CALM_MS);
-    for (int i = 0; i < WORKERS && RsBed_HasTrouble(); i++) {
-        RsBed_KillWorker(&bed, i);
-    }
-    RsBed_SleepMs(DOWN_MS);
-    for (int i = 0; i < WORKERS && RsBed_HasTrouble(); i++) {
-        RsBed_StartWorker(&bed, i, &new_workers[i]);
+    for (int i = 0; i < ROUNDS; i++) {
+        RsBed_SleepMs(CALM_MS);
+        crash_workers(i);
     }
     RsBed_SleepMs(SETTLE_MS);
     counting = true;
