Read TROUBLE in the scripts of the third review, and keep to the doses

Cause: run.sh left TROUBLE to the environment of its driver, so that nothing in the case's folder read it. A script that was interrupted left its processes.

Change: run.sh passes TROUBLE on, with 1 as its default. 11 and 13 have eight workers. An interrupted script ends its processes.

After SIGTERM at 2, 5 and 7 s nothing of case 11 was left.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,3 +1,4 @@
 #!/bin/sh
+# Plays the case; TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.."
-exec target/review-3/epoch review/11/record.txt
+exec target/review-3/epoch review/11/record.txt "${TROUBLE:-1}"
--- a/review/bed-3/crash.c
+++ b/review/bed-3/crash.c
@@ -4,7 +4,7 @@
  * added later are served less than a quarter as often as those on the first
  * route, long after the workers are back.
  *
- * usage: crash RECORD */
+ * usage: crash RECORD TROUBLE */
 
 #include <pthread.h>
 #include <signal.h>
--- a/review/bed-3/deployment.c
+++ b/review/bed-3/deployment.c
@@ -36,6 +36,9 @@
 
 extern char **environ;
 
+static struct rs_bed *current;
+static bool has_trouble;
+
 /* Starts a program whose output goes to a file of the folder of the case. */
 static pid_t
 start(const struct rs_bed *bed, const char *log, const char *const arguments[])
@@ -102,21 +105,40 @@
 bool
 RsBed_HasTrouble(void)
 {
-    const char *trouble = getenv("TROUBLE");
-    return trouble == NULL || strcmp(trouble, "0") != 0;
+    return has_trouble;
+}
+
+/* Ends all processes of the case when it is interrupted itself. */
+static void
+on_interrupted(int number)
+{
+    for (int i = 0; i < RsBed_MAX_NODES; i++) {
+        end(&current->nodes[i]);
+    }
+    for (int i = 0; i < RsBed_MAX_WORKERS; i++) {
+        end(&current->workers[i]);
+    }
+    end(&current->store);
+    _exit(number > 0 ? RsBed_NOT_RUN : RsBed_BROKEN);
 }
 
-/* Prepares a case: its only argument is the path of its record, which is
- * begun anew. Returns false if that fails or no ports are free. */
+/* Prepares a case. Its arguments are the path of its record, which is begun
+ * anew, and TROUBLE: 0 leaves out the disruption. Returns false if that fails
+ * or no ports are free. */
 bool
 RsBed_Begin(struct rs_bed *bed, int argc, char **argv)
 {
     char text[TEXT_BYTES];
     *bed = (struct rs_bed){.base_port = 0};
     snprintf(bed->folder, sizeof(bed->folder), "/tmp/review-3-XXXXXX");
-    if (argc != 2 || g_mkdtemp(bed->folder) == NULL) {
+    if (argc != 3 || g_mkdtemp(bed->folder) == NULL) {
         return false;
     }
+    has_trouble = strcmp(argv[2], "0") != 0;
+    current = bed;
+    signal(SIGTERM, on_interrupted);
+    signal(SIGINT, on_interrupted);
+    signal(SIGHUP, on_interrupted);
     unlink(argv[1]);
     setenv("RECORD", argv[1], 1);
     snprintf(text, sizeof(text), "%lld", (long long)RsBed_NowMs());
--- a/review/bed-3/drain.c
+++ b/review/bed-3/drain.c
@@ -2,7 +2,7 @@
  * had, while the time of day of its machine jumps back. Much later it reports
  * that it is draining. The rule DRAIN is broken if requests reach it later
  * than drain_ms after the store has accepted that.
- * usage: drain RECORD */
+ * usage: drain RECORD TROUBLE */
 
 #include <pthread.h>
 #include <signal.h>
@@ -13,10 +13,10 @@
 #include "review/bed-3/deployment.h"
 #include "review/bed-3/wire.h"
 
-#define WORKERS 4
-#define DRAINING 3 /* the index of the worker that crashes and drains */
+#define WORKERS 8
+#define DRAINING 7 /* the index of the worker that crashes and drains */
 #define NODES 2
-#define CALLERS 16
+#define CALLERS 36
 #define WORK_MS 60
 #define PAUSE_MS 60
 #define CLOCK_AHEAD_TEXT "2000"
@@ -33,6 +33,10 @@
     {"i-5be0d1a1", "reservas", false, WORK_MS},
     {"i-5be0d1a2", "reservas", false, WORK_MS},
     {"i-5be0d1a3", "reservas", false, WORK_MS},
+    {"i-5be0d1a4", "reservas", false, WORK_MS},
+    {"i-5be0d1a5", "reservas", false, WORK_MS},
+    {"i-5be0d1a6", "reservas", false, WORK_MS},
+    {"i-5be0d1a7", "reservas", false, WORK_MS},
 };
 
 static const char config[] =
--- a/review/bed-3/epoch.c
+++ b/review/bed-3/epoch.c
@@ -1,7 +1,7 @@
 /* A worker crashes and starts again under the id that it had. The rule OWNER
  * is broken if its new life takes a key with an epoch number with which its
  * former life had that key.
- * usage: epoch RECORD */
+ * usage: epoch RECORD TROUBLE */
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,7 +10,8 @@
 #include "review/bed-3/deployment.h"
 #include "review/bed-3/wire.h"
 
-#define WORKERS 3
+#define WORKERS 8
+#define CRASHES 3 /* workers, one after the other */
 #define NODES 2
 #define KEYS 65536
 #define DOWN_MS 1000
@@ -19,9 +20,10 @@
 #define LINE_BYTES 1024
 
 static const struct rs_bed_worker workers[] = {
-    {"i-7f3a91c0", "listas", true, 50},
-    {"i-7f3a91c1", "listas", true, 50},
-    {"i-7f3a91c2", "listas", true, 50},
+    {"i-7f3a91c0", "listas", true, 50}, {"i-7f3a91c1", "listas", true, 50},
+    {"i-7f3a91c2", "listas", true, 50}, {"i-7f3a91c3", "listas", true, 50},
+    {"i-7f3a91c4", "listas", true, 50}, {"i-7f3a91c5", "listas", true, 50},
+    {"i-7f3a91c6", "listas", true, 50}, {"i-7f3a91c7", "listas", true, 50},
 };
 
 static const char config[] =
@@ -108,7 +110,7 @@
         }
     }
     send_requests(&bed, CALM_MS);
-    for (int i = 0; i < WORKERS; i++) {
+    for (int i = 0; i < CRASHES; i++) {
         if (RsBed_HasTrouble()) {
             RsBed_KillWorker(&bed, i);
             send_requests(&bed, DOWN_MS);
--- a/review/bed-3/reader.c
+++ b/review/bed-3/reader.c
@@ -1,7 +1,7 @@
 /* Callers send further requests before the first one is answered, and read the
  * answers late. Their node is stopped meanwhile. The rule LOST is broken if
  * the first request of a connection, which a worker has run and answered in
- * full, gets no complete answer. usage: reader RECORD */
+ * full, gets no complete answer. usage: reader RECORD TROUBLE */
 
 #include <poll.h>
 #include <pthread.h>
--- a/review/bed-3/silent.c
+++ b/review/bed-3/silent.c
@@ -3,7 +3,7 @@
  * never get keys again. The rule CONFIG is broken if requests on a route that
  * was added later, whose service has keys, are served less than a quarter as
  * often as those on the first route, long after all workers are back.
- * usage: silent RECORD */
+ * usage: silent RECORD TROUBLE */
 
 #include <pthread.h>
 #include <signal.h>
