Probe targets that answer no orders until they answer again

Cause: a target that has answered no order for 1.5 s gets no keys. Only an answer to an order ended that, and a target without keys gets no orders.

Change: router/reachability.c keeps the mark, and the granter asks a target that has it for its health path, over the connections and tunnels of orders, until it answers. A target that fails again within 10 s is probed less often each time. The mark is at /state, and its end in the log.

Why this works: the probe needs no key, so that it reaches a target which the mark keeps without any. Status 421 ends nothing, as another target answers then.

Ruled out: ending the mark at a stored time, since keys on trial at a target that is still cut off wait for up to 14 s; a release order as the probe, since nothing says that one which comes late leaves newer grants alone.

--- a/router/fleet.c
+++ b/router/fleet.c
@@ -211,7 +211,7 @@
     target->through_peers_until_ms = 0;
     target->direct_until_ms = 0;
     target->said_leaving_at_ms = 0;
-    target->order_failing_since_ms = 0;
+    target->reachability = (struct rs_reachability){0};
     target->cold_until_ms = 0;
     RsLog_EVENT(RsLog_INFO, "target_started", RsLog_TEXT("target", target->id),
                 RsLog_TEXT("service", target->report.service),
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -11,6 +11,7 @@
 #include "platform/report.h"
 #include "router/concurrency.h"
 #include "router/limit.h"
+#include "router/reachability.h"
 #include "router/table_copy.h"
 
 /* What connections to targets are used for. */
@@ -62,8 +63,8 @@
     int64_t answered_at_ms;            /* last answer; 0: none */
     double shared_service_ms;          /* mean of all nodes; 0: unknown */
     struct rs_concurrency concurrency; /* unused unless load.adaptive is set */
-    int64_t order_failing_since_ms;    /* 0: orders are not failing */
-    uint32_t failures;                 /* of requests, consecutive */
+    struct rs_reachability reachability; /* by the granter's orders */
+    uint32_t failures;                   /* of requests, consecutive */
     int64_t avoid_until_ms;
     int64_t next_cold_send_at_ms;
     /* See router/paths.c: until when it is connected to through other nodes,
--- a/router/metrics.c
+++ b/router/metrics.c
@@ -244,6 +244,7 @@
             text,
             ",\"listed\":%s,\"may_take_work\":%s,\"in_flight\":%u,"
             "\"ahead\":%.1f,\"service_ms\":%.1f,\"failures\":%u,"
+            "\"orders_failing_ms\":%" PRId64 ","
             "\"limit_per_s\":%.3f,\"speed_factor\":%.2f,"
             "\"expected_work_ms\":%.1f,\"work_samples\":%.1f,"
             "\"concurrency_limit\":%.0f}",
@@ -251,9 +252,12 @@
             RsFleet_MayTakeWork(&router->fleet, target, now_ms) ? "true"
                                                                 : "false",
             target->in_flight, RsLoad_CountOutstanding(target, now_ms),
-            target->service_ms, target->failures, target->limit.per_s,
-            target->concurrency.factor, target->concurrency.service_ms,
-            target->concurrency.all.samples,
+            target->service_ms, target->failures,
+            target->reachability.failing_since_ms > 0
+                ? now_ms - target->reachability.failing_since_ms
+                : 0,
+            target->limit.per_s, target->concurrency.factor,
+            target->concurrency.service_ms, target->concurrency.all.samples,
             concurrency_limit(router, target));
         comma = ",";
     }
--- a/router/node.c
+++ b/router/node.c
@@ -24,6 +24,7 @@
 #include "router/reload.h"
 #include "router/router.h"
 #include "router/stream.h"
+#include "router/target_probe.h"
 
 #define TICK_MS 25 /* how often the deadlines of requests are checked */
 /* Disconnected callers are detected within 100 ms. */
@@ -596,6 +597,9 @@
     if (node->targets_known &&
         now_ms - node->targets_known_at_ms >= FIRST_PLAN_DELAY_MS) {
         RsOwners_Plan(&node->router, &node->granter, node->reports, now_ms);
+        if (RsGranter_MayPlan(&node->granter, now_ms)) {
+            RsTargetProbe_StartDue(&node->router, now_ms);
+        }
     }
 }
 
@@ -733,7 +737,7 @@
         struct rs_fleet_target *target = g_ptr_array_index(list, i);
         target->failures = 0;
         target->avoid_until_ms = 0;
-        target->order_failing_since_ms = 0;
+        target->reachability = (struct rs_reachability){0};
         if (RsPaths_IsSilent(&node->router.paths, now_ms)) {
             RsExchange_CloseIdle(target);
         }
--- a/router/orders.c
+++ b/router/orders.c
@@ -7,6 +7,7 @@
 #include "core/clock.h"
 #include "core/log.h"
 #include "router/exchange.h"
+#include "router/target_probe.h"
 
 /* Targets respond to a grant immediately. */
 #define GRANT_TIMEOUT_MS 500
@@ -88,16 +89,9 @@
 finish(struct order_call *call, int status)
 {
     int64_t now_ms = RsClock_NowMs();
-    struct rs_fleet_target *target = call->target;
-    /* Status 421 comes from another target, at a wrong address. */
-    if (status > 0 && status != RsWire_MISDIRECTED) {
-        target->order_failing_since_ms = 0;
-    }
-    else {
+    if (!RsTargetProbe_RecordAnswer(call->target, status, now_ms)) {
         RsCounter_Add(&call->orders->failed, 1);
-        if (target->order_failing_since_ms == 0) {
-            target->order_failing_since_ms = now_ms;
-        }
+        RsReachability_RecordFailure(&call->target->reachability, now_ms);
     }
     leave_queue(call);
     RsGranter_OrderAnswered(call->orders->granter, &call->order, status,
--- a/router/orders_test.c
+++ b/router/orders_test.c
@@ -182,7 +182,7 @@
                      "x-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
     run_order(&fixture, 5000);
     CU_ASSERT_TRUE(RsFleet_Find(&fixture.router.fleet, g_intern_string("a"))
-                       ->order_failing_since_ms > 0);
+                       ->reachability.failing_since_ms > 0);
 }
 
 int
--- a/router/owners.c
+++ b/router/owners.c
@@ -5,9 +5,6 @@
 #include "core/log.h"
 #include "router/balance.h"
 
-/* A target that has not responded to orders for this long counts as
- * unreachable. */
-#define UNREACHABLE_MS 1500
 /* Plans count on only this share of the request rate that a cold target can
  * take. */
 #define COLD_CAPACITY_SHARE 0.6
@@ -112,12 +109,10 @@
 static bool
 can_own(const struct planning *planning, const struct rs_fleet_target *target)
 {
-    bool unreachable =
-        target->order_failing_since_ms > 0 &&
-        planning->now_ms - target->order_failing_since_ms > UNREACHABLE_MS;
     return RsFleet_MayTakeWork(&planning->router->fleet, target,
                                planning->now_ms) &&
-           !unreachable;
+           !RsReachability_IsUnreachable(&target->reachability,
+                                         planning->now_ms);
 }
 
 static void
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -70,6 +70,9 @@
 /* tests/node_drain_test.c */
 void test_request_reaches_a_target_that_has_drained(void);
 
+/* tests/node_unreachable_test.c */
+void test_targets_own_keys_again_after_cuts(void);
+
 /* tests/node_gone_test.c */
 void test_request_behind_another_is_sent_for_a_caller_that_left(void);
 void test_request_is_read_after_its_caller_has_left(void);
