Send a fence again only to the process that got it

Callers see nothing of it: the fence is what tells the two processes apart.

Cause: the granter knew a new process by its row only. Renewals that failed were repeated under their fence every 0.3 s, on whatever connection could be opened.

Change: connections are numbered in the order of opening, and a grant that repeats its fence is sent only on one that was opened before the fence was first sent: who answers there has run since. If there is none, the range gets a new fence from a reserve that each commit of the map states, so that this needs no commit and also works while the store is down. A granter that takes over commits its maps once, as it knows no such connection. Two more ways to the same fault are closed by it: renewals to a former owner, and those after a connection was closed without a failure.

Why this works: only one process can listen at an address at a time, and a process that answers on a connection has run since before it was opened.

The soak and the simulation compare processes of a target from now on.

--- a/router/exchange.c
+++ b/router/exchange.c
@@ -23,6 +23,9 @@
 #define IDLE_TIMEOUT_PERCENT 70
 #define MS_PER_S 1000
 
+/* Number of the connection that was opened last. */
+static uint64_t last_opening;
+
 /* A connection to a target, and the exchange in progress on it, if any. */
 struct rs_exchange {
     /* For the connect timeout, and to report failures later. */
@@ -31,15 +34,18 @@
     uint64_t number; /* differs from those of all other connections */
     struct rs_http_connection *connection; /* NULL if none was opened */
     struct rs_exchange_options options;    /* of the present request */
-    uint32_t peer;         /* node with the tunnel; 0: direct connection */
-    int64_t opened_at_ms;  /* when the connection was opened */
-    uint32_t tunnel_tries; /* tunnels that were asked for */
+    uint32_t peer;           /* node with the tunnel; 0: direct connection */
+    int64_t opened_at_ms;    /* when the connection was opened */
+    uint64_t opening_number; /* ascending in the order of opening */
+    uint64_t newest_opening; /* `last_opening` when the request was sent */
+    uint32_t tunnel_tries;   /* tunnels that were asked for */
     struct rs_http_request request;
     /* NULL while the connection is idle */
     const struct rs_exchange_events *events;
     void *arg;
     bool connecting;
     bool reused;              /* the connection has been idle before */
+    bool none_open;           /* see RsExchange_NO_CONNECTION */
     bool opening;             /* the answer to the opening GET is awaited */
     char opening_id[32];      /* id of that GET, of this connection only */
     uint32_t openings;        /* such requests on the connection */
@@ -80,6 +86,7 @@
 static int
 send_request(struct rs_exchange *exchange)
 {
+    exchange->newest_opening = last_opening;
     int status = RsHttp_Send(exchange->connection, &exchange->request);
     if (status == 0 && exchange->peer == 0) {
         RsPaths_RecordSent(exchange->options.paths, RsClock_NowMs());
@@ -177,6 +184,7 @@
     struct rs_exchange *exchange = arg;
     exchange->connecting = false;
     exchange->opened_at_ms = RsClock_NowMs();
+    exchange->opening_number = ++last_opening;
     uv_timer_stop(&exchange->timer);
     record_connect(exchange, RsPath_CONNECTED);
     if (exchange->options.opening_path == NULL) {
@@ -306,8 +314,8 @@
     .closed = on_closed,
 };
 
-/* The connection was not opened in time, none may be opened, or sending on a
- * reused connection failed. */
+/* The connection was not opened in time, none may be opened or is old enough,
+ * or sending on a reused connection failed. */
 static void
 on_timeout(uv_timer_t *timer)
 {
@@ -321,10 +329,12 @@
                                         : RsPath_TARGET_FAILED);
         return;
     }
-    finish(exchange, RsExchange_NOT_SENT);
+    finish(exchange, exchange->none_open ? RsExchange_NO_CONNECTION
+                                         : RsExchange_NOT_SENT);
     free_exchange(exchange);
 }
 
+/* Returns whether the request must not be sent on an idle connection. */
 static bool
 is_excluded(const struct rs_exchange *exchange,
             const struct rs_exchange_options *options)
@@ -334,7 +344,8 @@
             return true;
         }
     }
-    return false;
+    return options->only_open &&
+           exchange->opening_number > options->newest_opening;
 }
 
 /* Returns an idle connection to the target that may be used, or NULL. Closes
@@ -450,7 +461,11 @@
     exchange->events = options->events;
     exchange->arg = options->arg;
     exchange->sent_at_ms = 0;
-    if (!reused) {
+    exchange->none_open = !reused && options->only_open;
+    if (exchange->none_open) {
+        uv_timer_start(&exchange->timer, on_timeout, 0, 0);
+    }
+    else if (!reused) {
         connect_to(exchange);
     }
     else if (send_again(exchange) != 0) {
@@ -515,6 +530,15 @@
     return exchange->number;
 }
 
+/* Returns the number of the connection that was the last one to be opened when
+ * the request was sent, to any target; 0 if it wasn't sent. Numbers ascend in
+ * the order of opening. */
+uint64_t
+RsExchange_NewestOpening(const struct rs_exchange *exchange)
+{
+    return exchange->sent_at_ms != 0 ? exchange->newest_opening : 0;
+}
+
 /* Returns whether the connection has carried other requests before. */
 bool
 RsExchange_IsReused(const struct rs_exchange *exchange)
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -19,6 +19,9 @@
     RsExchange_BROKEN = RsError_DISPATCH - 61,
     /* The request was not sent, as `may_send` did not allow it. */
     RsExchange_WITHDRAWN = RsError_DISPATCH - 62,
+    /* The request was not sent: no open connection was old enough, see
+     * `only_open`. */
+    RsExchange_NO_CONNECTION = RsError_DISPATCH - 63,
 };
 
 /* `may_send`, which may be NULL, is asked when a new connection has been
@@ -57,6 +60,11 @@
      */
     const uint64_t *excluded;
     size_t excluded_count;
+    /* Only an open connection is used, one that was opened no
+     * later than the connection with this number, which is a result of
+     * RsExchange_NewestOpening(). */
+    bool only_open;
+    uint64_t newest_opening;
     int64_t send_before_ms; /* not sent later than this; 0: no limit */
     /* What the request points to must stay valid until the request was sent.
      */
@@ -75,6 +83,7 @@
 void RsExchange_Cancel(struct rs_exchange *exchange);
 int64_t RsExchange_SentAtMs(const struct rs_exchange *exchange);
 uint64_t RsExchange_ConnectionNumber(const struct rs_exchange *exchange);
+uint64_t RsExchange_NewestOpening(const struct rs_exchange *exchange);
 bool RsExchange_IsReused(const struct rs_exchange *exchange);
 bool RsExchange_IsSilent(const struct rs_exchange *exchange);
 void RsExchange_CloseIdle(struct rs_fleet_target *target);
--- a/router/exchange_test.c
+++ b/router/exchange_test.c
@@ -29,6 +29,8 @@
     uint32_t openings; /* requests for /health that arrived */
     uint32_t connects; /* requests for tunnels that arrived */
     int64_t send_before_ms;
+    bool only_open;
+    uint64_t newest_opening;
     bool withdrawn; /* requests may not be sent any more */
     bool full;
     const char *answer_id; /* in all responses; NULL: none */
@@ -41,6 +43,7 @@
     struct rs_exchange *exchange;
     bool done;
     int error;
+    uint64_t newest_opening;
 };
 
 static void
@@ -120,6 +123,7 @@
     struct call *call = arg;
     call->done = true;
     call->error = error;
+    call->newest_opening = RsExchange_NewestOpening(call->exchange);
 }
 
 static bool
@@ -147,6 +151,8 @@
         .max_connections = MAX_CONNECTIONS,
         .opening_path = use == RsFleet_ORDERS ? "/health" : NULL,
         .max_silence_ms = MAX_SILENCE_MS,
+        .only_open = world.only_open,
+        .newest_opening = world.newest_opening,
         .send_before_ms = world.send_before_ms,
         .request = &call->request,
         .events = &events,
@@ -242,6 +248,45 @@
     CU_ASSERT_EQUAL(world.target->connections[RsFleet_ORDERS], 0);
 }
 
+static void
+expect_no_connection(struct call *call)
+{
+    uint32_t accepted = world.accepted;
+    start(call, RsFleet_ORDERS, "/grant");
+    CU_ASSERT_TRUE(RsTestLoop_Await(&world.loop, &call->done, WAIT_MS));
+    CU_ASSERT_EQUAL(call->error, RsExchange_NO_CONNECTION);
+    CU_ASSERT_EQUAL(world.accepted, accepted);
+}
+
+/* OWNER (review/11): behind a connection that was opened after the first
+ * request another process of the target may run. */
+static void
+test_request_is_bound_to_the_connections_of_its_time(void)
+{
+    struct call first;
+    struct call later;
+    start(&first, RsFleet_ORDERS, "/grant");
+    expect_answer(&first);
+    CU_ASSERT_TRUE(first.newest_opening > 0);
+    world.newest_opening = first.newest_opening;
+    world.only_open = true;
+    uint32_t accepted = world.accepted;
+    start(&later, RsFleet_ORDERS, "/grant");
+    expect_answer(&later);
+    CU_ASSERT_EQUAL(world.accepted, accepted);
+    RsExchange_CloseIdle(world.target);
+    expect_no_connection(&later);
+    world.only_open = false;
+    start(&first, RsFleet_ORDERS, "/grant");
+    expect_answer(&first);
+    CU_ASSERT_TRUE(first.newest_opening > world.newest_opening);
+    world.only_open = true;
+    expect_no_connection(&later);
+    world.only_open = false;
+    RsExchange_CloseIdle(world.target);
+    CU_ASSERT_EQUAL(world.target->connections[RsFleet_ORDERS], 0);
+}
+
 /* A grant that is given up before the target has taken its connection must not
  * arrive later. The connection is used once the target has room. */
 static void
@@ -475,6 +520,7 @@
     CU_ADD_TEST(suite, test_requests_leave_the_connections_of_orders);
     CU_ADD_TEST(suite, test_orders_pass_requests_in_progress);
     CU_ADD_TEST(suite, test_connections_are_counted_for_each_use);
+    CU_ADD_TEST(suite, test_request_is_bound_to_the_connections_of_its_time);
     CU_ADD_TEST(suite, test_order_is_not_sent_before_the_target_has_answered);
     CU_ADD_TEST(suite, test_order_waits_for_room);
     CU_ADD_TEST(suite, test_order_follows_another_without_asking);
--- a/router/fixture.c
+++ b/router/fixture.c
@@ -100,7 +100,7 @@
  * unless a fault delays it. The simulation checks what targets hold. It is a
  * violation if two running targets hold the same key, or if a target gets a
  * key under a fence that is not higher than all fences under which other
- * targets got it. */
+ * targets, or former processes of this one, got it. */
 
 #define DELAY_MS 2
 #define TICK_MS 25
@@ -146,9 +146,10 @@
     uint32_t node;
     uint64_t process; /* of the node that sent or gets the event */
     struct rs_order order;
-    int status;            /* of a commit or an order */
-    bool delayed;          /* a late grant, see RsFixture_GRANT_LATE */
-    bool held_up;          /* see RsFixture_GRANT_HELD_UP */
+    uint64_t target_process; /* to which the order was sent */
+    int status;              /* of a commit or an order */
+    bool delayed;            /* a late grant, see RsFixture_GRANT_LATE */
+    bool held_up;            /* see RsFixture_GRANT_HELD_UP */
     int64_t arrived_at_ms; /* of a delayed grant; its hold counts from here */
     char *lease_value;     /* unused */
     /* Rows to be written. The `version` of each is the version that the row
@@ -171,6 +172,8 @@
 struct target {
     char id[16];
     int64_t started_wall_ms;
+    uint64_t process;
+    uint64_t opening; /* number of the connection to it */
     uint64_t sequence;
     struct hold holds[MAX_HOLDS];
     size_t hold_count;
@@ -203,6 +206,7 @@
 struct rs_simulation {
     int64_t now_ms;
     int64_t next_report_at_ms;
+    int64_t reports_from_ms; /* none come earlier */
     struct simulated_node nodes[RsFixture_NODES];
     struct target targets[RsFixture_TARGETS];
     struct row rows[MAX_ROWS];
@@ -219,11 +223,13 @@
     uint32_t pending_faults[RsFixture_FAULTS];
     int64_t grant_delay_ms;
     uint64_t process_count;
+    uint64_t opening_count;
     bool nodes_are_equal; /* see RsSimulation_MakeNodesEqual() */
     /* Highest fence under which each key was granted, and the target to which
      * it was granted last. */
     uint64_t granted_fence[RsKeymap_KEYS];
     uint32_t granted_to[RsKeymap_KEYS];
+    uint64_t granted_process[RsKeymap_KEYS];
     char violation[160];
 };
 
@@ -315,6 +321,10 @@
         event->process = node->process;
         event->order = *order;
         event->order.grant.handover = NULL;
+        event->target_process = find_ordered_target(node->sim, order)->process;
+        if (!order->repeats_fence) {
+            event->order.newest_opening = node->sim->opening_count;
+        }
     }
     return event;
 }
@@ -340,6 +350,14 @@
     struct simulated_node *node = arg;
     struct rs_simulation *sim = node->sim;
     struct target *target = find_ordered_target(sim, order);
+    if (order->repeats_fence && target->opening > order->newest_opening) {
+        struct event *event =
+            add_order_event(node, OrderAnswered, order, DELAY_MS);
+        if (event != NULL) {
+            event->status = RsGranter_NO_CONNECTION;
+        }
+        return;
+    }
     if (!order->release && target->hold_up_ms > GRANT_TIMEOUT_MS) {
         send_held_up(node, order, target->hold_up_ms);
         target->hold_up_ms = 0;
@@ -619,22 +637,26 @@
 }
 
 /* Records a violation when a key of the new hold was granted to another target
- * under the same or a higher fence, or when another target still holds it. */
+ * or process under the same or a higher fence, or when another target still
+ * holds it. */
 static void
 check_grant(struct rs_simulation *sim, uint32_t number,
             const struct hold *hold)
 {
+    uint64_t process = sim->targets[number].process;
     for (uint32_t key = hold->first_key; key <= hold->last_key; key++) {
         if (sim->granted_fence[key] >= hold->fence &&
-            sim->granted_to[key] != number) {
+            (sim->granted_to[key] != number ||
+             sim->granted_process[key] != process)) {
             snprintf(
                 sim->violation, sizeof(sim->violation),
-                "key %u was granted to target %u under fence %lu, but target "
-                "%u had it under that fence or a higher one",
+                "key %u was granted to target %u under fence %lu, but another "
+                "process or target %u had it under that fence or a higher one",
                 key, number, (unsigned long)hold->fence, sim->granted_to[key]);
         }
         sim->granted_fence[key] = MAX(sim->granted_fence[key], hold->fence);
         sim->granted_to[key] = number;
+        sim->granted_process[key] = process;
     }
     for (uint32_t i = 0; i < RsFixture_TARGETS; i++) {
         const struct target *other = &sim->targets[i];
@@ -719,6 +741,13 @@
 {
     const struct rs_order *order = &event.order;
     uint32_t number = (uint32_t)(order->target_id[1] - '0');
+    if (event.target_process != sim->targets[number].process) {
+        /* The connection ended with the process. */
+        if (!event.delayed && !event.held_up) {
+            answer_order(sim, &event, RsGranter_UNANSWERED, DELAY_MS);
+        }
+        return;
+    }
     if (event.delayed) {
         /* The granter saw no answer to this order, which takes effect only
          * now. */
@@ -819,6 +848,7 @@
         struct target *target = &sim->targets[i];
         snprintf(target->id, sizeof(target->id), "t%u", i);
         target->started_wall_ms = 1 + i;
+        target->opening = ++sim->opening_count;
     }
     for (uint32_t i = 0; i < RsFixture_NODES; i++) {
         RsFleet_Init(&sim->nodes[i].fleet, &fleet_events, NULL);
@@ -958,7 +988,7 @@
     int64_t end_at_ms = sim->now_ms + span_ms;
     while (sim->now_ms < end_at_ms) {
         sim->now_ms++;
-        if (sim->now_ms >= sim->next_report_at_ms) {
+        if (sim->now_ms >= MAX(sim->next_report_at_ms, sim->reports_from_ms)) {
             sim->next_report_at_ms = sim->now_ms + 800;
             report_targets(sim);
         }
@@ -998,6 +1028,8 @@
         break;
     case RsFixture_TARGET_RESTARTED:
         target->started_wall_ms = sim->now_ms;
+        target->process++;
+        target->opening = ++sim->opening_count;
         target->sequence = 0;
         target->hold_count = 0;
         memset(target->seen_fence, 0, sizeof(target->seen_fence));
@@ -1020,12 +1052,20 @@
         break;
     case RsFixture_TARGET_CUT_OFF:
         target->cut_off_until_ms = sim->now_ms + for_ms;
+        target->opening = ++sim->opening_count;
         break;
     default:
         sim->pending_faults[fault]++;
     }
 }
 
+/* Lets no reports of targets reach the nodes for some time. */
+void
+RsSimulation_DelayReports(struct rs_simulation *sim, int64_t for_ms)
+{
+    sim->reports_from_ms = sim->now_ms + for_ms;
+}
+
 /* Lists another target, which no map names, at the address of a target. */
 void
 RsSimulation_ListAtAddress(struct rs_simulation *sim, uint32_t number)
--- a/router/fixture.h
+++ b/router/fixture.h
@@ -69,6 +69,9 @@
 void RsSimulation_MoveKeys(struct rs_simulation *sim, uint32_t first_key,
                            uint32_t last_key, uint32_t target);
 
+/* Delays the reports of all targets. */
+void RsSimulation_DelayReports(struct rs_simulation *sim, int64_t for_ms);
+
 /* Lists another target at the address of a target, which goes on running. */
 void RsSimulation_ListAtAddress(struct rs_simulation *sim, uint32_t number);
 
--- a/router/granter.c
+++ b/router/granter.c
@@ -60,6 +60,9 @@
 #define HEAD_START_MS 700
 /* Fences of an era have the era in their high bits. */
 #define FENCE_NUMBER_BITS 32
+/* Fences that a commit reserves for renewals under a new fence; the map is
+ * committed again when half of them are used. */
+#define RESERVED_FENCES 4096
 /* More fences than an era has used when a map is begun anew and the former
  * granter has not stated its next fence, as versions before that field. */
 #define UNSTATED_FENCES ((uint64_t)1 << 28)
@@ -667,7 +670,9 @@
 {
     uint64_t next_fence = granter->next_fence;
     for (size_t i = 0; i < granter->map_count; i++) {
-        next_fence = MAX(next_fence, granter->maps[i].map->next_fence);
+        const struct rs_keymap *map = granter->maps[i].map;
+        next_fence =
+            MAX(next_fence, MAX(map->next_fence, map->reserved_fence));
     }
     return next_fence;
 }
@@ -685,6 +690,10 @@
     for (size_t i = 0; i < granter->map_count; i++) {
         struct rs_granter_map *entry = &granter->maps[i];
         entry->in_commit = entry->dirty && granter->phase == RsGranter_LEADING;
+        if (entry->in_commit) {
+            entry->map->reserved_fence =
+                entry->map->next_fence + RESERVED_FENCES;
+        }
     }
     granter->next_fence = highest_next_fence(granter);
     char *lease = encode_lease(granter);
@@ -756,6 +765,7 @@
             delay_releases(entry, now_ms);
             entry->row_version = version;
             entry->committed_fence = entry->in_commit_fence;
+            entry->reserved_fence = entry->map->reserved_fence;
             entry->in_commit = false;
             add_service(granter->services, &granter->service_count,
                         entry->map->service);
@@ -897,7 +907,7 @@
 
 /* Assumes that all owners and former owners in a loaded map are about to get
  * grants of the maximum duration, as the previous granter's orders are
- * unknown. */
+ * unknown. So is which of their processes got the fences. */
 static void
 assume_max_holds(const struct rs_granter *granter, struct rs_keymap *map,
                  int64_t now_ms)
@@ -908,6 +918,7 @@
         struct rs_range_orders *orders = &RsKeymap_GetRange(map, i)->orders;
         orders->hold_until_ms = until_ms;
         orders->former_hold_until_ms = until_ms;
+        orders->fence_sent = true;
     }
 }
 
@@ -991,6 +1002,7 @@
         .map = map,
         .row_version = row_version,
         .committed_fence = map->next_fence,
+        .dirty = current, /* reserves fences */
     };
 }
 
@@ -1069,9 +1081,15 @@
         .target_id = owner->id,
         .grant = {.first_key = range->first_key,
                   .last_key = range->last_key,
-                  .fence = to_former ? range->former_fence : range->fence,
+                  .fence = to_former ? range->former_fence
+                                     : RsKeymap_GrantFence(range),
                   .hold_ms = hold_ms,
                   .handover = to_former ? NULL : orders->handover},
+        /* An unproven range is not renewed under another fence: the owner
+         * proves by accepting this one that it holds the keys. */
+        .repeats_fence = to_former || (orders->fence_sent && !range->unproven),
+        .newest_opening =
+            to_former ? orders->former_newest_opening : orders->newest_opening,
     };
     orders->grant_in_flight = true;
     orders->next_grant_at_ms = now_ms + RENEW_GRANT_EVERY_MS;
@@ -1155,10 +1173,34 @@
     range->unproven = false;
     range->orders.blocked = false;
     range->orders.next_grant_at_ms = 0;
+    range->orders.renewed_fence = 0;
+    range->orders.fence_sent = false;
     range->fence = entry->map->next_fence++;
     entry->dirty = true;
 }
 
+/* Returns whether the fence of the grants to the owner of a range, and the
+ * owner itself, are committed. */
+static bool
+may_grant(const struct rs_granter_map *entry, const struct rs_key_range *range)
+{
+    return range->fence < entry->committed_fence &&
+           RsKeymap_GrantFence(range) <
+               MAX(entry->committed_fence, entry->reserved_fence);
+}
+
+/* Gives the owner of a range a new fence, which no process has had. */
+static void
+renew_fence(struct rs_granter_map *entry, struct rs_key_range *range)
+{
+    struct rs_range_orders *orders = &range->orders;
+    orders->renewed_fence = entry->map->next_fence++;
+    orders->fence_sent = false;
+    orders->newest_opening = 0;
+    entry->dirty |=
+        entry->map->next_fence + RESERVED_FENCES / 2 > entry->reserved_fence;
+}
+
 /* Sends the orders for one range that are due. */
 static void
 process_range(struct rs_granter *granter, struct rs_granter_map *entry,
@@ -1176,7 +1218,7 @@
         advance_handover(granter, entry, range, now_ms);
     }
     if (range->former.id == NULL && range->owner.id != NULL &&
-        range->fence < entry->committed_fence && !orders->grant_in_flight &&
+        may_grant(entry, range) && !orders->grant_in_flight &&
         now_ms >= orders->next_grant_at_ms &&
         !is_replaced(granter, &range->owner) &&
         !has_restarted(granter, &range->owner)) {
@@ -1385,7 +1427,7 @@
         return same ? range : NULL;
     }
     bool to_owner = range->owner.id == order->target_id &&
-                    range->fence == order->grant.fence;
+                    RsKeymap_GrantFence(range) == order->grant.fence;
     bool to_former = range->former.id == order->target_id &&
                      range->former_fence == order->grant.fence;
     return to_owner || to_former ? range : NULL;
@@ -1401,7 +1443,7 @@
 {
     int64_t *until_ms =
         to_owner ? &orders->hold_until_ms : &orders->former_hold_until_ms;
-    if (status == RsGranter_NOT_SENT) {
+    if (status == RsGranter_NOT_SENT || status == RsGranter_NO_CONNECTION) {
         return;
     }
     int64_t arrived_by_ms =
@@ -1411,6 +1453,21 @@
             arrived_by_ms + max_hold_at_target_ms(order->grant.hold_ms));
 }
 
+/* Records which connections may carry the fence of a grant that was sent under
+ * it for the first time. */
+static void
+record_sent_fence(struct rs_range_orders *orders, const struct rs_order *order,
+                  int status)
+{
+    if (!order->repeats_fence && status != RsGranter_NOT_SENT) {
+        orders->newest_opening =
+            orders->fence_sent
+                ? MIN(orders->newest_opening, order->newest_opening)
+                : order->newest_opening;
+        orders->fence_sent = true;
+    }
+}
+
 /* Handles the answer to a grant. If the owner refuses the fence as stale, the
  * range gets a new fence, unless it is being handed over. The owner of an
  * unproven range has released the keys for another target then, so the range
@@ -1422,9 +1479,18 @@
 {
     struct rs_range_orders *orders = &range->orders;
     bool to_owner = range->owner.id == order->target_id &&
-                    range->fence == order->grant.fence;
+                    RsKeymap_GrantFence(range) == order->grant.fence;
     orders->grant_in_flight = false;
     extend_hold(orders, order, to_owner, status, now_ms);
+    if (to_owner) {
+        record_sent_fence(orders, order, status);
+    }
+    if (status == RsGranter_NO_CONNECTION && to_owner &&
+        range->former.id == NULL) {
+        renew_fence(entry, range);
+        orders->next_grant_at_ms = now_ms;
+        return;
+    }
     if (status == RsWire_GRANTED && to_owner) {
         g_free(orders->handover);
         orders->handover = NULL;
@@ -1458,8 +1524,7 @@
     }
     else if (status == RsWire_STALE_FENCE && to_owner &&
              range->former.id == NULL) {
-        range->fence = entry->map->next_fence++;
-        entry->dirty = true;
+        renew_fence(entry, range);
     }
 }
 
--- a/router/granter.h
+++ b/router/granter.h
@@ -5,12 +5,17 @@
  *
  * The granter is the node named in the lease row of the store. Each commit
  * that the store confirms extends its authority to a fixed time after the
- * commit was sent. Any granter may renew a grant whose fence is committed to
+ * commit was sent. Any granter may renew a grant whose owner is committed to
  * the store. A new owner gets its first grant only once the move is committed
  * and the former owner has confirmed its release, another target has answered
  * the release at its address, or its last grant has expired. What rows say of
  * the former owner is no proof.
  *
+ * A fence belongs to one process of its owner. Another one may run there under
+ * the same id before its row is known, so a renewal whose fence can't be sent
+ * on a connection to the same process gets a new one. Each commit of a map
+ * reserves fences for that, which last while the store is unavailable.
+ *
  * After the store has gone back to a copy, its rows don't show the last
  * changes of owners. Each era of the store has rows of its own for the lease
  * and the maps, so that no commit made for a former era touches them, and
@@ -63,6 +68,9 @@
     RsGranter_NOT_SENT = -1, /* the target can't have received it */
     /* The target may have applied it, or may still do so later. */
     RsGranter_UNANSWERED = -2,
+    /* Not sent, since no connection is left on which its fence may be sent
+     * again. */
+    RsGranter_NO_CONNECTION = -3,
 };
 
 /* The key map of one service, with its commit state. */
@@ -73,6 +81,9 @@
     /* New value of `committed_fence` once the commit in flight is
      * confirmed. */
     uint64_t in_commit_fence;
+    /* Fences below this may be used for renewals without a commit: the row
+     * states a higher next fence. */
+    uint64_t reserved_fence;
     bool dirty;     /* has changes for the next commit */
     bool in_commit; /* is part of the commit in flight */
 };
@@ -85,6 +96,11 @@
     struct rs_wire_order grant;
     int64_t sent_at_ms;
     int64_t send_before_ms; /* end of the granter's authority */
+    /* A grant whose fence was sent before, see struct rs_range_orders. */
+    bool repeats_fence;
+    /* The newest connection for a grant that repeats its fence; in the answer
+     * to any other, the newest one when it was sent. */
+    uint64_t newest_opening;
 };
 
 struct rs_granter;
--- a/router/granter_test.c
+++ b/router/granter_test.c
@@ -174,6 +174,80 @@
     check_and_free(sim);
 }
 
+/* OWNER (review/11): a renewal was sent to a new process under the fence of
+ * the former one until the new one's row was read. Checked by the simulation.
+ */
+static void
+test_restarted_target_gets_no_former_fence_before_its_row(void)
+{
+    for (int64_t phase_ms = 0; phase_ms < 900; phase_ms += 50) {
+        struct rs_simulation *sim = new_settled_simulation();
+        RsSimulation_Advance(sim, phase_ms);
+        RsSimulation_DelayReports(sim, 2000);
+        RsSimulation_InjectFault(sim, RsFixture_TARGET_RESTARTED, 0, 0);
+        RsSimulation_Advance(sim, 1000);
+        CU_ASSERT_EQUAL(RsSimulation_CountHeldKeys(sim), RsKeymap_KEYS);
+        RsSimulation_Advance(sim, 1500);
+        RsSimulation_MoveKeys(sim, 0, 32767, 0);
+        RsSimulation_Advance(sim, 200);
+        CU_ASSERT_EQUAL(RsSimulation_CountHeldKeys(sim), RsKeymap_KEYS);
+        check_and_free(sim);
+    }
+}
+
+/* No fence can be committed then; the granter uses those that it has reserved,
+ * and the next granter none of these. */
+static void
+test_restarted_targets_get_keys_while_the_store_is_down(void)
+{
+    struct rs_simulation *sim = new_settled_simulation();
+    RsSimulation_InjectFault(sim, RsFixture_STORE_DOWN, 0, 9000);
+    RsSimulation_DelayReports(sim, 20000);
+    RsSimulation_Advance(sim, 500);
+    for (uint32_t i = 0; i < RsFixture_TARGETS; i++) {
+        RsSimulation_InjectFault(sim, RsFixture_TARGET_RESTARTED, i, 0);
+    }
+    RsSimulation_Advance(sim, 1000);
+    CU_ASSERT_EQUAL(RsSimulation_CountHeldKeys(sim), RsKeymap_KEYS);
+    RsSimulation_Advance(sim, 8500);
+    int granter = RsSimulation_FindGranter(sim);
+    CU_ASSERT_TRUE_FATAL(granter >= 0);
+    RsSimulation_InjectFault(sim, RsFixture_NODE_FROZEN, (uint32_t)granter,
+                             20000);
+    RsSimulation_InjectFault(sim, RsFixture_TARGET_RESTARTED, 1, 0);
+    RsSimulation_Advance(sim, 4000);
+    CU_ASSERT_EQUAL(RsSimulation_CountHeldKeys(sim), RsKeymap_KEYS);
+    check_and_free(sim);
+}
+
+/* A granter that loses the store right after it took over has reserved no
+ * fences. The next one would give out the same. */
+static void
+test_granter_without_reserved_fences_renews_under_none(void)
+{
+    struct rs_simulation *sim = new_settled_simulation();
+    int first = RsSimulation_FindGranter(sim);
+    RsSimulation_DelayReports(sim, 20000);
+    RsSimulation_InjectFault(sim, RsFixture_NODE_FROZEN, (uint32_t)first,
+                             20000);
+    int second = -1;
+    for (int i = 0; i < 5000 && second < 0; i++) {
+        RsSimulation_Advance(sim, 1);
+        second = RsSimulation_FindGranter(sim);
+    }
+    CU_ASSERT_TRUE_FATAL(second >= 0);
+    RsSimulation_InjectFault(sim, RsFixture_STORE_DOWN, 0, 1200);
+    RsSimulation_InjectFault(sim, RsFixture_TARGET_RESTARTED, 0, 0);
+    RsSimulation_Advance(sim, 1000);
+    CU_ASSERT_EQUAL(RsSimulation_CountHeldKeys(sim), RsKeymap_KEYS / 2);
+    RsSimulation_InjectFault(sim, RsFixture_NODE_FROZEN, (uint32_t)second,
+                             20000);
+    RsSimulation_InjectFault(sim, RsFixture_TARGET_RESTARTED, 0, 0);
+    RsSimulation_Advance(sim, 5000);
+    CU_ASSERT_EQUAL(RsSimulation_CountHeldKeys(sim), RsKeymap_KEYS);
+    check_and_free(sim);
+}
+
 /* Renewals that were sent to the old process may have reached the new one, so
  * the new process may hold the keys. */
 static void
@@ -468,6 +542,11 @@
     CU_ADD_TEST(suite, test_another_node_is_elected_after_a_resignation);
     CU_ADD_TEST(suite, test_grants_outlast_a_nine_second_outage_of_the_store);
     CU_ADD_TEST(suite, test_restarted_target_gets_its_keys_under_a_new_fence);
+    CU_ADD_TEST(suite,
+                test_restarted_target_gets_no_former_fence_before_its_row);
+    CU_ADD_TEST(suite,
+                test_restarted_targets_get_keys_while_the_store_is_down);
+    CU_ADD_TEST(suite, test_granter_without_reserved_fences_renews_under_none);
     CU_ADD_TEST(suite,
                 test_target_restarted_under_the_same_id_is_asked_to_release);
     CU_ADD_TEST(suite, test_unanswered_release_waits_for_expiry_of_the_grant);
--- a/router/keymap.c
+++ b/router/keymap.c
@@ -167,7 +167,7 @@
     struct owner_list owners = list_owners(map);
     GString *text = g_string_new(NULL);
     g_string_append_printf(text, "{\"next_fence\":%" PRIu64 ",\"owners\":[",
-                           map->next_fence);
+                           MAX(map->next_fence, map->reserved_fence));
     for (guint i = 0; i < owners.names->len; i++) {
         g_string_append(text, i > 0 ? ",\n" : "\n");
         encode_owner(text, g_ptr_array_index(owners.names, i));
@@ -348,6 +348,13 @@
     return RsKeymap_GetRange(map, find_index(map, key));
 }
 
+/* Returns the fence of the grants to the owner of a range. */
+uint64_t
+RsKeymap_GrantFence(const struct rs_key_range *range)
+{
+    return MAX(range->fence, range->orders.renewed_fence);
+}
+
 /* Returns whether `a` and `b` are the same process of the same target, or both
  * stand for no owner. */
 bool
@@ -397,12 +404,13 @@
            const struct rs_owner *to)
 {
     range->former = range->owner;
-    range->former_fence = range->fence;
+    range->former_fence = RsKeymap_GrantFence(range);
     range->owner = *to;
     range->fence = map->next_fence;
     g_free(range->orders.handover);
     range->orders = (struct rs_range_orders){
         .former_hold_until_ms = range->orders.hold_until_ms,
+        .former_newest_opening = range->orders.newest_opening,
     };
 }
 
@@ -443,6 +451,8 @@
     range->owner = range->former;
     range->fence = range->former_fence;
     range->orders.hold_until_ms = range->orders.former_hold_until_ms;
+    range->orders.fence_sent = true;
+    range->orders.newest_opening = range->orders.former_newest_opening;
     RsKeymap_ClearFormer(range);
 }
 
@@ -465,12 +475,34 @@
            !range->orders.release_in_flight;
 }
 
+/* Sets which connections may carry the fence of a range that is extended by
+ * the next one: those of the higher fence or, if both have one fence, those
+ * that both may use. */
+static void
+merge_openings(struct rs_key_range *range, const struct rs_key_range *next)
+{
+    struct rs_range_orders *orders = &range->orders;
+    uint64_t fence = RsKeymap_GrantFence(range);
+    uint64_t next_fence = RsKeymap_GrantFence(next);
+    if (next_fence > fence || (next_fence == fence && !orders->fence_sent)) {
+        orders->fence_sent = next->orders.fence_sent;
+        orders->newest_opening = next->orders.newest_opening;
+    }
+    else if (next_fence == fence && next->orders.fence_sent) {
+        orders->newest_opening =
+            MIN(orders->newest_opening, next->orders.newest_opening);
+    }
+    orders->renewed_fence =
+        MAX(orders->renewed_fence, next->orders.renewed_fence);
+}
+
 /* Extends a range by the next one. The owner is granted the merged range under
  * the higher of the two fences, which no other target has had. */
 static void
 merge_next(struct rs_key_range *range, struct rs_key_range *next)
 {
     struct rs_range_orders *orders = &range->orders;
+    merge_openings(range, next);
     range->last_key = next->last_key;
     range->fence = MAX(range->fence, next->fence);
     orders->hold_until_ms =
--- a/router/keymap.h
+++ b/router/keymap.h
@@ -30,6 +30,16 @@
     int64_t hold_until_ms;        /* latest end of the owner's grants */
     int64_t former_hold_until_ms; /* the same for the former owner */
     char *handover; /* text from the former owner's release; NULL: none */
+    /* The fence of the owner's grants if it is above that of the range, 0 if
+     * not. No row has it. */
+    uint64_t renewed_fence;
+    /* The fence of the owner's grants has been sent. It is sent again only on
+     * connections opened before the first time, see
+     * RsExchange_NewestOpening(): on any other, another process of the owner
+     * may run. */
+    bool fence_sent;
+    uint64_t newest_opening;
+    uint64_t former_newest_opening; /* the same for the former owner */
     /* Unproven only: the owner has refused its fence, or nothing is known of
      * the last grants. No orders are sent. */
     bool blocked;
@@ -53,6 +63,9 @@
 struct rs_keymap {
     const char *service; /* interned */
     uint64_t next_fence;
+    /* Rows state this as the next fence if it is higher. Only the granter that
+     * wrote the row uses lower ones. */
+    uint64_t reserved_fence;
     GArray *ranges; /* struct rs_key_range, by ascending key */
 };
 
@@ -67,6 +80,7 @@
                                        size_t index);
 struct rs_key_range *RsKeymap_FindRange(const struct rs_keymap *map,
                                         uint32_t key);
+uint64_t RsKeymap_GrantFence(const struct rs_key_range *range);
 bool RsKeymap_SameOwner(const struct rs_owner *a, const struct rs_owner *b);
 
 /* Changes of owners. */
--- a/router/keymap_test.c
+++ b/router/keymap_test.c
@@ -187,6 +187,70 @@
 
 /* The store accepts rows of up to 64 KiB in base64, and each node reads the
  * row with each change. 1,000 ranges of 150 targets must fit easily. */
+/* A merged range keeps the connections of the higher fence. The other fence
+ * was maybe sent to another process. */
+static void
+test_merged_range_keeps_the_openings_of_its_fence(void)
+{
+    struct rs_keymap *map = map_owned_by("a");
+    struct rs_owner b = owner("b");
+    CU_ASSERT_TRUE(RsKeymap_Move(map, 100, 199, &b));
+    RsKeymap_ClearFormer(RsKeymap_FindRange(map, 150));
+    CU_ASSERT_TRUE(RsKeymap_Move(map, 200, 299, &b));
+    RsKeymap_ClearFormer(RsKeymap_FindRange(map, 250));
+    struct rs_range_orders *first = &RsKeymap_FindRange(map, 150)->orders;
+    struct rs_range_orders *second = &RsKeymap_FindRange(map, 250)->orders;
+    first->renewed_fence = map->next_fence++;
+    first->fence_sent = true;
+    first->newest_opening = 7;
+    second->fence_sent = true;
+    second->newest_opening = 9;
+    CU_ASSERT_EQUAL(RsKeymap_MergeRanges(map), 1);
+    const struct rs_key_range *merged = RsKeymap_FindRange(map, 150);
+    CU_ASSERT_EQUAL(RsKeymap_GrantFence(merged), 4);
+    CU_ASSERT_TRUE(merged->orders.fence_sent);
+    CU_ASSERT_EQUAL(merged->orders.newest_opening, 7);
+    RsKeymap_Free(map);
+}
+
+/* Parts of one range got its fence at different times. */
+static void
+test_parts_of_one_fence_are_merged_with_the_older_opening(void)
+{
+    struct rs_keymap *map = map_owned_by("a");
+    struct rs_owner b = owner("b");
+    struct rs_owner a = owner("a");
+    CU_ASSERT_TRUE(RsKeymap_Move(map, 100, 199, &b));
+    RsKeymap_ClearFormer(RsKeymap_FindRange(map, 150));
+    struct rs_range_orders *first = &RsKeymap_FindRange(map, 0)->orders;
+    struct rs_range_orders *last = &RsKeymap_FindRange(map, 200)->orders;
+    first->fence_sent = true;
+    first->newest_opening = 5;
+    last->fence_sent = true;
+    last->newest_opening = 3;
+    CU_ASSERT_TRUE(RsKeymap_Move(map, 100, 199, &a));
+    RsKeymap_ClearFormer(RsKeymap_FindRange(map, 150));
+    RsKeymap_FindRange(map, 150)->fence = 1;
+    CU_ASSERT_EQUAL(RsKeymap_MergeRanges(map), 2);
+    CU_ASSERT_EQUAL(RsKeymap_FindRange(map, 0)->orders.newest_opening, 3);
+    RsKeymap_Free(map);
+}
+
+/* Only the granter that wrote the row uses the fences that it reserves. */
+static void
+test_row_states_the_reserved_fences(void)
+{
+    struct rs_keymap *map = map_owned_by("a");
+    map->reserved_fence = map->next_fence + 100;
+    char *text = RsKeymap_Encode(map);
+    struct rs_keymap *decoded = RsKeymap_Decode(map->service, text);
+    CU_ASSERT_TRUE(decoded != NULL &&
+                   decoded->next_fence == map->reserved_fence);
+    RsKeymap_Free(decoded);
+    g_free(text);
+    RsKeymap_Free(map);
+}
+
 static void
 test_row_of_many_ranges_is_small(void)
 {
@@ -248,6 +312,10 @@
     CU_ADD_TEST(suite, test_decoded_row_equals_the_map);
     CU_ADD_TEST(suite, test_owners_of_any_id_survive_a_round_trip);
     CU_ADD_TEST(suite, test_adjacent_ranges_of_one_owner_are_merged);
+    CU_ADD_TEST(suite, test_merged_range_keeps_the_openings_of_its_fence);
+    CU_ADD_TEST(suite,
+                test_parts_of_one_fence_are_merged_with_the_older_opening);
+    CU_ADD_TEST(suite, test_row_states_the_reserved_fences);
     CU_ADD_TEST(suite, test_row_of_many_ranges_is_small);
     CU_ADD_TEST(suite, test_malformed_rows_are_rejected);
     CU_basic_run_tests();
--- a/router/metrics.c
+++ b/router/metrics.c
@@ -208,6 +208,10 @@
     print_counter(text, "rattanshed_orders_failed_total",
                   "Grants and releases without an answer.",
                   &sources->orders->failed);
+    print_counter(text, "rattanshed_renewals_without_connection_total",
+                  "Renewals not sent, for want of a connection on which their "
+                  "fence was known.",
+                  &sources->orders->without_connection);
 }
 
 /* Returns how many requests of the route with the lowest latency target may be
--- a/router/orders.c
+++ b/router/orders.c
@@ -89,7 +89,10 @@
 finish(struct order_call *call, int status)
 {
     int64_t now_ms = RsClock_NowMs();
-    if (!RsTargetProbe_RecordAnswer(call->target, status, now_ms)) {
+    if (status == RsGranter_NO_CONNECTION) {
+        RsCounter_Add(&call->orders->without_connection, 1);
+    }
+    else if (!RsTargetProbe_RecordAnswer(call->target, status, now_ms)) {
         RsCounter_Add(&call->orders->failed, 1);
         RsReachability_RecordFailure(&call->target->reachability, now_ms);
     }
@@ -134,14 +137,17 @@
 on_done(void *arg, int error)
 {
     struct order_call *call = arg;
+    int status = call->status;
+    call->order.newest_opening = RsExchange_NewestOpening(call->exchange);
     call->exchange = NULL;
-    if (error == 0) {
-        finish(call, call->status);
+    if (error == RsExchange_NO_CONNECTION) {
+        status = RsGranter_NO_CONNECTION;
     }
-    else {
-        finish(call, error == RsExchange_NOT_SENT ? RsGranter_NOT_SENT
-                                                  : RsGranter_UNANSWERED);
+    else if (error != 0) {
+        status = error == RsExchange_NOT_SENT ? RsGranter_NOT_SENT
+                                              : RsGranter_UNANSWERED;
     }
+    finish(call, status);
 }
 
 static const struct rs_exchange_events exchange_events = {
@@ -174,6 +180,7 @@
     }
     if (call->exchange != NULL) {
         bool silent = RsExchange_IsSilent(call->exchange);
+        call->order.newest_opening = RsExchange_NewestOpening(call->exchange);
         RsExchange_Cancel(call->exchange);
         if (silent) {
             RsExchange_CloseIdle(call->target);
@@ -227,6 +234,8 @@
         .use = RsFleet_ORDERS,
         .opening_path = service != NULL ? service->health_path : NULL,
         .max_silence_ms = max_silence_ms(call->target),
+        .only_open = call->order.repeats_fence,
+        .newest_opening = call->order.newest_opening,
         .send_before_ms = call->order.send_before_ms,
         .max_connections = MAX_ACTIVE_ORDERS,
         .max_body_bytes = MAX_ANSWER_BYTES,
--- a/router/orders.h
+++ b/router/orders.h
@@ -16,6 +16,8 @@
     struct rs_counter sent; /* orders given to RsOrders_Send() */
     struct rs_counter
         failed; /* orders that were not sent or got no response */
+    /* Renewals that were not sent, see RsGranter_NO_CONNECTION. */
+    struct rs_counter without_connection;
 };
 
 void RsOrders_Init(struct rs_orders *orders, struct rs_router *router,
--- a/soak/check.c
+++ b/soak/check.c
@@ -59,6 +59,7 @@
 RsCheck_RecordTargetStart(struct rs_check *check, uint32_t target)
 {
     check->targets[target].up = true;
+    check->targets[target].life++;
     g_array_set_size(check->targets[target].holds, 0);
 }
 
@@ -102,22 +103,24 @@
     }
 }
 
-/* Checks that a key goes to another target only with a higher fence (FENCE),
- * and records the fence and the holder of each key. Reports the first such key
- * of the range only. */
+/* Checks that a key goes to another target, or to another life of a target,
+ * only with a higher fence (FENCE), and records the fence and the holder of
+ * each key. Reports the first such key of the range only. */
 static void
 check_and_record_fence(struct rs_check *check, uint32_t target,
                        const struct rs_check_hold *hold, int64_t now_ms)
 {
+    uint32_t life = check->targets[target].life;
     for (uint32_t key = hold->first_key; key <= hold->last_key; key++) {
         if (check->highest_fence[key] >= hold->fence &&
-            check->last_holder[key] != target) {
+            (check->last_holder[key] != target ||
+             check->last_life[key] != life)) {
             RsCheck_ReportViolation(
                 check, "FENCE", now_ms,
-                "key %u went to target %u with fence %lu; target %u "
-                "had it with %lu",
-                key, target, (unsigned long)hold->fence,
-                check->last_holder[key],
+                "key %u went to life %u of target %u with fence %lu; life %u "
+                "of target %u had it with %lu",
+                key, life, target, (unsigned long)hold->fence,
+                check->last_life[key], check->last_holder[key],
                 (unsigned long)check->highest_fence[key]);
             break;
         }
@@ -126,6 +129,7 @@
         check->highest_fence[key] =
             MAX(check->highest_fence[key], hold->fence);
         check->last_holder[key] = target;
+        check->last_life[key] = life;
     }
 }
 
--- a/soak/check.h
+++ b/soak/check.h
@@ -29,6 +29,7 @@
 
 struct rs_check_target {
     bool up;
+    uint32_t life; /* number of its starts */
     GArray *holds; /* struct rs_check_hold */
 };
 
@@ -36,6 +37,7 @@
     struct rs_check_target targets[RsCheck_MAX_TARGETS];
     uint64_t highest_fence[RsCheck_KEYS]; /* of the grants of each key */
     uint32_t last_holder[RsCheck_KEYS];   /* target of the last grant */
+    uint32_t last_life[RsCheck_KEYS];     /* the life of that target */
     GHashTable *executed; /* ids of non-idempotent requests that were run */
     GHashTable *not_executed; /* ids of those reported not to have run */
     /* Checks the API keys of requests; NULL: there are no workspaces. */
--- a/tests/node_main.c
+++ b/tests/node_main.c
@@ -75,6 +75,8 @@
      test_nodes_without_new_links_to_one_target_serve},
     {"targets_own_keys_again_after_cuts",
      test_targets_own_keys_again_after_cuts},
+    {"restarted_target_gets_no_keys_under_a_former_fence",
+     test_restarted_target_gets_no_keys_under_a_former_fence},
     {"deadly_request_no_longer_reaches_targets",
      test_deadly_request_no_longer_reaches_targets},
     {"request_reaches_a_target_that_has_drained",
--- a/tests/node_tests.h
+++ b/tests/node_tests.h
@@ -72,6 +72,7 @@
 
 /* tests/node_unreachable_test.c */
 void test_targets_own_keys_again_after_cuts(void);
+void test_restarted_target_gets_no_keys_under_a_former_fence(void);
 
 /* tests/node_gone_test.c */
 void test_request_behind_another_is_sent_for_a_caller_that_left(void);
--- a/tests/node_unreachable_test.c
+++ b/tests/node_unreachable_test.c
@@ -1,4 +1,5 @@
-/* Targets that the nodes lose for a time and then reach again. */
+/* Targets that the nodes lose for a time and then reach again, as the same
+ * process or another one. */
 
 #include <CUnit/Basic.h>
 
@@ -18,6 +19,25 @@
 #define BACK_WITHIN_MS 4000
 #define SETTLED_MS 2000
 
+/* A target starts again under its id before its connections time out, and its
+ * row comes later than the port is open. */
+#define DOWN_MS 300
+#define ROW_LATE_MS 1000
+
+static struct rs_node_fixture *
+open_fixture(uint16_t base_port)
+{
+    const struct rs_node_fixture_options options = {
+        .base_port = base_port,
+        .node_count = NODES,
+        .plain_targets = PLAIN_TARGETS,
+        .sharded_targets = SHARDED_TARGETS,
+        .work_ms = WORK_MS,
+        .timeout_ms = 2000,
+    };
+    return RsNodeFixture_OpenServing(&options);
+}
+
 static void
 set_cut(struct rs_node_fixture *fixture, uint32_t target, bool is_cut)
 {
@@ -29,15 +49,7 @@
 void
 test_targets_own_keys_again_after_cuts(void)
 {
-    const struct rs_node_fixture_options options = {
-        .base_port = 21200,
-        .node_count = NODES,
-        .plain_targets = PLAIN_TARGETS,
-        .sharded_targets = SHARDED_TARGETS,
-        .work_ms = WORK_MS,
-        .timeout_ms = 2000,
-    };
-    struct rs_node_fixture *fixture = RsNodeFixture_OpenServing(&options);
+    struct rs_node_fixture *fixture = open_fixture(21200);
     uint64_t counts[RsNodeFixture_MAX_TARGETS] = {0};
     for (uint32_t i = 0; i < SHARDED_TARGETS; i++) {
         set_cut(fixture, PLAIN_TARGETS + i, true);
@@ -56,3 +68,25 @@
     CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
     RsNodeFixture_Close(fixture);
 }
+
+/* OWNER (review/11): a process that was started under the id of a former one
+ * was granted keys with the former one's fence until its row was read. */
+void
+test_restarted_target_gets_no_keys_under_a_former_fence(void)
+{
+    struct rs_node_fixture *fixture = open_fixture(21400);
+    for (uint32_t i = PLAIN_TARGETS; i < fixture->target_count; i++) {
+        struct rs_soak_target *target = fixture->targets[i];
+        uint64_t count = RsSoakTarget_RequestCount(target);
+        RsSoakTarget_Crash(target);
+        RsSoakTarget_SetReporting(target, false);
+        RsNodeFixture_SendToAll(fixture, DOWN_MS, REQUEST_INTERVAL_MS);
+        RsSoakTarget_Start(target, false);
+        RsNodeFixture_SendToAll(fixture, ROW_LATE_MS, REQUEST_INTERVAL_MS);
+        RsSoakTarget_SetReporting(target, true);
+        RsNodeFixture_SendToAll(fixture, BACK_WITHIN_MS, REQUEST_INTERVAL_MS);
+        CU_ASSERT_TRUE(RsSoakTarget_RequestCount(target) > count);
+    }
+    CU_ASSERT_EQUAL(fixture->check.violation_count, 0);
+    RsNodeFixture_Close(fixture);
+}
