Let crashes that came together leave a request its trials

Cause: a third crash under a request ended its trials, as if it had come on one. These came within milliseconds, before a trial can begin.

Change: a crash ends the trials only if its request was sent after two others had crashed their targets, with the pause before the first trial between. Nodes tell each other how long the request had run (peer.proto, a new field; without it, as from a former version, a crash counts as before). A crash on trial replaces another when there is no more room for crashes.

Why this works: a trial begins a second after the last crash that is known, so a request that was sent earlier was not on trial, whenever its target ended.

Ruled out: a shorter refusal, which lets a request that does crash targets end more of them; trials of one node at a time, since callers come back to any node.

Breaks tried, each caught: crashes counted as before, counted by the time of their end, no replacement (router_suspects_test), the time of sending not told (router_reports_test).

--- a/router/attempt.c
+++ b/router/attempt.c
@@ -892,7 +892,7 @@
  * whether that has ended. While the links of this node may be lost, a broken
  * connection tells nothing of the target. */
 static void
-suspect_request(struct rs_attempt *attempt, int64_t now_ms)
+suspect_request(struct rs_attempt *attempt, int64_t sent_at_ms, int64_t now_ms)
 {
     struct rs_router *router = attempt->request->router;
     if (attempt->status != 0 || router->paths.isolated ||
@@ -901,7 +901,8 @@
     }
     if (RsSuspects_RecordBreak(
             &router->suspects, RsRequest_Fingerprint(attempt->request),
-            attempt->target->id, attempt->target_started_wall_ms, now_ms)) {
+            attempt->target->id, attempt->target_started_wall_ms, sent_at_ms,
+            now_ms)) {
         RsProbe_FindEnd(router, attempt->target);
     }
 }
@@ -914,7 +915,8 @@
 {
     struct rs_fleet_target *target = attempt->target;
     int64_t elapsed_us = RsClock_NowUs() - attempt->started_at_us;
-    suspect_request(attempt, now_ms);
+    suspect_request(
+        attempt, now_ms - (int64_t)((double)elapsed_us / US_PER_MS), now_ms);
     bool was_immediate =
         attempt->status == 0 && elapsed_us < MAX_FULL_RESET_US;
     if (was_immediate) {
--- a/router/peer.pb-c.c
+++ b/router/peer.pb-c.c
@@ -513,7 +513,7 @@
   (ProtobufCMessageInit) rs__peer__limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rs__peer__suspect__crash__field_descriptors[2] =
+static const ProtobufCFieldDescriptor rs__peer__suspect__crash__field_descriptors[3] =
 {
   {
     "process",
@@ -539,15 +539,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rs__Peer__Suspect__Crash, run_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rs__peer__suspect__crash__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
   0,   /* field[0] = process */
+  2,   /* field[2] = run_ms */
 };
 static const ProtobufCIntRange rs__peer__suspect__crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor rs__peer__suspect__crash__descriptor =
 {
@@ -557,7 +570,7 @@
   "Rs__Peer__Suspect__Crash",
   "rs.peer",
   sizeof(Rs__Peer__Suspect__Crash),
-  2,
+  3,
   rs__peer__suspect__crash__field_descriptors,
   rs__peer__suspect__crash__field_indices_by_name,
   1,  rs__peer__suspect__crash__number_ranges,
--- a/router/peer.pb-c.h
+++ b/router/peer.pb-c.h
@@ -65,10 +65,14 @@
   ProtobufCMessage base;
   uint64_t process;
   uint32_t age_ms;
+  /*
+   * since the request was sent there
+   */
+  uint32_t run_ms;
 };
 #define RS__PEER__SUSPECT__CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rs__peer__suspect__crash__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
--- a/router/reports.c
+++ b/router/reports.c
@@ -389,6 +389,8 @@
         item->crashes[i]->process = suspect->crashes[i].process;
         item->crashes[i]->age_ms =
             (uint32_t)(now_ms - suspect->crashes[i].at_ms);
+        item->crashes[i]->run_ms = (uint32_t)(suspect->crashes[i].at_ms -
+                                              suspect->crashes[i].sent_at_ms);
     }
     return item;
 }
@@ -425,8 +427,10 @@
                 (uint32_t)MIN(item->n_crashes, (size_t)RsSuspects_MAX_CRASHES),
         };
         for (uint32_t k = 0; k < suspect.crash_count; k++) {
-            suspect.crashes[k] = (struct rs_suspect_crash){
-                item->crashes[k]->process, now_ms - item->crashes[k]->age_ms};
+            int64_t at_ms = now_ms - item->crashes[k]->age_ms;
+            suspect.crashes[k] =
+                (struct rs_suspect_crash){item->crashes[k]->process, at_ms,
+                                          at_ms - item->crashes[k]->run_ms};
         }
         RsSuspects_Merge(&reports->router->suspects, &suspect, now_ms);
     }
--- a/router/reports_test.c
+++ b/router/reports_test.c
@@ -19,6 +19,8 @@
 #define SLOW 0 /* target that is slower than the others */
 #define WORK_MS 200.0
 #define SLOW_FACTOR 3.0
+#define REQUEST 7
+#define LONG_RUN_MS 8000
 #define RUNS 20 /* of the loop, to deliver datagrams */
 
 struct node {
@@ -284,6 +286,34 @@
     CU_ASSERT_TRUE(target_at(&nodes[GRANTER], SLOW)->said_leaving_at_ms > 0);
 }
 
+/* Records that a request was sent to a target and ended it 8 s later. */
+static void
+record_long_crash(struct node *node, uint32_t target, int64_t now_ms)
+{
+    const char *id = target_at(node, target)->id;
+    struct rs_suspects *suspects = &node->router.suspects;
+    RsSuspects_RecordBreak(suspects, REQUEST, id, 1, now_ms - LONG_RUN_MS,
+                           now_ms);
+    RsSuspects_RecordEnd(suspects, id, 2, now_ms);
+}
+
+/* What a node is told of crashes must not look like one on trial. */
+static void
+test_crashes_of_long_requests_are_told_as_such(void)
+{
+    set_up(false);
+    record_long_crash(&nodes[1], 0, start_ms - 3000);
+    record_long_crash(&nodes[1], 1, start_ms - 3000);
+    record_long_crash(&nodes[1], 2, start_ms);
+    report_to(1, GRANTER);
+    report_to(2, GRANTER);
+    for (uint32_t i = 0; i < NODES; i++) {
+        int64_t until_ms = RsSuspects_RefusedUntilMs(&nodes[i].router.suspects,
+                                                     REQUEST, start_ms + 100);
+        CU_ASSERT_TRUE(until_ms > start_ms && until_ms < start_ms + 6000);
+    }
+}
+
 /* Without load.adaptive nothing may be learned from the messages of nodes that
  * have it. */
 static void
@@ -313,6 +343,7 @@
     CU_ADD_TEST(suite, test_former_process_is_forgotten);
     CU_ADD_TEST(suite, test_processes_are_not_mixed);
     CU_ADD_TEST(suite, test_loads_of_zero_from_two_nodes);
+    CU_ADD_TEST(suite, test_crashes_of_long_requests_are_told_as_such);
     CU_ADD_TEST(suite, test_off_ignores_sums);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
--- a/router/suspects.c
+++ b/router/suspects.c
@@ -35,6 +35,7 @@
     uint64_t fingerprint;
     const char *target; /* interned id */
     int64_t started_wall_ms;
+    int64_t sent_at_ms;
     int64_t at_ms;
 };
 
@@ -113,13 +114,54 @@
     return suspect;
 }
 
+/* Returns whether a request was on trial when it crashed a target: enough
+ * others had crashed TRIALS_AFTER_MS before it was sent, give or take what the
+ * clocks of nodes are compared with. */
+static bool
+was_on_trial(const struct rs_suspect *suspect,
+             const struct rs_suspect_crash *crash)
+{
+    uint32_t before = 0;
+    for (uint32_t i = 0; i < suspect->crash_count; i++) {
+        before += suspect->crashes[i].at_ms + TRIALS_AFTER_MS / 2 <=
+                  crash->sent_at_ms;
+    }
+    return before >= MIN_CRASHES;
+}
+
+static uint32_t
+count_trials(const struct rs_suspect *suspect)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < suspect->crash_count; i++) {
+        count += was_on_trial(suspect, &suspect->crashes[i]);
+    }
+    return count;
+}
+
+/* Returns a crash that may give way to one on trial: it was not on trial
+ * itself, and enough others were before it. Returns NULL if there is none. */
+static struct rs_suspect_crash *
+find_replaceable(struct rs_suspect *suspect)
+{
+    struct rs_suspect_crash *last = NULL;
+    for (uint32_t i = 0; i < suspect->crash_count; i++) {
+        struct rs_suspect_crash *crash = &suspect->crashes[i];
+        if (!was_on_trial(suspect, crash) &&
+            (last == NULL || crash->at_ms >= last->at_ms)) {
+            last = crash;
+        }
+    }
+    return last;
+}
+
 /* Adds a crash, unless it is known, the request was answered since, or there
- * is no room. Returns whether it was added. */
+ * is no room. Crashes on trial replace others. Returns whether it was added.
+ */
 static bool
 add_crash(struct rs_suspect *suspect, const struct rs_suspect_crash *crash)
 {
-    if (crash->at_ms <= suspect->answered_at_ms ||
-        suspect->crash_count == RsSuspects_MAX_CRASHES) {
+    if (crash->at_ms <= suspect->answered_at_ms) {
         return false;
     }
     for (uint32_t i = 0; i < suspect->crash_count; i++) {
@@ -127,8 +169,16 @@
             return false;
         }
     }
-    suspect->crashes[suspect->crash_count++] = *crash;
-    return true;
+    if (suspect->crash_count < RsSuspects_MAX_CRASHES) {
+        suspect->crashes[suspect->crash_count++] = *crash;
+        return true;
+    }
+    struct rs_suspect_crash *replaced =
+        was_on_trial(suspect, crash) ? find_replaceable(suspect) : NULL;
+    if (replaced != NULL) {
+        *replaced = *crash;
+    }
+    return replaced != NULL;
 }
 
 static void
@@ -148,7 +198,8 @@
 {
     struct rs_suspect *suspect = get_or_create(suspects, record->fingerprint);
     const struct rs_suspect_crash crash = {
-        process_id(record->target, record->started_wall_ms), record->at_ms};
+        process_id(record->target, record->started_wall_ms), record->at_ms,
+        record->sent_at_ms};
     if (add_crash(suspect, &crash)) {
         suspect->changed_at_ms = now_ms;
         log_crash(suspect, record->target);
@@ -194,11 +245,11 @@
     if (suspect->crash_count < MIN_CRASHES) {
         return 0;
     }
-    if (suspect->crash_count == MIN_CRASHES) {
+    uint32_t trials = count_trials(suspect);
+    if (trials == 0) {
         return next_trial_at_ms(suspect, now_ms);
     }
-    uint32_t doublings =
-        MIN(suspect->crash_count - MIN_CRASHES - 1, MAX_DOUBLINGS);
+    uint32_t doublings = MIN(trials - 1, MAX_DOUBLINGS);
     int64_t until_ms =
         last_crash_at_ms(suspect) + ((int64_t)FIRST_REFUSAL_MS << doublings);
     return now_ms < until_ms ? until_ms : 0;
@@ -210,7 +261,7 @@
     const struct rs_suspect *suspect = value;
     int64_t now_ms = *(const int64_t *)data;
     return now_ms - suspect->changed_at_ms > FORGET_MS &&
-           (suspect->crash_count <= MIN_CRASHES ||
+           (count_trials(suspect) == 0 ||
             refused_until_ms(suspect, now_ms) == 0);
 }
 
@@ -237,16 +288,17 @@
 }
 
 /* Records that a connection to a process of a target broke before the request
- * was answered; `target` must be interned. Returns whether the caller should
+ * was answered, which was sent there at `sent_at_ms`; `target` must be
+ * interned. Returns whether the caller should
  * find out if the process has ended; RsSuspects_RecordEnd() takes the result.
  */
 bool
 RsSuspects_RecordBreak(struct rs_suspects *suspects, uint64_t fingerprint,
                        const char *target, int64_t started_wall_ms,
-                       int64_t now_ms)
+                       int64_t sent_at_ms, int64_t now_ms)
 {
     const struct break_record record = {fingerprint, target, started_wall_ms,
-                                        now_ms};
+                                        sent_at_ms, now_ms};
     drop_old_breaks(suspects, now_ms);
     if (has_ended(suspects, process_id(target, started_wall_ms))) {
         record_crash(suspects, &record, now_ms);
--- a/router/suspects.h
+++ b/router/suspects.h
@@ -8,8 +8,10 @@
  * A request is told by a fingerprint of its content, since each repeat has an
  * id of its own. It is suspected of having ended a process if it was in flight
  * there when its connection broke, and the process is known to have ended. So
- * are all other requests that were in flight there; an answer to a request, by
- * any target, clears it. Nodes tell each other what they know, see
+ * are all other requests that were in flight there, and all those of targets
+ * that ended for another reason; an answer to a request, by any target, clears
+ * it. A request that is suspected twice is refused but for trials, which end
+ * when it crashes a target on trial. Nodes tell each other what they know, see
  * router/reports.c. */
 
 #ifndef RATTANSHED_ROUTER_SUSPECTS_H
@@ -25,7 +27,8 @@
 /* The end of a process of a target while a request was in flight there. */
 struct rs_suspect_crash {
     uint64_t process;
-    int64_t at_ms; /* when the connection broke */
+    int64_t at_ms;      /* when the connection broke */
+    int64_t sent_at_ms; /* when the request was sent there */
 };
 
 struct rs_suspect {
@@ -49,7 +52,7 @@
 /* What this node observes. */
 bool RsSuspects_RecordBreak(struct rs_suspects *suspects, uint64_t fingerprint,
                             const char *target, int64_t started_wall_ms,
-                            int64_t now_ms);
+                            int64_t sent_at_ms, int64_t now_ms);
 bool RsSuspects_RecordEnd(struct rs_suspects *suspects, const char *target,
                           int64_t before_wall_ms, int64_t now_ms);
 bool RsSuspects_RecordAnswer(struct rs_suspects *suspects,
--- a/router/suspects_test.c
+++ b/router/suspects_test.c
@@ -6,15 +6,17 @@
 #define REQUEST 7
 #define OTHER_REQUEST 8
 #define STARTED_MS 100
+#define RUN_MS 5
 #define INTERVAL_MS 150 /* between two messages to a node */
 
-/* The request was in flight at a process of a target when it ended. */
+/* The request ended a process of a target soon after it was sent there. */
 static void
 crash(struct rs_suspects *suspects, uint64_t request, const char *target,
       int64_t now_ms)
 {
     const char *id = g_intern_string(target);
-    RsSuspects_RecordBreak(suspects, request, id, STARTED_MS, now_ms);
+    RsSuspects_RecordBreak(suspects, request, id, STARTED_MS, now_ms - RUN_MS,
+                           now_ms);
     RsSuspects_RecordEnd(suspects, id, STARTED_MS + 1, now_ms + 5);
 }
 
@@ -63,6 +65,69 @@
     RsSuspects_Clear(&suspects);
 }
 
+/* CONFIG (review/14): all targets of a service ended at once, and the requests
+ * that were in flight there were refused for ten minutes. No trial can have
+ * begun before the last of these crashes. */
+static void
+test_crashes_at_one_moment_leave_trials(void)
+{
+    struct rs_suspects suspects;
+    const char *const targets[] = {"a", "b", "c", "d", "e", "f"};
+    RsSuspects_Init(&suspects);
+    for (int64_t i = 0; i < 6; i++) {
+        crash(&suspects, REQUEST, targets[i], 1000 + 10 * i);
+    }
+    CU_ASSERT_TRUE(is_refused(&suspects, REQUEST, 1500));
+    int64_t trial_at_ms = RsSuspects_RefusedUntilMs(&suspects, REQUEST, 1500);
+    CU_ASSERT_TRUE(trial_at_ms < 6000);
+    CU_ASSERT_FALSE(is_refused(&suspects, REQUEST, trial_at_ms));
+    RsSuspects_RecordAnswer(&suspects, REQUEST, trial_at_ms + 10);
+    CU_ASSERT_FALSE(is_refused(&suspects, REQUEST, trial_at_ms + 20));
+    RsSuspects_Clear(&suspects);
+}
+
+/* Many targets end at once. A trial counts all the same. */
+static void
+test_trial_counts_after_many_crashes(void)
+{
+    struct rs_suspects suspects;
+    char target[16];
+    RsSuspects_Init(&suspects);
+    for (int64_t i = 0; i < 100; i++) {
+        snprintf(target, sizeof(target), "t%d", (int)i);
+        crash(&suspects, REQUEST, target, 1000 + i);
+    }
+    CU_ASSERT_TRUE(RsSuspects_RefusedUntilMs(&suspects, REQUEST, 1200) < 6000);
+    for (int64_t i = 1; i <= 3; i++) {
+        snprintf(target, sizeof(target), "u%d", (int)i);
+        crash(&suspects, REQUEST, target, 5000 * i);
+        CU_ASSERT_EQUAL(
+            RsSuspects_RefusedUntilMs(&suspects, REQUEST, 5000 * i + 100),
+            5000 * i + (600000 << (i - 1)));
+    }
+    RsSuspects_Clear(&suspects);
+}
+
+/* A request that was sent before the others crashed is not on trial, however
+ * late its target ends. */
+static void
+test_long_request_is_not_on_trial(void)
+{
+    struct rs_suspects suspects;
+    const char *id = g_intern_string("c");
+    RsSuspects_Init(&suspects);
+    crash(&suspects, REQUEST, "a", 1000);
+    crash(&suspects, REQUEST, "b", 1000);
+    RsSuspects_RecordBreak(&suspects, REQUEST, id, STARTED_MS, 900, 9000);
+    RsSuspects_RecordEnd(&suspects, id, STARTED_MS + 1, 9005);
+    CU_ASSERT_TRUE(RsSuspects_RefusedUntilMs(&suspects, REQUEST, 9100) <
+                   14000);
+    crash(&suspects, REQUEST, "d", 12000);
+    CU_ASSERT_TRUE(RsSuspects_RefusedUntilMs(&suspects, REQUEST, 12100) >
+                   600000);
+    RsSuspects_Clear(&suspects);
+}
+
 /* Each request has a trial in a cycle, few at the same time. */
 static void
 test_trials_are_spread(void)
@@ -97,7 +162,7 @@
     const char *target = g_intern_string("a");
     RsSuspects_Init(&suspects);
     for (int64_t i = 0; i < 20; i++) {
-        RsSuspects_RecordBreak(&suspects, REQUEST, target, STARTED_MS,
+        RsSuspects_RecordBreak(&suspects, REQUEST, target, STARTED_MS, 990 + i,
                                1000 + i);
     }
     CU_ASSERT_TRUE(RsSuspects_IsEmpty(&suspects));
@@ -242,7 +307,7 @@
     for (uint64_t i = 1; i <= 2000; i++) {
         crash(&suspects, i, "a", 1000 + (int64_t)i);
         RsSuspects_RecordBreak(&suspects, i, g_intern_string("b"), STARTED_MS,
-                               1000 + (int64_t)i);
+                               1000 + (int64_t)i, 1000 + (int64_t)i);
     }
     CU_ASSERT_TRUE(g_hash_table_size(suspects.suspects) <= 256);
     CU_ASSERT_TRUE(suspects.breaks->len <= 512);
@@ -257,6 +322,9 @@
     CU_pSuite suite = CU_add_suite("suspects", NULL, NULL);
     CU_ADD_TEST(suite, test_request_is_refused_after_two_crashes);
     CU_ADD_TEST(suite, test_crash_on_trial_ends_the_trials);
+    CU_ADD_TEST(suite, test_crashes_at_one_moment_leave_trials);
+    CU_ADD_TEST(suite, test_trial_counts_after_many_crashes);
+    CU_ADD_TEST(suite, test_long_request_is_not_on_trial);
     CU_ADD_TEST(suite, test_trials_are_spread);
     CU_ADD_TEST(suite, test_broken_connections_alone_do_not_matter);
     CU_ADD_TEST(suite, test_one_process_counts_once);
