Believe a target that started again with an earlier time

Cause: a report with an earlier time of start was taken for one of a former process. The times come from clocks that may jump.

Change: such a row takes effect after 1.5 s unless the known process reports before, and counts from when it came. When a new process is seen, all former ones of the target are taken to have ended, whatever their times.

Why this works: the store gives rows in the order of their writes, and a process that runs writes every 0.9 s, so silence after the row tells which one runs.

Ruled out: believing the row at once, since a late write of a former process then resets what is known and, if the target drains, sends it requests; a second row with a higher sequence as the proof, as nodes that follow another one are told of changes only.

--- a/router/fleet.c
+++ b/router/fleet.c
@@ -19,6 +19,10 @@
  * 0.9 s) after its last report, and a node that polls the store learns of the
  * deletion up to a second later. */
 #define MAX_OUTAGE_AGE_MS 4000
+/* A row that names an earlier start is believed after this time. The present
+ * process would have reported by then: targets do every 0.9 s, and rows are
+ * read up to half a second late. */
+#define BELIEVE_AFTER_MS 1500
 /* Reports are read up to half a second late, so the computed end of a cold
  * phase varies by up to this much. A larger difference means a new cold
  * phase. */
@@ -222,16 +226,14 @@
     mark_replaced(fleet, target);
 }
 
-/* Returns whether the report is from an earlier process of the target, or an
- * older one of the same process that arrived late. */
+/* Returns whether the report is an older one of the same process that arrived
+ * late. */
 static bool
-is_outdated(const struct rs_fleet_target *target,
+is_outdated(const struct rs_target_report *known,
             const struct rs_target_report *report)
 {
-    if (report->started_wall_ms != target->report.started_wall_ms) {
-        return report->started_wall_ms < target->report.started_wall_ms;
-    }
-    return report->sequence < target->report.sequence;
+    return report->started_wall_ms == known->started_wall_ms &&
+           report->sequence < known->sequence;
 }
 
 /* Returns whether a report brings nothing new: the target is listed, and apart
@@ -360,6 +362,76 @@
     return same ? RsTableCopy_REFRESHED : RsTableCopy_CHANGED;
 }
 
+/* Keeps a row that names an earlier start than the present process has.
+ * Returns whether it brings news. */
+static enum rs_row_effect
+doubt_report(struct rs_fleet *fleet, struct rs_fleet_target *target,
+             const struct rs_target_report *report, int64_t now_ms)
+{
+    struct rs_fleet_held_row *doubted = &target->doubted;
+    bool known = target->believe_at_ms > 0 &&
+                 doubted->report.started_wall_ms == report->started_wall_ms;
+    if (known && is_outdated(&doubted->report, report)) {
+        return RsTableCopy_IGNORED;
+    }
+    bool same = known && doubted->report.draining == report->draining;
+    if (!known) {
+        target->believe_at_ms = now_ms + BELIEVE_AFTER_MS;
+        fleet->next_belief_at_ms =
+            fleet->next_belief_at_ms > 0
+                ? MIN(fleet->next_belief_at_ms, target->believe_at_ms)
+                : target->believe_at_ms;
+        RsLog_EVENT(
+            RsLog_WARNING, "target_start_doubted",
+            RsLog_TEXT("target", target->id),
+            RsLog_NUMBER("born_ms", report->started_wall_ms),
+            RsLog_NUMBER("known_born_ms", target->report.started_wall_ms));
+    }
+    if (!same) {
+        doubted->rows_current_at_ms = fleet->rows_current_at_ms;
+    }
+    doubted->report = *report;
+    doubted->at_ms = now_ms;
+    return same ? RsTableCopy_REFRESHED : RsTableCopy_CHANGED;
+}
+
+/* Applies a row as of when it came. */
+static void
+apply_doubted(struct rs_fleet *fleet, struct rs_fleet_target *target)
+{
+    const struct rs_fleet_held_row doubted = target->doubted;
+    int64_t rows_current_at_ms = fleet->rows_current_at_ms;
+    target->believe_at_ms = 0;
+    fleet->rows_current_at_ms = doubted.rows_current_at_ms;
+    apply_report(fleet, target, &doubted.report, doubted.at_ms);
+    fleet->rows_current_at_ms = rows_current_at_ms;
+}
+
+/* Lets doubted rows take effect when that is due. Call this function every few
+ * tens of ms. */
+void
+RsFleet_Tick(struct rs_fleet *fleet, int64_t now_ms)
+{
+    int64_t next_ms = 0;
+    if (fleet->next_belief_at_ms == 0 || now_ms < fleet->next_belief_at_ms) {
+        return;
+    }
+    for (guint i = 0; i < fleet->list->len; i++) {
+        struct rs_fleet_target *target = g_ptr_array_index(fleet->list, i);
+        if (target->believe_at_ms == 0) {
+            continue;
+        }
+        if (now_ms >= target->believe_at_ms) {
+            apply_doubted(fleet, target);
+        }
+        else {
+            next_ms = next_ms > 0 ? MIN(next_ms, target->believe_at_ms)
+                                  : target->believe_at_ms;
+        }
+    }
+    fleet->next_belief_at_ms = next_ms;
+}
+
 /* Handles a report of the target with this interned id. */
 static enum rs_row_effect
 handle_report(struct rs_fleet *fleet, const char *id,
@@ -373,17 +445,27 @@
     if (target == NULL) {
         target = add_target(fleet, id);
     }
-    if (is_outdated(target, report)) {
+    if (report->started_wall_ms < target->report.started_wall_ms) {
+        return doubt_report(fleet, target, report, now_ms);
+    }
+    if (is_outdated(&target->report, report)) {
         return RsTableCopy_IGNORED;
     }
     bool unchanged = is_unchanged(target, report, now_ms);
+    if (target->believe_at_ms > 0 &&
+        (report->started_wall_ms != target->report.started_wall_ms ||
+         report->sequence != target->report.sequence)) {
+        target->believe_at_ms = 0;
+        unchanged = false;
+    }
     apply_report(fleet, target, report, now_ms);
     return unchanged ? RsTableCopy_REFRESHED : RsTableCopy_CHANGED;
 }
 
 /* Handles a target's row. Malformed rows are logged and ignored; outdated ones
  * are ignored; those of services that the configuration doesn't name wait
- * until it does. Returns whether the row changed what is known of the target.
+ * until it does, and those that name an earlier start for some time, see
+ * RsFleet_Tick(). Returns whether the row changed what is known of the target.
  */
 enum rs_row_effect
 RsFleet_ApplyRow(struct rs_fleet *fleet, const char *id, const char *value,
@@ -454,6 +536,9 @@
 {
     struct rs_fleet_target *target = RsFleet_Find(fleet, g_intern_string(id));
     g_hash_table_remove(fleet->held_rows, g_intern_string(id));
+    if (target != NULL) {
+        target->believe_at_ms = 0;
+    }
     if (target == NULL || !target->listed) {
         return;
     }
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -21,6 +21,14 @@
     RsFleet_USES, /* number of uses */
 };
 
+/* A row that has no effect yet. */
+struct rs_fleet_held_row {
+    struct rs_target_report report;
+    int64_t at_ms; /* when it came */
+    /* See rs_fleet; of the first row that reported the same state. */
+    int64_t rows_current_at_ms;
+};
+
 struct rs_fleet_target {
     const char *id; /* interned */
     struct rs_target_report report;
@@ -30,6 +38,12 @@
     /* A younger target is listed at its address, as its row says. It gets no
      * requests; whether it still holds keys is asked at the address. */
     bool replaced;
+    /* Its last row if that names an earlier start than the present process
+     * has: the time of day was set back before the target started again, or a
+     * former process wrote late. It takes effect at `believe_at_ms` unless the
+     * present process reports before; 0: there is none. */
+    struct rs_fleet_held_row doubted;
+    int64_t believe_at_ms;
     int64_t lapse_at_ms; /* if unlisted, it may be used until then */
     /* The earliest time at which it may have begun to drain or, if unlisted,
      * the time at which it lapses; 0: neither. */
@@ -83,14 +97,6 @@
     const char *source;   /* who told this node, for the log */
 };
 
-/* A row that has no effect until the configuration names its service. */
-struct rs_fleet_held_row {
-    struct rs_target_report report;
-    int64_t at_ms; /* when it came */
-    /* See rs_fleet; of the first row that reported the same state. */
-    int64_t rows_current_at_ms;
-};
-
 struct rs_fleet_events {
     /* Called when a process of the target is first reported, or when another
      * target has taken the target's address. Connections to the old process
@@ -115,6 +121,8 @@
     /* When the target table was last known to be up to date, before the rows
      * that are being applied; 0: never. */
     int64_t rows_current_at_ms;
+    /* No doubted row takes effect before; 0: there is none. */
+    int64_t next_belief_at_ms;
     const struct rs_fleet_events *events;
     void *arg;
     int64_t store_lost_at_ms;     /* last failed call */
@@ -130,6 +138,7 @@
 void RsFleet_SetDrainMs(struct rs_fleet *fleet, uint32_t drain_ms);
 
 void RsFleet_Clear(struct rs_fleet *fleet);
+void RsFleet_Tick(struct rs_fleet *fleet, int64_t now_ms);
 
 /* Update from the configuration. */
 void RsFleet_SetServices(struct rs_fleet *fleet, const char *const *names,
--- a/router/fleet_test.c
+++ b/router/fleet_test.c
@@ -116,6 +116,80 @@
     RsFleet_Clear(&fleet);
 }
 
+/* DRAIN (review/13): the time of day was set back before the target started
+ * again under its id, and all its reports were ignored. */
+static void
+test_restart_with_an_earlier_time_is_accepted(void)
+{
+    open_fleet();
+    struct rs_fixture_report report = base_report;
+    report.sequence = 1;
+    report.started_wall_ms = 40;
+    CU_ASSERT_EQUAL(RsFixture_Report(&fleet, &report, NOW_MS),
+                    RsTableCopy_CHANGED);
+    CU_ASSERT_EQUAL(find("a")->report.started_wall_ms, 50);
+    report.sequence = 2;
+    RsFixture_Report(&fleet, &report, NOW_MS + 870);
+    RsFleet_Tick(&fleet, NOW_MS + 1000);
+    CU_ASSERT_EQUAL(find("a")->report.started_wall_ms, 50);
+    RsFleet_Tick(&fleet, NOW_MS + 1600);
+    CU_ASSERT_EQUAL(find("a")->report.started_wall_ms, 40);
+    CU_ASSERT_EQUAL(find("a")->report.sequence, 2);
+    CU_ASSERT_EQUAL(resets, 2);
+    report.sequence = 3;
+    report.draining = true;
+    RsFixture_Report(&fleet, &report, NOW_MS + 1740);
+    CU_ASSERT_FALSE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS + 1740));
+    RsFleet_Clear(&fleet);
+}
+
+/* It drains while its reports are not believed yet. */
+static void
+test_draining_is_counted_from_the_first_report_of_it(void)
+{
+    open_fleet();
+    struct rs_fixture_report report = base_report;
+    report.sequence = 1;
+    report.started_wall_ms = 40;
+    RsFleet_RecordRowsCurrent(&fleet, NOW_MS - 100);
+    RsFixture_Report(&fleet, &report, NOW_MS);
+    report.sequence = 2;
+    report.draining = true;
+    RsFleet_RecordRowsCurrent(&fleet, NOW_MS + 600);
+    RsFixture_Report(&fleet, &report, NOW_MS + 700);
+    report.sequence = 3;
+    RsFleet_RecordRowsCurrent(&fleet, NOW_MS + 1400);
+    RsFixture_Report(&fleet, &report, NOW_MS + 1450);
+    RsFleet_Tick(&fleet, NOW_MS + 1600);
+    CU_ASSERT_FALSE(RsFleet_MayTakeWork(&fleet, find("a"), NOW_MS + 1600));
+    CU_ASSERT_EQUAL(find("a")->leaving_since_ms, NOW_MS + 600);
+    RsFleet_Clear(&fleet);
+}
+
+/* A write of a former process may be carried out late, and the store may go
+ * back to a copy. The present process goes on reporting. */
+static void
+test_late_report_of_a_former_process_is_ignored(void)
+{
+    open_fleet();
+    struct rs_fixture_report report = base_report;
+    report.sequence = 900;
+    report.started_wall_ms = 40;
+    RsFixture_Report(&fleet, &report, NOW_MS);
+    RsFleet_Tick(&fleet, NOW_MS + 700);
+    report = base_report;
+    report.sequence++;
+    CU_ASSERT_EQUAL(RsFixture_Report(&fleet, &report, NOW_MS + 800),
+                    RsTableCopy_CHANGED);
+    RsFleet_Tick(&fleet, NOW_MS + 5000);
+    CU_ASSERT_EQUAL(find("a")->report.started_wall_ms, 50);
+    CU_ASSERT_EQUAL(resets, 1);
+    RsFleet_RemoveRow(&fleet, "a", NOW_MS + 6000);
+    RsFleet_Tick(&fleet, NOW_MS + 9000);
+    CU_ASSERT_FALSE(find("a")->listed);
+    RsFleet_Clear(&fleet);
+}
+
 static void
 test_another_target_at_the_address_replaces_the_first(void)
 {
@@ -613,6 +687,9 @@
     CU_ADD_TEST(suite, test_malformed_rows_are_ignored);
     CU_ADD_TEST(suite, test_older_reports_change_nothing);
     CU_ADD_TEST(suite, test_restart_under_the_same_id_is_accepted);
+    CU_ADD_TEST(suite, test_restart_with_an_earlier_time_is_accepted);
+    CU_ADD_TEST(suite, test_draining_is_counted_from_the_first_report_of_it);
+    CU_ADD_TEST(suite, test_late_report_of_a_former_process_is_ignored);
     CU_ADD_TEST(suite, test_another_target_at_the_address_replaces_the_first);
     CU_ADD_TEST(suite, test_target_that_goes_on_reporting_was_not_replaced);
     CU_ADD_TEST(suite, test_row_of_an_unnamed_service_changes_no_other_target);
--- a/router/node.c
+++ b/router/node.c
@@ -320,11 +320,10 @@
 on_target_reset(void *arg, struct rs_fleet_target *target)
 {
     struct node *node = arg;
-    int64_t before_wall_ms =
-        target->replaced ? INT64_MAX : target->report.started_wall_ms;
     RsExchange_CloseIdle(target);
+    /* All requests up to now were sent to former processes. */
     node->router.has_news |= RsSuspects_RecordEnd(
-        &node->router.suspects, target->id, before_wall_ms, RsClock_NowMs());
+        &node->router.suspects, target->id, INT64_MAX, RsClock_NowMs());
 }
 
 static const struct rs_fleet_events fleet_events = {
@@ -825,6 +824,7 @@
     node->ticks++;
     RsWorkspaces_Tick(&node->router.workspaces,
                       RsFollower_FreshAtMs(node->operator_follower), now_ms);
+    RsFleet_Tick(&node->router.fleet, now_ms);
     check_links(node, now_ms);
     RsQuotaExchange_Tick(node->router.quotas, now_ms);
     RsRequest_Tick(&node->router, now_ms);
