Let a granter that yielded lead again, whatever became of its commit

What callers saw: after a weak granter had yielded to a stronger node, and the store's answer to that was lost, no request for keys was served once the other nodes had gone.

Cause: a node that yields doesn't claim the lease, and only the answer to its own commit ended that.

Change: a node that steps down, for whatever reason, has yielded. A node that is told to end while it yields doesn't claim the lease any more.

Why this works: stepping down is what the mark waits for; once another node holds the lease, or nobody does, a claim is decided by the store as any other.

Ruled out: a limit of time on the mark, since the node would then claim a lease that its own late commit gives up.

--- a/router/granter.c
+++ b/router/granter.c
@@ -296,7 +296,8 @@
            HOLD_MARGIN_MS;
 }
 
-/* Ends this node's role as granter or its claim, and drops the maps. */
+/* Ends this node's role as granter or its claim, and drops the maps. A node
+ * that yielded may claim the lease again. */
 static void
 step_down(struct rs_granter *granter, const char *reason)
 {
@@ -309,6 +310,8 @@
     }
     granter->phase = RsGranter_OBSERVING;
     granter->authority_until_ms = 0;
+    granter->resigning = granter->resigning && !granter->yielding;
+    granter->yielding = false;
     drop_maps(granter);
 }
 
@@ -874,8 +877,6 @@
     if (status == RsStore_DONE && granter->resign_in_commit) {
         granter->lease_version = rows->version;
         granter->lease_seen_at_ms = now_ms;
-        granter->resigning = !granter->yielding;
-        granter->yielding = false;
         step_down(granter, "resigned");
         return;
     }
@@ -1388,6 +1389,7 @@
 RsGranter_Resign(struct rs_granter *granter, int64_t now_ms)
 {
     granter->resigning = true;
+    granter->yielding = false;
     granter->next_commit_at_ms = now_ms;
 }
 
@@ -1409,8 +1411,8 @@
                 RsLog_NUMBER("strength", granter->options.strength),
                 RsLog_NUMBER("strongest", strongest));
     granter->next_yield_at_ms = now_ms + MIN_YIELD_INTERVAL_MS;
-    granter->yielding = true;
     RsGranter_Resign(granter, now_ms);
+    granter->yielding = true;
 }
 
 /* Returns the range that an order was for, or NULL when its owner or fence has
--- a/router/granter_test.c
+++ b/router/granter_test.c
@@ -78,12 +78,11 @@
     check_and_free(sim);
 }
 
-/* A weak node may get the lease, for instance when it is the first to reach
- * the store after an outage. */
-static void
-test_weak_granter_yields_to_a_strong_node(void)
+/* Returns the weak granter of a simulation in which the strong node is back.
+ */
+static int
+elect_weak_granter(struct rs_simulation *sim)
 {
-    struct rs_simulation *sim = new_settled_simulation();
     RsSimulation_InjectFault(sim, RsFixture_NODE_FROZEN, RsFixture_STRONG_NODE,
                              4000);
     RsSimulation_Advance(sim, 3500);
@@ -91,6 +90,46 @@
     CU_ASSERT_TRUE(weak_granter >= 0);
     CU_ASSERT_NOT_EQUAL(weak_granter, RsFixture_STRONG_NODE);
     RsSimulation_Advance(sim, 3000);
+    return weak_granter;
+}
+
+/* The store's answer to the commit by which a granter yields is lost, or that
+ * commit comes after the next granter's claim. It must lead again when the
+ * other nodes are gone. */
+static void
+test_granter_that_yielded_without_an_answer_leads_again(void)
+{
+    for (int64_t down_ms = 0; down_ms <= 2500; down_ms += 100) {
+        struct rs_simulation *sim = new_settled_simulation();
+        int granter = elect_weak_granter(sim);
+        if (down_ms == 0) {
+            RsSimulation_InjectFault(sim, RsFixture_COMMIT_ANSWER_LOST, 0, 0);
+        }
+        else {
+            RsSimulation_InjectFault(sim, RsFixture_NODE_REFUSED,
+                                     (uint32_t)granter, down_ms);
+        }
+        RsSimulation_YieldIfStronger(sim);
+        RsSimulation_Advance(sim, 5000);
+        for (int i = 0; i < RsFixture_NODES; i++) {
+            if (i != granter) {
+                RsSimulation_InjectFault(sim, RsFixture_NODE_FROZEN,
+                                         (uint32_t)i, 60000);
+            }
+        }
+        RsSimulation_Advance(sim, 5000);
+        CU_ASSERT_EQUAL(RsSimulation_FindGranter(sim), granter);
+        check_and_free(sim);
+    }
+}
+
+/* A weak node may get the lease, for instance when it is the first to reach
+ * the store after an outage. */
+static void
+test_weak_granter_yields_to_a_strong_node(void)
+{
+    struct rs_simulation *sim = new_settled_simulation();
+    elect_weak_granter(sim);
     RsSimulation_YieldIfStronger(sim);
     RsSimulation_Advance(sim, 1200);
     CU_ASSERT_EQUAL(RsSimulation_FindGranter(sim), RsFixture_STRONG_NODE);
@@ -536,6 +575,8 @@
     CU_ADD_TEST(suite, test_strongest_node_is_elected);
     CU_ADD_TEST(suite, test_restarted_granter_claims_its_lease_at_once);
     CU_ADD_TEST(suite, test_weak_granter_yields_to_a_strong_node);
+    CU_ADD_TEST(suite,
+                test_granter_that_yielded_without_an_answer_leads_again);
     CU_ADD_TEST(suite, test_strength_is_bounded_by_the_link);
     CU_ADD_TEST(suite, test_keys_move_in_a_fraction_of_a_second);
     CU_ADD_TEST(suite, test_grants_outlast_a_restart_of_the_granter);
