Believe a probe only if the target itself has answered

After the store had gone back to a copy, rows of former targets named addresses at which others ran. These refused their orders with 421, so they got no keys, until a probe of the same address was answered with 200, and keys were planned for nobody, again and again.

Cause: the probe took any answer but 421 for that of the target. The stand-in of the soak answered its health path for any target, which targets may not do.

Change: an answer counts if it names the target in X-Instance-Id, as successful ones for the health path must, or is a 503. The stand-in names itself, and refuses with 421 what is meant for another.

Evidence: test_probe_finds_the_target_itself_only in router_orders_test, 2 failed checks before.

--- a/router/orders_test.c
+++ b/router/orders_test.c
@@ -5,8 +5,10 @@
 #include "core/log.h"
 #include "router/fixture.h"
 #include "router/orders.h"
+#include "router/target_probe.h"
 
 #define RUN_MS 300
+#define UNREACHABLE_FOR_MS 5000
 #define ANSWER_TIMEOUT_MS 600 /* more than GRANT_TIMEOUT_MS of orders.c */
 
 struct fixture {
@@ -185,6 +187,58 @@
                        ->reachability.failing_since_ms > 0);
 }
 
+/* Lets the target count as unreachable and probes it, with this answer (NULL:
+ * none). Returns whether it counts as reachable then. */
+static bool
+is_found_by_probe(const char *answer)
+{
+    static struct fixture fixture;
+    struct rs_service service = {.name = g_intern_string("s"),
+                                 .health_path = "/health"};
+    struct rs_routing config = {.services = &service, .service_count = 1};
+    int64_t long_ago_ms = RsClock_NowMs() - UNREACHABLE_FOR_MS;
+    open_fixture(&fixture);
+    fixture.router.config = &config;
+    fixture.answer = answer;
+    struct rs_fleet_target *target =
+        RsFleet_Find(&fixture.router.fleet, g_intern_string("a"));
+    RsReachability_RecordFailure(&target->reachability, long_ago_ms);
+    CU_ASSERT_TRUE(
+        RsReachability_IsUnreachable(&target->reachability, RsClock_NowMs()));
+    RsTargetProbe_StartDue(&fixture.router, RsClock_NowMs());
+    uv_timer_init(&fixture.loop, &fixture.stop);
+    run(&fixture, ANSWER_TIMEOUT_MS);
+    CU_ASSERT_TRUE(fixture.received_bytes > 0);
+    return !RsReachability_IsUnreachable(&target->reachability,
+                                         RsClock_NowMs());
+}
+
+/* At a wrong address another process may answer. Keys that are planned for the
+ * target would be served by nobody. */
+static void
+test_probe_finds_the_target_itself_only(void)
+{
+    CU_ASSERT_TRUE(is_found_by_probe("HTTP/1.1 200 OK\r\n"
+                                     "x-instance-id: a\r\n"
+                                     "content-length: 0\r\n\r\n"));
+    CU_ASSERT_TRUE(is_found_by_probe("HTTP/1.1 503 Full\r\n"
+                                     "x-not-executed: 1\r\n"
+                                     "content-length: 0\r\n\r\n"));
+    CU_ASSERT_FALSE(is_found_by_probe("HTTP/1.1 200 OK\r\n"
+                                      "x-instance-id: b\r\n"
+                                      "content-length: 0\r\n\r\n"));
+    CU_ASSERT_FALSE(is_found_by_probe("HTTP/1.1 200 OK\r\n"
+                                      "content-length: 0\r\n\r\n"));
+    CU_ASSERT_FALSE(is_found_by_probe("HTTP/1.1 421 Misdirected\r\n"
+                                      "x-not-executed: 1\r\n"
+                                      "content-length: 0\r\n\r\n"));
+    CU_ASSERT_FALSE(is_found_by_probe("HTTP/1.1 200 OK\r\n"
+                                      "x-request-id: probe-0\r\n"
+                                      "x-instance-id: a\r\n"
+                                      "content-length: 0\r\n\r\n"));
+    CU_ASSERT_FALSE(is_found_by_probe(NULL));
+}
+
 int
 main(void)
 {
@@ -197,6 +251,7 @@
     CU_ADD_TEST(suite, test_answer_to_another_order_is_skipped);
     CU_ADD_TEST(suite, test_answer_without_id_is_taken);
     CU_ADD_TEST(suite, test_target_at_a_wrong_address_counts_as_unreachable);
+    CU_ADD_TEST(suite, test_probe_finds_the_target_itself_only);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
     CU_cleanup_registry();
--- a/router/target_probe.c
+++ b/router/target_probe.c
@@ -11,6 +11,7 @@
 
 /* Targets without keys have room, so they answer at once. */
 #define ANSWER_TIMEOUT_MS 500
+#define STATUS_UNAVAILABLE 503
 #define MAX_CONNECTIONS 1
 #define MAX_ANSWER_BYTES 65536
 
@@ -62,6 +63,17 @@
     uv_close((uv_handle_t *)&probe->timer, on_freed);
 }
 
+/* Returns whether the response to a probe shows that the target itself has
+ * answered: it names the target or, without room or while it drains, refuses
+ * the request as only the target does. */
+static bool
+is_from_target(const struct probe *probe, const struct rs_http_head *head)
+{
+    const char *id = RsHttp_FindHeader(head, RsWire_INSTANCE_ID);
+    return id != NULL ? strcmp(id, probe->target->id) == 0
+                      : head->status == STATUS_UNAVAILABLE;
+}
+
 static void
 on_head(void *arg, const struct rs_http_head *head)
 {
@@ -71,7 +83,8 @@
         RsExchange_SkipResponse(probe->exchange); /* of an earlier request */
         return;
     }
-    probe->status = head->status;
+    probe->status =
+        is_from_target(probe, head) ? head->status : RsWire_MISDIRECTED;
 }
 
 static void
--- a/soak/target.c
+++ b/soak/target.c
@@ -475,6 +475,13 @@
     g_free(key);
 }
 
+static void
+answer_health(const struct rs_soak_target *target, h2o_req_t *http)
+{
+    RsServer_AddHeader(http, "x-instance-id", target->id);
+    RsServer_Reply(http, target->draining ? 503 : 200, NULL, "", 0);
+}
+
 static void
 on_request(void *arg, h2o_req_t *http)
 {
@@ -483,14 +490,15 @@
     char *expected = RsServer_Header(http, "x-target-instance");
     bool is_order =
         strcmp(path, "/grant") == 0 || strcmp(path, "/release") == 0;
-    if (is_order && expected != NULL && strcmp(expected, target->id) != 0) {
+    bool is_own = is_order || strcmp(path, "/health") == 0;
+    if (is_own && expected != NULL && strcmp(expected, target->id) != 0) {
         reject(target, http, 421);
     }
     else if (is_order) {
         handle_order(target, http, strcmp(path, "/release") == 0);
     }
     else if (strcmp(path, "/health") == 0) {
-        RsServer_Reply(http, target->draining ? 503 : 200, NULL, "", 0);
+        answer_health(target, http);
     }
     else {
         handle_request(target, http, path);
