Commit a map once, not twice, when a granter takes over

A granter that takes over reserves fences with its first commit of a map. The renewals that found no connection in the meantime had it committed once more, as they compared with the last confirmed reserve. They compare with that of the commit in flight now, which is repeated if it fails.

Also: one function for the deadline of a lingering connection, the state of orders at /state and the rule FENCE of the soak in the docs, and comments.

--- a/http/linger.c
+++ b/http/linger.c
@@ -65,22 +65,29 @@
                : 0;
 }
 
+/* Sets when a socket is closed at the latest, by what its peer has not
+ * acknowledged now. */
+static void
+extend(struct socket *socket, uint64_t bytes)
+{
+    socket->unacknowledged_bytes = bytes;
+    socket->close_at_ms =
+        RsClock_NowMs() +
+        (bytes > 0 ? (int64_t)socket->linger->idle_timeout_ms : LINGER_MS);
+}
+
 /* Closes a socket whose peer takes too long to close its side or has received
  * nothing for too long. */
 static void
 on_check(uv_timer_t *timer)
 {
     struct socket *socket = timer->data;
-    int64_t now_ms = RsClock_NowMs();
     uint64_t bytes = unacknowledged_bytes(socket);
     if (bytes < socket->unacknowledged_bytes &&
         socket->discarded_bytes <= MAX_DISCARDED_BYTES) {
-        socket->unacknowledged_bytes = bytes;
-        socket->close_at_ms =
-            now_ms +
-            (bytes > 0 ? (int64_t)socket->linger->idle_timeout_ms : LINGER_MS);
+        extend(socket, bytes);
     }
-    if (now_ms >= socket->close_at_ms) {
+    if (RsClock_NowMs() >= socket->close_at_ms) {
         close_socket(socket);
     }
 }
@@ -102,7 +109,7 @@
     }
     socket->discarded_bytes += (uint64_t)size;
     if (socket->discarded_bytes > MAX_DISCARDED_BYTES) {
-        /* From now on, its end goes unnoticed. */
+        /* From now on, the end of the connection goes unnoticed. */
         uv_read_stop(stream);
         socket->close_at_ms =
             MIN(socket->close_at_ms, RsClock_NowMs() + LINGER_MS);
@@ -134,11 +141,7 @@
         close_socket(socket);
         return RsLinger_FAILED;
     }
-    socket->unacknowledged_bytes = unacknowledged_bytes(socket);
-    socket->close_at_ms =
-        RsClock_NowMs() + (socket->unacknowledged_bytes > 0
-                               ? (int64_t)linger->idle_timeout_ms
-                               : LINGER_MS);
+    extend(socket, unacknowledged_bytes(socket));
     uv_timer_start(&socket->timer, on_check, CHECK_EVERY_MS, CHECK_EVERY_MS);
     uv_read_start((uv_stream_t *)&socket->tcp, provide_buffer, on_read);
     return 0;
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -60,9 +60,8 @@
      */
     const uint64_t *excluded;
     size_t excluded_count;
-    /* Only an open connection is used, one that was opened no
-     * later than the connection with this number, which is a result of
-     * RsExchange_NewestOpening(). */
+    /* Only an open connection is used that was not opened later than the one
+     * with this number, see RsExchange_NewestOpening(). */
     bool only_open;
     uint64_t newest_opening;
     int64_t send_before_ms; /* not sent later than this; 0: no limit */
--- a/router/granter.c
+++ b/router/granter.c
@@ -1198,8 +1198,9 @@
     orders->renewed_fence = entry->map->next_fence++;
     orders->fence_sent = false;
     orders->newest_opening = 0;
-    entry->dirty |=
-        entry->map->next_fence + RESERVED_FENCES / 2 > entry->reserved_fence;
+    /* What a commit in flight reserves counts already. */
+    entry->dirty |= entry->map->next_fence + RESERVED_FENCES / 2 >
+                    entry->map->reserved_fence;
 }
 
 /* Sends the orders for one range that are due. */
--- a/router/keymap.h
+++ b/router/keymap.h
@@ -30,8 +30,8 @@
     int64_t hold_until_ms;        /* latest end of the owner's grants */
     int64_t former_hold_until_ms; /* the same for the former owner */
     char *handover; /* text from the former owner's release; NULL: none */
-    /* The fence of the owner's grants if it is above that of the range, 0 if
-     * not. No row has it. */
+    /* The fence of the owner's grants if it is above that of the range, which
+     * the row has; 0: it is that. */
     uint64_t renewed_fence;
     /* The fence of the owner's grants has been sent. It is sent again only on
      * connections opened before the first time, see
