Let renewals wait for the connection that their fence may use

A renewal is sent on connections that are as old as its fence. While another grant used the only such connection, or had just ended on it, the renewal found none and took a new fence on a new connection, and so did the next ones.

Change: a renewal waits while a grant to the same target is in progress and no connection is idle; targets answer grants at once. It doesn't wait for releases, which may take long. Orders are started from the loop, when the connection of the last one is idle again.

Evidence: test_renewals_wait_for_their_connection in router_orders_test, 2 failed checks before. nodes.restarted_target_gets_no_keys_under_a_former_fence passes.

Ruled out: a larger reserve, since higher fences lengthen the rows of large maps.

--- a/router/orders.c
+++ b/router/orders.c
@@ -27,8 +27,10 @@
 
 /* The orders to one target. */
 struct queue {
-    GQueue waiting;  /* struct order_call */
-    uint32_t active; /* orders in progress */
+    uv_timer_t timer;
+    GQueue waiting;         /* struct order_call */
+    uint32_t active;        /* orders in progress */
+    uint32_t active_grants; /* of these */
 };
 
 /* An order that waits in a queue or is in progress. */
@@ -58,29 +60,59 @@
 
 static void start_exchange(struct order_call *call);
 
+static void
+mark_started(struct order_call *call)
+{
+    call->queue->active++;
+    call->queue->active_grants += !call->order.release;
+    call->started = true;
+}
+
+/* Returns whether an order should wait for a connection on which a grant is in
+ * progress: only open ones may carry it, and targets answer grants at once. */
+static bool
+waits_for_connection(const struct order_call *call)
+{
+    return call->order.repeats_fence && call->queue->active_grants > 0 &&
+           g_queue_is_empty(&call->target->idle[RsFleet_ORDERS]);
+}
+
 /* Starts waiting orders until MAX_ACTIVE_ORDERS are in progress. */
 static void
-start_queued_orders(struct queue *queue)
+start_queued_orders(uv_timer_t *timer)
 {
+    struct queue *queue = timer->data;
     while (queue->active < MAX_ACTIVE_ORDERS && queue->waiting.length > 0) {
-        struct order_call *next = g_queue_pop_head(&queue->waiting);
-        queue->active++;
-        next->started = true;
+        struct order_call *next = g_queue_peek_head(&queue->waiting);
+        if (waits_for_connection(next)) {
+            return;
+        }
+        g_queue_pop_head(&queue->waiting);
+        mark_started(next);
         start_exchange(next);
     }
 }
 
-/* Removes an order from its queue and starts waiting ones. */
+/* Has waiting orders started soon, once a connection whose order has just
+ * ended can be used again. */
+static void
+schedule_start(struct queue *queue)
+{
+    uv_timer_start(&queue->timer, start_queued_orders, 0, 0);
+}
+
+/* Removes an order from its queue and has waiting ones started. */
 static void
 leave_queue(struct order_call *call)
 {
     if (call->started) {
         call->queue->active--;
+        call->queue->active_grants -= !call->order.release;
     }
     else {
         g_queue_remove(&call->queue->waiting, call);
     }
-    start_queued_orders(call->queue);
+    schedule_start(call->queue);
 }
 
 /* Reports the result to the granter and frees the call. `status` is the HTTP
@@ -267,6 +299,8 @@
     if (queue == NULL) {
         queue = g_new0(struct queue, 1);
         g_queue_init(&queue->waiting);
+        uv_timer_init(orders->router->loop, &queue->timer);
+        queue->timer.data = queue;
         g_hash_table_insert(orders->queues, (gpointer)target_id, queue);
     }
     return queue;
@@ -310,10 +344,9 @@
         call->target = &unknown_target;
         uv_timer_start(&call->timer, on_timeout, 0, 0);
         g_queue_remove(&call->queue->waiting, call);
-        call->started = true;
-        call->queue->active++;
+        mark_started(call);
         return;
     }
     uv_timer_start(&call->timer, on_timeout, QUEUE_TIMEOUT_MS, 0);
-    start_queued_orders(call->queue);
+    schedule_start(call->queue);
 }
--- a/router/orders_test.c
+++ b/router/orders_test.c
@@ -3,11 +3,13 @@
 
 #include "core/clock.h"
 #include "core/log.h"
+#include "router/exchange.h"
 #include "router/fixture.h"
 #include "router/orders.h"
 #include "router/target_probe.h"
 
 #define RUN_MS 300
+#define RENEWALS 6
 #define UNREACHABLE_FOR_MS 5000
 #define ANSWER_TIMEOUT_MS 600 /* more than GRANT_TIMEOUT_MS of orders.c */
 
@@ -187,6 +189,39 @@
                        ->reachability.failing_since_ms > 0);
 }
 
+/* Each renewal without a connection takes a new fence and opens another one.
+ */
+static void
+test_renewals_wait_for_their_connection(void)
+{
+    static struct fixture fixture;
+    struct rs_order renewal = {
+        .service = g_intern_string("s"),
+        .target_id = g_intern_string("a"),
+        .grant = {.last_key = 9, .fence = 1, .hold_ms = 1000},
+        .send_before_ms = INT64_MAX,
+        .repeats_fence = true,
+        .newest_opening = UINT64_MAX,
+    };
+    open_fixture(&fixture);
+    fixture.answer = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n"
+                     "keep-alive: timeout=5\r\n\r\n";
+    run_order(&fixture, 5000);
+    for (int i = 0; i < RENEWALS; i++) {
+        RsOrders_Send(&fixture.orders, &renewal);
+    }
+    run(&fixture, RUN_MS);
+    CU_ASSERT_EQUAL(RsCounter_Read(&fixture.orders.sent), 1 + RENEWALS);
+    CU_ASSERT_EQUAL(RsCounter_Read(&fixture.orders.failed), 0);
+    CU_ASSERT_EQUAL(RsCounter_Read(&fixture.orders.without_connection), 0);
+    RsExchange_CloseIdle(
+        RsFleet_Find(&fixture.router.fleet, g_intern_string("a")));
+    RsOrders_Send(&fixture.orders, &renewal);
+    run(&fixture, RUN_MS);
+    CU_ASSERT_EQUAL(RsCounter_Read(&fixture.orders.failed), 0);
+    CU_ASSERT_EQUAL(RsCounter_Read(&fixture.orders.without_connection), 1);
+}
+
 /* Lets the target count as unreachable and probes it, with this answer (NULL:
  * none). Returns whether it counts as reachable then. */
 static bool
@@ -251,6 +286,7 @@
     CU_ADD_TEST(suite, test_answer_to_another_order_is_skipped);
     CU_ADD_TEST(suite, test_answer_without_id_is_taken);
     CU_ADD_TEST(suite, test_target_at_a_wrong_address_counts_as_unreachable);
+    CU_ADD_TEST(suite, test_renewals_wait_for_their_connection);
     CU_ADD_TEST(suite, test_probe_finds_the_target_itself_only);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_failures();
